--- /dev/null
+++ b/crates/admission/src/lib.rs
@@ -0,0 +1,1 @@
+//! Admission of callers' requests: limits, fair shares, priorities and shedding.
--- /dev/null
+++ b/crates/confsync/src/lib.rs
@@ -0,0 +1,1 @@
+//! Spread of configuration revisions between nodes.
--- /dev/null
+++ b/crates/hyssopscale/src/lib.rs
@@ -0,0 +1,1 @@
+//! Serving layer for very many LoRA adapters.
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! The node: actors and servers that turn bytes into events and actions into bytes.
--- /dev/null
+++ b/crates/once/src/lib.rs
@@ -0,0 +1,1 @@
+//! At-most-once execution of non-idempotent calls by claims from witnesses.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Drivers to the platform's configuration service and VM list.
--- /dev/null
+++ b/crates/roster/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership of a region and ownership by rendezvous hashing.
--- /dev/null
+++ b/crates/rules/src/lib.rs
@@ -0,0 +1,1 @@
+//! Operators' rules: parsing, checking and matching.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for outside systems, for tests and demonstrations.
--- /dev/null
+++ b/crates/upstream/src/lib.rs
@@ -0,0 +1,1 @@
+//! Drivers to engines and plain services.
