Add the settings of a node

Reads TOML key by key, so that one report names every unknown key, wrong type and value out of bounds, each with its remedy.

--- /dev/null
+++ b/crates/settings/src/check.rs
@@ -0,0 +1,300 @@
+//! Checks of values: bounds of each, then what must fit together.
+
+use std::fmt::Debug;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::{Driver, Fault, Settings};
+
+/// Keys that may be valid at once.
+const KEYS_MAX: usize = 2;
+
+/// Levels of logs.
+const LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
+
+/// Smallest body limit in bytes that leaves room for a prompt.
+const BODY_BYTES_MIN: usize = 1024;
+
+/// Heartbeats that must be missed before a peer may be suspect.
+const HEARTBEATS_MIN: u32 = 2;
+
+/// Longest duration of any key.
+const DURATION_MAX: Duration = Duration::from_secs(24 * 60 * 60);
+
+pub(crate) fn check(settings: &Settings) -> Vec<Fault> {
+    let mut check = Check(Vec::new());
+    check.vm(settings);
+    check.listen(settings);
+    check.platform(settings);
+    check.peers(settings);
+    check.limits(settings);
+    check.time(settings);
+    check.weights(settings);
+    check.stores(settings);
+    check.pools(settings);
+    check.rest(settings);
+    check.0
+}
+
+struct Check(Vec<Fault>);
+
+impl Check {
+    fn ensure(&mut self, holds: bool, key: impl Into<String>, value: impl Debug, remedy: &str) {
+        if holds {
+            return;
+        }
+        let value = format!("{value:?}");
+        let missing = value == "\"\"" || value == "None" || value == "[]";
+        self.0.push(Fault {
+            key: key.into(),
+            value: if missing { String::new() } else { value },
+            remedy: remedy.to_owned(),
+        });
+    }
+
+    fn vm(&mut self, settings: &Settings) {
+        let vm = &settings.vm;
+        for (key, value) in [
+            ("vm.id", &vm.id),
+            ("vm.region", &vm.region),
+            ("vm.zone", &vm.zone),
+        ] {
+            let plain = !value.is_empty() && !value.contains(char::is_whitespace);
+            let remedy = "give the name that the platform's list uses, without spaces";
+            self.ensure(plain, key, value, remedy);
+        }
+    }
+
+    fn listen(&mut self, settings: &Settings) {
+        let listen = &settings.listen;
+        let bound = [
+            ("callers", listen.callers, settings.callers()),
+            ("peers", listen.peers, settings.peers()),
+            ("operators", listen.operators, settings.operators()),
+        ];
+        for (index, (name, address, told)) in bound.into_iter().enumerate() {
+            let free = bound[..index]
+                .iter()
+                .all(|(_, other, _)| !clash(*other, address));
+            let remedy = "another listener binds this address, give it a port of its own";
+            self.ensure(free, format!("listen.{name}"), address, remedy);
+            let key = format!("advertise.{name}");
+            let remedy = "others can't connect to an unspecified address, set the one to tell them";
+            self.ensure(!told.ip().is_unspecified(), key, told, remedy);
+        }
+    }
+
+    fn platform(&mut self, settings: &Settings) {
+        let platform = &settings.platform;
+        let key = "platform.addresses";
+        let some = !platform.addresses.is_empty();
+        self.ensure(
+            some,
+            key,
+            &platform.addresses,
+            "list at least one host:port",
+        );
+        for address in &platform.addresses {
+            self.ensure(is_host_port(address), key, address, "write host:port");
+        }
+        for (name, value) in [
+            ("timeout", platform.timeout),
+            ("poll", platform.poll),
+            ("watch", platform.watch),
+        ] {
+            self.duration(format!("platform.{name}"), value);
+        }
+    }
+
+    fn peers(&mut self, settings: &Settings) {
+        let keys = &settings.peers.keys;
+        let count = (1..=KEYS_MAX).contains(&keys.len());
+        self.ensure(
+            count,
+            "peers.keys",
+            keys,
+            "list one key, or two during a rotation",
+        );
+        for key in keys {
+            let long = key.0.len() >= wire::seal::KEY_BYTES_MIN;
+            self.ensure(long, "peers.keys", key, "give a key of at least 16 bytes");
+        }
+    }
+
+    fn limits(&mut self, settings: &Settings) {
+        let limits = &settings.limits;
+        for (name, value, least) in [
+            ("header_bytes", limits.header_bytes, BODY_BYTES_MIN),
+            ("body_bytes", limits.body_bytes, BODY_BYTES_MIN),
+            ("connections", limits.connections, 1),
+            ("streams", limits.streams, 1),
+            ("queue", limits.queue, 1),
+            ("frame_bytes", limits.frame_bytes, BODY_BYTES_MIN),
+        ] {
+            let remedy = format!("give at least {least}");
+            self.ensure(value >= least, format!("limits.{name}"), value, &remedy);
+        }
+    }
+
+    fn time(&mut self, settings: &Settings) {
+        let time = &settings.time;
+        for (name, value) in [
+            ("connect", time.connect),
+            ("header", time.header),
+            ("body", time.body),
+            ("first_byte", time.first_byte),
+            ("idle", time.idle),
+            ("deadline", time.deadline),
+            ("deadline_max", time.deadline_max),
+            ("drain", time.drain),
+            ("address_ttl", time.address_ttl),
+            ("retry_window", time.retry_window),
+            ("heartbeat", time.heartbeat),
+            ("suspicion", time.suspicion),
+            ("lease", time.lease),
+            ("load", time.load),
+        ] {
+            self.duration(format!("time.{name}"), value);
+        }
+        let remedy = "make it at most time.deadline_max";
+        self.ensure(
+            time.deadline <= time.deadline_max,
+            "time.deadline",
+            time.deadline,
+            remedy,
+        );
+        let remedy = "make it shorter than time.deadline, or requests end while they wait";
+        self.ensure(
+            time.gather < time.deadline,
+            "time.gather",
+            time.gather,
+            remedy,
+        );
+        let remedy = "make it at least time.address_ttl, callers use an address for that long";
+        self.ensure(
+            time.drain >= time.address_ttl,
+            "time.drain",
+            time.drain,
+            remedy,
+        );
+        let least = time.heartbeat.saturating_mul(HEARTBEATS_MIN);
+        let remedy = "make it at least two of time.heartbeat, or a lost one makes a peer suspect";
+        self.ensure(
+            time.suspicion >= least,
+            "time.suspicion",
+            time.suspicion,
+            remedy,
+        );
+        let remedy = "make it longer than time.heartbeat, or leases end before their renewal";
+        self.ensure(
+            time.lease > time.heartbeat,
+            "time.lease",
+            time.lease,
+            remedy,
+        );
+    }
+
+    fn duration(&mut self, key: String, value: Duration) {
+        let fits = value > Duration::ZERO && value <= DURATION_MAX;
+        self.ensure(fits, key, value, "give more than 0s and at most 24h");
+    }
+
+    fn weights(&mut self, settings: &Settings) {
+        let weights = &settings.weights;
+        for (key, value) in [
+            ("weights.load_stalls", weights.load_stalls),
+            ("weights.batch_efficiency", weights.batch_efficiency),
+        ] {
+            self.ensure(
+                (0.0..=1.0).contains(&value),
+                key,
+                value,
+                "give a number from 0 to 1",
+            );
+        }
+        let some = weights.load_stalls > 0.0 || weights.batch_efficiency > 0.0;
+        self.ensure(some, "weights", weights, "give at least one weight above 0");
+    }
+
+    fn stores(&mut self, settings: &Settings) {
+        for (name, store) in &settings.stores {
+            let rate = store.loads_per_second;
+            let fits = rate.is_finite() && rate > 0.0;
+            let key = |leaf| format!("store.{name}.{leaf}");
+            self.ensure(fits, key("loads_per_second"), rate, "give a number above 0");
+            self.ensure(
+                store.in_flight > 0,
+                key("in_flight"),
+                store.in_flight,
+                "give at least 1",
+            );
+            self.duration(key("load_time"), store.load_time);
+        }
+    }
+
+    fn pools(&mut self, settings: &Settings) {
+        for (name, pool) in &settings.pools {
+            let key = |leaf| format!("pool.{name}.{leaf}");
+            self.ensure(
+                pool.max_batch > 0,
+                key("max_batch"),
+                pool.max_batch,
+                "give at least 1",
+            );
+            self.duration(key("report_lag"), pool.report_lag);
+            if pool.driver == Driver::Service {
+                let remedy = "a service loads no adapters, remove it or set driver = \"engine\"";
+                self.ensure(pool.base.is_none(), key("base"), &pool.base, remedy);
+                self.ensure(pool.store.is_none(), key("store"), &pool.store, remedy);
+                continue;
+            }
+            self.ensure(pool.slots > 0, key("slots"), pool.slots, "give at least 1");
+            let remedy = "name the base model that the engines run";
+            self.ensure(pool.base.is_some(), key("base"), &pool.base, remedy);
+            let store = pool.store.as_deref().unwrap_or_default();
+            let known = settings.stores.contains_key(store);
+            self.ensure(
+                known,
+                key("store"),
+                store,
+                "name a store that has a [store.NAME] table",
+            );
+        }
+    }
+
+    fn rest(&mut self, settings: &Settings) {
+        if let Some(tls) = &settings.tls {
+            let remedy = "give the path of a PEM file";
+            let certificate = &tls.certificate;
+            self.ensure(
+                !certificate.as_os_str().is_empty(),
+                "tls.certificate",
+                certificate,
+                remedy,
+            );
+            self.ensure(!tls.key.as_os_str().is_empty(), "tls.key", &tls.key, remedy);
+        }
+        let log = &settings.log;
+        let known = LEVELS.contains(&log.level.as_str());
+        self.ensure(
+            known,
+            "log.level",
+            &log.level,
+            "use error, warn, info, debug or trace",
+        );
+        let lines = log.lines_per_second;
+        self.ensure(lines > 0, "log.lines_per_second", lines, "give at least 1");
+    }
+}
+
+/// Tells whether two listeners can't both bind.
+fn clash(a: SocketAddr, b: SocketAddr) -> bool {
+    let same_ip = a.ip() == b.ip() || a.ip().is_unspecified() || b.ip().is_unspecified();
+    a.port() != 0 && a.port() == b.port() && same_ip
+}
+
+fn is_host_port(text: &str) -> bool {
+    text.rsplit_once(':').is_some_and(|(host, port)| {
+        !host.is_empty() && port.parse::<u16>().is_ok_and(|port| port > 0)
+    })
+}
