--- /dev/null
+++ b/crates/node/src/front/listener.rs
@@ -0,0 +1,110 @@
+//! Accept loop with limits on connections, header sizes and slow callers.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+
+use super::Body;
+
+/// Smallest read buffer that the HTTP library accepts, in bytes.
+const HEADER_BYTES_MIN: usize = 8192;
+
+/// Limits of one listener.
+#[derive(Clone, Copy, Debug)]
+pub struct Limit {
+    /// Connections open at once; more wait in the listen queue.
+    pub connections: usize,
+    /// Bytes of a request's head.
+    pub header_bytes: usize,
+    /// Time in which a request's head has to be whole.
+    pub header_time: Duration,
+}
+
+/// Answers requests; one clone serves each connection.
+pub trait Handler: Clone + Send + Sync + 'static {
+    /// Answers one request.
+    fn handle(
+        &self,
+        request: Request<Incoming>,
+    ) -> impl Future<Output = Response<Body>> + Send;
+}
+
+/// Accepts connections until `stop` turns true, then lets each finish its present request.
+///
+/// Returns when all connections are closed.
+pub async fn serve<H: Handler>(
+    listener: TcpListener,
+    limit: Limit,
+    handler: H,
+    mut stop: watch::Receiver<bool>,
+) {
+    let slots = Arc::new(Semaphore::new(limit.connections));
+    loop {
+        let Ok(slot) = slots.clone().acquire_owned().await else {
+            break;
+        };
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|stop| *stop) => break,
+        };
+        let (stream, _): (TcpStream, SocketAddr) = match accepted {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                // Out of descriptors or a connection gone before it was taken; both pass.
+                log::warn!("accept failed: {error}");
+                tokio::time::sleep(Duration::from_millis(10)).await;
+                continue;
+            }
+        };
+        let (handler, stop) = (handler.clone(), stop.clone());
+        tokio::spawn(async move {
+            connection(stream, limit, handler, stop).await;
+            drop(slot);
+        });
+    }
+    drop(listener);
+    // Every connection holds a slot until it is closed.
+    let all = u32::try_from(limit.connections).unwrap_or(u32::MAX);
+    let _ = slots.acquire_many(all).await;
+}
+
+async fn connection<H: Handler>(
+    stream: TcpStream,
+    limit: Limit,
+    handler: H,
+    mut stop: watch::Receiver<bool>,
+) {
+    // Small token chunks must not wait for each other.
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let handler = handler.clone();
+        async move { Ok::<_, Infallible>(handler.handle(request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limit.header_time)
+        .max_buf_size(limit.header_bytes.max(HEADER_BYTES_MIN))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    tokio::select! {
+        result = connection.as_mut() => return log_end(result),
+        _ = stop.wait_for(|stop| *stop) => connection.as_mut().graceful_shutdown(),
+    }
+    log_end(connection.await);
+}
+
+fn log_end(result: hyper::Result<()>) {
+    if let Err(error) = result {
+        log::debug!("caller's connection ended: {error}");
+    }
+}
