--- a/crates/node/src/journal.rs
+++ b/crates/node/src/journal.rs
@@ -10,6 +10,7 @@
 
 use log::kv::{self, Key, Value, VisitSource};
 use log::{LevelFilter, Record};
+use settings::Form;
 
 /// Target of the records that tell a routing or placement decision.
 pub const DECISION: &str = "decision";
@@ -17,15 +18,6 @@
 /// Period over which the rate limit counts.
 const WINDOW: Duration = Duration::from_secs(1);
 
-/// How lines are written.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Format {
-    /// `key=value` pairs.
-    Text,
-    /// One JSON object a line.
-    Json,
-}
-
 /// Reason why logging could not be set up.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -46,7 +38,7 @@
 /// # Errors
 ///
 /// Returns [`Error::Installed`] where the process has a logger already.
-pub fn install(format: Format, level: LevelFilter, lines_per_second: u32) -> Result<(), Error> {
+pub fn install(form: Form, level: LevelFilter, lines_per_second: u32) -> Result<(), Error> {
     let limit = Limit::new(lines_per_second);
     fern::Dispatch::new()
         .level(LevelFilter::Warn)
@@ -55,9 +47,9 @@
         .level_for("hyssopscale", level)
         .filter(move |metadata| metadata.target() != DECISION || limit.admit(Instant::now()))
         .format(move |out, message, record| {
-            let line = match format {
-                Format::Text => text_line(&message.to_string(), record),
-                Format::Json => json_line(&message.to_string(), record),
+            let line = match form {
+                Form::Text => text_line(&message.to_string(), record),
+                Form::Json => json_line(&message.to_string(), record),
             };
             out.finish(format_args!("{line}"));
         })
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,4 +2,6 @@
 pub mod clock;
 pub mod front;
 pub mod journal;
+pub mod metrics;
 pub mod peer;
+pub mod usage;
--- /dev/null
+++ b/crates/node/src/metrics.rs
@@ -0,0 +1,249 @@
+//! Metrics by `prometheus`, with bounded labels: priorities, pools, outcomes and kinds, never
+//! adapters or callers.
+
+use std::time::Duration;
+
+use prometheus::core::Collector;
+use prometheus::{
+    Encoder, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
+};
+use wire::Priority;
+
+use crate::front::Outcome;
+use crate::peer::SharedCounts;
+
+/// Upper bounds of the buckets for waits, in seconds.
+const WAIT_BUCKETS: [f64; 12] =
+    [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.72, 1.0, 2.5, 5.0, 15.0];
+
+/// Upper bounds of the buckets for gaps between tokens, in seconds.
+const GAP_BUCKETS: [f64; 8] = [0.005, 0.01, 0.02, 0.04, 0.063, 0.1, 0.25, 1.0];
+
+/// The metrics of one node.
+pub struct Metrics {
+    registry: Registry,
+    counts: SharedCounts,
+    /// Requests by kind, priority and outcome.
+    pub requests: IntCounterVec,
+    /// Requests in flight by kind.
+    pub in_flight: IntGaugeVec,
+    /// Time from a request's arrival to its grant, by priority.
+    pub grant_wait: HistogramVec,
+    /// Part of that time that was a load stall, by priority and pool.
+    pub load_stall: HistogramVec,
+    /// Time to the first token, by priority.
+    pub first_token: HistogramVec,
+    /// Time between tokens, by priority.
+    pub token_gap: HistogramVec,
+    /// Batch efficiency by pool: sequences in a step over the most it takes.
+    pub batch_efficiency: GaugeVec,
+    /// Tokens passed on to callers.
+    pub tokens: IntCounter,
+    /// Orders to engines by kind and result.
+    pub orders: IntCounterVec,
+    /// Refusals by reason.
+    pub refused: IntCounterVec,
+    /// Claims of calls that may not be repeated, by what followed.
+    pub claims: IntCounterVec,
+    /// Revision of the configuration in force.
+    pub revision: IntGauge,
+    /// Revisions refused because of a fault.
+    pub revisions_refused: IntCounter,
+    /// Nodes of the region by state, as this node believes.
+    pub members: IntGaugeVec,
+    /// Upstreams by pool and state.
+    pub upstreams: IntGaugeVec,
+    /// Calls to the platform by kind and result.
+    pub platform_calls: IntCounterVec,
+    frames: IntGaugeVec,
+    memory: IntGauge,
+    cpu: prometheus::Gauge,
+    log_dropped: IntGauge,
+}
+
+impl Metrics {
+    /// Registers the metrics.
+    ///
+    /// # Errors
+    ///
+    /// Returns the library's error where a name is malformed or used twice.
+    pub fn new(counts: SharedCounts) -> prometheus::Result<Self> {
+        let registry = Registry::new_custom(Some("hyssopscale".into()), None)?;
+        let r = &registry;
+        Ok(Self {
+            requests: counter_vec(
+                r,
+                "requests_total",
+                "Requests answered.",
+                &["kind", "priority", "outcome"],
+            )?,
+            in_flight: gauge_vec(r, "requests_in_flight", "Requests in flight.", &["kind"])?,
+            grant_wait: histogram(
+                r,
+                "grant_wait_seconds",
+                "Time from arrival to grant.",
+                &["priority"],
+                &WAIT_BUCKETS,
+            )?,
+            load_stall: histogram(
+                r,
+                "load_stall_seconds",
+                "Time a request waited for its adapter.",
+                &["priority", "pool"],
+                &WAIT_BUCKETS,
+            )?,
+            first_token: histogram(
+                r,
+                "first_token_seconds",
+                "Time from arrival to the first token.",
+                &["priority"],
+                &WAIT_BUCKETS,
+            )?,
+            token_gap: histogram(
+                r,
+                "token_gap_seconds",
+                "Time between two tokens of a stream.",
+                &["priority"],
+                &GAP_BUCKETS,
+            )?,
+            batch_efficiency: registered(
+                r,
+                GaugeVec::new(
+                    Opts::new(
+                        "batch_efficiency",
+                        "Sequences in a step over the most that a step takes.",
+                    ),
+                    &["pool"],
+                )?,
+            )?,
+            tokens: registered(r, IntCounter::new("tokens_total", "Tokens passed on.")?)?,
+            orders: counter_vec(r, "orders_total", "Orders to engines.", &["kind", "result"])?,
+            refused: counter_vec(r, "refused_total", "Refused requests.", &["reason"])?,
+            claims: counter_vec(
+                r,
+                "claims_total",
+                "Claims of calls that may not be repeated.",
+                &["result"],
+            )?,
+            revision: registered(
+                r,
+                IntGauge::new("configuration_revision", "Revision in force.")?,
+            )?,
+            revisions_refused: registered(
+                r,
+                IntCounter::new("configuration_refused_total", "Revisions refused.")?,
+            )?,
+            members: gauge_vec(r, "members", "Nodes of the region by state.", &["state"])?,
+            upstreams: gauge_vec(r, "upstreams", "Upstreams by state.", &["pool", "state"])?,
+            platform_calls: counter_vec(
+                r,
+                "platform_calls_total",
+                "Calls to the platform.",
+                &["kind", "result"],
+            )?,
+            frames: gauge_vec(r, "control_frames", "Frames between nodes.", &["count"])?,
+            memory: registered(
+                r,
+                IntGauge::new("process_resident_bytes", "Resident memory.")?,
+            )?,
+            cpu: registered(
+                r,
+                prometheus::Gauge::new("process_cpu_seconds_total", "Processor time used.")?,
+            )?,
+            log_dropped: registered(
+                r,
+                IntGauge::new("log_lines_dropped", "Decision lines dropped by the rate limit.")?,
+            )?,
+            registry,
+            counts,
+        })
+    }
+
+    /// Counts a request that was answered whole.
+    pub fn answered(&self, kind: &str, priority: Priority) {
+        self.requests.with_label_values(&[kind, priority.name(), "answered"]).inc();
+    }
+
+    /// Counts a request that ended otherwise.
+    pub fn ended(&self, kind: &str, priority: Priority, outcome: Outcome) {
+        self.requests.with_label_values(&[kind, priority.name(), outcome.name()]).inc();
+    }
+
+    /// Records a wait in one of the histograms by priority.
+    pub fn observe(histogram: &HistogramVec, priority: Priority, wait: Duration) {
+        histogram.with_label_values(&[priority.name()]).observe(wait.as_secs_f64());
+    }
+
+    /// Returns the text exposition of all metrics.
+    ///
+    /// # Errors
+    ///
+    /// Returns the library's error where a metric cannot be written as text.
+    pub fn render(&self) -> prometheus::Result<Vec<u8>> {
+        self.refresh();
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+
+    fn refresh(&self) {
+        use std::sync::atomic::Ordering::Relaxed;
+        let counts = &self.counts;
+        for (label, value) in [
+            ("sent", &counts.sent),
+            ("sent-bytes", &counts.sent_bytes),
+            ("received", &counts.received),
+            ("dropped", &counts.dropped),
+            ("refused", &counts.refused),
+        ] {
+            self.frames.with_label_values(&[label]).set(signed(value.load(Relaxed)));
+        }
+        self.log_dropped.set(signed(crate::journal::dropped()));
+        if let Some(usage) = crate::usage::read() {
+            self.memory.set(signed(usage.resident_bytes));
+            self.cpu.set(usage.cpu.as_secs_f64());
+        }
+    }
+}
+
+fn signed(value: u64) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
+
+fn registered<C: Collector + Clone + 'static>(
+    registry: &Registry,
+    collector: C,
+) -> prometheus::Result<C> {
+    registry.register(Box::new(collector.clone()))?;
+    Ok(collector)
+}
+
+fn counter_vec(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> prometheus::Result<IntCounterVec> {
+    registered(registry, IntCounterVec::new(Opts::new(name, help), labels)?)
+}
+
+fn gauge_vec(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> prometheus::Result<IntGaugeVec> {
+    registered(registry, IntGaugeVec::new(Opts::new(name, help), labels)?)
+}
+
+fn histogram(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+    buckets: &[f64],
+) -> prometheus::Result<HistogramVec> {
+    let opts = HistogramOpts::new(name, help).buckets(buckets.to_vec());
+    registered(registry, HistogramVec::new(opts, labels)?)
+}
