--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -13,7 +13,9 @@
 impl Clock {
     /// Starts the clock at zero.
     pub fn start() -> Self {
-        Self { origin: Instant::now() }
+        Self {
+            origin: Instant::now(),
+        }
     }
 
     /// Returns the time since the start.
@@ -29,6 +31,8 @@
 
 /// Returns the wall clock in microseconds since the Unix epoch; zero where it stands before that.
 pub fn wall_micros() -> u64 {
-    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let elapsed = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX)
 }
--- a/crates/node/src/front/body.rs
+++ b/crates/node/src/front/body.rs
@@ -50,9 +50,9 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
         match self.get_mut() {
             Self::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Stream(chunks) => {
-                chunks.poll_recv(context).map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
-            }
+            Self::Stream(chunks) => chunks
+                .poll_recv(context)
+                .map(|chunk| chunk.map(|chunk| chunk.map(Frame::data))),
         }
     }
 
--- a/crates/node/src/front/listener.rs
+++ b/crates/node/src/front/listener.rs
@@ -33,10 +33,7 @@
 /// Answers requests; one clone serves each connection.
 pub trait Handler: Clone + Send + Sync + 'static {
     /// Answers one request.
-    fn handle(
-        &self,
-        request: Request<Incoming>,
-    ) -> impl Future<Output = Response<Body>> + Send;
+    fn handle(&self, request: Request<Incoming>) -> impl Future<Output = Response<Body>> + Send;
 }
 
 /// Accepts connections until `stop` turns true, then lets each finish its present request.
--- a/crates/node/src/front/problem.rs
+++ b/crates/node/src/front/problem.rs
@@ -59,7 +59,12 @@
 impl Problem {
     /// Makes a problem without a time to retry.
     pub fn new(status: StatusCode, outcome: Outcome, detail: impl Into<String>) -> Self {
-        Self { status, outcome, detail: detail.into(), retry_after: None }
+        Self {
+            status,
+            outcome,
+            detail: detail.into(),
+            retry_after: None,
+        }
     }
 
     /// Makes the problem of a request that did not run for lack of capacity.
@@ -84,7 +89,10 @@
         let mut response = Response::new(Body::full(self.to_json()));
         *response.status_mut() = self.status;
         let headers = response.headers_mut();
-        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
+        headers.insert(
+            CONTENT_TYPE,
+            HeaderValue::from_static("application/problem+json"),
+        );
         headers.insert("x-outcome", HeaderValue::from_static(self.outcome.name()));
         if let Some(delay) = self.retry_after {
             headers.insert(RETRY_AFTER, HeaderValue::from(whole_seconds(delay)));
--- a/crates/node/src/journal.rs
+++ b/crates/node/src/journal.rs
@@ -65,14 +65,20 @@
 
 impl Limit {
     fn new(lines: u32) -> Self {
-        Self { lines, window: Mutex::new((None, 0)) }
+        Self {
+            lines,
+            window: Mutex::new((None, 0)),
+        }
     }
 
     fn admit(&self, now: Instant) -> bool {
         let Ok(mut window) = self.window.lock() else {
             return false;
         };
-        if window.0.is_none_or(|start| now.duration_since(start) >= WINDOW) {
+        if window
+            .0
+            .is_none_or(|start| now.duration_since(start) >= WINDOW)
+        {
             *window = (Some(now), 0);
         }
         window.1 += 1;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -14,8 +14,9 @@
 use crate::peer::SharedCounts;
 
 /// Upper bounds of the buckets for waits, in seconds.
-const WAIT_BUCKETS: [f64; 12] =
-    [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.72, 1.0, 2.5, 5.0, 15.0];
+const WAIT_BUCKETS: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.72, 1.0, 2.5, 5.0, 15.0,
+];
 
 /// Upper bounds of the buckets for gaps between tokens, in seconds.
 const GAP_BUCKETS: [f64; 8] = [0.005, 0.01, 0.02, 0.04, 0.063, 0.1, 0.25, 1.0];
@@ -153,7 +154,10 @@
             )?,
             log_dropped: registered(
                 r,
-                IntGauge::new("log_lines_dropped", "Decision lines dropped by the rate limit.")?,
+                IntGauge::new(
+                    "log_lines_dropped",
+                    "Decision lines dropped by the rate limit.",
+                )?,
             )?,
             registry,
             counts,
@@ -162,17 +166,23 @@
 
     /// Counts a request that was answered whole.
     pub fn answered(&self, kind: &str, priority: Priority) {
-        self.requests.with_label_values(&[kind, priority.name(), "answered"]).inc();
+        self.requests
+            .with_label_values(&[kind, priority.name(), "answered"])
+            .inc();
     }
 
     /// Counts a request that ended otherwise.
     pub fn ended(&self, kind: &str, priority: Priority, outcome: Outcome) {
-        self.requests.with_label_values(&[kind, priority.name(), outcome.name()]).inc();
+        self.requests
+            .with_label_values(&[kind, priority.name(), outcome.name()])
+            .inc();
     }
 
     /// Records a wait in one of the histograms by priority.
     pub fn observe(histogram: &HistogramVec, priority: Priority, wait: Duration) {
-        histogram.with_label_values(&[priority.name()]).observe(wait.as_secs_f64());
+        histogram
+            .with_label_values(&[priority.name()])
+            .observe(wait.as_secs_f64());
     }
 
     /// Returns the text exposition of all metrics.
@@ -197,7 +207,9 @@
             ("dropped", &counts.dropped),
             ("refused", &counts.refused),
         ] {
-            self.frames.with_label_values(&[label]).set(signed(value.load(Relaxed)));
+            self.frames
+                .with_label_values(&[label])
+                .set(signed(value.load(Relaxed)));
         }
         self.log_dropped.set(signed(crate::journal::dropped()));
         if let Some(usage) = crate::usage::read() {
--- a/crates/node/src/peer/inbox.rs
+++ b/crates/node/src/peer/inbox.rs
@@ -36,8 +36,10 @@
         sink: impl Fn(Frame) + Clone + Send + Sync + 'static,
     ) -> std::io::Result<Self> {
         let receiver = Receiver { seal, counts, sink };
-        let middleware = RpcServiceBuilder::new()
-            .layer_fn(move |inner| Service { inner, receiver: receiver.clone() });
+        let middleware = RpcServiceBuilder::new().layer_fn(move |inner| Service {
+            inner,
+            receiver: receiver.clone(),
+        });
         let config = ServerConfig::builder()
             .max_request_body_size(frame_bytes_max)
             .max_connections(CONNECTIONS_MAX)
--- a/crates/node/src/peer/outbox.rs
+++ b/crates/node/src/peer/outbox.rs
@@ -39,14 +39,21 @@
 impl Outbox {
     /// Makes an outbox without connections.
     pub fn new(seal: Seal, counts: SharedCounts) -> Self {
-        Self { seal, counts, links: HashMap::new() }
+        Self {
+            seal,
+            counts,
+            links: HashMap::new(),
+        }
     }
 
     /// Sets which peers there are; connections to others are closed.
     pub fn set_peers(&mut self, peers: impl IntoIterator<Item = (Vm, SocketAddr)>) {
         let mut links = HashMap::new();
         for (vm, address) in peers {
-            let kept = self.links.remove(&vm).filter(|link| link.address == address);
+            let kept = self
+                .links
+                .remove(&vm)
+                .filter(|link| link.address == address);
             let link = kept.unwrap_or_else(|| open_link(address, self.counts.clone()));
             links.insert(vm, link);
         }
@@ -55,7 +62,10 @@
 
     /// Queues `frame` for its addressee, or drops it where that is not a peer or its queue is full.
     pub fn send(&self, frame: &Frame) {
-        let queued = self.links.get(&frame.to).is_some_and(|link| self.queue(link, frame));
+        let queued = self
+            .links
+            .get(&frame.to)
+            .is_some_and(|link| self.queue(link, frame));
         if !queued {
             add(&self.counts.dropped, 1);
         }
@@ -86,7 +96,10 @@
 async fn run_link(address: SocketAddr, mut frames: mpsc::Receiver<String>, counts: SharedCounts) {
     let mut client = None;
     while let Some(text) = frames.recv().await {
-        if client.as_ref().is_none_or(|client: &WsClient| !client.is_connected()) {
+        if client
+            .as_ref()
+            .is_none_or(|client: &WsClient| !client.is_connected())
+        {
             client = connect(address).await;
         }
         let Some(open) = &client else {
@@ -112,6 +125,8 @@
 
 async fn connect(address: SocketAddr) -> Option<WsClient> {
     let url = format!("ws://{address}");
-    let build = WsClientBuilder::default().connection_timeout(STEP_TIMEOUT).build(&url);
+    let build = WsClientBuilder::default()
+        .connection_timeout(STEP_TIMEOUT)
+        .build(&url);
     tokio::time::timeout(STEP_TIMEOUT, build).await.ok()?.ok()
 }
--- a/crates/node/src/usage.rs
+++ b/crates/node/src/usage.rs
@@ -31,5 +31,8 @@
     let user: u64 = fields.next()?.parse().ok()?;
     let system: u64 = fields.next()?.parse().ok()?;
     let cpu = Duration::from_millis((user + system) * 1000 / TICKS_PER_SECOND);
-    Some(Usage { resident_bytes: pages * PAGE_BYTES, cpu })
+    Some(Usage {
+        resident_bytes: pages * PAGE_BYTES,
+        cpu,
+    })
 }
--- a/crates/node/tests/peer.rs
+++ b/crates/node/tests/peer.rs
@@ -18,7 +18,12 @@
 }
 
 fn frame(body: &[u8]) -> Frame {
-    Frame { from: Incarnation::new("a", 1), to: "b".into(), channel: 1, body: body.to_vec() }
+    Frame {
+        from: Incarnation::new("a", 1),
+        to: "b".into(),
+        channel: 1,
+        body: body.to_vec(),
+    }
 }
 
 async fn inbox(key: &str) -> (Inbox, SharedCounts, mpsc::UnboundedReceiver<Frame>) {
@@ -38,8 +43,14 @@
     for body in [&b"one"[..], b"two"] {
         outbox.send(&frame(body));
     }
-    let first = tokio::time::timeout(PATIENCE, frames.recv()).await.unwrap().unwrap();
-    let second = tokio::time::timeout(PATIENCE, frames.recv()).await.unwrap().unwrap();
+    let first = tokio::time::timeout(PATIENCE, frames.recv())
+        .await
+        .unwrap()
+        .unwrap();
+    let second = tokio::time::timeout(PATIENCE, frames.recv())
+        .await
+        .unwrap()
+        .unwrap();
     assert_eq!((first, second), (frame(b"one"), frame(b"two")));
     assert_eq!(counts.refused.load(Ordering::Relaxed), 0);
 }
