Add drivers to the platform, engines and services

The drivers drive their own connections, so that a dropped call closes its connection at once and the count of bytes written tells exactly whether a request may have reached the upstream. Nothing is retried.

--- /dev/null
+++ b/crates/upstream/src/engine/answer.rs
@@ -0,0 +1,195 @@
+//! Checks that a streamed answer is whole and belongs to its request.
+//!
+//! The check is pure: it takes the data of server-sent events and says what each one means.
+
+use serde::Deserialize;
+use wire::Upstream;
+
+use super::{Attempt, Instance};
+use crate::error::Error;
+
+/// Data of the event that ends a stream.
+const DONE: &str = "[DONE]";
+
+/// Name of the chunk object that opens a stream.
+const OPENING: &str = "opening";
+
+/// One event of a streamed answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// The engine has taken the request.
+    Open,
+    /// One token.
+    Token {
+        /// Number of tokens before it.
+        offset: u64,
+        /// Its text.
+        text: String,
+    },
+    /// The answer is whole.
+    End {
+        /// Number of tokens, those before the resumed offset included.
+        tokens: u64,
+        /// Why the engine stopped, for example `stop` or `length`.
+        reason: String,
+    },
+}
+
+/// What follows from one event's data.
+#[derive(Debug)]
+pub enum Next {
+    /// To be passed on.
+    Pass(Event),
+    /// Of another attempt, or received before: to be dropped.
+    Drop,
+    /// The answer cannot become whole.
+    Fail(Error),
+}
+
+/// The state of one answer's check.
+#[derive(Clone, Debug)]
+pub struct Check {
+    upstream: Upstream,
+    attempt: Attempt,
+    instance: Instance,
+    offset: u64,
+    reason: Option<String>,
+}
+
+/// A chunk as the engine sends it.
+#[derive(Debug, Deserialize)]
+struct Chunk {
+    id: Option<String>,
+    model: Option<String>,
+    object: Option<String>,
+    offset: Option<u64>,
+    #[serde(default)]
+    choices: Vec<Choice>,
+    error: Option<Fault>,
+}
+
+/// A chunk's one choice.
+#[derive(Debug, Deserialize)]
+struct Choice {
+    #[serde(default)]
+    text: String,
+    finish_reason: Option<String>,
+}
+
+/// A failure in the middle of a stream.
+#[derive(Debug, Deserialize)]
+struct Fault {
+    #[serde(default)]
+    message: String,
+}
+
+impl Check {
+    /// Begins the check of `attempt`'s answer by `instance` from `offset` on.
+    pub fn new(upstream: Upstream, attempt: Attempt, instance: Instance, offset: u64) -> Self {
+        Self {
+            upstream,
+            attempt,
+            instance,
+            offset,
+            reason: None,
+        }
+    }
+
+    /// Returns the number of tokens received, those before the resumed offset included.
+    pub fn offset(&self) -> u64 {
+        self.offset
+    }
+
+    /// Takes one event's data in.
+    pub fn take(&mut self, data: &str) -> Next {
+        if data == DONE {
+            return self.done();
+        }
+        match serde_json::from_str(data) {
+            Ok(chunk) => self.chunk(chunk),
+            Err(error) => Next::Fail(self.malformed(error)),
+        }
+    }
+
+    /// Returns the error for a stream that ends here.
+    pub fn cut(&self, cause: impl ToString) -> Error {
+        Error::Cut {
+            upstream: self.upstream.clone(),
+            offset: self.offset,
+            cause: cause.to_string(),
+        }
+    }
+
+    /// Returns the error for bytes that are no event stream.
+    pub fn malformed(&self, cause: impl ToString) -> Error {
+        Error::Malformed {
+            upstream: self.upstream.clone(),
+            cause: cause.to_string(),
+        }
+    }
+
+    fn done(&mut self) -> Next {
+        match self.reason.take() {
+            Some(reason) => Next::Pass(Event::End {
+                tokens: self.offset,
+                reason,
+            }),
+            None => Next::Fail(self.cut("no finish reason before the last event")),
+        }
+    }
+
+    fn chunk(&mut self, chunk: Chunk) -> Next {
+        // An engine that names no attempt is not known to answer this one.
+        if chunk.id.as_deref() != Some(&*self.attempt) {
+            return Next::Drop;
+        }
+        if let Some(fault) = chunk.error {
+            return Next::Fail(self.failed(fault));
+        }
+        if chunk.model.as_deref() != Some(&*self.instance) {
+            let model = chunk.model.unwrap_or_default();
+            return Next::Fail(self.malformed(format!("chunk is of model `{model}`")));
+        }
+        if chunk.object.as_deref() == Some(OPENING) {
+            return Next::Pass(Event::Open);
+        }
+        match chunk.choices.into_iter().next() {
+            Some(choice) => self.choice(chunk.offset, choice),
+            None => Next::Drop,
+        }
+    }
+
+    fn choice(&mut self, offset: Option<u64>, choice: Choice) -> Next {
+        if let Some(reason) = choice.finish_reason {
+            return self.finish(offset, reason);
+        }
+        match offset {
+            Some(offset) if offset == self.offset => {
+                self.offset += 1;
+                Next::Pass(Event::Token {
+                    offset,
+                    text: choice.text,
+                })
+            }
+            Some(offset) if offset < self.offset => Next::Drop,
+            Some(offset) => Next::Fail(self.cut(format!("token {offset} came next"))),
+            None => Next::Fail(self.malformed("chunk names no offset")),
+        }
+    }
+
+    fn finish(&mut self, offset: Option<u64>, reason: String) -> Next {
+        if offset.is_some_and(|offset| offset != self.offset) {
+            return Next::Fail(self.cut("tokens are missing before the finish"));
+        }
+        self.reason = Some(reason);
+        Next::Drop
+    }
+
+    fn failed(&self, fault: Fault) -> Error {
+        Error::Failed {
+            upstream: self.upstream.clone(),
+            offset: self.offset,
+            message: fault.message,
+        }
+    }
+}
--- /dev/null
+++ b/crates/upstream/src/engine/http.rs
@@ -0,0 +1,340 @@
+//! The engine over HTTP/1.1.
+//!
+//! Orders, models and completions follow the dynamic-LoRA protocol of the OpenAI-compatible
+//! engines: `POST /v1/load_lora_adapter`, `POST /v1/unload_lora_adapter`, `GET /v1/models` and
+//! `POST /v1/completions`. Beside them stand `POST /v1/role`, `POST /v1/cancel`,
+//! `GET /v1/report`, `GET /v1/events?after=N` and `GET` and `PUT /v1/kv/ATTEMPT`.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::CONTENT_TYPE;
+use hyper::http::request::Builder;
+use hyper::{Method, Request, Response, StatusCode};
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use serde_json::{Value, json};
+use wire::{Fence, Upstream};
+
+use super::answer::{Check, Next};
+use super::{Completion, Engine, Event, Events, Load, Report, Resident, Role, Unload};
+use crate::error::Error;
+use crate::header;
+use crate::link::{Body, Call, Class, Limits, Link, Reuse};
+use crate::sse::Parser;
+
+/// Bytes of an error answer that are quoted.
+const QUOTE_BYTES_MAX: usize = 200;
+
+/// An engine reached over HTTP.
+#[derive(Clone, Debug)]
+pub struct Http {
+    link: Link,
+    load: Duration,
+}
+
+/// The form of `GET /v1/models`.
+#[derive(Deserialize)]
+struct Models {
+    data: Vec<Resident>,
+}
+
+impl Http {
+    /// Names the engine; `load` is the time limit of a load order.
+    pub fn new(
+        upstream: impl Into<Upstream>,
+        address: SocketAddr,
+        limits: Limits,
+        load: Duration,
+    ) -> Self {
+        Self {
+            link: Link::new(upstream, address, limits),
+            load,
+        }
+    }
+
+    /// Returns the engine's id.
+    pub fn upstream(&self) -> &Upstream {
+        self.link.upstream()
+    }
+
+    async fn order(&self, path: &str, fence: Fence, body: &Value) -> Result<(), Error> {
+        let request = Request::post(path).header(header::FENCE, fence);
+        let call = Call {
+            class: Class::Control,
+            // A new connection: an order that was never sent is then known for what it is.
+            reuse: Reuse::Fresh,
+            head: Some(self.load),
+            request: self.build(request, body)?,
+        };
+        let response = self.link.send(call).await?;
+        match response.status() {
+            status if status.is_success() => response.into_body().collect().await.map(drop),
+            StatusCode::CONFLICT => Err(Error::Fenced {
+                upstream: self.upstream().clone(),
+                fence,
+            }),
+            _ => Err(self.refusal(response, body["lora_name"].as_str()).await),
+        }
+    }
+
+    async fn ask(&self, path: &str) -> Result<Bytes, Error> {
+        let request = Request::get(path).body(Full::default());
+        let request = request.map_err(|error| self.invalid(error))?;
+        self.control(request, Reuse::Kept).await
+    }
+
+    async fn control(&self, request: Request<Full<Bytes>>, reuse: Reuse) -> Result<Bytes, Error> {
+        let path = request.uri().path().to_owned();
+        let call = Call {
+            class: Class::Control,
+            reuse,
+            head: None,
+            request,
+        };
+        let response = self.link.send(call).await?;
+        if response.status().is_success() {
+            return response.into_body().collect().await;
+        }
+        Err(self.refusal(response, Some(&path)).await)
+    }
+
+    async fn read<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
+        let body = self.ask(path).await?;
+        serde_json::from_slice(&body).map_err(|error| Error::Malformed {
+            upstream: self.upstream().clone(),
+            cause: format!("{path}: {error}"),
+        })
+    }
+
+    fn build(&self, request: Builder, body: &Value) -> Result<Request<Full<Bytes>>, Error> {
+        request
+            .header(CONTENT_TYPE, "application/json")
+            .body(Full::from(body.to_string()))
+            .map_err(|error| self.invalid(error))
+    }
+
+    fn invalid(&self, cause: impl ToString) -> Error {
+        Error::Invalid {
+            upstream: self.upstream().clone(),
+            cause: cause.to_string(),
+        }
+    }
+
+    async fn refusal(&self, response: Response<Body>, thing: Option<&str>) -> Error {
+        let upstream = self.upstream().clone();
+        let status = response.status();
+        if is_leaving(&response) {
+            return Error::Leaving { upstream };
+        }
+        if status == StatusCode::NOT_FOUND {
+            let instance = thing.unwrap_or_default().to_owned();
+            return Error::Absent { upstream, instance };
+        }
+        let body = response.into_body().collect().await.unwrap_or_default();
+        let quoted = &body[..body.len().min(QUOTE_BYTES_MAX)];
+        Error::Refused {
+            upstream,
+            status: status.as_u16(),
+            message: String::from_utf8_lossy(quoted).into_owned(),
+        }
+    }
+}
+
+impl Engine for Http {
+    type Answer = Stream;
+
+    async fn load(&self, order: Load) -> Result<(), Error> {
+        let body = json!({
+            "lora_name": order.instance,
+            "lora_path": order.path,
+            "base_model_name": order.base,
+        });
+        self.order("/v1/load_lora_adapter", order.fence, &body)
+            .await
+    }
+
+    async fn unload(&self, order: Unload) -> Result<(), Error> {
+        let body = json!({ "lora_name": order.instance });
+        self.order("/v1/unload_lora_adapter", order.fence, &body)
+            .await
+    }
+
+    async fn assign(&self, role: Role, fence: Fence) -> Result<(), Error> {
+        self.order("/v1/role", fence, &json!({ "role": role }))
+            .await
+    }
+
+    async fn models(&self) -> Result<Vec<Resident>, Error> {
+        let models: Models = self.read("/v1/models").await?;
+        Ok(models.data)
+    }
+
+    async fn complete(&self, request: Completion) -> Result<Stream, Error> {
+        let mut body = request.parameters.clone();
+        body.insert("model".into(), json!(request.instance));
+        body.insert("prompt".into(), json!(request.prompt));
+        body.insert("max_tokens".into(), json!(request.max_tokens));
+        body.insert("priority".into(), json!(request.priority as u8));
+        body.insert("offset".into(), json!(request.offset));
+        body.insert("stream".into(), json!(true));
+        let builder = Request::post("/v1/completions")
+            .header(header::ATTEMPT, &*request.attempt)
+            .header(header::REQUEST, &request.request)
+            .header(header::CALLER, &*request.caller);
+        let call = Call {
+            class: request.priority.into(),
+            reuse: Reuse::Kept,
+            head: None,
+            request: self.build(builder, &Value::Object(body))?,
+        };
+        let response = self.link.send(call).await?;
+        check_echo(self.upstream(), &response, &request.attempt)?;
+        if !response.status().is_success() {
+            return Err(self.refusal(response, Some(&request.instance)).await);
+        }
+        let check = Check::new(
+            self.upstream().clone(),
+            request.attempt,
+            request.instance,
+            request.offset,
+        );
+        Ok(Stream::new(check, response.into_body()))
+    }
+
+    async fn cancel(&self, attempt: &str) -> Result<(), Error> {
+        let request = self.build(Request::post("/v1/cancel"), &json!({ "attempt": attempt }))?;
+        self.control(request, Reuse::Kept).await.map(drop)
+    }
+
+    async fn report(&self) -> Result<Report, Error> {
+        self.read("/v1/report").await
+    }
+
+    async fn events(&self, after: u64) -> Result<Events, Error> {
+        self.read(&format!("/v1/events?after={after}")).await
+    }
+
+    async fn export(&self, attempt: &str) -> Result<Bytes, Error> {
+        self.ask(&format!("/v1/kv/{attempt}")).await
+    }
+
+    async fn import(&self, attempt: &str, cache: Bytes) -> Result<(), Error> {
+        let request = Request::builder()
+            .method(Method::PUT)
+            .uri(format!("/v1/kv/{attempt}"))
+            .body(Full::new(cache))
+            .map_err(|error| self.invalid(error))?;
+        self.control(request, Reuse::Fresh).await.map(drop)
+    }
+}
+
+/// Tells whether the answer says that the upstream is leaving and ran nothing.
+pub(crate) fn is_leaving(response: &Response<Body>) -> bool {
+    response.status() == StatusCode::SERVICE_UNAVAILABLE
+        && response
+            .headers()
+            .get(header::LEAVING)
+            .is_some_and(|value| value == "true")
+}
+
+/// Checks that an answer that names an attempt names this one.
+pub(crate) fn check_echo(
+    upstream: &Upstream,
+    response: &Response<Body>,
+    attempt: &str,
+) -> Result<(), Error> {
+    match response.headers().get(header::ATTEMPT) {
+        Some(got) if got != attempt => Err(Error::Crossed {
+            upstream: upstream.clone(),
+            expected: attempt.to_owned(),
+            got: String::from_utf8_lossy(got.as_bytes()).into_owned(),
+        }),
+        _ => Ok(()),
+    }
+}
+
+/// A streamed answer. Dropping it closes the connection, which cancels the work.
+#[derive(Debug)]
+pub struct Stream {
+    check: Check,
+    parser: Parser,
+    body: Option<Body>,
+    ended: bool,
+}
+
+impl Stream {
+    fn new(check: Check, body: Body) -> Self {
+        Self {
+            check,
+            parser: Parser::default(),
+            body: Some(body),
+            ended: false,
+        }
+    }
+
+    /// Returns the number of tokens received, those before the resumed offset included.
+    pub fn offset(&self) -> u64 {
+        self.check.offset()
+    }
+
+    fn parsed(&mut self) -> Option<Result<Event, Error>> {
+        while let Some(data) = self.parser.next_event() {
+            match self.check.take(&data) {
+                Next::Pass(event) => return Some(Ok(event)),
+                Next::Drop => {}
+                Next::Fail(error) => return Some(Err(error)),
+            }
+        }
+        None
+    }
+
+    async fn read(&mut self) -> Result<(), Error> {
+        let Some(body) = &mut self.body else {
+            return Err(self.check.cut("the stream has failed before"));
+        };
+        match body.next().await {
+            Ok(Some(part)) => self
+                .parser
+                .push(&part)
+                .map_err(|error| self.check.malformed(error)),
+            Ok(None) => Err(self.check.cut("no last event")),
+            Err(Error::Cut { cause, .. }) => Err(self.check.cut(cause)),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Reads on to the end of the body, so that the connection can be kept.
+    async fn release(&mut self) {
+        if let Some(mut body) = self.body.take() {
+            while let Ok(Some(_)) = body.next().await {}
+        }
+    }
+
+    async fn step(&mut self) -> Result<Event, Error> {
+        loop {
+            if let Some(event) = self.parsed() {
+                return event;
+            }
+            self.read().await?;
+        }
+    }
+}
+
+impl super::Answer for Stream {
+    async fn next(&mut self) -> Result<Option<Event>, Error> {
+        if self.ended {
+            self.release().await;
+            return Ok(None);
+        }
+        let event = self.step().await;
+        match &event {
+            Ok(Event::End { .. }) => self.ended = true,
+            Ok(_) => {}
+            Err(_) => self.body = None,
+        }
+        event.map(Some)
+    }
+}
--- /dev/null
+++ b/crates/upstream/src/header.rs
@@ -0,0 +1,32 @@
+//! Names of the headers between the system and its upstreams.
+
+/// Fencing number of an order; an upstream that checks it refuses a lower one than it has seen.
+pub const FENCE: &str = "x-fence";
+
+/// Id of one attempt; the upstream echoes it, so that a crossed answer is noticed.
+pub const ATTEMPT: &str = "x-attempt";
+
+/// Id of the request that the attempt belongs to.
+pub const REQUEST: &str = "x-request-id";
+
+/// Name of the caller.
+pub const CALLER: &str = "x-caller";
+
+/// Key under which a call is to run once.
+pub const KEY: &str = "idempotency-key";
+
+/// Set to `true` on a 503 answer by an upstream that is leaving and did not run the request.
+pub const LEAVING: &str = "x-leaving";
+
+/// Headers that belong to one connection and are not passed on (RFC 9110, section 7.6.1).
+pub const HOP_BY_HOP: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -1,1 +1,21 @@
-//! Drivers to engines and plain services.
+//! Drivers to upstreams: model engines and plain services.
+//!
+//! The parts meet like this:
+//!
+//! - [`engine`] and [`service`] are the narrow interfaces, each with an HTTP driver.
+//! - [`link`] opens, keeps and drives the connections to one upstream. It never retries, and it
+//!   knows for each request whether a byte of it was written.
+//! - [`sse`] parses event streams, and [`error`] tells how far a failed call got.
+//! - [`header`] names the headers that the drivers send and read.
+
+pub mod engine;
+pub mod error;
+pub mod header;
+pub mod link;
+pub mod service;
+pub mod sse;
+
+pub use engine::Engine;
+pub use error::{Error, Phase, Reach};
+pub use link::{Class, Limits};
+pub use service::Service;
--- /dev/null
+++ b/crates/upstream/src/link/body.rs
@@ -0,0 +1,139 @@
+//! A response body that is read from its connection part by part.
+
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+
+use bytes::{Bytes, BytesMut};
+use hyper::body::{Body as _, Incoming};
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::time::timeout;
+
+use super::conn::Conn;
+use super::{Link, Pool};
+use crate::error::{Error, Phase, Reach};
+
+/// Where a connection goes when its response is whole.
+#[derive(Debug)]
+pub(super) struct Home {
+    pool: Arc<Pool>,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl Home {
+    pub(super) fn new(pool: Arc<Pool>, permit: OwnedSemaphorePermit) -> Self {
+        Self {
+            pool,
+            _permit: permit,
+        }
+    }
+}
+
+/// A response body. Dropping it before its end closes the connection, which cancels the work.
+#[derive(Debug)]
+pub struct Body {
+    link: Link,
+    incoming: Incoming,
+    offset: u64,
+    open: Option<(Conn, Home)>,
+}
+
+impl Body {
+    pub(super) fn new(link: Link, conn: Conn, incoming: Incoming, home: Home) -> Self {
+        Self {
+            link,
+            incoming,
+            offset: 0,
+            open: Some((conn, home)),
+        }
+    }
+
+    /// Returns the bytes received so far.
+    pub fn offset(&self) -> u64 {
+        self.offset
+    }
+
+    /// Returns the next part, or `None` once the body is whole.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Cut`] where the body ends early and [`Error::Timeout`] where nothing comes
+    /// within the limit.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, Error> {
+        let limit = self.link.limits.body;
+        match timeout(limit, poll_fn(|cx| self.poll(cx))).await {
+            Ok(part) => part,
+            Err(_) => {
+                self.open = None;
+                Err(Error::Timeout {
+                    upstream: self.link.upstream.clone(),
+                    phase: Phase::Body,
+                    limit,
+                    reach: Reach::MaybeSent,
+                })
+            }
+        }
+    }
+
+    /// Reads the rest of the body.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Large`] beyond the link's body limit, and what [`Body::next`] returns.
+    pub async fn collect(mut self) -> Result<Bytes, Error> {
+        let limit = self.link.limits.body_bytes;
+        let mut whole = BytesMut::new();
+        while let Some(part) = self.next().await? {
+            if whole.len() + part.len() > limit {
+                return Err(Error::Large {
+                    upstream: self.link.upstream.clone(),
+                    limit,
+                });
+            }
+            whole.extend_from_slice(&part);
+        }
+        Ok(whole.freeze())
+    }
+
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Result<Option<Bytes>, Error>> {
+        let Some((conn, _)) = &mut self.open else {
+            return Poll::Ready(Ok(None));
+        };
+        loop {
+            conn.drive(cx);
+            match ready!(Pin::new(&mut self.incoming).poll_frame(cx)) {
+                Some(Ok(frame)) => {
+                    // Trailers carry nothing that the callers are promised.
+                    if let Ok(part) = frame.into_data() {
+                        self.offset += part.len() as u64;
+                        return Poll::Ready(Ok(Some(part)));
+                    }
+                }
+                Some(Err(error)) => {
+                    self.open = None;
+                    return Poll::Ready(Err(self.cut(&error)));
+                }
+                None => {
+                    conn.drive(cx);
+                    self.give_back();
+                    return Poll::Ready(Ok(None));
+                }
+            }
+        }
+    }
+
+    fn give_back(&mut self) {
+        if let Some((conn, home)) = self.open.take() {
+            home.pool.give(conn);
+        }
+    }
+
+    fn cut(&self, cause: &hyper::Error) -> Error {
+        Error::Cut {
+            upstream: self.link.upstream.clone(),
+            offset: self.offset,
+            cause: cause.to_string(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/upstream/src/link/conn.rs
@@ -0,0 +1,159 @@
+//! One connection, driven by the call that uses it.
+
+use std::fmt;
+use std::future::{Future, poll_fn};
+use std::io;
+use std::pin::{Pin, pin};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{Builder, Connection, SendRequest};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+/// A connection that knows how many bytes were written to it.
+pub(super) struct Conn {
+    sender: SendRequest<Full<Bytes>>,
+    driver: Pin<Box<Connection<TokioIo<Counter>, Full<Bytes>>>>,
+    closed: bool,
+    written: Arc<AtomicU64>,
+    /// Time at which it was last given back.
+    pub(super) idle_since: Instant,
+}
+
+impl Conn {
+    /// Prepares HTTP on an open stream; nothing is written.
+    pub(super) async fn open(stream: TcpStream, head_bytes: usize) -> hyper::Result<Self> {
+        let written = Arc::new(AtomicU64::new(0));
+        let counter = Counter {
+            stream,
+            written: written.clone(),
+        };
+        let (sender, driver) = Builder::new()
+            .max_buf_size(head_bytes)
+            .handshake(TokioIo::new(counter))
+            .await?;
+        Ok(Self {
+            sender,
+            driver: Box::pin(driver),
+            closed: false,
+            written,
+            idle_since: Instant::now(),
+        })
+    }
+
+    /// Returns the bytes handed to the system so far.
+    pub(super) fn written(&self) -> u64 {
+        self.written.load(Ordering::Relaxed)
+    }
+
+    /// Sends a request and waits for the response head.
+    pub(super) async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> hyper::Result<Response<Incoming>> {
+        let mut answer = pin!(self.sender.send_request(request));
+        poll_fn(|cx| {
+            poll_driver(&mut self.driver, &mut self.closed, cx);
+            answer.as_mut().poll(cx)
+        })
+        .await
+    }
+
+    /// Drives the connection once; to be called whenever its response body is polled.
+    pub(super) fn drive(&mut self, cx: &mut Context<'_>) {
+        poll_driver(&mut self.driver, &mut self.closed, cx);
+    }
+
+    /// Tells whether the connection is ready for another request and not known to be closed.
+    pub(super) async fn verify(&mut self) -> bool {
+        poll_fn(|cx| {
+            self.drive(cx);
+            Poll::Ready(())
+        })
+        .await;
+        !self.closed && self.sender.is_ready()
+    }
+}
+
+impl fmt::Debug for Conn {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Conn")
+            .field("closed", &self.closed)
+            .field("written", &self.written())
+            .finish_non_exhaustive()
+    }
+}
+
+fn poll_driver(
+    driver: &mut Pin<Box<Connection<TokioIo<Counter>, Full<Bytes>>>>,
+    closed: &mut bool,
+    cx: &mut Context<'_>,
+) {
+    if !*closed {
+        *closed = driver.as_mut().poll(cx).is_ready();
+    }
+}
+
+/// A stream that counts the bytes written.
+struct Counter {
+    stream: TcpStream,
+    written: Arc<AtomicU64>,
+}
+
+impl Counter {
+    fn count(&self, bytes: usize) {
+        self.written.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+}
+
+impl AsyncRead for Counter {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Counter {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let bytes = ready!(Pin::new(&mut self.stream).poll_write(cx, buf))?;
+        self.count(bytes);
+        Poll::Ready(Ok(bytes))
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let bytes = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, bufs))?;
+        self.count(bytes);
+        Poll::Ready(Ok(bytes))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/crates/upstream/src/link/mod.rs
@@ -0,0 +1,291 @@
+//! Connections to one upstream.
+//!
+//! - [`Link`] hands out connections within the limits of each [`Class`] and keeps idle ones.
+//! - [`conn`] drives a connection and counts the bytes that were written to it.
+//! - [`body`] reads a response body and gives the connection back once it is whole.
+//!
+//! A connection is driven by the call that uses it and by nothing else. A dropped call or body
+//! therefore closes its connection at once, and no byte is written behind the call's back: the
+//! byte count that an error reports is exact.
+
+mod body;
+mod conn;
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::HOST;
+use hyper::http::HeaderValue;
+use hyper::{Request, Response};
+use tokio::net::TcpStream;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::{Instant, timeout};
+use wire::{Priority, Upstream};
+
+pub use body::Body;
+use conn::Conn;
+
+use crate::error::{Error, Phase, Reach};
+
+/// Connections that a class may open; no class waits for another's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Class {
+    /// Orders and reports.
+    Control,
+    /// Urgent requests.
+    Urgent,
+    /// All other requests.
+    Ordinary,
+}
+
+impl From<Priority> for Class {
+    fn from(priority: Priority) -> Self {
+        match priority {
+            Priority::Urgent => Self::Urgent,
+            Priority::Normal | Priority::Routine => Self::Ordinary,
+        }
+    }
+}
+
+/// Whether a kept connection may carry the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Reuse {
+    /// A kept connection that is not known to be closed will do.
+    Kept,
+    /// Only a new connection will do, since the request may not be repeated.
+    Fresh,
+}
+
+/// Limits of one link.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Connections at a time for [`Class::Control`].
+    pub control: usize,
+    /// Connections at a time for [`Class::Urgent`].
+    pub urgent: usize,
+    /// Connections at a time for [`Class::Ordinary`].
+    pub ordinary: usize,
+    /// Time until a connection is open.
+    pub connect: Duration,
+    /// Time from there until the response head has come.
+    pub head: Duration,
+    /// Time between two parts of the response body.
+    pub body: Duration,
+    /// Time that an idle connection is kept.
+    pub keep: Duration,
+    /// Bytes of a response head; at least 8,192.
+    pub head_bytes: usize,
+    /// Bytes of a response body that is read as a whole.
+    pub body_bytes: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            control: 16,
+            urgent: 64,
+            ordinary: 256,
+            connect: Duration::from_millis(500),
+            head: Duration::from_secs(30),
+            body: Duration::from_secs(10),
+            keep: Duration::from_secs(20),
+            head_bytes: 16 << 10,
+            body_bytes: 8 << 20,
+        }
+    }
+}
+
+/// One request with what the link must know of it.
+#[derive(Debug)]
+pub struct Call {
+    /// The class whose connections it uses.
+    pub class: Class,
+    /// Whether a kept connection may carry it.
+    pub reuse: Reuse,
+    /// Time until the response head, in place of the link's limit.
+    pub head: Option<Duration>,
+    /// The request; the link sets its `host` header.
+    pub request: Request<Full<Bytes>>,
+}
+
+/// The connections of one class.
+#[derive(Debug)]
+struct Pool {
+    limit: usize,
+    permits: Arc<Semaphore>,
+    idle: Mutex<Vec<Conn>>,
+}
+
+impl Pool {
+    fn new(limit: usize) -> Arc<Self> {
+        Arc::new(Self {
+            limit,
+            permits: Arc::new(Semaphore::new(limit)),
+            idle: Mutex::new(Vec::new()),
+        })
+    }
+
+    fn take(&self, keep: Duration) -> Option<Conn> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.retain(|conn| conn.idle_since.elapsed() < keep);
+        idle.pop()
+    }
+
+    fn give(&self, mut conn: Conn) {
+        conn.idle_since = Instant::now();
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        if idle.len() < self.limit {
+            idle.push(conn);
+        }
+    }
+}
+
+/// The connections to one upstream.
+#[derive(Clone, Debug)]
+pub struct Link {
+    upstream: Upstream,
+    address: SocketAddr,
+    limits: Limits,
+    control: Arc<Pool>,
+    urgent: Arc<Pool>,
+    ordinary: Arc<Pool>,
+}
+
+impl Link {
+    /// Makes a link without a connection to `upstream` at `address`.
+    pub fn new(upstream: impl Into<Upstream>, address: SocketAddr, limits: Limits) -> Self {
+        Self {
+            upstream: upstream.into(),
+            address,
+            limits,
+            control: Pool::new(limits.control),
+            urgent: Pool::new(limits.urgent),
+            ordinary: Pool::new(limits.ordinary),
+        }
+    }
+
+    /// Returns the upstream's id.
+    pub fn upstream(&self) -> &Upstream {
+        &self.upstream
+    }
+
+    /// Returns the limits that the link was made with.
+    pub fn limits(&self) -> &Limits {
+        &self.limits
+    }
+
+    /// Sends one request once and returns the response head with its unread body.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] whose [`Error::reach`] tells whether a byte was written.
+    pub async fn send(&self, call: Call) -> Result<Response<Body>, Error> {
+        let pool = self.pool(call.class);
+        let permit = self.permit(pool)?;
+        let request = self.address_request(call.request)?;
+        let mut conn = self.connection(pool, call.reuse).await?;
+        let limit = call.head.unwrap_or(self.limits.head);
+        let before = conn.written();
+        let answer = timeout(limit, conn.send(request)).await;
+        let reach = if conn.written() == before {
+            Reach::NotSent
+        } else {
+            Reach::MaybeSent
+        };
+        let upstream = self.upstream.clone();
+        match answer {
+            Ok(Ok(response)) => Ok(response.map(|incoming| {
+                Body::new(
+                    self.clone(),
+                    conn,
+                    incoming,
+                    body::Home::new(pool.clone(), permit),
+                )
+            })),
+            Ok(Err(error)) => Err(Error::Broken {
+                upstream,
+                cause: error.to_string(),
+                reach,
+            }),
+            Err(_) => Err(Error::Timeout {
+                upstream,
+                phase: Phase::Head,
+                limit,
+                reach,
+            }),
+        }
+    }
+
+    fn pool(&self, class: Class) -> &Arc<Pool> {
+        match class {
+            Class::Control => &self.control,
+            Class::Urgent => &self.urgent,
+            Class::Ordinary => &self.ordinary,
+        }
+    }
+
+    fn permit(&self, pool: &Pool) -> Result<OwnedSemaphorePermit, Error> {
+        let permits = pool.permits.clone();
+        permits.try_acquire_owned().map_err(|_| Error::Full {
+            upstream: self.upstream.clone(),
+            limit: pool.limit,
+        })
+    }
+
+    fn address_request(
+        &self,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<Request<Full<Bytes>>, Error> {
+        let host = self.address.to_string();
+        let host = HeaderValue::try_from(host).map_err(|error| Error::Invalid {
+            upstream: self.upstream.clone(),
+            cause: error.to_string(),
+        })?;
+        request.headers_mut().insert(HOST, host);
+        Ok(request)
+    }
+
+    async fn connection(&self, pool: &Pool, reuse: Reuse) -> Result<Conn, Error> {
+        let kept = match reuse {
+            Reuse::Kept => self.kept(pool).await,
+            Reuse::Fresh => None,
+        };
+        match kept {
+            Some(conn) => Ok(conn),
+            None => self.open().await,
+        }
+    }
+
+    async fn kept(&self, pool: &Pool) -> Option<Conn> {
+        while let Some(mut conn) = pool.take(self.limits.keep) {
+            if conn.verify().await {
+                return Some(conn);
+            }
+        }
+        None
+    }
+
+    async fn open(&self) -> Result<Conn, Error> {
+        let limit = self.limits.connect;
+        let opened = timeout(limit, TcpStream::connect(self.address)).await;
+        let refused = |cause| Error::Connect {
+            upstream: self.upstream.clone(),
+            cause,
+        };
+        let stream = opened
+            .map_err(|_| Error::Timeout {
+                upstream: self.upstream.clone(),
+                phase: Phase::Connect,
+                limit,
+                reach: Reach::NotSent,
+            })?
+            .map_err(refused)?;
+        stream.set_nodelay(true).map_err(refused)?;
+        Conn::open(stream, self.limits.head_bytes)
+            .await
+            .map_err(|error| refused(std::io::Error::other(error)))
+    }
+}
--- /dev/null
+++ b/crates/upstream/src/service/http.rs
@@ -0,0 +1,133 @@
+//! The service over HTTP/1.1.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::http::{HeaderMap, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
+use wire::Upstream;
+
+use super::{Body, Call, Service};
+use crate::engine::{check_echo, is_leaving};
+use crate::error::Error;
+use crate::header;
+use crate::link::{self, Limits, Link};
+
+/// A plain service reached over HTTP.
+#[derive(Clone, Debug)]
+pub struct Http {
+    link: Link,
+}
+
+impl Http {
+    /// Names the service.
+    pub fn new(upstream: impl Into<Upstream>, address: SocketAddr, limits: Limits) -> Self {
+        Self {
+            link: Link::new(upstream, address, limits),
+        }
+    }
+
+    /// Returns the service's id.
+    pub fn upstream(&self) -> &Upstream {
+        self.link.upstream()
+    }
+
+    fn request(&self, call: Call) -> Result<Request<Full<Bytes>>, Error> {
+        let invalid = |cause: String| Error::Invalid {
+            upstream: self.upstream().clone(),
+            cause,
+        };
+        let attempt = HeaderValue::try_from(&*call.attempt);
+        let attempt = attempt.map_err(|error| invalid(error.to_string()))?;
+        let mut request = Request::builder()
+            .method(call.method)
+            .uri(call.path)
+            .body(Full::new(call.body))
+            .map_err(|error| invalid(error.to_string()))?;
+        *request.headers_mut() = call.headers;
+        strip(request.headers_mut());
+        // The connection frames the body anew.
+        request.headers_mut().remove(CONTENT_LENGTH);
+        request.headers_mut().insert(header::ATTEMPT, attempt);
+        Ok(request)
+    }
+
+    fn check(&self, response: &Response<link::Body>, sent: &Sent) -> Result<(), Error> {
+        check_echo(self.upstream(), response, &sent.attempt)?;
+        if is_leaving(response) {
+            return Err(Error::Leaving {
+                upstream: self.upstream().clone(),
+            });
+        }
+        if !is_framed(response, &sent.method) {
+            return Err(Error::Malformed {
+                upstream: self.upstream().clone(),
+                cause: "the body's length is not told".to_owned(),
+            });
+        }
+        Ok(())
+    }
+}
+
+/// What the answer is checked against.
+struct Sent {
+    method: Method,
+    attempt: crate::engine::Attempt,
+}
+
+impl Service for Http {
+    type Body = link::Body;
+
+    async fn call(&self, call: Call) -> Result<Response<link::Body>, Error> {
+        let sent = Sent {
+            method: call.method.clone(),
+            attempt: call.attempt.clone(),
+        };
+        let call = link::Call {
+            class: call.priority.into(),
+            reuse: call.reuse,
+            head: None,
+            request: self.request(call)?,
+        };
+        let mut response = self.link.send(call).await?;
+        self.check(&response, &sent)?;
+        strip(response.headers_mut());
+        response.headers_mut().remove(header::ATTEMPT);
+        Ok(response)
+    }
+}
+
+impl Body for link::Body {
+    async fn next(&mut self) -> Result<Option<Bytes>, Error> {
+        link::Body::next(self).await
+    }
+}
+
+/// Removes the headers that belong to one connection, those that it names included.
+fn strip(headers: &mut HeaderMap) {
+    let named: Vec<String> = headers
+        .get_all(hyper::header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_owned())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in header::HOP_BY_HOP {
+        headers.remove(name);
+    }
+}
+
+/// Tells whether the end of the body can be told from a cut.
+fn is_framed(response: &Response<link::Body>, method: &Method) -> bool {
+    let headers = response.headers();
+    let status = response.status();
+    let bodiless = method == Method::HEAD
+        || status == StatusCode::NO_CONTENT
+        || status == StatusCode::NOT_MODIFIED;
+    bodiless || headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
