Add the membership and configuration machines

The roster turns the platform's list and heartbeats into a view, spreads leaving upstreams, answers addresses and orders the steps of a shutdown. The spreader learns of revisions from the platform and peers and switches only upwards.

--- a/crates/confsync/src/lib.rs
+++ b/crates/confsync/src/lib.rs
@@ -1,1 +1,21 @@
-//! Spread of configuration revisions between nodes.
+//! Spread of configuration revisions between the nodes of a region.
+//!
+//! The parts meet like this:
+//!
+//! - [`Manifest`] names the parts that make up one revision, since no value of the platform may
+//!   exceed a megabyte; [`Digest`] and [`Id`] tell contents apart.
+//! - [`Spreader`] learns of revisions from the platform and from peers, fetches what it lacks,
+//!   has it checked, and switches whole revisions only upwards.
+//! - [`message`] is what spreaders tell each other; [`patch`] carries one changed line of a part
+//!   in place of the part.
+
+pub mod manifest;
+pub mod message;
+pub mod note;
+pub mod patch;
+mod spreader;
+
+pub use manifest::{Digest, Id, Manifest, Part};
+pub use message::Message;
+pub use note::{Note, Reason};
+pub use spreader::{Action, Body, Event, Spreader, Value};
--- /dev/null
+++ b/crates/confsync/src/spreader/fetch.rs
@@ -0,0 +1,320 @@
+//! Fetching the parts of a newer revision that are not here yet.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use wire::{Time, Vm, rank};
+
+use super::store::{Set, Store, Verdict};
+use super::{Action, Spreader};
+use crate::manifest::{Digest, Id, Manifest};
+use crate::message::Message;
+use crate::note::Note;
+
+/// Bytes of a part in one message.
+pub(super) const PIECE_BYTES: usize = 32 << 10;
+
+/// Parts fetched at the same time.
+const WINDOW: usize = 4;
+
+/// Time that a peer has to send a piece.
+const PIECE_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Time that the driver has to end a read before another source is tried.
+const READ_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Every such try goes to the platform although peers have the revision.
+const PLATFORM_EVERY: u32 = 4;
+
+/// Head start that each watcher of the region has over the next one in reading a part from the
+/// platform, so that most of them get it from a peer instead.
+const HEAD_START: Duration = Duration::from_millis(400);
+
+/// First and last wait after a failed read.
+const RETRY: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(5));
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Source {
+    Nobody,
+    Peer(Vm),
+    Platform,
+}
+
+/// The fetch of one part.
+#[derive(Clone, Debug)]
+struct Pull {
+    index: usize,
+    digest: Digest,
+    got: Vec<u8>,
+    source: Source,
+    due: Time,
+    tries: u32,
+}
+
+/// The fetch of one revision.
+#[derive(Clone, Debug)]
+pub(super) struct Fetch {
+    pub(super) id: Id,
+    manifest: Manifest,
+    bodies: Vec<Option<Bytes>>,
+    holders: Vec<Vm>,
+    since: Time,
+    pulls: Vec<Pull>,
+}
+
+impl Fetch {
+    pub(super) fn new(now: Time, manifest: Manifest) -> Self {
+        let parts = manifest.parts.iter().enumerate();
+        let pulls = parts.map(|(index, part)| Pull {
+            index,
+            digest: part.digest,
+            got: Vec::new(),
+            source: Source::Nobody,
+            due: now,
+            tries: 0,
+        });
+        Self {
+            id: manifest.id(),
+            bodies: vec![None; manifest.parts.len()],
+            holders: Vec::new(),
+            since: now,
+            pulls: pulls.collect(),
+            manifest,
+        }
+    }
+
+    /// Takes over the parts that are here already.
+    pub(super) fn fill(&mut self, store: &Store) {
+        let bodies = &mut self.bodies;
+        self.pulls.retain(|pull| {
+            let body = store.body(pull.digest, pull.index).cloned();
+            bodies[pull.index] = body;
+            bodies[pull.index].is_none()
+        });
+    }
+
+    pub(super) fn held_by(&mut self, vm: &Vm) {
+        if !self.holders.contains(vm) {
+            self.holders.push(vm.clone());
+        }
+    }
+
+    pub(super) fn whole(&self) -> bool {
+        self.pulls.is_empty()
+    }
+
+    pub(super) fn into_set(self) -> Set {
+        Set {
+            id: self.id,
+            manifest: self.manifest,
+            bodies: self.bodies.into_iter().flatten().collect(),
+            verdict: Verdict::Open,
+        }
+    }
+
+    /// Returns a part that came already.
+    pub(super) fn find(&self, digest: Digest) -> Option<&Bytes> {
+        let mut parts = self.manifest.parts.iter();
+        let index = parts.position(|part| part.digest == digest)?;
+        self.bodies[index].as_ref()
+    }
+
+    /// Takes a part's content in. Returns whether it is that of the manifest.
+    pub(super) fn put(&mut self, index: usize, body: Bytes) -> bool {
+        let Some(part) = self.manifest.parts.get(index) else {
+            return false;
+        };
+        if Digest::of(&body) != part.digest || body.len() != part.bytes as usize {
+            return false;
+        }
+        let digest = part.digest;
+        for pull in self.pulls.iter().filter(|pull| pull.digest == digest) {
+            self.bodies[pull.index] = Some(body.clone());
+        }
+        self.pulls.retain(|pull| pull.digest != digest);
+        true
+    }
+
+    pub(super) fn wake(&self) -> Option<Time> {
+        let first = self.pulls.iter().take(WINDOW);
+        first.map(|pull| pull.due).min()
+    }
+
+    fn piece(&mut self, now: Time, from: &Vm, digest: Digest, offset: u32, bytes: &Bytes) -> bool {
+        let Some(pull) = self.pulls.iter_mut().find(|pull| pull.digest == digest) else {
+            return true;
+        };
+        if pull.source != Source::Peer(from.clone()) || pull.got.len() != offset as usize {
+            return true;
+        }
+        let index = pull.index;
+        let size = self.manifest.parts[index].bytes as usize;
+        pull.got.extend_from_slice(bytes);
+        pull.due = now;
+        if pull.got.len() < size && !bytes.is_empty() {
+            return true;
+        }
+        let whole = std::mem::take(&mut pull.got);
+        pull.source = Source::Nobody;
+        self.put(index, whole.into())
+    }
+}
+
+impl Spreader {
+    /// Asks for the parts that are due, a few at a time.
+    pub(super) fn pull(&mut self, now: Time, out: &mut impl Extend<Action>) {
+        let Some(mut fetch) = self.fetch.take() else {
+            return;
+        };
+        for position in 0..fetch.pulls.len().min(WINDOW) {
+            if fetch.pulls[position].due <= now {
+                self.pull_one(now, &mut fetch, position, out);
+            }
+        }
+        self.fetch = Some(fetch);
+    }
+
+    fn pull_one(
+        &mut self,
+        now: Time,
+        fetch: &mut Fetch,
+        position: usize,
+        out: &mut impl Extend<Action>,
+    ) {
+        let platform_from = fetch.since + self.head_start(fetch.id);
+        let holders = fetch.holders.clone();
+        let pull = &mut fetch.pulls[position];
+        // A piece came and the next one is due at the same peer.
+        let goes_on = matches!(pull.source, Source::Peer(_)) && !pull.got.is_empty();
+        let goes_on = goes_on && pull.tries == 0;
+        if !goes_on {
+            pull.source = self.choose(now, holders, platform_from, pull.tries);
+        }
+        match &pull.source {
+            Source::Nobody => pull.due = platform_from.max(now + HEAD_START),
+            Source::Peer(to) => {
+                pull.due = now + PIECE_TIMEOUT;
+                out.extend([Action::Send {
+                    to: to.clone(),
+                    message: Message::Want {
+                        digest: pull.digest,
+                        offset: u32::try_from(pull.got.len()).unwrap_or(u32::MAX),
+                    },
+                }]);
+            }
+            Source::Platform => {
+                pull.due = now + READ_TIMEOUT;
+                let key = fetch.manifest.parts[pull.index].key.clone();
+                self.platform.count();
+                out.extend([Action::Read { key }]);
+            }
+        }
+        fetch.pulls[position].tries += 1;
+    }
+
+    fn choose(&mut self, now: Time, holders: Vec<Vm>, platform_from: Time, tries: u32) -> Source {
+        let platform = holders.is_empty() || tries % PLATFORM_EVERY == PLATFORM_EVERY - 1;
+        if platform && now >= platform_from {
+            return Source::Platform;
+        }
+        let holder = self.draw(holders, 1).pop();
+        holder.map_or(Source::Nobody, Source::Peer)
+    }
+
+    /// Returns how long this node leaves reading the parts of `id` to others of its region.
+    fn head_start(&self, id: Id) -> Duration {
+        if self.start.is_some() && self.others().is_empty() {
+            return Duration::ZERO;
+        }
+        let live = self.view.live().map(|peer| &peer.incarnation.vm);
+        let ranked = rank::top(id.print, live, super::platform::PART_READERS);
+        let place = ranked.iter().position(|vm| **vm == self.me);
+        let watcher = u32::from(!self.platform.watches());
+        let place = u32::try_from(place.unwrap_or(ranked.len())).unwrap_or(u32::MAX);
+        HEAD_START * (place + watcher)
+    }
+
+    pub(super) fn piece(
+        &mut self,
+        now: Time,
+        from: &Vm,
+        digest: Digest,
+        offset: u32,
+        bytes: &Bytes,
+    ) {
+        let Some(fetch) = &mut self.fetch else {
+            return;
+        };
+        let sound = fetch.piece(now, from, digest, offset, bytes);
+        let more = fetch.pulls.iter_mut().find(|pull| pull.digest == digest);
+        if let Some(pull) = more.filter(|pull| pull.due == now) {
+            pull.tries = 0;
+        }
+        if !sound {
+            fetch.holders.retain(|vm| vm != from);
+        }
+    }
+
+    pub(super) fn lack(&mut self, now: Time, from: &Vm, digest: Digest) {
+        let Some(fetch) = &mut self.fetch else {
+            return;
+        };
+        fetch.holders.retain(|vm| vm != from);
+        let source = Source::Peer(from.clone());
+        for pull in &mut fetch.pulls {
+            if pull.digest == digest && pull.source == source {
+                pull.due = now;
+                pull.got.clear();
+                pull.source = Source::Nobody;
+            }
+        }
+    }
+
+    /// Takes in what the platform holds under a part's key. Returns whether it was asked for and
+    /// is another part's content.
+    pub(super) fn part_read(
+        &mut self,
+        now: Time,
+        key: &str,
+        body: &Bytes,
+        out: &mut impl Extend<Action>,
+    ) -> bool {
+        let Some(fetch) = &mut self.fetch else {
+            return false;
+        };
+        let parts = fetch.manifest.parts.iter().enumerate();
+        let named = parts.filter(|(_, part)| *part.key == *key);
+        let indexes: Vec<usize> = named.map(|(index, _)| index).collect();
+        let missing = |index: &usize| fetch.bodies[*index].is_none();
+        let open: Vec<usize> = indexes.into_iter().filter(missing).collect();
+        let took = open.iter().any(|index| fetch.put(*index, body.clone()));
+        if open.is_empty() || took {
+            return false;
+        }
+        out.extend([Action::Note(Note::Mismatch {
+            key: key.to_owned(),
+        })]);
+        self.part_failed(now, key);
+        true
+    }
+
+    /// Waits before the part under `key` is tried again.
+    pub(super) fn part_failed(&mut self, now: Time, key: &str) {
+        let Some(mut fetch) = self.fetch.take() else {
+            return;
+        };
+        for pull in &mut fetch.pulls {
+            let named = *fetch.manifest.parts[pull.index].key == *key;
+            if named && pull.source == Source::Platform {
+                let wait = if fetch.holders.is_empty() {
+                    self.backoff(RETRY.0, pull.tries, RETRY.1)
+                } else {
+                    Duration::ZERO
+                };
+                pull.source = Source::Nobody;
+                pull.due = now + wait;
+            }
+        }
+        self.fetch = Some(fetch);
+    }
+}
--- /dev/null
+++ b/crates/confsync/src/spreader/platform.rs
@@ -0,0 +1,199 @@
+//! The platform's service: one watch per availability zone, and as few reads as possible.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use wire::{Revision, Time};
+
+use super::{Action, Spreader, Value};
+use crate::manifest::{Digest, Manifest};
+use crate::message::Pick;
+use crate::note::{Note, Reason};
+
+/// Nodes of a region that read a new revision's parts from the platform before the others do.
+pub(super) const PART_READERS: usize = 3;
+
+/// Least time between two watches that brought nothing new.
+const WATCH_INTERVAL: Duration = Duration::from_secs(1);
+
+/// First and last wait after a failed watch.
+const WATCH_RETRY: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(5));
+
+/// First and last wait after a failed read of the manifest by a node that does not watch and has
+/// nothing in force.
+const READ_RETRY: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(30));
+
+/// Watches without news after which the manifest is read, since the platform's own revision may
+/// have been set back.
+const WATCHES_PER_READ: u32 = 4;
+
+/// What is outstanding at the platform.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Platform {
+    calls: u64,
+    watches: bool,
+    watching: bool,
+    reading: bool,
+    armed: Time,
+    next: Time,
+    after: Revision,
+    failures: u32,
+    idle: u32,
+    read_again: bool,
+    malformed: Option<Digest>,
+}
+
+impl Platform {
+    pub(super) fn calls(&self) -> u64 {
+        self.calls
+    }
+
+    pub(super) fn count(&mut self) {
+        self.calls += 1;
+    }
+
+    pub(super) fn watches(&self) -> bool {
+        self.watches
+    }
+
+    /// Sets whether this node watches. Returns whether that is a change.
+    pub(super) fn elect(&mut self, watches: bool) -> bool {
+        std::mem::replace(&mut self.watches, watches) != watches
+    }
+
+    pub(super) fn wake(&self) -> Option<Time> {
+        let busy = self.watching || self.reading;
+        (!busy && (self.watches || self.read_again)).then_some(self.next)
+    }
+}
+
+impl Spreader {
+    /// Arms the watch, or reads the manifest, where that is due.
+    pub(super) fn arm(&mut self, now: Time, out: &mut impl Extend<Action>) {
+        let due = self.platform.wake().is_some_and(|due| due <= now);
+        if !due {
+            return;
+        }
+        if self.platform.read_again || self.platform.idle >= WATCHES_PER_READ {
+            self.platform.idle = 0;
+            return self.read_manifest(out);
+        }
+        self.platform.watching = true;
+        self.platform.armed = now;
+        self.platform.count();
+        out.extend([Action::Watch {
+            key: self.key.clone(),
+            after: self.platform.after,
+        }]);
+    }
+
+    pub(super) fn read_manifest(&mut self, out: &mut impl Extend<Action>) {
+        if self.platform.reading {
+            return;
+        }
+        self.platform.reading = true;
+        self.platform.read_again = false;
+        self.platform.count();
+        out.extend([Action::Read {
+            key: self.key.clone(),
+        }]);
+    }
+
+    pub(super) fn watched(
+        &mut self,
+        now: Time,
+        value: Option<Value>,
+        out: &mut impl Extend<Action>,
+    ) {
+        self.platform.watching = false;
+        self.platform.failures = 0;
+        let before = self.floor();
+        match value {
+            Some(value) => {
+                self.platform.idle = 0;
+                self.manifest_read(now, &value, out);
+            }
+            None => self.platform.idle += 1,
+        }
+        self.platform.next = if self.floor() > before {
+            now
+        } else {
+            now.max(self.platform.armed + WATCH_INTERVAL)
+        };
+    }
+
+    pub(super) fn watch_failed(&mut self, now: Time, cause: String, out: &mut impl Extend<Action>) {
+        self.platform.watching = false;
+        self.platform_failed(now, WATCH_RETRY, cause, out);
+    }
+
+    fn platform_failed(
+        &mut self,
+        now: Time,
+        (first, last): (Duration, Duration),
+        cause: String,
+        out: &mut impl Extend<Action>,
+    ) {
+        if self.platform.failures == 0 {
+            out.extend([Action::Note(Note::Unreachable(cause))]);
+        }
+        let wait = self.backoff(first, self.platform.failures, last);
+        self.platform.failures += 1;
+        self.platform.next = now + wait;
+    }
+
+    pub(super) fn read_done(
+        &mut self,
+        now: Time,
+        key: Arc<str>,
+        value: Value,
+        out: &mut impl Extend<Action>,
+    ) {
+        if key == self.key {
+            self.platform.reading = false;
+            self.platform.failures = 0;
+            self.manifest_read(now, &value, out);
+            self.platform_answered();
+        } else if self.part_read(now, &key, &value.body, out) {
+            // The manifest may have moved on with the part.
+            self.platform.read_again = true;
+        }
+    }
+
+    pub(super) fn read_failed(
+        &mut self,
+        now: Time,
+        key: Arc<str>,
+        cause: String,
+        out: &mut impl Extend<Action>,
+    ) {
+        if key != self.key {
+            return self.part_failed(now, &key);
+        }
+        self.platform.reading = false;
+        self.platform_answered();
+        let retry = if self.platform.watches {
+            WATCH_RETRY
+        } else {
+            READ_RETRY
+        };
+        self.platform_failed(now, retry, cause, out);
+        self.platform.read_again = self.store.force().is_none();
+    }
+
+    fn manifest_read(&mut self, now: Time, value: &Value, out: &mut impl Extend<Action>) {
+        self.platform.after = value.revision;
+        match Manifest::parse(&value.body) {
+            Ok(manifest) => self.consider(now, manifest, None, Pick::Newest, out),
+            Err(e) => {
+                let digest = Some(Digest::of(&value.body));
+                if self.platform.malformed != digest {
+                    self.platform.malformed = digest;
+                    let reason = Reason::Manifest(e.to_string());
+                    let revision = 0;
+                    out.extend([Action::Refused { revision, reason }]);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/confsync/src/spreader/store.rs
@@ -0,0 +1,102 @@
+//! The revisions that are here whole: the one in force and a few for peers that lack a step.
+
+use bytes::Bytes;
+
+use super::Body;
+use crate::manifest::{Digest, Id, Manifest};
+
+/// Revisions kept besides the one in force.
+const HISTORY: usize = 8;
+
+/// What the check said.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Verdict {
+    Open,
+    Good,
+    Bad,
+}
+
+/// A whole revision.
+#[derive(Clone, Debug)]
+pub(super) struct Set {
+    pub(super) id: Id,
+    pub(super) manifest: Manifest,
+    pub(super) bodies: Vec<Bytes>,
+    pub(super) verdict: Verdict,
+}
+
+impl Set {
+    pub(super) fn parts(&self) -> Vec<Body> {
+        let parts = self.manifest.parts.iter().zip(&self.bodies);
+        let body = |(part, bytes): (&crate::Part, &Bytes)| Body {
+            key: part.key.clone(),
+            bytes: bytes.clone(),
+        };
+        parts.map(body).collect()
+    }
+}
+
+/// The sets, sorted by id.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Store {
+    sets: Vec<Set>,
+    force: Option<Id>,
+}
+
+impl Store {
+    pub(super) fn force(&self) -> Option<Id> {
+        self.force
+    }
+
+    pub(super) fn newest(&self) -> Option<Id> {
+        self.sets.last().map(|set| set.id)
+    }
+
+    pub(super) fn set(&self, id: Id) -> Option<&Set> {
+        let index = self.sets.binary_search_by_key(&id, |set| set.id).ok()?;
+        self.sets.get(index)
+    }
+
+    /// Keeps a checked set. Returns whether it is in force from now on: only a good one with a
+    /// higher number than the one in force.
+    pub(super) fn put(&mut self, set: Set) -> bool {
+        let id = set.id;
+        let in_force = self.force.map_or(0, |id| id.revision);
+        let adopted = set.verdict == Verdict::Good && id.revision > in_force;
+        match self.sets.binary_search_by_key(&id, |set| set.id) {
+            Ok(index) => self.sets[index] = set,
+            Err(index) => self.sets.insert(index, set),
+        }
+        if adopted {
+            self.force = Some(id);
+        }
+        self.trim();
+        adopted
+    }
+
+    fn trim(&mut self) {
+        while self.sets.len() > HISTORY + 1 {
+            let oldest = self.sets.iter().position(|set| Some(set.id) != self.force);
+            self.sets.remove(oldest.unwrap_or(0));
+        }
+    }
+
+    /// Returns a part's content, first looking where a part with that index would be.
+    pub(super) fn body(&self, digest: Digest, index: usize) -> Option<&Bytes> {
+        let at = |set: &Set| set.manifest.parts.get(index).map(|part| part.digest);
+        let same = self.sets.iter().rev().find(|set| at(set) == Some(digest));
+        match same {
+            Some(set) => set.bodies.get(index),
+            None => self.find(digest),
+        }
+    }
+
+    /// Returns a part's content.
+    pub(super) fn find(&self, digest: Digest) -> Option<&Bytes> {
+        self.sets.iter().rev().find_map(|set| {
+            let mut parts = set.manifest.parts.iter();
+            let index = parts.position(|part| part.digest == digest)?;
+            set.bodies.get(index)
+        })
+    }
+}
--- /dev/null
+++ b/crates/roster/src/notice.rs
@@ -0,0 +1,242 @@
+//! Leaving upstreams: which ones get no new work, from whichever source said so first.
+//!
+//! A notice lives for [`LIFETIME`] since its last sign, longer than the platform's list lags, so
+//! that an upstream that comes back under its name gets work again although nobody says so. Its
+//! age travels as a duration, since clocks of different nodes are not comparable.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use wire::{Time, Upstream, rank};
+
+/// How long a notice holds after its last sign.
+pub const LIFETIME: Duration = Duration::from_secs(45);
+
+/// Age beyond which a repeated sign renews the notice.
+const RENEW_AGE: Duration = Duration::from_secs(15);
+
+/// Where a sign came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// The platform's list.
+    List,
+    /// The upstream refused work.
+    Refusal,
+    /// The upstream's own report.
+    Report,
+    /// A peer said so.
+    Peer,
+}
+
+impl Source {
+    /// Returns the name used in logs and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::List => "list",
+            Self::Refusal => "refusal",
+            Self::Report => "report",
+            Self::Peer => "peer",
+        }
+    }
+}
+
+/// News of one upstream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Notice {
+    /// The upstream.
+    pub upstream: Upstream,
+    /// Number of changes so far; a higher one supersedes.
+    pub mark: u32,
+    /// Whether it leaves, or is back.
+    pub leaving: bool,
+    /// Milliseconds since the last sign.
+    pub age_ms: u32,
+}
+
+/// What became of a sign or notice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// Nothing new.
+    Known,
+    /// The notice lives longer.
+    Renewed,
+    /// The upstream leaves from now on.
+    Leaving,
+    /// The upstream is back from now on.
+    Back,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    upstream: Upstream,
+    mark: u32,
+    leaving: bool,
+    signed: Time,
+    // Whether this node saw the sign itself, so that it insists against an older return.
+    own: bool,
+}
+
+/// The notices that hold now, sorted by upstream.
+#[derive(Clone, Debug, Default)]
+pub struct Board {
+    entries: Vec<Entry>,
+}
+
+impl Board {
+    /// Returns the upstreams that get no new work.
+    pub fn leaving(&self) -> impl Iterator<Item = &Upstream> {
+        let leaving = self.entries.iter().filter(|entry| entry.leaving);
+        leaving.map(|entry| &entry.upstream)
+    }
+
+    /// Takes in a sign seen by this node: the upstream leaves, or else is back.
+    pub fn sign(&mut self, now: Time, upstream: &Upstream, leaving: bool) -> Change {
+        match self.find(upstream) {
+            Ok(index) => self.entries[index].sign(now, leaving),
+            Err(_) if !leaving => Change::Known,
+            Err(index) => {
+                self.entries.insert(
+                    index,
+                    Entry {
+                        upstream: upstream.clone(),
+                        mark: 1,
+                        leaving: true,
+                        signed: now,
+                        own: true,
+                    },
+                );
+                Change::Leaving
+            }
+        }
+    }
+
+    /// Takes in a peer's notice. The flag tells whether the peer has to be told better.
+    pub fn merge(&mut self, now: Time, notice: &Notice) -> (Change, bool) {
+        let age = Duration::from_millis(notice.age_ms.into());
+        if age >= LIFETIME {
+            return (Change::Known, false);
+        }
+        let signed = now.saturating_sub(age);
+        match self.find(&notice.upstream) {
+            Ok(index) => self.entries[index].merge(signed, notice),
+            Err(index) => {
+                self.entries.insert(
+                    index,
+                    Entry {
+                        upstream: notice.upstream.clone(),
+                        mark: notice.mark,
+                        leaving: notice.leaving,
+                        signed,
+                        own: false,
+                    },
+                );
+                let change = if notice.leaving {
+                    Change::Leaving
+                } else {
+                    Change::Known
+                };
+                (change, false)
+            }
+        }
+    }
+
+    /// Drops what is older than [`LIFETIME`] and returns the upstreams that are back by it.
+    pub fn expire(&mut self, now: Time) -> Vec<Upstream> {
+        let mut back = Vec::new();
+        self.entries.retain(|entry| {
+            let holds = now < entry.signed + LIFETIME;
+            if !holds && entry.leaving {
+                back.push(entry.upstream.clone());
+            }
+            holds
+        });
+        back
+    }
+
+    /// Returns the time of the next [`Board::expire`] that does something.
+    pub fn wake(&self) -> Option<Time> {
+        let ends = self.entries.iter().map(|entry| entry.signed + LIFETIME);
+        ends.min()
+    }
+
+    /// Returns the notice on `upstream` as it goes to peers.
+    pub fn notice(&self, now: Time, upstream: &Upstream) -> Option<Notice> {
+        let index = self.find(upstream).ok()?;
+        Some(self.entries[index].notice(now))
+    }
+
+    /// Returns all notices as they go to peers.
+    pub fn notices(&self, now: Time) -> Vec<Notice> {
+        self.entries.iter().map(|entry| entry.notice(now)).collect()
+    }
+
+    /// Returns a digest of what the notices say, without their ages.
+    pub fn digest(&self) -> u64 {
+        let hashes = self.entries.iter().map(|entry| {
+            let key = u64::from(entry.mark) << 1 | u64::from(entry.leaving);
+            rank::weight(key, &entry.upstream)
+        });
+        hashes.fold(0, |digest, hash| digest ^ hash)
+    }
+
+    fn find(&self, upstream: &Upstream) -> Result<usize, usize> {
+        let order = |entry: &Entry| entry.upstream.cmp(upstream);
+        self.entries.binary_search_by(order)
+    }
+}
+
+impl Entry {
+    fn sign(&mut self, now: Time, leaving: bool) -> Change {
+        if self.leaving != leaving {
+            self.mark += 1;
+            self.leaving = leaving;
+            self.signed = now;
+            self.own = true;
+            return if leaving {
+                Change::Leaving
+            } else {
+                Change::Back
+            };
+        }
+        if leaving && now >= self.signed + RENEW_AGE {
+            self.mark += 1;
+            self.signed = now;
+            self.own = true;
+            return Change::Renewed;
+        }
+        Change::Known
+    }
+
+    fn merge(&mut self, signed: Time, notice: &Notice) -> (Change, bool) {
+        let newer = notice.mark > self.mark;
+        let tie = notice.mark == self.mark && notice.leaving && !self.leaving;
+        if !newer && !tie {
+            let older = notice.mark < self.mark || notice.leaving != self.leaving;
+            return (Change::Known, older);
+        }
+        if self.own && self.leaving && !notice.leaving && signed < self.signed {
+            self.mark = notice.mark + 1;
+            return (Change::Renewed, true);
+        }
+        let turned = self.leaving != notice.leaving;
+        self.mark = notice.mark;
+        self.leaving = notice.leaving;
+        self.signed = signed;
+        self.own = false;
+        match (turned, notice.leaving) {
+            (false, _) => (Change::Renewed, false),
+            (true, true) => (Change::Leaving, false),
+            (true, false) => (Change::Back, false),
+        }
+    }
+
+    fn notice(&self, now: Time) -> Notice {
+        let age = now.saturating_sub(self.signed).as_millis();
+        Notice {
+            upstream: self.upstream.clone(),
+            mark: self.mark,
+            leaving: self.leaving,
+            age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+        }
+    }
+}
