--- /dev/null
+++ b/crates/rules/src/diff.rs
@@ -0,0 +1,210 @@
+//! What one revision changes against another, and for whom.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use crate::set::route::{ANY, Key, Route, Target};
+use crate::{Repeat, Set, Use};
+
+/// One change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// Whom it concerns.
+    pub whom: String,
+    /// What it concerns.
+    pub what: String,
+    /// What held before, if anything.
+    pub before: Option<String>,
+    /// What holds after, if anything.
+    pub after: Option<String>,
+}
+
+impl fmt::Display for Change {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { whom, what, .. } = self;
+        match (&self.before, &self.after) {
+            (Some(before), Some(after)) => write!(f, "{whom}: {what}: {before} -> {after}"),
+            (Some(before), None) => write!(f, "{whom}: {what} removed, was {before}"),
+            (None, Some(after)) => write!(f, "{whom}: {what} added: {after}"),
+            (None, None) => write!(f, "{whom}: {what}"),
+        }
+    }
+}
+
+/// Returns what `after` changes against `before`, by whom and what.
+///
+/// Moved lines and changed comments are no changes, unless the order of routes decides.
+pub fn diff(before: &Set, after: &Set) -> Vec<Change> {
+    let (mut old, new) = (before.facts(), after.facts());
+    let mut changes = Vec::new();
+    for ((whom, what), after) in new {
+        let before = old.remove(&(whom.clone(), what.clone()));
+        if before.as_ref() != Some(&after) {
+            changes.push(Change {
+                whom,
+                what,
+                before,
+                after: Some(after),
+            });
+        }
+    }
+    changes.extend(old.into_iter().map(|((whom, what), before)| Change {
+        whom,
+        what,
+        before: Some(before),
+        after: None,
+    }));
+    changes.sort_by(|a, b| (&a.whom, &a.what).cmp(&(&b.whom, &b.what)));
+    changes
+}
+
+/// What holds, by whom and what it concerns.
+type Facts = BTreeMap<(String, String), String>;
+
+impl Set {
+    fn facts(&self) -> Facts {
+        let mut facts = Facts::new();
+        self.model_facts(&mut facts);
+        self.caller_facts(&mut facts);
+        self.route_facts(&mut facts);
+        self.service_facts(&mut facts);
+        facts
+    }
+
+    fn model_facts(&self, facts: &mut Facts) {
+        let mut add = |whom: String, what: String, fact: String| facts.insert((whom, what), fact);
+        for base in self.bases() {
+            let fact = format!("store {}, pool {}", base.store, base.pool);
+            add(format!("users of base {}", base.name), "base".into(), fact);
+        }
+        for pool in self.pools() {
+            let fact = match &pool.serves {
+                Use::Base(base) => format!("base {base}"),
+                Use::Service => "service".into(),
+            };
+            add(format!("users of pool {}", pool.name), "pool".into(), fact);
+        }
+        for entry in self.adapters() {
+            let whom = format!("users of adapter {}", entry.model.adapter);
+            let what = format!("version {}", entry.model.version);
+            add(
+                whom,
+                what,
+                format!("base {}, path {}", entry.base.name, entry.path),
+            );
+        }
+        for adapter in &self.models.adapters {
+            let version = |row: u32| &self.models.rows[row as usize].model.version;
+            let fact = match adapter.rollout.as_deref() {
+                None => format!("{} for all", version(adapter.initial)),
+                Some(rollout) => {
+                    let (from, to) = (version(rollout.from), version(rollout.to));
+                    let percent = f64::from(rollout.share) / 100.0;
+                    format!("{to} for {percent} percent of callers, {from} for the others")
+                }
+            };
+            let whom = format!("users of adapter {}", adapter.name);
+            add(whom, "version unless named".into(), fact);
+        }
+        for calendar in &self.calendars {
+            let whom = format!("routes of calendar {}", calendar.name);
+            let zone = calendar.zone.iana_name().unwrap_or("unnamed").to_owned();
+            add(whom.clone(), "zone".into(), zone);
+            for term in &calendar.terms {
+                let fact = format!("from {} until {}", term.from, term.until);
+                add(whom.clone(), format!("term {}", term.name), fact);
+            }
+        }
+    }
+
+    fn caller_facts(&self, facts: &mut Facts) {
+        let mut add = |whom: &str, what: &str, fact: String| {
+            facts.insert((caller_name(whom), what.to_owned()), fact)
+        };
+        for caller in self.callers.list.iter().chain(&self.callers.other) {
+            let trades = caller.trades.as_ref().map(|trades| trades.join(", "));
+            let trades = trades.unwrap_or_else(|| "any".into());
+            add(&caller.name, "trades", trades);
+            add(&caller.name, "highest priority", caller.highest.to_string());
+        }
+        let mut tokens: BTreeMap<&str, Vec<String>> = BTreeMap::new();
+        for token in &self.callers.tokens {
+            let name = &self.callers.list[token.caller as usize].name;
+            let head: String = token.hash[..4].iter().map(|b| format!("{b:02x}")).collect();
+            tokens
+                .entry(name)
+                .or_default()
+                .push(format!("sha256:{head}…"));
+        }
+        for (caller, tokens) in tokens {
+            add(caller, "tokens", tokens.join(", "));
+        }
+        for bound in self.callers.limits.iter().chain(&self.callers.usual) {
+            let limit = bound.limit;
+            let fact = format!(
+                "{} a second, burst {}, concurrent {}",
+                limit.rate, limit.burst, limit.concurrent
+            );
+            add(&bound.caller, "limit", fact);
+        }
+    }
+
+    fn route_facts(&self, facts: &mut Facts) {
+        for group in self.routes.list.chunk_by(|a, b| a.key == b.key) {
+            let mut group: Vec<&Route> = group.iter().collect();
+            group.sort_by_key(|route| route.order);
+            let targets: Vec<String> = group.iter().map(|route| self.target(route)).collect();
+            facts.insert(self.key_text(group[0].key), targets.join("; else "));
+        }
+    }
+
+    fn key_text(&self, key: Key) -> (String, String) {
+        let caller = self.callers.list.get(key.caller as usize);
+        let whom = caller_name(caller.map_or("*", |caller| &caller.name));
+        let trade = self.routes.trades.get(key.trade as usize);
+        let trade = trade.map_or("any", |trade| trade);
+        let priority = match key.priority {
+            ANY => "any",
+            index => wire::Priority::ALL[index as usize].name(),
+        };
+        (
+            whom,
+            format!("route for trade {trade}, priority {priority}"),
+        )
+    }
+
+    fn target(&self, route: &Route) -> String {
+        let mut text = match route.target {
+            Target::Named => "the named adapter".into(),
+            Target::Adapter(_, Some(row)) => self.models.rows[row as usize].model.to_string(),
+            Target::Adapter(adapter, None) => {
+                self.models.adapters[adapter as usize].name.to_string()
+            }
+        };
+        if let Some(when) = &route.when {
+            text.push_str(&format!(" when {}", when.text));
+        }
+        text
+    }
+
+    fn service_facts(&self, facts: &mut Facts) {
+        for path in &self.services.paths {
+            let method = path.method.as_deref().unwrap_or("any method");
+            let below = if path.below { "/*" } else { "" };
+            let repeat = match path.repeat {
+                Repeat::Once => "at most once",
+                Repeat::Idempotent => "idempotent",
+            };
+            let whom = format!("users of service {}", path.service);
+            let what = format!("{method} {}{below}", path.stem);
+            facts.insert((whom, what), format!("pool {}, {repeat}", path.pool));
+        }
+    }
+}
+
+fn caller_name(name: &str) -> String {
+    match name {
+        "*" => "any caller".into(),
+        name => format!("caller {name}"),
+    }
+}
--- /dev/null
+++ b/crates/rules/tests/example_files.rs
@@ -0,0 +1,97 @@
+//! The example rules are accepted without a warning and do what their comments say.
+
+use jiff::Timestamp;
+use rstest::rstest;
+use rules::{Ask, Repeat, Set, Use};
+use wire::Priority;
+
+fn load(name: &str) -> Set {
+    let path = format!("{}/../../examples/{name}.rules", env!("CARGO_MANIFEST_DIR"));
+    Set::parse([(name, std::fs::read_to_string(path).unwrap())]).unwrap()
+}
+
+#[rstest]
+#[case(
+    "queensland",
+    "depots",
+    "stock",
+    "2026-02-09T20:00:00Z",
+    "stock-warwick@v1"
+)]
+#[case(
+    "queensland",
+    "depots",
+    "stock",
+    "2026-07-05T20:00:00Z",
+    "stock-stanthorpe@v1"
+)]
+#[case("queensland", "hikers", "", "2026-07-05T20:00:00Z", "fitting-hiker@v1")]
+#[case(
+    "ghana",
+    "benefactors",
+    "",
+    "2026-02-01T09:00:00Z",
+    "letter-benefactor@v1"
+)]
+#[case(
+    "ghana",
+    "charities",
+    "church",
+    "2026-04-25T09:00:00Z",
+    "letter-church@v2"
+)]
+#[case("ghana", "auditors", "", "2026-02-01T09:00:00Z", "audit-summary@v1")]
+fn examples_route(
+    #[case] name: &str,
+    #[case] caller: &str,
+    #[case] trade: &str,
+    #[case] at: Timestamp,
+    #[case] model: &str,
+) {
+    let set = load(name);
+    let token = format!("{caller}-token");
+    assert_eq!(&*set.caller_by_token(&token).unwrap().name, caller);
+    let ask = Ask {
+        caller,
+        trade,
+        priority: Priority::Normal,
+        model: None,
+        at,
+    };
+    assert_eq!(set.route(&ask).unwrap().model.to_string(), model);
+}
+
+#[rstest]
+#[case("queensland", "POST", "/lending/checkouts", Some(Repeat::Once))]
+#[case("queensland", "POST", "/lending/returns?desk=1", Some(Repeat::Once))]
+#[case(
+    "queensland",
+    "GET",
+    "/lending/stock/warwick",
+    Some(Repeat::Idempotent)
+)]
+#[case("queensland", "POST", "/lending/stock", None)]
+#[case("ghana", "POST", "/receipts/", Some(Repeat::Once))]
+#[case("ghana", "GET", "/receipts/17", Some(Repeat::Idempotent))]
+fn examples_serve(
+    #[case] name: &str,
+    #[case] method: &str,
+    #[case] path: &str,
+    #[case] repeat: Option<Repeat>,
+) {
+    let set = load(name);
+    assert_eq!(set.service(method, path).map(|route| route.repeat), repeat);
+}
+
+#[rstest]
+#[case("queensland")]
+#[case("ghana")]
+fn examples_raise_no_warning(#[case] name: &str) {
+    let set = load(name);
+    assert_eq!(set.warnings("2026-03-01T00:00:00Z".parse().unwrap()), []);
+    let engines = set
+        .pools()
+        .iter()
+        .filter(|pool| pool.serves != Use::Service);
+    assert_eq!((engines.count(), set.pools().len()), (1, 2));
+}
