--- /dev/null
+++ b/crates/placement/src/budget.rs
@@ -0,0 +1,617 @@
+//! One weight store's rate and loads in flight, shared between the nodes of a region.
+//!
+//! Every listed VM has an equal share of the rate and of the loads in flight. The VM that comes
+//! first in rendezvous order of the store's name holds the budget: its peers lend it their shares
+//! for a short time, and it hands out tickets, one per load, by priority. A lender leaves its
+//! share unused for longer than the borrower may use it, both by their own monotonic clocks (the
+//! borrower counts from its ask, the lender from its answer), so that the sum never exceeds the
+//! store's limits, whichever messages are lost and whoever is paused. Without contact each node
+//! uses just its own share.
+
+use std::time::Duration;
+
+use wire::{Incarnation, Priority, Time, View, Vm};
+
+use crate::event::Store;
+use crate::message::{Message, Number, Ticket};
+use crate::planner::Effects;
+use crate::settings::Settings;
+
+/// Time for which the count of listed VMs does not shrink, in multiples of the settling time.
+const LISTED_HOLD: u32 = 6;
+
+/// Time after the last want for which the holder goes on borrowing.
+const BORROW_FOR: Duration = Duration::from_secs(10);
+
+/// Permits from which on some are reserved for urgent loads.
+const RESERVE_FROM: u32 = 4;
+
+/// What an upstream's owner wants loaded.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Want {
+    /// Its priority; `None` for a prefetch.
+    pub priority: Option<Priority>,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Time at which the oldest began to wait.
+    pub since: Time,
+}
+
+impl Want {
+    /// Returns the order of wants; the smaller goes first.
+    ///
+    /// Routine wants that have aged count as normal ones; nothing ages into urgent.
+    pub fn order(&self, now: Time, settings: &Settings) -> (u8, f64) {
+        let age = now.saturating_sub(self.since);
+        let class = match self.priority {
+            Some(Priority::Urgent) => 0,
+            Some(Priority::Normal) => 1,
+            Some(Priority::Routine) if age >= settings.ageing => 1,
+            Some(Priority::Routine) => 2,
+            None => 3,
+        };
+        let stalls = settings.load_stalls;
+        let score = stalls * age.as_secs_f64() + (1.0 - stalls) * f64::from(self.waiting);
+        (class, -score)
+    }
+}
+
+/// A ticket that this node may use or uses for a load.
+#[derive(Clone, Debug, PartialEq)]
+struct Used {
+    upstream: wire::Upstream,
+    ticket: u64,
+    issuer: Vm,
+    until: Time,
+}
+
+/// A want of an upstream that this node owns.
+#[derive(Clone, Debug)]
+struct Mine {
+    upstream: wire::Upstream,
+    want: Want,
+    sent: Vec<(Number, Time)>,
+    changed: bool,
+}
+
+/// A want that a peer asked about.
+#[derive(Clone, Debug)]
+struct Theirs {
+    from: Vm,
+    upstream: wire::Upstream,
+    want: Want,
+    number: Number,
+    at: Time,
+}
+
+/// A share lent to this node.
+#[derive(Clone, Debug)]
+struct Lent {
+    by: Incarnation,
+    permits: u32,
+    until: Time,
+}
+
+/// A ticket that this node issued.
+#[derive(Clone, Debug)]
+struct Issued {
+    ticket: u64,
+    upstream: wire::Upstream,
+    until: Time,
+}
+
+/// One store's budget as one node takes part in it.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    store: Store,
+    me: Incarnation,
+    born: Time,
+    listed: usize,
+    listed_at: Time,
+    place: usize,
+    holder: Option<Vm>,
+    demanded: Option<Time>,
+    credit: f64,
+    counted: Time,
+    lent_to: Option<Incarnation>,
+    rate_free: Time,
+    permits_free: Time,
+    lent: Vec<Lent>,
+    shares_asked: Vec<(Number, Time)>,
+    issued: Vec<Issued>,
+    asks: Vec<Theirs>,
+    mine: Vec<Mine>,
+    used: Vec<Used>,
+    number: Number,
+    tickets: u64,
+}
+
+impl Budget {
+    /// Makes the budget of a process that started at `born`.
+    pub fn new(store: Store, me: Incarnation, born: Time) -> Self {
+        let tickets = wire::rank::weight(me.start, &me.vm);
+        Self {
+            store,
+            me,
+            born,
+            listed: 0,
+            listed_at: born,
+            place: 0,
+            holder: None,
+            demanded: None,
+            credit: 0.0,
+            counted: born,
+            lent_to: None,
+            rate_free: Time::ZERO,
+            permits_free: Time::ZERO,
+            lent: Vec::new(),
+            shares_asked: Vec::new(),
+            issued: Vec::new(),
+            asks: Vec::new(),
+            mine: Vec::new(),
+            used: Vec::new(),
+            number: 0,
+            tickets,
+        }
+    }
+
+    /// Returns the store's limits.
+    pub const fn store(&self) -> &Store {
+        &self.store
+    }
+
+    /// Takes new limits of the store.
+    pub fn limit(&mut self, now: Time, store: Store, settings: &Settings) {
+        self.count(now, settings);
+        self.store = store;
+    }
+
+    /// Takes a new view. The count of listed VMs grows at once and shrinks late, since peers may
+    /// not have heard of a change yet.
+    pub fn view(&mut self, now: Time, view: &View, settings: &Settings) {
+        self.count(now, settings);
+        let listed = view.peers().len();
+        if listed >= self.listed || now >= self.listed_at + settings.settle * LISTED_HOLD {
+            self.listed = listed;
+            self.listed_at = now;
+        }
+        let place = |peer: &wire::view::Peer| peer.incarnation.vm == self.me.vm;
+        self.place = view.peers().iter().position(place).unwrap_or(usize::MAX);
+        self.holder = view.owner(&self.store.id).cloned();
+        if self.lent_to.as_ref().is_some_and(|to| !view.knows(to)) {
+            self.lent_to = None;
+            self.rate_free = self.rate_free.min(now);
+        }
+        if !self.holds() {
+            self.asks.clear();
+        }
+    }
+
+    /// Tells whether this node holds the budget, as it believes.
+    pub fn holds(&self) -> bool {
+        self.holder.as_ref() == Some(&self.me.vm)
+    }
+
+    /// Sets what the owner of `upstream` wants loaded next.
+    pub fn want(&mut self, upstream: &wire::Upstream, want: Option<Want>, fx: &mut Effects) {
+        let index = self.mine.iter().position(|mine| mine.upstream == *upstream);
+        match (index, want) {
+            (Some(index), Some(want)) => {
+                let mine = &mut self.mine[index];
+                mine.changed |= mine.want.priority != want.priority;
+                mine.want = want;
+            }
+            (None, Some(want)) => self.mine.push(Mine {
+                upstream: upstream.clone(),
+                want,
+                sent: Vec::new(),
+                changed: false,
+            }),
+            (Some(index), None) => {
+                let mine = self.mine.swap_remove(index);
+                if !mine.sent.is_empty() {
+                    self.give_back(&mine.upstream, 0, fx);
+                }
+            }
+            (None, None) => {}
+        }
+    }
+
+    fn give_back(&self, upstream: &wire::Upstream, ticket: u64, fx: &mut Effects) {
+        let Some(holder) = self.holder.as_ref().filter(|holder| **holder != self.me.vm) else {
+            return;
+        };
+        let message = Message::TicketReturn {
+            store: self.store.id.clone(),
+            ticket,
+            upstream: upstream.clone(),
+        };
+        fx.send(holder, message);
+    }
+
+    /// Notes that the load on `upstream` is over, or that its ticket was not needed.
+    pub fn finish(&mut self, upstream: &wire::Upstream, fx: &mut Effects) {
+        let Some(index) = self.used.iter().position(|used| used.upstream == *upstream) else {
+            return;
+        };
+        let used = self.used.swap_remove(index);
+        if used.issuer == self.me.vm {
+            self.issued.retain(|issued| issued.ticket != used.ticket);
+        } else {
+            let message = Message::TicketReturn {
+                store: self.store.id.clone(),
+                ticket: used.ticket,
+                upstream: used.upstream,
+            };
+            fx.send(&used.issuer, message);
+        }
+    }
+
+    /// Forgets the wants and tickets of an upstream that this node no longer owns. A ticket whose
+    /// load may still run stays counted by its issuer until its time is over.
+    pub fn abandon(&mut self, upstream: &wire::Upstream, fx: &mut Effects) {
+        self.want(upstream, None, fx);
+        self.used.retain(|used| used.upstream != *upstream);
+    }
+
+    /// Tells whether something is under way for which time matters.
+    pub fn busy(&self) -> bool {
+        !self.mine.is_empty() || !self.asks.is_empty() || !self.lent.is_empty()
+    }
+
+    /// Tells whether the ticket of `upstream` may still be used at `now`.
+    pub fn valid(&self, now: Time, upstream: &str) -> bool {
+        let used = self.used.iter().find(|used| *used.upstream == *upstream);
+        used.is_some_and(|used| now < used.until)
+    }
+
+    /// Issues what may be issued, asks the holder for the rest, and appends each upstream of this
+    /// node that may load now to `go`.
+    pub fn poll(
+        &mut self,
+        now: Time,
+        settings: &Settings,
+        view: &View,
+        go: &mut Vec<wire::Upstream>,
+        fx: &mut Effects,
+    ) {
+        self.count(now, settings);
+        self.expire(now, settings);
+        if !self.mine.is_empty() || !self.asks.is_empty() {
+            self.demanded = Some(now);
+        }
+        let wanted = self.demanded.is_some_and(|at| now < at + BORROW_FOR);
+        if self.holds() && wanted {
+            self.borrow(now, settings, view, fx);
+        }
+        while let Some(next) = self.next(now, settings) {
+            self.issue(now, settings, next, go, fx);
+        }
+        if !self.holds() {
+            self.ask(now, settings, fx);
+        }
+    }
+
+    /// Adds the rate of each share over the time for which this node may use it. Every moment of
+    /// a share is counted by one node only, which bounds the sum over all nodes.
+    fn count(&mut self, now: Time, settings: &Settings) {
+        let from = self.counted;
+        self.counted = now;
+        let own = from.max(self.rate_free).max(self.born + settings.settle);
+        let mut span = now.saturating_sub(own);
+        for lent in &self.lent {
+            span += lent.until.min(now).saturating_sub(from);
+        }
+        let share = self.store.rate / self.listed.max(1) as f64;
+        self.credit = (self.credit + share * span.as_secs_f64()).min(1.0);
+    }
+
+    fn expire(&mut self, now: Time, settings: &Settings) {
+        self.lent.retain(|lent| lent.until > now);
+        self.issued.retain(|issued| issued.until > now);
+        let kept = settings.resend * 3;
+        self.asks.retain(|ask| now < ask.at + kept);
+        let kept = settings.share;
+        self.shares_asked.retain(|(_, at)| now < *at + kept);
+    }
+
+    /// Loads in flight that are this node's own share.
+    fn own_permits(&self) -> u32 {
+        let listed = self.listed.max(1);
+        let all = self.store.in_flight as usize;
+        let permits = all / listed + usize::from(self.place < all % listed);
+        u32::try_from(permits).unwrap_or(u32::MAX)
+    }
+
+    fn permits(&self, now: Time, settings: &Settings) -> u32 {
+        let free = now >= self.permits_free && now >= self.born + settings.settle;
+        let own = if free { self.own_permits() } else { 0 };
+        own + self.lent.iter().map(|lent| lent.permits).sum::<u32>()
+    }
+
+    /// Asks each live peer for its share before the share lent now ends.
+    fn borrow(&mut self, now: Time, settings: &Settings, view: &View, fx: &mut Effects) {
+        let due = settings.share / 2;
+        let asked = self.shares_asked.last().map_or(Time::ZERO, |(_, at)| *at);
+        let covered = view
+            .live()
+            .filter(|peer| peer.incarnation != self.me)
+            .all(|peer| self.lent.iter().any(|lent| lent.by == peer.incarnation));
+        let pause = if covered {
+            due
+        } else {
+            settings.resend.min(due)
+        };
+        if !self.shares_asked.is_empty() && now < asked + pause {
+            return;
+        }
+        self.number += 1;
+        self.shares_asked.push((self.number, now));
+        for peer in view.live().filter(|peer| peer.incarnation != self.me) {
+            let message = Message::ShareAsk {
+                store: self.store.id.clone(),
+                number: self.number,
+            };
+            fx.send(&peer.incarnation.vm, message);
+        }
+    }
+
+    /// Lends this node's share to the holder.
+    pub fn share_asked(
+        &mut self,
+        now: Time,
+        from: &Incarnation,
+        number: Number,
+        settings: &Settings,
+        fx: &mut Effects,
+    ) {
+        let again = self.lent_to.as_ref() == Some(from);
+        let free = now >= self.rate_free && now >= self.born + settings.settle;
+        if self.holder.as_ref() != Some(&from.vm) || !(again || free) {
+            return;
+        }
+        self.count(now, settings);
+        let whole = again || now >= self.permits_free;
+        let own = if whole { self.own_permits() } else { 0 };
+        let permits = own.saturating_sub(u32::try_from(self.issued.len()).unwrap_or(u32::MAX));
+        let lent = now + settings.share + settings.drift;
+        self.rate_free = lent;
+        let life = ticket_life(settings) + settings.drift;
+        self.permits_free = self.permits_free.max(lent + life);
+        self.lent_to = Some(from.clone());
+        let store = self.store.id.clone();
+        let message = Message::Share {
+            store,
+            number,
+            permits,
+        };
+        fx.send(&from.vm, message);
+    }
+
+    /// Takes a lent share.
+    pub fn shared(
+        &mut self,
+        now: Time,
+        from: Incarnation,
+        number: Number,
+        permits: u32,
+        settings: &Settings,
+    ) {
+        let asked = self.shares_asked.iter().find(|(sent, _)| *sent == number);
+        let Some(until) = asked.map(|(_, at)| *at + settings.share) else {
+            return;
+        };
+        if until <= now {
+            return;
+        }
+        self.count(now, settings);
+        match self.lent.iter_mut().find(|lent| lent.by == from) {
+            Some(lent) if lent.until >= until => {}
+            Some(lent) => {
+                lent.permits = permits;
+                lent.until = until;
+            }
+            None => self.lent.push(Lent {
+                by: from,
+                permits,
+                until,
+            }),
+        }
+    }
+
+    /// Takes a peer's ask for a ticket.
+    pub fn ticket_asked(
+        &mut self,
+        now: Time,
+        from: &Vm,
+        upstream: wire::Upstream,
+        number: Number,
+        want: Want,
+    ) {
+        let found = self
+            .asks
+            .iter()
+            .position(|ask| ask.from == *from && ask.upstream == upstream);
+        if let Some(index) = found {
+            if self.asks[index].number > number {
+                return;
+            }
+            self.asks.swap_remove(index);
+        }
+        self.asks.push(Theirs {
+            from: from.clone(),
+            upstream,
+            want,
+            number,
+            at: now,
+        });
+    }
+
+    /// Takes a ticket back; zero withdraws the upstream's ask.
+    pub fn returned(&mut self, from: &Vm, upstream: &str, ticket: u64) {
+        if ticket == 0 {
+            self.asks
+                .retain(|ask| ask.from != *from || *ask.upstream != *upstream);
+        }
+        let same = |issued: &Issued| issued.ticket == ticket && *issued.upstream == *upstream;
+        self.issued.retain(|issued| !same(issued));
+    }
+
+    /// Takes a ticket from the holder; returns whether the upstream may load now.
+    pub fn ticketed(
+        &mut self,
+        now: Time,
+        from: &Vm,
+        leave: Ticket,
+        settings: &Settings,
+        fx: &mut Effects,
+    ) -> bool {
+        let Ticket {
+            store,
+            upstream,
+            number,
+            ticket,
+        } = leave;
+        if self.used.iter().any(|used| used.ticket == ticket) {
+            return false;
+        }
+        let index = self.mine.iter().position(|mine| mine.upstream == upstream);
+        let sent = index.and_then(|index| {
+            let sent = &self.mine[index].sent;
+            sent.iter().find(|(sent, _)| *sent == number).copied()
+        });
+        let until = sent.map(|(_, at)| at + use_time(settings));
+        let (Some(index), Some(until)) = (index, until.filter(|until| *until > now)) else {
+            let message = Message::TicketReturn {
+                store,
+                ticket,
+                upstream,
+            };
+            fx.send(from, message);
+            return false;
+        };
+        self.mine.swap_remove(index);
+        self.used.push(Used {
+            upstream,
+            ticket,
+            issuer: from.clone(),
+            until,
+        });
+        true
+    }
+
+    /// Returns the want that may have the next ticket.
+    fn next(&self, now: Time, settings: &Settings) -> Option<Next> {
+        if self.credit < 1.0 {
+            return None;
+        }
+        let permits = self.permits(now, settings);
+        let flying = u32::try_from(self.issued.len()).unwrap_or(u32::MAX);
+        if flying >= permits {
+            return None;
+        }
+        let mine = self.mine.iter().enumerate();
+        let mine = mine.map(|(index, mine)| (mine.want, Next::Mine(index)));
+        let theirs = self.asks.iter().enumerate();
+        let theirs = theirs.map(|(index, ask)| (ask.want, Next::Theirs(index)));
+        let best = mine.chain(theirs).min_by(|(a, _), (b, _)| {
+            let (a, b) = (a.order(now, settings), b.order(now, settings));
+            a.partial_cmp(&b).unwrap_or(std::cmp::Ordering::Equal)
+        })?;
+        let kept = match best.0.priority {
+            Some(Priority::Urgent) => 0,
+            _ if permits < RESERVE_FROM => 0,
+            Some(_) => settings.reserve,
+            None => permits / 2,
+        };
+        (flying + kept < permits).then_some(best.1)
+    }
+
+    fn issue(
+        &mut self,
+        now: Time,
+        settings: &Settings,
+        next: Next,
+        go: &mut Vec<wire::Upstream>,
+        fx: &mut Effects,
+    ) {
+        self.credit -= 1.0;
+        self.tickets = self.tickets.wrapping_add(1).max(1);
+        let ticket = self.tickets;
+        let upstream = match next {
+            Next::Mine(index) => {
+                let mine = self.mine.swap_remove(index);
+                if !mine.sent.is_empty() {
+                    self.give_back(&mine.upstream, 0, fx);
+                }
+                self.used.push(Used {
+                    upstream: mine.upstream.clone(),
+                    ticket,
+                    issuer: self.me.vm.clone(),
+                    until: now + use_time(settings),
+                });
+                go.push(mine.upstream.clone());
+                mine.upstream
+            }
+            Next::Theirs(index) => {
+                let ask = self.asks.swap_remove(index);
+                let leave = Ticket {
+                    store: self.store.id.clone(),
+                    upstream: ask.upstream.clone(),
+                    number: ask.number,
+                    ticket,
+                };
+                fx.send(&ask.from, Message::Ticket(leave));
+                ask.upstream
+            }
+        };
+        let until = now + ticket_life(settings);
+        self.issued.push(Issued {
+            ticket,
+            upstream,
+            until,
+        });
+    }
+
+    /// Tells the holder what this node wants, anew after each resend time.
+    fn ask(&mut self, now: Time, settings: &Settings, fx: &mut Effects) {
+        let Some(holder) = &self.holder else { return };
+        for mine in &mut self.mine {
+            mine.sent.retain(|(_, at)| now < *at + use_time(settings));
+            let asked = mine.sent.last();
+            let soon = asked.is_some_and(|(_, at)| now < *at + settings.resend);
+            if soon && !mine.changed {
+                continue;
+            }
+            mine.changed = false;
+            self.number += 1;
+            mine.sent.push((self.number, now));
+            let message = Message::TicketAsk {
+                store: self.store.id.clone(),
+                upstream: mine.upstream.clone(),
+                number: self.number,
+                priority: mine.want.priority,
+                waiting: mine.want.waiting,
+                age: now.saturating_sub(mine.want.since),
+            };
+            fx.send(holder, message);
+        }
+    }
+}
+
+/// A want that is next.
+#[derive(Clone, Copy, Debug)]
+enum Next {
+    Mine(usize),
+    Theirs(usize),
+}
+
+/// Time within which a ticket's load has to be ordered.
+fn use_time(settings: &Settings) -> Duration {
+    settings.resend * 2
+}
+
+/// Time after which a ticket's load is over at the latest.
+fn ticket_life(settings: &Settings) -> Duration {
+    use_time(settings) + settings.order + settings.load + settings.drift
+}
--- /dev/null
+++ b/crates/placement/src/choice.rs
@@ -0,0 +1,174 @@
+//! Order of upstreams for a model, and what each is estimated to carry.
+//!
+//! The order is rendezvous hashing of the model over the upstreams, so that every node names the
+//! same homes. Reported load is discounted by its age: what this node has sent and seen end since
+//! the report is added. Cache events only refine the choice, since they are late and have gaps.
+
+use std::collections::VecDeque;
+
+use wire::{Base, Model, Time, rank};
+
+use crate::event::{Pool, State, Upstream};
+
+/// Prefix hashes remembered per upstream.
+const PREFIXES: usize = 2048;
+
+/// Starts and ends remembered per upstream since its last report.
+const CHANGES: usize = 512;
+
+/// One upstream as the choice sees it.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// Its facts.
+    pub facts: Upstream,
+    reported: u32,
+    at: Option<Time>,
+    changes: VecDeque<(Time, i8)>,
+    local: u32,
+    prefixes: Vec<u64>,
+}
+
+impl Target {
+    fn new(facts: Upstream) -> Self {
+        Self {
+            facts,
+            reported: 0,
+            at: None,
+            changes: VecDeque::new(),
+            local: 0,
+            prefixes: Vec::new(),
+        }
+    }
+
+    /// Returns the sequences that the upstream is estimated to run or queue.
+    pub fn load(&self) -> u32 {
+        if self.at.is_none() {
+            return self.local;
+        }
+        let since: i64 = self.changes.iter().map(|(_, step)| i64::from(*step)).sum();
+        let load = (i64::from(self.reported) + since).max(0);
+        u32::try_from(load).unwrap_or(u32::MAX).max(self.local)
+    }
+
+    /// Tells whether the prefix hash is cached there, as far as events tell.
+    pub fn cached(&self, prefix: u64) -> bool {
+        self.prefixes.binary_search(&prefix).is_ok()
+    }
+
+    fn change(&mut self, now: Time, step: i8) {
+        self.local = self.local.saturating_add_signed(i32::from(step));
+        if self.at.is_some() {
+            self.changes.push_back((now, step));
+        }
+        if self.changes.len() > CHANGES {
+            self.changes.pop_front();
+        }
+    }
+}
+
+/// Every upstream of the region, sorted by id.
+#[derive(Clone, Debug, Default)]
+pub struct Choice {
+    targets: Vec<Target>,
+}
+
+impl Choice {
+    /// Takes new facts; estimates of upstreams that stay are kept.
+    pub fn update(&mut self, upstreams: impl IntoIterator<Item = Upstream>) {
+        let mut old = std::mem::take(&mut self.targets);
+        for facts in upstreams {
+            let index = old.iter().position(|target| target.facts.id == facts.id);
+            let mut target =
+                index.map_or_else(|| Target::new(facts.clone()), |at| old.swap_remove(at));
+            target.facts = facts;
+            self.targets.push(target);
+        }
+        self.targets.sort_by(|a, b| a.facts.id.cmp(&b.facts.id));
+        self.targets.dedup_by(|a, b| a.facts.id == b.facts.id);
+    }
+
+    /// Returns every upstream, sorted by id.
+    pub fn targets(&self) -> &[Target] {
+        &self.targets
+    }
+
+    /// Returns the upstream with this id.
+    pub fn target(&self, id: &str) -> Option<&Target> {
+        self.index(id).and_then(|index| self.targets.get(index))
+    }
+
+    fn index(&self, id: &str) -> Option<usize> {
+        self.targets
+            .binary_search_by(|target| (*target.facts.id).cmp(id))
+            .ok()
+    }
+
+    /// Replaces `order` by the live upstreams of the pool and base model, best home first, but
+    /// for those in `avoid`; only the first `count` are in order.
+    pub fn order(
+        &self,
+        model: &Model,
+        pool: &Pool,
+        base: &Base,
+        count: usize,
+        order: &mut Vec<(u64, usize)>,
+    ) {
+        order.clear();
+        let key = key(model);
+        for (index, target) in self.targets.iter().enumerate() {
+            let facts = &target.facts;
+            if facts.state == State::Live && facts.pool == *pool && facts.base == *base {
+                order.push((rank::weight(key, &facts.id), index));
+            }
+        }
+        if order.len() > count && count > 0 {
+            order.select_nth_unstable_by(count - 1, |a, b| b.cmp(a));
+            order.truncate(count);
+        }
+        order.sort_unstable_by(|a, b| b.cmp(a));
+    }
+
+    /// Notes that a request started on the upstream.
+    pub fn start(&mut self, now: Time, id: &str) {
+        if let Some(index) = self.index(id) {
+            self.targets[index].change(now, 1);
+        }
+    }
+
+    /// Notes that a request ended on the upstream.
+    pub fn end(&mut self, now: Time, id: &str) {
+        if let Some(index) = self.index(id) {
+            self.targets[index].change(now, -1);
+        }
+    }
+
+    /// Takes a report that was made at `made`; one older than the last is dropped.
+    pub fn report(&mut self, id: &str, load: u32, made: Time) {
+        let Some(index) = self.index(id) else { return };
+        let target = &mut self.targets[index];
+        if target.at.is_some_and(|at| at > made) {
+            return;
+        }
+        target.reported = load;
+        target.at = Some(made);
+        target.changes.retain(|(at, _)| *at > made);
+    }
+
+    /// Takes cache events; after a gap nothing earlier is trusted.
+    pub fn cache(&mut self, id: &str, added: Vec<u64>, removed: &[u64], gap: bool) {
+        let Some(index) = self.index(id) else { return };
+        let prefixes = &mut self.targets[index].prefixes;
+        if gap || prefixes.len() > PREFIXES {
+            prefixes.clear();
+        }
+        prefixes.extend(added.into_iter().take(PREFIXES));
+        prefixes.retain(|prefix| !removed.contains(prefix));
+        prefixes.sort_unstable();
+        prefixes.dedup();
+    }
+}
+
+/// Returns the hash that orders upstreams for `model`; versions of an adapter differ in it.
+pub fn key(model: &Model) -> u64 {
+    rank::weight(rank::hash(&*model.adapter), &model.version)
+}
--- /dev/null
+++ b/crates/placement/src/holder/reply.rs
@@ -0,0 +1,116 @@
+//! Owners' replies to this node's asks.
+
+use std::time::Duration;
+
+use wire::{Incarnation, Model, Upstream};
+
+use super::local::Held;
+use super::{Context, Holder};
+use crate::action::Note;
+use crate::message::{Denial, Grant, Number};
+
+impl Holder {
+    /// Takes a lease. One that answers no ask under way is given back, unless it is in use: its
+    /// time cannot be known.
+    pub fn granted(&mut self, cx: &mut Context<'_>, from: &Incarnation, grant: Grant) {
+        let Grant {
+            upstream, model, ..
+        } = &grant;
+        let (upstream, model) = (upstream.clone(), model.clone());
+        let local = self.models.get(&model);
+        let want = local.and_then(|local| Some(&local.wants[local.want(&upstream)?]));
+        let Some(want) = want else {
+            let used = local.is_some_and(|l| l.leases.iter().any(|h| h.upstream == upstream));
+            if !used {
+                self.release(cx, &model, &upstream);
+            }
+            return;
+        };
+        let Some(sent) = want.sent_at(grant.number) else {
+            return;
+        };
+        let until = sent + cx.settings.lease;
+        if until <= cx.now {
+            return;
+        }
+        let lease = self.keep_lease(from, &grant, until, &model);
+        let Some(want) = self.close(&model, &upstream) else {
+            return;
+        };
+        let mut waiting = want.waiting;
+        waiting.sort_by_key(|id| self.requests.get(id).map(|e| e.request.priority));
+        for id in waiting {
+            self.start(cx, id, lease);
+        }
+    }
+
+    fn keep_lease(
+        &mut self,
+        owner: &Incarnation,
+        grant: &Grant,
+        until: wire::Time,
+        model: &Model,
+    ) -> usize {
+        let local = self.known(model);
+        for held in &mut local.leases {
+            if held.upstream == grant.upstream && held.instance != grant.instance {
+                held.until = wire::Time::ZERO;
+            }
+        }
+        let same = |held: &Held| held.upstream == grant.upstream && held.instance == grant.instance;
+        if let Some(index) = local.leases.iter().position(same) {
+            let held = &mut local.leases[index];
+            held.until = held.until.max(until);
+            held.owner = owner.clone();
+            held.lease = grant.lease;
+            return index;
+        }
+        local.leases.push(Held {
+            upstream: grant.upstream.clone(),
+            owner: owner.clone(),
+            lease: grant.lease,
+            instance: grant.instance.clone(),
+            fence: grant.fence,
+            until,
+            in_use: 0,
+            served: 0,
+        });
+        local.leases.len() - 1
+    }
+
+    /// Takes the news that an ask is queued.
+    pub fn queued(&mut self, cx: &mut Context<'_>, upstream: &Upstream, model: &Model) {
+        if let Some(local) = self.models.get_mut(model)
+            && let Some(index) = local.want(upstream)
+        {
+            local.wants[index].heard = cx.now;
+        }
+    }
+
+    /// Takes a denial: the requests go on to another upstream. One that says that the sender does
+    /// not own the upstream any more leaves the ask to the next owner.
+    pub fn denied(
+        &mut self,
+        cx: &mut Context<'_>,
+        upstream: &Upstream,
+        model: &Model,
+        number: Number,
+        denial: Denial,
+        after: Duration,
+    ) {
+        let local = self.models.get(model);
+        let want = local.and_then(|local| Some(&local.wants[local.want(upstream)?]));
+        let Some(want) = want.filter(|want| want.sent_at(number).is_some()) else {
+            return;
+        };
+        if denial == Denial::Moved && !want.waiting.is_empty() {
+            return;
+        }
+        cx.fx.note(Note::Denied {
+            upstream: upstream.clone(),
+            model: model.clone(),
+            denial,
+        });
+        self.pass(cx, model, upstream, Some(after));
+    }
+}
--- /dev/null
+++ b/crates/placement/src/owner/mod.rs
@@ -0,0 +1,762 @@
+//! Slots, leases, loads and evictions of one upstream that this node owns.
+//!
+//! [`seat`] says when an instance may go, [`queue`] orders the models that wait, and `takeover`
+//! takes the instances of earlier owners on. The owner evicts only what it loaded itself or has
+//! adopted, and it grants leases on nothing else, so that two nodes that both believe to own an
+//! upstream share its slots without touching each other's instances.
+
+pub mod queue;
+pub mod seat;
+mod takeover;
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use wire::{Fence, Incarnation, Lease, Model, Time};
+
+use crate::action::{Action, Note};
+use crate::budget::Want;
+use crate::demand::Rate;
+use crate::event::{Failure, Fencing, Instance, Path, State as Condition, Upstream};
+use crate::fence::{Counter, Name};
+use crate::message::{Ask, Denial, Grant, Message};
+use crate::planner::Effects;
+use crate::settings::Settings;
+
+use queue::{Entry, Queue};
+use seat::{Seat, State};
+
+/// Longest pause after repeated failures of a load, in multiples of the first.
+const BACKOFF_MOST: u32 = 64;
+
+/// Factor by which a prefetched model's rate must exceed that of the one that it displaces.
+const PREFETCH_GAIN: f32 = 2.0;
+
+/// Requests per second below which nothing is prefetched.
+const PREFETCH_LEAST: f32 = 0.01;
+
+/// Most models whose popularity is handed over.
+const POPULAR: usize = 64;
+
+/// A model whose load failed.
+#[derive(Clone, Debug)]
+struct Pause {
+    model: Model,
+    until: Time,
+    length: Duration,
+}
+
+/// A model's popularity on this upstream.
+#[derive(Clone, Debug)]
+struct Known {
+    rate: Rate,
+    path: Path,
+}
+
+/// What an outcome of an order means for the store's ticket.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ticket {
+    /// The ticket is still in use, or none was.
+    Keep,
+    /// The load is over, or there will be none.
+    Finish,
+}
+
+/// One upstream as its owner sees it.
+#[derive(Clone, Debug)]
+pub struct Owner {
+    me: Incarnation,
+    facts: Upstream,
+    claim: Fence,
+    fences: Counter,
+    since: Time,
+    boot: Option<u64>,
+    reported: Option<Time>,
+    changed: Time,
+    answered: Vec<Incarnation>,
+    reports: Vec<takeover::Report>,
+    doomed: Vec<Instance>,
+    adopted: bool,
+    sealed: bool,
+    seats: Vec<Seat>,
+    queue: Queue,
+    known: HashMap<Model, Known>,
+    pauses: Vec<Pause>,
+    ticketed: bool,
+    prefetch: Option<(Model, Path)>,
+    leases: Lease,
+    interval: Duration,
+    loaded: Option<Time>,
+}
+
+impl Owner {
+    /// Makes the owner of an upstream of which nothing is known but that claims and orders up to
+    /// `shown` exist.
+    pub fn new(now: Time, me: Incarnation, facts: Upstream, shown: Fence) -> Self {
+        let mut fences = Counter::default();
+        fences.raise(shown);
+        let claim = fences.advance();
+        Self {
+            me,
+            facts,
+            claim,
+            fences,
+            since: now,
+            boot: None,
+            reported: None,
+            changed: now,
+            answered: Vec::new(),
+            reports: Vec::new(),
+            doomed: Vec::new(),
+            adopted: false,
+            sealed: false,
+            seats: Vec::new(),
+            queue: Queue::default(),
+            known: HashMap::new(),
+            pauses: Vec::new(),
+            ticketed: false,
+            prefetch: None,
+            leases: 0,
+            interval: Duration::ZERO,
+            loaded: None,
+        }
+    }
+
+    /// Returns the upstream's facts.
+    pub const fn facts(&self) -> &Upstream {
+        &self.facts
+    }
+
+    /// Returns the number of the ownership.
+    pub const fn claim(&self) -> Fence {
+        self.claim
+    }
+
+    /// Returns the highest number that was given or shown.
+    pub const fn shown(&self) -> Fence {
+        self.fences.last()
+    }
+
+    /// Returns the slots in use.
+    pub fn seats(&self) -> &[Seat] {
+        &self.seats
+    }
+
+    /// Returns the models that wait for a load.
+    pub const fn queue(&self) -> &Queue {
+        &self.queue
+    }
+
+    /// Returns how many models' popularity is remembered.
+    pub fn known(&self) -> usize {
+        self.known.len()
+    }
+
+    /// Takes new facts.
+    pub fn update(&mut self, facts: Upstream) {
+        self.facts = facts;
+    }
+
+    /// Tells whether something is under way for which time matters.
+    pub fn busy(&self) -> bool {
+        let quiet = |seat: &Seat| seat.state == State::Ready;
+        !self.queue.entries().is_empty() || self.ticketed || !self.seats.iter().all(quiet)
+    }
+
+    /// Takes a holder's ask.
+    pub fn ask(
+        &mut self,
+        now: Time,
+        from: &Incarnation,
+        ask: Ask,
+        settings: &Settings,
+        fx: &mut Effects,
+    ) {
+        self.count(now, &ask, ask.served, settings);
+        if self.facts.state != Condition::Live {
+            return deny(from, &ask, Denial::Leaving, Duration::ZERO, fx);
+        }
+        if let Some(seat) = self.ready(&ask.model) {
+            if ask.waiting > 0 && self.seats[seat].rights.iter().all(|r| r.holder != *from) {
+                self.count(now, &ask, ask.waiting, settings);
+            }
+            return self.grant(now, seat, from, &ask, settings, fx);
+        }
+        let Some(path) = ask.path.clone() else {
+            return deny(from, &ask, Denial::Moved, Duration::ZERO, fx);
+        };
+        if let Some(pause) = self.pauses.iter().find(|p| p.model == ask.model)
+            && pause.until > now
+        {
+            return deny(from, &ask, Denial::Failed, pause.until - now, fx);
+        }
+        let wait = self.wait(&ask);
+        if wait > ask.left {
+            self.queue.withdraw(&ask.model, from, ask.number);
+            return deny(from, &ask, Denial::Busy, wait - ask.left, fx);
+        }
+        let added = self.queue.push(now, from, &ask, path);
+        self.count(now, &ask, added, settings);
+        let queued = Message::Queued {
+            upstream: self.facts.id.clone(),
+            model: ask.model,
+        };
+        fx.send(&from.vm, queued);
+    }
+
+    /// Estimates how long a new entry would wait behind those ahead of it.
+    fn wait(&self, ask: &Ask) -> Duration {
+        if self.queue.contains(&ask.model) {
+            return Duration::ZERO;
+        }
+        let ahead = self.queue.ahead(ask.priority);
+        self.interval * u32::try_from(ahead).unwrap_or(u32::MAX)
+    }
+
+    fn count(&mut self, now: Time, ask: &Ask, requests: u32, settings: &Settings) {
+        if requests == 0 {
+            return;
+        }
+        if let Some(known) = self.known.get_mut(&ask.model) {
+            known.rate.add(now, requests, settings.half_life);
+        } else if let Some(path) = &ask.path {
+            let mut rate = Rate::default();
+            rate.add(now, requests, settings.half_life);
+            let path = path.clone();
+            self.known.insert(ask.model.clone(), Known { rate, path });
+        }
+    }
+
+    fn ready(&self, model: &Model) -> Option<usize> {
+        let usable = |seat: &Seat| {
+            let named = seat.model.as_ref() == Some(model);
+            let open = seat.state == State::Ready || self.open_foreign(seat);
+            named && open && !seat.doomed
+        };
+        self.seats.iter().position(usable)
+    }
+
+    /// A former owner's instance may be used before its takeover where the engine has taken an
+    /// order of this owner and refuses the former one's.
+    fn open_foreign(&self, seat: &Seat) -> bool {
+        let fenced = self.facts.fencing == Fencing::RefusesOld && self.sealed;
+        seat.state == State::Foreign && fenced
+    }
+
+    fn grant(
+        &mut self,
+        now: Time,
+        seat: usize,
+        from: &Incarnation,
+        ask: &Ask,
+        settings: &Settings,
+        fx: &mut Effects,
+    ) {
+        let until = now + settings.lease;
+        let seat = &mut self.seats[seat];
+        let lease = seat.grant(from, until, ask.number, &mut self.leases);
+        let grant = Grant {
+            upstream: self.facts.id.clone(),
+            model: ask.model.clone(),
+            number: ask.number,
+            claim: self.claim,
+            lease,
+            instance: seat.instance.clone(),
+            fence: seat.fence,
+        };
+        fx.send(&from.vm, Message::Grant(grant));
+    }
+
+    /// Takes a holder's release: it neither waits for the model nor uses it.
+    pub fn release(&mut self, from: &Incarnation, model: &Model, number: u64) {
+        self.queue.withdraw(model, from, number);
+        for seat in &mut self.seats {
+            if seat.model.as_ref() == Some(model) {
+                seat.release(from, number);
+            }
+        }
+    }
+
+    /// Does what is due: waiters and orders whose time is up, waiters that cannot be served.
+    pub fn tick(&mut self, now: Time, settings: &Settings, fx: &mut Effects) -> Ticket {
+        self.queue.expire(now);
+        self.pauses.retain(|pause| pause.until + pause.length > now);
+        let ticket = self.overdue(now, settings, fx);
+        self.look_ahead(now, settings);
+        let stuck = !self.loading() && !self.slot(now, settings);
+        if stuck {
+            self.turn_away(now, settings, fx);
+        }
+        ticket
+    }
+
+    /// Moves waiters on that have waited for long while no slot can be had.
+    fn turn_away(&mut self, now: Time, settings: &Settings, fx: &mut Effects) {
+        let late: Vec<Model> = self
+            .queue
+            .entries()
+            .iter()
+            .filter(|entry| now >= entry.want().since + settings.gather + settings.silence)
+            .map(|entry| entry.model.clone())
+            .collect();
+        for model in late {
+            self.dismiss(&model, Denial::Busy, settings.silence, fx);
+        }
+    }
+
+    fn dismiss(&mut self, model: &Model, denial: Denial, after: Duration, fx: &mut Effects) {
+        let Some(entry) = self.queue.take(model) else {
+            return;
+        };
+        for waiter in &entry.waiters {
+            let message = Message::Deny {
+                upstream: self.facts.id.clone(),
+                model: model.clone(),
+                number: waiter.number,
+                denial,
+                retry_after: after,
+            };
+            fx.send(&waiter.holder.vm, message);
+        }
+    }
+
+    fn overdue(&mut self, now: Time, settings: &Settings, fx: &mut Effects) -> Ticket {
+        let mut ticket = Ticket::Keep;
+        let mut failed = Vec::new();
+        for seat in &mut self.seats {
+            match seat.state {
+                State::Loading { deadline, .. } if now >= deadline => {
+                    seat.state = State::Unknown {
+                        after: now + settings.report_lag,
+                    };
+                    ticket = Ticket::Finish;
+                    failed.extend(seat.model.clone());
+                }
+                State::Evicting { deadline, .. } if now >= deadline => {
+                    seat.state = State::Unknown {
+                        after: now + settings.report_lag,
+                    };
+                    seat.doomed = true;
+                    ticket = Ticket::Finish;
+                }
+                _ => {}
+            }
+        }
+        for model in failed {
+            self.fail(now, &model, Failure::Unknown, settings, fx);
+        }
+        if ticket == Ticket::Finish {
+            self.ticketed = false;
+        }
+        ticket
+    }
+
+    fn fail(
+        &mut self,
+        now: Time,
+        model: &Model,
+        failure: Failure,
+        settings: &Settings,
+        fx: &mut Effects,
+    ) {
+        let index = self.pauses.iter().position(|pause| pause.model == *model);
+        let before = index.map(|index| self.pauses.swap_remove(index).length);
+        let most = settings.backoff * BACKOFF_MOST;
+        let length = before.map_or(settings.backoff, |length| (length * 2).min(most));
+        self.pauses.push(Pause {
+            model: model.clone(),
+            until: now + length,
+            length,
+        });
+        fx.note(Note::Failed {
+            upstream: self.facts.id.clone(),
+            model: model.clone(),
+            failure,
+            pause: length,
+        });
+        self.dismiss(model, Denial::Failed, length, fx);
+    }
+
+    fn loading(&self) -> bool {
+        let moving =
+            |seat: &Seat| matches!(seat.state, State::Loading { .. } | State::Evicting { .. });
+        self.seats.iter().any(moving)
+    }
+
+    fn slot(&self, now: Time, settings: &Settings) -> bool {
+        self.seats.len() < self.facts.slots || self.victim(now, settings).is_some()
+    }
+
+    /// Returns the instance whose next use is expected last, among those that nothing uses.
+    fn victim(&self, now: Time, settings: &Settings) -> Option<(usize, f32)> {
+        let free = |(_, seat): &(usize, &Seat)| {
+            let queued = seat.model.as_ref().is_some_and(|m| self.queue.contains(m));
+            let wanted = queued && !seat.doomed;
+            seat.model.is_some() && seat.free(now, settings) && !wanted
+        };
+        self.seats
+            .iter()
+            .enumerate()
+            .filter(free)
+            .map(|(index, seat)| (index, self.worth(now, seat, settings)))
+            .min_by(|(_, a), (_, b)| a.total_cmp(b))
+    }
+
+    /// Returns the expected requests per second on an instance: the inverse of the time to its
+    /// next use. One that gets no more leases is worth less than nothing.
+    fn worth(&self, now: Time, seat: &Seat, settings: &Settings) -> f32 {
+        if seat.doomed {
+            return -1.0;
+        }
+        let known = seat.model.as_ref().and_then(|model| self.known.get(model));
+        known.map_or(0.0, |known| known.rate.long(now, settings.half_life))
+    }
+
+    /// Returns what should be loaded next, where a load may begin.
+    pub fn want(&self, now: Time, settings: &Settings) -> Option<Want> {
+        let quiet = self.facts.state != Condition::Live || self.ticketed || self.loading();
+        if quiet || !self.slot(now, settings) {
+            return None;
+        }
+        if let Some(entry) = self.queue.best(now, settings) {
+            return Some(entry.want());
+        }
+        if !self.queue.entries().is_empty() {
+            return None;
+        }
+        self.prefetch.as_ref().map(|_| Want {
+            priority: None,
+            waiting: 0,
+            since: now,
+        })
+    }
+
+    /// Finds the most popular model that is not here, where it is worth a slot.
+    fn look_ahead(&mut self, now: Time, settings: &Settings) {
+        self.prefetch = None;
+        if !self.queue.entries().is_empty() || self.loading() {
+            return;
+        }
+        let displaced = if self.seats.len() < self.facts.slots {
+            0.0
+        } else if let Some((_, rate)) = self.victim(now, settings) {
+            rate * PREFETCH_GAIN
+        } else {
+            return;
+        };
+        let here = |model: &Model| self.seats.iter().any(|s| s.model.as_ref() == Some(model));
+        let paused = |model: &Model| self.pauses.iter().any(|p| p.model == *model);
+        let rate = |known: &Known| known.rate.long(now, settings.half_life);
+        let best = self
+            .known
+            .iter()
+            .filter(|(model, _)| !here(model) && !paused(model))
+            .max_by(|(_, a), (_, b)| rate(a).total_cmp(&rate(b)));
+        if let Some((model, known)) = best
+            && rate(known) >= displaced.max(PREFETCH_LEAST)
+        {
+            self.prefetch = Some((model.clone(), known.path.clone()));
+        }
+    }
+
+    /// Starts the load for which the store's budget gave a ticket; an instance goes first where no
+    /// slot is free.
+    pub fn start(&mut self, now: Time, settings: &Settings, fx: &mut Effects) -> Ticket {
+        if self.loading() || self.want_none(now, settings) {
+            self.ticketed = false;
+            return Ticket::Finish;
+        }
+        self.ticketed = true;
+        if self.seats.len() < self.facts.slots {
+            return self.load(now, settings, fx);
+        }
+        let Some((index, rate)) = self.victim(now, settings) else {
+            self.ticketed = false;
+            return Ticket::Finish;
+        };
+        self.evict(now, index, rate, settings, fx);
+        Ticket::Keep
+    }
+
+    fn want_none(&self, now: Time, settings: &Settings) -> bool {
+        self.queue.best(now, settings).is_none() && self.prefetch.is_none()
+    }
+
+    fn evict(&mut self, now: Time, index: usize, rate: f32, settings: &Settings, fx: &mut Effects) {
+        let fence = self.fences.advance();
+        let deadline = now + settings.order * 2;
+        let others = self.seats.iter().filter(|s| s.free(now, settings)).count();
+        let seat = &mut self.seats[index];
+        seat.rights.clear();
+        seat.state = State::Evicting {
+            fence,
+            write: now + settings.order,
+            deadline,
+        };
+        if let Some(model) = seat.model.clone() {
+            fx.note(Note::Evict {
+                upstream: self.facts.id.clone(),
+                model,
+                rate: f64::from(rate),
+                alternatives: others.saturating_sub(1),
+            });
+        }
+        fx.act(Action::Unload {
+            upstream: self.facts.id.clone(),
+            instance: seat.instance.clone(),
+            fence,
+            deadline,
+        });
+    }
+
+    fn load(&mut self, now: Time, settings: &Settings, fx: &mut Effects) -> Ticket {
+        let next = match self.queue.best(now, settings) {
+            Some(entry) => Some((entry.model.clone(), entry.path.clone(), Some(entry.want()))),
+            None => self.prefetch.take().map(|(m, p)| (m, p, None)),
+        };
+        let Some((model, path, want)) = next else {
+            self.ticketed = false;
+            return Ticket::Finish;
+        };
+        let fence = self.fences.advance();
+        let name = Name {
+            model: model.clone(),
+            loader: self.me.clone(),
+            fence,
+        };
+        let deadline = now + settings.load;
+        self.seats.push(Seat {
+            model: Some(model.clone()),
+            path: Some(path.clone()),
+            instance: name.instance(),
+            loader: Some(self.me.clone()),
+            fence,
+            state: State::Loading {
+                write: now + settings.order,
+                deadline,
+            },
+            rights: Vec::new(),
+            idle: None,
+            ready: now,
+            doomed: false,
+        });
+        self.measure(now);
+        let since = want.map_or(now, |want| want.since);
+        fx.note(Note::Load {
+            upstream: self.facts.id.clone(),
+            model: model.clone(),
+            priority: want.and_then(|want| want.priority),
+            waiting: want.map_or(0, |want| want.waiting),
+            age: now.saturating_sub(since),
+            alternatives: self.queue.entries().len().saturating_sub(1),
+        });
+        fx.act(Action::Load {
+            upstream: self.facts.id.clone(),
+            instance: name.instance(),
+            model,
+            path,
+            fence,
+            deadline,
+        });
+        Ticket::Keep
+    }
+
+    /// Measures the time between loads while there is a queue.
+    fn measure(&mut self, now: Time) {
+        let last = self.loaded.replace(now);
+        if self.queue.entries().len() < 2 {
+            return;
+        }
+        if let Some(gap) = last.map(|last| now.saturating_sub(last)) {
+            self.interval = (self.interval * 7 + gap) / 8;
+        }
+    }
+
+    /// Tells whether the order with number `fence` may be written at `now`.
+    pub fn permit(&self, now: Time, fence: Fence) -> bool {
+        self.seats.iter().any(|seat| match seat.state {
+            State::Loading { write, .. } => seat.fence == fence && now < write,
+            State::Evicting {
+                fence: own, write, ..
+            } => own == fence && now < write && seat.rights.is_empty(),
+            _ => false,
+        })
+    }
+
+    fn order(&mut self, instance: &str, fence: Fence) -> Option<usize> {
+        let same = |seat: &Seat| match seat.state {
+            State::Loading { .. } => seat.fence == fence,
+            State::Evicting { fence: own, .. } => own == fence,
+            _ => false,
+        };
+        self.seats
+            .iter()
+            .position(|seat| *seat.instance == *instance && same(seat))
+    }
+
+    /// Takes the news that a load was carried out.
+    pub fn loaded(
+        &mut self,
+        now: Time,
+        instance: &Instance,
+        fence: Fence,
+        settings: &Settings,
+        fx: &mut Effects,
+    ) -> Ticket {
+        let Some(index) = self.order(instance, fence) else {
+            return Ticket::Keep;
+        };
+        self.ticketed = false;
+        self.sealed = true;
+        self.seats[index].state = State::Ready;
+        self.seats[index].ready = now;
+        self.serve(now, index, settings, fx);
+        Ticket::Finish
+    }
+
+    /// Grants leases to all who wait for the model in a slot, the most urgent first.
+    fn serve(&mut self, now: Time, index: usize, settings: &Settings, fx: &mut Effects) {
+        let Some(model) = self.seats[index].model.clone() else {
+            return;
+        };
+        self.pauses.retain(|pause| pause.model != model);
+        let Some(Entry { mut waiters, .. }) = self.queue.take(&model) else {
+            return;
+        };
+        waiters.sort_by_key(|waiter| (waiter.priority, waiter.since));
+        for waiter in waiters {
+            let ask = Ask {
+                upstream: self.facts.id.clone(),
+                model: model.clone(),
+                path: None,
+                number: waiter.number,
+                priority: waiter.priority,
+                waiting: waiter.waiting,
+                served: 0,
+                left: Duration::ZERO,
+            };
+            self.grant(now, index, &waiter.holder, &ask, settings, fx);
+        }
+    }
+
+    /// Takes the news that a load failed.
+    pub fn load_failed(
+        &mut self,
+        now: Time,
+        instance: &Instance,
+        fence: Fence,
+        failure: Failure,
+        settings: &Settings,
+        fx: &mut Effects,
+    ) -> Ticket {
+        let Some(index) = self.order(instance, fence) else {
+            return Ticket::Keep;
+        };
+        self.ticketed = false;
+        let model = self.seats[index].model.clone();
+        if failure == Failure::Unknown {
+            let after = now + settings.report_lag;
+            self.seats[index].state = State::Unknown { after };
+        } else {
+            self.seats.swap_remove(index);
+        }
+        if failure != Failure::NotSent
+            && let Some(model) = model
+        {
+            self.fail(now, &model, failure, settings, fx);
+        }
+        Ticket::Finish
+    }
+
+    /// Takes the news that an unload was carried out; the load that it was for begins.
+    pub fn unloaded(
+        &mut self,
+        now: Time,
+        instance: &Instance,
+        fence: Fence,
+        valid: bool,
+        settings: &Settings,
+        fx: &mut Effects,
+    ) -> Ticket {
+        let Some(index) = self.order(instance, fence) else {
+            return Ticket::Keep;
+        };
+        self.sealed = true;
+        self.seats.swap_remove(index);
+        self.changed = now;
+        if !self.ticketed {
+            return Ticket::Keep;
+        }
+        if valid {
+            return self.load(now, settings, fx);
+        }
+        self.ticketed = false;
+        Ticket::Finish
+    }
+
+    /// Takes the news that an unload failed.
+    pub fn unload_failed(
+        &mut self,
+        now: Time,
+        instance: &Instance,
+        fence: Fence,
+        failure: Failure,
+        settings: &Settings,
+    ) -> Ticket {
+        let Some(index) = self.order(instance, fence) else {
+            return Ticket::Keep;
+        };
+        self.ticketed = false;
+        self.seats[index].doomed |= failure != Failure::NotSent;
+        self.seats[index].state = match failure {
+            Failure::NotSent => State::Ready,
+            _ => State::Unknown {
+                after: now + settings.report_lag,
+            },
+        };
+        Ticket::Finish
+    }
+
+    /// Ends the ownership: all who wait are sent on. The instances stay known, for the answer to
+    /// the next owner's claim.
+    pub fn retire(&mut self, fx: &mut Effects) {
+        let models: Vec<Model> = self
+            .queue
+            .entries()
+            .iter()
+            .map(|e| e.model.clone())
+            .collect();
+        for model in models {
+            self.dismiss(&model, Denial::Moved, Duration::ZERO, fx);
+        }
+        self.ticketed = false;
+    }
+
+    /// Takes a popularity that was announced or handed over, where it exceeds what is known.
+    pub fn expect(&mut self, now: Time, model: &Model, path: &Path, rate: f32, s: &Settings) {
+        let known = self.known.get(model);
+        if known.is_none_or(|known| known.rate.long(now, s.half_life) < rate) {
+            let rate = Rate::known(now, rate, s.half_life);
+            let path = path.clone();
+            self.known.insert(model.clone(), Known { rate, path });
+        }
+    }
+
+    /// Forgets models whose popularity has decayed to nothing.
+    pub fn sweep(&mut self, now: Time, settings: &Settings) {
+        let forget = settings.half_life * 8;
+        self.known
+            .retain(|_, known| now.saturating_sub(known.rate.at()) < forget);
+    }
+}
+
+fn deny(from: &Incarnation, ask: &Ask, denial: Denial, after: Duration, fx: &mut Effects) {
+    let message = Message::Deny {
+        upstream: ask.upstream.clone(),
+        model: ask.model.clone(),
+        number: ask.number,
+        denial,
+        retry_after: after,
+    };
+    fx.send(&from.vm, message);
+}
--- /dev/null
+++ b/crates/placement/src/owner/seat.rs
@@ -0,0 +1,120 @@
+//! One slot of an upstream and the leases on it.
+
+use wire::{Fence, Incarnation, Lease, Model, Time};
+
+use crate::event::{Instance, Path};
+use crate::message::Number;
+use crate::settings::Settings;
+
+/// What is known of the instance in a slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// A load was ordered.
+    Loading {
+        /// Time by which it must be written.
+        write: Time,
+        /// Time after which it counts as failed.
+        deadline: Time,
+    },
+    /// It is loaded; this owner alone grants leases on it.
+    Ready,
+    /// An unload was ordered.
+    Evicting {
+        /// Number of the order.
+        fence: Fence,
+        /// Time by which it must be written.
+        write: Time,
+        /// Time after which its outcome counts as unknown.
+        deadline: Time,
+    },
+    /// Nobody knows whether it is there; an engine's report made after this time tells.
+    Unknown {
+        /// Time from which on a report tells.
+        after: Time,
+    },
+    /// An earlier owner loaded it, and some peer may still use it or give orders about it.
+    Foreign,
+}
+
+/// A holder's right to start requests on an instance until a time.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Right {
+    /// The lease.
+    pub lease: Lease,
+    /// Its holder.
+    pub holder: Incarnation,
+    /// Time after which the holder starts nothing more on it.
+    pub until: Time,
+    /// Highest ask that it was granted for.
+    pub number: Number,
+}
+
+/// One slot in use.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Seat {
+    /// The model; `None` where the instance's name was given by somebody else.
+    pub model: Option<Model>,
+    /// Where its weights are, where known.
+    pub path: Option<Path>,
+    /// The instance.
+    pub instance: Instance,
+    /// The incarnation that ordered its load, where known.
+    pub loader: Option<Incarnation>,
+    /// Number of the load.
+    pub fence: Fence,
+    /// What is known of it.
+    pub state: State,
+    /// Leases on it.
+    pub rights: Vec<Right>,
+    /// Time of the engine's last report that showed it without requests; `None` after one that
+    /// showed some.
+    pub idle: Option<Time>,
+    /// Time since which it is ready.
+    pub ready: Time,
+    /// Whether an order to unload it may still be under way; it gets no more leases.
+    pub doomed: bool,
+}
+
+impl Seat {
+    /// Tells whether nothing uses the instance and nothing can begin to.
+    ///
+    /// A lease ends by its holder's release, or by its time together with an engine's report that
+    /// shows the instance idle and is newer than that time by the report's lag.
+    pub fn free(&self, now: Time, settings: &Settings) -> bool {
+        let over = |right: &Right| {
+            let end = right.until.saturating_add(settings.drift);
+            let seen = end.saturating_add(settings.report_lag);
+            now > end && self.idle.is_some_and(|idle| idle > seen)
+        };
+        self.state == State::Ready && self.rights.iter().all(over)
+    }
+
+    /// Gives `holder` a lease, or extends the one that it has, and returns it.
+    pub fn grant(
+        &mut self,
+        holder: &Incarnation,
+        until: Time,
+        number: Number,
+        next: &mut Lease,
+    ) -> Lease {
+        if let Some(right) = self.rights.iter_mut().find(|right| right.holder == *holder) {
+            right.until = right.until.max(until);
+            right.number = right.number.max(number);
+            return right.lease;
+        }
+        *next += 1;
+        self.rights.push(Right {
+            lease: *next,
+            holder: holder.clone(),
+            until,
+            number,
+        });
+        *next
+    }
+
+    /// Ends the lease of `holder`, unless it was granted for an ask above `number`.
+    pub fn release(&mut self, holder: &Incarnation, number: Number) {
+        self.rights
+            .retain(|right| right.holder != *holder || right.number > number);
+    }
+}
--- /dev/null
+++ b/crates/placement/src/owner/takeover.rs
@@ -0,0 +1,244 @@
+//! Instances that earlier owners loaded: who may still use them, and when they are this owner's.
+//!
+//! A new owner claims the upstream with a growing number. Each peer that answers gives its leases,
+//! stops acting as the upstream's owner, and takes grants of no lower claim from then on. Once
+//! every peer of the view has answered, and each other incarnation is gone from the view, nobody
+//! else can grant a lease on the instances or order them away: the owner adopts them with the
+//! leases that were answered. Before that it uses free slots and its own instances only.
+
+use wire::{Incarnation, Lease, Time, View};
+
+use super::seat::{Right, Seat, State};
+use super::{Known, Owner, POPULAR, Ticket};
+use crate::action::Note;
+use crate::event::{Instance, Resident};
+use crate::fence::Name;
+use crate::message::{Answer, Popularity};
+use crate::planner::Effects;
+use crate::settings::Settings;
+
+/// A lease that a peer answered with.
+#[derive(Clone, Debug)]
+pub(super) struct Report {
+    pub(super) holder: Incarnation,
+    pub(super) instance: Instance,
+    pub(super) lease: Lease,
+}
+
+impl Owner {
+    /// Returns the peers that have not answered the claim.
+    pub fn unanswered<'a>(&'a self, view: &'a View) -> impl Iterator<Item = &'a Incarnation> {
+        let peers = view.peers().iter().map(|peer| &peer.incarnation);
+        peers.filter(|peer| **peer != self.me && !self.answered.contains(peer))
+    }
+
+    /// Takes a peer's answer to the claim; one to an earlier claim is dropped.
+    pub fn answer(
+        &mut self,
+        now: Time,
+        from: &Incarnation,
+        answer: Answer,
+        view: &View,
+        settings: &Settings,
+        fx: &mut Effects,
+    ) {
+        if answer.claim != self.claim || self.answered.contains(from) {
+            return;
+        }
+        self.answered.push(from.clone());
+        for held in answer.held {
+            self.reports.push(Report {
+                holder: from.clone(),
+                instance: held.instance,
+                lease: held.lease,
+            });
+        }
+        self.doomed.extend(answer.doomed);
+        for popular in answer.popular {
+            let Popularity { model, path, rate } = popular;
+            self.expect(now, &model, &path, rate, settings);
+        }
+        self.adopt(now, view, settings, fx);
+    }
+
+    /// Takes earlier owners' instances on where nobody else can act on them any more.
+    pub fn adopt(&mut self, now: Time, view: &View, settings: &Settings, fx: &mut Effects) {
+        if self.unanswered(view).next().is_some() {
+            return;
+        }
+        let mut instances = 0;
+        for index in 0..self.seats.len() {
+            if self.seats[index].state == State::Foreign && self.open(index, view) {
+                self.take(now, index, settings);
+                self.serve(now, index, settings, fx);
+                instances += 1;
+            }
+        }
+        if instances > 0 || !self.adopted {
+            self.adopted = true;
+            let upstream = self.facts.id.clone();
+            fx.note(Note::Adopted {
+                upstream,
+                instances,
+            });
+        }
+    }
+
+    /// Tells whether the one that loaded an instance has yielded or is gone.
+    fn open(&self, index: usize, view: &View) -> bool {
+        let loader = self.seats[index].loader.as_ref();
+        loader.is_some_and(|loader| {
+            *loader == self.me || self.answered.contains(loader) || !view.knows(loader)
+        })
+    }
+
+    /// Adopts one instance. Holders that are gone may have started requests until their leases'
+    /// end, so that a lease of unknown holders lasts from now.
+    fn take(&mut self, now: Time, index: usize, settings: &Settings) {
+        let until = now + settings.lease;
+        let seat = &mut self.seats[index];
+        for report in &self.reports {
+            if report.instance == seat.instance {
+                let known = seat.rights.iter().any(|r| r.holder == report.holder);
+                if !known {
+                    seat.rights.push(Right {
+                        lease: report.lease,
+                        holder: report.holder.clone(),
+                        until,
+                        number: 0,
+                    });
+                }
+            }
+        }
+        seat.doomed |= self.doomed.contains(&seat.instance);
+        let gone = Incarnation::new("", 0);
+        seat.rights.push(Right {
+            lease: 0,
+            holder: gone,
+            until,
+            number: u64::MAX,
+        });
+        seat.state = State::Ready;
+        seat.ready = now;
+    }
+
+    /// Takes an engine's report of what it holds.
+    pub fn resident(
+        &mut self,
+        now: Time,
+        report: &Resident,
+        view: &View,
+        settings: &Settings,
+        fx: &mut Effects,
+    ) -> Ticket {
+        let made = now.saturating_sub(report.age);
+        if self.reported.is_some_and(|last| made < last) {
+            return Ticket::Keep;
+        }
+        self.reported = Some(made);
+        let ticket = self.restart(report, fx);
+        self.confirm(made, report, settings, fx);
+        self.discover(made, report, settings);
+        self.adopt(now, view, settings, fx);
+        ticket
+    }
+
+    /// Voids every slot where the engine has started anew. Loads under way failed with it.
+    fn restart(&mut self, report: &Resident, fx: &mut Effects) -> Ticket {
+        let before = self.boot.replace(report.boot);
+        if before.is_none_or(|before| before == report.boot) {
+            return Ticket::Keep;
+        }
+        fx.note(Note::Restarted {
+            upstream: self.facts.id.clone(),
+            instances: self.seats.len(),
+        });
+        self.seats.clear();
+        self.reports.clear();
+        let busy = std::mem::take(&mut self.ticketed);
+        if busy { Ticket::Finish } else { Ticket::Keep }
+    }
+
+    /// Compares the slots with the report.
+    fn confirm(&mut self, made: Time, report: &Resident, settings: &Settings, fx: &mut Effects) {
+        let lag = settings.report_lag;
+        let mut served = Vec::new();
+        self.seats.retain_mut(|seat| {
+            let shown = report
+                .instances
+                .iter()
+                .find(|u| u.instance == seat.instance);
+            if let Some(shown) = shown {
+                seat.idle = (shown.in_use == 0).then_some(made);
+            }
+            match (seat.state, shown.is_some()) {
+                (State::Unknown { after }, true) if made > after => {
+                    seat.state = State::Ready;
+                    served.push(seat.instance.clone());
+                    true
+                }
+                (State::Unknown { after }, false) if made > after => false,
+                (State::Ready, false) => made <= seat.ready + lag,
+                (State::Foreign, false) => false,
+                _ => true,
+            }
+        });
+        for instance in served {
+            let index = self.seats.iter().position(|s| s.instance == instance);
+            if let Some(index) = index {
+                self.serve(made, index, settings, fx);
+            }
+        }
+    }
+
+    /// Adds instances that this owner has not loaded.
+    fn discover(&mut self, made: Time, report: &Resident, settings: &Settings) {
+        if made <= self.changed + settings.report_lag && self.changed > self.since {
+            return;
+        }
+        for shown in &report.instances {
+            if self.seats.iter().any(|s| s.instance == shown.instance) {
+                continue;
+            }
+            let name = Name::parse(&shown.instance);
+            if let Some(name) = &name {
+                self.fences.raise(name.fence);
+            }
+            let fence = name.as_ref().map_or(0, |name| name.fence);
+            self.seats.push(Seat {
+                model: name.as_ref().map(|name| name.model.clone()),
+                path: None,
+                instance: shown.instance.clone(),
+                loader: name.map(|name| name.loader),
+                fence,
+                state: State::Foreign,
+                rights: Vec::new(),
+                idle: (shown.in_use == 0).then_some(made),
+                ready: made,
+                doomed: false,
+            });
+        }
+    }
+
+    /// Returns what the next owner has to know: instances ordered away, and popularity.
+    pub fn bequest(&self, now: Time, settings: &Settings) -> (Vec<Instance>, Vec<Popularity>) {
+        let doomed = self
+            .seats
+            .iter()
+            .filter(|seat| matches!(seat.state, State::Evicting { .. } | State::Unknown { .. }));
+        let doomed = doomed.map(|seat| seat.instance.clone()).collect();
+        let rate = |known: &Known| known.rate.long(now, settings.half_life);
+        let mut popular: Vec<Popularity> = self
+            .known
+            .iter()
+            .map(|(model, known)| Popularity {
+                model: model.clone(),
+                path: known.path.clone(),
+                rate: rate(known),
+            })
+            .collect();
+        popular.sort_by(|a, b| b.rate.total_cmp(&a.rate));
+        popular.truncate(POPULAR);
+        (doomed, popular)
+    }
+}
--- /dev/null
+++ b/crates/placement/src/planner/mod.rs
@@ -0,0 +1,377 @@
+//! One node's planner: holder, owners and budgets, connected.
+//!
+//! `receive` takes peers' messages in and `ownership` gains and loses upstreams with the view.
+
+mod effects;
+mod ownership;
+pub mod promise;
+mod receive;
+
+use std::time::Duration;
+
+use wire::{Fence, Incarnation, Machine, Time, View};
+
+use crate::action::Action;
+use crate::budget::Budget;
+use crate::choice::Choice;
+use crate::event::{Event, Expect, Resident, Store, Upstream};
+use crate::holder::{Context, Holder};
+use crate::owner::{Owner, Ticket};
+use crate::settings::Settings;
+
+pub use effects::Effects;
+use promise::{Promises, Taken};
+
+/// Time between two ticks while something is under way.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Time between two ticks otherwise.
+const IDLE_TICK: Duration = Duration::from_millis(500);
+
+/// Time between two sweeps of what is forgotten.
+const SWEEP: Duration = Duration::from_secs(30);
+
+/// Time before announced demand at which its models are prefetched.
+const AHEAD: Duration = Duration::from_secs(60);
+
+/// One node's planner.
+#[derive(Debug)]
+pub struct Planner {
+    me: Incarnation,
+    settings: Settings,
+    view: View,
+    choice: Choice,
+    promises: Promises,
+    holder: Holder,
+    owners: Vec<Owner>,
+    former: Vec<Owner>,
+    budgets: Vec<Budget>,
+    expected: Vec<Expect>,
+    reclaims: Vec<ownership::Reclaim>,
+    claimed: Option<Time>,
+    born: Option<Time>,
+    ticked: Time,
+    swept: Time,
+    fx: Effects,
+}
+
+impl Planner {
+    /// Makes the planner of the incarnation `me`.
+    pub fn new(me: Incarnation, settings: Settings) -> Self {
+        let fx = Effects::new(me.vm.clone());
+        Self {
+            me,
+            settings,
+            view: View::default(),
+            choice: Choice::default(),
+            promises: Promises::default(),
+            holder: Holder::default(),
+            owners: Vec::new(),
+            former: Vec::new(),
+            budgets: Vec::new(),
+            expected: Vec::new(),
+            reclaims: Vec::new(),
+            claimed: None,
+            born: None,
+            ticked: Time::ZERO,
+            swept: Time::ZERO,
+            fx,
+        }
+    }
+
+    /// Tells whether the order with number `fence` on `upstream` may be written at `now`.
+    ///
+    /// The driver calls it directly before it writes a load or unload, after any pause; an order
+    /// that is not permitted is reported as failed with [`crate::event::Failure::NotSent`].
+    pub fn permit(&self, now: Time, upstream: &str, fence: Fence) -> bool {
+        let owner = self.owners.iter().find(|o| *o.facts().id == *upstream);
+        owner.is_some_and(|owner| owner.permit(now, fence))
+    }
+
+    /// Returns the upstreams that this node owns.
+    pub fn owners(&self) -> &[Owner] {
+        &self.owners
+    }
+
+    /// Returns the requests and leases of this node.
+    pub const fn holder(&self) -> &Holder {
+        &self.holder
+    }
+
+    /// Returns the store budgets as this node takes part in them.
+    pub fn budgets(&self) -> &[Budget] {
+        &self.budgets
+    }
+
+    /// Returns the upstreams as the choice sees them.
+    pub const fn choice(&self) -> &Choice {
+        &self.choice
+    }
+
+    fn handle(&mut self, now: Time, event: Event) {
+        match event {
+            Event::View(view) => self.look(now, view),
+            Event::Upstreams(upstreams) => self.upstreams(now, upstreams),
+            Event::Stores(stores) => self.stores(now, stores),
+            Event::Request(request) => {
+                self.with_holder(now, |holder, cx| holder.request(cx, request));
+            }
+            Event::Done { request } | Event::Cancel { request } => {
+                self.with_holder(now, |holder, cx| holder.done(cx, request));
+            }
+            Event::Missing { request } => {
+                self.with_holder(now, |holder, cx| holder.missing(cx, request));
+            }
+            Event::Receive { from, message } => self.receive(now, &from, message),
+            Event::Refused { upstream, shown } => self.refused(now, &upstream, shown),
+            Event::Resident(report) => self.resident(now, &report),
+            Event::Report {
+                upstream,
+                running,
+                waiting,
+                age,
+            } => {
+                let load = running.saturating_add(waiting);
+                self.choice.report(&upstream, load, now.saturating_sub(age));
+            }
+            Event::CacheEvents {
+                upstream,
+                added,
+                removed,
+                gap,
+            } => self.choice.cache(&upstream, added, &removed, gap),
+            Event::Expect(expect) => self.expected.push(expect),
+            Event::Tick => self.tick(now),
+            order => self.order(now, order),
+        }
+    }
+
+    /// Takes the outcome of an order.
+    fn order(&mut self, now: Time, event: Event) {
+        let (settings, fx) = (&self.settings, &mut self.fx);
+        let mut owners = self.owners.iter_mut().chain(&mut self.former);
+        let (upstream, ticket) = match event {
+            Event::Loaded {
+                upstream,
+                instance,
+                fence,
+            } => {
+                let owner = owners.find(|o| o.facts().id == upstream);
+                let ticket = owner.map(|o| o.loaded(now, &instance, fence, settings, fx));
+                (upstream, ticket)
+            }
+            Event::LoadFailed {
+                upstream,
+                instance,
+                fence,
+                failure,
+            } => {
+                let owner = owners.find(|o| o.facts().id == upstream);
+                let ticket =
+                    owner.map(|o| o.load_failed(now, &instance, fence, failure, settings, fx));
+                (upstream, ticket)
+            }
+            Event::Unloaded {
+                upstream,
+                instance,
+                fence,
+            } => {
+                let valid = self.budgets.iter().any(|b| b.valid(now, &upstream));
+                let owner = owners.find(|o| o.facts().id == upstream);
+                let ticket = owner.map(|o| o.unloaded(now, &instance, fence, valid, settings, fx));
+                (upstream, ticket)
+            }
+            Event::UnloadFailed {
+                upstream,
+                instance,
+                fence,
+                failure,
+            } => {
+                let owner = owners.find(|o| o.facts().id == upstream);
+                let ticket =
+                    owner.map(|o| o.unload_failed(now, &instance, fence, failure, settings));
+                (upstream, ticket)
+            }
+            _ => return,
+        };
+        if ticket == Some(Ticket::Finish) {
+            self.finish(&upstream);
+        }
+    }
+
+    fn finish(&mut self, upstream: &wire::Upstream) {
+        for budget in &mut self.budgets {
+            budget.finish(upstream, &mut self.fx);
+        }
+    }
+
+    fn resident(&mut self, now: Time, report: &Resident) {
+        let owner = self.owners.iter_mut();
+        let Some(owner) = owner
+            .chain(&mut self.former)
+            .find(|o| o.facts().id == report.upstream)
+        else {
+            return;
+        };
+        let ticket = owner.resident(now, report, &self.view, &self.settings, &mut self.fx);
+        if ticket == Ticket::Finish {
+            self.finish(&report.upstream);
+        }
+    }
+
+    fn with_holder(&mut self, now: Time, act: impl FnOnce(&mut Holder, &mut Context<'_>)) {
+        let mut cx = Context {
+            now,
+            settings: &self.settings,
+            view: &self.view,
+            choice: &mut self.choice,
+            promises: &self.promises,
+            fx: &mut self.fx,
+        };
+        act(&mut self.holder, &mut cx);
+    }
+
+    fn upstreams(&mut self, now: Time, upstreams: Vec<Upstream>) {
+        self.choice.update(upstreams);
+        self.assign(now);
+    }
+
+    fn stores(&mut self, now: Time, stores: Vec<Store>) {
+        let born = *self.born.get_or_insert(now);
+        self.budgets
+            .retain(|budget| stores.iter().any(|s| s.id == budget.store().id));
+        for store in stores {
+            let known = self.budgets.iter_mut().find(|b| b.store().id == store.id);
+            if let Some(budget) = known {
+                budget.limit(now, store, &self.settings);
+                continue;
+            }
+            let mut budget = Budget::new(store, self.me.clone(), born);
+            budget.view(now, &self.view, &self.settings);
+            self.budgets.push(budget);
+        }
+    }
+
+    fn tick(&mut self, now: Time) {
+        self.ticked = now;
+        self.reclaim(now);
+        self.claim(now);
+        self.announce(now);
+        self.with_holder(now, |holder, cx| holder.tick(cx));
+        let mut over = Vec::new();
+        for owner in &mut self.owners {
+            if owner.tick(now, &self.settings, &mut self.fx) == Ticket::Finish {
+                over.push(owner.facts().id.clone());
+            }
+        }
+        for upstream in &over {
+            self.finish(upstream);
+        }
+        if now >= self.swept + SWEEP {
+            self.swept = now;
+            self.holder.sweep(now, &self.settings);
+            for owner in &mut self.owners {
+                owner.sweep(now, &self.settings);
+            }
+        }
+    }
+
+    /// Tells owners of homes about demand that is announced for the near future.
+    fn announce(&mut self, now: Time) {
+        let due = |expect: &Expect| now + AHEAD >= expect.at;
+        if !self.expected.iter().any(due) {
+            return;
+        }
+        let (due, later) = std::mem::take(&mut self.expected)
+            .into_iter()
+            .partition(due);
+        self.expected = later;
+        let mut order = Vec::new();
+        for expect in due {
+            let Expect {
+                model,
+                base,
+                pool,
+                path,
+                weight,
+                ..
+            } = expect;
+            self.choice.order(&model, &pool, &base, 1, &mut order);
+            let Some((_, home)) = order.first() else {
+                continue;
+            };
+            let home = &self.choice.targets()[*home].facts.id;
+            let owner = self.owners.iter_mut().find(|o| o.facts().id == *home);
+            if let Some(owner) = owner {
+                owner.expect(now, &model, &path, weight as f32, &self.settings);
+            }
+        }
+    }
+
+    /// Lets owners begin what the budget allows, and takes this node's own messages, until nothing
+    /// more follows.
+    fn settle(&mut self, now: Time) {
+        let me = self.me.clone();
+        loop {
+            while let Some(message) = self.fx.local.pop_front() {
+                self.receive(now, &me, message);
+            }
+            let mut go = Vec::new();
+            for budget in &mut self.budgets {
+                for owner in &self.owners {
+                    if owner.facts().store == budget.store().id {
+                        let want = owner.want(now, &self.settings);
+                        budget.want(&owner.facts().id, want, &mut self.fx);
+                    }
+                }
+                budget.poll(now, &self.settings, &self.view, &mut go, &mut self.fx);
+            }
+            if go.is_empty() && self.fx.local.is_empty() {
+                return;
+            }
+            for upstream in go {
+                self.begin(now, &upstream);
+            }
+        }
+    }
+
+    /// Starts the load for which a ticket is there.
+    fn begin(&mut self, now: Time, upstream: &wire::Upstream) {
+        let owner = self.owners.iter_mut().find(|o| o.facts().id == *upstream);
+        let ticket = owner.map_or(Ticket::Finish, |owner| {
+            owner.start(now, &self.settings, &mut self.fx)
+        });
+        if ticket == Ticket::Finish {
+            self.finish(upstream);
+        }
+    }
+}
+
+impl Machine for Planner {
+    type Event = Event;
+    type Action = Action;
+
+    fn step(&mut self, now: Time, event: Event, out: &mut impl Extend<Action>) {
+        self.born.get_or_insert(now);
+        // A request that runs at once, its end and a report move nothing in the load queues.
+        let light = matches!(
+            event,
+            Event::Request(_)
+                | Event::Done { .. }
+                | Event::Report { .. }
+                | Event::CacheEvents { .. }
+        );
+        self.handle(now, event);
+        if !light || !self.fx.local.is_empty() {
+            self.settle(now);
+        }
+        out.extend(self.fx.actions.drain(..));
+    }
+
+    fn wake(&self) -> Option<Time> {
+        let busy = self.holder.busy()
+            || self.owners.iter().any(Owner::busy)
+            || self.budgets.iter().any(Budget::busy);
+        Some(self.ticked + if busy { TICK } else { IDLE_TICK })
+    }
+}
--- /dev/null
+++ b/crates/placement/src/planner/receive.rs
@@ -0,0 +1,141 @@
+//! Peers' messages.
+
+use wire::{Incarnation, Time};
+
+use super::{Planner, Taken};
+use crate::budget::{Budget, Want};
+use crate::message::{Denial, Message};
+
+impl Planner {
+    /// Takes a message in. One from an incarnation that the view knows to be gone is dropped.
+    pub(super) fn receive(&mut self, now: Time, from: &Incarnation, message: Message) {
+        let peer = self.view.peer(&from.vm);
+        if peer.is_some_and(|peer| peer.incarnation != *from) {
+            return;
+        }
+        match message {
+            Message::Ask(ask) => {
+                let owner = self.owners.iter_mut();
+                match { owner }.find(|o| o.facts().id == ask.upstream) {
+                    Some(owner) => owner.ask(now, from, ask, &self.settings, &mut self.fx),
+                    None => self.fx.send(
+                        &from.vm,
+                        Message::Deny {
+                            upstream: ask.upstream,
+                            model: ask.model,
+                            number: ask.number,
+                            denial: Denial::Moved,
+                            retry_after: std::time::Duration::ZERO,
+                        },
+                    ),
+                }
+            }
+            Message::Grant(grant) => {
+                if let Taken::Outbid(claim) = self.promises.take(&grant.upstream, grant.claim, from)
+                {
+                    let upstream = grant.upstream;
+                    return self.fx.send(&from.vm, Message::Outbid { upstream, claim });
+                }
+                self.with_holder(now, |holder, cx| holder.granted(cx, from, grant));
+            }
+            Message::Queued { upstream, model } => {
+                self.with_holder(now, |holder, cx| holder.queued(cx, &upstream, &model));
+            }
+            Message::Deny {
+                upstream,
+                model,
+                number,
+                denial,
+                retry_after,
+            } => self.with_holder(now, |holder, cx| {
+                holder.denied(cx, &upstream, &model, number, denial, retry_after);
+            }),
+            Message::Release {
+                upstream,
+                model,
+                number,
+            } => {
+                let owner = self.owners.iter_mut().find(|o| o.facts().id == upstream);
+                if let Some(owner) = owner {
+                    owner.release(from, &model, number);
+                }
+            }
+            Message::Claim { claims } => {
+                for (upstream, claim) in claims {
+                    self.claimed(now, from, &upstream, claim);
+                }
+            }
+            Message::Answer(answer) => {
+                let owner = self.owners.iter_mut();
+                if let Some(owner) = { owner }.find(|o| o.facts().id == answer.upstream) {
+                    let (view, settings) = (&self.view, &self.settings);
+                    owner.answer(now, from, answer, view, settings, &mut self.fx);
+                }
+            }
+            Message::Outbid { upstream, claim } => self.outbid(now, &upstream, claim),
+            other => self.receive_budget(now, from, other),
+        }
+    }
+
+    fn budget(&mut self, store: &str) -> Option<&mut Budget> {
+        self.budgets.iter_mut().find(|b| *b.store().id == *store)
+    }
+
+    fn receive_budget(&mut self, now: Time, from: &Incarnation, message: Message) {
+        let settings = self.settings.clone();
+        match message {
+            Message::TicketAsk {
+                store,
+                upstream,
+                number,
+                priority,
+                waiting,
+                age,
+            } => {
+                let want = Want {
+                    priority,
+                    waiting,
+                    since: now.saturating_sub(age),
+                };
+                if let Some(budget) = self.budget(&store) {
+                    budget.ticket_asked(now, &from.vm, upstream, number, want);
+                }
+            }
+            Message::Ticket(leave) => {
+                let budgets = self.budgets.iter_mut();
+                let Some(budget) = { budgets }.find(|b| b.store().id == leave.store) else {
+                    return;
+                };
+                let upstream = leave.upstream.clone();
+                if budget.ticketed(now, &from.vm, leave, &settings, &mut self.fx) {
+                    self.begin(now, &upstream);
+                }
+            }
+            Message::TicketReturn {
+                store,
+                ticket,
+                upstream,
+            } => {
+                if let Some(budget) = self.budget(&store) {
+                    budget.returned(&from.vm, &upstream, ticket);
+                }
+            }
+            Message::ShareAsk { store, number } => {
+                let budgets = self.budgets.iter_mut();
+                if let Some(budget) = { budgets }.find(|b| b.store().id == store) {
+                    budget.share_asked(now, from, number, &settings, &mut self.fx);
+                }
+            }
+            Message::Share {
+                store,
+                number,
+                permits,
+            } => {
+                if let Some(budget) = self.budget(&store) {
+                    budget.shared(now, from.clone(), number, permits, &settings);
+                }
+            }
+            _ => {}
+        }
+    }
+}
