Claim calls that may not be repeated from a quorum of witnesses

Witness sets form a join-semilattice that needs no agreement; a witness votes only at exactly its own set and a newcomer only after it has recovered. The argument is in docs/design/at-most-once.md.

--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -1,1 +1,23 @@
 //! At-most-once execution of non-idempotent calls by claims from witnesses.
+//!
+//! The parts meet like this:
+//!
+//! - [`Guard`] is the state machine of one node, as executor and as witness.
+//! - [`set`] holds the witness sets, a join-semilattice that needs no agreement.
+//! - [`ledger`] is a witness's memory: claims, voids and first answers.
+//! - [`key`] names a call by its caller, service and idempotency key, and reads tickets.
+//! - [`message`] is what guards tell each other.
+//!
+//! The argument why no call runs twice is in `docs/design/at-most-once.md`.
+
+pub mod guard;
+pub mod key;
+pub mod ledger;
+pub mod message;
+pub mod set;
+
+pub use guard::{Action, Config, Event, Guard, Note, Outcome, Reason};
+pub use key::{Digest, Key};
+pub use ledger::Record;
+pub use message::{Claim, Message};
+pub use set::{Member, Set};
