--- a/crates/once/src/guard/executor.rs
+++ b/crates/once/src/guard/executor.rs
@@ -263,7 +263,11 @@
             Told::Abandoned
         } else if open.is_some() {
             Told::Open
-        } else if self.abandoned.iter().any(|(_, given_up)| *given_up == claim) {
+        } else if self
+            .abandoned
+            .iter()
+            .any(|(_, given_up)| *given_up == claim)
+        {
             Told::Abandoned
         } else {
             let answer = self.first_answer(&key);
@@ -282,7 +286,8 @@
         let old = std::mem::replace(&mut run.claim, claim);
         run.votes.clear();
         run.resend = now + self.config.resend;
-        self.abandoned.push_back((now + self.config.keep() * 2, old));
+        self.abandoned
+            .push_back((now + self.config.keep() * 2, old));
     }
 
     fn take_word(&mut self, now: Time, claim: Claim, key: Key, told: Told, out: &mut Vec<Action>) {
@@ -505,7 +510,8 @@
             delivery.confirmed.push(from.vm.clone());
         }
         let me = &self.me.incarnation.vm;
-        let done = |m: &Member| m.incarnation.vm == *me || delivery.confirmed.contains(&m.incarnation.vm);
+        let done =
+            |m: &Member| m.incarnation.vm == *me || delivery.confirmed.contains(&m.incarnation.vm);
         if self.set.members().iter().all(done) {
             self.deliveries.remove(&key);
         }
@@ -519,7 +525,12 @@
             self.tick_run(now, key, out);
         }
         let due = |(_, delivery): &(&Key, &Delivery)| delivery.next <= now;
-        let keys: Vec<Key> = self.deliveries.iter().filter(due).map(|(key, _)| *key).collect();
+        let keys: Vec<Key> = self
+            .deliveries
+            .iter()
+            .filter(due)
+            .map(|(key, _)| *key)
+            .collect();
         for key in keys {
             self.deliver(now, key, out);
         }
--- a/crates/once/src/guard/members.rs
+++ b/crates/once/src/guard/members.rs
@@ -95,7 +95,10 @@
 
     /// Returns the term that `incarnation` greeted with last.
     fn peer_term(&self, incarnation: &Incarnation) -> Member {
-        let known = self.peers.iter().find(|p| p.member.incarnation == *incarnation);
+        let known = self
+            .peers
+            .iter()
+            .find(|p| p.member.incarnation == *incarnation);
         known.map_or_else(
             || Member {
                 incarnation: incarnation.clone(),
@@ -123,7 +126,10 @@
             heard: now,
         };
         let vm = &peer.member.incarnation.vm;
-        match self.peers.binary_search_by(|p| p.member.incarnation.vm.cmp(vm)) {
+        match self
+            .peers
+            .binary_search_by(|p| p.member.incarnation.vm.cmp(vm))
+        {
             Ok(index) => self.peers[index] = peer,
             Err(index) => self.peers.insert(index, peer),
         }
@@ -131,7 +137,9 @@
 
     fn heard(&self, now: Time) -> impl Iterator<Item = &Peer> {
         let span = self.config.beat * BEATS_HEARD;
-        self.peers.iter().filter(move |peer| now <= peer.heard + span)
+        self.peers
+            .iter()
+            .filter(move |peer| now <= peer.heard + span)
     }
 
     /// Counts the holders of this node's lineage that were heard of lately, itself included.
@@ -246,7 +254,12 @@
             return;
         };
         recovery.resend = now + self.config.resend * 4;
-        let open: Vec<Reader> = recovery.readers.iter().filter(|r| !r.done).cloned().collect();
+        let open: Vec<Reader> = recovery
+            .readers
+            .iter()
+            .filter(|r| !r.done)
+            .cloned()
+            .collect();
         for reader in open {
             self.send_recover(&reader, out);
         }
--- a/crates/once/src/guard/witness.rs
+++ b/crates/once/src/guard/witness.rs
@@ -83,7 +83,14 @@
     }
 
     /// Votes on a claim at exactly this node's set.
-    fn judge(&mut self, now: Time, claim: &Claim, key: Key, body: Digest, over: &[Claim]) -> Verdict {
+    fn judge(
+        &mut self,
+        now: Time,
+        claim: &Claim,
+        key: Key,
+        body: Digest,
+        over: &[Claim],
+    ) -> Verdict {
         if let Some(verdict) = self.ended(&key) {
             return verdict;
         }
@@ -100,10 +107,15 @@
             }
         }
         let expires = now + self.config.keep();
-        let new = self.ledger.get(&key).is_none_or(|entry| entry.claims != [claim.clone()]);
+        let new = self
+            .ledger
+            .get(&key)
+            .is_none_or(|entry| entry.claims != [claim.clone()]);
         let kept = if new { expires } else { Time::ZERO };
         let entry = self.ledger.entry(key, body, kept);
-        entry.claims.retain(|held| held == claim || !over.contains(held));
+        entry
+            .claims
+            .retain(|held| held == claim || !over.contains(held));
         let free = entry.claims.iter().all(|held| held == claim);
         if entry.body != body || !free {
             return Verdict::Held {
@@ -141,7 +153,11 @@
     /// Keeps the first answer of a key.
     pub(super) fn record_answer(&mut self, now: Time, key: Key, body: Digest, record: Record) {
         let expires = now + self.config.keep();
-        if self.ledger.get(&key).is_some_and(|entry| entry.record.is_some()) {
+        if self
+            .ledger
+            .get(&key)
+            .is_some_and(|entry| entry.record.is_some())
+        {
             return;
         }
         let entry = self.ledger.entry(key, body, expires);
@@ -149,7 +165,13 @@
         entry.record = Some(record);
     }
 
-    fn send_page(&mut self, now: Time, to: &Incarnation, after: Option<Key>, out: &mut Vec<Action>) {
+    fn send_page(
+        &mut self,
+        now: Time,
+        to: &Incarnation,
+        after: Option<Key>,
+        out: &mut Vec<Action>,
+    ) {
         if !self.holder {
             return;
         }
--- a/crates/once/src/ledger.rs
+++ b/crates/once/src/ledger.rs
@@ -140,7 +140,11 @@
                 return;
             }
             self.expiries.pop_front();
-            if self.entries.get(&key).is_some_and(|entry| entry.expires <= now) {
+            if self
+                .entries
+                .get(&key)
+                .is_some_and(|entry| entry.expires <= now)
+            {
                 self.entries.remove(&key);
             }
         }
--- a/crates/once/tests/claim_flow.rs
+++ b/crates/once/tests/claim_flow.rs
@@ -23,7 +23,10 @@
     fleet.run(ms(100));
     assert!(answer(&fleet, first).is_some());
     assert_eq!(answer(&fleet, first), answer(&fleet, retry));
-    assert!(matches!(fleet.told(other), Some(Told::Refused(Outcome::Mismatch, _))));
+    assert!(matches!(
+        fleet.told(other),
+        Some(Told::Refused(Outcome::Mismatch, _))
+    ));
     assert_eq!(fleet.runs[&1].len(), 1);
 }
 
@@ -48,7 +51,11 @@
     let retries = [fleet.call(0, 1, "a"), fleet.call(6, 1, "a")];
     fleet.run(ms(600));
     assert!(answer(&fleet, first).is_some());
-    assert!(retries.iter().all(|r| answer(&fleet, *r) == answer(&fleet, first)));
+    assert!(
+        retries
+            .iter()
+            .all(|r| answer(&fleet, *r) == answer(&fleet, first))
+    );
     assert!(fleet.broken().is_empty());
 }
 
@@ -58,9 +65,16 @@
         let mut fleet = Fleet::new(seed, 7, config(), CALM);
         let calls: Vec<usize> = (0..7).map(|node| fleet.call(node, 1, "a")).collect();
         fleet.run(ms(1_000));
-        let answered = calls.iter().filter(|c| answer(&fleet, **c).is_some()).count();
+        let answered = calls
+            .iter()
+            .filter(|c| answer(&fleet, **c).is_some())
+            .count();
         assert_eq!(answered, 7, "seed {seed}");
-        assert!(fleet.broken().is_empty(), "seed {seed}: {:?}", fleet.broken());
+        assert!(
+            fleet.broken().is_empty(),
+            "seed {seed}: {:?}",
+            fleet.broken()
+        );
     }
 }
 
@@ -74,6 +88,9 @@
     fleet.run(ms(500));
     let retry = fleet.call(3, 1, "a");
     fleet.run(ms(20));
-    assert!(matches!(fleet.told(retry), Some(Told::Refused(Outcome::Unknown, _))));
+    assert!(matches!(
+        fleet.told(retry),
+        Some(Told::Refused(Outcome::Unknown, _))
+    ));
     assert_eq!(fleet.runs[&1].len(), 1);
 }
--- a/crates/once/tests/fleet/mod.rs
+++ b/crates/once/tests/fleet/mod.rs
@@ -242,7 +242,9 @@
 
     pub fn holding(&self) -> usize {
         let up = self.up();
-        up.iter().filter(|i| self.nodes[**i].guard.holding()).count()
+        up.iter()
+            .filter(|i| self.nodes[**i].guard.holding())
+            .count()
     }
 
     /// Lets callers put the present ticket before the keys from here on.
@@ -342,7 +344,9 @@
         match (self.planted, &mut message) {
             (
                 Some(Planted::Seal),
-                Message::Ask { set, .. } | Message::Vote { set, .. } | Message::Page { set, .. }
+                Message::Ask { set, .. }
+                | Message::Vote { set, .. }
+                | Message::Page { set, .. }
                 | Message::Recover { set, .. },
             ) => *set = here,
             (Some(Planted::Recovery), Message::Page { page, .. }) => {
@@ -525,14 +529,16 @@
         let runs = self.runs.get(&call.key).map_or(&[][..], Vec::as_slice);
         match told {
             Told::Record(record) => {
-                let first = runs.first().map(|(_, call)| format!("run {call}").into_bytes());
+                let first = runs
+                    .first()
+                    .map(|(_, call)| format!("run {call}").into_bytes());
                 (record.body != first)
                     .then(|| format!("call {number} got another answer than the first run's"))
             }
             Told::Refused(Outcome::NotRun, _) => {
-                let ran = runs.iter().find(|(run, by)| {
-                    *run <= *at || *by == number || self.calls[*by].begun <= *at
-                });
+                let ran = runs
+                    .iter()
+                    .find(|(run, by)| *run <= *at || *by == number || self.calls[*by].begun <= *at);
                 ran.map(|run| format!("call {number} told not-run at {at:?}, but {run:?} ran"))
             }
             Told::Refused(Outcome::Mismatch, _) => {
