Make divided votes end with few messages

Seven nodes that claimed one key at once sent 90,000 messages in 100 ms, since each answer made each claimant ask again.

--- a/crates/once/src/guard/executor.rs
+++ b/crates/once/src/guard/executor.rs
@@ -55,6 +55,9 @@
             votes: Vec::new(),
             acks: Vec::new(),
             over: Vec::new(),
+            asked: Vec::new(),
+            rival: None,
+            yields: 0,
             resend: now,
             progress: now,
             given_up: false,
@@ -183,7 +186,7 @@
         match run.decide(&self.set, |claim| self.gone(claim)) {
             Next::Execute => self.execute(now, key, out),
             Next::Void(reason) => self.void(now, key, reason, out),
-            Next::Inquire(claims) => self.inquire(&key, claims, out),
+            Next::Inquire(claims) => self.inquire(now, &key, claims, out),
             Next::Wait => {}
             next => self.end(now, key, &next, out),
         }
@@ -234,12 +237,17 @@
         });
     }
 
-    fn inquire(&mut self, key: &Key, claims: Vec<Claim>, out: &mut Vec<Action>) {
-        let Some(run) = self.runs.get(key) else {
+    /// Asks the executors of other claims, each once in a while.
+    fn inquire(&mut self, now: Time, key: &Key, claims: Vec<Claim>, out: &mut Vec<Action>) {
+        let Some(run) = self.runs.get_mut(key) else {
             return;
         };
         let by = run.claim.clone();
-        for claim in claims {
+        run.asked.retain(|(_, at)| now < *at + self.config.resend);
+        let recent = |claim: &Claim| run.asked.iter().any(|(asked, _)| asked == claim);
+        let due: Vec<Claim> = claims.into_iter().filter(|claim| !recent(claim)).collect();
+        run.asked.extend(due.iter().map(|claim| (claim.clone(), now)));
+        for claim in due {
             let vm = claim.executor.vm.clone();
             let message = Message::Inquire {
                 claim,
@@ -259,7 +267,7 @@
         let open = self.runs.get(&key).filter(|run| run.claim == claim);
         let yields = open.is_some_and(|run| run.phase == Phase::Claiming && *by < claim);
         let told = if yields {
-            self.reclaim(now, &key);
+            self.reclaim(now, &key, by, out);
             Told::Abandoned
         } else if open.is_some() {
             Told::Open
@@ -277,17 +285,25 @@
         self.send(&vm, Message::Tell { claim, key, told }, out);
     }
 
-    /// Gives the present claim up and goes on with another one.
-    fn reclaim(&mut self, now: Time, key: &Key) {
+    /// Gives the present claim up in favour of `by`, and waits for that one's end.
+    fn reclaim(&mut self, now: Time, key: &Key, by: &Claim, out: &mut Vec<Action>) {
         let claim = self.next_claim();
         let Some(run) = self.runs.get_mut(key) else {
             return;
         };
         let old = std::mem::replace(&mut run.claim, claim);
         run.votes.clear();
-        run.resend = now + self.config.resend;
-        self.abandoned
-            .push_back((now + self.config.keep() * 2, old));
+        run.rival = Some(by.clone());
+        run.yields += 1;
+        run.progress = now;
+        run.resend = now + self.config.resend * run.yields;
+        let kept = now + self.config.keep() * 2;
+        self.abandoned.push_back((kept, old.clone()));
+        let message = Message::Release {
+            claim: old,
+            key: *key,
+        };
+        self.send_all(&message, out);
     }
 
     fn take_word(&mut self, now: Time, claim: Claim, key: Key, told: Told, out: &mut Vec<Action>) {
@@ -298,12 +314,18 @@
             return;
         }
         match told {
-            Told::Open => run.progress = now,
+            Told::Open => {
+                run.progress = now;
+                run.rival = Some(claim);
+            }
             Told::Abandoned => {
                 run.progress = now;
+                run.rival.take_if(|rival| *rival == claim);
                 if !run.over.contains(&claim) {
                     run.over.push(claim);
-                    self.ask(now, &key, out);
+                    if run.yields == 0 {
+                        self.ask(now, &key, out);
+                    }
                 }
             }
             Told::Ended(record) => self.end(now, key, &Next::Finish(record), out),
@@ -560,7 +582,13 @@
                 let next = Next::Unknown(Reason::Quorum, Some(config.patience));
                 self.end(now, key, &next, out);
             }
+            Phase::Claiming if run.rival.is_some() && now < run.progress + config.patience / 2 => {
+                run.resend = now + config.resend;
+                let claims = run.rival.iter().cloned().collect();
+                self.inquire(now, &key, claims, out);
+            }
             Phase::Claiming => {
+                run.rival = None;
                 self.ask(now, &key, out);
                 self.proceed(now, key, out);
             }
--- a/crates/once/src/guard/run.rs
+++ b/crates/once/src/guard/run.rs
@@ -93,6 +93,12 @@
     pub votes: Vec<Vote>,
     pub acks: Vec<Member>,
     pub over: Vec<Claim>,
+    /// Claims asked about, and when.
+    pub asked: Vec<(Claim, Time)>,
+    /// The claim that this one waits for.
+    pub rival: Option<Claim>,
+    /// Number of times that this run has given way to another.
+    pub yields: u32,
     pub resend: Time,
     pub progress: Time,
     pub given_up: bool,
--- a/crates/once/tests/fleet/mod.rs
+++ b/crates/once/tests/fleet/mod.rs
@@ -361,11 +361,13 @@
             (Some(Planted::Disown), Message::Tell { told, .. }) => {
                 *told = once::message::Told::Abandoned;
             }
-            (Some(Planted::Void), Message::Vote { verdict, .. }) => {
-                if let Verdict::Granted { void } = verdict {
-                    *void = None;
-                }
-            }
+            (
+                Some(Planted::Void),
+                Message::Vote {
+                    verdict: Verdict::Granted { void },
+                    ..
+                },
+            ) => *void = None,
             _ => {}
         }
         message
