--- a/crates/once/src/guard/executor.rs
+++ b/crates/once/src/guard/executor.rs
@@ -246,7 +246,8 @@
         run.asked.retain(|(_, at)| now < *at + self.config.resend);
         let recent = |claim: &Claim| run.asked.iter().any(|(asked, _)| asked == claim);
         let due: Vec<Claim> = claims.into_iter().filter(|claim| !recent(claim)).collect();
-        run.asked.extend(due.iter().map(|claim| (claim.clone(), now)));
+        run.asked
+            .extend(due.iter().map(|claim| (claim.clone(), now)));
         for claim in due {
             let vm = claim.executor.vm.clone();
             let message = Message::Inquire {
