Estimate waits from what runs, and test admission's promises

The average of the smoothed run time told waits that were too long for a request behind one that is nearly done, and a retry after the time told met the same refusal. Waits now follow from the starts of the running requests. A wait that would end at the time limit itself is refused as well: the request would be given up when its turn came.

--- a/crates/admission/src/pool.rs
+++ b/crates/admission/src/pool.rs
@@ -1,5 +1,6 @@
 //! Capacity of a pool, the choice between its classes, and estimates of waits.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use wire::{Caller, Priority, Request, Time};
@@ -9,6 +10,9 @@
 /// One in so many admissions that are not urgent goes to aged routine requests.
 pub const AGED_SHARE: u32 = 4;
 
+/// Longest wait that is told.
+const WAIT_MAX: Duration = Duration::from_secs(24 * 60 * 60);
+
 /// Part of a new measurement in the smoothed time that requests run (as RFC 6298 smooths round
 /// trips).
 const SMOOTHING: u32 = 8;
@@ -27,8 +31,8 @@
 #[derive(Debug)]
 pub(crate) struct Pool {
     pub capacity: u32,
-    /// Requests that run.
-    pub running: u32,
+    /// Requests that run, by the time since when.
+    running: BTreeSet<(Time, Request)>,
     /// Smoothed time that a request runs.
     hold: Duration,
     /// Classes by priority.
@@ -43,7 +47,7 @@
     pub(crate) fn new(config: &crate::Config) -> Self {
         Self {
             capacity: 0,
-            running: 0,
+            running: BTreeSet::new(),
             hold: config.hold,
             classes: Default::default(),
             since_aged: 0,
@@ -82,13 +86,14 @@
             Priority::Normal => self.since_aged += 1,
             Priority::Routine => self.since_aged = 0,
         }
-        self.running += 1;
-        self.class_mut(priority).pop()
+        let (caller, request) = self.class_mut(priority).pop()?;
+        self.running.insert((now, request));
+        Some((caller, request))
     }
 
     fn pick(&self, now: Time) -> Option<Priority> {
         let may = |priority: Priority| {
-            self.running < self.usable(priority) && self.class(priority).is_ready()
+            self.running.len() < self.usable(priority) as usize && self.class(priority).is_ready()
         };
         if may(Priority::Routine) && self.is_aged(now) && !may(Priority::Urgent) {
             return Some(Priority::Routine);
@@ -103,30 +108,42 @@
         aged && self.since_aged + 1 >= AGED_SHARE
     }
 
-    /// Notes that a request has ended after it ran for `held`.
-    pub(crate) fn release(&mut self, held: Option<Duration>) {
-        self.running = self.running.saturating_sub(1);
-        if let Some(held) = held {
+    /// Notes that a request that ran since `since` is gone; `end` is given where it ended.
+    pub(crate) fn release(&mut self, request: Request, since: Time, end: Option<Time>) {
+        self.running.remove(&(since, request));
+        if let Some(end) = end {
+            let held = end.saturating_sub(since);
             self.hold = self.hold * (SMOOTHING - 1) / SMOOTHING + held / SMOOTHING;
         }
     }
 
     /// Estimates the wait of the next request of `caller`; `None` where the pool has no capacity.
-    pub(crate) fn wait(&self, priority: Priority, caller: &Caller) -> Option<Duration> {
-        self.wait_behind(priority, self.class(priority).ahead(caller))
+    pub(crate) fn wait(&self, now: Time, priority: Priority, caller: &Caller) -> Option<Duration> {
+        self.wait_behind(now, priority, self.class(priority).ahead(caller))
     }
 
     /// Estimates the wait of a request with `ahead` others of its class before it.
-    pub(crate) fn wait_behind(&self, priority: Priority, ahead: usize) -> Option<Duration> {
-        let usable = self.usable(priority);
+    ///
+    /// Requests are taken to run for the smoothed time each. The request starts when enough of
+    /// those that run and of those before it have ended.
+    pub(crate) fn wait_behind(
+        &self,
+        now: Time,
+        priority: Priority,
+        ahead: usize,
+    ) -> Option<Duration> {
+        let usable = self.usable(priority) as usize;
         if usable == 0 {
             return None;
         }
         let before = self.before(priority, ahead);
-        if before == 0 && self.running < usable {
-            return Some(Duration::ZERO);
-        }
-        Some(self.rounds(before + 1, usable))
+        let rounds = u32::try_from(before / usable).unwrap_or(u32::MAX);
+        let place = (self.running.len() + before % usable).checked_sub(usable);
+        let ends = place.and_then(|place| self.running.iter().nth(place));
+        let first = ends.map_or(Duration::ZERO, |(since, _)| {
+            (*since + self.hold).saturating_sub(now)
+        });
+        Some(first + self.hold.saturating_mul(rounds).min(WAIT_MAX))
     }
 
     /// Returns how many requests go before one with `ahead` others of its class before it.
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -108,7 +108,7 @@
         if let Err((reason, retry_after)) = self.judge(now, index, &arrival) {
             out.extend([refuse(request, reason, retry_after)]);
         } else {
-            self.make_room(index, arrival.priority, out);
+            self.make_room(now, index, arrival.priority, out);
             self.enqueue(now, index, &arrival);
         }
         self.rest(&arrival.caller);
@@ -119,7 +119,7 @@
         let pool = &self.pools[index].1;
         let account = &self.accounts[&arrival.caller];
         let left = arrival.deadline.saturating_sub(now);
-        let wait = self.wait(pool, account, arrival.priority, &arrival.caller);
+        let wait = self.wait(now, pool, account, arrival.priority, &arrival.caller);
         if left.is_zero() {
             return Err((Reason::Late, wait.unwrap_or(self.config.outage)));
         }
@@ -128,8 +128,8 @@
             return Err((Reason::Rate, shortage));
         }
         let wait = wait.ok_or((Reason::Outage, self.config.outage))?;
-        if wait > left {
-            return Err((Reason::Busy, wait - left));
+        if wait >= left {
+            return Err((Reason::Busy, wait - left + RETRY_MIN));
         }
         let full = pool.waiting() >= self.config.waiting;
         if full && pool.last_below(arrival.priority).is_none() {
@@ -141,12 +141,13 @@
     /// Estimates the wait of a newcomer, by the pool and by its caller's concurrency.
     fn wait(
         &self,
+        now: Time,
         pool: &Pool,
         account: &Account,
         priority: Priority,
         caller: &Caller,
     ) -> Option<Duration> {
-        let by_pool = pool.wait(priority, caller)?;
+        let by_pool = pool.wait(now, priority, caller)?;
         let width = account.width(priority);
         let by_caller = width.filter(|_| account.is_full(priority)).map(|width| {
             let own = pool.class(priority).own(caller);
@@ -156,13 +157,19 @@
     }
 
     /// Refuses the last request of a lower priority where the pool's queue is full.
-    fn make_room(&mut self, index: usize, priority: Priority, out: &mut impl Extend<Action>) {
+    fn make_room(
+        &mut self,
+        now: Time,
+        index: usize,
+        priority: Priority,
+        out: &mut impl Extend<Action>,
+    ) {
         let pool = &self.pools[index].1;
         if pool.waiting() < self.config.waiting {
             return;
         }
         if let Some(last) = pool.last_below(priority) {
-            self.turn_away(last, Reason::Full, out);
+            self.turn_away(now, last, Reason::Full, out);
         }
     }
 
@@ -189,12 +196,18 @@
     }
 
     /// Refuses a request that waits, with the wait that a retry would meet.
-    fn turn_away(&mut self, request: Request, reason: Reason, out: &mut impl Extend<Action>) {
+    fn turn_away(
+        &mut self,
+        now: Time,
+        request: Request,
+        reason: Reason,
+        out: &mut impl Extend<Action>,
+    ) {
         let Some(entry) = self.drop_request(request, None) else {
             return;
         };
         let pool = &self.pools[entry.pool].1;
-        let wait = pool.wait(entry.priority, &entry.caller);
+        let wait = pool.wait(now, entry.priority, &entry.caller);
         let retry_after = wait.unwrap_or(self.config.outage);
         out.extend([refuse(request, reason, retry_after)]);
     }
@@ -206,7 +219,7 @@
         let account = self.accounts.entry(entry.caller.clone()).or_default();
         match entry.since {
             Some(since) => {
-                pool.release(end.map(|end| end.saturating_sub(since)));
+                pool.release(request, since, end);
                 account.running = account.running.saturating_sub(1);
             }
             None => {
@@ -265,7 +278,7 @@
             if deadline > now {
                 return;
             }
-            self.turn_away(request, Reason::Late, out);
+            self.turn_away(now, request, Reason::Late, out);
         }
     }
 
@@ -290,10 +303,10 @@
         for turn in self.pools[index].1.class(priority).turns() {
             let request = turn.ticket.request;
             let left = self.requests[&request].deadline.saturating_sub(now);
-            match self.wait_of(index, priority, ahead, turn) {
-                Some(wait) if wait <= left => ahead += usize::from(!turn.parked),
-                Some(_) => self.turn_away(request, Reason::Busy, out),
-                None => self.turn_away(request, Reason::Outage, out),
+            match self.wait_of(now, index, priority, ahead, turn) {
+                Some(wait) if wait < left => ahead += usize::from(!turn.parked),
+                Some(_) => self.turn_away(now, request, Reason::Busy, out),
+                None => self.turn_away(now, request, Reason::Outage, out),
             }
         }
     }
@@ -301,13 +314,14 @@
     /// Estimates the wait of a request with `ahead` others of its class before it.
     fn wait_of(
         &self,
+        now: Time,
         index: usize,
         priority: Priority,
         ahead: usize,
         turn: Turn,
     ) -> Option<Duration> {
         let pool = &self.pools[index].1;
-        let by_pool = pool.wait_behind(priority, ahead)?;
+        let by_pool = pool.wait_behind(now, priority, ahead)?;
         let caller = &self.requests[&turn.ticket.request].caller;
         let width = self.accounts[caller]
             .width(priority)
--- a/crates/admission/tests/support/mod.rs
+++ b/crates/admission/tests/support/mod.rs
@@ -1,5 +1,8 @@
 //! Generated event sequences, and a plain model that is obviously right and slow.
 
+// Each test file uses a part of this.
+#![allow(dead_code)]
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -219,7 +222,13 @@
         Duration::from_secs_f64(hold * count as f64 / f64::from(width))
     }
 
-    fn pool_wait(&self, pool: &str, priority: Priority, ahead: usize) -> Option<Duration> {
+    fn pool_wait(
+        &self,
+        now: Time,
+        pool: &str,
+        priority: Priority,
+        ahead: usize,
+    ) -> Option<Duration> {
         let usable = self.usable(pool, priority);
         let [urgent, normal, routine] = Priority::ALL.map(|p| self.ready(pool, p).len());
         let before = match priority {
@@ -227,22 +236,42 @@
             Priority::Normal => urgent + ahead + (ahead / (AGED_SHARE as usize - 1)).min(routine),
             Priority::Routine => urgent + normal + ahead,
         };
-        let free = before == 0 && self.running(|a| &*a.pool == pool) < usable;
-        match (usable, free) {
-            (0, _) => None,
-            (_, true) => Some(Duration::ZERO),
-            (usable, false) => Some(self.rounds(pool, before + 1, usable)),
+        if usable == 0 {
+            return None;
+        }
+        // Plays the running requests and those before it through, one end after the other.
+        let hold = self.pools[pool].hold;
+        let running = self
+            .requests
+            .iter()
+            .filter(|job| &*job.arrival.pool == pool);
+        let mut ends: Vec<Time> = running
+            .filter_map(|job| Some(now.max(job.since? + hold)))
+            .collect();
+        let mut start = now;
+        for _ in 0..=before {
+            ends.sort_unstable();
+            let last = ends.len().checked_sub(usable as usize);
+            start = last.map_or(now, |last| ends.drain(..=last).next_back().unwrap());
+            ends.push(start + hold);
         }
+        Some(start.saturating_sub(now))
     }
 
-    fn newcomer_wait(&self, pool: &str, priority: Priority, caller: &str) -> Option<Duration> {
+    fn newcomer_wait(
+        &self,
+        now: Time,
+        pool: &str,
+        priority: Priority,
+        caller: &str,
+    ) -> Option<Duration> {
         let tag = self.next_tag(pool, priority, caller);
         let ahead = self
             .ready(pool, priority)
             .iter()
             .filter(|job| job.tag <= tag)
             .count();
-        self.pool_wait(pool, priority, ahead)
+        self.pool_wait(now, pool, priority, ahead)
     }
 
     fn own_wait(&self, pool: &str, priority: Priority, caller: &str, own: usize) -> Duration {
@@ -261,7 +290,7 @@
     fn judge(&self, now: Time, a: &Arrival) -> Result<(), (Reason, Duration)> {
         let left = a.deadline.saturating_sub(now);
         let own = self.own(&a.pool, a.priority, &a.caller).len();
-        let wait = self.newcomer_wait(&a.pool, a.priority, &a.caller);
+        let wait = self.newcomer_wait(now, &a.pool, a.priority, &a.caller);
         let wait = wait.map(|wait| wait.max(self.own_wait(&a.pool, a.priority, &a.caller, own)));
         let account = &self.accounts[&*a.caller];
         if left.is_zero() {
@@ -274,8 +303,8 @@
             }
         }
         let wait = wait.ok_or((Reason::Outage, config().outage))?;
-        if wait > left {
-            return Err((Reason::Busy, wait - left));
+        if wait >= left {
+            return Err((Reason::Busy, wait - left + Duration::from_millis(50)));
         }
         let waiting: usize = Priority::ALL
             .map(|p| self.class(&a.pool, p).len())
@@ -325,9 +354,9 @@
         Some(gone)
     }
 
-    fn turn_away(&mut self, request: Request, reason: Reason, out: &mut Vec<Action>) {
+    fn turn_away(&mut self, now: Time, request: Request, reason: Reason, out: &mut Vec<Action>) {
         let gone = self.remove(request).unwrap().arrival;
-        let wait = self.newcomer_wait(&gone.pool, gone.priority, &gone.caller);
+        let wait = self.newcomer_wait(now, &gone.pool, gone.priority, &gone.caller);
         out.push(refuse(request, reason, wait.unwrap_or(config().outage)));
     }
 
@@ -343,7 +372,7 @@
             .sum();
         if waiting >= config().waiting {
             let last = self.last_below(&a).unwrap();
-            self.turn_away(last, Reason::Full, out);
+            self.turn_away(now, last, Reason::Full, out);
         }
         if let Some(limit) = a.limit {
             let account = self.accounts.get_mut(&*a.caller).unwrap();
@@ -420,11 +449,13 @@
                     let own = self.own(&pool, priority, &caller);
                     let own = own.iter().position(|r| *r == request).unwrap();
                     let left = job.arrival.deadline - now;
-                    let wait = self.pool_wait(&pool, priority, ahead);
+                    let wait = self.pool_wait(now, &pool, priority, ahead);
                     let own = self.own_wait(&pool, priority, &caller, own);
                     match wait.map(|wait| wait.max(own)) {
-                        None => self.turn_away(request, Reason::Outage, out),
-                        Some(wait) if wait > left => self.turn_away(request, Reason::Busy, out),
+                        None => self.turn_away(now, request, Reason::Outage, out),
+                        Some(wait) if wait >= left => {
+                            self.turn_away(now, request, Reason::Busy, out)
+                        }
                         Some(_) => ahead += usize::from(!self.parked(&caller, priority)),
                     }
                 }
@@ -440,7 +471,7 @@
         late.retain(|(deadline, _)| *deadline <= now);
         late.sort_unstable();
         for (_, request) in late {
-            self.turn_away(request, Reason::Late, out);
+            self.turn_away(now, request, Reason::Late, out);
         }
         let waits = self.requests.iter().any(|job| job.since.is_none());
         let mut review = waits && now >= self.review;
@@ -490,3 +521,85 @@
         retry_after,
     }
 }
+
+/// Follows a queue by its events and actions alone, with the plain model's lists as state.
+pub struct Watch {
+    pub queue: admission::Queue,
+    pub state: Naive,
+    pub now: Time,
+}
+
+impl Watch {
+    pub fn new(config: Config) -> Self {
+        let (queue, state) = (admission::Queue::new(config), Naive::default());
+        Self {
+            queue,
+            state,
+            now: Time::ZERO,
+        }
+    }
+
+    /// Steps the queue; `check` sees each action with the state before it.
+    pub fn step(&mut self, event: Event, mut check: impl FnMut(&Naive, &Action)) -> Vec<Action> {
+        let mut out = Vec::new();
+        wire::Machine::step(&mut self.queue, self.now, event.clone(), &mut out);
+        let state = &mut self.state;
+        match event {
+            Event::Arrive(arrival) => {
+                state.place(&arrival.pool);
+                state
+                    .accounts
+                    .entry(arrival.caller.to_string())
+                    .or_default()
+                    .limit = arrival.limit;
+                let (arrived, tag) = (self.now, 0);
+                state.requests.push(Job {
+                    arrival,
+                    arrived,
+                    since: None,
+                    tag,
+                });
+            }
+            Event::Finish { request } | Event::Cancel { request } => drop(state.remove(request)),
+            Event::Capacity { pool, concurrent } => state.place(&pool).capacity = concurrent,
+            Event::Tick => {}
+        }
+        for action in &out {
+            check(state, action);
+            match action {
+                Action::Admit { request } => state.job(*request).since = Some(self.now),
+                Action::Refuse { request, .. } => drop(state.remove(*request)),
+            }
+        }
+        out
+    }
+}
+
+impl Naive {
+    /// Returns a known request.
+    pub fn job(&mut self, request: Request) -> &mut Job {
+        let mut jobs = self.requests.iter_mut();
+        jobs.find(|job| job.arrival.request == request)
+            .expect("an answer to a known request")
+    }
+}
+
+/// An arrival of `caller` at pool `p`.
+pub fn arrival(request: Request, caller: &str, priority: Priority, deadline: Time) -> Arrival {
+    Arrival {
+        request,
+        caller: caller.into(),
+        pool: "p".into(),
+        priority,
+        deadline,
+        limit: None,
+    }
+}
+
+/// Sets the capacity of pool `p`.
+pub fn capacity(concurrent: u32) -> Event {
+    Event::Capacity {
+        pool: "p".into(),
+        concurrent,
+    }
+}
