--- a/crates/admission/tests/priority_order.rs
+++ b/crates/admission/tests/priority_order.rs
@@ -7,8 +7,9 @@
 
 use admission::{AGED_SHARE, Action, Event};
 use proptest::prelude::*;
+use rstest::rstest;
 use support::{Naive, SECOND, Watch, arrival, capacity, config, event, ops, runner};
-use wire::{Priority, Time};
+use wire::{Machine as _, Priority, Time};
 
 /// Checks an admission against everything that waits.
 fn check(state: &Naive, action: &Action, now: Time, skipped: &mut BTreeMap<String, u32>) {
@@ -144,4 +145,13 @@
     );
 }
 
-use wire::Machine as _;
+#[rstest]
+#[case(0, 0.1, 0)]
+#[case(1, 0.9, 0)]
+#[case(2, 0.1, 1)]
+#[case(10, 0.0, 0)]
+#[case(10, 0.25, 3)]
+#[case(10, 1.0, 9)]
+fn reserve_leaves_a_slot_for_either(#[case] capacity: u32, #[case] share: f64, #[case] kept: u32) {
+    assert_eq!(admission::reserve(capacity, share), kept);
+}
--- a/crates/admission/tests/support/mod.rs
+++ b/crates/admission/tests/support/mod.rs
@@ -454,7 +454,7 @@
                     match wait.map(|wait| wait.max(own)) {
                         None => self.turn_away(now, request, Reason::Outage, out),
                         Some(wait) if wait >= left => {
-                            self.turn_away(now, request, Reason::Busy, out)
+                            self.turn_away(now, request, Reason::Busy, out);
                         }
                         Some(_) => ahead += usize::from(!self.parked(&caller, priority)),
                     }
