--- a/crates/standin/src/engine/batch.rs
+++ b/crates/standin/src/engine/batch.rs
@@ -359,12 +359,11 @@
         self.totals.steps += 1;
         self.totals.peak_batch = self.totals.peak_batch.max(self.running.len());
         for mut sequence in std::mem::take(&mut self.running) {
-            match sequence.advance(faults) {
-                Advance::Warm => self.running.push(sequence),
-                Advance::Token => {
-                    self.totals.tokens += 1;
-                    self.running.push(sequence);
-                }
+            let before = sequence.next;
+            let advance = sequence.advance(faults);
+            self.totals.tokens += sequence.next - before;
+            match advance {
+                Advance::Goes => self.running.push(sequence),
                 Advance::Ended(end) => sequence.finish(end, &self.log),
             }
         }
@@ -511,9 +510,8 @@
 
 /// What a step did for one sequence.
 enum Advance {
-    /// Its prompt is still being processed.
-    Warm,
-    Token,
+    /// It stays in the batch.
+    Goes,
     Ended(End),
 }
 
@@ -548,7 +546,7 @@
     fn advance(&mut self, faults: &Faults) -> Advance {
         if let Some(left) = self.prefill.filter(|left| *left > 0) {
             self.prefill = Some(left - 1);
-            return Advance::Warm;
+            return Advance::Goes;
         }
         let given = self.next - self.job.offset;
         if faults.cut_after.is_some_and(|after| given >= after) {
@@ -578,7 +576,7 @@
         if self.next >= self.job.max_tokens {
             return self.end(crossed);
         }
-        Advance::Token
+        Advance::Goes
     }
 
     fn end(&self, crossed: bool) -> Advance {
--- a/crates/standin/src/service/mod.rs
+++ b/crates/standin/src/service/mod.rs
@@ -317,7 +317,8 @@
 
 /// Names the attempt that a response answers.
 pub(crate) fn echo(mut response: Response<Body>, attempt: &str) -> Response<Body> {
-    if let Ok(attempt) = HeaderValue::try_from(attempt) {
+    let named = Some(attempt).filter(|attempt| !attempt.is_empty());
+    if let Some(Ok(attempt)) = named.map(HeaderValue::try_from) {
         response.headers_mut().insert(header::ATTEMPT, attempt);
     }
     response
--- a/crates/upstream/src/engine/answer.rs
+++ b/crates/upstream/src/engine/answer.rs
@@ -163,6 +163,9 @@
         if let Some(reason) = choice.finish_reason {
             return self.finish(offset, reason);
         }
+        if self.reason.is_some() {
+            return Next::Fail(self.malformed("token after the finish"));
+        }
         match offset {
             Some(offset) if offset == self.offset => {
                 self.offset += 1;
