Test the stand-ins and add a checker of the system's promises

The tests showed that an attempt id in a path is cut off at a '#' or makes the path invalid, so the drivers now pass it in a header. A load goes on in the engine's stand-in when its caller gives up, as it does in engines.

--- a/crates/standin/src/engine/batch.rs
+++ b/crates/standin/src/engine/batch.rs
@@ -7,16 +7,16 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use serde_json::json;
 use tokio::time::Instant;
 use upstream::engine::{Events, Instance, Report, Resident};
 use wire::Fence;
 
 use super::cache::Cache;
+use super::sequence::{Advance, Job, Sequence};
 use super::{Config, Faults};
 use crate::answer;
-use crate::http::Sender;
-use crate::log::{End, Kind, Log, Ticket, now_us};
+
+use crate::log::{End, Kind, Log, now_us};
 
 /// What was counted since the start of the stand-in.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -61,18 +61,6 @@
     Present,
 }
 
-/// A completion as received.
-#[derive(Debug)]
-pub(super) struct Job {
-    pub ticket: Ticket,
-    pub instance: Instance,
-    pub prompt: String,
-    pub priority: u8,
-    pub offset: u64,
-    pub max_tokens: u64,
-    pub sender: Sender,
-}
-
 /// An adapter held or being loaded.
 #[derive(Clone, Debug)]
 struct Held {
@@ -83,16 +71,6 @@
     ready: bool,
 }
 
-/// A completion in the queue or in the batch.
-#[derive(Debug)]
-struct Sequence {
-    job: Job,
-    model: String,
-    arrival: u64,
-    next: u64,
-    prefill: Option<u32>,
-}
-
 /// The KV cache of an attempt, as far as the stand-in has one.
 #[derive(Debug, Serialize, Deserialize)]
 struct Exported {
@@ -507,99 +485,3 @@
         ..report.clone()
     }
 }
-
-/// What a step did for one sequence.
-enum Advance {
-    /// It stays in the batch.
-    Goes,
-    Ended(End),
-}
-
-impl Job {
-    fn opening(&self) -> String {
-        self.event("opening", self.offset, json!([]), false)
-    }
-
-    fn event(
-        &self,
-        object: &str,
-        offset: u64,
-        choices: serde_json::Value,
-        crossed: bool,
-    ) -> String {
-        let mut id = self.ticket.attempt.clone();
-        if crossed {
-            id.push_str("-other");
-        }
-        let chunk = json!({
-            "id": id,
-            "object": object,
-            "model": self.instance,
-            "offset": offset,
-            "choices": choices,
-        });
-        format!("data: {chunk}\n\n")
-    }
-}
-
-impl Sequence {
-    fn advance(&mut self, faults: &Faults) -> Advance {
-        if let Some(left) = self.prefill.filter(|left| *left > 0) {
-            self.prefill = Some(left - 1);
-            return Advance::Goes;
-        }
-        let given = self.next - self.job.offset;
-        if faults.cut_after.is_some_and(|after| given >= after) {
-            self.job.sender.close();
-            return Advance::Ended(End::Cut);
-        }
-        if faults.end_early.is_some_and(|after| given >= after) {
-            return Advance::Ended(End::Cut);
-        }
-        if self.next >= self.job.max_tokens {
-            return self.end(faults.crossed);
-        }
-        self.token(faults.crossed)
-    }
-
-    fn token(&mut self, crossed: bool) -> Advance {
-        let text = answer::token(&self.model, &self.job.prompt, self.next);
-        let choices = json!([{ "index": 0, "text": text, "finish_reason": null }]);
-        let event = self
-            .job
-            .event("text_completion", self.next, choices, crossed);
-        if !self.job.sender.send(event) {
-            return Advance::Ended(End::Cancelled);
-        }
-        self.next += 1;
-        // The last token is followed by the end within the same step.
-        if self.next >= self.job.max_tokens {
-            return self.end(crossed);
-        }
-        Advance::Goes
-    }
-
-    fn end(&self, crossed: bool) -> Advance {
-        let choices = json!([{ "index": 0, "text": "", "finish_reason": "length" }]);
-        let event = self
-            .job
-            .event("text_completion", self.next, choices, crossed);
-        let sent = self.job.sender.send(event + "data: [DONE]\n\n");
-        Advance::Ended(if sent { End::Whole } else { End::Cancelled })
-    }
-
-    fn fail(self, message: &str, log: &Log) {
-        let id = &self.job.ticket.attempt;
-        let fault = json!({ "id": id, "error": { "message": message } });
-        self.job.sender.send(format!("data: {fault}\n\n"));
-        self.finish(End::Failed, log);
-    }
-
-    fn finish(self, end: End, log: &Log) {
-        log.push(Kind::Finish {
-            ticket: self.job.ticket,
-            end,
-            given: self.next,
-        });
-    }
-}
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`store`] is the rate-limited weight store that engines share.
 //! - `batch` holds the residents, the queue and the batch, and makes one step at a time.
+//! - `sequence` is one completion on its way through them.
 //! - `cache` holds prompt prefixes and publishes its events late and with gaps.
 //! - `routes` turns requests into calls of these, [`faults`] says what goes wrong.
 //!
@@ -15,6 +16,7 @@
 mod cache;
 pub mod faults;
 mod routes;
+mod sequence;
 pub mod store;
 
 use std::io;
--- a/crates/standin/src/engine/routes.rs
+++ b/crates/standin/src/engine/routes.rs
@@ -1,5 +1,6 @@
 //! The engine's requests.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::body::Incoming;
@@ -13,7 +14,8 @@
 use upstream::header;
 use wire::Fence;
 
-use super::batch::{Job, Loading, Refusal};
+use super::batch::{Loading, Refusal};
+use super::sequence::Job;
 use super::{Core, Loads};
 use crate::http::{self, Answer, Body, Closed};
 use crate::lock;
@@ -69,7 +71,7 @@
 }
 
 impl http::Handler for Core {
-    async fn handle(&self, request: Request<Incoming>) -> Answer {
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Answer {
         let path = request.uri().path().to_owned();
         if let Some(path) = path.strip_prefix("/admin/") {
             return Ok(self.admin(path, request).await);
@@ -77,12 +79,10 @@
         if lock(&self.batch).is_down() {
             return Err(Closed);
         }
-        if let Some(attempt) = path.strip_prefix("/v1/kv/") {
-            return Ok(self.cache(attempt, request).await);
-        }
         match (request.method(), &*path) {
+            (&Method::GET | &Method::PUT, "/v1/kv") => Ok(self.cache(request).await),
             (&Method::POST, "/v1/completions") => self.complete(request).await,
-            (&Method::POST, "/v1/load_lora_adapter") => Ok(self.load(request).await),
+            (&Method::POST, "/v1/load_lora_adapter") => Ok(load(self, request).await),
             (&Method::POST, "/v1/unload_lora_adapter") => Ok(self.unload(request).await),
             (&Method::POST, "/v1/role") => Ok(self.assign(&request)),
             (&Method::POST, "/v1/cancel") => Ok(self.cancel(request).await),
@@ -98,55 +98,6 @@
 }
 
 impl Core {
-    async fn load(&self, request: Request<Incoming>) -> Response<Body> {
-        let fence = fence(&request);
-        let faults = self.faults();
-        if faults.leaving {
-            return leaving();
-        }
-        let Some(order) = http::read_json::<Load>(request.into_body()).await else {
-            return http::text(StatusCode::BAD_REQUEST, "body is no load order");
-        };
-        let name = order.lora_name.clone();
-        let base = &order.base_model_name;
-        let begun = {
-            let mut batch = lock(&self.batch);
-            batch
-                .fence(fence, faults.check_fence.unwrap_or(false))
-                .and_then(|()| batch.begin_load(name.clone(), &order.lora_path, base, fence))
-        };
-        match begun {
-            Ok(Loading::Begun(life)) => self.fetch(life, name, faults.loads).await,
-            Ok(Loading::Present) => http::text(StatusCode::OK, "resident already"),
-            Err(refusal) => refused(refusal),
-        }
-    }
-
-    /// Fetches the weights. A caller that gives up ends the fetch, as engines do.
-    async fn fetch(&self, life: u64, name: Instance, loads: Loads) -> Response<Body> {
-        let begun = Instant::now();
-        let mut pending = Pending {
-            core: self,
-            life,
-            name: Some(name.clone()),
-        };
-        if loads == Loads::Hang {
-            std::future::pending::<()>().await;
-        }
-        self.store.load(|| lock(&self.batch).loading()).await;
-        if loads == Loads::Fail {
-            return http::text(
-                StatusCode::INTERNAL_SERVER_ERROR,
-                "the store gave no weights",
-            );
-        }
-        pending.name = None;
-        if lock(&self.batch).end_load(life, &name, begun.elapsed()) {
-            return http::text(StatusCode::OK, "loaded");
-        }
-        http::text(StatusCode::INTERNAL_SERVER_ERROR, "the load was overtaken")
-    }
-
     async fn unload(&self, request: Request<Incoming>) -> Response<Body> {
         let fence = fence(&request);
         let check = self.faults().check_fence.unwrap_or(false);
@@ -214,16 +165,17 @@
         }
     }
 
-    async fn cache(&self, attempt: &str, request: Request<Incoming>) -> Response<Body> {
+    async fn cache(&self, request: Request<Incoming>) -> Response<Body> {
+        let attempt = ticket(request.headers()).attempt;
         if request.method() == Method::PUT {
             return match http::read(request.into_body()).await {
-                Some(cache) if lock(&self.batch).import(attempt, &cache) => {
+                Some(cache) if lock(&self.batch).import(&attempt, &cache) => {
                     http::text(StatusCode::OK, "imported")
                 }
                 _ => http::text(StatusCode::BAD_REQUEST, "body is no exported cache"),
             };
         }
-        match lock(&self.batch).export(attempt) {
+        match lock(&self.batch).export(&attempt) {
             Some(cache) => http::text(StatusCode::OK, cache),
             None => http::text(StatusCode::NOT_FOUND, "no such attempt"),
         }
@@ -270,19 +222,55 @@
     }
 }
 
-/// A load that has begun; dropped before its end, it failed.
-struct Pending<'a> {
-    core: &'a Core,
-    life: u64,
-    name: Option<Instance>,
+async fn load(core: Arc<Core>, request: Request<Incoming>) -> Response<Body> {
+    let fence = fence(&request);
+    let faults = core.faults();
+    if faults.leaving {
+        return leaving();
+    }
+    let Some(order) = http::read_json::<Load>(request.into_body()).await else {
+        return http::text(StatusCode::BAD_REQUEST, "body is no load order");
+    };
+    let name = order.lora_name.clone();
+    let base = &order.base_model_name;
+    let begun = {
+        let mut batch = lock(&core.batch);
+        batch
+            .fence(fence, faults.check_fence.unwrap_or(false))
+            .and_then(|()| batch.begin_load(name.clone(), &order.lora_path, base, fence))
+    };
+    match begun {
+        Ok(Loading::Begun(life)) => {
+            // Engines go on with a load whose caller has gone away.
+            let fetch = tokio::spawn(fetch(core, life, name, faults.loads));
+            fetch.await.unwrap_or_else(|_| overtaken())
+        }
+        Ok(Loading::Present) => http::text(StatusCode::OK, "resident already"),
+        Err(refusal) => refused(refusal),
+    }
 }
 
-impl Drop for Pending<'_> {
-    fn drop(&mut self) {
-        if let Some(name) = self.name.take() {
-            lock(&self.core.batch).fail_load(self.life, &name);
-        }
+async fn fetch(core: Arc<Core>, life: u64, name: Instance, loads: Loads) -> Response<Body> {
+    let begun = Instant::now();
+    if loads == Loads::Hang {
+        std::future::pending::<()>().await;
+    }
+    core.store.load(|| lock(&core.batch).loading()).await;
+    if loads == Loads::Fail {
+        lock(&core.batch).fail_load(life, &name);
+        return http::text(
+            StatusCode::INTERNAL_SERVER_ERROR,
+            "the store gave no weights",
+        );
     }
+    if lock(&core.batch).end_load(life, &name, begun.elapsed()) {
+        return http::text(StatusCode::OK, "loaded");
+    }
+    overtaken()
+}
+
+fn overtaken() -> Response<Body> {
+    http::text(StatusCode::INTERNAL_SERVER_ERROR, "the load was overtaken")
 }
 
 fn fence(request: &Request<Incoming>) -> Fence {
--- a/crates/standin/src/http/mod.rs
+++ b/crates/standin/src/http/mod.rs
@@ -32,7 +32,7 @@
 /// Answers requests.
 pub trait Handler: Send + Sync + 'static {
     /// Answers one request.
-    fn handle(&self, request: Request<Incoming>) -> impl Future<Output = Answer> + Send;
+    fn handle(self: Arc<Self>, request: Request<Incoming>) -> impl Future<Output = Answer> + Send;
 }
 
 /// The open connections of a server.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,12 +6,14 @@
 //! - [`answer`] gives the text that an engine or service answers, so that a caller can check that
 //!   an answer is whole, its own, and of the right adapter and version.
 //! - [`log`] records what the stand-ins did, for a checker to read.
+//! - [`checker`] decides from these logs and the callers' whether the system kept its promises.
 //! - [`http`] is the small server that they share.
 //!
 //! Each kind has admin requests under `/admin/`, so that a test of other processes can drive it,
 //! and the same calls in-process. Admin requests are served in every mode.
 
 pub mod answer;
+pub mod checker;
 pub mod engine;
 pub mod http;
 pub mod log;
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -88,7 +88,7 @@
 struct Handler(Arc<State>);
 
 impl http::Handler for Handler {
-    async fn handle(&self, request: Request<Incoming>) -> Answer {
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Answer {
         let path = request.uri().path().to_owned();
         if let Some(path) = path.strip_prefix("/admin/") {
             return self.admin(path, request).await;
--- a/crates/standin/src/proxy/fabric.rs
+++ b/crates/standin/src/proxy/fabric.rs
@@ -99,7 +99,7 @@
 struct Handler(Mutex<State>);
 
 impl http::Handler for Handler {
-    async fn handle(&self, request: Request<Incoming>) -> Answer {
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Answer {
         let path = request.uri().path().to_owned();
         let path = path.strip_prefix("/admin/").unwrap_or_default();
         let (what, name) = path.split_once('/').unwrap_or((path, ""));
--- a/crates/standin/src/service/mod.rs
+++ b/crates/standin/src/service/mod.rs
@@ -148,7 +148,7 @@
 }
 
 impl http::Handler for State {
-    async fn handle(&self, request: Request<Incoming>) -> Answer {
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Answer {
         if let Some(path) = request.uri().path().strip_prefix("/admin/") {
             let path = path.to_owned();
             return Ok(self.admin(&path, request).await);
--- a/crates/upstream/src/engine/http.rs
+++ b/crates/upstream/src/engine/http.rs
@@ -3,7 +3,8 @@
 //! Orders, models and completions follow the dynamic-LoRA protocol of the OpenAI-compatible
 //! engines: `POST /v1/load_lora_adapter`, `POST /v1/unload_lora_adapter`, `GET /v1/models` and
 //! `POST /v1/completions`. Beside them stand `POST /v1/role`, `POST /v1/cancel`,
-//! `GET /v1/report`, `GET /v1/events?after=N` and `GET` and `PUT /v1/kv/ATTEMPT`.
+//! `GET /v1/report`, `GET /v1/events?after=N` and `GET` and `PUT /v1/kv`, whose
+//! attempt stands in a header.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -218,13 +219,18 @@
     }
 
     async fn export(&self, attempt: &str) -> Result<Bytes, Error> {
-        self.ask(&format!("/v1/kv/{attempt}")).await
+        let request = Request::get("/v1/kv")
+            .header(header::ATTEMPT, attempt)
+            .body(Full::default())
+            .map_err(|error| self.invalid(error))?;
+        self.control(request, Reuse::Kept).await
     }
 
     async fn import(&self, attempt: &str, cache: Bytes) -> Result<(), Error> {
         let request = Request::builder()
             .method(Method::PUT)
-            .uri(format!("/v1/kv/{attempt}"))
+            .uri("/v1/kv")
+            .header(header::ATTEMPT, attempt)
             .body(Full::new(cache))
             .map_err(|error| self.invalid(error))?;
         self.control(request, Reuse::Fresh).await.map(drop)
