--- a/crates/dispatch/src/poison/charge.rs
+++ b/crates/dispatch/src/poison/charge.rs
@@ -56,7 +56,10 @@
 
     /// Takes a charge in, once.
     pub fn charge(&mut self, now: Time, charge: Charge) {
-        if self.of(charge.print).any(|entry| entry.charge.id == charge.id) {
+        if self
+            .of(charge.print)
+            .any(|entry| entry.charge.id == charge.id)
+        {
             return;
         }
         if self.entries.len() >= self.config.charges {
@@ -89,7 +92,9 @@
     /// Counts the crashes that the fingerprint is held to have caused. One that ran beside a
     /// seated suspect is not held against it.
     pub fn count(&self, print: Print) -> usize {
-        let held = self.of(print).filter(|entry| !entry.cleared && !self.excused(entry));
+        let held = self
+            .of(print)
+            .filter(|entry| !entry.cleared && !self.excused(entry));
         let mut crashes: Vec<&Entry> = held.collect();
         crashes.sort_by(|a, b| (&a.charge.upstream, a.at).cmp(&(&b.charge.upstream, b.at)));
         crashes.dedup_by(|b, a| self.same(a, b));
--- a/crates/dispatch/src/poison/mod.rs
+++ b/crates/dispatch/src/poison/mod.rs
@@ -18,8 +18,8 @@
 use serde::{Deserialize, Serialize};
 use wire::{Incarnation, Machine, Request, Time, Upstream, View, Vm, rank};
 
-pub use charge::{Charge, Id};
 use charge::Book;
+pub use charge::{Charge, Id};
 
 /// Hash of a request's work: its route, its model and its body, not its key or caller.
 pub type Print = u64;
@@ -386,7 +386,8 @@
             }
         };
         let seat = &mut self.seats[index];
-        let same = |(who, which, _): &(Incarnation, Request, Time)| who == from && *which == request;
+        let same =
+            |(who, which, _): &(Incarnation, Request, Time)| who == from && *which == request;
         if seat.holder.as_ref().is_some_and(same) {
             // The reply was lost or is on its way.
             return self.give(now, index, out);
@@ -402,7 +403,11 @@
     fn seat_next(&mut self, now: Time, index: usize, out: &mut Vec<Action>) {
         let stale = self.config.resend * 4;
         let seat = &mut self.seats[index];
-        if seat.holder.as_ref().is_some_and(|(_, _, until)| now < *until) {
+        if seat
+            .holder
+            .as_ref()
+            .is_some_and(|(_, _, until)| now < *until)
+        {
             return;
         }
         seat.holder = None;
--- a/crates/dispatch/tests/failure_points.rs
+++ b/crates/dispatch/tests/failure_points.rs
@@ -57,7 +57,10 @@
     )]
     end: (Duration, Step, Cause),
 ) {
-    for (kind, outcome) in [Kind::Idempotent, Kind::Once, Kind::Stream].into_iter().zip(outcomes) {
+    for (kind, outcome) in [Kind::Idempotent, Kind::Once, Kind::Stream]
+        .into_iter()
+        .zip(outcomes)
+    {
         let out = drive(kind, &PATH[..steps], (end.0, end.1));
         let told: Vec<_> = out.iter().map(|a| (a.outcome, a.stage, a.cause)).collect();
         assert_eq!(told, [(outcome, stage, end.2)], "{kind:?}");
@@ -131,5 +134,7 @@
         prop_assert!(!(not_run && written));
         Ok(())
     };
-    TestRunner::new(config).run(&strategy, check).expect("holds");
+    TestRunner::new(config)
+        .run(&strategy, check)
+        .expect("holds");
 }
