Read chunks by hand-written visitors and record what a caller got

A chunk is read for every token, so it borrows from its event. Reports and lists get a time limit of their own: with the limit of a completion's head, an engine that is silent for 16 polls used up the control connections that the next order needs. The caller records its requests in the checker's form; its tests run caller, stand-ins and checker together, and a careless retry is caught.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`answer`] gives the text that an engine or service answers, so that a caller can check that
 //!   an answer is whole, its own, and of the right adapter and version.
 //! - [`log`] records what the stand-ins did, for a checker to read.
+//! - [`caller`] asks the system and records what it got.
 //! - [`checker`] decides from these logs and the callers' whether the system kept its promises.
 //! - [`http`] is the small server that they share.
 //!
@@ -13,6 +14,7 @@
 //! and the same calls in-process. Admin requests are served in every mode.
 
 pub mod answer;
+pub mod caller;
 pub mod checker;
 pub mod engine;
 pub mod http;
--- /dev/null
+++ b/crates/standin/tests/caller_outcomes.rs
@@ -0,0 +1,256 @@
+//! What a caller records, and the checker's verdict on true logs. The caller asks the stand-ins
+//! themselves, as a system without any care would pass its requests on.
+
+use std::time::Duration;
+
+use hyper::HeaderMap;
+use rstest::rstest;
+use standin::answer;
+use standin::caller::{Caller, Entry, key};
+use standin::checker::{Ask, Evidence, Limits, Outcome, Promise, What, check};
+use standin::engine::{self, Faults};
+use standin::service::Point;
+use standin::site::{Config, Site};
+use standin::{log, service};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use wire::Priority;
+
+const PATIENT: Duration = Duration::from_secs(30);
+
+async fn site() -> Site {
+    let config = Config {
+        engines: 1,
+        services: 2,
+        ..Config::default()
+    };
+    Site::start(config).await.unwrap()
+}
+
+fn caller() -> Caller {
+    Caller::new("depot", HeaderMap::new(), PATIENT)
+}
+
+fn completion(tokens: u64) -> What {
+    What::Completion {
+        model: "base".into(),
+        prompt: "p".into(),
+        tokens,
+        priority: Priority::Normal,
+    }
+}
+
+fn checkout(key: Option<String>) -> What {
+    What::Call {
+        method: "POST".into(),
+        path: "/checkout".into(),
+        key,
+        body: "b".into(),
+        repeatable: false,
+    }
+}
+
+fn engine(site: &Site) -> Entry {
+    Entry {
+        node: "vm-1".into(),
+        address: site.engines[0].address(),
+    }
+}
+
+fn desk(site: &Site, number: usize) -> Entry {
+    Entry {
+        node: "vm-1".into(),
+        address: site.services[number].address(),
+    }
+}
+
+fn verdict(site: &Site, asks: Vec<Ask>) -> Vec<Promise> {
+    let evidence = Evidence {
+        entries: site.entries(),
+        asks,
+        nodes: Vec::new(),
+    };
+    let breaches = check(&evidence, &Limits::default());
+    breaches.into_iter().map(|breach| breach.promise).collect()
+}
+
+#[tokio::test]
+async fn answers_are_recorded_whole() {
+    let (site, caller) = (site().await, caller());
+    let asks = vec![
+        caller.ask(&engine(&site), completion(5)).await,
+        caller
+            .ask(&desk(&site, 0), checkout(Some(key("depot", 1))))
+            .await,
+        caller.ask(&desk(&site, 1), checkout(None)).await,
+    ];
+    assert_eq!(
+        asks[0].outcome,
+        Outcome::Answered(answer::text("base", "p", 5))
+    );
+    assert!(
+        asks.iter()
+            .all(|ask| matches!(ask.outcome, Outcome::Answered(_))),
+        "{asks:?}"
+    );
+    assert_eq!(verdict(&site, asks), []);
+}
+
+#[tokio::test]
+async fn careless_retry_is_caught() {
+    let (site, caller) = (site().await, caller());
+    site.services[0].set_faults(service::Faults {
+        point: Some(Point::BeforeHead),
+        ..service::Faults::default()
+    });
+    let key = Some(key("depot", 1));
+    let first = caller.ask(&desk(&site, 0), checkout(key.clone())).await;
+    assert_eq!(first.outcome, Outcome::Dropped);
+    let second = caller.ask(&desk(&site, 1), checkout(key)).await;
+    assert_eq!(verdict(&site, vec![first, second]), [Promise::AtMostOnce]);
+}
+
+#[rstest]
+#[case::cut(Faults { cut_after: Some(2), ..Faults::default() })]
+#[case::ended_early(Faults { end_early: Some(2), ..Faults::default() })]
+#[tokio::test]
+async fn short_stream_is_recorded_as_cut(#[case] faults: engine::Faults) {
+    let (site, caller) = (site().await, caller());
+    site.engines[0].set_faults(faults);
+    let mut ask = caller.ask(&engine(&site), completion(5)).await;
+    let text = answer::text("base", "p", 2);
+    assert_eq!(ask.outcome, Outcome::Cut(text.clone()));
+    assert_eq!(verdict(&site, vec![ask.clone()]), []);
+    ask.outcome = Outcome::Answered(text);
+    assert_eq!(verdict(&site, vec![ask]), [Promise::WholeOwnAnswer]);
+}
+
+#[rstest]
+#[case(r#"{"outcome":"not-run"}"#, Outcome::NotRun)]
+#[case(r#"{"outcome":"failed"}"#, Outcome::Failed)]
+#[case(r#"{"outcome":"unknown"}"#, Outcome::Unknown)]
+#[case("no problem", Outcome::Unknown)]
+#[tokio::test]
+async fn refusal_is_recorded_as_its_outcome(#[case] problem: &str, #[case] expected: Outcome) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let entry = Entry {
+        node: "vm-1".into(),
+        address: listener.local_addr().unwrap(),
+    };
+    let serve = async {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut request = [0; 4096];
+        let bytes = stream.read(&mut request).await.unwrap();
+        let length = problem.len();
+        let head = "HTTP/1.1 503 Busy\r\ncontent-type: application/problem+json\r\n";
+        let answer = format!("{head}content-length: {length}\r\n\r\n{problem}");
+        stream.write_all(answer.as_bytes()).await.unwrap();
+        String::from_utf8_lossy(&request[..bytes]).into_owned()
+    };
+    let caller = caller();
+    let (ask, request) = tokio::join!(caller.ask(&entry, completion(5)), serve);
+    assert_eq!(ask.outcome, expected);
+    assert!(
+        request.contains(&format!("x-request-id: {}\r\n", ask.request)),
+        "{request}"
+    );
+}
+
+/// A process that ends with its test.
+struct Process(std::process::Child);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// A site in a process of its own tells the same by its admin requests.
+#[tokio::test]
+async fn site_process_is_driven_by_admin_requests() {
+    use std::io::{BufRead, BufReader};
+    use std::process::{Command, Stdio};
+    let mut process = Command::new(env!("CARGO_BIN_EXE_hyssop-standin"))
+        .args(["all", "--engines", "1", "--services", "1"])
+        .stdout(Stdio::piped())
+        .spawn()
+        .map(Process)
+        .unwrap();
+    let lines = BufReader::new(process.0.stdout.take().unwrap()).lines();
+    let entries: Vec<Entry> = lines
+        .take(3)
+        .map(|line| {
+            let line = line.unwrap();
+            let (node, address) = line.rsplit_once(' ').unwrap();
+            let address = address.parse().unwrap();
+            let node = node.to_owned();
+            Entry { node, address }
+        })
+        .collect();
+    let names: Vec<&str> = entries.iter().map(|entry| &*entry.node).collect();
+    assert_eq!(
+        names,
+        ["platform platform", "engine engine-1", "service service-1"]
+    );
+    let caller = caller();
+    let admin = |entry: usize, method: &str, path: &str, body: &str| {
+        let what = What::Call {
+            method: method.into(),
+            path: path.into(),
+            key: None,
+            body: body.into(),
+            repeatable: true,
+        };
+        let (caller, entry) = (caller.clone(), entries[entry].clone());
+        async move {
+            match caller.ask(&entry, what).await.outcome {
+                Outcome::Answered(text) => text,
+                other => panic!("{other:?}"),
+            }
+        }
+    };
+    assert_eq!(
+        admin(0, "PUT", "/admin/config/rules", "a line").await,
+        "1\n"
+    );
+    assert_eq!(admin(0, "GET", "/v1/config/rules", "").await, "a line");
+    assert!(
+        admin(0, "GET", "/v1/members", "")
+            .await
+            .contains("engine-1")
+    );
+    assert!(
+        admin(0, "GET", "/admin/calls", "")
+            .await
+            .contains(r#""reads":1,"#)
+    );
+    assert_eq!(admin(0, "PUT", "/admin/mode", r#""down""#).await, "done\n");
+    assert!(matches!(
+        caller.ask(&entries[0], completion(1)).await.outcome,
+        Outcome::Dropped
+    ));
+    let mut asks = vec![caller.ask(&entries[1], completion(3)).await];
+    assert_eq!(
+        admin(1, "PUT", "/admin/faults", r#"{"leaving":true}"#).await,
+        "done\n"
+    );
+    assert_eq!(
+        admin(2, "PUT", "/admin/faults", r#"{"point":"in-body"}"#).await,
+        "done\n"
+    );
+    asks.push(caller.ask(&entries[2], checkout(None)).await);
+    assert!(
+        matches!(&asks[1].outcome, Outcome::Cut(text) if !text.is_empty()),
+        "{asks:?}"
+    );
+    let lines = admin(1, "GET", "/admin/log", "").await + &admin(2, "GET", "/admin/log", "").await;
+    let entries = log::parse(&lines);
+    assert!(entries.len() >= 6, "{lines}");
+    let evidence = Evidence {
+        entries,
+        asks,
+        nodes: Vec::new(),
+    };
+    assert_eq!(check(&evidence, &Limits::default()), []);
+}
--- a/crates/upstream/src/engine/answer.rs
+++ b/crates/upstream/src/engine/answer.rs
@@ -2,9 +2,9 @@
 //!
 //! The check is pure: it takes the data of server-sent events and says what each one means.
 
-use serde::Deserialize;
 use wire::Upstream;
 
+use super::chunk::{Chunk, Finish};
 use super::{Attempt, Instance};
 use crate::error::Error;
 
@@ -56,33 +56,6 @@
     reason: Option<String>,
 }
 
-/// A chunk as the engine sends it.
-#[derive(Debug, Deserialize)]
-struct Chunk {
-    id: Option<String>,
-    model: Option<String>,
-    object: Option<String>,
-    offset: Option<u64>,
-    #[serde(default)]
-    choices: Vec<Choice>,
-    error: Option<Fault>,
-}
-
-/// A chunk's one choice.
-#[derive(Debug, Deserialize)]
-struct Choice {
-    #[serde(default)]
-    text: String,
-    finish_reason: Option<String>,
-}
-
-/// A failure in the middle of a stream.
-#[derive(Debug, Deserialize)]
-struct Fault {
-    #[serde(default)]
-    message: String,
-}
-
 impl Check {
     /// Begins the check of `attempt`'s answer by `instance` from `offset` on.
     pub fn new(upstream: Upstream, attempt: Attempt, instance: Instance, offset: u64) -> Self {
@@ -138,13 +111,13 @@
         }
     }
 
-    fn chunk(&mut self, chunk: Chunk) -> Next {
+    fn chunk(&mut self, chunk: Chunk<'_>) -> Next {
         // An engine that names no attempt is not known to answer this one.
         if chunk.id.as_deref() != Some(&*self.attempt) {
             return Next::Drop;
         }
-        if let Some(fault) = chunk.error {
-            return Next::Fail(self.failed(fault));
+        if let Some(message) = chunk.error {
+            return Next::Fail(self.failed(message.into_owned()));
         }
         if chunk.model.as_deref() != Some(&*self.instance) {
             let model = chunk.model.unwrap_or_default();
@@ -153,26 +126,21 @@
         if chunk.object.as_deref() == Some(OPENING) {
             return Next::Pass(Event::Open);
         }
-        match chunk.choices.into_iter().next() {
-            Some(choice) => self.choice(chunk.offset, choice),
-            None => Next::Drop,
+        match chunk.finish {
+            Finish::Reason(reason) => self.finish(chunk.offset, reason.into_owned()),
+            Finish::GoesOn => self.token(chunk.offset, chunk.text.into_owned()),
+            Finish::NoChoice => Next::Drop,
         }
     }
 
-    fn choice(&mut self, offset: Option<u64>, choice: Choice) -> Next {
-        if let Some(reason) = choice.finish_reason {
-            return self.finish(offset, reason);
-        }
+    fn token(&mut self, offset: Option<u64>, text: String) -> Next {
         if self.reason.is_some() {
             return Next::Fail(self.malformed("token after the finish"));
         }
         match offset {
             Some(offset) if offset == self.offset => {
                 self.offset += 1;
-                Next::Pass(Event::Token {
-                    offset,
-                    text: choice.text,
-                })
+                Next::Pass(Event::Token { offset, text })
             }
             Some(offset) if offset < self.offset => Next::Drop,
             Some(offset) => Next::Fail(self.cut(format!("token {offset} came next"))),
@@ -188,11 +156,11 @@
         Next::Drop
     }
 
-    fn failed(&self, fault: Fault) -> Error {
+    fn failed(&self, message: String) -> Error {
         Error::Failed {
             upstream: self.upstream.clone(),
             offset: self.offset,
-            message: fault.message,
+            message,
         }
     }
 }
--- a/crates/upstream/src/engine/http.rs
+++ b/crates/upstream/src/engine/http.rs
@@ -89,10 +89,12 @@
 
     async fn control(&self, request: Request<Full<Bytes>>, reuse: Reuse) -> Result<Bytes, Error> {
         let path = request.uri().path().to_owned();
+        // An import sends a body that takes its time.
+        let report = request.method() != Method::PUT;
         let call = Call {
             class: Class::Control,
             reuse,
-            head: None,
+            head: report.then_some(self.link.limits().report),
             request,
         };
         let response = self.link.send(call).await?;
--- a/crates/upstream/src/engine/mod.rs
+++ b/crates/upstream/src/engine/mod.rs
@@ -6,6 +6,7 @@
 //!   attempt and instance that were asked for.
 
 pub mod answer;
+mod chunk;
 mod http;
 
 use std::future::Future;
--- a/crates/upstream/src/link/mod.rs
+++ b/crates/upstream/src/link/mod.rs
@@ -72,6 +72,9 @@
     pub connect: Duration,
     /// Time from there until the response head has come.
     pub head: Duration,
+    /// Time until the response head of a report or list; short, since a silent upstream would
+    /// otherwise use up the control connections that its next order needs.
+    pub report: Duration,
     /// Time between two parts of the response body.
     pub body: Duration,
     /// Time that an idle connection is kept.
@@ -90,6 +93,7 @@
             ordinary: 256,
             connect: Duration::from_millis(500),
             head: Duration::from_secs(30),
+            report: Duration::from_secs(2),
             body: Duration::from_secs(10),
             keep: Duration::from_secs(20),
             head_bytes: 16 << 10,
--- a/crates/upstream/tests/failure_points.rs
+++ b/crates/upstream/tests/failure_points.rs
@@ -232,6 +232,9 @@
 
 #[rstest]
 #[case::whole([chunk("a1", 0, "x"), chunk("a1", 1, "y"), FINISH.into(), DONE.into()], "xy end 2")]
+#[case::escaped([
+    chunk("a1", 0, r"\u00e9\n"), chunk("\\u0061\u{31}", 1, "y"), FINISH.into(), DONE.into()],
+    "\u{e9}\ny end 2")]
 #[case::doubled([chunk("a1", 0, "x"), chunk("a1", 0, "x"), FINISH.into(), DONE.into()], "x end 1")]
 #[case::foreign_part_dropped(
     [chunk("a1", 0, "x"), chunk("a2", 1, "z"), FINISH.into(), DONE.into()], "x end 1")]
