Test the time limit of reports, and keep an engine's role

With the limit of a completion's head in its place the test fails after 20 s; with the limit of reports it passes.

--- a/crates/standin/src/engine/batch.rs
+++ b/crates/standin/src/engine/batch.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
-use upstream::engine::{Events, Instance, Report, Resident};
+use upstream::engine::{Events, Instance, Report, Resident, Role};
 use wire::Fence;
 
 use super::cache::Cache;
@@ -91,6 +91,7 @@
     running: Vec<Sequence>,
     arrivals: u64,
     newest: Fence,
+    role: Role,
     start: u64,
     down_until: Option<Instant>,
     totals: Totals,
@@ -110,6 +111,7 @@
             running: Vec::new(),
             arrivals: 0,
             newest: 0,
+            role: Role::Mixed,
             start: now_us(),
             down_until: None,
             totals: Totals::default(),
@@ -142,6 +144,11 @@
         Ok(())
     }
 
+    /// Takes a role on.
+    pub(super) fn assign(&mut self, role: Role) {
+        self.role = role;
+    }
+
     /// Begins a load.
     pub(super) fn begin_load(
         &mut self,
@@ -361,6 +368,7 @@
         self.imported.clear();
         self.reports.clear();
         self.newest = 0;
+        self.role = Role::Mixed;
         self.start = now_us().max(self.start + 1);
         self.down_until = Some(Instant::now() + cold_start);
         self.log.push(Kind::Restart);
@@ -468,6 +476,7 @@
             age_ms: 0,
             start: self.start,
             fence: self.config.check_fence.then_some(self.newest),
+            role: Some(self.role),
             leaving: false,
         };
         self.reports.push_back((now, report));
--- a/crates/standin/src/engine/routes.rs
+++ b/crates/standin/src/engine/routes.rs
@@ -10,7 +10,7 @@
 use serde::Deserialize;
 use serde_json::json;
 use tokio::time::{Instant, sleep};
-use upstream::engine::Instance;
+use upstream::engine::{Instance, Role};
 use upstream::header;
 use wire::Fence;
 
@@ -56,6 +56,12 @@
     offset: u64,
 }
 
+/// An order to change role.
+#[derive(Debug, Deserialize)]
+struct Assign {
+    role: Role,
+}
+
 /// A cancel's request.
 #[derive(Debug, Deserialize)]
 struct Cancel {
@@ -84,7 +90,7 @@
             (&Method::POST, "/v1/completions") => self.complete(request).await,
             (&Method::POST, "/v1/load_lora_adapter") => Ok(load(self, request).await),
             (&Method::POST, "/v1/unload_lora_adapter") => Ok(self.unload(request).await),
-            (&Method::POST, "/v1/role") => Ok(self.assign(&request)),
+            (&Method::POST, "/v1/role") => Ok(self.assign(request).await),
             (&Method::POST, "/v1/cancel") => Ok(self.cancel(request).await),
             (&Method::GET, "/v1/models") => Ok(self.models()),
             (&Method::GET, "/v1/report") => Ok(self.report()),
@@ -114,10 +120,18 @@
         }
     }
 
-    fn assign(&self, request: &Request<Incoming>) -> Response<Body> {
+    async fn assign(&self, request: Request<Incoming>) -> Response<Body> {
+        let fence = fence(&request);
         let check = self.faults().check_fence.unwrap_or(false);
-        match lock(&self.batch).fence(fence(request), check) {
-            Ok(()) => http::text(StatusCode::OK, "assigned"),
+        let Some(order) = http::read_json::<Assign>(request.into_body()).await else {
+            return http::text(StatusCode::BAD_REQUEST, "body names no role");
+        };
+        let mut batch = lock(&self.batch);
+        match batch.fence(fence, check) {
+            Ok(()) => {
+                batch.assign(order.role);
+                http::text(StatusCode::OK, "assigned")
+            }
             Err(refusal) => refused(refusal),
         }
     }
--- a/crates/standin/tests/engine_behaviour.rs
+++ b/crates/standin/tests/engine_behaviour.rs
@@ -8,7 +8,7 @@
 use standin::engine::{Config, Faults, Loads, Server, Store, store};
 use standin::log::{End, Kind};
 use tokio::time::{Instant, sleep, timeout};
-use upstream::engine::{Answer, Change, Completion, Event, Http, Load, Stream, Unload};
+use upstream::engine::{Answer, Change, Completion, Event, Http, Load, Role, Stream, Unload};
 use upstream::{Engine, Error, Limits, Reach};
 use wire::Priority;
 
@@ -153,7 +153,7 @@
     let late = [
         site.driver.load(load("b@1", 4)).await,
         site.driver.unload(unload("a@1", 4)).await,
-        site.driver.assign(upstream::engine::Role::Mixed, 4).await,
+        site.driver.assign(Role::Mixed, 4).await,
     ];
     for order in late {
         match order {
@@ -163,6 +163,13 @@
         }
     }
     site.driver.load(load("c@1", 5)).await.unwrap();
+    site.driver.assign(Role::Prefill, 5).await.unwrap();
+    sleep(Duration::from_millis(250)).await;
+    let report = site.driver.report().await.unwrap();
+    assert_eq!(
+        (report.role, report.fence),
+        (Some(Role::Prefill), check.then_some(5))
+    );
 }
 
 #[tokio::test]
--- a/crates/upstream/src/engine/mod.rs
+++ b/crates/upstream/src/engine/mod.rs
@@ -131,6 +131,9 @@
     /// Highest fencing number seen, where the engine checks it.
     #[serde(default)]
     pub fence: Option<Fence>,
+    /// What the engine is used for, where it tells.
+    #[serde(default)]
+    pub role: Option<Role>,
     /// Set once the engine takes no new work.
     #[serde(default)]
     pub leaving: bool,
--- a/crates/upstream/tests/kept_connections.rs
+++ b/crates/upstream/tests/kept_connections.rs
@@ -9,7 +9,7 @@
 use support::{Act, count, serve, write};
 use upstream::link::Reuse;
 use upstream::service::{Call, Http, Service};
-use upstream::{Error, Limits, Reach};
+use upstream::{Engine, Error, Limits, Phase, Reach};
 use wire::Priority;
 
 const ANSWER: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
@@ -144,6 +144,40 @@
     run(&service, Reuse::Fresh).await.unwrap();
 }
 
+/// Reports that a silent engine never answers must not use up the connections of its orders.
+#[tokio::test]
+async fn silent_reports_give_their_connections_back() {
+    let (address, _) = serve([Act::Request, Act::Hold]).await;
+    let limits = Limits {
+        control: 2,
+        report: Duration::from_millis(100),
+        head: Duration::from_secs(60),
+        ..Limits::default()
+    };
+    let load = Duration::from_millis(100);
+    let engine = upstream::engine::Http::new("engine-1", address, limits, load);
+    let timed_out = |error: Error| {
+        matches!(
+            error,
+            Error::Timeout {
+                phase: Phase::Head,
+                ..
+            }
+        )
+    };
+    let both = async { tokio::join!(engine.report(), engine.models()) };
+    let (report, models) = tokio::time::timeout(Duration::from_secs(20), both)
+        .await
+        .unwrap();
+    assert!(timed_out(report.unwrap_err()) && timed_out(models.unwrap_err()));
+    let order = upstream::engine::Unload {
+        instance: "a".into(),
+        fence: 1,
+    };
+    let error = engine.unload(order).await.unwrap_err();
+    assert!(timed_out(error), "the order was sent");
+}
+
 #[tokio::test]
 async fn connection_headers_are_not_passed_on() {
     let answer = "HTTP/1.1 200 OK\r\nconnection: x-own\r\nx-own: 1\r\nx-other: 2\r\n\
