Add the surroundings of a fleet under test

Each node gets a platform and links of its own, so that partitions and stale configuration apply between any two places.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`platform`] serves configuration and the VM list, [`engine`] serves completions and holds
 //!   adapters, [`service`] counts the runs of calls. [`site`] starts a whole set of them.
+//! - [`fleet`] puts a link between each of several nodes and each thing that it talks to.
 //! - [`proxy`] stands before any of them, or between nodes, and injects network faults.
 //! - [`answer`] gives the text that an engine or service answers, so that a caller can check that
 //!   an answer is whole, its own, and of the right adapter and version.
@@ -17,6 +18,7 @@
 pub mod caller;
 pub mod checker;
 pub mod engine;
+pub mod fleet;
 pub mod http;
 pub mod log;
 pub mod platform;
