--- /dev/null
+++ b/crates/rules/benches/rules.rs
@@ -0,0 +1,75 @@
+//! Parsing and matching at the size of the largest fleet, and the memory of a set.
+
+#![allow(missing_docs)]
+
+mod support;
+
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use criterion::{Criterion, criterion_group, criterion_main};
+use rules::{Ask, Set};
+use support::{ADAPTERS, CALLERS, Counting, rules};
+use wire::Priority;
+
+#[global_allocator]
+static ALLOCATOR: Counting = Counting;
+
+/// Time within which a revision has to be parsed and checked.
+const PARSE_MAX: Duration = Duration::from_secs(1);
+
+fn parse(c: &mut Criterion) {
+    let text = rules(ADAPTERS);
+    let before = support::bytes();
+    let start = Instant::now();
+    let set = Set::parse([("rules", &text)]).expect("rules are valid");
+    let took = start.elapsed();
+    let held = support::bytes() - before;
+    println!(
+        "{ADAPTERS} adapters, {CALLERS} callers, {} KiB of text: parsed and checked in {took:?}, \
+         {} KiB held, {} bytes for an adapter with its share of callers and routes",
+        text.len() / 1024,
+        held / 1024,
+        held / ADAPTERS,
+    );
+    assert!(took < PARSE_MAX, "{took:?}");
+    drop(set);
+    let mut group = c.benchmark_group("parse");
+    group.sample_size(10);
+    group.bench_function(format!("{ADAPTERS} adapters"), |b| {
+        b.iter(|| Set::parse([("rules", black_box(&text))]));
+    });
+    group.finish();
+}
+
+fn matching(c: &mut Criterion) {
+    for adapters in [3_000, ADAPTERS] {
+        let set = Set::parse([("rules", rules(adapters))]).expect("rules are valid");
+        let callers: Vec<String> = (0..CALLERS).map(|n| format!("caller-{n}")).collect();
+        let models: Vec<String> = (0..CALLERS)
+            .map(|n| format!("adapter-{:05}", n * adapters / CALLERS))
+            .collect();
+        let at = "2026-02-10T00:00:00Z".parse().expect("a time");
+        let mut next = 0;
+        let mut bench = |name: &str, named: bool| {
+            c.bench_function(&format!("route {name}, {adapters} adapters"), |b| {
+                b.iter(|| {
+                    next = (next + 7) % CALLERS;
+                    let ask = Ask {
+                        caller: &callers[next],
+                        trade: "desk",
+                        priority: Priority::Normal,
+                        model: named.then_some(&*models[next]),
+                        at,
+                    };
+                    black_box(set.route(&ask)).is_ok()
+                });
+            });
+        };
+        bench("by rule", false);
+        bench("by name", true);
+    }
+}
+
+criterion_group!(benches, parse, matching);
+criterion_main!(benches);
