--- a/crates/rules/benches/rules.rs
+++ b/crates/rules/benches/rules.rs
@@ -9,25 +9,29 @@
 
 use criterion::{Criterion, criterion_group, criterion_main};
 use rules::{Ask, Set};
-use support::{ADAPTERS, CALLERS, Counting, rules};
+use support::{CALLERS, Counting, rules};
 use wire::Priority;
 
 #[global_allocator]
 static ALLOCATOR: Counting = Counting;
 
+/// Adapters of the largest fleet.
+const ADAPTERS: usize = 42_000;
+
 /// Time within which a revision has to be parsed and checked.
 const PARSE_MAX: Duration = Duration::from_secs(1);
 
 fn parse(c: &mut Criterion) {
     let text = rules(ADAPTERS);
-    let before = support::bytes();
+    let (before, calls) = (support::bytes(), support::calls());
     let start = Instant::now();
     let set = Set::parse([("rules", &text)]).expect("rules are valid");
     let took = start.elapsed();
+    let calls = support::calls() - calls;
     let held = support::bytes() - before;
     println!(
         "{ADAPTERS} adapters, {CALLERS} callers, {} KiB of text: parsed and checked in {took:?}, \
-         {} KiB held, {} bytes for an adapter with its share of callers and routes",
+         {calls} allocations, {} KiB held, {} bytes for an adapter with its share of callers and routes",
         text.len() / 1024,
         held / 1024,
         held / ADAPTERS,
--- a/crates/rules/benches/support/mod.rs
+++ b/crates/rules/benches/support/mod.rs
@@ -6,9 +6,6 @@
 use std::fmt::Write as _;
 use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 
-/// Adapters of the largest fleet.
-pub const ADAPTERS: usize = 42_000;
-
 /// Callers of the largest fleet.
 pub const CALLERS: usize = 2_000;
 
