Serve requests along the whole path

The joined machine of a node (logic), the actor that drives it, the caller and operator sides, and the programs hyssopd and hyssopctl.

--- /dev/null
+++ b/crates/hyssopscale/src/cli.rs
@@ -0,0 +1,288 @@
+//! Command lines of the programs, and their exit codes: 0 done, 1 faults found or refused, 2
+//! arguments wrong.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use clap_complete::Shell;
+use jiff::Timestamp;
+use wire::Priority;
+
+use crate::ops::{self, Error, Output};
+
+/// Runs `hyssopd`.
+pub fn daemon() -> ExitCode {
+    let matches = daemon_command().get_matches();
+    exit(run_daemon(&matches))
+}
+
+/// Runs `hyssopctl`.
+pub fn client() -> ExitCode {
+    let matches = client_command().get_matches();
+    exit(run_client(&matches))
+}
+
+fn exit(result: Result<(), Error>) -> ExitCode {
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("error: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Describes the arguments of `hyssopd`.
+pub fn daemon_command() -> Command {
+    Command::new("hyssopd")
+        .about("Runs a node of the serving layer")
+        .version(env!("CARGO_PKG_VERSION"))
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .value_name("FILE")
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("Settings file in TOML"),
+        )
+        .arg(
+            Arg::new("set")
+                .long("set")
+                .value_name("KEY=VALUE")
+                .action(ArgAction::Append)
+                .value_parser(pair)
+                .help("Replaces a key of the settings, for example vm.id=vm-2"),
+        )
+        .arg(
+            Arg::new("check-settings")
+                .long("check-settings")
+                .action(ArgAction::SetTrue)
+                .help("Checks the settings and exits"),
+        )
+}
+
+fn pair(text: &str) -> Result<(String, String), String> {
+    let (key, value) = text.split_once('=').ok_or("write KEY=VALUE")?;
+    Ok((key.to_owned(), value.to_owned()))
+}
+
+fn run_daemon(matches: &ArgMatches) -> Result<(), Error> {
+    let path: &PathBuf = matches.get_one("settings").expect("clap demands settings");
+    let overrides = matches
+        .get_many::<(String, String)>("set")
+        .into_iter()
+        .flatten()
+        .cloned();
+    let settings = ops::serve::load(path, overrides)?;
+    if matches.get_flag("check-settings") {
+        println!("settings of {} are sound", settings.vm.id);
+        return Ok(());
+    }
+    block_on(ops::serve::run(settings))
+}
+
+fn block_on(work: impl Future<Output = Result<(), Error>>) -> Result<(), Error> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    let result = runtime.block_on(work);
+    // Tasks that wait for peers or the platform must not hold the process up.
+    runtime.shutdown_background();
+    result
+}
+
+/// Describes the arguments of `hyssopctl`.
+pub fn client_command() -> Command {
+    let output = Arg::new("output")
+        .long("output")
+        .value_name("FORM")
+        .value_parser(["table", "json"])
+        .default_value("table")
+        .global(true)
+        .help("Form of the output");
+    let at = Arg::new("at")
+        .long("at")
+        .value_name("TIME")
+        .value_parser(value_parser!(Timestamp))
+        .help("Time that counts as now, for example 2026-07-01T08:00:00Z");
+    Command::new("hyssopctl")
+        .about("Checks rules, asks nodes, and demonstrates the serving layer")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .arg(output)
+        .subcommand(
+            Command::new("check")
+                .about("Reports every fault and warning of rules files")
+                .arg(files("files").required(true))
+                .arg(at.clone()),
+        )
+        .subcommand(
+            Command::new("diff")
+                .about("Tells what changes for whom between two revisions")
+                .arg(files("before").long("before").required(true))
+                .arg(files("after").long("after").required(true)),
+        )
+        .subcommand(explain_command(at))
+        .subcommand(
+            Command::new("pack")
+                .about("Turns rules files into values to publish at the platform")
+                .arg(files("files").required(true))
+                .arg(
+                    Arg::new("revision")
+                        .long("revision")
+                        .value_name("N")
+                        .required(true)
+                        .value_parser(value_parser!(u64))
+                        .help("Number of the revision; above every one published before"),
+                )
+                .arg(
+                    Arg::new("prefix")
+                        .long("prefix")
+                        .value_name("PREFIX")
+                        .default_value("hyssopscale/")
+                        .help("Prefix of the platform's keys, as in the settings"),
+                )
+                .arg(
+                    Arg::new("out")
+                        .long("out")
+                        .value_name("DIR")
+                        .required(true)
+                        .value_parser(value_parser!(PathBuf))
+                        .help("Folder that the values are written to"),
+                ),
+        )
+        .subcommand(
+            Command::new("status")
+                .about("Shows what nodes know")
+                .arg(nodes().required(true)),
+        )
+        .subcommand(
+            Command::new("demo")
+                .about("Runs nodes and stand-ins in one process")
+                .arg(
+                    Arg::new("log")
+                        .long("log")
+                        .action(ArgAction::SetTrue)
+                        .help("Shows the nodes' decision lines"),
+                ),
+        )
+        .subcommand(
+            Command::new("completions")
+                .about("Prints completions for a shell")
+                .arg(
+                    Arg::new("shell")
+                        .required(true)
+                        .value_parser(value_parser!(Shell)),
+                ),
+        )
+}
+
+fn explain_command(at: Arg) -> Command {
+    let text = |name: &'static str| Arg::new(name).long(name).value_name("NAME");
+    Command::new("explain")
+        .about("Tells which rule a request matches, and why the others do not")
+        .arg(files("files").conflicts_with("node"))
+        .arg(nodes())
+        .arg(text("caller").required(true).help("The caller"))
+        .arg(
+            text("trade")
+                .default_value("")
+                .help("The trade; the caller's default without it"),
+        )
+        .arg(
+            text("priority")
+                .value_parser(["urgent", "normal", "routine"])
+                .default_value("normal")
+                .help("The priority"),
+        )
+        .arg(text("model").help("The model that the request names"))
+        .arg(at)
+}
+
+fn files(name: &'static str) -> Arg {
+    Arg::new(name)
+        .value_name("FILE")
+        .num_args(1..)
+        .value_parser(value_parser!(PathBuf))
+        .help("Rules files, in their order")
+}
+
+fn nodes() -> Arg {
+    Arg::new("node")
+        .long("node")
+        .value_name("ADDRESS")
+        .num_args(1..)
+        .value_parser(value_parser!(SocketAddr))
+        .help("Operators' address of a node")
+}
+
+fn run_client(matches: &ArgMatches) -> Result<(), Error> {
+    let (name, matches) = matches.subcommand().expect("clap demands a command");
+    let output = match matches.get_one::<String>("output").map(String::as_str) {
+        Some("json") => Output::Json,
+        _ => Output::Table,
+    };
+    let now = || match matches.try_get_one::<Timestamp>("at") {
+        Ok(Some(at)) => *at,
+        _ => Timestamp::now(),
+    };
+    match name {
+        "check" => ops::check::run(paths(matches, "files"), output, now()),
+        "diff" => ops::diff::run(paths(matches, "before"), paths(matches, "after"), output),
+        "explain" => explain(matches, output, now()),
+        "pack" => {
+            let prefix: &String = matches.get_one("prefix").expect("clap gives a default");
+            let revision: u64 = *matches.get_one("revision").expect("clap demands it");
+            let out: &PathBuf = matches.get_one("out").expect("clap demands it");
+            ops::pack::run(prefix, revision, paths(matches, "files"), out)
+        }
+        "status" => {
+            let nodes: Vec<SocketAddr> = many(matches, "node");
+            block_on(ops::status::run(nodes, output))
+        }
+        "demo" => block_on(ops::demo::run(matches.get_flag("log"))),
+        "completions" => {
+            let shell: Shell = *matches.get_one("shell").expect("clap demands it");
+            clap_complete::generate(
+                shell,
+                &mut client_command(),
+                "hyssopctl",
+                &mut std::io::stdout(),
+            );
+            Ok(())
+        }
+        other => unreachable!("clap knows no command {other}"),
+    }
+}
+
+fn explain(matches: &ArgMatches, output: Output, at: Timestamp) -> Result<(), Error> {
+    let get = |name: &str| matches.get_one::<String>(name).cloned();
+    let ask = ops::explain::Ask {
+        caller: get("caller").unwrap_or_default(),
+        trade: get("trade").unwrap_or_default(),
+        priority: get("priority")
+            .and_then(|name| Priority::parse(&name))
+            .unwrap_or_default(),
+        model: get("model"),
+    };
+    let nodes: Vec<SocketAddr> = many(matches, "node");
+    match nodes.first() {
+        Some(node) => block_on(ops::explain::online(*node, &ask, output)),
+        None => ops::explain::offline(paths(matches, "files"), &ask, output, at),
+    }
+}
+
+fn paths(matches: &ArgMatches, name: &str) -> Vec<PathBuf> {
+    many(matches, name)
+}
+
+fn many<T: Clone + Send + Sync + 'static>(matches: &ArgMatches, name: &str) -> Vec<T> {
+    matches
+        .get_many::<T>(name)
+        .into_iter()
+        .flatten()
+        .cloned()
+        .collect()
+}
--- /dev/null
+++ b/crates/hyssopscale/src/ops/mod.rs
@@ -0,0 +1,80 @@
+//! One module for each command.
+
+pub mod check;
+pub mod demo;
+pub mod diff;
+pub mod explain;
+pub mod pack;
+pub mod serve;
+pub mod status;
+
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+/// Form of a command's output.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Tables and lines for people.
+    Table,
+    /// JSON for programs.
+    Json,
+}
+
+/// Reason why a command failed.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A file cannot be read or written.
+    #[error("cannot use {path} ({cause})\nhelp: check the path and its permissions")]
+    File {
+        /// The file.
+        path: PathBuf,
+        /// The system's error.
+        cause: std::io::Error,
+    },
+    /// The settings are faulty.
+    #[error("{0}")]
+    Settings(#[from] settings::Error),
+    /// The rules are faulty.
+    #[error("{0}")]
+    Rules(#[from] rules::Error),
+    /// A manifest cannot be made.
+    #[error("{0}")]
+    Manifest(#[from] confsync::manifest::Error),
+    /// A node gave no answer.
+    #[error("{0}")]
+    Client(#[from] crate::client::Error),
+    /// A node answered with a refusal.
+    #[error("the node refused: {0}")]
+    Refused(String),
+    /// The node does not start.
+    #[error("{0}")]
+    Node(#[from] node::Error),
+    /// Logging cannot be set up.
+    #[error("{0}")]
+    Journal(#[from] node::journal::Error),
+    /// The system refuses something.
+    #[error("the system refuses ({0})\nhelp: check limits and permissions")]
+    System(#[from] std::io::Error),
+    /// Something was found; the command has printed it.
+    #[error("{0}")]
+    Found(String),
+}
+
+/// Reads a text file.
+fn read(path: &Path) -> Result<String, Error> {
+    fs::read_to_string(path).map_err(|cause| Error::File {
+        path: path.to_owned(),
+        cause,
+    })
+}
+
+/// Reads and checks rules files, in the order given.
+fn read_rules(paths: impl IntoIterator<Item = PathBuf>) -> Result<rules::Set, Error> {
+    let mut files: Vec<(Arc<str>, String)> = Vec::new();
+    for path in paths {
+        let text = read(&path)?;
+        files.push((path.to_string_lossy().into(), text));
+    }
+    Ok(rules::Set::parse(files)?)
+}
--- /dev/null
+++ b/crates/hyssopscale/src/ops/serve.rs
@@ -0,0 +1,60 @@
+//! `hyssopd`: runs a node until it is told to stop.
+
+use std::path::Path;
+
+use log::LevelFilter;
+use node::{Ending, Node};
+use settings::Settings;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::watch;
+
+use super::{Error, read};
+
+/// Reads and checks a settings file with overrides.
+///
+/// # Errors
+///
+/// Returns every fault found, or why the file cannot be read.
+pub fn load(
+    path: &Path,
+    overrides: impl IntoIterator<Item = (String, String)>,
+) -> Result<Settings, Error> {
+    Ok(Settings::parse_with(&read(path)?, overrides)?)
+}
+
+/// Runs a node until SIGTERM or SIGINT, then shuts it down gracefully; a second signal ends that.
+///
+/// # Errors
+///
+/// Returns an [`Error`] where the node does not start, or where the shutdown cut requests.
+pub async fn run(settings: Settings) -> Result<(), Error> {
+    let level = settings.log.level.parse().unwrap_or(LevelFilter::Info);
+    node::journal::install(settings.log.format, level, settings.log.lines_per_second)?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let node = Node::start(settings).await?;
+    let addresses = node.addresses();
+    println!(
+        "listening callers={} peers={} operators={}",
+        addresses.callers, addresses.peers, addresses.operators
+    );
+    either(&mut terminate, &mut interrupt).await;
+    let (again, second) = watch::channel(false);
+    tokio::spawn(async move {
+        either(&mut terminate, &mut interrupt).await;
+        again.send_replace(true);
+        // The sender stays, so that the receiver does not see the channel close.
+        std::future::pending::<()>().await;
+    });
+    match node.shut_down(second).await {
+        Ending::Whole => Ok(()),
+        Ending::Cut(count) => Err(Error::Found(format!("the shutdown cut {count} request(s)"))),
+    }
+}
+
+async fn either(terminate: &mut Signal, interrupt: &mut Signal) {
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
--- /dev/null
+++ b/crates/node/src/core/input.rs
@@ -0,0 +1,118 @@
+//! What the core is told and what it answers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use logic::Event;
+use tokio::sync::{mpsc, oneshot};
+use wire::{Fence, Lease, Model, Request, Revision, Time, Upstream};
+
+use super::Status;
+
+/// Something for the core to take in.
+#[derive(Debug)]
+pub enum Input {
+    /// An event for the machines.
+    Logic(Event),
+    /// The platform's list was read.
+    List(platform::List),
+    /// A request is to be placed.
+    Place {
+        /// The request.
+        request: placement::event::Request,
+        /// Where the answer goes.
+        reply: oneshot::Sender<Placed>,
+    },
+    /// A call that may not be repeated begins.
+    Begin {
+        /// The machine's event.
+        event: once::Event,
+        /// Where the rulings go.
+        reply: mpsc::UnboundedSender<Ruling>,
+    },
+    /// May the first byte of a call be written?
+    PermitCall {
+        /// The request.
+        request: Request,
+        /// Where the answer goes.
+        reply: oneshot::Sender<bool>,
+    },
+    /// May an order to an engine be written?
+    PermitOrder {
+        /// The engine.
+        upstream: Upstream,
+        /// The order's number.
+        fence: Fence,
+        /// Where the answer goes.
+        reply: oneshot::Sender<bool>,
+    },
+    /// Rules have been parsed.
+    Parsed {
+        /// Their revision.
+        revision: Revision,
+        /// The rules, or what is wrong with them.
+        result: Result<Arc<rules::Set>, String>,
+    },
+    /// An engine was polled.
+    Reach {
+        /// The engine.
+        upstream: Upstream,
+        /// Whether it answered.
+        reached: bool,
+    },
+    /// What does the node know?
+    Status(oneshot::Sender<Status>),
+    /// Is nothing left to hand over?
+    Idle(oneshot::Sender<bool>),
+    /// A graceful shutdown starts.
+    Leave,
+}
+
+/// Where a request may run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Grant {
+    /// The engine.
+    pub upstream: Upstream,
+    /// Name under which it holds the model.
+    pub instance: Arc<str>,
+    /// The model.
+    pub model: Model,
+    /// The lease that covers the request.
+    pub lease: Lease,
+    /// The instance's number.
+    pub fence: Fence,
+    /// Time by which the request must be written.
+    pub until: Time,
+}
+
+/// Answer to a request for a place.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Placed {
+    /// It may run.
+    Granted(Grant),
+    /// It did not run and will not.
+    Refused {
+        /// Why.
+        reason: placement::action::Reason,
+        /// When a retry makes sense.
+        retry_after: Duration,
+    },
+}
+
+/// What is decided about a call that may not be repeated.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Ruling {
+    /// Send it now, after asking for the permit.
+    Execute,
+    /// Answer with the first answer.
+    Answer(once::Record),
+    /// Refuse it.
+    Refuse {
+        /// What is known of the call.
+        outcome: once::Outcome,
+        /// Why.
+        reason: once::Reason,
+        /// When a retry makes sense.
+        retry_after: Option<Duration>,
+    },
+}
--- /dev/null
+++ b/crates/node/src/core/mod.rs
@@ -0,0 +1,286 @@
+//! The actor that drives a node's decision makers.
+//!
+//! [`Handle`] is how the rest of the node talks to it. The actor passes each [`Input`] to
+//! `logic::Node`, and `perform` carries out what comes back: frames go to the outbox, orders to
+//! engines and reads of the platform to tasks of their own, grants and refusals to the requests
+//! that wait for them. No input makes the actor wait for I/O, so that no request waits in its
+//! mailbox behind another one's.
+
+mod input;
+mod orders;
+mod perform;
+mod source;
+mod status;
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+use logic::Event;
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use tokio::sync::{mpsc, oneshot, watch};
+use wire::{Frame, Machine, Request, Revision, Time, Upstream};
+
+pub use input::{Grant, Input, Placed, Ruling};
+pub(crate) use orders::poll_engines;
+pub(crate) use perform::sign_leaving;
+pub use status::{Owned, PeerStatus, Status, UpstreamStatus};
+
+use crate::directory::Directory;
+use crate::peer::Outbox;
+use crate::shared::Shared;
+
+/// Sends inputs to the core.
+#[derive(Clone)]
+pub struct Handle {
+    actor: ActorRef<Input>,
+}
+
+/// What the core is made from.
+pub struct Arguments {
+    /// The node's shared state.
+    pub shared: Arc<Shared>,
+    /// The decision makers.
+    pub logic: logic::Node,
+    /// The connections to the peers.
+    pub outbox: Outbox,
+    /// The platform.
+    pub source: Arc<platform::Http>,
+}
+
+/// Starts the core.
+///
+/// # Errors
+///
+/// Returns the actor library's error where the actor does not start.
+pub async fn start(arguments: Arguments) -> Result<Handle, ractor::SpawnErr> {
+    let (actor, _) = Actor::spawn(None, Core, arguments).await?;
+    Ok(Handle { actor })
+}
+
+impl Handle {
+    /// Sends an input; it is lost where the core has stopped, as in a crash.
+    pub fn send(&self, input: Input) {
+        if self.actor.cast(input).is_err() {
+            log::debug!("core has stopped; an input is dropped");
+        }
+    }
+
+    /// Takes a frame in.
+    pub fn receive(&self, frame: Frame) {
+        self.send(Input::Logic(Event::Frame(frame)));
+    }
+
+    /// Places a request; `None` where the core has stopped.
+    pub async fn place(&self, request: placement::event::Request) -> Option<Placed> {
+        let (reply, placed) = oneshot::channel();
+        self.send(Input::Place { request, reply });
+        placed.await.ok()
+    }
+
+    /// Starts a call that may not be repeated; the rulings follow one after the other.
+    pub fn begin(&self, event: once::Event) -> mpsc::UnboundedReceiver<Ruling> {
+        let (reply, rulings) = mpsc::unbounded_channel();
+        self.send(Input::Begin { event, reply });
+        rulings
+    }
+
+    /// Asks whether the first byte of a call may be written now.
+    pub async fn permit(&self, request: Request) -> bool {
+        let (reply, permitted) = oneshot::channel();
+        self.send(Input::PermitCall { request, reply });
+        permitted.await.unwrap_or(false)
+    }
+
+    /// Returns what the node knows; `None` where the core has stopped.
+    pub async fn status(&self) -> Option<Status> {
+        let (reply, status) = oneshot::channel();
+        self.send(Input::Status(reply));
+        status.await.ok()
+    }
+
+    /// Tells whether nothing is left to hand over to peers.
+    pub async fn idle(&self) -> bool {
+        let (reply, idle) = oneshot::channel();
+        self.send(Input::Idle(reply));
+        idle.await.unwrap_or(true)
+    }
+}
+
+struct Core;
+
+/// What the actor keeps.
+struct State {
+    shared: Arc<Shared>,
+    handle: Handle,
+    logic: logic::Node,
+    outbox: Outbox,
+    source: Arc<platform::Http>,
+    placing: HashMap<Request, oneshot::Sender<Placed>>,
+    calls: HashMap<Request, mpsc::UnboundedSender<Ruling>>,
+    checked: BTreeMap<Revision, Arc<rules::Set>>,
+    /// The directory as listed, without what is known of leaving upstreams.
+    listed: Directory,
+    leaving: Vec<Upstream>,
+    down: Vec<Upstream>,
+    refused: Option<(Revision, String)>,
+    wake: watch::Sender<Option<Time>>,
+}
+
+impl Actor for Core {
+    type Msg = Input;
+    type State = State;
+    type Arguments = Arguments;
+
+    async fn pre_start(
+        &self,
+        myself: ActorRef<Input>,
+        arguments: Arguments,
+    ) -> Result<State, ActorProcessingErr> {
+        let Arguments {
+            shared,
+            logic,
+            outbox,
+            source,
+        } = arguments;
+        let handle = Handle { actor: myself };
+        let (wake, wakes) = watch::channel(Some(Time::ZERO));
+        tokio::spawn(run_timer(shared.clone(), handle.clone(), wakes));
+        tokio::spawn(source::poll_members(
+            shared.clone(),
+            handle.clone(),
+            source.clone(),
+        ));
+        let mut state = State {
+            shared,
+            handle,
+            logic,
+            outbox,
+            source,
+            placing: HashMap::new(),
+            calls: HashMap::new(),
+            checked: BTreeMap::new(),
+            listed: Directory::default(),
+            leaving: Vec::new(),
+            down: Vec::new(),
+            refused: None,
+            wake,
+        };
+        state.start();
+        Ok(state)
+    }
+
+    async fn handle(
+        &self,
+        _myself: ActorRef<Input>,
+        input: Input,
+        state: &mut State,
+    ) -> Result<(), ActorProcessingErr> {
+        state.take(input);
+        state.show_ticket();
+        state.wake.send_replace(state.logic.wake());
+        Ok(())
+    }
+}
+
+impl State {
+    /// Tells the machines the facts that come from the settings.
+    fn start(&mut self) {
+        let stores =
+            self.shared
+                .settings
+                .stores
+                .iter()
+                .map(|(id, store)| placement::event::Store {
+                    id: id.as_str().into(),
+                    rate: store.loads_per_second,
+                    in_flight: store.in_flight,
+                    load: store.load_time,
+                });
+        let stores = placement::Event::Stores(stores.collect());
+        self.step(Event::Placement(stores));
+        self.step(Event::Tick);
+    }
+
+    /// Passes one event to the machines and carries out what they want.
+    fn step(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        self.logic
+            .step(self.shared.clock.now(), event, &mut actions);
+        for action in actions {
+            self.perform(action);
+        }
+    }
+
+    fn show_ticket(&self) {
+        let ticket = self.logic.once().ticket();
+        if self.shared.ticket() != ticket {
+            self.shared.ticket.store(ticket.map(Arc::new));
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Logic(event) => self.step(event),
+            Input::List(list) => self.take_list(&list),
+            Input::Place { request, reply } => {
+                self.placing.insert(request.id, reply);
+                self.step(Event::Placement(placement::Event::Request(request)));
+            }
+            Input::Begin { event, reply } => {
+                if let once::Event::Begin { request, .. } = &event {
+                    self.calls.insert(*request, reply);
+                }
+                self.step(Event::Once(event));
+            }
+            Input::PermitCall { request, reply } => {
+                let permitted = self.logic.permit_call(self.shared.clock.now(), request);
+                // The asker may have gone, and then nothing is sent.
+                let _ = reply.send(permitted);
+            }
+            Input::PermitOrder {
+                upstream,
+                fence,
+                reply,
+            } => {
+                let now = self.shared.clock.now();
+                let _ = reply.send(self.logic.permit_order(now, &upstream, fence));
+            }
+            Input::Parsed { revision, result } => self.take_parsed(revision, result),
+            Input::Reach { upstream, reached } => self.take_reach(upstream, reached),
+            Input::Status(reply) => {
+                let _ = reply.send(self.status());
+            }
+            Input::Idle(reply) => {
+                let _ = reply.send(self.logic.once().idle());
+            }
+            Input::Leave => self.step(Event::Leave),
+        }
+    }
+}
+
+/// Sends a tick whenever the machines want one.
+async fn run_timer(shared: Arc<Shared>, handle: Handle, mut wakes: watch::Receiver<Option<Time>>) {
+    loop {
+        let due = *wakes.borrow_and_update();
+        let sleep = async {
+            match due {
+                Some(time) => tokio::time::sleep_until(shared.clock.instant(time)).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            () = sleep => {
+                handle.send(Input::Logic(Event::Tick));
+                // The next wake time is known once the tick has been taken.
+                if wakes.changed().await.is_err() {
+                    return;
+                }
+            }
+            changed = wakes.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/core/status.rs
@@ -0,0 +1,136 @@
+//! What a node tells operators about itself.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use wire::view::State as PeerState;
+use wire::{Revision, Upstream, Vm, Zone};
+
+use super::State;
+
+/// One node's state, as JSON for the operator client.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Status {
+    /// The VM.
+    pub vm: Vm,
+    /// The process on it.
+    pub incarnation: String,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// Whether it takes traffic.
+    pub ready: bool,
+    /// Whether it shuts down.
+    pub leaving: bool,
+    /// Time since the start in milliseconds.
+    pub uptime_ms: u64,
+    /// Revision in force.
+    pub revision: Option<Revision>,
+    /// Newest revision that was refused, and why.
+    pub refused: Option<(Revision, String)>,
+    /// Requests of callers in progress.
+    pub flying: u64,
+    /// Requests that wait for a grant.
+    pub placing: usize,
+    /// Whether calls that may not be repeated can be decided.
+    pub claims_ready: bool,
+    /// Keys of such calls remembered here.
+    pub claim_records: usize,
+    /// The region's nodes as this one sees them.
+    pub peers: Vec<PeerStatus>,
+    /// The upstreams.
+    pub upstreams: Vec<UpstreamStatus>,
+    /// The engines that this node owns.
+    pub owned: Vec<Owned>,
+}
+
+/// A peer as one node sees it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PeerStatus {
+    /// The VM.
+    pub vm: Vm,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// What is believed of it.
+    pub state: PeerState,
+}
+
+/// An upstream as one node sees it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct UpstreamStatus {
+    /// Its id.
+    pub id: Upstream,
+    /// Its pool.
+    pub pool: String,
+    /// Whether it gets no new work.
+    pub leaving: bool,
+    /// Whether its owner cannot reach it; known at the owner only.
+    pub down: bool,
+    /// The node that owns it.
+    pub owner: Option<Vm>,
+    /// Calls of this node in progress on it.
+    pub in_flight: usize,
+}
+
+/// An engine at its owner.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Owned {
+    /// Its id.
+    pub id: Upstream,
+}
+
+impl State {
+    pub(super) fn status(&self) -> Status {
+        let shared = &self.shared;
+        let now = shared.clock.now();
+        let view = shared.view.load();
+        let directory = shared.directory.load();
+        Status {
+            vm: shared.me.vm.clone(),
+            incarnation: shared.me.to_string(),
+            zone: shared.settings.vm.zone.clone(),
+            ready: shared.ready(),
+            leaving: shared.leaving(),
+            uptime_ms: millis(now),
+            revision: shared.rules.load().as_ref().map(|rules| rules.revision),
+            refused: self.refused.clone(),
+            flying: shared.flying(),
+            placing: self.placing.len(),
+            claims_ready: self.logic.once().ready(now),
+            claim_records: self.logic.once().records(),
+            peers: view.peers().iter().map(peer_status).collect(),
+            upstreams: directory
+                .runners()
+                .iter()
+                .map(|runner| UpstreamStatus {
+                    id: runner.id.clone(),
+                    pool: runner.pool.to_string(),
+                    leaving: runner.leaving,
+                    down: self.down.contains(&runner.id),
+                    owner: view.owner(&runner.id).cloned(),
+                    in_flight: runner.load(),
+                })
+                .collect(),
+            owned: self
+                .logic
+                .placement()
+                .owners()
+                .iter()
+                .map(|owner| Owned {
+                    id: owner.facts().id.clone(),
+                })
+                .collect(),
+        }
+    }
+}
+
+fn peer_status(peer: &wire::view::Peer) -> PeerStatus {
+    PeerStatus {
+        vm: peer.incarnation.vm.clone(),
+        zone: peer.zone.clone(),
+        state: peer.state,
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/node/src/directory.rs
@@ -0,0 +1,258 @@
+//! Where the nodes and upstreams of the region are, as the platform's list last told.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use platform::{List, Member, Role};
+use settings::{Driver, Settings};
+use upstream::{Limits, engine, service};
+use wire::{Upstream, Vm, Zone};
+
+/// Time that an idle connection to an upstream is kept.
+const KEEP: Duration = Duration::from_secs(20);
+
+/// An entry VM.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// Its id.
+    pub vm: Vm,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where peers connect.
+    pub peers: SocketAddr,
+    /// Whether the list says that it leaves.
+    pub leaving: bool,
+}
+
+/// The driver of an upstream.
+#[derive(Clone, Debug)]
+pub enum Link {
+    /// A model engine.
+    Engine(Arc<engine::Http>),
+    /// A plain service.
+    Service(Arc<service::Http>),
+}
+
+/// An upstream.
+#[derive(Clone, Debug)]
+pub struct Runner {
+    /// Its id.
+    pub id: Upstream,
+    /// The pool that it belongs to.
+    pub pool: Arc<str>,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Whether it gets no new work.
+    pub leaving: bool,
+    /// Its driver.
+    pub link: Link,
+    /// Calls of this node in progress on it.
+    pub in_flight: Arc<AtomicUsize>,
+}
+
+impl Runner {
+    /// Counts a call until the returned guard is dropped.
+    pub fn enter(&self) -> Flight {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        Flight(self.in_flight.clone())
+    }
+
+    /// Returns the number of this node's calls in progress on it.
+    pub fn load(&self) -> usize {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+}
+
+/// Counts one call in progress while it lives.
+#[derive(Debug)]
+pub struct Flight(Arc<AtomicUsize>);
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// The nodes and upstreams of the region, each sorted by id.
+#[derive(Clone, Debug, Default)]
+pub struct Directory {
+    entries: Vec<Entry>,
+    runners: Vec<Runner>,
+}
+
+impl Directory {
+    /// Makes the directory that `list` tells; upstreams that were known already keep their drivers.
+    ///
+    /// Members of other regions, and of pools that the settings do not name, are left out.
+    pub fn from_list(list: &List, settings: &Settings, known: &Self) -> Self {
+        let mut directory = Self::default();
+        let here = list
+            .members
+            .iter()
+            .filter(|member| member.region == settings.vm.region);
+        for member in here {
+            match &member.role {
+                Role::Entry { callers, peers } => {
+                    directory.entries.push(entry(member, *callers, *peers));
+                }
+                Role::Runner { pool, address } => {
+                    directory
+                        .runners
+                        .extend(runner(member, pool, *address, settings, known));
+                }
+            }
+        }
+        directory.entries.sort_by(|a, b| a.vm.cmp(&b.vm));
+        directory.runners.sort_by(|a, b| a.id.cmp(&b.id));
+        directory
+    }
+
+    /// Returns the entry VMs, sorted by id.
+    pub fn entries(&self) -> &[Entry] {
+        &self.entries
+    }
+
+    /// Returns the entry on `vm`.
+    pub fn entry(&self, vm: &str) -> Option<&Entry> {
+        let index = self
+            .entries
+            .binary_search_by(|entry| (*entry.vm).cmp(vm))
+            .ok()?;
+        self.entries.get(index)
+    }
+
+    /// Returns the upstreams, sorted by id.
+    pub fn runners(&self) -> &[Runner] {
+        &self.runners
+    }
+
+    /// Returns the upstream named `id`.
+    pub fn runner(&self, id: &str) -> Option<&Runner> {
+        let index = self
+            .runners
+            .binary_search_by(|runner| (*runner.id).cmp(id))
+            .ok()?;
+        self.runners.get(index)
+    }
+
+    /// Returns the engine named `id`.
+    pub fn engine(&self, id: &str) -> Option<(&Runner, &Arc<engine::Http>)> {
+        let runner = self.runner(id)?;
+        match &runner.link {
+            Link::Engine(engine) => Some((runner, engine)),
+            Link::Service(_) => None,
+        }
+    }
+
+    /// Returns the directory in which exactly the upstreams for which `leaving` holds leave.
+    #[must_use]
+    pub fn with_leaving(&self, leaving: impl Fn(&Upstream) -> bool) -> Self {
+        let mut directory = self.clone();
+        for runner in &mut directory.runners {
+            runner.leaving = leaving(&runner.id);
+        }
+        directory
+    }
+
+    /// Returns placement's facts about the engines, of which `down` are out of reach.
+    pub fn facts(&self, settings: &Settings, down: &[Upstream]) -> Vec<placement::event::Upstream> {
+        let engines = self
+            .runners
+            .iter()
+            .filter(|runner| matches!(runner.link, Link::Engine(_)));
+        engines
+            .filter_map(|runner| facts(runner, settings, down))
+            .collect()
+    }
+}
+
+fn entry(member: &Member, callers: SocketAddr, peers: SocketAddr) -> Entry {
+    Entry {
+        vm: member.vm.clone(),
+        zone: member.zone.clone(),
+        callers,
+        peers,
+        leaving: member.state == platform::State::Leaving,
+    }
+}
+
+fn runner(
+    member: &Member,
+    pool: &str,
+    address: SocketAddr,
+    settings: &Settings,
+    known: &Directory,
+) -> Option<Runner> {
+    let facts = settings.pools.get(pool)?;
+    let id: Upstream = member.vm.clone();
+    let same = known
+        .runner(&id)
+        .filter(|old| old.address == address && *old.pool == *pool);
+    let link = match same {
+        Some(old) => old.link.clone(),
+        None => open(&id, address, facts, settings),
+    };
+    Some(Runner {
+        id,
+        pool: pool.into(),
+        zone: member.zone.clone(),
+        address,
+        leaving: member.state == platform::State::Leaving,
+        link,
+        in_flight: same.map(|old| old.in_flight.clone()).unwrap_or_default(),
+    })
+}
+
+fn open(id: &Upstream, address: SocketAddr, pool: &settings::Pool, settings: &Settings) -> Link {
+    let limits = Limits {
+        connect: settings.time.connect,
+        head: settings.time.first_byte,
+        body: settings.time.idle,
+        keep: KEEP,
+        ..Limits::default()
+    };
+    match pool.driver {
+        Driver::Engine => {
+            let engine = engine::Http::new(id.clone(), address, limits, settings.time.load);
+            Link::Engine(Arc::new(engine))
+        }
+        Driver::Service => Link::Service(Arc::new(service::Http::new(id.clone(), address, limits))),
+    }
+}
+
+fn facts(
+    runner: &Runner,
+    settings: &Settings,
+    down: &[Upstream],
+) -> Option<placement::event::Upstream> {
+    use placement::event::{Fencing, State};
+    let pool = settings.pools.get(&*runner.pool)?;
+    let state = if runner.leaving {
+        State::Leaving
+    } else if down.contains(&runner.id) {
+        State::Down
+    } else {
+        State::Live
+    };
+    let fencing = match pool.fencing {
+        settings::Fencing::RefusesOld => Fencing::RefusesOld,
+        settings::Fencing::Ignores => Fencing::Ignores,
+    };
+    Some(placement::event::Upstream {
+        id: runner.id.clone(),
+        pool: runner.pool.clone(),
+        base: pool.base.clone()?,
+        zone: runner.zone.clone(),
+        store: pool.store.clone()?,
+        slots: pool.slots as usize,
+        max_batch: pool.max_batch,
+        fencing,
+        state,
+    })
+}
--- /dev/null
+++ b/crates/node/src/front/operators.rs
@@ -0,0 +1,126 @@
+//! Pages for operators: metrics and status, on an address of their own.
+
+use std::sync::Arc;
+
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
+use jiff::Timestamp;
+use serde::Serialize;
+use wire::Priority;
+
+use super::handler::json;
+use super::listener::Handler;
+use super::{Body, Problem};
+use crate::core::Handle;
+use crate::shared::Shared;
+
+/// Answers operators' requests.
+#[derive(Clone)]
+pub struct Operators {
+    shared: Arc<Shared>,
+    core: Handle,
+}
+
+#[derive(Serialize)]
+struct Candidate {
+    rule: String,
+    verdict: &'static str,
+}
+
+#[derive(Serialize)]
+struct Explanation {
+    revision: u64,
+    model: Option<String>,
+    pool: Option<String>,
+    priority: Option<&'static str>,
+    refusal: Option<String>,
+    candidates: Vec<Candidate>,
+}
+
+impl Operators {
+    /// Makes the handler.
+    pub fn new(shared: Arc<Shared>, core: Handle) -> Self {
+        Self { shared, core }
+    }
+
+    async fn answer(&self, request: &Request<Incoming>) -> Result<Response<Body>, Problem> {
+        match (request.method(), request.uri().path()) {
+            (&Method::GET, "/metrics") => self.metrics(),
+            (&Method::GET, "/v1/status") => self.status().await,
+            (&Method::GET, "/v1/explain") => self.explain(request.uri().query().unwrap_or("")),
+            _ => {
+                let detail = "no such page; there are /metrics, /v1/status and /v1/explain";
+                Err(Problem::bad(StatusCode::NOT_FOUND, detail))
+            }
+        }
+    }
+
+    fn metrics(&self) -> Result<Response<Body>, Problem> {
+        let text = self.shared.metrics.render().map_err(internal)?;
+        let mut response = Response::new(Body::full(text));
+        let media = HeaderValue::from_static("text/plain; version=0.0.4");
+        response.headers_mut().insert(CONTENT_TYPE, media);
+        Ok(response)
+    }
+
+    async fn status(&self) -> Result<Response<Body>, Problem> {
+        let status = self
+            .core
+            .status()
+            .await
+            .ok_or_else(|| internal("the node is stopping"))?;
+        let document = serde_json::to_vec(&status).map_err(internal)?;
+        Ok(json(document))
+    }
+
+    fn explain(&self, query: &str) -> Result<Response<Body>, Problem> {
+        let rules = self
+            .shared
+            .rules
+            .load_full()
+            .ok_or_else(|| internal("no rules in force"))?;
+        let get = |name: &str| {
+            let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+            pairs
+                .find(|(key, _)| *key == name)
+                .map_or("", |(_, value)| value)
+        };
+        let ask = rules::Ask {
+            caller: get("caller"),
+            trade: get("trade"),
+            priority: Priority::parse(get("priority")).unwrap_or_default(),
+            model: Some(get("model")).filter(|model| !model.is_empty()),
+            at: Timestamp::now(),
+        };
+        let choice = rules.set.route(&ask);
+        let candidates = rules.set.explain(&ask).unwrap_or_default();
+        let explanation = Explanation {
+            revision: rules.revision,
+            model: choice.as_ref().ok().map(|choice| choice.model.to_string()),
+            pool: choice.as_ref().ok().map(|choice| choice.pool.to_string()),
+            priority: choice.as_ref().ok().map(|choice| choice.priority.name()),
+            refusal: choice.as_ref().err().map(ToString::to_string),
+            candidates: candidates
+                .iter()
+                .map(|candidate| Candidate {
+                    rule: candidate.rule.to_string(),
+                    verdict: candidate.verdict.text(),
+                })
+                .collect(),
+        };
+        Ok(json(serde_json::to_vec(&explanation).map_err(internal)?))
+    }
+}
+
+fn internal(cause: impl std::fmt::Display) -> Problem {
+    Problem::bad(StatusCode::SERVICE_UNAVAILABLE, cause.to_string())
+}
+
+impl Handler for Operators {
+    async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
+        self.answer(&request)
+            .await
+            .unwrap_or_else(Problem::into_response)
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,7 +1,22 @@
 //! The node: actors and servers that turn bytes into events and actions into bytes.
+//!
+//! - [`core`] drives the decision makers of `logic` as one actor.
+//! - [`peer`] carries frames between nodes.
+//! - [`front`] answers callers and operators.
+//! - [`directory`] knows where nodes and upstreams are.
+//! - [`run`] starts and stops all of it; [`tune`] derives the machines' settings.
+//! - [`journal`], [`metrics`] and [`usage`] tell operators what happens.
+
 pub mod clock;
+pub mod core;
+pub mod directory;
 pub mod front;
 pub mod journal;
 pub mod metrics;
 pub mod peer;
+pub mod run;
+pub mod shared;
+pub mod tune;
 pub mod usage;
+
+pub use run::{Addresses, Ending, Error, Node};
--- /dev/null
+++ b/crates/node/src/shared.rs
@@ -0,0 +1,115 @@
+//! What the front, the core and the operators' pages of one node share.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use settings::Settings;
+use wire::{Incarnation, Request, Revision, View};
+
+use crate::clock::Clock;
+use crate::directory::Directory;
+use crate::metrics::Metrics;
+
+/// The rules in force.
+#[derive(Debug)]
+pub struct Rules {
+    /// Their revision.
+    pub revision: Revision,
+    /// The rules.
+    pub set: Arc<rules::Set>,
+}
+
+/// State of one node that any of its tasks may read.
+pub struct Shared {
+    /// The settings.
+    pub settings: Settings,
+    /// The process.
+    pub me: Incarnation,
+    /// The monotonic clock.
+    pub clock: Clock,
+    /// The metrics.
+    pub metrics: Metrics,
+    /// The rules in force; none until the first revision is adopted.
+    pub rules: ArcSwapOption<Rules>,
+    /// The present view of the region.
+    pub view: ArcSwap<View>,
+    /// Where nodes and upstreams are.
+    pub directory: ArcSwap<Directory>,
+    /// Prefix for the keys of calls that may not be repeated, while witnesses are known.
+    pub ticket: ArcSwapOption<String>,
+    ready: AtomicBool,
+    leaving: AtomicBool,
+    flying: AtomicU64,
+    requests: AtomicU64,
+}
+
+impl Shared {
+    /// Makes the state of a process that has just started.
+    pub fn new(settings: Settings, me: Incarnation, clock: Clock, metrics: Metrics) -> Self {
+        Self {
+            settings,
+            me,
+            clock,
+            metrics,
+            rules: ArcSwapOption::empty(),
+            view: ArcSwap::default(),
+            directory: ArcSwap::default(),
+            ticket: ArcSwapOption::empty(),
+            ready: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
+            flying: AtomicU64::new(0),
+            requests: AtomicU64::new(1),
+        }
+    }
+
+    /// Returns a request number that was not given before.
+    pub fn next_request(&self) -> Request {
+        self.requests.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Returns the prefix for keys that callers make from now on.
+    pub fn ticket(&self) -> Option<String> {
+        self.ticket.load().as_deref().cloned()
+    }
+
+    /// Tells whether the newest configuration that can be learnt of is in force.
+    pub fn ready(&self) -> bool {
+        self.ready.load(Ordering::Acquire)
+    }
+
+    /// Says that traffic may be taken.
+    pub fn set_ready(&self) {
+        self.ready.store(true, Ordering::Release);
+    }
+
+    /// Tells whether a graceful shutdown goes on.
+    pub fn leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+
+    /// Says that a graceful shutdown has started.
+    pub fn set_leaving(&self) {
+        self.leaving.store(true, Ordering::Release);
+    }
+
+    /// Counts a caller's request until the returned guard is dropped.
+    pub fn enter(self: &Arc<Self>) -> Flight {
+        self.flying.fetch_add(1, Ordering::AcqRel);
+        Flight(self.clone())
+    }
+
+    /// Returns the number of callers' requests in progress.
+    pub fn flying(&self) -> u64 {
+        self.flying.load(Ordering::Acquire)
+    }
+}
+
+/// Counts one caller's request while it lives.
+pub struct Flight(Arc<Shared>);
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.0.flying.fetch_sub(1, Ordering::AcqRel);
+    }
+}
