--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -8,6 +8,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
 
 use ::platform::{Member, Role, State};
 use bytes::Bytes;
@@ -196,7 +197,7 @@
 }
 
 async fn places(config: &Config, platforms: &[platform::Server]) -> io::Result<Vec<Place>> {
-    let mut ports = Ports::new();
+    let ports = Ports;
     let mut places = Vec::new();
     for (index, platform) in platforms.iter().enumerate() {
         let zones = &config.site.zones;
@@ -213,25 +214,27 @@
 }
 
 /// Free ports below those that the system gives to connections and to port 0, so that none is
-/// taken while its node is down.
-struct Ports(u16);
+/// taken while its node is down. No two fleets of a process get the same.
+struct Ports;
+
+/// Ports handed out by this process.
+static PORTS_GIVEN: AtomicU32 = AtomicU32::new(0);
 
 impl Ports {
-    const FIRST: u16 = 10_000;
-    const COUNT: u16 = 20_000;
-
-    /// Begins at a port that processes started one after another do not share.
-    fn new() -> Self {
-        const PORTS_APART: u32 = 64;
-        let offset = std::process::id().wrapping_mul(PORTS_APART) % u32::from(Self::COUNT);
-        Self(Self::FIRST + offset as u16)
-    }
+    const FIRST: u32 = 10_000;
+    const COUNT: u32 = 20_000;
+
+    /// Ports between those of processes with successive ids.
+    const APART: u32 = 64;
 
-    async fn next(&mut self) -> io::Result<SocketAddr> {
+    async fn next(&self) -> io::Result<SocketAddr> {
         let mut last = io::ErrorKind::AddrInUse.into();
         for _ in 0..Self::COUNT {
-            let address = loopback(self.0);
-            self.0 = Self::FIRST + (self.0 - Self::FIRST + 1) % Self::COUNT;
+            let given = PORTS_GIVEN.fetch_add(1, Ordering::Relaxed);
+            let offset = std::process::id()
+                .wrapping_mul(Self::APART)
+                .wrapping_add(given);
+            let address = loopback((Self::FIRST + offset % Self::COUNT) as u16);
             match TcpListener::bind(address).await {
                 Ok(_) => return Ok(address),
                 Err(error) => last = error,
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,6 +8,8 @@
 //!   an answer is whole, its own, and of the right adapter and version.
 //! - [`log`] records what the stand-ins did, for a checker to read.
 //! - [`caller`] asks the system and records what it got.
+//! - [`workload`] draws requests by a seed and sends them, [`schedule`] draws faults by a seed
+//!   and brings them about.
 //! - [`checker`] decides from these logs and the callers' whether the system kept its promises.
 //! - [`http`] is the small server that they share.
 //!
@@ -23,8 +25,10 @@
 pub mod log;
 pub mod platform;
 pub mod proxy;
+pub mod schedule;
 pub mod service;
 pub mod site;
+pub mod workload;
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
