List entry VMs by hand at the stand-in of a site

Started by hand as the README says, a node was not on the list of VMs, so it owned nothing and refused every completion.

--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use ::platform::{Member, Role, State};
 use clap::builder::ValueParser;
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use standin::engine::{self, Store, store};
@@ -47,6 +48,15 @@
         .subcommand(engine_options(
             Command::new("all")
                 .about("Runs a whole site: a platform, engines with their store, and services")
+                .arg(
+                    option(
+                        "entry",
+                        "VM/ZONE/CALLERS/PEERS",
+                        "An entry VM of the list, with its addresses for callers and peers",
+                        ValueParser::new(Entry::parse),
+                    )
+                    .action(ArgAction::Append),
+                )
                 .arg(
                     option("region", "NAME", "The region", ValueParser::string())
                         .default_value("region"),
@@ -237,12 +247,55 @@
         ..site::Config::default()
     })
     .await?;
+    let region: String = get(matches, "region");
+    let entries = matches.get_many::<Entry>("entry").unwrap_or_default();
+    let entries = entries.cloned().map(|entry| entry.into_member(&region));
+    site.platform.state().merge_members(entries);
     for (kind, name, address) in site.addresses() {
         println!("{kind} {name} {address}");
     }
     stopped().await
 }
 
+/// An entry VM of the list.
+#[derive(Clone, Debug)]
+struct Entry {
+    vm: String,
+    zone: String,
+    callers: SocketAddr,
+    peers: SocketAddr,
+}
+
+impl Entry {
+    /// Reads the form `VM/ZONE/CALLERS/PEERS`.
+    fn parse(text: &str) -> Result<Self, String> {
+        let parts: Vec<&str> = text.split('/').collect();
+        let [vm, zone, callers, peers] = parts[..] else {
+            return Err("write VM/ZONE/IP:PORT/IP:PORT".to_owned());
+        };
+        let address = |text: &str| text.parse().map_err(|_| format!("{text} is not IP:PORT"));
+        Ok(Self {
+            vm: vm.to_owned(),
+            zone: zone.to_owned(),
+            callers: address(callers)?,
+            peers: address(peers)?,
+        })
+    }
+
+    fn into_member(self, region: &str) -> Member {
+        Member {
+            vm: self.vm.into(),
+            role: Role::Entry {
+                callers: self.callers,
+                peers: self.peers,
+            },
+            region: region.into(),
+            zone: self.zone.into(),
+            state: State::Live,
+        }
+    }
+}
+
 async fn run_platform(matches: &ArgMatches) -> Outcome {
     let server = platform::Server::start(platform::Config {
         listen: get(matches, "listen"),
