--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -5,6 +5,7 @@
 //! file, checks them against each other and refuses the whole revision with all [`Fault`]s where
 //! any is found. A [`Set`] is immutable: [`Set::route`] answers which adapter and version an
 //! [`Ask`] gets, [`Set::service`] where a plain call goes, [`Set::caller_by_token`] who calls.
+//! [`Set::upcoming`] tells what terms that begin will ask for.
 //! [`Set::warnings`], [`Set::explain`] and [`diff()`] are for operators.
 //!
 //! # Statements
@@ -51,5 +52,6 @@
 pub use set::route::{Ask, Choice, Refusal};
 pub use set::service::{Repeat, ServiceRoute};
 pub use set::term::Term;
+pub use set::upcoming::Start;
 pub use set::{Rule, Set};
 pub use warning::{Kind, Warning};
--- a/crates/rules/src/set/mod.rs
+++ b/crates/rules/src/set/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod route;
 pub(crate) mod service;
 pub(crate) mod term;
+pub(crate) mod upcoming;
 
 use std::fmt;
 use std::sync::Arc;
--- a/crates/rules/src/set/term.rs
+++ b/crates/rules/src/set/term.rs
@@ -68,10 +68,14 @@
 
 impl When {
     pub(crate) fn holds(&self, at: Timestamp, calendars: &[Calendar]) -> bool {
+        self.holds_by_date(at, calendars) && self.clock(at)
+    }
+
+    /// Tells whether dates and calendar hold, whatever the day of the week and the hour.
+    pub(crate) fn holds_by_date(&self, at: Timestamp, calendars: &[Calendar]) -> bool {
         self.from.is_none_or(|from| from <= at)
             && self.until.is_none_or(|until| at < until)
             && self.season.is_none_or(|season| season.holds(at, calendars))
-            && self.clock(at)
     }
 
     /// Tells whether days and hours hold. Hours past midnight belong to the day they start on.
--- a/crates/rules/tests/example_files.rs
+++ b/crates/rules/tests/example_files.rs
@@ -95,3 +95,18 @@
         .filter(|pool| pool.serves != Use::Service);
     assert_eq!((engines.count(), set.pools().len()), (1, 2));
 }
+
+#[test]
+fn examples_of_the_page_are_accepted() {
+    let path = format!("{}/../../docs/rules.md", env!("CARGO_MANIFEST_DIR"));
+    let page = std::fs::read_to_string(path).unwrap();
+    let blocks = page.split("```rules\n").skip(1);
+    let texts: Vec<&str> = blocks
+        .filter_map(|block| block.split("```").next())
+        .collect();
+    assert_eq!(texts.len(), 2);
+    for text in texts {
+        let set = Set::parse([("page", text)]).unwrap();
+        assert_eq!(set.warnings("2026-03-01T00:00:00Z".parse().unwrap()), []);
+    }
+}
--- a/crates/rules/tests/set_changes.rs
+++ b/crates/rules/tests/set_changes.rs
@@ -63,6 +63,30 @@
     );
 }
 
+#[rstest]
+#[case(&["route to x when term c"], &["2026-03-01 x@v1"])]
+#[case(&["route to x@v2 when term c:t2 days mon"], &["2026-03-01 x@v2"])]
+#[case(&["route to y when holiday c"], &["2026-02-01 y@v1", "2026-04-01 y@v1"])]
+#[case(&["route to y when holiday c:t2"], &["2026-04-01 y@v1"])]
+#[case(&["route to x when term c from 2026-03-10"], &["2026-03-10 x@v1"])]
+#[case(&["route to x when term c from 2026-02-10"], &["2026-03-01 x@v1"])]
+#[case(&["route to x when zone UTC until 2026-03-10"], &[])]
+#[case(&["route to x", "route to named when term c"], &[])]
+#[case(&["rollout x from v1 to v2 percent 51", "route to x when term c"], &["2026-03-01 x@v2"])]
+#[case(&["route to x when term c", "route caller k to y when term c"],
+    &["2026-03-01 x@v1", "2026-03-01 y@v1"])]
+fn starts(#[case] lines: &[&str], #[case] expected: &[&str]) {
+    let set = parse(lines);
+    let span = ["2026-01-10T00:00:00Z", "2026-12-31T00:00:00Z"].map(|at| at.parse().unwrap());
+    let starts = set.upcoming(span[0], span[1]);
+    let texts = starts.iter().map(|start| {
+        let at = start.at.to_string();
+        format!("{} {}", at.strip_suffix("T00:00:00Z").unwrap(), start.model)
+    });
+    assert_eq!(texts.collect::<Vec<_>>(), expected);
+    assert_eq!(set.upcoming(span[1], span[0]), []);
+}
+
 #[rstest]
 #[case(&["route to x"], &["route to y"], "any caller: route for trade any, priority any: x -> y")]
 #[case(&[], &["route caller k priority normal to x@v2 when term c"],
