Count the share of aged requests in estimates of waits

Routine requests were shed for the whole backlog of normal ones before them, though ageing brings one in four admissions to them. A routine request behind 100 normal ones with one slot and a run time of 1 s is now expected after 3 s and admitted then.

--- a/crates/admission/src/pool.rs
+++ b/crates/admission/src/pool.rs
@@ -119,43 +119,52 @@
 
     /// Estimates the wait of the next request of `caller`; `None` where the pool has no capacity.
     pub(crate) fn wait(&self, now: Time, priority: Priority, caller: &Caller) -> Option<Duration> {
-        self.wait_behind(now, priority, self.class(priority).ahead(caller))
+        let ahead = self.class(priority).ahead(caller);
+        self.wait_behind(now, priority, ahead, now)
     }
 
-    /// Estimates the wait of a request with `ahead` others of its class before it.
-    ///
-    /// Requests are taken to run for the smoothed time each. The request starts when enough of
-    /// those that run and of those before it have ended.
+    /// Estimates the wait of a request that arrived at `arrived` and has `ahead` others of its
+    /// class before it.
     pub(crate) fn wait_behind(
         &self,
         now: Time,
         priority: Priority,
         ahead: usize,
+        arrived: Time,
     ) -> Option<Duration> {
         let usable = self.usable(priority) as usize;
         if usable == 0 {
             return None;
         }
-        let before = self.before(priority, ahead);
+        let [urgent, normal, routine] = Priority::ALL.map(|priority| self.class(priority).active());
+        let share = AGED_SHARE as usize;
+        let start = |before| self.start(now, usable, before);
+        Some(match priority {
+            Priority::Urgent => start(ahead),
+            // Each round of `share` admissions holds an aged request, if any waits.
+            Priority::Normal => start(urgent + ahead + (ahead / (share - 1)).min(routine)),
+            Priority::Routine => {
+                let by_age = (arrived + self.age).saturating_sub(now);
+                let turn = (share - 1).saturating_sub(self.since_aged as usize);
+                let aged = start(urgent + share * ahead + turn);
+                start(urgent + normal + ahead).min(aged.max(by_age))
+            }
+        })
+    }
+
+    /// Estimates when a request may start that has `before` others before it, while `usable` run
+    /// at once.
+    ///
+    /// Requests are taken to run for the smoothed time each. The request starts when enough of
+    /// those that run and of those before it have ended.
+    fn start(&self, now: Time, usable: usize, before: usize) -> Duration {
         let rounds = u32::try_from(before / usable).unwrap_or(u32::MAX);
         let place = (self.running.len() + before % usable).checked_sub(usable);
         let ends = place.and_then(|place| self.running.iter().nth(place));
         let first = ends.map_or(Duration::ZERO, |(since, _)| {
             (*since + self.hold).saturating_sub(now)
         });
-        Some(first + self.hold.saturating_mul(rounds).min(WAIT_MAX))
-    }
-
-    /// Returns how many requests go before one with `ahead` others of its class before it.
-    fn before(&self, priority: Priority, ahead: usize) -> usize {
-        let share = AGED_SHARE as usize;
-        let [urgent, normal, routine] = Priority::ALL.map(|priority| self.class(priority).active());
-        match priority {
-            Priority::Urgent => ahead,
-            // Each round of `share` admissions holds an aged request, if any waits.
-            Priority::Normal => urgent + ahead + (ahead / (share - 1)).min(routine),
-            Priority::Routine => urgent + normal + ahead,
-        }
+        first + self.hold.saturating_mul(rounds).min(WAIT_MAX)
     }
 
     /// Returns the time in which `count` requests end while `width` run at once.
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -321,7 +321,7 @@
         turn: Turn,
     ) -> Option<Duration> {
         let pool = &self.pools[index].1;
-        let by_pool = pool.wait_behind(now, priority, ahead)?;
+        let by_pool = pool.wait_behind(now, priority, ahead, turn.ticket.arrived)?;
         let caller = &self.requests[&turn.ticket.request].caller;
         let width = self.accounts[caller]
             .width(priority)
--- a/crates/admission/tests/support/mod.rs
+++ b/crates/admission/tests/support/mod.rs
@@ -228,17 +228,31 @@
         pool: &str,
         priority: Priority,
         ahead: usize,
+        arrived: Time,
     ) -> Option<Duration> {
         let usable = self.usable(pool, priority);
         let [urgent, normal, routine] = Priority::ALL.map(|p| self.ready(pool, p).len());
-        let before = match priority {
-            Priority::Urgent => ahead,
-            Priority::Normal => urgent + ahead + (ahead / (AGED_SHARE as usize - 1)).min(routine),
-            Priority::Routine => urgent + normal + ahead,
-        };
         if usable == 0 {
             return None;
         }
+        let share = AGED_SHARE as usize;
+        Some(match priority {
+            Priority::Urgent => self.start(now, pool, usable, ahead),
+            Priority::Normal => {
+                let aged = (ahead / (share - 1)).min(routine);
+                self.start(now, pool, usable, urgent + ahead + aged)
+            }
+            Priority::Routine => {
+                let strict = self.start(now, pool, usable, urgent + normal + ahead);
+                let since = self.pools[pool].since_aged.min(AGED_SHARE - 1) as usize;
+                let before = urgent + share * ahead + share - 1 - since;
+                let aged = self.start(now, pool, usable, before);
+                strict.min(aged.max((arrived + config().age).saturating_sub(now)))
+            }
+        })
+    }
+
+    fn start(&self, now: Time, pool: &str, usable: u32, before: usize) -> Duration {
         // Plays the running requests and those before it through, one end after the other.
         let hold = self.pools[pool].hold;
         let running = self
@@ -255,7 +269,7 @@
             start = last.map_or(now, |last| ends.drain(..=last).next_back().unwrap());
             ends.push(start + hold);
         }
-        Some(start.saturating_sub(now))
+        start.saturating_sub(now)
     }
 
     fn newcomer_wait(
@@ -271,7 +285,7 @@
             .iter()
             .filter(|job| job.tag <= tag)
             .count();
-        self.pool_wait(now, pool, priority, ahead)
+        self.pool_wait(now, pool, priority, ahead, now)
     }
 
     fn own_wait(&self, pool: &str, priority: Priority, caller: &str, own: usize) -> Duration {
@@ -449,7 +463,7 @@
                     let own = self.own(&pool, priority, &caller);
                     let own = own.iter().position(|r| *r == request).unwrap();
                     let left = job.arrival.deadline - now;
-                    let wait = self.pool_wait(now, &pool, priority, ahead);
+                    let wait = self.pool_wait(now, &pool, priority, ahead, job.arrived);
                     let own = self.own_wait(&pool, priority, &caller, own);
                     match wait.map(|wait| wait.max(own)) {
                         None => self.turn_away(now, request, Reason::Outage, out),
--- a/crates/admission/tests/wait_estimates.rs
+++ b/crates/admission/tests/wait_estimates.rs
@@ -149,3 +149,35 @@
     assert_eq!(watch.queue.waiting(), 0);
     assert!(watch.queue.wake().is_none());
 }
+
+#[test]
+fn routine_is_not_shed_where_its_age_brings_it_on() {
+    let mut watch = Watch::new(admission::Config {
+        waiting: 1000,
+        ..config()
+    });
+    watch.step(capacity(1), |_, _| {});
+    let far = 1000 * SECOND;
+    for request in 0..100 {
+        watch.step(
+            Event::Arrive(arrival(request, "a", Priority::Normal, far)),
+            |_, _| {},
+        );
+    }
+    let mut ask = |request, limit| {
+        let arrival = arrival(request, "b", Priority::Routine, limit);
+        watch.step(Event::Arrive(arrival), |_, _| {})
+    };
+    // The first of four admissions is past, so the fourth comes after three seconds; all of the
+    // others would take a hundred.
+    assert!(matches!(
+        ask(100, 3 * SECOND)[..],
+        [Action::Refuse {
+            reason: Reason::Busy,
+            ..
+        }]
+    ));
+    assert_eq!(ask(101, 4 * SECOND), []);
+    let out = play(&mut watch, 3 * SECOND);
+    assert!(out.contains(&Action::Admit { request: 101 }), "{out:?}");
+}
