--- a/crates/dispatch/src/retry.rs
+++ b/crates/dispatch/src/retry.rs
@@ -203,6 +203,11 @@
         allowed
     }
 
+    /// Returns the number of attempts that were started here.
+    pub const fn made(&self) -> u32 {
+        self.made
+    }
+
     /// Returns the mark for a request that is passed on to another node now, which takes the
     /// remaining attempts over.
     pub fn pass(&mut self, now: Time) -> Mark {
--- a/crates/logic/src/channel.rs
+++ b/crates/logic/src/channel.rs
@@ -12,11 +12,19 @@
     Placement = 2,
     /// Calls that may not be repeated.
     Once = 3,
+    /// Requests that crash upstreams.
+    Poison = 4,
 }
 
 impl Channel {
     /// Every channel, in the order of their numbers.
-    pub const ALL: [Self; 4] = [Self::Roster, Self::Config, Self::Placement, Self::Once];
+    pub const ALL: [Self; 5] = [
+        Self::Roster,
+        Self::Config,
+        Self::Placement,
+        Self::Once,
+        Self::Poison,
+    ];
 
     /// Returns the channel with this number.
     pub fn from_number(number: u8) -> Option<Self> {
@@ -30,6 +38,7 @@
             Self::Config => "config",
             Self::Placement => "placement",
             Self::Once => "once",
+            Self::Poison => "poison",
         }
     }
 }
--- a/crates/logic/src/node.rs
+++ b/crates/logic/src/node.rs
@@ -3,7 +3,9 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
+use admission::Queue;
 use confsync::Spreader;
+use dispatch::{Poison, poison};
 use once::Guard;
 use placement::Planner;
 use roster::Roster;
@@ -26,6 +28,10 @@
     pub placement: placement::settings::Settings,
     /// Limits of the at-most-once machine.
     pub once: once::guard::Config,
+    /// Settings of admission.
+    pub admission: admission::Config,
+    /// Times of the search for requests that crash upstreams.
+    pub poison: poison::Config,
 }
 
 /// What a node is told.
@@ -48,6 +54,10 @@
     Placement(placement::Event),
     /// Something happened that concerns calls that may not be repeated.
     Once(once::Event),
+    /// Something happened that concerns admission.
+    Admission(admission::Event),
+    /// Something happened that concerns requests that crash upstreams.
+    Poison(poison::Event),
     /// A graceful shutdown starts.
     Leave,
     /// The time given by `wake` has come.
@@ -73,6 +83,10 @@
     Placement(placement::Action),
     /// An action of the at-most-once machine.
     Once(once::Action),
+    /// An action of the admission machine.
+    Admission(admission::Action),
+    /// An action of the machine that finds requests which crash upstreams.
+    Poison(poison::Action),
 }
 
 /// Every decision maker of one node.
@@ -83,6 +97,8 @@
     config: Spreader,
     placement: Planner,
     once: Guard,
+    admission: Queue,
+    poison: Poison,
     queue: VecDeque<Event>,
 }
 
@@ -96,12 +112,16 @@
             seed,
             placement,
             once,
+            admission,
+            poison,
         } = config;
         Self {
             roster: Roster::new(me.clone(), zone.clone(), seed),
             config: Spreader::new(me.clone(), zone, manifest, seed),
             placement: Planner::new(me.clone(), placement),
             once: Guard::new(once, me.clone()),
+            admission: Queue::new(admission),
+            poison: Poison::new(poison, me.clone()),
             queue: VecDeque::new(),
             me,
         }
@@ -132,6 +152,11 @@
         &self.once
     }
 
+    /// Returns the machine that finds requests which crash upstreams, to look at.
+    pub fn poison(&self) -> &Poison {
+        &self.poison
+    }
+
     /// Tells whether an order to an engine may still be written; asked directly before the write.
     pub fn permit_order(&self, now: Time, upstream: &str, fence: wire::Fence) -> bool {
         self.placement.permit(now, upstream, fence)
@@ -153,6 +178,8 @@
             Event::Config(event) => self.step_config(now, event, out),
             Event::Placement(event) => self.step_placement(now, event, out),
             Event::Once(event) => self.step_once(now, event, out),
+            Event::Admission(event) => self.step_admission(now, event, out),
+            Event::Poison(event) => self.step_poison(now, event, out),
             Event::Leave => {
                 self.step_roster(now, roster::Event::Leave, out);
                 self.step_once(now, once::Event::Leave, out);
@@ -166,6 +193,8 @@
         self.step_config(now, confsync::Event::Tick, out);
         self.step_placement(now, placement::Event::Tick, out);
         self.step_once(now, once::Event::Tick, out);
+        self.step_admission(now, admission::Event::Tick, out);
+        self.step_poison(now, poison::Event::Tick, out);
     }
 
     /// Takes a frame in; one that is for another VM or does not decode is dropped, as if lost.
@@ -195,6 +224,11 @@
                     self.step_once(now, once::Event::Receive { from, message }, out);
                 }
             }
+            Some(Channel::Poison) => {
+                if let Ok(message) = wire::frame::decode(&frame.body) {
+                    self.step_poison(now, poison::Event::Receive { from, message }, out);
+                }
+            }
             None => {}
         }
     }
@@ -226,6 +260,8 @@
             .push_back(Event::Placement(placement::Event::View(view.clone())));
         self.queue
             .push_back(Event::Once(once::Event::View(view.clone())));
+        self.queue
+            .push_back(Event::Poison(poison::Event::View(view.clone())));
         out.extend([Action::View(view)]);
     }
 
@@ -275,6 +311,30 @@
         }
     }
 
+    fn step_admission(
+        &mut self,
+        now: Time,
+        event: admission::Event,
+        out: &mut impl Extend<Action>,
+    ) {
+        let mut actions = Vec::new();
+        self.admission.step(now, event, &mut actions);
+        out.extend(actions.into_iter().map(Action::Admission));
+    }
+
+    fn step_poison(&mut self, now: Time, event: poison::Event, out: &mut impl Extend<Action>) {
+        let mut actions = Vec::new();
+        self.poison.step(now, event, &mut actions);
+        for action in actions {
+            match action {
+                poison::Action::Send { to, message } => {
+                    self.send(Channel::Poison, to, &message, out);
+                }
+                other => out.extend([Action::Poison(other)]),
+            }
+        }
+    }
+
     fn send<M: serde::Serialize>(
         &self,
         channel: Channel,
@@ -312,6 +372,8 @@
             self.config.wake(),
             self.placement.wake(),
             self.once.wake(),
+            self.admission.wake(),
+            self.poison.wake(),
         ];
         wakes.into_iter().flatten().min()
     }
--- a/crates/node/src/core/input.rs
+++ b/crates/node/src/core/input.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dispatch::poison::Print;
 use logic::Event;
 use tokio::sync::{mpsc, oneshot};
 use wire::{Fence, Lease, Model, Request, Revision, Time, Upstream};
@@ -23,6 +24,40 @@
         /// Where the answer goes.
         reply: oneshot::Sender<Placed>,
     },
+    /// The engine does not hold the instance of a granted request, which did not run.
+    Missing {
+        /// The request.
+        request: Request,
+        /// Where the answer goes.
+        reply: oneshot::Sender<Placed>,
+    },
+    /// A request wants to be admitted.
+    Admit {
+        /// The request.
+        arrival: admission::Arrival,
+        /// Where the answer goes.
+        reply: oneshot::Sender<Admitted>,
+    },
+    /// Which upstream of a pool is a suspect request confined to, if it is one?
+    Confine {
+        /// Fingerprint of the request.
+        print: Print,
+        /// The pool's upstreams.
+        pool: Vec<Upstream>,
+        /// Where the answer goes.
+        reply: oneshot::Sender<Option<Upstream>>,
+    },
+    /// May a request go to an upstream, for all that is known of earlier crashes?
+    Vet {
+        /// The request.
+        request: Request,
+        /// Its fingerprint.
+        print: Print,
+        /// The upstream.
+        upstream: Upstream,
+        /// Where the answer goes.
+        reply: oneshot::Sender<Vetted>,
+    },
     /// A call that may not be repeated begins.
     Begin {
         /// The machine's event.
@@ -99,6 +134,39 @@
     },
 }
 
+/// Answer to a request for admission.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admitted {
+    /// It may run.
+    Yes,
+    /// It did not run and will not.
+    Refused {
+        /// Why.
+        reason: admission::Reason,
+        /// When a retry makes sense.
+        retry_after: Duration,
+    },
+}
+
+/// Answer to whether a request may go to an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Vetted {
+    /// It may.
+    Run,
+    /// The upstream is kept for a suspect request now.
+    Elsewhere,
+    /// The request has crashed too many upstreams.
+    Convicted {
+        /// Upstreams that it has cost.
+        crashes: usize,
+    },
+    /// It may later.
+    Busy {
+        /// When a retry makes sense.
+        retry_after: Duration,
+    },
+}
+
 /// What is decided about a call that may not be repeated.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Ruling {
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -15,12 +15,13 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
+use dispatch::poison::{self, Print, Standing};
 use logic::Event;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::sync::{mpsc, oneshot, watch};
 use wire::{Frame, Machine, Request, Revision, Time, Upstream};
 
-pub use input::{Grant, Input, Placed, Ruling};
+pub use input::{Admitted, Grant, Input, Placed, Ruling, Vetted};
 pub(crate) use orders::poll_engines;
 pub(crate) use perform::sign_leaving;
 pub use status::{Owned, PeerStatus, Status, UpstreamStatus};
@@ -77,6 +78,39 @@
         placed.await.ok()
     }
 
+    /// Places a granted request anew, which did not run since the engine lacks its instance.
+    pub async fn place_again(&self, request: Request) -> Option<Placed> {
+        let (reply, placed) = oneshot::channel();
+        self.send(Input::Missing { request, reply });
+        placed.await.ok()
+    }
+
+    /// Asks for admission; `None` where the core has stopped.
+    pub async fn admit(&self, arrival: admission::Arrival) -> Option<Admitted> {
+        let (reply, admitted) = oneshot::channel();
+        self.send(Input::Admit { arrival, reply });
+        admitted.await.ok()
+    }
+
+    /// Returns the only upstream of `pool` that a request may go to, where it is a suspect.
+    pub async fn confine(&self, print: Print, pool: Vec<Upstream>) -> Option<Upstream> {
+        let (reply, ward) = oneshot::channel();
+        self.send(Input::Confine { print, pool, reply });
+        ward.await.ok().flatten()
+    }
+
+    /// Asks whether a request may go to an upstream; `None` where the core has stopped.
+    pub async fn vet(&self, request: Request, print: Print, upstream: Upstream) -> Option<Vetted> {
+        let (reply, vetted) = oneshot::channel();
+        self.send(Input::Vet {
+            request,
+            print,
+            upstream,
+            reply,
+        });
+        vetted.await.ok()
+    }
+
     /// Starts a call that may not be repeated; the rulings follow one after the other.
     pub fn begin(&self, event: once::Event) -> mpsc::UnboundedReceiver<Ruling> {
         let (reply, rulings) = mpsc::unbounded_channel();
@@ -116,6 +150,8 @@
     outbox: Outbox,
     source: Arc<platform::Http>,
     placing: HashMap<Request, oneshot::Sender<Placed>>,
+    admitting: HashMap<Request, oneshot::Sender<Admitted>>,
+    vetting: HashMap<Request, oneshot::Sender<Vetted>>,
     calls: HashMap<Request, mpsc::UnboundedSender<Ruling>>,
     checked: BTreeMap<Revision, Arc<rules::Set>>,
     /// The directory as listed, without what is known of leaving upstreams.
@@ -157,6 +193,8 @@
             outbox,
             source,
             placing: HashMap::new(),
+            admitting: HashMap::new(),
+            vetting: HashMap::new(),
             calls: HashMap::new(),
             checked: BTreeMap::new(),
             listed: Directory::default(),
@@ -226,6 +264,34 @@
                 self.placing.insert(request.id, reply);
                 self.step(Event::Placement(placement::Event::Request(request)));
             }
+            Input::Missing { request, reply } => {
+                self.placing.insert(request, reply);
+                self.step(Event::Placement(placement::Event::Missing { request }));
+            }
+            Input::Admit { arrival, reply } => {
+                self.admitting.insert(arrival.request, reply);
+                self.step(Event::Admission(admission::Event::Arrive(arrival)));
+            }
+            Input::Confine { print, pool, reply } => {
+                let poison = self.logic.poison();
+                let suspect = poison.standing(print) == Standing::Suspect;
+                let ward = poison.ward(print, &pool).filter(|_| suspect);
+                let _ = reply.send(ward.cloned());
+            }
+            Input::Vet {
+                request,
+                print,
+                upstream,
+                reply,
+            } => {
+                self.vetting.insert(request, reply);
+                let arrive = poison::Event::Arrive {
+                    request,
+                    print,
+                    upstream,
+                };
+                self.step(Event::Poison(arrive));
+            }
             Input::Begin { event, reply } => {
                 if let once::Event::Begin { request, .. } = &event {
                     self.calls.insert(*request, reply);
--- a/crates/node/src/core/perform.rs
+++ b/crates/node/src/core/perform.rs
@@ -2,14 +2,18 @@
 
 use std::sync::Arc;
 
+use dispatch::poison;
 use logic::{Action, Event};
 use wire::view::State as PeerState;
 use wire::{Revision, Upstream, View};
 
-use super::{Grant, Input, Placed, Ruling, State, orders, source};
+use super::{Admitted, Grant, Input, Placed, Ruling, State, Vetted, orders, source};
 use crate::journal::DECISION;
 use crate::shared::Rules;
 
+/// Times its even part of a pool's capacity that one node may use.
+const UNEVEN: u32 = 2;
+
 impl State {
     pub(super) fn perform(&mut self, action: Action) {
         match action {
@@ -21,6 +25,8 @@
             Action::Config(action) => self.perform_config(action),
             Action::Placement(action) => self.perform_placement(action),
             Action::Once(action) => self.perform_once(action),
+            Action::Admission(action) => self.perform_admission(action),
+            Action::Poison(action) => self.perform_poison(action),
         }
     }
 
@@ -42,6 +48,7 @@
                 .set(count as i64);
         }
         self.shared.view.store(Arc::new(view));
+        self.show_capacity();
     }
 
     fn mark_leaving(&mut self, upstream: Upstream, leaves: bool) {
@@ -59,6 +66,7 @@
         let facts = directory.facts(&self.shared.settings, &self.down);
         self.shared.directory.store(Arc::new(directory));
         self.step(Event::Placement(placement::Event::Upstreams(facts)));
+        self.show_capacity();
     }
 
     fn perform_config(&mut self, action: confsync::Action) {
@@ -255,6 +263,96 @@
             .is_some_and(|reply| reply.send(ruling).is_ok())
     }
 
+    fn perform_admission(&mut self, action: admission::Action) {
+        let (request, admitted) = match action {
+            admission::Action::Admit { request } => (request, Admitted::Yes),
+            admission::Action::Refuse {
+                request,
+                reason,
+                retry_after,
+            } => {
+                self.shared
+                    .metrics
+                    .refused
+                    .with_label_values(&[reason.name()])
+                    .inc();
+                (
+                    request,
+                    Admitted::Refused {
+                        reason,
+                        retry_after,
+                    },
+                )
+            }
+        };
+        let taken = self
+            .admitting
+            .remove(&request)
+            .is_some_and(|reply| reply.send(admitted).is_ok());
+        if !taken && admitted == Admitted::Yes {
+            self.step(Event::Admission(admission::Event::Finish { request }));
+        }
+    }
+
+    fn perform_poison(&mut self, action: poison::Action) {
+        use poison::Action::{Busy, Elsewhere, Note, Refuse, Run, Send};
+        let (request, vetted) = match action {
+            Run { request, .. } => (request, Vetted::Run),
+            Elsewhere { request } => (request, Vetted::Elsewhere),
+            Refuse { request, crashes } => (request, Vetted::Convicted { crashes }),
+            Busy {
+                request,
+                retry_after,
+            } => (request, Vetted::Busy { retry_after }),
+            Note { print, standing } => {
+                log::info!(target: DECISION, print, standing:?; "suspicion");
+                return;
+            }
+            // The joined machine turns it into a frame.
+            Send { .. } => return,
+        };
+        let taken = self
+            .vetting
+            .remove(&request)
+            .is_some_and(|reply| reply.send(vetted).is_ok());
+        if !taken && vetted == Vetted::Run {
+            self.step(Event::Poison(poison::Event::Dropped { request }));
+        }
+    }
+
+    /// Tells admission how many requests of each pool may run through this node at once: its part
+    /// of what the pool's upstreams take, with room for callers that are spread unevenly.
+    fn show_capacity(&mut self) {
+        let nodes = self.shared.view.load().live().count().max(1);
+        let directory = self.shared.directory.load_full();
+        let mut pools: Vec<(Arc<str>, u32)> = Vec::new();
+        for runner in directory.runners() {
+            let batch = self
+                .shared
+                .settings
+                .pools
+                .get(&*runner.pool)
+                .map_or(0, |p| p.max_batch);
+            let usable = if runner.leaving { 0 } else { batch };
+            match pools.iter_mut().find(|(pool, _)| *pool == runner.pool) {
+                Some((_, sum)) => *sum += usable,
+                None => pools.push((runner.pool.clone(), usable)),
+            }
+        }
+        let now = self.shared.clock.now();
+        for (pool, sum) in pools {
+            self.shared
+                .trials
+                .set_pool(now, &pool, directory.pool(&pool));
+            let share = (sum * UNEVEN).div_ceil(u32::try_from(nodes).unwrap_or(u32::MAX));
+            let capacity = admission::Event::Capacity {
+                pool,
+                concurrent: share,
+            };
+            self.step(Event::Admission(capacity));
+        }
+    }
+
     pub(super) fn take_list(&mut self, list: &platform::List) {
         let known = self.shared.directory.load();
         let next = crate::directory::Directory::from_list(list, &self.shared.settings, &known);
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use platform::{List, Member, Role};
@@ -54,6 +54,8 @@
     pub link: Link,
     /// Calls of this node in progress on it.
     pub in_flight: Arc<AtomicUsize>,
+    /// Number of its process's start, where it tells; 0 before it has told.
+    pub boot: Arc<AtomicU64>,
 }
 
 impl Runner {
@@ -160,6 +162,12 @@
         directory
     }
 
+    /// Returns the ids of the upstreams of `pool`, sorted.
+    pub fn pool(&self, pool: &str) -> Vec<Upstream> {
+        let of_pool = self.runners.iter().filter(|runner| *runner.pool == *pool);
+        of_pool.map(|runner| runner.id.clone()).collect()
+    }
+
     /// Returns placement's facts about the engines, of which `down` are out of reach.
     pub fn facts(&self, settings: &Settings, down: &[Upstream]) -> Vec<placement::event::Upstream> {
         let engines = self
@@ -206,6 +214,7 @@
         leaving: member.state == platform::State::Leaving,
         link,
         in_flight: same.map(|old| old.in_flight.clone()).unwrap_or_default(),
+        boot: same.map(|old| old.boot.clone()).unwrap_or_default(),
     })
 }
 
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -7,6 +7,7 @@
 
 mod address;
 mod body;
+mod gate;
 pub mod handler;
 pub mod identity;
 pub mod listener;
--- /dev/null
+++ b/crates/node/src/front/model/job.rs
@@ -0,0 +1,620 @@
+//! One completion on its way from admission to its last token.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dispatch::health::{Admission, Verdict};
+use dispatch::outcome::Kind;
+use dispatch::poison::Print;
+use dispatch::retry::{self, Progress, Retry};
+use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
+use hyper::{Response, StatusCode};
+use jiff::Timestamp;
+use serde_json::{Map, Value};
+use upstream::engine::{Answer, Completion, Event, Stream};
+use upstream::{Engine, Error};
+use wire::{Model, Priority, Time, rank};
+
+use super::Ask;
+use crate::core::{Grant, Input, Placed, sign_leaving};
+use crate::directory::{Flight, Runner};
+use crate::front::gate::{self, Place, Trial};
+use crate::front::handler::{Front, RETRY_ELSEWHERE, json};
+use crate::front::identity::Identity;
+use crate::front::reply::{Writer, broken};
+use crate::front::{Body, Cut, Outcome, Problem, Sender};
+use crate::journal::DECISION;
+use crate::metrics::Metrics;
+use crate::shared::Rules;
+
+/// Times that a request is placed anew because its grant came to nothing before it ran.
+const PLACINGS_MAX: u32 = 8;
+
+/// Tokens of a completion that names no limit.
+const MAX_TOKENS: u32 = 256;
+
+/// Characters of the prompt that count for prefix affinity.
+const PREFIX_CHARS: usize = 256;
+
+/// Kind of request in metrics.
+const KIND: &str = "model";
+
+/// One request.
+pub(super) struct Job {
+    front: Front,
+    /// Number of the present placing.
+    request: wire::Request,
+    name: String,
+    identity: Identity,
+    priority: Priority,
+    place: placement::event::Request,
+    prompt: String,
+    print: Print,
+    max_tokens: u32,
+    parameters: Map<String, Value>,
+    writer: Writer,
+    arrived: Time,
+    retry: Retry,
+    attempts: u32,
+    placings: u32,
+    /// Whether an attempt may have run.
+    ran: bool,
+    /// Tokens that the caller already has.
+    offset: u64,
+    last_token: Option<Time>,
+    /// Whether placement knows the present number.
+    placed: bool,
+    over: bool,
+    // Gives the place in admission back when the request ends.
+    _admitted: Place,
+}
+
+/// How an attempt began.
+enum Begun {
+    Running(Box<Running>),
+    /// The engine does not hold the instance, or the grant was used too late.
+    Missing,
+    /// The engine must not be used now.
+    Elsewhere,
+    Refused(Problem),
+    Failed(Runner, Trial, Error),
+}
+
+/// An answer under way.
+struct Running {
+    answer: Stream,
+    runner: Runner,
+    trial: Trial,
+    since: Time,
+    // Counts the call while the answer is read.
+    _flight: Flight,
+}
+
+impl Job {
+    /// Routes a request by the rules and waits for its admission.
+    pub(super) async fn admit(
+        front: &Front,
+        rules: &Rules,
+        identity: Identity,
+        ask: Ask,
+        arrived: Time,
+    ) -> Result<Self, Problem> {
+        let choice = rules.set.route(&rules::Ask {
+            caller: &identity.caller,
+            trade: &identity.trade,
+            priority: identity.priority,
+            model: ask.model.as_deref().filter(|model| !model.is_empty()),
+            at: Timestamp::now(),
+        });
+        let choice =
+            choice.map_err(|refusal| Problem::bad(StatusCode::FORBIDDEN, refusal.to_string()))?;
+        let request = front.shared.next_request();
+        let name = format!("{}-{request}", front.shared.me);
+        log::info!(
+            target: DECISION,
+            request = name.as_str(), caller:% = identity.caller, rule:% = choice.rule,
+            model:% = choice.model, priority:% = choice.priority, pool:% = choice.pool,
+            revision = rules.revision;
+            "route"
+        );
+        let admitted = gate::admit(
+            front,
+            &rules.set,
+            &identity,
+            choice.pool,
+            choice.priority,
+            request,
+        )
+        .await
+        .inspect_err(|problem| {
+            front
+                .shared
+                .metrics
+                .ended(KIND, choice.priority, problem.outcome);
+        })?;
+        let config = front.shared.trials.config();
+        let place = placement::event::Request {
+            id: request,
+            model: choice.model.clone(),
+            base: choice.base.clone(),
+            pool: choice.pool.clone(),
+            path: choice.path.clone(),
+            priority: choice.priority,
+            deadline: identity.deadline,
+            prefix: Some(prefix_hash(&ask.prompt)),
+            avoid: Vec::new(),
+        };
+        Ok(Self {
+            front: front.clone(),
+            request,
+            writer: Writer::new(name.clone(), choice.model),
+            print: print_of(choice.model, &ask.prompt),
+            retry: Retry::new(config, Kind::Stream, identity.deadline, request),
+            name,
+            priority: choice.priority,
+            identity,
+            place,
+            prompt: ask.prompt,
+            max_tokens: ask.max_tokens.unwrap_or(MAX_TOKENS),
+            parameters: ask.parameters,
+            arrived,
+            attempts: 0,
+            placings: 0,
+            ran: false,
+            offset: 0,
+            last_token: None,
+            placed: false,
+            over: false,
+            _admitted: admitted,
+        })
+    }
+
+    /// Answers as a stream. The head is sent once the first attempt has begun, so that a request
+    /// which did not run is refused with a status of its own.
+    pub(super) async fn stream(mut self) -> Result<Response<Body>, Problem> {
+        let running = self.begin().await?;
+        let (sender, body) = Body::stream();
+        let flight = self.front.shared.enter();
+        tokio::spawn(async move {
+            self.pump(running, &sender).await;
+            drop((self, flight));
+        });
+        let mut response = Response::new(body);
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+        headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
+        Ok(response)
+    }
+
+    /// Answers with one document.
+    pub(super) async fn collect(mut self) -> Result<Response<Body>, Problem> {
+        let mut running = self.begin().await?;
+        let mut text = String::new();
+        loop {
+            match self.next(&mut running).await {
+                Ok(Event::Open) => {}
+                Ok(Event::Token { text: token, .. }) => {
+                    self.count_token();
+                    text.push_str(&token);
+                }
+                Ok(Event::End { tokens, reason }) => {
+                    self.finish(running);
+                    return Ok(json(self.writer.document(&text, &reason, tokens)));
+                }
+                Err(error) => running = self.resume(running, error).await?,
+            }
+        }
+    }
+
+    /// Passes the answer on until it is whole, cannot become whole, or the caller is gone.
+    async fn pump(&mut self, mut running: Running, sender: &Sender) {
+        loop {
+            let event = tokio::select! {
+                event = self.next(&mut running) => event,
+                () = sender.closed() => return self.abandon(running),
+            };
+            let chunk = match event {
+                Ok(Event::Open) => continue,
+                Ok(Event::Token { text, .. }) => {
+                    self.count_token();
+                    self.writer.token(&text)
+                }
+                Ok(Event::End { reason, .. }) => {
+                    self.finish(running);
+                    // A caller that went away at the very end has had its whole answer made.
+                    let _ = sender.send(Ok(self.writer.end(&reason))).await;
+                    return;
+                }
+                Err(error) => match self.resume(running, error).await {
+                    Ok(next) => {
+                        running = next;
+                        continue;
+                    }
+                    Err(problem) => return cut(sender, &problem).await,
+                },
+            };
+            if !self.pass(sender, chunk).await {
+                return self.abandon(running);
+            }
+        }
+    }
+
+    async fn pass(&self, sender: &Sender, chunk: Bytes) -> bool {
+        let limit = self.front.shared.settings.time.idle;
+        matches!(
+            tokio::time::timeout(limit, sender.send(Ok(chunk))).await,
+            Ok(Ok(()))
+        )
+    }
+
+    async fn next(&self, running: &mut Running) -> Result<Event, Error> {
+        let deadline = self.front.shared.clock.instant(self.identity.deadline);
+        let cut = |cause: &str| Error::Cut {
+            upstream: running.runner.id.clone(),
+            offset: self.offset,
+            cause: cause.to_owned(),
+        };
+        match tokio::time::timeout_at(deadline, running.answer.next()).await {
+            Ok(Ok(Some(event))) => Ok(event),
+            Ok(Ok(None)) => Err(cut("the stream ended early")),
+            Ok(Err(error)) => Err(error),
+            Err(_) => Err(cut("the request's time is up")),
+        }
+    }
+
+    /// Places the request and starts an attempt, as often as it takes and makes sense.
+    async fn begin(&mut self) -> Result<Running, Problem> {
+        let mut grant = self.place().await?;
+        loop {
+            match self.start(&grant).await {
+                Begun::Running(running) => return Ok(*running),
+                Begun::Missing => grant = self.place_again().await?,
+                Begun::Elsewhere => {
+                    self.release();
+                    self.place.avoid.push(grant.upstream.clone());
+                    grant = self.place().await?;
+                }
+                Begun::Refused(problem) => {
+                    self.end(problem.outcome);
+                    return Err(problem);
+                }
+                Begun::Failed(runner, trial, error) => {
+                    self.after(&runner, trial, &error).await?;
+                    grant = self.place().await?;
+                }
+            }
+        }
+    }
+
+    /// Goes on after an attempt broke off.
+    async fn resume(&mut self, running: Running, error: Error) -> Result<Running, Problem> {
+        let Running {
+            answer,
+            runner,
+            trial,
+            ..
+        } = running;
+        // The broken answer's connection is closed first, which cancels what is left of it.
+        drop(answer);
+        self.after(&runner, trial, &error).await?;
+        self.begin().await
+    }
+
+    async fn place(&mut self) -> Result<Grant, Problem> {
+        if self.placings > 0 {
+            self.request = self.front.shared.next_request();
+            self.place.id = self.request;
+        }
+        self.count_placing()?;
+        let mut place = self.place.clone();
+        place.avoid.extend(self.confinement().await);
+        self.placed = true;
+        let asked = self.front.shared.clock.now();
+        let placed = self.front.core.place(place).await;
+        self.take_placed(asked, placed)
+    }
+
+    async fn place_again(&mut self) -> Result<Grant, Problem> {
+        self.count_placing()?;
+        let asked = self.front.shared.clock.now();
+        let placed = self.front.core.place_again(self.request).await;
+        self.take_placed(asked, placed)
+    }
+
+    fn count_placing(&mut self) -> Result<(), Problem> {
+        self.placings += 1;
+        if self.placings > PLACINGS_MAX {
+            let detail = "no grant could be used; see the nodes' logs";
+            return Err(self.refusal(detail, RETRY_ELSEWHERE));
+        }
+        Ok(())
+    }
+
+    /// Returns the engines that a request must not use since it is suspected of crashing them.
+    async fn confinement(&self) -> Vec<wire::Upstream> {
+        let pool = self.front.shared.directory.load().pool(&self.place.pool);
+        match self.front.core.confine(self.print, pool.clone()).await {
+            Some(ward) => pool.into_iter().filter(|id| *id != ward).collect(),
+            None => Vec::new(),
+        }
+    }
+
+    fn take_placed(&mut self, asked: Time, placed: Option<Placed>) -> Result<Grant, Problem> {
+        let metrics = &self.front.shared.metrics;
+        let wait = self.front.shared.clock.now() - asked;
+        Metrics::observe(&metrics.grant_wait, self.priority, wait);
+        match placed {
+            Some(Placed::Granted(grant)) => {
+                log::info!(
+                    target: DECISION,
+                    request = self.name.as_str(), placing = self.placings,
+                    upstream:% = grant.upstream, instance:% = grant.instance,
+                    model:% = grant.model, lease = grant.lease, offset = self.offset,
+                    queue_us = wait.as_micros() as u64;
+                    "grant"
+                );
+                Ok(grant)
+            }
+            Some(Placed::Refused {
+                reason,
+                retry_after,
+            }) => {
+                self.placed = false;
+                let label = format!("{reason:?}").to_lowercase();
+                metrics.refused.with_label_values(&[&label]).inc();
+                Err(self.refusal(&reason.to_string(), retry_after))
+            }
+            None => Err(self.refusal("the node is stopping; ask another", Duration::ZERO)),
+        }
+    }
+
+    /// A request of which an attempt may have run is not refused as one that has not.
+    fn refusal(&mut self, detail: &str, retry_after: Duration) -> Problem {
+        let outcome = if self.ran {
+            Outcome::Failed
+        } else {
+            Outcome::NotRun
+        };
+        self.end(outcome);
+        Problem::new(StatusCode::SERVICE_UNAVAILABLE, outcome, detail).after(retry_after)
+    }
+
+    async fn start(&mut self, grant: &Grant) -> Begun {
+        let shared = self.front.shared.clone();
+        if grant.model != self.place.model {
+            return Begun::Missing;
+        }
+        let directory = shared.directory.load_full();
+        let Some((runner, engine)) = directory.engine(&grant.upstream) else {
+            return Begun::Elsewhere;
+        };
+        let now = shared.clock.now();
+        if let Admission::Ejected(_) = shared.trials.admit(now, &runner.pool, &runner.id) {
+            return Begun::Elsewhere;
+        }
+        let core = &self.front.core;
+        let trial = match gate::vet(core, self.request, self.print, &grant.upstream).await {
+            gate::Next::Run(trial) => trial,
+            gate::Next::Elsewhere => return Begun::Elsewhere,
+            gate::Next::Refuse(problem) => return Begun::Refused(problem),
+        };
+        // Checked last: a grant that is used late names an instance that may be gone.
+        let now = shared.clock.now();
+        if now >= grant.until {
+            return Begun::Missing;
+        }
+        gate::note_boot(&self.front, runner);
+        self.count_attempt(now, runner);
+        let flight = runner.enter();
+        match engine.complete(self.completion(grant)).await {
+            Ok(answer) => Begun::Running(Box::new(Running {
+                answer,
+                runner: runner.clone(),
+                trial,
+                since: now,
+                _flight: flight,
+            })),
+            Err(Error::Absent { .. }) => {
+                shared
+                    .trials
+                    .ended(now, &runner.pool, &runner.id, Verdict::Neutral);
+                Begun::Missing
+            }
+            Err(error) => Begun::Failed(runner.clone(), trial, error),
+        }
+    }
+
+    fn count_attempt(&mut self, now: Time, runner: &Runner) {
+        let trials = &self.front.shared.trials;
+        self.attempts += 1;
+        self.retry.start(now);
+        if self.attempts == 1 {
+            trials.deposit(&self.identity.caller, &runner.id);
+        }
+        trials.started(now, &runner.pool, &runner.id);
+    }
+
+    fn completion(&self, grant: &Grant) -> Completion {
+        Completion {
+            instance: grant.instance.clone(),
+            prompt: self.prompt.clone(),
+            max_tokens: self.max_tokens,
+            priority: self.priority,
+            attempt: Arc::from(format!("{}-{}", self.name, self.attempts)),
+            request: self.name.clone(),
+            caller: self.identity.caller.clone(),
+            offset: self.offset,
+            parameters: self.parameters.clone(),
+        }
+    }
+
+    /// Decides what follows from a failed attempt and waits until it is due.
+    async fn after(&mut self, runner: &Runner, trial: Trial, error: &Error) -> Result<(), Problem> {
+        log::info!(
+            target: DECISION,
+            request = self.name.as_str(), attempt = self.attempts, upstream:% = runner.id,
+            offset = self.offset, reason:% = error;
+            "attempt-failed"
+        );
+        self.release();
+        if matches!(error, Error::Leaving { .. }) {
+            sign_leaving(&self.front.core, &runner.id, roster::Source::Refusal);
+        }
+        gate::failed(&self.front, runner, trial, error).await;
+        self.place.avoid.push(runner.id.clone());
+        let shared = self.front.shared.clone();
+        let now = shared.clock.now();
+        let late = gate::late(&self.front, self.identity.deadline);
+        let failure = gate::judge(Kind::Stream, error, self.offset > 0, late);
+        self.ran |= failure.outcome != dispatch::Outcome::NotRun;
+        if gate::permanent(error) {
+            return Err(self.failed(gate::into_outcome(failure.outcome), None, error));
+        }
+        let progress = Progress {
+            model: Some(self.place.model.clone()),
+            tokens: self.offset,
+            resumable: true,
+        };
+        let caller = &self.identity.caller;
+        let next = shared.trials.next(
+            now,
+            &mut self.retry,
+            &failure,
+            &progress,
+            caller,
+            &runner.id,
+        );
+        match next {
+            retry::Next::Again { at } | retry::Next::Resume { at, .. } => {
+                tokio::time::sleep_until(shared.clock.instant(at)).await;
+                Ok(())
+            }
+            retry::Next::Stop {
+                outcome,
+                why,
+                retry_after,
+            } => {
+                log::info!(target: DECISION, request = self.name.as_str(), why:?; "no-retry");
+                Err(self.failed(gate::into_outcome(outcome), retry_after, error))
+            }
+        }
+    }
+
+    fn failed(
+        &mut self,
+        outcome: Outcome,
+        retry_after: Option<Duration>,
+        error: &Error,
+    ) -> Problem {
+        let outcome = if self.ran { Outcome::Failed } else { outcome };
+        self.end(outcome);
+        let mut problem = Problem::new(StatusCode::BAD_GATEWAY, outcome, error.to_string());
+        problem.retry_after = retry_after;
+        problem
+    }
+
+    fn count_token(&mut self) {
+        let shared = self.front.shared.clone();
+        let now = shared.clock.now();
+        match self.last_token.replace(now) {
+            None => {
+                let wait = now - self.arrived;
+                Metrics::observe(&shared.metrics.first_token, self.priority, wait);
+            }
+            Some(last) => Metrics::observe(&shared.metrics.token_gap, self.priority, now - last),
+        }
+        shared.metrics.tokens.inc();
+        self.offset += 1;
+    }
+
+    /// Gives the lease of the present placing back.
+    fn release(&mut self) {
+        if std::mem::take(&mut self.placed) {
+            let done = placement::Event::Done {
+                request: self.request,
+            };
+            self.front
+                .core
+                .send(Input::Logic(logic::Event::Placement(done)));
+        }
+    }
+
+    fn finish(&mut self, running: Running) {
+        let Running {
+            runner,
+            trial,
+            since,
+            ..
+        } = running;
+        gate::answered(&self.front, &runner, trial, since);
+        let shared = self.front.shared.clone();
+        self.release();
+        self.over = true;
+        shared.metrics.answered(KIND, self.priority);
+        log::info!(
+            target: DECISION,
+            request = self.name.as_str(), outcome = "answered", tokens = self.offset,
+            attempts = self.attempts;
+            "end"
+        );
+    }
+
+    fn abandon(&mut self, running: Running) {
+        let shared = self.front.shared.clone();
+        let runner = &running.runner;
+        shared.trials.ended(
+            shared.clock.now(),
+            &runner.pool,
+            &runner.id,
+            Verdict::Neutral,
+        );
+        log::info!(target: DECISION, request = self.name.as_str(), reason = "caller-gone"; "cancel");
+        self.end(Outcome::Failed);
+    }
+
+    fn end(&mut self, outcome: Outcome) {
+        self.release();
+        self.over = true;
+        self.front
+            .shared
+            .metrics
+            .ended(KIND, self.priority, outcome);
+        log::info!(
+            target: DECISION,
+            request = self.name.as_str(), outcome = outcome.name(), attempts = self.attempts;
+            "end"
+        );
+    }
+}
+
+impl Drop for Job {
+    /// Gives the lease back where the caller went away while the request was placed or collected.
+    fn drop(&mut self) {
+        if !self.over && self.placed {
+            let cancel = placement::Event::Cancel {
+                request: self.request,
+            };
+            self.front
+                .core
+                .send(Input::Logic(logic::Event::Placement(cancel)));
+        }
+    }
+}
+
+async fn cut(sender: &Sender, problem: &Problem) {
+    let _ = sender.send(Ok(broken(problem))).await;
+    let _ = sender.send(Err(Cut)).await;
+}
+
+fn prefix_hash(prompt: &str) -> u64 {
+    let end = prompt
+        .char_indices()
+        .nth(PREFIX_CHARS)
+        .map_or(prompt.len(), |(index, _)| index);
+    rank::hash(&prompt[..end])
+}
+
+fn print_of(model: &Model, prompt: &str) -> Print {
+    rank::hash(format!("{model}\n{prompt}"))
+}
--- a/crates/node/src/front/service.rs
+++ b/crates/node/src/front/service.rs
@@ -9,6 +9,10 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use dispatch::health::Admission;
+use dispatch::outcome::Kind;
+use dispatch::poison::Print;
+use dispatch::retry::{self, Next, Progress, Retry};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
 use hyper::http::request::Parts;
@@ -19,9 +23,10 @@
 use upstream::header::{HOP_BY_HOP, KEY};
 use upstream::link::Reuse;
 use upstream::service::Call;
-use upstream::{Error, Reach, Service};
-use wire::Priority;
+use upstream::{Error, Phase, Reach, Service};
+use wire::{Priority, Time, rank};
 
+use super::gate::{self, Place, Trial};
 use super::handler::{Front, RETRY_ELSEWHERE, read_body};
 use super::identity::{Identity, text};
 use super::{Body, Cut, Outcome, Problem, Sender};
@@ -30,9 +35,6 @@
 use crate::journal::DECISION;
 use crate::shared::Rules;
 
-/// Attempts that an idempotent call makes at most.
-const ATTEMPTS_MAX: u32 = 3;
-
 /// Kind of request in metrics.
 const KIND: &str = "service";
 
@@ -53,6 +55,19 @@
     identity: Identity,
     head: Parts,
     body: Bytes,
+    print: Print,
+    config: retry::Config,
+    /// Place in admission, held until the answer is passed on.
+    admitted: Option<Place>,
+}
+
+/// How an attempt began.
+enum Sent {
+    Answer(Box<Answer>),
+    /// No upstream may be tried now.
+    None,
+    Refused(Problem),
+    Failed(Runner, Error),
 }
 
 /// Answers a request that no path of the node's own matches.
@@ -74,8 +89,22 @@
         })?;
     let body = read_body(front, body).await?;
     let request = shared.next_request();
+    let admitted = gate::admit(
+        front,
+        &rules.set,
+        &identity,
+        route.pool,
+        identity.priority,
+        request,
+    )
+    .await?;
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    let parts = [head.method.as_str().as_bytes(), path.as_bytes(), &body];
     let job = Job {
         name: format!("{}-{request}", shared.me),
+        print: rank::hash(parts.concat()),
+        config: shared.trials.config(),
+        admitted: Some(admitted),
         request,
         front: front.clone(),
         service: route.service.clone(),
@@ -91,7 +120,8 @@
         service:% = job.service, pool:% = job.pool, repeat:? = job.repeat;
         "route"
     );
-    match (job.repeat, job.key()?) {
+    let key = job.key()?;
+    match (job.repeat, key) {
         (Repeat::Idempotent, _) => job.run_repeatable().await,
         (Repeat::Once, Some(key)) => job.run_claimed(key).await,
         (Repeat::Once, None) => job.run_unclaimed().await,
@@ -111,53 +141,130 @@
     }
 
     /// Tries a call that may be repeated until it is answered or no attempt makes sense.
-    async fn run_repeatable(self) -> Result<Response<Body>, Problem> {
+    async fn run_repeatable(mut self) -> Result<Response<Body>, Problem> {
+        let mut retry = self.retry(Kind::Idempotent);
         let mut avoid = Vec::new();
-        let mut reached = false;
-        for attempt in 1..=ATTEMPTS_MAX {
-            let runner = self.choose(&avoid).ok_or_else(|| self.none(reached))?;
-            match self.send(&runner, attempt, Reuse::Kept).await {
-                Ok(response) => return Ok(self.relay(response, &runner)),
-                Err(error) => {
-                    reached |= error.reach() == Reach::MaybeSent;
-                    self.note_failure(&runner, attempt, &error);
-                    avoid.push(runner.id);
-                    if self.front.shared.clock.now() >= self.identity.deadline {
-                        break;
-                    }
+        let mut ran = false;
+        loop {
+            match self.attempt(&mut retry, &mut avoid, Reuse::Kept).await {
+                Sent::Answer(answer) => return Ok(self.relay(*answer)),
+                Sent::None => return Err(self.none(ran)),
+                Sent::Refused(problem) => return Err(problem),
+                Sent::Failed(runner, error) => {
+                    ran |= error.reach() == Reach::MaybeSent;
+                    self.next(&mut retry, Kind::Idempotent, &runner, &error, ran)
+                        .await?;
                 }
             }
         }
-        let outcome = if reached {
-            Outcome::Failed
-        } else {
-            Outcome::NotRun
-        };
-        Err(self.problem(outcome, "no attempt was answered; send the request again"))
     }
 
     /// Sends a call that may not be repeated and carries no key. It is tried elsewhere only while
     /// no byte of it was written.
-    async fn run_unclaimed(self) -> Result<Response<Body>, Problem> {
+    async fn run_unclaimed(mut self) -> Result<Response<Body>, Problem> {
+        let mut retry = self.retry(Kind::Once);
         let mut avoid = Vec::new();
-        for attempt in 1..=ATTEMPTS_MAX {
-            let runner = self.choose(&avoid).ok_or_else(|| self.none(false))?;
-            match self.send(&runner, attempt, Reuse::Fresh).await {
-                Ok(response) => return Ok(self.relay(response, &runner)),
-                Err(error) => {
-                    self.note_failure(&runner, attempt, &error);
-                    if error.reach() == Reach::MaybeSent {
-                        let detail = format!("{error}; ask the service before sending it again");
-                        return Err(self.problem(Outcome::Unknown, &detail));
-                    }
-                    avoid.push(runner.id);
+        loop {
+            match self.attempt(&mut retry, &mut avoid, Reuse::Fresh).await {
+                Sent::Answer(answer) => return Ok(self.relay(*answer)),
+                Sent::None => return Err(self.none(false)),
+                Sent::Refused(problem) => return Err(problem),
+                Sent::Failed(runner, error) => {
+                    self.next(&mut retry, Kind::Once, &runner, &error, false)
+                        .await?;
                 }
             }
         }
-        Err(self.problem(
-            Outcome::NotRun,
-            "no upstream could be reached; send it again",
-        ))
+    }
+
+    fn retry(&self, kind: Kind) -> Retry {
+        Retry::new(
+            self.config.clone(),
+            kind,
+            self.identity.deadline,
+            self.request,
+        )
+    }
+
+    /// Sends the call to an upstream that was not tried yet.
+    async fn attempt(
+        &self,
+        retry: &mut Retry,
+        avoid: &mut Vec<wire::Upstream>,
+        reuse: Reuse,
+    ) -> Sent {
+        loop {
+            let Some(runner) = self.choose(avoid).await else {
+                return Sent::None;
+            };
+            avoid.push(runner.id.clone());
+            let core = &self.front.core;
+            let trial = match gate::vet(core, self.request, self.print, &runner.id).await {
+                gate::Next::Run(trial) => trial,
+                gate::Next::Elsewhere => continue,
+                gate::Next::Refuse(problem) => return Sent::Refused(problem),
+            };
+            let shared = &self.front.shared;
+            let now = shared.clock.now();
+            if retry.made() == 0 {
+                shared.trials.deposit(&self.identity.caller, &runner.id);
+            }
+            retry.start(now);
+            shared.trials.started(now, &runner.pool, &runner.id);
+            return match self.send(&runner, retry.made(), reuse, trial).await {
+                Ok(answer) => Sent::Answer(Box::new(answer)),
+                Err((trial, error)) => {
+                    self.note_failure(&runner, trial, &error).await;
+                    Sent::Failed(runner, error)
+                }
+            };
+        }
+    }
+
+    /// Decides what follows from a failed attempt and waits until it is due.
+    async fn next(
+        &self,
+        retry: &mut Retry,
+        kind: Kind,
+        runner: &Runner,
+        error: &Error,
+        ran: bool,
+    ) -> Result<(), Problem> {
+        let shared = &self.front.shared;
+        let late = gate::late(&self.front, self.identity.deadline);
+        let failure = gate::judge(kind, error, false, late);
+        let caller = &self.identity.caller;
+        let now = shared.clock.now();
+        let progress = Progress::default();
+        let next = shared
+            .trials
+            .next(now, retry, &failure, &progress, caller, &runner.id);
+        match next {
+            Next::Again { at } | Next::Resume { at, .. } => {
+                tokio::time::sleep_until(shared.clock.instant(at)).await;
+                Ok(())
+            }
+            Next::Stop {
+                outcome,
+                why,
+                retry_after,
+            } => {
+                log::info!(target: DECISION, request = self.name.as_str(), why:?; "no-retry");
+                let outcome = gate::into_outcome(outcome);
+                let outcome = if ran && outcome == Outcome::NotRun {
+                    Outcome::Failed
+                } else {
+                    outcome
+                };
+                let detail = match outcome {
+                    Outcome::Unknown => format!("{error}; ask the service before sending it again"),
+                    Outcome::NotRun | Outcome::Failed => error.to_string(),
+                };
+                let mut problem = self.problem(outcome, &detail);
+                problem.retry_after = retry_after;
+                Err(problem)
+            }
+        }
     }
 
     /// Runs a call under a claim, in a task that outlives the caller's connection.
@@ -221,34 +328,36 @@
         }
     }
 
-    /// Sends a claimed call, tells the core how it ended, and waits for nothing else.
+    /// Sends a claimed call and tells the core how it ended. The permit is given once; until a byte
+    /// is written, the call may move to another upstream.
     async fn execute(&self) {
-        let mut avoid = Vec::new();
         let request = self.request;
         if !self.front.core.permit(request).await {
             return self.tell(once::Event::Abandon { request });
         }
-        // The permit is given once. Until a byte is written, the call may move to another runner.
-        for attempt in 1..=ATTEMPTS_MAX {
-            let Some(runner) = self.choose(&avoid) else {
-                break;
-            };
-            match self.send(&runner, attempt, Reuse::Fresh).await {
-                Ok(response) => {
-                    let record = self.record(response, &runner).await;
-                    return self.tell(once::Event::Finished { request, record });
+        let mut retry = self.retry(Kind::Once);
+        let mut avoid = Vec::new();
+        loop {
+            let record = match self.attempt(&mut retry, &mut avoid, Reuse::Fresh).await {
+                Sent::Answer(answer) => self.record(*answer).await,
+                Sent::None | Sent::Refused(_) => {
+                    return self.tell(once::Event::Abandon { request });
                 }
-                Err(error) => {
-                    self.note_failure(&runner, attempt, &error);
-                    if error.reach() == Reach::MaybeSent {
-                        let record = unknown_record(&error.to_string());
-                        return self.tell(once::Event::Finished { request, record });
+                Sent::Failed(_, error) if error.reach() == Reach::MaybeSent => {
+                    unknown_record(&error.to_string())
+                }
+                Sent::Failed(runner, error) => {
+                    let next = self
+                        .next(&mut retry, Kind::Once, &runner, &error, false)
+                        .await;
+                    if next.is_err() {
+                        return self.tell(once::Event::Abandon { request });
                     }
-                    avoid.push(runner.id);
+                    continue;
                 }
-            }
+            };
+            return self.tell(once::Event::Finished { request, record });
         }
-        self.tell(once::Event::Abandon { request });
     }
 
     fn tell(&self, event: once::Event) {
@@ -258,31 +367,37 @@
     }
 
     /// Reads a claimed call's whole answer, which becomes the record for its retries.
-    async fn record(&self, response: Answer, runner: &Runner) -> Record {
-        let status = response.head.status.as_u16();
-        let media = media_of(&response.head.headers);
-        let mut body = response.body;
+    async fn record(&self, answer: Answer) -> Record {
+        let Answer {
+            head,
+            mut body,
+            runner,
+            trial,
+            since,
+            flight,
+        } = answer;
         let mut bytes = Vec::new();
         loop {
             match body.next().await {
                 Ok(Some(chunk)) => bytes.extend_from_slice(&chunk),
                 Ok(None) => break,
                 Err(error) => {
-                    self.note_failure(runner, 1, &error);
+                    self.note_failure(&runner, trial, &error).await;
                     return unknown_record(&error.to_string());
                 }
             }
         }
-        let failed = response.head.status.is_server_error();
-        let ending = if failed {
-            Ending::Failed
-        } else {
-            Ending::Answered
-        };
+        drop(flight);
+        gate::answered(&self.front, &runner, trial, since);
+        let failed = head.status.is_server_error();
         Record {
-            ending,
-            status,
-            media,
+            ending: if failed {
+                Ending::Failed
+            } else {
+                Ending::Answered
+            },
+            status: head.status.as_u16(),
+            media: media_of(&head.headers),
             body: Some(bytes),
         }
     }
@@ -334,32 +449,48 @@
         problem
     }
 
-    /// Picks the least loaded upstream of the pool that does not leave and was not tried yet.
-    fn choose(&self, avoid: &[wire::Upstream]) -> Option<Runner> {
-        let directory = self.front.shared.directory.load();
+    /// Picks the least loaded upstream of the pool that does not leave, is in health, and was not
+    /// tried yet. A call suspected of crashing upstreams has one to go to.
+    async fn choose(&self, avoid: &[wire::Upstream]) -> Option<Runner> {
+        let shared = &self.front.shared;
+        let directory = shared.directory.load_full();
+        let ward = self
+            .front
+            .core
+            .confine(self.print, directory.pool(&self.pool))
+            .await;
+        let now = shared.clock.now();
         let usable = directory.runners().iter().filter(|runner| {
-            runner.pool == self.pool && !runner.leaving && !avoid.contains(&runner.id)
+            let fits = runner.pool == self.pool && !runner.leaving && !avoid.contains(&runner.id);
+            let allowed = ward.as_ref().is_none_or(|ward| *ward == runner.id);
+            fits && allowed && healthy(shared.trials.admit(now, &runner.pool, &runner.id))
         });
-        let zone = &self.front.shared.settings.vm.zone;
+        let zone = &shared.settings.vm.zone;
         let best = usable.min_by_key(|runner| (runner.load(), runner.zone != *zone));
         let best = best.cloned()?;
         log::info!(
             target: DECISION,
             request = self.name.as_str(), upstream:% = best.id, in_flight = best.load(),
-            avoided = avoid.len();
+            avoided = avoid.len(), confined = ward.is_some();
             "choose"
         );
         Some(best)
     }
 
-    async fn send(&self, runner: &Runner, attempt: u32, reuse: Reuse) -> Result<Answer, Error> {
+    async fn send(
+        &self,
+        runner: &Runner,
+        attempt: u32,
+        reuse: Reuse,
+        trial: Trial,
+    ) -> Result<Answer, (Trial, Error)> {
         let Link::Service(service) = &runner.link else {
-            return Err(Error::Invalid {
-                upstream: runner.id.clone(),
-                cause: "the pool holds engines".to_owned(),
-            });
+            let upstream = runner.id.clone();
+            let cause = "the pool holds engines".to_owned();
+            return Err((trial, Error::Invalid { upstream, cause }));
         };
         let flight = runner.enter();
+        let since = self.front.shared.clock.now();
         let call = Call {
             method: self.head.method.clone(),
             path: self.path().to_owned(),
@@ -371,16 +502,28 @@
         };
         let deadline = self.front.shared.clock.instant(self.identity.deadline);
         let answered = tokio::time::timeout_at(deadline, service.call(call)).await;
-        let response = answered.unwrap_or_else(|_| {
+        let answered = answered.unwrap_or_else(|_| {
             Err(Error::Timeout {
                 upstream: runner.id.clone(),
-                phase: upstream::Phase::Head,
-                limit: self.front.shared.settings.time.deadline,
+                phase: Phase::Head,
+                limit: self.identity.deadline.saturating_sub(since),
                 reach: Reach::MaybeSent,
             })
-        })?;
-        let (head, body) = response.into_parts();
-        Ok(Answer { head, body, flight })
+        });
+        match answered {
+            Ok(response) => {
+                let (head, body) = response.into_parts();
+                Ok(Answer {
+                    head,
+                    body,
+                    runner: runner.clone(),
+                    trial,
+                    since,
+                    flight,
+                })
+            }
+            Err(error) => Err((trial, error)),
+        }
     }
 
     fn path(&self) -> &str {
@@ -405,13 +548,16 @@
     }
 
     /// Passes an answer on as it comes.
-    fn relay(&self, answer: Answer, runner: &Runner) -> Response<Body> {
+    fn relay(&mut self, answer: Answer) -> Response<Body> {
         let (sender, body) = Body::stream();
         let mut response = Response::new(body);
         let Answer {
             head,
             body: rest,
-            flight: call,
+            runner,
+            trial,
+            since,
+            flight,
         } = answer;
         *response.status_mut() = head.status;
         *response.headers_mut() = head.headers;
@@ -419,31 +565,37 @@
             response.headers_mut().remove(name);
         }
         self.count_answer();
-        let id = runner.id.clone();
         let name = self.name.clone();
-        let flight = self.front.shared.enter();
+        let front = self.front.clone();
+        let held = (self.front.shared.enter(), self.admitted.take(), flight);
         tokio::spawn(async move {
-            if let Err(error) = pump(rest, &sender).await {
-                log::info!(
-                    target: DECISION, request = name.as_str(), upstream:% = id, reason:% = error;
-                    "answer-cut"
-                );
-                let _ = sender.send(Err(Cut)).await;
+            match pump(rest, &sender).await {
+                Ok(()) => gate::answered(&front, &runner, trial, since),
+                Err(error) => {
+                    log::info!(
+                        target: DECISION,
+                        request = name.as_str(), upstream:% = runner.id, reason:% = error;
+                        "answer-cut"
+                    );
+                    let _ = sender.send(Err(Cut)).await;
+                    gate::failed(&front, &runner, trial, &error).await;
+                }
             }
-            drop((call, flight));
+            drop(held);
         });
         response
     }
 
-    fn note_failure(&self, runner: &Runner, attempt: u32, error: &Error) {
+    async fn note_failure(&self, runner: &Runner, trial: Trial, error: &Error) {
         if matches!(error, Error::Leaving { .. }) {
             sign_leaving(&self.front.core, &runner.id, roster::Source::Refusal);
         }
         log::info!(
             target: DECISION,
-            request = self.name.as_str(), attempt, upstream:% = runner.id, reason:% = error;
+            request = self.name.as_str(), upstream:% = runner.id, reason:% = error;
             "attempt-failed"
         );
+        gate::failed(&self.front, runner, trial, error).await;
     }
 
     fn count_answer(&self) {
@@ -489,9 +641,20 @@
 struct Answer {
     head: hyper::http::response::Parts,
     body: upstream::link::Body,
+    runner: Runner,
+    trial: Trial,
+    since: Time,
     flight: Flight,
 }
 
+/// Tells whether an upstream in this state may get a call.
+fn healthy(admission: Admission) -> bool {
+    match admission {
+        Admission::Yes | Admission::Probe => true,
+        Admission::Full | Admission::Ejected(_) | Admission::Stranger => false,
+    }
+}
+
 async fn pump(mut body: upstream::link::Body, sender: &Sender) -> Result<(), Error> {
     while let Some(chunk) = body.next().await? {
         if sender.send(Ok(chunk)).await.is_err() {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`front`] answers callers and operators.
 //! - [`directory`] knows where nodes and upstreams are.
 //! - [`run`] starts and stops all of it; [`tune`] derives the machines' settings.
+//! - [`trials`] keeps what attempts taught: retry budgets and the health of upstreams.
 //! - [`journal`], [`metrics`] and [`usage`] tell operators what happens.
 
 pub mod clock;
@@ -16,6 +17,7 @@
 pub mod peer;
 pub mod run;
 pub mod shared;
+pub mod trials;
 pub mod tune;
 pub mod usage;
 
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -10,6 +10,7 @@
 use crate::clock::Clock;
 use crate::directory::Directory;
 use crate::metrics::Metrics;
+use crate::trials::Trials;
 
 /// The rules in force.
 #[derive(Debug)]
@@ -38,6 +39,8 @@
     pub directory: ArcSwap<Directory>,
     /// Prefix for the keys of calls that may not be repeated, while witnesses are known.
     pub ticket: ArcSwapOption<String>,
+    /// Retry budgets and health of upstreams.
+    pub trials: Trials,
     ready: AtomicBool,
     leaving: AtomicBool,
     flying: AtomicU64,
@@ -56,6 +59,7 @@
             view: ArcSwap::default(),
             directory: ArcSwap::default(),
             ticket: ArcSwapOption::empty(),
+            trials: Trials::default(),
             ready: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             flying: AtomicU64::new(0),
--- a/crates/node/src/tune.rs
+++ b/crates/node/src/tune.rs
@@ -16,6 +16,11 @@
         manifest: manifest_key(settings),
         placement: placement(settings),
         once: once(settings),
+        admission: admission::Config {
+            waiting: settings.limits.queue,
+            ..admission::Config::default()
+        },
+        poison: dispatch::poison::Config::default(),
         me,
     }
 }
