--- a/crates/settings/tests/example_files.rs
+++ b/crates/settings/tests/example_files.rs
@@ -36,3 +36,24 @@
         assert_eq!(&&*settings.vm.zone, zone);
     }
 }
+
+/// The page's first example shows the defaults; the second one those of a store and a pool.
+#[test]
+fn page_shows_the_defaults() {
+    let path = format!("{}/../../docs/settings.md", env!("CARGO_MANIFEST_DIR"));
+    let page = std::fs::read_to_string(path).unwrap();
+    let blocks = page.split("```toml\n").skip(1);
+    let texts: Vec<&str> = blocks
+        .filter_map(|block| block.split("```").next())
+        .collect();
+    let shown = Settings::parse(&texts.concat()).unwrap();
+    let short = r#"
+        vm = { id = "vm-1", region = "region", zone = "zone" }
+        advertise = { callers = "192.0.2.1:8080", peers = "192.0.2.1:8081" }
+        platform.addresses = ["192.0.2.9:2379"]
+        peers.keys = ["at least sixteen bytes"]
+        store.weights = {}
+        pool.engines = { base = "base", store = "weights" }
+    "#;
+    assert_eq!(shown, Settings::parse(short).unwrap());
+}
