Log each decision with stable keys and add an open-loop load tool

Notes of the machines were logged in their debug form, which no log search can rely on. Each is now a line of its own with stable keys.

hyssopctl load sends requests at times drawn before the run and counts each latency from the time at which it was due.

--- a/crates/hyssopscale/src/cli.rs
+++ b/crates/hyssopscale/src/cli.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use clap_complete::Shell;
@@ -168,6 +169,7 @@
                         .help("Shows the nodes' decision lines"),
                 ),
         )
+        .subcommand(load_command())
         .subcommand(
             Command::new("completions")
                 .about("Prints completions for a shell")
@@ -201,6 +203,98 @@
         .arg(at)
 }
 
+fn load_command() -> Command {
+    let option =
+        |name: &'static str, value: &'static str| Arg::new(name).long(name).value_name(value);
+    let number = |name: &'static str, default: &'static str| {
+        option(name, "N")
+            .default_value(default)
+            .value_parser(value_parser!(f64))
+    };
+    let address =
+        |name: &'static str| option(name, "ADDRESS").value_parser(value_parser!(SocketAddr));
+    Command::new("load")
+        .about("Sends requests at a given rate and reports latencies and faults")
+        .arg(address("entry").help("A node's address for callers; the others are asked for"))
+        .arg(
+            address("engine")
+                .conflicts_with("entry")
+                .requires("instance")
+                .help("An engine to send to without a node between, to compare"),
+        )
+        .arg(option("instance", "NAME").help("Instance that the engine holds"))
+        .arg(nodes().help("Operators' addresses of nodes whose usage is reported"))
+        .arg(option("token", "TOKEN").help("The caller's token"))
+        .arg(option("caller", "NAME").help("The caller's name, where nodes trust it"))
+        .arg(
+            option("model", "MODEL")
+                .action(ArgAction::Append)
+                .help("Model to name, most popular first; auto without it"),
+        )
+        .arg(number("rate", "20").help("Requests a second"))
+        .arg(number("seconds", "10").help("Length of the run"))
+        .arg(number("exponent", "1").help("Exponent of the models' popularity"))
+        .arg(number("urgent", "0").help("Part of the requests that are urgent"))
+        .arg(number("routine", "0").help("Part of the requests that are routine"))
+        .arg(
+            option("tokens", "N")
+                .default_value("32")
+                .value_parser(value_parser!(u64))
+                .help("Tokens of an answer"),
+        )
+        .arg(
+            option("seed", "N")
+                .default_value("1")
+                .value_parser(value_parser!(u64))
+                .help("Seed of the requests"),
+        )
+        .arg(number("timeout", "30").help("Time limit of a request in seconds"))
+        .arg(
+            Arg::new("verify")
+                .long("verify")
+                .action(ArgAction::SetTrue)
+                .help("Compares texts with what the stand-in of an engine answers"),
+        )
+}
+
+fn load_config(matches: &ArgMatches) -> Result<ops::load::Config, Error> {
+    use ops::load::{Config, Credential, Plan, Target};
+    let text = |name: &str| matches.get_one::<String>(name).cloned();
+    let number = |name: &str| matches.get_one::<f64>(name).copied().unwrap_or_default();
+    let count = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or_default();
+    let seconds = |name: &str| Duration::from_secs_f64(number(name).max(0.0));
+    let target = match (matches.get_one("entry"), matches.get_one("engine")) {
+        (Some(entry), _) => Target::Nodes(*entry),
+        (None, Some(engine)) => Target::Engine(*engine, text("instance").unwrap_or_default()),
+        (None, None) => {
+            let help = "name --entry or --engine\nhelp: --entry takes a node's caller address";
+            return Err(Error::Found(help.to_owned()));
+        }
+    };
+    let caller = match text("token") {
+        Some(token) => Credential::Token(token),
+        None => Credential::Name(text("caller").unwrap_or_else(|| "load".to_owned())),
+    };
+    let models = many(matches, "model");
+    Ok(Config {
+        target,
+        operators: many(matches, "node"),
+        caller,
+        plan: Plan {
+            seed: count("seed"),
+            rate: number("rate"),
+            duration: seconds("seconds"),
+            models,
+            exponent: number("exponent"),
+            urgent: number("urgent"),
+            routine: number("routine"),
+            tokens: count("tokens"),
+        },
+        timeout: seconds("timeout"),
+        verify: matches.get_flag("verify"),
+    })
+}
+
 fn files(name: &'static str) -> Arg {
     Arg::new(name)
         .value_name("FILE")
@@ -243,6 +337,7 @@
             block_on(ops::status::run(nodes, output))
         }
         "demo" => block_on(ops::demo::run(matches.get_flag("log"))),
+        "load" => block_on(ops::load::run(load_config(matches)?, output)),
         "completions" => {
             let shell: Shell = *matches.get_one("shell").expect("clap demands it");
             clap_complete::generate(
--- a/crates/hyssopscale/src/ops/mod.rs
+++ b/crates/hyssopscale/src/ops/mod.rs
@@ -4,6 +4,7 @@
 pub mod demo;
 pub mod diff;
 pub mod explain;
+pub mod load;
 pub mod pack;
 pub mod serve;
 pub mod status;
--- a/crates/node/src/core/perform.rs
+++ b/crates/node/src/core/perform.rs
@@ -8,6 +8,7 @@
 use wire::{Revision, Upstream, View};
 
 use super::{Admitted, Grant, Input, Placed, Ruling, State, Vetted, orders, source};
+use crate::decision;
 use crate::journal::DECISION;
 use crate::shared::Rules;
 
@@ -21,7 +22,7 @@
             Action::View(view) => self.show_view(view),
             Action::Leaving(upstream) => self.mark_leaving(upstream, true),
             Action::Returned(upstream) => self.mark_leaving(upstream, false),
-            Action::Roster(note) => log::info!(target: DECISION, note:?; "membership"),
+            Action::Roster(note) => decision::roster(&note),
             Action::Config(action) => self.perform_config(action),
             Action::Placement(action) => self.perform_placement(action),
             Action::Once(action) => self.perform_once(action),
@@ -52,7 +53,6 @@
     }
 
     fn mark_leaving(&mut self, upstream: Upstream, leaves: bool) {
-        log::info!(target: DECISION, upstream:%, leaves; "upstream-leaving");
         self.leaving.retain(|known| *known != upstream);
         if leaves {
             self.leaving.push(upstream);
@@ -80,7 +80,7 @@
             Adopt { revision, .. } => self.adopt(revision),
             Refused { revision, reason } => self.refuse(revision, format!("{reason:?}")),
             Ready => self.shared.set_ready(),
-            Note(note) => log::info!(target: DECISION, note:?; "configuration"),
+            Note(note) => decision::config(&note),
             // The joined machine turns these into frames and heartbeats.
             Send { .. } | Seen(_) => {}
         }
@@ -188,7 +188,7 @@
                 };
                 orders::unload(&self.shared, &self.handle, order);
             }
-            Note(note) => log::info!(target: DECISION, note:?; "placement"),
+            Note(note) => decision::placement(&note),
             // The joined machine turns it into a frame.
             Send { .. } => {}
         }
@@ -251,7 +251,7 @@
                 );
                 self.calls.remove(&request);
             }
-            Note(note) => log::info!(target: DECISION, note:?; "claims"),
+            Note(note) => decision::once(&note),
             // The joined machine turns it into a frame.
             Send { .. } => {}
         }
@@ -305,7 +305,7 @@
                 retry_after,
             } => (request, Vetted::Busy { retry_after }),
             Note { print, standing } => {
-                log::info!(target: DECISION, print, standing:?; "suspicion");
+                decision::poison(print, standing);
                 return;
             }
             // The joined machine turns it into a frame.
--- a/crates/node/src/front/handler.rs
+++ b/crates/node/src/front/handler.rs
@@ -34,6 +34,7 @@
             _ => {}
         }
         let rules = self.rules()?;
+        self.check_streams()?;
         match (request.method(), path) {
             (&Method::GET, "/v1/addresses") => address::answer(self, &rules, request.headers()),
             (&Method::GET, "/v1/models") => model::list(self, &rules, request.headers()),
@@ -53,6 +54,16 @@
         Ok(text("ready\n"))
     }
 
+    /// Refuses what exceeds the limit on requests in progress.
+    fn check_streams(&self) -> Result<(), Problem> {
+        let limit = self.shared.settings.limits.streams as u64;
+        if self.shared.flying() <= limit {
+            return Ok(());
+        }
+        let detail = "this node has too many requests in progress; ask another";
+        Err(Problem::busy(detail, RETRY_ELSEWHERE))
+    }
+
     /// Returns the rules in force, or the refusal of a node that may not take traffic yet.
     fn rules(&self) -> Result<Arc<Rules>, Problem> {
         let rules = self
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,10 +6,11 @@
 //! - [`directory`] knows where nodes and upstreams are.
 //! - [`run`] starts and stops all of it; [`tune`] derives the machines' settings.
 //! - [`trials`] keeps what attempts taught: retry budgets and the health of upstreams.
-//! - [`journal`], [`metrics`] and [`usage`] tell operators what happens.
+//! - [`decision`] writes a log line for each decision; [`journal`], [`metrics`] and [`usage`] tell operators what happens.
 
 pub mod clock;
 pub mod core;
+pub mod decision;
 pub mod directory;
 pub mod front;
 pub mod journal;
