--- a/crates/once/tests/fault_schedules.rs
+++ b/crates/once/tests/fault_schedules.rs
@@ -39,11 +39,18 @@
     let mut answered = 0;
     for seed in part * 25..(part + 1) * 25 {
         let fleet = torment(seed, None);
-        assert!(fleet.broken().is_empty(), "seed {seed}: {:?}", fleet.broken());
+        assert!(
+            fleet.broken().is_empty(),
+            "seed {seed}: {:?}",
+            fleet.broken()
+        );
         let told = |call: &fleet::Call| matches!(call.told, Some((_, Told::Record(_))));
         answered += fleet.calls.iter().filter(|call| told(call)).count();
     }
-    assert!(answered > 1_000, "schedules that answer nothing prove nothing: {answered}");
+    assert!(
+        answered > 1_000,
+        "schedules that answer nothing prove nothing: {answered}"
+    );
 }
 
 #[rstest]
@@ -104,8 +111,13 @@
         let fleet = torment(seed, None);
         let up = fleet.up();
         for (number, call) in fleet.calls.iter().enumerate() {
-            let alive = up.iter().any(|i| fleet.guard(*i).incarnation() == &call.node);
-            assert!(!alive || call.told.is_some(), "seed {seed}: call {number} hangs");
+            let alive = up
+                .iter()
+                .any(|i| fleet.guard(*i).incarnation() == &call.node);
+            assert!(
+                !alive || call.told.is_some(),
+                "seed {seed}: call {number} hangs"
+            );
         }
     }
 }
@@ -115,7 +127,9 @@
     let said = (0..20).any(|seed| {
         let calls = torment(seed, None).calls;
         let not_run = |told: &Told| matches!(told, Told::Refused(Outcome::NotRun, _));
-        calls.iter().any(|c| c.told.as_ref().is_some_and(|(_, t)| not_run(t)))
+        calls
+            .iter()
+            .any(|c| c.told.as_ref().is_some_and(|(_, t)| not_run(t)))
     });
     assert!(said, "schedules without a not-run don't check it");
 }
--- a/crates/once/tests/message_fuzz.rs
+++ b/crates/once/tests/message_fuzz.rs
@@ -60,7 +60,11 @@
 }
 
 fn span() -> impl Strategy<Value = Duration> {
-    prop_oneof![Just(Duration::ZERO), Just(Duration::MAX), (0..9_u64).prop_map(Duration::from_secs)]
+    prop_oneof![
+        Just(Duration::ZERO),
+        Just(Duration::MAX),
+        (0..9_u64).prop_map(Duration::from_secs)
+    ]
 }
 
 fn verdict() -> impl Strategy<Value = Verdict> {
@@ -75,7 +79,13 @@
 }
 
 fn page() -> impl Strategy<Value = Page> {
-    let copy = (key(), body(), vec(claim(), 0..2), proptest::option::of(span()), span());
+    let copy = (
+        key(),
+        body(),
+        vec(claim(), 0..2),
+        proptest::option::of(span()),
+        span(),
+    );
     let copy = copy.prop_map(|(key, body, claims, void, left)| Copy {
         key,
         body,
@@ -96,39 +106,78 @@
         Just(Told::Unknown),
         record().prop_map(Told::Ended)
     ];
-    let (a, b, c, d) = (number.clone(), number.clone(), number.clone(), number.clone());
+    let (a, b, c, d) = (
+        number.clone(),
+        number.clone(),
+        number.clone(),
+        number.clone(),
+    );
     prop_oneof![
         (number.clone(), 0..3_u64, member(), any::<bool>()).prop_map(
-            |(set, lineage, member, holder)| Message::Hello { set, lineage, member, holder }
+            |(set, lineage, member, holder)| Message::Hello {
+                set,
+                lineage,
+                member,
+                holder
+            }
         ),
         set().prop_map(|set| Message::Sync { set }),
         (a, claim(), key(), body(), vec(claim(), 0..2)).prop_map(
-            |(set, claim, key, body, over)| Message::Ask { set, claim, key, body, over }
-        ),
-        (b, member(), claim(), key(), verdict()).prop_map(
-            |(set, voter, claim, key, verdict)| Message::Vote { set, voter, claim, key, verdict }
+            |(set, claim, key, body, over)| Message::Ask {
+                set,
+                claim,
+                key,
+                body,
+                over
+            }
         ),
-        (c, claim(), key(), body())
-            .prop_map(|(set, claim, key, body)| Message::Void { set, claim, key, body }),
-        (d, member(), claim(), key())
-            .prop_map(|(set, voter, claim, key)| Message::Voided { set, voter, claim, key }),
+        (b, member(), claim(), key(), verdict()).prop_map(|(set, voter, claim, key, verdict)| {
+            Message::Vote {
+                set,
+                voter,
+                claim,
+                key,
+                verdict,
+            }
+        }),
+        (c, claim(), key(), body()).prop_map(|(set, claim, key, body)| Message::Void {
+            set,
+            claim,
+            key,
+            body
+        }),
+        (d, member(), claim(), key()).prop_map(|(set, voter, claim, key)| Message::Voided {
+            set,
+            voter,
+            claim,
+            key
+        }),
         (claim(), key()).prop_map(|(claim, key)| Message::Release { claim, key }),
-        (claim(), key(), body(), record())
-            .prop_map(|(claim, key, body, record)| Message::Store { claim, key, body, record }),
+        (claim(), key(), body(), record()).prop_map(|(claim, key, body, record)| Message::Store {
+            claim,
+            key,
+            body,
+            record
+        }),
         (claim(), key()).prop_map(|(claim, key)| Message::Stored { claim, key }),
         (claim(), key(), claim()).prop_map(|(claim, key, by)| Message::Inquire { claim, key, by }),
         (claim(), key(), told).prop_map(|(claim, key, told)| Message::Tell { claim, key, told }),
         (number.clone(), proptest::option::of(key()))
             .prop_map(|(set, after)| Message::Recover { set, after }),
-        (number, member(), proptest::option::of(key()), span(), page()).prop_map(
-            |(set, voter, after, quarantine, page)| Message::Page {
+        (
+            number,
+            member(),
+            proptest::option::of(key()),
+            span(),
+            page()
+        )
+            .prop_map(|(set, voter, after, quarantine, page)| Message::Page {
                 set,
                 voter,
                 after,
                 quarantine,
                 page
-            }
-        ),
+            }),
     ]
 }
 
@@ -138,11 +187,17 @@
         if let Ok(message) = frame::decode::<Message>(&bytes) {
             let mut guard = Guard::new(Config::default(), Incarnation::new("vm-0", 1));
             let from = Incarnation::new("vm-1", 1);
-            guard.step(Duration::ZERO, Event::Receive { from, message }, &mut Vec::new());
+            guard.step(
+                Duration::ZERO,
+                Event::Receive { from, message },
+                &mut Vec::new(),
+            );
         }
         Ok(())
     };
-    runner(20_000, 1).run(&vec(any::<u8>(), 0..64), decode).expect("no panic");
+    runner(20_000, 1)
+        .run(&vec(any::<u8>(), 0..64), decode)
+        .expect("no panic");
     let cut = |(message, at, bit): (Message, usize, u8)| {
         let mut bytes = frame::encode(&message).expect("encodes");
         prop_assert_eq!(frame::decode::<Message>(&bytes).expect("decodes"), message);
@@ -192,7 +247,10 @@
     let mut set = Set::new(3);
     for vm in 0..3 {
         let incarnation = Incarnation::new(format!("vm-{vm}"), 1);
-        set.add(Member { incarnation, round: 0 });
+        set.add(Member {
+            incarnation,
+            round: 0,
+        });
     }
     let set = set.found();
     let peer = |vm: u8| Peer {
@@ -201,7 +259,10 @@
         state: State::Live,
     };
     let view = View::new((0..3).map(peer));
-    let steps = vec((0..12_u8, incarnation(), message(set.id()), 0..400_u64), 1..60);
+    let steps = vec(
+        (0..12_u8, incarnation(), message(set.id()), 0..400_u64),
+        1..60,
+    );
     let permitted = std::cell::Cell::new(0);
     let check = |steps: Vec<(u8, Incarnation, Message, u64)>| {
         let mut guard = Guard::new(config.clone(), me.clone());
