--- a/crates/once/tests/fault_schedules.rs
+++ b/crates/once/tests/fault_schedules.rs
@@ -24,7 +24,7 @@
 
 fn torment(seed: u64, planted: Option<Planted>) -> Fleet {
     let mut fleet = Fleet::new(seed, 7, config(), ROUGH);
-    if seed % 2 == 0 {
+    if seed.is_multiple_of(2) {
         fleet.take_ticket();
     } else {
         fleet.run(config().quarantine);
--- a/crates/once/tests/fleet/mod.rs
+++ b/crates/once/tests/fleet/mod.rs
@@ -1,5 +1,5 @@
 //! Many guards in one thread, with a network, a VM list and upstream that misbehave by a seed.
-#![allow(dead_code, missing_docs)]
+#![allow(dead_code, missing_docs, unused_imports)]
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
