--- a/crates/once/examples/unknown_share.rs
+++ b/crates/once/examples/unknown_share.rs
@@ -104,8 +104,10 @@
     sum.unfinished += direct;
     sum.doubled += fleet.broken().len();
     // Way (a): the key's home by rendezvous over the VMs at the call; its records go with it.
-    let homes = |key: usize| rank::first(rank::hash(key.to_le_bytes()), (0..7).map(|n| n.to_string()));
-    let gone = |key: &usize| homes(*key).is_some_and(|home| dead.iter().any(|d| d.to_string() == home));
+    let homes =
+        |key: usize| rank::first(rank::hash(key.to_le_bytes()), (0..7).map(|n| n.to_string()));
+    let gone =
+        |key: &usize| homes(*key).is_some_and(|home| dead.iter().any(|d| d.to_string() == home));
     let before = 2_000 / RATE as usize;
     sum.home += (0..before).filter(gone).count();
 }
@@ -126,16 +128,24 @@
         let told = fleet.told(**call);
         matches!(told, Some(Told::Refused(Outcome::Unknown, _)) | None)
     };
-    calls.iter().filter(unknown).map(|call| fleet.calls[*call].key).collect()
+    calls
+        .iter()
+        .filter(unknown)
+        .map(|call| fleet.calls[*call].key)
+        .collect()
 }
 
 fn count_unknown(fleet: &Fleet, calls: &[usize]) -> usize {
-    let unknown = |call: &&usize| matches!(fleet.told(**call), Some(Told::Refused(Outcome::Unknown, _)));
+    let unknown =
+        |call: &&usize| matches!(fleet.told(**call), Some(Told::Refused(Outcome::Unknown, _)));
     calls.iter().filter(unknown).count()
 }
 
 fn main() {
-    println!("case                       calls in-flight unknown-on-retry of-others unknown-at-once broken way-a(of first {} per run)", 2_000 / RATE);
+    println!(
+        "case                       calls in-flight unknown-on-retry of-others unknown-at-once broken way-a(of first {} per run)",
+        2_000 / RATE
+    );
     let cases = [
         ("1 of 7 dies", Case::Die(1)),
         ("2 of 7 die", Case::Die(2)),
