Drop settings that nothing used and announce terms to placement

time.heartbeat and time.suspicion had no effect: membership keeps the periods that its byte budget was worked out with. [advertise] had none either, since others learn addresses from the platform's list of VMs. All three are gone, so that a file which sets them is told so.

The tests of the removed bounds are replaced by ones that these keys are reported as unknown, that time.lease must exceed 1s (the bound that the default heartbeat gave it) and that every pair of listeners differs.

The status names the slots, leases and queue of each engine at its owner.

--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -6,6 +6,7 @@
 //! that wait for them. No input makes the actor wait for I/O, so that no request waits in its
 //! mailbox behind another one's.
 
+pub mod calendar;
 mod input;
 mod orders;
 mod perform;
@@ -24,7 +25,7 @@
 pub use input::{Admitted, Grant, Input, Placed, Ruling, Vetted};
 pub(crate) use orders::poll_engines;
 pub(crate) use perform::sign_leaving;
-pub use status::{Owned, PeerStatus, Status, UpstreamStatus};
+pub use status::{Owned, PeerStatus, Resident, Status, UpstreamStatus, Wait};
 
 use crate::directory::Directory;
 use crate::peer::Outbox;
@@ -181,6 +182,7 @@
         let handle = Handle { actor: myself };
         let (wake, wakes) = watch::channel(Some(Time::ZERO));
         tokio::spawn(run_timer(shared.clone(), handle.clone(), wakes));
+        tokio::spawn(calendar::watch(shared.clone(), handle.clone()));
         tokio::spawn(source::poll_members(
             shared.clone(),
             handle.clone(),
--- a/crates/node/src/core/status.rs
+++ b/crates/node/src/core/status.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
+use placement::owner::seat::{self, Seat};
+use placement::owner::Owner;
 use serde::{Deserialize, Serialize};
 use wire::view::State as PeerState;
-use wire::{Revision, Upstream, Vm, Zone};
+use wire::{Priority, Revision, Time, Upstream, Vm, Zone};
 
 use super::State;
 
@@ -76,6 +78,42 @@
 pub struct Owned {
     /// Its id.
     pub id: Upstream,
+    /// Its pool.
+    pub pool: String,
+    /// Adapters that it holds at once.
+    pub slots: usize,
+    /// Number of the ownership.
+    pub claim: wire::Fence,
+    /// The instances in its slots.
+    pub residents: Vec<Resident>,
+    /// Adapter versions that wait for a load.
+    pub queue: Vec<Wait>,
+}
+
+/// An instance in a slot of an engine.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Resident {
+    /// The adapter version; `None` where another node gave the instance's name.
+    pub model: Option<String>,
+    /// Name under which the engine holds it.
+    pub instance: String,
+    /// `loading`, `ready`, `evicting`, `unknown` or `foreign`.
+    pub state: String,
+    /// Nodes that hold a lease on it.
+    pub leases: Vec<Vm>,
+}
+
+/// An adapter version that waits for a load.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Wait {
+    /// The adapter version.
+    pub model: String,
+    /// Highest priority among its requests.
+    pub priority: String,
+    /// Requests that wait for it.
+    pub requests: u32,
+    /// Age of the oldest in milliseconds.
+    pub age_ms: u64,
 }
 
 impl State {
@@ -115,14 +153,49 @@
                 .placement()
                 .owners()
                 .iter()
-                .map(|owner| Owned {
-                    id: owner.facts().id.clone(),
-                })
+                .map(|owner| owned(owner, now))
                 .collect(),
         }
     }
 }
 
+fn owned(owner: &Owner, now: Time) -> Owned {
+    let waits = owner.queue().entries().iter().map(|entry| {
+        let want = entry.want();
+        Wait {
+            model: entry.model.to_string(),
+            priority: want.priority.map_or("prefetch", Priority::name).to_owned(),
+            requests: want.waiting,
+            age_ms: millis(now.saturating_sub(want.since)),
+        }
+    });
+    Owned {
+        id: owner.facts().id.clone(),
+        pool: owner.facts().pool.to_string(),
+        slots: owner.facts().slots,
+        claim: owner.claim(),
+        residents: owner.seats().iter().map(resident).collect(),
+        queue: waits.collect(),
+    }
+}
+
+fn resident(seat: &Seat) -> Resident {
+    let state = match seat.state {
+        seat::State::Loading { .. } => "loading",
+        seat::State::Ready => "ready",
+        seat::State::Evicting { .. } => "evicting",
+        seat::State::Unknown { .. } => "unknown",
+        seat::State::Foreign => "foreign",
+    };
+    let holders = seat.rights.iter().map(|right| right.holder.vm.clone());
+    Resident {
+        model: seat.model.as_ref().map(ToString::to_string),
+        instance: seat.instance.to_string(),
+        state: state.to_owned(),
+        leases: holders.collect(),
+    }
+}
+
 fn peer_status(peer: &wire::view::Peer) -> PeerStatus {
     PeerStatus {
         vm: peer.incarnation.vm.clone(),
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -15,8 +15,8 @@
 /// Smallest body limit in bytes that leaves room for a prompt.
 const BODY_BYTES_MIN: usize = 1024;
 
-/// Heartbeats that must be missed before a peer may be suspect.
-const HEARTBEATS_MIN: u32 = 2;
+/// Leases must be longer than this, or they end before a renewal has come and gone.
+const LEASE_MIN: Duration = Duration::from_secs(1);
 
 /// Longest duration of any key.
 const DURATION_MAX: Duration = Duration::from_secs(24 * 60 * 60);
@@ -68,19 +68,16 @@
     fn listen(&mut self, settings: &Settings) {
         let listen = &settings.listen;
         let bound = [
-            ("callers", listen.callers, settings.callers()),
-            ("peers", listen.peers, settings.peers()),
-            ("operators", listen.operators, settings.operators()),
+            ("callers", listen.callers),
+            ("peers", listen.peers),
+            ("operators", listen.operators),
         ];
-        for (index, (name, address, told)) in bound.into_iter().enumerate() {
+        for (index, (name, address)) in bound.into_iter().enumerate() {
             let free = bound[..index]
                 .iter()
-                .all(|(_, other, _)| !clash(*other, address));
+                .all(|(_, other)| !clash(*other, address));
             let remedy = "another listener binds this address, give it a port of its own";
             self.ensure(free, format!("listen.{name}"), address, remedy);
-            let key = format!("advertise.{name}");
-            let remedy = "others can't connect to an unspecified address, set the one to tell them";
-            self.ensure(!told.ip().is_unspecified(), key, told, remedy);
         }
     }
 
@@ -149,8 +146,6 @@
             ("drain", time.drain),
             ("address_ttl", time.address_ttl),
             ("retry_window", time.retry_window),
-            ("heartbeat", time.heartbeat),
-            ("suspicion", time.suspicion),
             ("lease", time.lease),
             ("load", time.load),
         ] {
@@ -177,17 +172,9 @@
             time.drain,
             remedy,
         );
-        let least = time.heartbeat.saturating_mul(HEARTBEATS_MIN);
-        let remedy = "make it at least two of time.heartbeat, or a lost one makes a peer suspect";
+        let remedy = "make it longer than 1s, or leases end before their renewal";
         self.ensure(
-            time.suspicion >= least,
-            "time.suspicion",
-            time.suspicion,
-            remedy,
-        );
-        let remedy = "make it longer than time.heartbeat, or leases end before their renewal";
-        self.ensure(
-            time.lease > time.heartbeat,
+            time.lease > LEASE_MIN,
             "time.lease",
             time.lease,
             remedy,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -13,7 +13,7 @@
 use std::fmt;
 
 pub use section::{
-    Advertise, Driver, Fencing, Form, Limits, Listen, Log, Peers, Platform, Pool, Secret, Store,
+    Driver, Fencing, Form, Limits, Listen, Log, Peers, Platform, Pool, Secret, Store,
     Times, Tls, Trust, Vm, Weights,
 };
 
@@ -24,8 +24,6 @@
     pub vm: Vm,
     /// `[listen]`: the socket addresses that the node binds.
     pub listen: Listen,
-    /// `[advertise]`: the addresses told to others; each is the bound one by default.
-    pub advertise: Advertise,
     /// `[platform]`: where the configuration and the list of VMs are read.
     pub platform: Platform,
     /// `[peers]`: how nodes authenticate each other.
@@ -51,7 +49,7 @@
 /// One finding: a key, its bad value and the remedy.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Fault {
-    /// The dotted key, such as `time.heartbeat`.
+    /// The dotted key, such as `time.lease`.
     pub key: String,
     /// The value as given; empty where it is missing.
     pub value: String,
@@ -115,19 +113,4 @@
             Err(Error { faults })
         }
     }
-
-    /// Returns the address told to callers.
-    pub fn callers(&self) -> std::net::SocketAddr {
-        self.advertise.callers.unwrap_or(self.listen.callers)
-    }
-
-    /// Returns the address told to peers.
-    pub fn peers(&self) -> std::net::SocketAddr {
-        self.advertise.peers.unwrap_or(self.listen.peers)
-    }
-
-    /// Returns the address told to operators.
-    pub fn operators(&self) -> std::net::SocketAddr {
-        self.advertise.operators.unwrap_or(self.listen.operators)
-    }
 }
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -8,10 +8,9 @@
 use crate::{Fault, Settings};
 
 /// Sections whose name stands alone.
-const PLAIN: [&str; 11] = [
+const PLAIN: [&str; 10] = [
     "vm",
     "listen",
-    "advertise",
     "platform",
     "peers",
     "limits",
@@ -65,7 +64,6 @@
         Settings {
             vm: self.plain("vm"),
             listen: self.plain("listen"),
-            advertise: self.plain("advertise"),
             platform: self.plain("platform"),
             peers: self.plain("peers"),
             limits: self.plain("limits"),
--- a/crates/settings/src/section.rs
+++ b/crates/settings/src/section.rs
@@ -51,18 +51,6 @@
     }
 }
 
-/// `[advertise]`: the addresses told to others. Needed where a bound one is unspecified.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct Advertise {
-    /// Address for callers.
-    pub callers: Option<SocketAddr>,
-    /// Address for peers.
-    pub peers: Option<SocketAddr>,
-    /// Address for operators.
-    pub operators: Option<SocketAddr>,
-}
-
 /// `[platform]`: where the configuration and the list of VMs are read.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -179,12 +167,6 @@
     /// Time within which a repeated key of a call that may run once gets the first answer.
     #[serde(with = "humantime_serde")]
     pub retry_window: Duration,
-    /// Time between two heartbeats to a peer.
-    #[serde(with = "humantime_serde")]
-    pub heartbeat: Duration,
-    /// Silence after which a peer is suspect.
-    #[serde(with = "humantime_serde")]
-    pub suspicion: Duration,
     /// Life of a lease on a resident adapter unless it is renewed.
     #[serde(with = "humantime_serde")]
     pub lease: Duration,
@@ -210,8 +192,6 @@
             drain: secs(60),
             address_ttl: secs(15),
             retry_window: secs(600),
-            heartbeat: secs(1),
-            suspicion: secs(4),
             lease: secs(20),
             load: secs(10),
             gather: Duration::ZERO,
--- a/crates/settings/tests/example_files.rs
+++ b/crates/settings/tests/example_files.rs
@@ -49,7 +49,6 @@
     let shown = Settings::parse(&texts.concat()).unwrap();
     let short = r#"
         vm = { id = "vm-1", region = "region", zone = "zone" }
-        advertise = { callers = "192.0.2.1:8080", peers = "192.0.2.1:8081" }
         platform.addresses = ["192.0.2.9:2379"]
         peers.keys = ["at least sixteen bytes"]
         store.weights = {}
--- a/crates/settings/tests/parse_text.rs
+++ b/crates/settings/tests/parse_text.rs
@@ -7,7 +7,6 @@
 
 const SHORT: &str = r#"
 vm = { id = "vm-1", region = "r", zone = "z" }
-advertise = { callers = "10.0.0.1:8080", peers = "10.0.0.1:8081" }
 platform.addresses = ["platform.test:2379"]
 peers.keys = ["0123456789abcdef"]
 "#;
@@ -21,8 +20,8 @@
 fn short_file_works() {
     let settings = Settings::parse(SHORT).unwrap();
     assert_eq!(&*settings.vm.zone, "z");
-    assert_eq!(settings.callers().to_string(), "10.0.0.1:8080");
-    assert_eq!(settings.operators(), settings.listen.operators);
+    assert_eq!(settings.listen.callers.to_string(), "0.0.0.0:8080");
+    assert_eq!(settings.listen.operators.to_string(), "127.0.0.1:8082");
     assert!(!format!("{settings:?}").contains("0123456789abcdef"));
 }
 
@@ -31,7 +30,8 @@
 #[case("vm.zone", "a b", "without spaces")]
 #[case("listen.callers", "nowhere", "socket address")]
 #[case("listen.operators", "127.0.0.1:8081", "port of its own")]
-#[case("advertise.peers", "0.0.0.0:8081", "unspecified")]
+#[case("advertise.peers", "10.0.0.1:8081", "unknown section")]
+#[case("listen.peers", "127.0.0.1:8080", "port of its own")]
 #[case("platform.addresses", "host", "host:port")]
 #[case("platform.addresses", "[]", "at least one")]
 #[case("platform.pol", "1s", "unknown field")]
@@ -40,11 +40,13 @@
 #[case("limits.streams", "0", "at least 1")]
 #[case("time.connect", "0s", "more than 0s")]
 #[case("time.connect", "soon", "duration")]
-#[case("time.suspicion", "1500ms", "time.heartbeat")]
+#[case("time.suspicion", "4s", "unknown field")]
+#[case("time.heartbeat", "1s", "unknown field")]
 #[case("time.drain", "1s", "time.address_ttl")]
 #[case("time.gather", "200s", "time.deadline")]
 #[case("time.deadline", "2h", "time.deadline_max")]
-#[case("time.lease", "500ms", "time.heartbeat")]
+#[case("time.lease", "500ms", "renewal")]
+#[case("time.lease", "1s", "longer than 1s")]
 #[case("weights.load_stalls", "1.5", "0 to 1")]
 #[case("weights.load_stalls", "nan", "0 to 1")]
 #[case("store.s.loads_per_second", "0.0", "above 0")]
@@ -75,7 +77,7 @@
 #[test]
 fn all_faults_at_once() {
     let text = format!("{SHORT}\nfoo = 1\nweights = {{ load_stalls = 2.0, x = 1 }}\n")
-        + "[time]\nheartbeat = 5\nconnect = '0s'\n[pool.a]\nbase = 'b'\nstore = 'none'\n[pool.b]\n";
+        + "[time]\nidle = 5\nconnect = '0s'\n[pool.a]\nbase = 'b'\nstore = 'none'\n[pool.b]\n";
     let error = Settings::parse(&text).unwrap_err();
     let mut keys: Vec<&str> = error.faults.iter().map(|f| f.key.as_str()).collect();
     keys.sort_unstable();
@@ -85,7 +87,7 @@
         "pool.b.base",
         "pool.b.store",
         "time.connect",
-        "time.heartbeat",
+        "time.idle",
         "weights.load_stalls",
         "weights.x",
     ];
