--- a/crates/node/src/core/calendar.rs
+++ b/crates/node/src/core/calendar.rs
@@ -45,7 +45,9 @@
         self.told = Some((rules.revision, from.max(until)));
         let starts = rules.set.upcoming(from, until);
         let expected = starts.iter().filter_map(|start| {
-            let entry = rules.set.model(&start.model.adapter, &start.model.version)?;
+            let entry = rules
+                .set
+                .model(&start.model.adapter, &start.model.version)?;
             let ahead = Duration::try_from(start.at.duration_since(wall)).unwrap_or_default();
             Some(Expect {
                 model: entry.model.clone(),
--- a/crates/node/src/core/status.rs
+++ b/crates/node/src/core/status.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use placement::owner::seat::{self, Seat};
 use placement::owner::Owner;
+use placement::owner::seat::{self, Seat};
 use serde::{Deserialize, Serialize};
 use wire::view::State as PeerState;
 use wire::{Priority, Revision, Time, Upstream, Vm, Zone};
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -173,12 +173,7 @@
             remedy,
         );
         let remedy = "make it longer than 1s, or leases end before their renewal";
-        self.ensure(
-            time.lease > LEASE_MIN,
-            "time.lease",
-            time.lease,
-            remedy,
-        );
+        self.ensure(time.lease > LEASE_MIN, "time.lease", time.lease, remedy);
     }
 
     fn duration(&mut self, key: String, value: Duration) {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -13,8 +13,8 @@
 use std::fmt;
 
 pub use section::{
-    Driver, Fencing, Form, Limits, Listen, Log, Peers, Platform, Pool, Secret, Store,
-    Times, Tls, Trust, Vm, Weights,
+    Driver, Fencing, Form, Limits, Listen, Log, Peers, Platform, Pool, Secret, Store, Times, Tls,
+    Trust, Vm, Weights,
 };
 
 /// The settings of one node.
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -9,16 +9,7 @@
 
 /// Sections whose name stands alone.
 const PLAIN: [&str; 10] = [
-    "vm",
-    "listen",
-    "platform",
-    "peers",
-    "limits",
-    "time",
-    "weights",
-    "trust",
-    "tls",
-    "log",
+    "vm", "listen", "platform", "peers", "limits", "time", "weights", "trust", "tls", "log",
 ];
 
 /// Sections that hold one table for each name.
