--- /dev/null
+++ b/crates/roster/examples/membership.rs
@@ -0,0 +1,97 @@
+//! Measures the membership machine: bytes, processor time and memory per node, false suspicions,
+//! detection of a dead node, and spread of a leaving upstream, by size of the region.
+
+#[path = "../tests/network/mod.rs"]
+mod network;
+#[path = "../tests/network/region.rs"]
+mod region;
+
+use std::time::Duration;
+
+use region::{Region, region};
+use roster::{Event, Note, Source};
+use wire::view::State;
+
+const SIZES: [usize; 4] = [7, 20, 60, 120];
+const LOSSES: [u64; 2] = [0, 20];
+const STEADY: Duration = Duration::from_secs(300);
+const LIMIT: Duration = Duration::from_secs(60);
+const TRIES: usize = 20;
+
+fn main() {
+    println!(
+        "| nodes | loss % | B/s | messages/s | CPU % | KiB | suspicions/h | doubts/h | dead max s | leaving p50 ms | leaving max ms |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|---|---|");
+    for count in SIZES {
+        for loss in LOSSES {
+            row(count, loss);
+        }
+    }
+}
+
+fn row(count: usize, loss: u64) {
+    let before = resident_bytes();
+    let mut net = region(11, count, loss);
+    let (bytes, messages, cpu) = (net.bytes, net.messages, net.cpu);
+    let seen = count_notes(&net);
+    net.run(STEADY);
+    let per_node = |total: f64| total / count as f64 / STEADY.as_secs_f64();
+    let rate = per_node((net.bytes - bytes) as f64);
+    let messages = per_node((net.messages - messages) as f64);
+    let cpu = per_node((net.cpu - cpu).as_secs_f64()) * 100.0;
+    let memory = resident_bytes().saturating_sub(before) as f64 / count as f64 / 1024.0;
+    let hours = STEADY.as_secs_f64() / 3600.0;
+    let (suspected, doubted) = count_notes(&net);
+    let (suspected, doubted) = (
+        (suspected - seen.0) as f64 / hours,
+        (doubted - seen.1) as f64 / hours,
+    );
+    let mut leaving: Vec<Duration> = (0..TRIES).map(|n| spread_sign(&mut net, n)).collect();
+    leaving.sort();
+    let dead = detect(&mut net);
+    println!(
+        "| {count} | {loss} | {rate:.0} | {messages:.1} | {cpu:.3} | {memory:.0} | {suspected:.0} | {doubted:.0} | {:.1} | {} | {} |",
+        dead.as_secs_f64(),
+        leaving[TRIES / 2].as_millis(),
+        leaving[TRIES - 1].as_millis(),
+    );
+}
+
+/// Counts suspicions and doubts, each at the node that had it; nobody is dead.
+fn count_notes(net: &Region) -> (usize, usize) {
+    let notes = || net.nodes().flat_map(|peer| &peer.notes);
+    let suspected = notes().filter(|(_, note)| matches!(note, Note::Suspected(_)));
+    let doubted = notes().filter(|(_, note)| matches!(note, Note::Doubted(_)));
+    (suspected.count(), doubted.count())
+}
+
+/// Time from a sign at one node until every node knows.
+fn spread_sign(net: &mut Region, number: usize) -> Duration {
+    let name = format!("runner-{number}");
+    let upstream = name.as_str().into();
+    let source = Source::Refusal;
+    net.with(number % net.len(), |peer, now| {
+        peer.step(now, Event::Sign { upstream, source });
+    });
+    let told = |net: &Region| net.nodes().all(|peer| peer.leaving.contains(&name));
+    let time = net.run_till(LIMIT, told).expect("every node is told");
+    net.run(Duration::from_secs(5));
+    time
+}
+
+/// Time from the death of a node until every other node suspects it.
+fn detect(net: &mut Region) -> Duration {
+    net.place(0, None);
+    let gone = |net: &Region| {
+        net.nodes()
+            .all(|peer| peer.state(0) == Some(State::Suspect))
+    };
+    net.run_till(LIMIT, gone).expect("the death is detected")
+}
+
+fn resident_bytes() -> usize {
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split_whitespace().nth(1);
+    pages.and_then(|pages| pages.parse().ok()).unwrap_or(0) * 4096
+}
--- /dev/null
+++ b/crates/roster/tests/leaving_news.rs
@@ -0,0 +1,122 @@
+//! Leaving upstreams and nodes are known region-wide in time, whatever the list says.
+
+mod network;
+#[path = "network/region.rs"]
+mod region;
+
+use std::time::Duration;
+
+use region::{Region, region, start};
+use roster::notice::LIFETIME;
+use roster::{Event, Source};
+use rstest::rstest;
+use wire::view::State;
+
+/// Time from the first sign at any node until no node gives the upstream new work.
+const SPREAD: Duration = Duration::from_secs(3);
+
+fn sign(net: &mut Region, index: usize, name: &str, source: Source) {
+    let upstream = name.into();
+    net.with(index, |peer, now| {
+        peer.step(now, Event::Sign { upstream, source });
+    });
+}
+
+fn told(name: &str) -> impl Fn(&Region) -> bool {
+    move |net| {
+        net.nodes()
+            .all(|peer| peer.leaving.iter().any(|u| u == name))
+    }
+}
+
+fn cleared(net: &Region) -> bool {
+    net.nodes().all(|peer| peer.leaving.is_empty())
+}
+
+#[rstest]
+fn in_time(
+    #[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64,
+    #[values(7, 60)] count: usize,
+    #[values(Source::List, Source::Refusal, Source::Report)] source: Source,
+) {
+    let mut net = region(seed, count, 20);
+    sign(&mut net, 0, "runner-1", source);
+    net.run_till(SPREAD, told("runner-1"))
+        .expect("all know in time");
+}
+
+/// A whole rack leaves at once.
+#[rstest]
+fn many_at_once(#[values(7, 60)] count: usize) {
+    let mut net = region(3, count, 20);
+    for number in 0..40 {
+        sign(
+            &mut net,
+            number % count,
+            &format!("runner-{number}"),
+            Source::Report,
+        );
+    }
+    let all = |net: &Region| net.nodes().all(|peer| peer.leaving.len() == 40);
+    net.run_till(SPREAD, all).expect("all know in time");
+}
+
+#[rstest]
+fn node_leaves(#[values(1, 2, 3, 4)] seed: u64, #[values(7, 60)] count: usize) {
+    let mut net = region(seed, count, 20);
+    net.with(2, |peer, now| peer.step(now, Event::Leave));
+    let known = |net: &Region| net.nodes().all(|p| p.state(2) == Some(State::Leaving));
+    net.run_till(SPREAD, known).expect("all know in time");
+    net.place(2, None);
+    net.run(Duration::from_secs(20));
+    assert!(known(&net), "leaving stays final for the incarnation");
+    start(&mut net, 2);
+    net.run_till(Duration::from_secs(30), region::converged)
+        .expect("its successor is live");
+}
+
+/// An upstream that came back gets work after the lifetime, and a repeated sign renews it.
+#[rstest]
+fn expires(#[values(1, 2)] seed: u64) {
+    let mut net = region(seed, 7, 20);
+    sign(&mut net, 0, "runner-1", Source::Refusal);
+    net.run(LIFETIME - Duration::from_secs(15));
+    sign(&mut net, 4, "runner-1", Source::Refusal);
+    net.run(LIFETIME - Duration::from_secs(5));
+    assert!(told("runner-1")(&net), "the second sign renewed it");
+    net.run_till(Duration::from_secs(10), cleared)
+        .expect("it ends everywhere");
+    net.run(Duration::from_secs(30));
+    assert!(cleared(&net), "and does not come back by old news");
+}
+
+#[rstest]
+fn returns(#[values(1, 2, 3)] seed: u64) {
+    let mut net = region(seed, 7, 20);
+    sign(&mut net, 0, "runner-1", Source::Report);
+    net.run_till(SPREAD, told("runner-1"))
+        .expect("all know in time");
+    let upstream = "runner-1".into();
+    net.with(5, |peer, now| peer.step(now, Event::Retract { upstream }));
+    net.run_till(SPREAD, cleared).expect("all know in time");
+    sign(&mut net, 3, "runner-1", Source::Report);
+    net.run_till(SPREAD, told("runner-1"))
+        .expect("it leaves again");
+}
+
+/// A node that saw the upstream leave after the return that others hold insists.
+#[test]
+fn sign_after_return() {
+    let mut net = region(9, 7, 0);
+    let others: Vec<usize> = (1..7).collect();
+    net.split(&[0], &others);
+    sign(&mut net, 1, "runner-1", Source::Report);
+    net.run(Duration::from_secs(1));
+    let upstream = "runner-1".into();
+    net.with(1, |peer, now| peer.step(now, Event::Retract { upstream }));
+    net.run(Duration::from_secs(5));
+    sign(&mut net, 0, "runner-1", Source::Report);
+    net.heal();
+    net.run_till(Duration::from_secs(15), told("runner-1"))
+        .expect("the later sign holds");
+}
--- /dev/null
+++ b/crates/roster/tests/view_convergence.rs
@@ -0,0 +1,305 @@
+//! Views converge again after what can befall nodes and the ways between them.
+
+mod network;
+#[path = "network/region.rs"]
+mod region;
+
+use std::time::Duration;
+
+use network::{Fault, Node, vm};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use region::{Peer, Region, converged, members, region, start};
+use roster::message::Gossip;
+use roster::{Event, Message, Note};
+use rstest::rstest;
+use wire::Incarnation;
+use wire::view::State;
+
+const SETTLE: Duration = Duration::from_secs(30);
+const DETECT: Duration = Duration::from_secs(15);
+
+fn settles(net: &mut Region) -> Duration {
+    net.run_till(SETTLE, converged).expect("views converge")
+}
+
+fn notes(net: &Region, kind: impl Fn(&Note) -> bool) -> usize {
+    let notes = net.nodes().flat_map(|peer| &peer.notes);
+    notes.filter(|(_, note)| kind(note)).count()
+}
+
+fn suspicions(net: &Region) -> usize {
+    notes(net, |note| matches!(note, Note::Suspected(_)))
+}
+
+fn doubts(net: &Region) -> usize {
+    notes(net, |note| matches!(note, Note::Doubted(_)))
+}
+
+#[rstest]
+fn starts(#[values(1, 2, 7, 60)] count: usize, #[values(0, 20)] loss: u64) {
+    let net = region(7, count, loss);
+    assert!(net.nodes().all(|peer| peer.roster.fit()));
+}
+
+#[rstest]
+fn dead_node(#[values(1, 2, 3)] seed: u64, #[values(7, 60)] count: usize) {
+    let mut net = region(seed, count, 20);
+    net.place(3, None);
+    let gone = |net: &Region| net.nodes().all(|p| p.state(3) == Some(State::Suspect));
+    assert!(net.run_till(DETECT, gone).is_some());
+    start(&mut net, 3);
+    settles(&mut net);
+}
+
+#[rstest]
+fn half_cut_off(#[values(1, 2)] seed: u64, #[values(7, 20)] count: usize) {
+    let mut net = region(seed, count, 20);
+    let (a, b): (Vec<usize>, Vec<usize>) = (0..count).partition(|index| index % 2 == 0);
+    net.split(&a, &b);
+    net.run(Duration::from_secs(40));
+    for (half, other) in [(&a, &b), (&b, &a)] {
+        for &index in half {
+            let peer = net.node(index).expect("it runs");
+            assert!(half.iter().all(|i| peer.state(*i) == Some(State::Live)));
+            assert!(other.iter().all(|i| peer.state(*i) == Some(State::Suspect)));
+        }
+    }
+    net.heal();
+    settles(&mut net);
+}
+
+/// A node that was cut off doubts all others when it comes back; none of them drops another.
+#[rstest]
+fn lone_accuser(#[values(1, 2, 3)] seed: u64) {
+    let mut net = region(seed, 20, 0);
+    let others: Vec<usize> = (1..20).collect();
+    net.split(&[0], &others);
+    net.run(Duration::from_secs(30));
+    let before = suspicions(&net);
+    net.heal();
+    settles(&mut net);
+    net.run(Duration::from_secs(20));
+    assert_eq!(suspicions(&net), before);
+}
+
+/// Peers that still reach both ends keep a node in the view of one that does not.
+#[rstest]
+fn one_way_cuts(#[values(1, 2)] seed: u64) {
+    let mut net = region(seed, 7, 0);
+    net.fault = Fault::default();
+    net.run(Duration::from_secs(5));
+    let before = (suspicions(&net), doubts(&net));
+    net.cut(0, 1);
+    net.cut(2, 3);
+    net.cut(4, 0);
+    net.run(Duration::from_secs(60));
+    assert_eq!((suspicions(&net), doubts(&net)), before);
+    assert!(converged(&net));
+}
+
+#[rstest]
+fn all_restarted(#[values(1, 2)] seed: u64, #[values(7, 60)] count: usize) {
+    let mut net = region(seed, count, 20);
+    for index in 0..count {
+        start(&mut net, index);
+        net.run(Duration::from_secs(60) / u32::try_from(count).expect("a small region"));
+    }
+    settles(&mut net);
+}
+
+#[rstest]
+fn earlier_clock(#[values(1, 2)] seed: u64) {
+    let mut net = region(seed, 7, 20);
+    net.run(Duration::from_secs(5));
+    net.place(2, Some(Peer::new(2, 1_000)));
+    let (members, revision) = (members(7), Some(1));
+    net.with(2, |peer, now| {
+        peer.step(now, Event::List { members, revision })
+    });
+    settles(&mut net);
+    assert_eq!(
+        net.node(0)
+            .unwrap()
+            .view
+            .peer(&vm(2))
+            .unwrap()
+            .incarnation
+            .start,
+        1_000
+    );
+}
+
+/// A paused node owns nothing on the strength of what it knew before, until peers answer.
+#[rstest]
+fn woken_late(#[values(1, 2, 3)] seed: u64) {
+    let mut net = region(seed, 7, 20);
+    net.pause(1, Duration::from_secs(20));
+    net.run(Duration::from_secs(19));
+    let others = || [0, 2, 3, 4, 5, 6];
+    let suspect = |i| net.node(i).unwrap().state(1) == Some(State::Suspect);
+    assert!(others().into_iter().all(suspect));
+    let woken = |net: &Region| {
+        let notes = &net.node(1).unwrap().notes;
+        notes
+            .iter()
+            .any(|(_, note)| matches!(note, Note::Paused { .. }))
+    };
+    net.run_till(Duration::from_secs(2), woken)
+        .expect("the gap is noticed");
+    // Every owner that the woken node ever shows before it is fit is another node.
+    while !net.node(1).unwrap().roster.fit() {
+        assert_eq!(net.node(1).unwrap().state(1), Some(State::Suspect));
+        net.run(Duration::from_millis(1));
+    }
+    settles(&mut net);
+}
+
+/// Answers to questions from before a pause do not make a node fit.
+#[test]
+fn old_answers() {
+    let mut peer = Peer::new(0, 1);
+    let (members, revision) = (members(3), Some(1));
+    let table = |sequence| Message::Table {
+        sequence,
+        gossip: Gossip::default(),
+    };
+    let tell = |peer: &mut Peer, ms, sequence| {
+        for index in 1..3 {
+            let from = Incarnation::new(vm(index), 1);
+            let message = table(sequence);
+            peer.step(Duration::from_millis(ms), Event::Receive { from, message });
+        }
+    };
+    peer.step(Duration::ZERO, Event::List { members, revision });
+    let asked = joins(&mut peer);
+    tell(&mut peer, 5_000, asked);
+    assert!(!peer.roster.fit(), "asked before the pause");
+    let asked = joins(&mut peer);
+    tell(&mut peer, 5_100, asked);
+    assert!(peer.roster.fit(), "asked after the pause");
+}
+
+/// Returns the number of the latest question that the node asked.
+fn joins(peer: &mut Peer) -> u32 {
+    let messages = peer.frames().into_iter().map(|frame| frame.body);
+    let asked = messages.filter_map(|body| match wire::frame::decode(&body) {
+        Ok(Message::Join { sequence }) => Some(sequence),
+        _ => None,
+    });
+    asked.last().expect("a question was asked")
+}
+
+/// Of two processes that claim one VM, the one that was paused meanwhile steps back.
+#[test]
+fn superseded() {
+    let mut net = region(5, 7, 0);
+    let stale = net.node(1).unwrap().roster.clone();
+    let me = net.node(1).unwrap().me.clone();
+    let mut old = Peer::new(1, me.start);
+    start(&mut net, 1);
+    settles(&mut net);
+    old.roster = stale;
+    net.place(1, Some(old));
+    net.run(Duration::from_secs(20));
+    assert!(!net.node(1).unwrap().roster.fit());
+    assert_ne!(
+        net.node(0).unwrap().view.peer(&vm(1)).unwrap().incarnation,
+        me
+    );
+}
+
+#[test]
+fn lagging_list() {
+    let mut net = region(5, 7, 0);
+    let list = |net: &mut Region, count, revision| {
+        let members = members(count);
+        net.with(0, |peer, now| {
+            peer.step(now, Event::List { members, revision })
+        });
+    };
+    list(&mut net, 5, Some(3));
+    assert_eq!(net.node(0).unwrap().view.peers().len(), 5);
+    list(&mut net, 7, Some(2));
+    assert_eq!(
+        net.node(0).unwrap().view.peers().len(),
+        5,
+        "an older list is dropped"
+    );
+    list(&mut net, 0, Some(4));
+    assert_eq!(
+        net.node(0).unwrap().view.peers().len(),
+        5,
+        "an empty list is dropped"
+    );
+    list(&mut net, 7, Some(5));
+    settles(&mut net);
+    let mut leaving = members(7);
+    leaving[3].leaving = true;
+    let event = Event::List {
+        members: leaving,
+        revision: None,
+    };
+    net.with(0, |peer, now| peer.step(now, event));
+    assert_eq!(net.node(0).unwrap().state(3), Some(State::Leaving));
+}
+
+#[derive(Clone, Debug)]
+enum Blow {
+    Kill(usize),
+    Start(usize),
+    Pause(usize, u64),
+    Cut(usize, usize),
+    Split(usize),
+    Heal,
+}
+
+fn faults() -> impl Strategy<Value = Vec<(Blow, u64)>> {
+    let node = || 0..7_usize;
+    let fault = prop_oneof![
+        node().prop_map(Blow::Kill),
+        node().prop_map(Blow::Start),
+        (node(), 1..15_000_u64).prop_map(|(node, ms)| Blow::Pause(node, ms)),
+        (node(), node()).prop_map(|(from, to)| Blow::Cut(from, to)),
+        (1..7_usize).prop_map(Blow::Split),
+        Just(Blow::Heal),
+    ];
+    proptest::collection::vec((fault, 0..8_000_u64), 1..12)
+}
+
+fn inflict(net: &mut Region, blow: Blow) {
+    match blow {
+        Blow::Kill(index) => net.place(index, None),
+        Blow::Start(index) => start(net, index),
+        Blow::Pause(index, ms) => net.pause(index, Duration::from_millis(ms)),
+        Blow::Cut(from, to) => net.cut(from, to),
+        Blow::Split(at) => {
+            let (a, b): (Vec<usize>, Vec<usize>) = (0..7).partition(|index| *index < at);
+            net.split(&a, &b);
+        }
+        Blow::Heal => net.heal(),
+    }
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 60,
+        rng_seed: RngSeed::Fixed(20_261),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    /// Whatever happened, once it is over all running nodes agree on who runs.
+    #[test]
+    fn any_schedule(seed in 0..1_000_u64, faults in faults()) {
+        let mut net = region(seed, 7, 20);
+        for (fault, ms) in faults {
+            inflict(&mut net, fault);
+            net.run(Duration::from_millis(ms));
+        }
+        net.heal();
+        net.run(Duration::from_secs(15));
+        prop_assert!(net.run_till(SETTLE, converged).is_some());
+        prop_assert!(net.nodes().all(|peer| peer.roster.fit()));
+    }
+}
