Rank part readers among watchers and test the spread of configuration

Cause: a node waited for up to 1.2 s before it read a part, since the head start was ranked among all live nodes although only watchers know of the revision, and the wait for a lost answer doubled at each question.

--- a/crates/confsync/src/spreader/fetch.rs
+++ b/crates/confsync/src/spreader/fetch.rs
@@ -93,10 +93,17 @@
         });
     }
 
-    pub(super) fn held_by(&mut self, vm: &Vm) {
+    pub(super) fn held_by(&mut self, now: Time, vm: &Vm) {
         if !self.holders.contains(vm) {
             self.holders.push(vm.clone());
         }
+        self.wake_idle(now);
+    }
+
+    /// Tries the parts at once that nobody was known to have.
+    pub(super) fn wake_idle(&mut self, now: Time) {
+        let idle = self.pulls.iter_mut().filter(|p| p.source == Source::Nobody);
+        idle.for_each(|pull| pull.due = now);
     }
 
     pub(super) fn whole(&self) -> bool {
@@ -182,7 +189,7 @@
         out: &mut impl Extend<Action>,
     ) {
         let platform_from = fetch.since + self.head_start(fetch.id);
-        let holders = fetch.holders.clone();
+        let holders = self.holders(fetch);
         let pull = &mut fetch.pulls[position];
         // A piece came and the next one is due at the same peer.
         let goes_on = matches!(pull.source, Source::Peer(_)) && !pull.got.is_empty();
@@ -212,6 +219,17 @@
         fetch.pulls[position].tries += 1;
     }
 
+    /// Returns the peers that should have the revision, or had it on the way to a newer one.
+    fn holders(&self, fetch: &Fetch) -> Vec<Vm> {
+        let mut holders = fetch.holders.clone();
+        let before = fetch.id.revision.saturating_sub(1);
+        let told = self.peers.ahead(before).map(|(vm, _)| vm);
+        holders.extend(told.cloned());
+        holders.sort_unstable();
+        holders.dedup();
+        holders
+    }
+
     fn choose(&mut self, now: Time, holders: Vec<Vm>, platform_from: Time, tries: u32) -> Source {
         let platform = holders.is_empty() || tries % PLATFORM_EVERY == PLATFORM_EVERY - 1;
         if platform && now >= platform_from {
@@ -221,17 +239,17 @@
         holder.map_or(Source::Nobody, Source::Peer)
     }
 
-    /// Returns how long this node leaves reading the parts of `id` to others of its region.
+    /// Returns how long this node leaves reading the parts of `id` to the region's watchers that
+    /// come before it.
     fn head_start(&self, id: Id) -> Duration {
-        if self.start.is_some() && self.others().is_empty() {
+        if self.others().is_empty() {
             return Duration::ZERO;
         }
-        let live = self.view.live().map(|peer| &peer.incarnation.vm);
-        let ranked = rank::top(id.print, live, super::platform::PART_READERS);
+        let watchers = self.watchers();
+        let count = watchers.len();
+        let ranked = rank::top(id.print, watchers, count);
         let place = ranked.iter().position(|vm| **vm == self.me);
-        let watcher = u32::from(!self.platform.watches());
-        let place = u32::try_from(place.unwrap_or(ranked.len())).unwrap_or(u32::MAX);
-        HEAD_START * (place + watcher)
+        HEAD_START * u32::try_from(place.unwrap_or(count)).unwrap_or(u32::MAX)
     }
 
     pub(super) fn piece(
@@ -256,6 +274,7 @@
     }
 
     pub(super) fn lack(&mut self, now: Time, from: &Vm, digest: Digest) {
+        self.peers.told(from.clone(), 0);
         let Some(fetch) = &mut self.fetch else {
             return;
         };
--- a/crates/confsync/src/spreader/mod.rs
+++ b/crates/confsync/src/spreader/mod.rs
@@ -233,7 +233,7 @@
             Event::ReadFailed { key, cause } => self.read_failed(now, key, cause, out),
             Event::Receive { from, message } => self.receive(now, from.vm, message, out),
             Event::View(view) => self.see(view, out),
-            Event::Heard { from, revision } => self.peers.told(from.vm, revision),
+            Event::Heard { from, revision } => self.heard(now, from.vm, revision),
             Event::Checked { revision, result } => self.checked(revision, result, out),
             Event::Tick => {}
         }
@@ -251,15 +251,36 @@
     fn see(&mut self, view: View, out: &mut impl Extend<Action>) {
         self.view = view;
         self.peers.keep(&self.view);
-        let name = format!("{}/{}", self.key, self.zone);
-        let zone = self.view.live().filter(|peer| peer.zone == self.zone);
-        let first = rank::first(rank::hash(&name), zone.map(|p| &p.incarnation.vm));
-        let watches = first == Some(&self.me);
+        let watches = self.watcher(&self.zone) == Some(&self.me);
         if self.platform.elect(watches) {
             out.extend([Action::Note(Note::Watcher(watches))]);
         }
     }
 
+    /// Returns the nodes that watch the platform in this view, one per availability zone.
+    fn watchers(&self) -> Vec<&Vm> {
+        let mut zones: Vec<&Zone> = self.view.live().map(|peer| &peer.zone).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        zones
+            .into_iter()
+            .filter_map(|zone| self.watcher(zone))
+            .collect()
+    }
+
+    fn watcher(&self, zone: &Zone) -> Option<&Vm> {
+        let name = format!("{}/{zone}", self.key);
+        let live = self.view.live().filter(|peer| peer.zone == *zone);
+        rank::first(rank::hash(&name), live.map(|peer| &peer.incarnation.vm))
+    }
+
+    fn heard(&mut self, now: Time, from: Vm, revision: Revision) {
+        if let Some(fetch) = self.fetch.as_mut().filter(|f| f.id.revision <= revision) {
+            fetch.wake_idle(now);
+        }
+        self.peers.told(from, revision);
+    }
+
     /// Returns the newest manifest known, whether its parts are here or not.
     fn floor(&self) -> Option<Id> {
         let fetched = self.fetch.as_ref().map(|fetch| fetch.id);
@@ -303,7 +324,7 @@
         if let (Some(from), Some(fetch)) = (from, &mut self.fetch)
             && fetch.id == id
         {
-            fetch.held_by(from);
+            fetch.held_by(now, from);
         }
     }
 
--- a/crates/confsync/src/spreader/peers.rs
+++ b/crates/confsync/src/spreader/peers.rs
@@ -16,7 +16,10 @@
 const PATCH_BYTES: usize = 16 << 10;
 
 /// First and last wait for an answer.
-const ASK: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(2));
+const ASK: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(2));
+
+/// Questions after which the wait is doubled; fewer would make a few lost ones costly.
+const ASKS_PER_DOUBLING: u32 = 6;
 
 /// What peers told of their newest revisions, sorted by VM.
 #[derive(Clone, Debug, Default)]
@@ -62,7 +65,7 @@
         if ahead.is_empty() || now < self.peers.next_ask {
             return;
         }
-        let wait = self.backoff(ASK.0, self.peers.asks, ASK.1);
+        let wait = self.backoff(ASK.0, self.peers.asks / ASKS_PER_DOUBLING, ASK.1);
         self.peers.asks += 1;
         self.peers.next_ask = now + wait;
         let to = self.draw(ahead, 1);
@@ -91,12 +94,12 @@
         out: &mut impl Extend<Action>,
     ) {
         match message {
-            Message::Offer(id) => self.offered(from, id, out),
+            Message::Offer(id) => self.offered(now, from, id, out),
             Message::Ask { have, pick } => self.answer(from, have, pick, out),
             Message::Same { newest } => {
                 self.answered(&from, newest.is_some());
                 match newest {
-                    Some(id) => self.offered(from, id, out),
+                    Some(id) => self.offered(now, from, id, out),
                     None => self.peers.told(from, 0),
                 }
             }
@@ -119,7 +122,7 @@
         }
     }
 
-    fn offered(&mut self, from: Vm, id: Id, out: &mut impl Extend<Action>) {
+    fn offered(&mut self, now: Time, from: Vm, id: Id, out: &mut impl Extend<Action>) {
         if let Some(floor) = self.floor()
             && floor.revision == id.revision
             && floor != id
@@ -129,7 +132,7 @@
         if let Some(fetch) = &mut self.fetch
             && fetch.id == id
         {
-            fetch.held_by(&from);
+            fetch.held_by(now, &from);
         }
         self.peers.told(from, id.revision);
     }
--- a/crates/confsync/src/spreader/platform.rs
+++ b/crates/confsync/src/spreader/platform.rs
@@ -10,9 +10,6 @@
 use crate::message::Pick;
 use crate::note::{Note, Reason};
 
-/// Nodes of a region that read a new revision's parts from the platform before the others do.
-pub(super) const PART_READERS: usize = 3;
-
 /// Least time between two watches that brought nothing new.
 const WATCH_INTERVAL: Duration = Duration::from_secs(1);
 
--- /dev/null
+++ b/crates/confsync/tests/site/mod.rs
@@ -0,0 +1,351 @@
+//! Regions of whole control planes: a roster and a spreader per node, and a stand-in service.
+#![allow(dead_code, missing_docs)]
+
+pub mod naive;
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use confsync::{Action, Body, Event, Manifest, Message, Note, Reason, Spreader, Value};
+use roster::{Member, Roster};
+use wire::{Frame, Incarnation, Machine, Revision, Time, View, Zone};
+
+use crate::network::{Fault, Network, Node, vm};
+
+pub const KEY: &str = "manifest";
+const ZONES: usize = 3;
+const WATCH_WAIT: Duration = Duration::from_secs(30);
+const ANSWER: Duration = Duration::from_millis(4);
+const STALE_ANSWER: Duration = Duration::from_millis(300);
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What the platform holds; it can be down, or answer from an old copy.
+#[derive(Default)]
+pub struct Service {
+    values: BTreeMap<String, Value>,
+    stale: BTreeMap<String, Value>,
+    pub down: bool,
+    pub serves_stale: bool,
+    revision: Revision,
+    pub calls: u64,
+}
+
+pub type Shared = Rc<RefCell<Service>>;
+
+impl Service {
+    /// Publishes the parts, then the manifest that names them.
+    pub fn publish(&mut self, revision: Revision, contents: &[Bytes]) {
+        let keys = (0..contents.len()).map(|index| format!("rules/{index}"));
+        let keys: Vec<String> = keys.collect();
+        let pairs = keys.iter().zip(contents);
+        let pairs = pairs.map(|(key, body)| (key.as_str(), body.as_ref()));
+        let manifest = Manifest::of(revision, pairs).expect("a sound manifest");
+        for (key, body) in keys.iter().zip(contents) {
+            self.set(key, body.clone());
+        }
+        self.set(KEY, manifest.render().into());
+    }
+
+    pub fn set(&mut self, key: &str, body: Bytes) {
+        self.revision += 1;
+        let revision = self.revision;
+        let value = Value { revision, body };
+        self.values.insert(key.to_owned(), value);
+    }
+
+    /// Keeps a copy to answer from once `serves_stale` is set.
+    pub fn age(&mut self) {
+        self.stale = self.values.clone();
+    }
+
+    fn get(&self, key: &str) -> Option<Value> {
+        let values = if self.serves_stale {
+            &self.stale
+        } else {
+            &self.values
+        };
+        values.get(key).filter(|_| !self.down).cloned()
+    }
+}
+
+/// One call that waits for its answer.
+enum Call {
+    Watch(Revision, Time),
+    Read(Arc<str>, Time),
+}
+
+pub struct Plane<S = Spreader> {
+    pub me: Incarnation,
+    pub roster: Roster,
+    pub spreader: S,
+    pub view: View,
+    pub adopted: Vec<(Time, Revision)>,
+    pub force: Vec<Body>,
+    pub refused: Vec<(Revision, Reason)>,
+    pub notes: Vec<Note>,
+    pub ready: Option<Time>,
+    service: Shared,
+    calls: Vec<Call>,
+    frames: Vec<Frame>,
+}
+
+pub fn zone(index: usize) -> Zone {
+    format!("zone-{}", index % ZONES).into()
+}
+
+fn members(count: usize) -> Vec<Member> {
+    let member = |index| Member {
+        vm: vm(index),
+        zone: zone(index),
+        leaving: false,
+    };
+    (0..count).map(member).collect()
+}
+
+/// Makes the machine of a node, so that a faulty variant can stand in for [`Spreader`].
+pub trait Make: Machine<Event = Event, Action = Action> {
+    fn make(me: Incarnation, zone: Zone, seed: u64) -> Self;
+}
+
+impl Make for Spreader {
+    fn make(me: Incarnation, zone: Zone, seed: u64) -> Self {
+        Self::new(me, zone, KEY, seed)
+    }
+}
+
+impl<S: Make> Plane<S> {
+    fn new(index: usize, start: u64, service: Shared) -> Self {
+        let me = Incarnation::new(vm(index), start);
+        let seed = start ^ (index as u64) << 40;
+        Self {
+            roster: Roster::new(me.clone(), zone(index), seed),
+            spreader: S::make(me.clone(), zone(index), seed),
+            me,
+            view: View::default(),
+            adopted: Vec::new(),
+            force: Vec::new(),
+            refused: Vec::new(),
+            notes: Vec::new(),
+            ready: None,
+            service,
+            calls: Vec::new(),
+            frames: Vec::new(),
+        }
+    }
+
+    pub fn revision(&self) -> Revision {
+        self.adopted.last().map_or(0, |(_, revision)| *revision)
+    }
+
+    fn frame(&mut self, to: wire::Vm, channel: u8, message: &impl serde::Serialize) {
+        let body = wire::frame::encode(message).expect("messages encode");
+        let from = self.me.clone();
+        self.frames.push(Frame {
+            from,
+            to,
+            channel,
+            body,
+        });
+    }
+
+    pub fn roster(&mut self, now: Time, event: roster::Event) {
+        let mut out = Vec::new();
+        self.roster.step(now, event, &mut out);
+        for action in out {
+            match action {
+                roster::Action::Send { to, message } => self.frame(to, 1, &message),
+                roster::Action::View(view) => {
+                    self.view = view.clone();
+                    self.step(now, Event::View(view));
+                }
+                roster::Action::Heard { from, revision } => {
+                    self.step(now, Event::Heard { from, revision });
+                }
+                _ => {}
+            }
+        }
+    }
+
+    pub fn step(&mut self, now: Time, event: Event) {
+        let mut out = Vec::new();
+        self.spreader.step(now, event, &mut out);
+        for action in out {
+            self.act(now, action);
+        }
+    }
+
+    fn act(&mut self, now: Time, action: Action) {
+        match action {
+            Action::Watch { after, .. } => {
+                self.service.borrow_mut().calls += 1;
+                self.calls.push(Call::Watch(after, now + WATCH_WAIT));
+            }
+            Action::Read { key } => {
+                self.service.borrow_mut().calls += 1;
+                self.calls.push(Call::Read(key, now + ANSWER));
+            }
+            Action::Send { to, message } => self.frame(to, 2, &message),
+            Action::Check { revision, parts } => {
+                let bad = parts.iter().any(|part| part.bytes.starts_with(b"bad"));
+                let result = if bad {
+                    Err("line 1: bad".to_owned())
+                } else {
+                    Ok(())
+                };
+                self.step(now, Event::Checked { revision, result });
+            }
+            Action::Adopt { revision, parts } => {
+                self.adopted.push((now, revision));
+                self.force = parts;
+            }
+            Action::Refused { revision, reason } => self.refused.push((revision, reason)),
+            Action::Seen(revision) => self.roster(now, roster::Event::Revision(revision)),
+            Action::Ready => self.ready = Some(now),
+            Action::Note(note) => self.notes.push(note),
+        }
+    }
+
+    /// Ends the calls that the service answers by now.
+    fn answer_calls(&mut self, now: Time) {
+        let service = self.service.clone();
+        let mut events = Vec::new();
+        self.calls.retain(|call| {
+            let event = answer(&service.borrow(), call, now);
+            let waits = event.is_none();
+            events.extend(event);
+            waits
+        });
+        for event in events {
+            self.step(now, event);
+        }
+    }
+}
+
+fn answer(service: &Service, call: &Call, now: Time) -> Option<Event> {
+    match call {
+        Call::Watch(after, until) => {
+            // A stale replica answers at once and does not heed the revision asked for.
+            let stale = service.serves_stale && now + WATCH_WAIT >= *until + STALE_ANSWER;
+            let newer = |value: &Value| stale || value.revision > *after;
+            let value = service.get(KEY).filter(newer);
+            match (value, service.down) {
+                (Some(value), _) => Some(Event::Watched { value: Some(value) }),
+                (None, false) if now >= *until => Some(Event::Watched { value: None }),
+                (None, true) if now >= *until + TIMEOUT => {
+                    let cause = "no answer".to_owned();
+                    Some(Event::WatchFailed { cause })
+                }
+                _ => None,
+            }
+        }
+        Call::Read(key, due) => match service.get(key) {
+            Some(value) if now >= *due => Some(Event::ReadDone {
+                key: key.clone(),
+                value,
+            }),
+            None if now >= *due + TIMEOUT => Some(Event::ReadFailed {
+                key: key.clone(),
+                cause: "no answer".to_owned(),
+            }),
+            _ => None,
+        },
+    }
+}
+
+impl<S: Make> Node for Plane<S> {
+    fn me(&self) -> &Incarnation {
+        &self.me
+    }
+
+    fn wake(&self) -> Option<Time> {
+        let calls = self.calls.iter().filter_map(|call| match call {
+            Call::Read(key, due) if self.service.borrow().get(key).is_none() => {
+                Some(*due + TIMEOUT)
+            }
+            Call::Read(_, due) => Some(*due),
+            Call::Watch(..) => None,
+        });
+        let machines = [self.roster.wake(), self.spreader.wake()];
+        machines.into_iter().flatten().chain(calls).min()
+    }
+
+    fn tick(&mut self, now: Time) {
+        self.answer_calls(now);
+        self.roster(now, roster::Event::Tick);
+        self.step(now, Event::Tick);
+    }
+
+    fn receive(&mut self, now: Time, frame: Frame) {
+        let from = frame.from;
+        if frame.channel == 1 {
+            let message = wire::frame::decode(&frame.body).expect("messages decode");
+            self.roster(now, roster::Event::Receive { from, message });
+        } else {
+            let message: Message = wire::frame::decode(&frame.body).expect("messages decode");
+            self.step(now, Event::Receive { from, message });
+        }
+    }
+
+    fn frames(&mut self) -> Vec<Frame> {
+        std::mem::take(&mut self.frames)
+    }
+}
+
+pub type Site<S = Spreader> = Network<Plane<S>>;
+
+/// Starts (again) the process on a VM.
+pub fn start<S: Make>(net: &mut Site<S>, index: usize, service: &Shared) {
+    let start = u64::try_from(net.now.as_micros()).expect("time fits") + 1_700_000_000_000_000;
+    net.place(index, Some(Plane::new(index, start, service.clone())));
+    let members = members(net.len());
+    net.with(index, |plane, now| {
+        let revision = Some(1);
+        plane.roster(now, roster::Event::List { members, revision });
+        plane.step(now, Event::Tick);
+    });
+}
+
+/// A region whose nodes have all started; the service holds revision 1.
+pub fn site<S: Make>(seed: u64, count: usize, loss: u64) -> (Site<S>, Shared) {
+    let service = Shared::default();
+    service.borrow_mut().publish(1, &contents(1, 8));
+    let mut net = Network::new(seed, count);
+    net.fault = Fault {
+        loss,
+        doubled: 2,
+        late: 2,
+    };
+    for index in 0..count {
+        start(&mut net, index, &service);
+        net.run(Duration::from_millis(7));
+    }
+    let ready = net.run_till(Duration::from_secs(60), |net| {
+        net.nodes().all(|plane| plane.ready.is_some())
+    });
+    assert!(ready.is_some(), "all nodes become ready");
+    (net, service)
+}
+
+/// Contents of a revision: `parts` parts, of which one names the revision.
+pub fn contents(revision: Revision, parts: u64) -> Vec<Bytes> {
+    let part = |index| {
+        let changed = (revision % parts == index).then_some(revision);
+        let line = |n: u64| format!("adapter-{index}-{n} letters urgent # asked by desk\n");
+        let lines: String = (0..40).map(line).collect();
+        format!("# {}\n{lines}", changed.unwrap_or(0)).into()
+    };
+    (0..parts).map(part).collect()
+}
+
+/// Contents that every node's check refuses.
+pub fn bad_contents() -> Vec<Bytes> {
+    vec![Bytes::from_static(b"bad line\n")]
+}
+
+pub fn all_force<S: Make>(revision: Revision) -> impl Fn(&Site<S>) -> bool {
+    move |net| net.nodes().all(|plane| plane.revision() == revision)
+}
--- /dev/null
+++ b/crates/confsync/tests/site/naive.rs
@@ -0,0 +1,136 @@
+//! Versions to compare with: a plain one, and faulty ones that the checks have to catch.
+#![allow(dead_code, missing_docs)]
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use confsync::{Action, Body, Event, Manifest, Spreader, Value};
+use wire::{Incarnation, Machine, Time, Zone};
+
+use super::{KEY, Make};
+
+const POLL: Duration = Duration::from_secs(1);
+
+/// Every node polls the platform and takes what it gets; no peers.
+pub struct Naive {
+    next: Time,
+    manifest: Option<Manifest>,
+    parts: Vec<Option<Body>>,
+    force: u64,
+}
+
+impl Make for Naive {
+    fn make(_: Incarnation, _: Zone, _: u64) -> Self {
+        Self {
+            next: Time::ZERO,
+            manifest: None,
+            parts: Vec::new(),
+            force: 0,
+        }
+    }
+}
+
+impl Naive {
+    fn manifest(&mut self, manifest: Manifest, out: &mut impl Extend<Action>) {
+        let keys = manifest.parts.iter().map(|part| part.key.clone());
+        if manifest.revision != self.force {
+            out.extend(keys.map(|key| Action::Read { key }));
+        }
+        self.parts = vec![None; manifest.parts.len()];
+        self.manifest = Some(manifest);
+    }
+
+    fn part(&mut self, key: Arc<str>, bytes: bytes::Bytes, out: &mut impl Extend<Action>) {
+        let Some(manifest) = &self.manifest else {
+            return;
+        };
+        let index = manifest.parts.iter().position(|part| part.key == key);
+        let Some(index) = index else { return };
+        if confsync::Digest::of(&bytes) == manifest.parts[index].digest {
+            self.parts[index] = Some(Body { key, bytes });
+        }
+        if self.parts.iter().all(Option::is_some) {
+            let revision = manifest.revision;
+            let parts = self.parts.iter().flatten().cloned().collect();
+            out.extend([Action::Check { revision, parts }]);
+            self.manifest = None;
+        }
+    }
+}
+
+impl Machine for Naive {
+    type Event = Event;
+    type Action = Action;
+
+    fn step(&mut self, now: Time, event: Event, out: &mut impl Extend<Action>) {
+        match event {
+            Event::ReadDone { key, value } if *key == *KEY => {
+                if let Ok(manifest) = Manifest::parse(&value.body) {
+                    self.manifest(manifest, out);
+                }
+            }
+            Event::ReadDone { key, value } => self.part(key, value.body, out),
+            Event::Checked { revision, result } if result.is_ok() => {
+                self.force = revision;
+                let parts = self.parts.iter().flatten().cloned().collect();
+                out.extend([Action::Adopt { revision, parts }, Action::Ready]);
+            }
+            _ => {}
+        }
+        if now >= self.next {
+            self.next = now + POLL;
+            out.extend([Action::Read { key: KEY.into() }]);
+        }
+    }
+
+    fn wake(&self) -> Option<Time> {
+        Some(self.next)
+    }
+}
+
+/// Forgets what it has seen when the platform answers with something older.
+pub struct Forgetful {
+    inner: Spreader,
+    make: (Incarnation, Zone, u64),
+    view: wire::View,
+}
+
+impl Make for Forgetful {
+    fn make(me: Incarnation, zone: Zone, seed: u64) -> Self {
+        Self {
+            inner: Spreader::make(me.clone(), zone.clone(), seed),
+            make: (me, zone, seed),
+            view: wire::View::default(),
+        }
+    }
+}
+
+impl Machine for Forgetful {
+    type Event = Event;
+    type Action = Action;
+
+    fn step(&mut self, now: Time, event: Event, out: &mut impl Extend<Action>) {
+        if let Event::View(view) = &event {
+            self.view = view.clone();
+        }
+        let newest = self.inner.newest().map_or(0, |id| id.revision);
+        let older = |value: &Value| {
+            Manifest::parse(&value.body).is_ok_and(|manifest| manifest.revision < newest)
+        };
+        let answer = match &event {
+            Event::ReadDone { value, .. } => Some(value),
+            Event::Watched { value } => value.as_ref(),
+            _ => None,
+        };
+        if answer.is_some_and(older) {
+            let (me, zone, seed) = self.make.clone();
+            self.inner = Spreader::make(me, zone, seed);
+            self.inner.step(now, Event::View(self.view.clone()), out);
+        }
+        self.inner.step(now, event, out);
+    }
+
+    fn wake(&self) -> Option<Time> {
+        self.inner.wake()
+    }
+}
--- /dev/null
+++ b/crates/confsync/tests/time_to_force.rs
@@ -0,0 +1,116 @@
+//! An accepted revision is in force everywhere in time, with a fifth of the messages lost.
+
+#[path = "../../roster/tests/network/mod.rs"]
+mod network;
+mod site;
+
+use std::time::Duration;
+
+use confsync::Spreader;
+use rstest::rstest;
+use site::{Site, all_force, contents, site};
+
+/// Time until every node of a region of 7 has a revision in force, for 99 in 100.
+const FORCE_P99: Duration = Duration::from_secs(5);
+
+/// Time until every node of the fleet has a revision in force.
+const FORCE_FLEET: Duration = Duration::from_secs(17);
+
+/// Times until each of `count` revisions is in force everywhere, sorted.
+fn times(net: &mut Site, service: &site::Shared, count: u64, gap: Duration) -> Vec<Duration> {
+    let mut times = Vec::new();
+    for revision in 2..2 + count {
+        net.run(gap);
+        let contents = contents(revision, 8);
+        service.borrow_mut().publish(revision, &contents);
+        let time = net.run_till(FORCE_FLEET, all_force(revision));
+        times.push(time.expect("it comes in force"));
+    }
+    times.sort();
+    times
+}
+
+#[rstest]
+fn seven_nodes(#[values(1, 2)] seed: u64) {
+    let (mut net, service) = site(seed, 7, 20);
+    let times = times(&mut net, &service, 200, Duration::from_millis(700));
+    assert!(times[197] < FORCE_P99, "p99 is {:?}", times[197]);
+}
+
+#[test]
+fn sixty_nodes() {
+    let (mut net, service) = site(3, 60, 20);
+    times(&mut net, &service, 10, Duration::from_secs(2));
+}
+
+/// Changes that follow each other faster than they spread: the last one counts.
+#[rstest]
+fn burst(#[values(1, 2, 3)] seed: u64) {
+    let (mut net, service) = site::<Spreader>(seed, 7, 20);
+    for revision in 2..40 {
+        service
+            .borrow_mut()
+            .publish(revision, &contents(revision, 8));
+        net.run(Duration::from_millis(50));
+    }
+    net.run_till(FORCE_P99, all_force(39))
+        .expect("the last one is in force");
+}
+
+/// The nodes that watch the platform die or pause at the moment of a change.
+#[rstest]
+fn watchers_gone(#[values(1, 2)] seed: u64, #[values(false, true)] paused: bool) {
+    let (mut net, service) = site::<Spreader>(seed, 7, 20);
+    let watches = |index: &usize| net.node(*index).is_some_and(|p| p.spreader.watches());
+    let watchers: Vec<usize> = (0..7).filter(watches).collect();
+    assert_eq!(watchers.len(), 3, "one in each availability zone");
+    service.borrow_mut().publish(2, &contents(2, 8));
+    for index in watchers {
+        if paused {
+            net.pause(index, Duration::from_secs(30));
+        } else {
+            net.place(index, None);
+        }
+    }
+    let running = |net: &Site| {
+        let mut running = (0..7).filter(|index| !net.paused(*index));
+        running.all(|index| net.node(index).is_none_or(|plane| plane.revision() == 2))
+    };
+    net.run_till(FORCE_FLEET, running)
+        .expect("others take the watch over");
+}
+
+/// The platform is away for an hour; afterwards a change comes in force as ever.
+#[test]
+fn hour_away() {
+    let (mut net, service) = site::<Spreader>(4, 7, 20);
+    service.borrow_mut().down = true;
+    let calls = service.borrow().calls;
+    net.run(Duration::from_secs(3600));
+    assert!(net.nodes().all(|plane| plane.revision() == 1));
+    let rate = (service.borrow().calls - calls) as f64 / 3600.0;
+    assert!(
+        rate < 3.0,
+        "{rate} calls a second at a platform that is away"
+    );
+    service.borrow_mut().down = false;
+    service.borrow_mut().publish(2, &contents(2, 8));
+    net.run_till(FORCE_FLEET, all_force(2))
+        .expect("it comes in force");
+}
+
+/// The platform's calls follow the zones, not the nodes.
+#[test]
+fn platform_calls() {
+    let calls = |count| {
+        let (mut net, service) = site::<Spreader>(5, count, 0);
+        let before = service.borrow().calls;
+        times(&mut net, &service, 20, Duration::from_secs(10));
+        service.borrow().calls - before
+    };
+    let (seven, sixty) = (calls(7), calls(60));
+    assert!(
+        sixty <= 2 * seven,
+        "{seven} calls at 7 nodes, {sixty} at 60"
+    );
+}
--- a/crates/roster/tests/network/mod.rs
+++ b/crates/roster/tests/network/mod.rs
@@ -29,6 +29,9 @@
     pub late: u64,
 }
 
+/// When, in which order, to whom, what.
+type Delivery = (Time, u64, usize, Vec<u8>);
+
 struct Host<N> {
     node: Option<N>,
     /// Its monotonic clock starts at another time than the others'.
@@ -43,7 +46,7 @@
     hosts: Vec<Host<N>>,
     names: Vec<Vm>,
     random: Random,
-    queue: BinaryHeap<Reverse<(Time, u64, usize, Vec<u8>)>>,
+    queue: BinaryHeap<Reverse<Delivery>>,
     cuts: Vec<(usize, usize)>,
     count: u64,
     pub bytes: u64,
--- a/crates/roster/tests/view_convergence.rs
+++ b/crates/roster/tests/view_convergence.rs
@@ -115,7 +115,7 @@
     net.place(2, Some(Peer::new(2, 1_000)));
     let (members, revision) = (members(7), Some(1));
     net.with(2, |peer, now| {
-        peer.step(now, Event::List { members, revision })
+        peer.step(now, Event::List { members, revision });
     });
     settles(&mut net);
     assert_eq!(
@@ -215,7 +215,7 @@
     let list = |net: &mut Region, count, revision| {
         let members = members(count);
         net.with(0, |peer, now| {
-            peer.step(now, Event::List { members, revision })
+            peer.step(now, Event::List { members, revision });
         });
     };
     list(&mut net, 5, Some(3));
