Tell reservations before a seat is given, and renew seats

With a tenth of the messages lost, a request could reach a ward in use and cost a third upstream, since the suspect beside it took the blame; and a lost return of a seat held a ward for a minute. A reservation is now told twice before the seat is given and lapses unless renewed, as does the seat.

--- a/crates/dispatch/src/poison/mod.rs
+++ b/crates/dispatch/src/poison/mod.rs
@@ -28,7 +28,13 @@
 const CONVICTED: usize = 2;
 
 /// One in so many upstreams of a pool is a ward.
-const WARD_SHARE: usize = 4;
+const WARD_SHARE: usize = 3;
+
+/// Times that a reservation is told before the seat is given.
+const RESERVE_TELLINGS: u32 = 2;
+
+/// Time for which a seat is kept without a renewal, in resend times.
+const SEAT_RENEWALS: u32 = 8;
 
 /// Times that a charge is told to each peer.
 const TELLINGS: u8 = 3;
@@ -40,9 +46,7 @@
     pub keep: Duration,
     /// Time within which crashes of one upstream count as one.
     pub crash: Duration,
-    /// Longest time that one request has a seat.
-    pub seat: Duration,
-    /// Time between two askings for a seat and two tellings of a charge.
+    /// Time between two askings for a seat, two renewals of one and two tellings of a charge.
     pub resend: Duration,
     /// Time without a seat after which a suspect is told to come back later.
     pub patience: Duration,
@@ -55,7 +59,6 @@
         Self {
             keep: Duration::from_secs(3_600),
             crash: Duration::from_secs(5),
-            seat: Duration::from_secs(60),
             resend: Duration::from_millis(200),
             patience: Duration::from_secs(30),
             charges: 4_096,
@@ -216,11 +219,29 @@
     asked: Option<Time>,
 }
 
+/// The request that a seat is for.
+#[derive(Clone, Debug)]
+struct Holder {
+    who: Incarnation,
+    request: Request,
+    /// When it may run; until then, news of the reservation spreads.
+    from: Time,
+    until: Time,
+}
+
+impl Holder {
+    fn is(&self, who: &Incarnation, request: Request) -> bool {
+        self.who == *who && self.request == request
+    }
+}
+
 /// A ward's seat at the node that gives it out.
 #[derive(Clone, Debug)]
 struct Seat {
     upstream: Upstream,
-    holder: Option<(Incarnation, Request, Time)>,
+    holder: Option<Holder>,
+    /// When the reservation is next told.
+    told: Time,
     queue: VecDeque<(Incarnation, Request, Time)>,
 }
 
@@ -237,6 +258,7 @@
     reserved: Vec<(Upstream, Time)>,
     telling: Vec<(Charge, u8, Time)>,
     number: u64,
+    renewal: Time,
 }
 
 impl Poison {
@@ -253,6 +275,7 @@
             reserved: Vec::new(),
             telling: Vec::new(),
             number: 0,
+            renewal: Time::ZERO,
         }
     }
 
@@ -318,6 +341,11 @@
             waiter.asked = Some(now);
             asks.push((waiter.upstream.clone(), waiter.request));
         }
+        if now >= self.renewal {
+            self.renewal = now + self.config.resend;
+            let seated = self.runs.iter().filter(|run| run.seated);
+            asks.extend(seated.map(|run| (run.upstream.clone(), run.request)));
+        }
         for (upstream, request) in asks {
             let owner = self.view.owner(&upstream).cloned();
             let to = owner.unwrap_or_else(|| self.me.vm.clone());
@@ -360,7 +388,7 @@
         self.reserved
             .retain(|(ward, until)| *ward != upstream && now < *until);
         if left > Duration::ZERO {
-            let left = left.min(self.config.seat);
+            let left = left.min(self.config.resend * SEAT_RENEWALS);
             self.reserved.push((upstream, now + left));
         }
     }
@@ -379,6 +407,7 @@
                 let seat = Seat {
                     upstream,
                     holder: None,
+                    told: Time::ZERO,
                     queue: VecDeque::new(),
                 };
                 self.seats.insert(index, seat);
@@ -388,7 +417,9 @@
         let seat = &mut self.seats[index];
         let same =
             |(who, which, _): &(Incarnation, Request, Time)| who == from && *which == request;
-        if seat.holder.as_ref().is_some_and(same) {
+        let until = now + self.config.resend * SEAT_RENEWALS;
+        if let Some(holder) = seat.holder.as_mut().filter(|h| h.is(from, request)) {
+            holder.until = until.max(holder.until);
             // The reply was lost or is on its way.
             return self.give(now, index, out);
         }
@@ -403,11 +434,7 @@
     fn seat_next(&mut self, now: Time, index: usize, out: &mut Vec<Action>) {
         let stale = self.config.resend * 4;
         let seat = &mut self.seats[index];
-        if seat
-            .holder
-            .as_ref()
-            .is_some_and(|(_, _, until)| now < *until)
-        {
+        if seat.holder.as_ref().is_some_and(|h| now < h.until) {
             return;
         }
         seat.holder = None;
@@ -415,23 +442,35 @@
         let Some((who, request, _)) = seat.queue.pop_front() else {
             return;
         };
-        seat.holder = Some((who, request, now + self.config.seat));
-        let message = Message::Reserve {
-            upstream: seat.upstream.clone(),
-            left: self.config.seat,
-        };
-        self.reserve(now, self.seats[index].upstream.clone(), self.config.seat);
-        self.broadcast(&message, out);
-        self.give(now, index, out);
+        seat.holder = Some(Holder {
+            who,
+            request,
+            from: now + self.config.resend * RESERVE_TELLINGS,
+            until: now + self.config.resend * SEAT_RENEWALS,
+        });
+        self.tell_reserved(now, index, out);
+    }
+
+    /// Tells everybody that a ward is in use, for a short time, and again before it has passed.
+    fn tell_reserved(&mut self, now: Time, index: usize, out: &mut Vec<Action>) {
+        let resend = self.config.resend;
+        let seat = &mut self.seats[index];
+        seat.told = now + resend;
+        let upstream = seat.upstream.clone();
+        let left = resend * RESERVE_TELLINGS * 2;
+        self.reserve(now, upstream.clone(), left);
+        self.broadcast(&Message::Reserve { upstream, left }, out);
     }
 
     fn give(&mut self, now: Time, index: usize, out: &mut Vec<Action>) {
         let seat = &self.seats[index];
-        let Some((who, request, _)) = seat.holder.clone() else {
+        let Some(holder) = seat.holder.clone().filter(|h| now >= h.from) else {
             return;
         };
         let upstream = seat.upstream.clone();
-        self.send(now, who.vm, Message::Seat { upstream, request }, out);
+        let request = holder.request;
+        let message = Message::Seat { upstream, request };
+        self.send(now, holder.who.vm, message, out);
     }
 
     fn seated(
@@ -478,8 +517,7 @@
             return;
         };
         let seat = &mut self.seats[index];
-        let held = seat.holder.as_ref();
-        if held.is_none_or(|(who, which, _)| who != from || *which != request) {
+        if seat.holder.as_ref().is_none_or(|h| !h.is(from, request)) {
             return;
         }
         seat.holder = None;
@@ -575,7 +613,7 @@
             if self.standing(waiter.print) == Standing::Clear {
                 out.push(Action::Elsewhere { request });
             } else if now >= waiter.since + self.config.patience {
-                let retry_after = self.config.patience;
+                let retry_after = self.config.patience / 4;
                 out.push(Action::Busy {
                     request,
                     retry_after,
@@ -610,12 +648,21 @@
         self.tell_again(now, out);
         self.ask_seats(now, out);
         for index in 0..self.seats.len() {
-            self.seat_next(now, index, out);
+            self.tick_seat(now, index, out);
         }
         self.seats
             .retain(|seat| seat.holder.is_some() || !seat.queue.is_empty());
     }
 
+    fn tick_seat(&mut self, now: Time, index: usize, out: &mut Vec<Action>) {
+        self.seat_next(now, index, out);
+        let seat = &self.seats[index];
+        if seat.holder.is_some() && now >= seat.told {
+            self.tell_reserved(now, index, out);
+            self.give(now, index, out);
+        }
+    }
+
     /// Tells a node that is new what is held against whom.
     fn take_view(&mut self, now: Time, view: View, out: &mut Vec<Action>) {
         let peers = view.peers().iter().map(|p| &p.incarnation);
@@ -666,8 +713,10 @@
         let resend = self.config.resend;
         let waiters = self.waiters.iter().filter_map(|w| w.asked).min();
         let telling = self.telling.iter().map(|(_, _, at)| *at).min();
-        let seats = self.seats.iter().filter_map(|s| s.holder.as_ref());
-        let seats = seats.map(|(_, _, until)| *until).min();
+        let held = self.seats.iter().filter(|s| s.holder.is_some());
+        let seats = held.map(|s| s.told).min();
+        let seated = self.runs.iter().any(|run| run.seated);
+        let seats = seats.into_iter().chain(seated.then_some(self.renewal)).min();
         let repeat = waiters.into_iter().chain(telling).min();
         let timers = [repeat.map(|at| at + resend), seats, self.book.due()];
         timers.into_iter().flatten().min()
--- a/crates/once/src/guard/mod.rs
+++ b/crates/once/src/guard/mod.rs
@@ -68,7 +68,7 @@
             permit: Duration::from_secs(5),
             fence: Duration::from_secs(300),
             quarantine: Duration::ZERO,
-            beat: Duration::from_millis(500),
+            beat: Duration::from_secs(1),
             resend: Duration::from_millis(50),
             patience: Duration::from_secs(1),
             grace: Duration::from_secs(2),
