--- a/crates/dispatch/src/poison/mod.rs
+++ b/crates/dispatch/src/poison/mod.rs
@@ -716,7 +716,10 @@
         let held = self.seats.iter().filter(|s| s.holder.is_some());
         let seats = held.map(|s| s.told).min();
         let seated = self.runs.iter().any(|run| run.seated);
-        let seats = seats.into_iter().chain(seated.then_some(self.renewal)).min();
+        let seats = seats
+            .into_iter()
+            .chain(seated.then_some(self.renewal))
+            .min();
         let repeat = waiters.into_iter().chain(telling).min();
         let timers = [repeat.map(|at| at + resend), seats, self.book.due()];
         timers.into_iter().flatten().min()
--- a/crates/dispatch/tests/poison_requests.rs
+++ b/crates/dispatch/tests/poison_requests.rs
@@ -54,7 +54,9 @@
 
 impl Region {
     fn new(seed: u64, loss: f64, naive: bool) -> Self {
-        let names: Vec<_> = (0..NODES).map(|n| Incarnation::new(format!("vm-{n}"), 1)).collect();
+        let names: Vec<_> = (0..NODES)
+            .map(|n| Incarnation::new(format!("vm-{n}"), 1))
+            .collect();
         let peer = |name: &Incarnation| Peer {
             incarnation: name.clone(),
             zone: "a".into(),
@@ -77,7 +79,9 @@
             requests: BTreeMap::new(),
             wants: BTreeMap::new(),
             next: 0,
-            up: (0..UPSTREAMS).map(|n| Upstream::from(format!("engine-{n}"))).collect(),
+            up: (0..UPSTREAMS)
+                .map(|n| Upstream::from(format!("engine-{n}")))
+                .collect(),
             lost: BTreeMap::new(),
             refused: BTreeSet::new(),
             answered: BTreeSet::new(),
@@ -140,7 +144,11 @@
         let suspect = poison.standing(print) == Standing::Suspect && !self.naive;
         let free = |u: &&Upstream| !poison.reserved(self.now, u) && self.load(u) < BATCH;
         let spare = pool.iter().filter(free).min_by_key(|u| self.load(u));
-        let chosen = if suspect { poison.ward(print, &pool) } else { spare };
+        let chosen = if suspect {
+            poison.ward(print, &pool)
+        } else {
+            spare
+        };
         let Some(upstream) = chosen.cloned() else {
             return self.push(ms(100), Step::Arrive(node, print));
         };
@@ -187,14 +195,24 @@
 
     fn crash(&mut self, upstream: &Upstream, print: Print) {
         let there = |at: &Option<Upstream>| at.as_ref() == Some(upstream);
-        let by = self.requests.values().any(|(p, at)| *p == print && there(at));
+        let by = self
+            .requests
+            .values()
+            .any(|(p, at)| *p == print && there(at));
         if !by || !self.up.remove(upstream) {
             return;
         }
         *self.lost.entry(print).or_default() += 1;
         self.push(DOWN, Step::Up(upstream.clone()));
-        let hit: Vec<_> = self.requests.iter().filter(|(_, (_, at))| there(at)).collect();
-        let hit: Vec<_> = hit.into_iter().map(|(id, (print, _))| (*id, *print)).collect();
+        let hit: Vec<_> = self
+            .requests
+            .iter()
+            .filter(|(_, (_, at))| there(at))
+            .collect();
+        let hit: Vec<_> = hit
+            .into_iter()
+            .map(|(id, (print, _))| (*id, *print))
+            .collect();
         for ((node, request), print) in hit {
             self.requests.remove(&(node, request));
             // The node tries again elsewhere; a poison request's caller sends it again, too.
--- a/crates/once/examples/guard_cost.rs
+++ b/crates/once/examples/guard_cost.rs
@@ -26,7 +26,11 @@
     let idle = (fleet.messages, fleet.bytes);
     fleet.run(Duration::from_secs(10));
     let (messages, bytes) = (fleet.messages - idle.0, fleet.bytes - idle.1);
-    println!("idle: {:.0} messages and {:.0} bytes a second and node, bodies only", messages as f64 / 70.0, bytes as f64 / 70.0);
+    println!(
+        "idle: {:.0} messages and {:.0} bytes a second and node, bodies only",
+        messages as f64 / 70.0,
+        bytes as f64 / 70.0
+    );
     let begin = (fleet.messages, fleet.bytes, fleet.now, Instant::now());
     let calls: Vec<usize> = (0..CALLS as usize)
         .map(|key| {
@@ -41,14 +45,25 @@
     let sent = (fleet.messages - begin.0) as f64 - messages as f64 * span / 10.0;
     let bytes = (fleet.bytes - begin.1) as f64 - bytes as f64 * span / 10.0;
     let calls_made = CALLS as f64;
-    println!("call: {:.1} messages and {:.0} bytes in the region", sent / calls_made, bytes / calls_made);
-    println!("call: {:.1} us of processor time on all 7 nodes, network model included", took.as_secs_f64() * 1e6 / calls_made);
+    println!(
+        "call: {:.1} messages and {:.0} bytes in the region",
+        sent / calls_made,
+        bytes / calls_made
+    );
+    println!(
+        "call: {:.1} us of processor time on all 7 nodes, network model included",
+        took.as_secs_f64() * 1e6 / calls_made
+    );
     let mut waits: Vec<Duration> = calls
         .iter()
         .filter_map(|c| fleet.calls[*c].wrote.map(|at| at - fleet.calls[*c].begun))
         .collect();
     waits.sort_unstable();
-    println!("call: first byte after {:?} at the median, {:?} at p99 (0.4 to 0.6 ms each way, up to 2 ms in the driver)", waits[waits.len() / 2], waits[waits.len() * 99 / 100]);
+    println!(
+        "call: first byte after {:?} at the median, {:?} at p99 (0.4 to 0.6 ms each way, up to 2 ms in the driver)",
+        waits[waits.len() / 2],
+        waits[waits.len() * 99 / 100]
+    );
 }
 
 fn memory() {
@@ -79,7 +94,11 @@
     }
     let took = start.elapsed();
     let bytes = resident() - before;
-    println!("record: {} bytes of memory with an answer of 200 bytes, {:.1} us to store", bytes / RECORDS, took.as_secs_f64() * 1e6 / RECORDS as f64);
+    println!(
+        "record: {} bytes of memory with an answer of 200 bytes, {:.1} us to store",
+        bytes / RECORDS,
+        took.as_secs_f64() * 1e6 / RECORDS as f64
+    );
     assert_eq!(guard.records() as u64, RECORDS);
 }
 
