--- a/crates/node/src/front/listener.rs
+++ b/crates/node/src/front/listener.rs
@@ -11,10 +11,12 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
 
 use super::Body;
+use super::tls::Tls;
 
 /// Smallest read buffer that the HTTP library accepts, in bytes.
 const HEADER_BYTES_MIN: usize = 8192;
@@ -36,13 +38,14 @@
     fn handle(&self, request: Request<Incoming>) -> impl Future<Output = Response<Body>> + Send;
 }
 
-/// Accepts connections until `stop` turns true, then lets each finish its present request.
+/// Accepts connections, by TLS where `tls` is given, until `stop` turns true, then lets each finish its present request.
 ///
 /// Returns when all connections are closed.
 pub async fn serve<H: Handler>(
     listener: TcpListener,
     limit: Limit,
     handler: H,
+    tls: Option<Arc<Tls>>,
     mut stop: watch::Receiver<bool>,
 ) {
     let slots = Arc::new(Semaphore::new(limit.connections));
@@ -63,9 +66,14 @@
                 continue;
             }
         };
-        let (handler, stop) = (handler.clone(), stop.clone());
+        // Small token chunks must not wait for each other.
+        let _ = stream.set_nodelay(true);
+        let (handler, tls, stop) = (handler.clone(), tls.clone(), stop.clone());
         tokio::spawn(async move {
-            connection(stream, limit, handler, stop).await;
+            match tls {
+                None => connection(stream, limit, handler, stop).await,
+                Some(tls) => secured(&tls, stream, limit, handler, stop).await,
+            }
             drop(slot);
         });
     }
@@ -75,14 +83,28 @@
     let _ = slots.acquire_many(all).await;
 }
 
-async fn connection<H: Handler>(
+/// Serves a connection after its TLS handshake, which has as long as a request's head.
+async fn secured<H: Handler>(
+    tls: &Tls,
     stream: TcpStream,
     limit: Limit,
     handler: H,
+    stop: watch::Receiver<bool>,
+) {
+    let shaking = tls.acceptor().accept(stream);
+    match tokio::time::timeout(limit.header_time, shaking).await {
+        Ok(Ok(stream)) => connection(stream, limit, handler, stop).await,
+        Ok(Err(error)) => log::debug!("caller's TLS handshake failed: {error}"),
+        Err(_) => log::debug!("caller's TLS handshake took too long"),
+    }
+}
+
+async fn connection<H: Handler>(
+    stream: impl AsyncRead + AsyncWrite + Unpin,
+    limit: Limit,
+    handler: H,
     mut stop: watch::Receiver<bool>,
 ) {
-    // Small token chunks must not wait for each other.
-    let _ = stream.set_nodelay(true);
     let service = service_fn(move |request| {
         let handler = handler.clone();
         async move { Ok::<_, Infallible>(handler.handle(request).await) }
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -1,6 +1,6 @@
 //! The side towards callers and operators.
 //!
-//! [`listener`] accepts connections within limits. [`handler`] sorts callers' requests by path:
+//! [`listener`] accepts connections within limits, by [`tls`] where the settings name a certificate. [`handler`] sorts callers' requests by path:
 //! `model` places completions and streams their answers, `service` passes plain calls through,
 //! `address` tells which nodes to use. Every refusal is a [`Problem`] with a machine-read
 //! outcome. [`operators`] answers on an address of its own.
@@ -16,6 +16,7 @@
 pub mod problem;
 pub mod reply;
 mod service;
+pub mod tls;
 
 pub use body::{Body, Cut, Sender};
 pub use handler::Front;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -16,6 +16,7 @@
 use crate::clock::{Clock, wall_micros};
 use crate::core::{self, Handle, Input};
 use crate::front::listener::{self, Limit};
+use crate::front::tls::{self, Tls};
 use crate::front::{Front, Operators};
 use crate::metrics::Metrics;
 use crate::peer::{Inbox, Outbox, SharedCounts};
@@ -50,6 +51,9 @@
     /// The peers' keys are unusable.
     #[error(transparent)]
     Keys(#[from] wire::seal::Error),
+    /// The certificate towards callers is unusable.
+    #[error(transparent)]
+    Tls(#[from] tls::Error),
     /// The metrics cannot be registered.
     #[error("metrics cannot be registered ({0}); report this")]
     Metrics(#[from] prometheus::Error),
@@ -133,6 +137,7 @@
             header_bytes: limits.header_bytes,
             header_time: self.shared.settings.time.header,
         };
+        let tls = self.open_tls()?;
         let front = Front::new(self.shared.clone(), self.core.clone());
         let socket = bind(self.addresses.callers).await?;
         self.addresses.callers = local(&socket, self.addresses.callers);
@@ -140,6 +145,7 @@
             socket,
             limit,
             front,
+            tls,
             self.stop.subscribe(),
         )));
         let operators = Operators::new(self.shared.clone(), self.core.clone());
@@ -153,12 +159,22 @@
             socket,
             limit,
             operators,
+            None,
             self.stop.subscribe(),
         )));
         tokio::spawn(core::poll_engines(self.shared.clone(), self.core.clone()));
         Ok(())
     }
 
+    fn open_tls(&self) -> Result<Option<Arc<Tls>>, Error> {
+        let Some(files) = self.shared.settings.tls.clone() else {
+            return Ok(None);
+        };
+        let tls = Arc::new(Tls::open(files)?);
+        tokio::spawn(tls::watch(tls.clone(), tls::PERIOD));
+        Ok(Some(tls))
+    }
+
     /// Returns the addresses that the node is bound to.
     pub fn addresses(&self) -> Addresses {
         self.addresses
