--- a/crates/node/tests/tls_reload.rs
+++ b/crates/node/tests/tls_reload.rs
@@ -131,7 +131,10 @@
     files.write(&new.certificate, &new.key);
     let limit = Instant::now() + SOON;
     while !served(address, &new.root).await {
-        assert!(Instant::now() < limit, "the new certificate is not in force");
+        assert!(
+            Instant::now() < limit,
+            "the new certificate is not in force"
+        );
     }
     assert!(!served(address, &old.root).await);
 }
