--- a/crates/hyssopscale/tests/bad_input.rs
+++ b/crates/hyssopscale/tests/bad_input.rs
@@ -55,7 +55,10 @@
         bytes.extend_from_slice(header.as_bytes());
         bytes.extend_from_slice(b"\r\n");
     }
-    if !headers.iter().any(|h| h.starts_with("content-length") || h.starts_with("transfer")) {
+    if !headers
+        .iter()
+        .any(|h| h.starts_with("content-length") || h.starts_with("transfer"))
+    {
         bytes.extend_from_slice(format!("content-length: {}\r\n", body.len()).as_bytes());
     }
     bytes.extend_from_slice(b"\r\n");
@@ -65,14 +68,21 @@
 
 fn status(answer: &[u8]) -> u16 {
     let line = String::from_utf8_lossy(&answer[..answer.len().min(12)]).into_owned();
-    line.get(9..).and_then(|code| code.parse().ok()).unwrap_or(0)
+    line.get(9..)
+        .and_then(|code| code.parse().ok())
+        .unwrap_or(0)
 }
 
 /// Checks that an answer is a problem document which says that nothing ran.
 fn check_problem(answer: &[u8]) -> u16 {
     let text = String::from_utf8_lossy(answer);
-    let (head, body) = text.split_once("\r\n\r\n").unwrap_or_else(|| panic!("{text}"));
-    assert!(head.contains("content-type: application/problem+json"), "{text}");
+    let (head, body) = text
+        .split_once("\r\n\r\n")
+        .unwrap_or_else(|| panic!("{text}"));
+    assert!(
+        head.contains("content-type: application/problem+json"),
+        "{text}"
+    );
     let document: Value = serde_json::from_str(body).unwrap_or_else(|_| panic!("{text}"));
     assert_eq!(document["outcome"], "not-run", "{text}");
     assert_eq!(document["status"], status(answer), "{text}");
@@ -93,10 +103,20 @@
     let long = "p".repeat(BODY_BYTES);
     let mut cases: Vec<(u16, Vec<u8>)> = Vec::new();
     let bodies: [&[u8]; 14] = [
-        b"", b"null", b"[]", b"\"text\"", b"{}", b"{\"prompt\":5}", b"{\"prompt\":null}",
-        b"{\"prompt\":\"a\",\"prompt\":\"b\"}", b"{\"prompt\":\"a\",\"max_tokens\":-1}",
-        b"{\"prompt\":\"a\",\"max_tokens\":1e99}", b"{\"prompt\":\"a\",\"stream\":\"yes\"}",
-        b"{\"prompt\":\"\xff\xfe\"}", b"{\"prompt\":\"a\"} trailing", deep.as_bytes(),
+        b"",
+        b"null",
+        b"[]",
+        b"\"text\"",
+        b"{}",
+        b"{\"prompt\":5}",
+        b"{\"prompt\":null}",
+        b"{\"prompt\":\"a\",\"prompt\":\"b\"}",
+        b"{\"prompt\":\"a\",\"max_tokens\":-1}",
+        b"{\"prompt\":\"a\",\"max_tokens\":1e99}",
+        b"{\"prompt\":\"a\",\"stream\":\"yes\"}",
+        b"{\"prompt\":\"\xff\xfe\"}",
+        b"{\"prompt\":\"a\"} trailing",
+        deep.as_bytes(),
     ];
     cases.extend(bodies.map(|body| (400, request(COMPLETE, &[WHO], body))));
     let good = b"{\"prompt\":\"a\",\"max_tokens\":2}";
@@ -118,21 +138,41 @@
     let key = format!("idempotency-key: {}", "k".repeat(300));
     cases.push((400, request(CHECKOUT, &[WHO, &key], good)));
     cases.push((400, request(CHECKOUT, &[WHO, "idempotency-key:"], good)));
-    cases.push((403, request(COMPLETE, &[WHO], b"{\"model\":\"no@v1\",\"prompt\":\"a\"}")));
+    cases.push((
+        403,
+        request(COMPLETE, &[WHO], b"{\"model\":\"no@v1\",\"prompt\":\"a\"}"),
+    ));
     for line in [
-        "GET /", "GET /v2/completions", "DELETE /lending/checkouts", "post /lending/checkouts",
-        "POST /lending//checkouts", "POST /lending/%63heckouts", "GET /lending/../admin",
-        "GET /lending/%2e%2e/admin", "GET /lending/a;b", "OPTIONS *",
+        "GET /",
+        "GET /v2/completions",
+        "DELETE /lending/checkouts",
+        "post /lending/checkouts",
+        "POST /lending//checkouts",
+        "POST /lending/%63heckouts",
+        "GET /lending/../admin",
+        "GET /lending/%2e%2e/admin",
+        "GET /lending/a;b",
+        "OPTIONS *",
     ] {
         cases.push((404, request(line, &[WHO], b"")));
     }
     for line in [COMPLETE, CHECKOUT] {
-        cases.push((413, request(line, &[WHO], format!("{{\"prompt\":\"{long}\"}}").as_bytes())));
+        cases.push((
+            413,
+            request(
+                line,
+                &[WHO],
+                format!("{{\"prompt\":\"{long}\"}}").as_bytes(),
+            ),
+        ));
         let chunk = format!("{:x}\r\n{long}x\r\n0\r\n\r\n", BODY_BYTES + 1);
         let chunked = [WHO, "transfer-encoding: chunked"];
         cases.push((413, request(line, &chunked, chunk.as_bytes())));
         // Nothing more comes: the body is too slow.
-        cases.push((408, request(line, &[WHO, "content-length: 500"], b"{\"prompt\"")));
+        cases.push((
+            408,
+            request(line, &[WHO, "content-length: 500"], b"{\"prompt\""),
+        ));
         cases.push((400, request(line, &chunked, b"zz\r\nno chunk\r\n")));
     }
     cases
@@ -161,22 +201,35 @@
     for (expected, bytes) in fixed_cases() {
         asking.spawn(async move {
             let answer = exchange(address, &bytes).await;
-            let shown = String::from_utf8_lossy(&bytes).chars().take(120).collect::<String>();
+            let shown = String::from_utf8_lossy(&bytes)
+                .chars()
+                .take(120)
+                .collect::<String>();
             assert_eq!(check_problem(&answer), expected, "{shown:?}");
         });
     }
     for bytes in broken_heads() {
         asking.spawn(async move {
             let answer = exchange(address, &bytes).await;
-            assert!(answer.is_empty() || (400..500).contains(&status(&answer)), "{answer:?}");
+            assert!(
+                answer.is_empty() || (400..500).contains(&status(&answer)),
+                "{answer:?}"
+            );
         });
     }
     while let Some(asked) = asking.join_next().await {
         asked.unwrap();
     }
-    assert!(reached(&local.entries()).is_empty(), "{:?}", reached(&local.entries()));
+    assert!(
+        reached(&local.entries()).is_empty(),
+        "{:?}",
+        reached(&local.entries())
+    );
     assert_eq!(PANICS.load(Ordering::Relaxed), 0);
-    assert_eq!(status(&exchange(address, &request("GET /healthz", &[], b"")).await), 200);
+    assert_eq!(
+        status(&exchange(address, &request("GET /healthz", &[], b"")).await),
+        200
+    );
 }
 
 /// Requests that are faulty whatever is drawn.
@@ -184,19 +237,35 @@
     let whole = "{\"model\":\"fitting-hiker@v1\",\"prompt\":\"icy \\u00e9\",\"max_tokens\":4}";
     let text = "[ -~]{0,40}";
     let cut = (0..whole.len()).prop_map(move |end| {
-        request("POST /v1/completions", &["x-caller: hikers"], &whole.as_bytes()[..end])
+        request(
+            "POST /v1/completions",
+            &["x-caller: hikers"],
+            &whole.as_bytes()[..end],
+        )
     });
     let bytes = prop::collection::vec(any::<u8>(), 0..200);
-    let noise = bytes.clone().prop_map(|body| {
-        request("POST /v1/completions", &["x-caller: hikers"], &body)
-    });
+    let noise = bytes
+        .clone()
+        .prop_map(|body| request("POST /v1/completions", &["x-caller: hikers"], &body));
     let value = ("[a-z_]{1,12}", text).prop_map(|(key, text)| {
         let body = serde_json::json!({ key: text, "prompt": [text] }).to_string();
-        request("POST /v1/completions", &["x-caller: hikers"], body.as_bytes())
+        request(
+            "POST /v1/completions",
+            &["x-caller: hikers"],
+            body.as_bytes(),
+        )
     });
-    let header = ("[!-9;-~]{0,12}", prop::collection::vec(any::<u8>(), 0..40), any::<bool>());
+    let header = (
+        "[!-9;-~]{0,12}",
+        prop::collection::vec(any::<u8>(), 0..40),
+        any::<bool>(),
+    );
     let header = header.prop_map(|(name, value, once)| {
-        let line = if once { "POST /lending/checkouts" } else { "POST /v1/completions" };
+        let line = if once {
+            "POST /lending/checkouts"
+        } else {
+            "POST /v1/completions"
+        };
         let mut bytes = format!("{line} HTTP/1.1\r\nconnection: close\r\n{name}: ").into_bytes();
         bytes.extend(value);
         bytes.extend(b"\r\n\r\n{");
@@ -226,7 +295,10 @@
     let result = TestRunner::new(config).run(&drawn(), |bytes| {
         let answer = runtime.block_on(exchange(address, &bytes));
         let code = status(&answer);
-        prop_assert!(answer.is_empty() || (400..500).contains(&code), "{answer:?}");
+        prop_assert!(
+            answer.is_empty() || (400..500).contains(&code),
+            "{answer:?}"
+        );
         Ok(())
     });
     result.unwrap();
@@ -246,8 +318,14 @@
     }
     let body = b"{\"prompt\":\"a\",\"max_tokens\":100000,\"stream\":true}";
     for (bytes, streams) in [
-        (request("POST /v1/completions", &["x-caller: hikers"], body), true),
-        (request("GET /lending/stock", &["x-caller: depots"], b""), false),
+        (
+            request("POST /v1/completions", &["x-caller: hikers"], body),
+            true,
+        ),
+        (
+            request("GET /lending/stock", &["x-caller: depots"], b""),
+            false,
+        ),
     ] {
         let before = reached(&local.entries()).len();
         let mut stream = TcpStream::connect(local.callers(0)).await.unwrap();
@@ -257,16 +335,28 @@
             let read = timeout(Duration::from_secs(30), stream.read(&mut some)).await;
             assert!(read.unwrap().unwrap() > 0);
         }
-        local.wait(|local| reached(&local.entries()).len() > before).await;
+        local
+            .wait(|local| reached(&local.entries()).len() > before)
+            .await;
         drop(stream);
         let gone = Instant::now();
         let cancelled = |entry: &Entry| {
-            matches!(entry.kind, Kind::Finish { end: End::Cancelled, .. })
+            matches!(
+                entry.kind,
+                Kind::Finish {
+                    end: End::Cancelled,
+                    ..
+                }
+            )
         };
         let ends = usize::from(!streams) + 1;
         local
             .wait(|local| local.entries().iter().filter(|e| cancelled(e)).count() >= ends)
             .await;
-        assert!(gone.elapsed() < Duration::from_secs(5), "{:?}", gone.elapsed());
+        assert!(
+            gone.elapsed() < Duration::from_secs(5),
+            "{:?}",
+            gone.elapsed()
+        );
     }
 }
--- a/crates/hyssopscale/tests/site/mod.rs
+++ b/crates/hyssopscale/tests/site/mod.rs
@@ -49,14 +49,19 @@
         for index in 0..count {
             local.start_node(index, overrides).await;
         }
-        local.wait(|local| local.nodes.iter().all(Node::ready)).await;
+        local
+            .wait(|local| local.nodes.iter().all(Node::ready))
+            .await;
         local
     }
 
     pub fn publish(&self, revision: u64, rules: &str) {
         let files = [("test.rules".to_owned(), rules.to_owned())];
         for value in pack::values("hyssopscale/", revision, files).unwrap() {
-            self.site.platform.state().publish(value.key, value.body, None);
+            self.site
+                .platform
+                .state()
+                .publish(value.key, value.body, None);
         }
     }
 
@@ -118,7 +123,9 @@
 
     pub fn operators(&self) -> Vec<String> {
         let nodes = self.nodes.iter();
-        nodes.map(|node| node.addresses().operators.to_string()).collect()
+        nodes
+            .map(|node| node.addresses().operators.to_string())
+            .collect()
     }
 
     /// Returns what reached engines and services.
