--- a/crates/node/src/front/tls.rs
+++ b/crates/node/src/front/tls.rs
@@ -111,7 +111,8 @@
         let missing = matches!(result, Err(Error::File { .. }));
         match result {
             Ok(true) => {
-                log::info!(target: DECISION, path:? = tls.settings.certificate; "certificate-in-force")
+                let path = &tls.settings.certificate;
+                log::info!(target: DECISION, path:?; "certificate-in-force");
             }
             Ok(false) => {}
             // A file that is missing is looked for at every turn, and reported once.
