--- a/crates/hyssopscale/src/cli.rs
+++ b/crates/hyssopscale/src/cli.rs
@@ -1,5 +1,5 @@
-//! Command lines of the programs, and their exit codes: 0 done, 1 faults found or refused, 2
-//! arguments wrong.
+//! Command lines of the programs, and their exit codes: 0 done, 1 faults found, refused or
+//! unknown, 2 arguments wrong.
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -13,6 +13,10 @@
 
 use crate::ops::{self, Error, Output};
 
+/// Meaning of the exit codes, as the help shows it.
+const EXIT_CODES: &str = "Exit codes: 0 done; 1 faults found, a node without an answer, a \
+                          refusal, or an unknown outcome; 2 wrong arguments";
+
 /// Runs `hyssopd`.
 pub fn daemon() -> ExitCode {
     let matches = daemon_command().get_matches();
@@ -111,6 +115,7 @@
     Command::new("hyssopctl")
         .about("Checks rules, asks nodes, and demonstrates the serving layer")
         .version(env!("CARGO_PKG_VERSION"))
+        .after_help(EXIT_CODES)
         .subcommand_required(true)
         .arg(output)
         .subcommand(
@@ -159,6 +164,13 @@
                 .about("Shows what nodes know")
                 .arg(nodes().required(true)),
         )
+        .subcommand(
+            Command::new("adapters")
+                .about("Shows which adapters are resident where, and which wait")
+                .arg(nodes().required(true)),
+        )
+        .subcommand(requests_command())
+        .subcommand(watch_command())
         .subcommand(
             Command::new("demo")
                 .about("Runs nodes and stand-ins in one process")
@@ -203,6 +215,59 @@
         .arg(at)
 }
 
+fn requests_command() -> Command {
+    let text = |name: &'static str, help: &'static str| {
+        let arg = Arg::new(name).long(name).value_name("NAME");
+        arg.required(true).help(help)
+    };
+    Command::new("requests")
+        .about("Asks about calls that may not be repeated")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("find")
+                .about("Tells what became of a call; exit code 1 where that is unknown")
+                .arg(
+                    Arg::new("key")
+                        .value_name("KEY")
+                        .required(true)
+                        .help("The idempotency key, as the caller sent it"),
+                )
+                .arg(text("caller", "The caller"))
+                .arg(text("service", "The service, as the rules name it"))
+                .arg(nodes().required(true)),
+        )
+}
+
+fn watch_command() -> Command {
+    Command::new("watch")
+        .about("Shows nodes, engines and adapters again and again")
+        .arg(nodes().required(true))
+        .arg(
+            Arg::new("interval")
+                .long("interval")
+                .value_name("SECONDS")
+                .default_value("2")
+                .value_parser(interval)
+                .help("Time between two looks"),
+        )
+        .arg(
+            Arg::new("times")
+                .long("times")
+                .value_name("N")
+                .value_parser(value_parser!(u64).range(1..))
+                .help("Number of looks; until interrupted without it"),
+        )
+}
+
+fn interval(text: &str) -> Result<Duration, String> {
+    let seconds: f64 = text.parse().map_err(|_| "give a number of seconds")?;
+    if (0.05..=3600.0).contains(&seconds) {
+        Ok(Duration::from_secs_f64(seconds))
+    } else {
+        Err("give 0.05 to 3600 seconds".to_owned())
+    }
+}
+
 fn load_command() -> Command {
     let option =
         |name: &'static str, value: &'static str| Arg::new(name).long(name).value_name(value);
@@ -330,12 +395,24 @@
             let prefix: &String = matches.get_one("prefix").expect("clap gives a default");
             let revision: u64 = *matches.get_one("revision").expect("clap demands it");
             let out: &PathBuf = matches.get_one("out").expect("clap demands it");
-            ops::pack::run(prefix, revision, paths(matches, "files"), out)
+            ops::pack::run(prefix, revision, paths(matches, "files"), out, output)
         }
         "status" => {
             let nodes: Vec<SocketAddr> = many(matches, "node");
             block_on(ops::status::run(nodes, output))
         }
+        "adapters" => block_on(ops::adapters::run(many(matches, "node"), output)),
+        "requests" => requests(matches, output),
+        "watch" => {
+            let interval: Duration = *matches.get_one("interval").expect("clap gives a default");
+            let times = matches.get_one("times").copied();
+            block_on(ops::watch::run(
+                many(matches, "node"),
+                interval,
+                times,
+                output,
+            ))
+        }
         "demo" => block_on(ops::demo::run(matches.get_flag("log"))),
         "load" => block_on(ops::load::run(load_config(matches)?, output)),
         "completions" => {
@@ -352,6 +429,17 @@
     }
 }
 
+fn requests(matches: &ArgMatches, output: Output) -> Result<(), Error> {
+    let (_, matches) = matches.subcommand().expect("clap demands a command");
+    let text = |name: &str| matches.get_one::<String>(name).cloned().unwrap_or_default();
+    let call = ops::requests::Call {
+        caller: text("caller"),
+        service: text("service"),
+        key: text("key"),
+    };
+    block_on(ops::requests::find(many(matches, "node"), &call, output))
+}
+
 fn explain(matches: &ArgMatches, output: Output, at: Timestamp) -> Result<(), Error> {
     let get = |name: &str| matches.get_one::<String>(name).cloned();
     let ask = ops::explain::Ask {
--- a/crates/hyssopscale/src/client.rs
+++ b/crates/hyssopscale/src/client.rs
@@ -58,6 +58,13 @@
     }
 }
 
+/// Returns `page` with a query of `pairs`, escaped as needed.
+pub fn path<'a>(page: &str, pairs: impl IntoIterator<Item = (&'a str, &'a str)>) -> String {
+    let mut query = form_urlencoded::Serializer::new(String::new());
+    query.extend_pairs(pairs);
+    format!("{page}?{}", query.finish())
+}
+
 /// Sends a request and returns the answer's head with its unread body.
 ///
 /// # Errors
--- a/crates/hyssopscale/src/ops/explain.rs
+++ b/crates/hyssopscale/src/ops/explain.rs
@@ -66,12 +66,14 @@
 ///
 /// Returns an [`Error`] where the node gives no answer.
 pub async fn online(node: SocketAddr, ask: &Ask, output: Output) -> Result<(), Error> {
-    let path = format!(
-        "/v1/explain?caller={}&trade={}&priority={}&model={}",
-        ask.caller,
-        ask.trade,
-        ask.priority,
-        ask.model.as_deref().unwrap_or("")
+    let path = client::path(
+        "/v1/explain",
+        [
+            ("caller", ask.caller.as_str()),
+            ("trade", &ask.trade),
+            ("priority", ask.priority.name()),
+            ("model", ask.model.as_deref().unwrap_or("")),
+        ],
     );
     let answer = client::send(node, Request::get(path), "").await?;
     if !answer.status.is_success() {
--- a/crates/hyssopscale/src/ops/mod.rs
+++ b/crates/hyssopscale/src/ops/mod.rs
@@ -1,13 +1,17 @@
 //! One module for each command.
 
+pub mod adapters;
 pub mod check;
 pub mod demo;
 pub mod diff;
 pub mod explain;
 pub mod load;
+pub mod nodes;
 pub mod pack;
+pub mod requests;
 pub mod serve;
 pub mod status;
+pub mod watch;
 
 use std::fs;
 use std::path::{Path, PathBuf};
@@ -46,8 +50,14 @@
     #[error("{0}")]
     Client(#[from] crate::client::Error),
     /// A node answered with a refusal.
-    #[error("the node refused: {0}")]
+    #[error("the node refused: {0}\nhelp: mend what it names, then ask again")]
     Refused(String),
+    /// A node took the request and said nothing.
+    #[error("{0} does not answer\nhelp: see the node's log, or ask another node")]
+    Silent(std::net::SocketAddr),
+    /// Something else than a node's operators' page answered.
+    #[error("{0} answers with something else\nhelp: name the address of `listen.operators`")]
+    Foreign(std::net::SocketAddr),
     /// The node does not start.
     #[error("{0}")]
     Node(#[from] node::Error),
--- a/crates/hyssopscale/src/ops/pack.rs
+++ b/crates/hyssopscale/src/ops/pack.rs
@@ -9,7 +9,7 @@
 use confsync::{Digest, Manifest};
 use wire::Revision;
 
-use super::{Error, read, read_rules};
+use super::{Error, Output, read, read_rules};
 
 /// Hexadecimal digits of a digest in a part's key.
 const KEY_DIGITS: usize = 12;
@@ -59,7 +59,14 @@
 /// # Errors
 ///
 /// Returns every fault of the rules, or why a file cannot be used.
-pub fn run(prefix: &str, revision: Revision, paths: Vec<PathBuf>, out: &Path) -> Result<(), Error> {
+pub fn run(
+    prefix: &str,
+    revision: Revision,
+    paths: Vec<PathBuf>,
+    out: &Path,
+    output: Output,
+) -> Result<(), Error> {
+    let mut keys = Vec::new();
     read_rules(paths.clone())?;
     let mut files = Vec::new();
     for path in &paths {
@@ -78,7 +85,14 @@
         };
         fs::create_dir_all(path.parent().unwrap_or(out)).map_err(file)?;
         fs::write(&path, &value.body).map_err(file)?;
-        println!("{}", value.key);
+        keys.push(value.key);
+    }
+    match output {
+        Output::Json => println!(
+            "{}",
+            serde_json::json!({ "revision": revision, "keys": keys })
+        ),
+        Output::Table => println!("{}", keys.join("\n")),
     }
     Ok(())
 }
--- a/crates/hyssopscale/tests/site/mod.rs
+++ b/crates/hyssopscale/tests/site/mod.rs
@@ -133,3 +133,39 @@
         self.site.entries()
     }
 }
+
+/// What a run of the operator client gave.
+#[derive(Debug)]
+pub struct Ran {
+    pub code: i32,
+    pub out: String,
+    pub err: String,
+}
+
+impl Ran {
+    pub fn json(&self) -> serde_json::Value {
+        serde_json::from_str(&self.out).unwrap_or_else(|_| panic!("{self:?}"))
+    }
+}
+
+/// Runs `hyssopctl` and waits for its end.
+pub fn run(arguments: &[&str]) -> Ran {
+    let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_hyssopctl"));
+    let root = concat!(env!("CARGO_MANIFEST_DIR"), "/../..");
+    let output = command.args(arguments).current_dir(root).output().unwrap();
+    let text = |bytes| String::from_utf8(bytes).unwrap();
+    Ran {
+        code: output.status.code().unwrap(),
+        out: text(output.stdout),
+        err: text(output.stderr),
+    }
+}
+
+/// Runs `hyssopctl` with `--node` and every node's address behind `arguments`.
+pub async fn ask(local: &Local, arguments: &[&str]) -> Ran {
+    let mut words: Vec<String> = arguments.iter().map(|word| (*word).to_owned()).collect();
+    words.push("--node".to_owned());
+    words.extend(local.operators());
+    let run = move || run(&words.iter().map(String::as_str).collect::<Vec<_>>());
+    tokio::task::spawn_blocking(run).await.unwrap()
+}
--- a/crates/node/src/core/input.rs
+++ b/crates/node/src/core/input.rs
@@ -97,6 +97,13 @@
     },
     /// What does the node know?
     Status(oneshot::Sender<Status>),
+    /// What does the node know of a call that may not be repeated?
+    Lookup {
+        /// The call.
+        key: once::Key,
+        /// Where the answer goes.
+        reply: oneshot::Sender<once::Lookup>,
+    },
     /// Is nothing left to hand over?
     Idle(oneshot::Sender<bool>),
     /// A graceful shutdown starts.
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -133,6 +133,13 @@
         status.await.ok()
     }
 
+    /// Returns what the node knows of a call; `None` where the core has stopped.
+    pub async fn lookup(&self, key: once::Key) -> Option<once::Lookup> {
+        let (reply, found) = oneshot::channel();
+        self.send(Input::Lookup { key, reply });
+        found.await.ok()
+    }
+
     /// Tells whether nothing is left to hand over to peers.
     pub async fn idle(&self) -> bool {
         let (reply, idle) = oneshot::channel();
@@ -318,6 +325,10 @@
             Input::Status(reply) => {
                 let _ = reply.send(self.status());
             }
+            Input::Lookup { key, reply } => {
+                let now = self.shared.clock.now();
+                let _ = reply.send(self.logic.once().lookup(now, &key));
+            }
             Input::Idle(reply) => {
                 let _ = reply.send(self.logic.once().idle());
             }
--- a/crates/node/src/front/operators.rs
+++ b/crates/node/src/front/operators.rs
@@ -48,9 +48,11 @@
         match (request.method(), request.uri().path()) {
             (&Method::GET, "/metrics") => self.metrics(),
             (&Method::GET, "/v1/status") => self.status().await,
-            (&Method::GET, "/v1/explain") => self.explain(request.uri().query().unwrap_or("")),
+            (&Method::GET, "/v1/explain") => self.explain(&Query::of(request)),
+            (&Method::GET, "/v1/requests") => self.lookup(&Query::of(request)).await,
             _ => {
-                let detail = "no such page; there are /metrics, /v1/status and /v1/explain";
+                let detail = "no such page; there are /metrics, /v1/status, /v1/explain \
+                              and /v1/requests";
                 Err(Problem::bad(StatusCode::NOT_FOUND, detail))
             }
         }
@@ -74,18 +76,26 @@
         Ok(json(document))
     }
 
-    fn explain(&self, query: &str) -> Result<Response<Body>, Problem> {
+    /// Tells what this node knows of a call that may not be repeated.
+    async fn lookup(&self, query: &Query) -> Result<Response<Body>, Problem> {
+        let part = |name: &str| {
+            let detail = format!("`{name}` is missing; give caller, service and key");
+            let given = Some(query.get(name)).filter(|text| !text.is_empty());
+            given.ok_or_else(|| Problem::bad(StatusCode::BAD_REQUEST, detail))
+        };
+        let key = once::Key::new(part("caller")?, part("service")?, part("key")?);
+        let lookup = self.core.lookup(key).await;
+        let lookup = lookup.ok_or_else(|| internal("the node is stopping"))?;
+        Ok(json(serde_json::to_vec(&lookup).map_err(internal)?))
+    }
+
+    fn explain(&self, query: &Query) -> Result<Response<Body>, Problem> {
         let rules = self
             .shared
             .rules
             .load_full()
             .ok_or_else(|| internal("no rules in force"))?;
-        let get = |name: &str| {
-            let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-            pairs
-                .find(|(key, _)| *key == name)
-                .map_or("", |(_, value)| value)
-        };
+        let get = |name: &str| query.get(name);
         let ask = rules::Ask {
             caller: get("caller"),
             trade: get("trade"),
@@ -113,6 +123,25 @@
     }
 }
 
+/// The decoded query of a request.
+struct Query(Vec<(String, String)>);
+
+impl Query {
+    fn of(request: &Request<Incoming>) -> Self {
+        let query = request.uri().query().unwrap_or_default();
+        Self(
+            form_urlencoded::parse(query.as_bytes())
+                .into_owned()
+                .collect(),
+        )
+    }
+
+    fn get(&self, name: &str) -> &str {
+        let found = self.0.iter().find(|(key, _)| key == name);
+        found.map_or("", |(_, value)| value)
+    }
+}
+
 fn internal(cause: impl std::fmt::Display) -> Problem {
     Problem::bad(StatusCode::SERVICE_UNAVAILABLE, cause.to_string())
 }
--- a/crates/once/src/guard/mod.rs
+++ b/crates/once/src/guard/mod.rs
@@ -5,8 +5,10 @@
 //! - `witness` answers the questions of executors.
 //! - `executor` collects votes and decides what becomes of a request.
 //! - `run` is the state of one key at its executor.
+//! - `lookup` tells operators what is known of a key.
 
 mod executor;
+mod lookup;
 mod members;
 mod run;
 mod witness;
@@ -23,6 +25,7 @@
 use members::{Absent, Peer, Recovery};
 use run::{Delivery, Run};
 
+pub use lookup::{Fate, Lookup};
 pub use run::{Outcome, Reason};
 
 /// Limits and times of a [`Guard`]; the same on every VM of a region.
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -16,7 +16,7 @@
 pub mod message;
 pub mod set;
 
-pub use guard::{Action, Config, Event, Guard, Note, Outcome, Reason};
+pub use guard::{Action, Config, Event, Fate, Guard, Lookup, Note, Outcome, Reason};
 pub use key::{Digest, Key};
 pub use ledger::Record;
 pub use message::{Claim, Message};
