--- /dev/null
+++ b/crates/placement/tests/fleet/engine.rs
@@ -0,0 +1,149 @@
+//! A fake engine and a fake weight store on virtual time.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use placement::event::{Instance, Use};
+use wire::{Fence, Model, Priority, Time};
+
+/// Time of one decoding step.
+pub const STEP: Duration = Duration::from_millis(100);
+
+/// A running or queued sequence.
+#[derive(Clone, Debug)]
+pub struct Sequence {
+    pub request: u64,
+    pub node: usize,
+    pub instance: Instance,
+    pub priority: Priority,
+    pub left: u32,
+}
+
+/// An instance in a slot.
+#[derive(Clone, Debug)]
+pub struct Resident {
+    pub instance: Instance,
+    pub model: Model,
+    pub loading: bool,
+    pub used: Time,
+}
+
+/// An engine with continuous batching and a few slots.
+#[derive(Clone, Debug, Default)]
+pub struct Engine {
+    pub boot: u64,
+    pub shown: Fence,
+    pub slots: usize,
+    pub batch: usize,
+    pub residents: Vec<Resident>,
+    pub running: Vec<Sequence>,
+    pub queue: VecDeque<Sequence>,
+    pub steps: u64,
+    pub sequences: u64,
+}
+
+impl Engine {
+    pub fn resident(&self, instance: &str) -> Option<usize> {
+        self.residents.iter().position(|r| *r.instance == *instance)
+    }
+
+    /// Counts the sequences queued or running on an instance.
+    pub fn in_use(&self, instance: &str) -> u32 {
+        let all = self.running.iter().chain(&self.queue);
+        all.filter(|s| *s.instance == *instance).count() as u32
+    }
+
+    pub fn load(&self) -> u32 {
+        (self.running.len() + self.queue.len()) as u32
+    }
+
+    pub fn loads(&self) -> usize {
+        self.residents.iter().filter(|r| r.loading).count()
+    }
+
+    pub fn report(&self) -> Vec<Use> {
+        let ready = self.residents.iter().filter(|r| !r.loading);
+        ready
+            .map(|r| Use {
+                instance: r.instance.clone(),
+                in_use: self.in_use(&r.instance),
+            })
+            .collect()
+    }
+
+    /// Runs one step and returns the sequences that it ends.
+    pub fn step(&mut self, now: Time) -> Vec<Sequence> {
+        while self.running.len() < self.batch && !self.queue.is_empty() {
+            let best = (0..self.queue.len()).min_by_key(|i| (self.queue[*i].priority, *i));
+            self.running.extend(best.and_then(|i| self.queue.remove(i)));
+        }
+        if self.running.is_empty() {
+            return Vec::new();
+        }
+        self.steps += 1;
+        self.sequences += self.running.len() as u64;
+        for sequence in &mut self.running {
+            sequence.left -= 1;
+        }
+        for resident in &mut self.residents {
+            if self.running.iter().any(|s| s.instance == resident.instance) {
+                resident.used = now;
+            }
+        }
+        let (done, running) = std::mem::take(&mut self.running)
+            .into_iter()
+            .partition(|s| s.left == 0);
+        self.running = running;
+        done
+    }
+
+    /// Starts anew with nothing loaded; returns the sequences that are cut.
+    pub fn restart(&mut self) -> Vec<Sequence> {
+        self.boot += 1;
+        self.shown = 0;
+        self.residents.clear();
+        self.running.drain(..).chain(self.queue.drain(..)).collect()
+    }
+}
+
+/// A weight store that paces loads at its rate and slows down beyond its loads in flight.
+#[derive(Clone, Debug)]
+pub struct Weights {
+    pub rate: f64,
+    pub in_flight: usize,
+    pub load: Duration,
+    /// Loads that may start at once after a pause.
+    pub burst: f64,
+    pub flying: usize,
+    pub most: usize,
+    pub starts: Vec<Time>,
+    next: Time,
+}
+
+impl Weights {
+    pub fn new(rate: f64, in_flight: usize, load: Duration) -> Self {
+        Self {
+            rate,
+            in_flight,
+            load,
+            burst: in_flight as f64,
+            flying: 0,
+            most: 0,
+            starts: Vec::new(),
+            next: Time::ZERO,
+        }
+    }
+
+    /// Begins a load on an engine with `loads` under way; returns the time at which it is there.
+    pub fn begin(&mut self, now: Time, loads: usize) -> Time {
+        let gap = Duration::from_secs_f64(1.0 / self.rate);
+        let allowance = gap.mul_f64(self.burst);
+        self.next = self.next.max(now) + gap;
+        let start = self.next.saturating_sub(allowance).max(now);
+        self.starts.push(now);
+        self.flying += 1;
+        self.most = self.most.max(self.flying);
+        let slow = (self.flying as f64 / self.in_flight as f64).max(1.0) * loads.max(1) as f64;
+        start + self.load.mul_f64(slow)
+    }
+}
--- /dev/null
+++ b/crates/placement/tests/fleet/mod.rs
@@ -0,0 +1,706 @@
+//! Many nodes' planners on virtual time, with fake engines and a fake store at the interfaces.
+
+#![allow(dead_code, reason = "each test and the policy example use a part")]
+
+pub mod engine;
+pub mod faults;
+pub mod naive;
+pub mod trace;
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::time::Duration;
+
+use placement::event::{Failure, Fencing, Instance, Request, Resident, State, Store, Upstream};
+use placement::message::Message;
+use placement::{Action, Event, Planner, Settings, action::Note};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use wire::{Fence, Incarnation, Machine, Model, Priority, Time, View};
+
+use engine::{Engine, STEP, Sequence, Weights};
+
+/// One-way latency between nodes and to engines.
+const LATENCY: Duration = Duration::from_micros(700);
+/// Time between two reports of an engine.
+const REPORT: Duration = Duration::from_millis(500);
+/// Time that a report is under way.
+const REPORT_LAG: Duration = Duration::from_millis(300);
+/// Bytes of a frame around a message: sender, addressee, channel, tag and length.
+const FRAME_BYTES: usize = 40;
+/// Time for which an urgent load may wait for news to reach the holder of the budget.
+const NEWS: Duration = Duration::from_millis(100);
+
+/// Sizes and settings of a fleet.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    pub nodes: usize,
+    pub engines: usize,
+    pub slots: usize,
+    pub batch: usize,
+    pub rate: f64,
+    pub fencing: Fencing,
+    pub settings: Settings,
+    pub seed: u64,
+    /// Share of loads that fail, and that hang.
+    pub failing: f64,
+    pub hanging: f64,
+    /// Share of messages that are lost, and that are doubled and late.
+    pub lost: f64,
+    pub late: f64,
+    pub naive: bool,
+}
+
+impl Default for Setup {
+    fn default() -> Self {
+        Self {
+            nodes: 7,
+            engines: 9,
+            slots: 8,
+            batch: 16,
+            rate: 2.8,
+            fencing: Fencing::RefusesOld,
+            settings: Settings::default(),
+            seed: 1,
+            failing: 0.0,
+            hanging: 0.0,
+            lost: 0.0,
+            late: 0.0,
+            naive: false,
+        }
+    }
+}
+
+/// A request of the trace.
+#[derive(Clone, Debug)]
+pub struct Call {
+    pub id: u64,
+    pub at: Time,
+    pub node: usize,
+    pub model: Model,
+    pub priority: Priority,
+    pub steps: u32,
+    pub patience: Duration,
+}
+
+/// What became of a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    Served,
+    Refused,
+    Cut,
+}
+
+#[derive(Debug)]
+pub enum Happening {
+    Call(Call),
+    Event(usize, u64, Event),
+    Order(usize, u64, Action),
+    Start(u64, usize, Instance, Time),
+    Loaded(usize, u64, usize, Instance, Model, Fence, bool),
+    Step(usize),
+    Report(usize),
+    Wake(usize, u64),
+    Beat,
+    Fault(faults::Fault),
+}
+
+struct Timed(Time, u64, Happening);
+
+impl PartialEq for Timed {
+    fn eq(&self, other: &Self) -> bool {
+        (self.0, self.1) == (other.0, other.1)
+    }
+}
+impl Eq for Timed {}
+impl PartialOrd for Timed {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Timed {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.0, self.1).cmp(&(other.0, other.1))
+    }
+}
+
+/// One VM with its process.
+pub struct Node {
+    pub planner: Planner,
+    pub me: Incarnation,
+    /// The process's monotonic clock runs this far ahead of virtual time.
+    pub offset: Duration,
+    pub alive: bool,
+    pub listed: bool,
+    pub paused: Option<Time>,
+    pub group: u32,
+    pub heard: Vec<Time>,
+    pub view: View,
+    pub woken: Time,
+}
+
+/// What a run showed.
+#[derive(Clone, Debug, Default)]
+pub struct Stats {
+    pub stalls: BTreeMap<Priority, Vec<Duration>>,
+    pub ends: HashMap<u64, End>,
+    pub loads: u64,
+    pub prefetches: u64,
+    pub load_failures: u64,
+    pub evictions: u64,
+    pub evictions_in_use: u64,
+    pub wrong: u64,
+    pub inversions: u64,
+    pub bytes: u64,
+    pub sent: u64,
+    pub kinds: BTreeMap<&'static str, (u64, u64)>,
+    pub missing: u64,
+    pub reasons: BTreeMap<String, u64>,
+}
+
+pub struct Fleet {
+    pub setup: Setup,
+    pub now: Time,
+    pub nodes: Vec<Node>,
+    pub engines: Vec<Engine>,
+    pub weights: Weights,
+    pub calls: HashMap<u64, (Call, Option<Time>)>,
+    pub stats: Stats,
+    pub naive: naive::Naive,
+    heap: BinaryHeap<Reverse<Timed>>,
+    count: u64,
+    pub rng: StdRng,
+    out: Vec<Action>,
+}
+
+fn engine_name(index: usize) -> wire::Upstream {
+    format!("runner-{index}").into()
+}
+
+fn engine_index(name: &str) -> usize {
+    name["runner-".len()..].parse().unwrap()
+}
+
+impl Fleet {
+    pub fn new(setup: Setup) -> Self {
+        let rng = StdRng::seed_from_u64(setup.seed);
+        let engine = Engine {
+            boot: 1,
+            slots: setup.slots,
+            batch: setup.batch,
+            ..Engine::default()
+        };
+        let mut fleet = Self {
+            now: Time::ZERO,
+            nodes: Vec::new(),
+            engines: vec![engine; setup.engines],
+            weights: Weights::new(setup.rate, 8, Duration::from_millis(250)),
+            calls: HashMap::new(),
+            stats: Stats::default(),
+            naive: naive::Naive::new(setup.engines),
+            heap: BinaryHeap::new(),
+            count: 0,
+            rng,
+            out: Vec::new(),
+            setup,
+        };
+        for index in 0..fleet.setup.nodes {
+            let node = fleet.node(index, 1);
+            fleet.nodes.push(node);
+        }
+        for index in 0..fleet.setup.engines {
+            let skew = STEP / fleet.setup.engines as u32 * index as u32;
+            fleet.at(skew, Happening::Step(index));
+            fleet.at(skew, Happening::Report(index));
+        }
+        if !fleet.setup.naive {
+            fleet.at(Time::ZERO, Happening::Beat);
+            for index in 0..fleet.setup.nodes {
+                fleet.boot(index);
+            }
+        }
+        fleet
+    }
+
+    pub fn node(&mut self, index: usize, start: u64) -> Node {
+        let me = Incarnation::new(format!("vm-{index}"), start);
+        Node {
+            planner: Planner::new(me.clone(), self.setup.settings.clone()),
+            me,
+            offset: Duration::from_secs(1000 * (index as u64 + start)),
+            alive: true,
+            listed: true,
+            paused: None,
+            group: 0,
+            heard: vec![self.now; self.setup.nodes],
+            view: View::default(),
+            woken: Time::ZERO,
+        }
+    }
+
+    /// Gives a fresh process its first facts.
+    pub fn boot(&mut self, index: usize) {
+        let engines = (0..self.setup.engines).map(|engine| Upstream {
+            id: engine_name(engine),
+            pool: "letters".into(),
+            base: "base".into(),
+            zone: "zone".into(),
+            store: "store".into(),
+            slots: self.setup.slots,
+            max_batch: self.setup.batch as u32,
+            fencing: self.setup.fencing,
+            state: State::Live,
+        });
+        let upstreams = Event::Upstreams(engines.collect());
+        let store = Store {
+            id: "store".into(),
+            rate: self.setup.rate,
+            in_flight: 8,
+            load: self.weights.load,
+        };
+        self.nodes[index].view = View::default();
+        self.look(index);
+        self.tell(index, Event::Stores(vec![store]));
+        self.tell(index, upstreams);
+    }
+
+    pub fn at(&mut self, at: Time, what: Happening) {
+        self.count += 1;
+        self.heap.push(Reverse(Timed(at, self.count, what)));
+    }
+
+    /// Runs until `end` of virtual time.
+    pub fn run(&mut self, end: Time) {
+        while self.heap.peek().is_some_and(|next| next.0.0 <= end) {
+            let Some(Reverse(Timed(at, _, what))) = self.heap.pop() else {
+                return;
+            };
+            self.now = at;
+            self.happen(what);
+        }
+        self.now = end;
+    }
+
+    fn happen(&mut self, what: Happening) {
+        match what {
+            Happening::Call(call) => self.call(call),
+            Happening::Event(node, start, event) => {
+                if self.nodes[node].me.start == start {
+                    self.tell(node, event);
+                }
+            }
+            Happening::Order(node, start, order) => self.order(node, start, order),
+            Happening::Start(request, engine, instance, until) => {
+                self.start(request, engine, instance, until);
+            }
+            Happening::Loaded(node, start, engine, instance, model, fence, fine) => {
+                self.loaded(node, start, engine, instance, &model, fence, fine);
+            }
+            Happening::Step(engine) => self.step(engine),
+            Happening::Report(engine) => self.report(engine),
+            Happening::Wake(node, start) => {
+                if self.nodes[node].me.start == start {
+                    self.nodes[node].woken = Time::MAX;
+                    self.tell(node, Event::Tick);
+                }
+            }
+            Happening::Beat => self.beat(),
+            Happening::Fault(fault) => self.fault(fault),
+        }
+    }
+
+    /// Puts an event before a node's planner, after its pause where it is paused.
+    pub fn tell(&mut self, index: usize, event: Event) {
+        let node = &mut self.nodes[index];
+        if !node.alive {
+            return;
+        }
+        if let Some(until) = node.paused {
+            let start = node.me.start;
+            return self.at(until, Happening::Event(index, start, event));
+        }
+        let mut out = std::mem::take(&mut self.out);
+        let local = self.now + node.offset;
+        node.planner.step(local, event, &mut out);
+        let wake = node.planner.wake();
+        let wake = wake.map_or(Time::MAX, |at| at.saturating_sub(node.offset).max(self.now));
+        if wake < node.woken {
+            node.woken = wake;
+            let start = node.me.start;
+            self.at(wake, Happening::Wake(index, start));
+        }
+        for action in out.drain(..) {
+            self.act(index, action);
+        }
+        self.out = out;
+    }
+
+    fn act(&mut self, index: usize, action: Action) {
+        match action {
+            Action::Send { to, message } => self.send(index, &to, message),
+            Action::Grant {
+                request,
+                upstream,
+                instance,
+                model,
+                until,
+                ..
+            } => {
+                let engine = engine_index(&upstream);
+                let asked = self.calls.get(&request).map(|(call, _)| &call.model);
+                let named = instance.starts_with(&format!("{model}@"));
+                self.stats.wrong += u64::from(asked != Some(&model) || !named);
+                let until = until.saturating_sub(self.nodes[index].offset);
+                let at = self.now + LATENCY;
+                self.at(at, Happening::Start(request, engine, instance, until));
+            }
+            Action::Refuse {
+                request, reason, ..
+            } => {
+                *self.stats.reasons.entry(reason.to_string()).or_default() += 1;
+                self.end(request, End::Refused);
+            }
+            Action::Load { .. } | Action::Unload { .. } => {
+                let start = self.nodes[index].me.start;
+                let at = self.now + LATENCY;
+                self.at(at, Happening::Order(index, start, action));
+            }
+            Action::Note(Note::Load {
+                priority, upstream, ..
+            }) => {
+                self.stats.prefetches += u64::from(priority.is_none());
+                self.check_order(&upstream, priority);
+            }
+            Action::Note(_) => {}
+        }
+    }
+
+    /// Counts a load ordered although a more urgent one waits, here or elsewhere.
+    fn check_order(&mut self, upstream: &str, priority: Option<Priority>) {
+        if priority == Some(Priority::Urgent) {
+            return;
+        }
+        let groups: Vec<u32> = self.nodes.iter().map(|n| n.group).collect();
+        let mut inverted = false;
+        for node in self.nodes.iter().filter(|n| n.alive && n.paused.is_none()) {
+            let local = self.now + node.offset;
+            for owner in node.planner.owners() {
+                let here = *owner.facts().id == *upstream;
+                let urgent = owner.queue().entries().iter().map(|e| e.want());
+                let oldest = urgent.filter(|w| w.priority == Some(Priority::Urgent));
+                let oldest = oldest.map(|w| local.saturating_sub(w.since)).max();
+                let able = owner.want(local, &self.setup.settings).is_some();
+                let whole = groups.iter().all(|g| *g == groups[0]);
+                inverted |= here && oldest.is_some();
+                inverted |= !here && able && whole && oldest.is_some_and(|age| age > NEWS);
+            }
+        }
+        self.stats.inversions += u64::from(inverted);
+    }
+
+    fn send(&mut self, index: usize, to: &str, message: Message) {
+        let size = wire::frame::encode(&message).unwrap().len() + FRAME_BYTES;
+        self.stats.bytes += size as u64;
+        self.stats.sent += 1;
+        let kind = self.stats.kinds.entry(kind(&message)).or_default();
+        kind.0 += 1;
+        kind.1 += size as u64;
+        let Some(target) = self.nodes.iter().position(|n| *n.me.vm == *to) else {
+            return;
+        };
+        let cut = self.nodes[index].group != self.nodes[target].group;
+        if cut || self.rng.random_bool(self.setup.lost) {
+            return;
+        }
+        let from = self.nodes[index].me.clone();
+        let start = self.nodes[target].me.start;
+        if self.rng.random_bool(self.setup.late) {
+            let late = Duration::from_millis(self.rng.random_range(1..4000));
+            let event = Event::Receive {
+                from: from.clone(),
+                message: message.clone(),
+            };
+            self.at(self.now + late, Happening::Event(target, start, event));
+        }
+        let event = Event::Receive { from, message };
+        self.at(self.now + LATENCY, Happening::Event(target, start, event));
+    }
+
+    fn call(&mut self, call: Call) {
+        let (id, index) = (call.id, call.node);
+        let request = Request {
+            id,
+            model: call.model.clone(),
+            base: "base".into(),
+            pool: "letters".into(),
+            path: format!("/{}", call.model).into(),
+            priority: call.priority,
+            deadline: self.now + self.nodes[index].offset + call.patience,
+            prefix: None,
+            avoid: Vec::new(),
+        };
+        // Callers connect to a node that accepts.
+        let node = (0..self.nodes.len())
+            .map(|step| (index + step) % self.nodes.len())
+            .find(|i| self.nodes[*i].alive && self.nodes[*i].paused.is_none());
+        let Some(node) = node else { return };
+        let deadline = self.now + self.nodes[node].offset + call.patience;
+        let call = Call { node, ..call };
+        self.calls.insert(id, (call.clone(), None));
+        if self.setup.naive {
+            return self.naive_call(&call);
+        }
+        self.tell(
+            node,
+            Event::Request(Request {
+                deadline,
+                ..request
+            }),
+        );
+    }
+
+    pub fn end(&mut self, request: u64, end: End) {
+        let Some((call, started)) = self.calls.get_mut(&request) else {
+            return;
+        };
+        if started.is_none() {
+            *started = Some(self.now);
+            let stall = (self.now - call.at).min(call.patience);
+            self.stats.stalls.entry(call.priority).or_default().push(stall);
+        }
+        self.stats.ends.entry(request).or_insert(end);
+    }
+
+    /// Writes a granted request to its engine.
+    fn start(&mut self, request: u64, engine: usize, instance: Instance, until: Time) {
+        let Some((call, started)) = self.calls.get_mut(&request) else {
+            return;
+        };
+        let node = &self.nodes[call.node];
+        if !node.alive {
+            return;
+        }
+        if let Some(at) = node.paused {
+            let again = Happening::Start(request, engine, instance, until);
+            return self.at(at, again);
+        }
+        let resident = self.engines[engine].resident(&instance);
+        let ready = resident.filter(|at| !self.engines[engine].residents[*at].loading);
+        let Some(ready) = ready.filter(|_| self.now < until) else {
+            self.stats.missing += 1;
+            let node = call.node;
+            return self.tell(node, Event::Missing { request });
+        };
+        self.stats.wrong += u64::from(self.engines[engine].residents[ready].model != call.model);
+        if started.is_none() {
+            *started = Some(self.now);
+            let stall = self.now - call.at;
+            self.stats.stalls.entry(call.priority).or_default().push(stall);
+        }
+        let sequence = Sequence {
+            request,
+            node: call.node,
+            instance,
+            priority: call.priority,
+            left: call.steps,
+        };
+        self.engines[engine].queue.push_back(sequence);
+    }
+
+    fn step(&mut self, engine: usize) {
+        let done = self.engines[engine].step(self.now);
+        for sequence in done {
+            self.end(sequence.request, End::Served);
+            if !self.setup.naive {
+                let request = sequence.request;
+                self.tell(sequence.node, Event::Done { request });
+            }
+        }
+        self.at(self.now + STEP, Happening::Step(engine));
+    }
+
+    fn report(&mut self, engine: usize) {
+        self.at(self.now + REPORT, Happening::Report(engine));
+        let upstream = engine_name(engine);
+        let target = &self.engines[engine];
+        if self.setup.naive {
+            self.naive.report(engine, target.load());
+            return;
+        }
+        let resident = Event::Resident(Resident {
+            upstream: upstream.clone(),
+            boot: target.boot,
+            instances: target.report(),
+            age: REPORT_LAG,
+        });
+        let report = Event::Report {
+            upstream,
+            running: target.running.len() as u32,
+            waiting: target.queue.len() as u32,
+            age: REPORT_LAG,
+        };
+        for node in 0..self.nodes.len() {
+            let start = self.nodes[node].me.start;
+            for event in [&resident, &report] {
+                let at = self.now + REPORT_LAG;
+                self.at(at, Happening::Event(node, start, event.clone()));
+            }
+        }
+    }
+
+    /// Writes an order to an engine, where the planner still permits it.
+    fn order(&mut self, index: usize, start: u64, order: Action) {
+        let node = &self.nodes[index];
+        if !node.alive || node.me.start != start {
+            return;
+        }
+        if let Some(until) = node.paused {
+            return self.at(until, Happening::Order(index, start, order));
+        }
+        let local = self.now + node.offset;
+        let (upstream, fence) = match &order {
+            Action::Load {
+                upstream, fence, ..
+            }
+            | Action::Unload {
+                upstream, fence, ..
+            } => (upstream.clone(), *fence),
+            _ => return,
+        };
+        let permitted = node.planner.permit(local, &upstream, fence);
+        let engine = engine_index(&upstream);
+        let shown = self.engines[engine].shown;
+        if permitted && self.setup.fencing == Fencing::RefusesOld && fence < shown {
+            return self.tell(index, Event::Refused { upstream, shown });
+        }
+        if permitted {
+            self.engines[engine].shown = shown.max(fence);
+        }
+        match order {
+            Action::Load {
+                instance, model, ..
+            } => self.load(index, engine, instance, model, fence, permitted),
+            Action::Unload { instance, .. } => {
+                self.unload(index, engine, instance, fence, permitted);
+            }
+            _ => {}
+        }
+    }
+
+    fn load(
+        &mut self,
+        index: usize,
+        engine: usize,
+        instance: Instance,
+        model: Model,
+        fence: Fence,
+        permitted: bool,
+    ) {
+        let full = self.engines[engine].residents.len() >= self.setup.slots;
+        if !permitted || full {
+            let failure = if permitted { Failure::Full } else { Failure::NotSent };
+            let upstream = engine_name(engine);
+            let event = Event::LoadFailed {
+                upstream,
+                instance,
+                fence,
+                failure,
+            };
+            return self.tell(index, event);
+        }
+        self.stats.loads += 1;
+        self.engines[engine].residents.push(engine::Resident {
+            instance: instance.clone(),
+            model: model.clone(),
+            loading: true,
+            used: self.now,
+        });
+        let ready = self.weights.begin(self.now, self.engines[engine].loads());
+        let fine = !self.rng.random_bool(self.setup.failing);
+        let start = self.nodes[index].me.start;
+        let hung = self.rng.random_bool(self.setup.hanging);
+        let ready = if hung { ready + Duration::from_secs(20) } else { ready };
+        let loaded = Happening::Loaded(index, start, engine, instance, model, fence, fine);
+        self.at(ready, loaded);
+    }
+
+    #[allow(clippy::too_many_arguments, reason = "the fields of one happening")]
+    fn loaded(
+        &mut self,
+        index: usize,
+        start: u64,
+        engine: usize,
+        instance: Instance,
+        model: &Model,
+        fence: Fence,
+        fine: bool,
+    ) {
+        self.weights.flying -= 1;
+        let Some(at) = self.engines[engine].resident(&instance) else {
+            return;
+        };
+        self.engines[engine].residents[at].loading = false;
+        if !fine {
+            self.stats.load_failures += 1;
+            self.engines[engine].residents.remove(at);
+        }
+        if self.setup.naive {
+            return self.naive_loaded(engine, model, fine);
+        }
+        let upstream = engine_name(engine);
+        let event = if fine {
+            Event::Loaded {
+                upstream,
+                instance,
+                fence,
+            }
+        } else {
+            Event::LoadFailed {
+                upstream,
+                instance,
+                fence,
+                failure: Failure::Rejected,
+            }
+        };
+        self.at(self.now + LATENCY, Happening::Event(index, start, event));
+    }
+
+    fn unload(&mut self, index: usize, engine: usize, instance: Instance, fence: Fence, ok: bool) {
+        let upstream = engine_name(engine);
+        if !ok {
+            let event = Event::UnloadFailed {
+                upstream,
+                instance,
+                fence,
+                failure: Failure::NotSent,
+            };
+            return self.tell(index, event);
+        }
+        self.stats.evictions += 1;
+        if self.engines[engine].in_use(&instance) > 0 {
+            self.stats.evictions_in_use += 1;
+        }
+        self.engines[engine].residents.retain(|r| r.instance != instance);
+        let start = self.nodes[index].me.start;
+        let event = Event::Unloaded {
+            upstream,
+            instance,
+            fence,
+        };
+        self.at(self.now + LATENCY, Happening::Event(index, start, event));
+    }
+}
+
+fn kind(message: &Message) -> &'static str {
+    match message {
+        Message::Ask(_) => "ask",
+        Message::Grant(_) => "grant",
+        Message::Queued { .. } => "queued",
+        Message::Deny { .. } => "deny",
+        Message::Release { .. } => "release",
+        Message::Claim { .. } | Message::Answer(_) | Message::Outbid { .. } => "takeover",
+        Message::TicketAsk { .. } => "ticket-ask",
+        Message::Ticket(_) | Message::TicketReturn { .. } => "ticket",
+        Message::ShareAsk { .. } | Message::Share { .. } => "share",
+    }
+}
