--- a/crates/placement/examples/policy.rs
+++ b/crates/placement/examples/policy.rs
@@ -1,5 +1,6 @@
 //! Replays one trace against the planners and against the naive version, on virtual time, and
-//! prints the figures side by side. Arguments: `seed`, and `seconds` of the trace.
+//! prints the figures side by side. Arguments: `seed`, `seconds` of the trace, requests per
+//! second, and `alone` to leave the naive version out.
 
 #[path = "../tests/fleet/mod.rs"]
 mod fleet;
@@ -135,6 +136,7 @@
     let seed = args.next().and_then(|a| a.parse().ok()).unwrap_or(1);
     let seconds: u64 = args.next().and_then(|a| a.parse().ok()).unwrap_or(1200);
     let rate: f64 = args.next().and_then(|a| a.parse().ok()).unwrap_or(6.0);
+    let alone = args.next().is_some_and(|a| a == "alone");
     let length = Duration::from_secs(seconds);
     for deployment in deployments() {
         let shape = Shape {
@@ -170,6 +172,9 @@
             ..setup.clone()
         };
         print("planner", &run(setup, &calls, true), calls.len(), seconds as f64);
+        if alone {
+            continue;
+        }
         print("naive", &run(naive, &calls, true), calls.len(), seconds as f64);
     }
 }
--- a/crates/placement/src/owner/mod.rs
+++ b/crates/placement/src/owner/mod.rs
@@ -35,6 +35,9 @@
 /// Requests per second below which nothing is prefetched.
 const PREFETCH_LEAST: f32 = 0.01;
 
+/// Time between two searches for something to prefetch.
+const LOOK_AHEAD: Duration = Duration::from_secs(1);
+
 /// Most models whose popularity is handed over.
 const POPULAR: usize = 64;
 
@@ -84,6 +87,7 @@
     pauses: Vec<Pause>,
     ticketed: bool,
     prefetch: Option<(Model, Path)>,
+    looked: Time,
     leases: Lease,
     interval: Duration,
     loaded: Option<Time>,
@@ -116,6 +120,7 @@
             pauses: Vec::new(),
             ticketed: false,
             prefetch: None,
+            looked: now,
             leases: 0,
             interval: Duration::ZERO,
             loaded: None,
@@ -433,6 +438,10 @@
 
     /// Finds the most popular model that is not here, where it is worth a slot.
     fn look_ahead(&mut self, now: Time, settings: &Settings) {
+        if now < self.looked + LOOK_AHEAD {
+            return;
+        }
+        self.looked = now;
         self.prefetch = None;
         if !self.queue.entries().is_empty() || self.loading() {
             return;
--- a/crates/placement/src/settings.rs
+++ b/crates/placement/src/settings.rs
@@ -64,7 +64,7 @@
             resend: Duration::from_millis(500),
             margin: Duration::from_millis(50),
             ageing: Duration::from_secs(20),
-            half_life: Duration::from_secs(120),
+            half_life: Duration::from_secs(300),
             fill: 0.7,
             share: Duration::from_secs(3),
             settle: Duration::from_secs(5),
--- a/crates/placement/tests/fleet/mod.rs
+++ b/crates/placement/tests/fleet/mod.rs
@@ -234,7 +234,7 @@
             group: 0,
             heard: vec![self.now; self.setup.nodes],
             view: View::default(),
-            woken: Time::ZERO,
+            woken: Time::MAX,
         }
     }
 
