Concentrate demand where full batches matter, and age routine loads sooner

Cause: rendezvous spreads cold adapters over every upstream, so that batches stay small; and routine loads waited 20 s before they counted as normal, which made the 99th percentile of all stalls. Change: with a low load-stall weight the first upstreams of the pool's own order go first, as many as sequences and used slots need; the ageing time is 8 s; prefetches are sought once a second.

--- a/crates/placement/examples/policy.rs
+++ b/crates/placement/examples/policy.rs
@@ -24,7 +24,7 @@
 fn deployments() -> [Deployment; 2] {
     let queensland = Settings {
         load_stalls: 0.2,
-        gather: Duration::from_secs(3),
+        gather: Duration::from_millis(1000),
         ..Settings::default()
     };
     let ghana = Settings {
@@ -78,7 +78,9 @@
 fn percentile(stalls: &mut [Duration], part: f64) -> f64 {
     stalls.sort_unstable();
     let at = (stalls.len() as f64 * part) as usize;
-    stalls.get(at.min(stalls.len().saturating_sub(1))).map_or(0.0, Duration::as_secs_f64)
+    stalls
+        .get(at.min(stalls.len().saturating_sub(1)))
+        .map_or(0.0, Duration::as_secs_f64)
 }
 
 fn print(name: &str, fleet: &Fleet, requests: usize, seconds: f64) {
@@ -171,10 +173,20 @@
             naive: true,
             ..setup.clone()
         };
-        print("planner", &run(setup, &calls, true), calls.len(), seconds as f64);
+        print(
+            "planner",
+            &run(setup, &calls, true),
+            calls.len(),
+            seconds as f64,
+        );
         if alone {
             continue;
         }
-        print("naive", &run(naive, &calls, true), calls.len(), seconds as f64);
+        print(
+            "naive",
+            &run(naive, &calls, true),
+            calls.len(),
+            seconds as f64,
+        );
     }
 }
--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -24,6 +24,11 @@
     reported: u32,
     at: Option<Time>,
     changes: VecDeque<(Time, i8)>,
+    since: i64,
+    /// Place in the pool's own order, which all models share.
+    place: usize,
+    /// Instances with requests, as the upstream last reported.
+    used: usize,
     local: u32,
     prefixes: Vec<u64>,
 }
@@ -35,6 +40,9 @@
             reported: 0,
             at: None,
             changes: VecDeque::new(),
+            since: 0,
+            place: 0,
+            used: 0,
             local: 0,
             prefixes: Vec::new(),
         }
@@ -45,8 +53,7 @@
         if self.at.is_none() {
             return self.local;
         }
-        let since: i64 = self.changes.iter().map(|(_, step)| i64::from(*step)).sum();
-        let load = (i64::from(self.reported) + since).max(0);
+        let load = (i64::from(self.reported) + self.since).max(0);
         u32::try_from(load).unwrap_or(u32::MAX).max(self.local)
     }
 
@@ -59,13 +66,31 @@
         self.local = self.local.saturating_add_signed(i32::from(step));
         if self.at.is_some() {
             self.changes.push_back((now, step));
+            self.since += i64::from(step);
         }
-        if self.changes.len() > CHANGES {
-            self.changes.pop_front();
+        if self.changes.len() > CHANGES
+            && let Some((_, step)) = self.changes.pop_front()
+        {
+            self.since -= i64::from(step);
         }
     }
 }
 
+/// What a pool carries.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Sequences that run or wait.
+    pub sequences: u32,
+    /// Sequences in the largest batch of one upstream.
+    pub batch: u32,
+    /// Instances with requests.
+    pub used: usize,
+    /// Slots of one upstream at most.
+    pub slots: usize,
+    /// Live upstreams.
+    pub upstreams: usize,
+}
+
 /// Every upstream of the region, sorted by id.
 #[derive(Clone, Debug, Default)]
 pub struct Choice {
@@ -85,6 +110,44 @@
         }
         self.targets.sort_by(|a, b| a.facts.id.cmp(&b.facts.id));
         self.targets.dedup_by(|a, b| a.facts.id == b.facts.id);
+        self.arrange();
+    }
+
+    /// Gives each live upstream its place in its pool's order.
+    fn arrange(&mut self) {
+        let weight = |t: &Target| rank::weight(rank::hash(&*t.facts.pool), &t.facts.id);
+        let live = |t: &Target| t.facts.state == State::Live;
+        let places: Vec<usize> = self
+            .targets
+            .iter()
+            .map(|own| {
+                let before = |other: &&Target| {
+                    let same = other.facts.pool == own.facts.pool && live(other);
+                    same && (weight(other), &other.facts.id) > (weight(own), &own.facts.id)
+                };
+                self.targets.iter().filter(before).count()
+            })
+            .collect();
+        for (target, place) in self.targets.iter_mut().zip(places) {
+            target.place = place;
+        }
+    }
+
+    /// Returns the sequences on the live upstreams of a pool and base model, the room in their
+    /// batches, and their number.
+    pub fn pool(&self, pool: &Pool, base: &Base) -> Load {
+        let mut sum = Load::default();
+        for target in &self.targets {
+            let facts = &target.facts;
+            if facts.state == State::Live && facts.pool == *pool && facts.base == *base {
+                sum.sequences += target.load();
+                sum.used += target.used;
+                sum.slots = sum.slots.max(facts.slots);
+                sum.batch = sum.batch.max(facts.max_batch);
+                sum.upstreams += 1;
+            }
+        }
+        sum
     }
 
     /// Returns every upstream, sorted by id.
@@ -103,14 +166,15 @@
             .ok()
     }
 
-    /// Replaces `order` by the live upstreams of the pool and base model, best home first, but
-    /// for those in `avoid`; only the first `count` are in order.
+    /// Replaces `order` by the `count` best live upstreams of the pool and base model, best home
+    /// first. The first `active` ones of the pool's own order go before all others.
     pub fn order(
         &self,
         model: &Model,
         pool: &Pool,
         base: &Base,
         count: usize,
+        active: usize,
         order: &mut Vec<(u64, usize)>,
     ) {
         order.clear();
@@ -118,7 +182,9 @@
         for (index, target) in self.targets.iter().enumerate() {
             let facts = &target.facts;
             if facts.state == State::Live && facts.pool == *pool && facts.base == *base {
-                order.push((rank::weight(key, &facts.id), index));
+                let weight = rank::weight(key, &facts.id) >> 1;
+                let first = u64::from(target.place < active) << 63;
+                order.push((first | weight, index));
             }
         }
         if order.len() > count && count > 0 {
@@ -152,6 +218,18 @@
         target.reported = load;
         target.at = Some(made);
         target.changes.retain(|(at, _)| *at > made);
+        target.since = target
+            .changes
+            .iter()
+            .map(|(_, step)| i64::from(*step))
+            .sum();
+    }
+
+    /// Takes the number of instances that have requests on the upstream.
+    pub fn used(&mut self, id: &str, used: usize) {
+        if let Some(index) = self.index(id) {
+            self.targets[index].used = used;
+        }
     }
 
     /// Takes cache events; after a gap nothing earlier is trusted.
--- a/crates/placement/src/holder/mod.rs
+++ b/crates/placement/src/holder/mod.rs
@@ -15,7 +15,7 @@
 
 use crate::action::{Action, Reason};
 use crate::choice::Choice;
-use crate::event::{Instance, Request};
+use crate::event::{Instance, Pool, Request};
 use crate::message::{Ask, Held as HeldMessage, Message, Number};
 use crate::planner::Effects;
 use crate::planner::promise::Promises;
@@ -53,6 +53,14 @@
     retry_after: Duration,
 }
 
+/// Upstreams that a pool's demand is concentrated on.
+#[derive(Clone, Debug)]
+struct Pack {
+    pool: Pool,
+    active: usize,
+    shrunk: Time,
+}
+
 /// What the holder needs of the planner while it takes a step.
 pub struct Context<'a> {
     /// The present time.
@@ -76,6 +84,7 @@
     models: HashMap<Model, Local>,
     active: Vec<Model>,
     order: Vec<(u64, usize)>,
+    packs: Vec<Pack>,
     number: Number,
     service: f64,
 }
@@ -87,6 +96,7 @@
             models: HashMap::new(),
             active: Vec::new(),
             order: Vec::new(),
+            packs: Vec::new(),
             number: 0,
             service: 1.0,
         }
--- a/crates/placement/src/holder/place.rs
+++ b/crates/placement/src/holder/place.rs
@@ -5,11 +5,12 @@
 use wire::{Model, Time, Upstream};
 
 use super::local::Want;
-use super::{Context, Entry, Holder, Stage, TRIES};
+use super::{Context, Entry, Holder, Pack, Stage, TRIES};
 use crate::action::{Action, Note, Reason};
-use crate::choice::Target;
+use crate::choice::{Load, Target};
 use crate::demand;
-use crate::event::{Path, Request};
+use crate::event::{Path, Pool, Request};
+use crate::settings::Settings;
 
 /// Time between two changes of a model's number of homes.
 const STEP: Duration = Duration::from_millis(500);
@@ -20,6 +21,12 @@
 /// Setting of load stalls from which on demand is spread over the least loaded homes.
 const SPREAD_FROM: f64 = 0.5;
 
+/// Upstreams beyond those that the sequences fill, for slots that wait or load.
+const PACK_SPARE: usize = 1;
+
+/// Time between two steps down of the upstreams that a pool's demand is concentrated on.
+const PACK_STEP: Duration = Duration::from_secs(15);
+
 /// An upstream with its place in a model's order.
 #[derive(Clone, Copy)]
 struct Spot {
@@ -43,15 +50,9 @@
         let service = self.service;
         let settings = cx.settings;
         let model = &request.model;
-        let mut most = 0;
-        let mut batch = 0;
-        for target in cx.choice.targets() {
-            let facts = &target.facts;
-            if facts.pool == request.pool && facts.base == request.base {
-                most += 1;
-                batch = batch.max(facts.max_batch);
-            }
-        }
+        let pool = cx.choice.pool(&request.pool, &request.base);
+        let (most, batch) = (pool.upstreams, pool.batch);
+        self.pack(cx.now, &request.pool, pool, settings);
         let nodes = cx.view.live().count().max(1) as f64;
         let now = cx.now;
         let local = self.known(model);
@@ -76,6 +77,46 @@
         }
     }
 
+    /// Adapts the number of upstreams that a pool's demand is concentrated on, where full batches
+    /// matter more than load stalls.
+    fn pack(&mut self, now: Time, pool: &Pool, load: Load, settings: &Settings) {
+        let index = self.packs.iter().position(|pack| pack.pool == *pool);
+        let index = index.unwrap_or_else(|| {
+            self.packs.push(Pack {
+                pool: pool.clone(),
+                active: usize::MAX,
+                shrunk: now,
+            });
+            self.packs.len() - 1
+        });
+        let pack = &mut self.packs[index];
+        if settings.load_stalls >= SPREAD_FROM {
+            pack.active = usize::MAX;
+            return;
+        }
+        let carried = f64::from(load.batch.max(1)) * settings.fill;
+        let by_batch = (f64::from(load.sequences) / carried).ceil() as usize;
+        let by_slots = load.used.div_ceil(load.slots.max(1));
+        let needed = by_batch.max(by_slots) + PACK_SPARE;
+        let needed = needed.min(load.upstreams);
+        if needed >= pack.active {
+            pack.active = needed;
+            pack.shrunk = now;
+        } else if now >= pack.shrunk + PACK_STEP {
+            pack.active = pack
+                .active
+                .min(load.upstreams)
+                .saturating_sub(1)
+                .max(needed);
+            pack.shrunk = now;
+        }
+    }
+
+    fn packed(&self, pool: &Pool) -> usize {
+        let pack = self.packs.iter().find(|pack| pack.pool == *pool);
+        pack.map_or(usize::MAX, |pack| pack.active)
+    }
+
     /// Places a request that waits for nothing.
     pub(super) fn place(&mut self, cx: &mut Context<'_>, id: wire::Request) {
         let Some(entry) = self.requests.get(&id) else {
@@ -90,7 +131,9 @@
         } = &entry.request;
         let homes = self.models.get(model).map_or(1, |local| local.homes.max(1));
         let count = homes + TRIES + entry.tried.len();
-        cx.choice.order(model, pool, base, count, &mut self.order);
+        let active = self.packed(pool);
+        cx.choice
+            .order(model, pool, base, count, active, &mut self.order);
         match self.next(cx, entry, homes) {
             Next::Run(lease, spot) => self.run(cx, id, lease, spot),
             Next::Wait(spot) => self.wait(cx, id, spot),
--- a/crates/placement/src/planner/mod.rs
+++ b/crates/placement/src/planner/mod.rs
@@ -206,6 +206,8 @@
     }
 
     fn resident(&mut self, now: Time, report: &Resident) {
+        let used = report.instances.iter().filter(|u| u.in_use > 0).count();
+        self.choice.used(&report.upstream, used);
         let owner = self.owners.iter_mut();
         let Some(owner) = owner
             .chain(&mut self.former)
@@ -296,7 +298,8 @@
                 weight,
                 ..
             } = expect;
-            self.choice.order(&model, &pool, &base, 1, &mut order);
+            self.choice
+                .order(&model, &pool, &base, 1, usize::MAX, &mut order);
             let Some((_, home)) = order.first() else {
                 continue;
             };
--- a/crates/placement/src/settings.rs
+++ b/crates/placement/src/settings.rs
@@ -63,7 +63,7 @@
             silence: Duration::from_millis(1500),
             resend: Duration::from_millis(500),
             margin: Duration::from_millis(50),
-            ageing: Duration::from_secs(20),
+            ageing: Duration::from_secs(8),
             half_life: Duration::from_secs(300),
             fill: 0.7,
             share: Duration::from_secs(3),
--- a/crates/placement/tests/fleet/faults.rs
+++ b/crates/placement/tests/fleet/faults.rs
@@ -120,11 +120,19 @@
         let silent = |heard: Time| self.now.saturating_sub(heard) > SUSPECT;
         let node = &self.nodes[index];
         let mut peers = Vec::new();
-        let others = if self.nodes.len() < self.setup.nodes { 0 } else { self.nodes.len() };
+        let others = if self.nodes.len() < self.setup.nodes {
+            0
+        } else {
+            self.nodes.len()
+        };
         for peer in 0..others {
             let other = &self.nodes[peer];
             if other.listed {
-                let state = if silent(node.heard[peer]) { State::Suspect } else { State::Live };
+                let state = if silent(node.heard[peer]) {
+                    State::Suspect
+                } else {
+                    State::Live
+                };
                 peers.push(Peer {
                     incarnation: other.me.clone(),
                     zone: "zone".into(),
--- a/crates/placement/tests/fleet/mod.rs
+++ b/crates/placement/tests/fleet/mod.rs
@@ -466,7 +466,11 @@
         if started.is_none() {
             *started = Some(self.now);
             let stall = (self.now - call.at).min(call.patience);
-            self.stats.stalls.entry(call.priority).or_default().push(stall);
+            self.stats
+                .stalls
+                .entry(call.priority)
+                .or_default()
+                .push(stall);
         }
         self.stats.ends.entry(request).or_insert(end);
     }
@@ -495,7 +499,11 @@
         if started.is_none() {
             *started = Some(self.now);
             let stall = self.now - call.at;
-            self.stats.stalls.entry(call.priority).or_default().push(stall);
+            self.stats
+                .stalls
+                .entry(call.priority)
+                .or_default()
+                .push(stall);
         }
         let sequence = Sequence {
             request,
@@ -598,7 +606,11 @@
     ) {
         let full = self.engines[engine].residents.len() >= self.setup.slots;
         if !permitted || full {
-            let failure = if permitted { Failure::Full } else { Failure::NotSent };
+            let failure = if permitted {
+                Failure::Full
+            } else {
+                Failure::NotSent
+            };
             let upstream = engine_name(engine);
             let event = Event::LoadFailed {
                 upstream,
@@ -619,7 +631,11 @@
         let fine = !self.rng.random_bool(self.setup.failing);
         let start = self.nodes[index].me.start;
         let hung = self.rng.random_bool(self.setup.hanging);
-        let ready = if hung { ready + Duration::from_secs(20) } else { ready };
+        let ready = if hung {
+            ready + Duration::from_secs(20)
+        } else {
+            ready
+        };
         let loaded = Happening::Loaded(index, start, engine, instance, model, fence, fine);
         self.at(ready, loaded);
     }
@@ -680,7 +696,9 @@
         if self.engines[engine].in_use(&instance) > 0 {
             self.stats.evictions_in_use += 1;
         }
-        self.engines[engine].residents.retain(|r| r.instance != instance);
+        self.engines[engine]
+            .residents
+            .retain(|r| r.instance != instance);
         let start = self.nodes[index].me.start;
         let event = Event::Unloaded {
             upstream,
--- a/crates/placement/tests/fleet/naive.rs
+++ b/crates/placement/tests/fleet/naive.rs
@@ -71,7 +71,11 @@
         let (_, started) = self.calls.get_mut(&call.id).unwrap();
         *started = Some(self.now);
         let stall = self.now - call.at;
-        self.stats.stalls.entry(call.priority).or_default().push(stall);
+        self.stats
+            .stalls
+            .entry(call.priority)
+            .or_default()
+            .push(stall);
         self.engines[engine].queue.push_back(Sequence {
             request: call.id,
             node: call.node,
@@ -104,7 +108,10 @@
         });
         let ready = self.weights.begin(self.now, self.engines[engine].loads());
         let fine = !self.rng.random_bool(self.setup.failing);
-        self.at(ready, Happening::Loaded(0, 1, engine, instance, model, 0, fine));
+        self.at(
+            ready,
+            Happening::Loaded(0, 1, engine, instance, model, 0, fine),
+        );
     }
 
     pub fn naive_loaded(&mut self, engine: usize, model: &Model, fine: bool) {
--- a/crates/placement/tests/fleet/trace.rs
+++ b/crates/placement/tests/fleet/trace.rs
@@ -40,7 +40,11 @@
     let mut now = 0.0;
     while now < shape.length.as_secs_f64() {
         let term = (now / shape.term.as_secs_f64()) as usize;
-        let swing = if term % 2 == 0 { 1.0 - shape.swing } else { 1.0 + shape.swing };
+        let swing = if term % 2 == 0 {
+            1.0 - shape.swing
+        } else {
+            1.0 + shape.swing
+        };
         let extra = shape.favourite.filter(|(at, _)| now >= at.as_secs_f64());
         let extra = extra.map_or(0.0, |(_, rate)| rate);
         let rate = shape.rate * swing + extra;
@@ -50,7 +54,11 @@
         let rank = sums.partition_point(|s| *s < point).min(shape.adapters - 1);
         // Each term moves a third of the adapters to other places in the order.
         let moved = rank % 3 == 0;
-        let place = if moved { (rank + term * 37) % shape.adapters } else { rank };
+        let place = if moved {
+            (rank + term * 37) % shape.adapters
+        } else {
+            rank
+        };
         let adapter = if special { shape.adapters } else { place };
         let priority = match rng.random_range(0..10) {
             0 => Priority::Urgent,
