Keep what an owner loaded when a higher number is shown

Cause: an answer to an early claim was taken for consent about instances that the answering node loaded later, as the owner on the other side of a partition; the generated schedules evicted one of them in use. And a refused order made the owner forget its own instances, though nobody else may take them on without its answer. Change: an instance's name carries the claim under which it was loaded, and an answer yields lower claims only; a refusal or a higher promise only raises the numbers. The outcome of an order is matched by its kind. Test: fleet_promises, 400 generated schedules, failed before and passes after.

--- a/crates/placement/src/event.rs
+++ b/crates/placement/src/event.rs
@@ -226,7 +226,8 @@
         /// Why it failed.
         failure: Failure,
     },
-    /// The engine refused an order, since it has seen a higher number.
+    /// The engine has shown a number: it refused an order below it, or reports it. The failure of
+    /// a refused order is told after this.
     Refused {
         /// The upstream.
         upstream: wire::Upstream,
--- a/crates/placement/src/fence.rs
+++ b/crates/placement/src/fence.rs
@@ -40,6 +40,8 @@
     pub model: Model,
     /// The incarnation that ordered the load.
     pub loader: Incarnation,
+    /// Number of the claim under which it was ordered.
+    pub claim: Fence,
     /// Number of that order.
     pub fence: Fence,
 }
@@ -50,22 +52,25 @@
         let Self {
             model,
             loader,
+            claim,
             fence,
         } = self;
-        format!("{model}@{:x}.{fence:x}.{}", loader.start, loader.vm).into()
+        let Incarnation { vm, start } = loader;
+        format!("{model}@{start:x}.{claim:x}.{fence:x}.{vm}").into()
     }
 
     /// Reads a name given by [`Name::instance`]; `None` for one that no owner gave.
     pub fn parse(instance: &str) -> Option<Self> {
         let mut parts = instance.splitn(3, '@');
         let (adapter, version, order) = (parts.next()?, parts.next()?, parts.next()?);
-        let mut parts = order.splitn(3, '.');
-        let start = u64::from_str_radix(parts.next()?, 16).ok()?;
-        let fence = u64::from_str_radix(parts.next()?, 16).ok()?;
+        let mut parts = order.splitn(4, '.');
+        let mut number = || u64::from_str_radix(parts.next()?, 16).ok();
+        let (start, claim, fence) = (number()?, number()?, number()?);
         let vm = parts.next()?;
         Some(Self {
             model: Model::new(adapter, version),
             loader: Incarnation::new(vm, start),
+            claim,
             fence,
         })
     }
--- a/crates/placement/src/owner/mod.rs
+++ b/crates/placement/src/owner/mod.rs
@@ -17,7 +17,7 @@
 use crate::action::{Action, Note};
 use crate::budget::Want;
 use crate::demand::Rate;
-use crate::event::{Failure, Fencing, Instance, Path, State as Condition, Upstream};
+use crate::event::{Failure, Instance, Path, State as Condition, Upstream};
 use crate::fence::{Counter, Name};
 use crate::message::{Ask, Denial, Grant, Message};
 use crate::planner::Effects;
@@ -72,6 +72,7 @@
     facts: Upstream,
     claim: Fence,
     fences: Counter,
+    refused: Fence,
     since: Time,
     boot: Option<u64>,
     reported: Option<Time>,
@@ -80,7 +81,6 @@
     reports: Vec<takeover::Report>,
     doomed: Vec<Instance>,
     adopted: bool,
-    sealed: bool,
     seats: Vec<Seat>,
     queue: Queue,
     known: HashMap<Model, Known>,
@@ -105,6 +105,7 @@
             facts,
             claim,
             fences,
+            refused: 0,
             since: now,
             boot: None,
             reported: None,
@@ -113,7 +114,6 @@
             reports: Vec::new(),
             doomed: Vec::new(),
             adopted: false,
-            sealed: false,
             seats: Vec::new(),
             queue: Queue::default(),
             known: HashMap::new(),
@@ -142,6 +142,28 @@
         self.fences.last()
     }
 
+    /// Takes note of a number that the engine has shown, so that the next order exceeds it.
+    pub fn raise(&mut self, shown: Fence) {
+        self.fences.raise(shown);
+        self.refused = self.refused.max(shown);
+    }
+
+    /// An order below a number that the engine has shown was refused for its number alone.
+    fn refined(&self, fence: Fence, failure: Failure) -> Failure {
+        let old = fence < self.refused && failure == Failure::Rejected;
+        if old { Failure::NotSent } else { failure }
+    }
+
+    /// Makes a claim above `shown`, which every peer has to answer anew. The instances stay this
+    /// owner's: another one takes them on only with this node's answer to its claim.
+    pub fn claim_above(&mut self, shown: Fence) -> Fence {
+        self.fences.raise(shown);
+        self.claim = self.fences.advance();
+        self.answered.clear();
+        self.adopted = false;
+        self.claim
+    }
+
     /// Returns the slots in use.
     pub fn seats(&self) -> &[Seat] {
         &self.seats
@@ -235,19 +257,11 @@
     fn ready(&self, model: &Model) -> Option<usize> {
         let usable = |seat: &Seat| {
             let named = seat.model.as_ref() == Some(model);
-            let open = seat.state == State::Ready || self.open_foreign(seat);
-            named && open && !seat.doomed
+            named && seat.state == State::Ready && !seat.doomed
         };
         self.seats.iter().position(usable)
     }
 
-    /// A former owner's instance may be used before its takeover where the engine has taken an
-    /// order of this owner and refuses the former one's.
-    fn open_foreign(&self, seat: &Seat) -> bool {
-        let fenced = self.facts.fencing == Fencing::RefusesOld && self.sealed;
-        seat.state == State::Foreign && fenced
-    }
-
     fn grant(
         &mut self,
         now: Time,
@@ -531,6 +545,7 @@
         let name = Name {
             model: model.clone(),
             loader: self.me.clone(),
+            claim: self.claim,
             fence,
         };
         let deadline = now + settings.load;
@@ -539,6 +554,7 @@
             path: Some(path.clone()),
             instance: name.instance(),
             loader: Some(self.me.clone()),
+            claim: self.claim,
             fence,
             state: State::Loading {
                 write: now + settings.order,
@@ -592,15 +608,18 @@
         })
     }
 
-    fn order(&mut self, instance: &str, fence: Fence) -> Option<usize> {
-        let same = |seat: &Seat| match seat.state {
-            State::Loading { .. } => seat.fence == fence,
-            State::Evicting { fence: own, .. } => own == fence,
-            _ => false,
-        };
-        self.seats
-            .iter()
-            .position(|seat| *seat.instance == *instance && same(seat))
+    fn load_order(&self, instance: &str, fence: Fence) -> Option<usize> {
+        self.seats.iter().position(|seat| {
+            let loading = matches!(seat.state, State::Loading { .. });
+            loading && seat.fence == fence && *seat.instance == *instance
+        })
+    }
+
+    fn unload_order(&self, instance: &str, fence: Fence) -> Option<usize> {
+        self.seats.iter().position(|seat| {
+            let order = |own: Fence| own == fence && *seat.instance == *instance;
+            matches!(seat.state, State::Evicting { fence, .. } if order(fence))
+        })
     }
 
     /// Takes the news that a load was carried out.
@@ -612,11 +631,10 @@
         settings: &Settings,
         fx: &mut Effects,
     ) -> Ticket {
-        let Some(index) = self.order(instance, fence) else {
+        let Some(index) = self.load_order(instance, fence) else {
             return Ticket::Keep;
         };
         self.ticketed = false;
-        self.sealed = true;
         self.seats[index].state = State::Ready;
         self.seats[index].ready = now;
         self.serve(now, index, settings, fx);
@@ -658,9 +676,10 @@
         settings: &Settings,
         fx: &mut Effects,
     ) -> Ticket {
-        let Some(index) = self.order(instance, fence) else {
+        let Some(index) = self.load_order(instance, fence) else {
             return Ticket::Keep;
         };
+        let failure = self.refined(fence, failure);
         self.ticketed = false;
         let model = self.seats[index].model.clone();
         if failure == Failure::Unknown {
@@ -687,10 +706,9 @@
         settings: &Settings,
         fx: &mut Effects,
     ) -> Ticket {
-        let Some(index) = self.order(instance, fence) else {
+        let Some(index) = self.unload_order(instance, fence) else {
             return Ticket::Keep;
         };
-        self.sealed = true;
         self.seats.swap_remove(index);
         self.changed = now;
         if !self.ticketed {
@@ -712,9 +730,10 @@
         failure: Failure,
         settings: &Settings,
     ) -> Ticket {
-        let Some(index) = self.order(instance, fence) else {
+        let Some(index) = self.unload_order(instance, fence) else {
             return Ticket::Keep;
         };
+        let failure = self.refined(fence, failure);
         self.ticketed = false;
         self.seats[index].doomed |= failure != Failure::NotSent;
         self.seats[index].state = match failure {
--- a/crates/placement/src/owner/seat.rs
+++ b/crates/placement/src/owner/seat.rs
@@ -60,6 +60,8 @@
     pub instance: Instance,
     /// The incarnation that ordered its load, where known.
     pub loader: Option<Incarnation>,
+    /// Number of the claim under which it was loaded.
+    pub claim: Fence,
     /// Number of the load.
     pub fence: Fence,
     /// What is known of it.
--- a/crates/placement/src/owner/takeover.rs
+++ b/crates/placement/src/owner/takeover.rs
@@ -84,12 +84,16 @@
         }
     }
 
-    /// Tells whether the one that loaded an instance has yielded or is gone.
+    /// Tells whether the one that loaded an instance has yielded or is gone. An answer yields what
+    /// was loaded under lower claims only: the peer may have claimed the upstream since, on the
+    /// other side of a partition.
     fn open(&self, index: usize, view: &View) -> bool {
-        let loader = self.seats[index].loader.as_ref();
-        loader.is_some_and(|loader| {
-            *loader == self.me || self.answered.contains(loader) || !view.knows(loader)
-        })
+        let seat = &self.seats[index];
+        let Some(loader) = &seat.loader else {
+            return false;
+        };
+        let yielded = seat.claim < self.claim && self.answered.contains(loader);
+        yielded || *loader == self.me || !view.knows(loader)
     }
 
     /// Adopts one instance. Holders that are gone may have started requests until their leases'
@@ -204,12 +208,13 @@
             if let Some(name) = &name {
                 self.fences.raise(name.fence);
             }
-            let fence = name.as_ref().map_or(0, |name| name.fence);
+            let (claim, fence) = name.as_ref().map_or((0, 0), |n| (n.claim, n.fence));
             self.seats.push(Seat {
                 model: name.as_ref().map(|name| name.model.clone()),
                 path: None,
                 instance: shown.instance.clone(),
                 loader: name.map(|name| name.loader),
+                claim,
                 fence,
                 state: State::Foreign,
                 rights: Vec::new(),
--- a/crates/placement/src/planner/mod.rs
+++ b/crates/placement/src/planner/mod.rs
@@ -123,7 +123,7 @@
                 self.with_holder(now, |holder, cx| holder.missing(cx, request));
             }
             Event::Receive { from, message } => self.receive(now, &from, message),
-            Event::Refused { upstream, shown } => self.refused(now, &upstream, shown),
+            Event::Refused { upstream, shown } => self.refused(&upstream, shown),
             Event::Resident(report) => self.resident(now, &report),
             Event::Report {
                 upstream,
--- a/crates/placement/src/planner/ownership.rs
+++ b/crates/placement/src/planner/ownership.rs
@@ -138,32 +138,31 @@
         }
     }
 
-    /// Takes the news that a higher number than this node's was shown for an upstream: another
-    /// node has acted as its owner, so that nothing that is known of it holds any more.
+    /// Takes the news that a peer has promised itself to a higher claim: this node claims anew,
+    /// unless the view says by then that the upstream is another's.
     pub(super) fn outbid(&mut self, now: Time, upstream: &Upstream, shown: Fence) {
         let owner = self.owners.iter().find(|o| o.facts().id == *upstream);
-        if owner.is_none_or(|owner| owner.claim() >= shown) {
-            return;
+        if owner.is_some_and(|owner| owner.claim() <= shown) {
+            self.schedule(now, upstream, shown);
         }
-        self.resign(upstream, shown);
-        self.former.retain(|o| o.facts().id != *upstream);
-        self.schedule(now, upstream, shown);
     }
 
-    /// Takes an engine's refusal of an order.
-    pub(super) fn refused(&mut self, now: Time, upstream: &Upstream, shown: Fence) {
-        let owner = self.owners.iter().find(|o| o.facts().id == *upstream);
-        if owner.is_some_and(|owner| owner.shown() < shown) {
-            self.resign(upstream, shown);
-            self.former.retain(|o| o.facts().id != *upstream);
-            self.schedule(now, upstream, shown);
+    /// Takes an engine's refusal of an order, which it did not carry out; the next one has a number
+    /// above what it has seen.
+    pub(super) fn refused(&mut self, upstream: &Upstream, shown: Fence) {
+        let owner = self.owners.iter_mut().find(|o| o.facts().id == *upstream);
+        if let Some(owner) = owner {
+            owner.raise(shown);
         }
     }
 
     /// Makes a claim anew after a pause, which lets views converge.
     pub(super) fn schedule(&mut self, now: Time, upstream: &Upstream, shown: Fence) {
         let at = now + self.settings.resend;
-        self.reclaims.retain(|r| r.upstream != *upstream);
+        if let Some(reclaim) = self.reclaims.iter_mut().find(|r| r.upstream == *upstream) {
+            reclaim.shown = reclaim.shown.max(shown);
+            return;
+        }
         self.reclaims.push(Reclaim {
             upstream: upstream.clone(),
             at,
@@ -188,10 +187,16 @@
         {
             let facts = self.choice.target(&upstream).map(|t| t.facts.clone());
             let mine = self.view.owner(&upstream) == Some(&self.me.vm);
-            let owned = self.owners.iter().any(|o| o.facts().id == upstream);
-            if let Some(facts) = facts.filter(|_| mine && !owned) {
+            if !mine {
+                continue;
+            }
+            self.claimed = None;
+            if let Some(owner) = self.owners.iter_mut().find(|o| o.facts().id == upstream) {
+                let fence = owner.claim_above(shown.max(self.promises.shown(&upstream)));
+                self.promises.take(&upstream, fence, &self.me);
+                self.fx.note(Note::Claimed { upstream, fence });
+            } else if let Some(facts) = facts {
                 self.begin_ownership(now, facts, shown);
-                self.claimed = None;
             }
         }
     }
