Tell holders with each lease what the upstream carries

Cause: only an upstream's owner polls it, so that the other nodes chose by their own requests alone. Change: a grant carries the owner's last report with its age; without a recent one a node counts its own requests times the nodes. The driver of the tests reports to owners only.

--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -5,6 +5,7 @@
 //! the report is added. Cache events only refine the choice, since they are late and have gaps.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use wire::{Base, Model, Time, rank};
 
@@ -13,6 +14,9 @@
 /// Prefix hashes remembered per upstream.
 const PREFIXES: usize = 2048;
 
+/// Age from which on a report says nothing.
+const REPORT_KEPT: Duration = Duration::from_secs(5);
+
 /// Starts and ends remembered per upstream since its last report.
 const CHANGES: usize = 512;
 
@@ -48,10 +52,11 @@
         }
     }
 
-    /// Returns the sequences that the upstream is estimated to run or queue.
-    pub fn load(&self) -> u32 {
-        if self.at.is_none() {
-            return self.local;
+    /// Returns the sequences that the upstream is estimated to run or queue: without a report that
+    /// is recent, this node's own, times the number of nodes.
+    pub fn load(&self, now: Time, nodes: u32) -> u32 {
+        if self.at.is_none_or(|at| now > at + REPORT_KEPT) {
+            return self.local.saturating_mul(nodes);
         }
         let load = (i64::from(self.reported) + self.since).max(0);
         u32::try_from(load).unwrap_or(u32::MAX).max(self.local)
@@ -135,12 +140,12 @@
 
     /// Returns the sequences on the live upstreams of a pool and base model, the room in their
     /// batches, and their number.
-    pub fn pool(&self, pool: &Pool, base: &Base) -> Load {
+    pub fn pool(&self, now: Time, nodes: u32, pool: &Pool, base: &Base) -> Load {
         let mut sum = Load::default();
         for target in &self.targets {
             let facts = &target.facts;
             if facts.state == State::Live && facts.pool == *pool && facts.base == *base {
-                sum.sequences += target.load();
+                sum.sequences += target.load(now, nodes);
                 sum.used += target.used;
                 sum.slots = sum.slots.max(facts.slots);
                 sum.batch = sum.batch.max(facts.max_batch);
--- a/crates/placement/src/holder/mod.rs
+++ b/crates/placement/src/holder/mod.rs
@@ -77,6 +77,14 @@
     pub fx: &'a mut Effects,
 }
 
+impl Context<'_> {
+    /// Returns the nodes that place requests now.
+    fn nodes(&self) -> u32 {
+        let nodes = self.view.live().count().max(1);
+        u32::try_from(nodes).unwrap_or(u32::MAX)
+    }
+}
+
 /// The holder's state.
 #[derive(Clone, Debug)]
 pub struct Holder {
--- a/crates/placement/src/holder/place.rs
+++ b/crates/placement/src/holder/place.rs
@@ -50,10 +50,10 @@
         let service = self.service;
         let settings = cx.settings;
         let model = &request.model;
-        let pool = cx.choice.pool(&request.pool, &request.base);
+        let nodes = cx.nodes();
+        let pool = cx.choice.pool(cx.now, nodes, &request.pool, &request.base);
         let (most, batch) = (pool.upstreams, pool.batch);
         self.pack(cx.now, &request.pool, pool, settings);
-        let nodes = cx.view.live().count().max(1) as f64;
         let now = cx.now;
         let local = self.known(model);
         local.rate.add(now, 1, settings.half_life);
@@ -62,7 +62,7 @@
         if now < local.stepped + STEP {
             return;
         }
-        let sequences = f64::from(local.rate.short(now)) * nodes * service;
+        let sequences = f64::from(local.rate.short(now)) * f64::from(nodes) * service;
         let capacity = f64::from(batch) * settings.fill;
         let after = demand::homes(before, sequences, capacity.max(1.0), most.max(1));
         if after != before {
@@ -159,6 +159,7 @@
         let mut wait: Option<Spot> = None;
         let mut first: Option<Spot> = None;
         let mut rank = 0;
+        let nodes = cx.nodes();
         for (_, upstream) in &self.order {
             let target = &cx.choice.targets()[*upstream];
             if entry.tried.contains(&target.facts.id) {
@@ -169,14 +170,15 @@
                 upstream: *upstream,
             };
             if let Some(lease) = local.lease(cx.now, &target.facts.id) {
-                let cost = cost(target, request, rank, cx.settings.load_stalls);
+                let load = target.load(cx.now, nodes);
+                let cost = cost(target, load, request, rank, cx.settings.load_stalls);
                 let run = Next::Run(lease, spot);
                 if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                     best = Some((cost, run));
                 }
             }
             first = first.or(Some(spot));
-            let open = target.load() < target.facts.max_batch;
+            let open = target.load(cx.now, nodes) < target.facts.max_batch;
             let asked = local.want(&target.facts.id).is_some();
             if wait.is_none() && (open || asked) && rank < homes + TRIES {
                 wait = Some(spot);
@@ -197,7 +199,7 @@
     fn run(&mut self, cx: &mut Context<'_>, id: wire::Request, lease: usize, spot: Spot) {
         self.chosen(cx, id, spot, true);
         let target = &cx.choice.targets()[spot.upstream];
-        let (upstream, load) = (target.facts.id.clone(), target.load());
+        let (upstream, load) = (target.facts.id.clone(), target.load(cx.now, cx.nodes()));
         let full = f64::from(load) >= f64::from(target.facts.max_batch) * cx.settings.fill;
         let request = &self.requests[&id].request;
         let (model, path) = (request.model.clone(), request.path.clone());
@@ -344,7 +346,7 @@
             rank: spot.rank,
             homes: self.homes(model),
             leased,
-            load: target.load(),
+            load: target.load(cx.now, cx.nodes()),
             alternatives: self.order.len().saturating_sub(1),
         };
         cx.fx.note(note);
@@ -355,11 +357,11 @@
 const FULL: f64 = 1.0;
 
 /// Compares leased homes: by load where stalls matter, by rank until its batch is full otherwise.
-fn cost(target: &Target, request: &Request, rank: usize, load_stalls: f64) -> f64 {
+fn cost(target: &Target, load: u32, request: &Request, rank: usize, load_stalls: f64) -> f64 {
     let cached = request.prefix.is_some_and(|prefix| target.cached(prefix));
     let worth = if cached { PREFIX_WORTH } else { 0.0 };
     let batch = f64::from(target.facts.max_batch.max(1));
-    let load = (f64::from(target.load()) - worth).max(0.0) / batch;
+    let load = (f64::from(load) - worth).max(0.0) / batch;
     if load_stalls >= SPREAD_FROM || load >= FULL {
         return load;
     }
--- a/crates/placement/src/holder/reply.rs
+++ b/crates/placement/src/holder/reply.rs
@@ -17,6 +17,11 @@
             upstream, model, ..
         } = &grant;
         let (upstream, model) = (upstream.clone(), model.clone());
+        if let Some(carried) = grant.carried {
+            let made = cx.now.saturating_sub(carried.age);
+            cx.choice.report(&upstream, carried.sequences, made);
+            cx.choice.used(&upstream, carried.used as usize);
+        }
         let local = self.models.get(&model);
         let want = local.and_then(|local| Some(&local.wants[local.want(&upstream)?]));
         let Some(want) = want else {
--- a/crates/placement/src/message.rs
+++ b/crates/placement/src/message.rs
@@ -44,6 +44,17 @@
     pub left: Duration,
 }
 
+/// What an upstream carries, as its owner last heard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Carried {
+    /// Sequences that run or wait.
+    pub sequences: u32,
+    /// Instances with requests.
+    pub used: u32,
+    /// Time since the engine's report.
+    pub age: Duration,
+}
+
 /// A lease: its holder may start requests on the instance.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Grant {
@@ -61,6 +72,8 @@
     pub instance: Instance,
     /// Fencing number of the instance's load.
     pub fence: Fence,
+    /// What the upstream carries, for the holder's choice.
+    pub carried: Option<Carried>,
 }
 
 /// A lease in an answer to a claim.
--- a/crates/placement/src/owner/mod.rs
+++ b/crates/placement/src/owner/mod.rs
@@ -19,7 +19,7 @@
 use crate::demand::Rate;
 use crate::event::{Failure, Instance, Path, State as Condition, Upstream};
 use crate::fence::{Counter, Name};
-use crate::message::{Ask, Denial, Grant, Message};
+use crate::message::{Ask, Carried, Denial, Grant, Message};
 use crate::planner::Effects;
 use crate::settings::Settings;
 
@@ -88,6 +88,8 @@
     ticketed: bool,
     prefetch: Option<(Model, Path)>,
     looked: Time,
+    carried: Option<(u32, Time)>,
+    used: u32,
     leases: Lease,
     interval: Duration,
     loaded: Option<Time>,
@@ -121,6 +123,8 @@
             ticketed: false,
             prefetch: None,
             looked: now,
+            carried: None,
+            used: 0,
             leases: 0,
             interval: Duration::ZERO,
             loaded: None,
@@ -164,6 +168,13 @@
         self.claim
     }
 
+    /// Takes the engine's report of its load, made at `made`.
+    pub fn report(&mut self, sequences: u32, made: Time) {
+        if self.carried.is_none_or(|(_, last)| last <= made) {
+            self.carried = Some((sequences, made));
+        }
+    }
+
     /// Returns the slots in use.
     pub fn seats(&self) -> &[Seat] {
         &self.seats
@@ -282,6 +293,11 @@
             lease,
             instance: seat.instance.clone(),
             fence: seat.fence,
+            carried: self.carried.map(|(sequences, made)| Carried {
+                sequences,
+                used: self.used,
+                age: now.saturating_sub(made),
+            }),
         };
         fx.send(&from.vm, Message::Grant(grant));
     }
--- a/crates/placement/src/owner/takeover.rs
+++ b/crates/placement/src/owner/takeover.rs
@@ -140,6 +140,8 @@
             return Ticket::Keep;
         }
         self.reported = Some(made);
+        let used = report.instances.iter().filter(|u| u.in_use > 0).count();
+        self.used = u32::try_from(used).unwrap_or(u32::MAX);
         let ticket = self.restart(report, fx);
         self.confirm(made, report, settings, fx);
         self.discover(made, report, settings);
--- a/crates/placement/src/planner/mod.rs
+++ b/crates/placement/src/planner/mod.rs
@@ -132,7 +132,11 @@
                 age,
             } => {
                 let load = running.saturating_add(waiting);
-                self.choice.report(&upstream, load, now.saturating_sub(age));
+                let made = now.saturating_sub(age);
+                self.choice.report(&upstream, load, made);
+                if let Some(owner) = self.owners.iter_mut().find(|o| o.facts().id == upstream) {
+                    owner.report(load, made);
+                }
             }
             Event::CacheEvents {
                 upstream,
--- a/crates/placement/tests/fleet/mod.rs
+++ b/crates/placement/tests/fleet/mod.rs
@@ -551,12 +551,16 @@
             age: REPORT_LAG,
         });
         let report = Event::Report {
-            upstream,
+            upstream: upstream.clone(),
             running: target.running.len() as u32,
             waiting: target.queue.len() as u32,
             age: REPORT_LAG,
         };
         for node in 0..self.nodes.len() {
+            // Only owners poll an engine.
+            if self.nodes[node].view.owner(&upstream) != Some(&self.nodes[node].me.vm) {
+                continue;
+            }
             let start = self.nodes[node].me.start;
             for event in [&resident, &report] {
                 let at = self.now + REPORT_LAG;
