--- a/crates/placement/src/holder/mod.rs
+++ b/crates/placement/src/holder/mod.rs
@@ -50,6 +50,7 @@
     request: Request,
     stage: Stage,
     tried: Vec<Upstream>,
+    since: Time,
     retry_after: Duration,
 }
 
@@ -144,6 +145,7 @@
             request,
             stage: Stage::Waiting("".into()),
             tried,
+            since: cx.now,
             retry_after: RETRY_AFTER,
         };
         self.requests.insert(id, entry);
@@ -398,6 +400,7 @@
         want.sent.push((self.number, cx.now));
         let requests = want.waiting.iter().filter_map(|id| self.requests.get(id));
         let mut priority = Priority::Routine;
+        let mut since = cx.now;
         let mut left = if want.waiting.is_empty() {
             cx.settings.lease
         } else {
@@ -405,6 +408,7 @@
         };
         for entry in requests {
             priority = priority.min(entry.request.priority);
+            since = since.min(entry.since);
             left = left.max(entry.request.deadline.saturating_sub(cx.now));
         }
         let waiting = u32::try_from(want.waiting.len()).unwrap_or(u32::MAX);
@@ -419,6 +423,7 @@
             priority,
             waiting,
             served,
+            age: cx.now - since,
             left,
         };
         if let Some(owner) = cx.promises.owner(cx.view, upstream) {
--- a/crates/placement/src/message.rs
+++ b/crates/placement/src/message.rs
@@ -40,6 +40,8 @@
     pub waiting: u32,
     /// Requests granted by the holder since its last ask, for the popularity estimate.
     pub served: u32,
+    /// Time that the oldest has waited.
+    pub age: Duration,
     /// Time left to the latest deadline among those that wait.
     pub left: Duration,
 }
--- a/crates/placement/src/owner/mod.rs
+++ b/crates/placement/src/owner/mod.rs
@@ -331,7 +331,7 @@
             .queue
             .entries()
             .iter()
-            .filter(|entry| now >= entry.want().since + settings.gather + settings.silence)
+            .filter(|entry| now >= entry.asked() + settings.gather + settings.silence)
             .map(|entry| entry.model.clone())
             .collect();
         for model in late {
@@ -676,6 +676,7 @@
                 priority: waiter.priority,
                 waiting: waiter.waiting,
                 served: 0,
+                age: Duration::ZERO,
                 left: Duration::ZERO,
             };
             self.grant(now, index, &waiter.holder, &ask, settings, fx);
--- a/crates/placement/src/owner/queue.rs
+++ b/crates/placement/src/owner/queue.rs
@@ -18,8 +18,10 @@
     pub priority: Priority,
     /// Its requests that wait.
     pub waiting: u32,
-    /// Time at which it first asked.
+    /// Time at which its oldest request began to wait, here or elsewhere.
     pub since: Time,
+    /// Time at which it first asked here.
+    pub asked: Time,
     /// Time after which it waits no more.
     pub until: Time,
 }
@@ -48,6 +50,12 @@
         }
     }
 
+    /// Returns the time at which the first of its waiters asked here.
+    pub fn asked(&self) -> Time {
+        let asked = self.waiters.iter().map(|waiter| waiter.asked).min();
+        asked.unwrap_or_default()
+    }
+
     /// Tells whether the load may begin, or has to wait for further requests.
     pub fn ripe(&self, now: Time, settings: &Settings) -> bool {
         let want = self.want();
@@ -79,7 +87,8 @@
             number: ask.number,
             priority: ask.priority,
             waiting: ask.waiting,
-            since: now,
+            since: now.saturating_sub(ask.age),
+            asked: now,
             until: now + ask.left,
         };
         let Some(entry) = self.entries.iter_mut().find(|e| e.model == ask.model) else {
@@ -99,7 +108,7 @@
         }
         let added = ask.waiting.saturating_sub(old.waiting);
         *old = Waiter {
-            since: old.since,
+            asked: old.asked,
             ..waiter
         };
         added
