--- /dev/null
+++ b/crates/dispatch/tests/upstream_health.rs
@@ -0,0 +1,168 @@
+//! Ejection, probes, slow start and concurrency limits.
+
+use std::time::Duration;
+
+use dispatch::Health;
+use dispatch::health::{Action, Admission, Config, Event, Verdict};
+use proptest::prelude::*;
+use proptest::test_runner::{RngSeed, TestRunner};
+use wire::{Machine, Time, Upstream};
+
+fn secs(value: u64) -> Duration {
+    Duration::from_secs(value)
+}
+
+const FAST: Duration = Duration::from_millis(20);
+
+fn pool(count: usize) -> Vec<Upstream> {
+    (0..count).map(|n| Upstream::from(format!("engine-{n}"))).collect()
+}
+
+fn health(count: usize) -> Health {
+    let mut health = Health::new(Config::default());
+    step(&mut health, Time::ZERO, Event::Pool(pool(count)));
+    health
+}
+
+fn step(health: &mut Health, now: Time, event: Event) -> Vec<Action> {
+    let mut out = Vec::new();
+    health.step(now, event, &mut out);
+    out
+}
+
+fn attempt(health: &mut Health, now: Time, upstream: &Upstream, verdict: Verdict) -> Vec<Action> {
+    step(health, now, Event::Started(upstream.clone()));
+    step(health, now, Event::Ended(upstream.clone(), verdict))
+}
+
+fn fail(health: &mut Health, now: Time, upstream: &Upstream) -> Vec<Action> {
+    let failures = Config::default().failures;
+    (0..failures).flat_map(|_| attempt(health, now, upstream, Verdict::Failed)).collect()
+}
+
+#[test]
+fn outlier_ejected_then_probed() {
+    let mut health = health(9);
+    let bad = pool(9)[4].clone();
+    let out = fail(&mut health, secs(1), &bad);
+    assert_eq!(out, [Action::Ejected(bad.clone(), secs(1))]);
+    assert!(matches!(health.admit(secs(1), &bad), Admission::Ejected(_)));
+    assert_eq!(health.wake(), Some(secs(2)));
+    assert_eq!(health.admit(secs(2), &bad), Admission::Probe);
+    step(&mut health, secs(2), Event::Started(bad.clone()));
+    assert_eq!(health.admit(secs(2), &bad), Admission::Full, "one probe at a time");
+    let out = step(&mut health, secs(2), Event::Ended(bad.clone(), Verdict::Failed));
+    assert_eq!(out, [Action::Ejected(bad.clone(), secs(2))], "twice as long");
+    step(&mut health, secs(4), Event::Started(bad.clone()));
+    let out = step(&mut health, secs(4), Event::Ended(bad.clone(), Verdict::Answered(FAST)));
+    assert_eq!(out, [Action::Restored(bad.clone())]);
+    assert_eq!(health.ejected(), 0);
+}
+
+#[test]
+fn cancelled_probe_frees_place() {
+    let mut health = health(9);
+    let bad = pool(9)[4].clone();
+    fail(&mut health, secs(1), &bad);
+    step(&mut health, secs(3), Event::Started(bad.clone()));
+    step(&mut health, secs(3), Event::Ended(bad.clone(), Verdict::Neutral));
+    assert_eq!(health.admit(secs(3), &bad), Admission::Probe);
+}
+
+#[test]
+fn started_upstream_warms_up() {
+    let mut health = health(3);
+    let cold = pool(3)[0].clone();
+    let whole = health.limit(secs(1), &cold);
+    step(&mut health, secs(1), Event::Restarted(cold.clone()));
+    let limits: Vec<u32> = (1..=11).map(|s| health.limit(secs(s), &cold)).collect();
+    assert!(limits.is_sorted());
+    assert!(limits[0] <= whole / 8, "{limits:?}");
+    assert_eq!(limits[10], whole);
+}
+
+/// A closed loop against an upstream that serves so many at once: latency grows with the excess.
+fn settle(capacity: u32) -> u32 {
+    let mut health = health(1);
+    let upstream = pool(1)[0].clone();
+    let mut now = secs(1);
+    for _ in 0..3_000 {
+        let limit = health.limit(now, &upstream);
+        for _ in 0..limit {
+            step(&mut health, now, Event::Started(upstream.clone()));
+        }
+        let excess = f64::from(limit.max(capacity)) / f64::from(capacity);
+        let latency = FAST.mul_f64(excess.powi(3));
+        now += latency;
+        for _ in 0..limit {
+            let verdict = if limit > capacity * 2 {
+                Verdict::Overloaded
+            } else {
+                Verdict::Answered(latency)
+            };
+            step(&mut health, now, Event::Ended(upstream.clone(), verdict));
+        }
+    }
+    health.limit(now, &upstream)
+}
+
+#[test]
+fn limit_follows_capacity() {
+    for capacity in [4, 32, 100] {
+        let limit = settle(capacity);
+        assert!(limit >= capacity / 2 && limit <= capacity * 2 + 1, "{capacity}: {limit}");
+    }
+}
+
+/// Whatever ends how and when: the ejected share and the limits hold, and a pool always has
+/// somebody who may be asked or a time at which somebody may.
+#[test]
+fn any_verdicts() {
+    let config = proptest::test_runner::Config {
+        cases: 500,
+        rng_seed: RngSeed::Fixed(9),
+        failure_persistence: None,
+        ..Default::default()
+    };
+    let verdict = prop_oneof![
+        3 => Just(Verdict::Failed),
+        1 => (1..500_u64).prop_map(|ms| Verdict::Answered(Duration::from_millis(ms))),
+        1 => Just(Verdict::Overloaded),
+        1 => Just(Verdict::Neutral),
+    ];
+    let step_of = (0..9_usize, 0..3_u8, verdict, 0..800_u64);
+    let strategy = (1..10_usize, proptest::collection::vec(step_of, 1..200));
+    let check = |(count, steps): (usize, Vec<(usize, u8, Verdict, u64)>)| {
+        let limits = Config::default();
+        let names = pool(count);
+        let mut health = health(count);
+        let mut now = secs(1);
+        for (index, kind, verdict, pause) in steps {
+            now += Duration::from_millis(pause);
+            let upstream = names[index % count].clone();
+            let event = match kind {
+                0 if matches!(health.admit(now, &upstream), Admission::Yes | Admission::Probe) => {
+                    Event::Started(upstream)
+                }
+                0 => Event::Tick,
+                1 => Event::Ended(upstream, verdict),
+                _ if pause < 20 => Event::Restarted(upstream),
+                _ => Event::Ended(upstream, verdict),
+            };
+            step(&mut health, now, event);
+            prop_assert!(health.ejected() as f64 <= count as f64 * limits.share);
+            for name in &names {
+                prop_assert!(health.limit(now, name) <= limits.limit_max);
+                let admission = health.admit(now, name);
+                if let Admission::Ejected(left) = admission {
+                    prop_assert!(left <= limits.eject_max);
+                }
+                if admission == Admission::Yes {
+                    prop_assert!(health.running(name) < health.limit(now, name));
+                }
+            }
+        }
+        Ok(())
+    };
+    TestRunner::new(config).run(&strategy, check).expect("holds");
+}
