--- a/crates/once/tests/fleet/mod.rs
+++ b/crates/once/tests/fleet/mod.rs
@@ -235,6 +235,9 @@
     /// Cuts the nodes off from those on another side.
     pub fn side(&mut self, index: usize, side: u8) {
         self.nodes[index].side = side;
+        if side == 0 {
+            self.publish();
+        }
     }
 
     pub fn leave(&mut self, index: usize) {
@@ -403,6 +406,7 @@
                 }
                 self.step(index, Event::Tick);
             }
+            Step::View(_) if self.nodes[index].side != 0 => {}
             Step::View(view) => self.step(index, Event::View(view)),
             Step::Write { request } => self.write(index, request),
             Step::Finish { request, record } => {
