--- a/crates/dispatch/tests/retry_budget.rs
+++ b/crates/dispatch/tests/retry_budget.rs
@@ -28,7 +28,13 @@
 fn next(kind: Kind, failure: &Failure, progress: &Progress) -> Next {
     let mut retry = Retry::new(Config::default(), kind, DEADLINE, 1);
     assert!(retry.start(Duration::ZERO));
-    retry.next(Duration::ZERO, failure, progress, &mut budget(), &mut budget())
+    retry.next(
+        Duration::ZERO,
+        failure,
+        progress,
+        &mut budget(),
+        &mut budget(),
+    )
 }
 
 fn progress(tokens: u64, resumable: bool) -> Progress {
@@ -46,7 +52,10 @@
         let next = next(Kind::Once, &failure, &Progress::default());
         let again = matches!(next, Next::Again { .. });
         assert_eq!(again, stage < Stage::Writing, "{stage:?}");
-        if let Next::Stop { retry_after, why, .. } = next {
+        if let Next::Stop {
+            retry_after, why, ..
+        } = next
+        {
             assert_eq!((why, retry_after), (Stop::Once, None));
         }
     }
@@ -61,11 +70,17 @@
     let next = next(Kind::Stream, &failure, &progress(tokens, resumable));
     match next {
         Next::Again { .. } => assert_eq!(tokens, 0),
-        Next::Resume { model, tokens: at, .. } => {
+        Next::Resume {
+            model, tokens: at, ..
+        } => {
             assert!(resumable);
             assert_eq!((model, at), (Model::new("letters", "3"), tokens));
         }
-        Next::Stop { why, outcome, retry_after } => {
+        Next::Stop {
+            why,
+            outcome,
+            retry_after,
+        } => {
             assert!(!resumable && tokens > 0);
             assert_eq!((why, outcome), (Stop::Cut, Outcome::Failed));
             assert!(retry_after.is_some());
@@ -85,7 +100,10 @@
     while second.start(now) {
         made += 1;
     }
-    assert!(!first.start(Duration::from_secs(1)), "a passed request is tried at one node only");
+    assert!(
+        !first.start(Duration::from_secs(1)),
+        "a passed request is tried at one node only"
+    );
     assert_eq!(made, u32::from(config.attempts));
     let late = now + Duration::from_secs(4);
     assert!(!Retry::resume(config, Kind::Idempotent, now, mark, 2).start(late));
@@ -123,7 +141,11 @@
                     assert!(at < DEADLINE);
                     now = at;
                 }
-                Next::Stop { outcome, retry_after, .. } => {
+                Next::Stop {
+                    outcome,
+                    retry_after,
+                    ..
+                } => {
                     assert_eq!(outcome, Outcome::NotRun);
                     assert!(retry_after.is_some());
                     break;
@@ -132,7 +154,10 @@
             }
         }
     }
-    assert!(attempts <= firsts + firsts * config.ratio / 1_000 + config.burst, "{attempts}");
+    assert!(
+        attempts <= firsts + firsts * config.ratio / 1_000 + config.burst,
+        "{attempts}"
+    );
     assert!(attempts < firsts * u64::from(config.attempts));
 }
 
@@ -147,7 +172,14 @@
         ..Default::default()
     };
     let kind = prop_oneof![Just(Kind::Idempotent), Just(Kind::Once), Just(Kind::Stream)];
-    let step = (0..8_usize, 0..5_usize, 0..2_000_u64, 0..3_u64, any::<bool>(), 0..3_000_u64);
+    let step = (
+        0..8_usize,
+        0..5_usize,
+        0..2_000_u64,
+        0..3_u64,
+        any::<bool>(),
+        0..3_000_u64,
+    );
     let strategy = (kind, any::<u64>(), proptest::collection::vec(step, 1..8));
     let check = |(kind, seed, steps): (Kind, u64, Vec<(usize, usize, u64, u64, bool, u64)>)| {
         let limits = Config::default();
@@ -171,7 +203,13 @@
             };
             let mut twin = retry.clone();
             let progress = progress(tokens, resumable);
-            let same = twin.next(now, &failure, &progress, &mut caller.clone(), &mut upstream.clone());
+            let same = twin.next(
+                now,
+                &failure,
+                &progress,
+                &mut caller.clone(),
+                &mut upstream.clone(),
+            );
             let next = retry.next(now, &failure, &progress, &mut caller, &mut upstream);
             prop_assert_eq!(&next, &same);
             match next {
@@ -189,5 +227,7 @@
         prop_assert!(made <= u32::from(limits.attempts));
         Ok(())
     };
-    TestRunner::new(config).run(&strategy, check).expect("holds");
+    TestRunner::new(config)
+        .run(&strategy, check)
+        .expect("holds");
 }
--- a/crates/dispatch/tests/upstream_health.rs
+++ b/crates/dispatch/tests/upstream_health.rs
@@ -15,7 +15,9 @@
 const FAST: Duration = Duration::from_millis(20);
 
 fn pool(count: usize) -> Vec<Upstream> {
-    (0..count).map(|n| Upstream::from(format!("engine-{n}"))).collect()
+    (0..count)
+        .map(|n| Upstream::from(format!("engine-{n}")))
+        .collect()
 }
 
 fn health(count: usize) -> Health {
@@ -37,7 +39,9 @@
 
 fn fail(health: &mut Health, now: Time, upstream: &Upstream) -> Vec<Action> {
     let failures = Config::default().failures;
-    (0..failures).flat_map(|_| attempt(health, now, upstream, Verdict::Failed)).collect()
+    (0..failures)
+        .flat_map(|_| attempt(health, now, upstream, Verdict::Failed))
+        .collect()
 }
 
 #[test]
@@ -50,11 +54,27 @@
     assert_eq!(health.wake(), Some(secs(2)));
     assert_eq!(health.admit(secs(2), &bad), Admission::Probe);
     step(&mut health, secs(2), Event::Started(bad.clone()));
-    assert_eq!(health.admit(secs(2), &bad), Admission::Full, "one probe at a time");
-    let out = step(&mut health, secs(2), Event::Ended(bad.clone(), Verdict::Failed));
-    assert_eq!(out, [Action::Ejected(bad.clone(), secs(2))], "twice as long");
+    assert_eq!(
+        health.admit(secs(2), &bad),
+        Admission::Full,
+        "one probe at a time"
+    );
+    let out = step(
+        &mut health,
+        secs(2),
+        Event::Ended(bad.clone(), Verdict::Failed),
+    );
+    assert_eq!(
+        out,
+        [Action::Ejected(bad.clone(), secs(2))],
+        "twice as long"
+    );
     step(&mut health, secs(4), Event::Started(bad.clone()));
-    let out = step(&mut health, secs(4), Event::Ended(bad.clone(), Verdict::Answered(FAST)));
+    let out = step(
+        &mut health,
+        secs(4),
+        Event::Ended(bad.clone(), Verdict::Answered(FAST)),
+    );
     assert_eq!(out, [Action::Restored(bad.clone())]);
     assert_eq!(health.ejected(), 0);
 }
@@ -65,7 +85,11 @@
     let bad = pool(9)[4].clone();
     fail(&mut health, secs(1), &bad);
     step(&mut health, secs(3), Event::Started(bad.clone()));
-    step(&mut health, secs(3), Event::Ended(bad.clone(), Verdict::Neutral));
+    step(
+        &mut health,
+        secs(3),
+        Event::Ended(bad.clone(), Verdict::Neutral),
+    );
     assert_eq!(health.admit(secs(3), &bad), Admission::Probe);
 }
 
@@ -110,7 +134,10 @@
 fn limit_follows_capacity() {
     for capacity in [4, 32, 100] {
         let limit = settle(capacity);
-        assert!(limit >= capacity / 2 && limit <= capacity * 2 + 1, "{capacity}: {limit}");
+        assert!(
+            limit >= capacity / 2 && limit <= capacity * 2 + 1,
+            "{capacity}: {limit}"
+        );
     }
 }
 
@@ -141,7 +168,11 @@
             now += Duration::from_millis(pause);
             let upstream = names[index % count].clone();
             let event = match kind {
-                0 if matches!(health.admit(now, &upstream), Admission::Yes | Admission::Probe) => {
+                0 if matches!(
+                    health.admit(now, &upstream),
+                    Admission::Yes | Admission::Probe
+                ) =>
+                {
                     Event::Started(upstream)
                 }
                 0 => Event::Tick,
@@ -164,5 +195,7 @@
         }
         Ok(())
     };
-    TestRunner::new(config).run(&strategy, check).expect("holds");
+    TestRunner::new(config)
+        .run(&strategy, check)
+        .expect("holds");
 }
--- a/crates/once/tests/fleet_restart.rs
+++ b/crates/once/tests/fleet_restart.rs
@@ -45,8 +45,14 @@
     fleet.take_ticket();
     let new = fleet.call(2, 2, "a");
     fleet.run(ms(100));
-    assert_eq!(refused(&fleet, retry), Some((Outcome::Unknown, Reason::Quarantine)));
-    assert!(answered(&fleet, new), "a key with the new ticket waits for nothing");
+    assert_eq!(
+        refused(&fleet, retry),
+        Some((Outcome::Unknown, Reason::Quarantine))
+    );
+    assert!(
+        answered(&fleet, new),
+        "a key with the new ticket waits for nothing"
+    );
     fleet.run(config().quarantine);
     let late = fleet.call(2, 3, "a");
     fleet.run(ms(100));
@@ -59,7 +65,10 @@
     let mut fleet = Fleet::new(2, 7, config(), CALM);
     let key_of_survivor = fleet.call(6, 1, "a");
     fleet.run(ms(100));
-    assert_eq!(refused(&fleet, key_of_survivor), Some((Outcome::Unknown, Reason::Quarantine)));
+    assert_eq!(
+        refused(&fleet, key_of_survivor),
+        Some((Outcome::Unknown, Reason::Quarantine))
+    );
     fleet.run(config().quarantine);
     let done = fleet.call(6, 2, "a");
     fleet.run(ms(100));
@@ -68,7 +77,11 @@
     assert_eq!(fleet.holding(), 7);
     let retry = fleet.call(6, 2, "a");
     fleet.run(ms(100));
-    assert_eq!(fleet.told(done), fleet.told(retry), "a survivor still has the answer");
+    assert_eq!(
+        fleet.told(done),
+        fleet.told(retry),
+        "a survivor still has the answer"
+    );
 }
 
 /// Four of the seven run on, cut off from the list and from the seven that took their places.
@@ -100,7 +113,9 @@
         fleet.run(Duration::from_secs(1));
     }
     let served = fleet.calls.iter().filter(|call| call.wrote.is_some());
-    let new_side = served.filter(|call| call.node.vm.as_ref() >= "vm-07").count();
+    let new_side = served
+        .filter(|call| call.node.vm.as_ref() >= "vm-07")
+        .count();
     assert!(new_side > 0, "the new group serves in the end");
     assert_eq!(fleet.broken().is_empty(), fenced, "{:?}", fleet.broken());
 }
@@ -115,7 +130,10 @@
     fleet.take_ticket();
     let ticket = fleet.call(0, 2, "a");
     fleet.run(ms(100));
-    assert_eq!(refused(&fleet, plain), Some((Outcome::Unknown, Reason::Fenced)));
+    assert_eq!(
+        refused(&fleet, plain),
+        Some((Outcome::Unknown, Reason::Fenced))
+    );
     assert!(answered(&fleet, ticket));
 }
 
