--- a/crates/dispatch/tests/retry_budget.rs
+++ b/crates/dispatch/tests/retry_budget.rs
@@ -161,6 +161,8 @@
     assert!(attempts < firsts * u64::from(config.attempts));
 }
 
+type Case = (usize, usize, u64, u64, bool, u64);
+
 /// Over any failures and any clock: never past the deadline, never more attempts than allowed,
 /// the same pauses for the same seed, and no second run of what must run once.
 #[test]
@@ -181,7 +183,7 @@
         0..3_000_u64,
     );
     let strategy = (kind, any::<u64>(), proptest::collection::vec(step, 1..8));
-    let check = |(kind, seed, steps): (Kind, u64, Vec<(usize, usize, u64, u64, bool, u64)>)| {
+    let check = |(kind, seed, steps): (Kind, u64, Vec<Case>)| {
         let limits = Config::default();
         let mut retry = Retry::new(limits.clone(), kind, DEADLINE, seed);
         let (mut caller, mut upstream) = (budget(), budget());
--- a/crates/once/src/guard/executor.rs
+++ b/crates/once/src/guard/executor.rs
@@ -54,6 +54,8 @@
             phase: Phase::Claiming,
             votes: Vec::new(),
             acks: Vec::new(),
+            voided: now,
+            round: 0,
             over: Vec::new(),
             asked: Vec::new(),
             rival: None,
@@ -110,7 +112,7 @@
                 continue;
             };
             run.votes.clear();
-            run.acks.clear();
+            run.renew_void(now);
             match run.phase {
                 Phase::Claiming => self.ask(now, &key, out),
                 Phase::Voiding(_) => self.send_void(now, &key, out),
@@ -140,8 +142,11 @@
                 set,
                 voter,
                 claim,
+                round,
                 key,
-            } if self.counts(set, &voter, from) => self.take_void(now, voter, &claim, key, out),
+            } if self.counts(set, &voter, from) => {
+                self.take_void(now, voter, (&claim, round), key, out);
+            }
             Message::Stored { claim, key } => self.take_stored(from, &claim, key),
             Message::Inquire { claim, key, by } if by.executor == *from => {
                 self.tell(now, claim, key, &by, out);
@@ -173,7 +178,7 @@
         if run.claim != *claim || run.phase != Phase::Claiming {
             return;
         }
-        run.vote(now, voter, verdict);
+        run.vote(now, voter, verdict, self.config.void_span());
         self.proceed(now, key, out);
     }
 
@@ -345,7 +350,7 @@
         };
         run.phase = Phase::Voiding(reason);
         run.progress = now;
-        run.acks.clear();
+        run.renew_void(now);
         self.send_void(now, &key, out);
     }
 
@@ -358,6 +363,7 @@
         let message = Message::Void {
             set,
             claim: run.claim.clone(),
+            round: run.round,
             key: run.key,
             body: run.body,
         };
@@ -368,7 +374,7 @@
         &mut self,
         now: Time,
         voter: Member,
-        claim: &Claim,
+        (claim, round): (&Claim, u32),
         key: Key,
         out: &mut Vec<Action>,
     ) {
@@ -379,9 +385,14 @@
         let Phase::Voiding(reason) = run.phase else {
             return;
         };
-        if run.claim != *claim {
+        if run.claim != *claim || run.round != round {
             return;
         }
+        if now > run.voided + self.config.void_span() {
+            // Too late to speak for all that began meanwhile: the voids are recorded anew.
+            run.renew_void(now);
+            return self.send_void(now, &key, out);
+        }
         if let Err(index) = run.acks.binary_search(&voter) {
             run.acks.insert(index, voter);
         }
@@ -399,7 +410,7 @@
                 request: waiter.request,
                 outcome: Outcome::NotRun,
                 reason,
-                retry_after: Some(self.config.resend * 2),
+                retry_after: Some(self.config.void_span() + self.config.resend),
             });
         }
     }
--- a/crates/once/src/guard/mod.rs
+++ b/crates/once/src/guard/mod.rs
@@ -84,6 +84,14 @@
 }
 
 impl Config {
+    /// Returns the longest time from the first asking for a void to the answer that says so.
+    ///
+    /// A void covers the requests that began up to this time after it was recorded, so that it
+    /// covers all that began before the answer.
+    pub fn void_span(&self) -> Duration {
+        self.resend * 4
+    }
+
     /// Returns the time for which a witness keeps what it knows of a key.
     ///
     /// A retry let in at the end of the window may still claim until its deadline; an eighth is
--- a/crates/once/src/guard/run.rs
+++ b/crates/once/src/guard/run.rs
@@ -92,6 +92,10 @@
     pub phase: Phase,
     pub votes: Vec<Vote>,
     pub acks: Vec<Member>,
+    /// When the present round of voids was first asked for.
+    pub voided: Time,
+    /// Number of that round.
+    pub round: u32,
     pub over: Vec<Claim>,
     /// Claims asked about, and when.
     pub asked: Vec<(Claim, Time)>,
@@ -123,9 +127,16 @@
         self.waiters.iter().find(runner).map(|w| w.deadline)
     }
 
+    /// Starts another round of voids, in which no former confirmation counts.
+    pub fn renew_void(&mut self, now: Time) {
+        self.acks.clear();
+        self.voided = now;
+        self.round += 1;
+    }
+
     /// Takes a witness's word in, in place of its former one.
-    pub fn vote(&mut self, now: Time, voter: Member, verdict: Verdict) {
-        let age = now.saturating_sub(self.begun);
+    pub fn vote(&mut self, now: Time, voter: Member, verdict: Verdict, span: Duration) {
+        let age = now.saturating_sub(self.begun) + span;
         let void = matches!(verdict, Verdict::Granted { void: Some(void) } if void < age);
         let vote = Vote {
             voter,
--- a/crates/once/src/guard/witness.rs
+++ b/crates/once/src/guard/witness.rs
@@ -39,6 +39,7 @@
             Message::Void {
                 set,
                 claim,
+                round,
                 key,
                 body,
             } if claim.executor == *from => {
@@ -50,6 +51,7 @@
                         set,
                         voter: self.me.clone(),
                         claim,
+                        round,
                         key,
                     };
                     self.send(&from.vm, reply, out);
--- a/crates/once/src/message.rs
+++ b/crates/once/src/message.rs
@@ -115,6 +115,8 @@
         set: u64,
         /// The claim given up.
         claim: Claim,
+        /// Number of the asking; an answer to an earlier one does not count.
+        round: u32,
         /// The call.
         key: Key,
         /// Digest of its body.
@@ -128,6 +130,8 @@
         voter: Member,
         /// The claim given up.
         claim: Claim,
+        /// Number of the asking.
+        round: u32,
         /// The call.
         key: Key,
     },
--- a/crates/once/tests/message_fuzz.rs
+++ b/crates/once/tests/message_fuzz.rs
@@ -142,12 +142,14 @@
         }),
         (c, claim(), key(), body()).prop_map(|(set, claim, key, body)| Message::Void {
             set,
+            round: 1,
             claim,
             key,
             body
         }),
         (d, member(), claim(), key()).prop_map(|(set, voter, claim, key)| Message::Voided {
             set,
+            round: 1,
             voter,
             claim,
             key
