--- a/crates/once/tests/fault_schedules.rs
+++ b/crates/once/tests/fault_schedules.rs
@@ -55,7 +55,6 @@
 
 #[rstest]
 #[case(Planted::Quorum)]
-#[case(Planted::Recovery)]
 #[case(Planted::Permit)]
 #[case(Planted::Grant)]
 #[case(Planted::Disown)]
@@ -105,6 +104,36 @@
     assert_eq!(fleet.broken().is_empty(), planted.is_none());
 }
 
+/// Four witnesses know of a claim, and all four are replaced one after the other. Their successors
+/// must have it from them.
+#[rstest]
+#[case(None, 1)]
+#[case(Some(Planted::Recovery), 2)]
+fn newcomers_recover(#[case] planted: Option<Planted>, #[case] runs: usize) {
+    let mut fleet = Fleet::new(6, 7, config(), fleet::CALM);
+    fleet.take_ticket();
+    fleet.filter = |_, to, message| {
+        let claim = matches!(message, Message::Ask { .. } | Message::Store { .. });
+        !(claim && (4..7).contains(&index(to)))
+    };
+    fleet.plant(planted);
+    fleet.call(0, 1, "a");
+    fleet.run(Duration::from_millis(3));
+    assert_eq!(fleet.runs[&1].len(), 1);
+    for node in 0..4 {
+        fleet.kill(node);
+        fleet.delist(node);
+        fleet.boot();
+        fleet.run(Duration::from_secs(2));
+        assert_eq!(fleet.holding(), 7);
+    }
+    let retry = fleet.call(4, 1, "a");
+    fleet.run(Duration::from_secs(2));
+    assert_eq!(fleet.runs[&1].len(), runs);
+    let unknown = matches!(fleet.told(retry), Some(Told::Refused(Outcome::Unknown, _)));
+    assert_eq!(unknown, planted.is_none());
+}
+
 #[test]
 fn every_request_ends() {
     for seed in 100..106 {
