--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -25,7 +25,7 @@
 pub use input::{Admitted, Grant, Input, Placed, Ruling, Vetted};
 pub(crate) use orders::poll_engines;
 pub(crate) use perform::sign_leaving;
-pub use status::{Owned, PeerStatus, Resident, Status, UpstreamStatus, Wait};
+pub use status::{Owned, PeerStatus, Resident, Status, StoreStatus, UpstreamStatus, Wait};
 
 use crate::directory::Directory;
 use crate::peer::Outbox;
@@ -167,6 +167,10 @@
     leaving: Vec<Upstream>,
     down: Vec<Upstream>,
     refused: Option<(Revision, String)>,
+    /// Time at which the revision in force was adopted.
+    adopted: Option<Time>,
+    /// Time of the last successful reading of the list of VMs.
+    listed_at: Option<Time>,
     wake: watch::Sender<Option<Time>>,
 }
 
@@ -210,6 +214,8 @@
             leaving: Vec::new(),
             down: Vec::new(),
             refused: None,
+            adopted: None,
+            listed_at: None,
             wake,
         };
         state.start();
--- a/crates/node/src/core/orders.rs
+++ b/crates/node/src/core/orders.rs
@@ -332,13 +332,16 @@
 
 fn show_report(shared: &Shared, id: &Upstream, report: &engine::Report) {
     let directory = shared.directory.load();
-    if let (Some(runner), true) = (directory.runner(id), report.max_batch > 0) {
+    if let (Some(runner), true) = (
+        directory.runner(id),
+        report.batch > 0 && report.max_batch > 0,
+    ) {
         let efficiency = f64::from(report.batch) / f64::from(report.max_batch);
         shared
             .metrics
             .batch_efficiency
             .with_label_values(&[&runner.pool])
-            .set(efficiency);
+            .observe(efficiency);
     }
 }
 
--- a/crates/node/src/core/perform.rs
+++ b/crates/node/src/core/perform.rs
@@ -94,6 +94,7 @@
         };
         self.checked.retain(|checked, _| *checked >= revision);
         log::info!(target: DECISION, revision; "configuration-in-force");
+        self.adopted = Some(self.shared.clock.now());
         self.shared
             .metrics
             .revision
@@ -354,6 +355,7 @@
     }
 
     pub(super) fn take_list(&mut self, list: &platform::List) {
+        self.listed_at = Some(self.shared.clock.now());
         let known = self.shared.directory.load();
         let next = crate::directory::Directory::from_list(list, &self.shared.settings, &known);
         let entries = next
--- a/crates/node/src/core/status.rs
+++ b/crates/node/src/core/status.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use placement::budget::Budget;
 use placement::owner::Owner;
 use placement::owner::seat::{self, Seat};
 use serde::{Deserialize, Serialize};
@@ -27,6 +28,10 @@
     pub uptime_ms: u64,
     /// Revision in force.
     pub revision: Option<Revision>,
+    /// Time since it was adopted here in milliseconds.
+    pub revision_age_ms: Option<u64>,
+    /// Time since the list of VMs was read in milliseconds.
+    pub list_age_ms: Option<u64>,
     /// Newest revision that was refused, and why.
     pub refused: Option<(Revision, String)>,
     /// Requests of callers in progress.
@@ -43,6 +48,8 @@
     pub upstreams: Vec<UpstreamStatus>,
     /// The engines that this node owns.
     pub owned: Vec<Owned>,
+    /// The region's weight stores.
+    pub stores: Vec<StoreStatus>,
 }
 
 /// A peer as one node sees it.
@@ -73,6 +80,19 @@
     pub in_flight: usize,
 }
 
+/// A weight store as one node sees it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct StoreStatus {
+    /// Its name.
+    pub id: String,
+    /// Whether this node holds the budget of the region's loads.
+    pub holds: bool,
+    /// Engines of this node that wait for a load.
+    pub waiting: usize,
+    /// Loads that this node has allowed and that may still be in flight.
+    pub in_flight: usize,
+}
+
 /// An engine at its owner.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Owned {
@@ -122,6 +142,7 @@
         let now = shared.clock.now();
         let view = shared.view.load();
         let directory = shared.directory.load();
+        let budgets = self.logic.placement().budgets();
         Status {
             vm: shared.me.vm.clone(),
             incarnation: shared.me.to_string(),
@@ -130,6 +151,8 @@
             leaving: shared.leaving(),
             uptime_ms: millis(now),
             revision: shared.rules.load().as_ref().map(|rules| rules.revision),
+            revision_age_ms: self.adopted.map(|at| millis(now - at)),
+            list_age_ms: self.listed_at.map(|at| millis(now - at)),
             refused: self.refused.clone(),
             flying: shared.flying(),
             placing: self.placing.len(),
@@ -155,10 +178,20 @@
                 .iter()
                 .map(|owner| owned(owner, now))
                 .collect(),
+            stores: budgets.iter().map(store).collect(),
         }
     }
 }
 
+fn store(budget: &Budget) -> StoreStatus {
+    StoreStatus {
+        id: budget.store().id.to_string(),
+        holds: budget.holds(),
+        waiting: budget.waiting(),
+        in_flight: budget.issued(),
+    }
+}
+
 fn owned(owner: &Owner, now: Time) -> Owned {
     let waits = owner.queue().entries().iter().map(|entry| {
         let want = entry.want();
--- a/crates/node/src/front/handler.rs
+++ b/crates/node/src/front/handler.rs
@@ -86,7 +86,10 @@
         let _flight = self.shared.enter();
         match self.answer(request).await {
             Ok(response) => response,
-            Err(problem) => problem.into_response(),
+            Err(problem) => {
+                self.shared.metrics.refused_with(&problem);
+                problem.into_response()
+            }
         }
     }
 }
--- a/crates/node/src/front/model/job.rs
+++ b/crates/node/src/front/model/job.rs
@@ -343,12 +343,12 @@
     fn take_placed(&mut self, asked: Time, placed: Option<Placed>) -> Result<Grant, Problem> {
         let metrics = &self.front.shared.metrics;
         let wait = self.front.shared.clock.now() - asked;
-        Metrics::observe(&metrics.grant_wait, self.priority, wait);
         match placed {
             Some(Placed::Granted(grant)) => {
+                metrics.stall(self.priority, &self.place.pool, wait);
                 log::info!(
                     target: DECISION,
-                    request = self.name.as_str(), placing = self.placings,
+                    request = self.name.as_str(), number = self.request, placing = self.placings,
                     upstream:% = grant.upstream, instance:% = grant.instance,
                     model:% = grant.model, lease = grant.lease, offset = self.offset,
                     queue_us = wait.as_micros() as u64;
@@ -361,8 +361,7 @@
                 retry_after,
             }) => {
                 self.placed = false;
-                let label = format!("{reason:?}").to_lowercase();
-                metrics.refused.with_label_values(&[&label]).inc();
+                metrics.refused.with_label_values(&[reason.name()]).inc();
                 Err(self.refusal(&reason.to_string(), retry_after))
             }
             None => Err(self.refusal("the node is stopping; ask another", Duration::ZERO)),
--- a/crates/node/src/front/operators.rs
+++ b/crates/node/src/front/operators.rs
@@ -46,7 +46,7 @@
 
     async fn answer(&self, request: &Request<Incoming>) -> Result<Response<Body>, Problem> {
         match (request.method(), request.uri().path()) {
-            (&Method::GET, "/metrics") => self.metrics(),
+            (&Method::GET, "/metrics") => self.metrics().await,
             (&Method::GET, "/v1/status") => self.status().await,
             (&Method::GET, "/v1/explain") => self.explain(&Query::of(request)),
             (&Method::GET, "/v1/requests") => self.lookup(&Query::of(request)).await,
@@ -58,7 +58,10 @@
         }
     }
 
-    fn metrics(&self) -> Result<Response<Body>, Problem> {
+    async fn metrics(&self) -> Result<Response<Body>, Problem> {
+        if let Some(status) = self.core.status().await {
+            self.shared.metrics.show(&status);
+        }
         let text = self.shared.metrics.render().map_err(internal)?;
         let mut response = Response::new(Body::full(text));
         let media = HeaderValue::from_static("text/plain; version=0.0.4");
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics/mod.rs
@@ -1,17 +1,23 @@
 //! Metrics by `prometheus`, with bounded labels: priorities, pools, outcomes and kinds, never
 //! adapters or callers.
+//!
+//! The fields are private to the crate, so that the compiler finds one that nothing sets.
+
+mod state;
 
 use std::time::Duration;
 
 use prometheus::core::Collector;
 use prometheus::{
-    Encoder, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
-    IntGaugeVec, Opts, Registry, TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 use wire::Priority;
 
-use crate::front::Outcome;
+use crate::core::Status;
+use crate::front::{Outcome, Problem};
 use crate::peer::SharedCounts;
+use state::State;
 
 /// Upper bounds of the buckets for waits, in seconds.
 const WAIT_BUCKETS: [f64; 12] = [
@@ -21,42 +27,43 @@
 /// Upper bounds of the buckets for gaps between tokens, in seconds.
 const GAP_BUCKETS: [f64; 8] = [0.005, 0.01, 0.02, 0.04, 0.063, 0.1, 0.25, 1.0];
 
+/// Upper bounds of the buckets for parts of a whole.
+const PART_BUCKETS: [f64; 8] = [0.125, 0.25, 0.375, 0.5, 0.625, 0.75, 0.875, 1.0];
+
 /// The metrics of one node.
 pub struct Metrics {
     registry: Registry,
     counts: SharedCounts,
     /// Requests by kind, priority and outcome.
-    pub requests: IntCounterVec,
-    /// Requests in flight by kind.
-    pub in_flight: IntGaugeVec,
-    /// Time from a request's arrival to its grant, by priority.
-    pub grant_wait: HistogramVec,
-    /// Part of that time that was a load stall, by priority and pool.
-    pub load_stall: HistogramVec,
+    pub(crate) requests: IntCounterVec,
+    /// Problem documents sent, by status and outcome.
+    problems: IntCounterVec,
+    /// Time that a request waited for its adapter, by priority and pool.
+    load_stall: HistogramVec,
     /// Time to the first token, by priority.
-    pub first_token: HistogramVec,
+    pub(crate) first_token: HistogramVec,
     /// Time between tokens, by priority.
-    pub token_gap: HistogramVec,
-    /// Batch efficiency by pool: sequences in a step over the most it takes.
-    pub batch_efficiency: GaugeVec,
+    pub(crate) token_gap: HistogramVec,
+    /// Batch efficiency by pool: sequences in a step over the most it takes, of each report of an
+    /// engine at work.
+    pub(crate) batch_efficiency: HistogramVec,
     /// Tokens passed on to callers.
-    pub tokens: IntCounter,
+    pub(crate) tokens: IntCounter,
     /// Orders to engines by kind and result.
-    pub orders: IntCounterVec,
+    pub(crate) orders: IntCounterVec,
     /// Refusals by reason.
-    pub refused: IntCounterVec,
+    pub(crate) refused: IntCounterVec,
     /// Claims of calls that may not be repeated, by what followed.
-    pub claims: IntCounterVec,
+    pub(crate) claims: IntCounterVec,
     /// Revision of the configuration in force.
-    pub revision: IntGauge,
+    pub(crate) revision: IntGauge,
     /// Revisions refused because of a fault.
-    pub revisions_refused: IntCounter,
+    pub(crate) revisions_refused: IntCounter,
     /// Nodes of the region by state, as this node believes.
-    pub members: IntGaugeVec,
-    /// Upstreams by pool and state.
-    pub upstreams: IntGaugeVec,
+    pub(crate) members: IntGaugeVec,
     /// Calls to the platform by kind and result.
-    pub platform_calls: IntCounterVec,
+    pub(crate) platform_calls: IntCounterVec,
+    state: State,
     frames: IntGaugeVec,
     memory: IntGauge,
     cpu: prometheus::Gauge,
@@ -79,13 +86,11 @@
                 "Requests answered.",
                 &["kind", "priority", "outcome"],
             )?,
-            in_flight: gauge_vec(r, "requests_in_flight", "Requests in flight.", &["kind"])?,
-            grant_wait: histogram(
+            problems: counter_vec(
                 r,
-                "grant_wait_seconds",
-                "Time from arrival to grant.",
-                &["priority"],
-                &WAIT_BUCKETS,
+                "problems_total",
+                "Problem documents sent.",
+                &["status", "outcome"],
             )?,
             load_stall: histogram(
                 r,
@@ -108,15 +113,12 @@
                 &["priority"],
                 &GAP_BUCKETS,
             )?,
-            batch_efficiency: registered(
+            batch_efficiency: histogram(
                 r,
-                GaugeVec::new(
-                    Opts::new(
-                        "batch_efficiency",
-                        "Sequences in a step over the most that a step takes.",
-                    ),
-                    &["pool"],
-                )?,
+                "batch_efficiency",
+                "Sequences in a step over the most that a step takes.",
+                &["pool"],
+                &PART_BUCKETS,
             )?,
             tokens: registered(r, IntCounter::new("tokens_total", "Tokens passed on.")?)?,
             orders: counter_vec(r, "orders_total", "Orders to engines.", &["kind", "result"])?,
@@ -136,13 +138,13 @@
                 IntCounter::new("configuration_refused_total", "Revisions refused.")?,
             )?,
             members: gauge_vec(r, "members", "Nodes of the region by state.", &["state"])?,
-            upstreams: gauge_vec(r, "upstreams", "Upstreams by state.", &["pool", "state"])?,
             platform_calls: counter_vec(
                 r,
                 "platform_calls_total",
                 "Calls to the platform.",
                 &["kind", "result"],
             )?,
+            state: State::new(r)?,
             frames: gauge_vec(r, "control_frames", "Frames between nodes.", &["count"])?,
             memory: registered(
                 r,
@@ -165,21 +167,39 @@
     }
 
     /// Counts a request that was answered whole.
-    pub fn answered(&self, kind: &str, priority: Priority) {
+    pub(crate) fn answered(&self, kind: &str, priority: Priority) {
         self.requests
             .with_label_values(&[kind, priority.name(), "answered"])
             .inc();
     }
 
     /// Counts a request that ended otherwise.
-    pub fn ended(&self, kind: &str, priority: Priority, outcome: Outcome) {
+    pub(crate) fn ended(&self, kind: &str, priority: Priority, outcome: Outcome) {
         self.requests
             .with_label_values(&[kind, priority.name(), outcome.name()])
             .inc();
     }
 
+    /// Counts a problem document.
+    pub(crate) fn refused_with(&self, problem: &Problem) {
+        let labels = [problem.status.as_str(), problem.outcome.name()];
+        self.problems.with_label_values(&labels).inc();
+    }
+
+    /// Records how long a request waited for its adapter.
+    pub(crate) fn stall(&self, priority: Priority, pool: &str, wait: Duration) {
+        let labels = [priority.name(), pool];
+        let stall = self.load_stall.with_label_values(&labels);
+        stall.observe(wait.as_secs_f64());
+    }
+
+    /// Shows the node's state.
+    pub(crate) fn show(&self, status: &Status) {
+        self.state.show(status);
+    }
+
     /// Records a wait in one of the histograms by priority.
-    pub fn observe(histogram: &HistogramVec, priority: Priority, wait: Duration) {
+    pub(crate) fn observe(histogram: &HistogramVec, priority: Priority, wait: Duration) {
         histogram
             .with_label_values(&[priority.name()])
             .observe(wait.as_secs_f64());
--- a/crates/placement/src/action.rs
+++ b/crates/placement/src/action.rs
@@ -19,6 +19,17 @@
     Denied,
 }
 
+impl Reason {
+    /// Returns the name that logs and metrics show.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::NoUpstream => "no-upstream",
+            Self::Deadline => "adapter-deadline",
+            Self::Denied => "denied",
+        }
+    }
+}
+
 impl fmt::Display for Reason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
--- a/crates/placement/src/budget.rs
+++ b/crates/placement/src/budget.rs
@@ -160,6 +160,16 @@
         &self.store
     }
 
+    /// Returns the upstreams of this node that wait for a load.
+    pub fn waiting(&self) -> usize {
+        self.mine.len()
+    }
+
+    /// Returns the loads that this node has allowed and that may still be in flight.
+    pub fn issued(&self) -> usize {
+        self.issued.len()
+    }
+
     /// Takes new limits of the store.
     pub fn limit(&mut self, now: Time, store: Store, settings: &Settings) {
         self.count(now, settings);
