Ask peers for the change before whole parts

Cause: a watcher that had the manifest from the platform fetched each changed part whole from a peer, 64 KiB for one line. Change: it asks for the change from what it has first; whole parts follow only where that does not come.

--- a/crates/confsync/src/spreader/fetch.rs
+++ b/crates/confsync/src/spreader/fetch.rs
@@ -8,18 +8,24 @@
 use super::store::{Set, Store, Verdict};
 use super::{Action, Spreader};
 use crate::manifest::{Digest, Id, Manifest};
-use crate::message::Message;
+use crate::message::{Message, Pick};
 use crate::note::Note;
 
 /// Bytes of a part in one message.
 pub(super) const PIECE_BYTES: usize = 32 << 10;
 
 /// Parts fetched at the same time.
-const WINDOW: usize = 4;
+const WINDOW: usize = 8;
 
 /// Time that a peer has to send a piece.
 const PIECE_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Questions for the change from what is here, before parts are fetched whole.
+const CHANGE_ASKS: u32 = 3;
+
+/// Time that a peer has to send the change.
+const CHANGE_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Time that the driver has to end a read before another source is tried.
 const READ_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -60,6 +66,8 @@
     holders: Vec<Vm>,
     since: Time,
     pulls: Vec<Pull>,
+    // Questions for the change from what is here, so far.
+    asks: u32,
 }
 
 impl Fetch {
@@ -79,6 +87,7 @@
             holders: Vec::new(),
             since: now,
             pulls: pulls.collect(),
+            asks: 0,
             manifest,
         }
     }
@@ -102,8 +111,14 @@
 
     /// Tries the parts at once that nobody was known to have.
     pub(super) fn wake_idle(&mut self, now: Time) {
+        // A change that was asked for may be on its way.
+        let due = if self.asks > 0 {
+            now + CHANGE_TIMEOUT
+        } else {
+            now
+        };
         let idle = self.pulls.iter_mut().filter(|p| p.source == Source::Nobody);
-        idle.for_each(|pull| pull.due = now);
+        idle.for_each(|pull| pull.due = pull.due.min(due));
     }
 
     pub(super) fn whole(&self) -> bool {
@@ -126,6 +141,12 @@
         self.bodies[index].as_ref()
     }
 
+    /// Goes on with whole parts, after a change came that does not cover them.
+    pub(super) fn change_came(&mut self, now: Time) {
+        self.asks = CHANGE_ASKS;
+        self.pulls.iter_mut().for_each(|pull| pull.due = now);
+    }
+
     /// Takes a part's content in. Returns whether it is that of the manifest.
     pub(super) fn put(&mut self, index: usize, body: Bytes) -> bool {
         let Some(part) = self.manifest.parts.get(index) else {
@@ -173,14 +194,35 @@
         let Some(mut fetch) = self.fetch.take() else {
             return;
         };
-        for position in 0..fetch.pulls.len().min(WINDOW) {
-            if fetch.pulls[position].due <= now {
-                self.pull_one(now, &mut fetch, position, out);
+        if fetch.wake().is_some_and(|due| due <= now) && !self.ask_change(now, &mut fetch, out) {
+            for position in 0..fetch.pulls.len().min(WINDOW) {
+                if fetch.pulls[position].due <= now {
+                    self.pull_one(now, &mut fetch, position, out);
+                }
             }
         }
         self.fetch = Some(fetch);
     }
 
+    /// Asks a peer for the change from what is here, which is smaller than the parts. Returns
+    /// whether it did.
+    fn ask_change(&mut self, now: Time, fetch: &mut Fetch, out: &mut impl Extend<Action>) -> bool {
+        let idle = fetch.pulls.iter().all(|pull| pull.source == Source::Nobody);
+        if fetch.asks >= CHANGE_ASKS || self.store.newest().is_none() || !idle {
+            return false;
+        }
+        let holders = self.holders(fetch);
+        let holder = self.draw(holders, 1);
+        if holder.is_empty() {
+            return false;
+        }
+        fetch.asks += 1;
+        let due = now + CHANGE_TIMEOUT;
+        fetch.pulls.iter_mut().for_each(|pull| pull.due = due);
+        self.send_asks(holder, Pick::Newest, out);
+        true
+    }
+
     fn pull_one(
         &mut self,
         now: Time,
--- a/crates/confsync/src/spreader/peers.rs
+++ b/crates/confsync/src/spreader/peers.rs
@@ -183,7 +183,7 @@
         };
         self.consider(now, manifest, Some(from), pick, out);
         if let Some(base) = base {
-            self.apply(id, base, patches);
+            self.apply(now, id, base, patches);
         }
     }
 
@@ -206,7 +206,7 @@
         manifest.checked().ok()
     }
 
-    fn apply(&mut self, id: Id, base: Id, patches: &[(u32, Patch)]) {
+    fn apply(&mut self, now: Time, id: Id, base: Id, patches: &[(u32, Patch)]) {
         let (Some(fetch), Some(base)) = (&mut self.fetch, self.store.set(base)) else {
             return;
         };
@@ -220,6 +220,7 @@
                 fetch.put(index, new);
             }
         }
+        fetch.change_came(now);
     }
 
     fn send_piece(&self, to: Vm, digest: Digest, offset: u32, out: &mut impl Extend<Action>) {
--- a/crates/confsync/tests/site/mod.rs
+++ b/crates/confsync/tests/site/mod.rs
@@ -245,7 +245,11 @@
         Call::Read(key, due) => match service.get(key) {
             Some(value) if now >= *due => Some(Event::ReadDone {
                 key: key.clone(),
-                value,
+                value: Value {
+                    // Each node holds its own copy.
+                    body: Bytes::copy_from_slice(&value.body),
+                    ..value
+                },
             }),
             None if now >= *due + TIMEOUT => Some(Event::ReadFailed {
                 key: key.clone(),
