--- a/crates/standin/src/checker/calls.rs
+++ b/crates/standin/src/checker/calls.rs
@@ -2,19 +2,35 @@
 
 use std::collections::{BTreeMap, HashMap};
 
+use wire::rank;
+
 use super::{Ask, Breach, Evidence, Outcome, Promise, What};
 use crate::log::{Entry, Kind};
 
 pub(super) fn not_run_is_true(evidence: &Evidence, breaches: &mut Vec<Breach>) {
-    let begun = evidence.begun();
-    let begun: HashMap<&str, &Entry> = begun
-        .map(|(entry, ticket)| (&*ticket.request, entry))
-        .collect();
+    let runs = evidence
+        .entries
+        .iter()
+        .filter_map(|entry| match &entry.kind {
+            Kind::Run { ticket, .. } => Some((&*ticket.request, entry)),
+            _ => None,
+        });
+    let runs: HashMap<&str, &Entry> = runs.collect();
+    let starts = evidence
+        .entries
+        .iter()
+        .filter_map(|entry| match &entry.kind {
+            Kind::Start { prompt, .. } => Some((*prompt, entry)),
+            _ => None,
+        });
+    let starts: HashMap<u64, &Entry> = starts.collect();
     for ask in &evidence.asks {
-        if ask.outcome != Outcome::NotRun {
-            continue;
-        }
-        if let Some(entry) = begun.get(&*ask.request) {
+        let ran = match &ask.what {
+            _ if ask.outcome != Outcome::NotRun => None,
+            What::Call { .. } => runs.get(&*ask.request),
+            What::Completion { prompt, .. } => starts.get(&rank::hash(prompt)),
+        };
+        if let Some(entry) = ran {
             let detail = format!("ran on {} at {}", entry.upstream, entry.at_us);
             breaches.push(Breach::new(Promise::NotRunIsTrue, &*ask.request, detail));
         }
--- a/crates/standin/src/checker/mod.rs
+++ b/crates/standin/src/checker/mod.rs
@@ -5,8 +5,10 @@
 //! - The stand-ins' own [`log`](crate::log) says what truly ran.
 //! - [`check`] holds one against the other and returns every [`Breach`], one promise at a time.
 //!
-//! A request is found again in the stand-ins' logs by its request id, which its caller chooses
-//! afresh for each time it asks, also when it repeats a call under the same idempotency key.
+//! A call is found again in the stand-ins' logs by its request id, which its caller chooses afresh
+//! for each time it asks, also when it repeats a call under the same idempotency key. A completion
+//! is found by its prompt, which has to be unique in a run: a system may give its attempts ids of
+//! its own.
 
 pub mod record;
 
@@ -18,8 +20,9 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use wire::rank;
 
-use crate::log::{Entry, Kind, Ticket};
+use crate::log::Entry;
 pub use record::{Ask, Node, Outcome, What};
 
 /// A promise of the system.
@@ -108,17 +111,13 @@
 }
 
 impl Evidence {
-    fn asks_by_request(&self) -> HashMap<&str, &Ask> {
-        let asks = self.asks.iter();
-        asks.map(|ask| (&*ask.request, ask)).collect()
-    }
-
-    /// Returns the entries that mark the beginning of work, with who asked for it.
-    fn begun(&self) -> impl Iterator<Item = (&Entry, &Ticket)> {
-        self.entries.iter().filter_map(|entry| match &entry.kind {
-            Kind::Start { ticket, .. } | Kind::Run { ticket, .. } => Some((entry, ticket)),
-            _ => None,
-        })
+    /// Returns the completions asked for by the hashes of their prompts.
+    fn asks_by_prompt(&self) -> HashMap<u64, &Ask> {
+        let completions = self.asks.iter().filter_map(|ask| match &ask.what {
+            What::Completion { prompt, .. } => Some((rank::hash(prompt), ask)),
+            What::Call { .. } => None,
+        });
+        completions.collect()
     }
 }
 
--- a/crates/standin/src/checker/streams.rs
+++ b/crates/standin/src/checker/streams.rs
@@ -3,24 +3,26 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use wire::Priority;
+use wire::{Priority, rank};
 
 use super::{Ask, Breach, Evidence, Outcome, Promise, What, micros};
 use crate::answer;
 use crate::log::Kind;
 
 pub(super) fn right_model(evidence: &Evidence, breaches: &mut Vec<Breach>) {
-    let asks = evidence.asks_by_request();
+    let asks = evidence.asks_by_prompt();
     for entry in &evidence.entries {
-        let Kind::Start { ticket, model, .. } = &entry.kind else {
+        let Kind::Start { prompt, model, .. } = &entry.kind else {
             continue;
         };
-        let asked = asks.get(&*ticket.request).map(|ask| &ask.what);
-        if let Some(What::Completion { model: named, .. }) = asked
+        let Some(ask) = asks.get(prompt) else {
+            continue;
+        };
+        if let What::Completion { model: named, .. } = &ask.what
             && named != model
         {
             let detail = format!("ran on {model} at {}, not on {named}", entry.upstream);
-            breaches.push(Breach::new(Promise::RightModel, &*ticket.request, detail));
+            breaches.push(Breach::new(Promise::RightModel, &*ask.request, detail));
         }
     }
 }
@@ -69,21 +71,24 @@
     at_us: u64,
 }
 
-/// Returns the time at which each request first entered a batch.
-fn admitted(evidence: &Evidence) -> HashMap<&str, u64> {
+/// Returns the time at which each prompt first entered a batch.
+fn admitted(evidence: &Evidence) -> HashMap<u64, u64> {
     let mut first = HashMap::new();
     for entry in &evidence.entries {
-        if let Kind::Admit { ticket, .. } = &entry.kind {
-            let at = first.entry(&*ticket.request).or_insert(entry.at_us);
+        if let Kind::Admit { prompt, .. } = &entry.kind {
+            let at = first.entry(*prompt).or_insert(entry.at_us);
             *at = entry.at_us.min(*at);
         }
     }
     first
 }
 
-fn first<'a>(admitted: &HashMap<&str, u64>, ask: &'a Ask) -> Option<Begun<'a>> {
+fn first<'a>(admitted: &HashMap<u64, u64>, ask: &'a Ask) -> Option<Begun<'a>> {
     let What::Completion {
-        model, priority, ..
+        model,
+        priority,
+        prompt,
+        ..
     } = &ask.what
     else {
         return None;
@@ -92,7 +97,7 @@
         ask,
         model,
         priority: *priority,
-        at_us: *admitted.get(&*ask.request)?,
+        at_us: *admitted.get(&rank::hash(prompt))?,
     })
 }
 
--- a/crates/standin/src/engine/batch.rs
+++ b/crates/standin/src/engine/batch.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 use upstream::engine::{Events, Instance, Report, Resident, Role};
-use wire::Fence;
+use wire::{Fence, rank};
 
 use super::cache::Cache;
 use super::sequence::{Advance, Job, Sequence};
@@ -242,6 +242,7 @@
             ticket: job.ticket.clone(),
             instance: job.instance.to_string(),
             model: model.clone(),
+            prompt: rank::hash(&job.prompt),
             priority: job.priority,
             offset: job.offset,
         });
@@ -410,6 +411,7 @@
                 sequence.prefill = Some(self.prefill(&sequence));
                 self.log.push(Kind::Admit {
                     ticket: sequence.job.ticket.clone(),
+                    prompt: rank::hash(&sequence.job.prompt),
                     priority: sequence.job.priority,
                     waiting: self.queue.iter().map(|next| next.job.priority).collect(),
                 });
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -57,6 +57,8 @@
     pub callers: SocketAddr,
     /// Where it listens for other nodes.
     pub peers: SocketAddr,
+    /// Where it listens for operators.
+    pub operators: SocketAddr,
     /// Where it reads the platform.
     pub platform: SocketAddr,
 }
@@ -207,6 +209,7 @@
             zone: zones[index % zones.len()].clone(),
             callers: ports.next().await?,
             peers: ports.next().await?,
+            operators: ports.next().await?,
             platform: platform.address(),
         });
     }
--- a/crates/standin/src/log.rs
+++ b/crates/standin/src/log.rs
@@ -89,6 +89,8 @@
         instance: String,
         /// Adapter and version that run it.
         model: String,
+        /// Hash of its prompt, by [`wire::rank::hash`].
+        prompt: u64,
         /// Its priority: 0 is urgent.
         priority: u8,
         /// Tokens that the caller already had.
@@ -99,6 +101,8 @@
         /// Who asks.
         #[serde(flatten)]
         ticket: Ticket,
+        /// Hash of its prompt.
+        prompt: u64,
         /// Its priority: 0 is urgent.
         priority: u8,
         /// Least urgent priority among those that wait on.
--- a/crates/standin/tests/checker_verdicts.rs
+++ b/crates/standin/tests/checker_verdicts.rs
@@ -4,7 +4,7 @@
 use standin::answer;
 use standin::checker::{Ask, Evidence, Limits, Node, Outcome, Promise, What, check};
 use standin::log::{End, Entry, Kind, Ticket};
-use wire::Priority;
+use wire::{Priority, rank};
 
 const SECOND: u64 = 1_000_000;
 
@@ -37,10 +37,10 @@
     }
 }
 
-fn completion(priority: Priority) -> What {
+fn completion(prompt: &str, priority: Priority) -> What {
     What::Completion {
         model: "fit@v1".into(),
-        prompt: "p".into(),
+        prompt: prompt.into(),
         tokens: 4,
         priority,
     }
@@ -71,11 +71,13 @@
         ticket: ticket(request),
         instance: format!("{model}#3"),
         model: model.into(),
+        prompt: rank::hash(request),
         priority,
         offset: 0,
     };
     let admit = Kind::Admit {
         ticket: ticket(request),
+        prompt: rank::hash(request),
         priority,
         waiting: vec![],
     };
@@ -124,7 +126,7 @@
 
 /// A run in which every promise was kept, with something for each of them to look at.
 fn sound() -> Evidence {
-    let text = answer::text("fit@v1", "p", 4);
+    let text = |prompt| answer::text("fit@v1", prompt, 4);
     let mut entries = vec![leaving(40 * SECOND, true), unloaded(0)];
     entries.extend(stream("urgent", 2 * SECOND, "fit@v1", Priority::Urgent));
     entries.extend(stream("routine", 3 * SECOND, "fit@v1", Priority::Routine));
@@ -140,20 +142,20 @@
             ask(
                 "urgent",
                 2 * SECOND,
-                completion(Priority::Urgent),
-                answered(text.clone()),
+                completion("urgent", Priority::Urgent),
+                answered(text("urgent")),
             ),
             ask(
                 "routine",
                 3 * SECOND,
-                completion(Priority::Routine),
-                answered(text.clone()),
+                completion("routine", Priority::Routine),
+                answered(text("routine")),
             ),
             ask(
                 "cut",
                 3 * SECOND,
-                completion(Priority::Routine),
-                Outcome::Cut(text[..7].into()),
+                completion("cut", Priority::Routine),
+                Outcome::Cut(text("cut")[..7].into()),
             ),
             ask(
                 "keyed",
@@ -230,7 +232,7 @@
     evidence.asks[4].outcome = answered(receipt(""));
 })]
 #[case::short_answer_passed_off(Promise::WholeOwnAnswer, "routine", |evidence: &mut Evidence| {
-    evidence.asks[1].outcome = answered(answer::text("fit@v1", "p", 3));
+    evidence.asks[1].outcome = answered(answer::text("fit@v1", "routine", 3));
 })]
 #[case::other_text_before_the_cut(Promise::WholeOwnAnswer, "cut", |evidence: &mut Evidence| {
     evidence.asks[2].outcome = Outcome::Cut(answer::text("fit@v2", "p", 2));
