--- /dev/null
+++ b/crates/hyssopscale/tests/support/mod.rs
@@ -0,0 +1,448 @@
+//! Real `hyssopd` processes amid stand-ins, callers that ask them, and the evidence of a run.
+
+#![allow(dead_code)]
+
+use std::fs::File;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hyper::HeaderMap;
+use hyssopscale::ops;
+use node::core::Status;
+use standin::caller::{Caller, Entry};
+use standin::checker::{Ask, Breach, Evidence, Limits, Node, Outcome, What, check};
+use standin::engine::{self, store};
+use standin::fleet::{self, Fleet, Place};
+use standin::log::now_us;
+use standin::schedule::{self, Nodes, Schedule};
+use standin::site;
+use standin::workload::{Generator, Mix, Pace, drive};
+use tempfile::TempDir;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, timeout};
+
+/// Settings that every node starts from.
+const SETTINGS: &str = include_str!("../../../../examples/queensland.toml");
+
+/// Time for a process to serve, and for one that shuts down to end.
+const PROCESS_LIMIT: Duration = Duration::from_secs(60);
+
+/// Pause between two looks at a process.
+const STEP: Duration = Duration::from_millis(50);
+
+/// Pause between two looks at the revisions in force.
+const OBSERVATION: Duration = Duration::from_millis(250);
+
+/// Time that a caller waits for a whole answer; above the nodes' own time limit.
+const CALLER_LIMIT: Duration = Duration::from_secs(40);
+
+/// Time from the end of the faults to the end of the workload.
+const AFTERMATH: Duration = Duration::from_secs(3);
+
+pub const CALLERS: usize = 6;
+pub const ADAPTERS: usize = 24;
+
+/// A run to make.
+pub struct Run {
+    pub schedule: Schedule,
+    pub span: Duration,
+    pub seed: u64,
+}
+
+/// The processes of the nodes, and their surroundings.
+pub struct Cluster {
+    pub fleet: Fleet,
+    pub processes: Processes,
+}
+
+pub struct Processes {
+    places: Vec<Place>,
+    children: Vec<Option<Child>>,
+    logs: TempDir,
+    started: usize,
+}
+
+pub fn rules(comment: &str) -> String {
+    let mut lines = vec![
+        "base traction-base store weights".to_owned(),
+        "pool advice base traction-base".to_owned(),
+        "pool lending-desk service".to_owned(),
+        "limit * rate 1000 burst 1000 concurrent 1000".to_owned(),
+        "route to named".to_owned(),
+        "service lending pool lending-desk path /lending/checkouts methods POST once".to_owned(),
+        "service lending pool lending-desk path /lending/* methods GET,HEAD".to_owned(),
+    ];
+    lines
+        .extend((1..=CALLERS).map(|number| format!("caller c{number} trade desk priority urgent")));
+    lines.extend((1..=ADAPTERS).map(|number| {
+        format!("adapter fit-{number} base traction-base version v1 path fit-{number}/v1")
+    }));
+    lines
+        .iter()
+        .map(|line| format!("{line} # {comment}\n"))
+        .collect()
+}
+
+impl Cluster {
+    pub async fn start(seed: u64) -> Self {
+        let site = site::Config {
+            region: "qld-south".into(),
+            zones: ["stanthorpe", "warwick", "toowoomba"]
+                .map(str::to_owned)
+                .to_vec(),
+            engine_pool: "advice".into(),
+            service_pool: "lending-desk".into(),
+            store: store::Config {
+                rate: 8.0,
+                ..store::Config::default()
+            },
+            engine: engine::Config {
+                base: "traction-base".into(),
+                slots: 4,
+                ..engine::Config::new("engine")
+            },
+            ..site::Config::default()
+        };
+        let config = fleet::Config {
+            site,
+            seed,
+            ..fleet::Config::default()
+        };
+        let fleet = Fleet::start(config).await.unwrap();
+        let mut cluster = Self {
+            processes: Processes::new(&fleet),
+            fleet,
+        };
+        cluster.publish(1, "Tests: first revision");
+        for node in 0..cluster.fleet.places.len() {
+            cluster.processes.spawn(node);
+        }
+        for node in 0..cluster.fleet.places.len() {
+            cluster.processes.wait_ready(node).await;
+        }
+        cluster.processes.wait_claims().await;
+        cluster
+    }
+
+    /// Publishes the rules under a revision of the operators' own.
+    pub fn publish(&mut self, revision: u64, comment: &str) -> Node {
+        let files = [("test.rules".to_owned(), rules(comment))];
+        for value in ops::pack::values("hyssopscale/", revision, files).unwrap() {
+            self.fleet.publish(&value.key, value.body);
+        }
+        let at_us = now_us();
+        Node::Published { revision, at_us }
+    }
+
+    pub fn entries(&self) -> Vec<Entry> {
+        let places = self.fleet.places.iter();
+        places.map(entry).collect()
+    }
+
+    /// Makes a run of callers under a schedule of faults.
+    pub async fn run(&mut self, run: &Run) -> Evidence {
+        let serves = |place: &Place| Node::Serves {
+            node: place.vm.clone(),
+            at_us: now_us(),
+        };
+        let mut nodes: Vec<Node> = self.fleet.places.iter().map(serves).collect();
+        let (stop, stopped) = watch::channel(false);
+        let observing = tokio::spawn(observe(self.fleet.places.clone(), stopped));
+        let pace = Pace {
+            pause: Duration::from_millis(20),
+            retry: Duration::from_millis(100),
+            tries: 4,
+            span: run.span + AFTERMATH,
+        };
+        let mut callers = Vec::new();
+        for number in 1..=CALLERS {
+            callers.push(self.caller(number, run.seed, pace).await);
+        }
+        nodes.push(self.publish(2, "Tests: second revision"));
+        nodes.extend(schedule::run(&run.schedule, &self.fleet, &mut self.processes).await);
+        let mut asks = Vec::new();
+        for caller in callers {
+            asks.extend(caller.await.unwrap());
+        }
+        stop.send_replace(true);
+        nodes.extend(observing.await.unwrap());
+        let entries = self.fleet.site.entries();
+        Evidence {
+            entries,
+            asks,
+            nodes,
+        }
+    }
+
+    async fn caller(&self, number: usize, seed: u64, pace: Pace) -> JoinHandle<Vec<Ask>> {
+        let name = format!("c{number}");
+        let caller = Caller::new(&*name, HeaderMap::new(), CALLER_LIMIT);
+        let mix = Mix {
+            models: (1..=ADAPTERS)
+                .map(|number| format!("fit-{number}@v1"))
+                .collect(),
+            skew: 1.0,
+            completions: 0.5,
+            urgent: 0.3,
+            tokens: 40,
+            checkout: "/lending/checkouts".into(),
+            lookup: "/lending/stock".into(),
+            checkouts: 0.6,
+            key_prefix: self.key_prefix(&caller).await,
+        };
+        let generator = Generator::new(mix, name, seed * 1_000 + number as u64);
+        tokio::spawn(drive(caller, generator, self.entries(), pace))
+    }
+
+    async fn key_prefix(&self, caller: &Caller) -> String {
+        let text = get(caller, &self.entries()[0], "/v1/addresses")
+            .await
+            .unwrap();
+        let document: serde_json::Value = serde_json::from_str(&text).unwrap();
+        document["key_prefix"]
+            .as_str()
+            .unwrap_or_default()
+            .to_owned()
+    }
+}
+
+impl Processes {
+    fn new(fleet: &Fleet) -> Self {
+        let logs = TempDir::new().unwrap();
+        std::fs::write(logs.path().join("settings.toml"), SETTINGS).unwrap();
+        Self {
+            places: fleet.places.clone(),
+            children: fleet.places.iter().map(|_| None).collect(),
+            logs,
+            started: 0,
+        }
+    }
+
+    fn spawn(&mut self, node: usize) {
+        let place = &self.places[node];
+        let settings = self.logs.path().join("settings.toml");
+        self.started += 1;
+        let log = self
+            .logs
+            .path()
+            .join(format!("{}-{}.log", place.vm, self.started));
+        let log = File::create(log).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_hyssopd"));
+        command.arg("--settings").arg(settings);
+        for (key, value) in overrides(place) {
+            command.arg("--set").arg(format!("{key}={value}"));
+        }
+        let child = command
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().unwrap())
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        self.children[node] = Some(child);
+    }
+
+    async fn wait_ready(&self, node: usize) {
+        let limit = Instant::now() + PROCESS_LIMIT;
+        while Instant::now() < limit {
+            if status(&self.places[node])
+                .await
+                .is_some_and(|status| status.ready)
+            {
+                return;
+            }
+            sleep(STEP).await;
+        }
+        panic!(
+            "{} does not serve within {PROCESS_LIMIT:?}",
+            self.places[node].vm
+        );
+    }
+
+    /// Waits until every node can decide calls that may not be repeated.
+    async fn wait_claims(&self) {
+        let limit = Instant::now() + PROCESS_LIMIT;
+        for place in &self.places {
+            while !status(place)
+                .await
+                .is_some_and(|status| status.claims_ready)
+            {
+                assert!(Instant::now() < limit, "{} knows no witnesses", place.vm);
+                sleep(STEP).await;
+            }
+        }
+    }
+
+    async fn wait_end(&mut self, node: usize) {
+        let limit = Instant::now() + PROCESS_LIMIT;
+        while let Some(child) = &mut self.children[node] {
+            if child.try_wait().unwrap().is_some() {
+                self.children[node] = None;
+            }
+            assert!(
+                Instant::now() < limit,
+                "{} does not end",
+                self.places[node].vm
+            );
+            sleep(STEP).await;
+        }
+    }
+
+    /// Lets the logs stay after the run and returns where they are.
+    pub fn keep_logs(&mut self) -> String {
+        self.logs.disable_cleanup(true);
+        self.logs.path().display().to_string()
+    }
+
+    fn signal(&self, node: usize, signal: &str) {
+        if let Some(child) = &self.children[node] {
+            let pid = child.id().to_string();
+            Command::new("kill").args([signal, &pid]).status().unwrap();
+        }
+    }
+}
+
+impl Nodes for Processes {
+    async fn pause(&mut self, node: usize) {
+        self.signal(node, "-STOP");
+    }
+
+    async fn resume(&mut self, node: usize) {
+        self.signal(node, "-CONT");
+    }
+
+    async fn kill(&mut self, node: usize) {
+        self.signal(node, "-KILL");
+    }
+
+    async fn shutdown(&mut self, node: usize) {
+        self.signal(node, "-TERM");
+    }
+
+    async fn start(&mut self, node: usize) {
+        self.wait_end(node).await;
+        self.spawn(node);
+        self.wait_ready(node).await;
+    }
+}
+
+impl Drop for Processes {
+    fn drop(&mut self) {
+        for child in self.children.iter_mut().flatten() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        // The logs of a failed run stay, for whoever looks into it.
+        if std::thread::panicking() {
+            eprintln!("logs of the nodes: {}", self.keep_logs());
+        }
+    }
+}
+
+fn overrides(place: &Place) -> Vec<(&'static str, String)> {
+    vec![
+        ("vm.id", place.vm.clone()),
+        ("vm.zone", place.zone.clone()),
+        ("listen.callers", place.callers.to_string()),
+        ("listen.peers", place.peers.to_string()),
+        ("listen.operators", place.operators.to_string()),
+        ("platform.addresses", place.platform.to_string()),
+        ("platform.poll", "500ms".into()),
+        ("time.address_ttl", "1s".into()),
+        ("time.deadline", "15s".into()),
+        ("time.drain", "30s".into()),
+        ("trust.caller_header", "true".into()),
+        ("store.weights.loads_per_second", "8".into()),
+    ]
+}
+
+fn entry(place: &Place) -> Entry {
+    Entry {
+        node: place.vm.clone(),
+        address: place.callers,
+    }
+}
+
+async fn get(caller: &Caller, entry: &Entry, path: &str) -> Option<String> {
+    let what = What::Call {
+        method: "GET".into(),
+        path: path.into(),
+        key: None,
+        body: String::new(),
+        repeatable: true,
+    };
+    match caller.ask(entry, what).await.outcome {
+        Outcome::Answered(text) => Some(text),
+        _ => None,
+    }
+}
+
+pub async fn status(place: &Place) -> Option<Status> {
+    let fetched = timeout(Duration::from_secs(1), ops::status::fetch(place.operators));
+    fetched.await.ok()?.ok()
+}
+
+async fn observe(places: Vec<Place>, stopped: watch::Receiver<bool>) -> Vec<Node> {
+    let places = Arc::new(places);
+    let tasks: Vec<_> = (0..places.len())
+        .map(|index| tokio::spawn(observe_one(places.clone(), index, stopped.clone())))
+        .collect();
+    let mut seen = Vec::new();
+    for task in tasks {
+        seen.extend(task.await.unwrap());
+    }
+    seen
+}
+
+async fn observe_one(
+    places: Arc<Vec<Place>>,
+    index: usize,
+    stopped: watch::Receiver<bool>,
+) -> Vec<Node> {
+    let mut seen = Vec::new();
+    while !*stopped.borrow() {
+        // The answer is not older than its question: an answer that comes late, after a pause,
+        // does not count as late news.
+        let at_us = now_us();
+        let revision = status(&places[index])
+            .await
+            .and_then(|status| status.revision);
+        seen.extend(revision.map(|revision| Node::InForce {
+            node: places[index].vm.clone(),
+            revision,
+            at_us,
+        }));
+        sleep(OBSERVATION).await;
+    }
+    seen
+}
+
+/// Counts of the outcomes, in a line.
+pub fn summary(evidence: &Evidence) -> String {
+    let count = |is: &dyn Fn(&Ask) -> bool| evidence.asks.iter().filter(|ask| is(ask)).count();
+    let keyed = |ask: &Ask| {
+        matches!(
+            ask.what,
+            What::Call {
+                repeatable: false,
+                ..
+            }
+        )
+    };
+    format!(
+        "asks {} answered {} not-run {} unknown {} (of calls once {}) failed {} cut {} dropped {}",
+        evidence.asks.len(),
+        count(&|ask| matches!(ask.outcome, Outcome::Answered(_))),
+        count(&|ask| ask.outcome == Outcome::NotRun),
+        count(&|ask| ask.outcome == Outcome::Unknown),
+        count(&keyed),
+        count(&|ask| ask.outcome == Outcome::Failed),
+        count(&|ask| matches!(ask.outcome, Outcome::Cut(_))),
+        count(&|ask| ask.outcome == Outcome::Dropped),
+    )
+}
+
+pub fn breaches(evidence: &Evidence) -> Vec<Breach> {
+    check(evidence, &Limits::default())
+}
--- a/crates/standin/src/checker/streams.rs
+++ b/crates/standin/src/checker/streams.rs
@@ -57,7 +57,15 @@
                 && other.at_us < one.at_us
         };
         if let Some(other) = begun.iter().find(overtook) {
-            let detail = format!("began after {}, which came later", other.ask.request);
+            let wait = |begun: &Begun<'_>| begun.at_us.saturating_sub(begun.ask.at_us) / 1_000;
+            let detail = format!(
+                "waited {} ms for {}; {}, asked for {} ms later, waited {} ms",
+                wait(one),
+                one.model,
+                other.ask.request,
+                (other.ask.at_us - one.ask.at_us) / 1_000,
+                wait(other),
+            );
             breaches.push(Breach::new(Promise::UrgentFirst, &*one.ask.request, detail));
         }
     }
--- a/crates/standin/src/workload.rs
+++ b/crates/standin/src/workload.rs
@@ -32,6 +32,8 @@
     pub lookup: String,
     /// Share of calls that may not be repeated, from 0 to 1.
     pub checkouts: f64,
+    /// Prefix of idempotency keys, as the system's answer to an address question gives it.
+    pub key_prefix: String,
 }
 
 /// A generator of requests: the same seed gives the same ones.
@@ -101,7 +103,7 @@
         What::Call {
             method: if once { "POST" } else { "GET" }.to_owned(),
             path: path.clone(),
-            key: once.then(|| key(&self.caller, self.number)),
+            key: once.then(|| self.mix.key_prefix.clone() + &key(&self.caller, self.number)),
             body: if once {
                 format!("pair {}", self.number)
             } else {
--- a/crates/standin/tests/seeded_runs.rs
+++ b/crates/standin/tests/seeded_runs.rs
@@ -23,6 +23,7 @@
         checkout: "/checkout".into(),
         lookup: "/stock".into(),
         checkouts: 0.5,
+        key_prefix: String::new(),
     }
 }
 
