--- a/crates/standin/src/schedule.rs
+++ b/crates/standin/src/schedule.rs
@@ -219,7 +219,7 @@
     /// Tells the node's process to shut down gracefully.
     fn shutdown(&mut self, node: usize) -> impl Future<Output = ()>;
 
-    /// Starts a new process for the node, after the old one's end, and waits until it serves.
+    /// Starts a new process for the node once the old one has ended. It need not wait for either.
     fn start(&mut self, node: usize) -> impl Future<Output = ()>;
 }
 
