Refuse connections to an engine that is down, as a stopped process does

Until now its stand-in took and closed them, by which a node cannot tell a crash from a cut. Callers tell an unreached node from a dropped call.

--- a/crates/hyssopscale/tests/support/mod.rs
+++ b/crates/hyssopscale/tests/support/mod.rs
@@ -100,6 +100,11 @@
 
 impl Cluster {
     pub async fn start(seed: u64) -> Self {
+        Self::start_with(seed, true).await
+    }
+
+    /// Starts a cluster; without links to upstreams, one that is down refuses connections.
+    pub async fn start_with(seed: u64, link_upstreams: bool) -> Self {
         let site = site::Config {
             region: "qld-south".into(),
             zones: ["stanthorpe", "warwick", "toowoomba"]
@@ -120,6 +125,7 @@
         };
         let config = fleet::Config {
             site,
+            link_upstreams,
             seed,
             ..fleet::Config::default()
         };
@@ -463,7 +469,8 @@
         )
     };
     format!(
-        "asks {} answered {} not-run {} unknown {} (of calls once {}) failed {} cut {} dropped {}",
+        "asks {} answered {} not-run {} unknown {} (of calls once {}) failed {} cut {} dropped {} \
+         unreached {}",
         evidence.asks.len(),
         count(&|ask| matches!(ask.outcome, Outcome::Answered(_))),
         count(&|ask| ask.outcome == Outcome::NotRun),
@@ -472,9 +479,16 @@
         count(&|ask| ask.outcome == Outcome::Failed),
         count(&|ask| matches!(ask.outcome, Outcome::Cut(_))),
         count(&|ask| ask.outcome == Outcome::Dropped),
+        count(&|ask| ask.outcome == Outcome::Unreached),
     )
 }
 
+/// Returns the requests with an outcome that `is` tells.
+pub fn with(evidence: &Evidence, is: impl Fn(&Outcome) -> bool) -> Vec<&Ask> {
+    let asks = evidence.asks.iter();
+    asks.filter(|ask| is(&ask.outcome)).collect()
+}
+
 pub fn breaches(evidence: &Evidence) -> Vec<Breach> {
     check(evidence, &Limits::default())
 }
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -17,7 +17,7 @@
 use tokio::time::{error::Elapsed, timeout};
 use upstream::link::{Body, Call, Class, Link, Reuse};
 use upstream::sse::Parser;
-use upstream::{Error, Limits, header};
+use upstream::{Error, Limits, Reach, header};
 use wire::rank;
 
 use crate::checker::{Ask, Outcome, What};
@@ -212,6 +212,7 @@
 fn settle(read: Result<Result<Outcome, Error>, Elapsed>, text: String) -> Outcome {
     match read {
         Ok(Ok(outcome)) => outcome,
+        Ok(Err(error)) if error.reach() == Reach::NotSent => Outcome::Unreached,
         Ok(Err(_)) | Err(_) if text.is_empty() => Outcome::Dropped,
         Ok(Err(_)) | Err(_) => Outcome::Cut(text),
     }
--- a/crates/standin/src/checker/nodes.rs
+++ b/crates/standin/src/checker/nodes.rs
@@ -56,7 +56,7 @@
             .iter()
             .filter(|ask| ask.node == *node && ask.at_us < *at_us && ask.until_us > *at_us);
         let broken = under_way.filter(|ask| match ask.outcome {
-            Outcome::Answered(_) | Outcome::NotRun => false,
+            Outcome::Answered(_) | Outcome::NotRun | Outcome::Unreached => false,
             Outcome::Cut(_) | Outcome::Unknown | Outcome::Failed | Outcome::Dropped => true,
         });
         for ask in broken {
--- a/crates/standin/src/checker/record.rs
+++ b/crates/standin/src/checker/record.rs
@@ -49,6 +49,8 @@
     Failed,
     /// The connection broke without an answer.
     Dropped,
+    /// No connection came about, so that nothing was asked.
+    Unreached,
 }
 
 /// One request by a caller.
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -10,7 +10,8 @@
 //! instance's path names. While the engine is leaving it answers new completions and loads with
 //! 503 and `x-leaving: true`. Admin requests: `GET /admin/log` (JSON lines), `GET /admin/state`
 //! (a JSON [`Totals`]), `PUT /admin/faults` (a JSON [`Faults`]; missing fields are reset),
-//! `POST /admin/restart` (cold restart) and `POST /admin/crash`.
+//! `POST /admin/restart` (cold restart) and `POST /admin/crash`. During a cold start connections
+//! are refused, those of the admin included.
 
 mod batch;
 mod cache;
@@ -203,7 +204,7 @@
 
     fn restart(&self) {
         lock(&self.batch).lose_all(End::Crashed, self.config.cold_start);
-        self.connections.drop_all();
+        self.connections.refuse_for(self.config.cold_start);
     }
 }
 
--- a/crates/standin/src/engine/routes.rs
+++ b/crates/standin/src/engine/routes.rs
@@ -218,9 +218,10 @@
                 lock(&self.batch).lose_all(End::Crashed, self.config.cold_start);
                 // The admin's own connection is dropped with the others, after its answer.
                 let connections = self.connections.clone();
+                let cold_start = self.config.cold_start;
                 tokio::spawn(async move {
                     sleep(ANSWER_PAUSE).await;
-                    connections.drop_all();
+                    connections.refuse_for(cold_start.saturating_sub(ANSWER_PAUSE));
                 });
                 http::text(StatusCode::OK, "restarting\n")
             }
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -27,6 +27,9 @@
     pub nodes: usize,
     /// The stand-ins.
     pub site: site::Config,
+    /// Whether nodes reach upstreams over links; else directly, so that an upstream that is down
+    /// refuses their connections. A link takes them and closes them.
+    pub link_upstreams: bool,
     /// The fault of each link outside partitions, such as its latency.
     pub link: Fault,
     /// Seed of the links.
@@ -38,6 +41,7 @@
         Self {
             nodes: 7,
             site: site::Config::default(),
+            link_upstreams: true,
             link: Fault::default(),
             seed: 1,
         }
@@ -98,7 +102,7 @@
             revision: 0,
         };
         for index in 0..config.nodes {
-            let members = fleet.members(index, config.link).await?;
+            let members = fleet.members(index, &config).await?;
             fleet.platforms[index].state().set_members(members);
         }
         Ok(fleet)
@@ -147,8 +151,9 @@
     }
 
     /// Lists the VMs as the node at `index` reaches them, opening its links.
-    async fn members(&self, index: usize, fault: Fault) -> io::Result<Vec<Member>> {
+    async fn members(&self, index: usize, config: &Config) -> io::Result<Vec<Member>> {
         let from = &self.places[index];
+        let fault = config.link;
         let mut members = Vec::new();
         for place in &self.places {
             let peers = match place.vm == from.vm {
@@ -158,7 +163,9 @@
             members.push(node(place, peers));
         }
         for mut member in self.site.platform.state().members().members {
-            if let Role::Runner { address, .. } = &mut member.role {
+            if let Role::Runner { address, .. } = &mut member.role
+                && config.link_upstreams
+            {
                 *address = self.link(&from.vm, &member.vm, *address, fault).await?;
             }
             members.push(member);
--- a/crates/standin/src/http/mod.rs
+++ b/crates/standin/src/http/mod.rs
@@ -6,6 +6,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
@@ -20,12 +21,16 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep, sleep_until};
 
 pub use body::{Body, Closed, Sender};
 
 /// Largest request body in bytes.
 const BODY_BYTES_MAX: usize = 64 << 20;
 
+/// Pause between two attempts to listen again.
+const REBIND_PAUSE: Duration = Duration::from_millis(10);
+
 /// What a handler answers; [`Closed`] closes the connection without a response.
 pub type Answer = Result<Response<Body>, Closed>;
 
@@ -39,12 +44,15 @@
 #[derive(Clone, Debug)]
 pub struct Connections {
     generation: watch::Sender<u64>,
+    /// Time until which connections are refused.
+    closed: watch::Sender<Option<Instant>>,
 }
 
 impl Default for Connections {
     fn default() -> Self {
         Self {
             generation: watch::Sender::new(0),
+            closed: watch::Sender::new(None),
         }
     }
 }
@@ -54,6 +62,13 @@
     pub fn drop_all(&self) {
         self.generation.send_modify(|generation| *generation += 1);
     }
+
+    /// Drops every open connection, and has new ones refused for `time`, as a process does that
+    /// is down.
+    pub fn refuse_for(&self, time: Duration) {
+        self.closed.send_replace(Some(Instant::now() + time));
+        self.drop_all();
+    }
 }
 
 /// A running server. It stops when it is dropped.
@@ -104,14 +119,46 @@
 }
 
 async fn accept<H: Handler>(listener: TcpListener, handler: Arc<H>, connections: Connections) {
+    let Ok(address) = listener.local_addr() else {
+        return;
+    };
+    let mut listener = Some(listener);
+    let mut closed = connections.closed.subscribe();
     loop {
-        // An error of one accept, such as a lack of descriptors, passes.
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::task::yield_now().await;
-            continue;
+        let open = match listener.take() {
+            Some(open) => open,
+            None => reopen(address, &mut closed).await,
         };
-        let dropped = connections.generation.subscribe();
-        tokio::spawn(serve(stream, handler.clone(), dropped));
+        tokio::select! {
+            accepted = open.accept() => {
+                // An error of one accept, such as a lack of descriptors, passes.
+                if let Ok((stream, _)) = accepted {
+                    let dropped = connections.generation.subscribe();
+                    tokio::spawn(serve(stream, handler.clone(), dropped));
+                }
+                listener = Some(open);
+            }
+            // The listener is dropped, so that connections are refused until it is bound again.
+            _ = closed.changed() => {}
+        }
+    }
+}
+
+/// Waits until connections are to be taken again, and listens at the same address.
+async fn reopen(address: SocketAddr, closed: &mut watch::Receiver<Option<Instant>>) -> TcpListener {
+    loop {
+        let until = *closed.borrow_and_update();
+        if let Some(until) = until {
+            sleep_until(until).await;
+        }
+        if *closed.borrow() != until {
+            continue;
+        }
+        if let Ok(listener) = TcpListener::bind(address).await {
+            return listener;
+        }
+        // Another socket may hold the port for a moment.
+        sleep(REBIND_PAUSE).await;
     }
 }
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -14,7 +14,8 @@
 //! - [`http`] is the small server that they share.
 //!
 //! Each kind has admin requests under `/admin/`, so that a test of other processes can drive it,
-//! and the same calls in-process. Admin requests are served in every mode.
+//! and the same calls in-process. Admin requests are served in every mode,
+//! but not while an engine is down.
 
 pub mod answer;
 pub mod caller;
--- a/crates/standin/tests/caller_outcomes.rs
+++ b/crates/standin/tests/caller_outcomes.rs
@@ -156,6 +156,22 @@
     );
 }
 
+#[tokio::test]
+async fn unreached_node_is_told_from_a_dropped_call() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let entry = Entry {
+        node: "vm-1".into(),
+        address: listener.local_addr().unwrap(),
+    };
+    let accept = async { drop(listener.accept().await) };
+    let caller = caller();
+    let (dropped, ()) = tokio::join!(caller.ask(&entry, completion(1)), accept);
+    drop(listener);
+    let unreached = caller.ask(&entry, completion(1)).await;
+    let outcomes = (dropped.outcome, unreached.outcome);
+    assert_eq!(outcomes, (Outcome::Dropped, Outcome::Unreached));
+}
+
 /// A process that ends with its test.
 struct Process(std::process::Child);
 
--- a/crates/standin/tests/engine_behaviour.rs
+++ b/crates/standin/tests/engine_behaviour.rs
@@ -232,7 +232,12 @@
     };
     assert_eq!(poison.reach(), Reach::MaybeSent);
     assert!(matches!(read(innocent).await, Err(Error::Cut { .. })));
-    assert!(site.driver.report().await.is_err(), "the engine is down");
+    let down = site.driver.report().await.unwrap_err();
+    assert_eq!(
+        down.reach(),
+        Reach::NotSent,
+        "connections are refused: {down:?}"
+    );
     while site.driver.models().await.is_err() {
         sleep(Duration::from_millis(5)).await;
         assert!(begun.elapsed() < PATIENT);
