Write out what a cut stream has buffered before it closes

An engine's stand-in that cuts its streams after three tokens sometimes gave two, since the server dropped the last one together with the connection.

--- a/crates/standin/src/http/body.rs
+++ b/crates/standin/src/http/body.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
@@ -57,6 +57,8 @@
         parts: mpsc::UnboundedReceiver<Result<Bytes, Closed>>,
         /// Length told in the head, if it is.
         length: Option<u64>,
+        /// Whether the connection closes at the next poll.
+        closing: bool,
     },
 }
 
@@ -69,7 +71,14 @@
     /// Makes a streamed body and its writer. With `length` the head tells that length.
     pub fn stream(length: Option<u64>) -> (Sender, Self) {
         let (sender, parts) = mpsc::unbounded_channel();
-        (Sender(sender), Self::Stream { parts, length })
+        (
+            Sender(sender),
+            Self::Stream {
+                parts,
+                length,
+                closing: false,
+            },
+        )
     }
 }
 
@@ -83,9 +92,17 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Closed>>> {
         match &mut *self {
             Self::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Stream { parts, .. } => parts
-                .poll_recv(cx)
-                .map(|part| part.map(|part| part.map(Frame::data))),
+            Self::Stream { closing: true, .. } => Poll::Ready(Some(Err(Closed))),
+            Self::Stream { parts, closing, .. } => match ready!(parts.poll_recv(cx)) {
+                Some(Err(Closed)) => {
+                    // The server writes out what it has buffered before the next poll; an error
+                    // at once would make it drop that.
+                    *closing = true;
+                    cx.waker().wake_by_ref();
+                    Poll::Pending
+                }
+                part => Poll::Ready(part.map(|part| part.map(Frame::data))),
+            },
         }
     }
 
