Keep keys with another lineage's ticket from running

A group that was cut off and its successor both took keys with the old group's ticket, the one without the fence and the other after its quarantine: the new case of cut_off_group_stops ran calls twice. Such a key now runs in the lineage that it names and in no other.

--- a/crates/dispatch/src/poison/mod.rs
+++ b/crates/dispatch/src/poison/mod.rs
@@ -11,8 +11,8 @@
 //!   on. The requests beside it are not charged.
 
 mod charge;
+mod seat;
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -20,6 +20,7 @@
 
 use charge::Book;
 pub use charge::{Charge, Id};
+use seat::Seat;
 
 /// Hash of a request's work: its route, its model and its body, not its key or caller.
 pub type Print = u64;
@@ -30,12 +31,6 @@
 /// One in so many upstreams of a pool is a ward.
 const WARD_SHARE: usize = 3;
 
-/// Times that a reservation is told before the seat is given.
-const RESERVE_TELLINGS: u32 = 2;
-
-/// Time for which a seat is kept without a renewal, in resend times.
-const SEAT_RENEWALS: u32 = 8;
-
 /// Times that a charge is told to each peer.
 const TELLINGS: u8 = 3;
 
@@ -219,32 +214,6 @@
     asked: Option<Time>,
 }
 
-/// The request that a seat is for.
-#[derive(Clone, Debug)]
-struct Holder {
-    who: Incarnation,
-    request: Request,
-    /// When it may run; until then, news of the reservation spreads.
-    from: Time,
-    until: Time,
-}
-
-impl Holder {
-    fn is(&self, who: &Incarnation, request: Request) -> bool {
-        self.who == *who && self.request == request
-    }
-}
-
-/// A ward's seat at the node that gives it out.
-#[derive(Clone, Debug)]
-struct Seat {
-    upstream: Upstream,
-    holder: Option<Holder>,
-    /// When the reservation is next told.
-    told: Time,
-    queue: VecDeque<(Incarnation, Request, Time)>,
-}
-
 /// Poison detection at one node. See the [module](self).
 #[derive(Clone, Debug)]
 pub struct Poison {
@@ -332,27 +301,6 @@
         out.push(Action::Run { request, seated });
     }
 
-    fn ask_seats(&mut self, now: Time, out: &mut Vec<Action>) {
-        let mut asks = Vec::new();
-        for waiter in &mut self.waiters {
-            if waiter.asked.is_some_and(|at| now < at + self.config.resend) {
-                continue;
-            }
-            waiter.asked = Some(now);
-            asks.push((waiter.upstream.clone(), waiter.request));
-        }
-        if now >= self.renewal {
-            self.renewal = now + self.config.resend;
-            let seated = self.runs.iter().filter(|run| run.seated);
-            asks.extend(seated.map(|run| (run.upstream.clone(), run.request)));
-        }
-        for (upstream, request) in asks {
-            let owner = self.view.owner(&upstream).cloned();
-            let to = owner.unwrap_or_else(|| self.me.vm.clone());
-            self.send(now, to, Message::Ask { upstream, request }, out);
-        }
-    }
-
     /// Sends a message; one to this node itself is taken at once.
     fn send(&mut self, now: Time, to: Vm, message: Message, out: &mut Vec<Action>) {
         if to == self.me.vm {
@@ -384,152 +332,6 @@
         }
     }
 
-    fn reserve(&mut self, now: Time, upstream: Upstream, left: Duration) {
-        self.reserved
-            .retain(|(ward, until)| *ward != upstream && now < *until);
-        if left > Duration::ZERO {
-            let left = left.min(self.config.resend * SEAT_RENEWALS);
-            self.reserved.push((upstream, now + left));
-        }
-    }
-
-    fn asked(
-        &mut self,
-        now: Time,
-        from: &Incarnation,
-        upstream: Upstream,
-        request: Request,
-        out: &mut Vec<Action>,
-    ) {
-        let index = match self.seats.binary_search_by(|s| s.upstream.cmp(&upstream)) {
-            Ok(index) => index,
-            Err(index) => {
-                let seat = Seat {
-                    upstream,
-                    holder: None,
-                    told: Time::ZERO,
-                    queue: VecDeque::new(),
-                };
-                self.seats.insert(index, seat);
-                index
-            }
-        };
-        let seat = &mut self.seats[index];
-        let same =
-            |(who, which, _): &(Incarnation, Request, Time)| who == from && *which == request;
-        let until = now + self.config.resend * SEAT_RENEWALS;
-        if let Some(holder) = seat.holder.as_mut().filter(|h| h.is(from, request)) {
-            holder.until = until.max(holder.until);
-            // The reply was lost or is on its way.
-            return self.give(now, index, out);
-        }
-        match seat.queue.iter_mut().find(|entry| same(entry)) {
-            Some(entry) => entry.2 = now,
-            None => seat.queue.push_back((from.clone(), request, now)),
-        }
-        self.seat_next(now, index, out);
-    }
-
-    /// Gives a free seat to the first in the queue that still asks for it.
-    fn seat_next(&mut self, now: Time, index: usize, out: &mut Vec<Action>) {
-        let stale = self.config.resend * 4;
-        let seat = &mut self.seats[index];
-        if seat.holder.as_ref().is_some_and(|h| now < h.until) {
-            return;
-        }
-        seat.holder = None;
-        seat.queue.retain(|(_, _, asked)| now <= *asked + stale);
-        let Some((who, request, _)) = seat.queue.pop_front() else {
-            return;
-        };
-        seat.holder = Some(Holder {
-            who,
-            request,
-            from: now + self.config.resend * RESERVE_TELLINGS,
-            until: now + self.config.resend * SEAT_RENEWALS,
-        });
-        self.tell_reserved(now, index, out);
-    }
-
-    /// Tells everybody that a ward is in use, for a short time, and again before it has passed.
-    fn tell_reserved(&mut self, now: Time, index: usize, out: &mut Vec<Action>) {
-        let resend = self.config.resend;
-        let seat = &mut self.seats[index];
-        seat.told = now + resend;
-        let upstream = seat.upstream.clone();
-        let left = resend * RESERVE_TELLINGS * 2;
-        self.reserve(now, upstream.clone(), left);
-        self.broadcast(&Message::Reserve { upstream, left }, out);
-    }
-
-    fn give(&mut self, now: Time, index: usize, out: &mut Vec<Action>) {
-        let seat = &self.seats[index];
-        let Some(holder) = seat.holder.clone().filter(|h| now >= h.from) else {
-            return;
-        };
-        let upstream = seat.upstream.clone();
-        let request = holder.request;
-        let message = Message::Seat { upstream, request };
-        self.send(now, holder.who.vm, message, out);
-    }
-
-    fn seated(
-        &mut self,
-        now: Time,
-        from: &Incarnation,
-        upstream: &Upstream,
-        request: Request,
-        out: &mut Vec<Action>,
-    ) {
-        if self.runs.iter().any(|r| r.request == request && r.seated) {
-            return;
-        }
-        let waits = |w: &Waiter| w.request == request && w.upstream == *upstream;
-        let Some(index) = self.waiters.iter().position(waits) else {
-            let upstream = upstream.clone();
-            let rise = Message::Rise { upstream, request };
-            return self.send(now, from.vm.clone(), rise, out);
-        };
-        let waiter = self.waiters.remove(index);
-        if self.standing(waiter.print) != Standing::Convicted {
-            return self.run(waiter, true, out);
-        }
-        let crashes = self.book.count(waiter.print);
-        out.push(Action::Refuse { request, crashes });
-        self.rise(now, upstream.clone(), request, out);
-    }
-
-    fn rise(&mut self, now: Time, upstream: Upstream, request: Request, out: &mut Vec<Action>) {
-        let owner = self.view.owner(&upstream).cloned();
-        let to = owner.unwrap_or_else(|| self.me.vm.clone());
-        self.send(now, to, Message::Rise { upstream, request }, out);
-    }
-
-    fn risen(
-        &mut self,
-        now: Time,
-        from: &Incarnation,
-        upstream: &Upstream,
-        request: Request,
-        out: &mut Vec<Action>,
-    ) {
-        let Ok(index) = self.seats.binary_search_by(|s| s.upstream.cmp(upstream)) else {
-            return;
-        };
-        let seat = &mut self.seats[index];
-        if seat.holder.as_ref().is_none_or(|h| !h.is(from, request)) {
-            return;
-        }
-        seat.holder = None;
-        self.reserve(now, upstream.clone(), Duration::ZERO);
-        self.seat_next(now, index, out);
-        if self.seats[index].holder.is_none() {
-            let left = Duration::ZERO;
-            let upstream = upstream.clone();
-            self.broadcast(&Message::Reserve { upstream, left }, out);
-        }
-    }
-
     fn over(&mut self, now: Time, request: Request, whole: bool, out: &mut Vec<Action>) {
         self.waiters.retain(|waiter| waiter.request != request);
         let Some(index) = self.runs.iter().position(|r| r.request == request) else {
@@ -654,15 +456,6 @@
             .retain(|seat| seat.holder.is_some() || !seat.queue.is_empty());
     }
 
-    fn tick_seat(&mut self, now: Time, index: usize, out: &mut Vec<Action>) {
-        self.seat_next(now, index, out);
-        let seat = &self.seats[index];
-        if seat.holder.is_some() && now >= seat.told {
-            self.tell_reserved(now, index, out);
-            self.give(now, index, out);
-        }
-    }
-
     /// Tells a node that is new what is held against whom.
     fn take_view(&mut self, now: Time, view: View, out: &mut Vec<Action>) {
         let peers = view.peers().iter().map(|p| &p.incarnation);
--- a/crates/once/src/guard/executor.rs
+++ b/crates/once/src/guard/executor.rs
@@ -1,7 +1,5 @@
 //! The executor: collects votes for its claims and decides what becomes of its requests.
 
-use std::time::Duration;
-
 use wire::{Incarnation, Request, Time};
 
 use super::run::{Delivery, Next, Outcome, Phase, Reason, Run, Waiter};
@@ -11,9 +9,6 @@
 use crate::message::{Claim, Message, Told, Verdict};
 use crate::set::Member;
 
-/// Longest time between two deliveries of an answer to a witness that does not confirm it.
-const DELIVERY_WAIT_MAX: Duration = Duration::from_secs(5);
-
 impl Guard {
     pub(super) fn begin(
         &mut self,
@@ -342,79 +337,6 @@
         }
     }
 
-    /// Withdraws a claim that holds a quorum: after a quorum has recorded the void, no attempt
-    /// made before can run.
-    fn void(&mut self, now: Time, key: Key, reason: Reason, out: &mut Vec<Action>) {
-        let Some(run) = self.runs.get_mut(&key) else {
-            return;
-        };
-        run.phase = Phase::Voiding(reason);
-        run.progress = now;
-        run.renew_void(now);
-        self.send_void(now, &key, out);
-    }
-
-    fn send_void(&mut self, now: Time, key: &Key, out: &mut Vec<Action>) {
-        let set = self.id;
-        let Some(run) = self.runs.get_mut(key) else {
-            return;
-        };
-        run.resend = now + self.config.resend;
-        let message = Message::Void {
-            set,
-            claim: run.claim.clone(),
-            round: run.round,
-            key: run.key,
-            body: run.body,
-        };
-        self.send_all(&message, out);
-    }
-
-    fn take_void(
-        &mut self,
-        now: Time,
-        voter: Member,
-        (claim, round): (&Claim, u32),
-        key: Key,
-        out: &mut Vec<Action>,
-    ) {
-        let quorum = self.set.quorum();
-        let Some(run) = self.runs.get_mut(&key) else {
-            return;
-        };
-        let Phase::Voiding(reason) = run.phase else {
-            return;
-        };
-        if run.claim != *claim || run.round != round {
-            return;
-        }
-        if now > run.voided + self.config.void_span() {
-            // Too late to speak for all that began meanwhile: the voids are recorded anew.
-            run.renew_void(now);
-            return self.send_void(now, &key, out);
-        }
-        if let Err(index) = run.acks.binary_search(&voter) {
-            run.acks.insert(index, voter);
-        }
-        if run.acks.len() >= quorum {
-            self.refuse_not_run(now, key, reason, out);
-        }
-    }
-
-    fn refuse_not_run(&mut self, now: Time, key: Key, reason: Reason, out: &mut Vec<Action>) {
-        let Some(run) = self.close(now, &key, out) else {
-            return;
-        };
-        for waiter in &run.waiters {
-            out.push(Action::Refuse {
-                request: waiter.request,
-                outcome: Outcome::NotRun,
-                reason,
-                retry_after: Some(self.config.void_span() + self.config.resend),
-            });
-        }
-    }
-
     /// Answers every waiter and gives the claim up.
     fn end(&mut self, now: Time, key: Key, next: &Next, out: &mut Vec<Action>) {
         if let Some(run) = self.close(now, &key, out) {
@@ -423,7 +345,7 @@
     }
 
     /// Removes a run that will not execute, and frees its votes.
-    fn close(&mut self, now: Time, key: &Key, out: &mut Vec<Action>) -> Option<Run> {
+    pub(super) fn close(&mut self, now: Time, key: &Key, out: &mut Vec<Action>) -> Option<Run> {
         let run = self.runs.remove(key)?;
         for waiter in &run.waiters {
             self.requests.remove(&waiter.request);
@@ -435,24 +357,7 @@
         Some(run)
     }
 
-    /// Gives a call up that has not been sent.
-    pub(super) fn abandon(&mut self, now: Time, request: Request, out: &mut Vec<Action>) {
-        let Some(key) = self.requests.get(&request).copied() else {
-            return;
-        };
-        let Some(run) = self.runs.get_mut(&key) else {
-            return;
-        };
-        match run.phase {
-            Phase::Granted(_) if run.runner == request => {
-                self.void(now, key, Reason::Abandoned, out);
-            }
-            Phase::Claiming if run.waiters.len() == 1 => run.given_up = true,
-            _ => self.drop_waiter(request, &key, out),
-        }
-    }
-
-    fn drop_waiter(&mut self, request: Request, key: &Key, out: &mut Vec<Action>) {
+    pub(super) fn drop_waiter(&mut self, request: Request, key: &Key, out: &mut Vec<Action>) {
         self.requests.remove(&request);
         if let Some(run) = self.runs.get_mut(key) {
             run.waiters.retain(|waiter| waiter.request != request);
@@ -465,92 +370,6 @@
         });
     }
 
-    /// Takes the end of a call that was sent.
-    pub(super) fn finish(
-        &mut self,
-        now: Time,
-        request: Request,
-        mut record: Record,
-        out: &mut Vec<Action>,
-    ) {
-        let Some(key) = self.executed(request) else {
-            return;
-        };
-        let Some(run) = self.runs.remove(&key) else {
-            return;
-        };
-        let whole = record.clone();
-        if record.bytes() > self.config.body {
-            record.body = None;
-        }
-        let delivery = Delivery {
-            claim: run.claim,
-            body: run.body,
-            record: record.clone(),
-            confirmed: Vec::new(),
-            next: now,
-            wait: self.config.resend,
-            until: now + self.config.keep(),
-        };
-        self.record_answer(now, key, run.body, record);
-        self.deliveries.insert(key, delivery);
-        self.deliver(now, key, out);
-        for waiter in &run.waiters {
-            self.requests.remove(&waiter.request);
-        }
-        respond(&run.waiters, &Next::Finish(whole), &self.config, out);
-    }
-
-    /// Returns the key whose call was sent for `request`, whose own wait may be over.
-    fn executed(&self, request: Request) -> Option<Key> {
-        let sent = |run: &&Run| run.runner == request && matches!(run.phase, Phase::Sent(_));
-        match self.requests.get(&request) {
-            Some(key) => self.runs.get(key).filter(sent).map(|run| run.key),
-            None => self.runs.values().find(sent).map(|run| run.key),
-        }
-    }
-
-    /// Hands an answer to the witnesses that have not confirmed it.
-    fn deliver(&mut self, now: Time, key: Key, out: &mut Vec<Action>) {
-        let vms = self.member_vms();
-        let me = self.me.incarnation.vm.clone();
-        let Some(delivery) = self.deliveries.get_mut(&key) else {
-            return;
-        };
-        let open = |vm: &wire::Vm| *vm != me && !delivery.confirmed.contains(vm);
-        let missing: Vec<_> = vms.into_iter().filter(open).collect();
-        if missing.is_empty() || now >= delivery.until {
-            self.deliveries.remove(&key);
-            return;
-        }
-        delivery.next = now + delivery.wait;
-        delivery.wait = (delivery.wait * 2).min(DELIVERY_WAIT_MAX);
-        let message = Message::Store {
-            claim: delivery.claim.clone(),
-            key,
-            body: delivery.body,
-            record: delivery.record.clone(),
-        };
-        for vm in missing {
-            self.send(&vm, message.clone(), out);
-        }
-    }
-
-    fn take_stored(&mut self, from: &Incarnation, claim: &Claim, key: Key) {
-        let Some(delivery) = self.deliveries.get_mut(&key) else {
-            return;
-        };
-        if delivery.claim == *claim && !delivery.confirmed.contains(&from.vm) {
-            delivery.confirmed.push(from.vm.clone());
-        }
-        let me = &self.me.incarnation.vm;
-        let done =
-            |m: &Member| m.incarnation.vm == *me || delivery.confirmed.contains(&m.incarnation.vm);
-        if self.set.members().iter().all(done) {
-            self.deliveries.remove(&key);
-        }
-    }
-
     pub(super) fn tick_runs(&mut self, now: Time, out: &mut Vec<Action>) {
         let due = |run: &&Run| run.wake(&self.config) <= now;
         let keys: Vec<Key> = self.runs.values().filter(due).map(|run| run.key).collect();
@@ -618,7 +437,12 @@
 }
 
 /// Tells waiters how their call ended.
-fn respond(waiters: &[Waiter], next: &Next, config: &super::Config, out: &mut Vec<Action>) {
+pub(super) fn respond(
+    waiters: &[Waiter],
+    next: &Next,
+    config: &super::Config,
+    out: &mut Vec<Action>,
+) {
     for waiter in waiters {
         let request = waiter.request;
         let refuse = |outcome, reason, retry_after| Action::Refuse {
--- a/crates/once/src/guard/mod.rs
+++ b/crates/once/src/guard/mod.rs
@@ -4,13 +4,16 @@
 //! - `members` keeps the witness set: joins, burials, recovery and founding.
 //! - `witness` answers the questions of executors.
 //! - `executor` collects votes and decides what becomes of a request.
+//! - `void` withdraws calls that were not sent, and `delivery` ends those that were.
 //! - `run` is the state of one key at its executor.
 //! - `lookup` tells operators what is known of a key.
 
+mod delivery;
 mod executor;
 mod lookup;
 mod members;
 mod run;
+mod void;
 mod witness;
 
 use std::collections::{BTreeMap, VecDeque};
--- a/crates/once/src/guard/run.rs
+++ b/crates/once/src/guard/run.rs
@@ -189,6 +189,10 @@
                     why = Reason::Quarantine;
                     left = left.max(Some(*time));
                 }
+                Verdict::Foreign => {
+                    stuck += 1;
+                    why = Reason::Quarantine;
+                }
                 Verdict::Fenced => {
                     stuck += 1;
                     why = Reason::Fenced;
--- a/crates/once/src/guard/witness.rs
+++ b/crates/once/src/guard/witness.rs
@@ -99,14 +99,17 @@
         if !self.holder {
             return Verdict::Fresh;
         }
-        if key.ticket() != Some(self.set.lineage()) {
-            if now < self.quarantine {
+        match key.ticket() {
+            Some(lineage) if lineage == self.set.lineage() => {}
+            Some(_) => return Verdict::Foreign,
+            None if now < self.quarantine => {
                 let left = self.quarantine - now;
                 return Verdict::Quarantined { left };
             }
-            if self.listed.is_none_or(|at| now - at > self.config.fence) {
+            None if self.listed.is_none_or(|at| now - at > self.config.fence) => {
                 return Verdict::Fenced;
             }
+            None => {}
         }
         let expires = now + self.config.keep();
         let new = self
--- a/crates/once/src/message.rs
+++ b/crates/once/src/message.rs
@@ -45,6 +45,8 @@
         /// Time until such keys are taken.
         left: Duration,
     },
+    /// The key carries the ticket of another lineage, whose members may still vote for it.
+    Foreign,
     /// The witness has not read the VM list within the fence.
     Fenced,
     /// The witness has not recovered yet.
--- a/crates/once/tests/message_fuzz.rs
+++ b/crates/once/tests/message_fuzz.rs
@@ -74,6 +74,7 @@
         (record(), body()).prop_map(|(record, body)| Verdict::Ended { record, body }),
         span().prop_map(|left| Verdict::Quarantined { left }),
         Just(Verdict::Fenced),
+        Just(Verdict::Foreign),
         Just(Verdict::Fresh),
     ]
 }
