Keep a burst on one engine from spending retry budgets

Cause: requests that waited for one load are granted together. More of them than the 64 urgent connections to that engine failed with a full connection limit, which was retried out of the upstream's retry budget until it was empty: 60 of 3,130 requests at 400/s were refused as not run.

Change: the connection limits follow the pool's batch, and this node's own limit sends a request elsewhere without costing a retry.

--- a/crates/hyssopscale/src/cli.rs
+++ b/crates/hyssopscale/src/cli.rs
@@ -17,6 +17,9 @@
 const EXIT_CODES: &str = "Exit codes: 0 done; 1 faults found, a node without an answer, a \
                           refusal, or an unknown outcome; 2 wrong arguments";
 
+/// Threads that carry a program's tasks at most; more of them cost time in waking each other.
+const THREADS_MAX: usize = 4;
+
 /// Runs `hyssopd`.
 pub fn daemon() -> ExitCode {
     let matches = daemon_command().get_matches();
@@ -89,7 +92,11 @@
 }
 
 fn block_on(work: impl Future<Output = Result<(), Error>>) -> Result<(), Error> {
+    let threads = std::thread::available_parallelism()
+        .map_or(1, usize::from)
+        .min(THREADS_MAX);
     let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(threads)
         .enable_all()
         .build()?;
     let result = runtime.block_on(work);
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -13,6 +13,10 @@
 /// Time that an idle connection to an upstream is kept.
 const KEEP: Duration = Duration::from_secs(20);
 
+/// Connections of each class to an upstream for each sequence of its largest batch: requests that
+/// waited for one load start together, and more of them than run at once.
+const CONNECTIONS_PER_SEQUENCE: usize = 4;
+
 /// An entry VM.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Entry {
@@ -219,12 +223,16 @@
 }
 
 fn open(id: &Upstream, address: SocketAddr, pool: &settings::Pool, settings: &Settings) -> Link {
+    let batch = pool.max_batch as usize;
+    let defaults = Limits::default();
     let limits = Limits {
+        urgent: defaults.urgent.max(batch * CONNECTIONS_PER_SEQUENCE),
+        ordinary: defaults.ordinary.max(batch * CONNECTIONS_PER_SEQUENCE),
         connect: settings.time.connect,
         head: settings.time.first_byte,
         body: settings.time.idle,
         keep: KEEP,
-        ..Limits::default()
+        ..defaults
     };
     match pool.driver {
         Driver::Engine => {
--- a/crates/node/src/front/model/job.rs
+++ b/crates/node/src/front/model/job.rs
@@ -475,6 +475,13 @@
                     .ended(now, &runner.pool, &runner.id, Verdict::Neutral);
                 Begun::Missing
             }
+            // This node's own limit says nothing of the engine and costs no retry.
+            Err(Error::Full { .. }) => {
+                shared
+                    .trials
+                    .ended(now, &runner.pool, &runner.id, Verdict::Neutral);
+                Begun::Elsewhere
+            }
             Err(error) => Begun::Failed(runner.clone(), trial, error),
         }
     }
