--- a/crates/node/src/front/model/job.rs
+++ b/crates/node/src/front/model/job.rs
@@ -29,7 +29,6 @@
 use crate::front::reply::{Writer, broken};
 use crate::front::{Body, Cut, Outcome, Problem, Sender};
 use crate::journal::DECISION;
-use crate::metrics::Metrics;
 use crate::shared::Rules;
 
 /// Times that a request is placed anew because its grant came to nothing before it ran.
--- a/crates/node/src/metrics/mod.rs
+++ b/crates/node/src/metrics/mod.rs
@@ -198,13 +198,6 @@
         self.state.show(status);
     }
 
-    /// Records a wait in one of the histograms by priority.
-    pub(crate) fn observe(histogram: &HistogramVec, priority: Priority, wait: Duration) {
-        histogram
-            .with_label_values(&[priority.name()])
-            .observe(wait.as_secs_f64());
-    }
-
     /// Returns the text exposition of all metrics.
     ///
     /// # Errors
