--- a/crates/placement/src/holder/mod.rs
+++ b/crates/placement/src/holder/mod.rs
@@ -16,7 +16,7 @@
 use crate::action::{Action, Reason};
 use crate::choice::Choice;
 use crate::event::{Instance, Pool, Request};
-use crate::message::{Ask, Held as HeldMessage, Message, Number};
+use crate::message::{Ask, Message, Number};
 use crate::planner::Effects;
 use crate::planner::promise::Promises;
 use crate::settings::Settings;
@@ -443,24 +443,6 @@
         }
     }
 
-    /// Returns the leases on `upstream`, ended ones with running requests included.
-    pub fn held(&self, now: Time, upstream: &str) -> Vec<HeldMessage> {
-        let mut held = Vec::new();
-        for (model, local) in &self.models {
-            for lease in &local.leases {
-                let used = lease.in_use > 0 || lease.until > now;
-                if *lease.upstream == *upstream && used {
-                    held.push(HeldMessage {
-                        model: model.clone(),
-                        instance: lease.instance.clone(),
-                        lease: lease.lease,
-                    });
-                }
-            }
-        }
-        held
-    }
-
     /// Forgets models that nobody has asked for within a while.
     pub fn sweep(&mut self, now: Time, settings: &Settings) {
         let forget = settings.half_life * 8;
--- a/crates/placement/src/message.rs
+++ b/crates/placement/src/message.rs
@@ -78,17 +78,6 @@
     pub carried: Option<Carried>,
 }
 
-/// A lease in an answer to a claim.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Held {
-    /// The model.
-    pub model: Model,
-    /// The instance.
-    pub instance: Instance,
-    /// The lease.
-    pub lease: Lease,
-}
-
 /// A model's popularity, handed to a new owner.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Popularity {
@@ -100,7 +89,7 @@
     pub rate: f32,
 }
 
-/// What a holder knows of an upstream, for its new owner.
+/// What a peer yields and knows of an upstream, for its new owner.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Answer {
     /// The upstream.
@@ -108,8 +97,6 @@
     /// Number of the claim that is answered. The sender takes grants of no lower one from now on,
     /// and gives neither orders nor grants for the upstream itself.
     pub claim: Fence,
-    /// Leases that the sender holds.
-    pub held: Vec<Held>,
     /// Instances that the sender, as the former owner, has ordered to be unloaded.
     pub doomed: Vec<Instance>,
     /// Most popular models there, as the former owner saw them.
@@ -165,7 +152,7 @@
         /// Highest number that the holder has used; grants to later asks stay.
         number: Number,
     },
-    /// New owner to every peer: who holds what? It supersedes claims with lower numbers.
+    /// New owner to every peer: it supersedes claims with lower numbers.
     Claim {
         /// Upstreams with the number of each claim.
         claims: Vec<(Upstream, Fence)>,
--- a/crates/placement/src/owner/mod.rs
+++ b/crates/placement/src/owner/mod.rs
@@ -78,7 +78,6 @@
     reported: Option<Time>,
     changed: Time,
     answered: Vec<Incarnation>,
-    reports: Vec<takeover::Report>,
     doomed: Vec<Instance>,
     adopted: bool,
     seats: Vec<Seat>,
@@ -113,7 +112,6 @@
             reported: None,
             changed: now,
             answered: Vec::new(),
-            reports: Vec::new(),
             doomed: Vec::new(),
             adopted: false,
             seats: Vec::new(),
@@ -427,7 +425,7 @@
         let free = |(_, seat): &(usize, &Seat)| {
             let queued = seat.model.as_ref().is_some_and(|m| self.queue.contains(m));
             let wanted = queued && !seat.doomed;
-            seat.model.is_some() && seat.free(now, settings) && !wanted
+            seat.model.is_some() && seat.free(settings) && !wanted
         };
         self.seats
             .iter()
@@ -524,7 +522,7 @@
     fn evict(&mut self, now: Time, index: usize, rate: f32, settings: &Settings, fx: &mut Effects) {
         let fence = self.fences.advance();
         let deadline = now + settings.order * 2;
-        let others = self.seats.iter().filter(|s| s.free(now, settings)).count();
+        let others = self.seats.iter().filter(|s| s.free(settings)).count();
         let seat = &mut self.seats[index];
         seat.rights.clear();
         seat.state = State::Evicting {
--- a/crates/placement/src/owner/seat.rs
+++ b/crates/placement/src/owner/seat.rs
@@ -82,11 +82,11 @@
     ///
     /// A lease ends by its holder's release, or by its time together with an engine's report that
     /// shows the instance idle and is newer than that time by the report's lag.
-    pub fn free(&self, now: Time, settings: &Settings) -> bool {
+    pub fn free(&self, settings: &Settings) -> bool {
         let over = |right: &Right| {
             let end = right.until.saturating_add(settings.drift);
             let seen = end.saturating_add(settings.report_lag);
-            now > end && self.idle.is_some_and(|idle| idle > seen)
+            self.idle.is_some_and(|idle| idle > seen)
         };
         self.state == State::Ready && self.rights.iter().all(over)
     }
--- a/crates/placement/src/owner/takeover.rs
+++ b/crates/placement/src/owner/takeover.rs
@@ -1,12 +1,13 @@
 //! Instances that earlier owners loaded: who may still use them, and when they are this owner's.
 //!
-//! A new owner claims the upstream with a growing number. Each peer that answers gives its leases,
-//! stops acting as the upstream's owner, and takes grants of no lower claim from then on. Once
-//! every peer of the view has answered, and each other incarnation is gone from the view, nobody
-//! else can grant a lease on the instances or order them away: the owner adopts them with the
-//! leases that were answered. Before that it uses free slots and its own instances only.
+//! A new owner claims the upstream with a growing number. Each peer that answers stops acting as
+//! the upstream's owner, and takes grants of no lower claim from then on. Once every peer of the
+//! view has answered, and each other incarnation is gone from the view, nobody else can grant a
+//! lease on the instances or order them away: the owner adopts them. Requests may start under
+//! earlier leases for one lease's time more; after that the engine's own report tells whether an
+//! instance is in use. Before the adoption the owner uses free slots and its own instances only.
 
-use wire::{Incarnation, Lease, Time, View};
+use wire::{Incarnation, Time, View};
 
 use super::seat::{Right, Seat, State};
 use super::{Known, Owner, POPULAR, Ticket};
@@ -17,14 +18,6 @@
 use crate::planner::Effects;
 use crate::settings::Settings;
 
-/// A lease that a peer answered with.
-#[derive(Clone, Debug)]
-pub(super) struct Report {
-    pub(super) holder: Incarnation,
-    pub(super) instance: Instance,
-    pub(super) lease: Lease,
-}
-
 impl Owner {
     /// Returns the peers that have not answered the claim.
     pub fn unanswered<'a>(&'a self, view: &'a View) -> impl Iterator<Item = &'a Incarnation> {
@@ -46,13 +39,6 @@
             return;
         }
         self.answered.push(from.clone());
-        for held in answer.held {
-            self.reports.push(Report {
-                holder: from.clone(),
-                instance: held.instance,
-                lease: held.lease,
-            });
-        }
         self.doomed.extend(answer.doomed);
         for popular in answer.popular {
             let Popularity { model, path, rate } = popular;
@@ -96,24 +82,12 @@
         yielded || *loader == self.me || !view.knows(loader)
     }
 
-    /// Adopts one instance. Holders that are gone may have started requests until their leases'
-    /// end, so that a lease of unknown holders lasts from now.
+    /// Adopts one instance. Leases that the former owner granted may allow requests to start for
+    /// one lease's time from now, at holders known or unknown; a right without a holder stands for
+    /// all of them, and ends by that time and the engine's report alone.
     fn take(&mut self, now: Time, index: usize, settings: &Settings) {
         let until = now + settings.lease;
         let seat = &mut self.seats[index];
-        for report in &self.reports {
-            if report.instance == seat.instance {
-                let known = seat.rights.iter().any(|r| r.holder == report.holder);
-                if !known {
-                    seat.rights.push(Right {
-                        lease: report.lease,
-                        holder: report.holder.clone(),
-                        until,
-                        number: 0,
-                    });
-                }
-            }
-        }
         seat.doomed |= self.doomed.contains(&seat.instance);
         let gone = Incarnation::new("", 0);
         seat.rights.push(Right {
@@ -160,7 +134,6 @@
             instances: self.seats.len(),
         });
         self.seats.clear();
-        self.reports.clear();
         let busy = std::mem::take(&mut self.ticketed);
         if busy { Ticket::Finish } else { Ticket::Keep }
     }
--- a/crates/placement/src/planner/ownership.rs
+++ b/crates/placement/src/planner/ownership.rs
@@ -202,7 +202,7 @@
     }
 
     /// Takes a peer's claim: this node stops acting as the owner, takes no grants of a lower claim
-    /// from now on, and answers with its leases.
+    /// from now on, and answers.
     pub(super) fn claimed(
         &mut self,
         now: Time,
@@ -235,7 +235,6 @@
         let answer = crate::message::Answer {
             upstream: upstream.clone(),
             claim,
-            held: self.holder.held(now, upstream),
             doomed,
             popular,
         };
