--- a/crates/placement/tests/slot_model.rs
+++ b/crates/placement/tests/slot_model.rs
@@ -43,6 +43,7 @@
         3 => (0..900_u64, 0..900_u64).prop_map(|(age, lag)| Op::Report(age, lag)),
         2 => (1..6_000_u64).prop_map(Op::Wait),
         2 => (9_700..10_400_u64).prop_map(Op::Wait),
+        2 => (100..400_u64).prop_map(Op::Wait),
         1 => Just(Op::Reboot),
     ]
 }
@@ -340,7 +341,7 @@
 
 proptest! {
     #![proptest_config(Config {
-        cases: 3000,
+        cases: 8000,
         rng_seed: RngSeed::Fixed(0x510_75ea),
         failure_persistence: None,
         ..Config::default()
--- a/crates/placement/tests/store_budget.rs
+++ b/crates/placement/tests/store_budget.rs
@@ -17,7 +17,7 @@
 
 const NODES: usize = 5;
 const RATE: f64 = 2.4;
-const IN_FLIGHT: usize = 8;
+const IN_FLIGHT: usize = 5;
 const STEP: Duration = Duration::from_millis(50);
 
 /// What happens to one node, or to all, during some steps.
