Lend permits to a second borrower only once the first one's loads are over

Cause: a node that lent its share to one holder and then to another gave the second one its permits with the first renewal, while loads under the first loan could still be in flight. Change: the borrower of the permits is remembered apart from that of the rate.

--- a/crates/placement/src/budget.rs
+++ b/crates/placement/src/budget.rs
@@ -114,6 +114,8 @@
     credit: f64,
     counted: Time,
     lent_to: Option<Incarnation>,
+    /// Who may still have loads in flight under this node's permits.
+    permits_to: Option<Incarnation>,
     rate_free: Time,
     permits_free: Time,
     lent: Vec<Lent>,
@@ -142,6 +144,7 @@
             credit: 0.0,
             counted: born,
             lent_to: None,
+            permits_to: None,
             rate_free: Time::ZERO,
             permits_free: Time::ZERO,
             lent: Vec::new(),
@@ -381,13 +384,17 @@
             return;
         }
         self.count(now, settings);
-        let whole = again || now >= self.permits_free;
+        // Another borrower's loads may still be in flight under the permits.
+        let whole = self.permits_to.as_ref() == Some(from) || now >= self.permits_free;
         let own = if whole { self.own_permits() } else { 0 };
         let permits = own.saturating_sub(u32::try_from(self.issued.len()).unwrap_or(u32::MAX));
         let lent = now + settings.share + settings.drift;
         self.rate_free = lent;
         let life = ticket_life(settings) + settings.drift;
-        self.permits_free = self.permits_free.max(lent + life);
+        if whole {
+            self.permits_free = self.permits_free.max(lent + life);
+            self.permits_to = Some(from.clone());
+        }
         self.lent_to = Some(from.clone());
         let store = self.store.id.clone();
         let message = Message::Share {
