--- /dev/null
+++ b/crates/placement/benches/decision.rs
@@ -0,0 +1,228 @@
+//! Time of one decision, and memory per adapter and upstream, at the size of today (3,000 adapters,
+//! 12 upstreams, 7 nodes) and of one region of the target (42,000 adapters, 320 upstreams, 58
+//! nodes).
+
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::hint::black_box;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use criterion::{Criterion, criterion_group, criterion_main};
+use placement::event::{Fencing, Request, State, Store, Upstream};
+use placement::message::{Ask, Grant, Message};
+use placement::{Action, Event, Planner, Settings};
+use wire::view::{Peer, State as Live};
+use wire::{Incarnation, Machine, Model, Priority, Time, View};
+
+/// Counts the bytes that are allocated now.
+struct Counting;
+
+static ALLOCATED: AtomicUsize = AtomicUsize::new(0);
+
+#[allow(
+    unsafe_code,
+    reason = "a global allocator is unsafe by its trait; it forwards to System's"
+)]
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        ALLOCATED.fetch_add(layout.size(), Ordering::Relaxed);
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, ptr: *mut u8, layout: Layout) {
+        ALLOCATED.fetch_sub(layout.size(), Ordering::Relaxed);
+        unsafe { System.dealloc(ptr, layout) }
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: Counting = Counting;
+
+/// Sizes of one bench.
+#[derive(Clone, Copy)]
+struct Size {
+    name: &'static str,
+    adapters: usize,
+    upstreams: usize,
+    nodes: usize,
+}
+
+const SIZES: [Size; 2] = [
+    Size {
+        name: "today",
+        adapters: 3_000,
+        upstreams: 12,
+        nodes: 7,
+    },
+    Size {
+        name: "region",
+        adapters: 42_000,
+        upstreams: 320,
+        nodes: 58,
+    },
+];
+
+fn model(index: usize) -> Model {
+    Model::new(format!("adapter-{index}"), "1")
+}
+
+fn planner(size: Size) -> Planner {
+    let me = Incarnation::new("vm-0", 1);
+    let mut planner = Planner::new(me, Settings::default());
+    let peers = (0..size.nodes).map(|node| Peer {
+        incarnation: Incarnation::new(format!("vm-{node}"), 1),
+        zone: "z".into(),
+        state: Live::Live,
+    });
+    let upstreams = (0..size.upstreams).map(|index| Upstream {
+        id: format!("runner-{index}").into(),
+        pool: "letters".into(),
+        base: "base".into(),
+        zone: "z".into(),
+        store: "store".into(),
+        slots: 8,
+        max_batch: 32,
+        fencing: Fencing::Ignores,
+        state: State::Live,
+    });
+    let store = Store {
+        id: "store".into(),
+        rate: 2.4,
+        in_flight: 8,
+        load: Duration::from_millis(250),
+    };
+    let mut out: Vec<Action> = Vec::new();
+    for event in [
+        Event::View(View::new(peers)),
+        Event::Stores(vec![store]),
+        Event::Upstreams(upstreams.collect()),
+    ] {
+        planner.step(Time::ZERO, event, &mut out);
+    }
+    planner
+}
+
+fn request(id: u64, index: usize, now: Time) -> Event {
+    Event::Request(Request {
+        id,
+        model: model(index),
+        base: "base".into(),
+        pool: "letters".into(),
+        path: "/weights".into(),
+        priority: Priority::Normal,
+        deadline: now + Duration::from_secs(30),
+        prefix: None,
+        avoid: Vec::new(),
+    })
+}
+
+/// Puts one request to each adapter and answers its ask, so that the planner remembers them all.
+fn warm(planner: &mut Planner, size: Size, now: Time, out: &mut Vec<Action>) {
+    for index in 0..size.adapters {
+        out.clear();
+        planner.step(now, request(index as u64, index, now), out);
+        let asks: Vec<(wire::Vm, Ask)> = out
+            .drain(..)
+            .filter_map(|action| match action {
+                Action::Send {
+                    to,
+                    message: Message::Ask(ask),
+                } => Some((to, ask)),
+                _ => None,
+            })
+            .collect();
+        for (to, ask) in asks {
+            let grant = Grant {
+                instance: format!("{}@1.1.1.{to}", ask.model).into(),
+                upstream: ask.upstream,
+                model: ask.model,
+                number: ask.number,
+                claim: 1,
+                lease: index as u64,
+                fence: 1,
+                carried: None,
+            };
+            let from = Incarnation::new(to, 1);
+            let message = Message::Grant(grant);
+            planner.step(now, Event::Receive { from, message }, out);
+        }
+        let done = Event::Done {
+            request: index as u64,
+        };
+        planner.step(now, done, out);
+    }
+    out.clear();
+}
+
+fn decisions(c: &mut Criterion) {
+    for size in SIZES {
+        let before = ALLOCATED.load(Ordering::Relaxed);
+        let mut planner = planner(size);
+        let bare = ALLOCATED.load(Ordering::Relaxed);
+        let mut out = Vec::with_capacity(64);
+        let now = Duration::from_secs(1);
+        warm(&mut planner, size, now, &mut out);
+        let full = ALLOCATED.load(Ordering::Relaxed);
+        println!(
+            "{}: {} bytes per upstream, {} bytes per adapter",
+            size.name,
+            (bare - before) / size.upstreams,
+            (full - bare) / size.adapters,
+        );
+        let mut id = size.adapters as u64;
+        // One request and its end: the choice with no lease at hand, and the ask withdrawn.
+        c.bench_function(&format!("{}/cold request and end", size.name), |b| {
+            b.iter(|| {
+                id += 1;
+                let index = id as usize % size.adapters;
+                planner.step(now, request(id, index, now), &mut out);
+                planner.step(now, Event::Done { request: id }, &mut out);
+                black_box(&out);
+                out.clear();
+            });
+        });
+        let hot = hold(&mut planner, id + 1, now, &mut out);
+        id = hot;
+        c.bench_function(&format!("{}/leased request and end", size.name), |b| {
+            b.iter(|| {
+                id += 1;
+                planner.step(now, request(id, 0, now), &mut out);
+                planner.step(now, Event::Done { request: id }, &mut out);
+                black_box(&out);
+                out.clear();
+            });
+        });
+    }
+}
+
+/// Leaves one request of the first adapter running, so that its lease stays.
+fn hold(planner: &mut Planner, id: u64, now: Time, out: &mut Vec<Action>) -> u64 {
+    planner.step(now, request(id, 0, now), out);
+    let asks = std::mem::take(out);
+    for action in asks {
+        if let Action::Send {
+            to,
+            message: Message::Ask(ask),
+        } = action
+        {
+            let grant = Grant {
+                instance: format!("{}@1.1.1.{to}", ask.model).into(),
+                upstream: ask.upstream,
+                model: ask.model,
+                number: ask.number,
+                claim: 1,
+                lease: id,
+                fence: 1,
+                carried: None,
+            };
+            let from = Incarnation::new(to, 1);
+            let message = Message::Grant(grant);
+            planner.step(now, Event::Receive { from, message }, out);
+        }
+    }
+    out.clear();
+    id
+}
+
+criterion_group!(benches, decisions);
+criterion_main!(benches);
--- a/crates/placement/src/holder/local.rs
+++ b/crates/placement/src/holder/local.rs
@@ -87,5 +87,13 @@
     pub fn tidy(&mut self, now: Time) {
         self.leases
             .retain(|held| held.in_use > 0 || held.until > now);
+        self.trim();
+    }
+
+    /// Gives the room of leases back where none is left, as with most models.
+    pub fn trim(&mut self) {
+        if self.leases.is_empty() {
+            self.leases = Vec::new();
+        }
     }
 }
--- a/crates/placement/src/holder/mod.rs
+++ b/crates/placement/src/holder/mod.rs
@@ -197,6 +197,7 @@
         if let Some(local) = self.models.get_mut(model) {
             let gone = |held: &local::Held| held.upstream == *upstream && held.in_use == 0;
             local.leases.retain(|held| !gone(held));
+            local.trim();
             if local.leases.iter().any(|held| held.upstream == *upstream) {
                 return;
             }
@@ -243,6 +244,8 @@
         let index = local.want(upstream)?;
         let want = local.wants.swap_remove(index);
         if local.wants.is_empty() {
+            // Most models are idle; their room is not kept.
+            local.wants = Vec::new();
             self.active.retain(|active| active != model);
         }
         Some(want)
--- a/crates/placement/tests/store_budget.rs
+++ b/crates/placement/tests/store_budget.rs
@@ -284,3 +284,44 @@
         prop_assert!(used > RATE * 25.0 * 0.8, "{used} starts");
     }
 }
+
+/// A second borrower gets the permits only once the loads of the first one are over, also when it
+/// renews its loan.
+#[test]
+fn permits_wait_for_loads() {
+    let settings = Settings::default();
+    let mut fleet = Fleet::new(Duration::ZERO);
+    let mut lender = fleet.nodes.swap_remove(0).budget;
+    let mut now = Duration::from_secs(10);
+    let view = |live: &str| {
+        View::new((0..NODES).map(|index| Peer {
+            incarnation: Incarnation::new(format!("n{index}"), 1),
+            zone: "z".into(),
+            state: if live == format!("n{index}") {
+                State::Live
+            } else {
+                State::Suspect
+            },
+        }))
+    };
+    let mut lend = |now: Time, to: &str, number: u64| {
+        let mut fx = Effects::new("n0".into());
+        lender.view(now, &view(to), &settings);
+        lender.share_asked(now, &Incarnation::new(to, 1), number, &settings, &mut fx);
+        fx.actions.pop().map(|action| match action {
+            Action::Send {
+                message: Message::Share { permits, .. },
+                ..
+            } => permits,
+            other => panic!("{other:?}"),
+        })
+    };
+    assert_eq!(lend(now, "n1", 1), Some(1));
+    assert_eq!(lend(now, "n2", 1), None, "the rate is lent");
+    now += settings.share + settings.drift;
+    assert_eq!(lend(now, "n2", 2), Some(0), "loads may be in flight");
+    now += settings.share / 2;
+    assert_eq!(lend(now, "n2", 3), Some(0), "loads may be in flight still");
+    now += settings.load + settings.order + settings.resend * 2;
+    assert_eq!(lend(now, "n2", 4), Some(1));
+}
