Keep the base model out of an engine's residents

An engine's list of models names its base model beside the adapters. The node passed it on as an instance that somebody else had loaded, so that it held a slot: with four slots three were used, and an engine with one slot would never load anything. It is recognized by its missing parent. The test of the adapters view counted on a table cell that another engine's row could give; it now demands exactly the one resident. It failed before the change.

Tables of the operator client take one line a row.

--- a/crates/hyssopscale/src/ops/adapters.rs
+++ b/crates/hyssopscale/src/ops/adapters.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 
-use comfy_table::Table;
 use node::core::{Owned, Status};
 use serde_json::{Value, json};
 
@@ -48,7 +47,7 @@
 /// Returns the tables of residents and of waiting adapter versions.
 pub(super) fn text(known: &[&Status]) -> String {
     let engines = engines(known);
-    let mut residents = Table::new();
+    let mut residents = super::table();
     residents.set_header([
         "engine",
         "owner",
@@ -57,7 +56,7 @@
         "state",
         "leases of nodes",
     ]);
-    let mut waits = Table::new();
+    let mut waits = super::table();
     waits.set_header([
         "engine",
         "waiting adapter",
--- a/crates/hyssopscale/src/ops/diff.rs
+++ b/crates/hyssopscale/src/ops/diff.rs
@@ -2,7 +2,6 @@
 
 use std::path::PathBuf;
 
-use comfy_table::Table;
 use serde_json::json;
 
 use super::{Error, Output, read_rules};
@@ -25,7 +24,7 @@
             println!("{}", json!(list.collect::<Vec<_>>()));
         }
         Output::Table => {
-            let mut table = Table::new();
+            let mut table = super::table();
             table.set_header(["for", "what", "before", "after"]);
             for change in &changes {
                 let text = |value: &Option<String>| value.clone().unwrap_or_else(|| "-".into());
--- a/crates/hyssopscale/src/ops/mod.rs
+++ b/crates/hyssopscale/src/ops/mod.rs
@@ -72,6 +72,13 @@
     Found(String),
 }
 
+/// Makes a table that takes one line a row.
+fn table() -> comfy_table::Table {
+    let mut table = comfy_table::Table::new();
+    table.load_preset(comfy_table::presets::ASCII_MARKDOWN);
+    table
+}
+
 /// Reads a text file.
 fn read(path: &Path) -> Result<String, Error> {
     fs::read_to_string(path).map_err(|cause| Error::File {
--- a/crates/hyssopscale/src/ops/requests.rs
+++ b/crates/hyssopscale/src/ops/requests.rs
@@ -6,7 +6,6 @@
 
 use std::net::SocketAddr;
 
-use comfy_table::Table;
 use once::ledger::Ending;
 use once::{Fate, Lookup};
 use serde_json::{Value, json};
@@ -160,7 +159,7 @@
 fn print(answers: &Answers<Lookup>, verdict: Verdict) {
     let status = status(verdict).map_or_else(String::new, |status| format!(" with {status}"));
     println!("{}{status}: {}", verdict.name(), verdict.remedy());
-    let mut table = Table::new();
+    let mut table = super::table();
     table.set_header(["node", "remembers", "witness"]);
     for (node, lookup) in &answers.known {
         let fate = json!(lookup.fate)["fate"].clone();
--- a/crates/hyssopscale/src/ops/status.rs
+++ b/crates/hyssopscale/src/ops/status.rs
@@ -43,7 +43,7 @@
 /// Returns the tables of nodes and upstreams, with what differs between nodes.
 pub(super) fn text(known: &[&Status]) -> String {
     let newest = known.iter().filter_map(|node| node.revision).max();
-    let mut table = Table::new();
+    let mut table = super::table();
     table.set_header([
         "vm", "zone", "ready", "leaving", "revision", "requests", "placing", "peers", "owned",
         "claims",
@@ -112,7 +112,7 @@
 }
 
 fn upstreams(node: &Status) -> Table {
-    let mut table = Table::new();
+    let mut table = super::table();
     table.set_header(["upstream", "pool", "leaving", "owner", "in flight here"]);
     for upstream in &node.upstreams {
         let owner = upstream.owner.as_ref();
--- a/crates/hyssopscale/tests/node_views.rs
+++ b/crates/hyssopscale/tests/node_views.rs
@@ -41,13 +41,15 @@
     let adapters = ask(&local, &["adapters", "--output", "json"]).await.json();
     let engines = adapters.as_array().unwrap();
     assert_eq!(engines.len(), 3);
-    let residents = engines
+    let residents: Vec<&Value> = engines
         .iter()
-        .flat_map(|engine| engine["residents"].as_array().unwrap());
-    let hiker = residents
-        .into_iter()
-        .find(|r| r["model"] == "fitting-hiker@v1")
-        .unwrap();
+        .flat_map(|engine| engine["residents"].as_array().unwrap())
+        .collect();
+    // An engine lists its base model too, which takes no slot.
+    let [hiker] = residents.as_slice() else {
+        panic!("{residents:?}");
+    };
+    assert_eq!(hiker["model"], "fitting-hiker@v1");
     assert_eq!(hiker["state"], "ready");
     assert!(
         hiker["leases"]
--- a/crates/node/src/core/orders.rs
+++ b/crates/node/src/core/orders.rs
@@ -300,7 +300,9 @@
         },
     );
     let models_asked = shared.clock.now();
-    let models = engine.models().await?;
+    let mut models = engine.models().await?;
+    // The list names the base model too, which takes no slot.
+    models.retain(|model| model.base.is_some());
     send(
         handle,
         placement::Event::Resident(placement::event::Resident {
