Make a new process known to its peers at once

Cause: peers drop what a process sends until its roster knows it, and the news of a start only rode on heartbeats.

--- a/crates/roster/src/machine/gossip.rs
+++ b/crates/roster/src/machine/gossip.rs
@@ -105,6 +105,11 @@
         keys
     }
 
+    /// Keeps urgent news for later, since nobody can be told now.
+    fn defer(&mut self, now: Time) {
+        self.next_round = now + NEWS_INTERVAL;
+    }
+
     /// Returns the urgent news of the round that is due.
     fn round(&mut self, now: Time) -> Vec<Key> {
         if self.wake().is_none_or(|due| due > now) {
@@ -175,12 +180,16 @@
 
     /// Sends the urgent news that is due.
     pub(super) fn send_news(&mut self, now: Time, out: &mut impl Extend<Action>) {
+        let reachable = self.table.reachable();
+        if reachable.is_empty() {
+            return self.queue.defer(now);
+        }
         let keys = self.queue.round(now);
         let gossip = self.look_up(now, keys);
         if gossip.is_empty() {
             return;
         }
-        let targets = self.random.pick(self.table.reachable(), NEWS_FANOUT);
+        let targets = self.random.pick(reachable, NEWS_FANOUT);
         out.extend(targets.into_iter().map(|to| Action::Send {
             to,
             message: Message::News(gossip.clone()),
@@ -221,7 +230,8 @@
             Merge::Left => Some(Note::Left(rumor.about)),
         };
         match merge {
-            Merge::Left => self.queue.urgent_rumor(&vm),
+            // What a new process sends is dropped until it is known.
+            Merge::Left | Merge::Appeared | Merge::Replaced => self.queue.urgent_rumor(&vm),
             _ => self.queue.rumor(&vm),
         }
         out.extend(note.map(Action::Note));
--- a/crates/roster/src/machine/heartbeat.rs
+++ b/crates/roster/src/machine/heartbeat.rs
@@ -127,7 +127,10 @@
                 self.probes.answered(sequence);
                 self.merge(now, rumor, out);
             }
-            Message::Join { sequence } => self.send_table(now, &from.vm, sequence, out),
+            Message::Join { sequence } => {
+                self.merge(now, first(&from), out);
+                self.send_table(now, &from.vm, sequence, out);
+            }
             Message::Table { sequence, gossip } => {
                 self.hear(now, gossip, out);
                 self.joined(&from, sequence, out);
@@ -219,6 +222,15 @@
     }
 }
 
+/// Returns what a message without a stamp says of its sender at least.
+fn first(from: &Incarnation) -> Rumor {
+    Rumor {
+        about: from.clone(),
+        lead: 0,
+        status: Status::Alive,
+    }
+}
+
 /// Returns what a heartbeat says of its sender.
 fn sender(from: &Incarnation, beat: &Beat) -> Rumor {
     let status = if beat.leaving {
--- a/crates/roster/src/machine/mod.rs
+++ b/crates/roster/src/machine/mod.rs
@@ -216,7 +216,10 @@
 
     fn begin(&mut self, now: Time, out: &mut impl Extend<Action>) {
         match self.last_step.replace(now) {
-            None => self.start_join(now),
+            None => {
+                self.start_join(now);
+                self.queue.urgent_rumor(&self.me.vm);
+            }
             Some(last) if now > last + PAUSE_GAP => self.resume(now, now - last, out),
             Some(_) => {}
         }
--- a/crates/roster/tests/view_convergence.rs
+++ b/crates/roster/tests/view_convergence.rs
@@ -303,3 +303,33 @@
         prop_assert!(net.nodes().all(|peer| peer.roster.fit()));
     }
 }
+
+/// Time from a request to its first token, for 95 in 100.
+const FIRST_TOKEN: Duration = Duration::from_millis(720);
+
+/// Peers know a restarted process before its first requests grow late.
+#[rstest]
+fn restart_known(#[values(7, 60)] count: usize) {
+    let mut net = region(8, count, 0);
+    net.fault = Fault::default();
+    let mut times = Vec::new();
+    for round in 0..20 {
+        net.run(Duration::from_secs(8));
+        start(&mut net, round % count);
+        times.push(settles(&mut net));
+    }
+    times.sort();
+    println!("{count} nodes: p50 {:?} longest {:?}", times[10], times[19]);
+    assert!(times[19] < FIRST_TOKEN, "{times:?}");
+}
+
+/// A node without peers does not ask to be woken at once again and again.
+#[test]
+fn idle_alone() {
+    let mut peer = Peer::new(0, 1);
+    for step in 0..100 {
+        let now = Duration::from_millis(10 * step);
+        peer.step(now, Event::Tick);
+        assert!(peer.wake() > Some(now));
+    }
+}
