Explain which engines a request would be tried on

A node's explanation named rule, adapter and version, but not where the request would run. It now gives the live engines in the adapter's order and how many are its homes. diff says where nothing changes, and requests find where no node answered.

--- a/crates/hyssopscale/src/ops/diff.rs
+++ b/crates/hyssopscale/src/ops/diff.rs
@@ -23,6 +23,7 @@
             });
             println!("{}", json!(list.collect::<Vec<_>>()));
         }
+        Output::Table if changes.is_empty() => println!("nothing changes"),
         Output::Table => {
             let mut table = super::table();
             table.set_header(["for", "what", "before", "after"]);
--- a/crates/hyssopscale/src/ops/explain.rs
+++ b/crates/hyssopscale/src/ops/explain.rs
@@ -99,6 +99,15 @@
             text("priority")
         ),
     }
+    let upstreams = document["upstreams"].as_array().into_iter().flatten();
+    let upstreams: Vec<&str> = upstreams.filter_map(Value::as_str).collect();
+    if !upstreams.is_empty() {
+        let homes = document["homes"].as_u64().unwrap_or(1);
+        println!(
+            "  engines in order: {}; homes: the first {homes}",
+            upstreams.join(" ")
+        );
+    }
     for candidate in document["candidates"].as_array().into_iter().flatten() {
         let part = |name: &str| candidate[name].as_str().unwrap_or("").to_owned();
         println!("  {}: {}", part("rule"), part("verdict"));
--- a/crates/hyssopscale/src/ops/requests.rs
+++ b/crates/hyssopscale/src/ops/requests.rs
@@ -94,6 +94,9 @@
     if quorum.is_some_and(|quorum| voids >= quorum) {
         return Verdict::NotRun;
     }
+    if lookups.is_empty() {
+        return Verdict::Unknown("no node answered; name nodes that run");
+    }
     if voids > 0 {
         return Verdict::Unknown("too few witnesses answered; name all nodes with --node");
     }
--- a/crates/hyssopscale/tests/node_views.rs
+++ b/crates/hyssopscale/tests/node_views.rs
@@ -75,6 +75,21 @@
     let explained = ask(&local, &explain).await;
     assert_eq!(explained.code, 0, "{explained:?}");
     assert_eq!(explained.json()["revision"], 1);
+    assert!(explained.json()["refusal"].is_string(), "{explained:?}");
+    let explain = ["explain", "--caller", "hikers", "--output", "json"];
+    let explained = ask(&local, &explain).await.json();
+    let mut upstreams: Vec<&str> = explained["upstreams"]
+        .as_array()
+        .unwrap()
+        .iter()
+        .filter_map(Value::as_str)
+        .collect();
+    let home = engines
+        .iter()
+        .find(|engine| !engine["residents"].as_array().unwrap().is_empty());
+    assert_eq!(home.unwrap()["id"], upstreams[0], "the home comes first");
+    upstreams.sort_unstable();
+    assert_eq!(upstreams, ["engine-1", "engine-2", "engine-3"]);
 
     let watch = ["watch", "--interval", "0.05", "--times", "3"];
     let looks = ask(&local, &[&watch[..], &["--output", "json"]].concat()).await;
--- a/crates/node/src/core/input.rs
+++ b/crates/node/src/core/input.rs
@@ -104,6 +104,17 @@
         /// Where the answer goes.
         reply: oneshot::Sender<once::Lookup>,
     },
+    /// Which upstreams would a request for an adapter version be tried on?
+    Rank {
+        /// The adapter version.
+        model: Model,
+        /// Its pool.
+        pool: Arc<str>,
+        /// Its base model.
+        base: wire::Base,
+        /// Where the answer goes: the upstreams in their order, and the number of homes.
+        reply: oneshot::Sender<(Vec<Upstream>, usize)>,
+    },
     /// Is nothing left to hand over?
     Idle(oneshot::Sender<bool>),
     /// A graceful shutdown starts.
--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -133,6 +133,19 @@
         status.await.ok()
     }
 
+    /// Returns the upstreams that a request for `model` would be tried on, in their order, and how
+    /// many of them are its homes; `None` where the core has stopped.
+    pub async fn rank(&self, choice: &rules::Choice<'_>) -> Option<(Vec<Upstream>, usize)> {
+        let (reply, ranking) = oneshot::channel();
+        self.send(Input::Rank {
+            model: choice.model.clone(),
+            pool: choice.pool.clone(),
+            base: choice.base.clone(),
+            reply,
+        });
+        ranking.await.ok()
+    }
+
     /// Returns what the node knows of a call; `None` where the core has stopped.
     pub async fn lookup(&self, key: once::Key) -> Option<once::Lookup> {
         let (reply, found) = oneshot::channel();
@@ -331,6 +344,14 @@
             Input::Status(reply) => {
                 let _ = reply.send(self.status());
             }
+            Input::Rank {
+                model,
+                pool,
+                base,
+                reply,
+            } => {
+                let _ = reply.send(self.logic.placement().ranking(&model, &pool, &base));
+            }
             Input::Lookup { key, reply } => {
                 let now = self.shared.clock.now();
                 let _ = reply.send(self.logic.once().lookup(now, &key));
--- a/crates/node/src/front/operators.rs
+++ b/crates/node/src/front/operators.rs
@@ -35,6 +35,10 @@
     pool: Option<String>,
     priority: Option<&'static str>,
     refusal: Option<String>,
+    /// Upstreams that it would be tried on, in their order.
+    upstreams: Vec<wire::Upstream>,
+    /// How many of them are the adapter's homes.
+    homes: usize,
     candidates: Vec<Candidate>,
 }
 
@@ -48,7 +52,7 @@
         match (request.method(), request.uri().path()) {
             (&Method::GET, "/metrics") => self.metrics().await,
             (&Method::GET, "/v1/status") => self.status().await,
-            (&Method::GET, "/v1/explain") => self.explain(&Query::of(request)),
+            (&Method::GET, "/v1/explain") => self.explain(&Query::of(request)).await,
             (&Method::GET, "/v1/requests") => self.lookup(&Query::of(request)).await,
             _ => {
                 let detail = "no such page; there are /metrics, /v1/status, /v1/explain \
@@ -92,7 +96,7 @@
         Ok(json(serde_json::to_vec(&lookup).map_err(internal)?))
     }
 
-    fn explain(&self, query: &Query) -> Result<Response<Body>, Problem> {
+    async fn explain(&self, query: &Query) -> Result<Response<Body>, Problem> {
         let rules = self
             .shared
             .rules
@@ -107,12 +111,18 @@
             at: Timestamp::now(),
         };
         let choice = rules.set.route(&ask);
+        let ranking = match &choice {
+            Ok(choice) => self.core.rank(choice).await.unwrap_or_default(),
+            Err(_) => Default::default(),
+        };
         let candidates = rules.set.explain(&ask).unwrap_or_default();
         let explanation = Explanation {
             revision: rules.revision,
             model: choice.as_ref().ok().map(|choice| choice.model.to_string()),
             pool: choice.as_ref().ok().map(|choice| choice.pool.to_string()),
             priority: choice.as_ref().ok().map(|choice| choice.priority.name()),
+            upstreams: ranking.0,
+            homes: ranking.1,
             refusal: choice.as_ref().err().map(ToString::to_string),
             candidates: candidates
                 .iter()
--- a/crates/placement/src/holder/place.rs
+++ b/crates/placement/src/holder/place.rs
@@ -112,6 +112,24 @@
         }
     }
 
+    /// Returns the live upstreams that a request for `model` would be tried on, in their order; the
+    /// adapter's homes come first. Leases at hand and load may prefer a later home.
+    pub fn ranking(
+        &self,
+        choice: &crate::choice::Choice,
+        model: &Model,
+        pool: &crate::event::Pool,
+        base: &wire::Base,
+    ) -> Vec<wire::Upstream> {
+        let mut order = Vec::new();
+        choice.order(model, pool, base, 0, self.packed(pool), &mut order);
+        let targets = choice.targets();
+        let ids = order
+            .iter()
+            .map(|(_, index)| targets[*index].facts.id.clone());
+        ids.collect()
+    }
+
     fn packed(&self, pool: &Pool) -> usize {
         let pack = self.packs.iter().find(|pack| pack.pool == *pool);
         pack.map_or(usize::MAX, |pack| pack.active)
--- a/crates/placement/src/planner/mod.rs
+++ b/crates/placement/src/planner/mod.rs
@@ -88,6 +88,18 @@
         owner.is_some_and(|owner| owner.permit(now, fence))
     }
 
+    /// Returns the live upstreams that a request for `model` would be tried on, in their order,
+    /// and how many of them are its homes now.
+    pub fn ranking(
+        &self,
+        model: &wire::Model,
+        pool: &crate::event::Pool,
+        base: &wire::Base,
+    ) -> (Vec<wire::Upstream>, usize) {
+        let ranking = self.holder.ranking(&self.choice, model, pool, base);
+        (ranking, self.holder.homes(model))
+    }
+
     /// Returns the upstreams that this node owns.
     pub fn owners(&self) -> &[Owner] {
         &self.owners
