--- a/crates/hyssopscale/tests/site/mod.rs
+++ b/crates/hyssopscale/tests/site/mod.rs
@@ -65,7 +65,7 @@
         }
     }
 
-    async fn start_node(&mut self, index: usize, overrides: &[(&str, &str)]) {
+    pub async fn start_node(&mut self, index: usize, overrides: &[(&str, &str)]) {
         let vm = format!("qld-vm-{}", index + 1);
         let zone = ZONES[index % ZONES.len()];
         let platform = self.site.platform.address().to_string();
