--- a/crates/placement/src/owner/mod.rs
+++ b/crates/placement/src/owner/mod.rs
@@ -488,7 +488,7 @@
             .known
             .iter()
             .filter(|(model, _)| !here(model) && !paused(model))
-            .max_by(|(_, a), (_, b)| rate(a).total_cmp(&rate(b)));
+            .max_by(|(x, a), (y, b)| rate(a).total_cmp(&rate(b)).then_with(|| y.cmp(x)));
         if let Some((model, known)) = best
             && rate(known) >= displaced.max(PREFETCH_LEAST)
         {
--- a/crates/placement/src/owner/queue.rs
+++ b/crates/placement/src/owner/queue.rs
@@ -20,7 +20,7 @@
     pub waiting: u32,
     /// Time at which its oldest request began to wait, here or elsewhere.
     pub since: Time,
-    /// Time at which it first asked here.
+    /// Time at which it first asked here with its present priority.
     pub asked: Time,
     /// Time after which it waits no more.
     pub until: Time,
@@ -107,8 +107,9 @@
             return 0;
         }
         let added = ask.waiting.saturating_sub(old.waiting);
+        let raised = ask.priority < old.priority;
         *old = Waiter {
-            asked: old.asked,
+            asked: if raised { now } else { old.asked },
             ..waiter
         };
         added
--- a/crates/placement/src/owner/takeover.rs
+++ b/crates/placement/src/owner/takeover.rs
@@ -217,7 +217,11 @@
                 rate: rate(known),
             })
             .collect();
-        popular.sort_by(|a, b| b.rate.total_cmp(&a.rate));
+        popular.sort_by(|a, b| {
+            b.rate
+                .total_cmp(&a.rate)
+                .then_with(|| a.model.cmp(&b.model))
+        });
         popular.truncate(POPULAR);
         (doomed, popular)
     }
