--- a/crates/hyssopscale/src/cli.rs
+++ b/crates/hyssopscale/src/cli.rs
@@ -420,7 +420,7 @@
                 output,
             ))
         }
-        "demo" => block_on(ops::demo::run(matches.get_flag("log"))),
+        "demo" => block_on(ops::demo::run(matches.get_flag("log"), output)),
         "load" => block_on(ops::load::run(load_config(matches)?, output)),
         "completions" => {
             let shell: Shell = *matches.get_one("shell").expect("clap demands it");
--- a/crates/hyssopscale/src/ops/demo.rs
+++ b/crates/hyssopscale/src/ops/demo.rs
@@ -44,7 +44,7 @@
 /// # Errors
 ///
 /// Returns an [`Error`] where a part does not start or a request has no proper answer.
-pub async fn run(log: bool) -> Result<(), Error> {
+pub async fn run(log: bool, output: super::Output) -> Result<(), Error> {
     if log {
         node::journal::install(
             settings::Form::Text,
@@ -66,13 +66,18 @@
     }
     wait_ready(&nodes).await?;
     let entry = nodes[0].addresses().callers;
-    println!("{}", requests(entry).await?);
-    println!("{}", calls(entry, nodes[1].addresses().callers).await?);
-    super::status::run(
-        nodes.iter().map(|node| node.addresses().operators),
-        super::Output::Table,
-    )
-    .await?;
+    let requests = requests(entry).await?;
+    let calls = calls(entry, nodes[1].addresses().callers).await?;
+    match output {
+        super::Output::Json => {
+            let document =
+                json!({ "requests": super::rows(&requests), "calls": super::rows(&calls) });
+            println!("{document}");
+        }
+        super::Output::Table => println!("{requests}\n{calls}"),
+    }
+    let operators = nodes.iter().map(|node| node.addresses().operators);
+    super::status::run(operators, output).await?;
     stop(nodes).await;
     Ok(())
 }
@@ -142,7 +147,7 @@
 
 /// Completions of three callers; the second request for a model finds it loaded.
 async fn requests(entry: SocketAddr) -> Result<Table, Error> {
-    let mut table = Table::new();
+    let mut table = super::table();
     table.set_header(["caller", "model", "answer", "first 24 characters", "time"]);
     for (caller, model, priority) in [
         ("hikers", "auto", "normal"),
@@ -181,7 +186,7 @@
     let addresses = client::send(first, request, "").await?;
     let document: Value = serde_json::from_slice(&addresses.body).unwrap_or(Value::Null);
     let prefix = document["key_prefix"].as_str().unwrap_or("").to_owned();
-    let mut table = Table::new();
+    let mut table = super::table();
     table.set_header(["call", "node", "answer", "replayed", "time"]);
     for node in [first, second] {
         let request = Request::post("/lending/checkouts")
--- a/crates/hyssopscale/src/ops/mod.rs
+++ b/crates/hyssopscale/src/ops/mod.rs
@@ -79,6 +79,22 @@
     table
 }
 
+/// Returns a table's rows as JSON objects with the header's names.
+fn rows(table: &comfy_table::Table) -> serde_json::Value {
+    let names: Vec<String> = table
+        .header()
+        .into_iter()
+        .flat_map(comfy_table::Row::cell_iter)
+        .map(comfy_table::Cell::content)
+        .collect();
+    let rows = table.row_iter().map(|row| {
+        let cells = row.cell_iter().map(|cell| cell.content().into());
+        let object: serde_json::Map<_, _> = names.iter().cloned().zip(cells).collect();
+        object.into()
+    });
+    rows.collect::<Vec<serde_json::Value>>().into()
+}
+
 /// Reads a text file.
 fn read(path: &Path) -> Result<String, Error> {
     fs::read_to_string(path).map_err(|cause| Error::File {
--- a/crates/node/tests/operator_pages.rs
+++ b/crates/node/tests/operator_pages.rs
@@ -161,3 +161,38 @@
     assert_eq!(shown.len(), rows.len(), "a metric stands twice");
     assert_eq!(shown, known);
 }
+
+/// Returns the variants of the first `enum Reason` in a source.
+fn reasons(path: &str) -> Vec<String> {
+    let text = std::fs::read_to_string(format!("{ROOT}/{path}")).unwrap();
+    let (_, tail) = text.split_once("pub enum Reason {").unwrap();
+    let lines = tail.lines().take_while(|line| *line != "}");
+    let variants = lines.filter_map(|line| line.trim().strip_suffix(','));
+    variants.map(str::to_owned).collect()
+}
+
+#[test]
+fn refusals_page_names_every_reason() {
+    let page = page("refusals.md");
+    let claims = reasons("crates/once/src/guard/run.rs");
+    assert!(claims.contains(&"Quorum".to_owned()), "{claims:?}");
+    let admission = reasons("crates/admission/src/lib.rs");
+    let placement = reasons("crates/placement/src/action.rs");
+    assert!(admission.len() >= 5 && placement.len() >= 3);
+    for reason in &claims {
+        let row = format!("| `{reason}` |");
+        assert!(page.contains(&row), "{row} is missing");
+    }
+    for (path, variants) in [
+        ("crates/admission/src/lib.rs", admission),
+        ("crates/placement/src/action.rs", placement),
+    ] {
+        let text = std::fs::read_to_string(format!("{ROOT}/{path}")).unwrap();
+        for variant in variants {
+            let mark = format!("Self::{variant} => \"");
+            let (_, tail) = text.split_once(&mark).unwrap();
+            let name = tail.split('"').next().unwrap();
+            assert!(page.contains(&format!("| `{name}` |")), "{name} is missing");
+        }
+    }
+}
