--- a/crates/placement/src/owner/mod.rs
+++ b/crates/placement/src/owner/mod.rs
@@ -1,10 +1,13 @@
 //! Slots, leases, loads and evictions of one upstream that this node owns.
 //!
-//! [`seat`] says when an instance may go, [`queue`] orders the models that wait, and `takeover`
-//! takes the instances of earlier owners on. The owner evicts only what it loaded itself or has
+//! [`seat`] says when an instance may go, [`queue`] orders the models that wait, `load` picks what
+//! is loaded and what goes for it, `outcome` takes the ends of orders, and `takeover` takes the
+//! instances of earlier owners on. The owner evicts only what it loaded itself or has
 //! adopted, and it grants leases on nothing else, so that two nodes that both believe to own an
 //! upstream share its slots without touching each other's instances.
 
+mod load;
+mod outcome;
 pub mod queue;
 pub mod seat;
 mod takeover;
@@ -14,30 +17,20 @@
 
 use wire::{Fence, Incarnation, Lease, Model, Time};
 
-use crate::action::{Action, Note};
-use crate::budget::Want;
+use crate::action::Note;
 use crate::demand::Rate;
 use crate::event::{Failure, Instance, Path, State as Condition, Upstream};
-use crate::fence::{Counter, Name};
+use crate::fence::Counter;
 use crate::message::{Ask, Carried, Denial, Grant, Message};
 use crate::planner::Effects;
 use crate::settings::Settings;
 
-use queue::{Entry, Queue};
+use queue::Queue;
 use seat::{Seat, State};
 
 /// Longest pause after repeated failures of a load, in multiples of the first.
 const BACKOFF_MOST: u32 = 64;
 
-/// Factor by which a prefetched model's rate must exceed that of the one that it displaces.
-const PREFETCH_GAIN: f32 = 2.0;
-
-/// Requests per second below which nothing is prefetched.
-const PREFETCH_LEAST: f32 = 0.01;
-
-/// Time between two searches for something to prefetch.
-const LOOK_AHEAD: Duration = Duration::from_secs(1);
-
 /// Most models whose popularity is handed over.
 const POPULAR: usize = 64;
 
@@ -150,12 +143,6 @@
         self.refused = self.refused.max(shown);
     }
 
-    /// An order below a number that the engine has shown was refused for its number alone.
-    fn refined(&self, fence: Fence, failure: Failure) -> Failure {
-        let old = fence < self.refused && failure == Failure::Rejected;
-        if old { Failure::NotSent } else { failure }
-    }
-
     /// Makes a claim above `shown`, which every peer has to answer anew. The instances stay this
     /// owner's: another one takes them on only with this node's answer to its claim.
     pub fn claim_above(&mut self, shown: Fence) -> Fence {
@@ -410,356 +397,6 @@
         self.dismiss(model, Denial::Failed, length, fx);
     }
 
-    fn loading(&self) -> bool {
-        let moving =
-            |seat: &Seat| matches!(seat.state, State::Loading { .. } | State::Evicting { .. });
-        self.seats.iter().any(moving)
-    }
-
-    fn slot(&self, now: Time, settings: &Settings) -> bool {
-        self.seats.len() < self.facts.slots || self.victim(now, settings).is_some()
-    }
-
-    /// Returns the instance whose next use is expected last, among those that nothing uses.
-    fn victim(&self, now: Time, settings: &Settings) -> Option<(usize, f32)> {
-        let free = |(_, seat): &(usize, &Seat)| {
-            let queued = seat.model.as_ref().is_some_and(|m| self.queue.contains(m));
-            let wanted = queued && !seat.doomed;
-            seat.model.is_some() && seat.free(settings) && !wanted
-        };
-        self.seats
-            .iter()
-            .enumerate()
-            .filter(free)
-            .map(|(index, seat)| (index, self.worth(now, seat, settings)))
-            .min_by(|(_, a), (_, b)| a.total_cmp(b))
-    }
-
-    /// Returns the expected requests per second on an instance: the inverse of the time to its
-    /// next use. One that gets no more leases is worth less than nothing.
-    fn worth(&self, now: Time, seat: &Seat, settings: &Settings) -> f32 {
-        if seat.doomed {
-            return -1.0;
-        }
-        let known = seat.model.as_ref().and_then(|model| self.known.get(model));
-        known.map_or(0.0, |known| known.rate.long(now, settings.half_life))
-    }
-
-    /// Returns what should be loaded next, where a load may begin.
-    pub fn want(&self, now: Time, settings: &Settings) -> Option<Want> {
-        let quiet = self.facts.state != Condition::Live || self.ticketed || self.loading();
-        if quiet || !self.slot(now, settings) {
-            return None;
-        }
-        if let Some(entry) = self.queue.best(now, settings) {
-            return Some(entry.want());
-        }
-        if !self.queue.entries().is_empty() {
-            return None;
-        }
-        self.prefetch.as_ref().map(|_| Want {
-            priority: None,
-            waiting: 0,
-            since: now,
-        })
-    }
-
-    /// Finds the most popular model that is not here, where it is worth a slot.
-    fn look_ahead(&mut self, now: Time, settings: &Settings) {
-        if now < self.looked + LOOK_AHEAD {
-            return;
-        }
-        self.looked = now;
-        self.prefetch = None;
-        if !self.queue.entries().is_empty() || self.loading() {
-            return;
-        }
-        let displaced = if self.seats.len() < self.facts.slots {
-            0.0
-        } else if let Some((_, rate)) = self.victim(now, settings) {
-            rate * PREFETCH_GAIN
-        } else {
-            return;
-        };
-        let here = |model: &Model| self.seats.iter().any(|s| s.model.as_ref() == Some(model));
-        let paused = |model: &Model| self.pauses.iter().any(|p| p.model == *model);
-        let rate = |known: &Known| known.rate.long(now, settings.half_life);
-        let best = self
-            .known
-            .iter()
-            .filter(|(model, _)| !here(model) && !paused(model))
-            .max_by(|(x, a), (y, b)| rate(a).total_cmp(&rate(b)).then_with(|| y.cmp(x)));
-        if let Some((model, known)) = best
-            && rate(known) >= displaced.max(PREFETCH_LEAST)
-        {
-            self.prefetch = Some((model.clone(), known.path.clone()));
-        }
-    }
-
-    /// Starts the load for which the store's budget gave a ticket; an instance goes first where no
-    /// slot is free.
-    pub fn start(&mut self, now: Time, settings: &Settings, fx: &mut Effects) -> Ticket {
-        if self.loading() || self.want_none(now, settings) {
-            self.ticketed = false;
-            return Ticket::Finish;
-        }
-        self.ticketed = true;
-        if self.seats.len() < self.facts.slots {
-            return self.load(now, settings, fx);
-        }
-        let Some((index, rate)) = self.victim(now, settings) else {
-            self.ticketed = false;
-            return Ticket::Finish;
-        };
-        self.evict(now, index, rate, settings, fx);
-        Ticket::Keep
-    }
-
-    fn want_none(&self, now: Time, settings: &Settings) -> bool {
-        self.queue.best(now, settings).is_none() && self.prefetch.is_none()
-    }
-
-    fn evict(&mut self, now: Time, index: usize, rate: f32, settings: &Settings, fx: &mut Effects) {
-        let fence = self.fences.advance();
-        let deadline = now + settings.order * 2;
-        let others = self.seats.iter().filter(|s| s.free(settings)).count();
-        let seat = &mut self.seats[index];
-        seat.rights.clear();
-        seat.state = State::Evicting {
-            fence,
-            write: now + settings.order,
-            deadline,
-        };
-        if let Some(model) = seat.model.clone() {
-            fx.note(Note::Evict {
-                upstream: self.facts.id.clone(),
-                model,
-                rate: f64::from(rate),
-                alternatives: others.saturating_sub(1),
-            });
-        }
-        fx.act(Action::Unload {
-            upstream: self.facts.id.clone(),
-            instance: seat.instance.clone(),
-            fence,
-            deadline,
-        });
-    }
-
-    fn load(&mut self, now: Time, settings: &Settings, fx: &mut Effects) -> Ticket {
-        let next = match self.queue.best(now, settings) {
-            Some(entry) => Some((entry.model.clone(), entry.path.clone(), Some(entry.want()))),
-            None => self.prefetch.take().map(|(m, p)| (m, p, None)),
-        };
-        let Some((model, path, want)) = next else {
-            self.ticketed = false;
-            return Ticket::Finish;
-        };
-        let fence = self.fences.advance();
-        let name = Name {
-            model: model.clone(),
-            loader: self.me.clone(),
-            claim: self.claim,
-            fence,
-        };
-        let deadline = now + settings.load;
-        self.seats.push(Seat {
-            model: Some(model.clone()),
-            path: Some(path.clone()),
-            instance: name.instance(),
-            loader: Some(self.me.clone()),
-            claim: self.claim,
-            fence,
-            state: State::Loading {
-                write: now + settings.order,
-                deadline,
-            },
-            rights: Vec::new(),
-            idle: None,
-            ready: now,
-            doomed: false,
-        });
-        self.measure(now);
-        let since = want.map_or(now, |want| want.since);
-        fx.note(Note::Load {
-            upstream: self.facts.id.clone(),
-            model: model.clone(),
-            priority: want.and_then(|want| want.priority),
-            waiting: want.map_or(0, |want| want.waiting),
-            age: now.saturating_sub(since),
-            alternatives: self.queue.entries().len().saturating_sub(1),
-        });
-        fx.act(Action::Load {
-            upstream: self.facts.id.clone(),
-            instance: name.instance(),
-            model,
-            path,
-            fence,
-            deadline,
-        });
-        Ticket::Keep
-    }
-
-    /// Measures the time between loads while there is a queue.
-    fn measure(&mut self, now: Time) {
-        let last = self.loaded.replace(now);
-        if self.queue.entries().len() < 2 {
-            return;
-        }
-        if let Some(gap) = last.map(|last| now.saturating_sub(last)) {
-            self.interval = (self.interval * 7 + gap) / 8;
-        }
-    }
-
-    /// Tells whether the order with number `fence` may be written at `now`.
-    pub fn permit(&self, now: Time, fence: Fence) -> bool {
-        self.seats.iter().any(|seat| match seat.state {
-            State::Loading { write, .. } => seat.fence == fence && now < write,
-            State::Evicting {
-                fence: own, write, ..
-            } => own == fence && now < write && seat.rights.is_empty(),
-            _ => false,
-        })
-    }
-
-    fn load_order(&self, instance: &str, fence: Fence) -> Option<usize> {
-        self.seats.iter().position(|seat| {
-            let loading = matches!(seat.state, State::Loading { .. });
-            loading && seat.fence == fence && *seat.instance == *instance
-        })
-    }
-
-    fn unload_order(&self, instance: &str, fence: Fence) -> Option<usize> {
-        self.seats.iter().position(|seat| {
-            let order = |own: Fence| own == fence && *seat.instance == *instance;
-            matches!(seat.state, State::Evicting { fence, .. } if order(fence))
-        })
-    }
-
-    /// Takes the news that a load was carried out.
-    pub fn loaded(
-        &mut self,
-        now: Time,
-        instance: &Instance,
-        fence: Fence,
-        settings: &Settings,
-        fx: &mut Effects,
-    ) -> Ticket {
-        let Some(index) = self.load_order(instance, fence) else {
-            return Ticket::Keep;
-        };
-        self.ticketed = false;
-        self.seats[index].state = State::Ready;
-        self.seats[index].ready = now;
-        self.serve(now, index, settings, fx);
-        Ticket::Finish
-    }
-
-    /// Grants leases to all who wait for the model in a slot, the most urgent first.
-    fn serve(&mut self, now: Time, index: usize, settings: &Settings, fx: &mut Effects) {
-        let Some(model) = self.seats[index].model.clone() else {
-            return;
-        };
-        self.pauses.retain(|pause| pause.model != model);
-        let Some(Entry { mut waiters, .. }) = self.queue.take(&model) else {
-            return;
-        };
-        waiters.sort_by_key(|waiter| (waiter.priority, waiter.since));
-        for waiter in waiters {
-            let ask = Ask {
-                upstream: self.facts.id.clone(),
-                model: model.clone(),
-                path: None,
-                number: waiter.number,
-                priority: waiter.priority,
-                waiting: waiter.waiting,
-                served: 0,
-                age: Duration::ZERO,
-                left: Duration::ZERO,
-            };
-            self.grant(now, index, &waiter.holder, &ask, settings, fx);
-        }
-    }
-
-    /// Takes the news that a load failed.
-    pub fn load_failed(
-        &mut self,
-        now: Time,
-        instance: &Instance,
-        fence: Fence,
-        failure: Failure,
-        settings: &Settings,
-        fx: &mut Effects,
-    ) -> Ticket {
-        let Some(index) = self.load_order(instance, fence) else {
-            return Ticket::Keep;
-        };
-        let failure = self.refined(fence, failure);
-        self.ticketed = false;
-        let model = self.seats[index].model.clone();
-        if failure == Failure::Unknown {
-            let after = now + settings.report_lag;
-            self.seats[index].state = State::Unknown { after };
-        } else {
-            self.seats.swap_remove(index);
-        }
-        if failure != Failure::NotSent
-            && let Some(model) = model
-        {
-            self.fail(now, &model, failure, settings, fx);
-        }
-        Ticket::Finish
-    }
-
-    /// Takes the news that an unload was carried out; the load that it was for begins.
-    pub fn unloaded(
-        &mut self,
-        now: Time,
-        instance: &Instance,
-        fence: Fence,
-        valid: bool,
-        settings: &Settings,
-        fx: &mut Effects,
-    ) -> Ticket {
-        let Some(index) = self.unload_order(instance, fence) else {
-            return Ticket::Keep;
-        };
-        self.seats.swap_remove(index);
-        self.changed = now;
-        if !self.ticketed {
-            return Ticket::Keep;
-        }
-        if valid {
-            return self.load(now, settings, fx);
-        }
-        self.ticketed = false;
-        Ticket::Finish
-    }
-
-    /// Takes the news that an unload failed.
-    pub fn unload_failed(
-        &mut self,
-        now: Time,
-        instance: &Instance,
-        fence: Fence,
-        failure: Failure,
-        settings: &Settings,
-    ) -> Ticket {
-        let Some(index) = self.unload_order(instance, fence) else {
-            return Ticket::Keep;
-        };
-        let failure = self.refined(fence, failure);
-        self.ticketed = false;
-        self.seats[index].doomed |= failure != Failure::NotSent;
-        self.seats[index].state = match failure {
-            Failure::NotSent => State::Ready,
-            _ => State::Unknown {
-                after: now + settings.report_lag,
-            },
-        };
-        Ticket::Finish
-    }
-
     /// Ends the ownership: all who wait are sent on. The instances stay known, for the answer to
     /// the next owner's claim.
     pub fn retire(&mut self, fx: &mut Effects) {
