--- a/crates/dispatch/tests/poison_requests.rs
+++ b/crates/dispatch/tests/poison_requests.rs
@@ -5,6 +5,8 @@
 
 use dispatch::Poison;
 use dispatch::poison::{Action, Config, Event, Message, Print, Standing};
+use proptest::prelude::*;
+use proptest::test_runner::{RngSeed, TestRunner};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rstest::rstest;
@@ -316,3 +318,50 @@
     println!("naive: {most} upstreams lost to one request");
     assert!(most > LOST_MAX);
 }
+
+/// Arbitrary bytes, and arbitrary messages that they happen to be, never panic, and a node alone
+/// with them answers each request once.
+#[test]
+fn arbitrary_bytes() {
+    let mut runner = TestRunner::new(proptest::test_runner::Config {
+        cases: 20_000,
+        rng_seed: RngSeed::Fixed(3),
+        failure_persistence: None,
+        ..Default::default()
+    });
+    let names: Vec<_> = (0..2)
+        .map(|n| Incarnation::new(format!("vm-{n}"), 1))
+        .collect();
+    let taken = std::cell::Cell::new(0);
+    let check = |(kind, bytes): (u8, Vec<u8>)| {
+        let bytes = [vec![kind], bytes].concat();
+        let Ok(message) = wire::frame::decode::<Message>(&bytes) else {
+            return Ok(());
+        };
+        taken.set(taken.get() + 1);
+        let mut poison = Poison::new(Config::default(), names[0].clone());
+        let mut out = Vec::new();
+        for step in 0..3 {
+            let event = Event::Arrive {
+                request: step,
+                print: step,
+                upstream: "engine-0".into(),
+            };
+            poison.step(ms(step), event, &mut out);
+            let (from, message) = (names[1].clone(), message.clone());
+            poison.step(ms(step), Event::Receive { from, message }, &mut out);
+            poison.step(ms(500 * step), Event::Tick, &mut out);
+        }
+        let last = |a: &&Action| {
+            matches!(
+                a,
+                Action::Run { .. } | Action::Elsewhere { .. } | Action::Refuse { .. }
+            )
+        };
+        prop_assert!(out.iter().filter(last).count() <= 3);
+        Ok(())
+    };
+    let bytes = proptest::collection::vec(0..40_u8, 0..24);
+    runner.run(&(0..7_u8, bytes), check).expect("holds");
+    assert!(taken.get() > 100, "only {} messages", taken.get());
+}
--- a/crates/once/src/guard/members.rs
+++ b/crates/once/src/guard/members.rs
@@ -265,6 +265,10 @@
         }
     }
 
+    pub(super) fn recovery_due(&self) -> Option<Time> {
+        self.recovery.as_ref().map(|recovery| recovery.resend)
+    }
+
     fn new_recovery(&self) -> Recovery {
         let others = self.set.members().iter().filter(|m| **m != self.me);
         let reader = |member: &Member| Reader {
--- a/crates/once/src/guard/mod.rs
+++ b/crates/once/src/guard/mod.rs
@@ -432,7 +432,14 @@
     fn wake(&self) -> Option<Time> {
         let runs = self.runs.values().map(|run| run.wake(&self.config)).min();
         let deliveries = self.deliveries.values().map(|delivery| delivery.next).min();
-        let timers = [Some(self.beat), runs, deliveries, self.ledger.due()];
+        let recovery = self.recovery_due();
+        let timers = [
+            Some(self.beat),
+            runs,
+            deliveries,
+            self.ledger.due(),
+            recovery,
+        ];
         timers.into_iter().flatten().min()
     }
 }
