--- a/crates/placement/tests/fault_recovery.rs
+++ b/crates/placement/tests/fault_recovery.rs
@@ -9,6 +9,7 @@
 use fleet::trace::{Shape, calls};
 use fleet::{End, Fleet, Happening, Setup};
 use placement::event::Fencing;
+use placement::owner::seat::State;
 use rstest::rstest;
 
 const NODES: usize = 4;
@@ -85,5 +86,17 @@
             "owners of {id}"
         );
         assert!(engine.load() == 0, "{id} still runs something");
+        let owners = fleet.nodes.iter().flat_map(|n| n.planner.owners());
+        for seat in owners
+            .filter(|o| *o.facts().id == *id)
+            .flat_map(|o| o.seats())
+        {
+            assert_ne!(
+                seat.state,
+                State::Foreign,
+                "{} was not adopted",
+                seat.instance
+            );
+        }
     }
 }
