--- /dev/null
+++ b/crates/placement/tests/upstream_choice.rs
@@ -0,0 +1,122 @@
+//! The order of upstreams for a model, estimates of load, prefix events, and steps of homes.
+
+use std::time::Duration;
+
+use placement::choice::Choice;
+use placement::demand;
+use placement::event::{Fencing, State, Upstream};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use wire::Model;
+
+const NOW: Duration = Duration::from_secs(100);
+
+fn upstreams(states: &[State]) -> Vec<Upstream> {
+    let upstream = |(index, state): (usize, &State)| Upstream {
+        id: format!("e{index}").into(),
+        pool: "p".into(),
+        base: "b".into(),
+        zone: "z".into(),
+        store: "s".into(),
+        slots: 8,
+        max_batch: 16,
+        fencing: Fencing::Ignores,
+        state: *state,
+    };
+    states.iter().enumerate().map(upstream).collect()
+}
+
+fn order(choice: &Choice, model: &Model, active: usize) -> Vec<String> {
+    let mut order = Vec::new();
+    let (pool, base) = ("p".into(), "b".into());
+    choice.order(model, &pool, &base, usize::MAX, active, &mut order);
+    let id = |(_, index): &(u64, usize)| choice.targets()[*index].facts.id.to_string();
+    order.iter().map(id).collect()
+}
+
+proptest! {
+    #![proptest_config(Config {
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    /// An upstream that leaves moves only the models that it headed, and takes nothing new.
+    #[test]
+    fn leaving_moves_its_own(model in "[a-z]{1,8}", gone in 0..9_usize) {
+        let model = Model::new(model, "1");
+        let mut choice = Choice::default();
+        let mut states = [State::Live; 9];
+        choice.update(upstreams(&states));
+        let mut before = order(&choice, &model, usize::MAX);
+        states[gone] = State::Leaving;
+        choice.update(upstreams(&states));
+        before.retain(|id| *id != format!("e{gone}"));
+        prop_assert_eq!(order(&choice, &model, usize::MAX), before);
+    }
+
+    /// Where demand is concentrated, all models share the first upstreams.
+    #[test]
+    fn concentrates(models in prop::collection::vec("[a-z]{1,8}", 2..20), active in 1..9_usize) {
+        let mut choice = Choice::default();
+        choice.update(upstreams(&[State::Live; 9]));
+        let mut firsts: Vec<Vec<String>> = Vec::new();
+        for model in models {
+            let mut first = order(&choice, &Model::new(model, "1"), active);
+            first.truncate(active);
+            first.sort();
+            firsts.push(first);
+        }
+        firsts.dedup();
+        prop_assert_eq!(firsts.len(), 1);
+    }
+
+    /// Homes move one step at a time, and demand that stays does not move them to and fro.
+    #[test]
+    fn homes_settle(sequences in 0.0..200.0_f64, start in 1..10_usize) {
+        let mut homes = start;
+        let mut steps = Vec::new();
+        for _ in 0..30 {
+            let next = demand::homes(homes, sequences, 11.2, 9);
+            prop_assert!(next.abs_diff(homes) <= 1);
+            steps.push(next as i64 - homes as i64);
+            homes = next;
+        }
+        prop_assert_eq!(steps.last(), Some(&0));
+        prop_assert!(!(steps.contains(&1) && steps.contains(&-1)));
+        prop_assert!(homes == 9 || homes as f64 * 11.2 >= sequences);
+    }
+}
+
+#[test]
+fn report_and_what_followed() {
+    let mut choice = Choice::default();
+    choice.update(upstreams(&[State::Live]));
+    let load = |choice: &Choice, now| choice.targets()[0].load(now, 7);
+    choice.start(NOW, "e0");
+    assert_eq!(load(&choice, NOW), 7, "own requests times nodes");
+    choice.report("e0", 5, NOW - Duration::from_millis(300));
+    assert_eq!(load(&choice, NOW), 5);
+    choice.start(NOW, "e0");
+    choice.start(NOW, "e0");
+    choice.end(NOW, "e0");
+    assert_eq!(load(&choice, NOW), 6, "what followed the report is added");
+    choice.report("e0", 99, NOW - Duration::from_secs(2));
+    assert_eq!(load(&choice, NOW), 6, "an older report is dropped");
+    assert_eq!(
+        load(&choice, NOW + Duration::from_secs(60)),
+        14,
+        "an old report says nothing"
+    );
+}
+
+#[test]
+fn prefixes_after_gap() {
+    let mut choice = Choice::default();
+    choice.update(upstreams(&[State::Live]));
+    choice.cache("e0", vec![3, 1, 2], &[2], false);
+    let cached = |choice: &Choice, prefix| choice.targets()[0].cached(prefix);
+    assert!(cached(&choice, 1) && cached(&choice, 3) && !cached(&choice, 2));
+    choice.cache("e0", vec![9], &[], true);
+    assert!(cached(&choice, 9) && !cached(&choice, 1));
+}
