Tell the view's owner of a higher claim that was given up

A node that claimed an engine by a passing view and yielded it left its peers promised to it. They asked it, were denied, and moved on after 1.5 s each time, while the owner of the view held a lower claim that everyone had answered and never heard otherwise. A peer that is denied so now tells the owner, which claims above.

--- a/crates/placement/src/planner/receive.rs
+++ b/crates/placement/src/planner/receive.rs
@@ -1,6 +1,6 @@
 //! Peers' messages.
 
-use wire::{Incarnation, Time};
+use wire::{Incarnation, Time, Upstream};
 
 use super::{Planner, Taken};
 use crate::budget::{Budget, Want};
@@ -47,9 +47,14 @@
                 number,
                 denial,
                 retry_after,
-            } => self.with_holder(now, |holder, cx| {
-                holder.denied(cx, &upstream, &model, number, denial, retry_after);
-            }),
+            } => {
+                if denial == Denial::Moved {
+                    self.moved_on(now, from, &upstream);
+                }
+                self.with_holder(now, |holder, cx| {
+                    holder.denied(cx, &upstream, &model, number, denial, retry_after);
+                });
+            }
             Message::Release {
                 upstream,
                 model,
@@ -77,6 +82,24 @@
         }
     }
 
+    /// Takes the news that the owner this node is promised to has given the upstream up. The owner
+    /// that the view names may hold a lower claim, which nobody has told it yet: it has to claim
+    /// above the promise before this node can take its grants.
+    fn moved_on(&mut self, now: Time, from: &Incarnation, upstream: &Upstream) {
+        let claim = self.promises.shown(upstream);
+        if !self.promises.holds(upstream, claim, from) {
+            return;
+        }
+        match self.view.owner(upstream) {
+            Some(vm) if *vm == self.me.vm => self.outbid(now, upstream, claim),
+            Some(vm) if *vm != from.vm => {
+                let (vm, upstream) = (vm.clone(), upstream.clone());
+                self.fx.send(&vm, Message::Outbid { upstream, claim });
+            }
+            Some(_) | None => {}
+        }
+    }
+
     fn budget(&mut self, store: &str) -> Option<&mut Budget> {
         self.budgets.iter_mut().find(|b| *b.store().id == *store)
     }
