--- a/crates/placement/tests/stale_promise.rs
+++ b/crates/placement/tests/stale_promise.rs
@@ -102,7 +102,7 @@
         upstream: "e".into(),
         claim: 5,
     };
-    assert_eq!(told, [outbid.clone()]);
+    assert_eq!(told, std::slice::from_ref(&outbid));
     // A denial by a node that holds no promise says nothing.
     let told = sent(&receive(&mut node, &owner, denial), &owner);
     assert!(!told.contains(&outbid), "{told:?}");
