Take chunks whose id engines made from the attempt

Cause: OpenAI-compatible engines answer with cmpl- and the x-request-id of the request as the id of each chunk. The request's id went out under that header, not the attempt's, and the check took the bare attempt id only, so every chunk of such an engine was dropped.

Change: x-request-id carries the attempt's id to engines. The check takes ATTEMPT and cmpl-ATTEMPT, the latter also with -N for the choice; chunks with another id are dropped as before. A request's own id went to engines under no other use, so the field is gone from the completion.

--- a/crates/upstream/src/engine/answer.rs
+++ b/crates/upstream/src/engine/answer.rs
@@ -14,6 +14,9 @@
 /// Name of the chunk object that opens a stream.
 const OPENING: &str = "opening";
 
+/// What OpenAI-compatible engines put before the request's id in a chunk's id.
+const COMPLETION: &str = "cmpl-";
+
 /// One event of a streamed answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Event {
@@ -113,7 +116,7 @@
 
     fn chunk(&mut self, chunk: Chunk<'_>) -> Next {
         // An engine that names no attempt is not known to answer this one.
-        if chunk.id.as_deref() != Some(&*self.attempt) {
+        if !chunk.id.as_deref().is_some_and(|id| self.owns(id)) {
             return Next::Drop;
         }
         if let Some(message) = chunk.error {
@@ -133,6 +136,20 @@
         }
     }
 
+    /// Tells whether a chunk's id is of this attempt: `ATTEMPT`, or `cmpl-ATTEMPT` as engines make
+    /// it from `x-request-id`, with `-N` for the choice where they number them.
+    fn owns(&self, id: &str) -> bool {
+        if *id == *self.attempt {
+            return true;
+        }
+        let named = id.strip_prefix(COMPLETION);
+        match named.and_then(|named| named.strip_prefix(&*self.attempt)) {
+            Some("") => true,
+            Some(rest) => rest.strip_prefix('-').is_some_and(is_number),
+            None => false,
+        }
+    }
+
     fn token(&mut self, offset: Option<u64>, text: String) -> Next {
         if self.reason.is_some() {
             return Next::Fail(self.malformed("token after the finish"));
@@ -164,3 +181,7 @@
         }
     }
 }
+
+fn is_number(text: &str) -> bool {
+    !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit())
+}
--- a/crates/upstream/src/engine/http.rs
+++ b/crates/upstream/src/engine/http.rs
@@ -185,7 +185,7 @@
         body.insert("stream".into(), json!(true));
         let builder = Request::post("/v1/completions")
             .header(header::ATTEMPT, &*request.attempt)
-            .header(header::REQUEST, &request.request)
+            .header(header::REQUEST, &*request.attempt)
             .header(header::CALLER, &*request.caller);
         let call = Call {
             class: request.priority.into(),
--- a/crates/upstream/src/engine/mod.rs
+++ b/crates/upstream/src/engine/mod.rs
@@ -97,8 +97,6 @@
     pub priority: Priority,
     /// Id of this attempt.
     pub attempt: Attempt,
-    /// Id of the request, the same for each of its attempts.
-    pub request: String,
     /// The caller.
     pub caller: Caller,
     /// Tokens that the caller already has; the answer goes on from there.
--- a/crates/upstream/src/header.rs
+++ b/crates/upstream/src/header.rs
@@ -6,7 +6,8 @@
 /// Id of one attempt; the upstream echoes it, so that a crossed answer is noticed.
 pub const ATTEMPT: &str = "x-attempt";
 
-/// Id of the request that the attempt belongs to.
+/// Id under which callers and plain services log a request. To an engine it carries the attempt's
+/// id, from which OpenAI-compatible engines make the id of each chunk.
 pub const REQUEST: &str = "x-request-id";
 
 /// Name of the caller.
--- a/crates/upstream/tests/event_parsing.rs
+++ b/crates/upstream/tests/event_parsing.rs
@@ -48,6 +48,28 @@
     assert_eq!(parse([b"data: \xff\n"]).1, Err(Error::Encoding));
 }
 
+#[rstest]
+#[case::plain("a-1", true)]
+#[case::completion("cmpl-a-1", true)]
+#[case::choice("cmpl-a-1-0", true)]
+#[case::longer("cmpl-a-11", false)]
+#[case::no_number("cmpl-a-1-", false)]
+#[case::named("cmpl-a-1-x", false)]
+#[case::other("cmpl-a-2-0", false)]
+#[case::shorter("cmpl-a", false)]
+#[case::prefix_twice("cmpl-cmpl-a-1", false)]
+#[case::plain_with_choice("a-1-0", false)]
+fn chunks_of_the_attempt_pass(#[case] id: &str, #[case] passes: bool) {
+    let mut check = Check::new("engine-1".into(), "a-1".into(), "m".into(), 0);
+    let token = format!(r#"{{"id":"{id}","model":"m","offset":0,"choices":[{{"text":"x"}}]}}"#);
+    let passed = matches!(
+        check.take(&token),
+        Next::Pass(Event::Token { offset: 0, .. })
+    );
+    assert_eq!(passed, passes);
+    assert_eq!(check.offset(), u64::from(passes));
+}
+
 /// Bytes of which many are line ends and field names.
 fn stream() -> impl Strategy<Value = Vec<u8>> {
     let piece = prop_oneof![
