--- a/crates/placement/tests/fleet_promises.rs
+++ b/crates/placement/tests/fleet_promises.rs
@@ -130,3 +130,21 @@
         }
     }
 }
+
+/// The naive version under the same workload shows that the counts can be other than zero.
+#[test]
+fn naive_evicts_in_use() {
+    let setup = Setup {
+        nodes: NODES,
+        engines: ENGINES,
+        slots: 3,
+        naive: true,
+        ..Setup::default()
+    };
+    let stats = run(&setup, &[]).stats;
+    println!(
+        "naive: {} evictions in use of {}",
+        stats.evictions_in_use, stats.evictions
+    );
+    assert!(stats.evictions_in_use > 0, "{} evictions", stats.evictions);
+}
