Let a node that is not on the list own nothing

A node took itself for alone after 10 s without answers although the platform's list named others but not it, or became fit by one table before any list was read; it then showed itself as live and owned every engine and the whole store budget, which its peers shared among each other.

A node is now fit only while a list was read that names it. It stays suspect in its own view until then; one that is dropped later is suspect at once, and live again when it is listed again.

--- a/crates/roster/src/machine/join.rs
+++ b/crates/roster/src/machine/join.rs
@@ -2,6 +2,9 @@
 //!
 //! It asks a few peers for their tables. Only answers to questions asked since then count: what
 //! waited in its inbox during a pause is as old as its own beliefs.
+//!
+//! A node whose platform list was never read, or names others but not this node, stays unfit: its
+//! peers count it out, and would share with each other what it took for its own.
 
 use std::time::Duration;
 
@@ -60,7 +63,7 @@
         let Fitness::Joining { since, next } = self.fitness else {
             return;
         };
-        if !self.listed {
+        if !self.may_join() {
             return;
         }
         if self.table.len() == 0 || now >= since + ALONE_AFTER {
@@ -88,7 +91,8 @@
         sequence: Sequence,
         out: &mut impl Extend<Action>,
     ) {
-        if !matches!(self.fitness, Fitness::Joining { .. }) || sequence <= self.join.floor {
+        let joining = matches!(self.fitness, Fitness::Joining { .. });
+        if !joining || !self.may_join() || sequence <= self.join.floor {
             return;
         }
         if !self.join.heard.contains(&from.vm) {
@@ -101,6 +105,10 @@
         }
     }
 
+    fn may_join(&self) -> bool {
+        self.listed && !self.missing
+    }
+
     fn become_fit(&mut self) {
         self.fitness = Fitness::Fit;
         self.established = true;
@@ -109,7 +117,7 @@
     /// Returns the time of the next question.
     pub(super) fn join_wake(&self) -> Option<Time> {
         match self.fitness {
-            Fitness::Joining { next, .. } if self.listed => Some(next),
+            Fitness::Joining { next, .. } if self.may_join() => Some(next),
             _ => None,
         }
     }
--- a/crates/roster/src/machine/mod.rs
+++ b/crates/roster/src/machine/mod.rs
@@ -50,7 +50,7 @@
 pub enum Event {
     /// The platform's list of this region's VMs, with its revision where it has one.
     List {
-        /// The VMs; this node need not be among them.
+        /// The VMs; where this node is not among them, it owns nothing.
         members: Vec<Member>,
         /// Revision of the list; an older one than the last is dropped.
         revision: Option<u64>,
@@ -139,6 +139,8 @@
     listed: bool,
     list_revision: Option<u64>,
     listed_leaving: bool,
+    // Whether the list names other VMs but not this one.
+    missing: bool,
     table: Table,
     probes: Probes,
     round: Vec<Vm>,
@@ -167,6 +169,7 @@
             listed: false,
             list_revision: None,
             listed_leaving: false,
+            missing: false,
             table: Table::default(),
             probes: Probes::default(),
             round: Vec::new(),
@@ -184,10 +187,10 @@
         }
     }
 
-    /// Tells whether this node has heard from peers since its start or last pause. An unfit node
-    /// shows itself as suspect in its view, so that it owns nothing.
+    /// Tells whether this node has heard from peers since its start or last pause, and is on the
+    /// list. An unfit node shows itself as suspect in its view, so that it owns nothing.
     pub fn fit(&self) -> bool {
-        self.fitness == Fitness::Fit
+        self.fitness == Fitness::Fit && !self.missing
     }
 
     /// Returns the VMs of the list, sorted by id, whether they answer or not.
@@ -264,6 +267,7 @@
         self.list_revision = revision.or(self.list_revision);
         self.listed = true;
         self.listed_leaving = members.iter().any(|m| m.vm == self.me.vm && m.leaving);
+        self.missing = members.iter().all(|m| m.vm != self.me.vm);
         let others = members.into_iter().filter(|m| m.vm != self.me.vm);
         let gone = self.table.list(others);
         self.round.retain(|vm| !gone.contains(vm));
@@ -337,10 +341,10 @@
     }
 
     fn own_peer(&self) -> wire::view::Peer {
-        let state = match (self.leaving || self.listed_leaving, self.fitness) {
+        let state = match (self.leaving || self.listed_leaving, self.fit()) {
             (true, _) => wire::view::State::Leaving,
-            (false, Fitness::Fit) => wire::view::State::Live,
-            (false, _) => wire::view::State::Suspect,
+            (false, true) => wire::view::State::Live,
+            (false, false) => wire::view::State::Suspect,
         };
         wire::view::Peer {
             incarnation: self.me.clone(),
