Show why a revision was refused in words

The reason was formatted as a value of the program. It now goes through Display, as the log's notes do.

After: it prints the check's text, and the test passes.

--- a/crates/hyssopscale/tests/node_views.rs
+++ b/crates/hyssopscale/tests/node_views.rs
@@ -135,6 +135,8 @@
         let table = ask(&local, &["status"]).await;
         if refused(&table.out) == 2 {
             assert!(!table.out.contains("behind"), "{table:?}");
+            // The reason is the check's own text, not a value of the program.
+            assert!(!table.out.contains("Check("), "{table:?}");
             break;
         }
         assert!(Instant::now() < limit, "{table:?}");
--- a/crates/node/src/core/perform.rs
+++ b/crates/node/src/core/perform.rs
@@ -78,7 +78,7 @@
             Read { key } => source::read(&self.shared, &self.handle, &self.source, key),
             Check { revision, parts } => source::check(&self.handle, revision, parts),
             Adopt { revision, .. } => self.adopt(revision),
-            Refused { revision, reason } => self.refuse(revision, format!("{reason:?}")),
+            Refused { revision, reason } => self.refuse(revision, reason.to_string()),
             Ready => self.shared.set_ready(),
             Note(note) => decision::config(&note),
             // The joined machine turns these into frames and heartbeats.
