Decide on a crash only when the engine has reported

Cause: an engine counted as crashed only where its port refused at once or its new start was told within half a second. A proxy takes connections for an engine that is down, a hanging VM takes none, and a cold start lasts longer, so a request that crashes engines went on to the next one uncharged.

Change: after a broken, cut or silent answer the attempt stays undecided and its request is not tried elsewhere until the engine reports: the same start is no crash, another one is, and 2 s without a report is. The health verdict is counted first, so that others avoid the engine meanwhile. The decision goes on where the caller goes away. The start is noted after the charge, and read anew where a crashed engine did not tell it. Plain services give no report and are judged by a refused connection as before.

--- a/crates/hyssopscale/tests/poison_request.rs
+++ b/crates/hyssopscale/tests/poison_request.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use hyper::HeaderMap;
+use rstest::rstest;
 use standin::caller::Caller;
 use standin::checker::{Outcome, What};
 use support::Cluster;
@@ -28,9 +29,12 @@
     engines.map(|engine| engine.totals().crashes).sum()
 }
 
+#[rstest]
+#[case::direct(false)]
+#[case::through_a_proxy(true)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn poison_takes_down_two_engines_at_most() {
-    let cluster = Cluster::start_with(1, false).await;
+async fn poison_takes_down_two_engines_at_most(#[case] link_upstreams: bool) {
+    let cluster = Cluster::start_with(1, link_upstreams).await;
     let limit = Duration::from_secs(40);
     let careless = Caller::new("c1", HeaderMap::new(), limit);
     let innocent = Caller::new("c2", HeaderMap::new(), limit);
--- a/crates/node/src/front/gate.rs
+++ b/crates/node/src/front/gate.rs
@@ -2,6 +2,7 @@
 //! that crash upstreams, and the judgement of failed attempts.
 
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use dispatch::health::Verdict;
 use dispatch::outcome::{Cause, Kind, Stage, decide};
@@ -18,8 +19,14 @@
 use crate::directory::{Link, Runner};
 use crate::front::Front;
 
-/// Time within which a crashed upstream's port must refuse or its report must come.
-const CRASH_CHECK: std::time::Duration = std::time::Duration::from_millis(500);
+/// Limit for one look at an upstream that may have crashed.
+const CRASH_CHECK: Duration = Duration::from_millis(500);
+
+/// Pause between two askings for the report of an upstream that may have crashed.
+const CRASH_PAUSE: Duration = Duration::from_millis(50);
+
+/// Time without a report after which an engine that broke an attempt off counts as crashed.
+const CRASH_DECISION: Duration = Duration::from_secs(2);
 
 /// A place in admission, given back when it is dropped.
 pub(super) struct Place {
@@ -198,35 +205,65 @@
     }
 }
 
-/// Tells whether an upstream has crashed that broke a request off with `error`: it refuses
-/// connections now, or it has started anew.
-pub(super) async fn crashed(front: &Front, runner: &Runner, error: &Error) -> bool {
-    let broken = matches!(error, Error::Broken { .. } | Error::Cut { .. });
-    if !broken || error.reach() == Reach::NotSent {
-        return false;
+/// Whether an upstream crashed under an attempt.
+enum Fate {
+    /// It runs on, or it cannot be told.
+    Alive,
+    /// It crashed; the number of its new start where it has told.
+    Crashed(Option<u64>),
+}
+
+/// Tells whether an upstream has crashed that broke an attempt off.
+///
+/// A refused connection is a crash. Otherwise an engine has to say so: the same start number is
+/// none, another one is a crash, and so is silence up to [`CRASH_DECISION`]. A proxy or a VM that
+/// hangs hides a refused connection, and a restart takes its time.
+async fn fate(runner: &Runner) -> Fate {
+    let known = runner.boot.load(Ordering::Relaxed);
+    if refuses(runner).await {
+        return Fate::Crashed(None);
     }
-    let connect = tokio::net::TcpStream::connect(runner.address);
-    let refused = match tokio::time::timeout(CRASH_CHECK, connect).await {
-        Ok(Err(error)) => error.kind() == std::io::ErrorKind::ConnectionRefused,
-        Ok(Ok(_)) | Err(_) => false,
+    let Link::Engine(_) = &runner.link else {
+        return Fate::Alive;
     };
-    let crashed = refused || restarted(runner).await;
-    if crashed {
-        let now = front.shared.clock.now();
-        front.shared.trials.restarted(now, &runner.pool, &runner.id);
-        log::warn!(target: crate::journal::DECISION, upstream:% = runner.id; "upstream-crashed");
+    let mut silent = false;
+    let reported = async {
+        loop {
+            if let Ok(Ok(report)) = tokio::time::timeout(CRASH_CHECK, report(runner)).await {
+                return report.start;
+            }
+            silent = true;
+            tokio::time::sleep(CRASH_PAUSE).await;
+        }
+    };
+    let reported = tokio::time::timeout(CRASH_DECISION, reported).await;
+    match reported {
+        Ok(start) if start == known => Fate::Alive,
+        // Where no number was known, an engine that was silent meanwhile has started anew.
+        Ok(start) if known != 0 || silent => Fate::Crashed(Some(start)),
+        Ok(start) => {
+            runner.boot.store(start, Ordering::Relaxed);
+            Fate::Alive
+        }
+        Err(_) => Fate::Crashed(None),
     }
-    crashed
 }
 
-async fn restarted(runner: &Runner) -> bool {
-    let known = runner.boot.load(Ordering::Relaxed);
-    match tokio::time::timeout(CRASH_CHECK, report(runner)).await {
-        Ok(Ok(report)) => {
-            runner.boot.store(report.start, Ordering::Relaxed);
-            known != 0 && report.start != known
-        }
-        Ok(Err(_)) | Err(_) => false,
+/// Tells whether a crash may be the cause of `error`.
+fn may_be_crash(error: &Error) -> bool {
+    let lost = match error {
+        Error::Broken { .. } | Error::Cut { .. } => true,
+        Error::Timeout { phase, .. } => *phase != Phase::Connect,
+        _ => false,
+    };
+    lost && error.reach() == Reach::MaybeSent
+}
+
+async fn refuses(runner: &Runner) -> bool {
+    let connect = tokio::net::TcpStream::connect(runner.address);
+    match tokio::time::timeout(CRASH_CHECK, connect).await {
+        Ok(Err(error)) => error.kind() == std::io::ErrorKind::ConnectionRefused,
+        Ok(Ok(_)) | Err(_) => false,
     }
 }
 
@@ -242,15 +279,31 @@
 }
 
 /// Counts a failed attempt, and the crash of its upstream if it was one.
+///
+/// Returns once that is decided, so that the request is not tried elsewhere before. It is decided
+/// also where the caller goes away meanwhile, since a caller may send the request again.
 pub(super) async fn failed(front: &Front, runner: &Runner, trial: Trial, error: &Error) {
-    if crashed(front, runner, error).await {
-        trial.crash(&runner.id);
-    }
     let now = front.shared.clock.now();
-    front
-        .shared
-        .trials
-        .ended(now, &runner.pool, &runner.id, verdict(error));
+    // Told first: other requests are to avoid the upstream while this one is undecided.
+    let (pool, id) = (&runner.pool, &runner.id);
+    front.shared.trials.ended(now, pool, id, verdict(error));
+    if !may_be_crash(error) {
+        return;
+    }
+    let (front, runner) = (front.clone(), runner.clone());
+    let deciding = tokio::spawn(async move {
+        let Fate::Crashed(start) = fate(&runner).await else {
+            return;
+        };
+        let now = front.shared.clock.now();
+        front.shared.trials.restarted(now, &runner.pool, &runner.id);
+        log::warn!(target: crate::journal::DECISION, upstream:% = runner.id; "upstream-crashed");
+        trial.crash(&runner.id);
+        // Known last: until here, others that failed there recognize the crash as well. A number
+        // that was not told is read anew, or the next broken connection would count as a crash.
+        runner.boot.store(start.unwrap_or(0), Ordering::Relaxed);
+    });
+    let _ = deciding.await;
 }
 
 /// Returns how far an attempt had come that failed with `error`.
