Let operators set the quarantine and the witnesses

Cause: keys without the key prefix are answered unknown for 18m 35s after the first start of a region, and a region with fewer than 4 VMs decides no call that may not be repeated; neither could be set.

Change: time.quarantine, without a value the full length as before, and limits.witnesses, 7 by default and 1 to 15.

Before: given_values_win failed without the change of tune. After: the 4 tests of claim_settings, the 14 others of the node and the 44 of the settings pass.

--- a/crates/node/src/tune.rs
+++ b/crates/node/src/tune.rs
@@ -51,10 +51,12 @@
 
 fn once(settings: &Settings) -> once::guard::Config {
     let mut config = once::guard::Config {
+        size: settings.limits.witnesses,
         window: settings.time.retry_window,
         deadline: settings.time.deadline_max,
         ..once::guard::Config::default()
     };
-    config.quarantine = config.full_quarantine();
+    let full = config.full_quarantine();
+    config.quarantine = settings.time.quarantine.unwrap_or(full);
     config
 }
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -18,6 +18,9 @@
 /// Leases must be longer than this, or they end before a renewal has come and gone.
 const LEASE_MIN: Duration = Duration::from_secs(1);
 
+/// Most witnesses; each one costs every claim a message.
+const WITNESSES_MAX: u8 = 15;
+
 /// Longest duration of any key.
 const DURATION_MAX: Duration = Duration::from_secs(24 * 60 * 60);
 
@@ -131,6 +134,10 @@
             let remedy = format!("give at least {least}");
             self.ensure(value >= least, format!("limits.{name}"), value, &remedy);
         }
+        let witnesses = limits.witnesses;
+        let remedy = "give 1 to 15, the same on every VM of the region";
+        let fits = (1..=WITNESSES_MAX).contains(&witnesses);
+        self.ensure(fits, "limits.witnesses", witnesses, remedy);
     }
 
     fn time(&mut self, settings: &Settings) {
@@ -151,6 +158,9 @@
         ] {
             self.duration(format!("time.{name}"), value);
         }
+        if let Some(quarantine) = time.quarantine {
+            self.duration("time.quarantine".to_owned(), quarantine);
+        }
         let remedy = "make it at most time.deadline_max";
         self.ensure(
             time.deadline <= time.deadline_max,
--- a/crates/settings/src/section.rs
+++ b/crates/settings/src/section.rs
@@ -118,6 +118,9 @@
     pub queue: usize,
     /// Bytes of a frame between nodes.
     pub frame_bytes: usize,
+    /// Witnesses of calls that may not be repeated, the same on every VM of a region; a call runs
+    /// once more than half of them have agreed.
+    pub witnesses: u8,
 }
 
 impl Default for Limits {
@@ -129,6 +132,7 @@
             streams: 1024,
             queue: 2048,
             frame_bytes: 1 << 20,
+            witnesses: 7,
         }
     }
 }
@@ -167,6 +171,12 @@
     /// Time within which a repeated key of a call that may run once gets the first answer.
     #[serde(with = "humantime_serde")]
     pub retry_window: Duration,
+    /// Time after a group of witnesses was founded in which keys without the key prefix of
+    /// `/v1/addresses` are answered `unknown`, since an earlier group may have run them. Absent for
+    /// the full length, which follows from the retry window; a shorter one is safe only where no
+    /// earlier group took calls in that time.
+    #[serde(with = "humantime_serde::option")]
+    pub quarantine: Option<Duration>,
     /// Life of a lease on a resident adapter unless it is renewed.
     #[serde(with = "humantime_serde")]
     pub lease: Duration,
@@ -192,6 +202,7 @@
             drain: secs(60),
             address_ttl: secs(15),
             retry_window: secs(600),
+            quarantine: None,
             lease: secs(20),
             load: secs(10),
             gather: Duration::ZERO,
