Take traffic once peers and witnesses know the process

A fresh process served as soon as its configuration was in force. Its peers dropped its messages until they knew it, so that urgent completions waited 1.0 to 1.5 s; and it knew no witness but itself, so that a call with a key was refused within 3 ms as unknown (Quorum).

It now serves once membership counts it as fit and a quorum of witnesses has greeted it, where the region has one; at most 3 s after it is fit and 15 s after its start. A call with a key that comes before a quorum is known waits for it, at most 2 s and its deadline, and then begins as before.

--- a/crates/node/src/core/mod.rs
+++ b/crates/node/src/core/mod.rs
@@ -6,6 +6,7 @@
 //! that wait for them. No input makes the actor wait for I/O, so that no request waits in its
 //! mailbox behind another one's.
 
+mod begin;
 pub mod calendar;
 mod input;
 mod orders;
@@ -174,6 +175,10 @@
     admitting: HashMap<Request, oneshot::Sender<Admitted>>,
     vetting: HashMap<Request, oneshot::Sender<Vetted>>,
     calls: HashMap<Request, mpsc::UnboundedSender<Ruling>>,
+    /// Calls that wait for witnesses.
+    early: Vec<begin::Early>,
+    /// Time at which membership first counted this process as fit.
+    fit_at: Option<Time>,
     checked: BTreeMap<Revision, Arc<rules::Set>>,
     /// The directory as listed, without what is known of leaving upstreams.
     listed: Directory,
@@ -222,6 +227,8 @@
             admitting: HashMap::new(),
             vetting: HashMap::new(),
             calls: HashMap::new(),
+            early: Vec::new(),
+            fit_at: None,
             checked: BTreeMap::new(),
             listed: Directory::default(),
             leaving: Vec::new(),
@@ -242,8 +249,10 @@
         state: &mut State,
     ) -> Result<(), ActorProcessingErr> {
         state.take(input);
+        state.begin_early();
+        state.meet();
         state.show_ticket();
-        state.wake.send_replace(state.logic.wake());
+        state.wake.send_replace(state.wake_time());
         Ok(())
     }
 }
@@ -320,12 +329,7 @@
                 };
                 self.step(Event::Poison(arrive));
             }
-            Input::Begin { event, reply } => {
-                if let once::Event::Begin { request, .. } = &event {
-                    self.calls.insert(*request, reply);
-                }
-                self.step(Event::Once(event));
-            }
+            Input::Begin { event, reply } => self.take_begin(event, reply),
             Input::PermitCall { request, reply } => {
                 let permitted = self.logic.permit_call(self.shared.clock.now(), request);
                 // The asker may have gone, and then nothing is sent.
--- a/crates/node/src/core/perform.rs
+++ b/crates/node/src/core/perform.rs
@@ -79,7 +79,7 @@
             Check { revision, parts } => source::check(&self.handle, revision, parts),
             Adopt { revision, .. } => self.adopt(revision),
             Refused { revision, reason } => self.refuse(revision, reason.to_string()),
-            Ready => self.shared.set_ready(),
+            Ready => self.shared.set_configured(),
             Note(note) => decision::config(&note),
             // The joined machine turns these into frames and heartbeats.
             Send { .. } | Seen(_) => {}
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -41,7 +41,8 @@
     pub ticket: ArcSwapOption<String>,
     /// Retry budgets and health of upstreams.
     pub trials: Trials,
-    ready: AtomicBool,
+    configured: AtomicBool,
+    met: AtomicBool,
     leaving: AtomicBool,
     flying: AtomicU64,
     requests: AtomicU64,
@@ -60,7 +61,8 @@
             directory: ArcSwap::default(),
             ticket: ArcSwapOption::empty(),
             trials: Trials::default(),
-            ready: AtomicBool::new(false),
+            configured: AtomicBool::new(false),
+            met: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             flying: AtomicU64::new(0),
             requests: AtomicU64::new(1),
@@ -77,14 +79,25 @@
         self.ticket.load().as_deref().cloned()
     }
 
-    /// Tells whether the newest configuration that can be learnt of is in force.
+    /// Tells whether traffic may be taken: the newest configuration that can be learnt of is in
+    /// force, and the peers know this process.
     pub fn ready(&self) -> bool {
-        self.ready.load(Ordering::Acquire)
+        self.configured.load(Ordering::Acquire) && self.met()
     }
 
-    /// Says that traffic may be taken.
-    pub fn set_ready(&self) {
-        self.ready.store(true, Ordering::Release);
+    /// Says that the newest configuration that can be learnt of is in force.
+    pub fn set_configured(&self) {
+        self.configured.store(true, Ordering::Release);
+    }
+
+    /// Tells whether the peers know this process, or are not waited for any longer.
+    pub fn met(&self) -> bool {
+        self.met.load(Ordering::Acquire)
+    }
+
+    /// Says that the peers know this process, or are not waited for any longer.
+    pub fn set_met(&self) {
+        self.met.store(true, Ordering::Release);
     }
 
     /// Tells whether a graceful shutdown goes on.
