--- a/crates/hyssopscale/tests/fresh_node.rs
+++ b/crates/hyssopscale/tests/fresh_node.rs
@@ -37,7 +37,14 @@
         })
     );
     assert!(!quorum, "{ruling:?}");
-    assert!(local.nodes[NODES].core().status().await.unwrap().claims_ready);
+    assert!(
+        local.nodes[NODES]
+            .core()
+            .status()
+            .await
+            .unwrap()
+            .claims_ready
+    );
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
