--- a/crates/hyssopscale/tests/support/mod.rs
+++ b/crates/hyssopscale/tests/support/mod.rs
@@ -55,16 +55,33 @@
     pub seed: u64,
 }
 
+/// A mistake in what the nodes are told, which has to break a promise.
+#[derive(Clone, Copy)]
+pub struct Plant {
+    /// Text of the rules, and what stands in its place.
+    pub rules: (&'static str, &'static str),
+    /// Settings that go before the others.
+    pub settings: &'static [(&'static str, &'static str)],
+}
+
+/// No mistake.
+pub const SOUND: Plant = Plant {
+    rules: ("", ""),
+    settings: &[],
+};
+
 /// The processes of the nodes, and their surroundings.
 pub struct Cluster {
     pub fleet: Fleet,
     pub processes: Processes,
+    plant: Plant,
 }
 
 pub struct Processes {
     places: Vec<Place>,
     children: Vec<Slot>,
     logs: TempDir,
+    settings: &'static [(&'static str, &'static str)],
 }
 
 /// One node's process, with what is known of its starts.
@@ -105,34 +122,22 @@
 
     /// Starts a cluster; without links to upstreams, one that is down refuses connections.
     pub async fn start_with(seed: u64, link_upstreams: bool) -> Self {
-        let site = site::Config {
-            region: "qld-south".into(),
-            zones: ["stanthorpe", "warwick", "toowoomba"]
-                .map(str::to_owned)
-                .to_vec(),
-            engine_pool: "advice".into(),
-            service_pool: "lending-desk".into(),
-            store: store::Config {
-                rate: 8.0,
-                ..store::Config::default()
-            },
-            engine: engine::Config {
-                base: "traction-base".into(),
-                slots: 4,
-                ..engine::Config::new("engine")
-            },
-            ..site::Config::default()
-        };
+        Self::start_planted(seed, link_upstreams, SOUND).await
+    }
+
+    /// Starts a cluster of nodes that are told something wrong.
+    pub async fn start_planted(seed: u64, link_upstreams: bool, plant: Plant) -> Self {
         let config = fleet::Config {
-            site,
+            site: site_config(),
             link_upstreams,
             seed,
             ..fleet::Config::default()
         };
         let fleet = Fleet::start(config).await.unwrap();
         let mut cluster = Self {
-            processes: Processes::new(&fleet),
+            processes: Processes::new(&fleet, plant.settings),
             fleet,
+            plant,
         };
         cluster.publish(1, "Tests: first revision");
         for node in 0..cluster.fleet.places.len() {
@@ -147,7 +152,12 @@
 
     /// Publishes the rules under a revision of the operators' own.
     pub fn publish(&mut self, revision: u64, comment: &str) -> Node {
-        let files = [("test.rules".to_owned(), rules(comment))];
+        let (sound, planted) = self.plant.rules;
+        let text = match sound {
+            "" => rules(comment),
+            _ => rules(comment).replace(sound, planted),
+        };
+        let files = [("test.rules".to_owned(), text)];
         for value in ops::pack::values("hyssopscale/", revision, files).unwrap() {
             self.fleet.publish(&value.key, value.body);
         }
@@ -165,12 +175,7 @@
         let mut nodes = Vec::new();
         let (stop, stopped) = watch::channel(false);
         let observing = tokio::spawn(observe(self.fleet.places.clone(), stopped));
-        let pace = Pace {
-            pause: Duration::from_millis(20),
-            retry: Duration::from_millis(100),
-            tries: 4,
-            span: run.span + AFTERMATH,
-        };
+        let pace = pace(run);
         let mut callers = Vec::new();
         for number in 1..=CALLERS {
             callers.push(self.caller(number, run.seed, pace).await);
@@ -195,19 +200,7 @@
     async fn caller(&self, number: usize, seed: u64, pace: Pace) -> JoinHandle<Vec<Ask>> {
         let name = format!("c{number}");
         let caller = Caller::new(&*name, HeaderMap::new(), CALLER_LIMIT);
-        let mix = Mix {
-            models: (1..=ADAPTERS)
-                .map(|number| format!("fit-{number}@v1"))
-                .collect(),
-            skew: 1.0,
-            completions: 0.5,
-            urgent: 0.3,
-            tokens: 40,
-            checkout: "/lending/checkouts".into(),
-            lookup: "/lending/stock".into(),
-            checkouts: 0.6,
-            key_prefix: self.key_prefix(&caller).await,
-        };
+        let mix = mix(self.key_prefix(&caller).await);
         let generator = Generator::new(mix, name, seed * 1_000 + number as u64);
         tokio::spawn(drive(caller, generator, self.entries(), pace))
     }
@@ -230,7 +223,7 @@
     }
 
     /// Starts a process; the former one must have ended.
-    fn spawn(&self, place: &Place, logs: &Path) {
+    fn spawn(&self, place: &Place, logs: &Path, settings: &[(&'static str, &'static str)]) {
         let mut started = self.lock();
         let number = started.serves.len() + 1;
         let log = File::create(logs.join(format!("{}-{number}.log", place.vm))).unwrap();
@@ -239,6 +232,9 @@
         for (key, value) in overrides(place) {
             command.arg("--set").arg(format!("{key}={value}"));
         }
+        for (key, value) in settings {
+            command.arg("--set").arg(format!("{key}={value}"));
+        }
         let child = command
             .stdin(Stdio::null())
             .stdout(log.try_clone().unwrap())
@@ -269,18 +265,19 @@
 }
 
 impl Processes {
-    fn new(fleet: &Fleet) -> Self {
+    fn new(fleet: &Fleet, settings: &'static [(&'static str, &'static str)]) -> Self {
         let logs = TempDir::new().unwrap();
         std::fs::write(logs.path().join(SETTINGS_FILE), SETTINGS).unwrap();
         Self {
             places: fleet.places.clone(),
             children: fleet.places.iter().map(|_| Slot::default()).collect(),
             logs,
+            settings,
         }
     }
 
     fn spawn(&mut self, node: usize) {
-        self.children[node].spawn(&self.places[node], self.logs.path());
+        self.children[node].spawn(&self.places[node], self.logs.path(), self.settings);
     }
 
     /// Returns when each process was started.
@@ -355,10 +352,10 @@
     /// need what a later event brings back.
     async fn start(&mut self, node: usize) {
         let (slot, place) = (self.children[node].clone(), self.places[node].clone());
-        let logs = self.logs.path().to_owned();
+        let (logs, settings) = (self.logs.path().to_owned(), self.settings);
         tokio::spawn(async move {
             slot.wait_end().await;
-            slot.spawn(&place, &logs);
+            slot.spawn(&place, &logs, settings);
         });
     }
 }
@@ -483,6 +480,54 @@
     )
 }
 
+pub fn site_config() -> site::Config {
+    site::Config {
+        region: "qld-south".into(),
+        zones: ["stanthorpe", "warwick", "toowoomba"]
+            .map(str::to_owned)
+            .to_vec(),
+        engine_pool: "advice".into(),
+        service_pool: "lending-desk".into(),
+        store: store::Config {
+            rate: 8.0,
+            ..store::Config::default()
+        },
+        engine: engine::Config {
+            base: "traction-base".into(),
+            slots: 4,
+            ..engine::Config::new("engine")
+        },
+        ..site::Config::default()
+    }
+}
+
+/// What every caller asks for.
+pub fn mix(key_prefix: String) -> Mix {
+    Mix {
+        models: (1..=ADAPTERS)
+            .map(|number| format!("fit-{number}@v1"))
+            .collect(),
+        skew: 1.0,
+        completions: 0.5,
+        urgent: 0.3,
+        tokens: 40,
+        checkout: "/lending/checkouts".into(),
+        lookup: "/lending/stock".into(),
+        checkouts: 0.6,
+        key_prefix,
+    }
+}
+
+/// How every caller goes on.
+pub fn pace(run: &Run) -> Pace {
+    Pace {
+        pause: Duration::from_millis(20),
+        retry: Duration::from_millis(100),
+        tries: 4,
+        span: run.span + AFTERMATH,
+    }
+}
+
 /// Returns the requests with an outcome that `is` tells.
 pub fn with(evidence: &Evidence, is: impl Fn(&Outcome) -> bool) -> Vec<&Ask> {
     let asks = evidence.asks.iter();
