Mend links of the documentation to private items

cargo doc with warnings as errors failed in node, upstream, standin and hyssopscale; it passes now. The landing check ran formatter and linter only.

--- a/crates/hyssopscale/src/ops/load/mod.rs
+++ b/crates/hyssopscale/src/ops/load/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! Requests start at times drawn before the run and wait for nothing, so that a slow answer delays
 //! no later request, and each latency counts from the time at which its request was due: the
-//! report has no coordinated omission. [`plan`] draws the requests, [`run_request`] sends one and
-//! checks that its answer is whole, [`report`] counts.
+//! report has no coordinated omission. `plan` draws the requests, [`run_request`] sends one and
+//! checks that its answer is whole, `report` counts.
 
 mod plan;
 mod report;
--- a/crates/node/src/core/calendar.rs
+++ b/crates/node/src/core/calendar.rs
@@ -1,7 +1,7 @@
 //! Tells placement which adapters routes begin to use soon, from the rules' calendars and dates.
 //!
-//! A task looks at the rules in force once in a [`PERIOD`] and announces what begins within
-//! [`HORIZON`], each beginning once for each revision. Placement loads such adapters ahead of the
+//! A task looks at the rules in force once in a `PERIOD` and announces what begins within
+//! the horizon, each beginning once for each revision. Placement loads such adapters ahead of the
 //! demand where the stores have room.
 
 use std::sync::Arc;
@@ -31,7 +31,7 @@
 }
 
 impl Calendar {
-    /// Returns what begins within [`HORIZON`] of `wall` by `rules` and was not announced before.
+    /// Returns what begins within the horizon of `wall` by `rules` and was not announced before.
     /// `now` is the time on the machines' clock at `wall`.
     pub fn announce(&mut self, rules: &Rules, wall: Timestamp, now: Time) -> Vec<Expect> {
         let until = wall.saturating_add(SignedDuration::try_from(HORIZON).unwrap_or_default());
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -1,6 +1,6 @@
 //! The platform's stand-in: configuration by get and watch, and a lagging list of VMs.
 //!
-//! Beside what [`platform::Http`](::platform::Http) asks for, these admin requests are served:
+//! Beside what [`platform::Http`] asks for, these admin requests are served:
 //!
 //! - `PUT /admin/config/KEY`: publishes the body; answers the new revision. An `x-revision`
 //!   header sets the revision, else it is one above the highest.
--- a/crates/upstream/src/link/mod.rs
+++ b/crates/upstream/src/link/mod.rs
@@ -1,8 +1,8 @@
 //! Connections to one upstream.
 //!
 //! - [`Link`] hands out connections within the limits of each [`Class`] and keeps idle ones.
-//! - [`conn`] drives a connection and counts the bytes that were written to it.
-//! - [`body`] reads a response body and gives the connection back once it is whole.
+//! - `conn` drives a connection and counts the bytes that were written to it.
+//! - `body` reads a response body and gives the connection back once it is whole.
 //!
 //! A connection is driven by the call that uses it and by nothing else. A dropped call or body
 //! therefore closes its connection at once, and no byte is written behind the call's back: the
