Split the service and model handlers by job

A service call's attempts and its claim, and a completion's attempts and the relay of its answer, now stand in files of their own. No behaviour changed.

--- a/crates/node/src/front/model/job.rs
+++ b/crates/node/src/front/model/job.rs
@@ -1,22 +1,19 @@
-//! One completion on its way from admission to its last token.
+//! One completion on its way: admission, placing, attempts and their failures.
 
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
 use dispatch::health::{Admission, Verdict};
 use dispatch::outcome::Kind;
 use dispatch::poison::Print;
 use dispatch::retry::{self, Progress, Retry};
-use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
-use hyper::{Response, StatusCode};
+use hyper::StatusCode;
 use jiff::Timestamp;
 use prometheus::Histogram;
 use serde_json::{Map, Value};
-use tokio::sync::mpsc::error::TrySendError;
 use tokio::time::{Sleep, sleep_until};
-use upstream::engine::{Answer, Completion, Event, Stream};
+use upstream::engine::{Completion, Stream};
 use upstream::{Engine, Error};
 use wire::{Model, Priority, Time, rank};
 
@@ -24,10 +21,10 @@
 use crate::core::{Grant, Input, Placed, sign_leaving};
 use crate::directory::{Flight, Runner};
 use crate::front::gate::{self, Place, Trial};
-use crate::front::handler::{Front, RETRY_ELSEWHERE, json};
+use crate::front::handler::{Front, RETRY_ELSEWHERE};
 use crate::front::identity::Identity;
-use crate::front::reply::{Writer, broken};
-use crate::front::{Body, Cut, Outcome, Problem, Sender};
+use crate::front::reply::Writer;
+use crate::front::{Outcome, Problem};
 use crate::journal::DECISION;
 use crate::shared::Rules;
 
@@ -45,34 +42,34 @@
 
 /// One request.
 pub(super) struct Job {
-    front: Front,
+    pub(super) front: Front,
     /// Number of the present placing.
-    request: wire::Request,
-    name: String,
-    identity: Identity,
-    priority: Priority,
-    place: placement::event::Request,
-    prompt: String,
-    print: Print,
-    max_tokens: u32,
-    parameters: Map<String, Value>,
-    writer: Writer,
-    arrived: Time,
+    pub(super) request: wire::Request,
+    pub(super) name: String,
+    pub(super) identity: Identity,
+    pub(super) priority: Priority,
+    pub(super) place: placement::event::Request,
+    pub(super) prompt: String,
+    pub(super) print: Print,
+    pub(super) max_tokens: u32,
+    pub(super) parameters: Map<String, Value>,
+    pub(super) writer: Writer,
+    pub(super) arrived: Time,
     /// Ends at the deadline.
-    expiry: Pin<Box<Sleep>>,
-    first_token: Histogram,
-    token_gap: Histogram,
-    retry: Retry,
-    attempts: u32,
-    placings: u32,
+    pub(super) expiry: Pin<Box<Sleep>>,
+    pub(super) first_token: Histogram,
+    pub(super) token_gap: Histogram,
+    pub(super) retry: Retry,
+    pub(super) attempts: u32,
+    pub(super) placings: u32,
     /// Whether an attempt may have run.
-    ran: bool,
+    pub(super) ran: bool,
     /// Tokens that the caller already has.
-    offset: u64,
-    last_token: Option<Time>,
+    pub(super) offset: u64,
+    pub(super) last_token: Option<Time>,
     /// Whether placement knows the present number.
-    placed: bool,
-    over: bool,
+    pub(super) placed: bool,
+    pub(super) over: bool,
     // Gives the place in admission back when the request ends.
     _admitted: Place,
 }
@@ -88,19 +85,12 @@
     Failed(Runner, Trial, Error),
 }
 
-/// How far a chunk has brought the answer.
-enum Written {
-    More,
-    Whole,
-    Broken(Error),
-}
-
 /// An answer under way.
-struct Running {
-    answer: Stream,
-    runner: Runner,
-    trial: Trial,
-    since: Time,
+pub(super) struct Running {
+    pub(super) answer: Stream,
+    pub(super) runner: Runner,
+    pub(super) trial: Trial,
+    pub(super) since: Time,
     // Counts the call while the answer is read.
     _flight: Flight,
 }
@@ -189,136 +179,8 @@
         })
     }
 
-    /// Answers as a stream. The head is sent once the first attempt has begun, so that a request
-    /// which did not run is refused with a status of its own.
-    pub(super) async fn stream(mut self) -> Result<Response<Body>, Problem> {
-        let running = self.begin().await?;
-        let (sender, body) = Body::stream();
-        let flight = self.front.shared.enter();
-        tokio::spawn(async move {
-            self.pump(running, &sender).await;
-            drop((self, flight));
-        });
-        let mut response = Response::new(body);
-        let headers = response.headers_mut();
-        headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
-        headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
-        Ok(response)
-    }
-
-    /// Answers with one document.
-    pub(super) async fn collect(mut self) -> Result<Response<Body>, Problem> {
-        let mut running = self.begin().await?;
-        let mut text = String::new();
-        loop {
-            match self.next(&mut running).await {
-                Ok(Event::Open) => {}
-                Ok(Event::Token { text: token, .. }) => {
-                    self.count_token();
-                    text.push_str(&token);
-                }
-                Ok(Event::End { tokens, reason }) => {
-                    self.finish(running);
-                    return Ok(json(self.writer.document(&text, &reason, tokens)));
-                }
-                Err(error) => running = self.resume(running, error).await?,
-            }
-        }
-    }
-
-    /// Passes the answer on until it is whole, cannot become whole, or the caller is gone.
-    async fn pump(&mut self, mut running: Running, sender: &Sender) {
-        loop {
-            let event = tokio::select! {
-                event = self.next(&mut running) => event,
-                () = sender.closed() => return self.abandon(running),
-            };
-            let mut chunk = Writer::buffer();
-            let passed = match self.write(&mut running, event, &mut chunk) {
-                Written::More => self.pass(sender, chunk.freeze()).await,
-                Written::Whole => {
-                    self.finish(running);
-                    // A caller that went away at the very end has had its whole answer made.
-                    let _ = sender.send(Ok(chunk.freeze())).await;
-                    return;
-                }
-                Written::Broken(error) => {
-                    let passed = self.pass(sender, chunk.freeze()).await;
-                    match self.resume(running, error).await {
-                        Ok(next) => running = next,
-                        Err(problem) => return cut(sender, &problem).await,
-                    }
-                    passed
-                }
-            };
-            if !passed {
-                return self.abandon(running);
-            }
-        }
-    }
-
-    /// Writes an event, and those that have come with it, into one chunk.
-    fn write(
-        &mut self,
-        running: &mut Running,
-        event: Result<Event, Error>,
-        chunk: &mut BytesMut,
-    ) -> Written {
-        let mut next = Some(event);
-        while let Some(event) = next {
-            match event {
-                Ok(Event::Open) => {}
-                Ok(Event::Token { text, .. }) => {
-                    self.count_token();
-                    self.writer.token(chunk, &text);
-                }
-                Ok(Event::End { reason, .. }) => {
-                    self.writer.end(chunk, &reason);
-                    return Written::Whole;
-                }
-                Err(error) => return Written::Broken(error),
-            }
-            next = running.answer.ready();
-        }
-        Written::More
-    }
-
-    /// Passes a chunk on; `false` where the caller is gone or takes nothing for too long.
-    async fn pass(&self, sender: &Sender, chunk: Bytes) -> bool {
-        if chunk.is_empty() {
-            return true;
-        }
-        match sender.try_send(Ok(chunk)) {
-            Ok(()) => true,
-            Err(TrySendError::Full(chunk)) => {
-                let limit = self.front.shared.settings.time.idle;
-                matches!(
-                    tokio::time::timeout(limit, sender.send(chunk)).await,
-                    Ok(Ok(()))
-                )
-            }
-            Err(TrySendError::Closed(_)) => false,
-        }
-    }
-
-    async fn next(&mut self, running: &mut Running) -> Result<Event, Error> {
-        let cut = |cause: &str| Error::Cut {
-            upstream: running.runner.id.clone(),
-            offset: self.offset,
-            cause: cause.to_owned(),
-        };
-        tokio::select! {
-            event = running.answer.next() => match event {
-                Ok(Some(event)) => Ok(event),
-                Ok(None) => Err(cut("the stream ended early")),
-                Err(error) => Err(error),
-            },
-            () = self.expiry.as_mut() => Err(cut("the request's time is up")),
-        }
-    }
-
     /// Places the request and starts an attempt, as often as it takes and makes sense.
-    async fn begin(&mut self) -> Result<Running, Problem> {
+    pub(super) async fn begin(&mut self) -> Result<Running, Problem> {
         let mut grant = self.place().await?;
         loop {
             match self.start(&grant).await {
@@ -342,7 +204,11 @@
     }
 
     /// Goes on after an attempt broke off.
-    async fn resume(&mut self, running: Running, error: Error) -> Result<Running, Problem> {
+    pub(super) async fn resume(
+        &mut self,
+        running: Running,
+        error: Error,
+    ) -> Result<Running, Problem> {
         let Running {
             answer,
             runner,
@@ -573,7 +439,7 @@
         problem
     }
 
-    fn count_token(&mut self) {
+    pub(super) fn count_token(&mut self) {
         let now = self.front.shared.clock.now();
         match self.last_token.replace(now) {
             None => self.first_token.observe((now - self.arrived).as_secs_f64()),
@@ -595,7 +461,7 @@
         }
     }
 
-    fn finish(&mut self, running: Running) {
+    pub(super) fn finish(&mut self, running: Running) {
         let Running {
             runner,
             trial,
@@ -615,7 +481,7 @@
         );
     }
 
-    fn abandon(&mut self, running: Running) {
+    pub(super) fn abandon(&mut self, running: Running) {
         let shared = self.front.shared.clone();
         let runner = &running.runner;
         shared.trials.ended(
@@ -657,11 +523,6 @@
     }
 }
 
-async fn cut(sender: &Sender, problem: &Problem) {
-    let _ = sender.send(Ok(broken(problem))).await;
-    let _ = sender.send(Err(Cut)).await;
-}
-
 fn prefix_hash(prompt: &str) -> u64 {
     let end = prompt
         .char_indices()
--- a/crates/node/src/front/model/mod.rs
+++ b/crates/node/src/front/model/mod.rs
@@ -5,6 +5,7 @@
 //! cannot become whole ends in an error event and a cut connection, never as if it were whole.
 
 mod job;
+mod relay;
 
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Request, Response, StatusCode};
--- a/crates/node/src/front/service.rs
+++ b/crates/node/src/front/service/job.rs
@@ -1,10 +1,4 @@
-//! Plain services: passes calls through, and makes sure that one which may not be repeated runs
-//! at most once.
-//!
-//! An idempotent call is tried again elsewhere while it makes sense. A call that may not be
-//! repeated and carries an idempotency key runs under a claim; it goes on when its caller goes
-//! away, so that its outcome is recorded for the caller's retry. Without a key it is sent once,
-//! and never again after the first byte.
+//! One call on its way to an upstream.
 
 use std::sync::Arc;
 
@@ -13,56 +7,50 @@
 use dispatch::outcome::Kind;
 use dispatch::poison::Print;
 use dispatch::retry::{self, Next, Progress, Retry};
-use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
+use hyper::header::{HOST, HeaderValue};
 use hyper::http::request::Parts;
-use hyper::{HeaderMap, Request, Response, StatusCode};
-use once::ledger::Ending;
-use once::{Digest, Key, Record};
+use hyper::{HeaderMap, Response, StatusCode};
+use once::Key;
 use rules::Repeat;
 use upstream::header::{HOP_BY_HOP, KEY};
 use upstream::link::Reuse;
 use upstream::service::Call;
 use upstream::{Error, Phase, Reach, Service};
-use wire::{Priority, Time, rank};
+use wire::{Priority, Time};
 
-use super::gate::{self, Place, Trial};
-use super::handler::{Front, RETRY_ELSEWHERE, read_body};
-use super::identity::{Identity, text};
-use super::{Body, Cut, Outcome, Problem, Sender};
-use crate::core::{Ruling, sign_leaving};
+use crate::core::sign_leaving;
 use crate::directory::{Flight, Link, Runner};
+use crate::front::gate::{self, Place, Trial};
+use crate::front::handler::{Front, RETRY_ELSEWHERE};
+use crate::front::identity::{Identity, text};
+use crate::front::{Body, Cut, Outcome, Problem, Sender};
 use crate::journal::DECISION;
-use crate::shared::Rules;
 
 /// Kind of request in metrics.
-const KIND: &str = "service";
+pub(super) const KIND: &str = "service";
 
 /// Longest idempotency key in bytes.
 const KEY_BYTES_MAX: usize = 255;
 
-/// Header that tells the attempt that answered.
-const REPLAYED: &str = "x-replayed";
-
 /// A call on its way.
-struct Job {
-    front: Front,
-    request: wire::Request,
-    name: String,
-    service: Arc<str>,
-    pool: Arc<str>,
-    repeat: Repeat,
-    identity: Identity,
-    head: Parts,
-    body: Bytes,
-    print: Print,
-    config: retry::Config,
+pub(super) struct Job {
+    pub(super) front: Front,
+    pub(super) request: wire::Request,
+    pub(super) name: String,
+    pub(super) service: Arc<str>,
+    pub(super) pool: Arc<str>,
+    pub(super) repeat: Repeat,
+    pub(super) identity: Identity,
+    pub(super) head: Parts,
+    pub(super) body: Bytes,
+    pub(super) print: Print,
+    pub(super) config: retry::Config,
     /// Place in admission, held until the answer is passed on.
-    admitted: Option<Place>,
+    pub(super) admitted: Option<Place>,
 }
 
 /// How an attempt began.
-enum Sent {
+pub(super) enum Sent {
     Answer(Box<Answer>),
     /// No upstream may be tried now.
     None,
@@ -70,66 +58,8 @@
     Failed(Runner, Error),
 }
 
-/// Answers a request that no path of the node's own matches.
-pub(super) async fn pass(
-    front: &Front,
-    rules: &Rules,
-    request: Request<Incoming>,
-) -> Result<Response<Body>, Problem> {
-    let shared = &front.shared;
-    let now = shared.clock.now();
-    let (head, body) = request.into_parts();
-    let identity = Identity::read(&head.headers, &rules.set, &shared.settings, now)?;
-    let route = rules
-        .set
-        .service(head.method.as_str(), head.uri.path())
-        .ok_or_else(|| {
-            let detail = "no service has this path and method; check them or add a `service` line";
-            Problem::bad(StatusCode::NOT_FOUND, detail)
-        })?;
-    let body = read_body(front, body).await?;
-    let request = shared.next_request();
-    let admitted = gate::admit(
-        front,
-        &rules.set,
-        &identity,
-        route.pool,
-        identity.priority,
-        request,
-    )
-    .await?;
-    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
-    let parts = [head.method.as_str().as_bytes(), path.as_bytes(), &body];
-    let job = Job {
-        name: format!("{}-{request}", shared.me),
-        print: rank::hash(parts.concat()),
-        config: shared.trials.config(),
-        admitted: Some(admitted),
-        request,
-        front: front.clone(),
-        service: route.service.clone(),
-        pool: route.pool.clone(),
-        repeat: route.repeat,
-        identity,
-        head,
-        body,
-    };
-    log::info!(
-        target: DECISION,
-        request = job.name.as_str(), caller:% = job.identity.caller, rule:% = route.rule,
-        service:% = job.service, pool:% = job.pool, repeat:? = job.repeat;
-        "route"
-    );
-    let key = job.key()?;
-    match (job.repeat, key) {
-        (Repeat::Idempotent, _) => job.run_repeatable().await,
-        (Repeat::Once, Some(key)) => job.run_claimed(key).await,
-        (Repeat::Once, None) => job.run_unclaimed().await,
-    }
-}
-
 impl Job {
-    fn key(&self) -> Result<Option<Key>, Problem> {
+    pub(super) fn key(&self) -> Result<Option<Key>, Problem> {
         let Some(value) = text(&self.head.headers, KEY)? else {
             return Ok(None);
         };
@@ -141,7 +71,7 @@
     }
 
     /// Tries a call that may be repeated until it is answered or no attempt makes sense.
-    async fn run_repeatable(mut self) -> Result<Response<Body>, Problem> {
+    pub(super) async fn run_repeatable(mut self) -> Result<Response<Body>, Problem> {
         let mut retry = self.retry(Kind::Idempotent);
         let mut avoid = Vec::new();
         let mut ran = false;
@@ -161,7 +91,7 @@
 
     /// Sends a call that may not be repeated and carries no key. It is tried elsewhere only while
     /// no byte of it was written.
-    async fn run_unclaimed(mut self) -> Result<Response<Body>, Problem> {
+    pub(super) async fn run_unclaimed(mut self) -> Result<Response<Body>, Problem> {
         let mut retry = self.retry(Kind::Once);
         let mut avoid = Vec::new();
         loop {
@@ -177,7 +107,7 @@
         }
     }
 
-    fn retry(&self, kind: Kind) -> Retry {
+    pub(super) fn retry(&self, kind: Kind) -> Retry {
         Retry::new(
             self.config.clone(),
             kind,
@@ -187,7 +117,7 @@
     }
 
     /// Sends the call to an upstream that was not tried yet.
-    async fn attempt(
+    pub(super) async fn attempt(
         &self,
         retry: &mut Retry,
         avoid: &mut Vec<wire::Upstream>,
@@ -222,7 +152,7 @@
     }
 
     /// Decides what follows from a failed attempt and waits until it is due.
-    async fn next(
+    pub(super) async fn next(
         &self,
         retry: &mut Retry,
         kind: Kind,
@@ -267,191 +197,9 @@
         }
     }
 
-    /// Runs a call under a claim, in a task that outlives the caller's connection.
-    async fn run_claimed(self, key: Key) -> Result<Response<Body>, Problem> {
-        let front = self.front.clone();
-        let flight = front.shared.enter();
-        let task = tokio::spawn(async move {
-            let result = self.claim(key).await;
-            drop(flight);
-            result
-        });
-        task.await.unwrap_or_else(|_| {
-            let detail = "the call's task broke down; send the same key again to learn its outcome";
-            Err(Problem::new(
-                StatusCode::INTERNAL_SERVER_ERROR,
-                Outcome::Unknown,
-                detail,
-            ))
-        })
-    }
-
-    async fn claim(self, key: Key) -> Result<Response<Body>, Problem> {
-        let path = self.path();
-        let parts = [
-            self.head.method.as_str().as_bytes(),
-            path.as_bytes(),
-            &self.body,
-        ];
-        let event = once::Event::Begin {
-            request: self.request,
-            key,
-            body: Digest::new(parts),
-            deadline: self.identity.deadline,
-        };
-        let mut rulings = self.front.core.begin(event);
-        let mut executed = false;
-        loop {
-            match rulings.recv().await {
-                Some(Ruling::Execute) => {
-                    executed = true;
-                    self.execute().await;
-                }
-                Some(Ruling::Answer(record)) => return Ok(self.replay(record, !executed)),
-                Some(Ruling::Refuse {
-                    outcome,
-                    reason,
-                    retry_after,
-                }) => {
-                    return Err(self.refused(outcome, reason, retry_after));
-                }
-                None => {
-                    let outcome = if executed {
-                        Outcome::Unknown
-                    } else {
-                        Outcome::NotRun
-                    };
-                    let detail = "the node is stopping; send the same key to another node";
-                    return Err(self.problem(outcome, detail));
-                }
-            }
-        }
-    }
-
-    /// Sends a claimed call and tells the core how it ended. The permit is given once; until a byte
-    /// is written, the call may move to another upstream.
-    async fn execute(&self) {
-        let request = self.request;
-        if !self.front.core.permit(request).await {
-            return self.tell(once::Event::Abandon { request });
-        }
-        let mut retry = self.retry(Kind::Once);
-        let mut avoid = Vec::new();
-        loop {
-            let record = match self.attempt(&mut retry, &mut avoid, Reuse::Fresh).await {
-                Sent::Answer(answer) => self.record(*answer).await,
-                Sent::None | Sent::Refused(_) => {
-                    return self.tell(once::Event::Abandon { request });
-                }
-                Sent::Failed(_, error) if error.reach() == Reach::MaybeSent => {
-                    unknown_record(&error.to_string())
-                }
-                Sent::Failed(runner, error) => {
-                    let next = self
-                        .next(&mut retry, Kind::Once, &runner, &error, false)
-                        .await;
-                    if next.is_err() {
-                        return self.tell(once::Event::Abandon { request });
-                    }
-                    continue;
-                }
-            };
-            return self.tell(once::Event::Finished { request, record });
-        }
-    }
-
-    fn tell(&self, event: once::Event) {
-        self.front
-            .core
-            .send(crate::core::Input::Logic(logic::Event::Once(event)));
-    }
-
-    /// Reads a claimed call's whole answer, which becomes the record for its retries.
-    async fn record(&self, answer: Answer) -> Record {
-        let Answer {
-            head,
-            mut body,
-            runner,
-            trial,
-            since,
-            flight,
-        } = answer;
-        let mut bytes = Vec::new();
-        loop {
-            match body.next().await {
-                Ok(Some(chunk)) => bytes.extend_from_slice(&chunk),
-                Ok(None) => break,
-                Err(error) => {
-                    self.note_failure(&runner, trial, &error).await;
-                    return unknown_record(&error.to_string());
-                }
-            }
-        }
-        drop(flight);
-        gate::answered(&self.front, &runner, trial, since);
-        let failed = head.status.is_server_error();
-        Record {
-            ending: if failed {
-                Ending::Failed
-            } else {
-                Ending::Answered
-            },
-            status: head.status.as_u16(),
-            media: media_of(&head.headers),
-            body: Some(bytes),
-        }
-    }
-
-    fn replay(&self, record: Record, replayed: bool) -> Response<Body> {
-        let outcome = match record.ending {
-            Ending::Answered | Ending::Failed => None,
-            Ending::Unknown => Some(Outcome::Unknown),
-        };
-        if let Some(outcome) = outcome {
-            let detail = "the call may have run; ask the service before making a new call";
-            return self.problem(outcome, detail).into_response();
-        }
-        self.count_answer();
-        let whole = record.body.is_some();
-        let mut response = Response::new(Body::full(record.body.unwrap_or_default()));
-        let status = StatusCode::from_u16(record.status).unwrap_or(StatusCode::OK);
-        *response.status_mut() = status;
-        let headers = response.headers_mut();
-        if let Ok(media) = HeaderValue::from_str(&record.media) {
-            headers.insert(CONTENT_TYPE, media);
-        }
-        if replayed {
-            let how = if whole { "whole" } else { "without-body" };
-            headers.insert(REPLAYED, HeaderValue::from_static(how));
-        }
-        response
-    }
-
-    fn refused(
-        &self,
-        outcome: once::Outcome,
-        reason: once::Reason,
-        retry_after: Option<std::time::Duration>,
-    ) -> Problem {
-        let detail = format!("{}; {}", reason_text(reason), remedy(outcome));
-        let mut problem = match outcome {
-            once::Outcome::NotRun => self.problem(Outcome::NotRun, &detail),
-            once::Outcome::Unknown => self.problem(Outcome::Unknown, &detail),
-            once::Outcome::Mismatch => {
-                self.front
-                    .shared
-                    .metrics
-                    .ended(KIND, self.identity.priority, Outcome::NotRun);
-                Problem::bad(StatusCode::UNPROCESSABLE_ENTITY, detail)
-            }
-        };
-        problem.retry_after = retry_after;
-        problem
-    }
-
     /// Picks the least loaded upstream of the pool that does not leave, is in health, and was not
     /// tried yet. A call suspected of crashing upstreams has one to go to.
-    async fn choose(&self, avoid: &[wire::Upstream]) -> Option<Runner> {
+    pub(super) async fn choose(&self, avoid: &[wire::Upstream]) -> Option<Runner> {
         let shared = &self.front.shared;
         let directory = shared.directory.load_full();
         let ward = self
@@ -477,7 +225,7 @@
         Some(best)
     }
 
-    async fn send(
+    pub(super) async fn send(
         &self,
         runner: &Runner,
         attempt: u32,
@@ -526,14 +274,14 @@
         }
     }
 
-    fn path(&self) -> &str {
+    pub(super) fn path(&self) -> &str {
         self.head
             .uri
             .path_and_query()
             .map_or("/", |path| path.as_str())
     }
 
-    fn headers(&self) -> HeaderMap {
+    pub(super) fn headers(&self) -> HeaderMap {
         let mut headers = self.head.headers.clone();
         for name in HOP_BY_HOP {
             headers.remove(name);
@@ -548,7 +296,7 @@
     }
 
     /// Passes an answer on as it comes.
-    fn relay(&mut self, answer: Answer) -> Response<Body> {
+    pub(super) fn relay(&mut self, answer: Answer) -> Response<Body> {
         let (sender, body) = Body::stream();
         let mut response = Response::new(body);
         let Answer {
@@ -586,7 +334,7 @@
         response
     }
 
-    async fn note_failure(&self, runner: &Runner, trial: Trial, error: &Error) {
+    pub(super) async fn note_failure(&self, runner: &Runner, trial: Trial, error: &Error) {
         if matches!(error, Error::Leaving { .. }) {
             sign_leaving(&self.front.core, &runner.id, roster::Source::Refusal);
         }
@@ -598,14 +346,14 @@
         gate::failed(&self.front, runner, trial, error).await;
     }
 
-    fn count_answer(&self) {
+    pub(super) fn count_answer(&self) {
         self.front
             .shared
             .metrics
             .answered(KIND, self.identity.priority);
     }
 
-    fn none(&self, reached: bool) -> Problem {
+    pub(super) fn none(&self, reached: bool) -> Problem {
         let outcome = if reached {
             Outcome::Failed
         } else {
@@ -617,7 +365,7 @@
         )
     }
 
-    fn problem(&self, outcome: Outcome, detail: &str) -> Problem {
+    pub(super) fn problem(&self, outcome: Outcome, detail: &str) -> Problem {
         let priority: Priority = self.identity.priority;
         self.front.shared.metrics.ended(KIND, priority, outcome);
         log::info!(
@@ -638,13 +386,13 @@
 }
 
 /// An upstream's answer whose body is not read yet.
-struct Answer {
-    head: hyper::http::response::Parts,
-    body: upstream::link::Body,
-    runner: Runner,
-    trial: Trial,
-    since: Time,
-    flight: Flight,
+pub(super) struct Answer {
+    pub(super) head: hyper::http::response::Parts,
+    pub(super) body: upstream::link::Body,
+    pub(super) runner: Runner,
+    pub(super) trial: Trial,
+    pub(super) since: Time,
+    pub(super) flight: Flight,
 }
 
 /// Tells whether an upstream in this state may get a call.
@@ -663,45 +411,3 @@
     }
     Ok(())
 }
-
-fn media_of(headers: &HeaderMap) -> String {
-    let media = headers
-        .get(CONTENT_TYPE)
-        .and_then(|value| value.to_str().ok());
-    media.unwrap_or("application/octet-stream").to_owned()
-}
-
-fn unknown_record(cause: &str) -> Record {
-    log::info!("a call that may not be repeated ended without an answer: {cause}");
-    Record {
-        ending: Ending::Unknown,
-        status: 0,
-        media: String::new(),
-        body: None,
-    }
-}
-
-fn reason_text(reason: once::Reason) -> &'static str {
-    use once::Reason::{
-        Abandoned, Body, Deadline, Ended, Fenced, Gone, Quarantine, Quorum, Voided,
-    };
-    match reason {
-        Abandoned => "no upstream could be reached in time",
-        Voided => "an earlier attempt of this key was given up before it ran",
-        Body => "the key was used with another request",
-        Quorum => "too few witnesses answered",
-        Gone => "the process that ran the call is gone",
-        Deadline => "the call takes longer than the time limit",
-        Quarantine => "the key may be older than the witnesses' memory",
-        Fenced => "the witnesses have not heard from the platform for too long",
-        Ended => "the call ended without a known result",
-    }
-}
-
-fn remedy(outcome: once::Outcome) -> &'static str {
-    match outcome {
-        once::Outcome::NotRun => "send it again with the same key",
-        once::Outcome::Unknown => "send the same key again, or ask the service what became of it",
-        once::Outcome::Mismatch => "use a new key for a new call",
-    }
-}
