Take answers of engines that do not number their tokens

Cause: the check demanded an offset in each chunk, which stock OpenAI-compatible engines do not send, so each of their answers failed as malformed. Text in the chunk that carries the finish reason, as such engines send it, was dropped: a shortened answer passed for whole.

Change: without numbers, the order on the connection counts; an answer that was to be resumed is cut instead, since such an engine begins anew. A chunk may carry the last token and the finish. Numbers in only some chunks are malformed.

--- a/crates/upstream/src/engine/answer.rs
+++ b/crates/upstream/src/engine/answer.rs
@@ -57,6 +57,20 @@
     instance: Instance,
     offset: u64,
     reason: Option<String>,
+    numbering: Numbering,
+    resumed: bool,
+}
+
+/// Whether the engine numbers its tokens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Numbering {
+    /// Not known before the first token. A resumed answer is only sound with numbers, since an
+    /// engine that does not know how to resume begins anew.
+    Unknown,
+    /// Each token has its number.
+    Given,
+    /// No token has one; their order on the connection is all there is.
+    Absent,
 }
 
 impl Check {
@@ -68,6 +82,8 @@
             instance,
             offset,
             reason: None,
+            numbering: Numbering::Unknown,
+            resumed: offset > 0,
         }
     }
 
@@ -130,6 +146,12 @@
             return Next::Pass(Event::Open);
         }
         match chunk.finish {
+            // Engines may put the last token and the finish into one chunk.
+            Finish::Reason(reason) if !chunk.text.is_empty() => {
+                let next = self.token(chunk.offset, chunk.text.into_owned());
+                self.reason = Some(reason.into_owned());
+                next
+            }
             Finish::Reason(reason) => self.finish(chunk.offset, reason.into_owned()),
             Finish::GoesOn => self.token(chunk.offset, chunk.text.into_owned()),
             Finish::NoChoice => Next::Drop,
@@ -154,14 +176,37 @@
         if self.reason.is_some() {
             return Next::Fail(self.malformed("token after the finish"));
         }
-        match offset {
-            Some(offset) if offset == self.offset => {
+        match self.number(offset) {
+            Err(error) => Next::Fail(error),
+            Ok(offset) if offset == self.offset => {
                 self.offset += 1;
                 Next::Pass(Event::Token { offset, text })
             }
-            Some(offset) if offset < self.offset => Next::Drop,
-            Some(offset) => Next::Fail(self.cut(format!("token {offset} came next"))),
-            None => Next::Fail(self.malformed("chunk names no offset")),
+            Ok(offset) if offset < self.offset => Next::Drop,
+            Ok(offset) => Next::Fail(self.cut(format!("token {offset} came next"))),
+        }
+    }
+
+    /// Returns a token's number: the one it names, or the next one where the engine names none.
+    ///
+    /// A resumed answer needs numbers, since an engine that does not know how to resume begins
+    /// anew, and its first token would be taken for the next one.
+    fn number(&mut self, offset: Option<u64>) -> Result<u64, Error> {
+        match (offset, self.numbering) {
+            (Some(offset), Numbering::Unknown | Numbering::Given) => {
+                self.numbering = Numbering::Given;
+                Ok(offset)
+            }
+            (None, Numbering::Unknown) if self.resumed => {
+                Err(self.cut("the engine numbers no tokens, so that its answer cannot be resumed"))
+            }
+            (None, Numbering::Unknown | Numbering::Absent) => {
+                self.numbering = Numbering::Absent;
+                Ok(self.offset)
+            }
+            (Some(_), Numbering::Absent) | (None, Numbering::Given) => {
+                Err(self.malformed("only some chunks name an offset"))
+            }
         }
     }
 
--- a/crates/upstream/tests/event_parsing.rs
+++ b/crates/upstream/tests/event_parsing.rs
@@ -70,6 +70,45 @@
     assert_eq!(check.offset(), u64::from(passes));
 }
 
+/// Feeds chunks to a check that begins at `offset`; returns the tokens and whether the end was
+/// whole, cut or malformed.
+fn checked(offset: u64, chunks: &[&str]) -> (Vec<String>, &'static str) {
+    let mut check = Check::new("engine-1".into(), "a".into(), "m".into(), offset);
+    let mut tokens = Vec::new();
+    for chunk in chunks {
+        match check.take(chunk) {
+            Next::Pass(Event::Token { text, .. }) => tokens.push(text),
+            Next::Pass(Event::End { .. }) => return (tokens, "whole"),
+            Next::Fail(upstream::Error::Cut { .. }) => return (tokens, "cut"),
+            Next::Fail(_) => return (tokens, "malformed"),
+            Next::Pass(Event::Open) | Next::Drop => {}
+        }
+    }
+    (tokens, "open")
+}
+
+const PLAIN: &str = r#"{"id":"cmpl-a","model":"m","choices":[{"text":"x","finish_reason":null}]}"#;
+const LAST: &str = r#"{"id":"cmpl-a","model":"m","choices":[{"text":"y","finish_reason":"stop"}]}"#;
+const NUMBERED: &str = r#"{"id":"a","model":"m","offset":1,"choices":[{"text":"z"}]}"#;
+
+#[rstest]
+#[case::last_with_text(0, &[PLAIN, PLAIN, LAST, "[DONE]"], &["x", "x", "y"], "whole")]
+#[case::no_finish(0, &[PLAIN, "[DONE]"], &["x"], "cut")]
+#[case::after_finish(0, &[LAST, PLAIN], &["y"], "malformed")]
+#[case::begun_anew(3, &[PLAIN], &[], "cut")]
+#[case::numbered_later(0, &[PLAIN, NUMBERED], &["x"], "malformed")]
+#[case::unnumbered_later(1, &[NUMBERED, PLAIN], &["z"], "malformed")]
+fn engines_without_numbers(
+    #[case] offset: u64,
+    #[case] chunks: &[&str],
+    #[case] tokens: &[&str],
+    #[case] end: &str,
+) {
+    let (got, ending) = checked(offset, chunks);
+    assert_eq!(got, tokens);
+    assert_eq!(ending, end);
+}
+
 /// Bytes of which many are line ends and field names.
 fn stream() -> impl Strategy<Value = Vec<u8>> {
     let piece = prop_oneof![
