Learn of a revision that only one node's replica of the platform shows

Cause: only a zone's watcher reads the platform. Where the replicas that the watchers reach are stale, a revision that another node could read was in force nowhere: one_fresh_replica failed in 2 of 3 cases after 17 s.

Change: nodes that do not watch read the manifest, about one a second over a region.

--- a/crates/confsync/src/spreader/platform.rs
+++ b/crates/confsync/src/spreader/platform.rs
@@ -24,6 +24,10 @@
 /// have been set back.
 const WATCHES_PER_READ: u32 = 4;
 
+/// Time between two reads of the manifest by nodes that do not watch, over all of a region: replicas
+/// of the platform may differ, and the watchers' may be the stale ones.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+
 /// What is outstanding at the platform.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Platform {
@@ -37,6 +41,8 @@
     failures: u32,
     idle: u32,
     read_again: bool,
+    /// When this node next reads the manifest although it does not watch.
+    sweep: Time,
     malformed: Option<Digest>,
 }
 
@@ -60,7 +66,10 @@
 
     pub(super) fn wake(&self) -> Option<Time> {
         let busy = self.watching || self.reading;
-        (!busy && (self.watches || self.read_again)).then_some(self.next)
+        let due = (self.watches || self.read_again).then_some(self.next);
+        let sweep = (!self.watches).then_some(self.sweep);
+        let due = due.into_iter().chain(sweep).min();
+        due.filter(|_| !busy)
     }
 }
 
@@ -71,7 +80,11 @@
         if !due {
             return;
         }
-        if self.platform.read_again || self.platform.idle >= WATCHES_PER_READ {
+        let sweeps = !self.platform.watches && self.platform.sweep <= now;
+        if sweeps {
+            self.platform.sweep = now + self.sweep_wait();
+        }
+        if sweeps || self.platform.read_again || self.platform.idle >= WATCHES_PER_READ {
             self.platform.idle = 0;
             return self.read_manifest(out);
         }
@@ -84,6 +97,15 @@
         }]);
     }
 
+    /// Returns a wait after which about one node of the region sweeps each interval.
+    fn sweep_wait(&mut self) -> Duration {
+        let nodes = u32::try_from(self.view.peers().len())
+            .unwrap_or(u32::MAX)
+            .max(1);
+        let wait = SWEEP_INTERVAL.saturating_mul(nodes);
+        self.backoff(wait, 0, wait)
+    }
+
     pub(super) fn read_manifest(&mut self, out: &mut impl Extend<Action>) {
         if self.platform.reading {
             return;
--- a/crates/confsync/tests/site/mod.rs
+++ b/crates/confsync/tests/site/mod.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use confsync::{Action, Body, Event, Manifest, Message, Note, Reason, Spreader, Value};
 use roster::{Member, Roster};
-use wire::{Frame, Incarnation, Machine, Revision, Time, View, Zone};
+use wire::{Frame, Incarnation, Machine, Revision, Time, View, Vm, Zone};
 
 use crate::network::{Fault, Network, Node, vm};
 
@@ -32,6 +32,8 @@
     pub serves_stale: bool,
     revision: Revision,
     pub calls: u64,
+    /// The only VM that is answered from the present values while `serves_stale` is set.
+    pub fresh_for: Option<Vm>,
 }
 
 pub type Shared = Rc<RefCell<Service>>;
@@ -62,8 +64,13 @@
         self.stale = self.values.clone();
     }
 
-    fn get(&self, key: &str) -> Option<Value> {
-        let values = if self.serves_stale {
+    /// Tells whether the node on `me` is answered from the old copy.
+    fn is_stale_for(&self, me: &Vm) -> bool {
+        self.serves_stale && self.fresh_for.as_ref() != Some(me)
+    }
+
+    fn get(&self, key: &str, me: &Vm) -> Option<Value> {
+        let values = if self.is_stale_for(me) {
             &self.stale
         } else {
             &self.values
@@ -212,9 +219,10 @@
     /// Ends the calls that the service answers by now.
     fn answer_calls(&mut self, now: Time) {
         let service = self.service.clone();
+        let me = self.me.vm.clone();
         let mut events = Vec::new();
         self.calls.retain(|call| {
-            let event = answer(&service.borrow(), call, now);
+            let event = answer(&service.borrow(), &me, call, now);
             let waits = event.is_none();
             events.extend(event);
             waits
@@ -225,13 +233,13 @@
     }
 }
 
-fn answer(service: &Service, call: &Call, now: Time) -> Option<Event> {
+fn answer(service: &Service, me: &Vm, call: &Call, now: Time) -> Option<Event> {
     match call {
         Call::Watch(after, until) => {
             // A stale replica answers at once and does not heed the revision asked for.
-            let stale = service.serves_stale && now + WATCH_WAIT >= *until + STALE_ANSWER;
+            let stale = service.is_stale_for(me) && now + WATCH_WAIT >= *until + STALE_ANSWER;
             let newer = |value: &Value| stale || value.revision > *after;
-            let value = service.get(KEY).filter(newer);
+            let value = service.get(KEY, me).filter(newer);
             match (value, service.down) {
                 (Some(value), _) => Some(Event::Watched { value: Some(value) }),
                 (None, false) if now >= *until => Some(Event::Watched { value: None }),
@@ -242,7 +250,7 @@
                 _ => None,
             }
         }
-        Call::Read(key, due) => match service.get(key) {
+        Call::Read(key, due) => match service.get(key, me) {
             Some(value) if now >= *due => Some(Event::ReadDone {
                 key: key.clone(),
                 value: Value {
@@ -267,7 +275,7 @@
 
     fn wake(&self) -> Option<Time> {
         let calls = self.calls.iter().filter_map(|call| match call {
-            Call::Read(key, due) if self.service.borrow().get(key).is_none() => {
+            Call::Read(key, due) if self.service.borrow().get(key, &self.me.vm).is_none() => {
                 Some(*due + TIMEOUT)
             }
             Call::Read(_, due) => Some(*due),
--- a/crates/confsync/tests/time_to_force.rs
+++ b/crates/confsync/tests/time_to_force.rs
@@ -118,3 +118,15 @@
         "{seven} calls at 7 nodes, {sixty} at 60"
     );
 }
+
+/// Every replica of the platform is stale but one, which only one node can reach.
+#[rstest]
+fn one_fresh_replica(#[values(0, 3, 6)] fresh: usize) {
+    let (mut net, service) = site::<Spreader>(6, 7, 20);
+    service.borrow_mut().age();
+    service.borrow_mut().serves_stale = true;
+    service.borrow_mut().fresh_for = net.node(fresh).map(|plane| plane.me.vm.clone());
+    service.borrow_mut().publish(2, &contents(2, 8));
+    net.run_till(FORCE_FLEET, all_force(2))
+        .expect("the node that sees it tells the others");
+}
