--- a/crates/node/src/front/gate.rs
+++ b/crates/node/src/front/gate.rs
@@ -179,11 +179,11 @@
 }
 
 /// Notes the engine's start number, where it is not known yet, to recognize a crash by.
-pub(super) fn note_boot(front: &Front, runner: &Runner) {
+pub(super) fn note_boot(runner: &Runner) {
     if runner.boot.load(Ordering::Relaxed) != 0 {
         return;
     }
-    let (front, runner) = (front.clone(), runner.clone());
+    let runner = runner.clone();
     tokio::spawn(async move {
         if let Ok(report) = report(&runner).await {
             let _ =
@@ -191,7 +191,6 @@
                     .boot
                     .compare_exchange(0, report.start, Ordering::Relaxed, Ordering::Relaxed);
         }
-        drop(front);
     });
 }
 
--- a/crates/node/src/front/model/job.rs
+++ b/crates/node/src/front/model/job.rs
@@ -323,7 +323,7 @@
         if now >= grant.until {
             return Begun::Missing;
         }
-        gate::note_boot(&self.front, runner);
+        gate::note_boot(runner);
         self.count_attempt(now, runner);
         let flight = runner.enter();
         match engine.complete(self.completion(grant)).await {
