--- /dev/null
+++ b/crates/exchange/src/choice.rs
@@ -0,0 +1,245 @@
+//! Which upstream a request goes to.
+//!
+//! Each candidate has a cost in milliseconds that the request is expected to lose there; the least
+//! one wins. An adapter's homes are the first upstreams of its rendezvous order (Thaler and
+//! Ravishankar, 1998), as many as its share of the demand asks for, so that rare adapters stay
+//! where the engine keeps their weights at hand.
+
+use std::time::Duration;
+
+use wire::{Time, Upstream, Zone, rank};
+
+use crate::demand::{Demand, Target};
+use crate::fleet::{Fleet, Presence, Runner};
+use crate::route::Service;
+
+/// Cost of one request that an engine runs already: its share of the steps and prefills ahead.
+const RUNNING_MS: f64 = 4.0;
+
+/// Cost of one request above an engine's batch: the time until a place is free, with answers of
+/// about two seconds and batches of tens.
+const WAITING_MS: f64 = 40.0;
+
+/// Cost of a full failure score: an attempt that fails loses about the time to notice it.
+const TROUBLE_MS: f64 = 1_500.0;
+
+/// Cost of another availability zone: two crossings, and the bytes between zones.
+const ZONE_MS: f64 = 3.0;
+
+/// Silence of an upstream that owes an answer from which it counts as in trouble: several times
+/// the pause between two events of a stream, below the pause that makes a stream late.
+pub const SILENCE: Duration = Duration::from_millis(300);
+
+/// Cost of a load that has to wait for its turn.
+const LOAD_MS: f64 = 280.0;
+
+/// Cost of each place further down in the rendezvous order of an adapter that has to be loaded.
+const RANK_MS: f64 = 40.0;
+
+/// Cost of a load at an engine at which nobody orders: the time until somebody claims it.
+const UNOWNED_MS: f64 = 2_500.0;
+
+/// Homes for each whole upstream's worth of demand.
+const HOMES_FACTOR: f64 = 2.5;
+
+/// What a request needs.
+#[derive(Clone, Copy, Debug)]
+pub struct Need<'a> {
+    /// The pool.
+    pub service: &'a Service,
+    /// The model; absent for plain services.
+    pub target: Option<&'a Target>,
+    /// Upstreams that it was sent to already.
+    pub tried: &'a [Upstream],
+    /// Hash of the attempt, which breaks ties.
+    pub seed: u64,
+    /// Availability zone of this node.
+    pub zone: &'a Zone,
+    /// Upstreams at which nobody orders loads at present.
+    pub unowned: &'a [Upstream],
+}
+
+/// The upstream for a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Pick {
+    /// It can be sent now.
+    Send(Upstream),
+    /// It can be sent once its adapter, which is on its way, has come.
+    Wait(Upstream, Time),
+    /// Its adapter has to be loaded there first.
+    Load(Upstream),
+    /// No upstream takes it.
+    None(Lack),
+}
+
+/// Why no upstream takes a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lack {
+    /// The pool has no open upstream.
+    Upstream,
+    /// Every open upstream was tried.
+    Untried,
+    /// No open upstream holds the base model.
+    Weights,
+}
+
+impl Lack {
+    /// Returns the name used in logs.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Upstream => "no-upstream",
+            Self::Untried => "all-tried",
+            Self::Weights => "no-weights",
+        }
+    }
+}
+
+/// Picks the upstream for a request.
+pub fn pick(now: Time, fleet: &Fleet, need: &Need<'_>) -> Pick {
+    let mut open = fleet.open(&need.service.name).peekable();
+    if open.peek().is_none() {
+        return Pick::None(Lack::Upstream);
+    }
+    let untried: Vec<&Runner> = open
+        .filter(|runner| !need.tried.contains(&runner.listing.id))
+        .collect();
+    if untried.is_empty() {
+        return Pick::None(Lack::Untried);
+    }
+    match need.target {
+        Some(target) if need.service.engine.is_some() => engine(now, fleet, need, target, &untried),
+        _ => plain(now, need, &untried),
+    }
+}
+
+fn plain(now: Time, need: &Need<'_>, runners: &[&Runner]) -> Pick {
+    let cost = |runner: &Runner| {
+        let slots = f64::from(runner.listing.slots.max(1));
+        let load = f64::from(runner.load(now)) / slots;
+        load * WAITING_MS + common(now, need, runner)
+    };
+    let best = least(runners.iter().map(|runner| (cost(runner), *runner)));
+    best.map_or(Pick::None(Lack::Upstream), |runner| {
+        Pick::Send(runner.listing.id.clone())
+    })
+}
+
+fn engine(now: Time, fleet: &Fleet, need: &Need<'_>, target: &Target, runners: &[&Runner]) -> Pick {
+    let bare = Target {
+        base: target.base.clone(),
+        adapter: None,
+    };
+    let based: Vec<&Runner> = runners
+        .iter()
+        .copied()
+        .filter(|runner| fleet.serves(runner, &bare))
+        .collect();
+    if based.is_empty() {
+        return Pick::None(Lack::Weights);
+    }
+    let homes = order(target, &based);
+    let costs = based.iter().map(|runner| {
+        let place = homes.iter().position(|id| *id == runner.listing.id);
+        let cost = stall(now, fleet, need, target, runner, place) + busy(now, runner);
+        (cost + common(now, need, runner), *runner)
+    });
+    let Some(best) = least(costs) else {
+        return Pick::None(Lack::Weights);
+    };
+    let id = best.listing.id.clone();
+    match best.presence(target) {
+        Presence::Held(version) if fleet.current(target, version) => Pick::Send(id),
+        Presence::Coming(at, version) if fleet.current(target, version) => {
+            if at > now {
+                Pick::Wait(id, at)
+            } else {
+                Pick::Send(id)
+            }
+        }
+        _ => Pick::Load(id),
+    }
+}
+
+/// Returns the rendezvous order of `runners` for `target`.
+fn order(target: &Target, runners: &[&Runner]) -> Vec<Upstream> {
+    let key = rank::hash(target.to_string());
+    let ids = runners.iter().map(|runner| runner.listing.id.clone());
+    rank::top(key, ids, runners.len())
+}
+
+/// Returns how many upstreams out of `runners` should hold `target`.
+pub fn home_count(now: Time, demand: &Demand, target: &Target, runners: usize) -> usize {
+    let wanted = demand.share(now, target) * runners as f64 * HOMES_FACTOR;
+    (wanted.ceil() as usize).clamp(1, runners.max(1))
+}
+
+/// Returns an upstream that should hold `target` by its demand but does not.
+pub fn missing_home(
+    now: Time,
+    fleet: &Fleet,
+    demand: &Demand,
+    service: &Service,
+    target: &Target,
+) -> Option<Upstream> {
+    target.adapter.as_ref()?;
+    let bare = Target {
+        base: target.base.clone(),
+        adapter: None,
+    };
+    let based: Vec<&Runner> = fleet
+        .open(&service.name)
+        .filter(|runner| fleet.serves(runner, &bare))
+        .collect();
+    let count = home_count(now, demand, target, based.len());
+    let has = |runner: &&Runner| runner.presence(target) != Presence::Absent;
+    if count < 2 || based.iter().copied().filter(|runner| has(runner)).count() >= count {
+        return None;
+    }
+    let lacks = |id: &Upstream| {
+        let runner = based.iter().find(|runner| runner.listing.id == *id);
+        runner.is_some_and(|runner| !has(runner) && runner.trouble(now) < 0.3)
+    };
+    order(target, &based).into_iter().find(lacks)
+}
+
+fn stall(
+    now: Time,
+    fleet: &Fleet,
+    need: &Need<'_>,
+    target: &Target,
+    runner: &Runner,
+    place: Option<usize>,
+) -> f64 {
+    match runner.presence(target) {
+        Presence::Held(version) if fleet.current(target, version) => 0.0,
+        Presence::Coming(at, version) if fleet.current(target, version) => {
+            at.saturating_sub(now).as_secs_f64() * 1_000.0
+        }
+        _ if need.unowned.contains(&runner.listing.id) => UNOWNED_MS,
+        _ => LOAD_MS + RANK_MS * place.unwrap_or_default() as f64,
+    }
+}
+
+fn busy(now: Time, runner: &Runner) -> f64 {
+    let load = runner.load(now);
+    let over = load.saturating_sub(runner.listing.slots.saturating_sub(1));
+    f64::from(load) * RUNNING_MS + f64::from(over) * WAITING_MS
+}
+
+fn common(now: Time, need: &Need<'_>, runner: &Runner) -> f64 {
+    let silence = runner.silence(now);
+    let silent = if silence > SILENCE { TROUBLE_MS } else { 0.0 };
+    let far = if runner.listing.zone == *need.zone {
+        0.0
+    } else {
+        ZONE_MS
+    };
+    // Equal candidates are spread by the attempt, within a millisecond.
+    let spread = rank::weight(need.seed, &runner.listing.id) as f64 / u64::MAX as f64;
+    runner.trouble(now) * TROUBLE_MS + silent + far + spread
+}
+
+fn least<'a>(costs: impl IntoIterator<Item = (f64, &'a Runner)>) -> Option<&'a Runner> {
+    let best = costs.into_iter().min_by(|(a, _), (b, _)| a.total_cmp(b));
+    best.map(|(_, runner)| runner)
+}
--- /dev/null
+++ b/crates/exchange/src/lib.rs
@@ -0,0 +1,30 @@
+//! Decisions on requests that pass between callers and upstreams which guard their own runs.
+//!
+//! Engines of this kind refuse, with a promise that nothing ran, a request whose adapter they do
+//! not hold, and an unload waits for the runs of its adapter. Residency is therefore soft state
+//! that every node may know, and only orders need one owner for each engine. Nothing here does
+//! I/O, reads a clock or draws at random.
+//!
+//! The parts meet like this:
+//!
+//! - [`route`] is the configuration in force, whatever platform or file it came from.
+//! - [`fleet`] is what this node knows of the upstreams: listing, residency, load and failures.
+//! - [`choice`] picks the upstream of a request and says when none can serve it in time.
+//! - [`demand`] counts how much each adapter is asked for.
+//! - [`owner`] claims engines, numbers orders, and decides on loads and evictions.
+//! - [`spend`] bounds repeats by the share that one node has in the budget of all.
+//! - [`outcome`] decides what a failed attempt means for its caller.
+//! - [`relay`] follows the events of a stream, so that it can go on at another engine.
+
+pub mod choice;
+pub mod demand;
+pub mod fleet;
+pub mod outcome;
+pub mod owner;
+pub mod relay;
+pub mod route;
+pub mod spend;
+
+pub use choice::Pick;
+pub use fleet::Fleet;
+pub use owner::Owner;
--- /dev/null
+++ b/crates/exchange/src/owner/claim.rs
@@ -0,0 +1,210 @@
+//! Claims: taking engines over, keeping them, giving them up.
+
+use wire::{Fence, Time, Upstream, Vm, rank};
+
+use super::{ANNOUNCE, Action, Claim, Message, Note, Owner, SETTLE, Seat};
+use crate::fleet::{Fleet, Runner};
+
+/// Bits of a fencing number that belong to the VM.
+const MARK_BITS: u32 = 24;
+
+/// Seconds of the wall clock at which fencing numbers begin: 2025-01-01. Numbers stay below 2^53
+/// for decades, which every reader of JSON takes.
+const EPOCH: u64 = 1_735_689_600;
+
+impl Owner {
+    /// Claims what nobody else holds and this node is the first for.
+    pub(super) fn claim(&mut self, now: Time, fleet: &Fleet, wall: u64, out: &mut Vec<Action>) {
+        self.drop_gone(fleet, out);
+        if !self.fit || self.leaving || now < self.quiet_until {
+            self.vacant.clear();
+            return;
+        }
+        for runner in fleet.runners() {
+            let id = &runner.listing.id;
+            if !engine(runner) || !runner.open() || self.holder(id).is_some() {
+                self.vacant.retain(|(vacant, _)| vacant != id);
+                continue;
+            }
+            if rank::first(rank::hash(id.as_bytes()), &self.live) != Some(&self.config.me) {
+                self.vacant.retain(|(vacant, _)| vacant != id);
+                continue;
+            }
+            let since = self.vacant_since(now, id);
+            // A former holder that was not heard to release may still give orders, which only an
+            // engine that looks at the number refuses.
+            let silent = self.claims.iter().any(|claim| claim.runner == *id);
+            let wait = if silent && !self.config.fenced {
+                self.config.lease.max(SETTLE)
+            } else {
+                SETTLE
+            };
+            if now >= since + wait {
+                self.take(now, id.clone(), wall, silent, out);
+            }
+        }
+    }
+
+    fn vacant_since(&mut self, now: Time, id: &Upstream) -> Time {
+        match self.vacant.iter().find(|(vacant, _)| vacant == id) {
+            Some((_, since)) => *since,
+            None => {
+                self.vacant.push((id.clone(), now));
+                now
+            }
+        }
+    }
+
+    fn take(
+        &mut self,
+        now: Time,
+        runner: Upstream,
+        wall: u64,
+        inherited: bool,
+        out: &mut Vec<Action>,
+    ) {
+        let seen = self.seen(&runner).unwrap_or_default() >> MARK_BITS;
+        let second = wall.saturating_sub(EPOCH).max(seen) + 1;
+        let fence = second << MARK_BITS | self.config.mark;
+        self.saw(&runner, fence);
+        self.vacant.retain(|(vacant, _)| *vacant != runner);
+        self.claims.retain(|claim| claim.runner != runner);
+        // What the former holder ordered last shows in the report only after its lag.
+        let after = if inherited {
+            self.config.load * 2
+        } else {
+            Time::ZERO
+        };
+        out.push(Action::Note(Note::Claimed(runner.clone(), fence)));
+        out.push(Action::Inspect {
+            runner: runner.clone(),
+            after,
+        });
+        self.seats.push(Seat::new(now, runner, fence));
+        self.tell_claims(out);
+        self.announced = now;
+    }
+
+    /// Gives up engines that are gone or leave.
+    fn drop_gone(&mut self, fleet: &Fleet, out: &mut Vec<Action>) {
+        self.seats.retain(|seat| {
+            let kept = fleet.runner(&seat.runner).is_some_and(Runner::open);
+            if !kept {
+                out.push(Action::Note(Note::Yielded(seat.runner.clone(), "gone")));
+            }
+            kept
+        });
+        let known = |id: &Upstream| fleet.runner(id).is_some();
+        self.claims.retain(|claim| known(&claim.runner));
+        self.vacant.retain(|(id, _)| known(id));
+    }
+
+    /// Announces all claims when that is due.
+    pub(super) fn announce(&mut self, now: Time, out: &mut Vec<Action>) {
+        if now >= self.announced + ANNOUNCE && !self.seats.is_empty() {
+            self.announced = now;
+            self.tell_claims(out);
+        }
+    }
+
+    pub(super) fn tell_claims(&self, out: &mut Vec<Action>) {
+        let claims: Vec<_> = self
+            .owned()
+            .map(|(id, fence)| (id.clone(), fence))
+            .collect();
+        self.tell(&Message::Claims(claims), out);
+    }
+
+    /// Takes a peer's claims in; the higher number wins.
+    pub(super) fn hear(
+        &mut self,
+        from: &Vm,
+        claims: Vec<(Upstream, Fence)>,
+        out: &mut Vec<Action>,
+    ) {
+        self.claims.retain(|claim| {
+            claim.holder != *from || claims.iter().any(|(id, _)| *id == claim.runner)
+        });
+        let mut contested = false;
+        for (runner, fence) in claims {
+            self.saw(&runner, fence);
+            if let Some(seat) = self.seat(&runner) {
+                if fence < seat.fence {
+                    contested = true;
+                    continue;
+                }
+                self.yield_seat(&runner, "superseded", out);
+            }
+            self.record(runner, from, fence);
+        }
+        if contested {
+            let claims: Vec<_> = self
+                .owned()
+                .map(|(id, fence)| (id.clone(), fence))
+                .collect();
+            out.push(Action::Send {
+                to: from.clone(),
+                message: Message::Claims(claims),
+            });
+        }
+    }
+
+    fn record(&mut self, runner: Upstream, holder: &Vm, fence: Fence) {
+        let claim = Claim {
+            runner,
+            holder: holder.clone(),
+            fence,
+        };
+        match self
+            .claims
+            .iter_mut()
+            .find(|known| known.runner == claim.runner)
+        {
+            Some(known)
+                if known.fence > fence && self.live.binary_search(&known.holder).is_ok() => {}
+            Some(known) => *known = claim,
+            None => self.claims.push(claim),
+        }
+    }
+
+    pub(super) fn released(&mut self, from: &Vm, claims: Vec<(Upstream, Fence)>) {
+        for (runner, fence) in claims {
+            self.saw(&runner, fence);
+            self.claims
+                .retain(|claim| claim.runner != runner || claim.holder != *from);
+        }
+    }
+
+    /// Stops ordering at `runner`.
+    pub(super) fn yield_seat(&mut self, runner: &str, why: &'static str, out: &mut Vec<Action>) {
+        if let Some(index) = self.seats.iter().position(|seat| *seat.runner == *runner) {
+            let seat = self.seats.remove(index);
+            out.push(Action::Note(Note::Yielded(seat.runner, why)));
+        }
+    }
+
+    fn seen(&self, runner: &str) -> Option<Fence> {
+        let seen = self.fences.iter().find(|(id, _)| **id == *runner);
+        seen.map(|(_, fence)| *fence)
+    }
+
+    /// Raises the highest number seen for `runner`.
+    pub(super) fn saw(&mut self, runner: &Upstream, fence: Fence) {
+        match self.fences.iter_mut().find(|(id, _)| id == runner) {
+            Some((_, seen)) => *seen = (*seen).max(fence),
+            None => self.fences.push((runner.clone(), fence)),
+        }
+    }
+
+    /// Notes that a number of another node, higher than `fence`, is in force at `runner`.
+    pub(super) fn outbid(&mut self, now: Time, runner: &Upstream, fence: Fence) {
+        self.saw(runner, fence + (1 << MARK_BITS));
+        // Whoever holds it announces that; it is claimed again only after the lease.
+        self.vacant.retain(|(id, _)| id != runner);
+        self.vacant.push((runner.clone(), now + self.config.lease));
+    }
+}
+
+fn engine(runner: &Runner) -> bool {
+    runner.listing.engine
+}
--- /dev/null
+++ b/crates/exchange/src/owner/load.rs
@@ -0,0 +1,346 @@
+//! Orders: what is loaded next, and what makes room.
+
+use std::time::Duration;
+
+use wire::{Fence, Time, Upstream, Vm};
+
+use super::seat::{Seat, Stage, Want};
+use super::{Action, Answer, Note, Order, Owner, version};
+use crate::demand::Target;
+use crate::fleet::{Fleet, LISTING_LAG, Presence, Runner};
+
+/// Pause after an order that the engine had no time for.
+const BUSY_PAUSE: Duration = Duration::from_millis(60);
+
+/// Pause after an order without an answer.
+const UNKNOWN_PAUSE: Duration = Duration::from_millis(300);
+
+/// Age from which a need is forgotten: its requests have gone elsewhere or are over.
+const WANT_MAX_AGE: Duration = Duration::from_secs(3);
+
+/// Places that stay free of adapters, so that an unknown outcome never overfills an engine.
+const SPARE_PLACES: usize = 1;
+
+/// Part of the ceiling on starts of base models that is used.
+const CEILING_SHARE: f64 = 0.85;
+
+/// Part of a load's expected time that is added, so that requests seldom come too early.
+const LOAD_MARGIN: f64 = 1.04;
+
+impl Owner {
+    /// Takes a need for this node's engine in, or tells that another node orders there.
+    #[allow(clippy::too_many_arguments)]
+    pub(super) fn asked(
+        &mut self,
+        now: Time,
+        fleet: &Fleet,
+        from: &Vm,
+        runner: Upstream,
+        target: Target,
+        rank: u8,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(known) = fleet.runner(&runner) else {
+            return self.answer(now, from, &runner, &target, Presence::Absent, out);
+        };
+        match known.presence(&target) {
+            Presence::Held(version) if fleet.current(&target, version) => {
+                let presence = Presence::Held(version);
+                return self.answer(now, from, &runner, &target, presence, out);
+            }
+            Presence::Coming(at, version) if fleet.current(&target, version) => {
+                let presence = Presence::Coming(at, version);
+                return self.answer(now, from, &runner, &target, presence, out);
+            }
+            _ => {}
+        }
+        match self.seat_mut(&runner) {
+            Some(seat) => seat.want(now, target, rank, from),
+            None => self.answer(now, from, &runner, &target, Presence::Absent, out),
+        }
+    }
+
+    /// Gives the orders that are due.
+    pub fn pump(&mut self, now: Time, fleet: &Fleet, out: &mut Vec<Action>) {
+        if self.leaving || now < self.quiet_until {
+            return;
+        }
+        for index in 0..self.seats.len() {
+            let Some(runner) = fleet.runner(&self.seats[index].runner) else {
+                continue;
+            };
+            let seat = &mut self.seats[index];
+            if seat.born != runner.listing.born {
+                seat.restart(runner.listing.born);
+            }
+            seat.dropping
+                .retain(|(target, since)| now < *since + LISTING_LAG || runner.listed(target));
+            seat.wants.retain(|want| now < want.since + WANT_MAX_AGE);
+            if !matches!(seat.stage, Stage::Open(at) if at <= now) {
+                continue;
+            }
+            if let Some(order) = self.next(now, fleet, index, runner, out) {
+                let seat = &mut self.seats[index];
+                seat.stage = Stage::Flying;
+                out.push(Action::Order {
+                    runner: seat.runner.clone(),
+                    fence: seat.fence,
+                    order,
+                });
+            }
+        }
+    }
+
+    fn next(
+        &mut self,
+        now: Time,
+        fleet: &Fleet,
+        index: usize,
+        runner: &Runner,
+        out: &mut Vec<Action>,
+    ) -> Option<Order> {
+        let engine = runner.engine.as_ref()?;
+        let mut bare = runner.held().filter(|(target, _)| target.adapter.is_none());
+        let present = bare.next().map(|(_, presence)| presence);
+        drop(bare);
+        match present {
+            None => return self.base(now, fleet, index, runner),
+            Some(Presence::Coming(at, _)) if now < at => return None,
+            Some(_) => {}
+        }
+        let coming = |(_, presence): &(&Target, Presence)| matches!(presence, Presence::Coming(at, _) if now < *at);
+        let flying = runner
+            .held()
+            .filter(|held| held.0.adapter.is_some() && coming(held))
+            .count();
+        if flying >= self.config.parallel {
+            return None;
+        }
+        let seat = &mut self.seats[index];
+        let want = best(now, &mut seat.wants, runner, fleet)?.clone();
+        let replaces = matches!(runner.presence(&want.target), Presence::Held(_));
+        let taken = runner
+            .held()
+            .filter(|held| held.0.adapter.is_some())
+            .count();
+        let room = engine.places.saturating_sub(SPARE_PLACES);
+        if replaces || taken + seat.dropping.len() < room {
+            return Some(Order::Load(
+                want.target.clone(),
+                version(fleet, &want.target),
+            ));
+        }
+        let (victim, value) = victim(now, seat, runner)?;
+        out.push(Action::Note(Note::Evicted(
+            seat.runner.clone(),
+            victim.clone(),
+            value,
+        )));
+        Some(Order::Unload(victim))
+    }
+
+    /// Orders a base model for an empty engine, within the ceiling.
+    fn base(&mut self, now: Time, fleet: &Fleet, index: usize, runner: &Runner) -> Option<Order> {
+        let engine = runner.engine.as_ref()?;
+        let window = self.config.ceiling;
+        self.starts.retain(|at| now < *at + window);
+        let engines = fleet.open(&runner.listing.pool).count().max(1);
+        let mine = self.seats.len().min(engines);
+        let allowed = engine.loads_per_second * window.as_secs_f64() * CEILING_SHARE;
+        let part = (allowed * mine as f64 / engines as f64).max(1.0);
+        if self.starts.len() as f64 + 1.0 > part {
+            return None;
+        }
+        let seat = &self.seats[index];
+        let holders = |base: &wire::Base| {
+            let target = Target {
+                base: base.clone(),
+                adapter: None,
+            };
+            let holds = |runner: &&Runner| runner.presence(&target) != Presence::Absent;
+            fleet.open(&runner.listing.pool).filter(holds).count()
+        };
+        let wanted = |base: &wire::Base| seat.wants.iter().any(|want| want.target.base == *base);
+        let fits = engine
+            .weights
+            .iter()
+            .filter(|weights| weights.size_mb <= engine.capacity_mb);
+        let base = fits
+            .min_by_key(|weights| (!wanted(&weights.base), holders(&weights.base)))?
+            .base
+            .clone();
+        self.starts.push(now);
+        let target = Target {
+            base,
+            adapter: None,
+        };
+        Some(Order::Load(target, None))
+    }
+
+    /// Takes the answer to an order in.
+    #[allow(clippy::too_many_arguments)]
+    pub(super) fn answered(
+        &mut self,
+        now: Time,
+        fleet: &Fleet,
+        runner: &Upstream,
+        fence: Fence,
+        order: Order,
+        answer: Answer,
+        out: &mut Vec<Action>,
+    ) {
+        let eta = now + self.expect(now, fleet, runner, order.target());
+        let Some(seat) = self.seat_mut(runner).filter(|seat| seat.fence == fence) else {
+            return;
+        };
+        seat.stage = Stage::Open(now);
+        if !matches!(answer, Answer::Accepted | Answer::Done) {
+            out.push(Action::Note(Note::Failed(
+                runner.clone(),
+                order.target().clone(),
+                answer,
+            )));
+        }
+        match answer {
+            Answer::Accepted | Answer::Done => self.carried(now, runner, order, answer, eta, out),
+            Answer::Busy => seat.stage = Stage::Open(now + BUSY_PAUSE),
+            Answer::Unreached => seat.stage = Stage::Open(now + UNKNOWN_PAUSE),
+            Answer::Unknown => {
+                seat.stage = Stage::Open(now + UNKNOWN_PAUSE);
+                // It may have been accepted, so it counts as taking a place.
+                self.carried(now, runner, order, Answer::Accepted, eta, out);
+            }
+            Answer::Unfit => {
+                seat.wants.retain(|want| want.target != *order.target());
+            }
+            Answer::Fenced => {
+                self.yield_seat(runner, "fenced", out);
+                self.outbid(now, runner, fence);
+            }
+            Answer::Misdirected => self.yield_seat(runner, "another process", out),
+        }
+    }
+
+    /// Notes what an order that was carried out changed.
+    fn carried(
+        &mut self,
+        now: Time,
+        runner: &Upstream,
+        order: Order,
+        answer: Answer,
+        eta: Time,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(seat) = self.seat_mut(runner) else {
+            return;
+        };
+        let (target, presence) = match (order, answer) {
+            (Order::Load(target, version), Answer::Done) => (target, Presence::Held(version)),
+            (Order::Load(target, version), _) => (target, Presence::Coming(eta, version)),
+            (Order::Unload(target), answer) => {
+                if answer != Answer::Done {
+                    seat.dropping.push((target.clone(), now));
+                }
+                (target, Presence::Absent)
+            }
+        };
+        if presence != Presence::Absent {
+            seat.remember(&target);
+        }
+        out.push(Action::Presence {
+            runner: runner.clone(),
+            target: target.clone(),
+            presence,
+        });
+        let askers = take_askers(seat, &target, presence);
+        for asker in askers.iter().filter(|asker| **asker != self.config.me) {
+            self.answer(now, asker, runner, &target, presence, out);
+        }
+    }
+
+    /// Returns how long a load of `target` is expected to take.
+    fn expect(&self, now: Time, fleet: &Fleet, runner: &Upstream, target: &Target) -> Duration {
+        let Some(known) = fleet.runner(runner) else {
+            return self.config.load;
+        };
+        if target.adapter.is_none() {
+            let weights = known.engine.iter().flat_map(|engine| &engine.weights);
+            let found = weights
+                .into_iter()
+                .find(|weights| weights.base == target.base);
+            return found.map_or(self.config.load, |weights| weights.load);
+        }
+        if self.seat(runner).is_some_and(|seat| seat.knows(target)) {
+            return self.config.reload;
+        }
+        let coming = |presence: Presence| matches!(presence, Presence::Coming(at, _) if now < at);
+        let flights: usize = fleet
+            .runners()
+            .iter()
+            .map(|runner| runner.held().filter(|held| coming(held.1)).count())
+            .sum();
+        let crowd = (flights + 1) as f64 / self.config.flights.max(1) as f64;
+        self.config.load.mul_f64(LOAD_MARGIN * crowd.max(1.0))
+    }
+
+    /// Opens a seat whose engine has reported, or asks again.
+    pub(super) fn inspected(
+        &mut self,
+        now: Time,
+        runner: &Upstream,
+        sound: bool,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(seat) = self.seat_mut(runner) else {
+            return;
+        };
+        if sound {
+            seat.stage = Stage::Open(now);
+        } else if seat.stage == Stage::Inspecting {
+            out.push(Action::Inspect {
+                runner: runner.clone(),
+                after: UNKNOWN_PAUSE,
+            });
+        }
+    }
+}
+
+fn take_askers(seat: &mut Seat, target: &Target, presence: Presence) -> Vec<Vm> {
+    if presence == Presence::Absent {
+        return Vec::new();
+    }
+    match seat.wants.iter().position(|want| want.target == *target) {
+        Some(index) => seat.wants.remove(index).askers,
+        None => Vec::new(),
+    }
+}
+
+/// Returns the need to meet next: urgent ones first, then the most asked for, then the oldest.
+fn best<'a>(
+    now: Time,
+    wants: &'a mut Vec<Want>,
+    runner: &Runner,
+    fleet: &Fleet,
+) -> Option<&'a Want> {
+    wants.retain(|want| {
+        let waits = matches!(runner.presence(&want.target), Presence::Coming(at, _) if now < at);
+        !waits && !fleet.serves(runner, &want.target)
+    });
+    wants
+        .iter()
+        .min_by_key(|want| (want.rank, std::cmp::Reverse(want.asked), want.since))
+}
+
+/// Returns the resident adapter that is worth least, with its value.
+fn victim(now: Time, seat: &Seat, runner: &Runner) -> Option<(Target, f64)> {
+    let idle = runner.held().filter(|(target, presence)| {
+        let settled = match presence {
+            Presence::Held(_) => true,
+            Presence::Coming(at, _) => now > *at + LISTING_LAG,
+            Presence::Absent => false,
+        };
+        target.adapter.is_some() && settled
+    });
+    let valued = idle.map(|(target, _)| (target.clone(), seat.use_of(now, target)));
+    valued.min_by(|(_, a), (_, b)| a.total_cmp(b))
+}
--- /dev/null
+++ b/crates/exchange/src/owner/message.rs
@@ -0,0 +1,79 @@
+//! What owners tell each other: one-way, best effort, in any order.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use wire::{Fence, Time, Upstream};
+
+use crate::demand::Target;
+use crate::fleet::{Presence, Version};
+
+/// Residency as it is told, without times of one process's clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum News {
+    /// It is resident.
+    Held(Option<Version>),
+    /// It is expected in so many milliseconds.
+    Coming(u32, Option<Version>),
+    /// It is not there and not on its way.
+    Absent,
+}
+
+impl News {
+    /// Tells `presence` as of `now`.
+    pub fn new(now: Time, presence: Presence) -> Self {
+        match presence {
+            Presence::Held(version) => Self::Held(version),
+            Presence::Coming(at, version) => {
+                let left = at.saturating_sub(now).as_millis();
+                Self::Coming(u32::try_from(left).unwrap_or(u32::MAX), version)
+            }
+            Presence::Absent => Self::Absent,
+        }
+    }
+
+    /// Returns the presence as of `now`.
+    pub fn presence(self, now: Time) -> Presence {
+        match self {
+            Self::Held(version) => Presence::Held(version),
+            Self::Coming(left, version) => {
+                Presence::Coming(now + Duration::from_millis(left.into()), version)
+            }
+            Self::Absent => Presence::Absent,
+        }
+    }
+}
+
+/// A message between two owners.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// All engines that the sender orders at, with its fencing numbers.
+    Claims(Vec<(Upstream, Fence)>),
+    /// Engines that the sender gives up.
+    Release(Vec<(Upstream, Fence)>),
+    /// A request of the sender needs a target.
+    Want {
+        /// The engine.
+        runner: Upstream,
+        /// What is needed.
+        target: Target,
+        /// Rank of the request.
+        rank: u8,
+    },
+    /// What an owner knows of a target's residency.
+    Stock {
+        /// The engine.
+        runner: Upstream,
+        /// The target.
+        target: Target,
+        /// What is known.
+        news: News,
+    },
+    /// Requests of the sender used these targets.
+    Used {
+        /// The engine.
+        runner: Upstream,
+        /// The targets with the number of requests.
+        targets: Vec<(Target, u32)>,
+    },
+}
--- /dev/null
+++ b/crates/exchange/src/owner/mod.rs
@@ -0,0 +1,416 @@
+//! Who orders what an engine holds.
+//!
+//! One node at a time claims an engine and alone orders loads and unloads there. A claim stands as
+//! long as its holder lives; an unclaimed engine goes to the first live node of its rendezvous
+//! order. Nothing is agreed on: where two nodes claim one engine, the higher fencing number wins,
+//! and the engine refuses the lower one where it looks at the number.
+//!
+//! Fencing numbers need no storage. A number is the wall clock's second, raised above every number
+//! seen for that engine, followed by bits that belong to the VM alone.
+
+mod claim;
+mod load;
+mod message;
+mod seat;
+
+use std::time::Duration;
+
+use wire::{Fence, Time, Upstream, Vm};
+
+pub use message::{Message, News};
+use seat::Seat;
+pub use seat::{Answer, Order};
+
+use crate::demand::Target;
+use crate::fleet::{Fleet, Presence, Version};
+
+/// Time between two announcements of all claims.
+pub const ANNOUNCE: Duration = Duration::from_millis(1_000);
+
+/// Time for which an engine has to stay unclaimed before a node claims it, so that claims under way arrive first.
+pub const SETTLE: Duration = Duration::from_millis(300);
+
+/// Time without orders after a pause of this process, in which peers tell what they claimed
+/// meanwhile: longer than [`ANNOUNCE`].
+pub const RECOVERY: Duration = Duration::from_millis(1_200);
+
+/// Limits of an [`Owner`].
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// This VM.
+    pub me: Vm,
+    /// Bits of fencing numbers that belong to this VM alone, below 2^24.
+    pub mark: u64,
+    /// Time after which the orders of a former holder that fell silent have ended.
+    pub lease: Duration,
+    /// Whether engines refuse old fencing numbers.
+    pub fenced: bool,
+    /// Time of an adapter's load from the store.
+    pub load: Duration,
+    /// Time of an adapter's load that the engine held lately.
+    pub reload: Duration,
+    /// Loads of adapters over all engines up to which none slows the others down.
+    pub flights: usize,
+    /// Loads of adapters at one engine at a time.
+    pub parallel: usize,
+    /// Length of the window over which starts of base models are counted.
+    pub ceiling: Duration,
+}
+
+/// What the owner is told.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// The nodes that live and take part, and whether this node may claim.
+    View {
+        /// Live nodes, this one included, sorted.
+        live: Vec<Vm>,
+        /// Whether this node is in touch with enough others to claim.
+        fit: bool,
+    },
+    /// A message came from a peer.
+    Receive {
+        /// The peer.
+        from: Vm,
+        /// The message.
+        message: Message,
+    },
+    /// A request of this node needs `target` at `runner`.
+    Want {
+        /// The engine.
+        runner: Upstream,
+        /// What is needed.
+        target: Target,
+        /// Rank of the request; 0 goes first.
+        rank: u8,
+    },
+    /// Requests of this node used targets at an engine.
+    Used {
+        /// The engine.
+        runner: Upstream,
+        /// The targets with the number of requests.
+        targets: Vec<(Target, u32)>,
+    },
+    /// An order was answered.
+    Answered {
+        /// The engine.
+        runner: Upstream,
+        /// The fencing number of the order.
+        fence: Fence,
+        /// The order.
+        order: Order,
+        /// The answer.
+        answer: Answer,
+    },
+    /// An engine's own report has been taken over into the fleet.
+    Inspected {
+        /// The engine.
+        runner: Upstream,
+        /// Whether it gave one.
+        sound: bool,
+    },
+    /// This process was paused.
+    Paused,
+    /// This process leaves.
+    Leave,
+    /// Time passed.
+    Tick {
+        /// Seconds of the wall clock.
+        wall: u64,
+    },
+}
+
+/// What the owner wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send a message to a peer, best effort.
+    Send {
+        /// The addressee.
+        to: Vm,
+        /// The message.
+        message: Message,
+    },
+    /// Ask an engine for its report, after a pause.
+    Inspect {
+        /// The engine.
+        runner: Upstream,
+        /// Pause before.
+        after: Duration,
+    },
+    /// Give an order to an engine.
+    Order {
+        /// The engine.
+        runner: Upstream,
+        /// Fencing number.
+        fence: Fence,
+        /// The order.
+        order: Order,
+    },
+    /// Note residency in the fleet, and wake the requests that wait for it.
+    Presence {
+        /// The engine.
+        runner: Upstream,
+        /// What it is about.
+        target: Target,
+        /// What is known now.
+        presence: Presence,
+    },
+    /// A decision to log.
+    Note(Note),
+}
+
+/// A decision worth a log line.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Note {
+    /// This node orders at the engine from now on.
+    Claimed(Upstream, Fence),
+    /// This node no longer orders at the engine.
+    Yielded(Upstream, &'static str),
+    /// A target is evicted for another.
+    Evicted(Upstream, Target, f64),
+    /// An order failed.
+    Failed(Upstream, Target, Answer),
+}
+
+/// A claim of a peer.
+#[derive(Clone, Debug)]
+struct Claim {
+    runner: Upstream,
+    holder: Vm,
+    fence: Fence,
+}
+
+/// The ownership machine of one node.
+#[derive(Clone, Debug)]
+pub struct Owner {
+    config: Config,
+    live: Vec<Vm>,
+    fit: bool,
+    leaving: bool,
+    quiet_until: Time,
+    claims: Vec<Claim>,
+    // Highest fencing number seen for an engine.
+    fences: Vec<(Upstream, Fence)>,
+    // Engines without a claim, and since when this node would be the one to claim them.
+    vacant: Vec<(Upstream, Time)>,
+    seats: Vec<Seat>,
+    starts: Vec<Time>,
+    announced: Time,
+}
+
+impl Owner {
+    /// Makes the machine of a node that claims nothing.
+    pub fn new(config: Config) -> Self {
+        Self {
+            config,
+            live: Vec::new(),
+            fit: false,
+            leaving: false,
+            quiet_until: Time::ZERO,
+            claims: Vec::new(),
+            fences: Vec::new(),
+            vacant: Vec::new(),
+            seats: Vec::new(),
+            starts: Vec::new(),
+            announced: Time::ZERO,
+        }
+    }
+
+    /// Returns the engines that this node orders at, with its fencing numbers.
+    pub fn owned(&self) -> impl Iterator<Item = (&Upstream, Fence)> {
+        self.seats.iter().map(|seat| (&seat.runner, seat.fence))
+    }
+
+    /// Returns the node that orders at `runner`, as far as this one knows.
+    pub fn holder(&self, runner: &str) -> Option<&Vm> {
+        if self.seat(runner).is_some() {
+            return Some(&self.config.me);
+        }
+        let claim = self.claims.iter().find(|claim| *claim.runner == *runner)?;
+        self.lives(&claim.holder).then_some(&claim.holder)
+    }
+
+    /// Takes an event in and appends the actions that follow.
+    pub fn step(&mut self, now: Time, fleet: &Fleet, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::View { live, fit } => self.see(live, fit),
+            Event::Receive { from, message } => self.receive(now, fleet, &from, message, out),
+            Event::Want {
+                runner,
+                target,
+                rank,
+            } => self.want(now, fleet, runner, target, rank, out),
+            Event::Used { runner, targets } => self.used(now, runner, targets, out),
+            Event::Answered {
+                runner,
+                fence,
+                order,
+                answer,
+            } => self.answered(now, fleet, &runner, fence, order, answer, out),
+            Event::Inspected { runner, sound } => self.inspected(now, &runner, sound, out),
+            Event::Paused => self.pause(now, out),
+            Event::Leave => self.leave(out),
+            Event::Tick { wall } => {
+                self.claim(now, fleet, wall, out);
+                self.announce(now, out);
+            }
+        }
+        self.pump(now, fleet, out);
+    }
+
+    fn seat(&self, runner: &str) -> Option<&Seat> {
+        self.seats.iter().find(|seat| *seat.runner == *runner)
+    }
+
+    fn seat_mut(&mut self, runner: &str) -> Option<&mut Seat> {
+        self.seats.iter_mut().find(|seat| *seat.runner == *runner)
+    }
+
+    fn lives(&self, vm: &Vm) -> bool {
+        self.live.binary_search(vm).is_ok()
+    }
+
+    fn see(&mut self, mut live: Vec<Vm>, fit: bool) {
+        live.sort_unstable();
+        live.dedup();
+        self.live = live;
+        self.fit = fit;
+    }
+
+    fn receive(
+        &mut self,
+        now: Time,
+        fleet: &Fleet,
+        from: &Vm,
+        message: Message,
+        out: &mut Vec<Action>,
+    ) {
+        match message {
+            Message::Claims(claims) => self.hear(from, claims, out),
+            Message::Release(claims) => self.released(from, claims),
+            Message::Want {
+                runner,
+                target,
+                rank,
+            } => self.asked(now, fleet, from, runner, target, rank, out),
+            Message::Stock {
+                runner,
+                target,
+                news,
+            } => out.push(Action::Presence {
+                runner,
+                target,
+                presence: news.presence(now),
+            }),
+            Message::Used { runner, targets } => {
+                if let Some(seat) = self.seat_mut(&runner) {
+                    seat.count(now, &targets);
+                }
+            }
+        }
+    }
+
+    /// Passes a need of this node on to the engine's owner.
+    fn want(
+        &mut self,
+        now: Time,
+        fleet: &Fleet,
+        runner: Upstream,
+        target: Target,
+        rank: u8,
+        out: &mut Vec<Action>,
+    ) {
+        let me = self.config.me.clone();
+        match self.holder(&runner).cloned() {
+            Some(holder) if holder == me => {
+                self.asked(now, fleet, &me, runner, target, rank, out);
+            }
+            Some(holder) => out.push(Action::Send {
+                to: holder,
+                message: Message::Want {
+                    runner,
+                    target,
+                    rank,
+                },
+            }),
+            None => {}
+        }
+    }
+
+    fn used(
+        &mut self,
+        now: Time,
+        runner: Upstream,
+        targets: Vec<(Target, u32)>,
+        out: &mut Vec<Action>,
+    ) {
+        if let Some(seat) = self.seat_mut(&runner) {
+            return seat.count(now, &targets);
+        }
+        if let Some(holder) = self.holder(&runner) {
+            out.push(Action::Send {
+                to: holder.clone(),
+                message: Message::Used { runner, targets },
+            });
+        }
+    }
+
+    fn pause(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.quiet_until = now + RECOVERY;
+        self.vacant.clear();
+        // Peers answer with what they claimed meanwhile.
+        self.announced = now;
+        self.tell_claims(out);
+    }
+
+    fn leave(&mut self, out: &mut Vec<Action>) {
+        self.leaving = true;
+        let claims: Vec<_> = self
+            .owned()
+            .map(|(id, fence)| (id.clone(), fence))
+            .collect();
+        self.seats.clear();
+        if !claims.is_empty() {
+            self.tell(&Message::Release(claims), out);
+        }
+    }
+
+    fn tell(&self, message: &Message, out: &mut Vec<Action>) {
+        let others = self.live.iter().filter(|vm| **vm != self.config.me);
+        out.extend(others.map(|vm| Action::Send {
+            to: vm.clone(),
+            message: message.clone(),
+        }));
+    }
+
+    fn answer(
+        &self,
+        now: Time,
+        to: &Vm,
+        runner: &Upstream,
+        target: &Target,
+        presence: Presence,
+        out: &mut Vec<Action>,
+    ) {
+        if *to == self.config.me {
+            out.push(Action::Presence {
+                runner: runner.clone(),
+                target: target.clone(),
+                presence,
+            });
+        } else {
+            out.push(Action::Send {
+                to: to.clone(),
+                message: Message::Stock {
+                    runner: runner.clone(),
+                    target: target.clone(),
+                    news: News::new(now, presence),
+                },
+            });
+        }
+    }
+}
+
+/// Returns the version to load for `target`, where one was announced.
+fn version(fleet: &Fleet, target: &Target) -> Option<Version> {
+    fleet.newest(target)
+}
--- /dev/null
+++ b/crates/exchange/src/owner/seat.rs
@@ -0,0 +1,169 @@
+//! What an owner keeps for one engine.
+
+use wire::{Fence, Time, Upstream, Vm};
+
+use crate::demand::{Count, Target};
+use crate::fleet::Version;
+
+/// Targets whose weights an engine is believed to keep at hand after an eviction.
+const KNOWN_MAX: usize = 150;
+
+/// Use counts kept before the smallest are dropped.
+const USES_MAX: usize = 512;
+
+/// An order to an engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// Load a target, in this version or else the newest.
+    Load(Target, Option<Version>),
+    /// Drop a target once no request uses it.
+    Unload(Target),
+}
+
+impl Order {
+    /// Returns what the order is about.
+    pub fn target(&self) -> &Target {
+        match self {
+            Self::Load(target, _) | Self::Unload(target) => target,
+        }
+    }
+}
+
+/// How an engine answered an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// It is being carried out.
+    Accepted,
+    /// What it asks for holds already.
+    Done,
+    /// Another order is in progress.
+    Busy,
+    /// A higher fencing number was seen.
+    Fenced,
+    /// The engine knows no such target or order.
+    Unfit,
+    /// Another process answers at the address.
+    Misdirected,
+    /// No answer came; the order may have been accepted.
+    Unknown,
+    /// The engine could not be reached.
+    Unreached,
+}
+
+/// A need for a target that is not there.
+#[derive(Clone, Debug)]
+pub(super) struct Want {
+    pub(super) target: Target,
+    pub(super) rank: u8,
+    pub(super) since: Time,
+    pub(super) askers: Vec<Vm>,
+    pub(super) asked: u32,
+}
+
+/// Whether orders may be given at a seat.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Stage {
+    /// The engine's report is awaited.
+    Inspecting,
+    /// Orders may be given from then on.
+    Open(Time),
+    /// An order is under way.
+    Flying,
+}
+
+/// One engine that this node orders at.
+#[derive(Clone, Debug)]
+pub(super) struct Seat {
+    pub(super) runner: Upstream,
+    pub(super) fence: Fence,
+    pub(super) stage: Stage,
+    pub(super) wants: Vec<Want>,
+    /// Dropped targets that may still take a place, with the time of the order.
+    pub(super) dropping: Vec<(Target, Time)>,
+    uses: Vec<(Target, Count)>,
+    known: Vec<Target>,
+    pub(super) born: Option<u64>,
+}
+
+impl Seat {
+    pub(super) fn new(_: Time, runner: Upstream, fence: Fence) -> Self {
+        Self {
+            runner,
+            fence,
+            stage: Stage::Inspecting,
+            wants: Vec::new(),
+            dropping: Vec::new(),
+            uses: Vec::new(),
+            known: Vec::new(),
+            born: None,
+        }
+    }
+
+    /// Counts requests that used targets here.
+    pub(super) fn count(&mut self, now: Time, targets: &[(Target, u32)]) {
+        for (target, requests) in targets {
+            let amount = f64::from(*requests);
+            match self.uses.binary_search_by(|(known, _)| known.cmp(target)) {
+                Ok(index) => self.uses[index].1.add(now, amount),
+                Err(index) => {
+                    let mut count = Count::default();
+                    count.add(now, amount);
+                    self.uses.insert(index, (target.clone(), count));
+                }
+            }
+        }
+        if self.uses.len() > USES_MAX {
+            self.uses.retain(|(_, count)| count.value(now) > 0.1);
+        }
+    }
+
+    /// Returns the decayed count of requests that used `target` here.
+    pub(super) fn use_of(&self, now: Time, target: &Target) -> f64 {
+        let found = self.uses.binary_search_by(|(known, _)| known.cmp(target));
+        found.map_or(0.0, |index| self.uses[index].1.value(now))
+    }
+
+    /// Tells whether the engine is believed to have the target's weights at hand.
+    pub(super) fn knows(&self, target: &Target) -> bool {
+        self.known.contains(target)
+    }
+
+    /// Notes that the engine had the target's weights just now.
+    pub(super) fn remember(&mut self, target: &Target) {
+        self.known.retain(|known| known != target);
+        self.known.push(target.clone());
+        if self.known.len() > KNOWN_MAX {
+            self.known.remove(0);
+        }
+    }
+
+    /// Notes a need; needs for one target join.
+    pub(super) fn want(&mut self, now: Time, target: Target, rank: u8, asker: &Vm) {
+        let want = match self.wants.iter_mut().position(|want| want.target == target) {
+            Some(index) => &mut self.wants[index],
+            None => {
+                self.wants.push(Want {
+                    target,
+                    rank,
+                    since: now,
+                    askers: Vec::new(),
+                    asked: 0,
+                });
+                let last = self.wants.len() - 1;
+                &mut self.wants[last]
+            }
+        };
+        want.rank = want.rank.min(rank);
+        want.asked += 1;
+        if !want.askers.contains(asker) {
+            want.askers.push(asker.clone());
+        }
+    }
+
+    /// Begins anew with an engine whose process started anew.
+    pub(super) fn restart(&mut self, born: Option<u64>) {
+        self.born = born;
+        self.dropping.clear();
+        self.known.clear();
+    }
+}
--- /dev/null
+++ b/crates/exchange/src/relay.rs
@@ -0,0 +1,124 @@
+//! Follows the events of a stream, so that only whole events reach the caller and the stream can
+//! go on elsewhere after the last of them.
+//!
+//! Only event boundaries and ids are read (WHATWG HTML, "Server-sent events"); the bytes pass
+//! unchanged.
+
+/// Largest event that is held back until it is whole, in bytes.
+pub const EVENT_BYTES_MAX: usize = 1 << 20;
+
+/// Reason why a stream cannot go on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// An event has another id than the next one.
+    Sequence,
+    /// An event exceeds [`EVENT_BYTES_MAX`].
+    Large,
+}
+
+/// The events of one stream, over all its runs.
+#[derive(Clone, Debug, Default)]
+pub struct Cursor {
+    partial: Vec<u8>,
+    last: Option<u64>,
+    events: u64,
+}
+
+impl Cursor {
+    /// Begins after the event `last`, where the caller has it already.
+    pub fn new(last: Option<u64>) -> Self {
+        Self {
+            partial: Vec::new(),
+            last,
+            events: 0,
+        }
+    }
+
+    /// Returns the id of the last whole event.
+    pub fn last(&self) -> Option<u64> {
+        self.last
+    }
+
+    /// Returns how many whole events have passed.
+    pub fn events(&self) -> u64 {
+        self.events
+    }
+
+    /// Tells whether a part of an event is held back.
+    pub fn inside(&self) -> bool {
+        !self.partial.is_empty()
+    }
+
+    /// Drops the part of an event that a broken run left.
+    pub fn restart(&mut self) {
+        self.partial.clear();
+    }
+
+    /// Takes bytes in and appends those that complete events to `out`.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`Fault`] where an id is out of sequence; `out` then ends before that event.
+    pub fn push(&mut self, bytes: &[u8], out: &mut Vec<u8>) -> Result<(), Fault> {
+        if self.partial.is_empty() {
+            let rest = self.whole(bytes, out)?;
+            self.partial.extend_from_slice(rest);
+        } else {
+            let mut joined = std::mem::take(&mut self.partial);
+            joined.extend_from_slice(bytes);
+            let rest = self.whole(&joined, out)?;
+            self.partial.extend_from_slice(rest);
+        }
+        if self.partial.len() > EVENT_BYTES_MAX {
+            return Err(Fault::Large);
+        }
+        Ok(())
+    }
+
+    /// Passes whole events on and returns the rest.
+    fn whole<'a>(&mut self, bytes: &'a [u8], out: &mut Vec<u8>) -> Result<&'a [u8], Fault> {
+        let mut rest = bytes;
+        while let Some(end) = event_end(rest) {
+            let (event, tail) = rest.split_at(end);
+            self.check(event)?;
+            out.extend_from_slice(event);
+            self.events += 1;
+            rest = tail;
+        }
+        Ok(rest)
+    }
+
+    fn check(&mut self, event: &[u8]) -> Result<(), Fault> {
+        let Some(id) = event_id(event) else {
+            return Ok(());
+        };
+        if self.last.is_some_and(|last| id != last + 1) {
+            return Err(Fault::Sequence);
+        }
+        self.last = Some(id);
+        Ok(())
+    }
+}
+
+/// Returns the length of the first whole event with its blank line.
+fn event_end(bytes: &[u8]) -> Option<usize> {
+    let mut line = 0;
+    for (index, byte) in bytes.iter().enumerate() {
+        if *byte != b'\n' {
+            continue;
+        }
+        let text = &bytes[line..index];
+        if text.is_empty() || text == b"\r" {
+            return Some(index + 1);
+        }
+        line = index + 1;
+    }
+    None
+}
+
+/// Returns the id of an event, where it has a numeric one.
+fn event_id(event: &[u8]) -> Option<u64> {
+    let lines = event.split(|byte| *byte == b'\n');
+    let value = lines.filter_map(|line| line.strip_prefix(b"id:")).last()?;
+    std::str::from_utf8(value).ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/gateway/src/control/engines.rs
@@ -0,0 +1,139 @@
+//! Orders to engines, and their reports.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use exchange::owner::{self, Answer, Order};
+use http_body_util::Full;
+use hyper::Request;
+use log::info;
+use node::journal::DECISION;
+use upstream::link::{Call, Class, Host, Link, Reuse};
+use upstream::{Error, Reach};
+use wire::{Fence, Upstream};
+
+use crate::dialect::{self, Dialect};
+use crate::hub::Hub;
+
+/// Limit for the answer to an order or a question; several round trips.
+const ANSWER: Duration = Duration::from_millis(700);
+
+/// Gives an order and tells the owner how it was answered.
+pub async fn order<D: Dialect>(hub: Arc<Hub<D>>, runner: Upstream, fence: Fence, order: Order) {
+    let started = hub.clock.now();
+    let answer = give(&hub, &runner, fence, &order).await;
+    let millis = (hub.clock.now() - started).as_millis() as u64;
+    info!(
+        target: DECISION,
+        upstream:% = runner, order:? = order, fence, answer:?, took_ms = millis;
+        "order"
+    );
+    hub.metrics
+        .orders
+        .with_label_values(&[&format!("{answer:?}").to_lowercase()])
+        .inc();
+    hub.drive(owner::Event::Answered {
+        runner,
+        fence,
+        order,
+        answer,
+    });
+}
+
+async fn give<D: Dialect>(
+    hub: &Arc<Hub<D>>,
+    runner: &Upstream,
+    fence: Fence,
+    order: &Order,
+) -> Answer {
+    let Some(link) = control_link(hub, runner) else {
+        return Answer::Misdirected;
+    };
+    let call = hub.dialect.order(runner, &hub.me.vm, fence, order);
+    match send(&link, call).await {
+        Ok((status, _)) => hub.dialect.ordered(status),
+        Err(error) if error.reach() == Reach::NotSent => Answer::Unreached,
+        Err(_) => Answer::Unknown,
+    }
+}
+
+/// Asks an engine for its report after a pause, takes it over and tells the owner.
+pub async fn inspect<D: Dialect>(hub: Arc<Hub<D>>, runner: Upstream, after: Duration) {
+    tokio::time::sleep(after).await;
+    let sound = read_report(&hub, &runner).await;
+    info!(target: DECISION, upstream:% = runner, sound; "inspect");
+    hub.drive(owner::Event::Inspected { runner, sound });
+}
+
+async fn read_report<D: Dialect>(hub: &Arc<Hub<D>>, runner: &Upstream) -> bool {
+    let Some(link) = control_link(hub, runner) else {
+        return false;
+    };
+    let Ok((status, body)) = send(&link, hub.dialect.inspection(runner)).await else {
+        return false;
+    };
+    if !status.is_success() {
+        return false;
+    }
+    match hub.dialect.report(&body) {
+        Ok(report) => {
+            let now = hub.clock.now();
+            let due = now + hub.exchange.load;
+            let coming = report.coming.into_iter();
+            let coming = coming.map(|(target, version)| (target, version, due));
+            let mut desk = hub.desk();
+            desk.fleet
+                .inspect(now, runner, report.holdings, coming.collect());
+            desk.fleet.report(now, runner, report.load);
+            true
+        }
+        Err(error) => {
+            log::warn!("{runner}: {error}");
+            false
+        }
+    }
+}
+
+fn control_link<D: Dialect>(hub: &Arc<Hub<D>>, runner: &Upstream) -> Option<Link> {
+    let (address, pool) = {
+        let desk = hub.desk();
+        let listing = &desk.fleet.runner(runner)?.listing;
+        (listing.address, listing.pool.clone())
+    };
+    let config = hub.config.load();
+    let service = config.as_ref()?.service(&pool)?;
+    Some(hub.link(runner, address, service.connections))
+}
+
+/// Sends one call and reads the whole answer.
+///
+/// # Errors
+///
+/// Returns the link's error.
+pub(crate) async fn send(
+    link: &Link,
+    call: dialect::Call,
+) -> Result<(hyper::StatusCode, bytes::Bytes), Error> {
+    let mut request = Request::builder().method(call.method).uri(call.path);
+    for (name, value) in call.headers {
+        request = request.header(name, value);
+    }
+    let request = request
+        .body(Full::new(call.body))
+        .map_err(|error| Error::Invalid {
+            upstream: link.upstream().clone(),
+            cause: error.to_string(),
+        })?;
+    let sent = link.send(Call {
+        class: Class::Control,
+        // Orders may be repeated, since they name the state that they ask for.
+        reuse: Reuse::Kept,
+        host: Host::Upstream,
+        head: Some(ANSWER),
+        request,
+    });
+    let response = sent.await?;
+    let status = response.status();
+    let body = response.into_body().collect().await?;
+    Ok((status, body))
+}
--- /dev/null
+++ b/crates/gateway/src/control/mod.rs
@@ -0,0 +1,275 @@
+//! Membership, ownership and orders: one actor and the tasks that it needs.
+
+mod engines;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use exchange::owner;
+use log::info;
+use node::decision;
+use node::journal::DECISION;
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use roster::seeds::{self, Record, Seeds};
+use roster::{Note, Roster};
+use wire::view::State as PeerState;
+use wire::{Incarnation, Machine, Time, View, Vm, rank};
+
+pub use engines::{inspect, order};
+
+use crate::datagram::Message;
+use crate::dialect::Dialect;
+use crate::hub::{Hub, Peers};
+
+/// Time between two ticks.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Ticks between two accounts of what was used.
+const USED_TICKS: u64 = 5;
+
+/// Time without a peer after which a node takes traffic alone.
+const ALONE: Duration = Duration::from_millis(1_500);
+
+/// Silence of the platform up to which a node that sees few peers may claim engines.
+const STORE_SILENCE: Duration = Duration::from_secs(2);
+
+/// What the actor is told.
+#[derive(Debug)]
+pub enum Input {
+    /// A message came from another node.
+    Receive(SocketAddr, Incarnation, Message),
+    /// Time passed.
+    Tick,
+    /// The process leaves.
+    Leave,
+}
+
+struct Control<D>(std::marker::PhantomData<D>);
+
+struct State<D> {
+    hub: Arc<Hub<D>>,
+    roster: Roster,
+    seeds: Seeds,
+    view: View,
+    shown: Option<(Vec<Vm>, bool)>,
+    ticks: u64,
+    started: Time,
+}
+
+/// Sends inputs to the actor.
+#[derive(Clone)]
+pub struct Handle(ActorRef<Input>);
+
+impl Handle {
+    /// Begins to leave: peers drop this node from their answers at once.
+    pub fn leave(&self) {
+        self.send(Input::Leave);
+    }
+
+    fn send(&self, input: Input) {
+        // The actor ends only with the process.
+        let _ = self.0.cast(input);
+    }
+}
+
+/// Starts the actor and its sources.
+///
+/// # Errors
+///
+/// Returns the library's error where the actor does not start.
+pub async fn start<D: Dialect>(hub: Arc<Hub<D>>) -> Result<Handle, ractor::SpawnErr> {
+    let (actor, _) = Actor::spawn(None, Control(std::marker::PhantomData), hub.clone()).await?;
+    let handle = Handle(actor);
+    tokio::spawn(receive(hub, handle.clone()));
+    tokio::spawn(tick(handle.clone()));
+    Ok(handle)
+}
+
+async fn receive<D: Dialect>(hub: Arc<Hub<D>>, handle: Handle) {
+    loop {
+        let (from, sender, message) = hub.post.receive().await;
+        handle.send(Input::Receive(from, sender, message));
+    }
+}
+
+async fn tick(handle: Handle) {
+    let mut ticks = tokio::time::interval(TICK);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        handle.send(Input::Tick);
+    }
+}
+
+impl<D: Dialect> Actor for Control<D> {
+    type Msg = Input;
+    type State = State<D>;
+    type Arguments = Arc<Hub<D>>;
+
+    async fn pre_start(
+        &self,
+        _: ActorRef<Input>,
+        hub: Arc<Hub<D>>,
+    ) -> Result<State<D>, ActorProcessingErr> {
+        let seed = rank::hash(hub.me.to_string());
+        let settings = &hub.settings;
+        let me = Record {
+            vm: hub.me.vm.clone(),
+            zone: settings.vm.zone.clone(),
+            peers: settings.listen.peers,
+            callers: settings.listen.callers,
+        };
+        Ok(State {
+            roster: Roster::new(hub.me.clone(), settings.vm.zone.clone(), seed),
+            seeds: Seeds::new(me, hub.exchange.seeds.clone(), seed),
+            view: View::default(),
+            shown: None,
+            ticks: 0,
+            started: hub.clock.now(),
+            hub,
+        })
+    }
+
+    async fn handle(
+        &self,
+        _: ActorRef<Input>,
+        input: Input,
+        state: &mut State<D>,
+    ) -> Result<(), ActorProcessingErr> {
+        match input {
+            Input::Receive(from, sender, message) => state.receive(from, sender, message),
+            Input::Tick => state.tick(),
+            Input::Leave => {
+                state.step_roster(roster::Event::Leave);
+                state.hub.drive(owner::Event::Leave);
+            }
+        }
+        Ok(())
+    }
+}
+
+impl<D: Dialect> State<D> {
+    fn receive(&mut self, from: SocketAddr, sender: Incarnation, message: Message) {
+        self.step_seeds(seeds::Event::Alive(sender.vm.clone()));
+        match message {
+            Message::Seeds(message) => self.step_seeds(seeds::Event::Receive { from, message }),
+            Message::Roster(message) => self.step_roster(roster::Event::Receive {
+                from: sender,
+                message,
+            }),
+            Message::Owner(message) => self.hub.drive(owner::Event::Receive {
+                from: sender.vm,
+                message,
+            }),
+        }
+    }
+
+    fn tick(&mut self) {
+        self.ticks += 1;
+        self.step_seeds(seeds::Event::Tick);
+        self.step_roster(roster::Event::Tick);
+        self.meet();
+        self.show();
+        let wall = self.hub.wall();
+        self.hub.drive(owner::Event::Tick { wall });
+        if self.ticks.is_multiple_of(USED_TICKS) {
+            self.hub.tell_used();
+        }
+    }
+
+    /// Takes traffic once peers have answered, or nobody has for a while.
+    fn meet(&mut self) {
+        if self.hub.met() {
+            return;
+        }
+        let alone = self.hub.clock.now() >= self.started + ALONE;
+        if alone || (self.roster.fit() && self.view.live().count() > 1) {
+            info!(target: DECISION, peers = self.seeds.known(), alone; "met");
+            self.hub.set_met();
+        }
+    }
+
+    fn step_seeds(&mut self, event: seeds::Event) {
+        let mut actions = Vec::new();
+        let now = self.hub.clock.now();
+        self.seeds.step(now, event, &mut actions);
+        for action in actions {
+            match action {
+                seeds::Action::Send { to, message } => {
+                    let nobody: Vm = "".into();
+                    self.hub.post.send(&nobody, to, &Message::Seeds(message));
+                }
+                seeds::Action::Members(members) => self.step_roster(roster::Event::List {
+                    members,
+                    revision: None,
+                }),
+            }
+        }
+    }
+
+    fn step_roster(&mut self, event: roster::Event) {
+        let mut actions = Vec::new();
+        let now = self.hub.clock.now();
+        self.roster.step(now, event, &mut actions);
+        for action in actions {
+            match action {
+                roster::Action::Send { to, message } => {
+                    if let Some(record) = self.seeds.record(&to) {
+                        self.hub
+                            .post
+                            .send(&to, record.peers, &Message::Roster(message));
+                    }
+                }
+                roster::Action::View(view) => self.view = view,
+                roster::Action::Note(note) => {
+                    decision::roster(&note);
+                    if let Note::Paused { .. } = note {
+                        self.hub.drive(owner::Event::Paused);
+                    }
+                }
+                roster::Action::Leaving { .. }
+                | roster::Action::Returned { .. }
+                | roster::Action::Heard { .. } => {}
+            }
+        }
+    }
+
+    /// Publishes who lives, for answers to callers and for ownership.
+    fn show(&mut self) {
+        let mut live: Vec<Vm> = self
+            .view
+            .peers()
+            .iter()
+            .filter(|peer| peer.state == PeerState::Live || self.own(peer))
+            .map(|peer| peer.incarnation.vm.clone())
+            .collect();
+        live.sort_unstable();
+        let enough = live.len() * 2 > self.seeds.known();
+        let fit = self.roster.fit() && (enough || self.hub.store_silence() < STORE_SILENCE);
+        let shown = Some((live.clone(), fit));
+        if self.shown == shown {
+            return;
+        }
+        self.shown = shown;
+        let mut records: Vec<Record> = self
+            .view
+            .peers()
+            .iter()
+            .filter_map(|peer| self.seeds.record(&peer.incarnation.vm))
+            .cloned()
+            .collect();
+        records.sort_unstable_by(|a, b| a.vm.cmp(&b.vm));
+        info!(target: DECISION, live = live.len(), known = records.len(), fit; "view");
+        self.hub.peers.store(Arc::new(Peers {
+            records,
+            live: live.clone(),
+        }));
+        self.hub.drive(owner::Event::View { live, fit });
+    }
+
+    /// Tells whether `peer` is this node, which counts as live until it leaves.
+    fn own(&self, peer: &wire::view::Peer) -> bool {
+        peer.incarnation == self.hub.me && !self.hub.leaving()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/datagram.rs
@@ -0,0 +1,138 @@
+//! Messages between nodes: sealed frames in single datagrams.
+//!
+//! Delivery is best effort; the machines repeat what matters. A datagram has no connection that
+//! could fall silent, and costs one system call on each side.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+use wire::frame::{decode, encode};
+use wire::seal::Seal;
+use wire::{Frame, Incarnation, Vm};
+
+/// Largest datagram in bytes: what UDP carries over IPv4.
+const BYTES_MAX: usize = 65_507;
+
+/// The machine that a message is for.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Message {
+    /// Membership.
+    Roster(roster::Message),
+    /// Members found by seeds.
+    Seeds(roster::seeds::Message),
+    /// Ownership of engines.
+    Owner(exchange::owner::Message),
+}
+
+/// Number of [`Message`] in frames; other machines of the product have lower ones.
+const CHANNEL: u8 = 16;
+
+/// Counts of the transport.
+#[derive(Debug, Default)]
+pub struct Counts {
+    /// Datagrams sent.
+    pub sent: AtomicU64,
+    /// Datagrams taken in.
+    pub received: AtomicU64,
+    /// Datagrams that could not be sent.
+    pub dropped: AtomicU64,
+    /// Datagrams refused because their tag or form was wrong.
+    pub refused: AtomicU64,
+}
+
+/// The socket towards other nodes.
+pub struct Post {
+    me: Incarnation,
+    socket: UdpSocket,
+    seal: Seal,
+    counts: Counts,
+}
+
+impl Post {
+    /// Binds `address`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error where it cannot be bound.
+    pub async fn bind(
+        address: SocketAddr,
+        me: Incarnation,
+        seal: Seal,
+    ) -> std::io::Result<Arc<Self>> {
+        Ok(Arc::new(Self {
+            me,
+            socket: UdpSocket::bind(address).await?,
+            seal,
+            counts: Counts::default(),
+        }))
+    }
+
+    /// Returns the bound address.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error where the socket has none.
+    pub fn address(&self) -> std::io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
+    /// Returns what was sent and received.
+    pub fn counts(&self) -> &Counts {
+        &self.counts
+    }
+
+    /// Sends a message to `vm` at `address`; an empty name addresses whoever is there.
+    pub fn send(&self, vm: &Vm, address: SocketAddr, message: &Message) {
+        let frame = |body| Frame {
+            from: self.me.clone(),
+            to: vm.clone(),
+            channel: CHANNEL,
+            body,
+        };
+        let sent = encode(message)
+            .and_then(|body| encode(&frame(body)))
+            .is_ok_and(|bytes| {
+                let sealed = self.seal.close(bytes);
+                self.socket.try_send_to(&sealed, address).is_ok()
+            });
+        let counter = if sent {
+            &self.counts.sent
+        } else {
+            &self.counts.dropped
+        };
+        counter.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Waits for the next authentic message to this node.
+    pub async fn receive(&self) -> (SocketAddr, Incarnation, Message) {
+        let mut buffer = vec![0; BYTES_MAX];
+        loop {
+            let (length, from) = match self.socket.recv_from(&mut buffer).await {
+                Ok(received) => received,
+                // A peer's closed port shows here; it says nothing of this socket.
+                Err(_) => continue,
+            };
+            match self.open(&buffer[..length]) {
+                Some((sender, message)) => {
+                    self.counts.received.fetch_add(1, Ordering::Relaxed);
+                    return (from, sender, message);
+                }
+                None => {
+                    self.counts.refused.fetch_add(1, Ordering::Relaxed);
+                }
+            }
+        }
+    }
+
+    fn open(&self, sealed: &[u8]) -> Option<(Incarnation, Message)> {
+        let frame: Frame = decode(self.seal.open(sealed).ok()?).ok()?;
+        let mine = frame.to.is_empty() || frame.to == self.me.vm;
+        if frame.channel != CHANNEL || !mine {
+            return None;
+        }
+        Some((frame.from, decode(&frame.body).ok()?))
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/front/attempt.rs
@@ -0,0 +1,494 @@
+//! One attempt at one upstream, and what its answer is worth.
+
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use exchange::demand::Target;
+use exchange::fleet::{Presence, Verdict, Version};
+use exchange::outcome::Reach;
+use exchange::relay::Cursor;
+use exchange::route::Kind;
+use http_body_util::Full;
+use hyper::header::{CONTENT_LENGTH, EXPECT};
+use hyper::http::uri::PathAndQuery;
+use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
+use log::info;
+use node::front::Body;
+use node::journal::DECISION;
+use upstream::Reach as Sent;
+use upstream::header::strip;
+use upstream::link::{self, Call, Class, Host, Link, Reuse};
+use wire::{Time, Upstream};
+
+use super::job::Job;
+use crate::dialect::{Dialect, Hop, Mark};
+use crate::hub::Hub;
+
+/// Idle time up to which a kept connection carries a call that may not be repeated: upstreams
+/// state their idle time-out in whole seconds, and few state less than some of them.
+const RECENT: Duration = Duration::from_millis(1_500);
+
+/// Time between two looks at whether an upstream has fallen silent.
+pub(super) const LOOK: Duration = Duration::from_millis(100);
+
+/// Silence of a plain service that owes answers from which a request goes elsewhere: above its
+/// longest usual work.
+const SERVICE_SILENCE: Duration = Duration::from_millis(400);
+
+/// Silence of an engine that owes events from which a stream goes elsewhere: many steps, and below
+/// the time after which callers give up.
+pub(super) const ENGINE_SILENCE: Duration = Duration::from_millis(600);
+
+/// Pause after which an engine that refused for a load under way is tried again.
+const NOT_YET: Duration = Duration::from_millis(50);
+
+/// Refusals after which a request stops knocking.
+const REFUSALS_MAX: u32 = 4;
+
+/// Part of an upstream's stated idle time for which a connection is kept.
+const KEEP_PART: f64 = 0.7;
+
+/// What became of an attempt.
+pub(super) enum Tried<D: Dialect> {
+    /// The caller gets this.
+    Whole(Response<Body>),
+    /// An event stream has begun.
+    Open(Box<Open<D>>),
+    /// It failed.
+    Failed {
+        /// How far it got.
+        reach: Reach,
+        /// The upstream's own failure, where it gave one.
+        own: Option<Response<Body>>,
+    },
+}
+
+impl<D: Dialect> Tried<D> {
+    const fn failed(reach: Reach) -> Self {
+        Self::Failed { reach, own: None }
+    }
+}
+
+/// An event stream that an upstream has begun.
+pub(super) struct Open<D: Dialect> {
+    /// Status of the head.
+    pub(super) status: StatusCode,
+    /// Headers for the caller.
+    pub(super) headers: HeaderMap,
+    /// The whole events that have come.
+    pub(super) first: Bytes,
+    /// Whether the stream has ended.
+    pub(super) ended: bool,
+    /// The rest of the events.
+    pub(super) body: link::Body,
+    /// The request's count at the upstream.
+    pub(super) visit: Visit<D>,
+}
+
+/// A request that counts at an upstream until it ends or is dropped.
+pub(super) struct Visit<D: Dialect> {
+    hub: Arc<Hub<D>>,
+    pub(super) runner: Upstream,
+    over: bool,
+}
+
+impl<D: Dialect> Visit<D> {
+    fn new(hub: &Arc<Hub<D>>, runner: &Upstream) -> Self {
+        let now = hub.clock.now();
+        hub.desk().fleet.start(now, runner);
+        Self {
+            hub: hub.clone(),
+            runner: runner.clone(),
+            over: false,
+        }
+    }
+
+    /// Notes a byte from the upstream.
+    pub(super) fn hear(&self) {
+        let now = self.hub.clock.now();
+        self.hub.desk().fleet.hear(now, &self.runner);
+    }
+
+    /// Returns how long the upstream has been silent towards all requests of this node.
+    pub(super) fn silence(&self) -> Duration {
+        let now = self.hub.clock.now();
+        let desk = self.hub.desk();
+        desk.fleet
+            .runner(&self.runner)
+            .map_or(Duration::MAX, |runner| runner.silence(now))
+    }
+
+    /// Ends the count.
+    pub(super) fn end(&mut self, verdict: Verdict) {
+        if !self.over {
+            self.over = true;
+            let now = self.hub.clock.now();
+            self.hub.desk().fleet.end(now, &self.runner, verdict);
+        }
+    }
+}
+
+impl<D: Dialect> Drop for Visit<D> {
+    fn drop(&mut self) {
+        self.end(Verdict::Neutral);
+    }
+}
+
+/// Why the head of an answer did not come.
+enum Headless {
+    /// The call failed.
+    Failed(upstream::Error),
+    /// The upstream has fallen silent, and the request goes elsewhere.
+    Silent,
+}
+
+impl<D: Dialect> Job<D> {
+    /// Sends the request to `runner` once.
+    pub(super) async fn attempt(&mut self, runner: &Upstream, cursor: &mut Cursor) -> Tried<D> {
+        let target = self.target();
+        let (link, version) = match self.link(runner, target.as_ref()) {
+            Some(found) => found,
+            None => return Tried::failed(Reach::NotRun),
+        };
+        let Some(request) = self.request(runner, version) else {
+            return Tried::failed(Reach::NotRun);
+        };
+        self.tried.push(runner.clone());
+        self.attempts += 1;
+        if let Some(target) = &target {
+            self.hub.used(runner, target);
+        }
+        let mut visit = Visit::new(&self.hub, runner);
+        let sent = self.hub.clock.now();
+        let response = match self.head(&link, request, &visit).await {
+            Ok(response) => response,
+            Err(headless) => return self.headless(&headless, &mut visit),
+        };
+        visit.hear();
+        let (parts, body) = response.into_parts();
+        let mark = self
+            .hub
+            .dialect
+            .mark(&self.ask, runner, parts.status, &parts.headers);
+        self.note(runner, &link, &mark);
+        if !mark.own {
+            visit.end(Verdict::Failed);
+            return self.failed("crossed", Reach::Unknown);
+        }
+        if mark.refused {
+            visit.end(Verdict::Neutral);
+            return self
+                .refused(runner, target.as_ref(), parts.status, &mark, body)
+                .await;
+        }
+        let mut headers = parts.headers;
+        strip(&mut headers);
+        let genuine = mark.signed && mark.plain;
+        if parts.status.is_success() && !genuine {
+            visit.end(Verdict::Failed);
+            return self.failed("unsigned", Reach::Unknown);
+        }
+        if self.route.kind.streams() && parts.status == StatusCode::OK {
+            return self.open(parts.status, headers, body, visit, cursor).await;
+        }
+        self.whole(parts.status, headers, mark, body, visit, sent)
+            .await
+    }
+
+    fn link(&self, runner: &Upstream, target: Option<&Target>) -> Option<(Link, Option<Version>)> {
+        let (address, version) = {
+            let desk = self.hub.desk();
+            let known = desk.fleet.runner(runner)?;
+            let version = target.and_then(|target| desk.fleet.newest(target));
+            (known.listing.address, version)
+        };
+        let connections = self.service.connections;
+        Some((self.hub.link(runner, address, connections), version))
+    }
+
+    fn request(&self, runner: &Upstream, version: Option<Version>) -> Option<Request<Full<Bytes>>> {
+        let path = self.head.uri.path_and_query().cloned();
+        let path = path.unwrap_or_else(|| PathAndQuery::from_static("/"));
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.head.method.clone();
+        *request.uri_mut() = Uri::from(path);
+        let mut headers = self.head.headers.clone();
+        strip(&mut headers);
+        headers.remove(CONTENT_LENGTH);
+        headers.remove(EXPECT);
+        let now = self.hub.clock.now();
+        let caller = self.terms.caller.saturating_sub(now);
+        let hop = Hop {
+            runner,
+            left: Some(caller.min(self.left())),
+            rank: self.service.engine.as_ref().map(|_| self.route.rank),
+            version,
+            after: self.after,
+        };
+        self.hub.dialect.forward(&mut headers, &hop);
+        *request.headers_mut() = headers;
+        Some(request)
+    }
+
+    /// Sends the request and waits for the answer's head.
+    async fn head(
+        &self,
+        link: &Link,
+        request: Request<Full<Bytes>>,
+        visit: &Visit<D>,
+    ) -> Result<Response<link::Body>, Headless> {
+        let class = if self.route.rank == 0 {
+            Class::Urgent
+        } else {
+            Class::Ordinary
+        };
+        let reuse = match self.route.kind {
+            Kind::Idempotent | Kind::Stream { resumable: true } => Reuse::Kept,
+            Kind::Once | Kind::Stream { resumable: false } => Reuse::Recent(RECENT),
+        };
+        let mut sending = pin!(link.send(Call {
+            class,
+            reuse,
+            host: Host::Caller,
+            head: Some(self.left()),
+            request,
+        }));
+        let movable = self.route.kind.repeatable() && self.attempts < self.route.attempts;
+        let limit = self.silence_limit();
+        let started = self.hub.clock.now();
+        loop {
+            let sleep = tokio::time::sleep(LOOK);
+            tokio::select! {
+                response = &mut sending => return response.map_err(Headless::Failed),
+                () = sleep => {
+                    let waited = self.hub.clock.now().saturating_sub(started);
+                    if movable && waited >= limit && visit.silence() >= limit {
+                        return Err(Headless::Silent);
+                    }
+                }
+            }
+        }
+    }
+
+    fn silence_limit(&self) -> Duration {
+        if self.service.engine.is_some() {
+            ENGINE_SILENCE
+        } else {
+            SERVICE_SILENCE
+        }
+    }
+
+    fn headless(&self, headless: &Headless, visit: &mut Visit<D>) -> Tried<D> {
+        let error = match headless {
+            Headless::Silent => {
+                visit.end(Verdict::Failed);
+                return self.failed("silent", Reach::Unknown);
+            }
+            Headless::Failed(error) => error,
+        };
+        visit.end(match error {
+            upstream::Error::Full { .. } => Verdict::Neutral,
+            _ => Verdict::Failed,
+        });
+        let reach = match error.reach() {
+            Sent::NotSent => Reach::NotRun,
+            Sent::MaybeSent => Reach::Unknown,
+        };
+        info!(
+            target: DECISION,
+            request = &*self.ask.attempt, upstream:% = visit.runner, cause:% = error, reach:?;
+            "attempt-failed"
+        );
+        self.hub.metrics.attempt(&self.service.name, "no-head");
+        Tried::failed(reach)
+    }
+
+    /// Takes over what an answer says of its upstream.
+    fn note(&self, runner: &Upstream, link: &Link, mark: &Mark) {
+        if let Some(kept) = mark.kept {
+            link.keep_for(kept.mul_f64(KEEP_PART));
+        }
+        if let Some(load) = mark.load {
+            let now = self.hub.clock.now();
+            self.hub.desk().fleet.report(now, runner, load);
+        }
+    }
+
+    fn failed(&self, reason: &'static str, reach: Reach) -> Tried<D> {
+        let upstream = self.tried.last().map_or("", |id| id);
+        info!(
+            target: DECISION,
+            request = &*self.ask.attempt, upstream, reason, reach:?;
+            "attempt-failed"
+        );
+        self.hub.metrics.attempt(&self.service.name, reason);
+        Tried::failed(reach)
+    }
+
+    /// Learns from a promise that the request did not run.
+    async fn refused(
+        &mut self,
+        runner: &Upstream,
+        target: Option<&Target>,
+        status: StatusCode,
+        mark: &Mark,
+        body: link::Body,
+    ) -> Tried<D> {
+        // Read to its end, so that the connection is kept.
+        let rest = tokio::time::timeout(LOOK, body.collect()).await;
+        drop(rest);
+        self.attempts -= 1;
+        self.refusals += 1;
+        let now = self.hub.clock.now();
+        let mut reason = "refused";
+        {
+            let mut desk = self.hub.desk();
+            let fleet = &mut desk.fleet;
+            if mark.stranger {
+                fleet.shun(runner);
+                reason = "stranger";
+            } else if let Some(target) = target {
+                let presence = fleet.runner(runner).map(|known| known.presence(target));
+                let missing = status == StatusCode::MISDIRECTED_REQUEST;
+                if missing {
+                    fleet.note(now, runner, target, Presence::Absent);
+                    reason = "absent";
+                } else if let Some(Presence::Coming(_, version)) = presence {
+                    fleet.note(
+                        now,
+                        runner,
+                        target,
+                        Presence::Coming(now + NOT_YET, version),
+                    );
+                    reason = "not-yet";
+                }
+            }
+        }
+        // An engine that only lacks the adapter yet may be tried again.
+        if matches!(reason, "absent" | "not-yet") {
+            self.tried.pop();
+        }
+        let tried = self.failed(reason, Reach::NotRun);
+        if self.refusals > REFUSALS_MAX {
+            self.attempts = self.route.attempts;
+        }
+        tried
+    }
+
+    /// Waits for the first whole event of a stream.
+    async fn open(
+        &self,
+        status: StatusCode,
+        headers: HeaderMap,
+        mut body: link::Body,
+        mut visit: Visit<D>,
+        cursor: &mut Cursor,
+    ) -> Tried<D> {
+        let mut first = Vec::new();
+        let mut ended = false;
+        while first.is_empty() && !ended {
+            match self.next(&mut body, &visit).await {
+                Next::Part(part) => {
+                    visit.hear();
+                    if cursor.push(&part, &mut first).is_err() {
+                        visit.end(Verdict::Failed);
+                        return self.failed("sequence", Reach::Unknown);
+                    }
+                }
+                Next::End if cursor.inside() => {
+                    visit.end(Verdict::Failed);
+                    return self.failed("cut", Reach::Unknown);
+                }
+                Next::End => ended = true,
+                Next::Broken(reason) => {
+                    visit.end(Verdict::Failed);
+                    return self.failed(reason, Reach::Unknown);
+                }
+            }
+        }
+        Tried::Open(Box::new(Open {
+            status,
+            headers,
+            first: first.into(),
+            ended,
+            body,
+            visit,
+        }))
+    }
+
+    /// Waits for the next part of a stream, until it ends, breaks or has to be given up.
+    pub(super) async fn next(&self, body: &mut link::Body, visit: &Visit<D>) -> Next {
+        let movable = self.route.kind.repeatable() && self.attempts < self.route.attempts;
+        let deadline = self.hub.clock.instant(self.terms.deadline);
+        let mut next = pin!(body.next());
+        loop {
+            tokio::select! {
+                biased;
+                part = &mut next => return match part {
+                    Ok(Some(part)) => Next::Part(part),
+                    Ok(None) => Next::End,
+                    Err(_) => Next::Broken("cut"),
+                },
+                () = tokio::time::sleep_until(deadline) => return Next::Broken("late"),
+                () = tokio::time::sleep(LOOK), if movable => {
+                    if visit.silence() >= ENGINE_SILENCE {
+                        return Next::Broken("silent");
+                    }
+                }
+            }
+        }
+    }
+
+    /// Reads an answer that is passed on as a whole.
+    async fn whole(
+        &self,
+        status: StatusCode,
+        mut headers: HeaderMap,
+        mark: Mark,
+        body: link::Body,
+        mut visit: Visit<D>,
+        sent: Time,
+    ) -> Tried<D> {
+        let read = tokio::time::timeout(self.left(), body.collect()).await;
+        let Ok(Ok(bytes)) = read else {
+            visit.end(Verdict::Failed);
+            return self.failed("cut", Reach::Unknown);
+        };
+        let failure = status.is_server_error();
+        visit.end(if failure {
+            Verdict::Failed
+        } else {
+            Verdict::Fine
+        });
+        if failure && !mark.signed {
+            return self.failed("unsigned", Reach::Unknown);
+        }
+        headers.remove(CONTENT_LENGTH);
+        let mut response = Response::new(Body::full(bytes));
+        *response.status_mut() = status;
+        *response.headers_mut() = headers;
+        let now = self.hub.clock.now();
+        let kind = super::job::kind_name(self.route.kind);
+        self.hub.metrics.first(kind, now.saturating_sub(sent));
+        if !failure || !self.route.kind.repeatable() {
+            return Tried::Whole(response);
+        }
+        self.hub.metrics.attempt(&self.service.name, "failure");
+        Tried::Failed {
+            reach: Reach::Unknown,
+            own: Some(response),
+        }
+    }
+}
+
+/// What came next in a stream.
+pub(super) enum Next {
+    /// Bytes.
+    Part(Bytes),
+    /// The end.
+    End,
+    /// Nothing more will come, for this reason.
+    Broken(&'static str),
+}
--- /dev/null
+++ b/crates/gateway/src/front/job.rs
@@ -0,0 +1,237 @@
+//! One request from its head to its final answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use exchange::outcome::{Next, Reach, Standing};
+use exchange::relay::Cursor;
+use exchange::route::{Kind, Route, Service};
+use hyper::http::request::Parts;
+use hyper::{Response, StatusCode};
+use log::info;
+use node::front::{Body, Outcome, Problem};
+use node::journal::DECISION;
+use wire::{Time, Upstream};
+
+use super::attempt::Tried;
+use super::place::Placed;
+use crate::dialect::{Ask, Dialect};
+use crate::hub::Hub;
+
+/// Least time in which an attempt can still bring an answer: a few round trips.
+const LEAST: Duration = Duration::from_millis(25);
+
+/// Pause that a refused caller is told, spread over half of it and more by the attempt, so that
+/// callers do not return together.
+const AGAIN: Duration = Duration::from_millis(400);
+
+/// Fixed facts of a request.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Terms {
+    /// When its head had come.
+    pub(super) arrived: Time,
+    /// Revision of the configuration that it is served by.
+    pub(super) revision: u64,
+    /// When the caller leaves.
+    pub(super) caller: Time,
+    /// When its final answer goes out at the latest.
+    pub(super) deadline: Time,
+    /// Hash of the attempt.
+    pub(super) seed: u64,
+}
+
+/// One request.
+pub(super) struct Job<D: Dialect> {
+    pub(super) hub: Arc<Hub<D>>,
+    pub(super) ask: Ask,
+    pub(super) route: Arc<Route>,
+    pub(super) service: Arc<Service>,
+    pub(super) terms: Terms,
+    pub(super) head: Parts,
+    pub(super) body: Bytes,
+    /// Upstreams that it was sent to.
+    pub(super) tried: Vec<Upstream>,
+    /// Attempts so far.
+    pub(super) attempts: u32,
+    /// Promises so far that it did not run.
+    pub(super) refusals: u32,
+    /// The furthest that any attempt got.
+    pub(super) worst: Reach,
+    /// Time that it waited for its adapter.
+    pub(super) stalled: Duration,
+    /// Last event of its stream that has reached the caller.
+    pub(super) after: Option<u64>,
+    ended: bool,
+}
+
+impl<D: Dialect> Job<D> {
+    pub(super) fn new(
+        hub: Arc<Hub<D>>,
+        ask: Ask,
+        route: Arc<Route>,
+        service: Arc<Service>,
+        terms: Terms,
+        head: Parts,
+        body: Bytes,
+    ) -> Self {
+        Self {
+            after: ask.after,
+            hub,
+            ask,
+            route,
+            service,
+            terms,
+            head,
+            body,
+            tried: Vec::new(),
+            attempts: 0,
+            refusals: 0,
+            worst: Reach::NotRun,
+            stalled: Duration::ZERO,
+            ended: false,
+        }
+    }
+
+    /// Passes the request on until it has its answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal or failure that the caller is told.
+    pub(super) async fn run(mut self) -> Result<Response<Body>, Problem> {
+        let now = self.hub.clock.now();
+        self.hub.desk().spend.request(now, &self.service.name);
+        if let Some(target) = self.target() {
+            self.hub.demand(&self.service, &target, self.route.rank);
+        }
+        let mut cursor = Cursor::new(self.ask.after);
+        loop {
+            let runner = match self.place().await {
+                Placed::At(runner) => runner,
+                Placed::Refused(reason, again) => return Err(self.refuse(reason, again)),
+            };
+            match self.attempt(&runner, &mut cursor).await {
+                Tried::Whole(response) => {
+                    self.end(response.status().as_u16(), "answered");
+                    return Ok(response);
+                }
+                Tried::Open(open) => return Ok(self.relay(*open, cursor)),
+                Tried::Failed { reach, own } => {
+                    cursor.restart();
+                    self.worst = self.worst.max(reach);
+                    if !self.again(reach) {
+                        return self.give_up(own);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Returns the model that the request needs, where its pool has engines.
+    pub(super) fn target(&self) -> Option<exchange::demand::Target> {
+        self.service.engine.as_ref()?;
+        self.ask.target.clone()
+    }
+
+    /// Returns the time until the final answer.
+    pub(super) fn left(&self) -> Duration {
+        self.terms.deadline.saturating_sub(self.hub.clock.now())
+    }
+
+    /// Tells whether another attempt may follow one that got as far as `reach`, and pays for it.
+    pub(super) fn again(&mut self, reach: Reach) -> bool {
+        let standing = Standing {
+            kind: self.route.kind,
+            reach,
+            worst: self.worst,
+            left: self.route.attempts.saturating_sub(self.attempts),
+            time: self.left(),
+            least: LEAST,
+        };
+        if !standing.may_repeat() {
+            return false;
+        }
+        let now = self.hub.clock.now();
+        let nodes = self.hub.nodes();
+        let budget = self.hub.desk().spend.repeat(now, &self.service.name, nodes);
+        standing.next(budget) == Next::Again
+    }
+
+    /// Ends the request after its last attempt, with the upstream's own failure where it gave one.
+    fn give_up(&mut self, own: Option<Response<Body>>) -> Result<Response<Body>, Problem> {
+        if let Some(response) = own.filter(|_| self.worst == Reach::Unknown) {
+            self.end(response.status().as_u16(), "upstream-failed");
+            return Ok(response);
+        }
+        match exchange::outcome::final_answer(self.worst) {
+            Next::Unknown => Err(self.unknown()),
+            Next::Refuse | Next::Again => Err(self.refuse("not-run", None)),
+        }
+    }
+
+    /// Returns the refusal of a request that has run nowhere, or the failure of one that may have.
+    pub(super) fn refuse(&mut self, reason: &'static str, again: Option<Duration>) -> Problem {
+        if self.worst == Reach::Unknown {
+            return self.unknown();
+        }
+        self.end(503, reason);
+        let again = again.unwrap_or(AGAIN);
+        let spread = 0.5 + (self.terms.seed % 1_000) as f64 / 1_000.0;
+        Problem::busy(
+            format!("no upstream took the request ({reason}); send it again"),
+            again.mul_f64(spread),
+        )
+    }
+
+    fn unknown(&mut self) -> Problem {
+        let late = self.left() < LEAST;
+        let status = if late {
+            StatusCode::GATEWAY_TIMEOUT
+        } else {
+            StatusCode::BAD_GATEWAY
+        };
+        self.end(status.as_u16(), if late { "late" } else { "broken" });
+        let detail = "an upstream may have run the request and gave no whole answer; \
+                      send it again only if it may run twice";
+        Problem::new(status, Outcome::Unknown, detail)
+    }
+
+    /// Logs and counts the end of the request.
+    pub(super) fn end(&mut self, status: u16, outcome: &'static str) {
+        self.ended = true;
+        let now = self.hub.clock.now();
+        let kind = kind_name(self.route.kind);
+        self.hub.metrics.request(kind, outcome);
+        info!(
+            target: DECISION,
+            request = &*self.ask.attempt,
+            route = &*self.route.name,
+            revision = self.terms.revision,
+            status,
+            outcome,
+            upstream = self.tried.last().map_or("", |id| id),
+            attempts = self.attempts,
+            stall_ms = self.stalled.as_millis() as u64,
+            after = self.after.unwrap_or_default(),
+            took_ms = now.saturating_sub(self.terms.arrived).as_millis() as u64;
+            "request"
+        );
+    }
+}
+
+impl<D: Dialect> Drop for Job<D> {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.end(0, "caller-left");
+        }
+    }
+}
+
+/// Returns the name of a kind used in metrics.
+pub(super) const fn kind_name(kind: Kind) -> &'static str {
+    match kind {
+        Kind::Idempotent => "idempotent",
+        Kind::Once => "once",
+        Kind::Stream { .. } => "stream",
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/front/place.rs
@@ -0,0 +1,98 @@
+//! Waits until an upstream can serve a request.
+
+use std::time::Duration;
+
+use exchange::choice::{Lack, Pick};
+use exchange::demand::Target;
+use exchange::owner;
+use wire::Upstream;
+
+use super::job::Job;
+use crate::dialect::Dialect;
+
+/// Time without news of a load after which its owner is asked again: two round trips and an order.
+const ASK_AGAIN: Duration = Duration::from_millis(60);
+
+/// Pause before an engine without a base model is looked at again.
+const WEIGHTS_PAUSE: Duration = Duration::from_millis(100);
+
+/// Part of its time that a request waits for engines that hold nothing yet.
+const WEIGHTS_PART: u32 = 3;
+
+/// Pause that a caller is told while no upstream is there.
+const EMPTY_PAUSE: Duration = Duration::from_millis(800);
+
+/// Where a request goes.
+pub(super) enum Placed {
+    /// To this upstream, now.
+    At(Upstream),
+    /// Nowhere; the caller may come back after that time.
+    Refused(&'static str, Option<Duration>),
+}
+
+impl<D: Dialect> Job<D> {
+    /// Waits until an upstream can serve the request.
+    pub(super) async fn place(&mut self) -> Placed {
+        let target = self.target();
+        let started = self.hub.clock.now();
+        let whole = self.left();
+        loop {
+            if self.left().is_zero() {
+                return Placed::Refused("no-time", None);
+            }
+            let seed = self.terms.seed;
+            let pick = self
+                .hub
+                .pick(&self.service, target.as_ref(), &self.tried, seed);
+            match pick {
+                Pick::Send(runner) => {
+                    let waited = self.hub.clock.now().saturating_sub(started);
+                    self.stalled += waited;
+                    if target.is_some() {
+                        self.hub.metrics.stalled(&self.service.name, waited);
+                    }
+                    return Placed::At(runner);
+                }
+                Pick::Wait(runner, at) => {
+                    let wait = at.saturating_sub(self.hub.clock.now()).min(self.left());
+                    self.news(&runner, target.as_ref(), wait).await;
+                }
+                Pick::Load(runner) => {
+                    if let Some(target) = &target {
+                        self.want(&runner, target).await;
+                    }
+                }
+                Pick::None(lack) => {
+                    let waited = self.hub.clock.now().saturating_sub(started);
+                    if lack != Lack::Weights || waited > whole / WEIGHTS_PART {
+                        return Placed::Refused(lack.name(), Some(EMPTY_PAUSE));
+                    }
+                    tokio::time::sleep(WEIGHTS_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Waits for news of the target, for no longer than `wait`.
+    async fn news(&self, runner: &Upstream, target: Option<&Target>, wait: Duration) {
+        match target {
+            Some(target) => {
+                let news = self.hub.await_news(runner, target);
+                // Without news the upstreams are looked at again all the same.
+                let _ = tokio::time::timeout(wait, news).await;
+            }
+            None => tokio::time::sleep(wait).await,
+        }
+    }
+
+    /// Asks the engine's owner for a load and waits for its answer.
+    async fn want(&self, runner: &Upstream, target: &Target) {
+        let news = self.hub.await_news(runner, target);
+        self.hub.drive(owner::Event::Want {
+            runner: runner.clone(),
+            target: target.clone(),
+            rank: self.route.rank,
+        });
+        let _ = tokio::time::timeout(ASK_AGAIN.min(self.left()), news).await;
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/front/stream.rs
@@ -0,0 +1,150 @@
+//! Relays an event stream, and takes it to another engine where one breaks off.
+
+use bytes::Bytes;
+use exchange::fleet::Verdict;
+use exchange::outcome::Reach;
+use exchange::relay::Cursor;
+use hyper::Response;
+use hyper::header::CONTENT_LENGTH;
+use log::info;
+use node::front::{Body, Cut, Sender};
+use node::journal::DECISION;
+
+use super::attempt::{Next, Open, Tried};
+use super::job::Job;
+use super::place::Placed;
+use crate::dialect::Dialect;
+
+/// How a run of a stream ended.
+enum Run {
+    /// The stream is whole.
+    Whole,
+    /// The caller has left.
+    Left,
+    /// The run broke off, for this reason.
+    Broken(&'static str),
+}
+
+impl<D: Dialect> Job<D> {
+    /// Answers with the events of `open`, and of further runs where it breaks off.
+    pub(super) fn relay(mut self, mut open: Open<D>, cursor: Cursor) -> Response<Body> {
+        let (sender, body) = Body::stream();
+        let mut response = Response::new(body);
+        *response.status_mut() = open.status;
+        let mut headers = std::mem::take(&mut open.headers);
+        headers.remove(CONTENT_LENGTH);
+        *response.headers_mut() = headers;
+        let now = self.hub.clock.now();
+        let waited = now.saturating_sub(self.terms.arrived);
+        self.hub.metrics.first("stream", waited);
+        let flight = self.hub.enter();
+        tokio::spawn(async move {
+            self.pump(open, cursor, &sender).await;
+            drop(flight);
+        });
+        response
+    }
+
+    async fn pump(&mut self, mut open: Open<D>, mut cursor: Cursor, sender: &Sender) {
+        loop {
+            match self.run_on(&mut open, &mut cursor, sender).await {
+                Run::Whole => {
+                    open.visit.end(Verdict::Fine);
+                    return self.end(200, "answered");
+                }
+                Run::Left => return,
+                Run::Broken(reason) => {
+                    open.visit.end(Verdict::Failed);
+                    info!(
+                        target: DECISION,
+                        request = &*self.ask.attempt, upstream:% = open.visit.runner, reason,
+                        after = cursor.last().unwrap_or_default();
+                        "stream-broken"
+                    );
+                    // The first run is stopped before another one begins.
+                    drop(open);
+                    match self.resume(&mut cursor, sender).await {
+                        Some(next) => open = next,
+                        None => {
+                            self.end(200, reason);
+                            let _ = sender.send(Err(Cut)).await;
+                            return;
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    /// Passes one run on until it ends.
+    async fn run_on(&mut self, open: &mut Open<D>, cursor: &mut Cursor, sender: &Sender) -> Run {
+        let first = std::mem::take(&mut open.first);
+        if !self.pass(cursor, first, sender).await {
+            return Run::Left;
+        }
+        if open.ended {
+            return Run::Whole;
+        }
+        loop {
+            let next = tokio::select! {
+                biased;
+                next = self.next(&mut open.body, &open.visit) => next,
+                () = sender.closed() => return Run::Left,
+            };
+            match next {
+                Next::Part(part) => {
+                    open.visit.hear();
+                    let mut whole = Vec::with_capacity(part.len());
+                    let pushed = cursor.push(&part, &mut whole);
+                    if !self.pass(cursor, whole.into(), sender).await {
+                        return Run::Left;
+                    }
+                    if pushed.is_err() {
+                        return Run::Broken("sequence");
+                    }
+                }
+                Next::End if cursor.inside() => return Run::Broken("cut"),
+                Next::End => return Run::Whole,
+                Next::Broken(reason) => return Run::Broken(reason),
+            }
+        }
+    }
+
+    /// Passes whole events on. Returns `false` where the caller has left.
+    async fn pass(&mut self, cursor: &Cursor, events: Bytes, sender: &Sender) -> bool {
+        if events.is_empty() {
+            return !sender.is_closed();
+        }
+        self.after = cursor.last();
+        sender.send(Ok(events)).await.is_ok()
+    }
+
+    /// Takes a broken stream to another engine.
+    async fn resume(&mut self, cursor: &mut Cursor, sender: &Sender) -> Option<Open<D>> {
+        cursor.restart();
+        // A stream without ids has no place to go on from.
+        cursor.last()?;
+        let mut reach = Reach::Unknown;
+        loop {
+            self.worst = self.worst.max(reach);
+            if !self.again(reach) {
+                return None;
+            }
+            let placed = tokio::select! {
+                placed = self.place() => placed,
+                () = sender.closed() => return None,
+            };
+            let Placed::At(runner) = placed else {
+                return None;
+            };
+            match self.attempt(&runner, cursor).await {
+                Tried::Open(open) => return Some(*open),
+                Tried::Whole(_) => return None,
+                Tried::Failed { reach: got, .. } => {
+                    cursor.restart();
+                    reach = got;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/hub.rs
@@ -0,0 +1,474 @@
+//! State that all tasks of a node share.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use exchange::choice::{self, Need, Pick};
+use exchange::demand::{Demand, Target};
+use exchange::fleet::Presence;
+use exchange::owner::{self, Action, Note};
+use exchange::route::{Config, Service};
+use exchange::spend::{self, Spend};
+use exchange::{Fleet, Owner};
+use log::info;
+use node::clock::{Clock, wall_micros};
+use node::journal::DECISION;
+use roster::seeds::Record;
+use settings::Settings;
+use tokio::sync::oneshot;
+use upstream::link::{Limits, Link};
+use wire::{Incarnation, Time, Upstream, Vm};
+
+use crate::datagram::{Message, Post};
+use crate::dialect::Dialect;
+use crate::metrics::Metrics;
+
+/// Limit for a connection to an upstream; several crossings of a region and a handshake.
+const CONNECT: Duration = Duration::from_millis(400);
+
+/// Longest time that an idle connection to an upstream is kept.
+const KEEP: Duration = Duration::from_secs(20);
+
+/// Bytes of an answer that is read as a whole.
+const BODY_BYTES: usize = 8 << 20;
+
+/// Connections that a node may open to one upstream at least, whatever its part of the limit.
+const CONNECTIONS_MIN: usize = 4;
+
+/// Connections for orders and reports to one upstream.
+const CONTROL_CONNECTIONS: usize = 2;
+
+/// Time after which a home that lacks an adapter in demand is asked for it again.
+const SPREAD_PAUSE: Duration = Duration::from_millis(500);
+
+/// The nodes that take traffic.
+#[derive(Clone, Debug, Default)]
+pub struct Peers {
+    /// Records of all known nodes, sorted by VM.
+    pub records: Vec<Record>,
+    /// The live ones that take part, this node included, sorted.
+    pub live: Vec<Vm>,
+}
+
+impl Peers {
+    /// Returns the record of `vm`.
+    pub fn record(&self, vm: &str) -> Option<&Record> {
+        let found = self.records.binary_search_by(|record| (*record.vm).cmp(vm));
+        found.ok().map(|index| &self.records[index])
+    }
+
+    /// Returns the callers' addresses of the live nodes.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        let live = self.live.iter().filter_map(|vm| self.record(vm));
+        live.map(|record| record.callers).collect()
+    }
+}
+
+struct Waiter {
+    runner: Upstream,
+    target: Target,
+    wake: oneshot::Sender<()>,
+}
+
+/// What the decisions work on.
+pub struct Desk {
+    /// The upstreams.
+    pub fleet: Fleet,
+    /// What is asked for.
+    pub demand: Demand,
+    /// The budget of repeats.
+    pub spend: Spend,
+    /// Who orders at the engines.
+    pub owner: Owner,
+    waiters: Vec<Waiter>,
+    used: Vec<(Upstream, Vec<(Target, u32)>)>,
+    spread: Vec<(Upstream, Target, Time)>,
+}
+
+/// The state of one node.
+pub struct Hub<D> {
+    /// The adapter to the platform.
+    pub dialect: D,
+    /// The settings.
+    pub settings: Settings,
+    /// `[exchange]` of the settings.
+    pub exchange: settings::Exchange,
+    /// The process.
+    pub me: Incarnation,
+    /// The monotonic clock.
+    pub clock: Clock,
+    /// The configuration in force; none until the first is known.
+    pub config: ArcSwapOption<Config>,
+    /// The nodes.
+    pub peers: ArcSwap<Peers>,
+    /// The metrics.
+    pub metrics: Metrics,
+    /// The socket towards other nodes.
+    pub post: Arc<Post>,
+    desk: Mutex<Desk>,
+    links: Mutex<Vec<(Upstream, SocketAddr, Link)>>,
+    met: AtomicBool,
+    leaving: AtomicBool,
+    flying: AtomicI64,
+    store_heard: AtomicU64,
+}
+
+impl<D: Dialect> Hub<D> {
+    /// Makes the state of a process that has just started.
+    pub fn new(
+        dialect: D,
+        settings: Settings,
+        me: Incarnation,
+        clock: Clock,
+        metrics: Metrics,
+        post: Arc<Post>,
+    ) -> Self {
+        let exchange = settings.exchange.clone().unwrap_or_default();
+        let owner = owner::Config {
+            me: me.vm.clone(),
+            mark: mark(settings.listen.peers),
+            lease: exchange.lease,
+            fenced: exchange.fenced,
+            load: exchange.load,
+            reload: exchange.reload,
+            flights: exchange.flights,
+            parallel: exchange.parallel,
+            ceiling: exchange.ceiling,
+        };
+        let spend = spend::Config {
+            ratio: exchange.retry_ratio,
+            extra: exchange.retry_extra,
+            window: exchange.retry_window,
+            ..spend::Config::default()
+        };
+        let desk = Desk {
+            fleet: Fleet::default(),
+            demand: Demand::default(),
+            spend: Spend::new(spend),
+            owner: Owner::new(owner),
+            waiters: Vec::new(),
+            used: Vec::new(),
+            spread: Vec::new(),
+        };
+        Self {
+            dialect,
+            settings,
+            exchange,
+            me,
+            clock,
+            config: ArcSwapOption::empty(),
+            peers: ArcSwap::default(),
+            metrics,
+            post,
+            desk: Mutex::new(desk),
+            links: Mutex::new(Vec::new()),
+            met: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
+            flying: AtomicI64::new(0),
+            store_heard: AtomicU64::new(0),
+        }
+    }
+
+    /// Returns the desk; held only between two awaits.
+    pub fn desk(&self) -> MutexGuard<'_, Desk> {
+        self.desk.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Tells whether the node takes traffic.
+    pub fn ready(&self) -> bool {
+        self.config.load().is_some() && self.met.load(Ordering::Relaxed) && !self.leaving()
+    }
+
+    /// Notes that this node has heard from its peers, or that there are none.
+    pub fn set_met(&self) {
+        self.met.store(true, Ordering::Relaxed);
+    }
+
+    /// Tells whether this node has heard from its peers.
+    pub fn met(&self) -> bool {
+        self.met.load(Ordering::Relaxed)
+    }
+
+    /// Tells whether the node shuts down.
+    pub fn leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Begins the shutdown.
+    pub fn set_leaving(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Counts a request in until the guard is dropped.
+    pub fn enter(self: &Arc<Self>) -> Flight<D> {
+        self.metrics
+            .flying
+            .set(self.flying.fetch_add(1, Ordering::Relaxed) + 1);
+        Flight(self.clone())
+    }
+
+    /// Returns how many requests are in progress.
+    pub fn flying(&self) -> i64 {
+        self.flying.load(Ordering::Relaxed)
+    }
+
+    /// Notes that the platform has answered.
+    pub fn heard_store(&self) {
+        let now = u64::try_from(self.clock.now().as_millis()).unwrap_or(u64::MAX);
+        self.store_heard.store(now, Ordering::Relaxed);
+    }
+
+    /// Returns the time since the platform answered last.
+    pub fn store_silence(&self) -> Duration {
+        let heard = Duration::from_millis(self.store_heard.load(Ordering::Relaxed));
+        self.clock.now().saturating_sub(heard)
+    }
+
+    /// Returns how many nodes share what all nodes together may do.
+    pub fn nodes(&self) -> usize {
+        self.peers.load().live.len().max(1)
+    }
+
+    /// Returns the link to an upstream.
+    pub fn link(&self, id: &Upstream, address: SocketAddr, connections: u32) -> Link {
+        let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        let index = match links.binary_search_by(|(known, _, _)| known.cmp(id)) {
+            Ok(index) if links[index].1 == address => return links[index].2.clone(),
+            Ok(index) => {
+                links.remove(index);
+                index
+            }
+            Err(index) => index,
+        };
+        let part = (connections as usize / self.nodes()).max(CONNECTIONS_MIN);
+        let limits = Limits {
+            control: CONTROL_CONNECTIONS,
+            urgent: part,
+            ordinary: part,
+            connect: CONNECT,
+            keep: KEEP,
+            body_bytes: BODY_BYTES,
+            // The front ends an answer that makes no progress.
+            body: Duration::from_secs(60),
+            ..Limits::default()
+        };
+        let link = Link::new(id.clone(), address, limits);
+        links.insert(index, (id.clone(), address, link.clone()));
+        link
+    }
+
+    /// Closes what is kept open to an upstream that is gone.
+    pub fn unlink(&self, id: &str) {
+        let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        links.retain(|(known, _, _)| **known != *id);
+    }
+
+    /// Picks the upstream for a request; `unowned` are engines at which nobody orders.
+    pub fn pick(
+        &self,
+        service: &Service,
+        target: Option<&Target>,
+        tried: &[Upstream],
+        seed: u64,
+    ) -> Pick {
+        let now = self.clock.now();
+        let desk = self.desk();
+        let unowned: Vec<Upstream> = match target {
+            Some(_) => desk
+                .fleet
+                .open(&service.name)
+                .filter(|runner| desk.owner.holder(&runner.listing.id).is_none())
+                .map(|runner| runner.listing.id.clone())
+                .collect(),
+            None => Vec::new(),
+        };
+        let need = Need {
+            service,
+            target,
+            tried,
+            seed,
+            zone: &self.settings.vm.zone,
+            unowned: &unowned,
+        };
+        choice::pick(now, &desk.fleet, &need)
+    }
+
+    /// Counts a request for `target`, and asks for another home where its demand wants one.
+    pub fn demand(self: &Arc<Self>, service: &Service, target: &Target, rank: u8) {
+        let now = self.clock.now();
+        let mut guard = self.desk();
+        let desk = &mut *guard;
+        desk.demand.add(now, target);
+        let Some(runner) = choice::missing_home(now, &desk.fleet, &desk.demand, service, target)
+        else {
+            return;
+        };
+        desk.spread.retain(|(_, _, at)| now < *at + SPREAD_PAUSE);
+        if desk
+            .spread
+            .iter()
+            .any(|(id, known, _)| *id == runner && known == target)
+        {
+            return;
+        }
+        desk.spread.push((runner.clone(), target.clone(), now));
+        drop(guard);
+        let target = target.clone();
+        self.drive(owner::Event::Want {
+            runner,
+            target,
+            rank,
+        });
+    }
+
+    /// Counts a request that uses `target` at `runner`.
+    pub fn used(&self, runner: &Upstream, target: &Target) {
+        let mut desk = self.desk();
+        let index = match desk.used.iter().position(|(id, _)| id == runner) {
+            Some(index) => index,
+            None => {
+                desk.used.push((runner.clone(), Vec::new()));
+                desk.used.len() - 1
+            }
+        };
+        let targets = &mut desk.used[index].1;
+        match targets.iter_mut().find(|(known, _)| known == target) {
+            Some((_, count)) => *count += 1,
+            None => targets.push((target.clone(), 1)),
+        }
+    }
+
+    /// Tells the owners what was used since the last call.
+    pub fn tell_used(self: &Arc<Self>) {
+        let used = std::mem::take(&mut self.desk().used);
+        for (runner, targets) in used {
+            self.drive(owner::Event::Used { runner, targets });
+        }
+    }
+
+    /// Returns what resolves when something is told of `target` at `runner`.
+    pub fn await_news(&self, runner: &Upstream, target: &Target) -> oneshot::Receiver<()> {
+        let (wake, news) = oneshot::channel();
+        let mut desk = self.desk();
+        desk.waiters.retain(|waiter| !waiter.wake.is_closed());
+        desk.waiters.push(Waiter {
+            runner: runner.clone(),
+            target: target.clone(),
+            wake,
+        });
+        news
+    }
+
+    /// Passes an event to the owner and carries out what it wants.
+    pub fn drive(self: &Arc<Self>, event: owner::Event) {
+        let now = self.clock.now();
+        let mut guard = self.desk();
+        let desk = &mut *guard;
+        let mut actions = Vec::new();
+        desk.owner.step(now, &desk.fleet, event, &mut actions);
+        let mut index = 0;
+        // Orders may follow from what changed.
+        while let Some(action) = actions.get(index) {
+            if let Action::Presence {
+                runner,
+                target,
+                presence,
+            } = action
+            {
+                desk.fleet.note(now, runner, target, *presence);
+                wake(&mut desk.waiters, runner, target);
+                desk.owner.pump(now, &desk.fleet, &mut actions);
+            }
+            index += 1;
+        }
+        drop(guard);
+        for action in actions {
+            self.perform(action);
+        }
+    }
+
+    fn perform(self: &Arc<Self>, action: Action) {
+        match action {
+            Action::Send { to, message } => {
+                if let Some(record) = self.peers.load().record(&to) {
+                    self.post.send(&to, record.peers, &Message::Owner(message));
+                }
+            }
+            Action::Inspect { runner, after } => {
+                tokio::spawn(crate::control::inspect(self.clone(), runner, after));
+            }
+            Action::Order {
+                runner,
+                fence,
+                order,
+            } => {
+                tokio::spawn(crate::control::order(self.clone(), runner, fence, order));
+            }
+            Action::Presence {
+                runner,
+                target,
+                presence,
+            } => log_presence(&runner, &target, presence),
+            Action::Note(note) => log_note(&note),
+        }
+    }
+
+    /// Returns the seconds of the wall clock.
+    pub fn wall(&self) -> u64 {
+        wall_micros() / 1_000_000
+    }
+}
+
+fn wake(waiters: &mut Vec<Waiter>, runner: &Upstream, target: &Target) {
+    let mut index = 0;
+    while index < waiters.len() {
+        let waiter = &waiters[index];
+        if waiter.runner == *runner && waiter.target == *target {
+            // A waiter that is gone needs no news.
+            let _ = waiters.swap_remove(index).wake.send(());
+        } else {
+            index += 1;
+        }
+    }
+}
+
+fn log_presence(runner: &Upstream, target: &Target, presence: Presence) {
+    log::debug!(target: DECISION, upstream:% = runner, model:% = target, presence:?; "presence");
+}
+
+fn log_note(note: &Note) {
+    match note {
+        Note::Claimed(upstream, fence) => info!(target: DECISION, upstream:%, fence; "own"),
+        Note::Yielded(upstream, reason) => info!(target: DECISION, upstream:%, reason; "yield"),
+        Note::Evicted(upstream, model, value) => {
+            info!(target: DECISION, upstream:%, model:%, uses:% = value; "evict");
+        }
+        Note::Failed(upstream, model, answer) => {
+            info!(target: DECISION, upstream:%, model:%, answer:?; "order-failed");
+        }
+    }
+}
+
+/// Returns the bits of fencing numbers that belong to the VM at `address`: the last three parts
+/// of its address, which no two VMs of one network share.
+fn mark(address: SocketAddr) -> u64 {
+    match address.ip() {
+        std::net::IpAddr::V4(ip) => u64::from(u32::from(ip) & 0x00ff_ffff),
+        std::net::IpAddr::V6(ip) => wire::rank::hash(ip.octets()) & 0x00ff_ffff,
+    }
+}
+
+/// A request in progress.
+pub struct Flight<D>(Arc<Hub<D>>);
+
+impl<D> Drop for Flight<D> {
+    fn drop(&mut self) {
+        let hub = &self.0;
+        hub.metrics
+            .flying
+            .set(hub.flying.fetch_sub(1, Ordering::Relaxed) - 1);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/run.rs
@@ -0,0 +1,172 @@
+//! Starts and stops a node.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::info;
+use node::clock::{Clock, wall_micros};
+use node::front::listener::{self, Handler, Limit};
+use node::journal::DECISION;
+use settings::Settings;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+use wire::Incarnation;
+use wire::seal::Seal;
+
+use crate::control::{self, Handle};
+use crate::datagram::Post;
+use crate::dialect::Dialect;
+use crate::front::Front;
+use crate::hub::Hub;
+use crate::metrics::Metrics;
+use crate::side::Side;
+use crate::store;
+
+/// Connections on the addresses beside the callers'.
+const SIDE_CONNECTIONS: usize = 256;
+
+/// Time between two looks at what a shutdown still waits for.
+const DRAIN_STEP: Duration = Duration::from_millis(50);
+
+/// Part of the grace time that is left when the last requests are given up.
+const LAST_PART: u32 = 12;
+
+/// Reason why a node cannot start.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// An address cannot be bound.
+    #[error("cannot listen on {address} ({cause}); free the address or change the settings")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// The system's error.
+        cause: std::io::Error,
+    },
+    /// An address of the platform does not parse.
+    #[error("platform address {0} is not IP:PORT; correct `platform.addresses`")]
+    Platform(String),
+    /// The peers' keys are unusable.
+    #[error(transparent)]
+    Keys(#[from] wire::seal::Error),
+    /// The metrics cannot be registered.
+    #[error("metrics cannot be registered ({0}); report this")]
+    Metrics(#[from] prometheus::Error),
+    /// The control actor does not start.
+    #[error("control does not start ({0}); report this")]
+    Control(#[from] ractor::SpawnErr),
+}
+
+/// A running node.
+pub struct Node<D> {
+    hub: Arc<Hub<D>>,
+    control: Handle,
+    stop: watch::Sender<bool>,
+    fronts: Vec<JoinHandle<()>>,
+}
+
+impl<D: Dialect> Node<D> {
+    /// Starts a node.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] where an address cannot be bound or a setting is unusable.
+    pub async fn start(settings: Settings, dialect: D) -> Result<Self, Error> {
+        let clock = Clock::start();
+        let me = Incarnation::new(settings.vm.id.clone(), wall_micros());
+        let platform = platform_address(&settings)?;
+        let address = settings.listen.peers;
+        let bound = Post::bind(address, me.clone(), seal(&settings)?).await;
+        let post = bound.map_err(|cause| Error::Listen { address, cause })?;
+        info!(target: DECISION, vm:% = me, zone:% = settings.vm.zone; "start");
+        let hub = Hub::new(dialect, settings, me, clock, Metrics::new()?, post);
+        let hub = Arc::new(hub);
+        let control = control::start(hub.clone()).await?;
+        tokio::spawn(store::run(hub.clone(), platform));
+        let mut node = Self {
+            hub,
+            control,
+            stop: watch::channel(false).0,
+            fronts: Vec::new(),
+        };
+        node.open().await?;
+        Ok(node)
+    }
+
+    async fn open(&mut self) -> Result<(), Error> {
+        let hub = self.hub.clone();
+        let limits = &hub.settings.limits;
+        let callers = Limit {
+            connections: limits.connections,
+            header_bytes: limits.header_bytes,
+            header_time: hub.settings.time.header,
+        };
+        let side = Limit {
+            connections: SIDE_CONNECTIONS,
+            ..callers
+        };
+        let listen = &hub.settings.listen;
+        self.serve(listen.callers, callers, Front::new(hub.clone()))
+            .await?;
+        for address in [hub.exchange.ready, hub.exchange.directory, listen.operators] {
+            self.serve(address, side, Side::new(hub.clone())).await?;
+        }
+        Ok(())
+    }
+
+    async fn serve(
+        &mut self,
+        address: SocketAddr,
+        limit: Limit,
+        handler: impl Handler,
+    ) -> Result<(), Error> {
+        let bound = TcpListener::bind(address).await;
+        let socket = bound.map_err(|cause| Error::Listen { address, cause })?;
+        let stop = self.stop.subscribe();
+        let serving = listener::serve(socket, limit, handler, None, stop);
+        self.fronts.push(tokio::spawn(serving));
+        Ok(())
+    }
+
+    /// Shuts down: tells peers and the platform at once, serves on until callers have forgotten
+    /// the address and every request is done, or the grace time is nearly over. Returns how many
+    /// requests were cut.
+    pub async fn shut_down(self) -> i64 {
+        let hub = &self.hub;
+        hub.set_leaving();
+        self.control.leave();
+        let started = Instant::now();
+        let grace = hub.exchange.grace;
+        let ttl = hub.settings.time.address_ttl;
+        info!(target: DECISION, flying = hub.flying(); "leave");
+        // Callers that asked just before keep the address for its time to live.
+        tokio::time::sleep_until(started + ttl.min(grace / 2)).await;
+        let last = started + grace - grace / LAST_PART;
+        while hub.flying() > 0 && Instant::now() < last {
+            tokio::time::sleep(DRAIN_STEP).await;
+        }
+        let cut = hub.flying();
+        self.stop.send_replace(true);
+        for front in self.fronts {
+            // What is left are idle connections, or requests that are reported as cut.
+            let _ = tokio::time::timeout(DRAIN_STEP, front).await;
+        }
+        info!(target: DECISION, cut; "stop");
+        cut
+    }
+}
+
+fn seal(settings: &Settings) -> Result<Seal, wire::seal::Error> {
+    let mut keys = settings.peers.keys.iter();
+    let mut next = || keys.next().map(|key| key.0.clone().into_bytes());
+    let sign = next().unwrap_or_default();
+    Seal::new(sign, next())
+}
+
+fn platform_address(settings: &Settings) -> Result<SocketAddr, Error> {
+    let address = settings.platform.addresses.first();
+    let address = address.cloned().unwrap_or_default();
+    address.parse().map_err(|_| Error::Platform(address))
+}
--- /dev/null
+++ b/crates/gateway/src/store/mod.rs
@@ -0,0 +1,312 @@
+//! Reads of the platform: a listing at the start and after a gap, then news as they come.
+//!
+//! Each read counts for the platform, so news are asked for no more often than the settings say.
+
+mod absence;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use exchange::fleet;
+use exchange::route::Config;
+use hyper::StatusCode;
+use log::info;
+use node::journal::DECISION;
+use tokio::time::Instant;
+use upstream::link::{Call, Class, Host, Limits, Link, Reuse};
+use wire::Upstream;
+
+use crate::dialect::{Change, Dialect, Malformed, Page};
+use crate::hub::Hub;
+use absence::Absence;
+
+/// Time that a read of news waits for some; short, so that a platform that fell silent shows.
+const WAIT: Duration = Duration::from_secs(4);
+
+/// Time allowed beyond that for the answer.
+const ANSWER: Duration = Duration::from_millis(1_500);
+
+/// Limit for a connection to the platform.
+const CONNECT: Duration = Duration::from_millis(500);
+
+/// Pause after a read that failed, doubled with each in a row.
+const PAUSE_MIN: Duration = Duration::from_millis(150);
+
+/// Longest pause after a read that failed: a leaving upstream has to be known within seconds of
+/// the platform's return.
+const PAUSE_MAX: Duration = Duration::from_millis(800);
+
+/// Bytes of an answer: a page holds a megabyte, and its text a third more.
+const BODY_BYTES: usize = 16 << 20;
+
+/// Reason why a read gave nothing.
+#[derive(Debug, thiserror::Error)]
+enum Error {
+    /// No answer came.
+    #[error(transparent)]
+    Link(#[from] upstream::Error),
+    /// The answer is none.
+    #[error(transparent)]
+    Malformed(#[from] Malformed),
+    /// The platform refused.
+    #[error("the platform answers {0}; wait, or check its health")]
+    Refused(StatusCode),
+    /// News since the revision are no longer kept.
+    #[error("the platform has dropped its history; everything is listed again")]
+    Forgotten,
+}
+
+impl Error {
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Link(_) => "unreached",
+            Self::Malformed(_) => "malformed",
+            Self::Refused(_) => "refused",
+            Self::Forgotten => "forgotten",
+        }
+    }
+}
+
+struct Reader<D> {
+    hub: Arc<Hub<D>>,
+    link: Link,
+    absence: Absence,
+    failures: u32,
+    last: Instant,
+}
+
+/// Reads the platform for as long as the process lives.
+pub async fn run<D: Dialect>(hub: Arc<Hub<D>>, address: std::net::SocketAddr) {
+    let limits = Limits {
+        connect: CONNECT,
+        body_bytes: BODY_BYTES,
+        body: ANSWER,
+        ..Limits::default()
+    };
+    let mut reader = Reader {
+        link: Link::new("platform", address, limits),
+        absence: Absence::default(),
+        failures: 0,
+        last: Instant::now(),
+        hub,
+    };
+    loop {
+        let revision = match reader.list().await {
+            Ok(revision) => revision,
+            Err(error) => {
+                reader.failed(&error).await;
+                continue;
+            }
+        };
+        reader.follow(revision).await;
+    }
+}
+
+impl<D: Dialect> Reader<D> {
+    /// Lists everything. Returns the revision from which news follow.
+    async fn list(&mut self) -> Result<u64, Error> {
+        let mut revision = None;
+        let mut listed: Vec<Upstream> = Vec::new();
+        for part in 0.. {
+            let mut after: Option<String> = None;
+            loop {
+                let Some(call) = self.hub.dialect.listing(part, after.as_deref()) else {
+                    return Ok(self.listed(revision.unwrap_or_default(), listed));
+                };
+                let body = self.read(call, ANSWER).await?;
+                let page: Page = self.hub.dialect.page(&body)?;
+                // News from the first page on are read again, which changes nothing.
+                revision.get_or_insert(page.revision);
+                for (_, change) in page.changes {
+                    if let Change::Listed(listing) = &change {
+                        listed.push(listing.id.clone());
+                    }
+                    self.apply(change);
+                }
+                match page.more {
+                    Some(key) => after = Some(key),
+                    None => break,
+                }
+            }
+        }
+        Ok(revision.unwrap_or_default())
+    }
+
+    /// Takes what a whole listing does not name for gone.
+    fn listed(&mut self, revision: u64, mut listed: Vec<Upstream>) -> u64 {
+        listed.sort_unstable();
+        let known: Vec<Upstream> = {
+            let desk = self.hub.desk();
+            let ids = desk.fleet.runners().iter();
+            ids.map(|runner| runner.listing.id.clone()).collect()
+        };
+        for id in known {
+            if listed.binary_search(&id).is_err() {
+                self.apply(Change::Delisted(id));
+            }
+        }
+        info!(target: DECISION, revision, upstreams = listed.len(); "platform-listed");
+        revision
+    }
+
+    /// Follows the news until the platform has dropped them.
+    async fn follow(&mut self, mut revision: u64) {
+        loop {
+            self.sweep();
+            tokio::time::sleep_until(self.last + self.hub.exchange.pause).await;
+            match self.news(revision).await {
+                Ok(next) => revision = next,
+                Err(Error::Forgotten) => {
+                    info!(target: DECISION, revision; "platform-history-lost");
+                    return;
+                }
+                Err(error) => self.failed(&error).await,
+            }
+        }
+    }
+
+    async fn news(&mut self, revision: u64) -> Result<u64, Error> {
+        // Absences that are held back end while nothing else happens.
+        let wait = if self.absence.is_empty() {
+            WAIT
+        } else {
+            self.hub.exchange.pause
+        };
+        let call = self.hub.dialect.watch(revision, wait);
+        let body = self.read(call, wait + ANSWER).await?;
+        let news = self.hub.dialect.news(&body)?;
+        for (_, change) in news.changes {
+            self.apply(change);
+        }
+        Ok(news.revision)
+    }
+
+    async fn read(
+        &mut self,
+        call: crate::dialect::Call,
+        limit: Duration,
+    ) -> Result<bytes::Bytes, Error> {
+        self.last = Instant::now();
+        let request = hyper::Request::builder()
+            .method(call.method)
+            .uri(call.path)
+            .body(http_body_util::Full::new(call.body))
+            .map_err(|error| Malformed(error.to_string()))?;
+        let sent = self.link.send(Call {
+            class: Class::Control,
+            reuse: Reuse::Kept,
+            host: Host::Upstream,
+            head: Some(limit),
+            request,
+        });
+        let response = sent.await?;
+        let status = response.status();
+        let body = response.into_body().collect().await?;
+        match status {
+            StatusCode::OK => {
+                self.answered();
+                Ok(body)
+            }
+            StatusCode::GONE => {
+                self.answered();
+                Err(Error::Forgotten)
+            }
+            status => Err(Error::Refused(status)),
+        }
+    }
+
+    fn answered(&mut self) {
+        self.hub.heard_store();
+        self.hub
+            .metrics
+            .reads
+            .with_label_values(&["answered"])
+            .inc();
+        if self.failures > 0 {
+            info!(target: DECISION, failures = self.failures; "platform-back");
+            self.failures = 0;
+            self.absence.returned(self.hub.clock.now());
+        }
+    }
+
+    async fn failed(&mut self, error: &Error) {
+        self.hub
+            .metrics
+            .reads
+            .with_label_values(&[error.name()])
+            .inc();
+        if self.failures == 0 {
+            log::warn!(target: DECISION, reason = error.name(), cause:% = error; "platform-lost");
+        }
+        let pause = PAUSE_MIN * (1 << self.failures.min(4));
+        self.failures += 1;
+        tokio::time::sleep(pause.min(PAUSE_MAX)).await;
+    }
+
+    /// Forgets the upstreams whose absence has lasted long enough.
+    fn sweep(&mut self) {
+        for id in self.absence.due(self.hub.clock.now()) {
+            self.forget(&id);
+        }
+    }
+
+    fn apply(&mut self, change: Change) {
+        let hub = &self.hub;
+        let now = hub.clock.now();
+        match change {
+            Change::Listed(listing) => {
+                self.absence.present(&listing.id);
+                let id = listing.id.clone();
+                let change = {
+                    let mut desk = hub.desk();
+                    let change = desk.fleet.list(now, listing);
+                    if let (fleet::Change::Appeared, Some(config)) = (change, &*hub.config.load()) {
+                        desk.fleet.configure(config);
+                    }
+                    change
+                };
+                if change != fleet::Change::Same {
+                    info!(target: DECISION, upstream:% = id, change:?; "upstream");
+                }
+                if change == fleet::Change::Restarted {
+                    hub.unlink(&id);
+                }
+            }
+            Change::Delisted(id) => {
+                if !self.absence.absent(now, &id) {
+                    self.forget(&id);
+                }
+            }
+            Change::Config(config) => adopt(hub, *config),
+            Change::Version(target, version) => {
+                if hub.desk().fleet.announce(target.clone(), version) {
+                    info!(target: DECISION, model:% = target, version; "version");
+                }
+            }
+            Change::Foreign => {}
+            Change::Unreadable { key, cause } => {
+                log::warn!(target: DECISION, key, cause; "entry-unreadable");
+            }
+        }
+    }
+
+    fn forget(&self, id: &Upstream) {
+        if self.hub.desk().fleet.delist(id) {
+            self.hub.unlink(id);
+            info!(target: DECISION, upstream:% = id; "upstream-gone");
+        }
+    }
+}
+
+/// Puts a configuration in force, unless a newer one is.
+fn adopt<D: Dialect>(hub: &Arc<Hub<D>>, config: Config) {
+    let newest = hub.config.load().as_ref().map(|known| known.revision);
+    if newest.is_some_and(|newest| newest >= config.revision) {
+        return;
+    }
+    info!(target: DECISION, revision = config.revision, routes = config.routes().len(); "config");
+    let revision = i64::try_from(config.revision).unwrap_or(i64::MAX);
+    hub.metrics.revision.set(revision);
+    hub.desk().fleet.configure(&config);
+    hub.config.store(Some(Arc::new(config)));
+}
--- a/crates/hyssopscale/src/cli.rs
+++ b/crates/hyssopscale/src/cli.rs
@@ -88,17 +88,33 @@
         println!("settings of {} are sound", settings.vm.id);
         return Ok(());
     }
-    block_on(ops::serve::run(settings))
+    let threads = settings.exchange.as_ref().map(|exchange| exchange.threads);
+    block_on_threads(threads, ops::serve::run(settings))
 }
 
 fn block_on(work: impl Future<Output = Result<(), Error>>) -> Result<(), Error> {
-    let threads = std::thread::available_parallelism()
-        .map_or(1, usize::from)
-        .min(THREADS_MAX);
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(threads)
-        .enable_all()
-        .build()?;
+    block_on_threads(None, work)
+}
+
+/// Runs `work` on so many threads, one for each core where none are named.
+fn block_on_threads(
+    threads: Option<usize>,
+    work: impl Future<Output = Result<(), Error>>,
+) -> Result<(), Error> {
+    let cores = || {
+        std::thread::available_parallelism()
+            .map_or(1, usize::from)
+            .min(THREADS_MAX)
+    };
+    let runtime = match threads.unwrap_or_else(cores) {
+        1 => tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?,
+        threads => tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(threads)
+            .enable_all()
+            .build()?,
+    };
     let result = runtime.block_on(work);
     // Tasks that wait for peers or the platform must not hold the process up.
     runtime.shutdown_background();
--- a/crates/hyssopscale/src/ops/serve.rs
+++ b/crates/hyssopscale/src/ops/serve.rs
@@ -28,6 +28,9 @@
 ///
 /// Returns an [`Error`] where the node does not start, or where the shutdown cut requests.
 pub async fn run(settings: Settings) -> Result<(), Error> {
+    if settings.exchange.is_some() {
+        return run_gateway(settings).await;
+    }
     let level = settings.log.level.parse().unwrap_or(LevelFilter::Info);
     node::journal::install(settings.log.format, level, settings.log.lines_per_second)?;
     let mut terminate = signal(SignalKind::terminate())?;
@@ -52,6 +55,28 @@
     }
 }
 
+/// Runs a node on a platform that is met by an adapter. Its log goes to standard output.
+async fn run_gateway(settings: Settings) -> Result<(), Error> {
+    let level = settings.log.level.parse().unwrap_or(LevelFilter::Info);
+    let (form, lines) = (settings.log.format, settings.log.lines_per_second);
+    node::journal::install_to(node::journal::Stream::Output, form, level, lines)?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    // The settings are read anew at the next start; the signal alone must not end the process.
+    let mut hangup = signal(SignalKind::hangup())?;
+    tokio::spawn(async move {
+        while hangup.recv().await.is_some() {
+            log::info!(target: node::journal::DECISION, applied = false; "reload");
+        }
+    });
+    let node = gateway::Node::start(settings, dialect::Platform).await?;
+    either(&mut terminate, &mut interrupt).await;
+    match node.shut_down().await {
+        0 => Ok(()),
+        cut => Err(Error::Found(format!("the shutdown cut {cut} request(s)"))),
+    }
+}
+
 async fn either(terminate: &mut Signal, interrupt: &mut Signal) {
     tokio::select! {
         _ = terminate.recv() => {}
--- a/crates/node/src/front/listener.rs
+++ b/crates/node/src/front/listener.rs
@@ -36,6 +36,12 @@
 pub trait Handler: Clone + Send + Sync + 'static {
     /// Answers one request.
     fn handle(&self, request: Request<Incoming>) -> impl Future<Output = Response<Body>> + Send;
+
+    /// Returns a time for which a connection may stay idle before its next request's head, where
+    /// that differs from the limit on the head.
+    fn idle(&self) -> Option<Duration> {
+        None
+    }
 }
 
 /// Accepts connections, by TLS where `tls` is given, until `stop` turns true, then lets each finish its present request.
@@ -105,13 +111,14 @@
     handler: H,
     mut stop: watch::Receiver<bool>,
 ) {
+    let header_time = handler.idle().unwrap_or(limit.header_time);
     let service = service_fn(move |request| {
         let handler = handler.clone();
         async move { Ok::<_, Infallible>(handler.handle(request).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(limit.header_time)
+        .header_read_timeout(header_time)
         .max_buf_size(limit.header_bytes.max(HEADER_BYTES_MIN))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
--- a/crates/node/src/journal.rs
+++ b/crates/node/src/journal.rs
@@ -33,17 +33,41 @@
     DROPPED.load(Ordering::Relaxed)
 }
 
+/// Where log lines go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stream {
+    /// Standard output.
+    Output,
+    /// Standard error.
+    Error,
+}
+
 /// Installs the logger, which writes to standard error.
 ///
 /// # Errors
 ///
 /// Returns [`Error::Installed`] where the process has a logger already.
 pub fn install(form: Form, level: LevelFilter, lines_per_second: u32) -> Result<(), Error> {
+    install_to(Stream::Error, form, level, lines_per_second)
+}
+
+/// Installs the logger, which writes to `stream`.
+///
+/// # Errors
+///
+/// Returns [`Error::Installed`] where the process has a logger already.
+pub fn install_to(
+    stream: Stream,
+    form: Form,
+    level: LevelFilter,
+    lines_per_second: u32,
+) -> Result<(), Error> {
     let limit = Limit::new(lines_per_second);
     fern::Dispatch::new()
         .level(LevelFilter::Warn)
         .level_for("decision", level)
         .level_for("node", level)
+        .level_for("gateway", level)
         .level_for("hyssopscale", level)
         .filter(move |metadata| metadata.target() != DECISION || limit.admit(Instant::now()))
         .format(move |out, message, record| {
@@ -53,7 +77,10 @@
             };
             out.finish(format_args!("{line}"));
         })
-        .chain(std::io::stderr())
+        .chain(match stream {
+            Stream::Output => fern::Output::from(std::io::stdout()),
+            Stream::Error => fern::Output::from(std::io::stderr()),
+        })
         .apply()?;
     Ok(())
 }
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`message`] is what rosters tell each other; [`rumor`] is the news inside a message and the
 //!   order in which one piece of news supersedes another.
 //! - [`probe`] keeps the outstanding heartbeats, [`notice`] the leaving upstreams.
+//! - [`seeds`] finds the members where the platform lists none.
 //! - [`address`] answers callers which VMs to use, from a view alone.
 //! - [`drain`] is the order of steps of a graceful shutdown.
 //!
@@ -21,6 +22,7 @@
 pub mod probe;
 pub mod random;
 pub mod rumor;
+pub mod seeds;
 
 pub use machine::{Action, Event, Member, Roster};
 pub use message::Message;
--- /dev/null
+++ b/crates/roster/src/seeds.rs
@@ -0,0 +1,298 @@
+//! Members found without a list: by a few addresses that may be stale, and by what nodes tell.
+//!
+//! Each node keeps a record of every VM that it knows, with the time since somebody heard from it,
+//! and exchanges its records with a random peer once a [`PERIOD`] (anti-entropy, Demers et al.,
+//! 1987). A VM that nobody has heard from for [`FORGET`] is dropped. The result takes the place of
+//! the platform's list in [`crate::Roster`], which does the failure detection.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use wire::{Machine, Time, Vm, Zone};
+
+use crate::Member;
+use crate::random::Random;
+
+/// Time between two exchanges with a random peer.
+pub const PERIOD: Duration = Duration::from_millis(1_000);
+
+/// Time between two questions while nobody has answered yet.
+pub const LONELY_PERIOD: Duration = Duration::from_millis(200);
+
+/// Time between two questions to a seed by a node that knows peers: parts of a fleet that were cut
+/// from each other for longer than [`FORGET`] meet again by them.
+pub const SEED_PERIOD: Duration = Duration::from_secs(4);
+
+/// Time after which a VM that nobody heard from is dropped.
+pub const FORGET: Duration = Duration::from_secs(15);
+
+/// Records in one message: about 1,200 bytes, which one datagram carries.
+const PART: usize = 16;
+
+/// What is told of one VM.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// Its id.
+    pub vm: Vm,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// Address for peers.
+    pub peers: SocketAddr,
+    /// Address for callers.
+    pub callers: SocketAddr,
+}
+
+/// A record with its age.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heard {
+    /// The record.
+    pub record: Record,
+    /// Milliseconds since somebody heard from the VM.
+    pub age: u32,
+}
+
+/// A message between two nodes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// Asks for the receiver's records; the sender's first.
+    Ask(Vec<Heard>),
+    /// Tells records.
+    Tell(Vec<Heard>),
+}
+
+/// What the machine is told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// A message came.
+    Receive {
+        /// Where it came from.
+        from: SocketAddr,
+        /// The message.
+        message: Message,
+    },
+    /// Any sign of life came from a VM itself.
+    Alive(Vm),
+    /// The seeds are these from now on.
+    Seeds(Vec<SocketAddr>),
+    /// Time passed.
+    Tick,
+}
+
+/// What the machine wants done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Send a message, best effort.
+    Send {
+        /// The addressee.
+        to: SocketAddr,
+        /// The message.
+        message: Message,
+    },
+    /// The members, this node included, are these.
+    Members(Vec<Member>),
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    record: Record,
+    heard: Time,
+}
+
+/// The machine of one node.
+#[derive(Clone, Debug)]
+pub struct Seeds {
+    me: Record,
+    seeds: Vec<SocketAddr>,
+    random: Random,
+    entries: Vec<Entry>,
+    next: Time,
+    next_seed: Time,
+    shown: bool,
+}
+
+impl Seeds {
+    /// Makes the machine of the node that `me` describes.
+    pub fn new(me: Record, seeds: impl IntoIterator<Item = SocketAddr>, seed: u64) -> Self {
+        let mut machine = Self {
+            me,
+            seeds: Vec::new(),
+            random: Random::new(seed),
+            entries: Vec::new(),
+            next: Time::ZERO,
+            next_seed: Time::ZERO,
+            shown: false,
+        };
+        machine.set_seeds(seeds);
+        machine
+    }
+
+    /// Returns the record of `vm`.
+    pub fn record(&self, vm: &str) -> Option<&Record> {
+        if *self.me.vm == *vm {
+            return Some(&self.me);
+        }
+        let index = self.find(vm).ok()?;
+        Some(&self.entries[index].record)
+    }
+
+    /// Returns how many other VMs are known.
+    pub fn known(&self) -> usize {
+        self.entries.len()
+    }
+
+    fn find(&self, vm: &str) -> Result<usize, usize> {
+        self.entries
+            .binary_search_by(|entry| (*entry.record.vm).cmp(vm))
+    }
+
+    fn set_seeds(&mut self, seeds: impl IntoIterator<Item = SocketAddr>) {
+        let others = seeds.into_iter().filter(|seed| *seed != self.me.peers);
+        self.seeds = others.collect();
+    }
+
+    fn receive(&mut self, now: Time, from: SocketAddr, message: Message, out: &mut Vec<Action>) {
+        let (heard, asked) = match message {
+            Message::Ask(heard) => (heard, true),
+            Message::Tell(heard) => (heard, false),
+        };
+        let mut changed = false;
+        for heard in heard {
+            changed |= self.merge(now, heard);
+        }
+        if asked {
+            out.extend(self.parts(now).map(|part| Action::Send {
+                to: from,
+                message: Message::Tell(part),
+            }));
+        }
+        if changed {
+            self.show(out);
+        }
+    }
+
+    /// Takes a record in. Returns whether the members changed.
+    fn merge(&mut self, now: Time, heard: Heard) -> bool {
+        let age = Duration::from_millis(heard.age.into());
+        if *heard.record.vm == *self.me.vm || age >= FORGET {
+            return false;
+        }
+        let at = now.saturating_sub(age);
+        match self.find(&heard.record.vm) {
+            Ok(index) => {
+                let entry = &mut self.entries[index];
+                if at <= entry.heard {
+                    return false;
+                }
+                entry.heard = at;
+                let moved = entry.record != heard.record;
+                entry.record = heard.record;
+                moved
+            }
+            Err(index) => {
+                let entry = Entry {
+                    record: heard.record,
+                    heard: at,
+                };
+                self.entries.insert(index, entry);
+                true
+            }
+        }
+    }
+
+    fn alive(&mut self, now: Time, vm: &str) {
+        if let Ok(index) = self.find(vm) {
+            self.entries[index].heard = now;
+        }
+    }
+
+    fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
+        let before = self.entries.len();
+        self.entries.retain(|entry| now < entry.heard + FORGET);
+        if self.entries.len() != before || !self.shown {
+            self.show(out);
+        }
+        if now >= self.next_seed {
+            self.ask_seeds(now, out);
+        }
+        if now >= self.next {
+            self.next = now + PERIOD;
+            let peers: Vec<SocketAddr> = self.entries.iter().map(|e| e.record.peers).collect();
+            for to in self.random.pick(peers, 1) {
+                self.ask(now, to, out);
+            }
+        }
+    }
+
+    fn ask_seeds(&mut self, now: Time, out: &mut Vec<Action>) {
+        if self.entries.is_empty() {
+            self.next_seed = now + LONELY_PERIOD;
+            for to in self.seeds.clone() {
+                self.ask(now, to, out);
+            }
+            return;
+        }
+        self.next_seed = now + SEED_PERIOD;
+        for to in self.random.pick(self.seeds.clone(), 1) {
+            self.ask(now, to, out);
+        }
+    }
+
+    fn ask(&self, now: Time, to: SocketAddr, out: &mut Vec<Action>) {
+        out.extend(self.parts(now).enumerate().map(|(index, part)| {
+            // One answer is enough.
+            let message = if index == 0 {
+                Message::Ask(part)
+            } else {
+                Message::Tell(part)
+            };
+            Action::Send { to, message }
+        }));
+    }
+
+    /// Returns everything known, this node first, in parts.
+    fn parts(&self, now: Time) -> impl Iterator<Item = Vec<Heard>> + use<> {
+        let own = Heard {
+            record: self.me.clone(),
+            age: 0,
+        };
+        let others = self.entries.iter().map(|entry| Heard {
+            record: entry.record.clone(),
+            age: u32::try_from(now.saturating_sub(entry.heard).as_millis()).unwrap_or(u32::MAX),
+        });
+        let all: Vec<Heard> = std::iter::once(own).chain(others).collect();
+        let parts: Vec<Vec<Heard>> = all.chunks(PART).map(<[Heard]>::to_vec).collect();
+        parts.into_iter()
+    }
+
+    fn show(&mut self, out: &mut Vec<Action>) {
+        self.shown = true;
+        let records = self.entries.iter().map(|entry| &entry.record);
+        let members = records.chain([&self.me]).map(|record| Member {
+            vm: record.vm.clone(),
+            zone: record.zone.clone(),
+            leaving: false,
+        });
+        out.push(Action::Members(members.collect()));
+    }
+}
+
+impl Machine for Seeds {
+    type Event = Event;
+    type Action = Action;
+
+    fn step(&mut self, now: Time, event: Event, out: &mut impl Extend<Action>) {
+        let mut actions = Vec::new();
+        match event {
+            Event::Receive { from, message } => self.receive(now, from, message, &mut actions),
+            Event::Alive(vm) => self.alive(now, &vm),
+            Event::Seeds(seeds) => self.set_seeds(seeds),
+            Event::Tick => self.tick(now, &mut actions),
+        }
+        out.extend(actions);
+    }
+
+    fn wake(&self) -> Option<Time> {
+        Some(self.next.min(self.next_seed))
+    }
+}
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -35,6 +35,7 @@
     check.weights(settings);
     check.stores(settings);
     check.pools(settings);
+    check.exchange(settings);
     check.rest(settings);
     check.0
 }
@@ -106,6 +107,47 @@
         }
     }
 
+    fn exchange(&mut self, settings: &Settings) {
+        let Some(exchange) = &settings.exchange else {
+            return;
+        };
+        for (name, value) in [
+            ("retry_window", exchange.retry_window),
+            ("lease", exchange.lease),
+            ("grace", exchange.grace),
+            ("ceiling", exchange.ceiling),
+            ("load", exchange.load),
+            ("reload", exchange.reload),
+            ("pause", exchange.pause),
+        ] {
+            self.duration(format!("exchange.{name}"), value);
+        }
+        for (name, value) in [
+            ("retry_ratio", exchange.retry_ratio),
+            ("retry_extra", exchange.retry_extra),
+        ] {
+            let sound = value.is_finite() && value >= 0.0;
+            self.ensure(
+                sound,
+                format!("exchange.{name}"),
+                value,
+                "give a number from 0",
+            );
+        }
+        for (name, value) in [
+            ("flights", exchange.flights),
+            ("parallel", exchange.parallel),
+            ("threads", exchange.threads),
+        ] {
+            self.ensure(
+                value > 0,
+                format!("exchange.{name}"),
+                value,
+                "give at least 1",
+            );
+        }
+    }
+
     fn peers(&mut self, settings: &Settings) {
         let keys = &settings.peers.keys;
         let count = (1..=KEYS_MAX).contains(&keys.len());
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -13,8 +13,8 @@
 use std::fmt;
 
 pub use section::{
-    Driver, Fencing, Form, Limits, Listen, Log, Peers, Platform, Pool, Secret, Store, Times, Tls,
-    Trust, Vm, Weights,
+    Driver, Exchange, Fencing, Form, Limits, Listen, Log, Peers, Platform, Pool, Secret, Store,
+    Times, Tls, Trust, Vm, Weights,
 };
 
 /// The settings of one node.
@@ -38,6 +38,8 @@
     pub trust: Trust,
     /// `[tls]`: certificate towards callers; plain HTTP without it.
     pub tls: Option<Tls>,
+    /// `[exchange]`: requests through engines that guard their own runs; absent elsewhere.
+    pub exchange: Option<Exchange>,
     /// `[log]`: form and amount of logs.
     pub log: Log,
     /// `[store.NAME]`: the weight stores of the region.
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -8,8 +8,9 @@
 use crate::{Fault, Settings};
 
 /// Sections whose name stands alone.
-const PLAIN: [&str; 10] = [
-    "vm", "listen", "platform", "peers", "limits", "time", "weights", "trust", "tls", "log",
+const PLAIN: [&str; 11] = [
+    "vm", "listen", "platform", "peers", "limits", "time", "weights", "trust", "tls", "exchange",
+    "log",
 ];
 
 /// Sections that hold one table for each name.
@@ -62,6 +63,10 @@
             weights: self.plain("weights"),
             trust: self.plain("trust"),
             tls: self.table.contains_key("tls").then(|| self.plain("tls")),
+            exchange: self
+                .table
+                .contains_key("exchange")
+                .then(|| self.plain("exchange")),
             log: self.plain("log"),
             stores: self.named("store"),
             pools: self.named("pool"),
--- a/crates/settings/src/section.rs
+++ b/crates/settings/src/section.rs
@@ -359,3 +359,73 @@
         }
     }
 }
+
+/// `[exchange]`: requests through engines that guard their own runs, on platforms that are met by
+/// an adapter. Without the section the node serves its own interface alone.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Exchange {
+    /// Address that answers whether the node takes traffic.
+    pub ready: SocketAddr,
+    /// Address that tells callers which nodes to use.
+    pub directory: SocketAddr,
+    /// Addresses for peers of a few nodes, which may be stale.
+    pub seeds: Vec<SocketAddr>,
+    /// Repeats that one request earns, over all nodes together.
+    pub retry_ratio: f64,
+    /// Repeats allowed in a window beside those earned, over all nodes together.
+    pub retry_extra: f64,
+    /// Window of the budget of repeats.
+    #[serde(with = "humantime_serde")]
+    pub retry_window: Duration,
+    /// Time after which the orders of a holder that fell silent have ended.
+    #[serde(with = "humantime_serde")]
+    pub lease: Duration,
+    /// Whether engines refuse old fencing numbers.
+    pub fenced: bool,
+    /// Time from SIGTERM until the platform ends the process.
+    #[serde(with = "humantime_serde")]
+    pub grace: Duration,
+    /// Window over which starts of base models are counted.
+    #[serde(with = "humantime_serde")]
+    pub ceiling: Duration,
+    /// Time of an adapter's load from the store.
+    #[serde(with = "humantime_serde")]
+    pub load: Duration,
+    /// Time of an adapter's load that the engine held lately.
+    #[serde(with = "humantime_serde")]
+    pub reload: Duration,
+    /// Loads of adapters over all engines up to which none slows the others down.
+    pub flights: usize,
+    /// Loads of adapters at one engine at a time.
+    pub parallel: usize,
+    /// Least time between two reads of the platform.
+    #[serde(with = "humantime_serde")]
+    pub pause: Duration,
+    /// Threads that run the node; 1 spares the hand-over between threads on a part of a core.
+    pub threads: usize,
+}
+
+impl Default for Exchange {
+    fn default() -> Self {
+        let any = |port| (Ipv4Addr::UNSPECIFIED, port).into();
+        Self {
+            ready: any(8083),
+            directory: any(8084),
+            seeds: Vec::new(),
+            retry_ratio: 0.2,
+            retry_extra: 50.0,
+            retry_window: Duration::from_secs(10),
+            lease: Duration::from_secs(3),
+            fenced: false,
+            grace: Duration::from_secs(8),
+            ceiling: Duration::from_secs(5),
+            load: Duration::from_millis(250),
+            reload: Duration::from_millis(25),
+            flights: 8,
+            parallel: 2,
+            pause: Duration::from_millis(400),
+            threads: 1,
+        }
+    }
+}
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -15,7 +15,7 @@
 use serde::Deserialize;
 use serde_json::json;
 use tokio::time::{error::Elapsed, timeout};
-use upstream::link::{Body, Call, Class, Link, Reuse};
+use upstream::link::{Body, Call, Class, Host, Link, Reuse};
 use upstream::sse::Parser;
 use upstream::{Error, Limits, Reach, header};
 use wire::rank;
@@ -113,6 +113,7 @@
         let call = Call {
             class: Class::Ordinary,
             reuse: Reuse::Fresh,
+            host: Host::Upstream,
             head: None,
             request: built,
         };
--- a/crates/upstream/src/engine/http.rs
+++ b/crates/upstream/src/engine/http.rs
@@ -23,7 +23,7 @@
 use super::{Completion, Engine, Event, Events, Load, Report, Resident, Role, Unload};
 use crate::error::Error;
 use crate::header;
-use crate::link::{Body, Call, Class, Limits, Link, Reuse};
+use crate::link::{Body, Call, Class, Host, Limits, Link, Reuse};
 use crate::sse::Parser;
 
 /// Bytes of an error answer that are quoted.
@@ -67,6 +67,7 @@
             class: Class::Control,
             // A new connection: an order that was never sent is then known for what it is.
             reuse: Reuse::Fresh,
+            host: Host::Upstream,
             head: Some(self.load),
             request: self.build(request, body)?,
         };
@@ -94,6 +95,7 @@
         let call = Call {
             class: Class::Control,
             reuse,
+            host: Host::Upstream,
             head: report.then_some(self.link.limits().report),
             request,
         };
@@ -190,6 +192,7 @@
         let call = Call {
             class: request.priority.into(),
             reuse: Reuse::Kept,
+            host: Host::Upstream,
             head: None,
             request: self.build(builder, &Value::Object(body))?,
         };
--- a/crates/upstream/src/header.rs
+++ b/crates/upstream/src/header.rs
@@ -1,5 +1,7 @@
 //! Names of the headers between the system and its upstreams.
 
+use hyper::HeaderMap;
+
 /// Fencing number of an order; an upstream that checks it refuses a lower one than it has seen.
 pub const FENCE: &str = "x-fence";
 
@@ -31,3 +33,20 @@
     "transfer-encoding",
     "upgrade",
 ];
+
+/// Removes the headers that belong to one connection, those that it names included.
+pub fn strip(headers: &mut HeaderMap) {
+    let named: Vec<String> = headers
+        .get_all(hyper::header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_owned())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in HOP_BY_HOP {
+        headers.remove(name);
+    }
+}
--- a/crates/upstream/src/link/mod.rs
+++ b/crates/upstream/src/link/mod.rs
@@ -12,6 +12,7 @@
 mod conn;
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -55,10 +56,22 @@
 pub enum Reuse {
     /// A kept connection that is not known to be closed will do.
     Kept,
+    /// Only a kept connection that was idle for less than this, or a new one: the upstream is not
+    /// about to close it, which would leave the outcome unknown.
+    Recent(Duration),
     /// Only a new connection will do, since the request may not be repeated.
     Fresh,
 }
 
+/// Which `host` header a request has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Host {
+    /// The upstream's address.
+    Upstream,
+    /// The one that the caller sent, or else the upstream's address.
+    Caller,
+}
+
 /// Limits of one link.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -111,7 +124,9 @@
     pub reuse: Reuse,
     /// Time until the response head, in place of the link's limit.
     pub head: Option<Duration>,
-    /// The request; the link sets its `host` header.
+    /// Which `host` header the upstream sees.
+    pub host: Host,
+    /// The request.
     pub request: Request<Full<Bytes>>,
 }
 
@@ -132,10 +147,12 @@
         })
     }
 
-    fn take(&self, keep: Duration) -> Option<Conn> {
+    fn take(&self, keep: Duration, within: Duration) -> Option<Conn> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         idle.retain(|conn| conn.idle_since.elapsed() < keep);
-        idle.pop()
+        // The last one was used last.
+        let recent = |conn: &mut Conn| conn.idle_since.elapsed() < within;
+        idle.pop_if(recent)
     }
 
     fn give(&self, mut conn: Conn) {
@@ -153,6 +170,8 @@
     upstream: Upstream,
     address: SocketAddr,
     limits: Limits,
+    /// Milliseconds for which an idle connection is kept.
+    keep: Arc<AtomicU64>,
     control: Arc<Pool>,
     urgent: Arc<Pool>,
     ordinary: Arc<Pool>,
@@ -165,6 +184,7 @@
             upstream: upstream.into(),
             address,
             limits,
+            keep: Arc::new(AtomicU64::new(millis(limits.keep))),
             control: Pool::new(limits.control),
             urgent: Pool::new(limits.urgent),
             ordinary: Pool::new(limits.ordinary),
@@ -176,6 +196,16 @@
         &self.upstream
     }
 
+    /// Keeps idle connections for no longer than `time`, as the upstream states it.
+    pub fn keep_for(&self, time: Duration) {
+        let time = millis(time.min(self.limits.keep));
+        self.keep.store(time, Ordering::Relaxed);
+    }
+
+    fn keep(&self) -> Duration {
+        Duration::from_millis(self.keep.load(Ordering::Relaxed))
+    }
+
     /// Returns the limits that the link was made with.
     pub fn limits(&self) -> &Limits {
         &self.limits
@@ -189,7 +219,7 @@
     pub async fn send(&self, call: Call) -> Result<Response<Body>, Error> {
         let pool = self.pool(call.class);
         let permit = self.permit(pool)?;
-        let request = self.address_request(call.request)?;
+        let request = self.address_request(call.request, call.host)?;
         let mut conn = self.connection(pool, call.reuse).await?;
         let limit = call.head.unwrap_or(self.limits.head);
         let before = conn.written();
@@ -242,7 +272,11 @@
     fn address_request(
         &self,
         mut request: Request<Full<Bytes>>,
+        host: Host,
     ) -> Result<Request<Full<Bytes>>, Error> {
+        if host == Host::Caller && request.headers().contains_key(HOST) {
+            return Ok(request);
+        }
         let host = self.address.to_string();
         let host = HeaderValue::try_from(host).map_err(|error| Error::Invalid {
             upstream: self.upstream.clone(),
@@ -254,7 +288,8 @@
 
     async fn connection(&self, pool: &Pool, reuse: Reuse) -> Result<Conn, Error> {
         let kept = match reuse {
-            Reuse::Kept => self.kept(pool).await,
+            Reuse::Kept => self.kept(pool, Duration::MAX).await,
+            Reuse::Recent(within) => self.kept(pool, within).await,
             Reuse::Fresh => None,
         };
         match kept {
@@ -263,8 +298,8 @@
         }
     }
 
-    async fn kept(&self, pool: &Pool) -> Option<Conn> {
-        while let Some(mut conn) = pool.take(self.limits.keep) {
+    async fn kept(&self, pool: &Pool, within: Duration) -> Option<Conn> {
+        while let Some(mut conn) = pool.take(self.keep(), within) {
             if conn.verify().await {
                 return Some(conn);
             }
@@ -293,3 +328,7 @@
             .map_err(|error| refused(std::io::Error::other(error)))
     }
 }
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/upstream/src/service/http.rs
+++ b/crates/upstream/src/service/http.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use hyper::http::{HeaderMap, HeaderValue};
+use hyper::http::HeaderValue;
 use hyper::{Method, Request, Response, StatusCode};
 use wire::Upstream;
 
@@ -47,7 +47,7 @@
             .body(Full::new(call.body))
             .map_err(|error| invalid(error.to_string()))?;
         *request.headers_mut() = call.headers;
-        strip(request.headers_mut());
+        header::strip(request.headers_mut());
         // The connection frames the body anew.
         request.headers_mut().remove(CONTENT_LENGTH);
         request.headers_mut().insert(header::ATTEMPT, attempt);
@@ -88,12 +88,13 @@
         let call = link::Call {
             class: call.priority.into(),
             reuse: call.reuse,
+            host: link::Host::Upstream,
             head: None,
             request: self.request(call)?,
         };
         let mut response = self.link.send(call).await?;
         self.check(&response, &sent)?;
-        strip(response.headers_mut());
+        header::strip(response.headers_mut());
         response.headers_mut().remove(header::ATTEMPT);
         Ok(response)
     }
@@ -105,23 +106,6 @@
     }
 }
 
-/// Removes the headers that belong to one connection, those that it names included.
-fn strip(headers: &mut HeaderMap) {
-    let named: Vec<String> = headers
-        .get_all(hyper::header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .map(|name| name.trim().to_owned())
-        .collect();
-    for name in named {
-        headers.remove(name);
-    }
-    for name in header::HOP_BY_HOP {
-        headers.remove(name);
-    }
-}
-
 /// Tells whether the end of the body can be told from a cut.
 fn is_framed(response: &Response<link::Body>, method: &Method) -> bool {
     let headers = response.headers();
