Wait for late loads, keep rare adapters at one home, and log first event and longest pause

Cause: an engine answers 421 while a load is under way; that was read as absent, so requests asked five times in 25 ms and were refused (11 of 1,160). Rare adapters were loaded at several engines. Ruled out: lost orders (all were accepted).

--- a/crates/exchange/src/choice.rs
+++ b/crates/exchange/src/choice.rs
@@ -14,7 +14,7 @@
 use crate::route::Service;
 
 /// Cost of one request that an engine runs already: its share of the steps and prefills ahead.
-const RUNNING_MS: f64 = 4.0;
+const RUNNING_MS: f64 = 2.0;
 
 /// Cost of one request above an engine's batch: the time until a place is free, with answers of
 /// about two seconds and batches of tens.
@@ -34,13 +34,13 @@
 const LOAD_MS: f64 = 280.0;
 
 /// Cost of each place further down in the rendezvous order of an adapter that has to be loaded.
-const RANK_MS: f64 = 40.0;
+const RANK_MS: f64 = 400.0;
 
 /// Cost of a load at an engine at which nobody orders: the time until somebody claims it.
 const UNOWNED_MS: f64 = 2_500.0;
 
 /// Homes for each whole upstream's worth of demand.
-const HOMES_FACTOR: f64 = 2.5;
+const HOMES_FACTOR: f64 = 1.0;
 
 /// What a request needs.
 #[derive(Clone, Copy, Debug)]
--- a/crates/exchange/src/fleet.rs
+++ b/crates/exchange/src/fleet.rs
@@ -19,6 +19,9 @@
 /// about once a second and takes a few tenths of one to arrive.
 pub const LISTING_LAG: Duration = Duration::from_millis(2_000);
 
+/// Time after which a load that still has not come counts as failed.
+const DEFER_MAX: Duration = Duration::from_secs(3);
+
 /// Age from which a reported load counts for nothing.
 const LOAD_MAX_AGE: Duration = Duration::from_secs(3);
 
@@ -396,6 +399,30 @@
         }
     }
 
+    /// Expects a load that is late at `at`, without counting that as news of it: one that never
+    /// comes is found out in the end.
+    pub fn defer(
+        &mut self,
+        now: Time,
+        id: &str,
+        target: &Target,
+        at: Time,
+        version: Option<Version>,
+    ) {
+        let Some(runner) = self.runner_mut(id) else {
+            return;
+        };
+        if let Ok(index) = runner.find(target) {
+            let stock = &mut runner.stock[index];
+            if now < stock.since + DEFER_MAX {
+                stock.presence = Presence::Coming(at, version);
+            } else {
+                stock.presence = Presence::Absent;
+                stock.since = now;
+            }
+        }
+    }
+
     /// Counts a request that is sent to `id`.
     pub fn start(&mut self, now: Time, id: &str) {
         if let Some(runner) = self.runner_mut(id) {
--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -352,17 +352,17 @@
             } else if let Some(target) = target {
                 let presence = fleet.runner(runner).map(|known| known.presence(target));
                 let missing = status == StatusCode::MISDIRECTED_REQUEST;
-                if missing {
-                    fleet.note(now, runner, target, Presence::Absent);
-                    reason = "absent";
-                } else if let Some(Presence::Coming(_, version)) = presence {
-                    fleet.note(
-                        now,
-                        runner,
-                        target,
-                        Presence::Coming(now + NOT_YET, version),
-                    );
-                    reason = "not-yet";
+                match presence {
+                    // A load takes longer than expected while many are under way.
+                    Some(Presence::Coming(_, version)) => {
+                        fleet.defer(now, runner, target, now + NOT_YET, version);
+                        reason = "not-yet";
+                    }
+                    _ if missing => {
+                        fleet.note(now, runner, target, Presence::Absent);
+                        reason = "absent";
+                    }
+                    _ => {}
                 }
             }
         }
--- a/crates/gateway/src/front/job.rs
+++ b/crates/gateway/src/front/job.rs
@@ -60,6 +60,12 @@
     pub(super) worst: Reach,
     /// Time that it waited for its adapter.
     pub(super) stalled: Duration,
+    /// Time from its arrival to the head of its answer.
+    pub(super) first: Duration,
+    /// When a part of its stream was passed on last.
+    pub(super) last_part: Time,
+    /// Longest pause between two parts of its stream.
+    pub(super) gap: Duration,
     /// Last event of its stream that has reached the caller.
     pub(super) after: Option<u64>,
     ended: bool,
@@ -89,6 +95,9 @@
             refusals: 0,
             worst: Reach::NotRun,
             stalled: Duration::ZERO,
+            first: Duration::ZERO,
+            last_part: Time::ZERO,
+            gap: Duration::ZERO,
             ended: false,
         }
     }
@@ -212,6 +221,8 @@
             upstream = self.tried.last().map_or("", |id| id),
             attempts = self.attempts,
             stall_ms = self.stalled.as_millis() as u64,
+            first_ms = self.first.as_millis() as u64,
+            gap_ms = self.gap.as_millis() as u64,
             after = self.after.unwrap_or_default(),
             took_ms = now.saturating_sub(self.terms.arrived).as_millis() as u64;
             "request"
--- a/crates/gateway/src/front/stream.rs
+++ b/crates/gateway/src/front/stream.rs
@@ -37,6 +37,8 @@
         let now = self.hub.clock.now();
         let waited = now.saturating_sub(self.terms.arrived);
         self.hub.metrics.first("stream", waited);
+        self.first = waited;
+        self.last_part = now;
         let flight = self.hub.enter();
         tokio::spawn(async move {
             self.pump(open, cursor, &sender).await;
@@ -115,6 +117,9 @@
         if events.is_empty() {
             return !sender.is_closed();
         }
+        let now = self.hub.clock.now();
+        self.gap = self.gap.max(now.saturating_sub(self.last_part));
+        self.last_part = now;
         self.after = cursor.last();
         sender.send(Ok(events)).await.is_ok()
     }
