Keep long prompts apart and give streams a breath between groups of prompts

Cause: 243 of 273 late streams paused above 250 ms; the pauses fell on all streams of an engine at once. Traced by send times: a prompt of 7,400 tokens takes 250 ms to read by itself, and prompts let in behind it are read in the same pause.

--- a/crates/exchange/src/choice.rs
+++ b/crates/exchange/src/choice.rs
@@ -42,6 +42,21 @@
 /// Homes for each whole upstream's worth of demand.
 const HOMES_FACTOR: f64 = 1.0;
 
+/// Part of an engine's time that long prompts may take up.
+const LANE_LOAD: f64 = 0.6;
+
+/// Load of long prompts below which no engine is set aside for them.
+const LANE_LOAD_MIN: f64 = 0.05;
+
+/// Part of the engines that read long prompts at most, as its divisor.
+const LANE_PART: usize = 4;
+
+/// Key of the rendezvous order of the engines that read long prompts.
+const LANE_KEY: u64 = 0x6c6f_6e67;
+
+/// Reading time from which a prompt counts as long: half of the pause that makes streams late.
+pub const LONG: Duration = Duration::from_millis(120);
+
 /// What a request needs.
 #[derive(Clone, Copy, Debug)]
 pub struct Need<'a> {
@@ -57,6 +72,10 @@
     pub zone: &'a Zone,
     /// Upstreams at which nobody orders loads at present.
     pub unowned: &'a [Upstream],
+    /// Whether its prompt is too long to be read beside other streams.
+    pub long: bool,
+    /// Engines that read long prompts, see [`lane_count`].
+    pub lanes: usize,
 }
 
 /// The upstream for a request.
@@ -134,6 +153,7 @@
         .copied()
         .filter(|runner| fleet.serves(runner, &bare))
         .collect();
+    let based = lane(based, need);
     if based.is_empty() {
         return Pick::None(Lack::Weights);
     }
@@ -167,6 +187,33 @@
     rank::top(key, ids, runners.len())
 }
 
+/// Returns how many engines of a pool read long prompts: such a prompt makes every stream of its
+/// engine pause, so they are kept together, away from the other streams. `load` is the number of
+/// engines that they would keep busy.
+pub fn lane_count(load: f64, engines: usize) -> usize {
+    if load < LANE_LOAD_MIN {
+        return 0;
+    }
+    let wanted = (load / LANE_LOAD).round() as usize;
+    wanted.max(1).min(engines / LANE_PART)
+}
+
+/// Keeps the engines that may read the request's prompt, where there are some.
+fn lane<'a>(runners: Vec<&'a Runner>, need: &Need<'_>) -> Vec<&'a Runner> {
+    if need.lanes == 0 {
+        return runners;
+    }
+    let ids = runners.iter().map(|runner| runner.listing.id.clone());
+    let lanes = rank::top(LANE_KEY, ids, need.lanes);
+    let (long, short): (Vec<_>, Vec<_>) = runners
+        .into_iter()
+        .partition(|runner| lanes.contains(&runner.listing.id));
+    match (need.long, short.is_empty()) {
+        (true, _) | (false, true) => long,
+        (false, false) => short,
+    }
+}
+
 /// Returns how many upstreams out of `runners` should hold `target`.
 pub fn home_count(now: Time, demand: &Demand, target: &Target, runners: usize) -> usize {
     let wanted = demand.share(now, target) * runners as f64 * HOMES_FACTOR;
@@ -178,18 +225,19 @@
     now: Time,
     fleet: &Fleet,
     demand: &Demand,
-    service: &Service,
-    target: &Target,
+    need: &Need<'_>,
 ) -> Option<Upstream> {
+    let target = need.target?;
     target.adapter.as_ref()?;
     let bare = Target {
         base: target.base.clone(),
         adapter: None,
     };
-    let based: Vec<&Runner> = fleet
-        .open(&service.name)
+    let based = fleet
+        .open(&need.service.name)
         .filter(|runner| fleet.serves(runner, &bare))
         .collect();
+    let based = lane(based, need);
     let count = home_count(now, demand, target, based.len());
     let has = |runner: &&Runner| runner.presence(target) != Presence::Absent;
     if count < 2 || based.iter().copied().filter(|runner| has(runner)).count() >= count {
@@ -223,7 +271,8 @@
 fn busy(now: Time, runner: &Runner) -> f64 {
     let load = runner.load(now);
     let over = load.saturating_sub(runner.listing.slots.saturating_sub(1));
-    f64::from(load) * RUNNING_MS + f64::from(over) * WAITING_MS
+    let reading = runner.reading(now).as_secs_f64() * 1_000.0;
+    f64::from(load) * RUNNING_MS + f64::from(over) * WAITING_MS + reading
 }
 
 fn common(now: Time, need: &Need<'_>, runner: &Runner) -> f64 {
--- a/crates/exchange/src/demand.rs
+++ b/crates/exchange/src/demand.rs
@@ -61,6 +61,7 @@
 pub struct Demand {
     counts: Vec<(Target, Count)>,
     total: Count,
+    long: Count,
 }
 
 impl Demand {
@@ -93,6 +94,16 @@
         }
     }
 
+    /// Counts a prompt that takes an engine `reading` and is too long to be read beside streams.
+    pub fn add_long(&mut self, now: Time, reading: Duration) {
+        self.long.add(now, reading.as_secs_f64());
+    }
+
+    /// Returns the engines' worth of time that long prompts take, as a number of engines.
+    pub fn long_load(&self, now: Time) -> f64 {
+        self.long.value(now) * std::f64::consts::LN_2 / HALF_LIFE.as_secs_f64()
+    }
+
     /// Returns the decayed count of all requests.
     pub fn total(&self, now: Time) -> f64 {
         self.total.value(now)
--- a/crates/exchange/src/fleet.rs
+++ b/crates/exchange/src/fleet.rs
@@ -134,6 +134,8 @@
     stock: Vec<Stock>,
     /// Whether it said that it leaves, or another process answers at its address.
     shunned: bool,
+    /// When all prompts that are known to be let in are read.
+    read_by: Time,
     /// When a byte last came from it, and since when one is awaited.
     heard: Time,
     awaited: Option<Time>,
@@ -151,6 +153,7 @@
             streak: 0,
             stock: Vec::new(),
             shunned: false,
+            read_by: now,
             heard: now,
             awaited: None,
         };
@@ -200,6 +203,11 @@
         }
     }
 
+    /// Returns the reading of prompts that is ahead, as far as this node knows.
+    pub fn reading(&self, now: Time) -> Duration {
+        self.read_by.saturating_sub(now)
+    }
+
     /// Returns its failure score, from 0 to 1.
     pub fn trouble(&self, now: Time) -> f64 {
         let half = TROUBLE_HALF_LIFE * (1 << self.streak.saturating_sub(1).min(TROUBLE_DOUBLINGS));
@@ -465,6 +473,13 @@
         }
     }
 
+    /// Notes the reading of prompts that is ahead at `id`.
+    pub fn note_reading(&mut self, now: Time, id: &str, level: Duration) {
+        if let Some(runner) = self.runner_mut(id) {
+            runner.read_by = now + level;
+        }
+    }
+
     /// Notes the load that `id` stated.
     pub fn report(&mut self, now: Time, id: &str, load: Load) {
         if let Some(runner) = self.runner_mut(id) {
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`fleet`] is what this node knows of the upstreams: listing, residency, load and failures.
 //! - [`choice`] picks the upstream of a request and says when none can serve it in time.
 //! - [`demand`] counts how much each adapter is asked for.
+//! - [`meter`] lets prompts into an engine without making its streams pause.
 //! - [`owner`] claims engines, numbers orders, and decides on loads and evictions.
 //! - [`spend`] bounds repeats by the share that one node has in the budget of all.
 //! - [`outcome`] decides what a failed attempt means for its caller.
@@ -19,6 +20,7 @@
 pub mod choice;
 pub mod demand;
 pub mod fleet;
+pub mod meter;
 pub mod outcome;
 pub mod owner;
 pub mod relay;
--- a/crates/exchange/src/owner/message.rs
+++ b/crates/exchange/src/owner/message.rs
@@ -60,6 +60,28 @@
         /// Rank of the request.
         rank: u8,
     },
+    /// A request of the sender wants to be let in at an engine.
+    Ask {
+        /// Number of the question.
+        ticket: u64,
+        /// The engine.
+        runner: Upstream,
+        /// Milliseconds that the engine takes to read its prompt.
+        reading: u32,
+        /// Rank of the request.
+        rank: u8,
+    },
+    /// The answer to [`Message::Ask`].
+    Grant {
+        /// Number of the question.
+        ticket: u64,
+        /// The engine.
+        runner: Upstream,
+        /// Milliseconds to wait before the request is sent.
+        wait: u32,
+        /// Milliseconds of reading that are ahead at the engine.
+        level: u32,
+    },
     /// What an owner knows of a target's residency.
     Stock {
         /// The engine.
--- a/crates/exchange/src/owner/mod.rs
+++ b/crates/exchange/src/owner/mod.rs
@@ -154,10 +154,28 @@
         /// What is known now.
         presence: Presence,
     },
+    /// A peer has let a request of this node in.
+    Granted {
+        /// Number of the question.
+        ticket: u64,
+        /// The engine.
+        runner: Upstream,
+        /// When it may be sent.
+        grant: Grant,
+    },
     /// A decision to log.
     Note(Note),
 }
 
+/// When a request may be sent to an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Grant {
+    /// Time to wait.
+    pub wait: Duration,
+    /// Reading time that is ahead at the engine.
+    pub level: Duration,
+}
+
 /// A decision worth a log line.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Note {
@@ -229,6 +247,16 @@
         self.lives(&claim.holder).then_some(&claim.holder)
     }
 
+    /// Lets a request in at an engine of this node; `None` where another node orders there.
+    pub fn admit(&mut self, now: Time, runner: &str, reading: Duration, rank: u8) -> Option<Grant> {
+        let seat = self.seat_mut(runner)?;
+        let wait = seat.meter.admit(now, reading, rank);
+        Some(Grant {
+            wait,
+            level: seat.meter.level(now),
+        })
+    }
+
     /// Takes an event in and appends the actions that follow.
     pub fn step(&mut self, now: Time, fleet: &Fleet, event: Event, out: &mut Vec<Action>) {
         match event {
@@ -301,6 +329,38 @@
                 target,
                 presence: news.presence(now),
             }),
+            Message::Ask {
+                ticket,
+                runner,
+                reading,
+                rank,
+            } => {
+                let reading = Duration::from_millis(reading.into());
+                if let Some(grant) = self.admit(now, &runner, reading, rank) {
+                    out.push(Action::Send {
+                        to: from.clone(),
+                        message: Message::Grant {
+                            ticket,
+                            runner,
+                            wait: millis(grant.wait),
+                            level: millis(grant.level),
+                        },
+                    });
+                }
+            }
+            Message::Grant {
+                ticket,
+                runner,
+                wait,
+                level,
+            } => out.push(Action::Granted {
+                ticket,
+                runner,
+                grant: Grant {
+                    wait: Duration::from_millis(wait.into()),
+                    level: Duration::from_millis(level.into()),
+                },
+            }),
             Message::Used { runner, targets } => {
                 if let Some(seat) = self.seat_mut(&runner) {
                     seat.count(now, &targets);
@@ -410,6 +470,10 @@
     }
 }
 
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// Returns the version to load for `target`, where one was announced.
 fn version(fleet: &Fleet, target: &Target) -> Option<Version> {
     fleet.newest(target)
--- a/crates/exchange/src/owner/seat.rs
+++ b/crates/exchange/src/owner/seat.rs
@@ -4,6 +4,7 @@
 
 use crate::demand::{Count, Target};
 use crate::fleet::Version;
+use crate::meter::Meter;
 
 /// Targets whose weights an engine is believed to keep at hand after an eviction.
 const KNOWN_MAX: usize = 150;
@@ -83,6 +84,8 @@
     uses: Vec<(Target, Count)>,
     known: Vec<Target>,
     pub(super) born: Option<u64>,
+    /// Prompts that the engine was given to read.
+    pub(super) meter: Meter,
 }
 
 impl Seat {
@@ -96,6 +99,7 @@
             uses: Vec::new(),
             known: Vec::new(),
             born: None,
+            meter: Meter::default(),
         }
     }
 
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -25,6 +25,8 @@
     pub budget: Option<Duration>,
     /// Last event of a stream that the caller has.
     pub after: Option<u64>,
+    /// Tokens of its prompt.
+    pub prompt: Option<u32>,
 }
 
 /// What one attempt at an upstream adds to a request.
--- a/crates/gateway/src/front/job.rs
+++ b/crates/gateway/src/front/job.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use exchange::demand::Target;
 use exchange::outcome::{Next, Reach, Standing};
 use exchange::relay::Cursor;
 use exchange::route::{Kind, Route, Service};
@@ -17,7 +18,7 @@
 use super::attempt::Tried;
 use super::place::Placed;
 use crate::dialect::{Ask, Dialect};
-use crate::hub::Hub;
+use crate::hub::{Hub, Query};
 
 /// Least time in which an attempt can still bring an answer: a few round trips.
 const LEAST: Duration = Duration::from_millis(25);
@@ -60,6 +61,8 @@
     pub(super) worst: Reach,
     /// Time that it waited for its adapter.
     pub(super) stalled: Duration,
+    /// Time that it waited to be let in.
+    pub(super) queued: Duration,
     /// Time from its arrival to the head of its answer.
     pub(super) first: Duration,
     /// When a part of its stream was passed on last.
@@ -95,6 +98,7 @@
             refusals: 0,
             worst: Reach::NotRun,
             stalled: Duration::ZERO,
+            queued: Duration::ZERO,
             first: Duration::ZERO,
             last_part: Time::ZERO,
             gap: Duration::ZERO,
@@ -110,9 +114,9 @@
     pub(super) async fn run(mut self) -> Result<Response<Body>, Problem> {
         let now = self.hub.clock.now();
         self.hub.desk().spend.request(now, &self.service.name);
-        if let Some(target) = self.target() {
-            self.hub.demand(&self.service, &target, self.route.rank);
-        }
+        let target = self.target();
+        let query = self.query(target.as_ref());
+        self.hub.demand(&query, self.route.rank);
         let mut cursor = Cursor::new(self.ask.after);
         loop {
             let runner = match self.place().await {
@@ -137,11 +141,29 @@
     }
 
     /// Returns the model that the request needs, where its pool has engines.
-    pub(super) fn target(&self) -> Option<exchange::demand::Target> {
+    pub(super) fn target(&self) -> Option<Target> {
         self.service.engine.as_ref()?;
         self.ask.target.clone()
     }
 
+    /// Returns how long an engine takes to read the request's prompt.
+    pub(super) fn reading(&self) -> Duration {
+        self.ask
+            .prompt
+            .map_or(Duration::ZERO, |tokens| self.hub.reading(tokens))
+    }
+
+    /// Returns what the request needs of an upstream.
+    pub(super) fn query<'a>(&'a self, target: Option<&'a Target>) -> Query<'a> {
+        Query {
+            service: &self.service,
+            target,
+            tried: &self.tried,
+            seed: self.terms.seed,
+            reading: self.reading(),
+        }
+    }
+
     /// Returns the time until the final answer.
     pub(super) fn left(&self) -> Duration {
         self.terms.deadline.saturating_sub(self.hub.clock.now())
@@ -221,6 +243,8 @@
             upstream = self.tried.last().map_or("", |id| id),
             attempts = self.attempts,
             stall_ms = self.stalled.as_millis() as u64,
+            prompt = self.ask.prompt.unwrap_or_default(),
+            queue_ms = self.queued.as_millis() as u64,
             first_ms = self.first.as_millis() as u64,
             gap_ms = self.gap.as_millis() as u64,
             after = self.after.unwrap_or_default(),
--- a/crates/gateway/src/front/place.rs
+++ b/crates/gateway/src/front/place.rs
@@ -40,14 +40,12 @@
             if self.left().is_zero() {
                 return Placed::Refused("no-time", None);
             }
-            let seed = self.terms.seed;
-            let pick = self
-                .hub
-                .pick(&self.service, target.as_ref(), &self.tried, seed);
+            let pick = self.hub.pick(&self.query(target.as_ref()));
             match pick {
                 Pick::Send(runner) => {
                     let waited = self.hub.clock.now().saturating_sub(started);
                     self.stalled += waited;
+                    self.let_in(&runner).await;
                     if target.is_some() {
                         self.hub.metrics.stalled(&self.service.name, waited);
                     }
@@ -73,6 +71,17 @@
         }
     }
 
+    /// Waits until the engine may be given the prompt.
+    async fn let_in(&mut self, runner: &Upstream) {
+        if self.service.engine.is_none() {
+            return;
+        }
+        let reading = self.reading();
+        let wait = self.hub.grant(runner, reading, self.route.rank).await;
+        self.queued += wait;
+        tokio::time::sleep(wait.min(self.left())).await;
+    }
+
     /// Waits for news of the target, for no longer than `wait`.
     async fn news(&self, runner: &Upstream, target: Option<&Target>, wait: Duration) {
         match target {
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -9,7 +9,7 @@
 use exchange::choice::{self, Need, Pick};
 use exchange::demand::{Demand, Target};
 use exchange::fleet::Presence;
-use exchange::owner::{self, Action, Note};
+use exchange::owner::{self, Action, Grant, Note};
 use exchange::route::{Config, Service};
 use exchange::spend::{self, Spend};
 use exchange::{Fleet, Owner};
@@ -41,6 +41,10 @@
 /// Connections for orders and reports to one upstream.
 const CONTROL_CONNECTIONS: usize = 2;
 
+/// Longest time for which a request waits to be let in by the node that orders at its engine: a
+/// few round trips within a region.
+const GRANT: Duration = Duration::from_millis(30);
+
 /// Time after which a home that lacks an adapter in demand is asked for it again.
 const SPREAD_PAUSE: Duration = Duration::from_millis(500);
 
@@ -67,6 +71,21 @@
     }
 }
 
+/// What a request needs of an upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct Query<'a> {
+    /// The pool.
+    pub service: &'a Service,
+    /// The model; absent for plain services.
+    pub target: Option<&'a Target>,
+    /// Upstreams that it was sent to already.
+    pub tried: &'a [Upstream],
+    /// Hash of the attempt.
+    pub seed: u64,
+    /// Time that an engine takes to read its prompt.
+    pub reading: Duration,
+}
+
 struct Waiter {
     runner: Upstream,
     target: Target,
@@ -84,6 +103,8 @@
     /// Who orders at the engines.
     pub owner: Owner,
     waiters: Vec<Waiter>,
+    tickets: Vec<(u64, oneshot::Sender<Grant>)>,
+    next_ticket: u64,
     used: Vec<(Upstream, Vec<(Target, u32)>)>,
     spread: Vec<(Upstream, Target, Time)>,
 }
@@ -150,6 +171,8 @@
             spend: Spend::new(spend),
             owner: Owner::new(owner),
             waiters: Vec::new(),
+            tickets: Vec::new(),
+            next_ticket: 0,
             used: Vec::new(),
             spread: Vec::new(),
         };
@@ -266,44 +289,54 @@
         links.retain(|(known, _, _)| **known != *id);
     }
 
-    /// Picks the upstream for a request; `unowned` are engines at which nobody orders.
-    pub fn pick(
-        &self,
-        service: &Service,
-        target: Option<&Target>,
-        tried: &[Upstream],
-        seed: u64,
-    ) -> Pick {
+    /// Picks the upstream for a request.
+    pub fn pick(&self, query: &Query<'_>) -> Pick {
         let now = self.clock.now();
         let desk = self.desk();
-        let unowned: Vec<Upstream> = match target {
+        let unowned: Vec<Upstream> = match query.target {
             Some(_) => desk
                 .fleet
-                .open(&service.name)
+                .open(&query.service.name)
                 .filter(|runner| desk.owner.holder(&runner.listing.id).is_none())
                 .map(|runner| runner.listing.id.clone())
                 .collect(),
             None => Vec::new(),
         };
-        let need = Need {
-            service,
-            target,
-            tried,
-            seed,
-            zone: &self.settings.vm.zone,
-            unowned: &unowned,
-        };
+        let need = self.need(&desk, query, &unowned);
         choice::pick(now, &desk.fleet, &need)
     }
 
-    /// Counts a request for `target`, and asks for another home where its demand wants one.
-    pub fn demand(self: &Arc<Self>, service: &Service, target: &Target, rank: u8) {
+    fn need<'a>(&'a self, desk: &Desk, query: &Query<'a>, unowned: &'a [Upstream]) -> Need<'a> {
+        let now = self.clock.now();
+        let load = desk.demand.long_load(now) * self.nodes() as f64;
+        let engines = desk.fleet.open(&query.service.name).count();
+        Need {
+            service: query.service,
+            target: query.target,
+            tried: query.tried,
+            seed: query.seed,
+            zone: &self.settings.vm.zone,
+            unowned,
+            long: query.reading >= choice::LONG,
+            lanes: choice::lane_count(load, engines),
+        }
+    }
+
+    /// Counts a request for a model, and asks for another home where its demand wants one.
+    pub fn demand(self: &Arc<Self>, query: &Query<'_>, rank: u8) {
+        let Some(target) = query.target else {
+            return;
+        };
         let now = self.clock.now();
         let mut guard = self.desk();
         let desk = &mut *guard;
         desk.demand.add(now, target);
-        let Some(runner) = choice::missing_home(now, &desk.fleet, &desk.demand, service, target)
-        else {
+        if query.reading >= choice::LONG {
+            desk.demand.add_long(now, query.reading);
+            return;
+        }
+        let need = self.need(desk, query, &[]);
+        let Some(runner) = choice::missing_home(now, &desk.fleet, &desk.demand, &need) else {
             return;
         };
         desk.spread.retain(|(_, _, at)| now < *at + SPREAD_PAUSE);
@@ -316,14 +349,20 @@
         }
         desk.spread.push((runner.clone(), target.clone(), now));
         drop(guard);
-        let target = target.clone();
         self.drive(owner::Event::Want {
             runner,
-            target,
+            target: target.clone(),
             rank,
         });
     }
 
+    /// Returns how long an engine takes to read a prompt of so many tokens.
+    pub fn reading(&self, tokens: u32) -> Duration {
+        let tokens = f64::from(tokens);
+        let millis = tokens / self.exchange.prefill + tokens * tokens * self.exchange.attention;
+        Duration::from_secs_f64(millis / 1_000.0)
+    }
+
     /// Counts a request that uses `target` at `runner`.
     pub fn used(&self, runner: &Upstream, target: &Target) {
         let mut desk = self.desk();
@@ -362,6 +401,48 @@
         news
     }
 
+    /// Asks whoever orders at an engine when a request may be sent there.
+    pub async fn grant(
+        self: &Arc<Self>,
+        runner: &Upstream,
+        reading: Duration,
+        rank: u8,
+    ) -> Duration {
+        let now = self.clock.now();
+        let (to, ticket, granted) = {
+            let mut guard = self.desk();
+            let desk = &mut *guard;
+            if let Some(grant) = desk.owner.admit(now, runner, reading, rank) {
+                desk.fleet.note_reading(now, runner, grant.level);
+                return grant.wait;
+            }
+            let Some(holder) = desk.owner.holder(runner).cloned() else {
+                return Duration::ZERO;
+            };
+            let (sender, granted) = oneshot::channel();
+            desk.tickets.retain(|(_, waiter)| !waiter.is_closed());
+            desk.next_ticket += 1;
+            desk.tickets.push((desk.next_ticket, sender));
+            (holder, desk.next_ticket, granted)
+        };
+        let message = owner::Message::Ask {
+            ticket,
+            runner: runner.clone(),
+            reading: u32::try_from(reading.as_millis()).unwrap_or(u32::MAX),
+            rank,
+        };
+        self.perform(Action::Send { to, message });
+        match tokio::time::timeout(GRANT, granted).await {
+            Ok(Ok(grant)) => {
+                let now = self.clock.now();
+                self.desk().fleet.note_reading(now, runner, grant.level);
+                grant.wait
+            }
+            // Without an answer the engine's own queue has to do.
+            Ok(Err(_)) | Err(_) => Duration::ZERO,
+        }
+    }
+
     /// Passes an event to the owner and carries out what it wants.
     pub fn drive(self: &Arc<Self>, event: owner::Event) {
         let now = self.clock.now();
@@ -412,6 +493,13 @@
                 target,
                 presence,
             } => log_presence(&runner, &target, presence),
+            Action::Granted { ticket, grant, .. } => {
+                let mut desk = self.desk();
+                if let Some(index) = desk.tickets.iter().position(|(known, _)| *known == ticket) {
+                    // A request that is gone needs no grant.
+                    let _ = desk.tickets.swap_remove(index).1.send(grant);
+                }
+            }
             Action::Note(note) => log_note(&note),
         }
     }
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -134,6 +134,12 @@
                 "give a number from 0",
             );
         }
+        let sound = exchange.attention.is_finite() && exchange.attention >= 0.0;
+        let remedy = "give the milliseconds that a pair of tokens takes, from 0";
+        self.ensure(sound, "exchange.attention", exchange.attention, remedy);
+        let sound = exchange.prefill.is_finite() && exchange.prefill > 0.0;
+        let remedy = "give the tokens that an engine reads in a millisecond";
+        self.ensure(sound, "exchange.prefill", exchange.prefill, remedy);
         for (name, value) in [
             ("flights", exchange.flights),
             ("parallel", exchange.parallel),
--- a/crates/settings/src/section.rs
+++ b/crates/settings/src/section.rs
@@ -399,6 +399,10 @@
     pub flights: usize,
     /// Loads of adapters at one engine at a time.
     pub parallel: usize,
+    /// Tokens of prompts that an engine reads in a millisecond.
+    pub prefill: f64,
+    /// Milliseconds that an engine takes in addition for each pair of tokens of a prompt.
+    pub attention: f64,
     /// Least time between two reads of the platform.
     #[serde(with = "humantime_serde")]
     pub pause: Duration,
@@ -424,6 +428,8 @@
             reload: Duration::from_millis(25),
             flights: 8,
             parallel: 2,
+            prefill: 40.0,
+            attention: 0.65e-6,
             pause: Duration::from_millis(400),
             threads: 1,
         }
