--- a/crates/exchange/src/owner/claim.rs
+++ b/crates/exchange/src/owner/claim.rs
@@ -40,7 +40,7 @@
                 SETTLE
             };
             if now >= since + wait {
-                self.take(now, id.clone(), wall, silent, out);
+                self.take(now, id.clone(), wall, out);
             }
         }
     }
@@ -55,31 +55,14 @@
         }
     }
 
-    fn take(
-        &mut self,
-        now: Time,
-        runner: Upstream,
-        wall: u64,
-        inherited: bool,
-        out: &mut Vec<Action>,
-    ) {
+    fn take(&mut self, now: Time, runner: Upstream, wall: u64, out: &mut Vec<Action>) {
         let seen = self.seen(&runner).unwrap_or_default() >> MARK_BITS;
         let second = wall.saturating_sub(EPOCH).max(seen) + 1;
         let fence = second << MARK_BITS | self.config.mark;
         self.saw(&runner, fence);
         self.vacant.retain(|(vacant, _)| *vacant != runner);
         self.claims.retain(|claim| claim.runner != runner);
-        // What the former holder ordered last shows in the report only after its lag.
-        let after = if inherited {
-            self.config.load * 2
-        } else {
-            Time::ZERO
-        };
         out.push(Action::Note(Note::Claimed(runner.clone(), fence)));
-        out.push(Action::Inspect {
-            runner: runner.clone(),
-            after,
-        });
         self.seats.push(Seat::new(now, runner, fence));
         self.tell_claims(out);
         self.announced = now;
--- a/crates/exchange/src/owner/load.rs
+++ b/crates/exchange/src/owner/load.rs
@@ -15,11 +15,14 @@
 /// Pause after an order without an answer.
 const UNKNOWN_PAUSE: Duration = Duration::from_millis(300);
 
+/// Age of an engine's report at most, with the time for a slow answer.
+const REPORT_LAG: Duration = Duration::from_millis(400);
+
 /// Age from which a need is forgotten: its requests have gone elsewhere or are over.
 const WANT_MAX_AGE: Duration = Duration::from_secs(3);
 
 /// Places that stay free of adapters, so that an unknown outcome never overfills an engine.
-const SPARE_PLACES: usize = 1;
+const SPARE_PLACES: usize = 2;
 
 /// Part of the ceiling on starts of base models that is used.
 const CEILING_SHARE: f64 = 0.85;
@@ -103,6 +106,13 @@
         let mut bare = runner.held().filter(|(target, _)| target.adapter.is_none());
         let present = bare.next().map(|(_, presence)| presence);
         drop(bare);
+        if !self.seats[index].raised {
+            match self.raise(runner) {
+                Some(order) => return Some(order),
+                // The first order to an empty engine is its base model's load.
+                None => self.seats[index].raised = true,
+            }
+        }
         match present {
             None => return self.base(now, fleet, index, runner),
             Some(Presence::Coming(at, _)) if now < at => return None,
@@ -139,6 +149,13 @@
         Some(Order::Unload(victim))
     }
 
+    /// Returns an order that changes nothing, whose number shuts a former holder out.
+    fn raise(&self, runner: &Runner) -> Option<Order> {
+        let mut held = runner.held().filter(|(target, _)| target.adapter.is_none());
+        let (base, _) = held.next()?;
+        Some(Order::Load(base.clone(), None))
+    }
+
     /// Orders a base model for an empty engine, within the ceiling.
     fn base(&mut self, now: Time, fleet: &Fleet, index: usize, runner: &Runner) -> Option<Order> {
         let engine = runner.engine.as_ref()?;
@@ -194,6 +211,9 @@
             return;
         };
         seat.stage = Stage::Open(now);
+        if !seat.raised {
+            return self.raised(now, runner, fence, answer, out);
+        }
         if !matches!(answer, Answer::Accepted | Answer::Done) {
             out.push(Action::Note(Note::Failed(
                 runner.clone(),
@@ -221,6 +241,39 @@
         }
     }
 
+    /// Follows the first order of a claim, whose number shuts a former holder out: from then on
+    /// the engine's report, once it is as new, shows all that was ordered before.
+    fn raised(
+        &mut self,
+        now: Time,
+        runner: &Upstream,
+        fence: Fence,
+        answer: Answer,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(seat) = self.seat_mut(runner) else {
+            return;
+        };
+        match answer {
+            Answer::Fenced => {
+                self.yield_seat(runner, "fenced", out);
+                self.outbid(now, runner, fence);
+            }
+            Answer::Misdirected => self.yield_seat(runner, "another process", out),
+            Answer::Unreached | Answer::Unknown => {
+                seat.stage = Stage::Open(now + UNKNOWN_PAUSE);
+            }
+            Answer::Accepted | Answer::Done | Answer::Busy | Answer::Unfit => {
+                seat.raised = true;
+                seat.stage = Stage::Inspecting;
+                out.push(Action::Inspect {
+                    runner: runner.clone(),
+                    after: REPORT_LAG,
+                });
+            }
+        }
+    }
+
     /// Notes what an order that was carried out changed.
     fn carried(
         &mut self,
@@ -294,9 +347,12 @@
         let Some(seat) = self.seat_mut(runner) else {
             return;
         };
+        if seat.stage != Stage::Inspecting {
+            return;
+        }
         if sound {
             seat.stage = Stage::Open(now);
-        } else if seat.stage == Stage::Inspecting {
+        } else {
             out.push(Action::Inspect {
                 runner: runner.clone(),
                 after: UNKNOWN_PAUSE,
--- a/crates/exchange/src/owner/mod.rs
+++ b/crates/exchange/src/owner/mod.rs
@@ -257,7 +257,8 @@
         })
     }
 
-    /// Takes an event in and appends the actions that follow.
+    /// Takes an event in and appends the actions that follow, but for orders: those follow from
+    /// [`Owner::pump`] once the fleet shows what the actions say.
     pub fn step(&mut self, now: Time, fleet: &Fleet, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::View { live, fit } => self.see(live, fit),
@@ -282,7 +283,6 @@
                 self.announce(now, out);
             }
         }
-        self.pump(now, fleet, out);
     }
 
     fn seat(&self, runner: &str) -> Option<&Seat> {
--- a/crates/exchange/src/owner/seat.rs
+++ b/crates/exchange/src/owner/seat.rs
@@ -78,6 +78,8 @@
     pub(super) runner: Upstream,
     pub(super) fence: Fence,
     pub(super) stage: Stage,
+    /// Whether the engine has seen this claim's number.
+    pub(super) raised: bool,
     pub(super) wants: Vec<Want>,
     /// Dropped targets that may still take a place, with the time of the order.
     pub(super) dropping: Vec<(Target, Time)>,
@@ -89,11 +91,12 @@
 }
 
 impl Seat {
-    pub(super) fn new(_: Time, runner: Upstream, fence: Fence) -> Self {
+    pub(super) fn new(now: Time, runner: Upstream, fence: Fence) -> Self {
         Self {
             runner,
             fence,
-            stage: Stage::Inspecting,
+            stage: Stage::Open(now),
+            raised: false,
             wants: Vec::new(),
             dropping: Vec::new(),
             uses: Vec::new(),
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -31,6 +31,9 @@
 /// Time without a peer after which a node takes traffic alone.
 const ALONE: Duration = Duration::from_millis(1_500);
 
+/// Time after the first answer of a peer in which a node learns of the others and their claims.
+const SETTLE: Duration = Duration::from_millis(500);
+
 /// Silence of the platform up to which a node that sees few peers may claim engines.
 const STORE_SILENCE: Duration = Duration::from_secs(2);
 
@@ -55,6 +58,7 @@
     shown: Option<(Vec<Vm>, bool)>,
     ticks: u64,
     started: Time,
+    met_at: Option<Time>,
 }
 
 /// Sends inputs to the actor.
@@ -127,6 +131,7 @@
             shown: None,
             ticks: 0,
             started: hub.clock.now(),
+            met_at: None,
             hub,
         })
     }
@@ -187,6 +192,7 @@
         if alone || (self.roster.fit() && self.view.live().count() > 1) {
             info!(target: DECISION, peers = self.seeds.known(), alone; "met");
             self.hub.set_met();
+            self.met_at = Some(self.hub.clock.now());
         }
     }
 
@@ -246,7 +252,10 @@
             .collect();
         live.sort_unstable();
         let enough = live.len() * 2 > self.seeds.known();
-        let fit = self.roster.fit() && (enough || self.hub.store_silence() < STORE_SILENCE);
+        let now = self.hub.clock.now();
+        let settled = self.met_at.is_some_and(|at| now >= at + SETTLE);
+        let fit =
+            settled && self.roster.fit() && (enough || self.hub.store_silence() < STORE_SILENCE);
         let shown = Some((live.clone(), fit));
         if self.shown == shown {
             return;
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -450,9 +450,7 @@
         let desk = &mut *guard;
         let mut actions = Vec::new();
         desk.owner.step(now, &desk.fleet, event, &mut actions);
-        let mut index = 0;
-        // Orders may follow from what changed.
-        while let Some(action) = actions.get(index) {
+        for action in &actions {
             if let Action::Presence {
                 runner,
                 target,
@@ -461,10 +459,9 @@
             {
                 desk.fleet.note(now, runner, target, *presence);
                 wake(&mut desk.waiters, runner, target);
-                desk.owner.pump(now, &desk.fleet, &mut actions);
             }
-            index += 1;
         }
+        desk.owner.pump(now, &desk.fleet, &mut actions);
         drop(guard);
         for action in actions {
             self.perform(action);
