--- a/crates/exchange/src/owner/load.rs
+++ b/crates/exchange/src/owner/load.rs
@@ -10,7 +10,7 @@
 use crate::fleet::{Fleet, LISTING_LAG, Presence, Runner};
 
 /// Pause after an order that the engine had no time for.
-const BUSY_PAUSE: Duration = Duration::from_millis(60);
+const BUSY_PAUSE: Duration = Duration::from_millis(100);
 
 /// Pause after an order without an answer.
 const UNKNOWN_PAUSE: Duration = Duration::from_millis(300);
@@ -74,14 +74,16 @@
             };
             let seat = &mut self.seats[index];
             if seat.born != runner.listing.born {
-                seat.restart(runner.listing.born);
+                seat.restart(now, runner.listing.born);
             }
-            seat.dropping
-                .retain(|(target, since)| now < *since + LISTING_LAG || runner.listed(target));
             seat.wants.retain(|want| now < want.since + WANT_MAX_AGE);
             if !matches!(seat.stage, Stage::Open(at) if at <= now) {
                 continue;
             }
+            if seat.raised && seat.doubt.is_some_and(|at| at <= now) {
+                seat.check(out);
+                continue;
+            }
             if let Some(order) = self.next(now, fleet, index, runner, out) {
                 let seat = &mut self.seats[index];
                 seat.stage = Stage::Flying;
@@ -128,13 +130,9 @@
         }
         let seat = &mut self.seats[index];
         let want = best(now, &mut seat.wants, runner, fleet)?.clone();
-        let replaces = matches!(runner.presence(&want.target), Presence::Held(_));
-        let taken = runner
-            .held()
-            .filter(|held| held.0.adapter.is_some())
-            .count();
+        let replaces = seat.ledger.binary_search(&want.target).is_ok();
         let room = engine.places.saturating_sub(SPARE_PLACES);
-        if replaces || taken + seat.dropping.len() < room {
+        if replaces || seat.ledger.len() < room {
             return Some(Order::Load(
                 want.target.clone(),
                 version(fleet, &want.target),
@@ -223,10 +221,22 @@
         }
         match answer {
             Answer::Accepted | Answer::Done => self.carried(now, runner, order, answer, eta, out),
-            Answer::Busy => seat.stage = Stage::Open(now + BUSY_PAUSE),
+            Answer::Busy => {
+                seat.stage = Stage::Open(now + BUSY_PAUSE);
+                if order.target().adapter.is_none() {
+                    // Another order for a base model is under way.
+                    let target = order.target().clone();
+                    out.push(Action::Presence {
+                        runner: runner.clone(),
+                        target,
+                        presence: Presence::Coming(now + LISTING_LAG / 4, None),
+                    });
+                }
+            }
             Answer::Unreached => seat.stage = Stage::Open(now + UNKNOWN_PAUSE),
             Answer::Unknown => {
                 seat.stage = Stage::Open(now + UNKNOWN_PAUSE);
+                seat.doubt = Some(now + UNKNOWN_PAUSE);
                 // It may have been accepted, so it counts as taking a place.
                 self.carried(now, runner, order, Answer::Accepted, eta, out);
             }
@@ -265,11 +275,7 @@
             }
             Answer::Accepted | Answer::Done | Answer::Busy | Answer::Unfit => {
                 seat.raised = true;
-                seat.stage = Stage::Inspecting;
-                out.push(Action::Inspect {
-                    runner: runner.clone(),
-                    after: REPORT_LAG,
-                });
+                seat.check(out);
             }
         }
     }
@@ -291,13 +297,18 @@
             (Order::Load(target, version), Answer::Done) => (target, Presence::Held(version)),
             (Order::Load(target, version), _) => (target, Presence::Coming(eta, version)),
             (Order::Unload(target), answer) => {
-                if answer != Answer::Done {
-                    seat.dropping.push((target.clone(), now));
+                if answer == Answer::Done {
+                    seat.leave(&target);
+                } else {
+                    // It goes once its runs are over, and the engine takes no order until then.
+                    seat.stage = Stage::Open(now + BUSY_PAUSE);
+                    seat.doubt.get_or_insert(now + LISTING_LAG);
                 }
                 (target, Presence::Absent)
             }
         };
         if presence != Presence::Absent {
+            seat.enter(&target);
             seat.remember(&target);
         }
         out.push(Action::Presence {
@@ -326,20 +337,32 @@
         if self.seat(runner).is_some_and(|seat| seat.knows(target)) {
             return self.config.reload;
         }
-        let coming = |presence: Presence| matches!(presence, Presence::Coming(at, _) if now < at);
-        let flights: usize = fleet
-            .runners()
-            .iter()
-            .map(|runner| runner.held().filter(|held| coming(held.1)).count())
-            .sum();
-        let crowd = (flights + 1) as f64 / self.config.flights.max(1) as f64;
+        let engines = fleet.open(&known.listing.pool).count();
+        let crowd = self.crowd(now, fleet, engines);
         self.config.load.mul_f64(LOAD_MARGIN * crowd.max(1.0))
     }
 
+    /// Returns how many times more loads are under way over all engines than the store carries at
+    /// full speed, if all owners are as busy as this one.
+    fn crowd(&self, now: Time, fleet: &Fleet, engines: usize) -> f64 {
+        let coming = |presence: Presence| matches!(presence, Presence::Coming(at, _) if now < at);
+        let flights = |seat: &Seat| {
+            let held = fleet
+                .runner(&seat.runner)
+                .into_iter()
+                .flat_map(Runner::held);
+            held.filter(|held| coming(held.1)).count()
+        };
+        let mine: usize = self.seats.iter().map(flights).sum();
+        let part = (mine + 1) as f64 / self.seats.len().max(1) as f64;
+        part * engines as f64 / self.config.flights.max(1) as f64
+    }
+
     /// Opens a seat whose engine has reported, or asks again.
     pub(super) fn inspected(
         &mut self,
         now: Time,
+        fleet: &Fleet,
         runner: &Upstream,
         sound: bool,
         out: &mut Vec<Action>,
@@ -352,6 +375,11 @@
         }
         if sound {
             seat.stage = Stage::Open(now);
+            seat.doubt = None;
+            let held = fleet.runner(runner).into_iter().flat_map(Runner::held);
+            let adapters = held.filter(|(target, _)| target.adapter.is_some());
+            seat.ledger = adapters.map(|(target, _)| target.clone()).collect();
+            seat.ledger.sort_unstable();
         } else {
             out.push(Action::Inspect {
                 runner: runner.clone(),
@@ -361,6 +389,17 @@
     }
 }
 
+impl Seat {
+    /// Asks the engine what it holds, once its report is as new as the last order.
+    fn check(&mut self, out: &mut Vec<Action>) {
+        self.stage = Stage::Inspecting;
+        out.push(Action::Inspect {
+            runner: self.runner.clone(),
+            after: REPORT_LAG,
+        });
+    }
+}
+
 fn take_askers(seat: &mut Seat, target: &Target, presence: Presence) -> Vec<Vm> {
     if presence == Presence::Absent {
         return Vec::new();
@@ -389,14 +428,16 @@
 
 /// Returns the resident adapter that is worth least, with its value.
 fn victim(now: Time, seat: &Seat, runner: &Runner) -> Option<(Target, f64)> {
-    let idle = runner.held().filter(|(target, presence)| {
-        let settled = match presence {
-            Presence::Held(_) => true,
-            Presence::Coming(at, _) => now > *at + LISTING_LAG,
-            Presence::Absent => false,
-        };
-        target.adapter.is_some() && settled
+    let idle = seat.ledger.iter().filter(|target| {
+        // An unload of what is in use would keep all other orders waiting for its runs. What is
+        // dropped already waits for them.
+        !seat.in_use(now, target)
+            && match runner.presence(target) {
+                Presence::Held(_) => true,
+                Presence::Coming(at, _) => now > at + LISTING_LAG,
+                Presence::Absent => false,
+            }
     });
-    let valued = idle.map(|(target, _)| (target.clone(), seat.use_of(now, target)));
+    let valued = idle.map(|target| (target.clone(), seat.use_of(now, target)));
     valued.min_by(|(_, a), (_, b)| a.total_cmp(b))
 }
--- a/crates/exchange/src/owner/message.rs
+++ b/crates/exchange/src/owner/message.rs
@@ -66,8 +66,12 @@
         ticket: u64,
         /// The engine.
         runner: Upstream,
+        /// Its model.
+        target: Target,
         /// Milliseconds that the engine takes to read its prompt.
         reading: u32,
+        /// Milliseconds that it is expected to run after that.
+        running: u32,
         /// Rank of the request.
         rank: u8,
     },
@@ -91,11 +95,4 @@
         /// What is known.
         news: News,
     },
-    /// Requests of the sender used these targets.
-    Used {
-        /// The engine.
-        runner: Upstream,
-        /// The targets with the number of requests.
-        targets: Vec<(Target, u32)>,
-    },
 }
--- a/crates/exchange/src/owner/mod.rs
+++ b/crates/exchange/src/owner/mod.rs
@@ -83,13 +83,6 @@
         /// Rank of the request; 0 goes first.
         rank: u8,
     },
-    /// Requests of this node used targets at an engine.
-    Used {
-        /// The engine.
-        runner: Upstream,
-        /// The targets with the number of requests.
-        targets: Vec<(Target, u32)>,
-    },
     /// An order was answered.
     Answered {
         /// The engine.
@@ -167,6 +160,19 @@
     Note(Note),
 }
 
+/// What a request means for its engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Visit {
+    /// Its model.
+    pub target: Target,
+    /// Time that the engine takes to read its prompt.
+    pub reading: Duration,
+    /// Time that it is expected to run after that.
+    pub running: Duration,
+    /// Its rank; 0 goes first.
+    pub rank: u8,
+}
+
 /// When a request may be sent to an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Grant {
@@ -248,9 +254,11 @@
     }
 
     /// Lets a request in at an engine of this node; `None` where another node orders there.
-    pub fn admit(&mut self, now: Time, runner: &str, reading: Duration, rank: u8) -> Option<Grant> {
+    pub fn admit(&mut self, now: Time, runner: &str, visit: &Visit) -> Option<Grant> {
         let seat = self.seat_mut(runner)?;
-        let wait = seat.meter.admit(now, reading, rank);
+        let wait = seat.meter.admit(now, visit.reading, visit.rank);
+        let until = now + wait + visit.reading + visit.running;
+        seat.count(now, &visit.target, until);
         Some(Grant {
             wait,
             level: seat.meter.level(now),
@@ -268,14 +276,13 @@
                 target,
                 rank,
             } => self.want(now, fleet, runner, target, rank, out),
-            Event::Used { runner, targets } => self.used(now, runner, targets, out),
             Event::Answered {
                 runner,
                 fence,
                 order,
                 answer,
             } => self.answered(now, fleet, &runner, fence, order, answer, out),
-            Event::Inspected { runner, sound } => self.inspected(now, &runner, sound, out),
+            Event::Inspected { runner, sound } => self.inspected(now, fleet, &runner, sound, out),
             Event::Paused => self.pause(now, out),
             Event::Leave => self.leave(out),
             Event::Tick { wall } => {
@@ -332,11 +339,18 @@
             Message::Ask {
                 ticket,
                 runner,
+                target,
                 reading,
+                running,
                 rank,
             } => {
-                let reading = Duration::from_millis(reading.into());
-                if let Some(grant) = self.admit(now, &runner, reading, rank) {
+                let visit = Visit {
+                    target,
+                    reading: Duration::from_millis(reading.into()),
+                    running: Duration::from_millis(running.into()),
+                    rank,
+                };
+                if let Some(grant) = self.admit(now, &runner, &visit) {
                     out.push(Action::Send {
                         to: from.clone(),
                         message: Message::Grant {
@@ -361,11 +375,6 @@
                     level: Duration::from_millis(level.into()),
                 },
             }),
-            Message::Used { runner, targets } => {
-                if let Some(seat) = self.seat_mut(&runner) {
-                    seat.count(now, &targets);
-                }
-            }
         }
     }
 
@@ -396,24 +405,6 @@
         }
     }
 
-    fn used(
-        &mut self,
-        now: Time,
-        runner: Upstream,
-        targets: Vec<(Target, u32)>,
-        out: &mut Vec<Action>,
-    ) {
-        if let Some(seat) = self.seat_mut(&runner) {
-            return seat.count(now, &targets);
-        }
-        if let Some(holder) = self.holder(&runner) {
-            out.push(Action::Send {
-                to: holder.clone(),
-                message: Message::Used { runner, targets },
-            });
-        }
-    }
-
     fn pause(&mut self, now: Time, out: &mut Vec<Action>) {
         self.quiet_until = now + RECOVERY;
         self.vacant.clear();
--- a/crates/exchange/src/owner/seat.rs
+++ b/crates/exchange/src/owner/seat.rs
@@ -12,6 +12,17 @@
 /// Use counts kept before the smallest are dropped.
 const USES_MAX: usize = 512;
 
+/// Decayed count of uses below which a target is forgotten.
+const USE_MIN: f64 = 0.1;
+
+/// How a target is used at one engine.
+#[derive(Clone, Copy, Debug, Default)]
+struct Use {
+    count: Count,
+    /// When the last of its requests is expected to be over.
+    until: Time,
+}
+
 /// An order to an engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Order {
@@ -81,9 +92,13 @@
     /// Whether the engine has seen this claim's number.
     pub(super) raised: bool,
     pub(super) wants: Vec<Want>,
-    /// Dropped targets that may still take a place, with the time of the order.
-    pub(super) dropping: Vec<(Target, Time)>,
-    uses: Vec<(Target, Count)>,
+    /// Adapters that may take a place, sorted. Only the engine's own word takes one off: listings
+    /// may be older than the orders given since.
+    pub(super) ledger: Vec<Target>,
+    /// When the ledger has to be checked against the engine's report, since an order's outcome is
+    /// not known.
+    pub(super) doubt: Option<Time>,
+    uses: Vec<(Target, Use)>,
     known: Vec<Target>,
     pub(super) born: Option<u64>,
     /// Prompts that the engine was given to read.
@@ -98,7 +113,8 @@
             stage: Stage::Open(now),
             raised: false,
             wants: Vec::new(),
-            dropping: Vec::new(),
+            ledger: Vec::new(),
+            doubt: None,
             uses: Vec::new(),
             known: Vec::new(),
             born: None,
@@ -106,28 +122,38 @@
         }
     }
 
-    /// Counts requests that used targets here.
-    pub(super) fn count(&mut self, now: Time, targets: &[(Target, u32)]) {
-        for (target, requests) in targets {
-            let amount = f64::from(*requests);
-            match self.uses.binary_search_by(|(known, _)| known.cmp(target)) {
-                Ok(index) => self.uses[index].1.add(now, amount),
-                Err(index) => {
-                    let mut count = Count::default();
-                    count.add(now, amount);
-                    self.uses.insert(index, (target.clone(), count));
-                }
+    /// Counts a request that uses `target` here and is expected to be over at `until`.
+    pub(super) fn count(&mut self, now: Time, target: &Target, until: Time) {
+        let index = match self.find_use(target) {
+            Ok(index) => index,
+            Err(index) => {
+                self.uses.insert(index, (target.clone(), Use::default()));
+                index
             }
-        }
+        };
+        let usage = &mut self.uses[index].1;
+        usage.count.add(now, 1.0);
+        usage.until = usage.until.max(until);
         if self.uses.len() > USES_MAX {
-            self.uses.retain(|(_, count)| count.value(now) > 0.1);
+            self.uses
+                .retain(|(_, usage)| usage.until > now || usage.count.value(now) > USE_MIN);
         }
     }
 
+    /// Tells whether a request is expected to use `target` at present.
+    pub(super) fn in_use(&self, now: Time, target: &Target) -> bool {
+        let found = self.find_use(target).ok();
+        found.is_some_and(|index| now < self.uses[index].1.until)
+    }
+
+    fn find_use(&self, target: &Target) -> Result<usize, usize> {
+        self.uses.binary_search_by(|(known, _)| known.cmp(target))
+    }
+
     /// Returns the decayed count of requests that used `target` here.
     pub(super) fn use_of(&self, now: Time, target: &Target) -> f64 {
-        let found = self.uses.binary_search_by(|(known, _)| known.cmp(target));
-        found.map_or(0.0, |index| self.uses[index].1.value(now))
+        let found = self.find_use(target).ok();
+        found.map_or(0.0, |index| self.uses[index].1.count.value(now))
     }
 
     /// Tells whether the engine is believed to have the target's weights at hand.
@@ -167,10 +193,26 @@
         }
     }
 
-    /// Begins anew with an engine whose process started anew.
-    pub(super) fn restart(&mut self, born: Option<u64>) {
+    /// Notes that an adapter may take a place.
+    pub(super) fn enter(&mut self, target: &Target) {
+        if target.adapter.is_some()
+            && let Err(index) = self.ledger.binary_search(target)
+        {
+            self.ledger.insert(index, target.clone());
+        }
+    }
+
+    /// Notes that an adapter takes no place.
+    pub(super) fn leave(&mut self, target: &Target) {
+        if let Ok(index) = self.ledger.binary_search(target) {
+            self.ledger.remove(index);
+        }
+    }
+
+    /// Begins anew with an engine whose process started anew. Its report tells what it holds.
+    pub(super) fn restart(&mut self, now: Time, born: Option<u64>) {
         self.born = born;
-        self.dropping.clear();
         self.known.clear();
+        self.doubt = Some(now);
     }
 }
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -25,9 +25,6 @@
 /// Time between two ticks.
 const TICK: Duration = Duration::from_millis(100);
 
-/// Ticks between two accounts of what was used.
-const USED_TICKS: u64 = 5;
-
 /// Time without a peer after which a node takes traffic alone.
 const ALONE: Duration = Duration::from_millis(1_500);
 
@@ -56,7 +53,6 @@
     seeds: Seeds,
     view: View,
     shown: Option<(Vec<Vm>, bool)>,
-    ticks: u64,
     started: Time,
     met_at: Option<Time>,
 }
@@ -129,7 +125,6 @@
             seeds: Seeds::new(me, hub.exchange.seeds.clone(), seed),
             view: View::default(),
             shown: None,
-            ticks: 0,
             started: hub.clock.now(),
             met_at: None,
             hub,
@@ -171,16 +166,12 @@
     }
 
     fn tick(&mut self) {
-        self.ticks += 1;
         self.step_seeds(seeds::Event::Tick);
         self.step_roster(roster::Event::Tick);
         self.meet();
         self.show();
         let wall = self.hub.wall();
         self.hub.drive(owner::Event::Tick { wall });
-        if self.ticks.is_multiple_of(USED_TICKS) {
-            self.hub.tell_used();
-        }
     }
 
     /// Takes traffic once peers have answered, or nobody has for a while.
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -27,6 +27,8 @@
     pub after: Option<u64>,
     /// Tokens of its prompt.
     pub prompt: Option<u32>,
+    /// Tokens of its answer at most.
+    pub answer: Option<u32>,
 }
 
 /// What one attempt at an upstream adds to a request.
--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -157,9 +157,6 @@
         };
         self.tried.push(runner.clone());
         self.attempts += 1;
-        if let Some(target) = &target {
-            self.hub.used(runner, target);
-        }
         let mut visit = Visit::new(&self.hub, runner);
         let sent = self.hub.clock.now();
         let response = match self.head(&link, request, &visit).await {
--- a/crates/gateway/src/front/place.rs
+++ b/crates/gateway/src/front/place.rs
@@ -4,7 +4,7 @@
 
 use exchange::choice::{Lack, Pick};
 use exchange::demand::Target;
-use exchange::owner;
+use exchange::owner::{self, Visit};
 use wire::Upstream;
 
 use super::job::Job;
@@ -73,11 +73,17 @@
 
     /// Waits until the engine may be given the prompt.
     async fn let_in(&mut self, runner: &Upstream) {
-        if self.service.engine.is_none() {
+        let Some(target) = self.target() else {
             return;
-        }
-        let reading = self.reading();
-        let wait = self.hub.grant(runner, reading, self.route.rank).await;
+        };
+        let tokens = self.ask.answer.unwrap_or_default();
+        let visit = Visit {
+            target,
+            reading: self.reading(),
+            running: self.hub.exchange.step * tokens,
+            rank: self.route.rank,
+        };
+        let wait = self.hub.grant(runner, visit).await;
         self.queued += wait;
         tokio::time::sleep(wait.min(self.left())).await;
     }
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -9,7 +9,7 @@
 use exchange::choice::{self, Need, Pick};
 use exchange::demand::{Demand, Target};
 use exchange::fleet::Presence;
-use exchange::owner::{self, Action, Grant, Note};
+use exchange::owner::{self, Action, Grant, Note, Visit};
 use exchange::route::{Config, Service};
 use exchange::spend::{self, Spend};
 use exchange::{Fleet, Owner};
@@ -105,7 +105,6 @@
     waiters: Vec<Waiter>,
     tickets: Vec<(u64, oneshot::Sender<Grant>)>,
     next_ticket: u64,
-    used: Vec<(Upstream, Vec<(Target, u32)>)>,
     spread: Vec<(Upstream, Target, Time)>,
 }
 
@@ -173,7 +172,6 @@
             waiters: Vec::new(),
             tickets: Vec::new(),
             next_ticket: 0,
-            used: Vec::new(),
             spread: Vec::new(),
         };
         Self {
@@ -363,31 +361,6 @@
         Duration::from_secs_f64(millis / 1_000.0)
     }
 
-    /// Counts a request that uses `target` at `runner`.
-    pub fn used(&self, runner: &Upstream, target: &Target) {
-        let mut desk = self.desk();
-        let index = match desk.used.iter().position(|(id, _)| id == runner) {
-            Some(index) => index,
-            None => {
-                desk.used.push((runner.clone(), Vec::new()));
-                desk.used.len() - 1
-            }
-        };
-        let targets = &mut desk.used[index].1;
-        match targets.iter_mut().find(|(known, _)| known == target) {
-            Some((_, count)) => *count += 1,
-            None => targets.push((target.clone(), 1)),
-        }
-    }
-
-    /// Tells the owners what was used since the last call.
-    pub fn tell_used(self: &Arc<Self>) {
-        let used = std::mem::take(&mut self.desk().used);
-        for (runner, targets) in used {
-            self.drive(owner::Event::Used { runner, targets });
-        }
-    }
-
     /// Returns what resolves when something is told of `target` at `runner`.
     pub fn await_news(&self, runner: &Upstream, target: &Target) -> oneshot::Receiver<()> {
         let (wake, news) = oneshot::channel();
@@ -402,17 +375,12 @@
     }
 
     /// Asks whoever orders at an engine when a request may be sent there.
-    pub async fn grant(
-        self: &Arc<Self>,
-        runner: &Upstream,
-        reading: Duration,
-        rank: u8,
-    ) -> Duration {
+    pub async fn grant(self: &Arc<Self>, runner: &Upstream, visit: Visit) -> Duration {
         let now = self.clock.now();
         let (to, ticket, granted) = {
             let mut guard = self.desk();
             let desk = &mut *guard;
-            if let Some(grant) = desk.owner.admit(now, runner, reading, rank) {
+            if let Some(grant) = desk.owner.admit(now, runner, &visit) {
                 desk.fleet.note_reading(now, runner, grant.level);
                 return grant.wait;
             }
@@ -428,8 +396,10 @@
         let message = owner::Message::Ask {
             ticket,
             runner: runner.clone(),
-            reading: u32::try_from(reading.as_millis()).unwrap_or(u32::MAX),
-            rank,
+            target: visit.target,
+            reading: millis(visit.reading),
+            running: millis(visit.running),
+            rank: visit.rank,
         };
         self.perform(Action::Send { to, message });
         match tokio::time::timeout(GRANT, granted).await {
@@ -557,3 +527,7 @@
             .set(hub.flying.fetch_sub(1, Ordering::Relaxed) - 1);
     }
 }
+
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -31,6 +31,12 @@
 /// Time between two looks at what a shutdown still waits for.
 const DRAIN_STEP: Duration = Duration::from_millis(50);
 
+/// Times to live for which a leaving node takes requests.
+const OPEN_FACTOR: f64 = 1.4;
+
+/// Part of the grace time in which a leaving node takes requests at most.
+const OPEN_PART: f64 = 0.35;
+
 /// Part of the grace time that is left when the last requests are given up.
 const LAST_PART: u32 = 12;
 
@@ -141,14 +147,16 @@
         let grace = hub.exchange.grace;
         let ttl = hub.settings.time.address_ttl;
         info!(target: DECISION, flying = hub.flying(); "leave");
-        // Callers that asked just before keep the address for its time to live.
-        tokio::time::sleep_until(started + ttl.min(grace / 2)).await;
+        // Callers that asked just before keep the address for its time to live, and a few for
+        // longer. What is taken later might not be done within the grace time.
+        let open = ttl.mul_f64(OPEN_FACTOR).min(grace.mul_f64(OPEN_PART));
+        tokio::time::sleep_until(started + open).await;
+        self.stop.send_replace(true);
         let last = started + grace - grace / LAST_PART;
         while hub.flying() > 0 && Instant::now() < last {
             tokio::time::sleep(DRAIN_STEP).await;
         }
         let cut = hub.flying();
-        self.stop.send_replace(true);
         for front in self.fronts {
             // What is left are idle connections, or requests that are reported as cut.
             let _ = tokio::time::timeout(DRAIN_STEP, front).await;
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -118,6 +118,7 @@
             ("ceiling", exchange.ceiling),
             ("load", exchange.load),
             ("reload", exchange.reload),
+            ("step", exchange.step),
             ("pause", exchange.pause),
         ] {
             self.duration(format!("exchange.{name}"), value);
--- a/crates/settings/src/section.rs
+++ b/crates/settings/src/section.rs
@@ -403,6 +403,9 @@
     pub prefill: f64,
     /// Milliseconds that an engine takes in addition for each pair of tokens of a prompt.
     pub attention: f64,
+    /// Time in which an engine makes a token of an answer, prompts of others included.
+    #[serde(with = "humantime_serde")]
+    pub step: Duration,
     /// Least time between two reads of the platform.
     #[serde(with = "humantime_serde")]
     pub pause: Duration,
@@ -430,6 +433,7 @@
             parallel: 2,
             prefill: 40.0,
             attention: 0.65e-6,
+            step: Duration::from_millis(9),
             pause: Duration::from_millis(400),
             threads: 1,
         }
