--- a/crates/exchange/src/choice.rs
+++ b/crates/exchange/src/choice.rs
@@ -28,13 +28,13 @@
 
 /// Silence of an upstream that owes an answer from which it counts as in trouble: several times
 /// the pause between two events of a stream, below the pause that makes a stream late.
-pub const SILENCE: Duration = Duration::from_millis(300);
+pub const SILENCE: Duration = Duration::from_millis(450);
 
 /// Cost of a load that has to wait for its turn.
 const LOAD_MS: f64 = 280.0;
 
 /// Cost of each place further down in the rendezvous order of an adapter that has to be loaded.
-const RANK_MS: f64 = 400.0;
+const RANK_MS: f64 = 300.0;
 
 /// Cost of a load at an engine at which nobody orders: the time until somebody claims it.
 const UNOWNED_MS: f64 = 2_500.0;
@@ -42,14 +42,14 @@
 /// Homes for each whole upstream's worth of demand.
 const HOMES_FACTOR: f64 = 1.0;
 
-/// Part of an engine's time that long prompts may take up.
-const LANE_LOAD: f64 = 0.6;
+/// Part of the engines that read long prompts.
+const LANE_PART: f64 = 0.12;
 
-/// Load of long prompts below which no engine is set aside for them.
-const LANE_LOAD_MIN: f64 = 0.05;
+/// Cost of reading a long prompt beside other streams, all of which become late.
+const ASTRAY_MS: f64 = 2_500.0;
 
-/// Part of the engines that read long prompts at most, as its divisor.
-const LANE_PART: usize = 4;
+/// Cost of running a stream among long prompts, one of which is likely to make it late.
+const LANE_MS: f64 = 1_000.0;
 
 /// Key of the rendezvous order of the engines that read long prompts.
 const LANE_KEY: u64 = 0x6c6f_6e67;
@@ -74,8 +74,8 @@
     pub unowned: &'a [Upstream],
     /// Whether its prompt is too long to be read beside other streams.
     pub long: bool,
-    /// Engines that read long prompts, see [`lane_count`].
-    pub lanes: usize,
+    /// Whether there are long prompts at present.
+    pub lanes: bool,
 }
 
 /// The upstream for a request.
@@ -153,14 +153,22 @@
         .copied()
         .filter(|runner| fleet.serves(runner, &bare))
         .collect();
-    let based = lane(based, need);
-    if based.is_empty() {
-        return Pick::None(Lack::Weights);
-    }
-    let homes = order(target, &based);
+    let lanes = if need.lanes {
+        lanes(&based)
+    } else {
+        Vec::new()
+    };
+    let mut homes = order(target, &based);
+    // Long prompts look for a home among their lanes first, others last.
+    homes.sort_by_key(|id| lanes.contains(id) != need.long);
     let costs = based.iter().map(|runner| {
         let place = homes.iter().position(|id| *id == runner.listing.id);
-        let cost = stall(now, fleet, need, target, runner, place) + busy(now, runner);
+        let lane = match (need.long, lanes.contains(&runner.listing.id)) {
+            (true, false) if need.lanes => ASTRAY_MS,
+            (false, true) => LANE_MS,
+            _ => 0.0,
+        };
+        let cost = stall(now, fleet, need, target, runner, place) + busy(now, runner) + lane;
         (cost + common(now, need, runner), *runner)
     });
     let Some(best) = least(costs) else {
@@ -187,31 +195,13 @@
     rank::top(key, ids, runners.len())
 }
 
-/// Returns how many engines of a pool read long prompts: such a prompt makes every stream of its
-/// engine pause, so they are kept together, away from the other streams. `load` is the number of
-/// engines that they would keep busy.
-pub fn lane_count(load: f64, engines: usize) -> usize {
-    if load < LANE_LOAD_MIN {
-        return 0;
-    }
-    let wanted = (load / LANE_LOAD).round() as usize;
-    wanted.max(1).min(engines / LANE_PART)
-}
-
-/// Keeps the engines that may read the request's prompt, where there are some.
-fn lane<'a>(runners: Vec<&'a Runner>, need: &Need<'_>) -> Vec<&'a Runner> {
-    if need.lanes == 0 {
-        return runners;
-    }
+/// Returns the engines that read long prompts: such a prompt makes every stream of its engine
+/// pause, so they are kept together, away from the other streams. The set is the same on every
+/// node that knows the same engines.
+fn lanes(runners: &[&Runner]) -> Vec<Upstream> {
     let ids = runners.iter().map(|runner| runner.listing.id.clone());
-    let lanes = rank::top(LANE_KEY, ids, need.lanes);
-    let (long, short): (Vec<_>, Vec<_>) = runners
-        .into_iter()
-        .partition(|runner| lanes.contains(&runner.listing.id));
-    match (need.long, short.is_empty()) {
-        (true, _) | (false, true) => long,
-        (false, false) => short,
-    }
+    let count = (runners.len() as f64 * LANE_PART).round() as usize;
+    rank::top(LANE_KEY, ids, count)
 }
 
 /// Returns how many upstreams out of `runners` should hold `target`.
@@ -233,11 +223,14 @@
         base: target.base.clone(),
         adapter: None,
     };
-    let based = fleet
+    let mut based: Vec<&Runner> = fleet
         .open(&need.service.name)
         .filter(|runner| fleet.serves(runner, &bare))
         .collect();
-    let based = lane(based, need);
+    if need.lanes {
+        let lanes = lanes(&based);
+        based.retain(|runner| !lanes.contains(&runner.listing.id));
+    }
     let count = home_count(now, demand, target, based.len());
     let has = |runner: &&Runner| runner.presence(target) != Presence::Absent;
     if count < 2 || based.iter().copied().filter(|runner| has(runner)).count() >= count {
@@ -264,7 +257,10 @@
             at.saturating_sub(now).as_secs_f64() * 1_000.0
         }
         _ if need.unowned.contains(&runner.listing.id) => UNOWNED_MS,
-        _ => LOAD_MS + RANK_MS * place.unwrap_or_default() as f64,
+        _ => {
+            let backlog = runner.backlog(now).as_secs_f64() * 1_000.0;
+            backlog.max(LOAD_MS) + RANK_MS * place.unwrap_or_default() as f64
+        }
     }
 }
 
--- a/crates/exchange/src/demand.rs
+++ b/crates/exchange/src/demand.rs
@@ -9,6 +9,9 @@
 /// Time in which a count loses half of its weight.
 pub const HALF_LIFE: Duration = Duration::from_secs(4);
 
+/// Time for which engines are set aside after a long prompt.
+const LONG_MEMORY: Duration = Duration::from_secs(60);
+
 /// Count below which an adapter is forgotten.
 const FORGOTTEN: f64 = 0.05;
 
@@ -61,7 +64,7 @@
 pub struct Demand {
     counts: Vec<(Target, Count)>,
     total: Count,
-    long: Count,
+    long: Option<Time>,
 }
 
 impl Demand {
@@ -94,14 +97,14 @@
         }
     }
 
-    /// Counts a prompt that takes an engine `reading` and is too long to be read beside streams.
-    pub fn add_long(&mut self, now: Time, reading: Duration) {
-        self.long.add(now, reading.as_secs_f64());
+    /// Notes a prompt that is too long to be read beside streams.
+    pub fn note_long(&mut self, now: Time) {
+        self.long = Some(now);
     }
 
-    /// Returns the engines' worth of time that long prompts take, as a number of engines.
-    pub fn long_load(&self, now: Time) -> f64 {
-        self.long.value(now) * std::f64::consts::LN_2 / HALF_LIFE.as_secs_f64()
+    /// Tells whether there were long prompts lately.
+    pub fn has_long(&self, now: Time) -> bool {
+        self.long.is_some_and(|at| now < at + LONG_MEMORY)
     }
 
     /// Returns the decayed count of all requests.
--- a/crates/exchange/src/fleet.rs
+++ b/crates/exchange/src/fleet.rs
@@ -136,6 +136,8 @@
     shunned: bool,
     /// When all prompts that are known to be let in are read.
     read_by: Time,
+    /// When another adapter could be there.
+    loads_by: Time,
     /// When a byte last came from it, and since when one is awaited.
     heard: Time,
     awaited: Option<Time>,
@@ -154,6 +156,7 @@
             stock: Vec::new(),
             shunned: false,
             read_by: now,
+            loads_by: now,
             heard: now,
             awaited: None,
         };
@@ -208,6 +211,11 @@
         self.read_by.saturating_sub(now)
     }
 
+    /// Returns the time until another adapter could be there, as far as this node knows.
+    pub fn backlog(&self, now: Time) -> Duration {
+        self.loads_by.saturating_sub(now)
+    }
+
     /// Returns its failure score, from 0 to 1.
     pub fn trouble(&self, now: Time) -> f64 {
         let half = TROUBLE_HALF_LIFE * (1 << self.streak.saturating_sub(1).min(TROUBLE_DOUBLINGS));
@@ -480,6 +488,13 @@
         }
     }
 
+    /// Notes the time until another adapter could be at `id`.
+    pub fn note_backlog(&mut self, now: Time, id: &str, backlog: Duration) {
+        if let Some(runner) = self.runner_mut(id) {
+            runner.loads_by = now + backlog;
+        }
+    }
+
     /// Notes the load that `id` stated.
     pub fn report(&mut self, now: Time, id: &str, load: Load) {
         if let Some(runner) = self.runner_mut(id) {
--- a/crates/exchange/src/meter.rs
+++ b/crates/exchange/src/meter.rs
@@ -10,11 +10,14 @@
 
 /// Reading between two events of a stream up to which the stream is on time: the pause that makes
 /// it late, less the steps of an event and the way to the caller.
-pub const GROUP_MAX: Duration = Duration::from_millis(200);
+pub const GROUP_MAX: Duration = Duration::from_millis(170);
 
 /// Time in which every stream of an engine brings an event while nothing is read: a handful of
 /// steps.
-const BREATH: Duration = Duration::from_millis(32);
+const BREATH: Duration = Duration::from_millis(40);
+
+/// Time that each prompt costs beside its reading: the step that it is read in.
+const STEP: Duration = Duration::from_millis(7);
 
 /// Rank of requests that wait for nobody.
 const URGENT: u8 = 0;
@@ -36,6 +39,7 @@
 
     /// Lets a prompt in that takes `reading`. Returns how long it has to wait.
     pub fn admit(&mut self, now: Time, reading: Duration, rank: u8) -> Duration {
+        let reading = reading + STEP;
         if rank == URGENT {
             self.group = self.group_at(now) + reading;
             self.done = self.done.max(now) + reading;
--- a/crates/exchange/src/owner/load.rs
+++ b/crates/exchange/src/owner/load.rs
@@ -310,6 +310,7 @@
         if presence != Presence::Absent {
             seat.enter(&target);
             seat.remember(&target);
+            seat.loaded_at = eta;
         }
         out.push(Action::Presence {
             runner: runner.clone(),
--- a/crates/exchange/src/owner/message.rs
+++ b/crates/exchange/src/owner/message.rs
@@ -85,6 +85,8 @@
         wait: u32,
         /// Milliseconds of reading that are ahead at the engine.
         level: u32,
+        /// Milliseconds until another adapter could be there.
+        backlog: u32,
     },
     /// What an owner knows of a target's residency.
     Stock {
@@ -94,5 +96,7 @@
         target: Target,
         /// What is known.
         news: News,
+        /// Milliseconds until another adapter could be there.
+        backlog: u32,
     },
 }
--- a/crates/exchange/src/owner/mod.rs
+++ b/crates/exchange/src/owner/mod.rs
@@ -147,6 +147,13 @@
         /// What is known now.
         presence: Presence,
     },
+    /// Note how long another adapter would take to be there.
+    Backlog {
+        /// The engine.
+        runner: Upstream,
+        /// The time.
+        backlog: Duration,
+    },
     /// A peer has let a request of this node in.
     Granted {
         /// Number of the question.
@@ -180,6 +187,8 @@
     pub wait: Duration,
     /// Reading time that is ahead at the engine.
     pub level: Duration,
+    /// Time until another adapter could be there.
+    pub backlog: Duration,
 }
 
 /// A decision worth a log line.
@@ -255,13 +264,16 @@
 
     /// Lets a request in at an engine of this node; `None` where another node orders there.
     pub fn admit(&mut self, now: Time, runner: &str, visit: &Visit) -> Option<Grant> {
+        let load = self.config.load;
         let seat = self.seat_mut(runner)?;
         let wait = seat.meter.admit(now, visit.reading, visit.rank);
+        let backlog = seat.backlog(now, load);
         let until = now + wait + visit.reading + visit.running;
         seat.count(now, &visit.target, until);
         Some(Grant {
             wait,
             level: seat.meter.level(now),
+            backlog,
         })
     }
 
@@ -331,11 +343,18 @@
                 runner,
                 target,
                 news,
-            } => out.push(Action::Presence {
-                runner,
-                target,
-                presence: news.presence(now),
-            }),
+                backlog,
+            } => {
+                out.push(Action::Backlog {
+                    runner: runner.clone(),
+                    backlog: Duration::from_millis(backlog.into()),
+                });
+                out.push(Action::Presence {
+                    runner,
+                    target,
+                    presence: news.presence(now),
+                });
+            }
             Message::Ask {
                 ticket,
                 runner,
@@ -358,6 +377,7 @@
                             runner,
                             wait: millis(grant.wait),
                             level: millis(grant.level),
+                            backlog: millis(grant.backlog),
                         },
                     });
                 }
@@ -367,12 +387,14 @@
                 runner,
                 wait,
                 level,
+                backlog,
             } => out.push(Action::Granted {
                 ticket,
                 runner,
                 grant: Grant {
                     wait: Duration::from_millis(wait.into()),
                     level: Duration::from_millis(level.into()),
+                    backlog: Duration::from_millis(backlog.into()),
                 },
             }),
         }
@@ -442,7 +464,13 @@
         presence: Presence,
         out: &mut Vec<Action>,
     ) {
+        let seat = self.seat(runner);
+        let backlog = seat.map_or(Duration::ZERO, |seat| seat.backlog(now, self.config.load));
         if *to == self.config.me {
+            out.push(Action::Backlog {
+                runner: runner.clone(),
+                backlog,
+            });
             out.push(Action::Presence {
                 runner: runner.clone(),
                 target: target.clone(),
@@ -455,6 +483,7 @@
                     runner: runner.clone(),
                     target: target.clone(),
                     news: News::new(now, presence),
+                    backlog: millis(backlog),
                 },
             });
         }
--- a/crates/exchange/src/owner/seat.rs
+++ b/crates/exchange/src/owner/seat.rs
@@ -1,5 +1,7 @@
 //! What an owner keeps for one engine.
 
+use std::time::Duration;
+
 use wire::{Fence, Time, Upstream, Vm};
 
 use crate::demand::{Count, Target};
@@ -101,6 +103,8 @@
     uses: Vec<(Target, Use)>,
     known: Vec<Target>,
     pub(super) born: Option<u64>,
+    /// When the last load that was ordered is expected to be over.
+    pub(super) loaded_at: Time,
     /// Prompts that the engine was given to read.
     pub(super) meter: Meter,
 }
@@ -118,6 +122,7 @@
             uses: Vec::new(),
             known: Vec::new(),
             born: None,
+            loaded_at: Time::ZERO,
             meter: Meter::default(),
         }
     }
@@ -193,6 +198,12 @@
         }
     }
 
+    /// Returns the time until another adapter could be there, with `load` for each load ahead.
+    pub(super) fn backlog(&self, now: Time, load: Duration) -> Duration {
+        let ahead = u32::try_from(self.wants.len()).unwrap_or(u32::MAX);
+        self.loaded_at.saturating_sub(now) + load * ahead.saturating_add(1)
+    }
+
     /// Notes that an adapter may take a place.
     pub(super) fn enter(&mut self, target: &Target) {
         if target.adapter.is_some()
--- a/crates/gateway/src/front/job.rs
+++ b/crates/gateway/src/front/job.rs
@@ -23,6 +23,9 @@
 /// Least time in which an attempt can still bring an answer: a few round trips.
 const LEAST: Duration = Duration::from_millis(25);
 
+/// Time for which callers wait for a first byte at least.
+const PATIENCE_MIN: Duration = Duration::from_millis(1_800);
+
 /// Pause that a refused caller is told, spread over half of it and more by the attempt, so that
 /// callers do not return together.
 const AGAIN: Duration = Duration::from_millis(400);
@@ -55,6 +58,8 @@
     pub(super) tried: Vec<Upstream>,
     /// Attempts so far.
     pub(super) attempts: u32,
+    /// Engine at which a load was asked for.
+    pub(super) home: Option<Upstream>,
     /// Promises so far that it did not run.
     pub(super) refusals: u32,
     /// The furthest that any attempt got.
@@ -95,6 +100,7 @@
             body,
             tried: Vec::new(),
             attempts: 0,
+            home: None,
             refusals: 0,
             worst: Reach::NotRun,
             stalled: Duration::ZERO,
@@ -164,6 +170,14 @@
         }
     }
 
+    /// Returns the time in which its first byte has to come, since callers leave after that.
+    pub(super) fn patience(&self) -> Duration {
+        let factor = self.hub.exchange.patience;
+        let limit = self.route.target.mul_f64(factor).max(PATIENCE_MIN);
+        let until = self.terms.arrived + limit;
+        until.saturating_sub(self.hub.clock.now()).min(self.left())
+    }
+
     /// Returns the time until the final answer.
     pub(super) fn left(&self) -> Duration {
         self.terms.deadline.saturating_sub(self.hub.clock.now())
@@ -238,6 +252,7 @@
             request = &*self.ask.attempt,
             route = &*self.route.name,
             revision = self.terms.revision,
+            model = self.ask.target.as_ref().map(ToString::to_string).unwrap_or_default(),
             status,
             outcome,
             upstream = self.tried.last().map_or("", |id| id),
--- a/crates/gateway/src/front/place.rs
+++ b/crates/gateway/src/front/place.rs
@@ -11,7 +11,7 @@
 use crate::dialect::Dialect;
 
 /// Time without news of a load after which its owner is asked again: two round trips and an order.
-const ASK_AGAIN: Duration = Duration::from_millis(60);
+const ASK_AGAIN: Duration = Duration::from_millis(250);
 
 /// Pause before an engine without a base model is looked at again.
 const WEIGHTS_PAUSE: Duration = Duration::from_millis(100);
@@ -37,7 +37,7 @@
         let started = self.hub.clock.now();
         let whole = self.left();
         loop {
-            if self.left().is_zero() {
+            if self.left().is_zero() || self.patience().is_zero() {
                 return Placed::Refused("no-time", None);
             }
             let pick = self.hub.pick(&self.query(target.as_ref()));
@@ -52,11 +52,12 @@
                     return Placed::At(runner);
                 }
                 Pick::Wait(runner, at) => {
-                    let wait = at.saturating_sub(self.hub.clock.now()).min(self.left());
+                    let wait = at.saturating_sub(self.hub.clock.now()).min(self.patience());
                     self.news(&runner, target.as_ref(), wait).await;
                 }
                 Pick::Load(runner) => {
                     if let Some(target) = &target {
+                        let runner = self.home(runner);
                         self.want(&runner, target).await;
                     }
                 }
@@ -100,6 +101,21 @@
         }
     }
 
+    /// Returns the engine at which a load was asked for already, as long as it takes requests, or
+    /// else `runner`: a second load would take the place of another adapter's.
+    fn home(&mut self, runner: Upstream) -> Upstream {
+        let desk = self.hub.desk();
+        let open = |id: &Upstream| {
+            let known = desk.fleet.runner(id);
+            known.is_some_and(|known| known.open() && desk.owner.holder(id).is_some())
+        };
+        let kept = self.home.as_ref().filter(|id| open(id)).cloned();
+        let home = kept.unwrap_or(runner);
+        drop(desk);
+        self.home = Some(home.clone());
+        home
+    }
+
     /// Asks the engine's owner for a load and waits for its answer.
     async fn want(&self, runner: &Upstream, target: &Target) {
         let news = self.hub.await_news(runner, target);
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -306,8 +306,6 @@
 
     fn need<'a>(&'a self, desk: &Desk, query: &Query<'a>, unowned: &'a [Upstream]) -> Need<'a> {
         let now = self.clock.now();
-        let load = desk.demand.long_load(now) * self.nodes() as f64;
-        let engines = desk.fleet.open(&query.service.name).count();
         Need {
             service: query.service,
             target: query.target,
@@ -316,7 +314,7 @@
             zone: &self.settings.vm.zone,
             unowned,
             long: query.reading >= choice::LONG,
-            lanes: choice::lane_count(load, engines),
+            lanes: desk.demand.has_long(now),
         }
     }
 
@@ -330,7 +328,7 @@
         let desk = &mut *guard;
         desk.demand.add(now, target);
         if query.reading >= choice::LONG {
-            desk.demand.add_long(now, query.reading);
+            desk.demand.note_long(now);
             return;
         }
         let need = self.need(desk, query, &[]);
@@ -382,6 +380,7 @@
             let desk = &mut *guard;
             if let Some(grant) = desk.owner.admit(now, runner, &visit) {
                 desk.fleet.note_reading(now, runner, grant.level);
+                desk.fleet.note_backlog(now, runner, grant.backlog);
                 return grant.wait;
             }
             let Some(holder) = desk.owner.holder(runner).cloned() else {
@@ -405,7 +404,9 @@
         match tokio::time::timeout(GRANT, granted).await {
             Ok(Ok(grant)) => {
                 let now = self.clock.now();
-                self.desk().fleet.note_reading(now, runner, grant.level);
+                let fleet = &mut self.desk().fleet;
+                fleet.note_reading(now, runner, grant.level);
+                fleet.note_backlog(now, runner, grant.backlog);
                 grant.wait
             }
             // Without an answer the engine's own queue has to do.
@@ -429,6 +430,8 @@
             {
                 desk.fleet.note(now, runner, target, *presence);
                 wake(&mut desk.waiters, runner, target);
+            } else if let Action::Backlog { runner, backlog } = action {
+                desk.fleet.note_backlog(now, runner, *backlog);
             }
         }
         desk.owner.pump(now, &desk.fleet, &mut actions);
@@ -460,6 +463,7 @@
                 target,
                 presence,
             } => log_presence(&runner, &target, presence),
+            Action::Backlog { .. } => {}
             Action::Granted { ticket, grant, .. } => {
                 let mut desk = self.desk();
                 if let Some(index) = desk.tickets.iter().position(|(known, _)| *known == ticket) {
--- a/crates/settings/src/section.rs
+++ b/crates/settings/src/section.rs
@@ -403,6 +403,8 @@
     pub prefill: f64,
     /// Milliseconds that an engine takes in addition for each pair of tokens of a prompt.
     pub attention: f64,
+    /// Multiples of a route's target after which callers leave that have seen no first byte.
+    pub patience: f64,
     /// Time in which an engine makes a token of an answer, prompts of others included.
     #[serde(with = "humantime_serde")]
     pub step: Duration,
@@ -430,9 +432,10 @@
             load: Duration::from_millis(250),
             reload: Duration::from_millis(25),
             flights: 8,
-            parallel: 2,
+            parallel: 1,
             prefill: 40.0,
             attention: 0.65e-6,
+            patience: 3.6,
             step: Duration::from_millis(9),
             pause: Duration::from_millis(400),
             threads: 1,
