Do not take an upstream that is no longer listed for silent

Ruled out: the route's time limit and the change of configuration beside it (the log says silent). Change: the silence of an unlisted upstream counts from the request's own last byte.

--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -91,6 +91,7 @@
 pub(super) struct Visit<D: Dialect> {
     hub: Arc<Hub<D>>,
     pub(super) runner: Upstream,
+    heard: Time,
     over: bool,
 }
 
@@ -101,23 +102,26 @@
         Self {
             hub: hub.clone(),
             runner: runner.clone(),
+            heard: now,
             over: false,
         }
     }
 
     /// Notes a byte from the upstream.
-    pub(super) fn hear(&self) {
+    pub(super) fn hear(&mut self) {
         let now = self.hub.clock.now();
+        self.heard = now;
         self.hub.desk().fleet.hear(now, &self.runner);
     }
 
-    /// Returns how long the upstream has been silent towards all requests of this node.
+    /// Returns how long the upstream has been silent towards all requests of this node. One that
+    /// is no longer listed may still finish what it has, so its silence counts from this request.
     pub(super) fn silence(&self) -> Duration {
         let now = self.hub.clock.now();
+        let own = now.saturating_sub(self.heard);
         let desk = self.hub.desk();
-        desk.fleet
-            .runner(&self.runner)
-            .map_or(Duration::MAX, |runner| runner.silence(now))
+        let known = desk.fleet.runner(&self.runner);
+        known.map_or(own, |runner| runner.silence(now).min(own))
     }
 
     /// Ends the count.
