--- a/crates/exchange/src/meter.rs
+++ b/crates/exchange/src/meter.rs
@@ -1,34 +1,36 @@
 //! When an engine is given another prompt to read.
 //!
-//! An engine reads prompts between the steps of the streams that it runs. All of these streams
-//! pause while prompts are read one after the other, so a pause for some steps is kept between
-//! groups of prompts that together would make them late.
+//! An engine reads prompts in the steps of the streams that it runs. A stream brings an event
+//! every few steps, so it pauses for as long as the prompts take that are read in these steps. The
+//! reading in any [`BREATH`] of step time is therefore bounded, as in a sliding-window rate limit.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use wire::Time;
 
 /// Reading between two events of a stream up to which the stream is on time: the pause that makes
 /// it late, less the steps of an event and the way to the caller.
-pub const GROUP_MAX: Duration = Duration::from_millis(170);
+pub const GROUP_MAX: Duration = Duration::from_millis(180);
 
-/// Time in which every stream of an engine brings an event while nothing is read: a handful of
-/// steps.
-const BREATH: Duration = Duration::from_millis(40);
+/// Step time in which every stream of an engine brings an event: a handful of steps.
+pub const BREATH: Duration = Duration::from_millis(36);
 
-/// Time that each prompt costs beside its reading: the step that it is read in.
-const STEP: Duration = Duration::from_millis(7);
+/// Step time that passes with each prompt, which is read within a step.
+pub const STEP: Duration = Duration::from_millis(5);
 
 /// Rank of requests that wait for nobody.
 const URGENT: u8 = 0;
 
 /// The prompts that one engine was given.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default)]
 pub struct Meter {
     /// When everything let in is read.
     done: Time,
-    /// Reading since the streams last had a breath, as of `done`.
-    group: Duration,
+    /// Step time that has passed by then.
+    steps: Duration,
+    /// The prompts of the last breath: the step time at which each was read, and its reading.
+    group: VecDeque<(Duration, Duration)>,
 }
 
 impl Meter {
@@ -39,32 +41,32 @@
 
     /// Lets a prompt in that takes `reading`. Returns how long it has to wait.
     pub fn admit(&mut self, now: Time, reading: Duration, rank: u8) -> Duration {
-        let reading = reading + STEP;
-        if rank == URGENT {
-            self.group = self.group_at(now) + reading;
-            self.done = self.done.max(now) + reading;
-            return Duration::ZERO;
+        let urgent = rank == URGENT;
+        let earliest = now.max(self.done);
+        let mut steps = self.steps + (earliest - self.done);
+        self.forget(steps);
+        while !urgent && self.reading() + reading > GROUP_MAX {
+            // The streams bring their events before the oldest prompt stops to count.
+            let Some((oldest, _)) = self.group.pop_front() else {
+                break;
+            };
+            steps = steps.max(oldest + BREATH);
         }
-        let start = self.start(now, reading);
-        self.group = self.group_at(start) + reading;
-        self.done = start + reading;
-        start - now
+        let start = self.done + (steps - self.steps);
+        self.group.push_back((steps, reading));
+        self.done = start + reading + STEP;
+        self.steps = steps + STEP;
+        if urgent { Duration::ZERO } else { start - now }
     }
 
-    /// Returns the first time from `now` on at which `reading` fits the group.
-    fn start(&self, now: Time, reading: Duration) -> Time {
-        let earliest = now.max(self.done);
-        let allowed = GROUP_MAX.saturating_sub(reading);
-        if self.group <= allowed {
-            return earliest;
-        }
-        // The group shrinks evenly over a breath.
-        let part = 1.0 - allowed.as_secs_f64() / self.group.as_secs_f64();
-        earliest.max(self.done + BREATH.mul_f64(part))
+    fn reading(&self) -> Duration {
+        self.group.iter().map(|(_, reading)| *reading).sum()
     }
 
-    fn group_at(&self, time: Time) -> Duration {
-        let rested = time.saturating_sub(self.done).as_secs_f64() / BREATH.as_secs_f64();
-        self.group.mul_f64((1.0 - rested).max(0.0))
+    fn forget(&mut self, steps: Duration) {
+        let over = |(at, _): &(Duration, Duration)| *at + BREATH <= steps;
+        while self.group.front().is_some_and(over) {
+            self.group.pop_front();
+        }
     }
 }
--- a/crates/exchange/src/relay.rs
+++ b/crates/exchange/src/relay.rs
@@ -119,6 +119,6 @@
 /// Returns the id of an event, where it has a numeric one.
 fn event_id(event: &[u8]) -> Option<u64> {
     let lines = event.split(|byte| *byte == b'\n');
-    let value = lines.filter_map(|line| line.strip_prefix(b"id:")).last()?;
+    let value = lines.rev().find_map(|line| line.strip_prefix(b"id:"))?;
     std::str::from_utf8(value).ok()?.trim().parse().ok()
 }
--- /dev/null
+++ b/crates/exchange/tests/attempt_outcomes.rs
@@ -0,0 +1,58 @@
+//! What a failed attempt means for its caller.
+
+use std::time::Duration;
+
+use exchange::outcome::{Next, Reach, Standing};
+use exchange::route::Kind;
+use rstest::rstest;
+
+fn standing(kind: Kind, reach: Reach, worst: Reach) -> Standing {
+    Standing {
+        kind,
+        reach,
+        worst,
+        left: 1,
+        time: Duration::from_secs(1),
+        least: Duration::from_millis(25),
+    }
+}
+
+const STREAM: Kind = Kind::Stream { resumable: false };
+const RESUMABLE: Kind = Kind::Stream { resumable: true };
+
+#[rstest]
+#[case::once(Kind::Once, Next::Unknown)]
+#[case::stream(STREAM, Next::Unknown)]
+#[case::idempotent(Kind::Idempotent, Next::Again)]
+#[case::resumable(RESUMABLE, Next::Again)]
+fn what_may_have_run(#[case] kind: Kind, #[case] next: Next) {
+    let standing = standing(kind, Reach::Unknown, Reach::Unknown);
+    assert_eq!(standing.next(true), next);
+}
+
+#[rstest]
+fn what_did_not_run_goes_elsewhere(
+    #[values(Kind::Once, STREAM, Kind::Idempotent, RESUMABLE)] kind: Kind,
+) {
+    let standing = standing(kind, Reach::NotRun, Reach::NotRun);
+    assert_eq!(standing.next(true), Next::Again);
+    assert_eq!(standing.next(false), Next::Refuse);
+}
+
+/// "Not run" is never said after an attempt that may have run.
+#[rstest]
+fn refusal_needs_that_nothing_ran(
+    #[values(Kind::Once, STREAM, Kind::Idempotent, RESUMABLE)] kind: Kind,
+    #[values(true, false)] budget: bool,
+) {
+    let mut standing = standing(kind, Reach::NotRun, Reach::Unknown);
+    standing.left = 0;
+    assert_eq!(standing.next(budget), Next::Unknown);
+}
+
+#[rstest]
+fn nothing_follows_without_time() {
+    let mut standing = standing(Kind::Idempotent, Reach::NotRun, Reach::NotRun);
+    standing.time = Duration::from_millis(10);
+    assert_eq!(standing.next(true), Next::Refuse);
+}
--- /dev/null
+++ b/crates/exchange/tests/owner_orders.rs
@@ -0,0 +1,255 @@
+//! Claims of engines, and the orders that follow from them.
+
+mod support;
+
+use exchange::fleet::Presence;
+use exchange::owner::{Action, Answer, Event, Message, Note, Order, Visit};
+use rstest::rstest;
+use support::{Desk, PLACES, bare, engine, ms, target};
+use wire::Vm;
+
+fn orders(actions: &[Action]) -> Vec<&Order> {
+    let order = |action: &Action| match action {
+        Action::Order { order, .. } => Some(order.clone()),
+        _ => None,
+    };
+    actions
+        .iter()
+        .filter(|action| order(action).is_some())
+        .filter_map(|action| match action {
+            Action::Order { order, .. } => Some(order),
+            _ => None,
+        })
+        .collect()
+}
+
+fn want(adapter: &str) -> Event {
+    Event::Want {
+        runner: "e1".into(),
+        target: target(adapter),
+        rank: 1,
+    }
+}
+
+#[rstest]
+fn unfit_node_claims_nothing() {
+    let mut desk = Desk::alone("vm-1", 1, [engine("e1", &[])]);
+    let live: Vec<Vm> = vec!["vm-1".into()];
+    desk.step(Event::View { live, fit: false });
+    desk.pass(ms(5_000));
+    assert_eq!(desk.owner.owned().count(), 0);
+}
+
+#[rstest]
+fn first_order_changes_nothing() {
+    let mut desk = Desk::alone("vm-1", 1, [engine("e1", &["a"])]);
+    let actions = desk.pass(ms(1_000));
+    assert_eq!(orders(&actions), [&Order::Load(bare(), None)]);
+}
+
+#[rstest]
+fn orders_wait_for_the_report() {
+    let mut desk = Desk::alone("vm-1", 1, [engine("e1", &["a"])]);
+    let actions = desk.pass(ms(1_000));
+    let Some(Action::Order { fence, order, .. }) = actions
+        .iter()
+        .find(|action| matches!(action, Action::Order { .. }))
+    else {
+        panic!("no order in {actions:?}");
+    };
+    desk.step(want("b"));
+    let after = desk.step(Event::Answered {
+        runner: "e1".into(),
+        fence: *fence,
+        order: order.clone(),
+        answer: Answer::Done,
+    });
+    assert!(orders(&after).is_empty(), "an order came before the report");
+    let opened = desk.step(Event::Inspected {
+        runner: "e1".into(),
+        sound: true,
+    });
+    assert_eq!(orders(&opened), [&Order::Load(target("b"), None)]);
+}
+
+#[rstest]
+fn engine_is_never_overfilled() {
+    let held: Vec<String> = (0..PLACES).map(|index| format!("a{index}")).collect();
+    let names: Vec<&str> = held.iter().map(String::as_str).collect();
+    let mut desk = Desk::alone("vm-1", 1, [engine("e1", &names)]);
+    desk.claim();
+    let mut resident: Vec<String> = held.clone();
+    for index in 0..20 {
+        let actions = desk.step(want(&format!("b{index}")));
+        for (_, _, order) in desk.obey(actions, |order| match order {
+            Order::Load(..) => Answer::Accepted,
+            Order::Unload(_) => Answer::Done,
+        }) {
+            match order {
+                Order::Load(target, _) => {
+                    resident.extend(target.adapter.map(|name| name.to_string()));
+                }
+                Order::Unload(target) => {
+                    resident.retain(|name| Some(&**name) != target.adapter.as_deref());
+                }
+            }
+            assert!(resident.len() <= PLACES, "{} at once", resident.len());
+        }
+        let actions = desk.pass(ms(400));
+        desk.obey(actions, |_| Answer::Done);
+    }
+}
+
+/// A listing that is older than the orders given since must not free places.
+#[rstest]
+fn old_listing_frees_no_place() {
+    let mut desk = Desk::alone("vm-1", 1, [engine("e1", &[])]);
+    desk.claim();
+    let mut loaded = 0;
+    for index in 0..30 {
+        let actions = desk.step(want(&format!("a{index}")));
+        let given = desk.obey(actions, |order| match order {
+            Order::Load(..) => Answer::Accepted,
+            Order::Unload(_) => Answer::Busy,
+        });
+        loaded += given
+            .iter()
+            .filter(|(_, _, order)| matches!(order, Order::Load(..)))
+            .count();
+        let actions = desk.pass(ms(3_000));
+        desk.obey(actions, |_| Answer::Busy);
+        desk.fleet.list(desk.now, engine("e1", &[]));
+    }
+    assert!(
+        loaded <= PLACES,
+        "{loaded} adapters were loaded into {PLACES} places"
+    );
+}
+
+/// An unload of an adapter in use is accepted and keeps every other order waiting.
+#[rstest]
+fn adapter_in_use_is_not_evicted() {
+    let held: Vec<String> = (0..PLACES).map(|index| format!("a{index}")).collect();
+    let names: Vec<&str> = held.iter().map(String::as_str).collect();
+    let mut desk = Desk::alone("vm-1", 1, [engine("e1", &names)]);
+    desk.claim();
+    for name in &names[1..] {
+        let visit = Visit {
+            target: target(name),
+            reading: ms(20),
+            running: ms(5_000),
+            rank: 1,
+        };
+        desk.owner.admit(desk.now, "e1", &visit);
+    }
+    let actions = desk.step(want("b"));
+    assert_eq!(orders(&actions), [&Order::Unload(target("a0"))]);
+}
+
+#[rstest]
+fn higher_number_wins() {
+    let mut desk = Desk::alone("vm-1", 1, [engine("e1", &[])]);
+    desk.claim();
+    let (_, fence) = desk.owner.owned().next().expect("a claim");
+    let message = Message::Claims(vec![("e1".into(), fence + 1)]);
+    let live: Vec<Vm> = vec!["vm-1".into(), "vm-2".into()];
+    desk.step(Event::View { live, fit: true });
+    let actions = desk.step(Event::Receive {
+        from: "vm-2".into(),
+        message,
+    });
+    assert!(actions.contains(&Action::Note(Note::Yielded("e1".into(), "superseded"))));
+    assert_eq!(desk.owner.holder("e1").map(|vm| &**vm), Some("vm-2"));
+}
+
+#[rstest]
+fn lower_number_is_answered() {
+    let mut desk = Desk::alone("vm-1", 1, [engine("e1", &[])]);
+    desk.claim();
+    let (_, fence) = desk.owner.owned().next().expect("a claim");
+    let live: Vec<Vm> = vec!["vm-1".into(), "vm-2".into()];
+    desk.step(Event::View { live, fit: true });
+    let actions = desk.step(Event::Receive {
+        from: "vm-2".into(),
+        message: Message::Claims(vec![("e1".into(), fence - 1)]),
+    });
+    let answer = Action::Send {
+        to: "vm-2".into(),
+        message: Message::Claims(vec![("e1".into(), fence)]),
+    };
+    assert!(actions.contains(&answer), "{actions:?}");
+}
+
+#[rstest]
+fn refused_number_is_not_used_again() {
+    let mut desk = Desk::alone("vm-1", 1, [engine("e1", &[])]);
+    desk.claim();
+    let (_, first) = desk.owner.owned().next().expect("a claim");
+    let actions = desk.step(want("a"));
+    desk.obey(actions, |_| Answer::Fenced);
+    assert_eq!(desk.owner.owned().count(), 0);
+    desk.pass(ms(2_500));
+    assert_eq!(
+        desk.owner.owned().count(),
+        0,
+        "claimed again within the lease"
+    );
+    desk.pass(ms(3_000));
+    let (_, second) = desk.owner.owned().next().expect("a new claim");
+    assert!(second > first);
+}
+
+/// Numbers grow although the wall clock jumps back, and no two VMs make the same.
+#[rstest]
+fn numbers_grow_and_differ() {
+    let mut desk = Desk::alone("vm-1", 1, [engine("e1", &[])]);
+    desk.claim();
+    let (_, first) = desk.owner.owned().next().expect("a claim");
+    desk.fleet.delist("e1");
+    desk.pass(ms(200));
+    desk.wall -= 1_000;
+    desk.fleet.list(desk.now, engine("e1", &[]));
+    desk.claim();
+    let (_, second) = desk.owner.owned().next().expect("a claim");
+    assert!(second > first, "{second} after {first}");
+    let mut other = Desk::alone("vm-2", 2, [engine("e1", &[])]);
+    other.claim();
+    let (_, foreign) = other.owner.owned().next().expect("a claim");
+    assert_ne!(first & 0xff_ffff, foreign & 0xff_ffff);
+}
+
+#[rstest]
+fn leaving_node_releases_its_engines() {
+    let mut desk = Desk::alone("vm-1", 1, [engine("e1", &[])]);
+    desk.claim();
+    let live: Vec<Vm> = vec!["vm-1".into(), "vm-2".into()];
+    desk.step(Event::View { live, fit: true });
+    let actions = desk.step(Event::Leave);
+    let released = |action: &Action| matches!(action, Action::Send { message: Message::Release(claims), .. } if claims.len() == 1);
+    assert!(actions.iter().any(released), "{actions:?}");
+    assert!(orders(&desk.step(want("a"))).is_empty());
+}
+
+#[rstest]
+fn paused_node_gives_no_order_at_once() {
+    let mut desk = Desk::alone("vm-1", 1, [engine("e1", &[])]);
+    desk.claim();
+    desk.step(Event::Paused);
+    assert!(orders(&desk.step(want("a"))).is_empty());
+    let later = desk.pass(ms(1_500));
+    assert_eq!(orders(&later), [&Order::Load(target("a"), None)]);
+}
+
+#[rstest]
+fn empty_engine_gets_its_base_model() {
+    let mut listing = engine("e1", &[]);
+    listing.holdings.clear();
+    let mut desk = Desk::alone("vm-1", 1, [listing]);
+    let actions = desk.pass(ms(1_000));
+    assert_eq!(orders(&actions), [&Order::Load(bare(), None)]);
+    let presence = desk
+        .fleet
+        .runner("e1")
+        .map(|runner| runner.presence(&bare()));
+    assert_eq!(presence, Some(Presence::Absent));
+}
--- /dev/null
+++ b/crates/exchange/tests/stream_cursor.rs
@@ -0,0 +1,109 @@
+//! Whole events of a stream over several runs.
+
+use exchange::relay::{Cursor, Fault};
+use proptest::prelude::*;
+use rstest::rstest;
+
+fn event(id: u64) -> String {
+    format!("id: {id}\ndata: token {id}\n\n")
+}
+
+#[rstest]
+fn half_event_is_held_back() {
+    let mut cursor = Cursor::default();
+    let mut out = Vec::new();
+    cursor
+        .push(b"id: 1\ndata: a\n\nid: 2\nda", &mut out)
+        .expect("in sequence");
+    assert_eq!(out, b"id: 1\ndata: a\n\n");
+    assert!(cursor.inside());
+    assert_eq!(cursor.last(), Some(1));
+}
+
+#[rstest]
+fn next_run_goes_on_after_the_last_event() {
+    let mut cursor = Cursor::default();
+    let mut out = Vec::new();
+    cursor
+        .push(b"id: 1\ndata: a\n\nid: 2\nda", &mut out)
+        .expect("in sequence");
+    cursor.restart();
+    cursor
+        .push(event(2).as_bytes(), &mut out)
+        .expect("in sequence");
+    assert_eq!(cursor.last(), Some(2));
+    assert!(out.ends_with(event(2).as_bytes()));
+}
+
+#[rstest]
+#[case::gap(3)]
+#[case::repeat(1)]
+fn event_out_of_sequence_is_refused(#[case] id: u64) {
+    let mut cursor = Cursor::default();
+    let mut out = Vec::new();
+    cursor
+        .push(event(1).as_bytes(), &mut out)
+        .expect("in sequence");
+    let before = out.clone();
+    assert_eq!(
+        cursor.push(event(id).as_bytes(), &mut out),
+        Err(Fault::Sequence)
+    );
+    assert_eq!(out, before);
+}
+
+#[rstest]
+fn caller_that_resumes_gets_the_next_event_only() {
+    let mut cursor = Cursor::new(Some(7));
+    let mut out = Vec::new();
+    assert_eq!(
+        cursor.push(event(7).as_bytes(), &mut out),
+        Err(Fault::Sequence)
+    );
+    let mut cursor = Cursor::new(Some(7));
+    assert_eq!(cursor.push(event(8).as_bytes(), &mut out), Ok(()));
+}
+
+#[rstest]
+fn carriage_returns_end_lines() {
+    let mut cursor = Cursor::default();
+    let mut out = Vec::new();
+    cursor
+        .push(b"id: 1\r\ndata: a\r\n\r\n", &mut out)
+        .expect("in sequence");
+    assert_eq!(cursor.events(), 1);
+    assert!(!cursor.inside());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(11), ..ProptestConfig::default() })]
+
+    /// However the bytes are cut, the same events come out whole.
+    #[test]
+    fn cuts_do_not_matter(events in 1_u64..20, cuts in prop::collection::vec(1_usize..40, 1..40)) {
+        let whole: String = (1..=events).map(event).collect();
+        let mut cursor = Cursor::default();
+        let mut out = Vec::new();
+        let mut rest = whole.as_bytes();
+        for cut in cuts.iter().cycle() {
+            if rest.is_empty() {
+                break;
+            }
+            let (part, tail) = rest.split_at((*cut).min(rest.len()));
+            prop_assert_eq!(cursor.push(part, &mut out), Ok(()));
+            rest = tail;
+        }
+        prop_assert_eq!(out, whole.into_bytes());
+        prop_assert_eq!(cursor.events(), events);
+        prop_assert!(!cursor.inside());
+    }
+
+    /// Arbitrary bytes are passed on in order or held back, never changed.
+    #[test]
+    fn bytes_are_not_changed(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
+        let mut cursor = Cursor::default();
+        let mut out = Vec::new();
+        let _ = cursor.push(&bytes, &mut out);
+        prop_assert!(bytes.starts_with(&out));
+    }
+}
--- /dev/null
+++ b/crates/exchange/tests/support/mod.rs
@@ -0,0 +1,233 @@
+//! A small site: one pool of engines and one of plain services.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::time::Duration;
+
+use exchange::Fleet;
+use exchange::demand::Target;
+use exchange::fleet::{Holding, Listing};
+use exchange::owner::{self, Action, Event, Order, Owner};
+use exchange::route::{Config, Engine, Kind, Limits, Route, Service, Weights};
+use wire::{Time, Upstream, Vm};
+
+/// Places for adapters of an engine.
+pub const PLACES: usize = 8;
+
+pub const fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+pub fn target(adapter: &str) -> Target {
+    Target {
+        base: "base".into(),
+        adapter: Some(adapter.into()),
+    }
+}
+
+pub fn bare() -> Target {
+    Target {
+        base: "base".into(),
+        adapter: None,
+    }
+}
+
+pub fn engines() -> Service {
+    Service {
+        name: "engines".into(),
+        connections: 100,
+        engine: Some(Engine {
+            batch: 16,
+            places: PLACES,
+            capacity_mb: 100.0,
+            loads_per_second: 2.0,
+            memory_tokens: 100_000,
+            weights: vec![Weights {
+                base: "base".into(),
+                size_mb: 90.0,
+                load: ms(2_500),
+            }],
+        }),
+    }
+}
+
+pub fn desks() -> Service {
+    Service {
+        name: "desks".into(),
+        connections: 100,
+        engine: None,
+    }
+}
+
+pub fn route(prefix: &str, kind: Kind) -> Route {
+    Route {
+        name: prefix.into(),
+        host: "host".into(),
+        prefix: prefix.into(),
+        kind,
+        timeout: ms(5_000),
+        target: ms(800),
+        rank: 1,
+        attempts: 2,
+        pools: vec![("engines".into(), 1)],
+    }
+}
+
+pub fn config(routes: Vec<Route>) -> Config {
+    let limits = Limits {
+        body_bytes: 1 << 20,
+        idle: ms(15_000),
+    };
+    Config::new(1, routes, [engines(), desks()], limits)
+}
+
+/// An engine that holds the base model and `adapters`.
+pub fn engine(id: &str, adapters: &[&str]) -> Listing {
+    Listing {
+        id: id.into(),
+        pool: "engines".into(),
+        address: "127.0.0.1:9".parse().expect("a literal"),
+        zone: "zone-a".into(),
+        slots: 16,
+        leaving: false,
+        born: Some(1),
+        engine: true,
+        holdings: vec![Holding {
+            base: "base".into(),
+            adapters: adapters.iter().map(|name| ((*name).into(), None)).collect(),
+        }],
+    }
+}
+
+pub fn desk(id: &str, zone: &str) -> Listing {
+    Listing {
+        pool: "desks".into(),
+        zone: zone.into(),
+        engine: false,
+        holdings: Vec::new(),
+        ..engine(id, &[])
+    }
+}
+
+pub fn fleet(now: Time, listings: impl IntoIterator<Item = Listing>) -> Fleet {
+    let mut fleet = Fleet::default();
+    for listing in listings {
+        fleet.list(now, listing);
+    }
+    fleet.configure(&config(Vec::new()));
+    fleet
+}
+
+/// Limits of the owner on `vm`, whose fencing numbers end in `mark`.
+pub fn owner_config(vm: &str, mark: u64) -> owner::Config {
+    owner::Config {
+        me: vm.into(),
+        mark,
+        lease: ms(3_000),
+        fenced: true,
+        load: ms(250),
+        reload: ms(25),
+        flights: 8,
+        parallel: 1,
+        ceiling: ms(5_000),
+    }
+}
+
+/// An owner with its fleet, driven by hand.
+pub struct Desk {
+    pub now: Time,
+    pub wall: u64,
+    pub fleet: Fleet,
+    pub owner: Owner,
+}
+
+impl Desk {
+    /// An owner on `vm` that sees itself as the only node.
+    pub fn alone(vm: &str, mark: u64, listings: impl IntoIterator<Item = Listing>) -> Self {
+        let now = ms(1_000);
+        let mut desk = Self {
+            now,
+            wall: 1_800_000_000,
+            fleet: fleet(now, listings),
+            owner: Owner::new(owner_config(vm, mark)),
+        };
+        let live: Vec<Vm> = vec![vm.into()];
+        desk.step(Event::View { live, fit: true });
+        desk
+    }
+
+    /// Takes an event in, notes what is known, and returns everything wanted.
+    pub fn step(&mut self, event: Event) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.owner.step(self.now, &self.fleet, event, &mut actions);
+        for action in &actions {
+            if let Action::Presence {
+                runner,
+                target,
+                presence,
+            } = action
+            {
+                self.fleet.note(self.now, runner, target, *presence);
+            }
+        }
+        self.owner.pump(self.now, &self.fleet, &mut actions);
+        actions
+    }
+
+    /// Lets time pass in ticks of 100 ms.
+    pub fn pass(&mut self, time: Duration) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for _ in 0..time.as_millis() / 100 {
+            self.now += ms(100);
+            let wall = self.wall + self.now.as_secs();
+            actions.extend(self.step(Event::Tick { wall }));
+        }
+        actions
+    }
+
+    /// Answers every order of `actions` and those that follow, and returns the orders given.
+    pub fn obey(
+        &mut self,
+        actions: Vec<Action>,
+        answer: impl Fn(&Order) -> owner::Answer,
+    ) -> Vec<(Upstream, u64, Order)> {
+        let mut given = Vec::new();
+        let mut open = actions;
+        while !open.is_empty() {
+            let mut next = Vec::new();
+            for action in open {
+                match action {
+                    Action::Order {
+                        runner,
+                        fence,
+                        order,
+                    } => {
+                        given.push((runner.clone(), fence, order.clone()));
+                        let answer = answer(&order);
+                        next.extend(self.step(Event::Answered {
+                            runner,
+                            fence,
+                            order,
+                            answer,
+                        }));
+                    }
+                    Action::Inspect { runner, .. } => {
+                        next.extend(self.step(Event::Inspected {
+                            runner,
+                            sound: true,
+                        }));
+                    }
+                    _ => {}
+                }
+            }
+            open = next;
+        }
+        given
+    }
+
+    /// Claims all engines and brings the claims to the engines.
+    pub fn claim(&mut self) {
+        let actions = self.pass(ms(1_000));
+        self.obey(actions, |_| owner::Answer::Done);
+    }
+}
--- /dev/null
+++ b/crates/exchange/tests/upstream_choice.rs
@@ -0,0 +1,197 @@
+//! Which upstream a request goes to.
+
+mod support;
+
+use exchange::Pick;
+use exchange::choice::{Lack, Need, pick};
+use exchange::demand::Target;
+use exchange::fleet::{Load, Presence, Verdict};
+use exchange::route::Service;
+use rstest::rstest;
+use support::{desk, desks, engine, engines, fleet, ms, target};
+use wire::{Upstream, Zone};
+
+const NOW: std::time::Duration = ms(10_000);
+
+struct Ask<'a> {
+    service: &'a Service,
+    target: Option<&'a Target>,
+    tried: &'a [Upstream],
+    long: bool,
+}
+
+fn choose(fleet: &exchange::Fleet, ask: &Ask<'_>) -> Pick {
+    let zone: Zone = "zone-a".into();
+    let need = Need {
+        service: ask.service,
+        target: ask.target,
+        tried: ask.tried,
+        seed: 42,
+        zone: &zone,
+        unowned: &[],
+        long: ask.long,
+        lanes: true,
+    };
+    pick(NOW, fleet, &need)
+}
+
+fn plain(fleet: &exchange::Fleet, tried: &[Upstream]) -> Pick {
+    choose(
+        fleet,
+        &Ask {
+            service: &desks(),
+            target: None,
+            tried,
+            long: false,
+        },
+    )
+}
+
+fn model(fleet: &exchange::Fleet, target: &Target, long: bool) -> Pick {
+    choose(
+        fleet,
+        &Ask {
+            service: &engines(),
+            target: Some(target),
+            tried: &[],
+            long,
+        },
+    )
+}
+
+#[rstest]
+fn near_upstream_is_preferred() {
+    let fleet = fleet(NOW, [desk("s1", "zone-b"), desk("s2", "zone-a")]);
+    assert_eq!(plain(&fleet, &[]), Pick::Send("s2".into()));
+}
+
+#[rstest]
+fn loaded_upstream_is_left_alone() {
+    let mut fleet = fleet(NOW, [desk("s1", "zone-b"), desk("s2", "zone-a")]);
+    let load = Load {
+        running: 16,
+        waiting: 4,
+    };
+    fleet.report(NOW, "s2", load);
+    assert_eq!(plain(&fleet, &[]), Pick::Send("s1".into()));
+}
+
+#[rstest]
+fn failing_upstream_is_left_alone_for_a_while() {
+    let mut fleet = fleet(NOW - ms(50), [desk("s1", "zone-b"), desk("s2", "zone-a")]);
+    fleet.start(NOW - ms(20), "s2");
+    fleet.end(NOW - ms(10), "s2", Verdict::Failed);
+    assert_eq!(plain(&fleet, &[]), Pick::Send("s1".into()));
+    let trouble = fleet.runner("s2").map(|s2| s2.trouble(NOW + ms(20_000)));
+    assert!(trouble.is_some_and(|trouble| trouble < 0.01));
+}
+
+#[rstest]
+fn leaving_upstream_gets_nothing() {
+    let mut listing = desk("s2", "zone-a");
+    listing.leaving = true;
+    let fleet = fleet(NOW, [listing]);
+    assert_eq!(plain(&fleet, &[]), Pick::None(Lack::Upstream));
+}
+
+#[rstest]
+fn shunned_upstream_gets_nothing() {
+    let mut fleet = fleet(NOW, [desk("s1", "zone-b"), desk("s2", "zone-a")]);
+    fleet.shun("s2");
+    assert_eq!(plain(&fleet, &[]), Pick::Send("s1".into()));
+}
+
+#[rstest]
+fn tried_upstream_is_not_tried_again() {
+    let fleet = fleet(NOW, [desk("s2", "zone-a")]);
+    assert_eq!(plain(&fleet, &["s2".into()]), Pick::None(Lack::Untried));
+}
+
+#[rstest]
+fn resident_adapter_is_used() {
+    let listings = [engine("e1", &[]), engine("e2", &["a"]), engine("e3", &[])];
+    let fleet = fleet(NOW, listings);
+    assert_eq!(model(&fleet, &target("a"), false), Pick::Send("e2".into()));
+}
+
+#[rstest]
+fn coming_adapter_is_waited_for() {
+    let mut fleet = fleet(NOW, [engine("e1", &[]), engine("e2", &[])]);
+    let at = NOW + ms(120);
+    fleet.note(NOW, "e2", &target("a"), Presence::Coming(at, None));
+    assert_eq!(
+        model(&fleet, &target("a"), false),
+        Pick::Wait("e2".into(), at)
+    );
+}
+
+/// Every node that knows the same engines sends a rare adapter to the same one.
+#[rstest]
+fn rare_adapter_has_one_home() {
+    let ids: Vec<String> = (0..9).map(|index| format!("e{index}")).collect();
+    let mut listings: Vec<_> = ids.iter().map(|id| engine(id, &[])).collect();
+    let first = model(&fleet(NOW, listings.clone()), &target("a"), false);
+    listings.reverse();
+    let second = model(&fleet(NOW, listings), &target("a"), false);
+    assert!(matches!(first, Pick::Load(_)), "{first:?}");
+    assert_eq!(first, second);
+}
+
+#[rstest]
+fn backlog_moves_a_load_elsewhere() {
+    let mut fleet = fleet(NOW, [engine("e1", &[]), engine("e2", &[])]);
+    let Pick::Load(home) = model(&fleet, &target("a"), false) else {
+        panic!("nothing to load");
+    };
+    fleet.note_backlog(NOW, &home, ms(3_000));
+    let Pick::Load(other) = model(&fleet, &target("a"), false) else {
+        panic!("nothing to load");
+    };
+    assert_ne!(home, other);
+}
+
+/// Long prompts share an engine, although it has to load their adapters.
+#[rstest]
+fn long_prompts_share_an_engine() {
+    let ids: Vec<String> = (0..9).map(|index| format!("e{index}")).collect();
+    let fleet = fleet(NOW, ids.iter().map(|id| engine(id, &[])));
+    let lane = |name: &str| match model(&fleet, &target(name), true) {
+        Pick::Load(id) => id,
+        other => panic!("{other:?}"),
+    };
+    let first = lane("a");
+    for name in ["b", "c", "d", "e"] {
+        assert_eq!(lane(name), first);
+        let short = model(&fleet, &target(name), false);
+        assert_ne!(short, Pick::Load(first.clone()));
+    }
+}
+
+#[rstest]
+fn older_version_does_not_serve() {
+    let mut listing = engine("e1", &[]);
+    listing.holdings[0].adapters.push(("a".into(), Some(1)));
+    let mut fleet = fleet(NOW, [listing]);
+    assert_eq!(model(&fleet, &target("a"), false), Pick::Send("e1".into()));
+    fleet.announce(target("a"), 2);
+    assert_eq!(model(&fleet, &target("a"), false), Pick::Load("e1".into()));
+}
+
+#[rstest]
+fn engine_without_weights_gets_nothing() {
+    let mut listing = engine("e1", &[]);
+    listing.holdings.clear();
+    let fleet = fleet(NOW, [listing]);
+    let pick = model(&fleet, &target("a"), false);
+    assert_eq!(pick, Pick::None(Lack::Weights));
+}
+
+/// A restarted engine holds nothing of what its former process held.
+#[rstest]
+fn restarted_engine_is_empty() {
+    let mut fleet = fleet(NOW, [engine("e1", &["a"])]);
+    let mut listing = engine("e1", &[]);
+    listing.born = Some(2);
+    fleet.list(NOW, listing);
+    assert_eq!(model(&fleet, &target("a"), false), Pick::Load("e1".into()));
+}
--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -37,9 +37,13 @@
 /// longest usual work.
 const SERVICE_SILENCE: Duration = Duration::from_millis(400);
 
-/// Silence of an engine that owes events from which a stream goes elsewhere: many steps, and below
-/// the time after which callers give up.
-pub(super) const ENGINE_SILENCE: Duration = Duration::from_millis(600);
+/// Silence of an engine from which a request without a first event goes elsewhere: longer than it
+/// reads the longest prompts, and short enough to be on time elsewhere.
+const ENGINE_SILENCE: Duration = Duration::from_millis(600);
+
+/// Silence of an engine from which a stream goes elsewhere: the stream is late already, and its
+/// caller waits for longer than this.
+const STREAM_SILENCE: Duration = Duration::from_millis(1_200);
 
 /// Pause after which an engine that refused for a load under way is tried again.
 const NOT_YET: Duration = Duration::from_millis(50);
@@ -256,7 +260,6 @@
             head: Some(self.left()),
             request,
         }));
-        let movable = self.route.kind.repeatable() && self.attempts < self.route.attempts;
         let limit = self.silence_limit();
         let started = self.hub.clock.now();
         loop {
@@ -265,7 +268,7 @@
                 response = &mut sending => return response.map_err(Headless::Failed),
                 () = sleep => {
                     let waited = self.hub.clock.now().saturating_sub(started);
-                    if movable && waited >= limit && visit.silence() >= limit {
+                    if waited >= limit && visit.silence() >= limit && self.may_move() {
                         return Err(Headless::Silent);
                     }
                 }
@@ -422,6 +425,11 @@
     /// Waits for the next part of a stream, until it ends, breaks or has to be given up.
     pub(super) async fn next(&self, body: &mut link::Body, visit: &Visit<D>) -> Next {
         let movable = self.route.kind.repeatable() && self.attempts < self.route.attempts;
+        let limit = if self.last_part.is_zero() {
+            ENGINE_SILENCE
+        } else {
+            STREAM_SILENCE
+        };
         let deadline = self.hub.clock.instant(self.terms.deadline);
         let mut next = pin!(body.next());
         loop {
@@ -434,7 +442,7 @@
                 },
                 () = tokio::time::sleep_until(deadline) => return Next::Broken("late"),
                 () = tokio::time::sleep(LOOK), if movable => {
-                    if visit.silence() >= ENGINE_SILENCE {
+                    if visit.silence() >= limit && self.may_move() {
                         return Next::Broken("silent");
                     }
                 }
--- a/crates/gateway/src/front/job.rs
+++ b/crates/gateway/src/front/job.rs
@@ -1,9 +1,11 @@
 //! One request from its head to its final answer.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
+use exchange::Pick;
 use exchange::demand::Target;
 use exchange::outcome::{Next, Reach, Standing};
 use exchange::relay::Cursor;
@@ -58,6 +60,8 @@
     pub(super) tried: Vec<Upstream>,
     /// Attempts so far.
     pub(super) attempts: u32,
+    /// Whether the next attempt is paid for already.
+    prepaid: AtomicBool,
     /// Engine at which a load was asked for.
     pub(super) home: Option<Upstream>,
     /// Promises so far that it did not run.
@@ -100,6 +104,7 @@
             body,
             tried: Vec::new(),
             attempts: 0,
+            prepaid: AtomicBool::new(false),
             home: None,
             refusals: 0,
             worst: Reach::NotRun,
@@ -196,10 +201,30 @@
         if !standing.may_repeat() {
             return false;
         }
+        let paid = self.prepaid.swap(false, Ordering::Relaxed);
+        standing.next(paid || self.pay()) == Next::Again
+    }
+
+    /// Takes a repeat out of the budget where it allows one.
+    fn pay(&self) -> bool {
         let now = self.hub.clock.now();
         let nodes = self.hub.nodes();
-        let budget = self.hub.desk().spend.repeat(now, &self.service.name, nodes);
-        standing.next(budget) == Next::Again
+        let mut desk = self.hub.desk();
+        desk.spend.repeat(now, &self.service.name, nodes)
+    }
+
+    /// Tells whether the request may leave an upstream that still works on it: only where another
+    /// one can take it at once, which is paid for here.
+    pub(super) fn may_move(&self) -> bool {
+        let movable = self.route.kind.repeatable() && self.attempts < self.route.attempts;
+        if !movable || self.left() < LEAST {
+            return false;
+        }
+        let target = self.target();
+        let elsewhere = self.hub.pick(&self.query(target.as_ref()));
+        let paid = matches!(elsewhere, Pick::Send(_)) && self.pay();
+        self.prepaid.store(paid, Ordering::Relaxed);
+        paid
     }
 
     /// Ends the request after its last attempt, with the upstream's own failure where it gave one.
--- /dev/null
+++ b/crates/roster/tests/seed_membership.rs
@@ -0,0 +1,157 @@
+//! Members found without a list.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use roster::seeds::{Action, Event, FORGET, Record, Seeds};
+use rstest::rstest;
+use wire::{Machine, Time};
+
+const STEP: Duration = Duration::from_millis(100);
+
+fn address(index: usize) -> SocketAddr {
+    ([10, 0, 0, 1 + index as u8], 80).into()
+}
+
+fn record(index: usize) -> Record {
+    Record {
+        vm: format!("vm-{index}").into(),
+        zone: "zone".into(),
+        peers: address(index),
+        callers: ([10, 0, 0, 1 + index as u8], 81).into(),
+    }
+}
+
+/// Nodes that exchange messages without delay; some may be cut off.
+struct Network {
+    now: Time,
+    nodes: BTreeMap<usize, Seeds>,
+    cut: Vec<(usize, usize)>,
+    down: Vec<usize>,
+    members: BTreeMap<usize, usize>,
+}
+
+impl Network {
+    fn new(count: usize, seeds: &[usize]) -> Self {
+        let mut network = Self {
+            now: Duration::ZERO,
+            nodes: BTreeMap::new(),
+            cut: Vec::new(),
+            down: Vec::new(),
+            members: BTreeMap::new(),
+        };
+        for index in 0..count {
+            network.start(index, seeds);
+        }
+        network
+    }
+
+    fn start(&mut self, index: usize, seeds: &[usize]) {
+        let seeds: Vec<SocketAddr> = seeds.iter().map(|seed| address(*seed)).collect();
+        self.nodes
+            .insert(index, Seeds::new(record(index), seeds, index as u64));
+    }
+
+    fn reaches(&self, from: usize, to: usize) -> bool {
+        let cut = self.cut.contains(&(from, to)) || self.cut.contains(&(to, from));
+        !cut && !self.down.contains(&from) && !self.down.contains(&to)
+    }
+
+    fn step(&mut self, index: usize, event: Event) {
+        let Some(node) = self.nodes.get_mut(&index) else {
+            return;
+        };
+        let mut actions = Vec::new();
+        node.step(self.now, event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Members(members) => {
+                    self.members.insert(index, members.len());
+                }
+                Action::Send { to, message } => {
+                    let target = (0..64).find(|other| address(*other) == to);
+                    if let Some(target) = target.filter(|target| self.reaches(index, *target)) {
+                        let from = address(index);
+                        self.step(target, Event::Alive(record(index).vm));
+                        self.step(target, Event::Receive { from, message });
+                    }
+                }
+            }
+        }
+    }
+
+    fn pass(&mut self, time: Duration) {
+        let until = self.now + time;
+        while self.now < until {
+            self.now += STEP;
+            let running: Vec<usize> = self.nodes.keys().copied().collect();
+            for index in running {
+                if !self.down.contains(&index) {
+                    self.step(index, Event::Tick);
+                }
+            }
+        }
+    }
+
+    fn all_know(&self, count: usize) -> bool {
+        let running = self.nodes.keys().filter(|index| !self.down.contains(index));
+        running
+            .into_iter()
+            .all(|index| self.members.get(index) == Some(&count))
+    }
+}
+
+#[rstest]
+#[case::seven(7)]
+#[case::sixty(60)]
+fn all_meet_by_a_seed(#[case] count: usize) {
+    let mut network = Network::new(count, &[0, 1, 2]);
+    network.pass(Duration::from_secs(8));
+    assert!(network.all_know(count), "{:?}", network.members);
+}
+
+#[rstest]
+fn dead_seeds_do_not_matter() {
+    let mut network = Network::new(7, &[0, 1, 2]);
+    network.pass(Duration::from_secs(2));
+    network.down = vec![0, 1];
+    network.start(7, &[0, 1, 2]);
+    network.pass(Duration::from_secs(2));
+    assert!(network.members[&7] >= 6, "{:?}", network.members);
+}
+
+#[rstest]
+fn gone_vm_is_forgotten() {
+    let mut network = Network::new(7, &[0, 1, 2]);
+    network.pass(Duration::from_secs(3));
+    network.down = vec![3];
+    network.pass(FORGET * 2);
+    assert!(network.all_know(6), "{:?}", network.members);
+}
+
+/// Halves that were cut for longer than they remember each other meet again by the seeds.
+#[rstest]
+fn halves_meet_again() {
+    let mut network = Network::new(6, &[0, 1, 2]);
+    network.pass(Duration::from_secs(3));
+    network.cut = (0..3).flat_map(|a| (3..6).map(move |b| (a, b))).collect();
+    network.pass(FORGET * 2);
+    assert!(network.all_know(3), "{:?}", network.members);
+    network.cut.clear();
+    network.pass(Duration::from_secs(8));
+    assert!(network.all_know(6), "{:?}", network.members);
+}
+
+#[rstest]
+fn stale_record_is_not_news() {
+    let mut network = Network::new(2, &[0]);
+    network.pass(Duration::from_secs(1));
+    let message = roster::seeds::Message::Tell(vec![roster::seeds::Heard {
+        record: record(9),
+        age: u32::try_from(FORGET.as_millis()).expect("seconds"),
+    }]);
+    let from = address(1);
+    network.step(0, Event::Receive { from, message });
+    assert!(network.all_know(2), "{:?}", network.members);
+}
