Let two nodes read the platform for all, and let owners say what is resident

Change: the first two nodes of an order read and tell the others which upstreams there are and that a configuration is new; the next in order take over where they fall silent.

--- a/crates/exchange/src/fleet.rs
+++ b/crates/exchange/src/fleet.rs
@@ -7,7 +7,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use wire::{Adapter, Base, Time, Upstream, Zone};
+use serde::{Deserialize, Serialize};
+use wire::{Adapter, Base, Time, Upstream, Zone, rank};
 
 use crate::demand::Target;
 use crate::route::{Config, Engine, Pool};
@@ -39,7 +40,7 @@
 const TROUBLE_DOUBLINGS: u32 = 4;
 
 /// A base model that an engine holds, with its adapters.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Holding {
     /// The base model.
     pub base: Base,
@@ -48,7 +49,7 @@
 }
 
 /// What the platform says of one upstream.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listing {
     /// Its id.
     pub id: Upstream,
@@ -70,6 +71,35 @@
     pub holdings: Vec<Holding>,
 }
 
+impl Listing {
+    /// Returns the listing without adapters.
+    #[must_use]
+    pub fn outline(&self) -> Self {
+        let bare = |holding: &Holding| Holding {
+            base: holding.base.clone(),
+            adapters: Vec::new(),
+        };
+        Self {
+            holdings: self.holdings.iter().map(bare).collect(),
+            ..self.clone()
+        }
+    }
+
+    fn digest(&self) -> u64 {
+        let bases = self.holdings.iter().map(|holding| &*holding.base);
+        let bases: Vec<&str> = bases.collect();
+        let text = format!(
+            "{} {} {} {:?} {}",
+            self.pool,
+            self.address,
+            self.leaving,
+            self.born,
+            bases.join(" ")
+        );
+        rank::weight(rank::hash(text), &self.id)
+    }
+}
+
 /// Load that an upstream states in an answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
@@ -90,6 +120,17 @@
     Absent,
 }
 
+impl Presence {
+    /// Returns the presence as of `now`: what was expected by then counts as there.
+    #[must_use]
+    pub fn as_of(self, now: Time) -> Self {
+        match self {
+            Self::Coming(at, version) if at <= now => Self::Held(version),
+            other => other,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Stock {
     target: Target,
@@ -164,6 +205,13 @@
         runner
     }
 
+    /// Tells whether `listing` is about the same process.
+    fn same(&self, listing: &Listing) -> bool {
+        self.listing.born == listing.born
+            && self.listing.address == listing.address
+            && self.listing.pool == listing.pool
+    }
+
     /// Tells whether new requests may go to it.
     pub fn open(&self) -> bool {
         !self.listing.leaving && !self.shunned
@@ -374,10 +422,7 @@
             }
         };
         let runner = &mut self.runners[index];
-        let restarted = runner.listing.born != listing.born
-            || runner.listing.address != listing.address
-            || runner.listing.pool != listing.pool;
-        if restarted {
+        if !runner.same(&listing) {
             let (running, engine) = (runner.running, runner.engine.take());
             *runner = Runner::new(now, listing);
             (runner.running, runner.engine) = (running, engine);
@@ -389,6 +434,46 @@
         if left { Change::Leaving } else { Change::Same }
     }
 
+    /// Takes an outline over, which leaves what is known of adapters as it is. A process that
+    /// leaves does not come back, whatever an outline says that was under way for longer.
+    pub fn outline(&mut self, now: Time, outline: Listing) -> Change {
+        let Some(runner) = self
+            .runner_mut(&outline.id)
+            .filter(|known| known.same(&outline))
+        else {
+            return self.list(now, outline);
+        };
+        let left = outline.leaving && !runner.listing.leaving;
+        runner.listing.leaving |= outline.leaving;
+        runner.listing.slots = outline.slots;
+        for holding in &outline.holdings {
+            let bare = Target {
+                base: holding.base.clone(),
+                adapter: None,
+            };
+            runner.offer(now, &bare, None, Source::Listing);
+        }
+        let gone = |stock: &Stock| {
+            let base = &stock.target.base;
+            stock.listed && outline.holdings.iter().all(|holding| holding.base != *base)
+        };
+        runner.stock.retain(|stock| !gone(stock));
+        runner.listing.holdings = outline.holdings;
+        if left { Change::Leaving } else { Change::Same }
+    }
+
+    /// Returns a digest of the upstreams and versions; equal ones have equal digests.
+    pub fn digest(&self) -> u64 {
+        let runners = self.runners.iter().map(|runner| runner.listing.digest());
+        let versions = self
+            .versions
+            .iter()
+            .map(|(target, version)| rank::weight(*version, &target.to_string()));
+        runners
+            .chain(versions)
+            .fold(0, |digest, hash| digest ^ hash)
+    }
+
     /// Forgets an upstream that is gone.
     pub fn delist(&mut self, id: &str) -> bool {
         match self.find(id) {
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`meter`] lets prompts into an engine without making its streams pause.
 //! - [`owner`] claims engines, numbers orders, and decides on loads and evictions.
 //! - [`spend`] bounds repeats by the share that one node has in the budget of all.
+//! - [`mirror`] decides which nodes read the platform for all.
 //! - [`outcome`] decides what a failed attempt means for its caller.
 //! - [`relay`] follows the events of a stream, so that it can go on at another engine.
 
@@ -21,6 +22,7 @@
 pub mod demand;
 pub mod fleet;
 pub mod meter;
+pub mod mirror;
 pub mod outcome;
 pub mod owner;
 pub mod relay;
--- a/crates/exchange/src/owner/message.rs
+++ b/crates/exchange/src/owner/message.rs
@@ -81,6 +81,8 @@
         ticket: u64,
         /// The engine.
         runner: Upstream,
+        /// What is known of its model; only where that is resident may the request be sent.
+        news: News,
         /// Milliseconds to wait before the request is sent.
         wait: u32,
         /// Milliseconds of reading that are ahead at the engine.
--- a/crates/exchange/src/owner/mod.rs
+++ b/crates/exchange/src/owner/mod.rs
@@ -183,6 +183,8 @@
 /// When a request may be sent to an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Grant {
+    /// What is known of its model; only where that is resident may the request be sent.
+    pub presence: Presence,
     /// Time to wait.
     pub wait: Duration,
     /// Reading time that is ahead at the engine.
@@ -263,18 +265,30 @@
     }
 
     /// Lets a request in at an engine of this node; `None` where another node orders there.
-    pub fn admit(&mut self, now: Time, runner: &str, visit: &Visit) -> Option<Grant> {
+    pub fn admit(
+        &mut self,
+        now: Time,
+        fleet: &Fleet,
+        runner: &str,
+        visit: &Visit,
+    ) -> Option<Grant> {
         let load = self.config.load;
+        let known = fleet.runner(runner)?;
         let seat = self.seat_mut(runner)?;
-        let wait = seat.meter.admit(now, visit.reading, visit.rank);
-        let backlog = seat.backlog(now, load);
-        let until = now + wait + visit.reading + visit.running;
-        seat.count(now, &visit.target, until);
-        Some(Grant {
-            wait,
+        let presence = known.presence(&visit.target).as_of(now);
+        let mut grant = Grant {
+            presence,
+            wait: Duration::ZERO,
             level: seat.meter.level(now),
-            backlog,
-        })
+            backlog: seat.backlog(now, load),
+        };
+        if matches!(presence, Presence::Held(version) if fleet.current(&visit.target, version)) {
+            grant.wait = seat.meter.admit(now, visit.reading, visit.rank);
+            grant.level = seat.meter.level(now);
+            let until = now + grant.wait + visit.reading + visit.running;
+            seat.count(now, &visit.target, until);
+        }
+        Some(grant)
     }
 
     /// Takes an event in and appends the actions that follow, but for orders: those follow from
@@ -369,12 +383,13 @@
                     running: Duration::from_millis(running.into()),
                     rank,
                 };
-                if let Some(grant) = self.admit(now, &runner, &visit) {
+                if let Some(grant) = self.admit(now, fleet, &runner, &visit) {
                     out.push(Action::Send {
                         to: from.clone(),
                         message: Message::Grant {
                             ticket,
                             runner,
+                            news: News::new(now, grant.presence),
                             wait: millis(grant.wait),
                             level: millis(grant.level),
                             backlog: millis(grant.backlog),
@@ -385,6 +400,7 @@
             Message::Grant {
                 ticket,
                 runner,
+                news,
                 wait,
                 level,
                 backlog,
@@ -392,6 +408,7 @@
                 ticket,
                 runner,
                 grant: Grant {
+                    presence: news.presence(now),
                     wait: Duration::from_millis(wait.into()),
                     level: Duration::from_millis(level.into()),
                     backlog: Duration::from_millis(backlog.into()),
--- a/crates/exchange/tests/owner_orders.rs
+++ b/crates/exchange/tests/owner_orders.rs
@@ -140,7 +140,7 @@
             running: ms(5_000),
             rank: 1,
         };
-        desk.owner.admit(desk.now, "e1", &visit);
+        desk.owner.admit(desk.now, &desk.fleet, "e1", &visit);
     }
     let actions = desk.step(want("b"));
     assert_eq!(orders(&actions), [&Order::Unload(target("a0"))]);
--- /dev/null
+++ b/crates/exchange/tests/platform_mirror.rs
@@ -0,0 +1,113 @@
+//! Which nodes read the platform, and what they tell.
+
+mod support;
+
+use exchange::fleet::{Change, Presence};
+use exchange::mirror::Mirror;
+use rstest::rstest;
+use support::{bare, engine, fleet, ms, target};
+use wire::Vm;
+
+fn vms(count: usize) -> Vec<Vm> {
+    (0..count)
+        .map(|index| format!("vm-{index}").into())
+        .collect()
+}
+
+fn mirrors(count: usize) -> Vec<Mirror> {
+    let live = vms(count);
+    let mirror = |me: &Vm| {
+        let mut mirror = Mirror::default();
+        mirror.set_view(me, &live);
+        mirror
+    };
+    live.iter().map(mirror).collect()
+}
+
+#[rstest]
+#[case::one(1, 1)]
+#[case::seven(7, 2)]
+#[case::eighty(80, 2)]
+fn two_nodes_read(#[case] nodes: usize, #[case] readers: usize) {
+    let mut mirrors = mirrors(nodes);
+    let now = ms(10_000);
+    for mirror in &mut mirrors {
+        mirror.hear(now - ms(200), ms(100));
+    }
+    let reading = mirrors.iter().filter(|mirror| mirror.reads(now)).count();
+    assert_eq!(reading, readers);
+}
+
+/// Where the readers fall silent the others take over one after the other, not all at once.
+#[rstest]
+fn others_take_over_in_turn() {
+    let mut mirrors = mirrors(80);
+    let silent_since = ms(10_000);
+    for mirror in &mut mirrors {
+        mirror.hear(silent_since, ms(0));
+    }
+    let reading = |after: u64| {
+        let now = silent_since + ms(after);
+        mirrors.iter().filter(|mirror| mirror.reads(now)).count()
+    };
+    assert_eq!(reading(1_000), 2);
+    assert_eq!(reading(1_500), 3);
+    assert!(reading(5_000) == 80, "all read in the end");
+}
+
+#[rstest]
+fn old_knowledge_is_no_news() {
+    let mut mirrors = mirrors(7);
+    let now = ms(10_000);
+    for mirror in &mut mirrors {
+        mirror.hear(now, ms(9_000));
+    }
+    assert!(mirrors.iter().all(|mirror| mirror.reads(now)));
+}
+
+#[rstest]
+fn lasting_difference_is_made_up_once() {
+    let mut mirror = Mirror::default();
+    mirror.compare(ms(1_000), false);
+    assert!(!mirror.take_gap(ms(1_500)));
+    assert!(mirror.take_gap(ms(2_100)));
+    assert!(!mirror.take_gap(ms(2_200)));
+    mirror.compare(ms(3_000), true);
+    assert!(!mirror.take_gap(ms(60_000)));
+}
+
+#[rstest]
+fn outline_leaves_adapters_alone() {
+    let now = ms(1_000);
+    let mut fleet = fleet(now, [engine("e1", &[])]);
+    fleet.note(now, "e1", &target("a"), Presence::Held(None));
+    let outline = engine("e1", &["b"]).outline();
+    assert_eq!(fleet.outline(now + ms(60_000), outline), Change::Same);
+    let runner = fleet.runner("e1").expect("listed");
+    assert_eq!(runner.presence(&target("a")), Presence::Held(None));
+    assert_eq!(runner.presence(&target("b")), Presence::Absent);
+    assert_eq!(runner.presence(&bare()), Presence::Held(None));
+}
+
+#[rstest]
+fn leaving_process_does_not_come_back() {
+    let now = ms(1_000);
+    let mut fleet = fleet(now, [engine("e1", &[])]);
+    let mut leaving = engine("e1", &[]);
+    leaving.leaving = true;
+    assert_eq!(fleet.outline(now, leaving), Change::Leaving);
+    fleet.outline(now, engine("e1", &[]));
+    assert!(!fleet.runner("e1").expect("listed").open());
+}
+
+#[rstest]
+fn equal_fleets_have_equal_digests() {
+    let now = ms(1_000);
+    let one = fleet(now, [engine("e1", &["a"]), engine("e2", &[])]);
+    let other = fleet(now, [engine("e2", &["b"]), engine("e1", &[])]);
+    assert_eq!(one.digest(), other.digest());
+    let mut leaving = engine("e2", &[]);
+    leaving.leaving = true;
+    let third = fleet(now, [engine("e1", &[]), leaving]);
+    assert_ne!(one.digest(), third.digest());
+}
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -25,6 +25,9 @@
 /// Time between two ticks.
 const TICK: Duration = Duration::from_millis(100);
 
+/// Ticks between two pulses of a reader.
+const PULSE_TICKS: u64 = 4;
+
 /// Time without a peer after which a node takes traffic alone.
 const ALONE: Duration = Duration::from_millis(1_500);
 
@@ -55,6 +58,7 @@
     shown: Option<(Vec<Vm>, bool)>,
     started: Time,
     met_at: Option<Time>,
+    ticks: u64,
 }
 
 /// Sends inputs to the actor.
@@ -127,6 +131,7 @@
             shown: None,
             started: hub.clock.now(),
             met_at: None,
+            ticks: 0,
             hub,
         })
     }
@@ -158,6 +163,7 @@
                 from: sender,
                 message,
             }),
+            Message::Pulse(pulse) => self.hub.take_pulse(pulse),
             Message::Owner(message) => self.hub.drive(owner::Event::Receive {
                 from: sender.vm,
                 message,
@@ -172,6 +178,10 @@
         self.show();
         let wall = self.hub.wall();
         self.hub.drive(owner::Event::Tick { wall });
+        self.ticks += 1;
+        if self.ticks.is_multiple_of(PULSE_TICKS) {
+            self.hub.pulse(Vec::new());
+        }
     }
 
     /// Takes traffic once peers have answered, or nobody has for a while.
@@ -265,6 +275,7 @@
             records,
             live: live.clone(),
         }));
+        self.hub.desk().mirror.set_view(&self.hub.me.vm, &live);
         self.hub.drive(owner::Event::View { live, fit });
     }
 
--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -25,6 +25,8 @@
     Seeds(roster::seeds::Message),
     /// Ownership of engines.
     Owner(exchange::owner::Message),
+    /// What a reader of the platform knows.
+    Pulse(exchange::mirror::Pulse),
 }
 
 /// Number of [`Message`] in frames; other machines of the product have lower ones.
--- a/crates/gateway/src/front/place.rs
+++ b/crates/gateway/src/front/place.rs
@@ -4,6 +4,7 @@
 
 use exchange::choice::{Lack, Pick};
 use exchange::demand::Target;
+use exchange::fleet::Presence;
 use exchange::owner::{self, Visit};
 use wire::Upstream;
 
@@ -45,7 +46,9 @@
                 Pick::Send(runner) => {
                     let waited = self.hub.clock.now().saturating_sub(started);
                     self.stalled += waited;
-                    self.let_in(&runner).await;
+                    if !self.let_in(&runner).await {
+                        continue;
+                    }
                     if target.is_some() {
                         self.hub.metrics.stalled(&self.service.name, waited);
                     }
@@ -72,10 +75,11 @@
         }
     }
 
-    /// Waits until the engine may be given the prompt.
-    async fn let_in(&mut self, runner: &Upstream) {
+    /// Waits until the engine may be given the prompt. Returns `false` where whoever orders there
+    /// says that the model is not there, after all.
+    async fn let_in(&mut self, runner: &Upstream) -> bool {
         let Some(target) = self.target() else {
-            return;
+            return true;
         };
         let tokens = self.ask.answer.unwrap_or_default();
         let visit = Visit {
@@ -84,9 +88,15 @@
             running: self.hub.exchange.step * tokens,
             rank: self.route.rank,
         };
-        let wait = self.hub.grant(runner, visit).await;
-        self.queued += wait;
-        tokio::time::sleep(wait.min(self.left())).await;
+        let Some(grant) = self.hub.grant(runner, visit).await else {
+            return true;
+        };
+        if !matches!(grant.presence, Presence::Held(_)) {
+            return false;
+        }
+        self.queued += grant.wait;
+        tokio::time::sleep(grant.wait.min(self.left())).await;
+        true
     }
 
     /// Waits for news of the target, for no longer than `wait`.
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -8,7 +8,8 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use exchange::choice::{self, Need, Pick};
 use exchange::demand::{Demand, Target};
-use exchange::fleet::Presence;
+use exchange::fleet::{self, Listing, Presence, Version};
+use exchange::mirror::{self, Mirror, Pulse};
 use exchange::owner::{self, Action, Grant, Note, Visit};
 use exchange::route::{Config, Service};
 use exchange::spend::{self, Spend};
@@ -18,9 +19,9 @@
 use node::journal::DECISION;
 use roster::seeds::Record;
 use settings::Settings;
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 use upstream::link::{Limits, Link};
-use wire::{Incarnation, Time, Upstream, Vm};
+use wire::{Incarnation, Revision, Time, Upstream, Vm};
 
 use crate::datagram::{Message, Post};
 use crate::dialect::Dialect;
@@ -45,6 +46,12 @@
 /// few round trips within a region.
 const GRANT: Duration = Duration::from_millis(30);
 
+/// Age of a reader's knowledge up to which the platform counts as heard through it.
+const STORE_FRESH: Duration = Duration::from_millis(1_500);
+
+/// Changes in one pulse: about 2,000 bytes, which one datagram carries.
+const PULSE_CHANGES: usize = 12;
+
 /// Time after which a home that lacks an adapter in demand is asked for it again.
 const SPREAD_PAUSE: Duration = Duration::from_millis(500);
 
@@ -102,12 +109,27 @@
     pub spend: Spend,
     /// Who orders at the engines.
     pub owner: Owner,
+    /// Who reads the platform.
+    pub mirror: Mirror,
     waiters: Vec<Waiter>,
     tickets: Vec<(u64, oneshot::Sender<Grant>)>,
     next_ticket: u64,
     spread: Vec<(Upstream, Target, Time)>,
 }
 
+impl Desk {
+    /// Takes over what an owner said with a grant.
+    fn heed(&mut self, now: Time, runner: &str, target: &Target, grant: Grant) {
+        self.fleet.note_reading(now, runner, grant.level);
+        self.fleet.note_backlog(now, runner, grant.backlog);
+        let known = self.fleet.runner(runner);
+        let known = known.map(|known| known.presence(target).as_of(now));
+        if known != Some(grant.presence) {
+            self.fleet.note(now, runner, target, grant.presence);
+        }
+    }
+}
+
 /// The state of one node.
 pub struct Hub<D> {
     /// The adapter to the platform.
@@ -128,6 +150,9 @@
     pub metrics: Metrics,
     /// The socket towards other nodes.
     pub post: Arc<Post>,
+    /// Wakes the reader of the platform where a pulse tells of something to read.
+    pub news: Notify,
+    newest: AtomicU64,
     desk: Mutex<Desk>,
     links: Mutex<Vec<(Upstream, SocketAddr, Link)>>,
     met: AtomicBool,
@@ -169,6 +194,7 @@
             demand: Demand::default(),
             spend: Spend::new(spend),
             owner: Owner::new(owner),
+            mirror: Mirror::default(),
             waiters: Vec::new(),
             tickets: Vec::new(),
             next_ticket: 0,
@@ -184,6 +210,8 @@
             peers: ArcSwap::default(),
             metrics,
             post,
+            news: Notify::new(),
+            newest: AtomicU64::new(0),
             desk: Mutex::new(desk),
             links: Mutex::new(Vec::new()),
             met: AtomicBool::new(false),
@@ -372,26 +400,25 @@
         news
     }
 
-    /// Asks whoever orders at an engine when a request may be sent there.
-    pub async fn grant(self: &Arc<Self>, runner: &Upstream, visit: Visit) -> Duration {
+    /// Asks whoever orders at an engine when a request may be sent there; `None` where nobody
+    /// answers.
+    pub async fn grant(self: &Arc<Self>, runner: &Upstream, visit: Visit) -> Option<Grant> {
         let now = self.clock.now();
         let (to, ticket, granted) = {
             let mut guard = self.desk();
             let desk = &mut *guard;
-            if let Some(grant) = desk.owner.admit(now, runner, &visit) {
-                desk.fleet.note_reading(now, runner, grant.level);
-                desk.fleet.note_backlog(now, runner, grant.backlog);
-                return grant.wait;
+            if let Some(grant) = desk.owner.admit(now, &desk.fleet, runner, &visit) {
+                desk.heed(now, runner, &visit.target, grant);
+                return Some(grant);
             }
-            let Some(holder) = desk.owner.holder(runner).cloned() else {
-                return Duration::ZERO;
-            };
+            let holder = desk.owner.holder(runner).cloned()?;
             let (sender, granted) = oneshot::channel();
             desk.tickets.retain(|(_, waiter)| !waiter.is_closed());
             desk.next_ticket += 1;
             desk.tickets.push((desk.next_ticket, sender));
             (holder, desk.next_ticket, granted)
         };
+        let target = visit.target.clone();
         let message = owner::Message::Ask {
             ticket,
             runner: runner.clone(),
@@ -401,17 +428,11 @@
             rank: visit.rank,
         };
         self.perform(Action::Send { to, message });
-        match tokio::time::timeout(GRANT, granted).await {
-            Ok(Ok(grant)) => {
-                let now = self.clock.now();
-                let fleet = &mut self.desk().fleet;
-                fleet.note_reading(now, runner, grant.level);
-                fleet.note_backlog(now, runner, grant.backlog);
-                grant.wait
-            }
-            // Without an answer the engine's own queue has to do.
-            Ok(Err(_)) | Err(_) => Duration::ZERO,
-        }
+        // Without an answer the engine's own queue has to do.
+        let grant = tokio::time::timeout(GRANT, granted).await.ok()?.ok()?;
+        let now = self.clock.now();
+        self.desk().heed(now, runner, &target, grant);
+        Some(grant)
     }
 
     /// Passes an event to the owner and carries out what it wants.
@@ -475,6 +496,116 @@
         }
     }
 
+    /// Tells the other nodes what this one has read, where that is its part.
+    pub fn pulse(&self, changes: Vec<mirror::Change>) {
+        let now = self.clock.now();
+        let config = self.revision();
+        let (tells, digest) = {
+            let desk = self.desk();
+            let tells = desk.mirror.tells() && desk.mirror.reads(now);
+            (tells, desk.fleet.digest())
+        };
+        if !tells || config == 0 {
+            return;
+        }
+        let mut parts: Vec<Vec<mirror::Change>> =
+            changes.chunks(PULSE_CHANGES).map(<[_]>::to_vec).collect();
+        if parts.is_empty() {
+            parts.push(Vec::new());
+        }
+        let peers = self.peers.load();
+        for changes in parts {
+            let message = Message::Pulse(Pulse {
+                age: millis(self.store_silence()),
+                config,
+                digest,
+                changes,
+            });
+            let others = peers.live.iter().filter(|vm| **vm != self.me.vm);
+            for record in others.filter_map(|vm| peers.record(vm)) {
+                self.post.send(&record.vm, record.peers, &message);
+            }
+        }
+    }
+
+    /// Takes over what a reader tells.
+    pub fn take_pulse(&self, pulse: Pulse) {
+        let now = self.clock.now();
+        self.newest.fetch_max(pulse.config, Ordering::Relaxed);
+        if Duration::from_millis(pulse.age.into()) < STORE_FRESH {
+            self.heard_store();
+        }
+        {
+            let mut desk = self.desk();
+            desk.mirror
+                .hear(now, Duration::from_millis(pulse.age.into()));
+        }
+        for change in pulse.changes {
+            match change {
+                mirror::Change::Listed(listing) => self.take_listing(listing, Fleet::outline),
+                mirror::Change::Delisted(id) => self.forget(&id),
+                mirror::Change::Version(target, version) => self.announce(target, version),
+            }
+        }
+        let mut desk = self.desk();
+        let same = desk.fleet.digest() == pulse.digest;
+        desk.mirror.compare(now, same);
+        drop(desk);
+        if self.lacks_config() {
+            self.news.notify_one();
+        }
+    }
+
+    /// Tells whether a reader knows a newer configuration.
+    pub fn lacks_config(&self) -> bool {
+        self.newest.load(Ordering::Relaxed) > self.revision()
+    }
+
+    /// Returns the revision of the configuration in force, or 0.
+    pub fn revision(&self) -> Revision {
+        let config = self.config.load();
+        config.as_ref().map_or(0, |config| config.revision)
+    }
+
+    /// Takes a listing over by `take`.
+    pub fn take_listing(
+        &self,
+        listing: Listing,
+        take: impl FnOnce(&mut Fleet, Time, Listing) -> fleet::Change,
+    ) {
+        let now = self.clock.now();
+        let id = listing.id.clone();
+        let change = {
+            let mut desk = self.desk();
+            let change = take(&mut desk.fleet, now, listing);
+            if let (fleet::Change::Appeared, Some(config)) = (change, &*self.config.load()) {
+                desk.fleet.configure(config);
+            }
+            change
+        };
+        if change != fleet::Change::Same {
+            info!(target: DECISION, upstream:% = id, change:?; "upstream");
+        }
+        if change == fleet::Change::Restarted {
+            self.unlink(&id);
+        }
+    }
+
+    /// Forgets an upstream that is gone.
+    pub fn forget(&self, id: &Upstream) {
+        if self.desk().fleet.delist(id) {
+            self.unlink(id);
+            info!(target: DECISION, upstream:% = id; "upstream-gone");
+        }
+    }
+
+    /// Takes over that an adapter has a new version.
+    pub fn announce(&self, target: Target, version: Version) {
+        if self.desk().fleet.announce(target.clone(), version) {
+            info!(target: DECISION, model:% = target, version; "version");
+        }
+    }
+
     /// Returns the seconds of the wall clock.
     pub fn wall(&self) -> u64 {
         wall_micros() / 1_000_000
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -7,8 +7,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use exchange::fleet;
 use exchange::route::Config;
+use exchange::{Fleet, mirror};
 use hyper::StatusCode;
 use log::info;
 use node::journal::DECISION;
@@ -21,7 +21,13 @@
 use absence::Absence;
 
 /// Time that a read of news waits for some; short, so that a platform that fell silent shows.
-const WAIT: Duration = Duration::from_secs(4);
+const WAIT: Duration = Duration::from_millis(1_000);
+
+/// Time between two looks at whether this node has to read.
+const IDLE: Duration = Duration::from_millis(250);
+
+/// Part of the listing that holds the configuration.
+const CONFIG_PART: usize = 0;
 
 /// Time allowed beyond that for the answer.
 const ANSWER: Duration = Duration::from_millis(1_500);
@@ -73,6 +79,10 @@
     absence: Absence,
     failures: u32,
     last: Instant,
+    /// Revision from which news follow, while this node reads.
+    revision: Option<u64>,
+    /// What was read and is not told yet.
+    changes: Vec<mirror::Change>,
 }
 
 /// Reads the platform for as long as the process lives.
@@ -88,48 +98,101 @@
         absence: Absence::default(),
         failures: 0,
         last: Instant::now(),
+        revision: None,
+        changes: Vec::new(),
         hub,
     };
     loop {
-        let revision = match reader.list().await {
-            Ok(revision) => revision,
-            Err(error) => {
-                reader.failed(&error).await;
-                continue;
-            }
-        };
-        reader.follow(revision).await;
+        if let Err(error) = reader.turn().await {
+            reader.failed(&error).await;
+        }
     }
 }
 
 impl<D: Dialect> Reader<D> {
+    /// Does what is due: reads news, catches up, or waits for readers to tell.
+    async fn turn(&mut self) -> Result<(), Error> {
+        self.sweep();
+        let now = self.hub.clock.now();
+        let config = self.hub.revision();
+        let (reads, gap) = {
+            let mut desk = self.hub.desk();
+            (desk.mirror.reads(now), desk.mirror.take_gap(now))
+        };
+        match (reads, self.revision) {
+            (true, Some(revision)) => {
+                tokio::time::sleep_until(self.last + self.hub.exchange.pause).await;
+                match self.news(revision).await {
+                    Err(Error::Forgotten) => {
+                        info!(target: DECISION, revision; "platform-history-lost");
+                        self.revision = None;
+                    }
+                    news => self.revision = Some(news?),
+                }
+            }
+            (true, None) => {
+                let revision = self.list().await?;
+                self.revision = Some(revision);
+            }
+            (false, _) if gap => {
+                info!(target: DECISION, reason = "gap"; "platform-catch-up");
+                self.list().await?;
+            }
+            (false, _) if self.hub.lacks_config() => {
+                self.part(CONFIG_PART, &mut Vec::new()).await?;
+            }
+            (false, _) => {
+                self.revision = None;
+                // Without news there is another look all the same.
+                let _ = tokio::time::timeout(IDLE, self.hub.news.notified()).await;
+            }
+        }
+        let changes = std::mem::take(&mut self.changes);
+        if !changes.is_empty() || self.hub.revision() != config {
+            self.hub.pulse(changes);
+        }
+        Ok(())
+    }
+
     /// Lists everything. Returns the revision from which news follow.
     async fn list(&mut self) -> Result<u64, Error> {
         let mut revision = None;
         let mut listed: Vec<Upstream> = Vec::new();
         for part in 0.. {
-            let mut after: Option<String> = None;
-            loop {
-                let Some(call) = self.hub.dialect.listing(part, after.as_deref()) else {
-                    return Ok(self.listed(revision.unwrap_or_default(), listed));
-                };
-                let body = self.read(call, ANSWER).await?;
-                let page: Page = self.hub.dialect.page(&body)?;
-                // News from the first page on are read again, which changes nothing.
-                revision.get_or_insert(page.revision);
-                for (_, change) in page.changes {
-                    if let Change::Listed(listing) = &change {
-                        listed.push(listing.id.clone());
-                    }
-                    self.apply(change);
-                }
-                match page.more {
-                    Some(key) => after = Some(key),
-                    None => break,
+            match self.part(part, &mut listed).await? {
+                // News from the first part on are read again, which changes nothing.
+                Some(first) => revision.get_or_insert(first),
+                None => break,
+            };
+        }
+        Ok(self.listed(revision.unwrap_or_default(), listed))
+    }
+
+    /// Lists one kind of entry. Returns the platform's revision before that, or `None` where
+    /// there is no such kind.
+    async fn part(
+        &mut self,
+        part: usize,
+        listed: &mut Vec<Upstream>,
+    ) -> Result<Option<u64>, Error> {
+        let mut revision = None;
+        let mut after: Option<String> = None;
+        while let Some(call) = self.hub.dialect.listing(part, after.as_deref()) {
+            let body = self.read(call, ANSWER).await?;
+            let page: Page = self.hub.dialect.page(&body)?;
+            revision.get_or_insert(page.revision);
+            for (_, change) in page.changes {
+                if let Change::Listed(listing) = &change {
+                    listed.push(listing.id.clone());
                 }
+                self.apply(change);
+            }
+            match page.more {
+                Some(key) => after = Some(key),
+                None => break,
             }
         }
-        Ok(revision.unwrap_or_default())
+        Ok(revision)
     }
 
     /// Takes what a whole listing does not name for gone.
@@ -149,22 +212,6 @@
         revision
     }
 
-    /// Follows the news until the platform has dropped them.
-    async fn follow(&mut self, mut revision: u64) {
-        loop {
-            self.sweep();
-            tokio::time::sleep_until(self.last + self.hub.exchange.pause).await;
-            match self.news(revision).await {
-                Ok(next) => revision = next,
-                Err(Error::Forgotten) => {
-                    info!(target: DECISION, revision; "platform-history-lost");
-                    return;
-                }
-                Err(error) => self.failed(&error).await,
-            }
-        }
-    }
-
     async fn news(&mut self, revision: u64) -> Result<u64, Error> {
         // Absences that are held back end while nothing else happens.
         let wait = if self.absence.is_empty() {
@@ -256,21 +303,16 @@
         match change {
             Change::Listed(listing) => {
                 self.absence.present(&listing.id);
-                let id = listing.id.clone();
-                let change = {
-                    let mut desk = hub.desk();
-                    let change = desk.fleet.list(now, listing);
-                    if let (fleet::Change::Appeared, Some(config)) = (change, &*hub.config.load()) {
-                        desk.fleet.configure(config);
-                    }
-                    change
+                let outline = listing.outline();
+                let known = {
+                    let desk = hub.desk();
+                    let known = desk.fleet.runner(&listing.id);
+                    known.map(|known| known.listing.outline())
                 };
-                if change != fleet::Change::Same {
-                    info!(target: DECISION, upstream:% = id, change:?; "upstream");
-                }
-                if change == fleet::Change::Restarted {
-                    hub.unlink(&id);
+                if known.as_ref() != Some(&outline) {
+                    self.changes.push(mirror::Change::Listed(outline));
                 }
+                hub.take_listing(listing, Fleet::list);
             }
             Change::Delisted(id) => {
                 if !self.absence.absent(now, &id) {
@@ -279,9 +321,11 @@
             }
             Change::Config(config) => adopt(hub, *config),
             Change::Version(target, version) => {
-                if hub.desk().fleet.announce(target.clone(), version) {
-                    info!(target: DECISION, model:% = target, version; "version");
+                if hub.desk().fleet.newest(&target) < Some(version) {
+                    self.changes
+                        .push(mirror::Change::Version(target.clone(), version));
                 }
+                hub.announce(target, version);
             }
             Change::Foreign => {}
             Change::Unreadable { key, cause } => {
@@ -290,11 +334,11 @@
         }
     }
 
-    fn forget(&self, id: &Upstream) {
-        if self.hub.desk().fleet.delist(id) {
-            self.hub.unlink(id);
-            info!(target: DECISION, upstream:% = id; "upstream-gone");
+    fn forget(&mut self, id: &Upstream) {
+        if self.hub.desk().fleet.runner(id).is_some() {
+            self.changes.push(mirror::Change::Delisted(id.clone()));
         }
+        self.hub.forget(id);
     }
 }
 
