--- a/crates/exchange/src/fleet.rs
+++ b/crates/exchange/src/fleet.rs
@@ -233,6 +233,28 @@
             .map(|stock| (&stock.target, stock.presence))
     }
 
+    /// Returns what it holds, as far as this node knows.
+    pub fn holdings(&self, now: Time) -> Vec<Holding> {
+        let mut holdings: Vec<Holding> = Vec::new();
+        for stock in &self.stock {
+            let Presence::Held(version) = stock.presence.as_of(now) else {
+                continue;
+            };
+            let base = &stock.target.base;
+            if holdings.last().is_none_or(|last| last.base != *base) {
+                holdings.push(Holding {
+                    base: base.clone(),
+                    adapters: Vec::new(),
+                });
+            }
+            let adapters = holdings.last_mut().map(|last| &mut last.adapters);
+            if let (Some(adapters), Some(name)) = (adapters, &stock.target.adapter) {
+                adapters.push((name.clone(), version));
+            }
+        }
+        holdings
+    }
+
     /// Tells whether the last listing named `target`.
     pub fn listed(&self, target: &Target) -> bool {
         self.listing.holdings.iter().any(|holding| {
@@ -394,6 +416,15 @@
         }
     }
 
+    /// Takes over what an engine's owner says that it holds; what is known from newer sources
+    /// stands.
+    pub fn tell(&mut self, now: Time, id: &str, holdings: Vec<Holding>) {
+        if let Some(runner) = self.runner_mut(id) {
+            runner.listing.holdings = holdings;
+            runner.take_holdings(now, Source::Listing);
+        }
+    }
+
     /// Takes an engine's own report over, which is newer than listings. Targets that it does not
     /// name are absent.
     pub fn inspect(
--- a/crates/exchange/src/owner/claim.rs
+++ b/crates/exchange/src/owner/claim.rs
@@ -5,6 +5,9 @@
 use super::{ANNOUNCE, Action, Claim, Message, Note, Owner, SETTLE, Seat};
 use crate::fleet::{Fleet, Runner};
 
+/// Peers up to which holdings are told with every announcement.
+const HOLDINGS_PEERS: usize = 16;
+
 /// Bits of a fencing number that belong to the VM.
 const MARK_BITS: u32 = 24;
 
@@ -83,10 +86,28 @@
     }
 
     /// Announces all claims when that is due.
-    pub(super) fn announce(&mut self, now: Time, out: &mut Vec<Action>) {
+    pub(super) fn announce(&mut self, now: Time, fleet: &Fleet, out: &mut Vec<Action>) {
         if now >= self.announced + ANNOUNCE && !self.seats.is_empty() {
             self.announced = now;
             self.tell_claims(out);
+            self.told += 1;
+            // In a large fleet holdings are told more rarely, to keep what a node takes in bounded.
+            let every = self.live.len().div_ceil(HOLDINGS_PEERS).max(1);
+            if self.told.is_multiple_of(every) {
+                self.tell_holdings(now, fleet, out);
+            }
+        }
+    }
+
+    fn tell_holdings(&self, now: Time, fleet: &Fleet, out: &mut Vec<Action>) {
+        for seat in self.seats.iter().filter(|seat| seat.raised) {
+            if let Some(runner) = fleet.runner(&seat.runner) {
+                let message = Message::Holdings {
+                    runner: seat.runner.clone(),
+                    holdings: runner.holdings(now),
+                };
+                self.tell(&message, out);
+            }
         }
     }
 
--- a/crates/exchange/src/owner/message.rs
+++ b/crates/exchange/src/owner/message.rs
@@ -6,7 +6,7 @@
 use wire::{Fence, Time, Upstream};
 
 use crate::demand::Target;
-use crate::fleet::{Presence, Version};
+use crate::fleet::{Holding, Presence, Version};
 
 /// Residency as it is told, without times of one process's clock.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -49,6 +49,13 @@
 pub enum Message {
     /// All engines that the sender orders at, with its fencing numbers.
     Claims(Vec<(Upstream, Fence)>),
+    /// What an engine that the sender orders at holds.
+    Holdings {
+        /// The engine.
+        runner: Upstream,
+        /// What it holds.
+        holdings: Vec<Holding>,
+    },
     /// Engines that the sender gives up.
     Release(Vec<(Upstream, Fence)>),
     /// A request of the sender needs a target.
--- a/crates/exchange/src/owner/mod.rs
+++ b/crates/exchange/src/owner/mod.rs
@@ -22,7 +22,7 @@
 pub use seat::{Answer, Order};
 
 use crate::demand::Target;
-use crate::fleet::{Fleet, Presence, Version};
+use crate::fleet::{Fleet, Holding, Presence, Version};
 
 /// Time between two announcements of all claims.
 pub const ANNOUNCE: Duration = Duration::from_millis(1_000);
@@ -147,6 +147,13 @@
         /// What is known now.
         presence: Presence,
     },
+    /// Note what an engine holds, as its owner tells.
+    Holdings {
+        /// The engine.
+        runner: Upstream,
+        /// What it holds.
+        holdings: Vec<Holding>,
+    },
     /// Note how long another adapter would take to be there.
     Backlog {
         /// The engine.
@@ -230,6 +237,7 @@
     seats: Vec<Seat>,
     starts: Vec<Time>,
     announced: Time,
+    told: usize,
 }
 
 impl Owner {
@@ -247,6 +255,7 @@
             seats: Vec::new(),
             starts: Vec::new(),
             announced: Time::ZERO,
+            told: 0,
         }
     }
 
@@ -313,7 +322,7 @@
             Event::Leave => self.leave(out),
             Event::Tick { wall } => {
                 self.claim(now, fleet, wall, out);
-                self.announce(now, out);
+                self.announce(now, fleet, out);
             }
         }
     }
@@ -347,6 +356,11 @@
     ) {
         match message {
             Message::Claims(claims) => self.hear(from, claims, out),
+            Message::Holdings { runner, holdings } => {
+                if self.seat(&runner).is_none() {
+                    out.push(Action::Holdings { runner, holdings });
+                }
+            }
             Message::Release(claims) => self.released(from, claims),
             Message::Want {
                 runner,
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -451,6 +451,8 @@
             {
                 desk.fleet.note(now, runner, target, *presence);
                 wake(&mut desk.waiters, runner, target);
+            } else if let Action::Holdings { runner, holdings } = action {
+                desk.fleet.tell(now, runner, holdings.clone());
             } else if let Action::Backlog { runner, backlog } = action {
                 desk.fleet.note_backlog(now, runner, *backlog);
             }
@@ -484,7 +486,7 @@
                 target,
                 presence,
             } => log_presence(&runner, &target, presence),
-            Action::Backlog { .. } => {}
+            Action::Backlog { .. } | Action::Holdings { .. } => {}
             Action::Granted { ticket, grant, .. } => {
                 let mut desk = self.desk();
                 if let Some(index) = desk.tickets.iter().position(|(known, _)| *known == ticket) {
