--- a/crates/exchange/src/mirror.rs
+++ b/crates/exchange/src/mirror.rs
@@ -12,23 +12,26 @@
 use crate::demand::Target;
 use crate::fleet::{Listing, Version};
 
-/// Nodes that read while all is well: one may be lost without a gap.
-const READERS: usize = 2;
+/// Nodes that read while all is well: two may be lost without a gap.
+const READERS: usize = 3;
 
 /// Nodes of the order that tell what they read; more would flood the others.
 const TELLERS: usize = 8;
 
 /// Time without fresh news after which the first of the other nodes reads by itself.
-const PATIENCE: Duration = Duration::from_millis(1_200);
+const PATIENCE: Duration = Duration::from_millis(800);
+
+/// Time in which another reader is heard after one has said that it lost the platform: a pulse.
+const OTHER: Duration = Duration::from_millis(350);
 
 /// Time added for each further node of the order, so that the one before is heard first.
-const STAGGER: Duration = Duration::from_millis(120);
+const STAGGER: Duration = Duration::from_millis(100);
 
 /// Places of the order after which nodes wait no longer than the one before.
 const STAGGER_MAX: usize = 8;
 
 /// Age of a reader's knowledge up to which it is fresh.
-const FRESH: Duration = Duration::from_millis(2_000);
+pub const FRESH: Duration = Duration::from_millis(800);
 
 /// Time for which this node's upstreams may differ from what readers tell: a few pulses.
 const GAP: Duration = Duration::from_millis(1_000);
@@ -81,10 +84,14 @@
         self.place = place.unwrap_or_default();
     }
 
-    /// Notes that a reader has told what it knew `age` ago.
+    /// Notes that a reader has told what it knew `age` ago. One that has lost the platform says so
+    /// by a great age.
     pub fn hear(&mut self, now: Time, age: Duration) {
         if age < FRESH {
             self.heard = self.heard.max(now);
+        } else {
+            let until = (now + OTHER).saturating_sub(PATIENCE);
+            self.heard = self.heard.min(until);
         }
     }
 
@@ -108,7 +115,7 @@
 
     /// Tells whether this node reads now.
     pub fn reads(&self, now: Time) -> bool {
-        let further = self.place.min(STAGGER_MAX) as u32;
+        let further = self.place.saturating_sub(READERS).min(STAGGER_MAX) as u32;
         self.place < READERS || now >= self.heard + PATIENCE + STAGGER * further
     }
 
--- a/crates/exchange/src/owner/seat.rs
+++ b/crates/exchange/src/owner/seat.rs
@@ -43,6 +43,16 @@
     }
 }
 
+impl std::fmt::Display for Order {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Load(target, Some(version)) => write!(f, "load {target}@{version}"),
+            Self::Load(target, None) => write!(f, "load {target}"),
+            Self::Unload(target) => write!(f, "unload {target}"),
+        }
+    }
+}
+
 /// How an engine answered an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Answer {
--- a/crates/gateway/src/control/engines.rs
+++ b/crates/gateway/src/control/engines.rs
@@ -25,7 +25,7 @@
     let millis = (hub.clock.now() - started).as_millis() as u64;
     info!(
         target: DECISION,
-        upstream:% = runner, order:? = order, fence, answer:?, took_ms = millis;
+        upstream:% = runner, order:% = order, fence, answer:?, took_ms = millis;
         "order"
     );
     hub.metrics
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -26,7 +26,7 @@
 const TICK: Duration = Duration::from_millis(100);
 
 /// Ticks between two pulses of a reader.
-const PULSE_TICKS: u64 = 4;
+const PULSE_TICKS: u64 = 3;
 
 /// Time without a peer after which a node takes traffic alone.
 const ALONE: Duration = Duration::from_millis(1_500);
--- a/crates/gateway/src/front/job.rs
+++ b/crates/gateway/src/front/job.rs
@@ -175,11 +175,11 @@
         }
     }
 
-    /// Returns the time in which its first byte has to come, since callers leave after that.
+    /// Returns the time in which its next byte has to come, since callers leave after that.
     pub(super) fn patience(&self) -> Duration {
         let factor = self.hub.exchange.patience;
         let limit = self.route.target.mul_f64(factor).max(PATIENCE_MIN);
-        let until = self.terms.arrived + limit;
+        let until = self.terms.arrived.max(self.last_part) + limit;
         until.saturating_sub(self.hub.clock.now()).min(self.left())
     }
 
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -46,9 +46,6 @@
 /// few round trips within a region.
 const GRANT: Duration = Duration::from_millis(30);
 
-/// Age of a reader's knowledge up to which the platform counts as heard through it.
-const STORE_FRESH: Duration = Duration::from_millis(1_500);
-
 /// Changes in one pulse: about 2,000 bytes, which one datagram carries.
 const PULSE_CHANGES: usize = 12;
 
@@ -158,6 +155,7 @@
     met: AtomicBool,
     leaving: AtomicBool,
     flying: AtomicI64,
+    store_answered: AtomicU64,
     store_heard: AtomicU64,
 }
 
@@ -217,6 +215,7 @@
             met: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             flying: AtomicI64::new(0),
+            store_answered: AtomicU64::new(0),
             store_heard: AtomicU64::new(0),
         }
     }
@@ -264,13 +263,20 @@
         self.flying.load(Ordering::Relaxed)
     }
 
-    /// Notes that the platform has answered.
+    /// Notes that the platform has answered this node.
     pub fn heard_store(&self) {
         let now = u64::try_from(self.clock.now().as_millis()).unwrap_or(u64::MAX);
+        self.store_answered.store(now, Ordering::Relaxed);
         self.store_heard.store(now, Ordering::Relaxed);
     }
 
-    /// Returns the time since the platform answered last.
+    /// Returns the time since the platform answered this node last.
+    pub fn store_age(&self) -> Duration {
+        let answered = Duration::from_millis(self.store_answered.load(Ordering::Relaxed));
+        self.clock.now().saturating_sub(answered)
+    }
+
+    /// Returns the time since the platform answered this node or a reader that told of it.
     pub fn store_silence(&self) -> Duration {
         let heard = Duration::from_millis(self.store_heard.load(Ordering::Relaxed));
         self.clock.now().saturating_sub(heard)
@@ -500,6 +506,18 @@
 
     /// Tells the other nodes what this one has read, where that is its part.
     pub fn pulse(&self, changes: Vec<mirror::Change>) {
+        let age = self.store_age();
+        if age < mirror::FRESH {
+            self.tell(age, changes);
+        }
+    }
+
+    /// Tells the other nodes that this one has lost the platform.
+    pub fn pulse_lost(&self) {
+        self.tell(Duration::MAX, Vec::new());
+    }
+
+    fn tell(&self, age: Duration, changes: Vec<mirror::Change>) {
         let now = self.clock.now();
         let config = self.revision();
         let (tells, digest) = {
@@ -518,7 +536,7 @@
         let peers = self.peers.load();
         for changes in parts {
             let message = Message::Pulse(Pulse {
-                age: millis(self.store_silence()),
+                age: millis(age),
                 config,
                 digest,
                 changes,
@@ -534,8 +552,9 @@
     pub fn take_pulse(&self, pulse: Pulse) {
         let now = self.clock.now();
         self.newest.fetch_max(pulse.config, Ordering::Relaxed);
-        if Duration::from_millis(pulse.age.into()) < STORE_FRESH {
-            self.heard_store();
+        if Duration::from_millis(pulse.age.into()) < mirror::FRESH {
+            let now = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
+            self.store_heard.fetch_max(now, Ordering::Relaxed);
         }
         {
             let mut desk = self.desk();
@@ -550,8 +569,10 @@
             }
         }
         let mut desk = self.desk();
-        let same = desk.fleet.digest() == pulse.digest;
-        desk.mirror.compare(now, same);
+        if Duration::from_millis(pulse.age.into()) < mirror::FRESH {
+            let same = desk.fleet.digest() == pulse.digest;
+            desk.mirror.compare(now, same);
+        }
         drop(desk);
         if self.lacks_config() {
             self.news.notify_one();
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -21,7 +21,7 @@
 use absence::Absence;
 
 /// Time that a read of news waits for some; short, so that a platform that fell silent shows.
-const WAIT: Duration = Duration::from_millis(1_000);
+const WAIT: Duration = Duration::from_millis(400);
 
 /// Time between two looks at whether this node has to read.
 const IDLE: Duration = Duration::from_millis(250);
@@ -283,6 +283,7 @@
             .with_label_values(&[error.name()])
             .inc();
         if self.failures == 0 {
+            self.hub.pulse_lost();
             log::warn!(target: DECISION, reason = error.name(), cause:% = error; "platform-lost");
         }
         let pause = PAUSE_MIN * (1 << self.failures.min(4));
