Tell owners when a request is over, and split the hub

Ruled out: unclaimed engines (90 of 90 claimed before traffic), refused orders (none). Change: a node tells the owner when a request that was let in is over; the expected time only bounds what nobody tells.

--- a/crates/exchange/src/owner/message.rs
+++ b/crates/exchange/src/owner/message.rs
@@ -82,6 +82,13 @@
         /// Rank of the request.
         rank: u8,
     },
+    /// A request of the sender that was let in is over.
+    Done {
+        /// The engine.
+        runner: Upstream,
+        /// Its model.
+        target: Target,
+    },
     /// The answer to [`Message::Ask`].
     Grant {
         /// Number of the question.
--- a/crates/exchange/src/owner/mod.rs
+++ b/crates/exchange/src/owner/mod.rs
@@ -300,6 +300,20 @@
         Some(grant)
     }
 
+    /// Notes that a request that was let in is over. Returns `false` where another node orders
+    /// there.
+    pub fn over(&mut self, runner: &str, target: &Target) -> bool {
+        let mine = self.seat(runner).is_some();
+        self.done(runner, target);
+        mine
+    }
+
+    fn done(&mut self, runner: &str, target: &Target) {
+        if let Some(seat) = self.seat_mut(runner) {
+            seat.release(target);
+        }
+    }
+
     /// Takes an event in and appends the actions that follow, but for orders: those follow from
     /// [`Owner::pump`] once the fleet shows what the actions say.
     pub fn step(&mut self, now: Time, fleet: &Fleet, event: Event, out: &mut Vec<Action>) {
@@ -411,6 +425,7 @@
                     });
                 }
             }
+            Message::Done { runner, target } => self.done(&runner, &target),
             Message::Grant {
                 ticket,
                 runner,
--- a/crates/exchange/src/owner/seat.rs
+++ b/crates/exchange/src/owner/seat.rs
@@ -21,7 +21,9 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Use {
     count: Count,
-    /// When the last of its requests is expected to be over.
+    /// Its requests that were let in and are not over.
+    running: u32,
+    /// When they are over at the latest, though nobody should say so.
     until: Time,
 }
 
@@ -137,7 +139,7 @@
         }
     }
 
-    /// Counts a request that uses `target` here and is expected to be over at `until`.
+    /// Counts a request that uses `target` here and is over at `until` at the latest.
     pub(super) fn count(&mut self, now: Time, target: &Target, until: Time) {
         let index = match self.find_use(target) {
             Ok(index) => index,
@@ -148,6 +150,10 @@
         };
         let usage = &mut self.uses[index].1;
         usage.count.add(now, 1.0);
+        if now >= usage.until {
+            usage.running = 0;
+        }
+        usage.running += 1;
         usage.until = usage.until.max(until);
         if self.uses.len() > USES_MAX {
             self.uses
@@ -155,10 +161,21 @@
         }
     }
 
-    /// Tells whether a request is expected to use `target` at present.
+    /// Tells whether a request uses `target` at present, as far as is known.
     pub(super) fn in_use(&self, now: Time, target: &Target) -> bool {
         let found = self.find_use(target).ok();
-        found.is_some_and(|index| now < self.uses[index].1.until)
+        found.is_some_and(|index| {
+            let usage = &self.uses[index].1;
+            usage.running > 0 && now < usage.until
+        })
+    }
+
+    /// Notes that a request that used `target` is over.
+    pub(super) fn release(&mut self, target: &Target) {
+        if let Ok(index) = self.find_use(target) {
+            let running = &mut self.uses[index].1.running;
+            *running = running.saturating_sub(1);
+        }
     }
 
     fn find_use(&self, target: &Target) -> Result<usize, usize> {
--- a/crates/exchange/tests/owner_orders.rs
+++ b/crates/exchange/tests/owner_orders.rs
@@ -253,3 +253,34 @@
         .map(|runner| runner.presence(&bare()));
     assert_eq!(presence, Some(Presence::Absent));
 }
+
+/// An adapter whose requests are over may go, although they could have run for longer.
+#[rstest]
+fn adapter_is_free_once_its_requests_are_over() {
+    let held: Vec<String> = (0..PLACES).map(|index| format!("a{index}")).collect();
+    let names: Vec<&str> = held.iter().map(String::as_str).collect();
+    let mut desk = Desk::alone("vm-1", 1, [engine("e1", &names)]);
+    desk.claim();
+    for name in &names {
+        let visit = Visit {
+            target: target(name),
+            reading: ms(20),
+            running: ms(60_000),
+            rank: 1,
+        };
+        desk.owner.admit(desk.now, &desk.fleet, "e1", &visit);
+        desk.owner.admit(desk.now, &desk.fleet, "e1", &visit);
+    }
+    assert!(orders(&desk.step(want("b"))).is_empty());
+    assert!(desk.owner.over("e1", &target("a3")));
+    assert!(orders(&desk.step(want("b"))).is_empty());
+    let done = Message::Done {
+        runner: "e1".into(),
+        target: target("a3"),
+    };
+    let actions = desk.step(Event::Receive {
+        from: "vm-2".into(),
+        message: done,
+    });
+    assert_eq!(orders(&actions), [&Order::Unload(target("a3"))]);
+}
--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -96,17 +96,20 @@
     hub: Arc<Hub<D>>,
     pub(super) runner: Upstream,
     heard: Time,
+    /// The model that whoever orders there has let in.
+    target: Option<Target>,
     over: bool,
 }
 
 impl<D: Dialect> Visit<D> {
-    fn new(hub: &Arc<Hub<D>>, runner: &Upstream) -> Self {
+    fn new(hub: &Arc<Hub<D>>, runner: &Upstream, target: Option<Target>) -> Self {
         let now = hub.clock.now();
         hub.desk().fleet.start(now, runner);
         Self {
             hub: hub.clone(),
             runner: runner.clone(),
             heard: now,
+            target,
             over: false,
         }
     }
@@ -134,6 +137,9 @@
             self.over = true;
             let now = self.hub.clock.now();
             self.hub.desk().fleet.end(now, &self.runner, verdict);
+            if let Some(target) = &self.target {
+                self.hub.over(&self.runner, target);
+            }
         }
     }
 }
@@ -165,7 +171,7 @@
         };
         self.tried.push(runner.clone());
         self.attempts += 1;
-        let mut visit = Visit::new(&self.hub, runner);
+        let mut visit = Visit::new(&self.hub, runner, target.clone());
         let sent = self.hub.clock.now();
         let response = match self.head(&link, request, &visit).await {
             Ok(response) => response,
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -15,10 +15,10 @@
 
 use bytes::Bytes;
 use exchange::route::{self, Kind};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONNECTION, HOST, HeaderValue};
 use hyper::{Request, Response, StatusCode};
+use node::front::handler::read_within;
 use node::front::listener::Handler;
 use node::front::{Body, Outcome, Problem};
 
@@ -159,20 +159,5 @@
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
-    let read = Limited::new(body, limit).collect();
-    let Ok(read) = tokio::time::timeout(time, read).await else {
-        let detail = "the body took too long; send it faster";
-        return Err(Problem::bad(StatusCode::REQUEST_TIMEOUT, detail));
-    };
-    match read {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => {
-            let detail = format!("the body exceeds {limit} bytes; send a shorter one");
-            Err(Problem::bad(StatusCode::PAYLOAD_TOO_LARGE, detail))
-        }
-        Err(error) => {
-            let detail = format!("the body was cut ({error}); send it whole");
-            Err(Problem::bad(StatusCode::BAD_REQUEST, detail))
-        }
-    }
+    read_within(body, limit, time).await
 }
--- /dev/null
+++ b/crates/gateway/src/hub/grant.rs
@@ -0,0 +1,194 @@
+//! Questions to owners, and what owners want done.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use exchange::demand::Target;
+use exchange::fleet::Presence;
+use exchange::owner::{self, Action, Grant, Note, Visit};
+use log::info;
+use node::journal::DECISION;
+use tokio::sync::oneshot;
+use wire::{Time, Upstream};
+
+use super::{Desk, Hub, Waiter, millis};
+use crate::datagram::Message;
+use crate::dialect::Dialect;
+
+/// Longest time for which a request waits to be let in by the node that orders at its engine: a
+/// few round trips within a region.
+const GRANT: Duration = Duration::from_millis(30);
+
+impl Desk {
+    /// Takes over what an owner said with a grant.
+    fn heed(&mut self, now: Time, runner: &str, target: &Target, grant: Grant) {
+        self.fleet.note_reading(now, runner, grant.level);
+        self.fleet.note_backlog(now, runner, grant.backlog);
+        let known = self.fleet.runner(runner);
+        let known = known.map(|known| known.presence(target).as_of(now));
+        if known != Some(grant.presence) {
+            self.fleet.note(now, runner, target, grant.presence);
+        }
+    }
+}
+
+impl<D: Dialect> Hub<D> {
+    /// Returns what resolves when something is told of `target` at `runner`.
+    pub fn await_news(&self, runner: &Upstream, target: &Target) -> oneshot::Receiver<()> {
+        let (wake, news) = oneshot::channel();
+        let mut desk = self.desk();
+        desk.waiters.retain(|waiter| !waiter.wake.is_closed());
+        desk.waiters.push(Waiter {
+            runner: runner.clone(),
+            target: target.clone(),
+            wake,
+        });
+        news
+    }
+
+    /// Asks whoever orders at an engine when a request may be sent there; `None` where nobody
+    /// answers.
+    pub async fn grant(self: &Arc<Self>, runner: &Upstream, visit: Visit) -> Option<Grant> {
+        let now = self.clock.now();
+        let (to, ticket, granted) = {
+            let mut guard = self.desk();
+            let desk = &mut *guard;
+            if let Some(grant) = desk.owner.admit(now, &desk.fleet, runner, &visit) {
+                desk.heed(now, runner, &visit.target, grant);
+                return Some(grant);
+            }
+            let holder = desk.owner.holder(runner).cloned()?;
+            let (sender, granted) = oneshot::channel();
+            desk.tickets.retain(|(_, waiter)| !waiter.is_closed());
+            desk.next_ticket += 1;
+            desk.tickets.push((desk.next_ticket, sender));
+            (holder, desk.next_ticket, granted)
+        };
+        let target = visit.target.clone();
+        let message = owner::Message::Ask {
+            ticket,
+            runner: runner.clone(),
+            target: visit.target,
+            reading: millis(visit.reading),
+            running: millis(visit.running),
+            rank: visit.rank,
+        };
+        self.perform(Action::Send { to, message });
+        // Without an answer the engine's own queue has to do.
+        let grant = tokio::time::timeout(GRANT, granted).await.ok()?.ok()?;
+        let now = self.clock.now();
+        self.desk().heed(now, runner, &target, grant);
+        Some(grant)
+    }
+
+    /// Tells whoever orders at an engine that a request that was let in there is over.
+    pub fn over(self: &Arc<Self>, runner: &Upstream, target: &Target) {
+        let holder = {
+            let mut desk = self.desk();
+            if desk.owner.over(runner, target) {
+                return;
+            }
+            desk.owner.holder(runner).cloned()
+        };
+        if let Some(to) = holder {
+            let message = owner::Message::Done {
+                runner: runner.clone(),
+                target: target.clone(),
+            };
+            self.perform(Action::Send { to, message });
+        }
+    }
+
+    /// Passes an event to the owner and carries out what it wants.
+    pub fn drive(self: &Arc<Self>, event: owner::Event) {
+        let now = self.clock.now();
+        let mut guard = self.desk();
+        let desk = &mut *guard;
+        let mut actions = Vec::new();
+        desk.owner.step(now, &desk.fleet, event, &mut actions);
+        for action in &actions {
+            if let Action::Presence {
+                runner,
+                target,
+                presence,
+            } = action
+            {
+                desk.fleet.note(now, runner, target, *presence);
+                wake(&mut desk.waiters, runner, target);
+            } else if let Action::Holdings { runner, holdings } = action {
+                desk.fleet.tell(now, runner, holdings.clone());
+            } else if let Action::Backlog { runner, backlog } = action {
+                desk.fleet.note_backlog(now, runner, *backlog);
+            }
+        }
+        desk.owner.pump(now, &desk.fleet, &mut actions);
+        drop(guard);
+        for action in actions {
+            self.perform(action);
+        }
+    }
+
+    fn perform(self: &Arc<Self>, action: Action) {
+        match action {
+            Action::Send { to, message } => {
+                if let Some(record) = self.peers.load().record(&to) {
+                    self.post.send(&to, record.peers, &Message::Owner(message));
+                }
+            }
+            Action::Inspect { runner, after } => {
+                tokio::spawn(crate::control::inspect(self.clone(), runner, after));
+            }
+            Action::Order {
+                runner,
+                fence,
+                order,
+            } => {
+                tokio::spawn(crate::control::order(self.clone(), runner, fence, order));
+            }
+            Action::Presence {
+                runner,
+                target,
+                presence,
+            } => log_presence(&runner, &target, presence),
+            Action::Backlog { .. } | Action::Holdings { .. } => {}
+            Action::Granted { ticket, grant, .. } => {
+                let mut desk = self.desk();
+                if let Some(index) = desk.tickets.iter().position(|(known, _)| *known == ticket) {
+                    // A request that is gone needs no grant.
+                    let _ = desk.tickets.swap_remove(index).1.send(grant);
+                }
+            }
+            Action::Note(note) => log_note(&note),
+        }
+    }
+}
+
+fn wake(waiters: &mut Vec<Waiter>, runner: &Upstream, target: &Target) {
+    let mut index = 0;
+    while index < waiters.len() {
+        let waiter = &waiters[index];
+        if waiter.runner == *runner && waiter.target == *target {
+            // A waiter that is gone needs no news.
+            let _ = waiters.swap_remove(index).wake.send(());
+        } else {
+            index += 1;
+        }
+    }
+}
+
+fn log_presence(runner: &Upstream, target: &Target, presence: Presence) {
+    log::debug!(target: DECISION, upstream:% = runner, model:% = target, presence:?; "presence");
+}
+
+fn log_note(note: &Note) {
+    match note {
+        Note::Claimed(upstream, fence) => info!(target: DECISION, upstream:%, fence; "own"),
+        Note::Yielded(upstream, reason) => info!(target: DECISION, upstream:%, reason; "yield"),
+        Note::Evicted(upstream, model, value) => {
+            info!(target: DECISION, upstream:%, model:%, uses:% = value; "evict");
+        }
+        Note::Failed(upstream, model, answer) => {
+            info!(target: DECISION, upstream:%, model:%, answer:?; "order-failed");
+        }
+    }
+}
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub/mod.rs
@@ -1,4 +1,10 @@
 //! State that all tasks of a node share.
+//!
+//! - [`grant`] asks owners and carries out what they want done.
+//! - [`pulse`] tells what was read of the platform, and takes over what others tell.
+
+mod grant;
+mod pulse;
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, Ordering};
@@ -8,22 +14,19 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use exchange::choice::{self, Need, Pick};
 use exchange::demand::{Demand, Target};
-use exchange::fleet::{self, Listing, Presence, Version};
-use exchange::mirror::{self, Mirror, Pulse};
-use exchange::owner::{self, Action, Grant, Note, Visit};
+use exchange::mirror::Mirror;
+use exchange::owner::{self, Grant};
 use exchange::route::{Config, Service};
 use exchange::spend::{self, Spend};
 use exchange::{Fleet, Owner};
-use log::info;
 use node::clock::{Clock, wall_micros};
-use node::journal::DECISION;
 use roster::seeds::Record;
 use settings::Settings;
 use tokio::sync::{Notify, oneshot};
 use upstream::link::{Limits, Link};
-use wire::{Incarnation, Revision, Time, Upstream, Vm};
+use wire::{Incarnation, Time, Upstream, Vm};
 
-use crate::datagram::{Message, Post};
+use crate::datagram::Post;
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
 
@@ -42,13 +45,6 @@
 /// Connections for orders and reports to one upstream.
 const CONTROL_CONNECTIONS: usize = 2;
 
-/// Longest time for which a request waits to be let in by the node that orders at its engine: a
-/// few round trips within a region.
-const GRANT: Duration = Duration::from_millis(30);
-
-/// Changes in one pulse: about 2,000 bytes, which one datagram carries.
-const PULSE_CHANGES: usize = 12;
-
 /// Time after which a home that lacks an adapter in demand is asked for it again.
 const SPREAD_PAUSE: Duration = Duration::from_millis(500);
 
@@ -114,19 +110,6 @@
     spread: Vec<(Upstream, Target, Time)>,
 }
 
-impl Desk {
-    /// Takes over what an owner said with a grant.
-    fn heed(&mut self, now: Time, runner: &str, target: &Target, grant: Grant) {
-        self.fleet.note_reading(now, runner, grant.level);
-        self.fleet.note_backlog(now, runner, grant.backlog);
-        let known = self.fleet.runner(runner);
-        let known = known.map(|known| known.presence(target).as_of(now));
-        if known != Some(grant.presence) {
-            self.fleet.note(now, runner, target, grant.presence);
-        }
-    }
-}
-
 /// The state of one node.
 pub struct Hub<D> {
     /// The adapter to the platform.
@@ -393,278 +376,12 @@
         Duration::from_secs_f64(millis / 1_000.0)
     }
 
-    /// Returns what resolves when something is told of `target` at `runner`.
-    pub fn await_news(&self, runner: &Upstream, target: &Target) -> oneshot::Receiver<()> {
-        let (wake, news) = oneshot::channel();
-        let mut desk = self.desk();
-        desk.waiters.retain(|waiter| !waiter.wake.is_closed());
-        desk.waiters.push(Waiter {
-            runner: runner.clone(),
-            target: target.clone(),
-            wake,
-        });
-        news
-    }
-
-    /// Asks whoever orders at an engine when a request may be sent there; `None` where nobody
-    /// answers.
-    pub async fn grant(self: &Arc<Self>, runner: &Upstream, visit: Visit) -> Option<Grant> {
-        let now = self.clock.now();
-        let (to, ticket, granted) = {
-            let mut guard = self.desk();
-            let desk = &mut *guard;
-            if let Some(grant) = desk.owner.admit(now, &desk.fleet, runner, &visit) {
-                desk.heed(now, runner, &visit.target, grant);
-                return Some(grant);
-            }
-            let holder = desk.owner.holder(runner).cloned()?;
-            let (sender, granted) = oneshot::channel();
-            desk.tickets.retain(|(_, waiter)| !waiter.is_closed());
-            desk.next_ticket += 1;
-            desk.tickets.push((desk.next_ticket, sender));
-            (holder, desk.next_ticket, granted)
-        };
-        let target = visit.target.clone();
-        let message = owner::Message::Ask {
-            ticket,
-            runner: runner.clone(),
-            target: visit.target,
-            reading: millis(visit.reading),
-            running: millis(visit.running),
-            rank: visit.rank,
-        };
-        self.perform(Action::Send { to, message });
-        // Without an answer the engine's own queue has to do.
-        let grant = tokio::time::timeout(GRANT, granted).await.ok()?.ok()?;
-        let now = self.clock.now();
-        self.desk().heed(now, runner, &target, grant);
-        Some(grant)
-    }
-
-    /// Passes an event to the owner and carries out what it wants.
-    pub fn drive(self: &Arc<Self>, event: owner::Event) {
-        let now = self.clock.now();
-        let mut guard = self.desk();
-        let desk = &mut *guard;
-        let mut actions = Vec::new();
-        desk.owner.step(now, &desk.fleet, event, &mut actions);
-        for action in &actions {
-            if let Action::Presence {
-                runner,
-                target,
-                presence,
-            } = action
-            {
-                desk.fleet.note(now, runner, target, *presence);
-                wake(&mut desk.waiters, runner, target);
-            } else if let Action::Holdings { runner, holdings } = action {
-                desk.fleet.tell(now, runner, holdings.clone());
-            } else if let Action::Backlog { runner, backlog } = action {
-                desk.fleet.note_backlog(now, runner, *backlog);
-            }
-        }
-        desk.owner.pump(now, &desk.fleet, &mut actions);
-        drop(guard);
-        for action in actions {
-            self.perform(action);
-        }
-    }
-
-    fn perform(self: &Arc<Self>, action: Action) {
-        match action {
-            Action::Send { to, message } => {
-                if let Some(record) = self.peers.load().record(&to) {
-                    self.post.send(&to, record.peers, &Message::Owner(message));
-                }
-            }
-            Action::Inspect { runner, after } => {
-                tokio::spawn(crate::control::inspect(self.clone(), runner, after));
-            }
-            Action::Order {
-                runner,
-                fence,
-                order,
-            } => {
-                tokio::spawn(crate::control::order(self.clone(), runner, fence, order));
-            }
-            Action::Presence {
-                runner,
-                target,
-                presence,
-            } => log_presence(&runner, &target, presence),
-            Action::Backlog { .. } | Action::Holdings { .. } => {}
-            Action::Granted { ticket, grant, .. } => {
-                let mut desk = self.desk();
-                if let Some(index) = desk.tickets.iter().position(|(known, _)| *known == ticket) {
-                    // A request that is gone needs no grant.
-                    let _ = desk.tickets.swap_remove(index).1.send(grant);
-                }
-            }
-            Action::Note(note) => log_note(&note),
-        }
-    }
-
-    /// Tells the other nodes what this one has read, where that is its part.
-    pub fn pulse(&self, changes: Vec<mirror::Change>) {
-        let age = self.store_age();
-        if age < mirror::FRESH {
-            self.tell(age, changes);
-        }
-    }
-
-    /// Tells the other nodes that this one has lost the platform.
-    pub fn pulse_lost(&self) {
-        self.tell(Duration::MAX, Vec::new());
-    }
-
-    fn tell(&self, age: Duration, changes: Vec<mirror::Change>) {
-        let now = self.clock.now();
-        let config = self.revision();
-        let (tells, digest) = {
-            let desk = self.desk();
-            let tells = desk.mirror.tells() && desk.mirror.reads(now);
-            (tells, desk.fleet.digest())
-        };
-        if !tells || config == 0 {
-            return;
-        }
-        let mut parts: Vec<Vec<mirror::Change>> =
-            changes.chunks(PULSE_CHANGES).map(<[_]>::to_vec).collect();
-        if parts.is_empty() {
-            parts.push(Vec::new());
-        }
-        let peers = self.peers.load();
-        for changes in parts {
-            let message = Message::Pulse(Pulse {
-                age: millis(age),
-                config,
-                digest,
-                changes,
-            });
-            let others = peers.live.iter().filter(|vm| **vm != self.me.vm);
-            for record in others.filter_map(|vm| peers.record(vm)) {
-                self.post.send(&record.vm, record.peers, &message);
-            }
-        }
-    }
-
-    /// Takes over what a reader tells.
-    pub fn take_pulse(&self, pulse: Pulse) {
-        let now = self.clock.now();
-        self.newest.fetch_max(pulse.config, Ordering::Relaxed);
-        if Duration::from_millis(pulse.age.into()) < mirror::FRESH {
-            let now = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
-            self.store_heard.fetch_max(now, Ordering::Relaxed);
-        }
-        {
-            let mut desk = self.desk();
-            desk.mirror
-                .hear(now, Duration::from_millis(pulse.age.into()));
-        }
-        for change in pulse.changes {
-            match change {
-                mirror::Change::Listed(listing) => self.take_listing(listing, Fleet::outline),
-                mirror::Change::Delisted(id) => self.forget(&id),
-                mirror::Change::Version(target, version) => self.announce(target, version),
-            }
-        }
-        let mut desk = self.desk();
-        if Duration::from_millis(pulse.age.into()) < mirror::FRESH {
-            let same = desk.fleet.digest() == pulse.digest;
-            desk.mirror.compare(now, same);
-        }
-        drop(desk);
-        if self.lacks_config() {
-            self.news.notify_one();
-        }
-    }
-
-    /// Tells whether a reader knows a newer configuration.
-    pub fn lacks_config(&self) -> bool {
-        self.newest.load(Ordering::Relaxed) > self.revision()
-    }
-
-    /// Returns the revision of the configuration in force, or 0.
-    pub fn revision(&self) -> Revision {
-        let config = self.config.load();
-        config.as_ref().map_or(0, |config| config.revision)
-    }
-
-    /// Takes a listing over by `take`.
-    pub fn take_listing(
-        &self,
-        listing: Listing,
-        take: impl FnOnce(&mut Fleet, Time, Listing) -> fleet::Change,
-    ) {
-        let now = self.clock.now();
-        let id = listing.id.clone();
-        let change = {
-            let mut desk = self.desk();
-            let change = take(&mut desk.fleet, now, listing);
-            if let (fleet::Change::Appeared, Some(config)) = (change, &*self.config.load()) {
-                desk.fleet.configure(config);
-            }
-            change
-        };
-        if change != fleet::Change::Same {
-            info!(target: DECISION, upstream:% = id, change:?; "upstream");
-        }
-        if change == fleet::Change::Restarted {
-            self.unlink(&id);
-        }
-    }
-
-    /// Forgets an upstream that is gone.
-    pub fn forget(&self, id: &Upstream) {
-        if self.desk().fleet.delist(id) {
-            self.unlink(id);
-            info!(target: DECISION, upstream:% = id; "upstream-gone");
-        }
-    }
-
-    /// Takes over that an adapter has a new version.
-    pub fn announce(&self, target: Target, version: Version) {
-        if self.desk().fleet.announce(target.clone(), version) {
-            info!(target: DECISION, model:% = target, version; "version");
-        }
-    }
-
     /// Returns the seconds of the wall clock.
     pub fn wall(&self) -> u64 {
         wall_micros() / 1_000_000
     }
 }
 
-fn wake(waiters: &mut Vec<Waiter>, runner: &Upstream, target: &Target) {
-    let mut index = 0;
-    while index < waiters.len() {
-        let waiter = &waiters[index];
-        if waiter.runner == *runner && waiter.target == *target {
-            // A waiter that is gone needs no news.
-            let _ = waiters.swap_remove(index).wake.send(());
-        } else {
-            index += 1;
-        }
-    }
-}
-
-fn log_presence(runner: &Upstream, target: &Target, presence: Presence) {
-    log::debug!(target: DECISION, upstream:% = runner, model:% = target, presence:?; "presence");
-}
-
-fn log_note(note: &Note) {
-    match note {
-        Note::Claimed(upstream, fence) => info!(target: DECISION, upstream:%, fence; "own"),
-        Note::Yielded(upstream, reason) => info!(target: DECISION, upstream:%, reason; "yield"),
-        Note::Evicted(upstream, model, value) => {
-            info!(target: DECISION, upstream:%, model:%, uses:% = value; "evict");
-        }
-        Note::Failed(upstream, model, answer) => {
-            info!(target: DECISION, upstream:%, model:%, answer:?; "order-failed");
-        }
-    }
-}
-
 /// Returns the bits of fencing numbers that belong to the VM at `address`: the last three parts
 /// of its address, which no two VMs of one network share.
 fn mark(address: SocketAddr) -> u64 {
--- /dev/null
+++ b/crates/gateway/src/hub/pulse.rs
@@ -0,0 +1,146 @@
+//! What readers of the platform tell, and what follows from it.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use exchange::Fleet;
+use exchange::demand::Target;
+use exchange::fleet::{self, Listing, Version};
+use exchange::mirror::{self, Pulse};
+use log::info;
+use node::journal::DECISION;
+use wire::{Revision, Time, Upstream};
+
+use super::{Hub, millis};
+use crate::datagram::Message;
+use crate::dialect::Dialect;
+
+/// Changes in one pulse: about 2,000 bytes, which one datagram carries.
+const PULSE_CHANGES: usize = 12;
+
+impl<D: Dialect> Hub<D> {
+    /// Tells the other nodes what this one has read, where that is its part.
+    pub fn pulse(&self, changes: Vec<mirror::Change>) {
+        let age = self.store_age();
+        if age < mirror::FRESH {
+            self.tell(age, changes);
+        }
+    }
+
+    /// Tells the other nodes that this one has lost the platform.
+    pub fn pulse_lost(&self) {
+        self.tell(Duration::MAX, Vec::new());
+    }
+
+    fn tell(&self, age: Duration, changes: Vec<mirror::Change>) {
+        let now = self.clock.now();
+        let config = self.revision();
+        let (tells, digest) = {
+            let desk = self.desk();
+            let tells = desk.mirror.tells() && desk.mirror.reads(now);
+            (tells, desk.fleet.digest())
+        };
+        if !tells || config == 0 {
+            return;
+        }
+        let mut parts: Vec<Vec<mirror::Change>> =
+            changes.chunks(PULSE_CHANGES).map(<[_]>::to_vec).collect();
+        if parts.is_empty() {
+            parts.push(Vec::new());
+        }
+        let peers = self.peers.load();
+        for changes in parts {
+            let message = Message::Pulse(Pulse {
+                age: millis(age),
+                config,
+                digest,
+                changes,
+            });
+            let others = peers.live.iter().filter(|vm| **vm != self.me.vm);
+            for record in others.filter_map(|vm| peers.record(vm)) {
+                self.post.send(&record.vm, record.peers, &message);
+            }
+        }
+    }
+
+    /// Takes over what a reader tells.
+    pub fn take_pulse(&self, pulse: Pulse) {
+        let now = self.clock.now();
+        self.newest.fetch_max(pulse.config, Ordering::Relaxed);
+        if Duration::from_millis(pulse.age.into()) < mirror::FRESH {
+            let now = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
+            self.store_heard.fetch_max(now, Ordering::Relaxed);
+        }
+        {
+            let mut desk = self.desk();
+            desk.mirror
+                .hear(now, Duration::from_millis(pulse.age.into()));
+        }
+        for change in pulse.changes {
+            match change {
+                mirror::Change::Listed(listing) => self.take_listing(listing, Fleet::outline),
+                mirror::Change::Delisted(id) => self.forget(&id),
+                mirror::Change::Version(target, version) => self.announce(target, version),
+            }
+        }
+        let mut desk = self.desk();
+        if Duration::from_millis(pulse.age.into()) < mirror::FRESH {
+            let same = desk.fleet.digest() == pulse.digest;
+            desk.mirror.compare(now, same);
+        }
+        drop(desk);
+        if self.lacks_config() {
+            self.news.notify_one();
+        }
+    }
+
+    /// Tells whether a reader knows a newer configuration.
+    pub fn lacks_config(&self) -> bool {
+        self.newest.load(Ordering::Relaxed) > self.revision()
+    }
+
+    /// Returns the revision of the configuration in force, or 0.
+    pub fn revision(&self) -> Revision {
+        let config = self.config.load();
+        config.as_ref().map_or(0, |config| config.revision)
+    }
+
+    /// Takes a listing over by `take`.
+    pub fn take_listing(
+        &self,
+        listing: Listing,
+        take: impl FnOnce(&mut Fleet, Time, Listing) -> fleet::Change,
+    ) {
+        let now = self.clock.now();
+        let id = listing.id.clone();
+        let change = {
+            let mut desk = self.desk();
+            let change = take(&mut desk.fleet, now, listing);
+            if let (fleet::Change::Appeared, Some(config)) = (change, &*self.config.load()) {
+                desk.fleet.configure(config);
+            }
+            change
+        };
+        if change != fleet::Change::Same {
+            info!(target: DECISION, upstream:% = id, change:?; "upstream");
+        }
+        if change == fleet::Change::Restarted {
+            self.unlink(&id);
+        }
+    }
+
+    /// Forgets an upstream that is gone.
+    pub fn forget(&self, id: &Upstream) {
+        if self.desk().fleet.delist(id) {
+            self.unlink(id);
+            info!(target: DECISION, upstream:% = id; "upstream-gone");
+        }
+    }
+
+    /// Takes over that an adapter has a new version.
+    pub fn announce(&self, target: Target, version: Version) {
+        if self.desk().fleet.announce(target.clone(), version) {
+            info!(target: DECISION, model:% = target, version; "version");
+        }
+    }
+}
--- a/crates/node/src/front/handler.rs
+++ b/crates/node/src/front/handler.rs
@@ -1,6 +1,7 @@
 //! Sorts callers' requests by path.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -96,9 +97,17 @@
 
 /// Reads a request's body within the limits of size and time.
 pub(super) async fn read_body(front: &Front, body: Incoming) -> Result<Bytes, Problem> {
-    let limit = front.shared.settings.limits.body_bytes;
+    let settings = &front.shared.settings;
+    read_within(body, settings.limits.body_bytes, settings.time.body).await
+}
+
+/// Reads a request's body of at most `limit` bytes, which has to come within `time`.
+///
+/// # Errors
+///
+/// Returns the refusal of a body that is too large, too slow or cut.
+pub async fn read_within(body: Incoming, limit: usize, time: Duration) -> Result<Bytes, Problem> {
     let read = Limited::new(body, limit).collect();
-    let time = front.shared.settings.time.body;
     let Ok(read) = tokio::time::timeout(time, read).await else {
         let detail = "the body took too long; send it faster";
         return Err(Problem::bad(StatusCode::REQUEST_TIMEOUT, detail));
