List what was missed as it is now, instead of following old news

Change: after a failed read everything is listed anew; of the changes of one key in one answer only the last counts. What nothing uses any more is gone.

--- a/crates/exchange/src/demand.rs
+++ b/crates/exchange/src/demand.rs
@@ -107,11 +107,6 @@
         self.long.is_some_and(|at| now < at + LONG_MEMORY)
     }
 
-    /// Returns the decayed count of all requests.
-    pub fn total(&self, now: Time) -> f64 {
-        self.total.value(now)
-    }
-
     fn find(&self, target: &Target) -> Result<usize, usize> {
         self.counts.binary_search_by(|(known, _)| known.cmp(target))
     }
--- a/crates/exchange/src/fleet.rs
+++ b/crates/exchange/src/fleet.rs
@@ -255,16 +255,6 @@
         holdings
     }
 
-    /// Tells whether the last listing named `target`.
-    pub fn listed(&self, target: &Target) -> bool {
-        self.listing.holdings.iter().any(|holding| {
-            let adapter = target.adapter.as_ref();
-            holding.base == target.base
-                && adapter
-                    .is_none_or(|name| holding.adapters.iter().any(|(known, _)| known == name))
-        })
-    }
-
     /// Returns how many requests it has, as far as this node can tell.
     pub fn load(&self, now: Time) -> u32 {
         match self.reported {
--- a/crates/exchange/src/route.rs
+++ b/crates/exchange/src/route.rs
@@ -98,8 +98,6 @@
     pub capacity_mb: f64,
     /// Loads of base models a second from the weight store, over all engines.
     pub loads_per_second: f64,
-    /// Tokens that the memory of running requests holds.
-    pub memory_tokens: u64,
     /// Base models that the pool may hold, sorted by name.
     pub weights: Vec<Weights>,
 }
--- a/crates/exchange/tests/owner_orders.rs
+++ b/crates/exchange/tests/owner_orders.rs
@@ -9,18 +9,11 @@
 use wire::Vm;
 
 fn orders(actions: &[Action]) -> Vec<&Order> {
-    let order = |action: &Action| match action {
-        Action::Order { order, .. } => Some(order.clone()),
+    let given = actions.iter().map(|action| match action {
+        Action::Order { order, .. } => Some(order),
         _ => None,
-    };
-    actions
-        .iter()
-        .filter(|action| order(action).is_some())
-        .filter_map(|action| match action {
-            Action::Order { order, .. } => Some(order),
-            _ => None,
-        })
-        .collect()
+    });
+    given.flatten().collect()
 }
 
 fn want(adapter: &str) -> Event {
--- a/crates/exchange/tests/support/mod.rs
+++ b/crates/exchange/tests/support/mod.rs
@@ -41,7 +41,6 @@
             places: PLACES,
             capacity_mb: 100.0,
             loads_per_second: 2.0,
-            memory_tokens: 100_000,
             weights: vec![Weights {
                 base: "base".into(),
                 size_mb: 90.0,
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -131,6 +131,19 @@
     pub revision: u64,
 }
 
+impl News {
+    /// Returns the last change of each key. A reader that was away for a while must not take an
+    /// upstream for listed that is gone by now.
+    pub fn latest(self) -> Vec<Change> {
+        let mut latest: Vec<(String, Change)> = Vec::new();
+        for (key, change) in self.changes {
+            latest.retain(|(known, _)| *known != key);
+            latest.push((key, change));
+        }
+        latest.into_iter().map(|(_, change)| change).collect()
+    }
+}
+
 /// Reason why an answer of the platform or an upstream is of no use.
 #[derive(Debug, thiserror::Error)]
 #[error("answer is not of the expected form ({0}); check the address and the release")]
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -222,10 +222,11 @@
         let call = self.hub.dialect.watch(revision, wait);
         let body = self.read(call, wait + ANSWER).await?;
         let news = self.hub.dialect.news(&body)?;
-        for (_, change) in news.changes {
+        let revision = news.revision;
+        for change in news.latest() {
             self.apply(change);
         }
-        Ok(news.revision)
+        Ok(revision)
     }
 
     async fn read(
@@ -286,6 +287,8 @@
             self.hub.pulse_lost();
             log::warn!(target: DECISION, reason = error.name(), cause:% = error; "platform-lost");
         }
+        // What was missed is listed as it is now, not followed as it came about.
+        self.revision = None;
         let pause = PAUSE_MIN * (1 << self.failures.min(4));
         self.failures += 1;
         tokio::time::sleep(pause.min(PAUSE_MAX)).await;
