--- a/crates/settings/tests/example_files.rs
+++ b/crates/settings/tests/example_files.rs
@@ -37,7 +37,8 @@
     }
 }
 
-/// The page's first example shows the defaults; the second one those of a store and a pool.
+/// The page's first example shows the defaults; the others those of a store, a pool and
+/// `[exchange]`.
 #[test]
 fn page_shows_the_defaults() {
     let path = format!("{}/../../docs/settings.md", env!("CARGO_MANIFEST_DIR"));
@@ -51,6 +52,7 @@
         vm = { id = "vm-1", region = "region", zone = "zone" }
         platform.addresses = ["192.0.2.9:2379"]
         peers.keys = ["at least sixteen bytes"]
+        exchange = {}
         store.weights = {}
         pool.engines = { base = "base", store = "weights" }
     "#;
