--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -1,9 +1,9 @@
 //! Callers' requests: reading them, finding their route, and passing them on.
 //!
-//! - [`job`] takes one request from its head to its final answer.
-//! - [`attempt`] sends it to one upstream and judges the answer.
-//! - [`stream`] relays an event stream and takes it to another engine where one breaks off.
-//! - [`place`] waits until an upstream can serve it.
+//! - `job` takes one request from its head to its final answer.
+//! - `attempt` sends it to one upstream and judges the answer.
+//! - `stream` relays an event stream and takes it to another engine where one breaks off.
+//! - `place` waits until an upstream can serve it.
 
 mod attempt;
 mod job;
--- a/crates/gateway/src/hub/mod.rs
+++ b/crates/gateway/src/hub/mod.rs
@@ -1,7 +1,7 @@
 //! State that all tasks of a node share.
 //!
-//! - [`grant`] asks owners and carries out what they want done.
-//! - [`pulse`] tells what was read of the platform, and takes over what others tell.
+//! - `grant` asks owners and carries out what they want done.
+//! - `pulse` tells what was read of the platform, and takes over what others tell.
 
 mod grant;
 mod pulse;
