Let the most urgent of those who waited for a load start first on every node

Cause: an urgent and a routine completion waited for one load at two nodes. Change: grants tell of a head start of 50 ms for the most urgent priority that waited; holders start less urgent requests after it, also those that come meanwhile.

--- a/crates/placement/benches/decision.rs
+++ b/crates/placement/benches/decision.rs
@@ -141,6 +141,7 @@
                 lease: index as u64,
                 fence: 1,
                 carried: None,
+                head: None,
             };
             let from = Incarnation::new(to, 1);
             let message = Message::Grant(grant);
@@ -214,6 +215,7 @@
                 lease: id,
                 fence: 1,
                 carried: None,
+                head: None,
             };
             let from = Incarnation::new(to, 1);
             let message = Message::Grant(grant);
--- a/crates/placement/src/holder/local.rs
+++ b/crates/placement/src/holder/local.rs
@@ -1,6 +1,6 @@
 //! What a holder keeps of one model: its popularity, its leases and its asks.
 
-use wire::{Fence, Incarnation, Lease, Time, Upstream};
+use wire::{Fence, Incarnation, Lease, Priority, Time, Upstream};
 
 use crate::demand::Rate;
 use crate::event::{Instance, Path};
@@ -25,6 +25,16 @@
     pub in_use: u32,
     /// Requests started since the owner was last told.
     pub served: u32,
+    /// Priority of the requests that start first, and the time until which only they start.
+    pub head: Option<(Priority, Time)>,
+}
+
+impl Held {
+    /// Tells whether a request of `priority` has to let more urgent ones go first.
+    pub fn behind(&self, now: Time, priority: Priority) -> bool {
+        self.head
+            .is_some_and(|(first, until)| priority > first && now < until)
+    }
 }
 
 /// An ask under way.
@@ -40,6 +50,8 @@
     pub waiting: Vec<wire::Request>,
     /// Where the weights are, where the owner may load the model for it; absent in a renewal.
     pub path: Option<Path>,
+    /// Time at which the waiting requests start under the lease that it was answered with.
+    pub start: Option<Time>,
 }
 
 impl Want {
--- a/crates/placement/src/holder/mod.rs
+++ b/crates/placement/src/holder/mod.rs
@@ -251,6 +251,14 @@
         Some(want)
     }
 
+    /// Puts an ask back that was closed.
+    fn reopen(&mut self, model: &Model, want: Want) {
+        if !self.active.contains(model) {
+            self.active.push(model.clone());
+        }
+        self.known(model).wants.push(want);
+    }
+
     /// Takes the news that the engine does not hold a granted request's instance: the lease on it
     /// is void, and the request is placed anew.
     pub fn missing(&mut self, cx: &mut Context<'_>, id: wire::Request) {
@@ -349,6 +357,12 @@
                 continue;
             };
             let want = &local.wants[index];
+            if want.start.is_some_and(|start| cx.now >= start)
+                && let Some(lease) = local.lease(cx.now, &upstream)
+            {
+                self.begin(cx, model, &upstream, lease);
+                continue;
+            }
             if cx.now >= want.heard + cx.settings.silence {
                 self.pass(cx, model, &upstream, None);
                 continue;
--- a/crates/placement/src/holder/place.rs
+++ b/crates/placement/src/holder/place.rs
@@ -187,7 +187,9 @@
                 rank,
                 upstream: *upstream,
             };
-            if let Some(lease) = local.lease(cx.now, &target.facts.id) {
+            if let Some(lease) = local.lease(cx.now, &target.facts.id)
+                && !local.leases[lease].behind(cx.now, request.priority)
+            {
                 let load = target.load(cx.now, nodes);
                 let cost = cost(target, load, request, rank, cx.settings.load_stalls);
                 let run = Next::Run(lease, spot);
@@ -346,6 +348,7 @@
                 heard: now,
                 waiting: Vec::new(),
                 path: None,
+                start: None,
             });
             local.wants.len() - 1
         });
--- a/crates/placement/src/holder/reply.rs
+++ b/crates/placement/src/holder/reply.rs
@@ -39,14 +39,36 @@
             return;
         }
         let lease = self.keep_lease(from, &grant, until, &model);
-        let Some(want) = self.close(&model, &upstream) else {
+        let head = grant.head.map(|head| (head.priority, cx.now + head.left));
+        self.known(&model).leases[lease].head = head;
+        self.begin(cx, &model, &upstream, lease);
+    }
+
+    /// Starts what waits for a lease; requests that have to let more urgent ones go first wait on.
+    pub(super) fn begin(
+        &mut self,
+        cx: &mut Context<'_>,
+        model: &Model,
+        upstream: &Upstream,
+        lease: usize,
+    ) {
+        let Some(mut want) = self.close(model, upstream) else {
             return;
         };
-        let mut waiting = want.waiting;
-        waiting.sort_by_key(|id| self.requests.get(id).map(|e| e.request.priority));
+        let held = self.known(model).leases[lease].clone();
+        let priority = |id: &u64| self.requests.get(id).map(|e| e.request.priority);
+        let behind = |id: &u64| priority(id).is_some_and(|own| held.behind(cx.now, own));
+        let (later, mut waiting): (Vec<u64>, Vec<u64>) = want.waiting.drain(..).partition(behind);
+        waiting.sort_by_key(priority);
         for id in waiting {
             self.start(cx, id, lease);
         }
+        if !later.is_empty() {
+            want.heard = cx.now;
+            want.start = held.head.map(|(_, until)| until);
+            want.waiting = later;
+            self.reopen(model, want);
+        }
     }
 
     fn keep_lease(
@@ -79,6 +101,7 @@
             until,
             in_use: 0,
             served: 0,
+            head: None,
         });
         local.leases.len() - 1
     }
--- a/crates/placement/src/message.rs
+++ b/crates/placement/src/message.rs
@@ -76,6 +76,17 @@
     pub fence: Fence,
     /// What the upstream carries, for the holder's choice.
     pub carried: Option<Carried>,
+    /// Head start of more urgent requests under it.
+    pub head: Option<Head>,
+}
+
+/// A head start: for its time, only requests of a priority or above start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Head {
+    /// The priority.
+    pub priority: Priority,
+    /// What is left of its time.
+    pub left: Duration,
 }
 
 /// A model's popularity, handed to a new owner.
--- a/crates/placement/src/owner/load.rs
+++ b/crates/placement/src/owner/load.rs
@@ -198,6 +198,7 @@
             idle: None,
             ready: now,
             doomed: false,
+            head: None,
         });
         self.measure(now);
         let since = want.map_or(now, |want| want.since);
--- a/crates/placement/src/owner/mod.rs
+++ b/crates/placement/src/owner/mod.rs
@@ -283,6 +283,7 @@
                 used: self.used,
                 age: now.saturating_sub(made),
             }),
+            head: seat.head(now),
         };
         fx.send(&from.vm, Message::Grant(grant));
     }
--- a/crates/placement/src/owner/outcome.rs
+++ b/crates/placement/src/owner/outcome.rs
@@ -12,6 +12,10 @@
 use crate::planner::Effects;
 use crate::settings::Settings;
 
+/// Time by which the most urgent of those who waited for a load go first: a grant and the request
+/// under it are on their way for less than that within a region.
+const HEAD: Duration = Duration::from_millis(50);
+
 impl Owner {
     /// An order below a number that the engine has shown was refused for its number alone.
     pub(super) fn refined(&self, fence: Fence, failure: Failure) -> Failure {
@@ -63,7 +67,8 @@
         Ticket::Finish
     }
 
-    /// Grants leases to all who wait for the model in a slot, the most urgent first.
+    /// Grants leases to all who wait for the model in a slot. The most urgent go first, whichever
+    /// node they wait at: grants to this node take no time, others do.
     pub(super) fn serve(&mut self, now: Time, index: usize, settings: &Settings, fx: &mut Effects) {
         let Some(model) = self.seats[index].model.clone() else {
             return;
@@ -73,6 +78,8 @@
             return;
         };
         waiters.sort_by_key(|waiter| (waiter.priority, waiter.since));
+        let most = waiters.first().map(|waiter| waiter.priority);
+        self.seats[index].head = most.map(|priority| (priority, now + HEAD));
         for waiter in waiters {
             let ask = Ask {
                 upstream: self.facts.id.clone(),
--- a/crates/placement/src/owner/seat.rs
+++ b/crates/placement/src/owner/seat.rs
@@ -1,9 +1,9 @@
 //! One slot of an upstream and the leases on it.
 
-use wire::{Fence, Incarnation, Lease, Model, Time};
+use wire::{Fence, Incarnation, Lease, Model, Priority, Time};
 
 use crate::event::{Instance, Path};
-use crate::message::Number;
+use crate::message::{Head, Number};
 use crate::settings::Settings;
 
 /// What is known of the instance in a slot.
@@ -75,6 +75,8 @@
     pub ready: Time,
     /// Whether an order to unload it may still be under way; it gets no more leases.
     pub doomed: bool,
+    /// Priority of the most urgent that waited for it, and the time until which they go first.
+    pub head: Option<(Priority, Time)>,
 }
 
 impl Seat {
@@ -91,6 +93,13 @@
         self.state == State::Ready && self.rights.iter().all(over)
     }
 
+    /// Returns the head start that grants at `now` have to tell of.
+    pub fn head(&self, now: Time) -> Option<Head> {
+        let (priority, until) = self.head.filter(|(_, until)| *until > now)?;
+        let left = until - now;
+        Some(Head { priority, left })
+    }
+
     /// Gives `holder` a lease, or extends the one that it has, and returns it.
     pub fn grant(
         &mut self,
--- a/crates/placement/src/owner/takeover.rs
+++ b/crates/placement/src/owner/takeover.rs
@@ -196,6 +196,7 @@
                 idle: (shown.in_use == 0).then_some(made),
                 ready: made,
                 doomed: false,
+                head: None,
             });
         }
     }
