Ask engines whether loads are over, and learn how long they take

Cause: on the grown sites most engines began a load every 2.9 s, though one takes 0.29 s. The expected time was scaled by loads in flight over a limit of 8, which is a figure of the small sites (64 there) and stands nowhere on the wire. Ruled out: the store (37 of 222 loads a second used), full engines (34 evictions), lost messages (orders came every 2.93 s at each engine, whoever owned it). Change: the owner repeats the order when the load should be over; 200 or 202 tells whether it is. Loads found late stretch the expectation, loads in time shorten it. The setting flights is gone. An owner wakes itself when a question is due, so that the next load begins at once.

--- a/crates/exchange/src/owner/load.rs
+++ b/crates/exchange/src/owner/load.rs
@@ -27,9 +27,6 @@
 /// Part of the ceiling on starts of base models that is used.
 const CEILING_SHARE: f64 = 0.85;
 
-/// Part of a load's expected time that is added, so that requests seldom come too early.
-const LOAD_MARGIN: f64 = 1.04;
-
 impl Owner {
     /// Takes a need for this node's engine in, or tells that another node orders there.
     #[allow(clippy::too_many_arguments)]
@@ -53,6 +50,9 @@
             }
             Presence::Coming(at, version) if fleet.current(&target, version) => {
                 let presence = Presence::Coming(at, version);
+                if let Some(seat) = self.seat_mut(&runner) {
+                    seat.join(&target, from);
+                }
                 return self.answer(now, from, &runner, &target, presence, out);
             }
             _ => {}
@@ -120,6 +120,9 @@
             Some(Presence::Coming(at, _)) if now < at => return None,
             Some(_) => {}
         }
+        if let Some(order) = self.seats[index].confirm(now) {
+            return Some(order);
+        }
         let coming = |(_, presence): &(&Target, Presence)| matches!(presence, Presence::Coming(at, _) if now < *at);
         let flying = runner
             .held()
@@ -204,7 +207,7 @@
         answer: Answer,
         out: &mut Vec<Action>,
     ) {
-        let eta = now + self.expect(now, fleet, runner, order.target());
+        let eta = now + self.expect(fleet, runner, order.target());
         let Some(seat) = self.seat_mut(runner).filter(|seat| seat.fence == fence) else {
             return;
         };
@@ -220,6 +223,9 @@
             )));
         }
         match answer {
+            Answer::Accepted | Answer::Done | Answer::Unfit if order.confirms() => {
+                self.confirmed(now, runner, order.target(), answer, out);
+            }
             Answer::Accepted | Answer::Done => self.carried(now, runner, order, answer, eta, out),
             Answer::Busy => {
                 seat.stage = Stage::Open(now + BUSY_PAUSE);
@@ -234,6 +240,7 @@
                 }
             }
             Answer::Unreached => seat.stage = Stage::Open(now + UNKNOWN_PAUSE),
+            Answer::Unknown if order.confirms() => seat.stage = Stage::Open(now + UNKNOWN_PAUSE),
             Answer::Unknown => {
                 seat.stage = Stage::Open(now + UNKNOWN_PAUSE);
                 seat.doubt = Some(now + UNKNOWN_PAUSE);
@@ -294,8 +301,12 @@
             return;
         };
         let (target, presence) = match (order, answer) {
-            (Order::Load(target, version), Answer::Done) => (target, Presence::Held(version)),
-            (Order::Load(target, version), _) => (target, Presence::Coming(eta, version)),
+            (Order::Load(target, version) | Order::Confirm(target, version), Answer::Done) => {
+                (target, Presence::Held(version))
+            }
+            (Order::Load(target, version) | Order::Confirm(target, version), _) => {
+                (target, Presence::Coming(eta, version))
+            }
             (Order::Unload(target), answer) => {
                 if answer == Answer::Done {
                     seat.leave(&target);
@@ -307,6 +318,10 @@
                 (target, Presence::Absent)
             }
         };
+        let askers = take_askers(seat, &target, presence);
+        if let Presence::Coming(_, version) = presence {
+            seat.launch(now, &target, version, eta, askers.clone(), out);
+        }
         if presence != Presence::Absent {
             seat.enter(&target);
             seat.remember(&target);
@@ -317,14 +332,13 @@
             target: target.clone(),
             presence,
         });
-        let askers = take_askers(seat, &target, presence);
         for asker in askers.iter().filter(|asker| **asker != self.config.me) {
             self.answer(now, asker, runner, &target, presence, out);
         }
     }
 
     /// Returns how long a load of `target` is expected to take.
-    fn expect(&self, now: Time, fleet: &Fleet, runner: &Upstream, target: &Target) -> Duration {
+    fn expect(&self, fleet: &Fleet, runner: &Upstream, target: &Target) -> Duration {
         let Some(known) = fleet.runner(runner) else {
             return self.config.load;
         };
@@ -338,25 +352,7 @@
         if self.seat(runner).is_some_and(|seat| seat.knows(target)) {
             return self.config.reload;
         }
-        let engines = fleet.open(&known.listing.pool).count();
-        let crowd = self.crowd(now, fleet, engines);
-        self.config.load.mul_f64(LOAD_MARGIN * crowd.max(1.0))
-    }
-
-    /// Returns how many times more loads are under way over all engines than the store carries at
-    /// full speed, if all owners are as busy as this one.
-    fn crowd(&self, now: Time, fleet: &Fleet, engines: usize) -> f64 {
-        let coming = |presence: Presence| matches!(presence, Presence::Coming(at, _) if now < at);
-        let flights = |seat: &Seat| {
-            let held = fleet
-                .runner(&seat.runner)
-                .into_iter()
-                .flat_map(Runner::held);
-            held.filter(|held| coming(held.1)).count()
-        };
-        let mine: usize = self.seats.iter().map(flights).sum();
-        let part = (mine + 1) as f64 / self.seats.len().max(1) as f64;
-        part * engines as f64 / self.config.flights.max(1) as f64
+        self.pace.expect(self.config.load)
     }
 
     /// Opens a seat whose engine has reported, or asks again.
--- a/crates/exchange/src/owner/mod.rs
+++ b/crates/exchange/src/owner/mod.rs
@@ -9,6 +9,7 @@
 //! seen for that engine, followed by bits that belong to the VM alone.
 
 mod claim;
+mod flight;
 mod load;
 mod message;
 mod seat;
@@ -17,6 +18,7 @@
 
 use wire::{Fence, Time, Upstream, Vm};
 
+use flight::Pace;
 pub use message::{Message, News};
 use seat::Seat;
 pub use seat::{Answer, Order};
@@ -49,8 +51,6 @@
     pub load: Duration,
     /// Time of an adapter's load that the engine held lately.
     pub reload: Duration,
-    /// Loads of adapters over all engines up to which none slows the others down.
-    pub flights: usize,
     /// Loads of adapters at one engine at a time.
     pub parallel: usize,
     /// Length of the window over which starts of base models are counted.
@@ -105,6 +105,8 @@
     Paused,
     /// This process leaves.
     Leave,
+    /// The time of an [`Action::Wake`] has come.
+    Due,
     /// Time passed.
     Tick {
         /// Seconds of the wall clock.
@@ -138,6 +140,8 @@
         /// The order.
         order: Order,
     },
+    /// Send [`Event::Due`] after that time.
+    Wake(Duration),
     /// Note residency in the fleet, and wake the requests that wait for it.
     Presence {
         /// The engine.
@@ -236,6 +240,7 @@
     vacant: Vec<(Upstream, Time)>,
     seats: Vec<Seat>,
     starts: Vec<Time>,
+    pace: Pace,
     announced: Time,
     told: usize,
 }
@@ -254,6 +259,7 @@
             vacant: Vec::new(),
             seats: Vec::new(),
             starts: Vec::new(),
+            pace: Pace::default(),
             announced: Time::ZERO,
             told: 0,
         }
@@ -281,7 +287,7 @@
         runner: &str,
         visit: &Visit,
     ) -> Option<Grant> {
-        let load = self.config.load;
+        let load = self.pace.expect(self.config.load);
         let known = fleet.runner(runner)?;
         let seat = self.seat_mut(runner)?;
         let presence = known.presence(&visit.target).as_of(now);
@@ -334,6 +340,8 @@
             Event::Inspected { runner, sound } => self.inspected(now, fleet, &runner, sound, out),
             Event::Paused => self.pause(now, out),
             Event::Leave => self.leave(out),
+            // The orders that are due follow from `pump`.
+            Event::Due => {}
             Event::Tick { wall } => {
                 self.claim(now, fleet, wall, out);
                 self.announce(now, fleet, out);
@@ -511,7 +519,8 @@
         out: &mut Vec<Action>,
     ) {
         let seat = self.seat(runner);
-        let backlog = seat.map_or(Duration::ZERO, |seat| seat.backlog(now, self.config.load));
+        let load = self.pace.expect(self.config.load);
+        let backlog = seat.map_or(Duration::ZERO, |seat| seat.backlog(now, load));
         if *to == self.config.me {
             out.push(Action::Backlog {
                 runner: runner.clone(),
--- a/crates/exchange/src/owner/seat.rs
+++ b/crates/exchange/src/owner/seat.rs
@@ -4,6 +4,7 @@
 
 use wire::{Fence, Time, Upstream, Vm};
 
+use super::flight::Flight;
 use crate::demand::{Count, Target};
 use crate::fleet::Version;
 use crate::meter::Meter;
@@ -25,6 +26,8 @@
     running: u32,
     /// When they are over at the latest, though nobody should say so.
     until: Time,
+    /// Until when the requests that a load is for are awaited.
+    awaited: Time,
 }
 
 /// An order to an engine.
@@ -32,6 +35,8 @@
 pub enum Order {
     /// Load a target, in this version or else the newest.
     Load(Target, Option<Version>),
+    /// Tell whether a load that was ordered is over; it begins anew where it is unknown.
+    Confirm(Target, Option<Version>),
     /// Drop a target once no request uses it.
     Unload(Target),
 }
@@ -40,9 +45,14 @@
     /// Returns what the order is about.
     pub fn target(&self) -> &Target {
         match self {
-            Self::Load(target, _) | Self::Unload(target) => target,
+            Self::Load(target, _) | Self::Confirm(target, _) | Self::Unload(target) => target,
         }
     }
+
+    /// Tells whether it asks for what was ordered before.
+    pub const fn confirms(&self) -> bool {
+        matches!(self, Self::Confirm(..))
+    }
 }
 
 impl std::fmt::Display for Order {
@@ -50,6 +60,7 @@
         match self {
             Self::Load(target, Some(version)) => write!(f, "load {target}@{version}"),
             Self::Load(target, None) => write!(f, "load {target}"),
+            Self::Confirm(target, _) => write!(f, "confirm {target}"),
             Self::Unload(target) => write!(f, "unload {target}"),
         }
     }
@@ -112,6 +123,8 @@
     /// When the ledger has to be checked against the engine's report, since an order's outcome is
     /// not known.
     pub(super) doubt: Option<Time>,
+    /// Loads of adapters that are under way.
+    pub(super) flights: Vec<Flight>,
     uses: Vec<(Target, Use)>,
     known: Vec<Target>,
     pub(super) born: Option<u64>,
@@ -131,6 +144,7 @@
             wants: Vec::new(),
             ledger: Vec::new(),
             doubt: None,
+            flights: Vec::new(),
             uses: Vec::new(),
             known: Vec::new(),
             born: None,
@@ -141,14 +155,8 @@
 
     /// Counts a request that uses `target` here and is over at `until` at the latest.
     pub(super) fn count(&mut self, now: Time, target: &Target, until: Time) {
-        let index = match self.find_use(target) {
-            Ok(index) => index,
-            Err(index) => {
-                self.uses.insert(index, (target.clone(), Use::default()));
-                index
-            }
-        };
-        let usage = &mut self.uses[index].1;
+        let usage = self.usage(target);
+        usage.awaited = Time::ZERO;
         usage.count.add(now, 1.0);
         if now >= usage.until {
             usage.running = 0;
@@ -156,20 +164,38 @@
         usage.running += 1;
         usage.until = usage.until.max(until);
         if self.uses.len() > USES_MAX {
-            self.uses
-                .retain(|(_, usage)| usage.until > now || usage.count.value(now) > USE_MIN);
+            self.uses.retain(|(_, usage)| {
+                usage.until.max(usage.awaited) > now || usage.count.value(now) > USE_MIN
+            });
         }
     }
 
-    /// Tells whether a request uses `target` at present, as far as is known.
+    /// Tells whether a request uses `target` at present or is about to, as far as is known.
     pub(super) fn in_use(&self, now: Time, target: &Target) -> bool {
         let found = self.find_use(target).ok();
         found.is_some_and(|index| {
             let usage = &self.uses[index].1;
-            usage.running > 0 && now < usage.until
+            now < usage.awaited || usage.running > 0 && now < usage.until
         })
     }
 
+    /// Keeps `target` until the requests that it was loaded for have come, until `until` at the
+    /// latest.
+    pub(super) fn reserve(&mut self, target: &Target, until: Time) {
+        self.usage(target).awaited = until;
+    }
+
+    fn usage(&mut self, target: &Target) -> &mut Use {
+        let index = match self.find_use(target) {
+            Ok(index) => index,
+            Err(index) => {
+                self.uses.insert(index, (target.clone(), Use::default()));
+                index
+            }
+        };
+        &mut self.uses[index].1
+    }
+
     /// Notes that a request that used `target` is over.
     pub(super) fn release(&mut self, target: &Target) {
         if let Ok(index) = self.find_use(target) {
@@ -251,6 +277,7 @@
     pub(super) fn restart(&mut self, now: Time, born: Option<u64>) {
         self.born = born;
         self.known.clear();
+        self.flights.clear();
         self.doubt = Some(now);
     }
 }
--- a/crates/exchange/tests/owner_orders.rs
+++ b/crates/exchange/tests/owner_orders.rs
@@ -76,12 +76,13 @@
         let actions = desk.step(want(&format!("b{index}")));
         for (_, _, order) in desk.obey(actions, |order| match order {
             Order::Load(..) => Answer::Accepted,
-            Order::Unload(_) => Answer::Done,
+            Order::Confirm(..) | Order::Unload(_) => Answer::Done,
         }) {
             match order {
                 Order::Load(target, _) => {
                     resident.extend(target.adapter.map(|name| name.to_string()));
                 }
+                Order::Confirm(..) => {}
                 Order::Unload(target) => {
                     resident.retain(|name| Some(&**name) != target.adapter.as_deref());
                 }
@@ -103,7 +104,7 @@
         let actions = desk.step(want(&format!("a{index}")));
         let given = desk.obey(actions, |order| match order {
             Order::Load(..) => Answer::Accepted,
-            Order::Unload(_) => Answer::Busy,
+            Order::Confirm(..) | Order::Unload(_) => Answer::Busy,
         });
         loaded += given
             .iter()
--- a/crates/exchange/tests/support/mod.rs
+++ b/crates/exchange/tests/support/mod.rs
@@ -126,7 +126,6 @@
         fenced: true,
         load: ms(250),
         reload: ms(25),
-        flights: 8,
         parallel: 1,
         ceiling: ms(5_000),
     }
--- a/crates/gateway/src/hub/grant.rs
+++ b/crates/gateway/src/hub/grant.rs
@@ -138,6 +138,13 @@
             Action::Inspect { runner, after } => {
                 tokio::spawn(crate::control::inspect(self.clone(), runner, after));
             }
+            Action::Wake(after) => {
+                let hub = self.clone();
+                tokio::spawn(async move {
+                    tokio::time::sleep(after).await;
+                    hub.drive(owner::Event::Due);
+                });
+            }
             Action::Order {
                 runner,
                 fence,
--- a/crates/gateway/src/hub/mod.rs
+++ b/crates/gateway/src/hub/mod.rs
@@ -160,7 +160,6 @@
             fenced: exchange.fenced,
             load: exchange.load,
             reload: exchange.reload,
-            flights: exchange.flights,
             parallel: exchange.parallel,
             ceiling: exchange.ceiling,
         };
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -142,7 +142,6 @@
         let remedy = "give the tokens that an engine reads in a millisecond";
         self.ensure(sound, "exchange.prefill", exchange.prefill, remedy);
         for (name, value) in [
-            ("flights", exchange.flights),
             ("parallel", exchange.parallel),
             ("threads", exchange.threads),
         ] {
--- a/crates/settings/src/section.rs
+++ b/crates/settings/src/section.rs
@@ -395,8 +395,6 @@
     /// Time of an adapter's load that the engine held lately.
     #[serde(with = "humantime_serde")]
     pub reload: Duration,
-    /// Loads of adapters over all engines up to which none slows the others down.
-    pub flights: usize,
     /// Loads of adapters at one engine at a time.
     pub parallel: usize,
     /// Tokens of prompts that an engine reads in a millisecond.
@@ -431,7 +429,6 @@
             ceiling: Duration::from_secs(5),
             load: Duration::from_millis(250),
             reload: Duration::from_millis(25),
-            flights: 8,
             parallel: 1,
             prefill: 40.0,
             attention: 0.65e-6,
