Respect claims of peers that the view lacks yet, and stand back when superseded

A node that was fit with 70 of 73 in its view heard the claim of one of the other three, took its holder for dead and claimed the engine as well; the two then superseded each other and ordered in turn within the lease. Change: an announcement heard within 2 s shows that its sender lives, until the view drops it; a node that is superseded claims that engine again only after the lease (the same list now also holds for refused numbers, whose wait a standing claim used to clear). Tests that failed first: claim_of_an_unknown_peer_stands, superseded_node_stands_back.

--- a/crates/exchange/src/owner/claim.rs
+++ b/crates/exchange/src/owner/claim.rs
@@ -19,6 +19,7 @@
     /// Claims what nobody else holds and this node is the first for.
     pub(super) fn claim(&mut self, now: Time, fleet: &Fleet, wall: u64, out: &mut Vec<Action>) {
         self.drop_gone(fleet, out);
+        self.barred.retain(|(_, until)| now < *until);
         if !self.fit || self.leaving || now < self.quiet_until {
             self.vacant.clear();
             return;
@@ -29,6 +30,9 @@
                 self.vacant.retain(|(vacant, _)| vacant != id);
                 continue;
             }
+            if self.barred.iter().any(|(barred, _)| barred == id) {
+                continue;
+            }
             if rank::first(rank::hash(id.as_bytes()), &self.live) != Some(&self.config.me) {
                 self.vacant.retain(|(vacant, _)| vacant != id);
                 continue;
@@ -122,6 +126,7 @@
     /// Takes a peer's claims in; the higher number wins.
     pub(super) fn hear(
         &mut self,
+        now: Time,
         from: &Vm,
         claims: Vec<(Upstream, Fence)>,
         out: &mut Vec<Action>,
@@ -138,8 +143,9 @@
                     continue;
                 }
                 self.yield_seat(&runner, "superseded", out);
+                self.stand_back(now, &runner);
             }
-            self.record(runner, from, fence);
+            self.record(now, runner, from, fence);
         }
         if contested {
             let claims: Vec<_> = self
@@ -153,21 +159,20 @@
         }
     }
 
-    fn record(&mut self, runner: Upstream, holder: &Vm, fence: Fence) {
+    fn record(&mut self, now: Time, runner: Upstream, holder: &Vm, fence: Fence) {
         let claim = Claim {
             runner,
             holder: holder.clone(),
             fence,
+            heard: Some(now),
+        };
+        let index = self.claims.iter().position(|k| k.runner == claim.runner);
+        let Some(index) = index else {
+            return self.claims.push(claim);
         };
-        match self
-            .claims
-            .iter_mut()
-            .find(|known| known.runner == claim.runner)
-        {
-            Some(known)
-                if known.fence > fence && self.live.binary_search(&known.holder).is_ok() => {}
-            Some(known) => *known = claim,
-            None => self.claims.push(claim),
+        let known = &self.claims[index];
+        if known.fence <= fence || !self.stands(known) {
+            self.claims[index] = claim;
         }
     }
 
@@ -203,9 +208,14 @@
     /// Notes that a number of another node, higher than `fence`, is in force at `runner`.
     pub(super) fn outbid(&mut self, now: Time, runner: &Upstream, fence: Fence) {
         self.saw(runner, fence + (1 << MARK_BITS));
-        // Whoever holds it announces that; it is claimed again only after the lease.
-        self.vacant.retain(|(id, _)| id != runner);
-        self.vacant.push((runner.clone(), now + self.config.lease));
+        self.stand_back(now, runner);
+    }
+
+    /// Claims an engine that another node took over only after the lease, so that the two do not
+    /// order in turn. Whoever holds it announces that.
+    fn stand_back(&mut self, now: Time, runner: &Upstream) {
+        self.barred.retain(|(id, _)| id != runner);
+        self.barred.push((runner.clone(), now + self.config.lease));
     }
 }
 
--- a/crates/exchange/src/owner/mod.rs
+++ b/crates/exchange/src/owner/mod.rs
@@ -32,6 +32,10 @@
 /// Time for which an engine has to stay unclaimed before a node claims it, so that claims under way arrive first.
 pub const SETTLE: Duration = Duration::from_millis(300);
 
+/// Time for which an announcement shows that its sender lives, whether the view has it yet or not:
+/// two announcements.
+const HEARD: Duration = Duration::from_millis(2_000);
+
 /// Time without orders after a pause of this process, in which peers tell what they claimed
 /// meanwhile: longer than [`ANNOUNCE`].
 pub const RECOVERY: Duration = Duration::from_millis(1_200);
@@ -223,6 +227,8 @@
     runner: Upstream,
     holder: Vm,
     fence: Fence,
+    /// When its holder announced it last; none once the view has dropped the holder since.
+    heard: Option<Time>,
 }
 
 /// The ownership machine of one node.
@@ -238,11 +244,15 @@
     fences: Vec<(Upstream, Fence)>,
     // Engines without a claim, and since when this node would be the one to claim them.
     vacant: Vec<(Upstream, Time)>,
+    // Engines that another node took over from this one, and until when they are left to others.
+    barred: Vec<(Upstream, Time)>,
     seats: Vec<Seat>,
     starts: Vec<Time>,
     pace: Pace,
     announced: Time,
     told: usize,
+    /// Time of the last step.
+    now: Time,
 }
 
 impl Owner {
@@ -257,11 +267,13 @@
             claims: Vec::new(),
             fences: Vec::new(),
             vacant: Vec::new(),
+            barred: Vec::new(),
             seats: Vec::new(),
             starts: Vec::new(),
             pace: Pace::default(),
             announced: Time::ZERO,
             told: 0,
+            now: Time::ZERO,
         }
     }
 
@@ -276,7 +288,7 @@
             return Some(&self.config.me);
         }
         let claim = self.claims.iter().find(|claim| *claim.runner == *runner)?;
-        self.lives(&claim.holder).then_some(&claim.holder)
+        self.stands(claim).then_some(&claim.holder)
     }
 
     /// Lets a request in at an engine of this node; `None` where another node orders there.
@@ -323,6 +335,7 @@
     /// Takes an event in and appends the actions that follow, but for orders: those follow from
     /// [`Owner::pump`] once the fleet shows what the actions say.
     pub fn step(&mut self, now: Time, fleet: &Fleet, event: Event, out: &mut Vec<Action>) {
+        self.now = self.now.max(now);
         match event {
             Event::View { live, fit } => self.see(live, fit),
             Event::Receive { from, message } => self.receive(now, fleet, &from, message, out),
@@ -361,9 +374,21 @@
         self.live.binary_search(vm).is_ok()
     }
 
+    /// Tells whether a claim's holder lives.
+    fn stands(&self, claim: &Claim) -> bool {
+        let heard = claim.heard.is_some_and(|heard| self.now < heard + HEARD);
+        heard || self.lives(&claim.holder)
+    }
+
     fn see(&mut self, mut live: Vec<Vm>, fit: bool) {
         live.sort_unstable();
         live.dedup();
+        for claim in &mut self.claims {
+            let lived = self.live.binary_search(&claim.holder).is_ok();
+            if lived && live.binary_search(&claim.holder).is_err() {
+                claim.heard = None;
+            }
+        }
         self.live = live;
         self.fit = fit;
     }
@@ -377,7 +402,7 @@
         out: &mut Vec<Action>,
     ) {
         match message {
-            Message::Claims(claims) => self.hear(from, claims, out),
+            Message::Claims(claims) => self.hear(now, from, claims, out),
             Message::Holdings { runner, holdings } => {
                 if self.seat(&runner).is_none() {
                     out.push(Action::Holdings { runner, holdings });
--- a/crates/exchange/tests/owner_orders.rs
+++ b/crates/exchange/tests/owner_orders.rs
@@ -278,3 +278,42 @@
     });
     assert_eq!(orders(&actions), [&Order::Unload(target("a3"))]);
 }
+
+/// While many nodes start at once, claims arrive before the view has their senders.
+#[rstest]
+fn claim_of_an_unknown_peer_stands() {
+    let mut desk = Desk::alone("vm-1", 1, [engine("e1", &[])]);
+    let claims = Message::Claims(vec![("e1".into(), 1 << 40)]);
+    desk.step(Event::Receive {
+        from: "vm-2".into(),
+        message: claims,
+    });
+    desk.pass(ms(1_000));
+    assert_eq!(desk.owner.owned().count(), 0);
+    // A holder that the view drops is gone, however fresh its claim.
+    let live: Vec<Vm> = vec!["vm-1".into(), "vm-2".into()];
+    desk.step(Event::View { live, fit: true });
+    desk.step(Event::View {
+        live: vec!["vm-1".into()],
+        fit: true,
+    });
+    desk.pass(ms(500));
+    assert_eq!(desk.owner.owned().count(), 1);
+}
+
+/// Two nodes that take each other for dead must not order in turn.
+#[rstest]
+fn superseded_node_stands_back() {
+    let mut desk = Desk::alone("vm-1", 1, [engine("e1", &[])]);
+    desk.claim();
+    let (_, fence) = desk.owner.owned().next().expect("a claim");
+    desk.step(Event::Receive {
+        from: "vm-2".into(),
+        message: Message::Claims(vec![("e1".into(), fence + 1)]),
+    });
+    assert_eq!(desk.owner.owned().count(), 0);
+    desk.pass(ms(2_900));
+    assert_eq!(desk.owner.owned().count(), 0, "claimed within the lease");
+    desk.pass(ms(1_000));
+    assert_eq!(desk.owner.owned().count(), 1);
+}
