Ask for further homes by demand less the deviation of chance

Cause: one node of 73 sees about twenty requests in the half-life that counts, nearly all for different adapters.

--- a/crates/exchange/src/demand.rs
+++ b/crates/exchange/src/demand.rs
@@ -85,13 +85,15 @@
         }
     }
 
-    /// Returns the part of all requests that ask for `target`, from 0 to 1.
+    /// Returns the part of all requests that ask for `target`, from 0 to 1, less the deviation that
+    /// chance brings: one node out of many sees few requests, and one of them shows nothing.
     pub fn share(&self, now: Time, target: &Target) -> f64 {
         let total = self.total.value(now);
         let found = self.find(target).ok();
         let count = found.map_or(0.0, |index| self.counts[index].1.value(now));
+        let firm = (count - count.sqrt()).max(0.0);
         if total > 0.0 {
-            (count / total).min(1.0)
+            (firm / total).min(1.0)
         } else {
             0.0
         }
