Tell a new owner what its engine's requests use

One that had just taken an engine over knew nothing, dropped an adapter in use, and the engine answered every other order with 409 until its runs were over: i-493da2b050 took no load for more than a second. Ruled out: the ledger (correct), the report (it names no adapters of runs).

--- a/crates/exchange/src/owner/claim.rs
+++ b/crates/exchange/src/owner/claim.rs
@@ -70,7 +70,8 @@
         self.vacant.retain(|(vacant, _)| *vacant != runner);
         self.claims.retain(|claim| claim.runner != runner);
         out.push(Action::Note(Note::Claimed(runner.clone(), fence)));
-        self.seats.push(Seat::new(now, runner, fence));
+        self.seats.push(Seat::new(now, runner.clone(), fence));
+        self.count_own(now, &runner);
         self.tell_claims(out);
         self.announced = now;
     }
@@ -145,7 +146,10 @@
                 self.yield_seat(&runner, "superseded", out);
                 self.stand_back(now, &runner);
             }
-            self.record(now, runner, from, fence);
+            let new = self.record(now, runner.clone(), from, fence);
+            if new {
+                self.tell_uses(now, &runner, out);
+            }
         }
         if contested {
             let claims: Vec<_> = self
@@ -159,7 +163,8 @@
         }
     }
 
-    fn record(&mut self, now: Time, runner: Upstream, holder: &Vm, fence: Fence) {
+    /// Records a claim. Returns whether it is another one than before.
+    fn record(&mut self, now: Time, runner: Upstream, holder: &Vm, fence: Fence) -> bool {
         let claim = Claim {
             runner,
             holder: holder.clone(),
@@ -168,12 +173,16 @@
         };
         let index = self.claims.iter().position(|k| k.runner == claim.runner);
         let Some(index) = index else {
-            return self.claims.push(claim);
+            self.claims.push(claim);
+            return true;
         };
         let known = &self.claims[index];
-        if known.fence <= fence || !self.stands(known) {
+        let new = known.fence != fence || known.holder != *holder;
+        let wins = known.fence <= fence || !self.stands(known);
+        if wins {
             self.claims[index] = claim;
         }
+        wins && new
     }
 
     pub(super) fn released(&mut self, from: &Vm, claims: Vec<(Upstream, Fence)>) {
--- a/crates/exchange/src/owner/message.rs
+++ b/crates/exchange/src/owner/message.rs
@@ -82,6 +82,14 @@
         /// Rank of the request.
         rank: u8,
     },
+    /// What requests of the sender use at an engine that the receiver has just claimed, with the
+    /// milliseconds that each may still take.
+    Uses {
+        /// The engine.
+        runner: Upstream,
+        /// The models, one for each request.
+        uses: Vec<(Target, u32)>,
+    },
     /// A request of the sender that was let in is over.
     Done {
         /// The engine.
--- a/crates/exchange/src/owner/mod.rs
+++ b/crates/exchange/src/owner/mod.rs
@@ -13,6 +13,7 @@
 mod load;
 mod message;
 mod seat;
+mod visit;
 
 use std::time::Duration;
 
@@ -22,6 +23,7 @@
 pub use message::{Message, News};
 use seat::Seat;
 pub use seat::{Answer, Order};
+use visit::Stay;
 
 use crate::demand::Target;
 use crate::fleet::{Fleet, Holding, Presence, Version};
@@ -249,6 +251,7 @@
     // Engines that another node took over from this one, and until when they are left to others.
     barred: Vec<(Upstream, Time)>,
     seats: Vec<Seat>,
+    stays: Vec<Stay>,
     starts: Vec<Time>,
     pace: Pace,
     announced: Time,
@@ -271,6 +274,7 @@
             vacant: Vec::new(),
             barred: Vec::new(),
             seats: Vec::new(),
+            stays: Vec::new(),
             starts: Vec::new(),
             pace: Pace::default(),
             announced: Time::ZERO,
@@ -463,6 +467,7 @@
                     });
                 }
             }
+            Message::Uses { runner, uses } => self.count_uses(now, &runner, &uses),
             Message::Done { runner, target } => self.done(&runner, &target),
             Message::Grant {
                 ticket,
--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -102,9 +102,14 @@
 }
 
 impl<D: Dialect> Visit<D> {
-    fn new(hub: &Arc<Hub<D>>, runner: &Upstream, target: Option<Target>) -> Self {
+    fn new(hub: &Arc<Hub<D>>, runner: &Upstream, target: Option<Target>, until: Time) -> Self {
         let now = hub.clock.now();
-        hub.desk().fleet.start(now, runner);
+        let mut desk = hub.desk();
+        desk.fleet.start(now, runner);
+        if let Some(target) = &target {
+            desk.owner.began(runner, target, until);
+        }
+        drop(desk);
         Self {
             hub: hub.clone(),
             runner: runner.clone(),
@@ -136,7 +141,12 @@
         if !self.over {
             self.over = true;
             let now = self.hub.clock.now();
-            self.hub.desk().fleet.end(now, &self.runner, verdict);
+            let mut desk = self.hub.desk();
+            desk.fleet.end(now, &self.runner, verdict);
+            if let Some(target) = &self.target {
+                desk.owner.ended(&self.runner, target);
+            }
+            drop(desk);
             if let Some(target) = &self.target {
                 self.hub.over(&self.runner, target);
             }
@@ -171,7 +181,7 @@
         };
         self.tried.push(runner.clone());
         self.attempts += 1;
-        let mut visit = Visit::new(&self.hub, runner, target.clone());
+        let mut visit = Visit::new(&self.hub, runner, target.clone(), self.terms.deadline);
         let sent = self.hub.clock.now();
         let response = match self.head(&link, request, &visit).await {
             Ok(response) => response,
