Weigh a wait for a place by the engine's places

A request above the batch cost 40 ms whatever the batch; with 16 places and answers of two seconds, a place becomes free every 125 ms, so requests queued where a load elsewhere would have been sooner. Ruled out: loads (18 of 181), the meter (55 of 181). Change: two seconds divided by the places. queue_of_a_small_engine_is_left_for_a_load failed first.

--- a/crates/exchange/src/choice.rs
+++ b/crates/exchange/src/choice.rs
@@ -16,10 +16,13 @@
 /// Cost of one request that an engine runs already: its share of the steps and prefills ahead.
 const RUNNING_MS: f64 = 2.0;
 
-/// Cost of one request above an engine's batch: the time until a place is free, with answers of
-/// about two seconds and batches of tens.
+/// Cost of a plain service's whole load: the time of its usual work.
 const WAITING_MS: f64 = 40.0;
 
+/// Time that an engine works on one request, about: with it and the engine's places follows how
+/// often a place becomes free.
+const ANSWER_MS: f64 = 2_000.0;
+
 /// Cost of a full failure score: an attempt that fails loses about the time to notice it.
 const TROUBLE_MS: f64 = 1_500.0;
 
@@ -268,7 +271,8 @@
     let load = runner.load(now);
     let over = load.saturating_sub(runner.listing.slots.saturating_sub(1));
     let reading = runner.reading(now).as_secs_f64() * 1_000.0;
-    f64::from(load) * RUNNING_MS + f64::from(over) * WAITING_MS + reading
+    let turn = ANSWER_MS / f64::from(runner.listing.slots.max(1));
+    f64::from(load) * RUNNING_MS + f64::from(over) * turn + reading
 }
 
 fn common(now: Time, need: &Need<'_>, runner: &Runner) -> f64 {
--- a/crates/exchange/tests/upstream_choice.rs
+++ b/crates/exchange/tests/upstream_choice.rs
@@ -195,3 +195,27 @@
     fleet.list(NOW, listing);
     assert_eq!(model(&fleet, &target("a"), false), Pick::Load("e1".into()));
 }
+
+/// With 16 places and answers of about two seconds, a place becomes free eight times a second: to
+/// wait behind six others takes longer than to load the adapter elsewhere.
+#[rstest]
+fn queue_of_a_small_engine_is_left_for_a_load() {
+    let mut fleet = fleet(NOW, [engine("e1", &["a"]), engine("e2", &[])]);
+    let load = Load {
+        running: 16,
+        waiting: 5,
+    };
+    fleet.report(NOW, "e1", load);
+    assert_eq!(model(&fleet, &target("a"), false), Pick::Load("e2".into()));
+}
+
+#[rstest]
+fn short_queue_is_waited_in() {
+    let mut fleet = fleet(NOW, [engine("e1", &["a"]), engine("e2", &[])]);
+    let load = Load {
+        running: 16,
+        waiting: 0,
+    };
+    fleet.report(NOW, "e1", load);
+    assert_eq!(model(&fleet, &target("a"), false), Pick::Send("e1".into()));
+}
