Join what stood twice between the two kinds of nodes and between hub and choice

One start-up error, seal and bind for both kinds of nodes (node::start); Target::bare; the hub's query is the choice's need, and the owner is asked for each candidate instead of copying ids for each request. Errors of the socket towards nodes are counted and don't spin; metrics show datagrams and dropped log lines. No decision changes.

--- a/crates/exchange/src/choice.rs
+++ b/crates/exchange/src/choice.rs
@@ -71,14 +71,28 @@
     pub tried: &'a [Upstream],
     /// Hash of the attempt, which breaks ties.
     pub seed: u64,
+    /// Time that an engine takes to read its prompt.
+    pub reading: Duration,
+}
+
+impl Need<'_> {
+    /// Tells whether its prompt is too long to be read beside other streams.
+    pub fn long(&self) -> bool {
+        self.reading >= LONG
+    }
+}
+
+/// Where and when a choice is made.
+#[derive(Clone, Copy, Debug)]
+pub struct Scene<'a, F> {
+    /// The present time.
+    pub now: Time,
     /// Availability zone of this node.
     pub zone: &'a Zone,
-    /// Upstreams at which nobody orders loads at present.
-    pub unowned: &'a [Upstream],
-    /// Whether its prompt is too long to be read beside other streams.
-    pub long: bool,
     /// Whether there are long prompts at present.
     pub lanes: bool,
+    /// Tells whether some node orders loads at an engine.
+    pub owned: F,
 }
 
 /// The upstream for a request.
@@ -117,7 +131,7 @@
 }
 
 /// Picks the upstream for a request.
-pub fn pick(now: Time, fleet: &Fleet, need: &Need<'_>) -> Pick {
+pub fn pick(fleet: &Fleet, need: &Need<'_>, scene: &Scene<'_, impl Fn(&Upstream) -> bool>) -> Pick {
     let mut open = fleet.open(&need.service.name).peekable();
     if open.peek().is_none() {
         return Pick::None(Lack::Upstream);
@@ -129,16 +143,18 @@
         return Pick::None(Lack::Untried);
     }
     match need.target {
-        Some(target) if need.service.engine.is_some() => engine(now, fleet, need, target, &untried),
-        _ => plain(now, need, &untried),
+        Some(target) if need.service.engine.is_some() => {
+            engine(fleet, need, scene, target, &untried)
+        }
+        _ => plain(need, scene, &untried),
     }
 }
 
-fn plain(now: Time, need: &Need<'_>, runners: &[&Runner]) -> Pick {
+fn plain<F>(need: &Need<'_>, scene: &Scene<'_, F>, runners: &[&Runner]) -> Pick {
     let cost = |runner: &Runner| {
         let slots = f64::from(runner.listing.slots.max(1));
-        let load = f64::from(runner.load(now)) / slots;
-        load * WAITING_MS + common(now, need, runner)
+        let load = f64::from(runner.load(scene.now)) / slots;
+        load * WAITING_MS + common(need, scene, runner)
     };
     let best = least(runners.iter().map(|runner| (cost(runner), *runner)));
     best.map_or(Pick::None(Lack::Upstream), |runner| {
@@ -146,33 +162,37 @@
     })
 }
 
-fn engine(now: Time, fleet: &Fleet, need: &Need<'_>, target: &Target, runners: &[&Runner]) -> Pick {
-    let bare = Target {
-        base: target.base.clone(),
-        adapter: None,
-    };
+fn engine(
+    fleet: &Fleet,
+    need: &Need<'_>,
+    scene: &Scene<'_, impl Fn(&Upstream) -> bool>,
+    target: &Target,
+    runners: &[&Runner],
+) -> Pick {
+    let (now, long) = (scene.now, need.long());
+    let bare = Target::bare(&target.base);
     let based: Vec<&Runner> = runners
         .iter()
         .copied()
         .filter(|runner| fleet.serves(runner, &bare))
         .collect();
-    let lanes = if need.lanes {
+    let lanes = if scene.lanes {
         lanes(&based)
     } else {
         Vec::new()
     };
     let mut homes = order(target, &based);
     // Long prompts look for a home among their lanes first, others last.
-    homes.sort_by_key(|id| lanes.contains(id) != need.long);
+    homes.sort_by_key(|id| lanes.contains(id) != long);
     let costs = based.iter().map(|runner| {
         let place = homes.iter().position(|id| *id == runner.listing.id);
-        let lane = match (need.long, lanes.contains(&runner.listing.id)) {
-            (true, false) if need.lanes => ASTRAY_MS,
+        let lane = match (long, lanes.contains(&runner.listing.id)) {
+            (true, false) if scene.lanes => ASTRAY_MS,
             (false, true) => LANE_MS,
             _ => 0.0,
         };
-        let cost = stall(now, fleet, need, target, runner, place) + busy(now, runner) + lane;
-        (cost + common(now, need, runner), *runner)
+        let cost = stall(fleet, scene, target, runner, place) + busy(now, runner) + lane;
+        (cost + common(need, scene, runner), *runner)
     });
     let Some(best) = least(costs) else {
         return Pick::None(Lack::Weights);
@@ -222,15 +242,12 @@
 ) -> Option<Upstream> {
     let target = need.target?;
     target.adapter.as_ref()?;
-    let bare = Target {
-        base: target.base.clone(),
-        adapter: None,
-    };
+    let bare = Target::bare(&target.base);
     let mut based: Vec<&Runner> = fleet
         .open(&need.service.name)
         .filter(|runner| fleet.serves(runner, &bare))
         .collect();
-    if need.lanes {
+    if demand.has_long(now) {
         let lanes = lanes(&based);
         based.retain(|runner| !lanes.contains(&runner.listing.id));
     }
@@ -247,9 +264,8 @@
 }
 
 fn stall(
-    now: Time,
     fleet: &Fleet,
-    need: &Need<'_>,
+    scene: &Scene<'_, impl Fn(&Upstream) -> bool>,
     target: &Target,
     runner: &Runner,
     place: Option<usize>,
@@ -257,11 +273,11 @@
     match runner.presence(target) {
         Presence::Held(version) if fleet.current(target, version) => 0.0,
         Presence::Coming(at, version) if fleet.current(target, version) => {
-            at.saturating_sub(now).as_secs_f64() * 1_000.0
+            at.saturating_sub(scene.now).as_secs_f64() * 1_000.0
         }
-        _ if need.unowned.contains(&runner.listing.id) => UNOWNED_MS,
+        _ if !(scene.owned)(&runner.listing.id) => UNOWNED_MS,
         _ => {
-            let backlog = runner.backlog(now).as_secs_f64() * 1_000.0;
+            let backlog = runner.backlog(scene.now).as_secs_f64() * 1_000.0;
             backlog.max(LOAD_MS) + RANK_MS * place.unwrap_or_default() as f64
         }
     }
@@ -275,17 +291,17 @@
     f64::from(load) * RUNNING_MS + f64::from(over) * turn + reading
 }
 
-fn common(now: Time, need: &Need<'_>, runner: &Runner) -> f64 {
-    let silence = runner.silence(now);
+fn common<F>(need: &Need<'_>, scene: &Scene<'_, F>, runner: &Runner) -> f64 {
+    let silence = runner.silence(scene.now);
     let silent = if silence > SILENCE { TROUBLE_MS } else { 0.0 };
-    let far = if runner.listing.zone == *need.zone {
+    let far = if runner.listing.zone == *scene.zone {
         0.0
     } else {
         ZONE_MS
     };
     // Equal candidates are spread by the attempt, within a millisecond.
     let spread = rank::weight(need.seed, &runner.listing.id) as f64 / u64::MAX as f64;
-    runner.trouble(now) * TROUBLE_MS + silent + far + spread
+    runner.trouble(scene.now) * TROUBLE_MS + silent + far + spread
 }
 
 fn least<'a>(costs: impl IntoIterator<Item = (f64, &'a Runner)>) -> Option<&'a Runner> {
--- a/crates/exchange/src/demand.rs
+++ b/crates/exchange/src/demand.rs
@@ -29,6 +29,16 @@
     pub adapter: Option<Adapter>,
 }
 
+impl Target {
+    /// Returns the base model alone.
+    pub fn bare(base: &Base) -> Self {
+        Self {
+            base: base.clone(),
+            adapter: None,
+        }
+    }
+}
+
 impl std::fmt::Display for Target {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match &self.adapter {
--- a/crates/exchange/src/fleet.rs
+++ b/crates/exchange/src/fleet.rs
@@ -324,10 +324,7 @@
         self.stock.retain(firm);
         let holdings = std::mem::take(&mut self.listing.holdings);
         for holding in &holdings {
-            let bare = Target {
-                base: holding.base.clone(),
-                adapter: None,
-            };
+            let bare = Target::bare(&holding.base);
             self.offer(now, &bare, None, source);
             for (adapter, version) in &holding.adapters {
                 let target = Target {
@@ -468,10 +465,7 @@
         runner.listing.leaving |= outline.leaving;
         runner.listing.slots = outline.slots;
         for holding in &outline.holdings {
-            let bare = Target {
-                base: holding.base.clone(),
-                adapter: None,
-            };
+            let bare = Target::bare(&holding.base);
             runner.offer(now, &bare, None, Source::Listing);
         }
         let gone = |stock: &Stock| {
--- a/crates/exchange/src/owner/load.rs
+++ b/crates/exchange/src/owner/load.rs
@@ -171,10 +171,7 @@
         }
         let seat = &self.seats[index];
         let holders = |base: &wire::Base| {
-            let target = Target {
-                base: base.clone(),
-                adapter: None,
-            };
+            let target = Target::bare(base);
             let holds = |runner: &&Runner| runner.presence(&target) != Presence::Absent;
             fleet.open(&runner.listing.pool).filter(holds).count()
         };
@@ -188,11 +185,7 @@
             .base
             .clone();
         self.starts.push(now);
-        let target = Target {
-            base,
-            adapter: None,
-        };
-        Some(Order::Load(target, None))
+        Some(Order::Load(Target::bare(&base), None))
     }
 
     /// Takes the answer to an order in.
--- a/crates/exchange/tests/support/mod.rs
+++ b/crates/exchange/tests/support/mod.rs
@@ -26,10 +26,7 @@
 }
 
 pub fn bare() -> Target {
-    Target {
-        base: "base".into(),
-        adapter: None,
-    }
+    Target::bare(&"base".into())
 }
 
 pub fn engines() -> Service {
--- a/crates/exchange/tests/upstream_choice.rs
+++ b/crates/exchange/tests/upstream_choice.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use exchange::Pick;
-use exchange::choice::{Lack, Need, pick};
+use exchange::choice::{LONG, Lack, Need, Scene, pick};
 use exchange::demand::Target;
 use exchange::fleet::{Load, Presence, Verdict};
 use exchange::route::Service;
@@ -27,12 +27,15 @@
         target: ask.target,
         tried: ask.tried,
         seed: 42,
+        reading: if ask.long { LONG } else { ms(20) },
+    };
+    let scene = Scene {
+        now: NOW,
         zone: &zone,
-        unowned: &[],
-        long: ask.long,
         lanes: true,
+        owned: |_: &Upstream| true,
     };
-    pick(NOW, fleet, &need)
+    pick(fleet, &need, &scene)
 }
 
 fn plain(fleet: &exchange::Fleet, tried: &[Upstream]) -> Pick {
--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -29,6 +30,9 @@
     Pulse(exchange::mirror::Pulse),
 }
 
+/// Pause after an error of the socket: short beside the silence after which peers count as dead.
+const ERROR_PAUSE: Duration = Duration::from_millis(2);
+
 /// Number of [`Message`] in frames; other machines of the product have lower ones.
 const CHANNEL: u8 = 16;
 
@@ -43,6 +47,8 @@
     pub dropped: AtomicU64,
     /// Datagrams refused because their tag or form was wrong.
     pub refused: AtomicU64,
+    /// Errors of the socket while it waits for datagrams.
+    pub failed: AtomicU64,
 }
 
 /// The socket towards other nodes.
@@ -114,8 +120,13 @@
         loop {
             let (length, from) = match self.socket.recv_from(&mut buffer).await {
                 Ok(received) => received,
-                // A peer's closed port shows here; it says nothing of this socket.
-                Err(_) => continue,
+                // A peer's closed port shows here. An error that lasts must not spin.
+                Err(error) => {
+                    self.counts.failed.fetch_add(1, Ordering::Relaxed);
+                    log::debug!("the socket towards nodes: {error}");
+                    tokio::time::sleep(ERROR_PAUSE).await;
+                    continue;
+                }
             };
             match self.open(&buffer[..length]) {
                 Some((sender, message)) => {
--- a/crates/gateway/src/front/job.rs
+++ b/crates/gateway/src/front/job.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use exchange::Pick;
+use exchange::choice::Need;
 use exchange::demand::Target;
 use exchange::outcome::{Next, Reach, Standing};
 use exchange::relay::Cursor;
@@ -20,7 +21,7 @@
 use super::attempt::Tried;
 use super::place::Placed;
 use crate::dialect::{Ask, Dialect};
-use crate::hub::{Hub, Query};
+use crate::hub::Hub;
 
 /// Least time in which an attempt can still bring an answer: a few round trips.
 const LEAST: Duration = Duration::from_millis(25);
@@ -129,8 +130,8 @@
         let now = self.hub.clock.now();
         self.hub.desk().spend.request(now, &self.service.name);
         let target = self.target();
-        let query = self.query(target.as_ref());
-        self.hub.demand(&query, self.route.rank);
+        let need = self.need(target.as_ref());
+        self.hub.demand(&need, self.route.rank);
         let mut cursor = Cursor::new(self.ask.after);
         loop {
             let runner = match self.place().await {
@@ -168,8 +169,8 @@
     }
 
     /// Returns what the request needs of an upstream.
-    pub(super) fn query<'a>(&'a self, target: Option<&'a Target>) -> Query<'a> {
-        Query {
+    pub(super) fn need<'a>(&'a self, target: Option<&'a Target>) -> Need<'a> {
+        Need {
             service: &self.service,
             target,
             tried: &self.tried,
@@ -224,7 +225,7 @@
             return false;
         }
         let target = self.target();
-        let elsewhere = self.hub.pick(&self.query(target.as_ref()));
+        let elsewhere = self.hub.pick(&self.need(target.as_ref()));
         let paid = matches!(elsewhere, Pick::Send(_)) && self.pay();
         self.prepaid.store(paid, Ordering::Relaxed);
         paid
--- a/crates/gateway/src/front/place.rs
+++ b/crates/gateway/src/front/place.rs
@@ -55,7 +55,7 @@
             if self.left().is_zero() || self.patience().is_zero() {
                 return Placed::Refused("no-time", None);
             }
-            let pick = self.hub.pick(&self.query(target.as_ref()));
+            let pick = self.hub.pick(&self.need(target.as_ref()));
             match pick {
                 Pick::Send(runner) => {
                     let waited = self.hub.clock.now().saturating_sub(started);
@@ -98,7 +98,7 @@
         if self.moved >= MOVES_MAX {
             return false;
         }
-        let other = match self.hub.pick(&self.query(target)) {
+        let other = match self.hub.pick(&self.need(target)) {
             Pick::Send(other) if other != *runner => other,
             _ => return false,
         };
--- a/crates/gateway/src/hub/mod.rs
+++ b/crates/gateway/src/hub/mod.rs
@@ -12,11 +12,11 @@
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use exchange::choice::{self, Need, Pick};
+use exchange::choice::{self, Need, Pick, Scene};
 use exchange::demand::{Demand, Target};
 use exchange::mirror::Mirror;
 use exchange::owner::{self, Grant};
-use exchange::route::{Config, Service};
+use exchange::route::Config;
 use exchange::spend::{self, Spend};
 use exchange::{Fleet, Owner};
 use node::clock::{Clock, wall_micros};
@@ -71,21 +71,6 @@
     }
 }
 
-/// What a request needs of an upstream.
-#[derive(Clone, Copy, Debug)]
-pub struct Query<'a> {
-    /// The pool.
-    pub service: &'a Service,
-    /// The model; absent for plain services.
-    pub target: Option<&'a Target>,
-    /// Upstreams that it was sent to already.
-    pub tried: &'a [Upstream],
-    /// Hash of the attempt.
-    pub seed: u64,
-    /// Time that an engine takes to read its prompt.
-    pub reading: Duration,
-}
-
 struct Waiter {
     runner: Upstream,
     target: Target,
@@ -304,51 +289,32 @@
     }
 
     /// Picks the upstream for a request.
-    pub fn pick(&self, query: &Query<'_>) -> Pick {
+    pub fn pick(&self, need: &Need<'_>) -> Pick {
         let now = self.clock.now();
         let desk = self.desk();
-        let unowned: Vec<Upstream> = match query.target {
-            Some(_) => desk
-                .fleet
-                .open(&query.service.name)
-                .filter(|runner| desk.owner.holder(&runner.listing.id).is_none())
-                .map(|runner| runner.listing.id.clone())
-                .collect(),
-            None => Vec::new(),
-        };
-        let need = self.need(&desk, query, &unowned);
-        choice::pick(now, &desk.fleet, &need)
-    }
-
-    fn need<'a>(&'a self, desk: &Desk, query: &Query<'a>, unowned: &'a [Upstream]) -> Need<'a> {
-        let now = self.clock.now();
-        Need {
-            service: query.service,
-            target: query.target,
-            tried: query.tried,
-            seed: query.seed,
+        let scene = Scene {
+            now,
             zone: &self.settings.vm.zone,
-            unowned,
-            long: query.reading >= choice::LONG,
             lanes: desk.demand.has_long(now),
-        }
+            owned: |id: &Upstream| desk.owner.holder(id).is_some(),
+        };
+        choice::pick(&desk.fleet, need, &scene)
     }
 
     /// Counts a request for a model, and asks for another home where its demand wants one.
-    pub fn demand(self: &Arc<Self>, query: &Query<'_>, rank: u8) {
-        let Some(target) = query.target else {
+    pub fn demand(self: &Arc<Self>, need: &Need<'_>, rank: u8) {
+        let Some(target) = need.target else {
             return;
         };
         let now = self.clock.now();
         let mut guard = self.desk();
         let desk = &mut *guard;
         desk.demand.add(now, target);
-        if query.reading >= choice::LONG {
+        if need.long() {
             desk.demand.note_long(now);
             return;
         }
-        let need = self.need(desk, query, &[]);
-        let Some(runner) = choice::missing_home(now, &desk.fleet, &desk.demand, &need) else {
+        let Some(runner) = choice::missing_home(now, &desk.fleet, &desk.demand, need) else {
             return;
         };
         desk.spread.retain(|(_, _, at)| now < *at + SPREAD_PAUSE);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,4 +20,4 @@
 pub mod store;
 
 pub use dialect::Dialect;
-pub use run::{Error, Node};
+pub use run::Node;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,11 +1,15 @@
 //! Metrics by `prometheus`, with bounded labels: kinds, pools and outcomes, never adapters.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder,
 };
 
+use crate::datagram::Counts;
+
 /// Upper bounds of the buckets for waits, in seconds.
 const WAIT_BUCKETS: [f64; 11] = [
     0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.8, 1.5, 3.0, 10.0,
@@ -26,6 +30,8 @@
     pub revision: IntGauge,
     /// Requests in progress.
     pub flying: IntGauge,
+    datagrams: IntGaugeVec,
+    log_dropped: IntGauge,
 }
 
 fn counter(
@@ -57,6 +63,21 @@
     Ok(metric)
 }
 
+fn gauges(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> Result<IntGaugeVec, prometheus::Error> {
+    let metric = IntGaugeVec::new(Opts::new(name, help), labels)?;
+    registry.register(Box::new(metric.clone()))?;
+    Ok(metric)
+}
+
+fn signed(count: u64) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
+
 impl Metrics {
     /// Registers all metrics.
     ///
@@ -113,6 +134,17 @@
                 "hyssopscale_requests_in_progress",
                 "Requests in progress",
             )?,
+            datagrams: gauges(
+                all,
+                "hyssopscale_datagrams",
+                "Datagrams between nodes since the start, by what became of them",
+                &["result"],
+            )?,
+            log_dropped: gauge(
+                all,
+                "hyssopscale_log_lines_dropped",
+                "Decision lines dropped by the rate limit since the start",
+            )?,
             registry,
         })
     }
@@ -142,7 +174,19 @@
     }
 
     /// Writes all metrics as text.
-    pub fn render(&self) -> Vec<u8> {
+    pub fn render(&self, counts: &Counts) -> Vec<u8> {
+        let results = [
+            ("sent", &counts.sent),
+            ("received", &counts.received),
+            ("dropped", &counts.dropped),
+            ("refused", &counts.refused),
+            ("failed", &counts.failed),
+        ];
+        for (result, count) in results {
+            let count = signed(count.load(Ordering::Relaxed));
+            self.datagrams.with_label_values(&[result]).set(count);
+        }
+        self.log_dropped.set(signed(node::journal::dropped()));
         let mut text = Vec::new();
         if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
             log::warn!("metrics do not encode: {error}");
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -8,13 +8,12 @@
 use node::clock::{Clock, wall_micros};
 use node::front::listener::{self, Handler, Limit};
 use node::journal::DECISION;
+use node::start::{self, Error};
 use settings::Settings;
-use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 use wire::Incarnation;
-use wire::seal::Seal;
 
 use crate::control::{self, Handle};
 use crate::datagram::Post;
@@ -40,31 +39,6 @@
 /// Part of the grace time that is left when the last requests are given up.
 const LAST_PART: u32 = 12;
 
-/// Reason why a node cannot start.
-#[derive(Debug, thiserror::Error)]
-pub enum Error {
-    /// An address cannot be bound.
-    #[error("cannot listen on {address} ({cause}); free the address or change the settings")]
-    Listen {
-        /// The address.
-        address: SocketAddr,
-        /// The system's error.
-        cause: std::io::Error,
-    },
-    /// An address of the platform does not parse.
-    #[error("platform address {0} is not IP:PORT; correct `platform.addresses`")]
-    Platform(String),
-    /// The peers' keys are unusable.
-    #[error(transparent)]
-    Keys(#[from] wire::seal::Error),
-    /// The metrics cannot be registered.
-    #[error("metrics cannot be registered ({0}); report this")]
-    Metrics(#[from] prometheus::Error),
-    /// The control actor does not start.
-    #[error("control does not start ({0}); report this")]
-    Control(#[from] ractor::SpawnErr),
-}
-
 /// A running node.
 pub struct Node<D> {
     hub: Arc<Hub<D>>,
@@ -82,9 +56,10 @@
     pub async fn start(settings: Settings, dialect: D) -> Result<Self, Error> {
         let clock = Clock::start();
         let me = Incarnation::new(settings.vm.id.clone(), wall_micros());
-        let platform = platform_address(&settings)?;
+        let platform = start::platform(&settings)?.first().copied();
+        let platform = platform.ok_or_else(|| Error::Platform(String::new()))?;
         let address = settings.listen.peers;
-        let bound = Post::bind(address, me.clone(), seal(&settings)?).await;
+        let bound = Post::bind(address, me.clone(), start::seal(&settings)?).await;
         let post = bound.map_err(|cause| Error::Listen { address, cause })?;
         info!(target: DECISION, vm:% = me, zone:% = settings.vm.zone; "start");
         let hub = Hub::new(dialect, settings, me, clock, Metrics::new()?, post);
@@ -128,8 +103,7 @@
         limit: Limit,
         handler: impl Handler,
     ) -> Result<(), Error> {
-        let bound = TcpListener::bind(address).await;
-        let socket = bound.map_err(|cause| Error::Listen { address, cause })?;
+        let socket = start::bind(address).await?;
         let stop = self.stop.subscribe();
         let serving = listener::serve(socket, limit, handler, None, stop);
         self.fronts.push(tokio::spawn(serving));
@@ -165,16 +139,3 @@
         cut
     }
 }
-
-fn seal(settings: &Settings) -> Result<Seal, wire::seal::Error> {
-    let mut keys = settings.peers.keys.iter();
-    let mut next = || keys.next().map(|key| key.0.clone().into_bytes());
-    let sign = next().unwrap_or_default();
-    Seal::new(sign, next())
-}
-
-fn platform_address(settings: &Settings) -> Result<SocketAddr, Error> {
-    let address = settings.platform.addresses.first();
-    let address = address.cloned().unwrap_or_default();
-    address.parse().map_err(|_| Error::Platform(address))
-}
--- a/crates/gateway/src/side.rs
+++ b/crates/gateway/src/side.rs
@@ -57,7 +57,7 @@
             return self.ready();
         }
         if path == METRICS {
-            return Response::new(Body::full(self.0.metrics.render()));
+            return Response::new(Body::full(self.0.metrics.render(self.0.post.counts())));
         }
         match self.0.dialect.asks_where(path, request.uri().query()) {
             Some(_) => self.whereabouts(),
--- a/crates/hyssopscale/src/ops/mod.rs
+++ b/crates/hyssopscale/src/ops/mod.rs
@@ -46,9 +46,6 @@
     /// A manifest cannot be made.
     #[error("{0}")]
     Manifest(#[from] confsync::manifest::Error),
-    /// A node on an adapted platform does not start.
-    #[error("{0}")]
-    Gateway(#[from] gateway::Error),
     /// A node gave no answer.
     #[error("{0}")]
     Client(#[from] crate::client::Error),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,7 +4,7 @@
 //! - [`peer`] carries frames between nodes.
 //! - [`front`] answers callers and operators.
 //! - [`directory`] knows where nodes and upstreams are.
-//! - [`run`] starts and stops all of it; [`tune`] derives the machines' settings.
+//! - [`run`] starts and stops all of it; [`start`] is what other kinds of nodes do likewise; [`tune`] derives the machines' settings.
 //! - [`trials`] keeps what attempts taught: retry budgets and the health of upstreams.
 //! - [`decision`] writes a log line for each decision; [`journal`], [`metrics`] and [`usage`] tell operators what happens.
 
@@ -18,8 +18,10 @@
 pub mod peer;
 pub mod run;
 pub mod shared;
+pub mod start;
 pub mod trials;
 pub mod tune;
 pub mod usage;
 
-pub use run::{Addresses, Ending, Error, Node};
+pub use run::{Addresses, Ending, Node};
+pub use start::Error;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -21,6 +21,7 @@
 use crate::metrics::Metrics;
 use crate::peer::{Inbox, Outbox, SharedCounts};
 use crate::shared::Shared;
+use crate::start::{self, Error, bind, seal};
 
 /// Name of the manifest under the settings' prefix.
 const MANIFEST: &str = "manifest";
@@ -34,34 +35,6 @@
 /// Time that a shutdown spends on handing records over.
 const HAND_OVER: Duration = Duration::from_secs(5);
 
-/// Reason why a node cannot start.
-#[derive(Debug, thiserror::Error)]
-pub enum Error {
-    /// An address cannot be bound.
-    #[error("cannot listen on {address} ({cause}); free the address or change `listen`")]
-    Listen {
-        /// The address.
-        address: SocketAddr,
-        /// The system's error.
-        cause: std::io::Error,
-    },
-    /// An address of the platform does not parse.
-    #[error("platform address {0} is not IP:PORT; correct `platform.addresses`")]
-    Platform(String),
-    /// The peers' keys are unusable.
-    #[error(transparent)]
-    Keys(#[from] wire::seal::Error),
-    /// The certificate towards callers is unusable.
-    #[error(transparent)]
-    Tls(#[from] tls::Error),
-    /// The metrics cannot be registered.
-    #[error("metrics cannot be registered ({0}); report this")]
-    Metrics(#[from] prometheus::Error),
-    /// The core does not start.
-    #[error("core does not start ({0}); report this")]
-    Core(#[from] ractor::SpawnErr),
-}
-
 /// A running node.
 pub struct Node {
     shared: Arc<Shared>,
@@ -254,29 +227,12 @@
     }
 }
 
-fn seal(settings: &Settings) -> Result<Seal, Error> {
-    let mut keys = settings
-        .peers
-        .keys
-        .iter()
-        .map(|key| key.0.clone().into_bytes());
-    let sign = keys.next().unwrap_or_default();
-    Ok(Seal::new(sign, keys.next())?)
-}
-
 fn platform_source(settings: &Settings) -> Result<platform::Http, Error> {
-    let parse = |address: &String| {
-        address
-            .parse()
-            .map_err(|_| Error::Platform(address.clone()))
-    };
-    let addresses: Result<Vec<SocketAddr>, Error> =
-        settings.platform.addresses.iter().map(parse).collect();
     let limits = Limits {
         connect: settings.time.connect,
         answer: settings.platform.timeout,
     };
-    Ok(platform::Http::new(addresses?, limits))
+    Ok(platform::Http::new(start::platform(settings)?, limits))
 }
 
 async fn listen_peers(
@@ -293,11 +249,6 @@
     listening.map_err(|cause| Error::Listen { address, cause })
 }
 
-async fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
-    let bound = TcpListener::bind(address).await;
-    bound.map_err(|cause| Error::Listen { address, cause })
-}
-
 fn local(socket: &TcpListener, asked: SocketAddr) -> SocketAddr {
     socket.local_addr().unwrap_or(asked)
 }
