--- a/crates/exchange/src/owner/claim.rs
+++ b/crates/exchange/src/owner/claim.rs
@@ -15,11 +15,21 @@
 /// for decades, which every reader of JSON takes.
 const EPOCH: u64 = 1_735_689_600;
 
+/// Seconds by which a number is raised that an engine refused: clocks that are kept differ by less.
+const JUMP: u64 = 30;
+
+/// Bits by which each further refusal raises that.
+const JUMP_BITS: u32 = 4;
+
+/// Refusals after which the raise stays the same: 30 s times 2^16 are three weeks.
+const JUMPS_MAX: u32 = 4;
+
 impl Owner {
     /// Claims what nobody else holds and this node is the first for.
     pub(super) fn claim(&mut self, now: Time, fleet: &Fleet, wall: u64, out: &mut Vec<Action>) {
         self.drop_gone(fleet, out);
         self.barred.retain(|(_, until)| now < *until);
+        self.refused.retain(|(id, _)| fleet.runner(id).is_some());
         if !self.fit || self.leaving || now < self.quiet_until {
             self.vacant.clear();
             return;
@@ -92,7 +102,7 @@
 
     /// Announces all claims when that is due.
     pub(super) fn announce(&mut self, now: Time, fleet: &Fleet, out: &mut Vec<Action>) {
-        if now >= self.announced + ANNOUNCE && !self.seats.is_empty() {
+        if now >= self.announced + ANNOUNCE {
             self.announced = now;
             self.tell_claims(out);
             self.told += 1;
@@ -214,9 +224,21 @@
         }
     }
 
-    /// Notes that a number of another node, higher than `fence`, is in force at `runner`.
+    /// Notes that a number of another node, higher than `fence`, is in force at `runner`. How much
+    /// higher is not known: this VM's clock may be far behind, so each refusal raises it by more.
     pub(super) fn outbid(&mut self, now: Time, runner: &Upstream, fence: Fence) {
-        self.saw(runner, fence + (1 << MARK_BITS));
+        let times = match self.refused.iter_mut().find(|(id, _)| id == runner) {
+            Some((_, times)) => {
+                *times += 1;
+                *times
+            }
+            None => {
+                self.refused.push((runner.clone(), 0));
+                0
+            }
+        };
+        let seconds = JUMP << (JUMP_BITS * times.min(JUMPS_MAX));
+        self.saw(runner, fence + (seconds << MARK_BITS));
         self.stand_back(now, runner);
     }
 
--- a/crates/exchange/src/owner/mod.rs
+++ b/crates/exchange/src/owner/mod.rs
@@ -248,6 +248,8 @@
     fences: Vec<(Upstream, Fence)>,
     // Engines without a claim, and since when this node would be the one to claim them.
     vacant: Vec<(Upstream, Time)>,
+    // How often engines refused this node's numbers.
+    refused: Vec<(Upstream, u32)>,
     // Engines that another node took over from this one, and until when they are left to others.
     barred: Vec<(Upstream, Time)>,
     seats: Vec<Seat>,
@@ -272,6 +274,7 @@
             claims: Vec::new(),
             fences: Vec::new(),
             vacant: Vec::new(),
+            refused: Vec::new(),
             barred: Vec::new(),
             seats: Vec::new(),
             stays: Vec::new(),
--- a/crates/exchange/tests/owner_orders.rs
+++ b/crates/exchange/tests/owner_orders.rs
@@ -342,3 +342,33 @@
     desk.pass(ms(1_000));
     assert_eq!(desk.owner.owned().count(), 1);
 }
+
+/// A node that restarts before the others notice has given its engines up without a word: it says
+/// so, also where it holds none.
+#[rstest]
+fn node_without_engines_says_so() {
+    let live: Vec<Vm> = vec!["vm-1".into(), "vm-2".into()];
+    let mut fresh = Desk::alone("vm-2", 2, []);
+    fresh.step(Event::View {
+        live: live.clone(),
+        fit: true,
+    });
+    let nothing = Message::Claims(Vec::new());
+    let told = fresh.pass(ms(1_500));
+    let message = Action::Send {
+        to: "vm-1".into(),
+        message: nothing.clone(),
+    };
+    assert!(told.contains(&message), "{told:?}");
+
+    let mut desk = Desk::alone("vm-1", 1, [engine("e1", &[])]);
+    desk.step(Event::View { live, fit: true });
+    for message in [Message::Claims(vec![("e1".into(), 1 << 40)]), nothing] {
+        assert_eq!(desk.owner.owned().count(), 0);
+        desk.step(Event::Receive {
+            from: "vm-2".into(),
+            message,
+        });
+    }
+    assert_eq!(desk.owner.holder("e1"), None);
+}
