Meter urgent prompts among themselves

Change: urgent prompts wait for urgent ones alone, others for all. urgent_requests_wait_for_each_other failed first; urgent_request_never_waits stays as it was.

--- a/crates/exchange/src/meter.rs
+++ b/crates/exchange/src/meter.rs
@@ -19,54 +19,87 @@
 /// Step time that passes with each prompt, which is read within a step.
 pub const STEP: Duration = Duration::from_millis(5);
 
-/// Rank of requests that wait for nobody.
-const URGENT: u8 = 0;
+/// Ranks that are told apart: urgent requests, and all others together.
+const RANKS: usize = 2;
 
 /// The prompts that one engine was given.
+///
+/// Urgent prompts wait for urgent ones alone, all others for all.
 #[derive(Clone, Debug, Default)]
 pub struct Meter {
-    /// When everything let in is read.
-    done: Time,
-    /// Step time that has passed by then.
-    steps: Duration,
-    /// The prompts of the last breath: the step time at which each was read, and its reading.
-    group: VecDeque<(Duration, Duration)>,
+    /// For each rank, the prompts that one of it waits for.
+    ahead: [Window; RANKS],
 }
 
 impl Meter {
     /// Returns the reading time that is ahead.
     pub fn level(&self, now: Time) -> Duration {
-        self.done.saturating_sub(now)
+        let done = self.ahead.iter().map(|window| window.done).max();
+        done.unwrap_or_default().saturating_sub(now)
     }
 
     /// Lets a prompt in that takes `reading`. Returns how long it has to wait.
     pub fn admit(&mut self, now: Time, reading: Duration, rank: u8) -> Duration {
-        let urgent = rank == URGENT;
-        let earliest = now.max(self.done);
-        let mut steps = self.steps + (earliest - self.done);
-        self.forget(steps);
-        while !urgent && self.reading() + reading > GROUP_MAX {
+        let rank = usize::from(rank).min(RANKS - 1);
+        let wait = self.ahead[rank].admit(now, reading);
+        for window in &mut self.ahead[rank + 1..] {
+            window.note(now + wait, reading);
+        }
+        wait
+    }
+}
+
+/// The prompts that count together.
+#[derive(Clone, Debug, Default)]
+struct Window {
+    /// When everything let in is read.
+    done: Time,
+    /// Step time that has passed by then.
+    steps: Duration,
+    /// The prompts of the last breath: the step time at which each was read, and its reading.
+    group: VecDeque<(Duration, Duration)>,
+}
+
+impl Window {
+    /// Lets a prompt in as soon as the group allows it. Returns how long it has to wait.
+    fn admit(&mut self, now: Time, reading: Duration) -> Duration {
+        let mut steps = self.pass(now);
+        while self.reading() + reading > GROUP_MAX {
             // The streams bring their events before the oldest prompt stops to count.
             let Some((oldest, _)) = self.group.pop_front() else {
                 break;
             };
             steps = steps.max(oldest + BREATH);
         }
-        let start = self.done + (steps - self.steps);
-        self.group.push_back((steps, reading));
-        self.done = start + reading + STEP;
-        self.steps = steps + STEP;
-        if urgent { Duration::ZERO } else { start - now }
+        self.push(steps, reading) - now
     }
 
-    fn reading(&self) -> Duration {
-        self.group.iter().map(|(_, reading)| *reading).sum()
+    /// Counts a prompt that goes at `now`, whatever the group.
+    fn note(&mut self, now: Time, reading: Duration) {
+        let steps = self.pass(now);
+        self.push(steps, reading);
     }
 
-    fn forget(&mut self, steps: Duration) {
+    /// Returns the step time at which a prompt could be read from `now` on.
+    fn pass(&mut self, now: Time) -> Duration {
+        let steps = self.steps + now.saturating_sub(self.done);
         let over = |(at, _): &(Duration, Duration)| *at + BREATH <= steps;
         while self.group.front().is_some_and(over) {
             self.group.pop_front();
         }
+        steps
+    }
+
+    /// Appends a prompt that is read at the step time `steps`. Returns when that is.
+    fn push(&mut self, steps: Duration, reading: Duration) -> Time {
+        let start = self.done + (steps - self.steps);
+        self.group.push_back((steps, reading));
+        self.done = start + reading + STEP;
+        self.steps = steps + STEP;
+        start
+    }
+
+    fn reading(&self) -> Duration {
+        self.group.iter().map(|(_, reading)| *reading).sum()
     }
 }
--- a/crates/exchange/tests/prompt_meter.rs
+++ b/crates/exchange/tests/prompt_meter.rs
@@ -36,6 +36,20 @@
     assert_eq!(meter.admit(ms(1_000), ms(100), 0), Duration::ZERO);
 }
 
+/// Where most traffic is urgent, it waits for its own kind: else its prompts would pause each
+/// other's streams.
+#[rstest]
+fn urgent_requests_wait_for_each_other() {
+    let mut meter = Meter::default();
+    meter.admit(ms(1_000), ms(100), 2);
+    let waits: Vec<Duration> = (0..4).map(|_| meter.admit(ms(1_000), ms(100), 0)).collect();
+    assert_eq!(waits[0], Duration::ZERO);
+    assert!(waits[1] > ms(100), "{waits:?}");
+    assert!(waits[3] > ms(300), "{waits:?}");
+    let last = meter.admit(ms(1_000), ms(100), 2);
+    assert!(last > waits[3], "{last:?} after {waits:?}");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
 
