--- a/crates/placement/tests/lease_grant.rs
+++ b/crates/placement/tests/lease_grant.rs
@@ -1,65 +1,19 @@
 //! One node places a request: it loads the adapter, grants the request and reuses the lease.
 
-use std::time::Duration;
-
-use placement::event::{Fencing, Request, State, Store, Upstream};
-use placement::{Action, Event, Planner, Settings};
-use wire::view::{Peer, State as Live};
-use wire::{Incarnation, Machine, Model, Priority, View};
+mod support;
 
-fn planner() -> Planner {
-    let me = Incarnation::new("a", 1);
-    let mut planner = Planner::new(me.clone(), Settings::default());
-    let mut out = Vec::new();
-    let peer = Peer {
-        incarnation: me,
-        zone: "z".into(),
-        state: Live::Live,
-    };
-    let engine = Upstream {
-        id: "e".into(),
-        pool: "p".into(),
-        base: "b".into(),
-        zone: "z".into(),
-        store: "s".into(),
-        slots: 2,
-        max_batch: 4,
-        fencing: Fencing::RefusesOld,
-        state: State::Live,
-    };
-    let store = Store {
-        id: "s".into(),
-        rate: 2.0,
-        in_flight: 8,
-        load: Duration::from_millis(250),
-    };
-    let zero = Duration::ZERO;
-    planner.step(zero, Event::View(View::new([peer])), &mut out);
-    planner.step(zero, Event::Stores(vec![store]), &mut out);
-    planner.step(zero, Event::Upstreams(vec![engine]), &mut out);
-    planner
-}
+use std::time::Duration;
 
-fn request(id: u64) -> Event {
-    Event::Request(Request {
-        id,
-        model: Model::new("m", "1"),
-        base: "b".into(),
-        pool: "p".into(),
-        path: "/m".into(),
-        priority: Priority::Normal,
-        deadline: Duration::from_secs(30),
-        prefix: None,
-        avoid: Vec::new(),
-    })
-}
+use placement::{Action, Event};
+use support::request;
+use wire::{Machine, Priority};
 
 #[test]
 fn loads_once_and_reuses() {
-    let mut planner = planner();
+    let mut planner = support::planner("a", &["a"], 2.0);
     let mut out: Vec<Action> = Vec::new();
     let mut now = Duration::from_secs(6);
-    planner.step(now, request(1), &mut out);
+    planner.step(now, request(1, Priority::Normal), &mut out);
     while !out
         .iter()
         .any(|action| matches!(action, Action::Load { .. }))
@@ -84,7 +38,7 @@
         fence,
     };
     planner.step(now, loaded, &mut out);
-    planner.step(now, request(2), &mut out);
+    planner.step(now, request(2, Priority::Normal), &mut out);
     let granted: Vec<_> = out
         .iter()
         .filter_map(|action| match action {
--- /dev/null
+++ b/crates/placement/tests/support/mod.rs
@@ -0,0 +1,65 @@
+//! One engine of two slots, its store, and requests for one adapter.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::time::Duration;
+
+use placement::event::{Fencing, Request, State, Store, Upstream};
+use placement::{Event, Planner, Settings};
+use wire::view::{Peer, State as Live};
+use wire::{Incarnation, Machine, Model, Priority, View};
+
+/// Returns a view of these VMs, all of them live.
+pub fn view(vms: &[&str]) -> View {
+    View::new(vms.iter().map(|vm| Peer {
+        incarnation: Incarnation::new(*vm, 1),
+        zone: "z".into(),
+        state: Live::Live,
+    }))
+}
+
+/// Returns the planner of `vm` before engine `e`, whose store allows `rate` loads per second.
+pub fn planner(vm: &str, vms: &[&str], rate: f64) -> Planner {
+    let mut planner = Planner::new(Incarnation::new(vm, 1), Settings::default());
+    let engine = Upstream {
+        id: "e".into(),
+        pool: "p".into(),
+        base: "b".into(),
+        zone: "z".into(),
+        store: "s".into(),
+        slots: 2,
+        max_batch: 4,
+        fencing: Fencing::RefusesOld,
+        state: State::Live,
+    };
+    let store = Store {
+        id: "s".into(),
+        rate,
+        in_flight: 8,
+        load: Duration::from_millis(250),
+    };
+    let mut out = Vec::new();
+    for event in [
+        Event::View(view(vms)),
+        Event::Stores(vec![store]),
+        Event::Upstreams(vec![engine]),
+    ] {
+        planner.step(Duration::ZERO, event, &mut out);
+    }
+    planner
+}
+
+/// Returns a request for the adapter `m`.
+pub fn request(id: u64, priority: Priority) -> Event {
+    Event::Request(Request {
+        id,
+        model: Model::new("m", "1"),
+        base: "b".into(),
+        pool: "p".into(),
+        path: "/m".into(),
+        priority,
+        deadline: Duration::from_secs(30),
+        prefix: None,
+        avoid: Vec::new(),
+    })
+}
--- a/crates/placement/tests/urgent_start.rs
+++ b/crates/placement/tests/urgent_start.rs
@@ -1,12 +1,13 @@
 //! After a load, the most urgent of those who waited start first, whichever node they wait at.
 
+mod support;
+
 use std::time::Duration;
 
-use placement::event::{Fencing, Request, State, Store, Upstream};
 use placement::message::{Ask, Grant, Head, Message};
-use placement::{Action, Event, Planner, Settings};
-use wire::view::{Peer, State as Live};
-use wire::{Incarnation, Machine, Model, Priority, Time, View};
+use placement::{Action, Event, Planner};
+use support::request;
+use wire::{Incarnation, Machine, Model, Priority, Time};
 
 const VMS: [&str; 2] = ["a", "b"];
 
@@ -16,57 +17,13 @@
 /// Time within which the others have to start as well.
 const SOON: Duration = Duration::from_millis(150);
 
-fn view() -> View {
-    View::new(VMS.map(|vm| Peer {
-        incarnation: Incarnation::new(vm, 1),
-        zone: "z".into(),
-        state: Live::Live,
-    }))
-}
-
 /// Returns the owner of engine `e` or the other node.
 fn planner(owner: bool) -> (Planner, &'static str) {
-    let view = view();
+    let view = support::view(&VMS);
     let named = view.owner("e").unwrap();
     let vm = VMS.into_iter().find(|vm| (**vm == **named) == owner);
     let vm = vm.unwrap();
-    let mut planner = Planner::new(Incarnation::new(vm, 1), Settings::default());
-    let mut out = Vec::new();
-    let engine = Upstream {
-        id: "e".into(),
-        pool: "p".into(),
-        base: "b".into(),
-        zone: "z".into(),
-        store: "s".into(),
-        slots: 2,
-        max_batch: 4,
-        fencing: Fencing::RefusesOld,
-        state: State::Live,
-    };
-    let store = Store {
-        id: "s".into(),
-        rate: 20.0,
-        in_flight: 8,
-        load: Duration::from_millis(250),
-    };
-    planner.step(Time::ZERO, Event::View(view), &mut out);
-    planner.step(Time::ZERO, Event::Stores(vec![store]), &mut out);
-    planner.step(Time::ZERO, Event::Upstreams(vec![engine]), &mut out);
-    (planner, vm)
-}
-
-fn request(id: u64, priority: Priority) -> Event {
-    Event::Request(Request {
-        id,
-        model: Model::new("m", "1"),
-        base: "b".into(),
-        pool: "p".into(),
-        path: "/m".into(),
-        priority,
-        deadline: Duration::from_secs(30),
-        prefix: None,
-        avoid: Vec::new(),
-    })
+    (support::planner(vm, &VMS, 20.0), vm)
 }
 
 fn started(out: &[Action]) -> Vec<u64> {
