Tell leaving nodes who takes an engine over

The one that left finished its requests, but did not tell what they use, so that the owner dropped adapters in use and the engine took no order until their runs were over: 12 unloads in use, each used by a leaving node alone; 86 orders answered with 409; 37 requests refused for lack of time. Ruled out: lost messages, the ledger, claims that wait for reports. Change: nodes that the view shows as leaving hear claims too. leaving_node_hears_of_the_new_owner failed first.

--- a/crates/exchange/src/owner/mod.rs
+++ b/crates/exchange/src/owner/mod.rs
@@ -73,6 +73,8 @@
         /// Whether this node is in touch with enough others to claim.
         fit: bool,
     },
+    /// Nodes that leave and finish what they have.
+    Leaving(Vec<Vm>),
     /// A message came from a peer.
     Receive {
         /// The peer.
@@ -240,6 +242,8 @@
 pub struct Owner {
     config: Config,
     live: Vec<Vm>,
+    // Nodes that finish what they have, and need to know whom to tell of its end.
+    parting: Vec<Vm>,
     fit: bool,
     leaving: bool,
     quiet_until: Time,
@@ -268,6 +272,7 @@
         Self {
             config,
             live: Vec::new(),
+            parting: Vec::new(),
             fit: false,
             leaving: false,
             quiet_until: Time::ZERO,
@@ -349,6 +354,7 @@
         self.now = self.now.max(now);
         match event {
             Event::View { live, fit } => self.see(live, fit),
+            Event::Leaving(nodes) => self.parting = nodes,
             Event::Receive { from, message } => self.receive(now, fleet, &from, message, out),
             Event::Want {
                 runner,
@@ -542,7 +548,8 @@
     }
 
     fn tell(&self, message: &Message, out: &mut Vec<Action>) {
-        let others = self.live.iter().filter(|vm| **vm != self.config.me);
+        let all = self.live.iter().chain(&self.parting);
+        let others = all.filter(|vm| **vm != self.config.me);
         out.extend(others.map(|vm| Action::Send {
             to: vm.clone(),
             message: message.clone(),
--- a/crates/exchange/tests/new_owner.rs
+++ b/crates/exchange/tests/new_owner.rs
@@ -77,3 +77,39 @@
     desk.claim();
     assert_eq!(victims(&desk.step(want("b"))), ["a1"]);
 }
+
+/// A leaving node is not live, but finishes its requests: it hears who takes its engines over, and
+/// tells what it still uses there.
+#[rstest]
+fn leaving_node_hears_of_the_new_owner() {
+    let mut desk = Desk::alone("vm-1", 1, [engine("e1", &["a"])]);
+    desk.step(Event::Leaving(vec!["vm-2".into()]));
+    let actions = desk.pass(ms(1_000));
+    let told = actions.iter().find_map(|action| match action {
+        Action::Send {
+            to,
+            message: Message::Claims(claims),
+        } if &**to == "vm-2" && !claims.is_empty() => Some(claims.clone()),
+        _ => None,
+    });
+    let claims = told.expect("the leaving node is told");
+    assert_eq!(claims.len(), 1);
+
+    let mut leaving = Desk::alone("vm-2", 2, [engine("e1", &["a"])]);
+    let until = leaving.now + ms(4_000);
+    leaving.owner.began(&"e1".into(), &target("a"), until);
+    leaving.step(Event::Leave);
+    let told = leaving.step(Event::Receive {
+        from: "vm-1".into(),
+        message: Message::Claims(claims),
+    });
+    let uses = Message::Uses {
+        runner: "e1".into(),
+        uses: vec![(target("a"), 4_000)],
+    };
+    let message = Action::Send {
+        to: "vm-1".into(),
+        message: uses,
+    };
+    assert!(told.contains(&message), "{told:?}");
+}
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -55,7 +55,7 @@
     roster: Roster,
     seeds: Seeds,
     view: View,
-    shown: Option<(Vec<Vm>, bool)>,
+    shown: Option<(Vec<Vm>, Vec<Vm>, bool)>,
     started: Time,
     met_at: Option<Time>,
     ticks: u64,
@@ -252,12 +252,15 @@
             .map(|peer| peer.incarnation.vm.clone())
             .collect();
         live.sort_unstable();
+        let leaving = self.view.peers().iter();
+        let leaving = leaving.filter(|peer| peer.state == PeerState::Leaving);
+        let leaving: Vec<Vm> = leaving.map(|peer| peer.incarnation.vm.clone()).collect();
         let enough = live.len() * 2 > self.seeds.known();
         let now = self.hub.clock.now();
         let settled = self.met_at.is_some_and(|at| now >= at + SETTLE);
         let fit =
             settled && self.roster.fit() && (enough || self.hub.store_silence() < STORE_SILENCE);
-        let shown = Some((live.clone(), fit));
+        let shown = Some((live.clone(), leaving.clone(), fit));
         if self.shown == shown {
             return;
         }
@@ -277,6 +280,7 @@
         }));
         self.hub.desk().mirror.set_view(&self.hub.me.vm, &live);
         self.hub.drive(owner::Event::View { live, fit });
+        self.hub.drive(owner::Event::Leaving(leaving));
     }
 
     /// Tells whether `peer` is this node, which counts as live until it leaves.
