Find claims by binary search, and name the stays of requests by what they are

Each candidate of a choice looked its claim up by a scan over all claims: 90 times 90 on the grown sites, 316 times 316 in a region of the target. No decision changes.

--- a/crates/exchange/src/owner/claim.rs
+++ b/crates/exchange/src/owner/claim.rs
@@ -181,10 +181,12 @@
             fence,
             heard: Some(now),
         };
-        let index = self.claims.iter().position(|k| k.runner == claim.runner);
-        let Some(index) = index else {
-            self.claims.push(claim);
-            return true;
+        let index = match self.claim_of(&claim.runner) {
+            Ok(index) => index,
+            Err(index) => {
+                self.claims.insert(index, claim);
+                return true;
+            }
         };
         let known = &self.claims[index];
         let new = known.fence != fence || known.holder != *holder;
--- a/crates/exchange/src/owner/mod.rs
+++ b/crates/exchange/src/owner/mod.rs
@@ -13,7 +13,7 @@
 mod load;
 mod message;
 mod seat;
-mod visit;
+mod stay;
 
 use std::time::Duration;
 
@@ -23,7 +23,7 @@
 pub use message::{Message, News};
 use seat::Seat;
 pub use seat::{Answer, Order};
-use visit::Stay;
+use stay::Stay;
 
 use crate::demand::Target;
 use crate::fleet::{Fleet, Holding, Presence, Version};
@@ -247,6 +247,7 @@
     fit: bool,
     leaving: bool,
     quiet_until: Time,
+    // Claims of peers, sorted by engine.
     claims: Vec<Claim>,
     // Highest fencing number seen for an engine.
     fences: Vec<(Upstream, Fence)>,
@@ -301,7 +302,8 @@
         if self.seat(runner).is_some() {
             return Some(&self.config.me);
         }
-        let claim = self.claims.iter().find(|claim| *claim.runner == *runner)?;
+        let index = self.claim_of(runner).ok()?;
+        let claim = &self.claims[index];
         self.stands(claim).then_some(&claim.holder)
     }
 
@@ -391,6 +393,11 @@
         self.live.binary_search(vm).is_ok()
     }
 
+    fn claim_of(&self, runner: &str) -> Result<usize, usize> {
+        self.claims
+            .binary_search_by(|claim| (*claim.runner).cmp(runner))
+    }
+
     /// Tells whether a claim's holder lives.
     fn stands(&self, claim: &Claim) -> bool {
         let heard = claim.heard.is_some_and(|heard| self.now < heard + HEARD);
