--- a/crates/gateway/src/front/place.rs
+++ b/crates/gateway/src/front/place.rs
@@ -106,7 +106,7 @@
         if let Some(target) = target {
             self.hub.over(runner, target);
         }
-        log::debug!(target: DECISION, request = &*self.ask.attempt, full:% = runner, other:%; "move");
+        log::info!(target: DECISION, request = &*self.ask.attempt, full:% = runner, other:%; "move");
         true
     }
 
