Let each request in use expire by itself, so that lost words do not add up

Cause (found while reading the diff): the word that a request is over goes in one datagram. The owner kept a count per adapter and forgot it only after a time in which no request came, so that each lost word, and each caller that left while it waited to be let in, raised the count of a popular adapter for good. Since grants tell that count, its engine would have looked fuller with every loss. Change: the owner keeps the end of each request at the latest; what is not heard of expires then.

--- a/crates/exchange/src/owner/flight.rs
+++ b/crates/exchange/src/owner/flight.rs
@@ -152,7 +152,7 @@
         let (presence, askers) = match answer {
             Answer::Done => {
                 let flight = seat.flights.swap_remove(index);
-                // Those who wait have been told an earlier time than its margin ends.
+                // Those who wait for a load in time come at the time that they were told.
                 let askers = if flight.late {
                     flight.askers
                 } else {
--- a/crates/exchange/src/owner/seat.rs
+++ b/crates/exchange/src/owner/seat.rs
@@ -19,17 +19,22 @@
 const USE_MIN: f64 = 0.1;
 
 /// How a target is used at one engine.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Use {
     count: Count,
-    /// Its requests that were let in and are not over.
-    running: u32,
-    /// When they are over at the latest, though nobody should say so.
-    until: Time,
+    /// When each of its requests that were let in is over at the latest, though nobody should say
+    /// so: that word may be lost.
+    ends: Vec<Time>,
     /// Until when the requests that a load is for are awaited.
     awaited: Time,
 }
 
+impl Use {
+    fn running(&self, now: Time) -> usize {
+        self.ends.iter().filter(|end| now < **end).count()
+    }
+}
+
 /// An order to an engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Order {
@@ -158,14 +163,11 @@
         let usage = self.usage(target);
         usage.awaited = Time::ZERO;
         usage.count.add(now, 1.0);
-        if now >= usage.until {
-            usage.running = 0;
-        }
-        usage.running += 1;
-        usage.until = usage.until.max(until);
+        usage.ends.retain(|end| now < *end);
+        usage.ends.push(until);
         if self.uses.len() > USES_MAX {
             self.uses.retain(|(_, usage)| {
-                usage.until.max(usage.awaited) > now || usage.count.value(now) > USE_MIN
+                usage.awaited > now || usage.running(now) > 0 || usage.count.value(now) > USE_MIN
             });
         }
     }
@@ -175,14 +177,14 @@
         let found = self.find_use(target).ok();
         found.is_some_and(|index| {
             let usage = &self.uses[index].1;
-            now < usage.awaited || usage.running > 0 && now < usage.until
+            now < usage.awaited || usage.running(now) > 0
         })
     }
 
     /// Returns how many requests the engine has, as far as is known.
     pub(super) fn running(&self, now: Time) -> u32 {
-        let uses = self.uses.iter().filter(|(_, usage)| now < usage.until);
-        uses.map(|(_, usage)| usage.running).sum()
+        let running: usize = self.uses.iter().map(|(_, usage)| usage.running(now)).sum();
+        u32::try_from(running).unwrap_or(u32::MAX)
     }
 
     /// Keeps `target` until the requests that it was loaded for have come, until `until` at the
@@ -205,8 +207,9 @@
     /// Notes that a request that used `target` is over.
     pub(super) fn release(&mut self, target: &Target) {
         if let Ok(index) = self.find_use(target) {
-            let running = &mut self.uses[index].1.running;
-            *running = running.saturating_sub(1);
+            let ends = &mut self.uses[index].1.ends;
+            let first = (0..ends.len()).min_by_key(|end| ends[*end]);
+            first.map(|first| ends.swap_remove(first));
         }
     }
 
--- a/crates/exchange/tests/owner_orders.rs
+++ b/crates/exchange/tests/owner_orders.rs
@@ -372,3 +372,24 @@
     }
     assert_eq!(desk.owner.holder("e1"), None);
 }
+
+/// The word that a request is over may be lost: a count that kept it would make the engine of a
+/// popular adapter look fuller with every loss.
+#[rstest]
+fn lost_end_of_a_request_expires() {
+    let mut desk = Desk::alone("vm-1", 1, [engine("e1", &["a"])]);
+    desk.claim();
+    let visit = Visit {
+        target: target("a"),
+        reading: ms(20),
+        running: ms(2_000),
+        rank: 1,
+    };
+    let mut seen = Vec::new();
+    for _ in 0..4 {
+        let grant = desk.owner.admit(desk.now, &desk.fleet, "e1", &visit);
+        seen.extend(grant.map(|grant| grant.running));
+        desk.pass(ms(1_500));
+    }
+    assert_eq!(seen, [1, 2, 2, 2]);
+}
--- a/crates/gateway/src/front/place.rs
+++ b/crates/gateway/src/front/place.rs
@@ -59,12 +59,12 @@
             match pick {
                 Pick::Send(runner) => {
                     let waited = self.hub.clock.now().saturating_sub(started);
-                    self.stalled += waited;
                     let wait = match self.let_in(&runner).await {
                         Entry::Absent => continue,
                         Entry::Full(_) if self.moves(&runner, target.as_ref()) => continue,
                         Entry::Open(wait) | Entry::Full(wait) => wait,
                     };
+                    self.stalled += waited;
                     self.queued += wait;
                     tokio::time::sleep(wait.min(self.left())).await;
                     if target.is_some() {
