Join what the change wrote twice, and rank engines without looking each of them up

No decision changes. - The owner's own claims were gathered in three places, what an owner tells of a target noted in two, askers told in two, and the answers that end a claim judged in two: one each now. The base model of an engine is looked for once. - What actions say was taken over into the fleet by the node and by two tests, each in its own way: owner::note. - A choice ranked copies of ids and then searched the place of each engine in them, 90 times 90 on the grown sites; it ranks the engines themselves now, so that the place is known. Grants no longer carry an engine that nobody read.

--- a/crates/exchange/src/choice.rs
+++ b/crates/exchange/src/choice.rs
@@ -45,6 +45,9 @@
 /// Homes for each whole upstream's worth of demand.
 const HOMES_FACTOR: f64 = 1.0;
 
+/// Failure score from which an engine becomes no further home: that of one fresh failure is above.
+const HOME_TROUBLE: f64 = 0.3;
+
 /// Part of the engines that read long prompts.
 const LANE_PART: f64 = 0.12;
 
@@ -170,29 +173,24 @@
     runners: &[&Runner],
 ) -> Pick {
     let (now, long) = (scene.now, need.long());
-    let bare = Target::bare(&target.base);
-    let based: Vec<&Runner> = runners
-        .iter()
-        .copied()
-        .filter(|runner| fleet.serves(runner, &bare))
-        .collect();
+    let based = based(fleet, target, runners.iter().copied());
     let lanes = if scene.lanes {
         lanes(&based)
     } else {
         Vec::new()
     };
+    let apart = |runner: &Runner| lanes.iter().any(|lane| std::ptr::eq(*lane, runner));
     let mut homes = order(target, &based);
     // Long prompts look for a home among their lanes first, others last.
-    homes.sort_by_key(|id| lanes.contains(id) != long);
-    let costs = based.iter().map(|runner| {
-        let place = homes.iter().position(|id| *id == runner.listing.id);
-        let lane = match (long, lanes.contains(&runner.listing.id)) {
+    homes.sort_by_key(|runner| apart(runner) != long);
+    let costs = homes.into_iter().enumerate().map(|(place, runner)| {
+        let lane = match (long, apart(runner)) {
             (true, false) if scene.lanes => ASTRAY_MS,
             (false, true) => LANE_MS,
             _ => 0.0,
         };
         let cost = stall(fleet, scene, target, runner, place) + busy(now, runner) + lane;
-        (cost + common(need, scene, runner), *runner)
+        (cost + common(need, scene, runner), runner)
     });
     let Some(best) = least(costs) else {
         return Pick::None(Lack::Weights);
@@ -211,20 +209,30 @@
     }
 }
 
+/// Returns those of `runners` that hold the base model of `target`.
+fn based<'a>(
+    fleet: &Fleet,
+    target: &Target,
+    runners: impl Iterator<Item = &'a Runner>,
+) -> Vec<&'a Runner> {
+    let bare = Target::bare(&target.base);
+    runners
+        .filter(|runner| fleet.serves(runner, &bare))
+        .collect()
+}
+
 /// Returns the rendezvous order of `runners` for `target`.
-fn order(target: &Target, runners: &[&Runner]) -> Vec<Upstream> {
+fn order<'a>(target: &Target, runners: &[&'a Runner]) -> Vec<&'a Runner> {
     let key = rank::hash(target.to_string());
-    let ids = runners.iter().map(|runner| runner.listing.id.clone());
-    rank::top(key, ids, runners.len())
+    rank::top(key, runners.iter().copied(), runners.len())
 }
 
 /// Returns the engines that read long prompts: such a prompt makes every stream of its engine
 /// pause, so they are kept together, away from the other streams. The set is the same on every
 /// node that knows the same engines.
-fn lanes(runners: &[&Runner]) -> Vec<Upstream> {
-    let ids = runners.iter().map(|runner| runner.listing.id.clone());
+fn lanes<'a>(runners: &[&'a Runner]) -> Vec<&'a Runner> {
     let count = (runners.len() as f64 * LANE_PART).round() as usize;
-    rank::top(LANE_KEY, ids, count)
+    rank::top(LANE_KEY, runners.iter().copied(), count)
 }
 
 /// Returns how many upstreams out of `runners` should hold `target`.
@@ -242,25 +250,19 @@
 ) -> Option<Upstream> {
     let target = need.target?;
     target.adapter.as_ref()?;
-    let bare = Target::bare(&target.base);
-    let mut based: Vec<&Runner> = fleet
-        .open(&need.service.name)
-        .filter(|runner| fleet.serves(runner, &bare))
-        .collect();
+    let mut based = based(fleet, target, fleet.open(&need.service.name));
     if demand.has_long(now) {
         let lanes = lanes(&based);
-        based.retain(|runner| !lanes.contains(&runner.listing.id));
+        based.retain(|runner| !lanes.iter().any(|lane| std::ptr::eq(*lane, *runner)));
     }
     let count = home_count(now, demand, target, based.len());
-    let has = |runner: &&Runner| runner.presence(target) != Presence::Absent;
-    if count < 2 || based.iter().copied().filter(|runner| has(runner)).count() >= count {
+    let has = |runner: &Runner| runner.presence(target) != Presence::Absent;
+    if count < 2 || based.iter().filter(|runner| has(runner)).count() >= count {
         return None;
     }
-    let lacks = |id: &Upstream| {
-        let runner = based.iter().find(|runner| runner.listing.id == *id);
-        runner.is_some_and(|runner| !has(runner) && runner.trouble(now) < 0.3)
-    };
-    order(target, &based).into_iter().find(lacks)
+    let mut homes = order(target, &based).into_iter();
+    let lacking = homes.find(|runner| !has(runner) && runner.trouble(now) < HOME_TROUBLE);
+    lacking.map(|runner| runner.listing.id.clone())
 }
 
 fn stall(
@@ -268,7 +270,7 @@
     scene: &Scene<'_, impl Fn(&Upstream) -> bool>,
     target: &Target,
     runner: &Runner,
-    place: Option<usize>,
+    place: usize,
 ) -> f64 {
     match runner.presence(target) {
         Presence::Held(version) if fleet.current(target, version) => 0.0,
@@ -278,7 +280,7 @@
         _ if !(scene.owned)(&runner.listing.id) => UNOWNED_MS,
         _ => {
             let backlog = runner.backlog(scene.now).as_secs_f64() * 1_000.0;
-            backlog.max(LOAD_MS) + RANK_MS * place.unwrap_or_default() as f64
+            backlog.max(LOAD_MS) + RANK_MS * place as f64
         }
     }
 }
--- a/crates/exchange/src/fleet/runner.rs
+++ b/crates/exchange/src/fleet/runner.rs
@@ -84,6 +84,12 @@
     pub(super) awaited: Option<Time>,
 }
 
+impl AsRef<str> for Runner {
+    fn as_ref(&self) -> &str {
+        &self.listing.id
+    }
+}
+
 impl Runner {
     pub(super) fn new(now: Time, listing: Listing) -> Self {
         let mut runner = Self {
--- a/crates/exchange/src/owner/claim.rs
+++ b/crates/exchange/src/owner/claim.rs
@@ -36,21 +36,19 @@
         }
         for runner in fleet.runners() {
             let id = &runner.listing.id;
-            if !engine(runner) || !runner.open() || self.holder(id).is_some() {
+            let vacant = runner.listing.engine && runner.open() && self.holder(id).is_none();
+            let first = || rank::first(rank::hash(id.as_bytes()), &self.live);
+            if !vacant || first() != Some(&self.config.me) {
                 self.vacant.retain(|(vacant, _)| vacant != id);
                 continue;
             }
             if self.barred.iter().any(|(barred, _)| barred == id) {
                 continue;
             }
-            if rank::first(rank::hash(id.as_bytes()), &self.live) != Some(&self.config.me) {
-                self.vacant.retain(|(vacant, _)| vacant != id);
-                continue;
-            }
             let since = self.vacant_since(now, id);
             // A former holder that was not heard to release may still give orders, which only an
             // engine that looks at the number refuses.
-            let silent = self.claims.iter().any(|claim| claim.runner == *id);
+            let silent = self.claim_of(id).is_ok();
             let wait = if silent && !self.config.fenced {
                 self.config.lease.max(SETTLE)
             } else {
@@ -127,11 +125,7 @@
     }
 
     pub(super) fn tell_claims(&self, out: &mut Vec<Action>) {
-        let claims: Vec<_> = self
-            .owned()
-            .map(|(id, fence)| (id.clone(), fence))
-            .collect();
-        self.tell(&Message::Claims(claims), out);
+        self.tell(&Message::Claims(self.own_claims()), out);
     }
 
     /// Takes a peer's claims in; the higher number wins.
@@ -162,13 +156,9 @@
             }
         }
         if contested {
-            let claims: Vec<_> = self
-                .owned()
-                .map(|(id, fence)| (id.clone(), fence))
-                .collect();
             out.push(Action::Send {
                 to: from.clone(),
-                message: Message::Claims(claims),
+                message: Message::Claims(self.own_claims()),
             });
         }
     }
@@ -251,7 +241,3 @@
         self.barred.push((runner.clone(), now + self.config.lease));
     }
 }
-
-fn engine(runner: &Runner) -> bool {
-    runner.listing.engine
-}
--- a/crates/exchange/src/owner/flight.rs
+++ b/crates/exchange/src/owner/flight.rs
@@ -186,13 +186,6 @@
                 return;
             }
         };
-        out.push(Action::Presence {
-            runner: runner.clone(),
-            target: target.clone(),
-            presence,
-        });
-        for asker in askers.iter().filter(|asker| **asker != self.config.me) {
-            self.answer(now, asker, runner, target, presence, out);
-        }
+        self.tell_askers(now, runner, target, presence, &askers, out);
     }
 }
--- a/crates/exchange/src/owner/load.rs
+++ b/crates/exchange/src/owner/load.rs
@@ -5,7 +5,7 @@
 use wire::{Fence, Time, Upstream, Vm};
 
 use super::seat::{Seat, Stage, Want};
-use super::{Action, Answer, Note, Order, Owner, version};
+use super::{Action, Answer, Note, Order, Owner};
 use crate::demand::Target;
 use crate::fleet::{Fleet, LISTING_LAG, Presence, Runner};
 
@@ -105,20 +105,18 @@
         out: &mut Vec<Action>,
     ) -> Option<Order> {
         let engine = runner.engine.as_ref()?;
-        let mut bare = runner.held().filter(|(target, _)| target.adapter.is_none());
-        let present = bare.next().map(|(_, presence)| presence);
-        drop(bare);
+        let base = runner.held().find(|(target, _)| target.adapter.is_none());
+        let Some((base, present)) = base else {
+            // The first order to an empty engine is its base model's load.
+            self.seats[index].raised = true;
+            return self.base(now, fleet, index, runner);
+        };
         if !self.seats[index].raised {
-            match self.raise(runner) {
-                Some(order) => return Some(order),
-                // The first order to an empty engine is its base model's load.
-                None => self.seats[index].raised = true,
-            }
+            // It changes nothing; its number shuts a former holder out.
+            return Some(Order::Load(base.clone(), None));
         }
-        match present {
-            None => return self.base(now, fleet, index, runner),
-            Some(Presence::Coming(at, _)) if now < at => return None,
-            Some(_) => {}
+        if matches!(present, Presence::Coming(at, _) if now < at) {
+            return None;
         }
         if let Some(order) = self.seats[index].confirm(now) {
             return Some(order);
@@ -136,10 +134,8 @@
         let replaces = seat.ledger.binary_search(&want.target).is_ok();
         let room = engine.places.saturating_sub(SPARE_PLACES);
         if replaces || seat.ledger.len() < room {
-            return Some(Order::Load(
-                want.target.clone(),
-                version(fleet, &want.target),
-            ));
+            let version = fleet.newest(&want.target);
+            return Some(Order::Load(want.target, version));
         }
         let (victim, value) = victim(now, seat, runner)?;
         out.push(Action::Note(Note::Evicted(
@@ -150,13 +146,6 @@
         Some(Order::Unload(victim))
     }
 
-    /// Returns an order that changes nothing, whose number shuts a former holder out.
-    fn raise(&self, runner: &Runner) -> Option<Order> {
-        let mut held = runner.held().filter(|(target, _)| target.adapter.is_none());
-        let (base, _) = held.next()?;
-        Some(Order::Load(base.clone(), None))
-    }
-
     /// Orders a base model for an empty engine, within the ceiling.
     fn base(&mut self, now: Time, fleet: &Fleet, index: usize, runner: &Runner) -> Option<Order> {
         let engine = runner.engine.as_ref()?;
@@ -205,10 +194,8 @@
             return;
         };
         seat.stage = Stage::Open(now);
-        if !seat.raised {
-            return self.raised(now, runner, fence, answer, out);
-        }
-        if !matches!(answer, Answer::Accepted | Answer::Done) {
+        let raised = seat.raised;
+        if raised && !matches!(answer, Answer::Accepted | Answer::Done) {
             out.push(Action::Note(Note::Failed(
                 runner.clone(),
                 order.target().clone(),
@@ -216,6 +203,21 @@
             )));
         }
         match answer {
+            Answer::Fenced => {
+                self.yield_seat(runner, "fenced", out);
+                self.outbid(now, runner, fence);
+            }
+            Answer::Misdirected => self.yield_seat(runner, "another process", out),
+            Answer::Unreached => seat.stage = Stage::Open(now + UNKNOWN_PAUSE),
+            Answer::Unknown if !raised || order.confirms() => {
+                seat.stage = Stage::Open(now + UNKNOWN_PAUSE);
+            }
+            _ if !raised => {
+                // The first order of a claim has shut a former holder out: from then on the
+                // engine's report, once it is as new, shows all that was ordered before.
+                seat.raised = true;
+                seat.check(out);
+            }
             Answer::Accepted | Answer::Done | Answer::Unfit if order.confirms() => {
                 self.confirmed(now, runner, order.target(), answer, out);
             }
@@ -232,8 +234,6 @@
                     });
                 }
             }
-            Answer::Unreached => seat.stage = Stage::Open(now + UNKNOWN_PAUSE),
-            Answer::Unknown if order.confirms() => seat.stage = Stage::Open(now + UNKNOWN_PAUSE),
             Answer::Unknown => {
                 seat.stage = Stage::Open(now + UNKNOWN_PAUSE);
                 seat.doubt = Some(now + UNKNOWN_PAUSE);
@@ -243,40 +243,6 @@
             Answer::Unfit => {
                 seat.wants.retain(|want| want.target != *order.target());
             }
-            Answer::Fenced => {
-                self.yield_seat(runner, "fenced", out);
-                self.outbid(now, runner, fence);
-            }
-            Answer::Misdirected => self.yield_seat(runner, "another process", out),
-        }
-    }
-
-    /// Follows the first order of a claim, whose number shuts a former holder out: from then on
-    /// the engine's report, once it is as new, shows all that was ordered before.
-    fn raised(
-        &mut self,
-        now: Time,
-        runner: &Upstream,
-        fence: Fence,
-        answer: Answer,
-        out: &mut Vec<Action>,
-    ) {
-        let Some(seat) = self.seat_mut(runner) else {
-            return;
-        };
-        match answer {
-            Answer::Fenced => {
-                self.yield_seat(runner, "fenced", out);
-                self.outbid(now, runner, fence);
-            }
-            Answer::Misdirected => self.yield_seat(runner, "another process", out),
-            Answer::Unreached | Answer::Unknown => {
-                seat.stage = Stage::Open(now + UNKNOWN_PAUSE);
-            }
-            Answer::Accepted | Answer::Done | Answer::Busy | Answer::Unfit => {
-                seat.raised = true;
-                seat.check(out);
-            }
         }
     }
 
@@ -320,14 +286,7 @@
             seat.remember(&target);
             seat.loaded_at = eta;
         }
-        out.push(Action::Presence {
-            runner: runner.clone(),
-            target: target.clone(),
-            presence,
-        });
-        for asker in askers.iter().filter(|asker| **asker != self.config.me) {
-            self.answer(now, asker, runner, &target, presence, out);
-        }
+        self.tell_askers(now, runner, &target, presence, &askers, out);
     }
 
     /// Returns how long a load of `target` is expected to take.
--- a/crates/exchange/src/owner/message.rs
+++ b/crates/exchange/src/owner/message.rs
@@ -101,8 +101,6 @@
     Grant {
         /// Number of the question.
         ticket: u64,
-        /// The engine.
-        runner: Upstream,
         /// What is known of its model; only where that is resident may the request be sent.
         news: News,
         /// Milliseconds to wait before the request is sent.
--- a/crates/exchange/src/owner/mod.rs
+++ b/crates/exchange/src/owner/mod.rs
@@ -17,6 +17,7 @@
 
 use std::time::Duration;
 
+use wire::machine::millis;
 use wire::{Fence, Time, Upstream, Vm};
 
 use flight::Pace;
@@ -26,7 +27,7 @@
 use stay::Stay;
 
 use crate::demand::Target;
-use crate::fleet::{Fleet, Holding, Presence, Version};
+use crate::fleet::{Fleet, Holding, Presence};
 
 /// Time between two announcements of all claims.
 pub const ANNOUNCE: Duration = Duration::from_millis(1_000);
@@ -177,8 +178,6 @@
     Granted {
         /// Number of the question.
         ticket: u64,
-        /// The engine.
-        runner: Upstream,
         /// When it may be sent.
         grant: Grant,
     },
@@ -297,6 +296,12 @@
         self.seats.iter().map(|seat| (&seat.runner, seat.fence))
     }
 
+    fn own_claims(&self) -> Vec<(Upstream, Fence)> {
+        self.owned()
+            .map(|(id, fence)| (id.clone(), fence))
+            .collect()
+    }
+
     /// Returns the node that orders at `runner`, as far as this one knows.
     pub fn holder(&self, runner: &str) -> Option<&Vm> {
         if self.seat(runner).is_some() {
@@ -444,15 +449,8 @@
                 news,
                 backlog,
             } => {
-                out.push(Action::Backlog {
-                    runner: runner.clone(),
-                    backlog: Duration::from_millis(backlog.into()),
-                });
-                out.push(Action::Presence {
-                    runner,
-                    target,
-                    presence: news.presence(now),
-                });
+                let backlog = Duration::from_millis(backlog.into());
+                stock(&runner, &target, news.presence(now), backlog, out);
             }
             Message::Ask {
                 ticket,
@@ -473,7 +471,6 @@
                         to: from.clone(),
                         message: Message::Grant {
                             ticket,
-                            runner,
                             news: News::new(now, grant.presence),
                             wait: millis(grant.wait),
                             level: millis(grant.level),
@@ -487,7 +484,6 @@
             Message::Done { runner, target } => self.done(&runner, &target),
             Message::Grant {
                 ticket,
-                runner,
                 news,
                 wait,
                 level,
@@ -495,7 +491,6 @@
                 running,
             } => out.push(Action::Granted {
                 ticket,
-                runner,
                 grant: Grant {
                     presence: news.presence(now),
                     wait: Duration::from_millis(wait.into()),
@@ -544,10 +539,7 @@
 
     fn leave(&mut self, out: &mut Vec<Action>) {
         self.leaving = true;
-        let claims: Vec<_> = self
-            .owned()
-            .map(|(id, fence)| (id.clone(), fence))
-            .collect();
+        let claims = self.own_claims();
         self.seats.clear();
         if !claims.is_empty() {
             self.tell(&Message::Release(claims), out);
@@ -563,6 +555,27 @@
         }));
     }
 
+    /// Notes what is known of `target`, and tells the peers that asked for it.
+    #[allow(clippy::too_many_arguments)]
+    fn tell_askers(
+        &self,
+        now: Time,
+        runner: &Upstream,
+        target: &Target,
+        presence: Presence,
+        askers: &[Vm],
+        out: &mut Vec<Action>,
+    ) {
+        out.push(Action::Presence {
+            runner: runner.clone(),
+            target: target.clone(),
+            presence,
+        });
+        for asker in askers.iter().filter(|asker| **asker != self.config.me) {
+            self.answer(now, asker, runner, target, presence, out);
+        }
+    }
+
     fn answer(
         &self,
         now: Time,
@@ -576,15 +589,7 @@
         let load = self.pace.expect(self.config.load);
         let backlog = seat.map_or(Duration::ZERO, |seat| seat.backlog(now, load));
         if *to == self.config.me {
-            out.push(Action::Backlog {
-                runner: runner.clone(),
-                backlog,
-            });
-            out.push(Action::Presence {
-                runner: runner.clone(),
-                target: target.clone(),
-                presence,
-            });
+            stock(runner, target, presence, backlog, out);
         } else {
             out.push(Action::Send {
                 to: to.clone(),
@@ -599,11 +604,37 @@
     }
 }
 
-fn millis(time: Duration) -> u32 {
-    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+/// Notes what an owner tells of `target`.
+fn stock(
+    runner: &Upstream,
+    target: &Target,
+    presence: Presence,
+    backlog: Duration,
+    out: &mut Vec<Action>,
+) {
+    out.push(Action::Backlog {
+        runner: runner.clone(),
+        backlog,
+    });
+    out.push(Action::Presence {
+        runner: runner.clone(),
+        target: target.clone(),
+        presence,
+    });
 }
 
-/// Returns the version to load for `target`, where one was announced.
-fn version(fleet: &Fleet, target: &Target) -> Option<Version> {
-    fleet.newest(target)
+/// Takes over into the fleet what actions say of engines.
+pub fn note(now: Time, fleet: &mut Fleet, actions: &[Action]) {
+    for action in actions {
+        match action {
+            Action::Presence {
+                runner,
+                target,
+                presence,
+            } => fleet.note(now, runner, target, *presence),
+            Action::Holdings { runner, holdings } => fleet.tell(now, runner, holdings.clone()),
+            Action::Backlog { runner, backlog } => fleet.note_backlog(now, runner, *backlog),
+            _ => {}
+        }
+    }
 }
--- a/crates/exchange/src/owner/stay.rs
+++ b/crates/exchange/src/owner/stay.rs
@@ -6,9 +6,10 @@
 
 use std::time::Duration;
 
+use wire::machine::millis;
 use wire::{Time, Upstream};
 
-use super::{Action, Message, Owner, millis};
+use super::{Action, Message, Owner};
 use crate::demand::Target;
 
 /// Targets in one message: about 2,000 bytes, which one datagram carries.
--- a/crates/exchange/tests/soak/mod.rs
+++ b/crates/exchange/tests/soak/mod.rs
@@ -8,7 +8,7 @@
 
 use exchange::Fleet;
 use exchange::fleet::Presence;
-use exchange::owner::{Action, Answer, Event, Order, Owner, Visit};
+use exchange::owner::{self, Action, Answer, Event, Order, Owner, Visit};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use wire::{Fence, Time, Upstream, Vm};
@@ -218,17 +218,7 @@
         let now = self.now;
         let Node { owner, fleet, .. } = &mut self.nodes[node];
         owner.step(now, fleet, event, &mut actions);
-        for action in &actions {
-            match action {
-                Action::Presence {
-                    runner,
-                    target,
-                    presence,
-                } => fleet.note(now, runner, target, *presence),
-                Action::Holdings { runner, holdings } => fleet.tell(now, runner, holdings.clone()),
-                _ => {}
-            }
-        }
+        owner::note(now, fleet, &actions);
         owner.pump(now, fleet, &mut actions);
         for action in actions {
             self.perform(node, action);
--- a/crates/exchange/tests/support/mod.rs
+++ b/crates/exchange/tests/support/mod.rs
@@ -155,16 +155,7 @@
     pub fn step(&mut self, event: Event) -> Vec<Action> {
         let mut actions = Vec::new();
         self.owner.step(self.now, &self.fleet, event, &mut actions);
-        for action in &actions {
-            if let Action::Presence {
-                runner,
-                target,
-                presence,
-            } = action
-            {
-                self.fleet.note(self.now, runner, target, *presence);
-            }
-        }
+        owner::note(self.now, &mut self.fleet, &actions);
         self.owner.pump(self.now, &self.fleet, &mut actions);
         actions
     }
--- /dev/null
+++ b/crates/gateway/src/call.rs
@@ -0,0 +1,45 @@
+//! Calls that a node makes by itself: to engines, and to the platform.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, StatusCode};
+use upstream::Error;
+use upstream::link::{Call, Class, Host, Link, Reuse};
+
+use crate::dialect;
+
+/// Sends one call and reads the whole answer, whose head has to come within `limit`.
+///
+/// # Errors
+///
+/// Returns the link's error.
+pub(crate) async fn send(
+    link: &Link,
+    call: dialect::Call,
+    limit: Duration,
+) -> Result<(StatusCode, Bytes), Error> {
+    let mut request = Request::builder().method(call.method).uri(call.path);
+    for (name, value) in call.headers {
+        request = request.header(name, value);
+    }
+    let request = request
+        .body(Full::new(call.body))
+        .map_err(|error| Error::Invalid {
+            upstream: link.upstream().clone(),
+            cause: error.to_string(),
+        })?;
+    let sent = link.send(Call {
+        class: Class::Control,
+        // Reads may be repeated, and so may orders, since they name the state that they ask for.
+        reuse: Reuse::Kept,
+        host: Host::Upstream,
+        head: Some(limit),
+        request,
+    });
+    let response = sent.await?;
+    let status = response.status();
+    let body = response.into_body().collect().await?;
+    Ok((status, body))
+}
--- a/crates/gateway/src/control/engines.rs
+++ b/crates/gateway/src/control/engines.rs
@@ -4,15 +4,14 @@
 use std::time::Duration;
 
 use exchange::owner::{self, Answer, Order};
-use http_body_util::Full;
-use hyper::Request;
 use log::info;
 use node::journal::DECISION;
-use upstream::link::{Call, Class, Host, Link, Reuse};
-use upstream::{Error, Reach};
+use upstream::Reach;
+use upstream::link::Link;
 use wire::{Fence, Upstream};
 
-use crate::dialect::{self, Dialect};
+use crate::call::send;
+use crate::dialect::Dialect;
 use crate::hub::Hub;
 
 /// Limit for the answer to an order or a question; several round trips.
@@ -50,7 +49,7 @@
         return Answer::Misdirected;
     };
     let call = hub.dialect.order(runner, &hub.me.vm, fence, order);
-    match send(&link, call).await {
+    match send(&link, call, ANSWER).await {
         Ok((status, _)) => hub.dialect.ordered(status),
         Err(error) if error.reach() == Reach::NotSent => Answer::Unreached,
         Err(_) => Answer::Unknown,
@@ -69,7 +68,7 @@
     let Some(link) = control_link(hub, runner) else {
         return false;
     };
-    let Ok((status, body)) = send(&link, hub.dialect.inspection(runner)).await else {
+    let Ok((status, body)) = send(&link, hub.dialect.inspection(runner), ANSWER).await else {
         return false;
     };
     if !status.is_success() {
@@ -104,36 +103,3 @@
     let service = config.as_ref()?.service(&pool)?;
     Some(hub.link(runner, address, service.connections))
 }
-
-/// Sends one call and reads the whole answer.
-///
-/// # Errors
-///
-/// Returns the link's error.
-pub(crate) async fn send(
-    link: &Link,
-    call: dialect::Call,
-) -> Result<(hyper::StatusCode, bytes::Bytes), Error> {
-    let mut request = Request::builder().method(call.method).uri(call.path);
-    for (name, value) in call.headers {
-        request = request.header(name, value);
-    }
-    let request = request
-        .body(Full::new(call.body))
-        .map_err(|error| Error::Invalid {
-            upstream: link.upstream().clone(),
-            cause: error.to_string(),
-        })?;
-    let sent = link.send(Call {
-        class: Class::Control,
-        // Orders may be repeated, since they name the state that they ask for.
-        reuse: Reuse::Kept,
-        host: Host::Upstream,
-        head: Some(ANSWER),
-        request,
-    });
-    let response = sent.await?;
-    let status = response.status();
-    let body = response.into_body().collect().await?;
-    Ok((status, body))
-}
--- a/crates/gateway/src/hub/grant.rs
+++ b/crates/gateway/src/hub/grant.rs
@@ -9,9 +9,10 @@
 use log::info;
 use node::journal::DECISION;
 use tokio::sync::oneshot;
+use wire::machine::millis;
 use wire::{Time, Upstream};
 
-use super::{Desk, Hub, Waiter, millis};
+use super::{Desk, Hub, Waiter};
 use crate::datagram::Message;
 use crate::dialect::Dialect;
 
@@ -111,19 +112,10 @@
         let desk = &mut *guard;
         let mut actions = Vec::new();
         desk.owner.step(now, &desk.fleet, event, &mut actions);
+        owner::note(now, &mut desk.fleet, &actions);
         for action in &actions {
-            if let Action::Presence {
-                runner,
-                target,
-                presence,
-            } = action
-            {
-                desk.fleet.note(now, runner, target, *presence);
+            if let Action::Presence { runner, target, .. } = action {
                 wake(&mut desk.waiters, runner, target);
-            } else if let Action::Holdings { runner, holdings } = action {
-                desk.fleet.tell(now, runner, holdings.clone());
-            } else if let Action::Backlog { runner, backlog } = action {
-                desk.fleet.note_backlog(now, runner, *backlog);
             }
         }
         desk.owner.pump(now, &desk.fleet, &mut actions);
@@ -163,7 +155,7 @@
                 presence,
             } => log_presence(&runner, &target, presence),
             Action::Backlog { .. } | Action::Holdings { .. } => {}
-            Action::Granted { ticket, grant, .. } => {
+            Action::Granted { ticket, grant } => {
                 let mut desk = self.desk();
                 if let Some(index) = desk.tickets.iter().position(|(known, _)| *known == ticket) {
                     // A request that is gone needs no grant.
--- a/crates/gateway/src/hub/mod.rs
+++ b/crates/gateway/src/hub/mod.rs
@@ -367,7 +367,3 @@
             .set(hub.flying.fetch_sub(1, Ordering::Relaxed) - 1);
     }
 }
-
-fn millis(time: Duration) -> u32 {
-    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
-}
--- a/crates/gateway/src/hub/pulse.rs
+++ b/crates/gateway/src/hub/pulse.rs
@@ -9,9 +9,10 @@
 use exchange::mirror::{self, Pulse};
 use log::info;
 use node::journal::DECISION;
+use wire::machine::millis;
 use wire::{Revision, Time, Upstream};
 
-use super::{Hub, millis};
+use super::Hub;
 use crate::datagram::Message;
 use crate::dialect::Dialect;
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,9 +6,11 @@
 //! - [`front`] passes callers' requests on.
 //! - [`side`] answers whether the node takes traffic and which nodes to use, and shows metrics.
 //! - [`store`] reads the platform.
+//! - `call` sends the calls that a node makes by itself.
 //! - [`control`] drives membership and ownership; [`datagram`] carries messages between nodes.
 //! - [`run`] starts and stops all of it.
 
+mod call;
 pub mod control;
 pub mod datagram;
 pub mod dialect;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -3,9 +3,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use node::metrics::register::{counter_vec, gauge_vec, histogram, registered, signed};
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
-    TextEncoder,
+    Encoder, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Registry, TextEncoder,
 };
 
 use crate::datagram::Counts;
@@ -34,50 +34,6 @@
     log_dropped: IntGauge,
 }
 
-fn counter(
-    registry: &Registry,
-    name: &str,
-    help: &str,
-    labels: &[&str],
-) -> Result<IntCounterVec, prometheus::Error> {
-    let metric = IntCounterVec::new(Opts::new(name, help), labels)?;
-    registry.register(Box::new(metric.clone()))?;
-    Ok(metric)
-}
-
-fn histogram(
-    registry: &Registry,
-    name: &str,
-    help: &str,
-    labels: &[&str],
-) -> Result<HistogramVec, prometheus::Error> {
-    let options = HistogramOpts::new(name, help).buckets(WAIT_BUCKETS.to_vec());
-    let metric = HistogramVec::new(options, labels)?;
-    registry.register(Box::new(metric.clone()))?;
-    Ok(metric)
-}
-
-fn gauge(registry: &Registry, name: &str, help: &str) -> Result<IntGauge, prometheus::Error> {
-    let metric = IntGauge::new(name, help)?;
-    registry.register(Box::new(metric.clone()))?;
-    Ok(metric)
-}
-
-fn gauges(
-    registry: &Registry,
-    name: &str,
-    help: &str,
-    labels: &[&str],
-) -> Result<IntGaugeVec, prometheus::Error> {
-    let metric = IntGaugeVec::new(Opts::new(name, help), labels)?;
-    registry.register(Box::new(metric.clone()))?;
-    Ok(metric)
-}
-
-fn signed(count: u64) -> i64 {
-    i64::try_from(count).unwrap_or(i64::MAX)
-}
-
 impl Metrics {
     /// Registers all metrics.
     ///
@@ -88,13 +44,13 @@
         let registry = Registry::new();
         let all = &registry;
         Ok(Self {
-            requests: counter(
+            requests: counter_vec(
                 all,
                 "hyssopscale_exchange_requests_total",
                 "Requests by route kind and outcome",
                 &["kind", "outcome"],
             )?,
-            attempts: counter(
+            attempts: counter_vec(
                 all,
                 "hyssopscale_exchange_attempts_total",
                 "Attempts at upstreams by pool and result",
@@ -105,45 +61,50 @@
                 "hyssopscale_exchange_stall_seconds",
                 "Time that a request waited for its adapter",
                 &["pool"],
+                &WAIT_BUCKETS,
             )?,
             first: histogram(
                 all,
                 "hyssopscale_exchange_first_seconds",
                 "Time to the head of the answer",
                 &["kind"],
+                &WAIT_BUCKETS,
             )?,
-            orders: counter(
+            orders: counter_vec(
                 all,
                 "hyssopscale_exchange_orders_total",
                 "Orders to engines by answer",
                 &["answer"],
             )?,
-            reads: counter(
+            reads: counter_vec(
                 all,
                 "hyssopscale_platform_reads_total",
                 "Reads of the platform by result",
                 &["result"],
             )?,
-            revision: gauge(
+            revision: registered(
                 all,
-                "hyssopscale_config_revision",
-                "Revision of the configuration in force",
+                IntGauge::new(
+                    "hyssopscale_config_revision",
+                    "Revision of the configuration in force",
+                )?,
             )?,
-            flying: gauge(
+            flying: registered(
                 all,
-                "hyssopscale_requests_in_progress",
-                "Requests in progress",
+                IntGauge::new("hyssopscale_requests_in_progress", "Requests in progress")?,
             )?,
-            datagrams: gauges(
+            datagrams: gauge_vec(
                 all,
                 "hyssopscale_datagrams",
                 "Datagrams between nodes since the start, by what became of them",
                 &["result"],
             )?,
-            log_dropped: gauge(
+            log_dropped: registered(
                 all,
-                "hyssopscale_log_lines_dropped",
-                "Decision lines dropped by the rate limit since the start",
+                IntGauge::new(
+                    "hyssopscale_log_lines_dropped",
+                    "Decision lines dropped by the rate limit since the start",
+                )?,
             )?,
             registry,
         })
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -13,10 +13,11 @@
 use log::info;
 use node::journal::DECISION;
 use tokio::time::Instant;
-use upstream::link::{Call, Class, Host, Limits, Link, Reuse};
+use upstream::link::{Limits, Link};
 use wire::Upstream;
 
-use crate::dialect::{Change, Dialect, Malformed, Page};
+use crate::call::send;
+use crate::dialect::{Call, Change, Dialect, Malformed, Page};
 use crate::hub::Hub;
 use absence::Absence;
 
@@ -229,27 +230,9 @@
         Ok(revision)
     }
 
-    async fn read(
-        &mut self,
-        call: crate::dialect::Call,
-        limit: Duration,
-    ) -> Result<bytes::Bytes, Error> {
+    async fn read(&mut self, call: Call, limit: Duration) -> Result<bytes::Bytes, Error> {
         self.last = Instant::now();
-        let request = hyper::Request::builder()
-            .method(call.method)
-            .uri(call.path)
-            .body(http_body_util::Full::new(call.body))
-            .map_err(|error| Malformed(error.to_string()))?;
-        let sent = self.link.send(Call {
-            class: Class::Control,
-            reuse: Reuse::Kept,
-            host: Host::Upstream,
-            head: Some(limit),
-            request,
-        });
-        let response = sent.await?;
-        let status = response.status();
-        let body = response.into_body().collect().await?;
+        let (status, body) = send(&self.link, call, limit).await?;
         match status {
             StatusCode::OK => {
                 self.answered();
--- a/crates/node/src/metrics/mod.rs
+++ b/crates/node/src/metrics/mod.rs
@@ -3,20 +3,20 @@
 //!
 //! The fields are private to the crate, so that the compiler finds one that nothing sets.
 
+pub mod register;
 mod state;
 
 use std::time::Duration;
 
-use prometheus::core::Collector;
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
+    Encoder, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry, TextEncoder,
 };
 use wire::Priority;
 
 use crate::core::Status;
 use crate::front::{Outcome, Problem};
 use crate::peer::SharedCounts;
+use register::{counter_vec, gauge_vec, histogram, registered, signed};
 use state::State;
 
 /// Upper bounds of the buckets for waits, in seconds.
@@ -231,44 +231,3 @@
         }
     }
 }
-
-fn signed(value: u64) -> i64 {
-    i64::try_from(value).unwrap_or(i64::MAX)
-}
-
-fn registered<C: Collector + Clone + 'static>(
-    registry: &Registry,
-    collector: C,
-) -> prometheus::Result<C> {
-    registry.register(Box::new(collector.clone()))?;
-    Ok(collector)
-}
-
-fn counter_vec(
-    registry: &Registry,
-    name: &str,
-    help: &str,
-    labels: &[&str],
-) -> prometheus::Result<IntCounterVec> {
-    registered(registry, IntCounterVec::new(Opts::new(name, help), labels)?)
-}
-
-fn gauge_vec(
-    registry: &Registry,
-    name: &str,
-    help: &str,
-    labels: &[&str],
-) -> prometheus::Result<IntGaugeVec> {
-    registered(registry, IntGaugeVec::new(Opts::new(name, help), labels)?)
-}
-
-fn histogram(
-    registry: &Registry,
-    name: &str,
-    help: &str,
-    labels: &[&str],
-    buckets: &[f64],
-) -> prometheus::Result<HistogramVec> {
-    let opts = HistogramOpts::new(name, help).buckets(buckets.to_vec());
-    registered(registry, HistogramVec::new(opts, labels)?)
-}
--- a/crates/node/src/metrics/state.rs
+++ b/crates/node/src/metrics/state.rs
@@ -2,7 +2,7 @@
 
 use prometheus::{IntGauge, IntGaugeVec, Registry};
 
-use super::{gauge_vec, registered, signed};
+use super::register::{gauge_vec, registered, signed};
 use crate::core::{Status, UpstreamStatus};
 
 /// The gauges.
--- a/crates/roster/src/seeds.rs
+++ b/crates/roster/src/seeds.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use wire::machine::millis;
 use wire::{Machine, Time, Vm, Zone};
 
 use crate::Member;
@@ -258,7 +259,7 @@
         };
         let others = self.entries.iter().map(|entry| Heard {
             record: entry.record.clone(),
-            age: u32::try_from(now.saturating_sub(entry.heard).as_millis()).unwrap_or(u32::MAX),
+            age: millis(now.saturating_sub(entry.heard)),
         });
         let all: Vec<Heard> = std::iter::once(own).chain(others).collect();
         let parts: Vec<Vec<Heard>> = all.chunks(PART).map(<[Heard]>::to_vec).collect();
--- a/crates/wire/src/machine.rs
+++ b/crates/wire/src/machine.rs
@@ -11,6 +11,11 @@
 /// Values of different processes are not comparable and never cross the wire.
 pub type Time = Duration;
 
+/// Returns `time` in milliseconds, as messages carry it.
+pub fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// A deterministic state machine.
 pub trait Machine {
     /// What the machine is told.
