Log which answers refuse a request, and what ties them to it

The hypotheses of the incident could not be told apart: no line said whether a refusal named its attempt, on which connection it came, and to which try. The line "answer" does.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -46,11 +46,33 @@
     pub after: Option<u64>,
 }
 
+/// Which attempt an answer names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Echo {
+    /// The one that was sent.
+    This,
+    /// Another one.
+    Other,
+    /// None.
+    Nothing,
+}
+
+impl Echo {
+    /// Returns the name used in logs.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::This => "this",
+            Self::Other => "other",
+            Self::Nothing => "nothing",
+        }
+    }
+}
+
 /// What the head of an upstream's answer says.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Mark {
-    /// Whether it answers the attempt that was sent.
-    pub own: bool,
+    /// The attempt that it names.
+    pub echo: Echo,
     /// Whether it bears the upstream's signature.
     pub signed: bool,
     /// Whether the body is the upstream's own, without an encoding.
--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -23,7 +23,7 @@
 use wire::{Time, Upstream};
 
 use super::job::Job;
-use crate::dialect::{Dialect, Hop, Mark};
+use crate::dialect::{Dialect, Echo, Hop, Mark};
 use crate::hub::Hub;
 
 /// Idle time up to which a kept connection carries a call that may not be repeated: upstreams
@@ -180,6 +180,7 @@
             return Tried::failed(Reach::NotRun);
         };
         self.tried.push(runner.clone());
+        self.sends.push(runner.clone());
         self.attempts += 1;
         let mut visit = Visit::new(&self.hub, runner, target.clone(), self.terms.deadline);
         let sent = self.hub.clock.now();
@@ -194,7 +195,8 @@
             .dialect
             .mark(&self.ask, runner, parts.status, &parts.headers);
         self.note(runner, &link, &mark);
-        if !mark.own {
+        self.log_head(runner, parts.status, &mark, &body);
+        if mark.echo == Echo::Other {
             visit.end(Verdict::Failed);
             return self.failed("crossed", Reach::Unknown);
         }
@@ -336,6 +338,23 @@
         }
     }
 
+    /// Logs an answer that refuses the request, or does not name it: on which connection it came,
+    /// and which try of the attempt at this upstream it would answer.
+    fn log_head(&self, runner: &Upstream, status: StatusCode, mark: &Mark, body: &link::Body) {
+        if mark.echo == Echo::This && !mark.refused {
+            return;
+        }
+        let used = body.used().map(|used| used.elapsed().as_millis() as u64);
+        info!(
+            target: DECISION,
+            request = &*self.ask.attempt, upstream = &**runner, status = status.as_u16(),
+            names = mark.echo.name(), refused = mark.refused, signed = mark.signed,
+            kept = used.is_some(), used_ms = used.unwrap_or_default(),
+            sends = self.sends.iter().filter(|id| *id == runner).count();
+            "answer"
+        );
+    }
+
     fn failed(&self, reason: &'static str, reach: Reach) -> Tried<D> {
         let upstream = self.tried.last().map_or("", |id| id);
         info!(
--- a/crates/gateway/src/front/job.rs
+++ b/crates/gateway/src/front/job.rs
@@ -59,6 +59,8 @@
     pub(super) body: Bytes,
     /// Upstreams that it was sent to.
     pub(super) tried: Vec<Upstream>,
+    /// Every upstream that it was sent to, as often as it was.
+    pub(super) sends: Vec<Upstream>,
     /// Attempts so far.
     pub(super) attempts: u32,
     /// Whether the next attempt is paid for already.
@@ -106,6 +108,7 @@
             head,
             body,
             tried: Vec::new(),
+            sends: Vec::new(),
             attempts: 0,
             prepaid: AtomicBool::new(false),
             home: None,
--- a/crates/upstream/src/link/body.rs
+++ b/crates/upstream/src/link/body.rs
@@ -37,6 +37,7 @@
     incoming: Incoming,
     offset: u64,
     open: Option<(Conn, Home)>,
+    used: Option<Instant>,
     /// When the last part came.
     last: Instant,
     /// Ends no later than the idle limit after `last`. It is set anew only when it fires, which
@@ -45,9 +46,16 @@
 }
 
 impl Body {
-    pub(super) fn new(link: Link, conn: Conn, incoming: Incoming, home: Home) -> Self {
+    pub(super) fn new(
+        link: Link,
+        conn: Conn,
+        incoming: Incoming,
+        home: Home,
+        used: Option<Instant>,
+    ) -> Self {
         let last = Instant::now();
         Self {
+            used,
             idle: Box::pin(sleep_until(last + link.limits.body)),
             last,
             link,
@@ -62,6 +70,11 @@
         self.offset
     }
 
+    /// Returns when the connection's exchange before this one ended, or `None` where it had none.
+    pub fn used(&self) -> Option<Instant> {
+        self.used
+    }
+
     /// Returns the next part, or `None` once the body is whole.
     ///
     /// # Errors
--- a/crates/upstream/src/link/conn.rs
+++ b/crates/upstream/src/link/conn.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -24,8 +25,8 @@
     driver: Pin<Box<Connection<TokioIo<Counter>, Full<Bytes>>>>,
     closed: bool,
     written: Arc<AtomicU64>,
-    /// Time at which it was last given back.
-    pub(super) idle_since: Instant,
+    /// When its last exchange ended; `None` before the first one.
+    pub(super) used: Option<Instant>,
 }
 
 impl Conn {
@@ -45,7 +46,7 @@
             driver: Box::pin(driver),
             closed: false,
             written,
-            idle_since: Instant::now(),
+            used: None,
         })
     }
 
@@ -54,6 +55,11 @@
         self.written.load(Ordering::Relaxed)
     }
 
+    /// Returns how long ago its last exchange ended.
+    pub(super) fn idle(&self) -> Duration {
+        self.used.map_or(Duration::ZERO, |used| used.elapsed())
+    }
+
     /// Sends a request and waits for the response head.
     pub(super) async fn send(
         &mut self,
--- a/crates/upstream/src/link/mod.rs
+++ b/crates/upstream/src/link/mod.rs
@@ -149,14 +149,14 @@
 
     fn take(&self, keep: Duration, within: Duration) -> Option<Conn> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.retain(|conn| conn.idle_since.elapsed() < keep);
+        idle.retain(|conn| conn.idle() < keep);
         // The last one was used last.
-        let recent = |conn: &mut Conn| conn.idle_since.elapsed() < within;
+        let recent = |conn: &mut Conn| conn.idle() < within;
         idle.pop_if(recent)
     }
 
     fn give(&self, mut conn: Conn) {
-        conn.idle_since = Instant::now();
+        conn.used = Some(Instant::now());
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         if idle.len() < self.limit {
             idle.push(conn);
@@ -222,6 +222,7 @@
         let request = self.address_request(call.request, call.host)?;
         let mut conn = self.connection(pool, call.reuse).await?;
         let limit = call.head.unwrap_or(self.limits.head);
+        let used = conn.used;
         let before = conn.written();
         let answer = timeout(limit, conn.send(request)).await;
         let reach = if conn.written() == before {
@@ -237,6 +238,7 @@
                     conn,
                     incoming,
                     body::Home::new(pool.clone(), permit),
+                    used,
                 )
             })),
             Ok(Err(error)) => Err(Error::Broken {
