Believe only refusals that name their attempt

Cause: an answer is matched to a request by its place on the connection, and one without an attempt id counted as an answer to whatever was asked last. Class: proof by position.

Change: exchange::proof::Proof is the only way to Reach::NotRun, and Proof::refused wants a statement and the attempt's name. gateway::front::judge judges heads in one place; an answer without a name, a success too, is void and its outcome unknown.

Ruled out: that refusals without a name are usual.

--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`spend`] bounds repeats by the share that one node has in the budget of all.
 //! - [`mirror`] decides which nodes read the platform for all.
 //! - [`outcome`] decides what a failed attempt means for its caller.
+//! - [`proof`] holds the evidence that a request did not run.
 //! - [`relay`] follows the events of a stream, so that it can go on at another engine.
 
 pub mod choice;
@@ -25,6 +26,7 @@
 pub mod mirror;
 pub mod outcome;
 pub mod owner;
+pub mod proof;
 pub mod relay;
 pub mod route;
 pub mod spend;
--- a/crates/exchange/src/outcome.rs
+++ b/crates/exchange/src/outcome.rs
@@ -5,17 +5,28 @@
 
 use std::time::Duration;
 
+use crate::proof::Proof;
 use crate::route::Kind;
 
 /// How far an attempt got before it failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Reach {
-    /// The upstream cannot have run it, or promised that it did not and never will.
-    NotRun,
+    /// It did not run and never will.
+    NotRun(Proof),
     /// It may have run or may still run.
     Unknown,
 }
 
+impl Reach {
+    /// Returns the name used in logs.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::NotRun(_) => "not-run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// What follows a failed attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Next {
@@ -47,7 +58,7 @@
 impl Standing {
     /// Tells whether the request may be sent again, if the budget allows it.
     pub fn may_repeat(&self) -> bool {
-        let safe = self.reach == Reach::NotRun || self.kind.repeatable();
+        let safe = matches!(self.reach, Reach::NotRun(_)) || self.kind.repeatable();
         safe && self.left > 0 && self.time > self.least
     }
 
@@ -64,7 +75,7 @@
 /// Returns the final answer to a request whose attempts got as far as `worst`.
 pub fn final_answer(worst: Reach) -> Next {
     match worst {
-        Reach::NotRun => Next::Refuse,
+        Reach::NotRun(_) => Next::Refuse,
         Reach::Unknown => Next::Unknown,
     }
 }
--- /dev/null
+++ b/crates/exchange/src/proof.rs
@@ -0,0 +1,32 @@
+//! Evidence that a request did not run.
+//!
+//! A caller is promised that its request did not run only by way of [`Reach::NotRun`], which holds
+//! a [`Proof`]. Proofs are made here and nowhere else.
+//!
+//! [`Reach::NotRun`]: crate::outcome::Reach::NotRun
+
+/// Evidence that one try of a request did not run and never will.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Proof(());
+
+/// What ties an upstream's refusal to one try of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Whether the upstream states that it did not run the request.
+    pub stated: bool,
+    /// Whether the refusal names the attempt.
+    pub named: bool,
+}
+
+impl Proof {
+    /// Returns the proof for a request of which no byte was written.
+    pub const fn unsent() -> Self {
+        Self(())
+    }
+
+    /// Returns the proof that `refusal` gives, if any. A refusal is matched to a request by its
+    /// place on the connection, where late answers to others may come first.
+    pub fn refused(refusal: Refusal) -> Option<Self> {
+        (refusal.stated && refusal.named).then_some(Self(()))
+    }
+}
--- a/crates/exchange/tests/attempt_outcomes.rs
+++ b/crates/exchange/tests/attempt_outcomes.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use exchange::outcome::{Next, Reach, Standing};
+use exchange::proof::{Proof, Refusal};
 use exchange::route::Kind;
 use rstest::rstest;
 
@@ -17,6 +18,7 @@
     }
 }
 
+const NOT_RUN: Reach = Reach::NotRun(Proof::unsent());
 const STREAM: Kind = Kind::Stream { resumable: false };
 const RESUMABLE: Kind = Kind::Stream { resumable: true };
 
@@ -34,7 +36,7 @@
 fn what_did_not_run_goes_elsewhere(
     #[values(Kind::Once, STREAM, Kind::Idempotent, RESUMABLE)] kind: Kind,
 ) {
-    let standing = standing(kind, Reach::NotRun, Reach::NotRun);
+    let standing = standing(kind, NOT_RUN, NOT_RUN);
     assert_eq!(standing.next(true), Next::Again);
     assert_eq!(standing.next(false), Next::Refuse);
 }
@@ -45,14 +47,24 @@
     #[values(Kind::Once, STREAM, Kind::Idempotent, RESUMABLE)] kind: Kind,
     #[values(true, false)] budget: bool,
 ) {
-    let mut standing = standing(kind, Reach::NotRun, Reach::Unknown);
+    let mut standing = standing(kind, NOT_RUN, Reach::Unknown);
     standing.left = 0;
     assert_eq!(standing.next(budget), Next::Unknown);
 }
 
 #[rstest]
 fn nothing_follows_without_time() {
-    let mut standing = standing(Kind::Idempotent, Reach::NotRun, Reach::NotRun);
+    let mut standing = standing(Kind::Idempotent, NOT_RUN, NOT_RUN);
     standing.time = Duration::from_millis(10);
     assert_eq!(standing.next(true), Next::Refuse);
 }
+
+/// A refusal proves something only if it is stated and names the attempt.
+#[rstest]
+fn refusal_needs_statement_and_name(
+    #[values(true, false)] stated: bool,
+    #[values(true, false)] named: bool,
+) {
+    let proof = Proof::refused(Refusal { stated, named });
+    assert_eq!(proof.is_some(), stated && named);
+}
--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -8,6 +8,7 @@
 use exchange::demand::Target;
 use exchange::fleet::{Presence, Verdict, Version};
 use exchange::outcome::Reach;
+use exchange::proof::Proof;
 use exchange::relay::Cursor;
 use exchange::route::Kind;
 use http_body_util::Full;
@@ -23,6 +24,7 @@
 use wire::{Time, Upstream};
 
 use super::job::Job;
+use super::judge::{Worth, judge};
 use crate::dialect::{Dialect, Echo, Hop, Mark};
 use crate::hub::Hub;
 
@@ -174,10 +176,10 @@
         let target = self.target();
         let (link, version) = match self.link(runner, target.as_ref()) {
             Some(found) => found,
-            None => return Tried::failed(Reach::NotRun),
+            None => return Tried::failed(Reach::NotRun(Proof::unsent())),
         };
         let Some(request) = self.request(runner, version) else {
-            return Tried::failed(Reach::NotRun);
+            return Tried::failed(Reach::NotRun(Proof::unsent()));
         };
         self.tried.push(runner.clone());
         self.sends.push(runner.clone());
@@ -196,23 +198,22 @@
             .mark(&self.ask, runner, parts.status, &parts.headers);
         self.note(runner, &link, &mark);
         self.log_head(runner, parts.status, &mark, &body);
-        if mark.echo == Echo::Other {
-            visit.end(Verdict::Failed);
-            return self.failed("crossed", Reach::Unknown);
-        }
-        if mark.refused {
-            visit.end(Verdict::Neutral);
-            return self
-                .refused(runner, target.as_ref(), parts.status, &mark, body)
-                .await;
+        match judge(parts.status, &mark) {
+            Worth::Own => {}
+            Worth::Refused(proof) => {
+                visit.end(Verdict::Neutral);
+                let reason = self.refused(runner, target.as_ref(), parts.status, &mark);
+                // Read to its end, so that the connection is kept.
+                let _ = tokio::time::timeout(LOOK, body.collect()).await;
+                return self.failed(reason, Reach::NotRun(proof));
+            }
+            Worth::Void(reason) => {
+                visit.end(Verdict::Failed);
+                return self.failed(reason, Reach::Unknown);
+            }
         }
         let mut headers = parts.headers;
         strip(&mut headers);
-        let genuine = mark.signed && mark.plain;
-        if parts.status.is_success() && !genuine {
-            visit.end(Verdict::Failed);
-            return self.failed("unsigned", Reach::Unknown);
-        }
         if self.route.kind.streams() && parts.status == StatusCode::OK {
             return self.open(parts.status, headers, body, visit, cursor).await;
         }
@@ -315,12 +316,12 @@
             _ => Verdict::Failed,
         });
         let reach = match error.reach() {
-            Sent::NotSent => Reach::NotRun,
+            Sent::NotSent => Reach::NotRun(Proof::unsent()),
             Sent::MaybeSent => Reach::Unknown,
         };
         info!(
             target: DECISION,
-            request = &*self.ask.attempt, upstream:% = visit.runner, cause:% = error, reach:?;
+            request = &*self.ask.attempt, upstream:% = visit.runner, cause:% = error, reach = reach.name();
             "attempt-failed"
         );
         self.hub.metrics.attempt(&self.service.name, "no-head");
@@ -356,28 +357,24 @@
     }
 
     fn failed(&self, reason: &'static str, reach: Reach) -> Tried<D> {
-        let upstream = self.tried.last().map_or("", |id| id);
+        let upstream = self.sends.last().map_or("", |id| id);
         info!(
             target: DECISION,
-            request = &*self.ask.attempt, upstream, reason, reach:?;
+            request = &*self.ask.attempt, upstream, reason, reach = reach.name();
             "attempt-failed"
         );
         self.hub.metrics.attempt(&self.service.name, reason);
         Tried::failed(reach)
     }
 
-    /// Learns from a promise that the request did not run.
-    async fn refused(
+    /// Learns from a refusal, and returns its reason.
+    fn refused(
         &mut self,
         runner: &Upstream,
         target: Option<&Target>,
         status: StatusCode,
         mark: &Mark,
-        body: link::Body,
-    ) -> Tried<D> {
-        // Read to its end, so that the connection is kept.
-        let rest = tokio::time::timeout(LOOK, body.collect()).await;
-        drop(rest);
+    ) -> &'static str {
         self.attempts -= 1;
         self.refusals += 1;
         let now = self.hub.clock.now();
@@ -409,11 +406,10 @@
         if matches!(reason, "absent" | "not-yet") {
             self.tried.pop();
         }
-        let tried = self.failed(reason, Reach::NotRun);
         if self.refusals > REFUSALS_MAX {
             self.attempts = self.route.attempts;
         }
-        tried
+        reason
     }
 
     /// Waits for the first whole event of a stream.
--- a/crates/gateway/src/front/job.rs
+++ b/crates/gateway/src/front/job.rs
@@ -9,6 +9,7 @@
 use exchange::choice::Need;
 use exchange::demand::Target;
 use exchange::outcome::{Next, Reach, Standing};
+use exchange::proof::Proof;
 use exchange::relay::Cursor;
 use exchange::route::{Kind, Route, Service};
 use hyper::http::request::Parts;
@@ -114,7 +115,7 @@
             home: None,
             moved: 0,
             refusals: 0,
-            worst: Reach::NotRun,
+            worst: Reach::NotRun(Proof::unsent()),
             stalled: Duration::ZERO,
             queued: Duration::ZERO,
             first: Duration::ZERO,
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -1,12 +1,14 @@
 //! Callers' requests: reading them, finding their route, and passing them on.
 //!
 //! - `job` takes one request from its head to its final answer.
-//! - `attempt` sends it to one upstream and judges the answer.
+//! - `attempt` sends it to one upstream.
+//! - `judge` says what the head of an answer is worth.
 //! - `stream` relays an event stream and takes it to another engine where one breaks off.
 //! - `place` waits until an upstream can serve it.
 
 mod attempt;
 mod job;
+mod judge;
 mod place;
 mod stream;
 
