Send no try where a copy of its earlier refusal may come

Cause: an engine that refused since the adapter was on its way is tried again, on the connection that it refused on. Upstreams may answer twice; the copy bears the attempt's id, so that the id does not tell it from an answer to the second try, which is running. Class: proof by position, as with refusals that name nothing.

Change: a second try at an upstream takes only a connection without an exchange since the request arrived (link::Reuse::Unused), and Proof::refused refuses where one had any. No state is kept for it: the time of the connection's last exchange tells.

--- a/crates/exchange/src/proof.rs
+++ b/crates/exchange/src/proof.rs
@@ -16,6 +16,8 @@
     pub stated: bool,
     /// Whether the refusal names the attempt.
     pub named: bool,
+    /// Whether its connection has carried an earlier try of the attempt.
+    pub repeated: bool,
 }
 
 impl Proof {
@@ -25,8 +27,10 @@
     }
 
     /// Returns the proof that `refusal` gives, if any. A refusal is matched to a request by its
-    /// place on the connection, where late answers to others may come first.
+    /// place on the connection, where late answers to others may come first, and copies of the
+    /// refusal of an earlier try.
     pub fn refused(refusal: Refusal) -> Option<Self> {
-        (refusal.stated && refusal.named).then_some(Self(()))
+        let proven = refusal.stated && refusal.named && !refusal.repeated;
+        proven.then_some(Self(()))
     }
 }
--- a/crates/exchange/tests/attempt_outcomes.rs
+++ b/crates/exchange/tests/attempt_outcomes.rs
@@ -59,12 +59,18 @@
     assert_eq!(standing.next(true), Next::Refuse);
 }
 
-/// A refusal proves something only if it is stated and names the attempt.
+/// A refusal proves something only if it is stated, names the attempt, and cannot be a copy of an
+/// earlier one.
 #[rstest]
 fn refusal_needs_statement_and_name(
     #[values(true, false)] stated: bool,
     #[values(true, false)] named: bool,
+    #[values(true, false)] repeated: bool,
 ) {
-    let proof = Proof::refused(Refusal { stated, named });
-    assert_eq!(proof.is_some(), stated && named);
+    let proof = Proof::refused(Refusal {
+        stated,
+        named,
+        repeated,
+    });
+    assert_eq!(proof.is_some(), stated && named && !repeated);
 }
--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -181,12 +181,14 @@
         let Some(request) = self.request(runner, version) else {
             return Tried::failed(Reach::NotRun(Proof::unsent()));
         };
+        let reuse = self.reuse(runner);
+        let earlier = self.sends.contains(runner);
         self.tried.push(runner.clone());
         self.sends.push(runner.clone());
         self.attempts += 1;
         let mut visit = Visit::new(&self.hub, runner, target.clone(), self.terms.deadline);
         let sent = self.hub.clock.now();
-        let response = match self.head(&link, request, &visit).await {
+        let response = match self.head(&link, request, reuse, &visit).await {
             Ok(response) => response,
             Err(headless) => return self.headless(&headless, &mut visit),
         };
@@ -198,7 +200,9 @@
             .mark(&self.ask, runner, parts.status, &parts.headers);
         self.note(runner, &link, &mark);
         self.log_head(runner, parts.status, &mark, &body);
-        match judge(parts.status, &mark) {
+        let arrived = self.hub.clock.instant(self.terms.arrived);
+        let repeated = earlier && body.used() > Some(arrived);
+        match judge(parts.status, &mark, repeated) {
             Worth::Own => {}
             Worth::Refused(proof) => {
                 visit.end(Verdict::Neutral);
@@ -261,6 +265,7 @@
         &self,
         link: &Link,
         request: Request<Full<Bytes>>,
+        reuse: Reuse,
         visit: &Visit<D>,
     ) -> Result<Response<link::Body>, Headless> {
         let class = if self.route.rank == 0 {
@@ -268,10 +273,6 @@
         } else {
             Class::Ordinary
         };
-        let reuse = match self.route.kind {
-            Kind::Idempotent | Kind::Stream { resumable: true } => Reuse::Kept,
-            Kind::Once | Kind::Stream { resumable: false } => Reuse::Recent(RECENT),
-        };
         let mut sending = pin!(link.send(Call {
             class,
             reuse,
@@ -295,6 +296,21 @@
         }
     }
 
+    /// Returns which kept connections may carry the next try at `runner`: none that has carried an
+    /// earlier one, whose refusal may come again in place of this one's answer.
+    fn reuse(&self, runner: &Upstream) -> Reuse {
+        let within = match self.route.kind {
+            Kind::Idempotent | Kind::Stream { resumable: true } => Duration::MAX,
+            Kind::Once | Kind::Stream { resumable: false } => RECENT,
+        };
+        if self.sends.contains(runner) {
+            let since = self.hub.clock.instant(self.terms.arrived);
+            Reuse::Unused { within, since }
+        } else {
+            Reuse::Recent(within)
+        }
+    }
+
     fn silence_limit(&self) -> Duration {
         if self.service.engine.is_some() {
             ENGINE_SILENCE
--- a/crates/gateway/src/front/judge.rs
+++ b/crates/gateway/src/front/judge.rs
@@ -16,11 +16,13 @@
     Void(&'static str),
 }
 
-/// Judges an answer by its head.
-pub(super) fn judge(status: StatusCode, mark: &Mark) -> Worth {
+/// Judges an answer by its head. `repeated` tells whether its connection has carried an earlier
+/// try of the attempt.
+pub(super) fn judge(status: StatusCode, mark: &Mark, repeated: bool) -> Worth {
     let refusal = Refusal {
         stated: mark.refused,
         named: mark.echo == Echo::This,
+        repeated,
     };
     if let Some(proof) = Proof::refused(refusal) {
         return Worth::Refused(proof);
@@ -28,6 +30,7 @@
     match mark.echo {
         Echo::Other => Worth::Void("crossed"),
         Echo::Nothing => Worth::Void("nameless"),
+        Echo::This if mark.refused => Worth::Void("unproven"),
         Echo::This if status.is_success() && !(mark.signed && mark.plain) => {
             Worth::Void("unsigned")
         }
--- a/crates/upstream/src/link/mod.rs
+++ b/crates/upstream/src/link/mod.rs
@@ -59,6 +59,14 @@
     /// Only a kept connection that was idle for less than this, or a new one: the upstream is not
     /// about to close it, which would leave the outcome unknown.
     Recent(Duration),
+    /// Only a kept connection that was idle for less than `within` and had no exchange after
+    /// `since`, or a new one: no late answer to an exchange after `since` can come on it.
+    Unused {
+        /// Longest idle time.
+        within: Duration,
+        /// When the exchanges began that it must not have carried.
+        since: Instant,
+    },
     /// Only a new connection will do, since the request may not be repeated.
     Fresh,
 }
@@ -147,12 +155,12 @@
         })
     }
 
-    fn take(&self, keep: Duration, within: Duration) -> Option<Conn> {
+    fn take(&self, keep: Duration, fits: impl Fn(&Conn) -> bool) -> Option<Conn> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         idle.retain(|conn| conn.idle() < keep);
         // The last one was used last.
-        let recent = |conn: &mut Conn| conn.idle() < within;
-        idle.pop_if(recent)
+        let index = idle.iter().rposition(fits)?;
+        Some(idle.remove(index))
     }
 
     fn give(&self, mut conn: Conn) {
@@ -290,8 +298,12 @@
 
     async fn connection(&self, pool: &Pool, reuse: Reuse) -> Result<Conn, Error> {
         let kept = match reuse {
-            Reuse::Kept => self.kept(pool, Duration::MAX).await,
-            Reuse::Recent(within) => self.kept(pool, within).await,
+            Reuse::Kept => self.kept(pool, |_| true).await,
+            Reuse::Recent(within) => self.kept(pool, |conn| conn.idle() < within).await,
+            Reuse::Unused { within, since } => {
+                let fits = |conn: &Conn| conn.idle() < within && conn.used <= Some(since);
+                self.kept(pool, fits).await
+            }
             Reuse::Fresh => None,
         };
         match kept {
@@ -300,8 +312,8 @@
         }
     }
 
-    async fn kept(&self, pool: &Pool, within: Duration) -> Option<Conn> {
-        while let Some(mut conn) = pool.take(self.keep(), within) {
+    async fn kept(&self, pool: &Pool, fits: impl Fn(&Conn) -> bool) -> Option<Conn> {
+        while let Some(mut conn) = pool.take(self.keep(), &fits) {
             if conn.verify().await {
                 return Some(conn);
             }
--- a/crates/upstream/tests/kept_connections.rs
+++ b/crates/upstream/tests/kept_connections.rs
@@ -191,3 +191,22 @@
     let names: Vec<&str> = answer.headers().keys().map(|name| name.as_str()).collect();
     assert_eq!(names, ["x-other", "content-length"]);
 }
+
+/// A connection whose last exchange may still bring a late answer to this caller is passed over.
+#[tokio::test]
+async fn used_connection_is_passed_over() {
+    let (address, seen) = serve(two_answers()).await;
+    let service = Http::new("desk-1", address, Limits::default());
+    let within = Duration::MAX;
+    let since = tokio::time::Instant::now();
+    run(&service, Reuse::Kept).await.unwrap();
+    run(&service, Reuse::Unused { within, since })
+        .await
+        .unwrap();
+    assert_eq!(count(&seen.connections), 2);
+    let since = tokio::time::Instant::now();
+    run(&service, Reuse::Unused { within, since })
+        .await
+        .unwrap();
+    assert_eq!(count(&seen.connections), 2);
+}
