Pass on no status that promises what its upstream did not state

Cause: answers of upstreams went to the caller by their signature alone, past the place where the promise is decided. Class: a promise made on a path without its proof.

Change: the platform's folder names the statuses that promise (Mark::promising); an answer with one of them and without a statement is void, and its outcome unknown (502).

Ruled out: that genuine answers are lost by it.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -77,8 +77,10 @@
     pub signed: bool,
     /// Whether the body is the upstream's own, without an encoding.
     pub plain: bool,
-    /// Whether it promises that the request did not run.
+    /// Whether it states that the upstream did not run the request.
     pub refused: bool,
+    /// Whether callers take its status for a promise that nothing ran.
+    pub promising: bool,
     /// Whether another process than the one expected answered.
     pub stranger: bool,
     /// Load that it states.
--- a/crates/gateway/src/front/judge.rs
+++ b/crates/gateway/src/front/judge.rs
@@ -31,6 +31,7 @@
         Echo::Other => Worth::Void("crossed"),
         Echo::Nothing => Worth::Void("nameless"),
         Echo::This if mark.refused => Worth::Void("unproven"),
+        Echo::This if mark.promising => Worth::Void("unstated"),
         Echo::This if status.is_success() && !(mark.signed && mark.plain) => {
             Worth::Void("unsigned")
         }
