Believe an upstream that leaves only where it names the attempt

The same cause in the product's own front: a 503 with x-leaving and without the attempt's id counted as "not run", so that a call that may not be repeated went to another upstream, or its caller was told not-run.

The test case failed_call_tells_its_reach::leaving had the wrong belief written down. It is replaced by two as strict: without a name the reach is MaybeSent (failed before the change), with it NotSent. The stand-ins name the attempt as they do in every other answer.

Remains: a 404 of an engine that speaks the published protocol names no attempt; it is believed for model streams, which may be repeated.

--- a/crates/standin/src/engine/routes.rs
+++ b/crates/standin/src/engine/routes.rs
@@ -143,8 +143,9 @@
             return Err(Closed);
         }
         if faults.leaving {
+            let answer = echo(leaving(), &ticket.attempt);
             self.log_refusal(ticket, "leaving");
-            return Ok(leaving());
+            return Ok(answer);
         }
         let Some(asked) = http::read_json::<Completion>(request.into_body()).await else {
             return Ok(http::text(StatusCode::BAD_REQUEST, "body is no completion"));
--- a/crates/standin/src/service/mod.rs
+++ b/crates/standin/src/service/mod.rs
@@ -211,11 +211,12 @@
     }
 
     fn refuse(&self, call: Call) -> Response<Body> {
+        let answer = echo(leaving(), &call.ticket.attempt);
         self.log.push(Kind::Refused {
             ticket: call.ticket,
             reason: "leaving".to_owned(),
         });
-        leaving()
+        answer
     }
 
     async fn answer(&self, call: &Call, point: Option<Point>, run: Running<'_>) -> Answer {
--- a/crates/upstream/src/engine/http.rs
+++ b/crates/upstream/src/engine/http.rs
@@ -197,7 +197,7 @@
             request: self.build(builder, &Value::Object(body))?,
         };
         let response = self.link.send(call).await?;
-        check_echo(self.upstream(), &response, &request.attempt)?;
+        check_head(self.upstream(), &response, &request.attempt)?;
         if !response.status().is_success() {
             return Err(self.refusal(response, Some(&request.instance)).await);
         }
@@ -243,7 +243,7 @@
 }
 
 /// Tells whether the answer says that the upstream is leaving and ran nothing.
-pub(crate) fn is_leaving(response: &Response<Body>) -> bool {
+fn is_leaving(response: &Response<Body>) -> bool {
     response.status() == StatusCode::SERVICE_UNAVAILABLE
         && response
             .headers()
@@ -251,18 +251,25 @@
             .is_some_and(|value| value == "true")
 }
 
-/// Checks that an answer that names an attempt names this one.
-pub(crate) fn check_echo(
+/// Checks that an answer that names an attempt names this one, and that it does not say that the
+/// upstream is leaving. That it ran nothing is believed only of an answer that names the attempt.
+pub(crate) fn check_head(
     upstream: &Upstream,
     response: &Response<Body>,
     attempt: &str,
 ) -> Result<(), Error> {
+    let upstream = upstream.clone();
     match response.headers().get(header::ATTEMPT) {
         Some(got) if got != attempt => Err(Error::Crossed {
-            upstream: upstream.clone(),
+            upstream,
             expected: attempt.to_owned(),
             got: String::from_utf8_lossy(got.as_bytes()).into_owned(),
         }),
+        Some(_) if is_leaving(response) => Err(Error::Leaving { upstream }),
+        None if is_leaving(response) => Err(Error::Malformed {
+            upstream,
+            cause: "it says that it is leaving and names no attempt".to_owned(),
+        }),
         _ => Ok(()),
     }
 }
--- a/crates/upstream/src/engine/mod.rs
+++ b/crates/upstream/src/engine/mod.rs
@@ -19,8 +19,8 @@
 use wire::{Base, Caller, Fence, Priority};
 
 pub use answer::Event;
+pub(crate) use http::check_head;
 pub use http::{Http, Stream};
-pub(crate) use http::{check_echo, is_leaving};
 
 use crate::error::Error;
 
--- a/crates/upstream/src/service/http.rs
+++ b/crates/upstream/src/service/http.rs
@@ -10,7 +10,7 @@
 use wire::Upstream;
 
 use super::{Body, Call, Service};
-use crate::engine::{check_echo, is_leaving};
+use crate::engine::check_head;
 use crate::error::Error;
 use crate::header;
 use crate::link::{self, Limits, Link};
@@ -55,12 +55,7 @@
     }
 
     fn check(&self, response: &Response<link::Body>, sent: &Sent) -> Result<(), Error> {
-        check_echo(self.upstream(), response, &sent.attempt)?;
-        if is_leaving(response) {
-            return Err(Error::Leaving {
-                upstream: self.upstream().clone(),
-            });
-        }
+        check_head(self.upstream(), response, &sent.attempt)?;
         if !is_framed(response, &sent.method) {
             return Err(Error::Malformed {
                 upstream: self.upstream().clone(),
--- a/crates/upstream/tests/failure_points.rs
+++ b/crates/upstream/tests/failure_points.rs
@@ -87,9 +87,13 @@
     "crossed a2", Reach::MaybeSent)]
 #[case::unframed(
     vec![Act::Request, write("HTTP/1.1 200 OK\r\n\r\nabcd")], "malformed", Reach::MaybeSent)]
-#[case::leaving(
+#[case::nameless_leaving(
     vec![Act::Request,
          write("HTTP/1.1 503 Busy\r\nx-leaving: true\r\ncontent-length: 0\r\n\r\n")],
+    "malformed", Reach::MaybeSent)]
+#[case::leaving(
+    vec![Act::Request,
+         write("HTTP/1.1 503 Busy\r\nx-leaving: true\r\nx-attempt: a1\r\ncontent-length: 0\r\n\r\n")],
     "leaving", Reach::NotSent)]
 #[tokio::test]
 async fn failed_call_tells_its_reach(
