Serve callers that cross a listener's close

Cause: at the close the accept loop chose by chance between a waiting connection and the stop, and closing the listener resets what waits in its queue; and a connection whose first request was under way was shut before it was read.

Change: after the stop the queue is emptied, and each connection is served for 200 ms more before hyper's graceful shutdown. The daemon on the platform waits as long.

Ruled out: load alone. The connection was reset while the node had nothing else in progress.

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -126,8 +126,9 @@
         let open = ttl.mul_f64(OPEN_FACTOR).min(grace.mul_f64(OPEN_PART));
         tokio::time::sleep_until(started + open).await;
         self.stop.send_replace(true);
+        let linger = Instant::now() + listener::LINGER;
         let last = started + grace - grace / LAST_PART;
-        while hub.flying() > 0 && Instant::now() < last {
+        while (hub.flying() > 0 || Instant::now() < linger) && Instant::now() < last {
             tokio::time::sleep(DRAIN_STEP).await;
         }
         let cut = hub.flying();
--- a/crates/node/src/front/listener.rs
+++ b/crates/node/src/front/listener.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::future::Future;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,7 +14,8 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::Body;
 use super::tls::Tls;
@@ -21,6 +23,16 @@
 /// Smallest read buffer that the HTTP library accepts, in bytes.
 const HEADER_BYTES_MIN: usize = 8192;
 
+/// Time for which connections are served on after the close, so that requests under way are
+/// answered: several crossings of a region.
+pub const LINGER: Duration = Duration::from_millis(200);
+
+/// Time without a new connection after which the listen queue counts as empty.
+const QUEUE_EMPTY: Duration = Duration::from_millis(10);
+
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
 /// Limits of one listener.
 #[derive(Clone, Copy, Debug)]
 pub struct Limit {
@@ -44,7 +56,9 @@
     }
 }
 
-/// Accepts connections, by TLS where `tls` is given, until `stop` turns true, then lets each finish its present request.
+/// Accepts connections, by TLS where `tls` is given, until `stop` turns true. Connections that wait
+/// in the listen queue then are accepted as well, and each one is served for [`LINGER`] and until
+/// its present request is done.
 ///
 /// Returns when all connections are closed.
 pub async fn serve<H: Handler>(
@@ -52,36 +66,34 @@
     limit: Limit,
     handler: H,
     tls: Option<Arc<Tls>>,
-    mut stop: watch::Receiver<bool>,
+    stop: watch::Receiver<bool>,
 ) {
     let slots = Arc::new(Semaphore::new(limit.connections));
+    let admit = |accepted, slot| {
+        let (handler, tls, stop) = (handler.clone(), tls.clone(), stop.clone());
+        admit(accepted, slot, limit, handler, tls, stop)
+    };
+    let mut stopped = stop.clone();
     loop {
         let Ok(slot) = slots.clone().acquire_owned().await else {
             break;
         };
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = stop.wait_for(|stop| *stop) => break,
+            _ = stopped.wait_for(|stop| *stop) => break,
         };
-        let (stream, _): (TcpStream, SocketAddr) = match accepted {
-            Ok(accepted) => accepted,
-            Err(error) => {
-                // Out of descriptors or a connection gone before it was taken; both pass.
-                log::warn!("accept failed: {error}");
-                tokio::time::sleep(Duration::from_millis(10)).await;
-                continue;
-            }
+        admit(accepted, slot).await;
+    }
+    // Closing the listener would reset the connections in its queue.
+    let end = Instant::now() + LINGER;
+    while Instant::now() < end {
+        let Ok(slot) = slots.clone().try_acquire_owned() else {
+            break;
         };
-        // Small token chunks must not wait for each other.
-        let _ = stream.set_nodelay(true);
-        let (handler, tls, stop) = (handler.clone(), tls.clone(), stop.clone());
-        tokio::spawn(async move {
-            match tls {
-                None => connection(stream, limit, handler, stop).await,
-                Some(tls) => secured(&tls, stream, limit, handler, stop).await,
-            }
-            drop(slot);
-        });
+        let Ok(accepted) = timeout(QUEUE_EMPTY, listener.accept()).await else {
+            break;
+        };
+        admit(accepted, slot).await;
     }
     drop(listener);
     // Every connection holds a slot until it is closed.
@@ -89,6 +101,34 @@
     let _ = slots.acquire_many(all).await;
 }
 
+/// Serves an accepted connection in a task of its own, which holds `slot`.
+async fn admit<H: Handler>(
+    accepted: io::Result<(TcpStream, SocketAddr)>,
+    slot: OwnedSemaphorePermit,
+    limit: Limit,
+    handler: H,
+    tls: Option<Arc<Tls>>,
+    stop: watch::Receiver<bool>,
+) {
+    let stream = match accepted {
+        Ok((stream, _)) => stream,
+        Err(error) => {
+            // Out of descriptors or a connection gone before it was taken; both pass.
+            log::warn!("accept failed: {error}");
+            return sleep(ACCEPT_PAUSE).await;
+        }
+    };
+    // Small token chunks must not wait for each other.
+    let _ = stream.set_nodelay(true);
+    tokio::spawn(async move {
+        match tls {
+            None => connection(stream, limit, handler, stop).await,
+            Some(tls) => secured(&tls, stream, limit, handler, stop).await,
+        }
+        drop(slot);
+    });
+}
+
 /// Serves a connection after its TLS handshake, which has as long as a request's head.
 async fn secured<H: Handler>(
     tls: &Tls,
@@ -98,7 +138,7 @@
     stop: watch::Receiver<bool>,
 ) {
     let shaking = tls.acceptor().accept(stream);
-    match tokio::time::timeout(limit.header_time, shaking).await {
+    match timeout(limit.header_time, shaking).await {
         Ok(Ok(stream)) => connection(stream, limit, handler, stop).await,
         Ok(Err(error)) => log::debug!("caller's TLS handshake failed: {error}"),
         Err(_) => log::debug!("caller's TLS handshake took too long"),
@@ -124,7 +164,11 @@
     tokio::pin!(connection);
     tokio::select! {
         result = connection.as_mut() => return log_end(result),
-        _ = stop.wait_for(|stop| *stop) => connection.as_mut().graceful_shutdown(),
+        _ = stop.wait_for(|stop| *stop) => {}
+    }
+    tokio::select! {
+        result = connection.as_mut() => return log_end(result),
+        () = sleep(LINGER) => connection.as_mut().graceful_shutdown(),
     }
     log_end(connection.await);
 }
