Run real nodes under seeded faults from outside

The logs of callers and upstreams are compared: TWICE, REFUSED, LOST, MIXED, DRAIN, CONFIG, ONE, LIMIT, LATE, RECOVER, UNASKED, and how processes end. Every fourth seed goes up to the upstreams' limits.

--- /dev/null
+++ b/crates/hyssopscale/tests/fault_soak.rs
@@ -0,0 +1,60 @@
+//! Real nodes under seeded faults, in series and overlapping, break none of the users' rules.
+//!
+//! By hand, with seeds of one's own and a report of each:
+//!
+//! ```text
+//! HYSSOPSCALE_SOAK=100..150 cargo test -p hyssopscale --test fault_soak -- --ignored --nocapture
+//! ```
+
+mod soak;
+
+use std::time::Duration;
+
+use rstest::rstest;
+use soak::{Plan, run};
+
+/// Runs at a time by hand.
+const AT_ONCE: u64 = 4;
+
+/// Returns the plan of a seed. Every fourth one goes up to the limits.
+fn plan(seed: u64) -> Plan {
+    let to_the_limits = seed.is_multiple_of(4);
+    Plan {
+        seed,
+        span: Duration::from_secs(10),
+        callers: if to_the_limits { 64 } else { 16 },
+        think: Duration::from_millis(if to_the_limits { 1 } else { 80 }),
+    }
+}
+
+#[rstest]
+#[case::ordinary(1)]
+#[case::to_the_limits(4)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn seeded_faults_break_no_rule(#[case] seed: u64) {
+    let breaches = run(plan(seed)).await;
+    assert!(breaches.is_empty(), "seed {seed}: {breaches:#?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+#[ignore = "run by hand, with the seeds in HYSSOPSCALE_SOAK"]
+async fn chosen_seeds_break_no_rule() {
+    let chosen = std::env::var("HYSSOPSCALE_SOAK").expect("HYSSOPSCALE_SOAK names seeds, as 1..9");
+    let (from, to) = chosen
+        .split_once("..")
+        .expect("HYSSOPSCALE_SOAK has the form FROM..TO");
+    let (from, to): (u64, u64) = (from.parse().unwrap(), to.parse().unwrap());
+    let mut broken = Vec::new();
+    for first in (from..to).step_by(AT_ONCE as usize) {
+        let seeds = first..to.min(first + AT_ONCE);
+        let runs = seeds.map(|seed| tokio::spawn(async move { (seed, run(plan(seed)).await) }));
+        for run in runs.collect::<Vec<_>>() {
+            let (seed, breaches) = run.await.unwrap();
+            if !breaches.is_empty() {
+                println!("seed {seed} broke {breaches:#?}");
+                broken.push(seed);
+            }
+        }
+    }
+    assert!(broken.is_empty(), "broken by seeds {broken:?}");
+}
--- /dev/null
+++ b/crates/hyssopscale/tests/soak/caller.rs
@@ -0,0 +1,313 @@
+//! Callers that keep their connections, and what they were answered.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{CONNECTION, RETRY_AFTER};
+use hyper::{HeaderMap, Method, Request, StatusCode};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use tokio::time::{Instant, sleep, timeout};
+use upstream::Reach;
+use upstream::link::{self, Call, Class, Host, Limits, Link, Reuse};
+
+use super::HOST;
+use super::upstream::{EVENTS, event};
+
+/// Time that a caller waits for its answer.
+pub const PATIENCE: Duration = Duration::from_secs(4);
+
+/// Sends of one request, the first included.
+const TRIES: usize = 3;
+
+/// Adapters that are asked for, the rarer ones seldom.
+const ADAPTERS: u32 = 8;
+
+/// Time for which an answer of the directory is used.
+const DIRECTORY_AGE: Duration = Duration::from_secs(1);
+
+/// What is asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    Call,
+    Lookup,
+    Stream,
+    Story,
+}
+
+impl Kind {
+    pub const ALL: [Self; 4] = [Self::Call, Self::Lookup, Self::Stream, Self::Story];
+
+    fn path(self) -> &'static str {
+        match self {
+            Self::Call => "/once/x",
+            Self::Lookup => "/read/x",
+            Self::Stream => "/stream/x",
+            Self::Story => "/stream/story/x",
+        }
+    }
+
+    /// Tells whether it may run once at most.
+    pub fn once(self) -> bool {
+        matches!(self, Self::Call | Self::Story)
+    }
+}
+
+/// What came of one attempt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The whole answer.
+    Answered { status: u16, sound: bool },
+    /// No connection came about, or no byte was written.
+    Unsent,
+    /// The connection ended without an answer's head.
+    Closed(String),
+    /// The answer broke off.
+    Cut,
+    /// Nothing came in time.
+    Late,
+}
+
+/// One attempt.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    pub attempt: String,
+    pub kind: Kind,
+    pub node: usize,
+    pub sent: Instant,
+    pub done: Instant,
+    pub outcome: Outcome,
+}
+
+/// One caller.
+pub struct Caller {
+    name: String,
+    nodes: Arc<Vec<Addresses>>,
+    links: Vec<Link>,
+    /// Whether it stays with a node until its connection ends.
+    stays: bool,
+    present: Option<usize>,
+    known: Vec<usize>,
+    asked: Option<Instant>,
+    rng: StdRng,
+    number: u32,
+    asks: Vec<Ask>,
+}
+
+/// Where callers reach a node.
+#[derive(Clone, Copy, Debug)]
+pub struct Addresses {
+    pub front: SocketAddr,
+    pub directory: SocketAddr,
+}
+
+pub fn link(address: SocketAddr) -> Link {
+    let limits = Limits {
+        keep: Duration::from_secs(600),
+        ..Limits::default()
+    };
+    Link::new("node", address, limits)
+}
+
+impl Caller {
+    pub fn new(name: String, nodes: Arc<Vec<Addresses>>, seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        Self {
+            name,
+            links: nodes.iter().map(|node| link(node.front)).collect(),
+            nodes,
+            stays: rng.random(),
+            present: None,
+            known: Vec::new(),
+            asked: None,
+            rng,
+            number: 0,
+            asks: Vec::new(),
+        }
+    }
+
+    /// Sends requests until `end`, with up to `think` between two.
+    pub async fn run(mut self, end: Instant, think: Duration) -> Vec<Ask> {
+        while Instant::now() < end {
+            let kind = match self.rng.random_range(0..10) {
+                0..4 => Kind::Call,
+                4 => Kind::Lookup,
+                5..8 => Kind::Stream,
+                _ => Kind::Story,
+            };
+            self.request(kind).await;
+            let pause = self.rng.random_range(Duration::ZERO..=think);
+            sleep(pause).await;
+        }
+        self.asks
+    }
+
+    async fn request(&mut self, kind: Kind) {
+        self.number += 1;
+        // The smallest of two draws: some adapters are popular.
+        let draws: [u32; 2] = [(); 2].map(|()| self.rng.random_range(0..ADAPTERS));
+        let adapter = draws[0].min(draws[1]);
+        for number in 0..TRIES {
+            let Some(node) = self.node().await else {
+                return sleep(Duration::from_millis(100)).await;
+            };
+            let attempt = format!("{}-{}-{number}", self.name, self.number);
+            let sent = Instant::now();
+            let (outcome, headers) = self.send(node, kind, &attempt, adapter).await;
+            let again = pause(kind, &outcome, &headers);
+            let closes = headers
+                .get(CONNECTION)
+                .is_some_and(|value| value == "close");
+            if closes || !matches!(outcome, Outcome::Answered { .. }) {
+                self.present = None;
+            }
+            self.asks.push(Ask {
+                attempt,
+                kind,
+                node,
+                sent,
+                done: Instant::now(),
+                outcome,
+            });
+            match again {
+                Some(again) => sleep(again).await,
+                None => return,
+            }
+        }
+    }
+
+    async fn send(
+        &self,
+        node: usize,
+        kind: Kind,
+        attempt: &str,
+        adapter: u32,
+    ) -> (Outcome, HeaderMap) {
+        let builder = Request::builder()
+            .method(Method::POST)
+            .uri(kind.path())
+            .header("host", HOST)
+            .header("x-attempt-id", attempt)
+            .header("x-deadline-ms", PATIENCE.as_millis().to_string())
+            .header("x-model", format!("base/a{adapter}"))
+            .header("x-token-usage", "100,20");
+        let call = Call {
+            class: Class::Ordinary,
+            reuse: Reuse::Kept,
+            host: Host::Caller,
+            head: Some(PATIENCE),
+            request: builder.body(Full::new(Bytes::from("body"))).unwrap(),
+        };
+        let answer = timeout(PATIENCE, self.links[node].send(call));
+        let response = match answer.await {
+            Err(_) => return (Outcome::Late, HeaderMap::new()),
+            Ok(Err(error)) if error.reach() == Reach::NotSent => {
+                return (Outcome::Unsent, HeaderMap::new());
+            }
+            Ok(Err(upstream::Error::Timeout { .. })) => return (Outcome::Late, HeaderMap::new()),
+            Ok(Err(error)) => return (Outcome::Closed(error.to_string()), HeaderMap::new()),
+            Ok(Ok(response)) => response,
+        };
+        let (head, body) = response.into_parts();
+        let Some(text) = read(body).await else {
+            return (Outcome::Cut, head.headers);
+        };
+        let whole = match kind {
+            Kind::Call | Kind::Lookup => attempt.to_owned(),
+            Kind::Stream | Kind::Story => (1..=EVENTS).map(|id| event(attempt, id)).collect(),
+        };
+        let signed = head.headers.contains_key("x-response-signature");
+        let outcome = Outcome::Answered {
+            status: head.status.as_u16(),
+            sound: head.status != StatusCode::OK || (text == whole && signed),
+        };
+        (outcome, head.headers)
+    }
+
+    /// Returns the node to use: the present one where the caller stays, or one that is known.
+    async fn node(&mut self) -> Option<usize> {
+        if let Some(present) = self.present.filter(|_| self.stays) {
+            return Some(present);
+        }
+        if self
+            .asked
+            .is_none_or(|asked| asked.elapsed() > DIRECTORY_AGE)
+        {
+            self.resolve().await;
+        }
+        let index = self.rng.random_range(0..self.known.len().max(1));
+        self.present = self.known.get(index).copied();
+        self.present
+    }
+
+    /// Asks up to three nodes which ones to use.
+    async fn resolve(&mut self) {
+        for _ in 0..3 {
+            let node = self.rng.random_range(0..self.nodes.len());
+            let path = "/resolve?zone=z";
+            let asked = get(self.nodes[node].directory, path, Duration::from_secs(1));
+            let Some((_, text)) = asked.await else {
+                continue;
+            };
+            let document: serde_json::Value = serde_json::from_str(&text).unwrap_or_default();
+            let found = document["addresses"].as_array().into_iter().flatten();
+            let found = found.filter_map(|address| {
+                let address = address.as_str()?.parse().ok()?;
+                self.nodes.iter().position(|node| node.front == address)
+            });
+            let known: Vec<usize> = found.collect();
+            if !known.is_empty() {
+                self.known = known;
+                self.asked = Some(Instant::now());
+                return;
+            }
+        }
+    }
+}
+
+/// Returns after which pause a request is sent again, if at all: after a promise that it did not
+/// run, and after any failure where it may be repeated.
+fn pause(kind: Kind, outcome: &Outcome, headers: &HeaderMap) -> Option<Duration> {
+    let promise = match outcome {
+        Outcome::Answered { status, .. } if *status < 400 => return None,
+        Outcome::Answered { status, .. } => matches!(status, 408 | 421 | 429 | 503),
+        Outcome::Unsent => true,
+        Outcome::Closed(_) | Outcome::Cut | Outcome::Late => false,
+    };
+    let after = headers
+        .get(RETRY_AFTER)
+        .and_then(|value| value.to_str().ok());
+    let after = after.and_then(|text| text.parse().ok()).unwrap_or(0.05);
+    (promise || !kind.once()).then(|| Duration::from_secs_f64(after).min(PATIENCE / 3))
+}
+
+async fn read(mut body: link::Body) -> Option<String> {
+    let mut text = String::new();
+    loop {
+        match timeout(PATIENCE, body.next()).await {
+            Ok(Ok(Some(part))) => text.push_str(&String::from_utf8_lossy(&part)),
+            Ok(Ok(None)) => return Some(text),
+            _ => return None,
+        }
+    }
+}
+
+/// Sends one request on a connection of its own.
+pub async fn get(address: SocketAddr, path: &str, limit: Duration) -> Option<(u16, String)> {
+    let request = Request::get(path)
+        .header("host", HOST)
+        .header("x-attempt-id", "probe");
+    let call = Call {
+        class: Class::Ordinary,
+        reuse: Reuse::Fresh,
+        host: Host::Caller,
+        head: Some(limit),
+        request: request.body(Full::default()).unwrap(),
+    };
+    let response = timeout(limit, link(address).send(call)).await.ok()?.ok()?;
+    let status = response.status().as_u16();
+    Some((status, read(response.into_body()).await?))
+}
--- /dev/null
+++ b/crates/hyssopscale/tests/soak/check.rs
@@ -0,0 +1,208 @@
+//! The rules, checked by the logs of callers and upstreams.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep};
+
+use super::Site;
+use super::caller::{Ask, Kind, Outcome, get};
+use super::fault::Event;
+use super::process::Deed;
+use super::upstream::Run;
+
+/// Statuses that promise that nothing ran.
+const PROMISES: [u16; 4] = [408, 421, 429, 503];
+
+/// Time in which a configuration, or the word that an upstream leaves, takes effect.
+const EFFECT: Duration = Duration::from_secs(2);
+
+/// Time that the processes of a busy machine are given beyond a bound.
+const SLACK: Duration = Duration::from_millis(500);
+
+/// Time after which a request that is still held was held by its upstream.
+const HELD: Duration = Duration::from_millis(1_500);
+
+/// Time at the end in which everything has to be served.
+const CALM: Duration = Duration::from_secs(3);
+
+/// A question which configuration a node serves by.
+pub struct Probe {
+    node: usize,
+    starts: u32,
+    version: u64,
+    /// When that version was published.
+    said: Instant,
+    at: Instant,
+    /// Statuses of the route that it adds, and of the one that it drops.
+    statuses: [Option<u16>; 2],
+}
+
+/// What a run has left.
+pub struct Evidence {
+    pub asks: Vec<Ask>,
+    pub runs: Vec<Run>,
+    pub probes: Vec<Probe>,
+    pub events: Vec<Event>,
+    pub end: Instant,
+}
+
+impl Evidence {
+    pub fn summary(&self) -> String {
+        let served = self.asks.iter().filter(|ask| is_served(ask)).count();
+        let (asks, runs, faults) = (self.asks.len(), self.runs.len(), self.events.len());
+        format!("{asks} attempts, {served} served, {runs} runs, {faults} faults")
+    }
+
+    pub fn story(&self, began: Instant) -> Vec<String> {
+        let lines = self.events.iter().map(|event| {
+            let at = event.at.saturating_duration_since(began).as_millis();
+            format!("{at} ms {:?}", event.fault)
+        });
+        lines.collect()
+    }
+}
+
+/// Asks the nodes in turn until `end` which configuration they serve by.
+pub async fn probe(site: &Arc<Site>, end: Instant) -> Vec<Probe> {
+    let mut probes = Vec::new();
+    while Instant::now() < end {
+        for node in site.nodes.iter() {
+            let (version, said) = *site.versions.lock().unwrap().last().unwrap();
+            let (at, starts) = (Instant::now(), node.starts());
+            let mut statuses = [None; 2];
+            for (status, version) in statuses.iter_mut().zip([version, version - 1]) {
+                let path = format!("/v{version}/x");
+                let answer = get(node.addresses.front, &path, EFFECT).await;
+                *status = answer.map(|(status, _)| status);
+            }
+            // The version may have changed in between.
+            if site.versions.lock().unwrap().last().unwrap().0 == version {
+                probes.push(Probe {
+                    node: node.number,
+                    starts,
+                    version,
+                    said,
+                    at,
+                    statuses,
+                });
+            }
+            sleep(Duration::from_millis(40)).await;
+        }
+    }
+    probes
+}
+
+fn is_served(ask: &Ask) -> bool {
+    let sound = Outcome::Answered {
+        status: 200,
+        sound: true,
+    };
+    ask.outcome == sound
+}
+
+/// Returns the rules that were broken.
+pub fn check(evidence: &Evidence, site: &Site) -> Vec<String> {
+    let mut runs: BTreeMap<&str, Vec<&Run>> = BTreeMap::new();
+    for run in &evidence.runs {
+        runs.entry(&run.attempt).or_default().push(run);
+    }
+    let mut breaches = Vec::new();
+    for ask in &evidence.asks {
+        let ran = runs.remove(&*ask.attempt).unwrap_or_default();
+        breaches.extend(check_ask(ask, &ran, site).map(|rule| format!("{rule}: {ask:?}, {ran:?}")));
+        breaches.extend(check_leaving(ask, &ran, evidence, site));
+    }
+    runs.remove("probe");
+    breaches.extend(runs.keys().map(|attempt| format!("UNASKED: {attempt}")));
+    breaches.extend(check_probes(&evidence.probes, site));
+    breaches.extend(check_recovery(evidence));
+    breaches
+}
+
+fn check_ask(ask: &Ask, ran: &[&Run], site: &Site) -> Option<&'static str> {
+    if ask.kind.once() && ran.len() > 1 {
+        return Some("TWICE");
+    }
+    let troubles = site.nodes[ask.node].troubles(ask.sent, ask.done);
+    let calm = troubles.is_empty();
+    let graceful = troubles
+        .iter()
+        .all(|deed| *deed != Deed::Kill && *deed != Deed::Stop);
+    match &ask.outcome {
+        Outcome::Answered { status, .. } if PROMISES.contains(status) && !ran.is_empty() => {
+            Some("REFUSED")
+        }
+        Outcome::Answered { sound: false, .. } => Some("MIXED"),
+        Outcome::Answered { status: 404, .. } => Some("DENIED"),
+        Outcome::Closed(_) if calm => Some("LOST"),
+        Outcome::Closed(_) if graceful && !ran.is_empty() && ask.done - ask.sent < HELD => {
+            Some("LOST")
+        }
+        Outcome::Late if calm => Some("LATE"),
+        Outcome::Unsent if calm => Some("UNREACHED"),
+        _ => None,
+    }
+}
+
+/// Checks that an upstream that leaves gets no new work.
+fn check_leaving(ask: &Ask, ran: &[&Run], evidence: &Evidence, site: &Site) -> Option<String> {
+    let left = evidence
+        .events
+        .iter()
+        .filter_map(|event| event.left.as_ref());
+    let mut left = left.filter(|(id, said)| {
+        let limit = *said + EFFECT + SLACK;
+        ran.iter().any(|run| run.upstream == *id && run.at > limit)
+    });
+    let (id, said) = left.next()?;
+    let told = site.nodes[ask.node].troubles(*said, ask.done).is_empty();
+    told.then(|| format!("DRAIN: {ask:?} at {id}"))
+}
+
+fn check_probes(probes: &[Probe], site: &Site) -> Vec<String> {
+    let mut seen: BTreeMap<(usize, u32), u64> = BTreeMap::new();
+    let mut breaches = Vec::new();
+    for probe in probes {
+        let known = seen.entry((probe.node, probe.starts)).or_default();
+        let missing = probe.statuses[0] == Some(404);
+        let stale = probe.statuses[1].is_some_and(|status| status == 200);
+        let due = probe.at > probe.said + EFFECT + SLACK
+            && site.nodes[probe.node]
+                .troubles(probe.said, probe.at)
+                .is_empty();
+        if missing && *known == probe.version {
+            breaches.push(format!(
+                "CONFIG: vm-{} went back to before {}",
+                probe.node, known
+            ));
+        }
+        if due && (missing || stale) {
+            let (node, version) = (probe.node, probe.version);
+            breaches.push(format!("CONFIG: vm-{node} does not serve by {version}"));
+        }
+        if probe.statuses[0] == Some(200) {
+            *known = probe.version;
+        }
+    }
+    breaches
+}
+
+/// Checks that half of each kind is served again at the end.
+fn check_recovery(evidence: &Evidence) -> Vec<String> {
+    let calm = evidence.end - CALM;
+    let mut breaches = Vec::new();
+    for kind in Kind::ALL {
+        let asks = evidence
+            .asks
+            .iter()
+            .filter(|ask| ask.kind == kind && ask.sent > calm);
+        let (served, rest): (Vec<&Ask>, Vec<&Ask>) = asks.partition(|ask| is_served(ask));
+        if served.len() <= rest.len() {
+            let (served, rest) = (served.len(), rest.len());
+            breaches.push(format!("RECOVER: {kind:?}: {served} served, {rest} not"));
+        }
+    }
+    breaches
+}
--- /dev/null
+++ b/crates/hyssopscale/tests/soak/fault.rs
@@ -0,0 +1,302 @@
+//! What happens in a run: drawn from its seed, in series and overlapping.
+
+use std::ops::Range;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use standin::proxy::{self, Pass};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep};
+
+use super::process::Deed;
+use super::upstream::Manner;
+use super::{NODES, Site, UPSTREAMS, config};
+
+/// Faults of a run at least, and at most.
+const COUNT: (usize, usize) = (6, 16);
+
+/// One fault.
+#[derive(Clone, Debug)]
+pub enum Fault {
+    Kill {
+        node: usize,
+        down: Duration,
+    },
+    KillAll {
+        down: Duration,
+    },
+    Stop {
+        node: usize,
+        time: Duration,
+    },
+    Replace {
+        node: usize,
+    },
+    ReplaceAll {
+        gap: Duration,
+    },
+    HangUp {
+        node: usize,
+    },
+    CutFromStore {
+        node: usize,
+        time: Duration,
+    },
+    StoreAway {
+        time: Duration,
+    },
+    Configs {
+        count: u32,
+        gap: Duration,
+    },
+    Crash {
+        upstream: usize,
+        down: Duration,
+    },
+    Leave {
+        upstream: usize,
+        time: Duration,
+    },
+    Misbehave {
+        upstreams: Range<usize>,
+        manner: Manner,
+        time: Duration,
+    },
+    Reset {
+        upstream: usize,
+    },
+    Silence {
+        upstream: usize,
+        time: Duration,
+    },
+    Delay {
+        upstream: usize,
+        time: Duration,
+    },
+}
+
+/// What was done, and when.
+#[derive(Clone, Debug)]
+pub struct Event {
+    pub at: Instant,
+    pub fault: Fault,
+    /// The upstream that said that it leaves, and when it did.
+    pub left: Option<(String, Instant)>,
+}
+
+fn millis(rng: &mut StdRng, from: u64, to: u64) -> Duration {
+    Duration::from_millis(rng.random_range(from..to))
+}
+
+fn manner(rng: &mut StdRng) -> Manner {
+    let part = rng.random_range(0.05..0.4);
+    let sound = Manner::default();
+    match rng.random_range(0..8) {
+        0 => Manner {
+            shed: part,
+            ..sound
+        },
+        1 => Manner {
+            fail: part,
+            ..sound
+        },
+        2 => Manner {
+            lose: part,
+            ..sound
+        },
+        3 => Manner { cut: part, ..sound },
+        4 => Manner {
+            spoil: part,
+            ..sound
+        },
+        5 => Manner {
+            mute: part / 2.0,
+            ..sound
+        },
+        _ => Manner {
+            copy: part * 2.0,
+            shed: part,
+            ..sound
+        },
+    }
+}
+
+fn draw(rng: &mut StdRng) -> Fault {
+    let node = rng.random_range(0..NODES);
+    let upstream = rng.random_range(0..2 * UPSTREAMS);
+    match rng.random_range(0..24) {
+        0 => Fault::Kill {
+            node,
+            down: millis(rng, 100, 1_500),
+        },
+        1 => Fault::KillAll {
+            down: millis(rng, 100, 1_000),
+        },
+        2 | 3 => Fault::Stop {
+            node,
+            time: millis(rng, 100, 3_000),
+        },
+        4 | 5 => Fault::Replace { node },
+        6 => Fault::ReplaceAll {
+            gap: millis(rng, 0, 1_500),
+        },
+        7 => Fault::HangUp { node },
+        8 => Fault::CutFromStore {
+            node,
+            time: millis(rng, 500, 4_000),
+        },
+        9 => Fault::StoreAway {
+            time: millis(rng, 500, 4_000),
+        },
+        10 => Fault::Configs {
+            count: rng.random_range(1..5),
+            gap: millis(rng, 100, 2_500),
+        },
+        11 => Fault::Crash {
+            upstream,
+            down: millis(rng, 200, 2_500),
+        },
+        12 => Fault::Leave {
+            upstream,
+            time: millis(rng, 2_500, 4_000),
+        },
+        13 => Fault::Reset { upstream },
+        14 => Fault::Silence {
+            upstream,
+            time: millis(rng, 200, 3_000),
+        },
+        15 => Fault::Delay {
+            upstream,
+            time: millis(rng, 500, 3_000),
+        },
+        _ => {
+            let first = upstream / UPSTREAMS * UPSTREAMS;
+            let upstreams = match rng.random_range(0..3) {
+                0 => first..first + UPSTREAMS,
+                _ => upstream..upstream + 1,
+            };
+            Fault::Misbehave {
+                upstreams,
+                manner: manner(rng),
+                time: millis(rng, 1_000, 6_000),
+            }
+        }
+    }
+}
+
+/// Does what the seed draws, and returns it in order.
+pub async fn run(site: &Arc<Site>, seed: u64, span: Duration) -> Vec<Event> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut tasks = JoinSet::new();
+    for _ in 0..rng.random_range(COUNT.0..=COUNT.1) {
+        let at = rng.random_range(Duration::ZERO..span);
+        let (site, fault) = (site.clone(), draw(&mut rng));
+        tasks.spawn(async move {
+            sleep(at).await;
+            let at = Instant::now();
+            let left = site.carry_out(&fault).await;
+            Event { at, fault, left }
+        });
+    }
+    let mut events = tasks.join_all().await;
+    events.sort_by_key(|event| event.at);
+    events
+}
+
+impl Site {
+    async fn carry_out(&self, fault: &Fault) -> Option<(String, Instant)> {
+        let upstreams = &self.upstreams;
+        match *fault {
+            Fault::Kill { node, down } => self.nodes[node].kill(down).await,
+            Fault::KillAll { down } => {
+                let kills = self.nodes.iter().map(|node| node.kill(down));
+                futures_util::future::join_all(kills).await;
+            }
+            Fault::Stop { node, time } => self.nodes[node].stop(time).await,
+            Fault::Replace { node } => self.nodes[node].replace(Duration::ZERO).await,
+            Fault::ReplaceAll { gap } => {
+                for node in self.nodes.iter() {
+                    node.replace(gap / 2).await;
+                    sleep(gap).await;
+                }
+            }
+            Fault::HangUp { node } => self.nodes[node].hang_up(),
+            Fault::CutFromStore { node, time } => self.cut_from_store(&[node], time).await,
+            Fault::StoreAway { time } => {
+                let all: Vec<usize> = (0..NODES).collect();
+                self.cut_from_store(&all, time).await;
+            }
+            Fault::Configs { count, gap } => {
+                for _ in 0..count {
+                    self.configure();
+                    sleep(gap).await;
+                }
+            }
+            Fault::Crash { upstream, down } => upstreams[upstream].crash(down).await,
+            Fault::Leave { upstream, time } => return Some(upstreams[upstream].leave(time).await),
+            Fault::Misbehave {
+                ref upstreams,
+                manner,
+                time,
+            } => {
+                let those = &self.upstreams[upstreams.clone()];
+                those.iter().for_each(|upstream| upstream.set(manner));
+                sleep(time).await;
+                those
+                    .iter()
+                    .for_each(|upstream| upstream.set(Manner::default()));
+            }
+            Fault::Reset { upstream } => self.links[upstream].control().cut(),
+            Fault::Silence { upstream, time } => {
+                let fault = proxy::Fault {
+                    pass: Pass::Neither,
+                    ..proxy::Fault::default()
+                };
+                self.disturb(upstream, fault, time).await;
+            }
+            Fault::Delay { upstream, time } => {
+                let fault = proxy::Fault {
+                    latency_us: 20_000,
+                    jitter_us: 100_000,
+                    ..proxy::Fault::default()
+                };
+                self.disturb(upstream, fault, time).await;
+            }
+        }
+        None
+    }
+
+    async fn disturb(&self, upstream: usize, fault: proxy::Fault, time: Duration) {
+        self.links[upstream].control().set(fault);
+        sleep(time).await;
+        self.links[upstream].control().set(proxy::Fault::default());
+    }
+
+    async fn cut_from_store(&self, nodes: &[usize], time: Duration) {
+        let silent = proxy::Fault {
+            pass: Pass::Neither,
+            ..proxy::Fault::default()
+        };
+        let from = Instant::now();
+        nodes
+            .iter()
+            .for_each(|node| self.store_links[*node].control().set(silent));
+        sleep(time).await;
+        for node in nodes {
+            self.store_links[*node]
+                .control()
+                .set(proxy::Fault::default());
+            self.nodes[*node].note(Deed::Cut, from, Instant::now());
+        }
+    }
+
+    /// Publishes the next version of the configuration.
+    fn configure(&self) {
+        let mut versions = self.versions.lock().unwrap();
+        let version = versions.last().map_or(1, |(version, _)| version + 1);
+        self.store.put("op/config", &config(version));
+        versions.push((version, Instant::now()));
+    }
+}
--- /dev/null
+++ b/crates/hyssopscale/tests/soak/mod.rs
@@ -0,0 +1,229 @@
+//! A site of real nodes, with faults from outside: signals, cut and silent links, upstreams that
+//! misbehave as the platform's pages allow.
+//!
+//! - `process` runs the nodes and sends them signals.
+//! - `upstream` is what runs the requests, and its log.
+//! - `caller` asks, on connections that it keeps.
+//! - `fault` draws what happens from a seed and does it.
+//! - `check` compares the logs of callers and upstreams.
+
+mod caller;
+mod check;
+mod fault;
+mod process;
+#[path = "../../../../platform/tests/support/raw.rs"]
+mod raw;
+#[path = "../../../../platform/tests/support/store.rs"]
+mod store;
+mod upstream;
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use standin::http::{Connections, Server};
+use standin::proxy::{Fault, Proxy};
+use tempfile::TempDir;
+use tokio::time::{Instant, sleep};
+
+use caller::{Caller, get};
+use check::Evidence;
+use process::Process;
+use store::Store;
+use upstream::{Config, Misorders, PLACES, Runs, Upstream};
+
+/// Host of all routes.
+const HOST: &str = "site.example";
+
+/// Nodes of a site.
+const NODES: usize = 4;
+
+/// Upstreams of each pool.
+const UPSTREAMS: usize = 3;
+
+/// Time for the nodes to serve.
+const START_LIMIT: Duration = Duration::from_secs(30);
+
+/// Time without faults at the end, in which everything has to be served again.
+pub const AFTERMATH: Duration = Duration::from_secs(9);
+
+/// A run to make.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    pub seed: u64,
+    /// Time in which faults begin.
+    pub span: Duration,
+    pub callers: usize,
+    /// Longest pause of a caller between two requests.
+    pub think: Duration,
+}
+
+/// The site.
+pub struct Site {
+    pub nodes: Vec<Process>,
+    pub store: Arc<Store>,
+    /// Versions of the configuration, and when each was published.
+    pub versions: Mutex<Vec<(u64, Instant)>>,
+    pub upstreams: Vec<Arc<Upstream>>,
+    /// Links to the upstreams.
+    pub links: Vec<Proxy>,
+    /// Links from each node to the store.
+    pub store_links: Vec<Proxy>,
+    runs: Runs,
+    misorders: Misorders,
+    _store_server: Server,
+    logs: Mutex<TempDir>,
+}
+
+impl Site {
+    /// Starts the upstreams, and nodes at addresses that belong to the seed.
+    async fn start(plan: Plan) -> Self {
+        let net = format!("127.{}.{}", 16 + plan.seed % 200, plan.seed / 200 % 250);
+        let address = |host: usize, port: u16| -> SocketAddr {
+            format!("{net}.{host}:{port}").parse().unwrap()
+        };
+        let store = Arc::new(Store::default());
+        let served = Server::start(address(250, 9000), store.clone(), Connections::default());
+        let store_server = served.await.unwrap();
+        let (runs, misorders) = (Runs::default(), Misorders::default());
+        let (mut upstreams, mut links) = (Vec::new(), Vec::new());
+        for (pool, slots) in [("engines", 8), ("desk", 6)] {
+            for number in 0..UPSTREAMS {
+                let host = 100 + upstreams.len();
+                let (listen, linked) = (address(host, 9000), address(host, 9001));
+                let link = Proxy::start(linked, listen, Fault::default(), plan.seed).await;
+                links.push(link.unwrap());
+                let config = Config {
+                    pool,
+                    number,
+                    slots,
+                    listen,
+                    address: linked,
+                    store: store.clone(),
+                    runs: runs.clone(),
+                    misorders: misorders.clone(),
+                    seed: plan.seed * 16 + host as u64,
+                };
+                upstreams.push(Upstream::start(config).await);
+            }
+        }
+        store.put("op/config", &config(1));
+        let logs = TempDir::new().unwrap();
+        let seeds: Vec<String> = (1..=3).map(|host| format!("{net}.{host}")).collect();
+        let (mut nodes, mut store_links) = (Vec::new(), Vec::new());
+        for number in 0..NODES {
+            let host = number + 1;
+            let linked = address(host, 9001);
+            let link = Proxy::start(linked, address(250, 9000), Fault::default(), plan.seed).await;
+            store_links.push(link.unwrap());
+            let ip = format!("{net}.{host}");
+            nodes.push(Process::new(number, &ip, &seeds, linked, logs.path()));
+        }
+        nodes.iter().for_each(Process::start);
+        Self {
+            nodes,
+            versions: Mutex::new(vec![(1, Instant::now())]),
+            store,
+            upstreams,
+            links,
+            store_links,
+            runs,
+            misorders,
+            _store_server: store_server,
+            logs: Mutex::new(logs),
+        }
+    }
+
+    /// Lets the logs stay after the run and returns where they are.
+    fn keep_logs(&self) -> String {
+        let mut logs = self.logs.lock().unwrap();
+        logs.disable_cleanup(true);
+        logs.path().display().to_string()
+    }
+
+    async fn wait_ready(&self) {
+        let limit = Instant::now() + START_LIMIT;
+        for node in self.nodes.iter() {
+            let front = node.addresses.front;
+            while get(front, "/read/x", Duration::from_secs(1))
+                .await
+                .is_none_or(|(status, _)| status != 200)
+            {
+                assert!(Instant::now() < limit, "vm-{} does not serve", node.number);
+                sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+/// Makes a run and returns the rules that it broke.
+pub async fn run(plan: Plan) -> Vec<String> {
+    let site = Arc::new(Site::start(plan).await);
+    site.wait_ready().await;
+    let began = Instant::now();
+    let end = began + plan.span + AFTERMATH;
+    let addresses: Vec<_> = site.nodes.iter().map(|node| node.addresses).collect();
+    let addresses = Arc::new(addresses);
+    let callers: Vec<_> = (0..plan.callers)
+        .map(|number| {
+            let seed = plan.seed * 1_000 + number as u64;
+            let caller = Caller::new(format!("c{number}"), addresses.clone(), seed);
+            tokio::spawn(caller.run(end, plan.think))
+        })
+        .collect();
+    let probing = check::probe(&site, end);
+    let faults = fault::run(&site, plan.seed, plan.span);
+    let (probes, events) = tokio::join!(probing, faults);
+    let mut asks = Vec::new();
+    for caller in callers {
+        asks.extend(caller.await.unwrap());
+    }
+    // Requests that were held back somewhere reach an upstream after all.
+    sleep(Duration::from_secs(1)).await;
+    let mut breaches = site.misorders.lock().unwrap().clone();
+    breaches.extend(site.nodes.iter().flat_map(Process::finish));
+    let evidence = Evidence {
+        asks,
+        runs: site.runs.lock().unwrap().clone(),
+        probes,
+        events,
+        end,
+    };
+    breaches.extend(check::check(&evidence, &site));
+    println!("seed {}: {}", plan.seed, evidence.summary());
+    if !breaches.is_empty() {
+        println!("logs of the nodes: {}", site.keep_logs());
+        println!("events: {:#?}", evidence.story(began));
+    }
+    breaches
+}
+
+/// Returns a configuration with a route of its own for each version.
+pub fn config(version: u64) -> Value {
+    let route = |prefix: &str, kind: &str, service: &str, resumable: bool| {
+        json!({
+            "name": prefix, "host": HOST, "prefix": prefix, "kind": kind, "timeout_ms": 3000,
+            "target_latency_ms": 800, "priority": 1, "service": service, "max_attempts": 2,
+            "resumable": resumable
+        })
+    };
+    json!({
+        "version": version,
+        "routes": [
+            route("/stream/", "streaming", "engines", true),
+            route("/stream/story/", "streaming", "engines", false),
+            route("/once/", "non_idempotent", "desk", false),
+            route("/read/", "idempotent", "desk", false),
+            route(&format!("/v{version}/"), "idempotent", "desk", false),
+        ],
+        "services": [
+            {"name": "engines", "max_connections": 200, "engine": {
+                "slots": 8, "kv_capacity": 1000, "weights_mb": 100.0, "adapter_slots": PLACES,
+                "loads_per_s": 4.0,
+                "models": [{"name": "base", "weights_mb": 90.0, "load_time_s": 0.4}]}},
+            {"name": "desk", "max_connections": 100},
+        ],
+        "limits": {"max_body_bytes": 100_000, "idle_timeout_ms": 15_000}
+    })
+}
--- /dev/null
+++ b/crates/hyssopscale/tests/soak/upstream.rs
@@ -0,0 +1,513 @@
+//! Upstreams on the platform that misbehave as its pages allow, and what they ran.
+
+use std::net::SocketAddr;
+use std::ops::Range;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde_json::{Value, json};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep};
+
+use super::raw::{Head, answer};
+use super::store::Store;
+
+/// Events of a whole stream.
+pub const EVENTS: u64 = 8;
+
+/// Adapters that an engine has places for.
+pub const PLACES: usize = 4;
+
+/// Time between two events of a stream.
+const EVENT_PAUSE: Duration = Duration::from_millis(25);
+
+/// Time of a load of the base model.
+const BASE_LOAD: Duration = Duration::from_millis(400);
+
+/// Milliseconds that a load of an adapter takes: longer than nodes expect while many are under way.
+const ADAPTER_LOAD_MS: Range<u64> = 100..700;
+
+/// Times that an adapter loads faster where the engine held it before.
+const RELOAD_FACTOR: u64 = 10;
+
+/// Time for which a silent upstream keeps a request.
+const SILENCE: Duration = Duration::from_secs(5);
+
+/// Parts of the answers that come out wrong.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Manner {
+    /// Refused although there is room.
+    pub shed: f64,
+    /// Failed with the upstream's own status.
+    pub fail: f64,
+    /// Run, and the connection closed without an answer.
+    pub lose: f64,
+    /// Written once more ahead of the next answer on the connection.
+    pub copy: f64,
+    /// Cut in the middle.
+    pub cut: f64,
+    /// Replaced by bytes that are no answer.
+    pub spoil: f64,
+    /// Run, and never answered.
+    pub mute: f64,
+}
+
+/// One run of a request.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub attempt: String,
+    pub upstream: String,
+    pub at: Instant,
+}
+
+/// Rules that orders to engines have broken.
+pub type Misorders = Arc<Mutex<Vec<String>>>;
+
+pub type Runs = Arc<Mutex<Vec<Run>>>;
+
+struct Adapter {
+    name: String,
+    ready: Instant,
+}
+
+/// What one incarnation knows.
+struct State {
+    id: String,
+    born: u64,
+    listed: bool,
+    leaving: bool,
+    running: u32,
+    base: Option<Instant>,
+    adapters: Vec<Adapter>,
+    /// Adapters that it has held, also in earlier incarnations.
+    known: Vec<String>,
+    fence: u64,
+    holder: String,
+    manner: Manner,
+    rng: StdRng,
+}
+
+pub struct Upstream {
+    pub pool: &'static str,
+    number: usize,
+    slots: u32,
+    /// Where nodes reach it.
+    pub address: SocketAddr,
+    store: Arc<Store>,
+    runs: Runs,
+    misorders: Misorders,
+    /// Raised at each end of an incarnation.
+    generation: watch::Sender<u64>,
+    state: Mutex<State>,
+}
+
+/// What an upstream is started with.
+pub struct Config {
+    pub pool: &'static str,
+    pub number: usize,
+    pub slots: u32,
+    pub listen: SocketAddr,
+    pub address: SocketAddr,
+    pub store: Arc<Store>,
+    pub runs: Runs,
+    pub misorders: Misorders,
+    pub seed: u64,
+}
+
+fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
+impl Upstream {
+    pub async fn start(config: Config) -> Arc<Self> {
+        let listener = TcpListener::bind(config.listen).await.unwrap();
+        let upstream = Arc::new(Self {
+            pool: config.pool,
+            number: config.number,
+            slots: config.slots,
+            address: config.address,
+            store: config.store,
+            runs: config.runs,
+            misorders: config.misorders,
+            generation: watch::Sender::new(0),
+            state: Mutex::new(State {
+                id: String::new(),
+                born: 0,
+                listed: false,
+                leaving: false,
+                running: 0,
+                base: None,
+                adapters: Vec::new(),
+                known: Vec::new(),
+                fence: 0,
+                holder: String::new(),
+                manner: Manner::default(),
+                rng: StdRng::seed_from_u64(config.seed),
+            }),
+        });
+        upstream.begin(true);
+        let given = upstream.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(upstream.clone().connection(stream));
+            }
+        });
+        given
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn is_engine(&self) -> bool {
+        self.pool == "engines"
+    }
+
+    pub fn set(&self, manner: Manner) {
+        self.lock().manner = manner;
+    }
+
+    /// Begins a new incarnation, which holds nothing unless it is the first.
+    fn begin(&self, first: bool) {
+        let mut state = self.lock();
+        let generation = *self.generation.borrow();
+        state.id = format!("{}-{}-{generation}", self.pool, self.number);
+        state.born = unix_millis();
+        state.listed = true;
+        state.leaving = false;
+        state.base = first.then(Instant::now);
+        state.adapters.clear();
+        (state.fence, state.holder) = (0, String::new());
+        drop(state);
+        self.list();
+    }
+
+    /// Ends the incarnation at once, with all its requests.
+    fn end(&self) -> String {
+        let id = {
+            let mut state = self.lock();
+            state.listed = false;
+            state.running = 0;
+            state.id.clone()
+        };
+        self.generation.send_modify(|generation| *generation += 1);
+        id
+    }
+
+    /// Crashes, is down for `time`, and starts again under another id.
+    pub async fn crash(&self, time: Duration) {
+        let id = self.end();
+        sleep(time).await;
+        self.store.remove(&format!("servers/{id}"));
+        self.begin(false);
+    }
+
+    /// Says that it leaves, serves on for `time`, ends, and starts again under another id. Returns
+    /// its id and the time of its word.
+    pub async fn leave(&self, time: Duration) -> (String, Instant) {
+        let id = {
+            let mut state = self.lock();
+            state.leaving = true;
+            state.id.clone()
+        };
+        self.list();
+        let said = Instant::now();
+        sleep(time).await;
+        // It may have crashed meanwhile.
+        let (present, listed) = {
+            let state = self.lock();
+            (state.id.clone(), state.listed)
+        };
+        if present == id && listed {
+            self.end();
+            self.store.remove(&format!("servers/{id}"));
+            self.begin(false);
+        }
+        (id, said)
+    }
+
+    /// Writes its entry.
+    fn list(&self) {
+        let state = self.lock();
+        if !state.listed {
+            return;
+        }
+        let mut entry = json!({
+            "service": self.pool, "address": self.address, "zone": "z", "version": "v1",
+            "slots": self.slots, "seq": 1, "born": state.born,
+            "state": if state.leaving { "draining" } else { "ready" },
+        });
+        if self.is_engine() {
+            entry["stage"] = json!("colocated");
+            entry["models"] = models(&state);
+        }
+        let key = format!("servers/{}", state.id);
+        drop(state);
+        self.store.put(&key, &entry);
+    }
+
+    async fn connection(self: Arc<Self>, mut stream: TcpStream) {
+        let mut generation = self.generation.subscribe();
+        if !self.lock().listed || stream.set_nodelay(true).is_err() {
+            return;
+        }
+        tokio::select! {
+            _ = generation.changed() => {}
+            () = self.requests(&mut stream) => {}
+        }
+    }
+
+    async fn requests(&self, stream: &mut TcpStream) {
+        let (mut buffer, mut ahead) = (Vec::new(), String::new());
+        while let Some(head) = Head::read(stream, &mut buffer).await {
+            let late = std::mem::take(&mut ahead);
+            if stream.write_all(late.as_bytes()).await.is_err()
+                || !self.answer(&head, stream, &mut ahead).await
+            {
+                return;
+            }
+        }
+    }
+
+    /// Answers one request. Returns `false` where the connection is to be closed.
+    async fn answer(&self, head: &Head, stream: &mut TcpStream, ahead: &mut String) -> bool {
+        match head.path.as_str() {
+            "/order" => return write(stream, &self.order(head)).await,
+            "/report" => return write(stream, &self.report()).await,
+            _ => {}
+        }
+        let attempt = head.header("x-attempt-id").to_owned();
+        let (manner, copies) = {
+            let mut state = self.lock();
+            let manner = state.manner;
+            (manner, state.rng.random_bool(manner.copy))
+        };
+        if let Some(refusal) = self.refusal(head, &attempt, manner) {
+            if copies {
+                ahead.clone_from(&refusal);
+            }
+            return write(stream, &refusal).await;
+        }
+        let run = Run {
+            attempt: attempt.clone(),
+            upstream: self.lock().id.clone(),
+            at: Instant::now(),
+        };
+        self.runs.lock().unwrap().push(run);
+        let _running = Running(self);
+        let draw: f64 = self.lock().rng.random();
+        let names = self.names(&attempt);
+        let after = head.header("last-event-id").parse().unwrap_or(0);
+        let streams = head.path.starts_with("/stream");
+        if !streams {
+            let work = self.lock().rng.random_range(10..60);
+            sleep(Duration::from_millis(work)).await;
+        }
+        let mut edge = 0.0;
+        let mut falls = |part: f64| {
+            edge += part;
+            draw < edge
+        };
+        if falls(manner.lose) {
+            return false;
+        }
+        if falls(manner.mute) {
+            sleep(SILENCE).await;
+            return false;
+        }
+        if falls(manner.spoil) {
+            return write(stream, "no answer at all\r\n\r\n").await;
+        }
+        if falls(manner.fail) {
+            return write(stream, &answer(500, &names, "failed")).await;
+        }
+        let cut = falls(manner.cut);
+        if streams {
+            return events(stream, &names, &attempt, after, cut).await;
+        }
+        let text = answer(200, &names, &attempt);
+        if cut {
+            let _ = write(stream, &text[..text.len() - 4]).await;
+            return false;
+        }
+        if copies {
+            ahead.clone_from(&text);
+        }
+        write(stream, &text).await
+    }
+
+    fn report(&self) -> String {
+        let state = self.lock();
+        let now = Instant::now();
+        let coming = state.adapters.iter().filter(|adapter| adapter.ready > now);
+        let coming: Vec<String> = coming.map(|a| format!("base/{}@1", a.name)).collect();
+        let body = json!({
+            "models": models(&state), "coming": coming, "running": state.running, "waiting": 0
+        });
+        answer(200, &[], &body.to_string())
+    }
+
+    fn names(&self, attempt: &str) -> Vec<String> {
+        let id = self.lock().id.clone();
+        vec![
+            format!("x-attempt-id: {attempt}"),
+            format!("x-response-signature: {id}"),
+        ]
+    }
+
+    /// Returns the statement that the request was not run, where it cannot be.
+    fn refusal(&self, head: &Head, attempt: &str, manner: Manner) -> Option<String> {
+        let mut state = self.lock();
+        let names = [
+            format!("x-attempt-id: {attempt}"),
+            "x-not-executed: 1".to_owned(),
+            format!("x-instance-id: {}", state.id),
+        ];
+        if head.header("x-expect-instance") != state.id {
+            return Some(answer(421, &names, ""));
+        }
+        let now = Instant::now();
+        if self.is_engine() {
+            let name = head.header("x-model").split('/').nth(1).unwrap_or_default();
+            let adapter = state.adapters.iter().find(|adapter| adapter.name == name);
+            match adapter {
+                _ if state.base.is_none_or(|ready| ready > now) => {
+                    return Some(answer(421, &names, ""));
+                }
+                None => return Some(answer(421, &names, "")),
+                Some(adapter) if adapter.ready > now => return Some(answer(503, &names, "")),
+                Some(_) => {}
+            }
+        }
+        if state.running >= self.slots || state.rng.random_bool(manner.shed) {
+            let status = if state.rng.random() { 503 } else { 429 };
+            return Some(answer(status, &names, ""));
+        }
+        state.running += 1;
+        None
+    }
+
+    fn order(&self, head: &Head) -> String {
+        let order: Value = serde_json::from_slice(&head.body).unwrap_or_default();
+        let text = |name: &str| order[name].as_str().unwrap_or_default().to_owned();
+        let (fence, holder) = (order["fence"].as_u64().unwrap_or(0), text("holder"));
+        let mut state = self.lock();
+        if head.header("x-expect-instance") != state.id {
+            return answer(421, &[], "");
+        }
+        if fence < state.fence {
+            return answer(412, &[], "");
+        }
+        if fence == state.fence && holder != state.holder {
+            let both = format!("{} and {holder} with {fence}", state.holder);
+            self.misorders.lock().unwrap().push(format!("ONE: {both}"));
+        }
+        (state.fence, state.holder) = (fence, holder);
+        let status = self.carry_out(&mut state, &text("operation"), &text("adapter"));
+        drop(state);
+        self.list();
+        answer(status, &[], "")
+    }
+
+    fn carry_out(&self, state: &mut State, operation: &str, adapter: &str) -> u16 {
+        let now = Instant::now();
+        let held = state.adapters.iter().position(|held| held.name == adapter);
+        match (operation, adapter, held) {
+            ("load", "", _) if state.base.is_some() => 200,
+            ("load", "", _) => {
+                state.base = Some(now + BASE_LOAD);
+                202
+            }
+            ("load", _, _) if state.base.is_none() => 400,
+            ("load", _, Some(index)) if state.adapters[index].ready <= now => 200,
+            ("load", _, Some(_)) => 202,
+            ("load", name, None) => {
+                if state.adapters.len() >= PLACES {
+                    let line = format!("LIMIT: {} at {}", name, state.id);
+                    self.misorders.lock().unwrap().push(line);
+                }
+                let mut time = state.rng.random_range(ADAPTER_LOAD_MS);
+                if state.known.iter().any(|known| known == name) {
+                    time /= RELOAD_FACTOR;
+                } else {
+                    state.known.push(name.to_owned());
+                }
+                state.adapters.push(Adapter {
+                    name: name.to_owned(),
+                    ready: now + Duration::from_millis(time),
+                });
+                202
+            }
+            (_, "", _) => {
+                state.base = None;
+                state.adapters.clear();
+                200
+            }
+            (_, _, Some(index)) => {
+                state.adapters.remove(index);
+                200
+            }
+            (_, _, None) => 200,
+        }
+    }
+}
+
+/// A request that takes a slot until it is dropped.
+struct Running<'a>(&'a Upstream);
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        let mut state = self.0.lock();
+        state.running = state.running.saturating_sub(1);
+    }
+}
+
+fn models(state: &State) -> Value {
+    let now = Instant::now();
+    if state.base.is_none_or(|ready| ready > now) {
+        return json!([]);
+    }
+    let ready = state.adapters.iter().filter(|adapter| adapter.ready <= now);
+    let names: Vec<String> = ready.map(|adapter| format!("{}@1", adapter.name)).collect();
+    json!([{"name": "base", "version": 1, "adapters": names}])
+}
+
+/// Returns one event as an upstream sends it.
+pub fn event(attempt: &str, id: u64) -> String {
+    format!("id: {id}\ndata: {attempt} {id}\n\n")
+}
+
+async fn events(
+    stream: &mut TcpStream,
+    names: &[String],
+    attempt: &str,
+    after: u64,
+    cut: bool,
+) -> bool {
+    let lines: String = names.iter().map(|line| format!("{line}\r\n")).collect();
+    let head = format!("HTTP/1.1 200 OK\r\n{lines}transfer-encoding: chunked\r\n\r\n");
+    if !write(stream, &head).await {
+        return false;
+    }
+    for id in after + 1..=EVENTS {
+        let text = event(attempt, id);
+        if cut && id > after + EVENTS / 2 {
+            let _ = write(stream, &format!("{:x}\r\n{}", text.len(), &text[..5])).await;
+            return false;
+        }
+        sleep(EVENT_PAUSE).await;
+        if !write(stream, &format!("{:x}\r\n{text}\r\n", text.len())).await {
+            return false;
+        }
+    }
+    write(stream, "0\r\n\r\n").await
+}
+
+async fn write(stream: &mut TcpStream, text: &str) -> bool {
+    stream.write_all(text.as_bytes()).await.is_ok()
+}
