--- a/crates/exchange/src/choice.rs
+++ b/crates/exchange/src/choice.rs
@@ -43,7 +43,10 @@
 const UNOWNED_MS: f64 = 2_500.0;
 
 /// Homes for each whole upstream's worth of demand.
-const HOMES_FACTOR: f64 = 1.0;
+const HOMES_FACTOR: f64 = 2.0;
+
+/// Wait to be read at a home from which an adapter gets a further one: about a load's time.
+pub const LONG_WAIT: Duration = Duration::from_millis(250);
 
 /// Failure score from which an engine becomes no further home: that of one fresh failure is above.
 const HOME_TROUBLE: f64 = 0.3;
@@ -256,15 +259,44 @@
         based.retain(|runner| !lanes.iter().any(|lane| std::ptr::eq(*lane, *runner)));
     }
     let count = home_count(now, demand, target, based.len());
-    let has = |runner: &Runner| runner.presence(target) != Presence::Absent;
-    if count < 2 || based.iter().filter(|runner| has(runner)).count() >= count {
+    if count < 2 || based.iter().filter(|runner| has(runner, target)).count() >= count {
         return None;
     }
     let mut homes = order(target, &based).into_iter();
-    let lacking = homes.find(|runner| !has(runner) && runner.trouble(now) < HOME_TROUBLE);
+    let lacking = homes.find(|runner| !has(runner, target) && runner.trouble(now) < HOME_TROUBLE);
     lacking.map(|runner| runner.listing.id.clone())
 }
 
+/// Returns an upstream that should hold `target` as well, since a request has to wait for `wait`
+/// at one that does: the next one in order at which it would have been read by then.
+///
+/// One request does not show a demand; more than chance brings have to ask for the target.
+pub fn further_home(
+    now: Time,
+    fleet: &Fleet,
+    demand: &Demand,
+    need: &Need<'_>,
+    wait: Duration,
+) -> Option<Upstream> {
+    let target = need.target?;
+    target.adapter.as_ref()?;
+    if wait < LONG_WAIT || need.long() || demand.share(now, target) <= 0.0 {
+        return None;
+    }
+    let based = based(fleet, target, fleet.open(&need.service.name));
+    let wait = wait.as_secs_f64() * 1_000.0;
+    let mut homes = order(target, &based).into_iter();
+    let next = homes.find(|runner| {
+        let idle = busy(now, runner) < wait && runner.trouble(now) < HOME_TROUBLE;
+        !has(runner, target) && idle
+    });
+    next.map(|runner| runner.listing.id.clone())
+}
+
+fn has(runner: &Runner, target: &Target) -> bool {
+    runner.presence(target) != Presence::Absent
+}
+
 fn stall(
     fleet: &Fleet,
     scene: &Scene<'_, impl Fn(&Upstream) -> bool>,
--- a/crates/gateway/src/front/place.rs
+++ b/crates/gateway/src/front/place.rs
@@ -128,6 +128,11 @@
         if !matches!(grant.presence, Presence::Held(_)) {
             return Entry::Absent;
         }
+        self.hub.crowded(
+            &self.need(self.target().as_ref()),
+            self.route.rank,
+            grant.wait,
+        );
         let slots = {
             let desk = self.hub.desk();
             let known = desk.fleet.runner(runner);
--- a/crates/gateway/src/hub/mod.rs
+++ b/crates/gateway/src/hub/mod.rs
@@ -314,9 +314,33 @@
             desk.demand.note_long(now);
             return;
         }
-        let Some(runner) = choice::missing_home(now, &desk.fleet, &desk.demand, need) else {
+        let home = choice::missing_home(now, &desk.fleet, &desk.demand, need);
+        self.spread(guard, home, target, rank);
+    }
+
+    /// Asks for a further home of a model that a request waits for at its present one.
+    pub fn crowded(self: &Arc<Self>, need: &Need<'_>, rank: u8, wait: Duration) {
+        let Some(target) = need.target else {
+            return;
+        };
+        let now = self.clock.now();
+        let desk = self.desk();
+        let home = choice::further_home(now, &desk.fleet, &desk.demand, need, wait);
+        self.spread(desk, home, target, rank);
+    }
+
+    /// Asks for `target` at `home`, unless that was done a moment ago.
+    fn spread(
+        self: &Arc<Self>,
+        mut desk: MutexGuard<'_, Desk>,
+        home: Option<Upstream>,
+        target: &Target,
+        rank: u8,
+    ) {
+        let Some(runner) = home else {
             return;
         };
+        let now = self.clock.now();
         desk.spread.retain(|(_, _, at)| now < *at + SPREAD_PAUSE);
         if desk
             .spread
@@ -326,7 +350,7 @@
             return;
         }
         desk.spread.push((runner.clone(), target.clone(), now));
-        drop(guard);
+        drop(desk);
         self.drive(owner::Event::Want {
             runner,
             target: target.clone(),
