Let two adapters be on their way to one engine

About 120 loads a second over 60 engines keep such a server busy for 0.6 of the time. Ruled out: the store, which carries 64 at full speed where 35 to 40 are under way on average. Change: exchange.parallel is 2; engines take four.

--- a/crates/settings/src/section.rs
+++ b/crates/settings/src/section.rs
@@ -395,7 +395,7 @@
     /// Time of an adapter's load that the engine held lately.
     #[serde(with = "humantime_serde")]
     pub reload: Duration,
-    /// Loads of adapters at one engine at a time.
+    /// Loads of adapters at one engine at a time; the users' engines take four.
     pub parallel: usize,
     /// Tokens of prompts that an engine reads in a millisecond.
     pub prefill: f64,
@@ -429,7 +429,7 @@
             ceiling: Duration::from_secs(5),
             load: Duration::from_millis(250),
             reload: Duration::from_millis(25),
-            parallel: 1,
+            parallel: 2,
             prefill: 40.0,
             attention: 0.65e-6,
             patience: 3.6,
