--- a/crates/exchange/src/choice.rs
+++ b/crates/exchange/src/choice.rs
@@ -43,7 +43,7 @@
 const UNOWNED_MS: f64 = 2_500.0;
 
 /// Homes for each whole upstream's worth of demand.
-const HOMES_FACTOR: f64 = 2.0;
+const HOMES_FACTOR: f64 = 1.0;
 
 /// Wait to be read at a home from which an adapter gets a further one: about a load's time.
 pub const LONG_WAIT: Duration = Duration::from_millis(250);
