--- a/crates/exchange/tests/home_count.rs
+++ b/crates/exchange/tests/home_count.rs
@@ -2,10 +2,13 @@
 
 mod support;
 
-use exchange::choice::home_count;
-use exchange::demand::Demand;
+use exchange::Fleet;
+use exchange::choice::{Need, further_home, home_count, missing_home};
+use exchange::demand::{Demand, Target};
+use exchange::route::Service;
 use rstest::rstest;
-use support::{ms, target};
+use support::{engine, engines, fleet, ms, target};
+use wire::{Time, Upstream};
 
 /// Engines of the fleet.
 const ENGINES: usize = 90;
@@ -38,3 +41,56 @@
     let homes = home_count(ms(1_000), &demand, &target("a"), ENGINES);
     assert!((least..=most).contains(&homes), "{homes} homes");
 }
+
+/// Returns a fleet of four engines of which the first in `a`'s order alone holds it, that one, and
+/// the next one.
+fn one_home(now: Time) -> (Fleet, Upstream, Upstream) {
+    let ids = ["e1", "e2", "e3", "e4"];
+    let bare = fleet(now, ids.map(|id| engine(id, &[])));
+    let missing = |fleet: &Fleet| {
+        let demand = demand(&[("a", 40)]);
+        let service = engines();
+        missing_home(now, fleet, &demand, &need(&service, &target("a"))).expect("a home")
+    };
+    let first = missing(&bare);
+    let held = |id: &'static str| engine(id, if *id == *first { &["a"] } else { &[] });
+    let fleet = fleet(now, ids.map(held));
+    let next = missing(&fleet);
+    (fleet, first, next)
+}
+
+fn need<'a>(service: &'a Service, target: &'a Target) -> Need<'a> {
+    Need {
+        service,
+        target: Some(target),
+        tried: &[],
+        seed: 1,
+        reading: ms(20),
+    }
+}
+
+/// A wait that is long asks for the next home; a short one, a single request, or a next home that
+/// is busier than that does not.
+#[rstest]
+#[case::long_wait(8, 400, 0, true)]
+#[case::short_wait(8, 100, 0, false)]
+#[case::single_request(1, 400, 0, false)]
+#[case::busy_engine(8, 400, 900, false)]
+fn wait_asks_for_next_home(
+    #[case] count: usize,
+    #[case] wait: u64,
+    #[case] reading: u64,
+    #[case] asks: bool,
+) {
+    let now = ms(1_000);
+    let (mut fleet, first, next) = one_home(now);
+    for id in ["e1", "e2", "e3", "e4"] {
+        if *id != *first {
+            fleet.note_reading(now, id, ms(reading));
+        }
+    }
+    let demand = demand(&[("a", count), ("b", 40)]);
+    let (service, target) = (engines(), target("a"));
+    let home = further_home(now, &fleet, &demand, &need(&service, &target), ms(wait));
+    assert_eq!(home, asks.then_some(next));
+}
