Count no try that has reached no upstream

Ruled out: the choice; the next engine was there. Change: a try of which no byte was written is taken back like a refused one, within the same bound of four, and the next one is not paid for. refused_connections_cost_no_attempt failed before (503 after two of four dead services).

--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -319,7 +319,17 @@
         }
     }
 
-    fn headless(&self, headless: &Headless, visit: &mut Visit<D>) -> Tried<D> {
+    /// Takes a try back that has reached no upstream, or that one refused. A request stops knocking
+    /// after some of these.
+    fn take_back(&mut self) {
+        self.attempts -= 1;
+        self.refusals += 1;
+        if self.refusals > REFUSALS_MAX {
+            self.attempts = self.route.attempts;
+        }
+    }
+
+    fn headless(&mut self, headless: &Headless, visit: &mut Visit<D>) -> Tried<D> {
         let error = match headless {
             Headless::Silent => {
                 visit.end(Verdict::Failed);
@@ -332,7 +342,11 @@
             _ => Verdict::Failed,
         });
         let reach = match error.reach() {
-            Sent::NotSent => Reach::NotRun(Proof::unsent()),
+            Sent::NotSent => {
+                self.take_back();
+                self.prepay();
+                Reach::NotRun(Proof::unsent())
+            }
             Sent::MaybeSent => Reach::Unknown,
         };
         info!(
@@ -391,8 +405,7 @@
         status: StatusCode,
         mark: &Mark,
     ) -> &'static str {
-        self.attempts -= 1;
-        self.refusals += 1;
+        self.take_back();
         let now = self.hub.clock.now();
         let mut reason = "refused";
         {
@@ -422,9 +435,6 @@
         if matches!(reason, "absent" | "not-yet") {
             self.tried.pop();
         }
-        if self.refusals > REFUSALS_MAX {
-            self.attempts = self.route.attempts;
-        }
         reason
     }
 
--- a/crates/gateway/src/front/job.rs
+++ b/crates/gateway/src/front/job.rs
@@ -213,6 +213,11 @@
         standing.next(paid || self.pay()) == Next::Again
     }
 
+    /// Notes that the last try has reached no upstream, so that the next one costs nothing.
+    pub(super) fn prepay(&self) {
+        self.prepaid.store(true, Ordering::Relaxed);
+    }
+
     /// Takes a repeat out of the budget where it allows one.
     fn pay(&self) -> bool {
         let now = self.hub.clock.now();
