Never wait for the log's reader

Cause: each line was written where it was logged, on the node's one thread, and a pipe takes 64 KB. Change: a sink before the stream.

--- a/crates/hyssopscale/src/ops/serve.rs
+++ b/crates/hyssopscale/src/ops/serve.rs
@@ -28,9 +28,17 @@
 ///
 /// Returns an [`Error`] where the node does not start, or where the shutdown cut requests.
 pub async fn run(settings: Settings) -> Result<(), Error> {
-    if settings.exchange.is_some() {
-        return run_gateway(settings).await;
-    }
+    let ending = if settings.exchange.is_some() {
+        run_gateway(settings).await
+    } else {
+        run_node(settings).await
+    };
+    node::journal::drain();
+    ending
+}
+
+/// Runs a node that serves our own interface.
+async fn run_node(settings: Settings) -> Result<(), Error> {
     let level = settings.log.level.parse().unwrap_or(LevelFilter::Info);
     node::journal::install(settings.log.format, level, settings.log.lines_per_second)?;
     let mut terminate = signal(SignalKind::terminate())?;
--- a/crates/node/src/journal.rs
+++ b/crates/node/src/journal/mod.rs
@@ -1,16 +1,21 @@
 //! Structured log lines by `log` and `fern`.
 //!
 //! Each decision is one record with target [`DECISION`] and stable keys; prompts and answers are
-//! never logged. A rate limit drops decision lines above the setting and a counter says how many.
+//! never logged. A rate limit drops decision lines above the setting, and a [`sink`] those that the
+//! stream does not take in time; a counter says how many. Logging never waits for the stream.
+
+pub mod sink;
 
 use std::fmt::Write;
-use std::sync::Mutex;
+use std::io;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
 use log::kv::{self, Key, Value, VisitSource};
 use log::{LevelFilter, Record};
 use settings::Form;
+use sink::Sink;
 
 /// Target of the records that tell a routing or placement decision.
 pub const DECISION: &str = "decision";
@@ -24,13 +29,28 @@
     /// Another logger is in place already.
     #[error("a logger is installed already: {0}; set up the journal once per process")]
     Installed(#[from] log::SetLoggerError),
+    /// The thread that writes the lines cannot be started.
+    #[error("no thread for the journal: {0}; raise the process's limit on threads")]
+    Thread(#[from] io::Error),
 }
 
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 
-/// Returns how many decision lines the rate limit dropped since the start.
+static SINK: OnceLock<sink::Handle> = OnceLock::new();
+
+/// Longest time for which an ending process waits until its last lines are written.
+const DRAIN: Duration = Duration::from_millis(400);
+
+/// Returns how many lines the rate limit and the sink dropped since the start.
 pub fn dropped() -> u64 {
-    DROPPED.load(Ordering::Relaxed)
+    DROPPED.load(Ordering::Relaxed) + SINK.get().map_or(0, sink::Handle::dropped)
+}
+
+/// Waits until the lines logged so far are written, for a moment at most.
+pub fn drain() {
+    if let Some(sink) = SINK.get() {
+        sink.drain(DRAIN);
+    }
 }
 
 /// Where log lines go.
@@ -55,7 +75,8 @@
 ///
 /// # Errors
 ///
-/// Returns [`Error::Installed`] where the process has a logger already.
+/// Returns [`Error::Installed`] where the process has a logger already, [`Error::Thread`] where no
+/// thread can be started.
 pub fn install_to(
     stream: Stream,
     form: Form,
@@ -63,6 +84,11 @@
     lines_per_second: u32,
 ) -> Result<(), Error> {
     let limit = Limit::new(lines_per_second);
+    let (sink, handle) = match stream {
+        Stream::Output => Sink::start(io::stdout())?,
+        Stream::Error => Sink::start(io::stderr())?,
+    };
+    SINK.get_or_init(|| handle);
     fern::Dispatch::new()
         .level(LevelFilter::Warn)
         .level_for("decision", level)
@@ -77,10 +103,7 @@
             };
             out.finish(format_args!("{line}"));
         })
-        .chain(match stream {
-            Stream::Output => fern::Output::from(std::io::stdout()),
-            Stream::Error => fern::Output::from(std::io::stderr()),
-        })
+        .chain(fern::Output::writer(Box::new(sink), "\n"))
         .apply()?;
     Ok(())
 }
