Let callers of the soak leave, and check the budget of repeats

One request in sixteen is given up by its caller (GONE), arrivals beyond the first are held against the budget of all nodes (BUDGET), and in every fifth seed nobody reads the log of one node.

--- a/crates/hyssopscale/tests/fault_soak.rs
+++ b/crates/hyssopscale/tests/fault_soak.rs
@@ -16,7 +16,8 @@
 /// Runs at a time by hand.
 const AT_ONCE: u64 = 4;
 
-/// Returns the plan of a seed. Every fourth one goes up to the limits.
+/// Returns the plan of a seed. Every fourth one goes up to the limits; in every fifth one, a node's
+/// log is not read.
 fn plan(seed: u64) -> Plan {
     let to_the_limits = seed.is_multiple_of(4);
     Plan {
@@ -24,12 +25,14 @@
         span: Duration::from_secs(10),
         callers: if to_the_limits { 64 } else { 16 },
         think: Duration::from_millis(if to_the_limits { 1 } else { 80 }),
+        unread_log: seed.is_multiple_of(5),
     }
 }
 
 #[rstest]
 #[case::ordinary(1)]
 #[case::to_the_limits(4)]
+#[case::unread_log(5)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn seeded_faults_break_no_rule(#[case] seed: u64) {
     let breaches = run(plan(seed)).await;
--- a/crates/hyssopscale/tests/soak/caller.rs
+++ b/crates/hyssopscale/tests/soak/caller.rs
@@ -17,6 +17,9 @@
 use super::HOST;
 use super::upstream::{EVENTS, event};
 
+/// Attempt that all probes share.
+pub const PROBE: &str = "probe";
+
 /// Time that a caller waits for its answer.
 pub const PATIENCE: Duration = Duration::from_secs(4);
 
@@ -26,6 +29,12 @@
 /// Adapters that are asked for, the rarer ones seldom.
 const ADAPTERS: u32 = 8;
 
+/// One in so many requests is given up by its caller.
+const GIVEN_UP: u32 = 16;
+
+/// Longest time after which a caller gives up.
+const GIVES_UP: Duration = Duration::from_millis(400);
+
 /// Time for which an answer of the directory is used.
 const DIRECTORY_AGE: Duration = Duration::from_secs(1);
 
@@ -50,6 +59,14 @@
         }
     }
 
+    /// Returns the pool that serves it.
+    pub fn pool(self) -> &'static str {
+        match self {
+            Self::Call | Self::Lookup => "desk",
+            Self::Stream | Self::Story => "engines",
+        }
+    }
+
     /// Tells whether it may run once at most.
     pub fn once(self) -> bool {
         matches!(self, Self::Call | Self::Story)
@@ -69,6 +86,8 @@
     Cut,
     /// Nothing came in time.
     Late,
+    /// The caller left before.
+    Left,
 }
 
 /// One attempt.
@@ -156,7 +175,13 @@
             };
             let attempt = format!("{}-{}-{number}", self.name, self.number);
             let sent = Instant::now();
-            let (outcome, headers) = self.send(node, kind, &attempt, adapter).await;
+            let (outcome, headers) = match self.gives_up() {
+                Some(after) => {
+                    let answer = timeout(after, self.send(node, kind, &attempt, adapter));
+                    answer.await.unwrap_or((Outcome::Left, HeaderMap::new()))
+                }
+                None => self.send(node, kind, &attempt, adapter).await,
+            };
             let again = pause(kind, &outcome, &headers);
             let closes = headers
                 .get(CONNECTION)
@@ -179,6 +204,12 @@
         }
     }
 
+    /// Returns the time after which the caller leaves, where it does.
+    fn gives_up(&mut self) -> Option<Duration> {
+        let leaves = self.rng.random_ratio(1, GIVEN_UP);
+        leaves.then(|| self.rng.random_range(Duration::ZERO..GIVES_UP))
+    }
+
     async fn send(
         &self,
         node: usize,
@@ -275,6 +306,7 @@
         Outcome::Answered { status, .. } if *status < 400 => return None,
         Outcome::Answered { status, .. } => matches!(status, 408 | 421 | 429 | 503),
         Outcome::Unsent => true,
+        Outcome::Left => return None,
         Outcome::Closed(_) | Outcome::Cut | Outcome::Late => false,
     };
     let after = headers
@@ -299,7 +331,7 @@
 pub async fn get(address: SocketAddr, path: &str, limit: Duration) -> Option<(u16, String)> {
     let request = Request::get(path)
         .header("host", HOST)
-        .header("x-attempt-id", "probe");
+        .header("x-attempt-id", PROBE);
     let call = Call {
         class: Class::Ordinary,
         reuse: Reuse::Fresh,
--- a/crates/hyssopscale/tests/soak/check.rs
+++ b/crates/hyssopscale/tests/soak/check.rs
@@ -7,10 +7,10 @@
 use tokio::time::{Instant, sleep};
 
 use super::Site;
-use super::caller::{Ask, Kind, Outcome, get};
+use super::caller::{Ask, Kind, Outcome, PROBE, get};
 use super::fault::Event;
 use super::process::Deed;
-use super::upstream::Run;
+use super::upstream::{Arrival, Run};
 
 /// Statuses that promise that nothing ran.
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
@@ -24,6 +24,15 @@
 /// Time after which a request that is still held was held by its upstream.
 const HELD: Duration = Duration::from_millis(1_500);
 
+/// Time after which nothing reaches an upstream for a caller that has left.
+const LEFT: Duration = Duration::from_millis(500);
+
+/// Window of the budget of repeats.
+const WINDOW: Duration = Duration::from_secs(10);
+
+/// Repeats in a window for each request, and beside these.
+const BUDGET: (f64, f64) = (0.2, 54.0);
+
 /// Time at the end in which everything has to be served.
 const CALM: Duration = Duration::from_secs(3);
 
@@ -43,6 +52,7 @@
 pub struct Evidence {
     pub asks: Vec<Ask>,
     pub runs: Vec<Run>,
+    pub arrivals: Vec<Arrival>,
     pub probes: Vec<Probe>,
     pub events: Vec<Event>,
     pub end: Instant,
@@ -114,10 +124,11 @@
         breaches.extend(check_ask(ask, &ran, site).map(|rule| format!("{rule}: {ask:?}, {ran:?}")));
         breaches.extend(check_leaving(ask, &ran, evidence, site));
     }
-    runs.remove("probe");
+    runs.remove(PROBE);
     breaches.extend(runs.keys().map(|attempt| format!("UNASKED: {attempt}")));
     breaches.extend(check_probes(&evidence.probes, site));
     breaches.extend(check_recovery(evidence));
+    breaches.extend(check_budget(evidence));
     breaches
 }
 
@@ -142,6 +153,7 @@
         }
         Outcome::Late if calm => Some("LATE"),
         Outcome::Unsent if calm => Some("UNREACHED"),
+        Outcome::Left if calm && ran.iter().any(|run| run.at > ask.done + LEFT) => Some("GONE"),
         _ => None,
     }
 }
@@ -206,3 +218,39 @@
     }
     breaches
 }
+
+/// Checks that arrivals beyond the first of each request stay within the budget of all nodes, in
+/// windows that begin with each of them.
+fn check_budget(evidence: &Evidence) -> Vec<String> {
+    let mut breaches = Vec::new();
+    for pool in ["engines", "desk"] {
+        let mut first: BTreeMap<&str, Instant> = BTreeMap::new();
+        let mut repeats = Vec::new();
+        let arrivals = evidence.arrivals.iter();
+        for arrival in arrivals.filter(|a| a.pool == pool && a.attempt != PROBE) {
+            let known = first.entry(&arrival.attempt).or_insert(arrival.at);
+            if *known != arrival.at {
+                repeats.push(arrival.at);
+            }
+        }
+        let asked = |from: Instant, until: Instant| {
+            let asks = evidence.asks.iter().filter(|ask| ask.kind.pool() == pool);
+            asks.filter(|ask| from <= ask.sent && ask.sent < until)
+                .count() as f64
+        };
+        let worst = repeats.iter().map(|at| {
+            let within = |other: &&Instant| *at <= **other && **other < *at + WINDOW;
+            let count = repeats.iter().filter(within).count() as f64;
+            let before = asked(*at - WINDOW, *at);
+            let requests = asked(*at, *at + WINDOW).max(before);
+            (count - BUDGET.0 * requests - BUDGET.1, count)
+        });
+        let worst = worst.max_by(|(a, _), (b, _)| a.total_cmp(b));
+        if let Some((over, count)) = worst.filter(|(over, _)| *over > 0.0) {
+            breaches.push(format!(
+                "BUDGET: {count} repeats at {pool}, {over:.0} too many"
+            ));
+        }
+    }
+    breaches
+}
--- a/crates/hyssopscale/tests/soak/mod.rs
+++ b/crates/hyssopscale/tests/soak/mod.rs
@@ -31,7 +31,7 @@
 use check::Evidence;
 use process::Process;
 use store::Store;
-use upstream::{Config, Misorders, PLACES, Runs, Upstream};
+use upstream::{Arrivals, Config, Misorders, PLACES, Runs, Upstream};
 
 /// Host of all routes.
 const HOST: &str = "site.example";
@@ -57,6 +57,8 @@
     pub callers: usize,
     /// Longest pause of a caller between two requests.
     pub think: Duration,
+    /// Whether nobody reads the log of one node.
+    pub unread_log: bool,
 }
 
 /// The site.
@@ -71,6 +73,7 @@
     /// Links from each node to the store.
     pub store_links: Vec<Proxy>,
     runs: Runs,
+    arrivals: Arrivals,
     misorders: Misorders,
     _store_server: Server,
     logs: Mutex<TempDir>,
@@ -86,7 +89,8 @@
         let store = Arc::new(Store::default());
         let served = Server::start(address(250, 9000), store.clone(), Connections::default());
         let store_server = served.await.unwrap();
-        let (runs, misorders) = (Runs::default(), Misorders::default());
+        let (runs, arrivals) = (Runs::default(), Arrivals::default());
+        let misorders = Misorders::default();
         let (mut upstreams, mut links) = (Vec::new(), Vec::new());
         for (pool, slots) in [("engines", 8), ("desk", 6)] {
             for number in 0..UPSTREAMS {
@@ -102,6 +106,7 @@
                     address: linked,
                     store: store.clone(),
                     runs: runs.clone(),
+                    arrivals: arrivals.clone(),
                     misorders: misorders.clone(),
                     seed: plan.seed * 16 + host as u64,
                 };
@@ -118,7 +123,9 @@
             let link = Proxy::start(linked, address(250, 9000), Fault::default(), plan.seed).await;
             store_links.push(link.unwrap());
             let ip = format!("{net}.{host}");
-            nodes.push(Process::new(number, &ip, &seeds, linked, logs.path()));
+            let unread = plan.unread_log && number == NODES - 1;
+            let node = Process::new(number, &ip, &seeds, linked, logs.path(), unread);
+            nodes.push(node);
         }
         nodes.iter().for_each(Process::start);
         Self {
@@ -129,6 +136,7 @@
             links,
             store_links,
             runs,
+            arrivals,
             misorders,
             _store_server: store_server,
             logs: Mutex::new(logs),
@@ -186,6 +194,7 @@
     let evidence = Evidence {
         asks,
         runs: site.runs.lock().unwrap().clone(),
+        arrivals: site.arrivals.lock().unwrap().clone(),
         probes,
         events,
         end,
--- a/crates/hyssopscale/tests/soak/process.rs
+++ b/crates/hyssopscale/tests/soak/process.rs
@@ -57,6 +57,8 @@
     pub addresses: Addresses,
     folder: PathBuf,
     settings: PathBuf,
+    /// Whether nobody reads its log.
+    unread: bool,
     /// Held while the process is ended and started.
     busy: tokio::sync::Mutex<()>,
     state: Mutex<State>,
@@ -70,6 +72,7 @@
         seeds: &[String],
         store: SocketAddr,
         folder: &Path,
+        unread: bool,
     ) -> Self {
         let quoted: Vec<String> = seeds
             .iter()
@@ -111,6 +114,7 @@
             },
             folder: folder.to_owned(),
             settings,
+            unread,
             busy: tokio::sync::Mutex::new(()),
             state: Mutex::new(State {
                 child: None,
@@ -134,7 +138,11 @@
             .arg("--settings")
             .arg(&self.settings)
             .stdin(Stdio::null())
-            .stdout(log.try_clone().unwrap())
+            .stdout(if self.unread {
+                Stdio::piped()
+            } else {
+                log.try_clone().unwrap().into()
+            })
             .stderr(log)
             .spawn();
         state.child = Some(child.unwrap());
--- a/crates/hyssopscale/tests/soak/upstream.rs
+++ b/crates/hyssopscale/tests/soak/upstream.rs
@@ -69,6 +69,16 @@
 
 pub type Runs = Arc<Mutex<Vec<Run>>>;
 
+/// One arrival of a request, run or not.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub attempt: String,
+    pub pool: &'static str,
+    pub at: Instant,
+}
+
+pub type Arrivals = Arc<Mutex<Vec<Arrival>>>;
+
 struct Adapter {
     name: String,
     ready: Instant,
@@ -99,6 +109,7 @@
     pub address: SocketAddr,
     store: Arc<Store>,
     runs: Runs,
+    arrivals: Arrivals,
     misorders: Misorders,
     /// Raised at each end of an incarnation.
     generation: watch::Sender<u64>,
@@ -114,6 +125,7 @@
     pub address: SocketAddr,
     pub store: Arc<Store>,
     pub runs: Runs,
+    pub arrivals: Arrivals,
     pub misorders: Misorders,
     pub seed: u64,
 }
@@ -133,6 +145,7 @@
             address: config.address,
             store: config.store,
             runs: config.runs,
+            arrivals: config.arrivals,
             misorders: config.misorders,
             generation: watch::Sender::new(0),
             state: Mutex::new(State {
@@ -282,6 +295,11 @@
             _ => {}
         }
         let attempt = head.header("x-attempt-id").to_owned();
+        self.arrivals.lock().unwrap().push(Arrival {
+            attempt: attempt.clone(),
+            pool: self.pool,
+            at: Instant::now(),
+        });
         let (manner, copies) = {
             let mut state = self.lock();
             let manner = state.manner;
