--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -1,7 +1,6 @@
 //! One attempt at one upstream, and what its answer is worth.
 
 use std::pin::pin;
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -25,8 +24,8 @@
 
 use super::job::Job;
 use super::judge::{Worth, judge};
+use super::visit::Visit;
 use crate::dialect::{Dialect, Echo, Hop, Mark};
-use crate::hub::Hub;
 
 /// Idle time up to which a kept connection carries a call that may not be repeated: upstreams
 /// state their idle time-out in whole seconds, and few state less than some of them.
@@ -93,75 +92,6 @@
     pub(super) visit: Visit<D>,
 }
 
-/// A request that counts at an upstream until it ends or is dropped.
-pub(super) struct Visit<D: Dialect> {
-    hub: Arc<Hub<D>>,
-    pub(super) runner: Upstream,
-    heard: Time,
-    /// The model that whoever orders there has let in.
-    target: Option<Target>,
-    over: bool,
-}
-
-impl<D: Dialect> Visit<D> {
-    fn new(hub: &Arc<Hub<D>>, runner: &Upstream, target: Option<Target>, until: Time) -> Self {
-        let now = hub.clock.now();
-        let mut desk = hub.desk();
-        desk.fleet.start(now, runner);
-        if let Some(target) = &target {
-            desk.owner.began(runner, target, until);
-        }
-        drop(desk);
-        Self {
-            hub: hub.clone(),
-            runner: runner.clone(),
-            heard: now,
-            target,
-            over: false,
-        }
-    }
-
-    /// Notes a byte from the upstream.
-    pub(super) fn hear(&mut self) {
-        let now = self.hub.clock.now();
-        self.heard = now;
-        self.hub.desk().fleet.hear(now, &self.runner);
-    }
-
-    /// Returns how long the upstream has been silent towards all requests of this node. One that
-    /// is no longer listed may still finish what it has, so its silence counts from this request.
-    pub(super) fn silence(&self) -> Duration {
-        let now = self.hub.clock.now();
-        let own = now.saturating_sub(self.heard);
-        let desk = self.hub.desk();
-        let known = desk.fleet.runner(&self.runner);
-        known.map_or(own, |runner| runner.silence(now).min(own))
-    }
-
-    /// Ends the count.
-    pub(super) fn end(&mut self, verdict: Verdict) {
-        if !self.over {
-            self.over = true;
-            let now = self.hub.clock.now();
-            let mut desk = self.hub.desk();
-            desk.fleet.end(now, &self.runner, verdict);
-            if let Some(target) = &self.target {
-                desk.owner.ended(&self.runner, target);
-            }
-            drop(desk);
-            if let Some(target) = &self.target {
-                self.hub.over(&self.runner, target);
-            }
-        }
-    }
-}
-
-impl<D: Dialect> Drop for Visit<D> {
-    fn drop(&mut self) {
-        self.end(Verdict::Neutral);
-    }
-}
-
 /// Why the head of an answer did not come.
 enum Headless {
     /// The call failed.
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -5,12 +5,14 @@
 //! - `judge` says what the head of an answer is worth.
 //! - `stream` relays an event stream and takes it to another engine where one breaks off.
 //! - `place` waits until an upstream can serve it.
+//! - `visit` counts it at its upstream.
 
 mod attempt;
 mod job;
 mod judge;
 mod place;
 mod stream;
+mod visit;
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/hyssopscale/tests/soak/caller.rs
+++ b/crates/hyssopscale/tests/soak/caller.rs
@@ -14,7 +14,7 @@
 use upstream::Reach;
 use upstream::link::{self, Call, Class, Host, Limits, Link, Reuse};
 
-use super::HOST;
+use super::config::HOST;
 use super::upstream::{EVENTS, event};
 
 /// Attempt that all probes share.
--- a/crates/hyssopscale/tests/soak/fault.rs
+++ b/crates/hyssopscale/tests/soak/fault.rs
@@ -12,7 +12,7 @@
 
 use super::process::Deed;
 use super::upstream::Manner;
-use super::{NODES, Site, UPSTREAMS, config};
+use super::{NODES, Site, UPSTREAMS, versioned};
 
 /// Faults of a run at least, and at most.
 const COUNT: (usize, usize) = (6, 16);
@@ -296,7 +296,7 @@
     fn configure(&self) {
         let mut versions = self.versions.lock().unwrap();
         let version = versions.last().map_or(1, |(version, _)| version + 1);
-        self.store.put("op/config", &config(version));
+        self.store.put("op/config", &versioned(version));
         versions.push((version, Instant::now()));
     }
 }
--- a/crates/hyssopscale/tests/soak/mod.rs
+++ b/crates/hyssopscale/tests/soak/mod.rs
@@ -9,6 +9,8 @@
 
 mod caller;
 mod check;
+#[path = "../../../../platform/tests/support/config.rs"]
+mod config;
 mod fault;
 mod process;
 #[path = "../../../../platform/tests/support/raw.rs"]
@@ -21,7 +23,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use serde_json::{Value, json};
+use serde_json::Value;
 use standin::http::{Connections, Server};
 use standin::proxy::{Fault, Proxy};
 use tempfile::TempDir;
@@ -33,8 +35,9 @@
 use store::Store;
 use upstream::{Arrivals, Config, Misorders, PLACES, Runs, Upstream};
 
-/// Host of all routes.
-const HOST: &str = "site.example";
+/// Requests that an engine runs at a time, and a service.
+const ENGINE_SLOTS: u32 = 8;
+const DESK_SLOTS: u32 = 6;
 
 /// Nodes of a site.
 const NODES: usize = 4;
@@ -92,7 +95,7 @@
         let (runs, arrivals) = (Runs::default(), Arrivals::default());
         let misorders = Misorders::default();
         let (mut upstreams, mut links) = (Vec::new(), Vec::new());
-        for (pool, slots) in [("engines", 8), ("desk", 6)] {
+        for (pool, slots) in [("engines", ENGINE_SLOTS), ("desk", DESK_SLOTS)] {
             for number in 0..UPSTREAMS {
                 let host = 100 + upstreams.len();
                 let (listen, linked) = (address(host, 9000), address(host, 9001));
@@ -113,7 +116,7 @@
                 upstreams.push(Upstream::start(config).await);
             }
         }
-        store.put("op/config", &config(1));
+        store.put("op/config", &versioned(1));
         let logs = TempDir::new().unwrap();
         let seeds: Vec<String> = (1..=3).map(|host| format!("{net}.{host}")).collect();
         let (mut nodes, mut store_links) = (Vec::new(), Vec::new());
@@ -209,30 +212,9 @@
 }
 
 /// Returns a configuration with a route of its own for each version.
-pub fn config(version: u64) -> Value {
-    let route = |prefix: &str, kind: &str, service: &str, resumable: bool| {
-        json!({
-            "name": prefix, "host": HOST, "prefix": prefix, "kind": kind, "timeout_ms": 3000,
-            "target_latency_ms": 800, "priority": 1, "service": service, "max_attempts": 2,
-            "resumable": resumable
-        })
-    };
-    json!({
-        "version": version,
-        "routes": [
-            route("/stream/", "streaming", "engines", true),
-            route("/stream/story/", "streaming", "engines", false),
-            route("/once/", "non_idempotent", "desk", false),
-            route("/read/", "idempotent", "desk", false),
-            route(&format!("/v{version}/"), "idempotent", "desk", false),
-        ],
-        "services": [
-            {"name": "engines", "max_connections": 200, "engine": {
-                "slots": 8, "kv_capacity": 1000, "weights_mb": 100.0, "adapter_slots": PLACES,
-                "loads_per_s": 4.0,
-                "models": [{"name": "base", "weights_mb": 90.0, "load_time_s": 0.4}]}},
-            {"name": "desk", "max_connections": 100},
-        ],
-        "limits": {"max_body_bytes": 100_000, "idle_timeout_ms": 15_000}
-    })
+pub fn versioned(version: u64) -> Value {
+    let mut routes = config::routes();
+    let prefix = format!("/v{version}/");
+    routes.push(config::route(&prefix, "idempotent", "desk", false));
+    config::config(version, &routes, ENGINE_SLOTS, PLACES)
 }
