--- a/crates/hyssopscale/tests/soak/mod.rs
+++ b/crates/hyssopscale/tests/soak/mod.rs
@@ -83,9 +83,10 @@
 }
 
 impl Site {
-    /// Starts the upstreams, and nodes at addresses that belong to the seed.
+    /// Starts the upstreams, and nodes at addresses that belong to the process and the seed.
     async fn start(plan: Plan) -> Self {
-        let net = format!("127.{}.{}", 16 + plan.seed % 200, plan.seed / 200 % 250);
+        let process = std::process::id() % 250;
+        let net = format!("127.{}.{process}", 16 + plan.seed % 200);
         let address = |host: usize, port: u16| -> SocketAddr {
             format!("{net}.{host}:{port}").parse().unwrap()
         };
