Give the test of an unreached node an address that nobody else takes

Cause: the test closes its listener and connects to the port that it had. The stand-ins of the file's other tests listen at any free port of the same address, and take it in between.

--- a/crates/standin/tests/caller_outcomes.rs
+++ b/crates/standin/tests/caller_outcomes.rs
@@ -158,7 +158,8 @@
 
 #[tokio::test]
 async fn unreached_node_is_told_from_a_dropped_call() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    // No other test listens at this address, so that nobody takes the port once it is free.
+    let listener = TcpListener::bind("127.0.7.1:0").await.unwrap();
     let entry = Entry {
         node: "vm-1".into(),
         address: listener.local_addr().unwrap(),
