Keep orders of two holders apart at engines that do not look at fencing numbers

Where engines look at numbers, the refusal stops the loser; elsewhere nothing did. The same gap: a holder that is cut off from its peers went on ordering, a node that had heard of no number claimed by its own slow clock, a former holder's last order could arrive after the next holder's first.

Now, only where engines do not look at numbers: a node orders and claims once it has been in touch with most nodes for the lease, stops two announcements after it loses them, and claims only with every live node heard; the first order follows the claim by 1.2 s, in which a second claimer is heard of; a silent holder's engine is free when its orders must have ended; a leaving node releases no engine that it has an order under way at. A majority is needed, news of the platform is not enough. Peers tell a claimer of a higher number that was used before.

--- a/crates/exchange/src/owner/claim.rs
+++ b/crates/exchange/src/owner/claim.rs
@@ -2,7 +2,7 @@
 
 use wire::{Fence, Time, Upstream, Vm, rank};
 
-use super::{ANNOUNCE, Action, Claim, Message, Note, Owner, SETTLE, Seat};
+use super::{ANNOUNCE, Action, Claim, Config, Message, Note, Owner, RECOVERY, SETTLE, Seat};
 use crate::fleet::{Fleet, Runner};
 
 /// Peers up to which holdings are told with every announcement.
@@ -30,7 +30,9 @@
         self.drop_gone(fleet, out);
         self.barred.retain(|(_, until)| now < *until);
         self.refused.retain(|(id, _)| fleet.runner(id).is_some());
-        if !self.fit || self.leaving || now < self.quiet_until {
+        let Config { me, fenced, .. } = &self.config;
+        let informed = *fenced || self.contact.complete(me, &self.live);
+        if !self.fit || !self.may_order(now) || !informed {
             self.vacant.clear();
             return;
         }
@@ -46,20 +48,23 @@
                 continue;
             }
             let since = self.vacant_since(now, id);
-            // A former holder that was not heard to release may still give orders, which only an
-            // engine that looks at the number refuses.
-            let silent = self.claim_of(id).is_ok();
-            let wait = if silent && !self.config.fenced {
-                self.config.lease.max(SETTLE)
-            } else {
-                SETTLE
-            };
-            if now >= since + wait {
+            if now >= self.free_from(id).max(since + SETTLE) {
                 self.take(now, id.clone(), wall, out);
             }
         }
     }
 
+    /// Returns when the last order of a former holder has ended. One that was not heard to release
+    /// an engine may order there until it notices that it is alone, which only an engine that looks
+    /// at the number refuses.
+    fn free_from(&self, id: &Upstream) -> Time {
+        let claim = self.claim_of(id).ok().map(|index| &self.claims[index]);
+        match claim {
+            Some(claim) if !self.config.fenced => claim.until,
+            _ => Time::ZERO,
+        }
+    }
+
     fn vacant_since(&mut self, now: Time, id: &Upstream) -> Time {
         match self.vacant.iter().find(|(vacant, _)| vacant == id) {
             Some((_, since)) => *since,
@@ -78,7 +83,14 @@
         self.vacant.retain(|(vacant, _)| *vacant != runner);
         self.claims.retain(|claim| claim.runner != runner);
         out.push(Action::Note(Note::Claimed(runner.clone(), fence)));
-        self.seats.push(Seat::new(now, runner.clone(), fence));
+        // Another node may claim it in the same moment; the two hear of each other before either
+        // gives an order that an engine would take from both.
+        let first = if self.config.fenced {
+            now
+        } else {
+            now + RECOVERY
+        };
+        self.seats.push(Seat::new(first, runner.clone(), fence));
         self.count_own(now, &runner);
         self.tell_claims(out);
         self.announced = now;
@@ -136,12 +148,15 @@
         claims: Vec<(Upstream, Fence)>,
         out: &mut Vec<Action>,
     ) {
-        self.claims.retain(|claim| {
-            claim.holder != *from || claims.iter().any(|(id, _)| *id == claim.runner)
-        });
-        let mut contested = false;
+        let before = self.contact.hear(now, from);
+        // A node that the view lacks is told what this one claims, since nobody else may do so.
+        let recent = before.is_some_and(|before| now < before + ANNOUNCE);
+        let mut contested = !recent && !self.lives(from) && !self.parting.contains(from);
+        self.give_up(now, from, &claims);
+        let mut used = Vec::new();
         for (runner, fence) in claims {
             self.saw(&runner, fence);
+            let seen = self.seen(&runner).unwrap_or_default();
             if let Some(seat) = self.seat(&runner) {
                 if fence < seat.fence {
                     contested = true;
@@ -149,6 +164,8 @@
                 }
                 self.yield_seat(&runner, "superseded", out);
                 self.stand_back(now, &runner);
+            } else if fence < seen {
+                used.push((runner.clone(), seen));
             }
             let new = self.record(now, runner.clone(), from, fence);
             if new {
@@ -161,6 +178,36 @@
                 message: Message::Claims(self.own_claims()),
             });
         }
+        if !used.is_empty() {
+            out.push(Action::Send {
+                to: from.clone(),
+                message: Message::Used(used),
+            });
+        }
+    }
+
+    /// Gives up what is claimed by a lower number than one that was used before, of a holder that
+    /// this node has never heard of. It is claimed again by a higher one.
+    pub(super) fn raise(&mut self, numbers: Vec<(Upstream, Fence)>, out: &mut Vec<Action>) {
+        for (runner, fence) in numbers {
+            self.saw(&runner, fence);
+            if self.seat(&runner).is_some_and(|seat| seat.fence < fence) {
+                self.yield_seat(&runner, "number used before", out);
+            }
+        }
+    }
+
+    /// Notes what a peer no longer announces: it has given that up, but an order may be under way.
+    fn give_up(&mut self, now: Time, holder: &Vm, claims: &[(Upstream, Fence)]) {
+        let Config { fenced, lease, .. } = self.config;
+        self.claims.retain_mut(|claim| {
+            let announced = claims.iter().any(|(id, _)| *id == claim.runner);
+            if claim.holder == *holder && !announced && !claim.given_up {
+                claim.given_up = true;
+                claim.until = now + lease;
+            }
+            !fenced || !claim.given_up
+        });
     }
 
     /// Records a claim. Returns whether it is another one than before.
@@ -170,6 +217,8 @@
             holder: holder.clone(),
             fence,
             heard: Some(now),
+            until: now + self.config.lease,
+            given_up: false,
         };
         let index = match self.claim_of(&claim.runner) {
             Ok(index) => index,
--- /dev/null
+++ b/crates/exchange/src/owner/contact.rs
@@ -0,0 +1,72 @@
+//! Contact with the other nodes, on which orders rest where engines do not look at numbers.
+//!
+//! Such an engine obeys a node that has lost its claim without knowing it. A holder therefore
+//! orders there only while it hears from most nodes, and whoever takes over waits until the former
+//! holder must have noticed: a lease without a lock server (Gray and Cheriton, 1989).
+
+use std::time::Duration;
+
+use wire::{Time, Vm};
+
+use super::HEARD;
+
+/// Time for which a node that has gone silent is remembered.
+const REMEMBERED: Duration = Duration::from_secs(60);
+
+/// When this node last heard from each other one.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Contact {
+    /// Sorted by node.
+    heard: Vec<(Vm, Time)>,
+    /// Since when this node has been in touch with most nodes.
+    since: Option<Time>,
+}
+
+impl Contact {
+    /// Notes an announcement of `vm`. Returns when the one before it came.
+    pub(super) fn hear(&mut self, now: Time, vm: &Vm) -> Option<Time> {
+        match self.find(vm) {
+            Ok(index) => Some(std::mem::replace(&mut self.heard[index].1, now)),
+            Err(index) => {
+                self.heard.insert(index, (vm.clone(), now));
+                None
+            }
+        }
+    }
+
+    /// Takes the time and the live nodes in; `fit` tells whether this node may claim at all.
+    pub(super) fn update(&mut self, now: Time, me: &Vm, live: &[Vm], fit: bool) {
+        self.heard.retain(|(_, at)| now < *at + REMEMBERED);
+        let reached = |vm: &&Vm| *vm == me || self.last(vm).is_some_and(|at| now < at + HEARD);
+        let most = live.iter().filter(reached).count() * 2 > live.len();
+        self.since = if fit && most {
+            self.since.or(Some(now))
+        } else {
+            None
+        };
+    }
+
+    /// Begins anew after a pause, in which nothing was heard.
+    pub(super) fn reset(&mut self) {
+        self.since = None;
+    }
+
+    /// Tells whether this node has been in touch with most nodes for `time`.
+    pub(super) fn lasts(&self, now: Time, time: Duration) -> bool {
+        self.since.is_some_and(|since| now >= since + time)
+    }
+
+    /// Tells whether every live node has said what it claims.
+    pub(super) fn complete(&self, me: &Vm, live: &[Vm]) -> bool {
+        live.iter().all(|vm| vm == me || self.find(vm).is_ok())
+    }
+
+    fn last(&self, vm: &Vm) -> Option<Time> {
+        let index = self.find(vm).ok()?;
+        Some(self.heard[index].1)
+    }
+
+    fn find(&self, vm: &Vm) -> Result<usize, usize> {
+        self.heard.binary_search_by(|(known, _)| known.cmp(vm))
+    }
+}
--- a/crates/exchange/src/owner/load.rs
+++ b/crates/exchange/src/owner/load.rs
@@ -65,7 +65,7 @@
 
     /// Gives the orders that are due.
     pub fn pump(&mut self, now: Time, fleet: &Fleet, out: &mut Vec<Action>) {
-        if self.leaving || now < self.quiet_until {
+        if !self.may_order(now) {
             return;
         }
         for index in 0..self.seats.len() {
--- a/crates/exchange/src/owner/message.rs
+++ b/crates/exchange/src/owner/message.rs
@@ -123,4 +123,6 @@
         /// Milliseconds until another adapter could be there.
         backlog: u32,
     },
+    /// Fencing numbers that were used before, higher than those that the receiver claims by.
+    Used(Vec<(Upstream, Fence)>),
 }
--- a/crates/exchange/src/owner/mod.rs
+++ b/crates/exchange/src/owner/mod.rs
@@ -3,12 +3,14 @@
 //! One node at a time claims an engine and alone orders loads and unloads there. A claim stands as
 //! long as its holder lives; an unclaimed engine goes to the first live node of its rendezvous
 //! order. Nothing is agreed on: where two nodes claim one engine, the higher fencing number wins,
-//! and the engine refuses the lower one where it looks at the number.
+//! and the engine refuses the lower one where it looks at the number. Where it does not, `contact`
+//! keeps a holder from ordering that others may have given up.
 //!
 //! Fencing numbers need no storage. A number is the wall clock's second, raised above every number
 //! seen for that engine, followed by bits that belong to the VM alone.
 
 mod claim;
+mod contact;
 mod flight;
 mod load;
 mod message;
@@ -20,6 +22,7 @@
 use wire::machine::millis;
 use wire::{Fence, Time, Upstream, Vm};
 
+use contact::Contact;
 use flight::Pace;
 pub use message::{Message, News};
 use seat::Seat;
@@ -234,6 +237,10 @@
     fence: Fence,
     /// When its holder announced it last; none once the view has dropped the holder since.
     heard: Option<Time>,
+    /// Until when orders of its holder may arrive, should it have died or fallen silent.
+    until: Time,
+    /// Whether its holder has stopped to announce it.
+    given_up: bool,
 }
 
 /// The ownership machine of one node.
@@ -256,6 +263,7 @@
     refused: Vec<(Upstream, u32)>,
     // Engines that another node took over from this one, and until when they are left to others.
     barred: Vec<(Upstream, Time)>,
+    contact: Contact,
     seats: Vec<Seat>,
     stays: Vec<Stay>,
     starts: Vec<Time>,
@@ -281,6 +289,7 @@
             vacant: Vec::new(),
             refused: Vec::new(),
             barred: Vec::new(),
+            contact: Contact::default(),
             seats: Vec::new(),
             stays: Vec::new(),
             starts: Vec::new(),
@@ -312,6 +321,23 @@
         self.stands(claim).then_some(&claim.holder)
     }
 
+    /// Tells whether an order under `fence` may still be given, to be asked right before it is
+    /// written.
+    pub fn permits(&self, now: Time, runner: &str, fence: Fence) -> bool {
+        let claimed = self.seat(runner).is_some_and(|seat| seat.fence == fence);
+        claimed && self.may_order(now)
+    }
+
+    fn may_order(&self, now: Time) -> bool {
+        !self.leaving && now >= self.quiet_until && self.safe(now)
+    }
+
+    /// Tells whether no other node can have taken this one's claims over unnoticed, or engines
+    /// would refuse its orders.
+    fn safe(&self, now: Time) -> bool {
+        self.config.fenced || self.contact.lasts(now, self.config.lease)
+    }
+
     /// Lets a request in at an engine of this node; `None` where another node orders there.
     pub fn admit(
         &mut self,
@@ -380,6 +406,8 @@
             // The orders that are due follow from `pump`.
             Event::Due => {}
             Event::Tick { wall } => {
+                let Config { me, .. } = &self.config;
+                self.contact.update(now, me, &self.live, self.fit);
                 self.claim(now, fleet, wall, out);
                 self.announce(now, fleet, out);
             }
@@ -406,7 +434,7 @@
     /// Tells whether a claim's holder lives.
     fn stands(&self, claim: &Claim) -> bool {
         let heard = claim.heard.is_some_and(|heard| self.now < heard + HEARD);
-        heard || self.lives(&claim.holder)
+        !claim.given_up && (heard || self.lives(&claim.holder))
     }
 
     fn see(&mut self, mut live: Vec<Vm>, fit: bool) {
@@ -416,6 +444,7 @@
             let lived = self.live.binary_search(&claim.holder).is_ok();
             if lived && live.binary_search(&claim.holder).is_err() {
                 claim.heard = None;
+                claim.until = self.now + self.config.lease;
             }
         }
         self.live = live;
@@ -480,6 +509,7 @@
                     });
                 }
             }
+            Message::Used(numbers) => self.raise(numbers, out),
             Message::Uses { runner, uses } => self.count_uses(now, &runner, &uses),
             Message::Done { runner, target } => self.done(&runner, &target),
             Message::Grant {
@@ -531,6 +561,7 @@
 
     fn pause(&mut self, now: Time, out: &mut Vec<Action>) {
         self.quiet_until = now + RECOVERY;
+        self.contact.reset();
         self.vacant.clear();
         // Peers answer with what they claimed meanwhile.
         self.announced = now;
@@ -539,7 +570,15 @@
 
     fn leave(&mut self, out: &mut Vec<Action>) {
         self.leaving = true;
-        let claims = self.own_claims();
+        // An order under way may still arrive, after those of whoever takes the engine over.
+        let fenced = self.config.fenced;
+        let ended = |seat: &&Seat| fenced || seat.stage != seat::Stage::Flying;
+        let claims: Vec<(Upstream, Fence)> = self
+            .seats
+            .iter()
+            .filter(ended)
+            .map(|seat| (seat.runner.clone(), seat.fence))
+            .collect();
         self.seats.clear();
         if !claims.is_empty() {
             self.tell(&Message::Release(claims), out);
--- a/crates/exchange/tests/owner_orders.rs
+++ b/crates/exchange/tests/owner_orders.rs
@@ -446,3 +446,32 @@
     let back = |order: &Order| *order.target() == target("early");
     assert!(!given.iter().any(|(_, _, order)| back(order)), "{given:?}");
 }
+
+/// A node with a slow clock that never heard of an engine's former holder would order by a lower
+/// number than that holder did.
+#[rstest]
+fn number_used_before_is_passed() {
+    let mut peer = Desk::alone("vm-2", 2, [engine("e1", &[])]);
+    let claims = |fence| Message::Claims(vec![("e1".into(), fence)]);
+    let receive = |from: &str, message| Event::Receive {
+        from: from.into(),
+        message,
+    };
+    peer.step(receive("vm-3", claims(u64::MAX >> 12)));
+    let mut desk = Desk::alone("vm-1", 1, [engine("e1", &[])]);
+    desk.claim();
+    let own: Vec<_> = desk.owner.owned().map(|(_, fence)| fence).collect();
+    let told = peer.step(receive("vm-1", claims(own[0])));
+    let used = told.into_iter().find_map(|action| match action {
+        Action::Send { to, message } if &*to == "vm-1" => match message {
+            Message::Used(_) => Some(message),
+            _ => None,
+        },
+        _ => None,
+    });
+    desk.step(receive("vm-2", used.expect("the claimer is told")));
+    assert_eq!(desk.owner.owned().count(), 0);
+    desk.pass(ms(1_000));
+    let raised = desk.owner.owned().all(|(_, fence)| fence > u64::MAX >> 12);
+    assert!(raised && desk.owner.owned().count() == 1);
+}
--- a/crates/exchange/tests/owner_soak.rs
+++ b/crates/exchange/tests/owner_soak.rs
@@ -81,3 +81,37 @@
         assert_eq!(world.holders(), [1; 6], "seed {seed}");
     }
 }
+
+/// Engines that do not look at numbers: whoever restarts, or is cut off and does not know it, no
+/// two nodes order there in turn, and no lower number follows a higher one.
+#[rstest]
+fn unchecked_orders_never_overlap() {
+    for seed in seeds() {
+        let mut world = World::unfenced(seed);
+        for (index, at) in [9_000_u64, 14_000, 21_000, 30_000].into_iter().enumerate() {
+            let node = (seed as usize + index) % 5;
+            let time = ms(300 + (seed * 700 + at) % 9_000);
+            let fault = if (seed as usize + index).is_multiple_of(2) {
+                Fault::Cut(node, time)
+            } else {
+                Fault::Kill(node, time)
+            };
+            world.fault(ms(at), fault);
+            world.fault(ms(at + 700), Fault::Clock((node + 1) % 5, -3_000));
+        }
+        world.play(SPAN + SPAN);
+        for engine in &world.engines {
+            let turns = engine.turns();
+            assert!(turns.is_empty(), "seed {seed}, {}: {turns:?}", engine.id);
+            let lowered = &engine.lowered;
+            assert!(
+                lowered.is_empty(),
+                "seed {seed}, {}: {lowered:?}",
+                engine.id
+            );
+        }
+        assert_eq!(world.holders(), [1; 6], "seed {seed}");
+        let part = world.served as f64 / world.asked as f64;
+        assert!(part > 0.7, "seed {seed}: {part:.2} served");
+    }
+}
--- a/crates/exchange/tests/soak/engine.rs
+++ b/crates/exchange/tests/soak/engine.rs
@@ -17,6 +17,8 @@
 pub struct Engine {
     pub id: Upstream,
     pub slow: u32,
+    /// Whether it refuses old numbers.
+    pub fenced: bool,
     born: u64,
     fence: Fence,
     based: bool,
@@ -28,6 +30,8 @@
     leaving: Option<Target>,
     /// Orders that were taken: when, by whom, under which number.
     log: Vec<(Time, Vm, Fence)>,
+    /// When it took a lower number after a higher one.
+    pub lowered: Vec<Time>,
     /// Orders that would have crashed it.
     pub overfilled: usize,
     /// Unloads of what was in use, and of what was not.
@@ -35,10 +39,11 @@
 }
 
 impl Engine {
-    pub fn new(id: &str) -> Self {
+    pub fn new(id: &str, fenced: bool) -> Self {
         Self {
             id: id.into(),
             slow: 1,
+            fenced,
             born: 1,
             fence: 0,
             based: true,
@@ -47,6 +52,7 @@
             running: Vec::new(),
             leaving: None,
             log: Vec::new(),
+            lowered: Vec::new(),
             overfilled: 0,
             unloads: (0, 0),
         }
@@ -115,9 +121,12 @@
     pub fn order(&mut self, now: Time, from: &Vm, fence: Fence, order: &Order) -> Answer {
         self.pass(now);
         if fence < self.fence {
-            return Answer::Fenced;
+            if self.fenced {
+                return Answer::Fenced;
+            }
+            self.lowered.push(now);
         }
-        self.fence = fence;
+        self.fence = self.fence.max(fence);
         self.log.push((now, from.clone(), fence));
         let target = order.target();
         let coming = self.coming.iter().any(|(coming, _)| coming == target);
--- a/crates/exchange/tests/soak/mod.rs
+++ b/crates/exchange/tests/soak/mod.rs
@@ -33,6 +33,9 @@
 /// Time after which the others notice that a node is gone or back.
 const NOTICED: Duration = ms(1_200);
 
+/// Time after which a node that starts, or is no longer cut off, knows the others.
+const JOINED: Duration = ms(300);
+
 /// Time after which a changed engine shows in what nodes read of the platform.
 const LISTED: Duration = ms(600);
 
@@ -51,6 +54,8 @@
     Slow(u32, Duration),
     /// A node's wall clock jumps by so many seconds.
     Clock(usize, i64),
+    /// A node is cut off from the others, but not from engines, and does not notice.
+    Cut(usize, Duration),
 }
 
 struct Node {
@@ -62,6 +67,8 @@
     life: u32,
     alive: bool,
     frozen: Time,
+    /// Until when it is cut off from the others.
+    cut: Time,
 }
 
 #[derive(Debug)]
@@ -75,6 +82,8 @@
     End(usize, u32, Upstream, Visit),
     List(usize),
     View,
+    /// A node that has just started learns who lives.
+    Join(usize, u32),
     Fault(Fault),
     Calm,
     Store,
@@ -95,8 +104,18 @@
 }
 
 impl World {
+    /// A world whose engines refuse old numbers.
     pub fn new(seed: u64) -> Self {
-        let engines = (0..ENGINES).map(|index| Engine::new(&format!("e{index}")));
+        Self::with(seed, true)
+    }
+
+    /// A world whose engines do not look at numbers.
+    pub fn unfenced(seed: u64) -> Self {
+        Self::with(seed, false)
+    }
+
+    fn with(seed: u64, fenced: bool) -> Self {
+        let engines = (0..ENGINES).map(|index| Engine::new(&format!("e{index}"), fenced));
         let mut world = Self {
             now: ms(1_000),
             random: StdRng::seed_from_u64(seed),
@@ -125,14 +144,19 @@
             fleet.list(self.now, engine.listing());
         }
         fleet.configure(&config(Vec::new()));
+        let settings = owner::Config {
+            fenced: self.engines.iter().all(|engine| engine.fenced),
+            ..owner_config(&vm, index as u64 + 1)
+        };
         Node {
-            owner: Owner::new(owner_config(&vm, index as u64 + 1)),
+            owner: Owner::new(settings),
             vm: vm.into(),
             fleet,
             wall: 1_800_000_000,
             life,
             alive: true,
             frozen: Time::ZERO,
+            cut: Time::ZERO,
         }
     }
 
@@ -207,6 +231,7 @@
             Due::End(node, life, runner, visit) => self.end(node, life, &runner, &visit),
             Due::List(index) => self.list(index),
             Due::View => self.view(),
+            Due::Join(node, life) => self.join(node, life),
             Due::Fault(fault) => self.break_down(fault),
             Due::Calm => self.loss = 0.0,
             Due::Store => self.engines.iter_mut().for_each(|engine| engine.slow = 1),
@@ -232,7 +257,8 @@
             Action::Send { to, message } => {
                 let lost = self.random.random_bool(self.loss);
                 let addressee = self.nodes.iter().position(|known| known.vm == to);
-                if let Some(index) = addressee.filter(|_| !lost) {
+                let cut = |index: &usize| self.cut(*index) || self.cut(node);
+                if let Some(index) = addressee.filter(|index| !lost && !cut(index)) {
                     let from = self.nodes[node].vm.clone();
                     let event = Event::Receive { from, message };
                     let life = self.nodes[index].life;
@@ -252,6 +278,10 @@
         }
     }
 
+    fn cut(&self, node: usize) -> bool {
+        self.now < self.nodes[node].cut
+    }
+
     fn order(&mut self, node: usize, life: u32, runner: &Upstream, fence: Fence, order: Order) {
         let vm = self.nodes[node].vm.clone();
         let lost = self.random.random_bool(self.loss);
@@ -369,23 +399,20 @@
     }
 
     fn view(&mut self) {
-        let live: Vec<Vm> = self
-            .nodes
-            .iter()
-            .filter(|node| node.alive)
-            .map(|node| node.vm.clone())
-            .collect();
-        let fit = live.len() * 2 > NODES;
-        for index in 0..NODES {
-            let life = self.nodes[index].life;
-            let event = Event::View {
-                live: live.clone(),
-                fit,
-            };
-            self.plan(ms(1), Due::Step(index, life, event));
+        let told: Vec<usize> = (0..NODES).filter(|index| !self.cut(*index)).collect();
+        for index in told {
+            self.join(index, self.nodes[index].life);
         }
     }
 
+    /// Tells a node who lives, as far as the others hear of them.
+    fn join(&mut self, node: usize, life: u32) {
+        let seen = (0..NODES).filter(|index| self.nodes[*index].alive && !self.cut(*index));
+        let live: Vec<Vm> = seen.map(|index| self.nodes[index].vm.clone()).collect();
+        let fit = live.len() * 2 > NODES;
+        self.plan(ms(1), Due::Step(node, life, Event::View { live, fit }));
+    }
+
     fn break_down(&mut self, fault: Fault) {
         match fault {
             Fault::Kill(index, off) => {
@@ -399,6 +426,7 @@
                     self.nodes[index] = self.node(index, life);
                     self.nodes[index].wall = wall;
                     self.plan(ms(10), Due::Tick(index, life));
+                    self.plan(JOINED, Due::Join(index, life));
                 }
                 self.plan(NOTICED, Due::View);
             }
@@ -420,6 +448,11 @@
                 self.plan(time, Due::Store);
             }
             Fault::Clock(index, seconds) => self.nodes[index].wall += seconds,
+            Fault::Cut(index, time) => {
+                self.nodes[index].cut = self.now + time;
+                self.plan(NOTICED, Due::View);
+                self.plan(time + JOINED, Due::View);
+            }
         }
     }
 
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -258,8 +258,10 @@
         let enough = live.len() * 2 > self.seeds.known();
         let now = self.hub.clock.now();
         let settled = self.met_at.is_some_and(|at| now >= at + SETTLE);
-        let fit =
-            settled && self.roster.fit() && (enough || self.hub.store_silence() < STORE_SILENCE);
+        // Both parts of a split fleet may hear of the platform.
+        let fenced = self.hub.exchange.fenced;
+        let informed = fenced && self.hub.store_silence() < STORE_SILENCE;
+        let fit = settled && self.roster.fit() && (enough || informed);
         let shown = Some((live.clone(), leaving.clone(), fit));
         if self.shown == shown {
             return;
