Pass over nodes that may not claim yet where engines do not look at fencing numbers

A node that has just started may claim nothing for the lease. As the first of an engine's rendezvous order it kept the engine without orders for that time, since the others waited for it. It now announces itself as idle, and the next one claims; while few nodes may claim, as after the start of a whole fleet, a claim waits for a whole announcement, so that the first ones do not take all.

--- a/crates/exchange/src/owner/claim.rs
+++ b/crates/exchange/src/owner/claim.rs
@@ -30,16 +30,21 @@
         self.drop_gone(fleet, out);
         self.barred.retain(|(_, until)| now < *until);
         self.refused.retain(|(id, _)| fleet.runner(id).is_some());
-        let Config { me, fenced, .. } = &self.config;
-        let informed = *fenced || self.contact.complete(me, &self.live);
-        if !self.fit || !self.may_order(now) || !informed {
+        if !self.fit || !self.may_order(now) || !self.informed() {
             self.vacant.clear();
             return;
         }
+        let claimers = self.claimers();
+        // While few may claim, more are about to, and the first ones would take all engines.
+        let wait = if claimers.len() * 2 > self.live.len() {
+            SETTLE
+        } else {
+            ANNOUNCE
+        };
         for runner in fleet.runners() {
             let id = &runner.listing.id;
             let vacant = runner.listing.engine && runner.open() && self.holder(id).is_none();
-            let first = || rank::first(rank::hash(id.as_bytes()), &self.live);
+            let first = || rank::first(rank::hash(id.as_bytes()), &claimers);
             if !vacant || first() != Some(&self.config.me) {
                 self.vacant.retain(|(vacant, _)| vacant != id);
                 continue;
@@ -48,12 +53,27 @@
                 continue;
             }
             let since = self.vacant_since(now, id);
-            if now >= self.free_from(id).max(since + SETTLE) {
+            if now >= self.free_from(id).max(since + wait) {
                 self.take(now, id.clone(), wall, out);
             }
         }
     }
 
+    /// Tells whether this node knows all claims, or engines would refuse its orders.
+    fn informed(&self) -> bool {
+        let Config { me, fenced, .. } = &self.config;
+        *fenced || self.contact.complete(me, &self.live)
+    }
+
+    /// Returns the nodes that may claim engines.
+    fn claimers(&self) -> Vec<Vm> {
+        let Config { me, fenced, .. } = &self.config;
+        if *fenced {
+            return self.live.clone();
+        }
+        self.contact.claimers(me, &self.live)
+    }
+
     /// Returns when the last order of a former holder has ended. One that was not heard to release
     /// an engine may order there until it notices that it is alone, which only an engine that looks
     /// at the number refuses.
@@ -137,18 +157,27 @@
     }
 
     pub(super) fn tell_claims(&self, out: &mut Vec<Action>) {
-        self.tell(&Message::Claims(self.own_claims()), out);
+        self.tell(&self.announcement(), out);
+    }
+
+    fn announcement(&self) -> Message {
+        if self.seats.is_empty() && !self.safe(self.now) {
+            Message::Idle
+        } else {
+            Message::Claims(self.own_claims())
+        }
     }
 
-    /// Takes a peer's claims in; the higher number wins.
+    /// Takes a peer's claims in, none where it does not claim yet; the higher number wins.
     pub(super) fn hear(
         &mut self,
         now: Time,
         from: &Vm,
-        claims: Vec<(Upstream, Fence)>,
+        claims: Option<Vec<(Upstream, Fence)>>,
         out: &mut Vec<Action>,
     ) {
-        let before = self.contact.hear(now, from);
+        let before = self.contact.hear(now, from, claims.is_some());
+        let claims = claims.unwrap_or_default();
         // A node that the view lacks is told what this one claims, since nobody else may do so.
         let recent = before.is_some_and(|before| now < before + ANNOUNCE);
         let mut contested = !recent && !self.lives(from) && !self.parting.contains(from);
@@ -175,7 +204,7 @@
         if contested {
             out.push(Action::Send {
                 to: from.clone(),
-                message: Message::Claims(self.own_claims()),
+                message: self.announcement(),
             });
         }
         if !used.is_empty() {
--- a/crates/exchange/src/owner/contact.rs
+++ b/crates/exchange/src/owner/contact.rs
@@ -13,22 +13,37 @@
 /// Time for which a node that has gone silent is remembered.
 const REMEMBERED: Duration = Duration::from_secs(60);
 
+/// The last announcement of a node.
+#[derive(Clone, Debug)]
+struct Heard {
+    vm: Vm,
+    at: Time,
+    /// Whether it claims engines.
+    claims: bool,
+}
+
 /// When this node last heard from each other one.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Contact {
     /// Sorted by node.
-    heard: Vec<(Vm, Time)>,
+    heard: Vec<Heard>,
     /// Since when this node has been in touch with most nodes.
     since: Option<Time>,
 }
 
 impl Contact {
-    /// Notes an announcement of `vm`. Returns when the one before it came.
-    pub(super) fn hear(&mut self, now: Time, vm: &Vm) -> Option<Time> {
+    /// Notes an announcement of `vm`, which may claim engines or not yet. Returns when the one
+    /// before it came.
+    pub(super) fn hear(&mut self, now: Time, vm: &Vm, claims: bool) -> Option<Time> {
+        let heard = Heard {
+            vm: vm.clone(),
+            at: now,
+            claims,
+        };
         match self.find(vm) {
-            Ok(index) => Some(std::mem::replace(&mut self.heard[index].1, now)),
+            Ok(index) => Some(std::mem::replace(&mut self.heard[index], heard).at),
             Err(index) => {
-                self.heard.insert(index, (vm.clone(), now));
+                self.heard.insert(index, heard);
                 None
             }
         }
@@ -36,7 +51,7 @@
 
     /// Takes the time and the live nodes in; `fit` tells whether this node may claim at all.
     pub(super) fn update(&mut self, now: Time, me: &Vm, live: &[Vm], fit: bool) {
-        self.heard.retain(|(_, at)| now < *at + REMEMBERED);
+        self.heard.retain(|heard| now < heard.at + REMEMBERED);
         let reached = |vm: &&Vm| *vm == me || self.last(vm).is_some_and(|at| now < at + HEARD);
         let most = live.iter().filter(reached).count() * 2 > live.len();
         self.since = if fit && most {
@@ -61,12 +76,21 @@
         live.iter().all(|vm| vm == me || self.find(vm).is_ok())
     }
 
+    /// Returns the nodes out of `live` that may claim engines; this one is asked only where it may.
+    pub(super) fn claimers(&self, me: &Vm, live: &[Vm]) -> Vec<Vm> {
+        let claims = |vm: &&Vm| {
+            let found = self.find(vm).ok();
+            *vm == me || found.is_some_and(|index| self.heard[index].claims)
+        };
+        live.iter().filter(claims).cloned().collect()
+    }
+
     fn last(&self, vm: &Vm) -> Option<Time> {
         let index = self.find(vm).ok()?;
-        Some(self.heard[index].1)
+        Some(self.heard[index].at)
     }
 
     fn find(&self, vm: &Vm) -> Result<usize, usize> {
-        self.heard.binary_search_by(|(known, _)| known.cmp(vm))
+        self.heard.binary_search_by(|heard| heard.vm.cmp(vm))
     }
 }
--- a/crates/exchange/src/owner/message.rs
+++ b/crates/exchange/src/owner/message.rs
@@ -49,6 +49,8 @@
 pub enum Message {
     /// All engines that the sender orders at, with its fencing numbers.
     Claims(Vec<(Upstream, Fence)>),
+    /// The sender orders at no engine, and does not claim one yet.
+    Idle,
     /// What an engine that the sender orders at holds.
     Holdings {
         /// The engine.
--- a/crates/exchange/src/owner/mod.rs
+++ b/crates/exchange/src/owner/mod.rs
@@ -460,7 +460,8 @@
         out: &mut Vec<Action>,
     ) {
         match message {
-            Message::Claims(claims) => self.hear(now, from, claims, out),
+            Message::Claims(claims) => self.hear(now, from, Some(claims), out),
+            Message::Idle => self.hear(now, from, None, out),
             Message::Holdings { runner, holdings } => {
                 if self.seat(&runner).is_none() {
                     out.push(Action::Holdings { runner, holdings });
