--- a/crates/exchange/src/owner/contact.rs
+++ b/crates/exchange/src/owner/contact.rs
@@ -49,16 +49,19 @@
         }
     }
 
-    /// Takes the time and the live nodes in; `fit` tells whether this node may claim at all.
-    pub(super) fn update(&mut self, now: Time, me: &Vm, live: &[Vm], fit: bool) {
+    /// Takes the time and the live nodes in; `fit` tells whether this node may claim at all. Returns
+    /// whether this node is in touch with most nodes from now on, where that has changed.
+    pub(super) fn update(&mut self, now: Time, me: &Vm, live: &[Vm], fit: bool) -> Option<bool> {
         self.heard.retain(|heard| now < heard.at + REMEMBERED);
         let reached = |vm: &&Vm| *vm == me || self.last(vm).is_some_and(|at| now < at + HEARD);
         let most = live.iter().filter(reached).count() * 2 > live.len();
+        let before = self.since.is_some();
         self.since = if fit && most {
             self.since.or(Some(now))
         } else {
             None
         };
+        (self.since.is_some() != before).then_some(!before)
     }
 
     /// Begins anew after a pause, in which nothing was heard.
--- a/crates/exchange/src/owner/mod.rs
+++ b/crates/exchange/src/owner/mod.rs
@@ -225,6 +225,8 @@
     Yielded(Upstream, &'static str),
     /// A target is evicted for another.
     Evicted(Upstream, Target, f64),
+    /// This node is in touch with most nodes from now on, or no longer.
+    Contact(bool),
     /// An order failed.
     Failed(Upstream, Target, Answer),
 }
@@ -407,7 +409,9 @@
             Event::Due => {}
             Event::Tick { wall } => {
                 let Config { me, .. } = &self.config;
-                self.contact.update(now, me, &self.live, self.fit);
+                let changed = self.contact.update(now, me, &self.live, self.fit);
+                let noted = changed.filter(|_| !self.config.fenced);
+                out.extend(noted.map(|reached| Action::Note(Note::Contact(reached))));
                 self.claim(now, fleet, wall, out);
                 self.announce(now, fleet, out);
             }
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -255,7 +255,9 @@
         let leaving = self.view.peers().iter();
         let leaving = leaving.filter(|peer| peer.state == PeerState::Leaving);
         let leaving: Vec<Vm> = leaving.map(|peer| peer.incarnation.vm.clone()).collect();
-        let enough = live.len() * 2 > self.seeds.known();
+        // Nodes that leave order nothing any more.
+        let others = self.seeds.known().saturating_sub(leaving.len());
+        let enough = live.len() * 2 > others;
         let now = self.hub.clock.now();
         let settled = self.met_at.is_some_and(|at| now >= at + SETTLE);
         // Both parts of a split fleet may hear of the platform.
--- a/crates/gateway/src/hub/grant.rs
+++ b/crates/gateway/src/hub/grant.rs
@@ -191,6 +191,7 @@
         Note::Evicted(upstream, model, value) => {
             info!(target: DECISION, upstream:%, model:%, uses:% = value; "evict");
         }
+        Note::Contact(reached) => info!(target: DECISION, reached; "contact"),
         Note::Failed(upstream, model, answer) => {
             info!(target: DECISION, upstream:%, model:%, answer:?; "order-failed");
         }
