Reset a connection that is closed in the middle of an exchange

An order that had gone into a partition was given up after 0.7 s, its engine was claimed again by a higher number, and the old order arrived 3 s after the partition had healed, behind newer ones.

Cause: a closed socket goes on delivering what was written to it, for as long as the system retries. A reset drops it. The same held for requests: a stream that had gone elsewhere, or whose caller had left, could still reach the first upstream.

given_up_call_is_reset fails without the change (the upstream sees a clean end) and passes with it; a connection whose exchange is over is closed as before.

--- a/crates/upstream/src/link/body.rs
+++ b/crates/upstream/src/link/body.rs
@@ -157,6 +157,7 @@
 
     fn give_back(&mut self) {
         if let Some((conn, home)) = self.open.take() {
+            conn.finish();
             home.pool.give(conn);
         }
     }
--- a/crates/upstream/src/link/conn.rs
+++ b/crates/upstream/src/link/conn.rs
@@ -5,7 +5,7 @@
 use std::io;
 use std::pin::{Pin, pin};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -24,7 +24,7 @@
     sender: SendRequest<Full<Bytes>>,
     driver: Pin<Box<Connection<TokioIo<Counter>, Full<Bytes>>>>,
     closed: bool,
-    written: Arc<AtomicU64>,
+    traffic: Arc<Traffic>,
     /// When its last exchange ended; `None` before the first one.
     pub(super) used: Option<Instant>,
 }
@@ -32,10 +32,10 @@
 impl Conn {
     /// Prepares HTTP on an open stream; nothing is written.
     pub(super) async fn open(stream: TcpStream, head_bytes: usize) -> hyper::Result<Self> {
-        let written = Arc::new(AtomicU64::new(0));
+        let traffic = Arc::new(Traffic::default());
         let counter = Counter {
             stream,
-            written: written.clone(),
+            traffic: traffic.clone(),
         };
         let (sender, driver) = Builder::new()
             .max_buf_size(head_bytes)
@@ -45,14 +45,19 @@
             sender,
             driver: Box::pin(driver),
             closed: false,
-            written,
+            traffic,
             used: None,
         })
     }
 
     /// Returns the bytes handed to the system so far.
     pub(super) fn written(&self) -> u64 {
-        self.written.load(Ordering::Relaxed)
+        self.traffic.written.load(Ordering::Relaxed)
+    }
+
+    /// Notes that the exchange is over: both the request and its answer are whole.
+    pub(super) fn finish(&self) {
+        self.traffic.busy.store(false, Ordering::Relaxed);
     }
 
     /// Returns how long ago its last exchange ended.
@@ -65,6 +70,7 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> hyper::Result<Response<Incoming>> {
+        self.traffic.busy.store(true, Ordering::Relaxed);
         let mut answer = pin!(self.sender.send_request(request));
         poll_fn(|cx| {
             poll_driver(&mut self.driver, &mut self.closed, cx);
@@ -108,15 +114,38 @@
     }
 }
 
+/// What goes over a connection.
+#[derive(Debug, Default)]
+struct Traffic {
+    /// Bytes written.
+    written: AtomicU64,
+    /// Whether an exchange is under way.
+    busy: AtomicBool,
+}
+
 /// A stream that counts the bytes written.
+///
+/// Closed in the middle of an exchange, it is reset: what has not arrived yet is dropped, where it
+/// would otherwise be delivered however late, after what was decided since.
 struct Counter {
     stream: TcpStream,
-    written: Arc<AtomicU64>,
+    traffic: Arc<Traffic>,
 }
 
 impl Counter {
     fn count(&self, bytes: usize) {
-        self.written.fetch_add(bytes as u64, Ordering::Relaxed);
+        self.traffic
+            .written
+            .fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+}
+
+impl Drop for Counter {
+    fn drop(&mut self) {
+        if self.traffic.busy.load(Ordering::Relaxed) {
+            // A socket that takes no options is closed already.
+            let _ = self.stream.set_zero_linger();
+        }
     }
 }
 
