Ask whether an order is still permitted once its connection is there

To open a connection may take half a second, and the claim was checked before that only. Link::send_if asks right before the first byte; unwanted_call_is_not_written.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -10,7 +10,8 @@
 
 use crate::dialect;
 
-/// Sends one call and reads the whole answer, whose head has to come within `limit`.
+/// Sends one call, if `wanted` still holds when it can be written, and reads the whole answer, whose
+/// head has to come within `limit`.
 ///
 /// # Errors
 ///
@@ -19,6 +20,7 @@
     link: &Link,
     call: dialect::Call,
     limit: Duration,
+    wanted: impl FnOnce() -> bool,
 ) -> Result<(StatusCode, Bytes), Error> {
     let mut request = Request::builder().method(call.method).uri(call.path);
     for (name, value) in call.headers {
@@ -30,15 +32,15 @@
             upstream: link.upstream().clone(),
             cause: error.to_string(),
         })?;
-    let sent = link.send(Call {
+    let call = Call {
         class: Class::Control,
         // Reads may be repeated, and so may orders, since they name the state that they ask for.
         reuse: Reuse::Kept,
         host: Host::Upstream,
         head: Some(limit),
         request,
-    });
-    let response = sent.await?;
+    };
+    let response = link.send_if(call, wanted).await?;
     let status = response.status();
     let body = response.into_body().collect().await?;
     Ok((status, body))
--- a/crates/gateway/src/control/engines.rs
+++ b/crates/gateway/src/control/engines.rs
@@ -49,7 +49,12 @@
         return Answer::Misdirected;
     };
     let call = hub.dialect.order(runner, &hub.me.vm, fence, order);
-    match send(&link, call, ANSWER).await {
+    // To open a connection takes time, in which the claim may have ended.
+    let permitted = || {
+        let now = hub.clock.now();
+        hub.desk().owner.permits(now, runner, fence)
+    };
+    match send(&link, call, ANSWER, permitted).await {
         Ok((status, _)) => hub.dialect.ordered(status),
         Err(error) if error.reach() == Reach::NotSent => Answer::Unreached,
         Err(_) => Answer::Unknown,
@@ -68,7 +73,8 @@
     let Some(link) = control_link(hub, runner) else {
         return false;
     };
-    let Ok((status, body)) = send(&link, hub.dialect.inspection(runner), ANSWER).await else {
+    let Ok((status, body)) = send(&link, hub.dialect.inspection(runner), ANSWER, || true).await
+    else {
         return false;
     };
     if !status.is_success() {
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -232,7 +232,7 @@
 
     async fn read(&mut self, call: Call, limit: Duration) -> Result<bytes::Bytes, Error> {
         self.last = Instant::now();
-        let (status, body) = send(&self.link, call, limit).await?;
+        let (status, body) = send(&self.link, call, limit, || true).await?;
         match status {
             StatusCode::OK => {
                 self.answered();
--- a/crates/upstream/src/error.rs
+++ b/crates/upstream/src/error.rs
@@ -144,6 +144,12 @@
         /// What is wrong with it.
         cause: String,
     },
+    /// The caller no longer wanted the request sent once its connection was there.
+    #[error("a request to {upstream} was withdrawn before it was sent; decide anew")]
+    Withdrawn {
+        /// The upstream.
+        upstream: Upstream,
+    },
     /// The request cannot be expressed in HTTP.
     #[error("request to {upstream} is invalid ({cause}); correct its path and headers")]
     Invalid {
@@ -164,6 +170,7 @@
             | Self::Absent { .. }
             | Self::Fenced { .. }
             | Self::Leaving { .. }
+            | Self::Withdrawn { .. }
             | Self::Invalid { .. } => Reach::NotSent,
             Self::Refused { .. }
             | Self::Failed { .. }
--- a/crates/upstream/src/link/mod.rs
+++ b/crates/upstream/src/link/mod.rs
@@ -225,10 +225,29 @@
     ///
     /// Returns an [`Error`] whose [`Error::reach`] tells whether a byte was written.
     pub async fn send(&self, call: Call) -> Result<Response<Body>, Error> {
+        self.send_if(call, || true).await
+    }
+
+    /// Sends one request once, if `wanted` still holds when its connection is there: to open one may
+    /// take as long as [`Limits::connect`].
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Withdrawn`] where it no longer holds, and what [`Link::send`] returns.
+    pub async fn send_if(
+        &self,
+        call: Call,
+        wanted: impl FnOnce() -> bool,
+    ) -> Result<Response<Body>, Error> {
         let pool = self.pool(call.class);
         let permit = self.permit(pool)?;
         let request = self.address_request(call.request, call.host)?;
         let mut conn = self.connection(pool, call.reuse).await?;
+        if !wanted() {
+            return Err(Error::Withdrawn {
+                upstream: self.upstream.clone(),
+            });
+        }
         let limit = call.head.unwrap_or(self.limits.head);
         let used = conn.used;
         let before = conn.written();
--- a/crates/upstream/tests/abandoned_calls.rs
+++ b/crates/upstream/tests/abandoned_calls.rs
@@ -1,4 +1,6 @@
-//! What becomes of a call that is given up.
+//! What becomes of a call that is given up, or no longer wanted when its connection is there.
+
+mod support;
 
 use std::io::ErrorKind;
 use std::time::Duration;
@@ -7,10 +9,11 @@
 use http_body_util::Full;
 use hyper::Request;
 use rstest::rstest;
+use support::{Act, count, serve};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use upstream::link::{Call, Class, Host, Link, Reuse};
-use upstream::Limits;
+use upstream::{Error, Limits, Reach};
 
 const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
 
@@ -66,3 +69,14 @@
     let ((), ended) = tokio::join!(client, server);
     assert_eq!(ended, expected);
 }
+
+#[tokio::test]
+async fn unwanted_call_is_not_written() {
+    let (address, seen) = serve(vec![Act::Request, Act::Hold]).await;
+    let link = Link::new("upstream-1", address, Limits::default());
+    let error = link.send_if(call(), || false).await.unwrap_err();
+    assert!(matches!(error, Error::Withdrawn { .. }), "{error}");
+    assert_eq!(error.reach(), Reach::NotSent);
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert_eq!(count(&seen.requests), 0);
+}
