Keep an adapter for two seconds beyond the overrun of its runs

A run of a short answer behind long prompts takes many times what is expected of it, and one unload in use costs its engine all orders for about a second. slow_run_keeps_its_adapter::case_2 fails without the change.

--- a/crates/exchange/src/owner/seat.rs
+++ b/crates/exchange/src/owner/seat.rs
@@ -51,6 +51,10 @@
     }
 }
 
+/// Time that is added to that: an engine that reads long prompts meanwhile makes short runs many times
+/// longer.
+const OVERRUN_MIN: Duration = Duration::from_millis(2_000);
+
 /// A request that was let in, should nobody say that it is over: that word may be lost.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Span {
@@ -72,7 +76,7 @@
             start,
             time,
             end: start + stretched,
-            latest: start + stretched * OVERRUN,
+            latest: start + stretched * OVERRUN + OVERRUN_MIN,
         }
     }
 
