Tell of a full engine at once, and let requests leave it for another

Tests: place_waits.rs (full_engine_says_so_at_once, request_leaves_a_full_home, need_that_went_elsewhere_is_dropped).

--- a/crates/exchange/src/owner/load.rs
+++ b/crates/exchange/src/owner/load.rs
@@ -5,7 +5,7 @@
 use wire::{Fence, Time, Upstream, Vm};
 
 use super::seat::{Seat, Stage, Want};
-use super::{Action, Answer, Note, Order, Owner};
+use super::{Action, Answer, Message, Note, Order, Owner};
 use crate::demand::Target;
 use crate::fleet::{Fleet, LISTING_LAG, Presence, Runner};
 
@@ -58,9 +58,34 @@
             }
             _ => {}
         }
-        match self.seat_mut(&runner) {
-            Some(seat) => seat.want(now, target, rank, from),
-            None => self.answer(now, from, &runner, &target, Presence::Absent, out),
+        let waits = self.seat_mut(&runner).is_some_and(|seat| {
+            let waits = !seat.vacancy(now).is_zero();
+            seat.want(now, target.clone(), rank, from);
+            waits
+        });
+        // Whoever asks may find a place elsewhere sooner.
+        if waits || self.seat(&runner).is_none() {
+            self.answer(now, from, &runner, &target, Presence::Absent, out);
+        }
+    }
+
+    /// Drops a need of a peer, or passes one of this node on.
+    pub(super) fn unwant(
+        &mut self,
+        from: &Vm,
+        runner: Upstream,
+        target: Target,
+        out: &mut Vec<Action>,
+    ) {
+        if let Some(seat) = self.seat_mut(&runner) {
+            return seat.unwant(&target, from);
+        }
+        let holder = self.holder(&runner).cloned();
+        if let Some(to) = holder.filter(|_| *from == self.config.me) {
+            out.push(Action::Send {
+                to,
+                message: Message::Unwant { runner, target },
+            });
         }
     }
 
@@ -77,6 +102,9 @@
             if seat.born != runner.listing.born {
                 seat.restart(now, runner.listing.born);
             }
+            if let Some(engine) = &runner.engine {
+                seat.room = engine.places.saturating_sub(SPARE_PLACES);
+            }
             seat.wants.retain(|want| now < want.since + WANT_MAX_AGE);
             if !matches!(seat.stage, Stage::Open(at) if at <= now) {
                 continue;
@@ -105,7 +133,7 @@
         runner: &Runner,
         out: &mut Vec<Action>,
     ) -> Option<Order> {
-        let engine = runner.engine.as_ref()?;
+        runner.engine.as_ref()?;
         let base = runner.held().find(|(target, _)| target.adapter.is_none());
         let Some((base, present)) = base else {
             // The first order to an empty engine is its base model's load.
@@ -133,8 +161,7 @@
         let seat = &mut self.seats[index];
         let want = best(now, &mut seat.wants, runner, fleet)?.clone();
         let replaces = seat.ledger.binary_search(&want.target).is_ok();
-        let room = engine.places.saturating_sub(SPARE_PLACES);
-        if replaces || seat.ledger.len() < room {
+        if replaces || seat.ledger.len() < seat.room {
             let version = fleet.newest(&want.target);
             return Some(Order::Load(want.target, version));
         }
--- a/crates/exchange/src/owner/message.rs
+++ b/crates/exchange/src/owner/message.rs
@@ -69,6 +69,13 @@
         /// Rank of the request.
         rank: u8,
     },
+    /// A request of the sender needs a target there no longer.
+    Unwant {
+        /// The engine.
+        runner: Upstream,
+        /// What was needed.
+        target: Target,
+    },
     /// A request of the sender wants to be let in at an engine.
     Ask {
         /// Number of the question.
--- a/crates/exchange/src/owner/mod.rs
+++ b/crates/exchange/src/owner/mod.rs
@@ -95,6 +95,13 @@
         /// Rank of the request; 0 goes first.
         rank: u8,
     },
+    /// A request of this node needs `target` at `runner` no longer.
+    Unwant {
+        /// The engine.
+        runner: Upstream,
+        /// What was needed.
+        target: Target,
+    },
     /// An order was answered.
     Answered {
         /// The engine.
@@ -400,6 +407,10 @@
                 target,
                 rank,
             } => self.want(now, fleet, runner, target, rank, out),
+            Event::Unwant { runner, target } => {
+                let me = self.config.me.clone();
+                self.unwant(&me, runner, target, out);
+            }
             Event::Answered {
                 runner,
                 fence,
@@ -481,6 +492,7 @@
                 target,
                 rank,
             } => self.asked(now, fleet, from, runner, target, rank, out),
+            Message::Unwant { runner, target } => self.unwant(from, runner, target, out),
             Message::Stock {
                 runner,
                 target,
--- a/crates/exchange/src/owner/seat.rs
+++ b/crates/exchange/src/owner/seat.rs
@@ -55,6 +55,9 @@
 /// longer.
 const OVERRUN_MIN: Duration = Duration::from_millis(2_000);
 
+/// Time after which a request that should be over is expected to be.
+const STILL_RUNNING: Duration = Duration::from_millis(100);
+
 /// A request that was let in, should nobody say that it is over: that word may be lost.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Span {
@@ -206,6 +209,8 @@
     /// Adapters that may take a place, sorted. Only the engine's own word takes one off: listings
     /// may be older than the orders given since.
     pub(super) ledger: Vec<Target>,
+    /// Adapters that may take a place at a time.
+    pub(super) room: usize,
     /// When the ledger has to be checked against the engine's report, since an order's outcome is
     /// not known.
     pub(super) doubt: Option<Time>,
@@ -229,6 +234,7 @@
             raised: false,
             wants: Vec::new(),
             ledger: Vec::new(),
+            room: usize::MAX,
             doubt: None,
             flights: Vec::new(),
             uses: Vec::new(),
@@ -340,10 +346,49 @@
         }
     }
 
+    /// Drops a need of `asker`.
+    pub(super) fn unwant(&mut self, target: &Target, asker: &Vm) {
+        if let Some(want) = self.wants.iter_mut().find(|want| want.target == *target) {
+            want.askers.retain(|known| known != asker);
+            want.asked = want.asked.saturating_sub(1);
+        }
+        self.wants.retain(|want| !want.askers.is_empty());
+    }
+
     /// Returns the time until another adapter could be there, with `load` for each load ahead.
     pub(super) fn backlog(&self, now: Time, load: Duration) -> Duration {
         let ahead = u32::try_from(self.wants.len()).unwrap_or(u32::MAX);
-        self.loaded_at.saturating_sub(now) + load * ahead.saturating_add(1)
+        let loads = self.loaded_at.saturating_sub(now) + load * ahead.saturating_add(1);
+        loads.max(self.vacancy(now) + load)
+    }
+
+    /// Returns the time until there is a place for one adapter more than those that are wanted.
+    pub(super) fn vacancy(&self, now: Time) -> Duration {
+        let free = self.room.saturating_sub(self.ledger.len());
+        let Some(evictions) = (self.wants.len() + 1).checked_sub(free).filter(|n| *n > 0) else {
+            return Duration::ZERO;
+        };
+        let ends = self
+            .ledger
+            .iter()
+            .map(|target| self.unused_from(now, target));
+        let mut ends: Vec<Time> = ends.collect();
+        ends.sort_unstable();
+        let last = ends.get(evictions - 1).or(ends.last());
+        last.map_or(Duration::ZERO, |end| end.saturating_sub(now))
+    }
+
+    /// Returns when `target` is expected to be used no longer.
+    fn unused_from(&self, now: Time, target: &Target) -> Time {
+        let found = self.find_use(target).ok();
+        let usage = found.map(|index| &self.uses[index].1);
+        let Some(usage) = usage.filter(|usage| usage.in_use(now)) else {
+            return now;
+        };
+        let ends = usage.spans.iter().map(|span| span.end);
+        let last = ends.max().unwrap_or_default().max(usage.awaited);
+        // What should be over by now may be so at any moment.
+        last.max(now + STILL_RUNNING)
     }
 
     /// Notes that an adapter may take a place.
--- a/crates/gateway/src/front/place.rs
+++ b/crates/gateway/src/front/place.rs
@@ -78,7 +78,7 @@
                 }
                 Pick::Load(runner) => {
                     if let Some(target) = &target {
-                        let runner = self.home(runner);
+                        let runner = self.home(runner, target);
                         self.want(&runner, target).await;
                     }
                 }
@@ -157,17 +157,31 @@
         }
     }
 
-    /// Returns the engine at which a load was asked for already, as long as it takes requests, or
-    /// else `runner`: a second load would take the place of another adapter's.
-    fn home(&mut self, runner: Upstream) -> Upstream {
+    /// Returns the engine at which the request's load is asked for: the one where it was asked for
+    /// already, as long as that takes requests, since a second load would take the place of another
+    /// adapter's; or else `runner`, which also takes the place of one that has none free.
+    fn home(&mut self, runner: Upstream, target: &Target) -> Upstream {
         let desk = self.hub.desk();
         let open = |id: &Upstream| {
             let known = desk.fleet.runner(id);
             known.is_some_and(|known| known.open() && desk.owner.holder(id).is_some())
         };
         let kept = self.home.as_ref().filter(|id| open(id)).cloned();
-        let home = kept.unwrap_or(runner);
         drop(desk);
+        let leaves = kept.as_ref().is_some_and(|kept| *kept != runner) && self.moved < MOVES_MAX;
+        let home = match kept {
+            Some(kept) if leaves => {
+                self.moved += 1;
+                log::info!(target: DECISION, request = &*self.ask.attempt, full:% = kept, other:% = runner; "move");
+                self.hub.drive(owner::Event::Unwant {
+                    runner: kept,
+                    target: target.clone(),
+                });
+                runner
+            }
+            Some(kept) => kept,
+            None => runner,
+        };
         self.home = Some(home.clone());
         home
     }
