--- a/crates/exchange/src/owner/flight.rs
+++ b/crates/exchange/src/owner/flight.rs
@@ -108,7 +108,7 @@
             eta.saturating_sub(AHEAD)
         };
         out.push(Action::Wake(due.saturating_sub(now)));
-        self.reserve(target, eta + COMING);
+        self.uses.reserve(target, eta + COMING);
         self.flights.retain(|flight| flight.target != *target);
         self.flights.push(Flight {
             target: target.clone(),
@@ -189,7 +189,7 @@
                 let eta = due + AHEAD;
                 let told = (Presence::Coming(eta, flight.version), flight.askers.clone());
                 seat.loaded_at = seat.loaded_at.max(eta);
-                seat.reserve(target, eta + COMING);
+                seat.uses.reserve(target, eta + COMING);
                 out.push(Action::Wake(due - now));
                 told
             }
--- a/crates/exchange/src/owner/load.rs
+++ b/crates/exchange/src/owner/load.rs
@@ -411,13 +411,13 @@
     let idle = seat.ledger.iter().filter(|target| {
         // An unload of what is in use would keep all other orders waiting for its runs. What is
         // dropped already waits for them.
-        !seat.in_use(now, target)
+        !seat.uses.in_use(now, target)
             && match runner.presence(target) {
                 Presence::Held(_) => true,
                 Presence::Coming(at, _) => now > at + LISTING_LAG,
                 Presence::Absent => false,
             }
     });
-    let valued = idle.map(|target| (target.clone(), seat.use_of(now, target)));
+    let valued = idle.map(|target| (target.clone(), seat.uses.value(now, target)));
     valued.min_by(|(_, a), (_, b)| a.total_cmp(b))
 }
--- a/crates/exchange/src/owner/mod.rs
+++ b/crates/exchange/src/owner/mod.rs
@@ -11,11 +11,14 @@
 
 mod claim;
 mod contact;
+mod event;
 mod flight;
 mod load;
 mod message;
 mod seat;
 mod stay;
+mod tell;
+mod usage;
 
 use std::time::Duration;
 
@@ -23,14 +26,18 @@
 use wire::{Fence, Time, Upstream, Vm};
 
 use contact::Contact;
+pub use event::{Action, Event, Grant, Note, Visit};
 use flight::Pace;
 pub use message::{Message, News};
+use seat::Seat;
 pub use seat::{Answer, Order};
-use seat::{Seat, Span, Speed};
 use stay::Stay;
+pub use tell::note;
+use tell::stock;
+use usage::{Span, Speed};
 
 use crate::demand::Target;
-use crate::fleet::{Fleet, Holding, Presence};
+use crate::fleet::{Fleet, Presence};
 
 /// Time between two announcements of all claims.
 pub const ANNOUNCE: Duration = Duration::from_millis(1_000);
@@ -67,177 +74,6 @@
     pub ceiling: Duration,
 }
 
-/// What the owner is told.
-#[derive(Clone, Debug)]
-pub enum Event {
-    /// The nodes that live and take part, and whether this node may claim.
-    View {
-        /// Live nodes, this one included, sorted.
-        live: Vec<Vm>,
-        /// Whether this node is in touch with enough others to claim.
-        fit: bool,
-    },
-    /// Nodes that leave and finish what they have.
-    Leaving(Vec<Vm>),
-    /// A message came from a peer.
-    Receive {
-        /// The peer.
-        from: Vm,
-        /// The message.
-        message: Message,
-    },
-    /// A request of this node needs `target` at `runner`.
-    Want {
-        /// The engine.
-        runner: Upstream,
-        /// What is needed.
-        target: Target,
-        /// Rank of the request; 0 goes first.
-        rank: u8,
-    },
-    /// A request of this node needs `target` at `runner` no longer.
-    Unwant {
-        /// The engine.
-        runner: Upstream,
-        /// What was needed.
-        target: Target,
-    },
-    /// An order was answered.
-    Answered {
-        /// The engine.
-        runner: Upstream,
-        /// The fencing number of the order.
-        fence: Fence,
-        /// The order.
-        order: Order,
-        /// The answer.
-        answer: Answer,
-    },
-    /// An engine's own report has been taken over into the fleet.
-    Inspected {
-        /// The engine.
-        runner: Upstream,
-        /// Whether it gave one.
-        sound: bool,
-    },
-    /// This process was paused.
-    Paused,
-    /// This process leaves.
-    Leave,
-    /// The time of an [`Action::Wake`] has come.
-    Due,
-    /// Time passed.
-    Tick {
-        /// Seconds of the wall clock.
-        wall: u64,
-    },
-}
-
-/// What the owner wants done.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Action {
-    /// Send a message to a peer, best effort.
-    Send {
-        /// The addressee.
-        to: Vm,
-        /// The message.
-        message: Message,
-    },
-    /// Ask an engine for its report, after a pause.
-    Inspect {
-        /// The engine.
-        runner: Upstream,
-        /// Pause before.
-        after: Duration,
-    },
-    /// Give an order to an engine.
-    Order {
-        /// The engine.
-        runner: Upstream,
-        /// Fencing number.
-        fence: Fence,
-        /// The order.
-        order: Order,
-    },
-    /// Send [`Event::Due`] after that time.
-    Wake(Duration),
-    /// Note residency in the fleet, and wake the requests that wait for it.
-    Presence {
-        /// The engine.
-        runner: Upstream,
-        /// What it is about.
-        target: Target,
-        /// What is known now.
-        presence: Presence,
-    },
-    /// Note what an engine holds, as its owner tells.
-    Holdings {
-        /// The engine.
-        runner: Upstream,
-        /// What it holds.
-        holdings: Vec<Holding>,
-    },
-    /// Note how long another adapter would take to be there.
-    Backlog {
-        /// The engine.
-        runner: Upstream,
-        /// The time.
-        backlog: Duration,
-    },
-    /// A peer has let a request of this node in.
-    Granted {
-        /// Number of the question.
-        ticket: u64,
-        /// When it may be sent.
-        grant: Grant,
-    },
-    /// A decision to log.
-    Note(Note),
-}
-
-/// What a request means for its engine.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Visit {
-    /// Its model.
-    pub target: Target,
-    /// Time that the engine takes to read its prompt.
-    pub reading: Duration,
-    /// Time that it is expected to run after that.
-    pub running: Duration,
-    /// Its rank; 0 goes first.
-    pub rank: u8,
-}
-
-/// When a request may be sent to an engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Grant {
-    /// What is known of its model; only where that is resident may the request be sent.
-    pub presence: Presence,
-    /// Time to wait.
-    pub wait: Duration,
-    /// Reading time that is ahead at the engine.
-    pub level: Duration,
-    /// Time until another adapter could be there.
-    pub backlog: Duration,
-    /// Requests that the engine has, this one included where it is let in.
-    pub running: u32,
-}
-
-/// A decision worth a log line.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Note {
-    /// This node orders at the engine from now on.
-    Claimed(Upstream, Fence),
-    /// This node no longer orders at the engine.
-    Yielded(Upstream, &'static str),
-    /// A target is evicted for another.
-    Evicted(Upstream, Target, f64),
-    /// This node is in touch with most nodes from now on, or no longer.
-    Contact(bool),
-    /// An order failed.
-    Failed(Upstream, Target, Answer),
-}
-
 /// A claim of a peer.
 #[derive(Clone, Debug)]
 struct Claim {
@@ -373,9 +209,9 @@
             grant.wait = seat.meter.admit(now, visit.reading, visit.rank);
             grant.level = seat.meter.level(now);
             let span = Span::expected(now + grant.wait, visit.reading + visit.running, speed);
-            seat.count(now, &visit.target, span);
+            seat.uses.count(now, &visit.target, span);
         }
-        grant.running = seat.running(now);
+        grant.running = seat.uses.running(now);
         Some(grant)
     }
 
@@ -389,7 +225,7 @@
 
     fn done(&mut self, now: Time, runner: &str, target: &Target) {
         let seat = self.seat_mut(runner);
-        if let Some(ratio) = seat.and_then(|seat| seat.release(now, target)) {
+        if let Some(ratio) = seat.and_then(|seat| seat.uses.release(now, target)) {
             self.speed.learn(ratio);
         }
     }
@@ -553,33 +389,6 @@
         }
     }
 
-    /// Passes a need of this node on to the engine's owner.
-    fn want(
-        &mut self,
-        now: Time,
-        fleet: &Fleet,
-        runner: Upstream,
-        target: Target,
-        rank: u8,
-        out: &mut Vec<Action>,
-    ) {
-        let me = self.config.me.clone();
-        match self.holder(&runner).cloned() {
-            Some(holder) if holder == me => {
-                self.asked(now, fleet, &me, runner, target, rank, out);
-            }
-            Some(holder) => out.push(Action::Send {
-                to: holder,
-                message: Message::Want {
-                    runner,
-                    target,
-                    rank,
-                },
-            }),
-            None => {}
-        }
-    }
-
     fn pause(&mut self, now: Time, out: &mut Vec<Action>) {
         self.quiet_until = now + RECOVERY;
         self.contact.reset();
@@ -605,96 +414,4 @@
             self.tell(&Message::Release(claims), out);
         }
     }
-
-    fn tell(&self, message: &Message, out: &mut Vec<Action>) {
-        let all = self.live.iter().chain(&self.parting);
-        let others = all.filter(|vm| **vm != self.config.me);
-        out.extend(others.map(|vm| Action::Send {
-            to: vm.clone(),
-            message: message.clone(),
-        }));
-    }
-
-    /// Notes what is known of `target`, and tells the peers that asked for it.
-    #[allow(clippy::too_many_arguments)]
-    fn tell_askers(
-        &self,
-        now: Time,
-        runner: &Upstream,
-        target: &Target,
-        presence: Presence,
-        askers: &[Vm],
-        out: &mut Vec<Action>,
-    ) {
-        out.push(Action::Presence {
-            runner: runner.clone(),
-            target: target.clone(),
-            presence,
-        });
-        for asker in askers.iter().filter(|asker| **asker != self.config.me) {
-            self.answer(now, asker, runner, target, presence, out);
-        }
-    }
-
-    fn answer(
-        &self,
-        now: Time,
-        to: &Vm,
-        runner: &Upstream,
-        target: &Target,
-        presence: Presence,
-        out: &mut Vec<Action>,
-    ) {
-        let seat = self.seat(runner);
-        let load = self.pace.expect(self.config.load);
-        let backlog = seat.map_or(Duration::ZERO, |seat| seat.backlog(now, load));
-        if *to == self.config.me {
-            stock(runner, target, presence, backlog, out);
-        } else {
-            out.push(Action::Send {
-                to: to.clone(),
-                message: Message::Stock {
-                    runner: runner.clone(),
-                    target: target.clone(),
-                    news: News::new(now, presence),
-                    backlog: millis(backlog),
-                },
-            });
-        }
-    }
-}
-
-/// Notes what an owner tells of `target`.
-fn stock(
-    runner: &Upstream,
-    target: &Target,
-    presence: Presence,
-    backlog: Duration,
-    out: &mut Vec<Action>,
-) {
-    out.push(Action::Backlog {
-        runner: runner.clone(),
-        backlog,
-    });
-    out.push(Action::Presence {
-        runner: runner.clone(),
-        target: target.clone(),
-        presence,
-    });
-}
-
-/// Takes over into the fleet what actions say of engines.
-pub fn note(now: Time, fleet: &mut Fleet, actions: &[Action]) {
-    for action in actions {
-        match action {
-            Action::Presence {
-                runner,
-                target,
-                presence,
-            } => fleet.note(now, runner, target, *presence),
-            Action::Holdings { runner, holdings } => fleet.tell(now, runner, holdings.clone()),
-            Action::Backlog { runner, backlog } => fleet.note_backlog(now, runner, *backlog),
-            _ => {}
-        }
-    }
 }
--- a/crates/exchange/src/owner/stay.rs
+++ b/crates/exchange/src/owner/stay.rs
@@ -9,7 +9,7 @@
 use wire::machine::millis;
 use wire::{Time, Upstream};
 
-use super::seat::Span;
+use super::usage::Span;
 use super::{Action, Message, Owner};
 use crate::demand::Target;
 
@@ -74,7 +74,7 @@
         if let Some(seat) = self.seat_mut(runner) {
             for (target, left) in uses {
                 let span = Span::until(now + Duration::from_millis((*left).into()));
-                seat.count(now, target, span);
+                seat.uses.count(now, target, span);
             }
         }
     }
