Learn how fast engines read prompts

Nobody states the speed, so it is learnt: from prompts of 60 ms and more that were the only one read at their engine, a low quantile of the ratio to the settings.

--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -149,7 +149,14 @@
         let mut headers = parts.headers;
         strip(&mut headers);
         if self.route.kind.streams() && parts.status == StatusCode::OK {
-            return self.open(parts.status, headers, body, visit, cursor).await;
+            let opened = self.open(parts.status, headers, body, visit, cursor).await;
+            if let (Tried::Open(_), Some(tokens)) =
+                (&opened, self.ask.prompt.filter(|_| self.alone))
+            {
+                let took = self.hub.clock.now().saturating_sub(sent);
+                self.hub.learn_reading(tokens, took);
+            }
+            return opened;
         }
         self.whole(parts.status, headers, mark, body, visit, sent)
             .await
--- a/crates/gateway/src/front/job.rs
+++ b/crates/gateway/src/front/job.rs
@@ -70,6 +70,8 @@
     pub(super) home: Option<Upstream>,
     /// Full engines that it left for others.
     pub(super) moved: u32,
+    /// Whether no other prompt is read at its engine when it comes there.
+    pub(super) alone: bool,
     /// Promises so far that it did not run.
     pub(super) refusals: u32,
     /// The furthest that any attempt got.
@@ -114,6 +116,7 @@
             prepaid: AtomicBool::new(false),
             home: None,
             moved: 0,
+            alone: false,
             refusals: 0,
             worst: Reach::NotRun(Proof::unsent()),
             stalled: Duration::ZERO,
--- a/crates/gateway/src/front/place.rs
+++ b/crates/gateway/src/front/place.rs
@@ -5,6 +5,7 @@
 use exchange::choice::{Lack, Pick};
 use exchange::demand::Target;
 use exchange::fleet::Presence;
+use exchange::meter::STEP;
 use exchange::owner::{self, Visit};
 use node::journal::DECISION;
 use wire::Upstream;
@@ -122,9 +123,11 @@
             running: self.hub.exchange.step * tokens,
             rank: self.route.rank,
         };
+        self.alone = false;
         let Some(grant) = self.hub.grant(runner, visit).await else {
             return Entry::Open(Duration::ZERO);
         };
+        self.alone = grant.wait.is_zero() && grant.level <= self.reading() + STEP;
         if !matches!(grant.presence, Presence::Held(_)) {
             return Entry::Absent;
         }
--- a/crates/gateway/src/hub/mod.rs
+++ b/crates/gateway/src/hub/mod.rs
@@ -16,6 +16,7 @@
 use exchange::demand::{Demand, Target};
 use exchange::mirror::Mirror;
 use exchange::owner::{self, Grant};
+use exchange::reading::Pace;
 use exchange::route::Config;
 use exchange::spend::{self, Spend};
 use exchange::{Fleet, Owner};
@@ -119,6 +120,8 @@
     pub news: Notify,
     newest: AtomicU64,
     desk: Mutex<Desk>,
+    /// How fast engines read prompts; never held together with the desk.
+    pace: Mutex<Pace>,
     links: Mutex<Vec<(Upstream, SocketAddr, Link)>>,
     met: AtomicBool,
     leaving: AtomicBool,
@@ -178,6 +181,7 @@
             news: Notify::new(),
             newest: AtomicU64::new(0),
             desk: Mutex::new(desk),
+            pace: Mutex::default(),
             links: Mutex::new(Vec::new()),
             met: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
@@ -358,8 +362,24 @@
         });
     }
 
-    /// Returns how long an engine takes to read a prompt of so many tokens.
+    /// Returns how long an engine takes to read a prompt of so many tokens, as far as was learnt.
     pub fn reading(&self, tokens: u32) -> Duration {
+        self.pace().expect(self.stated_reading(tokens))
+    }
+
+    /// Takes in that the first event of a request came after `took`, whose prompt of so many tokens
+    /// was the only one read at its engine.
+    pub fn learn_reading(&self, tokens: u32, took: Duration) {
+        let stated = self.stated_reading(tokens);
+        self.pace().learn(stated, took);
+    }
+
+    fn pace(&self) -> MutexGuard<'_, Pace> {
+        self.pace.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns how long an engine of the stated speed takes to read a prompt of so many tokens.
+    fn stated_reading(&self, tokens: u32) -> Duration {
         let tokens = f64::from(tokens);
         let millis = tokens / self.exchange.prefill + tokens * tokens * self.exchange.attention;
         Duration::from_secs_f64(millis / 1_000.0)
