Learn the time around the reading of prompts as well

Cause: the time from a request to its first event beside the reading was a constant of 40 ms; it is longer where an event holds five tokens, and the difference went into the ratio. Short prompts now tell that time, long ones the ratio.

--- a/crates/exchange/src/reading.rs
+++ b/crates/exchange/src/reading.rs
@@ -7,13 +7,9 @@
 
 use std::time::Duration;
 
-/// Reading time from which a prompt tells anything: well above [`AROUND`].
+/// Reading time from which a prompt tells the ratio; a shorter one tells the time around it.
 pub const TELLING: Duration = Duration::from_millis(60);
 
-/// Time from the request to its first event beside the reading: crossings, and the steps of the
-/// tokens that an event holds.
-const AROUND: Duration = Duration::from_millis(40);
-
 /// Quantile of the ratios that is taken.
 const QUANTILE: f64 = 0.3;
 
@@ -26,34 +22,60 @@
 /// Greatest ratio.
 const RATIO_MAX: f64 = 5.0;
 
-/// How many times longer than by the settings engines take to read prompts.
+/// Most by which one prompt moves the time around the reading.
+const AROUND_STEP: Duration = Duration::from_millis(3);
+
+/// How long engines take to read prompts, learnt from those that were read alone.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Pace(f64);
+pub struct Pace {
+    /// How many times longer than by the settings the reading takes.
+    ratio: f64,
+    /// Time from a request to its first event beside the reading: crossings, and the steps of the
+    /// tokens that an event holds.
+    around: Duration,
+}
 
 impl Default for Pace {
     fn default() -> Self {
-        Self(1.0)
+        Self {
+            ratio: 1.0,
+            around: Duration::ZERO,
+        }
     }
 }
 
 impl Pace {
     /// Returns the time that a prompt takes which would take `reading` by the settings.
     pub fn expect(self, reading: Duration) -> Duration {
-        reading.mul_f64(self.0)
+        reading.mul_f64(self.ratio)
     }
 
     /// Takes in that the first event of a request came after `took`, whose prompt would take
     /// `reading` by the settings and was the only one read at its engine.
     pub fn learn(&mut self, reading: Duration, took: Duration) {
         if reading < TELLING {
-            return;
+            self.learn_around(took.saturating_sub(self.expect(reading)));
+        } else {
+            let seen = took.saturating_sub(self.around);
+            self.learn_ratio(seen.as_secs_f64() / reading.as_secs_f64());
         }
-        let seen = took.saturating_sub(AROUND).as_secs_f64() / reading.as_secs_f64();
-        let change = if seen > self.0 {
+    }
+
+    fn learn_ratio(&mut self, seen: f64) {
+        let change = if seen > self.ratio {
             QUANTILE
         } else {
             QUANTILE - 1.0
         };
-        self.0 = (self.0 * (1.0 + STEP * change)).clamp(RATIO_MIN, RATIO_MAX);
+        self.ratio = (self.ratio * (1.0 + STEP * change)).clamp(RATIO_MIN, RATIO_MAX);
+    }
+
+    fn learn_around(&mut self, seen: Duration) {
+        self.around = if seen > self.around {
+            self.around + AROUND_STEP.mul_f64(QUANTILE)
+        } else {
+            self.around
+                .saturating_sub(AROUND_STEP.mul_f64(1.0 - QUANTILE))
+        };
     }
 }
