--- a/crates/hyssopscale/tests/fault_soak.rs
+++ b/crates/hyssopscale/tests/fault_soak.rs
@@ -17,7 +17,7 @@
 const AT_ONCE: u64 = 4;
 
 /// Returns the plan of a seed. Every fourth one goes up to the limits; in every fifth one, a node's
-/// log is not read.
+/// log is not read; in every seventh one, engines do not look at fencing numbers.
 fn plan(seed: u64) -> Plan {
     let to_the_limits = seed.is_multiple_of(4);
     Plan {
@@ -26,6 +26,7 @@
         callers: if to_the_limits { 64 } else { 16 },
         think: Duration::from_millis(if to_the_limits { 1 } else { 80 }),
         unread_log: seed.is_multiple_of(5),
+        fenced: !seed.is_multiple_of(7),
     }
 }
 
@@ -33,6 +34,7 @@
 #[case::ordinary(1)]
 #[case::to_the_limits(4)]
 #[case::unread_log(5)]
+#[case::unfenced(7)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn seeded_faults_break_no_rule(#[case] seed: u64) {
     let breaches = run(plan(seed)).await;
--- a/crates/hyssopscale/tests/soak/mod.rs
+++ b/crates/hyssopscale/tests/soak/mod.rs
@@ -31,7 +31,7 @@
 
 use caller::{Caller, get};
 use check::Evidence;
-use process::Process;
+use process::{Process, Settings};
 use store::Store;
 use upstream::{Arrivals, Config, Misorders, PLACES, Runs, Upstream};
 
@@ -62,6 +62,8 @@
     pub think: Duration,
     /// Whether nobody reads the log of one node.
     pub unread_log: bool,
+    /// Whether engines refuse old fencing numbers.
+    pub fenced: bool,
 }
 
 /// The site.
@@ -113,6 +115,7 @@
                     arrivals: arrivals.clone(),
                     misorders: misorders.clone(),
                     seed: plan.seed * 16 + host as u64,
+                    fenced: plan.fenced,
                 };
                 upstreams.push(Upstream::start(config).await);
             }
@@ -128,7 +131,11 @@
             store_links.push(link.unwrap());
             let ip = format!("{net}.{host}");
             let unread = plan.unread_log && number == NODES - 1;
-            let node = Process::new(number, &ip, &seeds, linked, logs.path(), unread);
+            let settings = Settings {
+                store: linked,
+                fenced: plan.fenced,
+            };
+            let node = Process::new(number, &ip, &seeds, settings, logs.path(), unread);
             nodes.push(node);
         }
         nodes.iter().for_each(Process::start);
--- a/crates/hyssopscale/tests/soak/process.rs
+++ b/crates/hyssopscale/tests/soak/process.rs
@@ -51,6 +51,14 @@
     ends: Vec<(Instant, String)>,
 }
 
+/// What the platform fills in that differs by run.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    pub store: SocketAddr,
+    /// Whether engines refuse old fencing numbers.
+    pub fenced: bool,
+}
+
 /// One node.
 pub struct Process {
     pub number: usize,
@@ -65,12 +73,12 @@
 }
 
 impl Process {
-    /// Writes the settings of a node at `ip` that reads the store at `store`.
+    /// Writes the settings of a node at `ip`.
     pub fn new(
         number: usize,
         ip: &str,
         seeds: &[String],
-        store: SocketAddr,
+        site: Settings,
         folder: &Path,
         unread: bool,
     ) -> Self {
@@ -90,12 +98,12 @@
             ("{{listen.ready}}", &format!("{ip}:8141")),
             ("{{listen.directory}}", &format!("{ip}:8143")),
             ("{{ip}}:{{internal_ports.0}}", &format!("{ip}:7380")),
-            ("{{platform.address}}", &store.to_string()),
+            ("{{platform.address}}", &site.store.to_string()),
             ("{{bounds.retry_budget_ratio}}", "0.2"),
             ("{{bounds.retry_budget_extra}}", "54"),
             ("{{bounds.budget_window_s}}", "10"),
             ("{{bounds.lease_ms}}", "3000"),
-            ("{{bounds.fence_checked}}", "true"),
+            ("{{bounds.fence_checked}}", &site.fenced.to_string()),
             ("{{bounds.grace_s}}", &grace),
             ("{{bounds.ceiling_window_s}}", "5"),
         ];
--- a/crates/hyssopscale/tests/soak/upstream.rs
+++ b/crates/hyssopscale/tests/soak/upstream.rs
@@ -84,6 +84,9 @@
     ready: Instant,
 }
 
+/// Time within which two nodes must not order in turn.
+const LEASE: Duration = Duration::from_secs(3);
+
 /// What one incarnation knows.
 struct State {
     id: String,
@@ -97,6 +100,8 @@
     known: Vec<String>,
     fence: u64,
     holder: String,
+    /// Who ordered lately, and when.
+    orders: Vec<(Instant, String)>,
     manner: Manner,
     rng: StdRng,
 }
@@ -111,6 +116,7 @@
     runs: Runs,
     arrivals: Arrivals,
     misorders: Misorders,
+    fenced: bool,
     /// Raised at each end of an incarnation.
     generation: watch::Sender<u64>,
     state: Mutex<State>,
@@ -128,6 +134,8 @@
     pub arrivals: Arrivals,
     pub misorders: Misorders,
     pub seed: u64,
+    /// Whether it refuses old fencing numbers.
+    pub fenced: bool,
 }
 
 fn unix_millis() -> u64 {
@@ -147,6 +155,7 @@
             runs: config.runs,
             arrivals: config.arrivals,
             misorders: config.misorders,
+            fenced: config.fenced,
             generation: watch::Sender::new(0),
             state: Mutex::new(State {
                 id: String::new(),
@@ -159,6 +168,7 @@
                 known: Vec::new(),
                 fence: 0,
                 holder: String::new(),
+                orders: Vec::new(),
                 manner: Manner::default(),
                 rng: StdRng::seed_from_u64(config.seed),
             }),
@@ -196,6 +206,7 @@
         state.base = first.then(Instant::now);
         state.adapters.clear();
         (state.fence, state.holder) = (0, String::new());
+        state.orders.clear();
         drop(state);
         self.list();
     }
@@ -418,20 +429,40 @@
         if head.header("x-expect-instance") != state.id {
             return answer(421, &[], "");
         }
-        if fence < state.fence {
+        if fence < state.fence && self.fenced {
             return answer(412, &[], "");
         }
+        if !self.fenced {
+            self.judge(&mut state, fence, &holder);
+        }
         if fence == state.fence && holder != state.holder {
             let both = format!("{} and {holder} with {fence}", state.holder);
             self.misorders.lock().unwrap().push(format!("ONE: {both}"));
         }
-        (state.fence, state.holder) = (fence, holder);
+        (state.fence, state.holder) = (state.fence.max(fence), holder);
         let status = self.carry_out(&mut state, &text("operation"), &text("adapter"));
         drop(state);
         self.list();
         answer(status, &[], "")
     }
 
+    /// Notes orders that an engine which takes any number must not be given.
+    fn judge(&self, state: &mut State, fence: u64, holder: &str) {
+        let now = Instant::now();
+        state.orders.retain(|(at, _)| now < *at + LEASE);
+        let before = state.orders.iter().position(|(_, who)| who == holder);
+        let others = before.map_or(&[][..], |index| &state.orders[index..]);
+        let mut misorders = self.misorders.lock().unwrap();
+        if others.iter().any(|(_, who)| who != holder) {
+            misorders.push(format!("ONE: {holder} ordered in turn with another"));
+        }
+        if fence < state.fence {
+            let (old, last) = (state.fence, &state.holder);
+            misorders.push(format!("ONE: {fence} of {holder} after {old} of {last}"));
+        }
+        state.orders.push((now, holder.to_owned()));
+    }
+
     fn carry_out(&self, state: &mut State, operation: &str, adapter: &str) -> u16 {
         let now = Instant::now();
         let held = state.adapters.iter().position(|held| held.name == adapter);
--- a/crates/upstream/tests/abandoned_calls.rs
+++ b/crates/upstream/tests/abandoned_calls.rs
@@ -30,7 +30,7 @@
 /// Answers with `answer`, and returns how the connection ended.
 async fn ending(mut stream: TcpStream, answer: &[u8]) -> Option<ErrorKind> {
     let mut part = [0; 1024];
-    stream.read(&mut part).await.unwrap();
+    assert!(stream.read(&mut part).await.unwrap() > 0);
     stream.write_all(answer).await.unwrap();
     loop {
         match stream.read(&mut part).await {
