--- a/crates/exchange/src/owner/message.rs
+++ b/crates/exchange/src/owner/message.rs
@@ -45,12 +45,13 @@
 }
 
 /// A message between two owners.
+///
+/// Variants are told apart by their position; new ones come last, so that nodes of two releases
+/// understand each other while one replaces the other.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
     /// All engines that the sender orders at, with its fencing numbers.
     Claims(Vec<(Upstream, Fence)>),
-    /// The sender orders at no engine, and does not claim one yet.
-    Idle,
     /// What an engine that the sender orders at holds.
     Holdings {
         /// The engine.
@@ -69,13 +70,6 @@
         /// Rank of the request.
         rank: u8,
     },
-    /// A request of the sender needs a target there no longer.
-    Unwant {
-        /// The engine.
-        runner: Upstream,
-        /// What was needed.
-        target: Target,
-    },
     /// A request of the sender wants to be let in at an engine.
     Ask {
         /// Number of the question.
@@ -134,4 +128,13 @@
     },
     /// Fencing numbers that were used before, higher than those that the receiver claims by.
     Used(Vec<(Upstream, Fence)>),
+    /// The sender orders at no engine, and does not claim one yet.
+    Idle,
+    /// A request of the sender needs a target there no longer.
+    Unwant {
+        /// The engine.
+        runner: Upstream,
+        /// What was needed.
+        target: Target,
+    },
 }
