--- a/crates/dispatch/src/poison/mod.rs
+++ b/crates/dispatch/src/poison/mod.rs
@@ -11,6 +11,7 @@
 //!   on. The requests beside it are not charged.
 
 mod charge;
+mod print;
 mod seat;
 
 use std::time::Duration;
@@ -20,11 +21,9 @@
 
 use charge::Book;
 pub use charge::{Charge, Id};
+pub use print::{Print, print};
 use seat::Seat;
 
-/// Hash of a request's work: its route, its model and its body, not its key or caller.
-pub type Print = u64;
-
 /// Crashes that convict.
 const CONVICTED: usize = 2;
 
--- a/crates/gateway/src/front/job.rs
+++ b/crates/gateway/src/front/job.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use dispatch::poison::{self, Print};
 use exchange::Pick;
 use exchange::choice::Need;
 use exchange::demand::Target;
@@ -12,6 +13,7 @@
 use exchange::proof::Proof;
 use exchange::relay::Cursor;
 use exchange::route::{Kind, Route, Service};
+use hyper::header::AUTHORIZATION;
 use hyper::http::request::Parts;
 use hyper::{Response, StatusCode};
 use log::info;
@@ -58,6 +60,8 @@
     pub(super) terms: Terms,
     pub(super) head: Parts,
     pub(super) body: Bytes,
+    /// Fingerprint of its work.
+    pub(super) print: Print,
     /// Upstreams that it was sent to.
     pub(super) tried: Vec<Upstream>,
     /// Every upstream that it was sent to, as often as it was.
@@ -103,6 +107,7 @@
     ) -> Self {
         Self {
             after: ask.after,
+            print: print_of(&head, &body),
             hub,
             ask,
             route,
@@ -293,6 +298,8 @@
             request = &*self.ask.attempt,
             route = &*self.route.name,
             revision = self.terms.revision,
+            print = self.print,
+            bytes = self.body.len(),
             model = self.ask.target.as_ref().map(ToString::to_string).unwrap_or_default(),
             status,
             outcome,
@@ -318,6 +325,20 @@
     }
 }
 
+/// Returns the fingerprint of a request: resends have the same path, caller and body, and an id of
+/// their own.
+fn print_of(head: &Parts, body: &[u8]) -> Print {
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    let caller = head.headers.get(AUTHORIZATION);
+    let caller = caller.map_or(&[][..], |value| value.as_bytes());
+    poison::print([
+        head.method.as_str().as_bytes(),
+        path.as_bytes(),
+        caller,
+        body,
+    ])
+}
+
 /// Returns the name of a kind used in metrics.
 pub(super) const fn kind_name(kind: Kind) -> &'static str {
     match kind {
