Refuse requests that crash their upstreams on the platform's path as well

Callers saw: a request under which three upstreams had ended went to more of them, as often as it came; calls that may be repeated and streams twice each time.

Cause: crashing requests were recognized by the product's own front alone. `gateway` and `exchange` had no memory of crashes. Class: a protection that lives in one of two request paths.

Change: both paths now drive `dispatch::poison`. It is told by its limits whether suspects run apart (the product's own front, as before) or like others until the third crash convicts them (the platform's path, where each engine has up to 64 suspects after a crash, which could not all wait for a ward). A request that finishes vouches for its fingerprint for a minute, so that a call that many send is not convicted by crashes it runs beside. First charges go to three nodes by rendezvous, second ones to all; a new node is told by those nodes and the witnesses. A connection that is broken off charges nobody unless the process has ended: every kept connection is closed and a new one refused. Upstreams that leave charge nobody. Convicted requests get 503 at once.

Ruled out: charging each broken connection (answers that are lost would convict popular calls); seats for suspects on this path.

--- a/crates/dispatch/src/poison/charge.rs
+++ b/crates/dispatch/src/poison/charge.rs
@@ -39,6 +39,15 @@
     cleared: bool,
 }
 
+impl Entry {
+    fn aged(&self, now: Time) -> Charge {
+        Charge {
+            age: now.saturating_sub(self.at),
+            ..self.charge.clone()
+        }
+    }
+}
+
 /// The charges that a node knows, sorted by fingerprint.
 #[derive(Clone, Debug)]
 pub(super) struct Book {
@@ -54,13 +63,13 @@
         }
     }
 
-    /// Takes a charge in, once.
-    pub fn charge(&mut self, now: Time, charge: Charge) {
+    /// Takes a charge in, once. Returns whether it is news.
+    pub fn charge(&mut self, now: Time, charge: Charge) -> bool {
         if self
             .of(charge.print)
             .any(|entry| entry.charge.id == charge.id)
         {
-            return;
+            return false;
         }
         if self.entries.len() >= self.config.charges {
             self.drop_oldest();
@@ -74,10 +83,18 @@
         let print = entry.charge.print;
         let index = self.entries.partition_point(|e| e.charge.print <= print);
         self.entries.insert(index, entry);
+        true
     }
 
+    /// Drops the oldest charge; one of a fingerprint that has several goes last, so that many
+    /// requests with one charge each cannot push a conviction out.
     fn drop_oldest(&mut self) {
-        let oldest = (0..self.entries.len()).min_by_key(|i| self.entries[*i].kept);
+        let print = |index: usize| self.entries.get(index).map(|entry| entry.charge.print);
+        let alone = |index: usize| {
+            let before = index.checked_sub(1).and_then(print);
+            before != print(index) && print(index + 1) != print(index)
+        };
+        let oldest = (0..self.entries.len()).min_by_key(|i| (!alone(*i), self.entries[*i].kept));
         if let Some(index) = oldest {
             self.entries.remove(index);
         }
@@ -147,9 +164,12 @@
     /// Returns the open charges with their present ages.
     pub fn all(&self, now: Time) -> impl Iterator<Item = Charge> {
         let open = self.entries.iter().filter(|entry| !entry.cleared);
-        open.map(move |entry| Charge {
-            age: now.saturating_sub(entry.at),
-            ..entry.charge.clone()
-        })
+        open.map(move |entry| entry.aged(now))
+    }
+
+    /// Returns the open charges against the fingerprint with their present ages.
+    pub fn charges(&self, now: Time, print: Print) -> impl Iterator<Item = Charge> {
+        let open = self.of(print).filter(|entry| !entry.cleared);
+        open.map(move |entry| entry.aged(now))
     }
 }
--- a/crates/dispatch/src/poison/mod.rs
+++ b/crates/dispatch/src/poison/mod.rs
@@ -1,18 +1,22 @@
 //! Requests that crash the upstreams which run them.
 //!
 //! A request is known by the fingerprint of its work, so that its resends are known too. When an
-//! upstream crashes, each node charges the requests that it had there, and tells its peers.
+//! upstream crashes, each node charges the requests that it had there. A fingerprint with a charge is a
+//! **suspect**; one that finishes is cleared, on every node, and one with as many charges as
+//! [`Config::convicted`] says is refused from then on.
 //!
-//! - A fingerprint with one charge is a **suspect**. It runs only with a seat: on one of a few upstreams
-//!   of its pool (its wards), as the only suspect, with no new work beside it. The node that owns the upstream gives seats
-//!   out one at a time.
-//! - A suspect that finishes is cleared, on every node.
-//! - One that crashes its ward is convicted: it has cost two upstreams, and is refused from then
-//!   on. The requests beside it are not charged.
+//! With [`Config::wards`], suspects run apart: each needs a seat on one of a few upstreams
+//! of its pool (its wards), as the only suspect, with no new work beside it. The node that owns the upstream gives seats
+//! out one at a time. A suspect that crashes its ward is convicted, and the requests beside it are not charged.
+//!
+//! A few nodes keep the charges of each fingerprint ([`KEEPERS`], by rendezvous). All nodes are
+//! told of those that have [`Config::told`] charges.
 
 mod charge;
 mod print;
 mod seat;
+mod tell;
+mod voucher;
 
 use std::time::Duration;
 
@@ -23,16 +27,17 @@
 pub use charge::{Charge, Id};
 pub use print::{Print, print};
 use seat::Seat;
+use voucher::Vouchers;
+
+/// Nodes that keep the charges of a fingerprint: one of them is left when two are lost at once.
+const KEEPERS: usize = 3;
 
-/// Crashes that convict.
-const CONVICTED: usize = 2;
+/// Time in which it has to be known whether an upstream that broke a request off has crashed.
+const BROKEN: Duration = Duration::from_secs(2);
 
 /// One in so many upstreams of a pool is a ward.
 const WARD_SHARE: usize = 3;
 
-/// Times that a charge is told to each peer.
-const TELLINGS: u8 = 3;
-
 /// Times of a [`Poison`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Config {
@@ -46,6 +51,31 @@
     pub patience: Duration,
     /// Most charges kept.
     pub charges: usize,
+    /// Crashes that convict a fingerprint.
+    pub convicted: usize,
+    /// Whether suspects run apart from other requests.
+    pub wards: bool,
+    /// Charges of a fingerprint from which every node is told of them.
+    pub told: usize,
+    /// Time for which a request that has finished vouches for those with its fingerprint.
+    pub vouched: Duration,
+    /// Most fingerprints that are vouched for.
+    pub vouchers: usize,
+}
+
+impl Config {
+    /// Returns the limits for upstreams whose requests are not to wait for a ward: suspects run
+    /// like others and are convicted by the third crash.
+    pub fn counting() -> Self {
+        Self {
+            crash: Duration::from_secs(1),
+            convicted: 3,
+            wards: false,
+            told: 2,
+            vouched: Duration::from_secs(60),
+            ..Self::default()
+        }
+    }
 }
 
 impl Default for Config {
@@ -56,6 +86,11 @@
             resend: Duration::from_millis(200),
             patience: Duration::from_secs(30),
             charges: 4_096,
+            convicted: 2,
+            wards: true,
+            told: 1,
+            vouched: Duration::ZERO,
+            vouchers: 4_096,
         }
     }
 }
@@ -67,7 +102,7 @@
     Clear,
     /// An upstream crashed while it ran there, among others.
     Suspect,
-    /// It crashed two upstreams.
+    /// It crashed as many upstreams as convict it.
     Convicted,
 }
 
@@ -95,6 +130,16 @@
         /// The request.
         request: Request,
     },
+    /// An upstream broke a request off. Whether it has crashed is told within [`BROKEN`].
+    Broken {
+        /// The request.
+        request: Request,
+    },
+    /// An upstream that broke requests off has not crashed.
+    Lives {
+        /// The upstream.
+        upstream: Upstream,
+    },
     /// An upstream crashed. The requests that it had from this node are over.
     Crashed {
         /// The upstream.
@@ -147,6 +192,13 @@
         /// The message.
         message: Message,
     },
+    /// A charge is news, for the log.
+    Charged {
+        /// The charge.
+        charge: Charge,
+        /// Crashes that the fingerprint is held to have caused now.
+        crashes: usize,
+    },
     /// A fingerprint's standing changed, for the log.
     Note {
         /// The fingerprint.
@@ -202,6 +254,8 @@
     print: Print,
     upstream: Upstream,
     seated: bool,
+    since: Time,
+    broken: Option<Time>,
 }
 
 #[derive(Clone, Debug)]
@@ -220,6 +274,7 @@
     me: Incarnation,
     view: View,
     book: Book,
+    vouchers: Vouchers,
     runs: Vec<Run>,
     waiters: Vec<Waiter>,
     seats: Vec<Seat>,
@@ -234,6 +289,7 @@
     pub fn new(config: Config, me: Incarnation) -> Self {
         Self {
             book: Book::new(config.clone()),
+            vouchers: Vouchers::new(&config),
             config,
             me,
             view: View::default(),
@@ -251,7 +307,8 @@
     pub fn standing(&self, print: Print) -> Standing {
         match self.book.count(print) {
             0 => Standing::Clear,
-            crashes if crashes < CONVICTED => Standing::Suspect,
+            _ if self.vouchers.has(print) => Standing::Clear,
+            crashes if crashes < self.config.convicted => Standing::Suspect,
             _ => Standing::Convicted,
         }
     }
@@ -281,7 +338,8 @@
             Standing::Clear if self.reserved(now, &waiter.upstream) => {
                 out.push(Action::Elsewhere { request });
             }
-            Standing::Clear => self.run(waiter, false, out),
+            Standing::Clear => self.run(now, waiter, false, out),
+            Standing::Suspect if !self.config.wards => self.run(now, waiter, false, out),
             Standing::Suspect => {
                 self.waiters.push(waiter);
                 self.ask_seats(now, out);
@@ -289,13 +347,15 @@
         }
     }
 
-    fn run(&mut self, waiter: Waiter, seated: bool, out: &mut Vec<Action>) {
+    fn run(&mut self, now: Time, waiter: Waiter, seated: bool, out: &mut Vec<Action>) {
         let request = waiter.request;
         self.runs.push(Run {
             request,
             print: waiter.print,
             upstream: waiter.upstream,
             seated,
+            since: now,
+            broken: None,
         });
         out.push(Action::Run { request, seated });
     }
@@ -322,7 +382,7 @@
 
     fn receive(&mut self, now: Time, from: &Incarnation, message: Message, out: &mut Vec<Action>) {
         match message {
-            Message::Charge(charge) => self.charge(now, charge, out),
+            Message::Charge(charge) => self.take_charge(now, charge, out),
             Message::Clear { charges } => self.book.clear(now, &charges),
             Message::Ask { upstream, request } => self.asked(now, from, upstream, request, out),
             Message::Seat { upstream, request } => self.seated(now, from, &upstream, request, out),
@@ -346,19 +406,48 @@
     }
 
     fn finished(&mut self, now: Time, print: Print, out: &mut Vec<Action>) {
+        self.vouchers.add(now, print);
         let charges = self.book.open(print);
         if charges.is_empty() {
             return;
         }
+        let to = self.audience(print);
         self.book.clear(now, &charges);
         self.telling.retain(|(charge, _, _)| charge.print != print);
-        self.broadcast(&Message::Clear { charges }, out);
+        let message = Message::Clear { charges };
+        out.extend(to.into_iter().map(|to| Action::Send {
+            to,
+            message: message.clone(),
+        }));
         let standing = Standing::Clear;
         out.push(Action::Note { print, standing });
     }
 
+    fn broken(&mut self, now: Time, request: Request) {
+        if let Some(run) = self.runs.iter_mut().find(|run| run.request == request) {
+            run.broken = Some(now);
+        }
+    }
+
+    fn lives(&mut self, now: Time, upstream: &Upstream, out: &mut Vec<Action>) {
+        let there = |run: &&Run| run.upstream == *upstream && run.broken.is_some();
+        let over: Vec<Request> = self.runs.iter().filter(there).map(|r| r.request).collect();
+        for request in over {
+            self.over(now, request, false, out);
+        }
+    }
+
     fn crashed(&mut self, now: Time, upstream: &Upstream, out: &mut Vec<Action>) {
-        let there = |run: &Run| run.upstream == *upstream;
+        let at = |run: &&Run| run.upstream == *upstream;
+        let broken = self
+            .runs
+            .iter()
+            .filter(at)
+            .filter_map(|run| run.broken)
+            .min();
+        // What was sent there since has met no process.
+        let before = |run: &Run| broken.is_none_or(|broken| run.since <= broken);
+        let there = |run: &Run| run.upstream == *upstream && before(run);
         let (there, rest): (Vec<Run>, Vec<Run>) = self.runs.drain(..).partition(there);
         self.runs = rest;
         for run in &there {
@@ -373,27 +462,33 @@
                 seated: run.seated,
                 age: Duration::ZERO,
             };
-            self.broadcast(&Message::Charge(charge.clone()), out);
             self.telling.push((charge.clone(), 1, now));
             self.charge(now, charge, out);
+            self.tell(now, run.print, out);
         }
         for run in there.into_iter().filter(|run| run.seated) {
             self.rise(now, run.upstream, run.request, out);
         }
     }
 
-    fn charge(&mut self, now: Time, charge: Charge, out: &mut Vec<Action>) {
+    /// Takes a charge in. Returns whether it is news.
+    fn charge(&mut self, now: Time, charge: Charge, out: &mut Vec<Action>) -> bool {
         let print = charge.print;
         let before = self.standing(print);
-        self.book.charge(now, charge);
+        if !self.book.charge(now, charge.clone()) {
+            return false;
+        }
+        let crashes = self.book.count(print);
+        out.push(Action::Charged { charge, crashes });
         let standing = self.standing(print);
         if standing == before {
-            return;
+            return true;
         }
         out.push(Action::Note { print, standing });
         if standing == Standing::Convicted {
             self.refuse_waiting(print, out);
         }
+        true
     }
 
     fn refuse_waiting(&mut self, print: Print, out: &mut Vec<Action>) {
@@ -425,25 +520,11 @@
         }
     }
 
-    fn tell_again(&mut self, now: Time, out: &mut Vec<Action>) {
-        let resend = self.config.resend;
-        let mut due = Vec::new();
-        for (charge, times, at) in &mut self.telling {
-            if now >= *at + resend {
-                *times += 1;
-                charge.age += now - *at;
-                *at = now;
-                due.push(Message::Charge(charge.clone()));
-            }
-        }
-        self.telling.retain(|(_, times, _)| *times < TELLINGS);
-        for message in due {
-            self.broadcast(&message, out);
-        }
-    }
-
     fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
         self.book.expire(now);
+        self.vouchers.expire(now);
+        let known = |run: &Run| run.broken.is_none_or(|at| now < at + BROKEN);
+        self.runs.retain(known);
         self.reserved.retain(|(_, until)| now < *until);
         self.review(now, out);
         self.tell_again(now, out);
@@ -454,20 +535,6 @@
         self.seats
             .retain(|seat| seat.holder.is_some() || !seat.queue.is_empty());
     }
-
-    /// Tells a node that is new what is held against whom.
-    fn take_view(&mut self, now: Time, view: View, out: &mut Vec<Action>) {
-        let peers = view.peers().iter().map(|p| &p.incarnation);
-        let new = peers.filter(|i| **i != self.me && !self.view.knows(i));
-        for incarnation in new {
-            let charges = self.book.all(now);
-            out.extend(charges.map(|charge| Action::Send {
-                to: incarnation.vm.clone(),
-                message: Message::Charge(charge),
-            }));
-        }
-        self.view = view;
-    }
 }
 
 impl Machine for Poison {
@@ -494,6 +561,8 @@
             }
             Event::Finished { request } => self.over(now, request, true, &mut actions),
             Event::Dropped { request } => self.over(now, request, false, &mut actions),
+            Event::Broken { request } => self.broken(now, request),
+            Event::Lives { upstream } => self.lives(now, &upstream, &mut actions),
             Event::Crashed { upstream } => self.crashed(now, &upstream, &mut actions),
             Event::Receive { from, message } => self.receive(now, &from, message, &mut actions),
             Event::Tick => self.tick(now, &mut actions),
--- a/crates/dispatch/src/poison/seat.rs
+++ b/crates/dispatch/src/poison/seat.rs
@@ -160,7 +160,7 @@
         };
         let waiter = self.waiters.remove(index);
         if self.standing(waiter.print) != Standing::Convicted {
-            return self.run(waiter, true, out);
+            return self.run(now, waiter, true, out);
         }
         let crashes = self.book.count(waiter.print);
         out.push(Action::Refuse { request, crashes });
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dispatch::poison;
 use exchange::owner;
 use log::info;
 use node::decision;
@@ -168,6 +169,12 @@
                 from: sender.vm,
                 message,
             }),
+            Message::Poison(message) => {
+                self.hub.judge(poison::Event::Receive {
+                    from: sender,
+                    message,
+                });
+            }
         }
     }
 
@@ -178,6 +185,7 @@
         self.show();
         let wall = self.hub.wall();
         self.hub.drive(owner::Event::Tick { wall });
+        self.hub.judge(poison::Event::Tick);
         self.ticks += 1;
         if self.ticks.is_multiple_of(PULSE_TICKS) {
             self.hub.pulse(Vec::new());
@@ -228,7 +236,10 @@
                             .send(&to, record.peers, &Message::Roster(message));
                     }
                 }
-                roster::Action::View(view) => self.view = view,
+                roster::Action::View(view) => {
+                    self.view = view.clone();
+                    self.hub.judge(poison::Event::View(view));
+                }
                 roster::Action::Note(note) => {
                     decision::roster(&note);
                     if let Note::Paused { .. } = note {
--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -28,6 +28,8 @@
     Owner(exchange::owner::Message),
     /// What a reader of the platform knows.
     Pulse(exchange::mirror::Pulse),
+    /// Requests that crash upstreams.
+    Poison(dispatch::poison::Message),
 }
 
 /// Pause after an error of the socket: short beside the silence after which peers count as dead.
--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -61,6 +61,8 @@
     Whole(Response<Body>),
     /// An event stream has begun.
     Open(Box<Open<D>>),
+    /// It was not sent, since such requests crash what runs them.
+    Convicted,
     /// It failed.
     Failed {
         /// How far it got.
@@ -111,16 +113,20 @@
         let Some(request) = self.request(runner, version) else {
             return Tried::failed(Reach::NotRun(Proof::unsent()));
         };
+        let Some(number) = self.hub.begin(self.print, runner) else {
+            return Tried::Convicted;
+        };
         let reuse = self.reuse(runner);
         let earlier = self.sends.contains(runner);
         self.tried.push(runner.clone());
         self.sends.push(runner.clone());
         self.attempts += 1;
-        let mut visit = Visit::new(&self.hub, runner, target.clone(), self.terms.deadline);
+        let until = self.terms.deadline;
+        let mut visit = Visit::new(&self.hub, &link, number, target.clone(), until);
         let sent = self.hub.clock.now();
         let response = match self.head(&link, request, reuse, &visit).await {
             Ok(response) => response,
-            Err(headless) => return self.headless(&headless, &mut visit),
+            Err(headless) => return self.headless(&headless, &mut visit).await,
         };
         visit.hear();
         let (parts, body) = response.into_parts();
@@ -266,7 +272,7 @@
         }
     }
 
-    fn headless(&mut self, headless: &Headless, visit: &mut Visit<D>) -> Tried<D> {
+    async fn headless(&mut self, headless: &Headless, visit: &mut Visit<D>) -> Tried<D> {
         let error = match headless {
             Headless::Silent => {
                 visit.end(Verdict::Failed);
@@ -274,10 +280,13 @@
             }
             Headless::Failed(error) => error,
         };
-        visit.end(match error {
-            upstream::Error::Full { .. } => Verdict::Neutral,
-            _ => Verdict::Failed,
-        });
+        match error {
+            upstream::Error::Full { .. } => visit.end(Verdict::Neutral),
+            upstream::Error::Broken { .. } if error.reach() == Sent::MaybeSent => {
+                visit.break_off(self.print).await;
+            }
+            _ => visit.end(Verdict::Failed),
+        }
         let reach = match error.reach() {
             Sent::NotSent => {
                 self.take_back();
@@ -396,10 +405,14 @@
                     }
                 }
                 Next::End if cursor.inside() => {
-                    visit.end(Verdict::Failed);
+                    visit.break_off(self.print).await;
                     return self.failed("cut", Reach::Unknown);
                 }
                 Next::End => ended = true,
+                Next::Cut => {
+                    visit.break_off(self.print).await;
+                    return self.failed("cut", Reach::Unknown);
+                }
                 Next::Broken(reason) => {
                     visit.end(Verdict::Failed);
                     return self.failed(reason, Reach::Unknown);
@@ -432,7 +445,7 @@
                 part = &mut next => return match part {
                     Ok(Some(part)) => Next::Part(part),
                     Ok(None) => Next::End,
-                    Err(_) => Next::Broken("cut"),
+                    Err(_) => Next::Cut,
                 },
                 () = tokio::time::sleep_until(deadline) => return Next::Broken("late"),
                 () = tokio::time::sleep(LOOK), if movable => {
@@ -454,12 +467,19 @@
         mut visit: Visit<D>,
         sent: Time,
     ) -> Tried<D> {
-        let read = tokio::time::timeout(self.left(), body.collect()).await;
-        let Ok(Ok(bytes)) = read else {
-            visit.end(Verdict::Failed);
-            return self.failed("cut", Reach::Unknown);
+        let bytes = match tokio::time::timeout(self.left(), body.collect()).await {
+            Ok(Ok(bytes)) => bytes,
+            Ok(Err(_)) => {
+                visit.break_off(self.print).await;
+                return self.failed("cut", Reach::Unknown);
+            }
+            Err(_) => {
+                visit.end(Verdict::Failed);
+                return self.failed("late", Reach::Unknown);
+            }
         };
         let failure = status.is_server_error();
+        visit.set_whole();
         visit.end(if failure {
             Verdict::Failed
         } else {
@@ -492,6 +512,8 @@
     Part(Bytes),
     /// The end.
     End,
-    /// Nothing more will come, for this reason.
+    /// The upstream broke it off.
+    Cut,
+    /// Nothing more is waited for, for this reason.
     Broken(&'static str),
 }
--- a/crates/gateway/src/front/job.rs
+++ b/crates/gateway/src/front/job.rs
@@ -36,6 +36,10 @@
 /// callers do not return together.
 const AGAIN: Duration = Duration::from_millis(400);
 
+/// Pause that the caller of a request is told which crashes what runs it: nothing but new software
+/// at the upstreams changes that.
+const CONVICTED_AGAIN: Duration = Duration::from_secs(60);
+
 /// Fixed facts of a request.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Terms {
@@ -139,6 +143,9 @@
     ///
     /// Returns the refusal or failure that the caller is told.
     pub(super) async fn run(mut self) -> Result<Response<Body>, Problem> {
+        if self.hub.convicted(self.print) {
+            return Err(self.refuse_convicted());
+        }
         let now = self.hub.clock.now();
         self.hub.desk().spend.request(now, &self.service.name);
         let target = self.target();
@@ -156,6 +163,7 @@
                     return Ok(response);
                 }
                 Tried::Open(open) => return Ok(self.relay(*open, cursor)),
+                Tried::Convicted => return Err(self.refuse_convicted()),
                 Tried::Failed { reach, own } => {
                     cursor.restart();
                     self.worst = self.worst.max(reach);
@@ -214,7 +222,7 @@
             time: self.left(),
             least: LEAST,
         };
-        if !standing.may_repeat() {
+        if !standing.may_repeat() || self.hub.convicted(self.print) {
             return false;
         }
         let paid = self.prepaid.swap(false, Ordering::Relaxed);
@@ -274,6 +282,17 @@
         )
     }
 
+    /// Returns the final answer to a request that crashes what runs it.
+    fn refuse_convicted(&mut self) -> Problem {
+        if self.worst == Reach::Unknown {
+            return self.unknown();
+        }
+        self.end(503, "convicted");
+        let detail =
+            "this request has crashed the upstreams that ran it and was not run; change it";
+        Problem::busy(detail, CONVICTED_AGAIN)
+    }
+
     fn unknown(&mut self) -> Problem {
         let late = self.left() < LEAST;
         let status = if late {
--- a/crates/gateway/src/front/stream.rs
+++ b/crates/gateway/src/front/stream.rs
@@ -21,10 +21,24 @@
     Whole,
     /// The caller has left.
     Left,
-    /// The run broke off, for this reason.
+    /// The upstream broke the run off.
+    Cut,
+    /// The run is given up, for this reason.
     Broken(&'static str),
 }
 
+impl Run {
+    /// Returns the reason why it goes on nowhere, as used in logs.
+    const fn reason(&self) -> &'static str {
+        match self {
+            Self::Whole => "whole",
+            Self::Left => "caller-left",
+            Self::Cut => "cut",
+            Self::Broken(reason) => reason,
+        }
+    }
+}
+
 impl<D: Dialect> Job<D> {
     /// Answers with the events of `open`, and of further runs where it breaks off.
     pub(super) fn relay(mut self, mut open: Open<D>, cursor: Cursor) -> Response<Body> {
@@ -49,14 +63,20 @@
 
     async fn pump(&mut self, mut open: Open<D>, mut cursor: Cursor, sender: &Sender) {
         loop {
-            match self.run_on(&mut open, &mut cursor, sender).await {
+            let run = self.run_on(&mut open, &mut cursor, sender).await;
+            match run {
                 Run::Whole => {
+                    open.visit.set_whole();
                     open.visit.end(Verdict::Fine);
                     return self.end(200, "answered");
                 }
                 Run::Left => return,
-                Run::Broken(reason) => {
-                    open.visit.end(Verdict::Failed);
+                Run::Cut | Run::Broken(_) => {
+                    let reason = run.reason();
+                    match run {
+                        Run::Cut => open.visit.break_off(self.print).await,
+                        _ => open.visit.end(Verdict::Failed),
+                    }
                     info!(
                         target: DECISION,
                         request = &*self.ask.attempt, upstream:% = open.visit.runner, reason,
@@ -105,8 +125,9 @@
                         return Run::Broken("sequence");
                     }
                 }
-                Next::End if cursor.inside() => return Run::Broken("cut"),
+                Next::End if cursor.inside() => return Run::Cut,
                 Next::End => return Run::Whole,
+                Next::Cut => return Run::Cut,
                 Next::Broken(reason) => return Run::Broken(reason),
             }
         }
@@ -144,7 +165,7 @@
             };
             match self.attempt(&runner, cursor).await {
                 Tried::Open(open) => return Some(*open),
-                Tried::Whole(_) => return None,
+                Tried::Whole(_) | Tried::Convicted => return None,
                 Tried::Failed { reach: got, .. } => {
                     cursor.restart();
                     reach = got;
--- a/crates/gateway/src/front/visit.rs
+++ b/crates/gateway/src/front/visit.rs
@@ -3,9 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dispatch::poison::{Event, Print};
 use exchange::demand::Target;
 use exchange::fleet::Verdict;
-use wire::{Time, Upstream};
+use upstream::link::Link;
+use wire::{Request, Time, Upstream};
 
 use crate::dialect::Dialect;
 use crate::hub::Hub;
@@ -17,17 +19,34 @@
     heard: Time,
     /// The model that whoever orders there has let in.
     target: Option<Target>,
+    /// Its number among the requests that may crash upstreams.
+    request: Request,
+    link: Link,
+    fate: Fate,
     over: bool,
 }
 
+/// How a request ended at its upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fate {
+    /// By no crash, and without a whole answer.
+    Dropped,
+    /// With a whole answer.
+    Whole,
+    /// The upstream broke it off.
+    Broken,
+}
+
 impl<D: Dialect> Visit<D> {
-    /// Counts a request in.
+    /// Counts a request in that goes to `link` under that number.
     pub(super) fn new(
         hub: &Arc<Hub<D>>,
-        runner: &Upstream,
+        link: &Link,
+        request: Request,
         target: Option<Target>,
         until: Time,
     ) -> Self {
+        let runner = link.upstream();
         let now = hub.clock.now();
         let mut desk = hub.desk();
         desk.fleet.start(now, runner);
@@ -40,10 +59,30 @@
             runner: runner.clone(),
             heard: now,
             target,
+            request,
+            link: link.clone(),
+            fate: Fate::Dropped,
             over: false,
         }
     }
 
+    /// Notes that its answer is whole.
+    pub(super) fn set_whole(&mut self) {
+        self.fate = Fate::Whole;
+    }
+
+    /// Ends the count of a request that the upstream broke off, and finds out whether that has
+    /// crashed. Where it has crashed under such a request before, that is waited for.
+    pub(super) async fn break_off(&mut self, print: Print) {
+        self.fate = Fate::Broken;
+        self.end(Verdict::Failed);
+        let examination = self.hub.examine(&self.runner, &self.link);
+        if self.hub.suspected(print) {
+            // It fails only where the process ends.
+            let _ = examination.await;
+        }
+    }
+
     /// Notes a byte from the upstream.
     pub(super) fn hear(&mut self) {
         let now = self.hub.clock.now();
@@ -75,6 +114,12 @@
             if let Some(target) = &self.target {
                 self.hub.over(&self.runner, target);
             }
+            let request = self.request;
+            self.hub.judge(match self.fate {
+                Fate::Dropped => Event::Dropped { request },
+                Fate::Whole => Event::Finished { request },
+                Fate::Broken => Event::Broken { request },
+            });
         }
     }
 }
--- a/crates/gateway/src/hub/mod.rs
+++ b/crates/gateway/src/hub/mod.rs
@@ -1,9 +1,11 @@
 //! State that all tasks of a node share.
 //!
 //! - `grant` asks owners and carries out what they want done.
+//! - `poison` finds requests that crash upstreams.
 //! - `pulse` tells what was read of the platform, and takes over what others tell.
 
 mod grant;
+mod poison;
 mod pulse;
 
 use std::net::SocketAddr;
@@ -12,6 +14,7 @@
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use dispatch::Poison;
 use exchange::choice::{self, Need, Pick, Scene};
 use exchange::demand::{Demand, Target};
 use exchange::mirror::Mirror;
@@ -90,6 +93,8 @@
     pub owner: Owner,
     /// Who reads the platform.
     pub mirror: Mirror,
+    /// Requests that crash upstreams.
+    pub poison: Poison,
     waiters: Vec<Waiter>,
     tickets: Vec<(u64, oneshot::Sender<Grant>)>,
     next_ticket: u64,
@@ -119,6 +124,7 @@
     /// Wakes the reader of the platform where a pulse tells of something to read.
     pub news: Notify,
     newest: AtomicU64,
+    next_request: AtomicU64,
     desk: Mutex<Desk>,
     /// How fast engines read prompts; never held together with the desk.
     pace: Mutex<Pace>,
@@ -163,6 +169,7 @@
             spend: Spend::new(spend),
             owner: Owner::new(owner),
             mirror: Mirror::default(),
+            poison: Poison::new(dispatch::poison::Config::counting(), me.clone()),
             waiters: Vec::new(),
             tickets: Vec::new(),
             next_ticket: 0,
@@ -180,6 +187,7 @@
             post,
             news: Notify::new(),
             newest: AtomicU64::new(0),
+            next_request: AtomicU64::new(0),
             desk: Mutex::new(desk),
             pace: Mutex::default(),
             links: Mutex::new(Vec::new()),
--- /dev/null
+++ b/crates/gateway/src/hub/poison.rs
@@ -0,0 +1,91 @@
+//! Requests that crash upstreams: what this node sees of them, and what others tell.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use dispatch::poison::{Action, Event, Print, Standing};
+use log::info;
+use node::decision;
+use node::journal::DECISION;
+use tokio::task::JoinHandle;
+use upstream::link::Link;
+use wire::{Machine, Request, Upstream};
+
+use super::Hub;
+use crate::datagram::Message;
+use crate::dialect::Dialect;
+
+impl<D: Dialect> Hub<D> {
+    /// Tells whether requests with that fingerprint are refused, since they crash upstreams.
+    pub fn convicted(&self, print: Print) -> bool {
+        self.desk().poison.standing(print) == Standing::Convicted
+    }
+
+    /// Tells whether an upstream has crashed under a request with that fingerprint.
+    pub fn suspected(&self, print: Print) -> bool {
+        self.desk().poison.standing(print) != Standing::Clear
+    }
+
+    /// Notes that a request is about to go to an upstream. Returns its number, or `None` where it
+    /// has crashed too many.
+    pub fn begin(&self, print: Print, upstream: &Upstream) -> Option<Request> {
+        let request = self.next_request.fetch_add(1, Ordering::Relaxed);
+        let arrive = Event::Arrive {
+            request,
+            print,
+            upstream: upstream.clone(),
+        };
+        let actions = self.judge(arrive);
+        let runs = actions
+            .iter()
+            .any(|action| matches!(action, Action::Run { .. }));
+        runs.then_some(request)
+    }
+
+    /// Takes in what concerns requests that crash upstreams, and returns what follows.
+    pub fn judge(&self, event: Event) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.desk()
+            .poison
+            .step(self.clock.now(), event, &mut actions);
+        let peers = self.peers.load();
+        for action in &actions {
+            match action {
+                Action::Send { to, message } => {
+                    if let Some(record) = peers.record(to) {
+                        let message = Message::Poison(message.clone());
+                        self.post.send(&record.vm, record.peers, &message);
+                    }
+                }
+                Action::Charged { charge, crashes } => decision::charge(charge, *crashes),
+                Action::Note { print, standing } => decision::poison(*print, *standing),
+                // Nothing waits for a ward here.
+                Action::Run { .. }
+                | Action::Refuse { .. }
+                | Action::Elsewhere { .. }
+                | Action::Busy { .. } => {}
+            }
+        }
+        actions
+    }
+
+    /// Finds out whether an upstream that broke a request off has crashed.
+    pub fn examine(self: &Arc<Self>, upstream: &Upstream, link: &Link) -> JoinHandle<()> {
+        let (hub, upstream, link) = (self.clone(), upstream.clone(), link.clone());
+        tokio::spawn(async move {
+            let ended = link.has_ended().await;
+            let leaves = {
+                let desk = hub.desk();
+                let known = desk.fleet.runner(&upstream);
+                known.is_none_or(|runner| !runner.open())
+            };
+            info!(target: DECISION, upstream:% = upstream, ended, leaves; "broken-off");
+            // One that was to end is charged to nobody.
+            hub.judge(if ended && !leaves {
+                Event::Crashed { upstream }
+            } else {
+                Event::Lives { upstream }
+            });
+        })
+    }
+}
--- a/crates/node/src/core/perform.rs
+++ b/crates/node/src/core/perform.rs
@@ -296,7 +296,7 @@
     }
 
     fn perform_poison(&mut self, action: poison::Action) {
-        use poison::Action::{Busy, Elsewhere, Note, Refuse, Run, Send};
+        use poison::Action::{Busy, Charged, Elsewhere, Note, Refuse, Run, Send};
         let (request, vetted) = match action {
             Run { request, .. } => (request, Vetted::Run),
             Elsewhere { request } => (request, Vetted::Elsewhere),
@@ -305,6 +305,10 @@
                 request,
                 retry_after,
             } => (request, Vetted::Busy { retry_after }),
+            Charged { charge, crashes } => {
+                decision::charge(&charge, crashes);
+                return;
+            }
             Note { print, standing } => {
                 decision::poison(print, standing);
                 return;
--- a/crates/node/src/decision.rs
+++ b/crates/node/src/decision.rs
@@ -172,6 +172,16 @@
     }
 }
 
+/// Logs that a request ran at an upstream when that crashed.
+pub fn charge(charge: &dispatch::poison::Charge, crashes: usize) {
+    info!(
+        target: DECISION,
+        print = charge.print, upstream:% = charge.upstream, by:% = charge.id.by.vm,
+        age_ms = charge.age.as_millis() as u64, crashes;
+        "charge"
+    );
+}
+
 /// Logs what is believed of a request's fingerprint now.
 pub fn poison(print: dispatch::poison::Print, standing: dispatch::poison::Standing) {
     info!(target: DECISION, print, standing:?; "suspicion");
--- a/crates/upstream/src/link/mod.rs
+++ b/crates/upstream/src/link/mod.rs
@@ -11,6 +11,7 @@
 mod body;
 mod conn;
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -23,7 +24,7 @@
 use hyper::{Request, Response};
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep, timeout};
 use wire::{Priority, Upstream};
 
 pub use body::Body;
@@ -31,6 +32,13 @@
 
 use crate::error::{Error, Phase, Reach};
 
+/// Time within which the connections of a process that ends are closed, one after the other.
+const CLOSE_SPREAD: Duration = Duration::from_millis(10);
+
+/// Time within which a proxy before a process that has ended closes a new connection: a few round
+/// trips.
+const CLOSE_DELAY: Duration = Duration::from_millis(50);
+
 /// Connections that a class may open; no class waits for another's.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Class {
@@ -165,6 +173,11 @@
 
     fn give(&self, mut conn: Conn) {
         conn.used = Some(Instant::now());
+        self.put_back(conn);
+    }
+
+    /// Keeps a connection that has carried nothing meanwhile.
+    fn put_back(&self, conn: Conn) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         if idle.len() < self.limit {
             idle.push(conn);
@@ -340,6 +353,29 @@
         None
     }
 
+    /// Tells whether the upstream's process has ended: every kept connection is closed, and a new one
+    /// is refused, or closed before anything was sent. One that cannot be reached may live.
+    pub async fn has_ended(&self) -> bool {
+        sleep(CLOSE_SPREAD).await;
+        for pool in [&self.ordinary, &self.urgent, &self.control] {
+            if let Some(conn) = self.kept(pool, |_| true).await {
+                pool.put_back(conn);
+                return false;
+            }
+        }
+        match self.open().await {
+            Ok(mut conn) => {
+                sleep(CLOSE_DELAY).await;
+                !conn.verify().await
+            }
+            Err(Error::Connect { cause, .. }) => matches!(
+                cause.kind(),
+                ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset
+            ),
+            Err(_) => false,
+        }
+    }
+
     async fn open(&self) -> Result<Conn, Error> {
         let limit = self.limits.connect;
         let opened = timeout(limit, TcpStream::connect(self.address)).await;
