Give up answers that do not end

Callers saw: an upstream that sends interim responses or a chunk's size without end kept the request until its route's timeout (504 after 3 s), at full speed, 14 to 32 MB a connection in trials. One that sends an event without end kept it longer still: 6 s with a limit of 3 s. Bytes without end behind a whole answer kept their connection open.

Cause: a head was bounded by its size, not by what comes before it, and a chunk's framing by nothing; the time limit of a stream was looked at only where no part was ready; an event that goes on was searched from its beginning with each part; nobody looked at idle connections.

Change: a connection reads 64 KB at most that no part of a response pays for, and is then broken off and reset; the time limit is looked at before each part; the search for an event's end goes on where it stopped; idle connections are looked at every half second. Both request paths share the link.

Ruled out: limits of the library (they bound each head, extension and trailer, not their number).

--- a/crates/exchange/src/relay.rs
+++ b/crates/exchange/src/relay.rs
@@ -20,6 +20,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Cursor {
     partial: Vec<u8>,
+    /// What was searched of `partial` for the end of its event.
+    search: Search,
     last: Option<u64>,
     events: u64,
 }
@@ -29,6 +31,7 @@
     pub fn new(last: Option<u64>) -> Self {
         Self {
             partial: Vec::new(),
+            search: Search::default(),
             last,
             events: 0,
         }
@@ -51,7 +54,7 @@
 
     /// Drops the part of an event that a broken run left.
     pub fn restart(&mut self) {
-        self.partial.clear();
+        self.hold(&[]);
     }
 
     /// Takes bytes in and appends those that complete events to `out`.
@@ -62,12 +65,14 @@
     pub fn push(&mut self, bytes: &[u8], out: &mut Vec<u8>) -> Result<(), Fault> {
         if self.partial.is_empty() {
             let rest = self.whole(bytes, out)?;
-            self.partial.extend_from_slice(rest);
+            self.hold(rest);
         } else {
-            let mut joined = std::mem::take(&mut self.partial);
-            joined.extend_from_slice(bytes);
-            let rest = self.whole(&joined, out)?;
-            self.partial.extend_from_slice(rest);
+            self.partial.extend_from_slice(bytes);
+            if self.search.go_on(&self.partial).is_some() {
+                let joined = std::mem::take(&mut self.partial);
+                let rest = self.whole(&joined, out)?;
+                self.hold(rest);
+            }
         }
         if self.partial.len() > EVENT_BYTES_MAX {
             return Err(Fault::Large);
@@ -75,10 +80,17 @@
         Ok(())
     }
 
+    /// Holds a part of an event back.
+    fn hold(&mut self, part: &[u8]) {
+        self.partial.clear();
+        self.partial.extend_from_slice(part);
+        self.search = Search::default();
+    }
+
     /// Passes whole events on and returns the rest.
     fn whole<'a>(&mut self, bytes: &'a [u8], out: &mut Vec<u8>) -> Result<&'a [u8], Fault> {
         let mut rest = bytes;
-        while let Some(end) = event_end(rest) {
+        while let Some(end) = Search::default().go_on(rest) {
             let (event, tail) = rest.split_at(end);
             self.check(event)?;
             out.extend_from_slice(event);
@@ -100,20 +112,33 @@
     }
 }
 
-/// Returns the length of the first whole event with its blank line.
-fn event_end(bytes: &[u8]) -> Option<usize> {
-    let mut line = 0;
-    for (index, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let text = &bytes[line..index];
-        if text.is_empty() || text == b"\r" {
-            return Some(index + 1);
+/// A search for the blank line that ends an event, which goes on where it stopped.
+#[derive(Clone, Copy, Debug, Default)]
+struct Search {
+    /// Beginning of the present line.
+    line: usize,
+    /// Bytes searched.
+    seen: usize,
+}
+
+impl Search {
+    /// Goes on in `bytes`, which begin as those of earlier calls did. Returns the length of the first
+    /// whole event with its blank line.
+    fn go_on(&mut self, bytes: &[u8]) -> Option<usize> {
+        for (offset, byte) in bytes[self.seen..].iter().enumerate() {
+            if *byte != b'\n' {
+                continue;
+            }
+            let index = self.seen + offset;
+            let text = &bytes[self.line..index];
+            if text.is_empty() || text == b"\r" {
+                return Some(index + 1);
+            }
+            self.line = index + 1;
         }
-        line = index + 1;
+        self.seen = bytes.len();
+        None
     }
-    None
 }
 
 /// Returns the id of an event, where it has a numeric one.
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -29,6 +29,10 @@
 /// Ticks between two pulses of a reader.
 const PULSE_TICKS: u64 = 3;
 
+/// Ticks between two looks at idle connections: what upstreams write there meanwhile fills no more
+/// than the system's own buffers.
+const SWEEP_TICKS: u64 = 5;
+
 /// Time without a peer after which a node takes traffic alone.
 const ALONE: Duration = Duration::from_millis(1_500);
 
@@ -190,6 +194,9 @@
         if self.ticks.is_multiple_of(PULSE_TICKS) {
             self.hub.pulse(Vec::new());
         }
+        if self.ticks.is_multiple_of(SWEEP_TICKS) {
+            self.hub.sweep_links();
+        }
     }
 
     /// Takes traffic once peers have answered, or nobody has for a while.
--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -437,6 +437,10 @@
         } else {
             STREAM_SILENCE
         };
+        // Where bytes come without end, there is always a next part.
+        if self.left().is_zero() {
+            return Next::Broken("late");
+        }
         let deadline = self.hub.clock.instant(self.terms.deadline);
         let mut next = pin!(body.next());
         loop {
--- a/crates/gateway/src/hub/mod.rs
+++ b/crates/gateway/src/hub/mod.rs
@@ -294,6 +294,12 @@
         link
     }
 
+    /// Closes idle connections to upstreams that are of no use any more.
+    pub fn sweep_links(&self) {
+        let links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        links.iter().for_each(|(_, _, link)| link.sweep());
+    }
+
     /// Closes what is kept open to an upstream that is gone.
     pub fn unlink(&self, id: &str) {
         let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/upstream/src/link/body.rs
+++ b/crates/upstream/src/link/body.rs
@@ -138,6 +138,7 @@
                 Some(Ok(frame)) => {
                     // Trailers carry nothing that the callers are promised.
                     if let Ok(part) = frame.into_data() {
+                        conn.came(part.len());
                         self.offset += part.len() as u64;
                         return Poll::Ready(Ok(Some(part)));
                     }
--- a/crates/upstream/src/link/conn.rs
+++ b/crates/upstream/src/link/conn.rs
@@ -5,8 +5,8 @@
 use std::io;
 use std::pin::{Pin, pin};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::task::{Context, Poll, ready};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -24,6 +24,8 @@
     sender: SendRequest<Full<Bytes>>,
     driver: Pin<Box<Connection<TokioIo<Counter>, Full<Bytes>>>>,
     closed: bool,
+    /// Bytes that a head may take, with all interim responses before it.
+    head_bytes: usize,
     traffic: Arc<Traffic>,
     /// When its last exchange ended; `None` before the first one.
     pub(super) used: Option<Instant>,
@@ -45,6 +47,7 @@
             sender,
             driver: Box::pin(driver),
             closed: false,
+            head_bytes: head_bytes * HEADS,
             traffic,
             used: None,
         })
@@ -71,6 +74,7 @@
         request: Request<Full<Bytes>>,
     ) -> hyper::Result<Response<Incoming>> {
         self.traffic.busy.store(true, Ordering::Relaxed);
+        self.traffic.allow(self.head_bytes);
         let mut answer = pin!(self.sender.send_request(request));
         poll_fn(|cx| {
             poll_driver(&mut self.driver, &mut self.closed, cx);
@@ -79,6 +83,13 @@
         .await
     }
 
+    /// Notes a part of the response body that came, which pays for what it took on the wire.
+    pub(super) fn came(&self, bytes: usize) {
+        let unread = self.traffic.unread.load(Ordering::Relaxed);
+        let rest = unread.saturating_sub(bytes + FRAMING);
+        self.traffic.unread.store(rest, Ordering::Relaxed);
+    }
+
     /// Drives the connection once; to be called whenever its response body is polled.
     pub(super) fn drive(&mut self, cx: &mut Context<'_>) {
         poll_driver(&mut self.driver, &mut self.closed, cx);
@@ -91,6 +102,17 @@
             Poll::Ready(())
         })
         .await;
+        self.usable()
+    }
+
+    /// Tells whether an idle connection may be kept: bytes that came on it close it.
+    pub(super) fn keeps(&mut self) -> bool {
+        // It is looked at again later, so that nothing has to wake for it.
+        self.drive(&mut Context::from_waker(Waker::noop()));
+        self.usable()
+    }
+
+    fn usable(&self) -> bool {
         !self.closed && self.sender.is_ready()
     }
 }
@@ -114,16 +136,45 @@
     }
 }
 
+/// Heads' worth of bytes that may come without a part of a response's body: interim responses and
+/// the head, and what is read ahead of the body.
+const HEADS: usize = 4;
+
+/// Bytes on the wire beside each part of a body: a chunk's size with its extensions.
+const FRAMING: usize = 64;
+
 /// What goes over a connection.
 #[derive(Debug, Default)]
 struct Traffic {
+    /// Bytes read that no part of a response accounts for, and how many of these may come.
+    unread: AtomicUsize,
+    allowed: AtomicUsize,
     /// Bytes written.
     written: AtomicU64,
     /// Whether an exchange is under way.
     busy: AtomicBool,
 }
 
-/// A stream that counts the bytes written.
+impl Traffic {
+    /// Lets so many bytes come that no part of a response accounts for.
+    fn allow(&self, bytes: usize) {
+        self.unread.store(0, Ordering::Relaxed);
+        self.allowed.store(bytes, Ordering::Relaxed);
+    }
+
+    /// Counts bytes that came.
+    fn take(&self, bytes: usize) -> io::Result<()> {
+        let unread = self.unread.fetch_add(bytes, Ordering::Relaxed) + bytes;
+        let allowed = self.allowed.load(Ordering::Relaxed);
+        if unread <= allowed {
+            return Ok(());
+        }
+        let cause = format!("{unread} bytes came that belong to no response");
+        Err(io::Error::new(io::ErrorKind::InvalidData, cause))
+    }
+}
+
+/// A stream that counts the bytes written, and reads no bytes without end.
 ///
 /// Closed in the middle of an exchange, it is reset: what has not arrived yet is dropped, where it
 /// would otherwise be delivered however late, after what was decided since.
@@ -155,7 +206,9 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        Poll::Ready(self.traffic.take(buf.filled().len() - before))
     }
 }
 
--- a/crates/upstream/src/link/mod.rs
+++ b/crates/upstream/src/link/mod.rs
@@ -171,6 +171,11 @@
         Some(idle.remove(index))
     }
 
+    fn sweep(&self, keep: Duration) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.retain_mut(|conn| conn.idle() < keep && conn.keeps());
+    }
+
     fn give(&self, mut conn: Conn) {
         conn.used = Some(Instant::now());
         self.put_back(conn);
@@ -353,6 +358,14 @@
         None
     }
 
+    /// Closes the idle connections that were kept for long enough, or on which bytes came that belong
+    /// to no response.
+    pub fn sweep(&self) {
+        for pool in [&self.ordinary, &self.urgent, &self.control] {
+            pool.sweep(self.keep());
+        }
+    }
+
     /// Tells whether the upstream's process has ended: every kept connection is closed, and a new one
     /// is refused, or closed before anything was sent. One that cannot be reached may live.
     pub async fn has_ended(&self) -> bool {
