Heed what upstreams say of themselves: that they leave, and that they want a pause

Cause: both headers were read by nobody. Leaving was known from entries alone, which lag.

Change: the adapter reads both into a `Word`, from answers to requests, orders and questions alike, refused or crossed ones included. Leaving sticks to the process: no listing, outline or entry that lapsed and came again takes it back, another start under the same id does. Its idle connections are closed, it gets no load, and the other nodes are told in a sealed message. A pause of up to 60 s keeps all requests away; where all upstreams of a pool pause, callers are refused at once with the time when the first one is back. After a pause the upstream gets those requests first that find the others loaded. Both are looked at again right before the request is written. The last upstream of a pool gets nothing either once it leaves: what is sent then may be cut off with its process.

--- a/crates/exchange/src/choice.rs
+++ b/crates/exchange/src/choice.rs
@@ -121,6 +121,8 @@
     Upstream,
     /// Every open upstream was tried.
     Untried,
+    /// Every other upstream wants a pause, the first of them for that time.
+    Paused(Duration),
     /// No open upstream holds the base model.
     Weights,
 }
@@ -131,6 +133,7 @@
         match self {
             Self::Upstream => "no-upstream",
             Self::Untried => "all-tried",
+            Self::Paused(_) => "all-paused",
             Self::Weights => "no-weights",
         }
     }
@@ -145,14 +148,19 @@
     let untried: Vec<&Runner> = open
         .filter(|runner| !need.tried.contains(&runner.listing.id))
         .collect();
-    if untried.is_empty() {
+    let Some(pause) = untried.iter().map(|runner| runner.pause(scene.now)).min() else {
         return Pick::None(Lack::Untried);
+    };
+    if !pause.is_zero() {
+        return Pick::None(Lack::Paused(pause));
     }
+    let takes = |runner: &&Runner| runner.takes(scene.now);
+    let takers: Vec<&Runner> = untried.into_iter().filter(takes).collect();
     match need.target {
         Some(target) if need.service.engine.is_some() => {
-            engine(fleet, need, scene, target, &untried)
+            engine(fleet, need, scene, target, &takers)
         }
-        _ => plain(need, scene, &untried),
+        _ => plain(need, scene, &takers),
     }
 }
 
@@ -253,7 +261,7 @@
 ) -> Option<Upstream> {
     let target = need.target?;
     target.adapter.as_ref()?;
-    let mut based = based(fleet, target, fleet.open(&need.service.name));
+    let mut based = based(fleet, target, fleet.takers(now, &need.service.name));
     if demand.has_long(now) {
         let lanes = lanes(&based);
         based.retain(|runner| !lanes.iter().any(|lane| std::ptr::eq(*lane, *runner)));
@@ -283,7 +291,7 @@
     if wait < LONG_WAIT || need.long() || demand.share(now, target) <= 0.0 {
         return None;
     }
-    let based = based(fleet, target, fleet.open(&need.service.name));
+    let based = based(fleet, target, fleet.takers(now, &need.service.name));
     let wait = wait.as_secs_f64() * 1_000.0;
     let mut homes = order(target, &based).into_iter();
     let next = homes.find(|runner| {
--- a/crates/exchange/src/fleet/mod.rs
+++ b/crates/exchange/src/fleet/mod.rs
@@ -12,7 +12,7 @@
 
 use std::time::Duration;
 
-use wire::{Time, rank};
+use wire::{Time, Upstream, rank};
 
 use crate::demand::Target;
 use crate::route::Config;
@@ -20,10 +20,15 @@
 pub use runner::{LISTING_LAG, Runner, Verdict};
 use runner::{Source, Stock};
 
+/// Most processes that are remembered as leaving after they are listed no longer.
+const DEPARTED: usize = 256;
+
 /// All upstreams, sorted by id.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     runners: Vec<Runner>,
+    /// Processes that were said to leave and are listed no longer, the latest last.
+    departed: Vec<(Upstream, Option<u64>)>,
     versions: Vec<(Target, Version)>,
 }
 
@@ -46,7 +51,12 @@
         &self.runners
     }
 
-    /// Returns the upstreams of `pool` that may get requests.
+    /// Returns the upstreams of `pool` that take requests now.
+    pub fn takers<'a>(&'a self, now: Time, pool: &'a str) -> impl Iterator<Item = &'a Runner> {
+        self.open(pool).filter(move |runner| runner.takes(now))
+    }
+
+    /// Returns the upstreams of `pool` that requests may go to, also those that want a pause.
     pub fn open<'a>(&'a self, pool: &'a str) -> impl Iterator<Item = &'a Runner> {
         self.runners
             .iter()
@@ -109,7 +119,11 @@
         let index = match self.find(&listing.id) {
             Ok(index) => index,
             Err(index) => {
-                self.runners.insert(index, Runner::new(now, listing));
+                let process = (listing.id.clone(), listing.born);
+                let mut runner = Runner::new(now, listing);
+                // An entry that lapsed may be back while its process leaves.
+                runner.left = self.departed.contains(&process);
+                self.runners.insert(index, runner);
                 return Change::Appeared;
             }
         };
@@ -120,7 +134,8 @@
             (runner.running, runner.engine) = (running, engine);
             return Change::Restarted;
         }
-        let left = listing.leaving && !runner.listing.leaving;
+        let left = listing.leaving && !runner.leaves();
+        runner.left |= runner.listing.leaving;
         runner.listing = listing;
         runner.take_holdings(now, Source::Listing);
         if left { Change::Leaving } else { Change::Same }
@@ -135,7 +150,7 @@
         else {
             return self.list(now, outline);
         };
-        let left = outline.leaving && !runner.listing.leaving;
+        let left = outline.leaving && !runner.leaves();
         runner.listing.leaving |= outline.leaving;
         runner.listing.slots = outline.slots;
         for holding in &outline.holdings {
@@ -167,14 +182,38 @@
     pub fn delist(&mut self, id: &str) -> bool {
         match self.find(id) {
             Ok(index) => {
-                self.runners.remove(index);
+                let runner = self.runners.remove(index);
+                if runner.leaves() {
+                    self.departed.push((runner.listing.id, runner.listing.born));
+                    let surplus = self.departed.len().saturating_sub(DEPARTED);
+                    self.departed.drain(..surplus);
+                }
                 true
             }
             Err(_) => false,
         }
     }
 
-    /// Sends nothing more to an upstream that said that it leaves or is another one, until it is
+    /// Takes in that the process of `id` leaves, by its own word. Returns whether it is news.
+    pub fn leave(&mut self, id: &str) -> bool {
+        match self.runner_mut(id) {
+            Some(runner) => {
+                let news = !runner.leaves();
+                runner.left = true;
+                news
+            }
+            None => false,
+        }
+    }
+
+    /// Takes in that `id` wants no requests for that time.
+    pub fn pause(&mut self, now: Time, id: &str, time: Duration) {
+        if let Some(runner) = self.runner_mut(id) {
+            runner.set_pause(now, time);
+        }
+    }
+
+    /// Sends nothing more to an upstream at whose address another process answers, until it is
     /// listed anew.
     pub fn shun(&mut self, id: &str) {
         if let Some(runner) = self.runner_mut(id) {
--- a/crates/exchange/src/fleet/runner.rs
+++ b/crates/exchange/src/fleet/runner.rs
@@ -28,6 +28,10 @@
 /// each failure in a row, so that a dead upstream is tried ever more rarely.
 const TROUBLE_HALF_LIFE: Duration = Duration::from_millis(700);
 
+/// Failure score at the end of a pause: it weighs about as much as a few waiting requests, so that an
+/// upstream gets those first that find the others loaded.
+const PAUSE_TROUBLE: f64 = 0.1;
+
 /// Doublings of [`TROUBLE_HALF_LIFE`] at most.
 const TROUBLE_DOUBLINGS: u32 = 4;
 
@@ -73,8 +77,12 @@
     trouble_at: Time,
     streak: u32,
     pub(super) stock: Vec<Stock>,
-    /// Whether it said that it leaves, or another process answers at its address.
+    /// Whether another process answers at its address.
     pub(super) shunned: bool,
+    /// Whether it was said to leave, by itself or by the platform: it does not come back.
+    pub(super) left: bool,
+    /// When the pause ends that it wants.
+    pub(super) paused_until: Time,
     /// When all prompts that are known to be let in are read.
     pub(super) read_by: Time,
     /// When another adapter could be there.
@@ -102,6 +110,8 @@
             streak: 0,
             stock: Vec::new(),
             shunned: false,
+            left: false,
+            paused_until: Time::ZERO,
             read_by: now,
             loads_by: now,
             heard: now,
@@ -118,9 +128,31 @@
             && self.listing.pool == listing.pool
     }
 
-    /// Tells whether new requests may go to it.
+    /// Tells whether it is one of the upstreams that requests may go to.
     pub fn open(&self) -> bool {
-        !self.listing.leaving && !self.shunned
+        !self.leaves() && !self.shunned
+    }
+
+    /// Tells whether it was said to leave.
+    pub fn leaves(&self) -> bool {
+        self.listing.leaving || self.left
+    }
+
+    /// Tells whether new requests may go to it now.
+    pub fn takes(&self, now: Time) -> bool {
+        self.open() && self.pause(now).is_zero()
+    }
+
+    /// Returns how much longer the pause lasts that it wants.
+    pub fn pause(&self, now: Time) -> Duration {
+        self.paused_until.saturating_sub(now)
+    }
+
+    /// Keeps a pause. Requests come back by and by after it, as after failures.
+    pub(super) fn set_pause(&mut self, now: Time, time: Duration) {
+        self.paused_until = self.paused_until.max(now + time);
+        self.trouble = self.trouble(now).max(PAUSE_TROUBLE);
+        self.trouble_at = self.paused_until;
     }
 
     /// Returns what is known of `target`.
--- a/crates/exchange/src/owner/load.rs
+++ b/crates/exchange/src/owner/load.rs
@@ -41,7 +41,7 @@
         rank: u8,
         out: &mut Vec<Action>,
     ) {
-        let Some(known) = fleet.runner(&runner) else {
+        let Some(known) = fleet.runner(&runner).filter(|known| known.open()) else {
             return self.answer(now, from, &runner, &target, Presence::Absent, out);
         };
         match known.presence(&target) {
@@ -105,6 +105,10 @@
             if let Some(engine) = &runner.engine {
                 seat.room = engine.places.saturating_sub(SPARE_PLACES);
             }
+            if !runner.open() {
+                seat.wants.clear();
+                continue;
+            }
             seat.wants.retain(|want| now < want.since + WANT_MAX_AGE);
             if !matches!(seat.stage, Stage::Open(at) if at <= now) {
                 continue;
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Request, StatusCode};
+use hyper::{Request, Response};
 use upstream::Error;
 use upstream::link::{Call, Class, Host, Link, Reuse};
 
@@ -21,7 +21,7 @@
     call: dialect::Call,
     limit: Duration,
     wanted: impl FnOnce() -> bool,
-) -> Result<(StatusCode, Bytes), Error> {
+) -> Result<Response<Bytes>, Error> {
     let mut request = Request::builder().method(call.method).uri(call.path);
     for (name, value) in call.headers {
         request = request.header(name, value);
@@ -40,8 +40,6 @@
         head: Some(limit),
         request,
     };
-    let response = link.send_if(call, wanted).await?;
-    let status = response.status();
-    let body = response.into_body().collect().await?;
-    Ok((status, body))
+    let (parts, body) = link.send_if(call, wanted).await?.into_parts();
+    Ok(Response::from_parts(parts, body.collect().await?))
 }
--- a/crates/gateway/src/control/engines.rs
+++ b/crates/gateway/src/control/engines.rs
@@ -55,7 +55,10 @@
         hub.desk().owner.permits(now, runner, fence)
     };
     match send(&link, call, ANSWER, permitted).await {
-        Ok((status, _)) => hub.dialect.ordered(status),
+        Ok(answer) => {
+            hub.take_word(runner, hub.dialect.word(answer.status(), answer.headers()));
+            hub.dialect.ordered(answer.status())
+        }
         Err(error) if error.reach() == Reach::NotSent => Answer::Unreached,
         Err(_) => Answer::Unknown,
     }
@@ -73,14 +76,15 @@
     let Some(link) = control_link(hub, runner) else {
         return false;
     };
-    let Ok((status, body)) = send(&link, hub.dialect.inspection(runner), ANSWER, || true).await
-    else {
+    let call = hub.dialect.inspection(runner);
+    let Ok(answer) = send(&link, call, ANSWER, || true).await else {
         return false;
     };
-    if !status.is_success() {
+    hub.take_word(runner, hub.dialect.word(answer.status(), answer.headers()));
+    if !answer.status().is_success() {
         return false;
     }
-    match hub.dialect.report(&body) {
+    match hub.dialect.report(answer.body()) {
         Ok(report) => {
             let now = hub.clock.now();
             let due = now + hub.exchange.load;
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -169,6 +169,7 @@
                 message,
             }),
             Message::Pulse(pulse) => self.hub.take_pulse(pulse),
+            Message::Leaver(leaver) => self.hub.take_leaver(&leaver),
             Message::Owner(message) => self.hub.drive(owner::Event::Receive {
                 from: sender.vm,
                 message,
--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -30,6 +30,8 @@
     Pulse(exchange::mirror::Pulse),
     /// Requests that crash upstreams.
     Poison(dispatch::poison::Message),
+    /// An upstream has said that it leaves.
+    Leaver(crate::hub::Leaver),
 }
 
 /// Pause after an error of the socket: short beside the silence after which peers count as dead.
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -87,6 +87,17 @@
     pub load: Option<Load>,
     /// Time for which the upstream keeps an idle connection.
     pub kept: Option<Duration>,
+    /// What it says of itself.
+    pub word: Word,
+}
+
+/// What an upstream says of itself with any answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Word {
+    /// Whether it leaves.
+    pub leaving: bool,
+    /// Time for which it wants no requests.
+    pub pause: Option<Duration>,
 }
 
 /// A request without a body that the system itself makes.
@@ -192,6 +203,9 @@
     /// Reads the head of an upstream's answer to `ask`.
     fn mark(&self, ask: &Ask, hop: &Upstream, status: StatusCode, headers: &HeaderMap) -> Mark;
 
+    /// Reads what an upstream says of itself with any answer.
+    fn word(&self, status: StatusCode, headers: &HeaderMap) -> Word;
+
     /// Marks a refusal of the system as one: sets the attempt and the time to come back.
     fn refuse(&self, headers: &mut HeaderMap, ask: &Ask, again: Option<Duration>);
 
--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -106,9 +106,13 @@
     /// Sends the request to `runner` once.
     pub(super) async fn attempt(&mut self, runner: &Upstream, cursor: &mut Cursor) -> Tried<D> {
         let target = self.target();
+        // It may have left, or want a pause, since it was chosen.
         let (link, version) = match self.link(runner, target.as_ref()) {
-            Some(found) => found,
-            None => return Tried::failed(Reach::NotRun(Proof::unsent())),
+            Some(found) if self.hub.takes(runner) => found,
+            _ => {
+                self.prepay();
+                return Tried::failed(Reach::NotRun(Proof::unsent()));
+            }
         };
         let Some(request) = self.request(runner, version) else {
             return Tried::failed(Reach::NotRun(Proof::unsent()));
@@ -216,13 +220,15 @@
         } else {
             Class::Ordinary
         };
-        let mut sending = pin!(link.send(Call {
+        let call = Call {
             class,
             reuse,
             host: Host::Caller,
             head: Some(self.left()),
             request,
-        }));
+        };
+        let runner = &visit.runner;
+        let mut sending = pin!(link.send_if(call, || self.hub.takes(runner)));
         let limit = self.silence_limit();
         let started = self.hub.clock.now();
         loop {
@@ -281,7 +287,9 @@
             Headless::Failed(error) => error,
         };
         match error {
-            upstream::Error::Full { .. } => visit.end(Verdict::Neutral),
+            upstream::Error::Full { .. } | upstream::Error::Withdrawn { .. } => {
+                visit.end(Verdict::Neutral);
+            }
             upstream::Error::Broken { .. } if error.reach() == Sent::MaybeSent => {
                 visit.break_off(self.print).await;
             }
@@ -306,6 +314,7 @@
 
     /// Takes over what an answer says of its upstream.
     fn note(&self, runner: &Upstream, link: &Link, mark: &Mark) {
+        self.hub.take_word(runner, mark.word);
         if let Some(kept) = mark.kept {
             link.keep_for(kept.mul_f64(KEEP_PART));
         }
--- a/crates/gateway/src/front/job.rs
+++ b/crates/gateway/src/front/job.rs
@@ -40,6 +40,30 @@
 /// at the upstreams changes that.
 const CONVICTED_AGAIN: Duration = Duration::from_secs(60);
 
+/// When a refused caller may come back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Return {
+    /// After a moment.
+    Soon,
+    /// After about that time.
+    About(Duration),
+    /// Not before that time is over.
+    After(Duration),
+}
+
+impl Return {
+    /// Returns the pause to tell the caller of an attempt that hashes to `seed`: spread over as long
+    /// again, so that callers do not return together.
+    fn spread(self, seed: u64) -> Duration {
+        let part = (seed % 1_000) as f64 / 1_000.0;
+        match self {
+            Self::Soon => AGAIN.mul_f64(0.5 + part),
+            Self::About(time) => time.mul_f64(0.5 + part),
+            Self::After(time) => time.mul_f64(1.0 + part / 2.0),
+        }
+    }
+}
+
 /// Fixed facts of a request.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Terms {
@@ -155,7 +179,7 @@
         loop {
             let runner = match self.place().await {
                 Placed::At(runner) => runner,
-                Placed::Refused(reason, again) => return Err(self.refuse(reason, again)),
+                Placed::Refused(reason, back) => return Err(self.refuse(reason, back)),
             };
             match self.attempt(&runner, &mut cursor).await {
                 Tried::Whole(response) => {
@@ -264,22 +288,18 @@
         }
         match exchange::outcome::final_answer(self.worst) {
             Next::Unknown => Err(self.unknown()),
-            Next::Refuse | Next::Again => Err(self.refuse("not-run", None)),
+            Next::Refuse | Next::Again => Err(self.refuse("not-run", Return::Soon)),
         }
     }
 
     /// Returns the refusal of a request that has run nowhere, or the failure of one that may have.
-    pub(super) fn refuse(&mut self, reason: &'static str, again: Option<Duration>) -> Problem {
+    pub(super) fn refuse(&mut self, reason: &'static str, back: Return) -> Problem {
         if self.worst == Reach::Unknown {
             return self.unknown();
         }
         self.end(503, reason);
-        let again = again.unwrap_or(AGAIN);
-        let spread = 0.5 + (self.terms.seed % 1_000) as f64 / 1_000.0;
-        Problem::busy(
-            format!("no upstream took the request ({reason}); send it again"),
-            again.mul_f64(spread),
-        )
+        let detail = format!("no upstream took the request ({reason}); send it again");
+        Problem::busy(detail, back.spread(self.terms.seed))
     }
 
     /// Returns the final answer to a request that crashes what runs it.
--- a/crates/gateway/src/front/place.rs
+++ b/crates/gateway/src/front/place.rs
@@ -10,7 +10,7 @@
 use node::journal::DECISION;
 use wire::Upstream;
 
-use super::job::Job;
+use super::job::{Job, Return};
 use crate::dialect::Dialect;
 
 /// Time without news of a load after which its owner is asked again: two round trips and an order.
@@ -42,8 +42,8 @@
 pub(super) enum Placed {
     /// To this upstream, now.
     At(Upstream),
-    /// Nowhere; the caller may come back after that time.
-    Refused(&'static str, Option<Duration>),
+    /// Nowhere, for this reason.
+    Refused(&'static str, Return),
 }
 
 impl<D: Dialect> Job<D> {
@@ -54,7 +54,7 @@
         let whole = self.left();
         loop {
             if self.left().is_zero() || self.patience().is_zero() {
-                return Placed::Refused("no-time", None);
+                return Placed::Refused("no-time", Return::Soon);
             }
             let pick = self.hub.pick(&self.need(target.as_ref()));
             match pick {
@@ -83,10 +83,13 @@
                         self.want(&runner, target).await;
                     }
                 }
+                Pick::None(lack @ Lack::Paused(pause)) => {
+                    return Placed::Refused(lack.name(), Return::After(pause));
+                }
                 Pick::None(lack) => {
                     let waited = self.hub.clock.now().saturating_sub(started);
                     if lack != Lack::Weights || waited > whole / WEIGHTS_PART {
-                        return Placed::Refused(lack.name(), Some(EMPTY_PAUSE));
+                        return Placed::Refused(lack.name(), Return::About(EMPTY_PAUSE));
                     }
                     tokio::time::sleep(WEIGHTS_PAUSE).await;
                 }
--- a/crates/gateway/src/hub/mod.rs
+++ b/crates/gateway/src/hub/mod.rs
@@ -3,10 +3,12 @@
 //! - `grant` asks owners and carries out what they want done.
 //! - `poison` finds requests that crash upstreams.
 //! - `pulse` tells what was read of the platform, and takes over what others tell.
+//! - `word` heeds what upstreams say of themselves.
 
 mod grant;
 mod poison;
 mod pulse;
+mod word;
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, Ordering};
@@ -34,6 +36,8 @@
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
 
+pub use word::Leaver;
+
 /// Limit for a connection to an upstream; several crossings of a region and a handshake.
 const CONNECT: Duration = Duration::from_millis(400);
 
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -232,11 +232,11 @@
 
     async fn read(&mut self, call: Call, limit: Duration) -> Result<bytes::Bytes, Error> {
         self.last = Instant::now();
-        let (status, body) = send(&self.link, call, limit, || true).await?;
-        match status {
+        let answer = send(&self.link, call, limit, || true).await?;
+        match answer.status() {
             StatusCode::OK => {
                 self.answered();
-                Ok(body)
+                Ok(answer.into_body())
             }
             StatusCode::GONE => {
                 self.answered();
