Play crashing requests, words of upstreams and answers without end in the soak

Change: in every third seed two callers send a request that crashes what runs it, at any node, until the end; upstreams say in their answers alone that they leave, turn requests away with a time to come back, and send bytes without end. The checker knows the three rules. What was drawn before stays as it was; the new events are drawn apart.

--- a/crates/hyssopscale/tests/fault_soak.rs
+++ b/crates/hyssopscale/tests/fault_soak.rs
@@ -17,7 +17,8 @@
 const AT_ONCE: u64 = 4;
 
 /// Returns the plan of a seed. Every fourth one goes up to the limits; in every fifth one, a node's
-/// log is not read; in every seventh one, engines do not look at fencing numbers.
+/// log is not read; in every seventh one, engines do not look at fencing numbers; in every third one,
+/// two callers send requests that crash what runs them.
 fn plan(seed: u64) -> Plan {
     let to_the_limits = seed.is_multiple_of(4);
     Plan {
@@ -27,6 +28,7 @@
         think: Duration::from_millis(if to_the_limits { 1 } else { 80 }),
         unread_log: seed.is_multiple_of(5),
         fenced: !seed.is_multiple_of(7),
+        villains: if seed % 3 == 1 { 2 } else { 0 },
     }
 }
 
--- a/crates/hyssopscale/tests/soak/caller.rs
+++ b/crates/hyssopscale/tests/soak/caller.rs
@@ -15,7 +15,7 @@
 use upstream::link::{self, Call, Class, Host, Limits, Link, Reuse};
 
 use super::config::HOST;
-use super::upstream::{EVENTS, event};
+use super::upstream::{EVENTS, POISON, event};
 
 /// Attempt that all probes share.
 pub const PROBE: &str = "probe";
@@ -35,6 +35,9 @@
 /// Longest time after which a caller gives up.
 const GIVES_UP: Duration = Duration::from_millis(400);
 
+/// Pause between two sends of a request that crashes what runs it.
+const OFFENCE_PAUSE: Duration = Duration::from_millis(400);
+
 /// Time for which an answer of the directory is used.
 const DIRECTORY_AGE: Duration = Duration::from_secs(1);
 
@@ -50,7 +53,7 @@
 impl Kind {
     pub const ALL: [Self; 4] = [Self::Call, Self::Lookup, Self::Stream, Self::Story];
 
-    fn path(self) -> &'static str {
+    pub fn path(self) -> &'static str {
         match self {
             Self::Call => "/once/x",
             Self::Lookup => "/read/x",
@@ -164,6 +167,31 @@
         self.asks
     }
 
+    /// Sends a request that crashes what runs it, again and again until `end`, at any node.
+    pub async fn offend(mut self, kind: Kind, end: Instant) -> Vec<Ask> {
+        self.stays = false;
+        while Instant::now() < end {
+            sleep(OFFENCE_PAUSE).await;
+            let Some(node) = self.node().await else {
+                continue;
+            };
+            self.number += 1;
+            let attempt = format!("{}-{}", self.name, self.number);
+            let path = format!("{}/{POISON}", kind.path());
+            let sent = Instant::now();
+            let (outcome, _) = self.send(node, kind, &path, &attempt, 0).await;
+            self.asks.push(Ask {
+                attempt,
+                kind,
+                node,
+                sent,
+                done: Instant::now(),
+                outcome,
+            });
+        }
+        self.asks
+    }
+
     async fn request(&mut self, kind: Kind) {
         self.number += 1;
         // The smallest of two draws: some adapters are popular.
@@ -177,10 +205,11 @@
             let sent = Instant::now();
             let (outcome, headers) = match self.gives_up() {
                 Some(after) => {
-                    let answer = timeout(after, self.send(node, kind, &attempt, adapter));
+                    let answer =
+                        timeout(after, self.send(node, kind, kind.path(), &attempt, adapter));
                     answer.await.unwrap_or((Outcome::Left, HeaderMap::new()))
                 }
-                None => self.send(node, kind, &attempt, adapter).await,
+                None => self.send(node, kind, kind.path(), &attempt, adapter).await,
             };
             let again = pause(kind, &outcome, &headers);
             let closes = headers
@@ -214,12 +243,13 @@
         &self,
         node: usize,
         kind: Kind,
+        path: &str,
         attempt: &str,
         adapter: u32,
     ) -> (Outcome, HeaderMap) {
         let builder = Request::builder()
             .method(Method::POST)
-            .uri(kind.path())
+            .uri(path)
             .header("host", HOST)
             .header("x-attempt-id", attempt)
             .header("x-deadline-ms", PATIENCE.as_millis().to_string())
--- a/crates/hyssopscale/tests/soak/check.rs
+++ b/crates/hyssopscale/tests/soak/check.rs
@@ -9,8 +9,8 @@
 use super::Site;
 use super::caller::{Ask, Kind, Outcome, PROBE, get};
 use super::fault::Event;
-use super::process::Deed;
-use super::upstream::{Arrival, Run};
+use super::process::{Deed, SETTLING};
+use super::upstream::{Arrival, POISON, Run, Said, Word};
 
 /// Statuses that promise that nothing ran.
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
@@ -27,6 +27,18 @@
 /// Time after which nothing reaches an upstream for a caller that has left.
 const LEFT: Duration = Duration::from_millis(500);
 
+/// Time after an upstream's word that it leaves, or wants a pause, from which that binds.
+const DRAIN: Duration = Duration::from_secs(2);
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// Requests that may reach an upstream from one node in a pause.
+const PAUSE_MAX: usize = 2;
+
+/// Crashes of a request after which its retries count, and how many may come later than a stable
+/// window.
+const CRASHES: usize = 3;
+const LATE_MAX: usize = 3;
+
 /// Window of the budget of repeats.
 const WINDOW: Duration = Duration::from_secs(10);
 
@@ -51,8 +63,13 @@
 /// What a run has left.
 pub struct Evidence {
     pub asks: Vec<Ask>,
+    /// Sends of requests that crash what runs them.
+    pub offences: Vec<Ask>,
     pub runs: Vec<Run>,
     pub arrivals: Vec<Arrival>,
+    pub words: Vec<Word>,
+    /// Paths of requests that crashed an upstream, and when.
+    pub crashes: Vec<(String, Instant)>,
     pub probes: Vec<Probe>,
     pub events: Vec<Event>,
     pub end: Instant,
@@ -62,7 +79,12 @@
     pub fn summary(&self) -> String {
         let served = self.asks.iter().filter(|ask| is_served(ask)).count();
         let (asks, runs, faults) = (self.asks.len(), self.runs.len(), self.events.len());
-        format!("{asks} attempts, {served} served, {runs} runs, {faults} faults")
+        let (words, crashes) = (self.words.len(), self.crashes.len());
+        format!(
+            "{asks} attempts, {served} served, {runs} runs, {faults} faults, {words} words, \
+             {crashes} crashes under {} offences",
+            self.offences.len()
+        )
     }
 
     pub fn story(&self, began: Instant) -> Vec<String> {
@@ -119,7 +141,7 @@
         runs.entry(&run.attempt).or_default().push(run);
     }
     let mut breaches = Vec::new();
-    for ask in &evidence.asks {
+    for ask in evidence.asks.iter().chain(&evidence.offences) {
         let ran = runs.remove(&*ask.attempt).unwrap_or_default();
         breaches.extend(check_ask(ask, &ran, site).map(|rule| format!("{rule}: {ask:?}, {ran:?}")));
         breaches.extend(check_leaving(ask, &ran, evidence, site));
@@ -129,6 +151,8 @@
     breaches.extend(check_probes(&evidence.probes, site));
     breaches.extend(check_recovery(evidence));
     breaches.extend(check_budget(evidence));
+    breaches.extend(check_offences(evidence, site));
+    breaches.extend(check_words(evidence, site));
     breaches
 }
 
@@ -173,6 +197,77 @@
     told.then(|| format!("DRAIN: {ask:?} at {id}"))
 }
 
+/// Checks that requests which crash what runs them are recognized by all nodes.
+fn check_offences(evidence: &Evidence, site: &Site) -> Vec<String> {
+    let mut breaches = Vec::new();
+    for kind in Kind::ALL {
+        let path = format!("{}/{POISON}", kind.path());
+        let crashes = evidence.crashes.iter().filter(|(of, _)| *of == path);
+        let Some((_, third)) = crashes.clone().nth(CRASHES - 1) else {
+            continue;
+        };
+        let stable = *third + SETTLING;
+        let of = |ask: &&Ask| ask.kind == kind && ask.sent > stable;
+        let late = evidence.offences.iter().filter(of).filter(|ask| {
+            let node = &site.nodes[ask.node];
+            node.troubles(ask.sent - SETTLING, ask.done).is_empty()
+        });
+        let arrived = |ask: &&Ask| evidence.arrivals.iter().any(|a| a.attempt == ask.attempt);
+        let late = late.filter(arrived).count();
+        if late > LATE_MAX {
+            let all = crashes.count();
+            breaches.push(format!(
+                "BUDGET: {late} late arrivals of {path}, {all} crashes"
+            ));
+        }
+    }
+    breaches
+}
+
+/// Checks that nodes heed what upstreams have said to them.
+fn check_words(evidence: &Evidence, site: &Site) -> Vec<String> {
+    let asks: BTreeMap<&str, &Ask> = evidence
+        .asks
+        .iter()
+        .chain(&evidence.offences)
+        .map(|ask| (&*ask.attempt, ask))
+        .collect();
+    let mut breaches = Vec::new();
+    for word in &evidence.words {
+        let Some(told) = asks.get(&*word.attempt) else {
+            continue;
+        };
+        let until = match word.said {
+            Said::Leaves => evidence.end,
+            Said::Pause(pause) => word.at + pause,
+        };
+        let reached = evidence.arrivals.iter().filter(|arrival| {
+            let Some(ask) = asks.get(&*arrival.attempt) else {
+                return false;
+            };
+            let bound = match word.said {
+                Said::Leaves => ask.sent > word.at + DRAIN + SLACK,
+                Said::Pause(_) => arrival.at > word.at + PAUSE && arrival.at < until,
+            };
+            let calm = || {
+                site.nodes[told.node]
+                    .troubles(word.at, arrival.at)
+                    .is_empty()
+            };
+            bound && ask.node == told.node && arrival.upstream == word.upstream && calm()
+        });
+        let most = match word.said {
+            Said::Leaves => 0,
+            Said::Pause(_) => PAUSE_MAX,
+        };
+        let count = reached.count();
+        if count > most {
+            breaches.push(format!("{:?} not heeded by {count}: {word:?}", word.said));
+        }
+    }
+    breaches
+}
+
 fn check_probes(probes: &[Probe], site: &Site) -> Vec<String> {
     let mut seen: BTreeMap<(usize, u32), u64> = BTreeMap::new();
     let mut breaches = Vec::new();
--- a/crates/hyssopscale/tests/soak/fault.rs
+++ b/crates/hyssopscale/tests/soak/fault.rs
@@ -17,6 +17,10 @@
 /// Faults of a run at least, and at most.
 const COUNT: (usize, usize) = (6, 16);
 
+/// Words of upstreams in a run at most, and what sets their draws apart.
+const WORDS_MAX: usize = 4;
+const WORDS: u64 = 0x776f_7264;
+
 /// One fault.
 #[derive(Clone, Debug)]
 pub enum Fault {
@@ -58,6 +62,8 @@
     Leave {
         upstream: usize,
         time: Duration,
+        /// Whether its entry says so, or its answers alone.
+        announced: bool,
     },
     Misbehave {
         upstreams: Range<usize>,
@@ -161,6 +167,7 @@
         12 => Fault::Leave {
             upstream,
             time: millis(rng, 2_500, 4_000),
+            announced: true,
         },
         13 => Fault::Reset { upstream },
         14 => Fault::Silence {
@@ -186,13 +193,64 @@
     }
 }
 
+/// Draws what upstreams say in their answers, or do not end.
+fn draw_word(rng: &mut StdRng) -> Fault {
+    let upstream = rng.random_range(0..2 * UPSTREAMS);
+    let first = upstream / UPSTREAMS * UPSTREAMS;
+    let part = rng.random_range(0.02..0.3);
+    let sound = Manner::default();
+    let (upstreams, manner) = match rng.random_range(0..4) {
+        0 => {
+            return Fault::Leave {
+                upstream,
+                time: millis(rng, 2_500, 6_000),
+                announced: false,
+            };
+        }
+        1 => {
+            let manner = Manner {
+                pause: part,
+                ..sound
+            };
+            (first..first + UPSTREAMS, manner)
+        }
+        2 => {
+            let manner = Manner {
+                pause: 1.0,
+                ..sound
+            };
+            (upstream..upstream + 1, manner)
+        }
+        _ => {
+            let manner = Manner {
+                flood: part,
+                ..sound
+            };
+            (upstream..upstream + 1, manner)
+        }
+    };
+    Fault::Misbehave {
+        upstreams,
+        manner,
+        time: millis(rng, 500, 4_000),
+    }
+}
+
 /// Does what the seed draws, and returns it in order.
 pub async fn run(site: &Arc<Site>, seed: u64, span: Duration) -> Vec<Event> {
     let mut rng = StdRng::seed_from_u64(seed);
-    let mut tasks = JoinSet::new();
+    let mut drawn = Vec::new();
     for _ in 0..rng.random_range(COUNT.0..=COUNT.1) {
-        let at = rng.random_range(Duration::ZERO..span);
-        let (site, fault) = (site.clone(), draw(&mut rng));
+        drawn.push((rng.random_range(Duration::ZERO..span), draw(&mut rng)));
+    }
+    // Drawn apart, so that the others stay as they were.
+    let mut rng = StdRng::seed_from_u64(seed ^ WORDS);
+    for _ in 0..rng.random_range(0..=WORDS_MAX) {
+        drawn.push((rng.random_range(Duration::ZERO..span), draw_word(&mut rng)));
+    }
+    let mut tasks = JoinSet::new();
+    for (at, fault) in drawn {
+        let site = site.clone();
         tasks.spawn(async move {
             sleep(at).await;
             let at = Instant::now();
@@ -235,7 +293,14 @@
                 }
             }
             Fault::Crash { upstream, down } => upstreams[upstream].crash(down).await,
-            Fault::Leave { upstream, time } => return Some(upstreams[upstream].leave(time).await),
+            Fault::Leave {
+                upstream,
+                time,
+                announced,
+            } => {
+                let (id, said) = upstreams[upstream].leave(time, announced).await;
+                return announced.then_some((id, said));
+            }
             Fault::Misbehave {
                 ref upstreams,
                 manner,
--- a/crates/hyssopscale/tests/soak/mod.rs
+++ b/crates/hyssopscale/tests/soak/mod.rs
@@ -29,11 +29,11 @@
 use tempfile::TempDir;
 use tokio::time::{Instant, sleep};
 
-use caller::{Caller, get};
+use caller::{Caller, Kind, get};
 use check::Evidence;
 use process::{Process, Settings};
 use store::Store;
-use upstream::{Arrivals, Config, Misorders, PLACES, Runs, Upstream};
+use upstream::{Config, Log, PLACES, Upstream};
 
 /// Requests that an engine runs at a time, and a service.
 const ENGINE_SLOTS: u32 = 8;
@@ -64,6 +64,8 @@
     pub unread_log: bool,
     /// Whether engines refuse old fencing numbers.
     pub fenced: bool,
+    /// Callers whose request crashes what runs it.
+    pub villains: usize,
 }
 
 /// The site.
@@ -77,9 +79,7 @@
     pub links: Vec<Proxy>,
     /// Links from each node to the store.
     pub store_links: Vec<Proxy>,
-    runs: Runs,
-    arrivals: Arrivals,
-    misorders: Misorders,
+    log: Log,
     _store_server: Server,
     logs: Mutex<TempDir>,
 }
@@ -95,8 +95,7 @@
         let store = Arc::new(Store::default());
         let served = Server::start(address(250, 9000), store.clone(), Connections::default());
         let store_server = served.await.unwrap();
-        let (runs, arrivals) = (Runs::default(), Arrivals::default());
-        let misorders = Misorders::default();
+        let log = Log::default();
         let (mut upstreams, mut links) = (Vec::new(), Vec::new());
         for (pool, slots) in [("engines", ENGINE_SLOTS), ("desk", DESK_SLOTS)] {
             for number in 0..UPSTREAMS {
@@ -111,9 +110,7 @@
                     listen,
                     address: linked,
                     store: store.clone(),
-                    runs: runs.clone(),
-                    arrivals: arrivals.clone(),
-                    misorders: misorders.clone(),
+                    log: log.clone(),
                     seed: plan.seed * 16 + host as u64,
                     fenced: plan.fenced,
                 };
@@ -146,9 +143,7 @@
             upstreams,
             links,
             store_links,
-            runs,
-            arrivals,
-            misorders,
+            log,
             _store_server: store_server,
             logs: Mutex::new(logs),
         }
@@ -191,6 +186,14 @@
             tokio::spawn(caller.run(end, plan.think))
         })
         .collect();
+    let villains: Vec<_> = (0..plan.villains)
+        .map(|number| {
+            let seed = plan.seed * 1_000 + 500 + number as u64;
+            let villain = Caller::new(format!("v{number}"), addresses.clone(), seed);
+            let kind = Kind::ALL[(plan.seed as usize + number) % Kind::ALL.len()];
+            tokio::spawn(villain.offend(kind, end))
+        })
+        .collect();
     let probing = check::probe(&site, end);
     let faults = fault::run(&site, plan.seed, plan.span);
     let (probes, events) = tokio::join!(probing, faults);
@@ -198,14 +201,21 @@
     for caller in callers {
         asks.extend(caller.await.unwrap());
     }
+    let mut offences = Vec::new();
+    for villain in villains {
+        offences.extend(villain.await.unwrap());
+    }
     // Requests that were held back somewhere reach an upstream after all.
     sleep(Duration::from_secs(1)).await;
-    let mut breaches = site.misorders.lock().unwrap().clone();
+    let mut breaches = site.log.misorders.lock().unwrap().clone();
     breaches.extend(site.nodes.iter().flat_map(Process::finish));
     let evidence = Evidence {
         asks,
-        runs: site.runs.lock().unwrap().clone(),
-        arrivals: site.arrivals.lock().unwrap().clone(),
+        offences,
+        runs: site.log.runs.lock().unwrap().clone(),
+        arrivals: site.log.arrivals.lock().unwrap().clone(),
+        words: site.log.words.lock().unwrap().clone(),
+        crashes: site.log.crashes.lock().unwrap().clone(),
         probes,
         events,
         end,
--- a/crates/hyssopscale/tests/soak/upstream.rs
+++ b/crates/hyssopscale/tests/soak/upstream.rs
@@ -54,6 +54,10 @@
     pub spoil: f64,
     /// Run, and never answered.
     pub mute: f64,
+    /// Refused with a time before which nothing is wanted.
+    pub pause: f64,
+    /// Answered with bytes without end.
+    pub flood: f64,
 }
 
 /// One run of a request.
@@ -74,11 +78,62 @@
 pub struct Arrival {
     pub attempt: String,
     pub pool: &'static str,
+    pub upstream: String,
     pub at: Instant,
 }
 
 pub type Arrivals = Arc<Mutex<Vec<Arrival>>>;
 
+/// What an upstream has said of itself with the answer to an attempt.
+#[derive(Clone, Debug)]
+pub enum Said {
+    /// That it leaves.
+    Leaves,
+    /// That it wants nothing for that time.
+    Pause(Duration),
+}
+
+/// One word of an upstream.
+#[derive(Clone, Debug)]
+pub struct Word {
+    pub attempt: String,
+    pub upstream: String,
+    pub at: Instant,
+    pub said: Said,
+}
+
+pub type Words = Arc<Mutex<Vec<Word>>>;
+
+/// Part of a path whose requests crash what runs them.
+pub const POISON: &str = "poison";
+
+/// Paths of requests that crashed an upstream, and when.
+pub type Crashes = Arc<Mutex<Vec<(String, Instant)>>>;
+
+/// What upstreams tell of a run.
+#[derive(Clone, Default)]
+pub struct Log {
+    pub runs: Runs,
+    pub arrivals: Arrivals,
+    pub misorders: Misorders,
+    pub words: Words,
+    pub crashes: Crashes,
+}
+
+/// Time that an upstream is down after a request has crashed it.
+const CRASH_DOWN: Duration = Duration::from_millis(1_200);
+
+/// Seconds that an upstream wants nothing.
+const PAUSE_SECONDS: Range<f64> = 0.3..2.5;
+
+/// Answers without end: how they begin, and what comes again and again.
+const FLOODS: [(&str, &str); 4] = [
+    ("HTTP/1.1 103 X\r\n\r\n", "HTTP/1.1 103 X\r\n\r\n"),
+    ("HTTP/1.1 200 OK\r\n", "x-field: a\r\n"),
+    ("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "0"),
+    ("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n", "x"),
+];
+
 struct Adapter {
     name: String,
     ready: Instant,
@@ -93,6 +148,8 @@
     born: u64,
     listed: bool,
     leaving: bool,
+    /// Whether its entry says that it leaves.
+    announced: bool,
     running: u32,
     base: Option<Instant>,
     adapters: Vec<Adapter>,
@@ -113,9 +170,7 @@
     /// Where nodes reach it.
     pub address: SocketAddr,
     store: Arc<Store>,
-    runs: Runs,
-    arrivals: Arrivals,
-    misorders: Misorders,
+    log: Log,
     fenced: bool,
     /// Raised at each end of an incarnation.
     generation: watch::Sender<u64>,
@@ -130,9 +185,7 @@
     pub listen: SocketAddr,
     pub address: SocketAddr,
     pub store: Arc<Store>,
-    pub runs: Runs,
-    pub arrivals: Arrivals,
-    pub misorders: Misorders,
+    pub log: Log,
     pub seed: u64,
     /// Whether it refuses old fencing numbers.
     pub fenced: bool,
@@ -152,9 +205,7 @@
             slots: config.slots,
             address: config.address,
             store: config.store,
-            runs: config.runs,
-            arrivals: config.arrivals,
-            misorders: config.misorders,
+            log: config.log,
             fenced: config.fenced,
             generation: watch::Sender::new(0),
             state: Mutex::new(State {
@@ -162,6 +213,7 @@
                 born: 0,
                 listed: false,
                 leaving: false,
+                announced: false,
                 running: 0,
                 base: None,
                 adapters: Vec::new(),
@@ -202,7 +254,7 @@
         state.id = format!("{}-{}-{generation}", self.pool, self.number);
         state.born = unix_millis();
         state.listed = true;
-        state.leaving = false;
+        (state.leaving, state.announced) = (false, false);
         state.base = first.then(Instant::now);
         state.adapters.clear();
         (state.fence, state.holder) = (0, String::new());
@@ -223,6 +275,19 @@
         id
     }
 
+    /// Crashes under a request, unless it has crashed already.
+    async fn crash_under(self: Arc<Self>, path: String) {
+        if !self.lock().listed {
+            return;
+        }
+        self.log
+            .crashes
+            .lock()
+            .unwrap()
+            .push((path, Instant::now()));
+        self.crash(CRASH_DOWN).await;
+    }
+
     /// Crashes, is down for `time`, and starts again under another id.
     pub async fn crash(&self, time: Duration) {
         let id = self.end();
@@ -231,12 +296,12 @@
         self.begin(false);
     }
 
-    /// Says that it leaves, serves on for `time`, ends, and starts again under another id. Returns
-    /// its id and the time of its word.
-    pub async fn leave(&self, time: Duration) -> (String, Instant) {
+    /// Says that it leaves, in its entry or in its answers alone, serves on for `time`, ends, and
+    /// starts again under another id. Returns its id and the time of its word.
+    pub async fn leave(&self, time: Duration, announced: bool) -> (String, Instant) {
         let id = {
             let mut state = self.lock();
-            state.leaving = true;
+            (state.leaving, state.announced) = (true, announced);
             state.id.clone()
         };
         self.list();
@@ -264,7 +329,7 @@
         let mut entry = json!({
             "service": self.pool, "address": self.address, "zone": "z", "version": "v1",
             "slots": self.slots, "seq": 1, "born": state.born,
-            "state": if state.leaving { "draining" } else { "ready" },
+            "state": if state.announced { "draining" } else { "ready" },
         });
         if self.is_engine() {
             entry["stage"] = json!("colocated");
@@ -286,7 +351,7 @@
         }
     }
 
-    async fn requests(&self, stream: &mut TcpStream) {
+    async fn requests(self: &Arc<Self>, stream: &mut TcpStream) {
         let (mut buffer, mut ahead) = (Vec::new(), String::new());
         while let Some(head) = Head::read(stream, &mut buffer).await {
             let late = std::mem::take(&mut ahead);
@@ -299,16 +364,22 @@
     }
 
     /// Answers one request. Returns `false` where the connection is to be closed.
-    async fn answer(&self, head: &Head, stream: &mut TcpStream, ahead: &mut String) -> bool {
+    async fn answer(
+        self: &Arc<Self>,
+        head: &Head,
+        stream: &mut TcpStream,
+        ahead: &mut String,
+    ) -> bool {
         match head.path.as_str() {
             "/order" => return write(stream, &self.order(head)).await,
             "/report" => return write(stream, &self.report()).await,
             _ => {}
         }
         let attempt = head.header("x-attempt-id").to_owned();
-        self.arrivals.lock().unwrap().push(Arrival {
+        self.log.arrivals.lock().unwrap().push(Arrival {
             attempt: attempt.clone(),
             pool: self.pool,
+            upstream: self.lock().id.clone(),
             at: Instant::now(),
         });
         let (manner, copies) = {
@@ -327,8 +398,12 @@
             upstream: self.lock().id.clone(),
             at: Instant::now(),
         };
-        self.runs.lock().unwrap().push(run);
+        self.log.runs.lock().unwrap().push(run);
         let _running = Running(self);
+        if head.path.contains(POISON) {
+            tokio::spawn(self.clone().crash_under(head.path.clone()));
+            return std::future::pending().await;
+        }
         let draw: f64 = self.lock().rng.random();
         let names = self.names(&attempt);
         let after = head.header("last-event-id").parse().unwrap_or(0);
@@ -356,6 +431,10 @@
             return write(stream, &answer(500, &names, "failed")).await;
         }
         let cut = falls(manner.cut);
+        if falls(manner.flood) {
+            let number = self.lock().rng.random_range(0..FLOODS.len());
+            return flood(stream, FLOODS[number]).await;
+        }
         if streams {
             return events(stream, &names, &attempt, after, cut).await;
         }
@@ -382,21 +461,41 @@
     }
 
     fn names(&self, attempt: &str) -> Vec<String> {
-        let id = self.lock().id.clone();
-        vec![
+        let state = self.lock();
+        let mut names = vec![
             format!("x-attempt-id: {attempt}"),
-            format!("x-response-signature: {id}"),
-        ]
+            format!("x-response-signature: {}", state.id),
+        ];
+        names.extend(self.farewell(&state, attempt));
+        names
+    }
+
+    /// Returns the header that says that it leaves, where it does.
+    fn farewell(&self, state: &State, attempt: &str) -> Option<String> {
+        state.leaving.then(|| {
+            self.say(state, attempt, Said::Leaves);
+            "server-leaving: 1".to_owned()
+        })
+    }
+
+    fn say(&self, state: &State, attempt: &str, said: Said) {
+        self.log.words.lock().unwrap().push(Word {
+            attempt: attempt.to_owned(),
+            upstream: state.id.clone(),
+            at: Instant::now(),
+            said,
+        });
     }
 
     /// Returns the statement that the request was not run, where it cannot be.
     fn refusal(&self, head: &Head, attempt: &str, manner: Manner) -> Option<String> {
         let mut state = self.lock();
-        let names = [
+        let mut names = vec![
             format!("x-attempt-id: {attempt}"),
             "x-not-executed: 1".to_owned(),
             format!("x-instance-id: {}", state.id),
         ];
+        names.extend(self.farewell(&state, attempt));
         if head.header("x-expect-instance") != state.id {
             return Some(answer(421, &names, ""));
         }
@@ -413,6 +512,12 @@
                 Some(_) => {}
             }
         }
+        if state.rng.random_bool(manner.pause) {
+            let pause = state.rng.random_range(PAUSE_SECONDS);
+            self.say(&state, attempt, Said::Pause(Duration::from_secs_f64(pause)));
+            names.push(format!("retry-after: {pause:.3}"));
+            return Some(answer(503, &names, ""));
+        }
         if state.running >= self.slots || state.rng.random_bool(manner.shed) {
             let status = if state.rng.random() { 503 } else { 429 };
             return Some(answer(status, &names, ""));
@@ -437,7 +542,11 @@
         }
         if fence == state.fence && holder != state.holder {
             let both = format!("{} and {holder} with {fence}", state.holder);
-            self.misorders.lock().unwrap().push(format!("ONE: {both}"));
+            self.log
+                .misorders
+                .lock()
+                .unwrap()
+                .push(format!("ONE: {both}"));
         }
         (state.fence, state.holder) = (state.fence.max(fence), holder);
         let status = self.carry_out(&mut state, &text("operation"), &text("adapter"));
@@ -452,7 +561,7 @@
         state.orders.retain(|(at, _)| now < *at + LEASE);
         let before = state.orders.iter().position(|(_, who)| who == holder);
         let others = before.map_or(&[][..], |index| &state.orders[index..]);
-        let mut misorders = self.misorders.lock().unwrap();
+        let mut misorders = self.log.misorders.lock().unwrap();
         if others.iter().any(|(_, who)| who != holder) {
             misorders.push(format!("ONE: {holder} ordered in turn with another"));
         }
@@ -478,7 +587,7 @@
             ("load", name, None) => {
                 if state.adapters.len() >= PLACES {
                     let line = format!("LIMIT: {} at {}", name, state.id);
-                    self.misorders.lock().unwrap().push(line);
+                    self.log.misorders.lock().unwrap().push(line);
                 }
                 let mut time = state.rng.random_range(ADAPTER_LOAD_MS);
                 if state.known.iter().any(|known| known == name) {
@@ -557,6 +666,15 @@
     write(stream, "0\r\n\r\n").await
 }
 
+/// Writes without end, until the other side closes.
+async fn flood(stream: &mut TcpStream, (first, part): (&str, &str)) -> bool {
+    let part = part.repeat(64);
+    if write(stream, first).await {
+        while write(stream, &part).await {}
+    }
+    false
+}
+
 async fn write(stream: &mut TcpStream, text: &str) -> bool {
     stream.write_all(text.as_bytes()).await.is_ok()
 }
