Fingerprint the product's own requests by the same function

Cause: they were hashed by a fast hash without a key, of which anybody can make a second request with the same value, so that a caller could have another one's request refused. Change: dispatch::poison::print serves both paths. No test tells the two hashes apart; prints_tell_parts_apart covers the function.

--- a/crates/node/src/front/model/job.rs
+++ b/crates/node/src/front/model/job.rs
@@ -6,7 +6,7 @@
 
 use dispatch::health::{Admission, Verdict};
 use dispatch::outcome::Kind;
-use dispatch::poison::Print;
+use dispatch::poison::{self, Print};
 use dispatch::retry::{self, Progress, Retry};
 use hyper::StatusCode;
 use jiff::Timestamp;
@@ -532,5 +532,5 @@
 }
 
 fn print_of(model: &Model, prompt: &str) -> Print {
-    rank::hash(format!("{model}\n{prompt}"))
+    poison::print([model.to_string().as_bytes(), prompt.as_bytes()])
 }
--- a/crates/node/src/front/service/mod.rs
+++ b/crates/node/src/front/service/mod.rs
@@ -12,10 +12,10 @@
 mod claim;
 mod job;
 
+use dispatch::poison;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use rules::Repeat;
-use wire::rank;
 
 use crate::front::gate;
 use crate::front::handler::{Front, read_body};
@@ -54,10 +54,9 @@
     )
     .await?;
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
-    let parts = [head.method.as_str().as_bytes(), path.as_bytes(), &body];
     let job = Job {
         name: format!("{}-{request}", shared.me),
-        print: rank::hash(parts.concat()),
+        print: poison::print([head.method.as_str().as_bytes(), path.as_bytes(), &body]),
         config: shared.trials.config(),
         admitted: Some(admitted),
         request,
