Keep upstreams' pauses on the product's own front

Cause: the header was read by nobody on this path either. Change: health takes a pause as it takes an ejection, and lets the upstream's limit grow after it as after a start. The header is read by one function for both paths. Not done: the caller is not told the pause's end where all upstreams of a pool pause.

--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -80,6 +80,8 @@
     Ended(Upstream, Verdict),
     /// The upstream's process started anew: it is cold.
     Restarted(Upstream),
+    /// The upstream wants no requests for that time.
+    Paused(Upstream, Duration),
     /// The time of [`Machine::wake`] has come.
     Tick,
 }
@@ -106,7 +108,7 @@
     Probe,
     /// Its limit is reached.
     Full,
-    /// It is ejected for so long.
+    /// It is ejected, or wants a pause, for so long.
     Ejected(Duration),
     /// It does not belong to the pool.
     Stranger,
@@ -130,6 +132,8 @@
     mean: Option<Duration>,
     reduced: Option<Time>,
     started: Option<Time>,
+    /// When the pause ends that it wants.
+    paused: Time,
 }
 
 /// The health of one pool's upstreams.
@@ -154,6 +158,7 @@
             return Admission::Stranger;
         };
         match entry.state {
+            _ if now < entry.paused => Admission::Ejected(entry.paused - now),
             State::Open { until } if now < until => Admission::Ejected(until - now),
             State::Open { .. } | State::HalfOpen { probing: false } => Admission::Probe,
             State::HalfOpen { probing: true } => Admission::Full,
@@ -165,6 +170,7 @@
     /// Returns how many requests `upstream` may have at once now.
     pub fn limit(&self, now: Time, upstream: &str) -> u32 {
         self.entry(upstream).map_or(0, |entry| match entry.state {
+            _ if now < entry.paused => 0,
             State::Closed => self.allowed(now, entry),
             State::Open { until } if now < until => 0,
             State::Open { .. } | State::HalfOpen { .. } => 1,
@@ -226,6 +232,7 @@
                     mean: None,
                     reduced: None,
                     started: known.then_some(now),
+                    paused: Time::ZERO,
                 };
                 self.entries.insert(index, entry);
             }
@@ -297,6 +304,15 @@
         }
     }
 
+    /// Keeps a pause, after which the upstream's limit grows as after a start.
+    fn pause(&mut self, now: Time, upstream: &str, time: Duration) {
+        if let Ok(index) = self.find(upstream) {
+            let entry = &mut self.entries[index];
+            entry.paused = entry.paused.max(now + time);
+            entry.started = Some(entry.paused);
+        }
+    }
+
     fn probe_due(&mut self, now: Time, out: &mut Vec<Action>) {
         for entry in &mut self.entries {
             if matches!(entry.state, State::Open { until } if now >= until) {
@@ -363,6 +379,7 @@
             Event::Started(upstream) => self.start(now, &upstream),
             Event::Ended(upstream, verdict) => self.end(now, &upstream, verdict, &mut actions),
             Event::Restarted(upstream) => self.restart(now, &upstream),
+            Event::Paused(upstream, time) => self.pause(now, &upstream, time),
             Event::Tick => {}
         }
         out.extend(actions);
--- a/crates/dispatch/tests/upstream_health.rs
+++ b/crates/dispatch/tests/upstream_health.rs
@@ -199,3 +199,22 @@
         .run(&strategy, check)
         .expect("holds");
 }
+
+/// An upstream that wants a pause gets nothing in it, and comes back by and by.
+#[test]
+fn pause_is_kept() {
+    let mut health = health(3);
+    let paused = pool(3)[1].clone();
+    let pause = Duration::from_millis(1_500);
+    step(&mut health, secs(1), Event::Paused(paused.clone(), pause));
+    // Answers to what it has do not end it, nor does a shorter one.
+    attempt(&mut health, secs(2), &paused, Verdict::Answered(FAST));
+    step(&mut health, secs(2), Event::Paused(paused.clone(), FAST));
+    let left = Duration::from_millis(500);
+    assert_eq!(health.admit(secs(2), &paused), Admission::Ejected(left));
+    assert_eq!(health.limit(secs(2), &paused), 0);
+    assert_eq!(health.admit(secs(3), &paused), Admission::Yes);
+    let limit = Config::default().limit;
+    assert!(health.limit(secs(3), &paused) < limit);
+    assert_eq!(health.limit(secs(20), &paused), limit);
+}
--- a/crates/node/src/front/gate.rs
+++ b/crates/node/src/front/gate.rs
@@ -286,6 +286,12 @@
     // Told first: other requests are to avoid the upstream while this one is undecided.
     let (pool, id) = (&runner.pool, &runner.id);
     front.shared.trials.ended(now, pool, id, verdict(error));
+    if let Error::Refused {
+        pause: Some(pause), ..
+    } = error
+    {
+        front.shared.trials.paused(now, pool, id, *pause);
+    }
     if !may_be_crash(error) {
         return;
     }
--- a/crates/node/src/front/service/job.rs
+++ b/crates/node/src/front/service/job.rs
@@ -261,6 +261,11 @@
         match answered {
             Ok(response) => {
                 let (head, body) = response.into_parts();
+                if let Some(pause) = upstream::header::pause(head.status, &head.headers) {
+                    let shared = &self.front.shared;
+                    let now = shared.clock.now();
+                    shared.trials.paused(now, &runner.pool, &runner.id, pause);
+                }
                 Ok(Answer {
                     head,
                     body,
--- a/crates/node/src/trials.rs
+++ b/crates/node/src/trials.rs
@@ -5,6 +5,7 @@
 //! own rather than in the core's mailbox.
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use dispatch::health::{self, Admission, Health, Verdict};
 use dispatch::retry::{self, Budget, Failure, Next, Progress, Retry};
@@ -114,6 +115,12 @@
         self.step(now, pool, health::Event::Restarted(upstream.clone()));
     }
 
+    /// Takes over that an upstream wants no requests for `time`.
+    pub fn paused(&self, now: Time, pool: &str, upstream: &Upstream, time: Duration) {
+        log::info!(target: DECISION, upstream:%, pause_ms = time.as_millis() as u64; "pause");
+        self.step(now, pool, health::Event::Paused(upstream.clone(), time));
+    }
+
     fn step(&self, now: Time, pool: &str, event: health::Event) {
         let mut pools = lock(&self.pools);
         if let Some((_, known)) = pools.iter_mut().find(|(name, _)| name == pool) {
--- a/crates/standin/src/service/mod.rs
+++ b/crates/standin/src/service/mod.rs
@@ -13,6 +13,7 @@
 
 use bytes::Bytes;
 use hyper::body::Incoming;
+use hyper::header::RETRY_AFTER;
 use hyper::http::HeaderValue;
 use hyper::{Method, Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
@@ -76,6 +77,8 @@
     pub leaving: bool,
     /// Time that a call takes, in place of the setting.
     pub delay_ms: Option<u64>,
+    /// Time for which the service wants nothing, told with 503 in answer to each call.
+    pub pause_ms: Option<u64>,
 }
 
 /// A running stand-in. It stops when it is dropped.
@@ -154,8 +157,12 @@
             return Ok(self.admin(&path, request).await);
         }
         let call = receive(request).await.ok_or(Closed)?;
-        if lock(&self.faults).leaving {
-            return Ok(self.refuse(call));
+        let faults = *lock(&self.faults);
+        if faults.leaving {
+            return Ok(self.refuse(call, leaving(), "leaving"));
+        }
+        if let Some(pause) = faults.pause_ms {
+            return Ok(self.refuse(call, paused(pause), "paused"));
         }
         let point = self.take_fault();
         if point == Some(Point::BeforeRun) {
@@ -210,11 +217,11 @@
         });
     }
 
-    fn refuse(&self, call: Call) -> Response<Body> {
-        let answer = echo(leaving(), &call.ticket.attempt);
+    fn refuse(&self, call: Call, answer: Response<Body>, reason: &str) -> Response<Body> {
+        let answer = echo(answer, &call.ticket.attempt);
         self.log.push(Kind::Refused {
             ticket: call.ticket,
-            reason: "leaving".to_owned(),
+            reason: reason.to_owned(),
         });
         answer
     }
@@ -316,6 +323,16 @@
     response
 }
 
+/// Returns the answer of a service that wants nothing for that time.
+fn paused(millis: u64) -> Response<Body> {
+    let mut response = http::text(StatusCode::SERVICE_UNAVAILABLE, "paused\n");
+    let seconds = format!("{:.3}", millis as f64 / 1_000.0);
+    if let Ok(seconds) = HeaderValue::try_from(seconds) {
+        response.headers_mut().insert(RETRY_AFTER, seconds);
+    }
+    response
+}
+
 /// Names the attempt that a response answers.
 pub(crate) fn echo(mut response: Response<Body>, attempt: &str) -> Response<Body> {
     let named = Some(attempt).filter(|attempt| !attempt.is_empty());
--- a/crates/upstream/src/engine/http.rs
+++ b/crates/upstream/src/engine/http.rs
@@ -138,12 +138,14 @@
             let instance = thing.unwrap_or_default().to_owned();
             return Error::Absent { upstream, instance };
         }
+        let pause = header::pause(status, response.headers());
         let body = response.into_body().collect().await.unwrap_or_default();
         let quoted = &body[..body.len().min(QUOTE_BYTES_MAX)];
         Error::Refused {
             upstream,
             status: status.as_u16(),
             message: String::from_utf8_lossy(quoted).into_owned(),
+            pause,
         }
     }
 }
--- a/crates/upstream/src/error.rs
+++ b/crates/upstream/src/error.rs
@@ -75,6 +75,8 @@
         status: u16,
         /// The beginning of the answer's body.
         message: String,
+        /// Time for which the upstream wants no other request.
+        pause: Option<Duration>,
     },
     /// The instance is not resident.
     #[error("{upstream} does not hold {instance}; load it and ask again")]
--- a/crates/upstream/src/header.rs
+++ b/crates/upstream/src/header.rs
@@ -1,6 +1,9 @@
 //! Names of the headers between the system and its upstreams.
 
-use hyper::HeaderMap;
+use std::time::Duration;
+
+use hyper::header::RETRY_AFTER;
+use hyper::{HeaderMap, StatusCode};
 
 /// Fencing number of an order; an upstream that checks it refuses a lower one than it has seen.
 pub const FENCE: &str = "x-fence";
@@ -34,6 +37,21 @@
     "upgrade",
 ];
 
+/// Longest pause that an upstream is granted: beyond it, its word is taken for a mistake.
+const PAUSE_MAX: Duration = Duration::from_secs(60);
+
+/// Returns the time for which an upstream that turns a request away wants no other: whole seconds or a
+/// fraction of one.
+pub fn pause(status: StatusCode, headers: &HeaderMap) -> Option<Duration> {
+    if status != StatusCode::SERVICE_UNAVAILABLE {
+        return None;
+    }
+    let text = headers.get(RETRY_AFTER)?.to_str().ok()?;
+    let seconds = text.trim().parse::<f64>().ok()?;
+    let stated = seconds > 0.0 && seconds.is_finite();
+    stated.then(|| Duration::from_secs_f64(seconds.min(PAUSE_MAX.as_secs_f64())))
+}
+
 /// Removes the headers that belong to one connection, those that it names included.
 pub fn strip(headers: &mut HeaderMap) {
     let named: Vec<String> = headers
