Look at an upstream once for all requests that it broke off

Cause: each request that was broken off looked by itself whether its upstream had crashed. Where connections are reset and the upstream lives, that opens as many connections, which are priced and limited. Change: one look at an upstream serves all of a node's requests. An entry without a start is not remembered as having left, since another process under its id could not be told from it.

--- a/crates/exchange/src/fleet/mod.rs
+++ b/crates/exchange/src/fleet/mod.rs
@@ -183,7 +183,7 @@
         match self.find(id) {
             Ok(index) => {
                 let runner = self.runners.remove(index);
-                if runner.leaves() {
+                if runner.leaves() && runner.listing.born.is_some() {
                     self.departed.push((runner.listing.id, runner.listing.born));
                     let surplus = self.departed.len().saturating_sub(DEPARTED);
                     self.departed.drain(..surplus);
--- a/crates/gateway/src/front/visit.rs
+++ b/crates/gateway/src/front/visit.rs
@@ -76,10 +76,10 @@
     pub(super) async fn break_off(&mut self, print: Print) {
         self.fate = Fate::Broken;
         self.end(Verdict::Failed);
-        let examination = self.hub.examine(&self.runner, &self.link);
+        let mut examined = self.hub.examine(&self.runner, &self.link);
         if self.hub.suspected(print) {
-            // It fails only where the process ends.
-            let _ = examination.await;
+            // Its sender is dropped once it is over.
+            let _ = examined.changed().await;
         }
     }
 
--- a/crates/gateway/src/hub/mod.rs
+++ b/crates/gateway/src/hub/mod.rs
@@ -28,7 +28,7 @@
 use node::clock::{Clock, wall_micros};
 use roster::seeds::Record;
 use settings::Settings;
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, oneshot, watch};
 use upstream::link::{Limits, Link};
 use wire::{Incarnation, Time, Upstream, Vm};
 
@@ -129,6 +129,8 @@
     pub news: Notify,
     newest: AtomicU64,
     next_request: AtomicU64,
+    /// Upstreams of which it is being found out whether they have crashed.
+    examined: Mutex<Vec<(Upstream, watch::Receiver<()>)>>,
     desk: Mutex<Desk>,
     /// How fast engines read prompts; never held together with the desk.
     pace: Mutex<Pace>,
@@ -192,6 +194,7 @@
             news: Notify::new(),
             newest: AtomicU64::new(0),
             next_request: AtomicU64::new(0),
+            examined: Mutex::default(),
             desk: Mutex::new(desk),
             pace: Mutex::default(),
             links: Mutex::new(Vec::new()),
--- a/crates/gateway/src/hub/poison.rs
+++ b/crates/gateway/src/hub/poison.rs
@@ -1,13 +1,13 @@
 //! Requests that crash upstreams: what this node sees of them, and what others tell.
 
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, MutexGuard, PoisonError};
 
 use dispatch::poison::{Action, Event, Print, Standing};
 use log::info;
 use node::decision;
 use node::journal::DECISION;
-use tokio::task::JoinHandle;
+use tokio::sync::watch;
 use upstream::link::Link;
 use wire::{Machine, Request, Upstream};
 
@@ -69,23 +69,42 @@
         actions
     }
 
-    /// Finds out whether an upstream that broke a request off has crashed.
-    pub fn examine(self: &Arc<Self>, upstream: &Upstream, link: &Link) -> JoinHandle<()> {
+    /// Finds out whether an upstream that broke a request off has crashed. What is returned ends once
+    /// that is known.
+    pub fn examine(self: &Arc<Self>, upstream: &Upstream, link: &Link) -> watch::Receiver<()> {
+        let mut examined = self.examined();
+        if let Some((_, known)) = examined.iter().find(|(known, _)| known == upstream) {
+            return known.clone();
+        }
+        let (sender, known) = watch::channel(());
+        examined.push((upstream.clone(), known.clone()));
         let (hub, upstream, link) = (self.clone(), upstream.clone(), link.clone());
         tokio::spawn(async move {
             let ended = link.has_ended().await;
-            let leaves = {
-                let desk = hub.desk();
-                let known = desk.fleet.runner(&upstream);
-                known.is_none_or(|runner| !runner.open())
-            };
-            info!(target: DECISION, upstream:% = upstream, ended, leaves; "broken-off");
-            // One that was to end is charged to nobody.
-            hub.judge(if ended && !leaves {
-                Event::Crashed { upstream }
-            } else {
-                Event::Lives { upstream }
-            });
-        })
+            hub.examined().retain(|(known, _)| *known != upstream);
+            hub.conclude(upstream, ended);
+            drop(sender);
+        });
+        known
+    }
+
+    fn conclude(&self, upstream: Upstream, ended: bool) {
+        let leaves = {
+            let desk = self.desk();
+            let known = desk.fleet.runner(&upstream);
+            known.is_none_or(|runner| !runner.open())
+        };
+        info!(target: DECISION, upstream:%, ended, leaves; "broken-off");
+        // One that was to end is charged to nobody.
+        self.judge(if ended && !leaves {
+            Event::Crashed { upstream }
+        } else {
+            Event::Lives { upstream }
+        });
+    }
+
+    fn examined(&self) -> MutexGuard<'_, Vec<(Upstream, watch::Receiver<()>)>> {
+        let examined = self.examined.lock();
+        examined.unwrap_or_else(PoisonError::into_inner)
     }
 }
