--- a/crates/dispatch/tests/crash_counting.rs
+++ b/crates/dispatch/tests/crash_counting.rs
@@ -249,3 +249,12 @@
     assert_eq!(parts(["a", "bc"]), parts(["a", "bc"]));
     assert_ne!(parts(["a", "bc"]), parts(["ab", "c"]));
 }
+
+/// What is told of a crash fits the budget of messages: 4,096 bytes a second carry forty charges.
+#[test]
+fn charge_is_small() {
+    let message = Message::Charge(charge("vm-350-of-region-6", 1_000_000, u64::MAX));
+    let bytes = wire::frame::encode(&message).expect("an encoded message");
+    println!("a charge takes {} bytes", bytes.len());
+    assert!(bytes.len() * 40 <= 4_096, "{} bytes", bytes.len());
+}
