Let only tenants' keys send requests, and pass their names on in place of the keys

Cause: the configuration's tenants and the header on authorization were read by nobody.

Change: the adapter reads tenants, their keys and public routes; a request on any other route needs a known key (401), runs under its tenant's name and rank, and its key goes no further. Callers cannot set the name. Where the configuration has no tenants, nothing changes. Not done: quotas.

--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod relay;
 pub mod route;
 pub mod spend;
+pub mod tenant;
 
 pub use choice::Pick;
 pub use fleet::Fleet;
--- a/crates/exchange/src/route.rs
+++ b/crates/exchange/src/route.rs
@@ -5,6 +5,8 @@
 
 use wire::{Base, Revision, rank};
 
+use crate::tenant::Tenants;
+
 /// Name of a pool of upstreams.
 pub type Pool = Arc<str>;
 
@@ -55,6 +57,8 @@
     pub attempts: u32,
     /// Pools with their weights, which are above zero in sum.
     pub pools: Vec<(Pool, u32)>,
+    /// Whether requests need no key, where there are tenants.
+    pub public: bool,
 }
 
 impl Route {
@@ -131,6 +135,8 @@
     services: Vec<Arc<Service>>,
     /// Bounds on callers.
     pub limits: Limits,
+    /// Who may send requests; absent where anybody may.
+    pub tenants: Option<Tenants>,
 }
 
 impl Config {
@@ -150,9 +156,16 @@
             routes,
             services,
             limits,
+            tenants: None,
         }
     }
 
+    /// Lets only `tenants` send requests.
+    #[must_use]
+    pub fn with_tenants(self, tenants: Option<Tenants>) -> Self {
+        Self { tenants, ..self }
+    }
+
     /// Returns the route with the longest prefix that begins `path`, among those of `host`.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let ends = path.char_indices().rev().filter(|(_, c)| *c == '/');
--- a/crates/exchange/tests/support/mod.rs
+++ b/crates/exchange/tests/support/mod.rs
@@ -66,6 +66,7 @@
         rank: 1,
         attempts: 2,
         pools: vec![("engines".into(), 1)],
+        public: false,
     }
 }
 
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -29,6 +29,8 @@
     pub prompt: Option<u32>,
     /// Tokens of its answer at most.
     pub answer: Option<u32>,
+    /// The key that its caller brought.
+    pub key: Option<Box<str>>,
 }
 
 /// What one attempt at an upstream adds to a request.
@@ -44,6 +46,10 @@
     pub version: Option<Version>,
     /// Last event of a stream that has reached the caller.
     pub after: Option<u64>,
+    /// The tenant whose key the caller brought; the key itself goes no further.
+    pub tenant: Option<&'a str>,
+    /// Whether callers bring keys.
+    pub keyed: bool,
 }
 
 /// Which attempt an answer names.
--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -198,9 +198,11 @@
         let hop = Hop {
             runner,
             left: Some(caller.min(self.left())),
-            rank: self.service.engine.as_ref().map(|_| self.route.rank),
+            rank: self.service.engine.as_ref().map(|_| self.terms.rank),
             version,
             after: self.after,
+            tenant: self.tenant.as_ref().map(|tenant| &*tenant.name),
+            keyed: self.terms.keyed,
         };
         self.hub.dialect.forward(&mut headers, &hop);
         *request.headers_mut() = headers;
@@ -215,7 +217,7 @@
         reuse: Reuse,
         visit: &Visit<D>,
     ) -> Result<Response<link::Body>, Headless> {
-        let class = if self.route.rank == 0 {
+        let class = if self.terms.rank == 0 {
             Class::Urgent
         } else {
             Class::Ordinary
--- a/crates/gateway/src/front/job.rs
+++ b/crates/gateway/src/front/job.rs
@@ -13,6 +13,7 @@
 use exchange::proof::Proof;
 use exchange::relay::Cursor;
 use exchange::route::{Kind, Route, Service};
+use exchange::tenant::Tenant;
 use hyper::header::AUTHORIZATION;
 use hyper::http::request::Parts;
 use hyper::{Response, StatusCode};
@@ -77,6 +78,18 @@
     pub(super) deadline: Time,
     /// Hash of the attempt.
     pub(super) seed: u64,
+    /// Its rank; 0 goes first.
+    pub(super) rank: u8,
+    /// Whether callers bring keys.
+    pub(super) keyed: bool,
+}
+
+/// Where a request goes, and whose it is.
+pub(super) struct Way {
+    pub(super) route: Arc<Route>,
+    pub(super) service: Arc<Service>,
+    /// The tenant whose key it brings, where it needs one.
+    pub(super) tenant: Option<Arc<Tenant>>,
 }
 
 /// One request.
@@ -85,6 +98,7 @@
     pub(super) ask: Ask,
     pub(super) route: Arc<Route>,
     pub(super) service: Arc<Service>,
+    pub(super) tenant: Option<Arc<Tenant>>,
     pub(super) terms: Terms,
     pub(super) head: Parts,
     pub(super) body: Bytes,
@@ -127,8 +141,7 @@
     pub(super) fn new(
         hub: Arc<Hub<D>>,
         ask: Ask,
-        route: Arc<Route>,
-        service: Arc<Service>,
+        way: Way,
         terms: Terms,
         head: Parts,
         body: Bytes,
@@ -138,8 +151,9 @@
             print: print_of(&head, &body),
             hub,
             ask,
-            route,
-            service,
+            route: way.route,
+            service: way.service,
+            tenant: way.tenant,
             terms,
             head,
             body,
@@ -174,7 +188,7 @@
         self.hub.desk().spend.request(now, &self.service.name);
         let target = self.target();
         let need = self.need(target.as_ref());
-        self.hub.demand(&need, self.route.rank);
+        self.hub.demand(&need, self.terms.rank);
         let mut cursor = Cursor::new(self.ask.after);
         loop {
             let runner = match self.place().await {
@@ -337,6 +351,7 @@
             request = &*self.ask.attempt,
             route = &*self.route.name,
             revision = self.terms.revision,
+            tenant = self.tenant.as_ref().map_or("", |tenant| &tenant.name),
             print = self.print,
             bytes = self.body.len(),
             model = self.ask.target.as_ref().map(ToString::to_string).unwrap_or_default(),
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -18,7 +18,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use exchange::route::{self, Kind};
+use exchange::route::{self, Config, Kind, Route};
+use exchange::tenant::Tenant;
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONNECTION, HOST, HeaderValue};
 use hyper::{Request, Response, StatusCode};
@@ -28,7 +29,7 @@
 
 use crate::dialect::{Ask, Dialect};
 use crate::hub::Hub;
-use job::{Job, Terms};
+use job::{Job, Terms, Way};
 
 /// Pause before a caller should try another node.
 const ELSEWHERE: Duration = Duration::from_millis(300);
@@ -75,6 +76,7 @@
             let detail = "no route serves this host and path; check the address";
             return Err(Problem::bad(StatusCode::NOT_FOUND, detail));
         };
+        let tenant = admit(&config, &route, ask)?;
         let seed = route::seed(&ask.attempt);
         let service = route
             .pool(seed)
@@ -91,12 +93,22 @@
             caller: arrived + ask.budget.unwrap_or(BUDGET),
             deadline: arrived + budget.min(route.timeout),
             seed,
+            rank: tenant
+                .as_ref()
+                .and_then(|tenant| tenant.rank)
+                .unwrap_or(route.rank),
+            keyed: config.tenants.is_some(),
         };
         let limit = config.limits.body_bytes;
         let (head, body) = request.into_parts();
         let body = read_body(body, limit, budget.min(route.timeout)).await?;
         let once = route.kind == Kind::Once;
-        let job = Job::new(hub.clone(), ask.clone(), route, service, terms, head, body);
+        let way = Way {
+            route,
+            service,
+            tenant,
+        };
+        let job = Job::new(hub.clone(), ask.clone(), way, terms, head, body);
         if !once {
             return job.run().await;
         }
@@ -149,6 +161,24 @@
     response
 }
 
+/// Returns whose key a request brings, where the configuration asks for one.
+fn admit(config: &Config, route: &Route, ask: &Ask) -> Result<Option<Arc<Tenant>>, Problem> {
+    let Some(tenants) = config.tenants.as_ref().filter(|_| !route.public) else {
+        return Ok(None);
+    };
+    let holder = ask.key.as_ref().and_then(|key| tenants.holder(key));
+    let Some(holder) = holder else {
+        log::info!(
+            target: node::journal::DECISION,
+            request = &*ask.attempt, revision = config.revision, keyed = ask.key.is_some();
+            "no-tenant"
+        );
+        let detail = "the key is not known; send a tenant's key as `authorization: Bearer KEY`";
+        return Err(Problem::bad(StatusCode::UNAUTHORIZED, detail));
+    };
+    Ok(Some(holder.clone()))
+}
+
 /// Returns the host that a request is for, without a port.
 fn host(request: &Request<Incoming>) -> &str {
     let named = request
--- a/crates/gateway/src/front/place.rs
+++ b/crates/gateway/src/front/place.rs
@@ -124,7 +124,7 @@
             target,
             reading: self.reading(),
             running: self.hub.exchange.step * tokens,
-            rank: self.route.rank,
+            rank: self.terms.rank,
         };
         self.alone = false;
         let Some(grant) = self.hub.grant(runner, visit).await else {
@@ -136,7 +136,7 @@
         }
         self.hub.crowded(
             &self.need(self.target().as_ref()),
-            self.route.rank,
+            self.terms.rank,
             grant.wait,
         );
         let slots = {
@@ -198,7 +198,7 @@
         self.hub.drive(owner::Event::Want {
             runner: runner.clone(),
             target: target.clone(),
-            rank: self.route.rank,
+            rank: self.terms.rank,
         });
         let _ = tokio::time::timeout(ASK_AGAIN.min(self.left()), news).await;
     }
