Keep tenants' quotas

Callers saw: a tenant could ask for any number of tokens, whatever its quota.

Cause: quotas were read by nobody.

Change: each tenant's quota is a token bucket at one node, by rendezvous; the others ask it for each request (a datagram each way) and refuse with 429 and the time when the quota carries the request. A node that hears no answer within 30 ms counts its own part, unless the keeper has just said that the quota is used up. A keeper that sees a part of the known nodes hands out that part. A new keeper begins with a quarter of the burst.

--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod outcome;
 pub mod owner;
 pub mod proof;
+pub mod quota;
 pub mod reading;
 pub mod relay;
 pub mod route;
--- a/crates/exchange/src/tenant.rs
+++ b/crates/exchange/src/tenant.rs
@@ -49,6 +49,12 @@
 }
 
 impl Tenants {
+    /// Returns the tenant named `name`.
+    pub fn tenant(&self, name: &str) -> Option<&Arc<Tenant>> {
+        let mut tenants = self.keys.iter().map(|(_, tenant)| tenant);
+        tenants.find(|tenant| *tenant.name == *name)
+    }
+
     /// Joins tenants and their keys.
     pub fn new<K: AsRef<str>>(tenants: impl IntoIterator<Item = (Tenant, Vec<K>)>) -> Self {
         let mut all = Vec::new();
@@ -57,7 +63,7 @@
             let keys = keys.iter().map(|key| (print(key.as_ref()), tenant.clone()));
             all.extend(keys);
         }
-        all.sort_by(|(a, _), (b, _)| a.cmp(b));
+        all.sort_unstable_by_key(|(print, _)| *print);
         Self { keys: all }
     }
 
--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -32,6 +32,8 @@
     Poison(dispatch::poison::Message),
     /// An upstream has said that it leaves.
     Leaver(crate::hub::Leaver),
+    /// Quotas of tenants.
+    Quota(exchange::quota::Message),
 }
 
 /// Pause after an error of the socket: short beside the silence after which peers count as dead.
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -18,6 +18,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use exchange::quota::Draw;
 use exchange::route::{self, Config, Kind, Route};
 use exchange::tenant::Tenant;
 use hyper::body::{Body as _, Incoming};
@@ -77,6 +78,9 @@
             return Err(Problem::bad(StatusCode::NOT_FOUND, detail));
         };
         let tenant = admit(&config, &route, ask)?;
+        if let Some(tenant) = &tenant {
+            self.draw(tenant, ask).await?;
+        }
         let seed = route::seed(&ask.attempt);
         let service = route
             .pool(seed)
@@ -130,6 +134,28 @@
     }
 }
 
+impl<D: Dialect> Front<D> {
+    /// Draws a request out of its tenant's quota.
+    async fn draw(&self, tenant: &Tenant, ask: &Ask) -> Result<(), Problem> {
+        let tokens = ask
+            .prompt
+            .zip(ask.answer)
+            .map(|(prompt, answer)| prompt.saturating_add(answer));
+        let Draw::Over(wait) = self.0.draw(tenant, tokens).await else {
+            return Ok(());
+        };
+        log::info!(
+            target: node::journal::DECISION,
+            request = &*ask.attempt, tenant = &*tenant.name, tokens = tokens.unwrap_or_default(),
+            wait_ms = wait.as_millis() as u64;
+            "over-quota"
+        );
+        let detail = "the tenant's quota does not carry the request; send it again later";
+        let problem = Problem::new(StatusCode::TOO_MANY_REQUESTS, Outcome::NotRun, detail);
+        Err(problem.after(wait))
+    }
+}
+
 impl<D: Dialect> Handler for Front<D> {
     async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
         let hub = &self.0;
--- a/crates/gateway/src/hub/mod.rs
+++ b/crates/gateway/src/hub/mod.rs
@@ -3,11 +3,13 @@
 //! - `grant` asks owners and carries out what they want done.
 //! - `poison` finds requests that crash upstreams.
 //! - `pulse` tells what was read of the platform, and takes over what others tell.
+//! - `quota` draws requests out of their tenants' quotas.
 //! - `word` heeds what upstreams say of themselves.
 
 mod grant;
 mod poison;
 mod pulse;
+mod quota;
 mod word;
 
 use std::net::SocketAddr;
@@ -131,6 +133,8 @@
     next_request: AtomicU64,
     /// Upstreams of which it is being found out whether they have crashed.
     examined: Mutex<Vec<(Upstream, watch::Receiver<()>)>>,
+    /// Never held together with the desk.
+    quotas: Mutex<quota::Quotas>,
     desk: Mutex<Desk>,
     /// How fast engines read prompts; never held together with the desk.
     pace: Mutex<Pace>,
@@ -195,6 +199,7 @@
             newest: AtomicU64::new(0),
             next_request: AtomicU64::new(0),
             examined: Mutex::default(),
+            quotas: Mutex::default(),
             desk: Mutex::new(desk),
             pace: Mutex::default(),
             links: Mutex::new(Vec::new()),
--- /dev/null
+++ b/crates/gateway/src/hub/quota.rs
@@ -0,0 +1,154 @@
+//! Quotas of tenants: asks the nodes that keep them, and answers for those kept here.
+
+use std::sync::{MutexGuard, PoisonError};
+use std::time::Duration;
+
+use exchange::quota::{self, Draw, Message};
+use exchange::tenant::{Quota, Tenant};
+use tokio::sync::oneshot;
+use wire::Vm;
+use wire::machine::millis;
+
+use super::Hub;
+use crate::datagram;
+use crate::dialect::Dialect;
+
+/// Time for a keeper's answer: a few round trips within a region.
+const ANSWER: Duration = Duration::from_millis(30);
+
+/// The quotas that this node counts, and its open questions.
+pub(super) struct Quotas {
+    /// Those that it keeps for all nodes.
+    kept: quota::Ledger,
+    /// Its own part, by which it counts where a keeper does not answer.
+    own: quota::Part,
+    questions: Vec<(u64, oneshot::Sender<Draw>)>,
+    next: u64,
+}
+
+impl Default for Quotas {
+    fn default() -> Self {
+        Self {
+            kept: quota::Ledger::shared(),
+            own: quota::Part::default(),
+            questions: Vec::new(),
+            next: 0,
+        }
+    }
+}
+
+impl<D: Dialect> Hub<D> {
+    /// Draws a request of so many tokens out of its tenant's quota.
+    pub async fn draw(&self, tenant: &Tenant, tokens: Option<u32>) -> Draw {
+        let Some(quota) = &tenant.quota else {
+            return Draw::Granted;
+        };
+        let units = quota::units(quota, tokens);
+        let keeper = quota::keeper(&tenant.name, &self.peers.load().live).cloned();
+        match keeper {
+            Some(keeper) if keeper != self.me.vm => {
+                let Some(draw) = self.ask_keeper(&keeper, tenant, units).await else {
+                    return self.draw_own(tenant, quota, units);
+                };
+                let now = self.clock.now();
+                self.quotas().own.hear(now, &tenant.name, draw);
+                draw
+            }
+            _ => self.draw_kept(tenant, quota, units),
+        }
+    }
+
+    /// Takes in a message on quotas.
+    pub fn take_quota(&self, from: &Vm, message: Message) {
+        match message {
+            Message::Ask {
+                ticket,
+                tenant,
+                units,
+            } => {
+                let Some(draw) = self.draw_for(&tenant, units) else {
+                    return;
+                };
+                let wait = match draw {
+                    Draw::Granted => None,
+                    Draw::Over(wait) => Some(millis(wait)),
+                };
+                self.send_quota(from, Message::Answer { ticket, wait });
+            }
+            Message::Answer { ticket, wait } => {
+                let draw = wait.map_or(Draw::Granted, |wait| {
+                    Draw::Over(Duration::from_millis(wait.into()))
+                });
+                let mut quotas = self.quotas();
+                let open = &mut quotas.questions;
+                if let Some(index) = open.iter().position(|(known, _)| *known == ticket) {
+                    // A request that is gone needs no answer.
+                    let _ = open.swap_remove(index).1.send(draw);
+                }
+            }
+        }
+    }
+
+    /// Draws for another node; `None` where this one does not know the tenant.
+    fn draw_for(&self, tenant: &str, units: u32) -> Option<Draw> {
+        let config = self.config.load_full()?;
+        let tenant = config.tenants.as_ref()?.tenant(tenant)?;
+        let draw = tenant
+            .quota
+            .as_ref()
+            .map_or(Draw::Granted, |quota| self.draw_kept(tenant, quota, units));
+        Some(draw)
+    }
+
+    fn draw_kept(&self, tenant: &Tenant, quota: &Quota, units: u32) -> Draw {
+        let (now, part) = (self.clock.now(), self.seen_part());
+        let mut quotas = self.quotas();
+        quotas.kept.draw(now, &tenant.name, quota, part, units)
+    }
+
+    fn draw_own(&self, tenant: &Tenant, quota: &Quota, units: u32) -> Draw {
+        let (now, part) = (self.clock.now(), 1.0 / self.known_nodes());
+        let mut quotas = self.quotas();
+        quotas.own.draw(now, &tenant.name, quota, part, units)
+    }
+
+    async fn ask_keeper(&self, keeper: &Vm, tenant: &Tenant, units: u32) -> Option<Draw> {
+        let (sender, answer) = oneshot::channel();
+        let ticket = {
+            let mut quotas = self.quotas();
+            quotas.questions.retain(|(_, waiter)| !waiter.is_closed());
+            quotas.next += 1;
+            let ticket = quotas.next;
+            quotas.questions.push((ticket, sender));
+            ticket
+        };
+        let tenant = tenant.name.clone();
+        let message = Message::Ask {
+            ticket,
+            tenant,
+            units,
+        };
+        self.send_quota(keeper, message);
+        tokio::time::timeout(ANSWER, answer).await.ok()?.ok()
+    }
+
+    fn send_quota(&self, to: &Vm, message: Message) {
+        if let Some(record) = self.peers.load().record(to) {
+            let message = datagram::Message::Quota(message);
+            self.post.send(to, record.peers, &message);
+        }
+    }
+
+    /// Returns the part of the known nodes that live, as far as this one sees.
+    fn seen_part(&self) -> f64 {
+        (self.nodes() as f64 / self.known_nodes()).min(1.0)
+    }
+
+    fn known_nodes(&self) -> f64 {
+        self.peers.load().records.len().max(self.nodes()) as f64
+    }
+
+    fn quotas(&self) -> MutexGuard<'_, Quotas> {
+        self.quotas.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
