--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -5,6 +5,7 @@
 //! - `judge` says what the head of an answer is worth.
 //! - `stream` relays an event stream and takes it to another engine where one breaks off.
 //! - `place` waits until an upstream can serve it.
+//! - `tenant` says whose it is, and whether the tenant's quota carries it.
 //! - `visit` counts it at its upstream.
 
 mod attempt;
@@ -12,21 +13,21 @@
 mod judge;
 mod place;
 mod stream;
+mod tenant;
 mod visit;
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use exchange::quota::Draw;
-use exchange::route::{self, Config, Kind, Route};
-use exchange::tenant::Tenant;
+use exchange::route::{self, Config, Kind};
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONNECTION, HOST, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use node::front::handler::read_within;
 use node::front::listener::Handler;
 use node::front::{Body, Outcome, Problem};
+use wire::Time;
 
 use crate::dialect::{Ask, Dialect};
 use crate::hub::Hub;
@@ -67,51 +68,12 @@
             let detail = "this node knows no configuration yet; ask another";
             return Err(Problem::busy(detail, ELSEWHERE));
         };
-        let host = host(&request);
-        let Some(route) = config.route(host, request.uri().path()).cloned() else {
-            log::info!(
-                target: node::journal::DECISION,
-                request = &*ask.attempt, revision = config.revision, path = request.uri().path();
-                "no-route"
-            );
-            let detail = "no route serves this host and path; check the address";
-            return Err(Problem::bad(StatusCode::NOT_FOUND, detail));
-        };
-        let tenant = admit(&config, &route, ask)?;
-        if let Some(tenant) = &tenant {
-            self.draw(tenant, ask).await?;
-        }
-        let seed = route::seed(&ask.attempt);
-        let service = route
-            .pool(seed)
-            .and_then(|pool| config.service(pool))
-            .cloned();
-        let Some(service) = service else {
-            let detail = "the route names no pool of upstreams; mend the configuration";
-            return Err(Problem::busy(detail, ELSEWHERE));
-        };
-        let budget = ask.budget.unwrap_or(BUDGET).saturating_sub(LEAVING_EARLY);
-        let terms = Terms {
-            arrived,
-            revision: config.revision,
-            caller: arrived + ask.budget.unwrap_or(BUDGET),
-            deadline: arrived + budget.min(route.timeout),
-            seed,
-            rank: tenant
-                .as_ref()
-                .and_then(|tenant| tenant.rank)
-                .unwrap_or(route.rank),
-            keyed: config.tenants.is_some(),
-        };
+        let way = self.way(&config, &request, ask).await?;
+        let terms = terms(&config, &way, ask, arrived);
         let limit = config.limits.body_bytes;
         let (head, body) = request.into_parts();
-        let body = read_body(body, limit, budget.min(route.timeout)).await?;
-        let once = route.kind == Kind::Once;
-        let way = Way {
-            route,
-            service,
-            tenant,
-        };
+        let body = read_body(body, limit, terms.deadline.saturating_sub(arrived)).await?;
+        let once = way.route.kind == Kind::Once;
         let job = Job::new(hub.clone(), ask.clone(), way, terms, head, body);
         if !once {
             return job.run().await;
@@ -135,24 +97,53 @@
 }
 
 impl<D: Dialect> Front<D> {
-    /// Draws a request out of its tenant's quota.
-    async fn draw(&self, tenant: &Tenant, ask: &Ask) -> Result<(), Problem> {
-        let tokens = ask
-            .prompt
-            .zip(ask.answer)
-            .map(|(prompt, answer)| prompt.saturating_add(answer));
-        let Draw::Over(wait) = self.0.draw(tenant, tokens).await else {
-            return Ok(());
+    /// Finds out where a request goes and whose it is.
+    async fn way(
+        &self,
+        config: &Config,
+        request: &Request<Incoming>,
+        ask: &Ask,
+    ) -> Result<Way, Problem> {
+        let path = request.uri().path();
+        let Some(route) = config.route(host(request), path) else {
+            log::info!(
+                target: node::journal::DECISION,
+                request = &*ask.attempt, revision = config.revision, path;
+                "no-route"
+            );
+            let detail = "no route serves this host and path; check the address";
+            return Err(Problem::bad(StatusCode::NOT_FOUND, detail));
         };
-        log::info!(
-            target: node::journal::DECISION,
-            request = &*ask.attempt, tenant = &*tenant.name, tokens = tokens.unwrap_or_default(),
-            wait_ms = wait.as_millis() as u64;
-            "over-quota"
-        );
-        let detail = "the tenant's quota does not carry the request; send it again later";
-        let problem = Problem::new(StatusCode::TOO_MANY_REQUESTS, Outcome::NotRun, detail);
-        Err(problem.after(wait))
+        let tenant = tenant::admit(config, route, ask)?;
+        if let Some(tenant) = &tenant {
+            tenant::draw(&self.0, tenant, ask).await?;
+        }
+        let pool = route.pool(route::seed(&ask.attempt));
+        let Some(service) = pool.and_then(|pool| config.service(pool)) else {
+            let detail = "the route names no pool of upstreams; mend the configuration";
+            return Err(Problem::busy(detail, ELSEWHERE));
+        };
+        Ok(Way {
+            route: route.clone(),
+            service: service.clone(),
+            tenant,
+        })
+    }
+}
+
+/// Returns the fixed facts of a request that arrived then.
+fn terms(config: &Config, way: &Way, ask: &Ask, arrived: Time) -> Terms {
+    let budget = ask.budget.unwrap_or(BUDGET);
+    let limit = budget.saturating_sub(LEAVING_EARLY).min(way.route.timeout);
+    let rank = way.tenant.as_ref().and_then(|tenant| tenant.rank);
+    Terms {
+        arrived,
+        revision: config.revision,
+        caller: arrived + budget,
+        deadline: arrived + limit,
+        seed: route::seed(&ask.attempt),
+        rank: rank.unwrap_or(way.route.rank),
+        keyed: config.tenants.is_some(),
     }
 }
 
@@ -187,24 +178,6 @@
     response
 }
 
-/// Returns whose key a request brings, where the configuration asks for one.
-fn admit(config: &Config, route: &Route, ask: &Ask) -> Result<Option<Arc<Tenant>>, Problem> {
-    let Some(tenants) = config.tenants.as_ref().filter(|_| !route.public) else {
-        return Ok(None);
-    };
-    let holder = ask.key.as_ref().and_then(|key| tenants.holder(key));
-    let Some(holder) = holder else {
-        log::info!(
-            target: node::journal::DECISION,
-            request = &*ask.attempt, revision = config.revision, keyed = ask.key.is_some();
-            "no-tenant"
-        );
-        let detail = "the key is not known; send a tenant's key as `authorization: Bearer KEY`";
-        return Err(Problem::bad(StatusCode::UNAUTHORIZED, detail));
-    };
-    Ok(Some(holder.clone()))
-}
-
 /// Returns the host that a request is for, without a port.
 fn host(request: &Request<Incoming>) -> &str {
     let named = request
