--- a/crates/dispatch/src/poison/mod.rs
+++ b/crates/dispatch/src/poison/mod.rs
@@ -9,7 +9,7 @@
 //! of its pool (its wards), as the only suspect, with no new work beside it. The node that owns the upstream gives seats
 //! out one at a time. A suspect that crashes its ward is convicted, and the requests beside it are not charged.
 //!
-//! A few nodes keep the charges of each fingerprint ([`KEEPERS`], by rendezvous). All nodes are
+//! A few nodes keep the charges of each fingerprint (by rendezvous). All nodes are
 //! told of those that have [`Config::told`] charges.
 
 mod charge;
@@ -130,7 +130,7 @@
         /// The request.
         request: Request,
     },
-    /// An upstream broke a request off. Whether it has crashed is told within [`BROKEN`].
+    /// An upstream broke a request off. Whether it has crashed is told within two seconds.
     Broken {
         /// The request.
         request: Request,
