Refuse at once what no engine can load in time, and use every place

Cause: where adapters outnumber places, requests waited for a place until their caller left. Three things took places: one of each engine's was always kept empty, loads went on for callers that had left, and replicas drove out adapters in use a moment before.

Change: the wait loop of the gateway is a machine, exchange::search. Owners reply with the time that a load would take, from the queue, the store's pace, the places that come free and their own hold-offs. A request that would start late at every engine is refused in the first instant, with the time after which one is in time; one that is queued stays as long as its answer is of use. The last waiting request cancels a load. A place is held back only for a load without an answer, for the lease. Replicas are loaded last and evict nothing that is used. Long prompts are spread over all engines where they are more than 0.35 of the prefill work. The request line has expected_ms beside stall_ms.

--- a/crates/exchange/src/demand.rs
+++ b/crates/exchange/src/demand.rs
@@ -7,10 +7,22 @@
 use wire::{Adapter, Base, Time};
 
 /// Time in which a count decays to half.
-pub const HALF_LIFE: Duration = Duration::from_secs(4);
+pub const HALF_LIFE: Duration = Duration::from_millis(DEMAND_HALF_LIFE_MS);
 
-/// Time for which engines stay dedicated to long prompts after the last one.
-const LONG_PROMPT_RETENTION: Duration = Duration::from_secs(60);
+const DEMAND_HALF_LIFE_MS: u64 = 4_000;
+
+/// Half-life in milliseconds of the prefill work of long and of all prompts.
+const WORK_HALF_LIFE_MS: u64 = 30_000;
+
+/// Fraction of the engines that is dedicated to long prompts while there are any.
+const LONG_PROMPT_ENGINES: f64 = 0.12;
+
+/// Share of all prefill work from which long prompts are spread over all engines: the few dedicated
+/// ones would be overloaded.
+const LONG_PROMPT_WORK_MAX: f64 = 0.35;
+
+/// Decayed seconds of long prefills below which no engine is dedicated to them.
+const LONG_PROMPT_WORK_MIN: f64 = 0.03;
 
 /// Count below which an adapter may be removed.
 const COUNT_MIN: f64 = 0.05;
@@ -48,18 +60,18 @@
     }
 }
 
-/// A count that decays exponentially.
+/// A count that decays to half within `HALF_LIFE_MS` milliseconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct DecayingCount {
+pub struct DecayingCount<const HALF_LIFE_MS: u64 = DEMAND_HALF_LIFE_MS> {
     value: f64,
     at: Time,
 }
 
-impl DecayingCount {
+impl<const HALF_LIFE_MS: u64> DecayingCount<HALF_LIFE_MS> {
     /// Returns the count as of `now`.
     pub fn value(&self, now: Time) -> f64 {
         let age = now.saturating_sub(self.at).as_secs_f64();
-        self.value * (-age / HALF_LIFE.as_secs_f64()).exp2()
+        self.value * (-age * 1_000.0 / HALF_LIFE_MS as f64).exp2()
     }
 
     /// Adds `amount` at `now`.
@@ -74,7 +86,9 @@
 pub struct Demand {
     counts: Vec<(Target, DecayingCount)>,
     total: DecayingCount,
-    last_long_prompt: Option<Time>,
+    /// Prefill seconds of all prompts, and of the long ones.
+    work: DecayingCount<WORK_HALF_LIFE_MS>,
+    long_work: DecayingCount<WORK_HALF_LIFE_MS>,
 }
 
 impl Demand {
@@ -110,15 +124,23 @@
         }
     }
 
-    /// Records a prompt whose prefill would delay other streams.
-    pub fn record_long_prompt(&mut self, now: Time) {
-        self.last_long_prompt = Some(now);
+    /// Records a prompt whose prefill takes `prefill`; a `long` one would delay other streams.
+    pub fn record_prompt(&mut self, now: Time, prefill: Duration, long: bool) {
+        self.work.add(now, prefill.as_secs_f64());
+        if long {
+            self.long_work.add(now, prefill.as_secs_f64());
+        }
     }
 
-    /// Returns whether there was a long prompt within `LONG_PROMPT_RETENTION`.
-    pub fn has_recent_long_prompts(&self, now: Time) -> bool {
-        self.last_long_prompt
-            .is_some_and(|at| now < at + LONG_PROMPT_RETENTION)
+    /// Returns the fraction of the engines that is dedicated to long prompts. It is zero if there
+    /// were none recently, or so many that all engines have to share them.
+    pub fn long_prompt_engines(&self, now: Time) -> f64 {
+        let (long, all) = (self.long_work.value(now), self.work.value(now));
+        if long < LONG_PROMPT_WORK_MIN || long > all * LONG_PROMPT_WORK_MAX {
+            0.0
+        } else {
+            LONG_PROMPT_ENGINES
+        }
     }
 
     fn find(&self, target: &Target) -> Result<usize, usize> {
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`quota`] enforces tenants' quotas across all nodes.
 //! - [`fleet`] is this node's view of the upstreams: listings, residency, load and failures.
 //! - [`selection`] selects the upstream for a request, or reports why none can serve it.
+//! - [`search`] finds an engine for one request, or refuses it if none can serve it in time.
 //! - [`demand`] tracks the request rate of each adapter.
 //! - [`prefill_limit`] limits prefills on an engine so that its streams do not pause.
 //! - [`prefill_estimate`] estimates prefill times from completed requests.
@@ -34,6 +35,7 @@
 pub mod relay;
 pub mod retry_budget;
 pub mod route;
+pub mod search;
 pub mod selection;
 pub mod tenant;
 
--- a/crates/exchange/src/owner/claim.rs
+++ b/crates/exchange/src/owner/claim.rs
@@ -1,5 +1,7 @@
 //! Claims: taking engines over, announcing them and releasing them.
 
+use std::time::Duration;
+
 use wire::{Fence, Time, Upstream, Vm, rank};
 
 use super::{
@@ -11,6 +13,9 @@
 /// Number of peers up to which every announcement also carries what the owned engines hold.
 const HOLDINGS_PEERS_MAX: usize = 16;
 
+/// Time between a claim of an engine that does not check tokens and the first order to it.
+pub(super) const CLAIM_ORDER_DELAY: Duration = ORDER_HOLDOFF;
+
 /// Number of low bits of a fencing token that identify the VM.
 const VM_BITS: u32 = 24;
 
@@ -133,7 +138,7 @@
         let first_order = if self.config.engines_check_fences {
             now
         } else {
-            now + ORDER_HOLDOFF
+            now + CLAIM_ORDER_DELAY
         };
         self.owned_engines
             .push(OwnedEngine::new(first_order, engine.clone(), fence));
--- a/crates/exchange/src/owner/owned_engine.rs
+++ b/crates/exchange/src/owner/owned_engine.rs
@@ -13,6 +13,9 @@
 /// Number of targets whose weights an engine is assumed to keep cached after an eviction.
 const CACHED_MAX: usize = 150;
 
+/// Rank of a load that adds a replica before any request waits for it.
+pub const REPLICA_RANK: u8 = u8::MAX;
+
 /// An order to an engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Order {
@@ -77,8 +80,24 @@
     pub(super) target: Target,
     pub(super) rank: u8,
     pub(super) first_requested: Time,
+    pub(super) last_requested: Time,
+    /// Nodes with requests that wait for the load.
     pub(super) waiters: Vec<Vm>,
-    pub(super) count: u32,
+}
+
+impl LoadRequest {
+    /// Returns whether no request waits for the load yet.
+    pub(super) const fn is_replica(&self) -> bool {
+        self.rank == REPLICA_RANK
+    }
+}
+
+/// A load or confirmation whose order had no answer, so that the engine may still carry it out.
+#[derive(Clone, Debug)]
+struct UnansweredLoad {
+    target: Target,
+    /// Until when the order may arrive.
+    until: Time,
 }
 
 /// Whether orders may be sent to an engine.
@@ -104,8 +123,9 @@
     /// Adapters that may occupy a slot, sorted. Only the engine's own answers and reports remove
     /// one, because listings may be older than the latest orders.
     pub(super) occupied: Vec<Target>,
-    /// Number of slots that this owner may fill.
+    /// Number of adapter slots of the engine.
     pub(super) slots: usize,
+    unanswered_loads: Vec<UnansweredLoad>,
     /// When to compare `occupied` with the engine's report, after an order with an unknown outcome.
     pub(super) recheck_at: Option<Time>,
     /// Adapter loads in progress.
@@ -113,8 +133,6 @@
     pub(super) usage: UsageTable,
     cached: Vec<Target>,
     pub(super) born: Option<u64>,
-    /// When the last ordered load is expected to be complete.
-    pub(super) loads_end: Time,
     /// Prefill work given to the engine.
     pub(super) meter: PrefillLimiter,
 }
@@ -129,12 +147,12 @@
             load_requests: Vec::new(),
             occupied: Vec::new(),
             slots: usize::MAX,
+            unanswered_loads: Vec::new(),
             recheck_at: None,
             pending_loads: Vec::new(),
             usage: UsageTable::default(),
             cached: Vec::new(),
             born: None,
-            loads_end: Time::ZERO,
             meter: PrefillLimiter::default(),
         }
     }
@@ -166,15 +184,15 @@
                     target,
                     rank,
                     first_requested: now,
+                    last_requested: now,
                     waiters: Vec::new(),
-                    count: 0,
                 });
                 let last = self.load_requests.len() - 1;
                 &mut self.load_requests[last]
             }
         };
         request.rank = request.rank.min(rank);
-        request.count += 1;
+        request.last_requested = now;
         if !request.waiters.contains(waiter) {
             request.waiters.push(waiter.clone());
         }
@@ -188,26 +206,35 @@
             .find(|request| request.target == *target)
         {
             request.waiters.retain(|known| known != waiter);
-            request.count = request.count.saturating_sub(1);
         }
         self.load_requests
             .retain(|request| !request.waiters.is_empty());
     }
 
-    /// Returns the time until one more adapter could be loaded, if each load takes `load`.
-    pub(super) fn backlog(&self, now: Time, load: Duration) -> Duration {
-        let ahead = u32::try_from(self.load_requests.len()).unwrap_or(u32::MAX);
-        let loads = self.loads_end.saturating_sub(now) + load * ahead.saturating_add(1);
-        loads.max(self.slot_wait(now) + load)
+    /// Returns the number of slots that are certainly free: an adapter whose load had no answer may
+    /// still arrive, and a further load would then exceed what the engine holds.
+    pub(super) fn free_slots(&self, now: Time) -> usize {
+        let may_arrive = |load: &&UnansweredLoad| {
+            now < load.until && self.occupied.binary_search(&load.target).is_err()
+        };
+        let held_back = self.unanswered_loads.iter().filter(may_arrive).count();
+        self.slots.saturating_sub(self.occupied.len() + held_back)
+    }
+
+    /// Records that the order to load `target` had no answer and may arrive up to `until`.
+    pub(super) fn note_unanswered_load(&mut self, now: Time, target: &Target, until: Time) {
+        self.unanswered_loads
+            .retain(|load| now < load.until && load.target != *target);
+        self.unanswered_loads.push(UnansweredLoad {
+            target: target.clone(),
+            until,
+        });
     }
 
-    /// Returns the time until a slot is free for one more adapter than those already requested.
-    pub(super) fn slot_wait(&self, now: Time) -> Duration {
-        let free = self.slots.saturating_sub(self.occupied.len());
-        let Some(evictions) = (self.load_requests.len() + 1)
-            .checked_sub(free)
-            .filter(|n| *n > 0)
-        else {
+    /// Returns the time until a slot is free for one more adapter, after `ahead` others were loaded.
+    pub(super) fn slot_wait(&self, now: Time, ahead: usize) -> Duration {
+        let free = self.free_slots(now);
+        let Some(evictions) = (ahead + 1).checked_sub(free).filter(|n| *n > 0) else {
             return Duration::ZERO;
         };
         let ends = self
--- a/crates/exchange/src/owner/pending_load.rs
+++ b/crates/exchange/src/owner/pending_load.rs
@@ -207,7 +207,6 @@
                     Presence::Coming(eta, pending.version),
                     pending.waiters.clone(),
                 );
-                owned.loads_end = owned.loads_end.max(eta);
                 owned.usage.reserve(target, eta + ARRIVAL_WINDOW);
                 out.push(Action::SetTimer(due - now));
                 update
--- a/crates/exchange/src/owner/quorum.rs
+++ b/crates/exchange/src/owner/quorum.rs
@@ -93,6 +93,12 @@
         self.quorum_since.is_some_and(|since| now >= since + time)
     }
 
+    /// Returns the time until [`Self::held_for`] holds for `time`, if contact is kept from now on.
+    pub(super) fn time_until_held(&self, now: Time, time: Duration) -> Duration {
+        let since = self.quorum_since.unwrap_or(now);
+        (since + time).saturating_sub(now)
+    }
+
     /// Returns whether every live node has announced its claims.
     pub(super) fn all_announced(&self, me: &Vm, live: &[Vm]) -> bool {
         live.iter().all(|vm| vm == me || self.find(vm).is_ok())
--- a/crates/exchange/src/owner/scheduling.rs
+++ b/crates/exchange/src/owner/scheduling.rs
@@ -17,14 +17,18 @@
 
 /// Delay of a request for an engine's report. It covers the greatest age of a report and a slow
 /// answer.
-const REPORT_DELAY: Duration = Duration::from_millis(400);
+pub(super) const REPORT_DELAY: Duration = Duration::from_millis(400);
 
-/// Age at which a load request is dropped; its requests have gone elsewhere or have ended by then.
+/// Time after its last renewal at which a load request is dropped; its requests have gone elsewhere
+/// or have ended by then.
 const LOAD_REQUEST_TTL: Duration = Duration::from_secs(3);
 
-/// Adapter slots that are kept free: a load with an unknown outcome may take one that the engine's
-/// next report does not show yet.
-const RESERVED_SLOTS: usize = 1;
+/// Decayed use count below which an adapter may be evicted for a replica of another one.
+const REPLICA_VICTIM_USES: f64 = 1.0;
+
+/// Time that a load may start later than at once without a reply to its requester: the round trip of
+/// the order before it.
+const PROMPT_START: Duration = Duration::from_millis(50);
 
 /// Fraction of the limit on base model loads that is used.
 const BASE_LOAD_SHARE: f64 = 0.85;
@@ -60,14 +64,17 @@
             }
             _ => {}
         }
-        let waits = self.owned_engine_mut(&engine).is_some_and(|owned| {
-            let waits = !owned.slot_wait(now).is_zero();
+        let Some(owned) = self.owned_engine(&engine) else {
+            return self.send_residency(now, from, &engine, &target, Presence::Absent, out);
+        };
+        let (start, load) = self.load_estimate(now, owned, Some(&target), rank);
+        if let Some(owned) = self.owned_engine_mut(&engine) {
             owned.add_load_request(now, target.clone(), rank, from);
-            waits
-        });
-        // Reply at once, so that the requester can try another engine sooner.
-        if waits || self.owned_engine(&engine).is_none() {
-            self.send_residency(now, from, &engine, &target, Presence::Absent, out);
+        }
+        // Replies at once, so that the requester can try another engine or give up sooner.
+        if start > PROMPT_START {
+            let absent = Presence::Absent;
+            self.send_expectation(now, from, &engine, &target, absent, start + load, out);
         }
     }
 
@@ -105,7 +112,7 @@
                 owned.reset_after_restart(now, runner.listing.born);
             }
             if let Some(engine) = &runner.engine {
-                owned.slots = engine.adapter_slots.saturating_sub(RESERVED_SLOTS);
+                owned.slots = engine.adapter_slots;
             }
             if !runner.is_eligible() {
                 owned.load_requests.clear();
@@ -113,7 +120,7 @@
             }
             owned
                 .load_requests
-                .retain(|request| now < request.first_requested + LOAD_REQUEST_TTL);
+                .retain(|request| now < request.last_requested + LOAD_REQUEST_TTL);
             if !matches!(owned.state, OrderState::Ready(at) if at <= now) {
                 continue;
             }
@@ -171,12 +178,16 @@
         }
         let owned = &mut self.owned_engines[index];
         let request = next_load_request(now, &mut owned.load_requests, runner, fleet)?.clone();
-        let replaces = owned.occupied.binary_search(&request.target).is_ok();
-        if replaces || owned.occupied.len() < owned.slots {
+        // Another version of a resident adapter needs a slot, too, until it has replaced the former.
+        if owned.free_slots(now) > 0 {
             let version = fleet.newest_version(&request.target);
             return Some(Order::Load(request.target, version));
         }
         let (victim, value) = eviction_candidate(now, owned, runner)?;
+        if request.is_replica() && value >= REPLICA_VICTIM_USES {
+            owned.drop_load_request(&request.target);
+            return None;
+        }
         out.push(Action::Log(Decision::Evicted(
             owned.engine.clone(),
             victim.clone(),
@@ -241,6 +252,7 @@
         out: &mut Vec<Action>,
     ) {
         let eta = now + self.expected_load_time(fleet, engine, order.target());
+        let lease = self.config.lease;
         let Some(owned) = self
             .owned_engine_mut(engine)
             .filter(|owned| owned.fence == fence)
@@ -265,6 +277,10 @@
             Answer::Unreached => owned.state = OrderState::Ready(now + UNKNOWN_RETRY_DELAY),
             Answer::Unknown if !fence_seen || order.is_confirm() => {
                 owned.state = OrderState::Ready(now + UNKNOWN_RETRY_DELAY);
+                // An engine that does not know the load starts it again.
+                if order.is_confirm() {
+                    owned.note_unanswered_load(now, order.target(), now + lease);
+                }
             }
             _ if !fence_seen => {
                 // The first order of a claim has locked the former owner out. From then on a report
@@ -294,12 +310,13 @@
                 owned.state = OrderState::Ready(now + UNKNOWN_RETRY_DELAY);
                 owned.recheck_at = Some(now + UNKNOWN_RETRY_DELAY);
                 // The engine may have accepted the order, so the target counts as occupying a slot.
+                if matches!(order, Order::Load(..)) {
+                    owned.note_unanswered_load(now, order.target(), now + lease);
+                }
                 self.apply_order(now, engine, order, Answer::Accepted, eta, out);
             }
             Answer::Unfit => {
-                owned
-                    .load_requests
-                    .retain(|request| request.target != *order.target());
+                owned.drop_load_request(order.target());
             }
         }
     }
@@ -344,7 +361,6 @@
         if presence != Presence::Absent {
             owned.occupy(&target);
             owned.note_cached(&target);
-            owned.loads_end = eta;
         }
         self.notify_waiters(now, engine, &target, presence, &waiters, out);
     }
@@ -410,6 +426,11 @@
 }
 
 impl OwnedEngine {
+    fn drop_load_request(&mut self, target: &Target) {
+        self.load_requests
+            .retain(|request| request.target != *target);
+    }
+
     /// Requests the engine's report, late enough for it to cover the last order.
     fn request_report(&mut self, out: &mut Vec<Action>) {
         self.state = OrderState::AwaitingReport;
@@ -434,7 +455,7 @@
     }
 }
 
-/// Returns the load request to serve next: by rank, then by the number of requests, then the
+/// Returns the load request to serve next: by rank, then by the number of waiting nodes, then the
 /// oldest.
 fn next_load_request<'a>(
     now: Time,
@@ -450,7 +471,7 @@
     load_requests.iter().min_by_key(|request| {
         (
             request.rank,
-            std::cmp::Reverse(request.count),
+            std::cmp::Reverse(request.waiters.len()),
             request.first_requested,
         )
     })
--- a/crates/exchange/src/owner/usage.rs
+++ b/crates/exchange/src/owner/usage.rs
@@ -26,6 +26,9 @@
 /// Weight of one request in the estimated slowdown.
 const SLOWDOWN_WEIGHT: f64 = 0.05;
 
+/// Weight of one request in the mean duration of a run.
+const RUN_WEIGHT: f64 = 0.1;
+
 /// Upper limit of the estimated slowdown.
 const SLOWDOWN_MAX: f64 = 10.0;
 
@@ -113,9 +116,14 @@
     }
 }
 
-/// Use of the targets of one engine, sorted by target.
+/// Use of the targets of one engine.
 #[derive(Clone, Debug, Default)]
-pub(super) struct UsageTable(Vec<(Target, AdapterUsage)>);
+pub(super) struct UsageTable {
+    /// Sorted by target.
+    targets: Vec<(Target, AdapterUsage)>,
+    /// Mean duration of the requests that have ended.
+    mean_run: Duration,
+}
 
 impl UsageTable {
     /// Records the start of a request that uses `target`.
@@ -125,22 +133,26 @@
         usage.count.add(now, 1.0);
         usage.runs.retain(|run| now < run.latest);
         usage.runs.push(run);
-        if self.0.len() > TRACKED_MAX {
+        if self.targets.len() > TRACKED_MAX {
             let kept =
                 |usage: &AdapterUsage| usage.in_use(now) || usage.count.value(now) > COUNT_MIN;
-            self.0.retain(|(_, usage)| kept(usage));
+            self.targets.retain(|(_, usage)| kept(usage));
         }
     }
 
     /// Returns whether a request is using `target` or is about to, as far as this node knows.
     pub(super) fn in_use(&self, now: Time, target: &Target) -> bool {
         let found = self.find(target).ok();
-        found.is_some_and(|index| self.0[index].1.in_use(now))
+        found.is_some_and(|index| self.targets[index].1.in_use(now))
     }
 
     /// Returns how many requests are running at the engine, as far as this node knows.
     pub(super) fn running(&self, now: Time) -> u32 {
-        let running: usize = self.0.iter().map(|(_, usage)| usage.running(now)).sum();
+        let running: usize = self
+            .targets
+            .iter()
+            .map(|(_, usage)| usage.running(now))
+            .sum();
         u32::try_from(running).unwrap_or(u32::MAX)
     }
 
@@ -154,45 +166,56 @@
         let index = match self.find(target) {
             Ok(index) => index,
             Err(index) => {
-                self.0
+                self.targets
                     .insert(index, (target.clone(), AdapterUsage::default()));
                 index
             }
         };
-        &mut self.0[index].1
+        &mut self.targets[index].1
     }
 
     /// Records the end of a request that used `target`. Returns how many times longer than without
     /// slowdown it took, if that is known.
     pub(super) fn record_end(&mut self, now: Time, target: &Target) -> Option<f64> {
         let index = self.find(target).ok()?;
-        let runs = &mut self.0[index].1.runs;
+        let runs = &mut self.targets[index].1.runs;
         let first = (0..runs.len()).min_by_key(|run| runs[*run].end)?;
         let alone = runs.len() == 1;
         let over = runs.swap_remove(first);
+        if !over.start.is_zero() {
+            let took = now.saturating_sub(over.start);
+            self.mean_run = self.mean_run.mul_f64(1.0 - RUN_WEIGHT) + took.mul_f64(RUN_WEIGHT);
+        }
         // With several running it is unknown which one has ended.
         over.ratio(now).filter(|_| alone)
     }
 
     fn find(&self, target: &Target) -> Result<usize, usize> {
-        self.0.binary_search_by(|(known, _)| known.cmp(target))
+        self.targets
+            .binary_search_by(|(known, _)| known.cmp(target))
     }
 
     /// Returns the decayed count of requests that used `target`.
     pub(super) fn value(&self, now: Time, target: &Target) -> f64 {
         let found = self.find(target).ok();
-        found.map_or(0.0, |index| self.0[index].1.count.value(now))
+        found.map_or(0.0, |index| self.targets[index].1.count.value(now))
     }
 
     /// Returns when `target` is expected to be idle.
     pub(super) fn free_at(&self, now: Time, target: &Target) -> Time {
         let found = self.find(target).ok();
-        let usage = found.map(|index| &self.0[index].1);
+        let usage = found.map(|index| &self.targets[index].1);
         let Some(usage) = usage.filter(|usage| usage.in_use(now)) else {
             return now;
         };
         let ends = usage.runs.iter().map(|run| run.end);
-        let last = ends.max().unwrap_or_default().max(usage.reserved_until);
+        // The requests that a target is kept for have yet to run.
+        let kept_for = if now < usage.reserved_until {
+            usage.reserved_until + self.mean_run
+        } else {
+            Time::ZERO
+        };
+        let last = ends.max().unwrap_or_default().max(kept_for);
         // An overdue request may end at any moment.
         last.max(now + OVERDUE_EXTENSION)
     }
--- a/crates/exchange/src/selection.rs
+++ b/crates/exchange/src/selection.rs
@@ -51,9 +51,6 @@
 /// Failure score from which an engine gets no new replicas. A single recent failure exceeds it.
 const REPLICA_FAILURE_SCORE_MAX: f64 = 0.3;
 
-/// Fraction of the engines that is dedicated to long prompts.
-const LONG_PROMPT_ENGINES: f64 = 0.12;
-
 /// Cost of the prefill of a long prompt on a shared engine, which delays all of its streams.
 const LONG_ON_SHARED_COST_MS: f64 = 2_500.0;
 
@@ -95,8 +92,9 @@
     pub now: Time,
     /// Availability zone of this node.
     pub zone: &'a Zone,
-    /// Whether to keep engines apart for long prompts, because there were some recently.
-    pub isolate_long_prompts: bool,
+    /// Fraction of the engines that is dedicated to long prompts, see
+    /// [`Demand::long_prompt_engines`].
+    pub long_prompt_engines: f64,
     /// Returns whether an engine has an owner, which orders its loads.
     pub owned: F,
 }
@@ -196,11 +194,7 @@
 ) -> Selection {
     let (now, long) = (context.now, requirements.has_long_prompt());
     let candidates = with_base_model(fleet, target, upstreams.iter().copied());
-    let dedicated = if context.isolate_long_prompts {
-        long_prompt_engines(&candidates)
-    } else {
-        Vec::new()
-    };
+    let dedicated = long_prompt_engines(&candidates, context.long_prompt_engines);
     let is_dedicated = |upstream: &UpstreamState| {
         dedicated
             .iter()
@@ -211,7 +205,7 @@
     ordered.sort_by_key(|upstream| is_dedicated(upstream) != long);
     let costs = ordered.into_iter().enumerate().map(|(position, upstream)| {
         let isolation_cost = match (long, is_dedicated(upstream)) {
-            (true, false) if context.isolate_long_prompts => LONG_ON_SHARED_COST_MS,
+            (true, false) if !dedicated.is_empty() => LONG_ON_SHARED_COST_MS,
             (false, true) => SHORT_ON_DEDICATED_COST_MS,
             _ => 0.0,
         };
@@ -264,8 +258,11 @@
 /// Returns the engines dedicated to long prompts. The prefill of a long prompt pauses every stream
 /// of its engine, so long prompts share a few engines, away from other streams. All nodes that know
 /// the same engines compute the same set.
-fn long_prompt_engines<'a>(upstreams: &[&'a UpstreamState]) -> Vec<&'a UpstreamState> {
-    let count = (upstreams.len() as f64 * LONG_PROMPT_ENGINES).round() as usize;
+fn long_prompt_engines<'a>(
+    upstreams: &[&'a UpstreamState],
+    fraction: f64,
+) -> Vec<&'a UpstreamState> {
+    let count = (upstreams.len() as f64 * fraction).round() as usize;
     rank::top(LONG_PROMPT_KEY, upstreams.iter().copied(), count)
 }
 
@@ -286,14 +283,12 @@
     target.adapter.as_ref()?;
     let accepting = fleet.accepting(now, &requirements.service.name);
     let mut candidates = with_base_model(fleet, target, accepting);
-    if demand.has_recent_long_prompts(now) {
-        let dedicated = long_prompt_engines(&candidates);
-        candidates.retain(|upstream| {
-            !dedicated
-                .iter()
-                .any(|engine| std::ptr::eq(*engine, *upstream))
-        });
-    }
+    let dedicated = long_prompt_engines(&candidates, demand.long_prompt_engines(now));
+    candidates.retain(|upstream| {
+        !dedicated
+            .iter()
+            .any(|engine| std::ptr::eq(*engine, *upstream))
+    });
     let count = replica_count(now, demand, target, candidates.len());
     let present = candidates
         .iter()
@@ -339,6 +334,25 @@
     next.map(|upstream| upstream.listing.id.clone())
 }
 
+/// Returns the engine that holds the base model of the target and has the shortest wait for a load,
+/// as far as this node knows, with that wait. Equal waits go by the rendezvous order of the target.
+pub fn shortest_load_wait(
+    fleet: &Fleet,
+    requirements: &Requirements<'_>,
+    context: &SelectionContext<'_, impl Fn(&Upstream) -> bool>,
+) -> Option<(Upstream, Duration)> {
+    let target = requirements.target?;
+    let accepting = fleet
+        .accepting(context.now, &requirements.service.name)
+        .filter(|upstream| !requirements.tried.contains(&upstream.listing.id))
+        .filter(|upstream| (context.owned)(&upstream.listing.id));
+    let candidates = with_base_model(fleet, target, accepting);
+    let ordered = rendezvous_order(target, &candidates).into_iter();
+    let shortest = ordered.min_by_key(|upstream| upstream.load_backlog(context.now))?;
+    let wait = shortest.load_backlog(context.now);
+    Some((shortest.listing.id.clone(), wait))
+}
+
 fn is_present(upstream: &UpstreamState, target: &Target) -> bool {
     upstream.presence(target) != Presence::Absent
 }
--- a/crates/gateway/src/front/job.rs
+++ b/crates/gateway/src/front/job.rs
@@ -25,7 +25,7 @@
 use super::attempt::Tried;
 use super::place::Placed;
 use crate::dialect::{Ask, Dialect};
-use crate::hub::Hub;
+use crate::hub::{Hub, LoadWait};
 
 /// Least time in which an attempt can still bring an answer: a few round trips.
 const LEAST: Duration = Duration::from_millis(25);
@@ -112,8 +112,10 @@
     pub(super) attempts: u32,
     /// Whether the next attempt is paid for already.
     prepaid: AtomicBool,
-    /// Engine at which a load was asked for.
-    pub(super) home: Option<Upstream>,
+    /// The load that it waits for.
+    pub(super) load_wait: Option<LoadWait<D>>,
+    /// Time that its load was first expected to take.
+    pub(super) expected: Option<Duration>,
     /// Full engines that it left for others.
     pub(super) moved: u32,
     /// Whether no other prompt is read at its engine when it comes there.
@@ -161,7 +163,8 @@
             sends: Vec::new(),
             attempts: 0,
             prepaid: AtomicBool::new(false),
-            home: None,
+            load_wait: None,
+            expected: None,
             moved: 0,
             alone: false,
             refusals: 0,
@@ -191,7 +194,7 @@
             .record_request(now, &self.service.name);
         let target = self.target();
         let need = self.need(target.as_ref());
-        self.hub.demand(&need, self.terms.rank);
+        self.hub.demand(&need);
         let mut cursor = Cursor::new(self.ask.after);
         loop {
             let runner = match self.place().await {
@@ -365,6 +368,7 @@
             upstream = self.tried.last().map_or("", |id| id),
             attempts = self.attempts,
             stall_ms = self.stalled.as_millis() as u64,
+            expected_ms = self.expected.unwrap_or_default().as_millis() as u64,
             prompt = self.ask.prompt.unwrap_or_default(),
             queue_ms = self.queued.as_millis() as u64,
             first_ms = self.first.as_millis() as u64,
--- a/crates/gateway/src/front/place.rs
+++ b/crates/gateway/src/front/place.rs
@@ -6,15 +6,18 @@
 use exchange::fleet::Presence;
 use exchange::owner::{self, AdmissionRequest};
 use exchange::prefill_limit::STEP_TIME;
+use exchange::search::{Limits, REPLY_TIMEOUT, Search, Step};
 use exchange::selection::{Selection, Unavailable};
 use node::journal::DECISION;
 use wire::Upstream;
 
 use super::job::{Job, Return};
 use crate::dialect::Dialect;
+use crate::hub::LoadWait;
 
-/// Time without news of a load after which its owner is asked again: two round trips and an order.
-const ASK_AGAIN: Duration = Duration::from_millis(250);
+/// Time from the choice of an engine to its first event, beside the load and the prefill: a few
+/// network crossings and steps.
+const START_MARGIN: Duration = Duration::from_millis(60);
 
 /// Pause before an engine without a base model is looked at again.
 const WEIGHTS_PAUSE: Duration = Duration::from_millis(100);
@@ -26,7 +29,7 @@
 const EMPTY_PAUSE: Duration = Duration::from_millis(800);
 
 /// Full engines that a request leaves for others: each costs a round trip.
-const MOVES_MAX: u32 = 2;
+const FULL_MOVES_MAX: u32 = 2;
 
 /// What whoever orders at an engine says of a request.
 enum Entry {
@@ -47,46 +50,59 @@
 }
 
 impl<D: Dialect> Job<D> {
-    /// Waits until an upstream can serve the request.
+    /// Waits until an upstream can serve the request, or refuses it once none can in time.
     pub(super) async fn place(&mut self) -> Placed {
         let target = self.target();
+        let mut search = Search::new(self.limits());
+        let placed = self.find(&mut search, target.as_ref()).await;
+        self.expected = search.expected_wait().or(self.expected);
+        self.load_wait = None;
+        placed
+    }
+
+    /// Returns until when the request has to start. One that was tried before is late already.
+    fn limits(&self) -> Limits {
+        let now = self.hub.clock.now();
+        let useful = now + self.patience();
+        let spent = self.reading() + START_MARGIN;
+        let first = self.sends.is_empty() && self.last_part.is_zero();
+        let on_time = (self.terms.arrived + self.route.latency_target).saturating_sub(spent);
+        Limits {
+            on_time: if first { on_time.min(useful) } else { useful },
+            useful,
+        }
+    }
+
+    async fn find(&mut self, search: &mut Search, target: Option<&Target>) -> Placed {
         let started = self.hub.clock.now();
         let whole = self.left();
         loop {
             if self.left().is_zero() || self.patience().is_zero() {
                 return Placed::Refused("no-time", Return::Soon);
             }
-            let pick = self.hub.pick(&self.need(target.as_ref()));
-            match pick {
-                Selection::Send(runner) => {
+            match self.hub.find(search, &self.need(target)) {
+                Ok(Step::Admit(runner)) => {
                     let waited = self.hub.clock.now().saturating_sub(started);
-                    let wait = match self.let_in(&runner).await {
-                        Entry::Absent => continue,
-                        Entry::Full(_) if self.moves(&runner, target.as_ref()) => continue,
-                        Entry::Open(wait) | Entry::Full(wait) => wait,
-                    };
-                    self.stalled += waited;
-                    self.queued += wait;
-                    tokio::time::sleep(wait.min(self.left())).await;
-                    if target.is_some() {
-                        self.hub.metrics.stalled(&self.service.name, waited);
+                    if let Some(placed) = self.enter(runner, target, waited).await {
+                        return placed;
                     }
-                    return Placed::At(runner);
                 }
-                Selection::Wait(runner, at) => {
-                    let wait = at.saturating_sub(self.hub.clock.now()).min(self.patience());
-                    self.news(&runner, target.as_ref(), wait).await;
+                Ok(Step::Wait(runner, wait)) => {
+                    self.news(&runner, target, wait.min(self.patience())).await;
                 }
-                Selection::Load(runner) => {
-                    if let Some(target) = &target {
-                        let runner = self.home(runner, target);
-                        self.want(&runner, target).await;
+                Ok(Step::Load(runner)) => {
+                    if let Some(target) = target {
+                        self.request_load(&runner, target).await;
                     }
                 }
-                Selection::None(lack @ Unavailable::AllPaused(pause)) => {
+                Ok(Step::Pause(pause)) => tokio::time::sleep(pause).await,
+                Ok(Step::Refuse(pause)) => {
+                    return Placed::Refused("no-place", Return::After(pause));
+                }
+                Err(lack @ Unavailable::AllPaused(pause)) => {
                     return Placed::Refused(lack.name(), Return::After(pause));
                 }
-                Selection::None(lack) => {
+                Err(lack) => {
                     let waited = self.hub.clock.now().saturating_sub(started);
                     if lack != Unavailable::NoWeights || waited > whole / WEIGHTS_PART {
                         return Placed::Refused(lack.name(), Return::About(EMPTY_PAUSE));
@@ -97,9 +113,30 @@
         }
     }
 
+    /// Asks to be admitted to `runner`. Returns `None` where another engine has to be found.
+    async fn enter(
+        &mut self,
+        runner: Upstream,
+        target: Option<&Target>,
+        waited: Duration,
+    ) -> Option<Placed> {
+        let wait = match self.let_in(&runner).await {
+            Entry::Absent => return None,
+            Entry::Full(_) if self.moves(&runner, target) => return None,
+            Entry::Open(wait) | Entry::Full(wait) => wait,
+        };
+        self.stalled += waited;
+        self.queued += wait;
+        tokio::time::sleep(wait.min(self.left())).await;
+        if target.is_some() {
+            self.hub.metrics.stalled(&self.service.name, waited);
+        }
+        Some(Placed::At(runner))
+    }
+
     /// Leaves a full engine for another one, where what was learnt of it shows a better one.
     fn moves(&mut self, runner: &Upstream, target: Option<&Target>) -> bool {
-        if self.moved >= MOVES_MAX {
+        if self.moved >= FULL_MOVES_MAX {
             return false;
         }
         let other = match self.hub.pick(&self.need(target)) {
@@ -134,11 +171,8 @@
         if !matches!(grant.presence, Presence::Held(_)) {
             return Entry::Absent;
         }
-        self.hub.crowded(
-            &self.need(self.target().as_ref()),
-            self.terms.rank,
-            grant.wait,
-        );
+        self.hub
+            .crowded(&self.need(self.target().as_ref()), grant.wait);
         let slots = {
             let desk = self.hub.desk();
             let known = desk.fleet.upstream(runner);
@@ -163,43 +197,21 @@
         }
     }
 
-    /// Returns the engine at which the request's load is asked for: the one where it was asked for
-    /// already, as long as that takes requests, since a second load would take the place of another
-    /// adapter's; or else `runner`, which also takes the place of one that has none free.
-    fn home(&mut self, runner: Upstream, target: &Target) -> Upstream {
-        let desk = self.hub.desk();
-        let open = |id: &Upstream| {
-            let known = desk.fleet.upstream(id);
-            known.is_some_and(|known| known.is_eligible() && desk.owner.holder(id).is_some())
-        };
-        let kept = self.home.as_ref().filter(|id| open(id)).cloned();
-        drop(desk);
-        let leaves = kept.as_ref().is_some_and(|kept| *kept != runner) && self.moved < MOVES_MAX;
-        let home = match kept {
-            Some(kept) if leaves => {
-                self.moved += 1;
-                log::info!(target: DECISION, request = &*self.ask.attempt, full:% = kept, other:% = runner; "move");
-                self.hub.drive(owner::Event::CancelLoadRequest {
-                    engine: kept,
-                    target: target.clone(),
-                });
-                runner
-            }
-            Some(kept) => kept,
-            None => runner,
-        };
-        self.home = Some(home.clone());
-        home
-    }
-
-    /// Asks the engine's owner for a load and waits for its answer.
-    async fn want(&self, runner: &Upstream, target: &Target) {
+    /// Asks the engine's owner for a load and waits for its reply.
+    async fn request_load(&mut self, runner: &Upstream, target: &Target) {
+        let same = |wait: &LoadWait<D>| wait.engine() == runner;
+        if !self.load_wait.as_ref().is_some_and(same) {
+            self.load_wait = Some(LoadWait::new(&self.hub, runner, target));
+        }
         let news = self.hub.await_news(runner, target);
         self.hub.drive(owner::Event::RequestLoad {
             engine: runner.clone(),
             target: target.clone(),
             rank: self.terms.rank,
         });
-        let _ = tokio::time::timeout(ASK_AGAIN.min(self.left()), news).await;
+        let limit = REPLY_TIMEOUT.min(self.left());
+        if tokio::time::timeout(limit, news).await.is_err() {
+            self.hub.owner_silent(runner);
+        }
     }
 }
--- a/crates/gateway/src/hub/mod.rs
+++ b/crates/gateway/src/hub/mod.rs
@@ -1,12 +1,14 @@
 //! State that all tasks of a node share.
 //!
 //! - `grant` asks owners and carries out what they want done.
+//! - `load_wait` finds engines for requests, and cancels loads that nobody waits for any more.
 //! - `poison` finds requests that crash upstreams.
 //! - `pulse` tells what was read of the platform, and takes over what others tell.
 //! - `quota` draws requests out of their tenants' quotas.
 //! - `word` heeds what upstreams say of themselves.
 
 mod grant;
+mod load_wait;
 mod poison;
 mod pulse;
 mod quota;
@@ -25,7 +27,8 @@
 use exchange::prefill_estimate::PrefillEstimator;
 use exchange::retry_budget::{self, RetryBudget};
 use exchange::route::Config;
-use exchange::selection::{self, Requirements, Selection, SelectionContext};
+use exchange::search;
+use exchange::selection::{self, Requirements};
 use exchange::{Fleet, Owner};
 use node::clock::{Clock, wall_micros};
 use roster::seeds::Record;
@@ -38,6 +41,7 @@
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
 
+pub use load_wait::LoadWait;
 pub use word::Leaver;
 
 /// Limit for a connection to an upstream; several crossings of a region and a handshake.
@@ -105,6 +109,8 @@
     tickets: Vec<(u64, oneshot::Sender<Grant>)>,
     next_ticket: u64,
     spread: Vec<(Upstream, Target, Time)>,
+    /// Requests of this node that wait for loads.
+    waits: search::Waits,
 }
 
 /// The state of one node.
@@ -184,6 +190,7 @@
             tickets: Vec::new(),
             next_ticket: 0,
             spread: Vec::new(),
+            waits: search::Waits::default(),
         };
         Self {
             dialect,
@@ -318,21 +325,8 @@
         links.retain(|(known, _, _)| **known != *id);
     }
 
-    /// Picks the upstream for a request.
-    pub fn pick(&self, need: &Requirements<'_>) -> Selection {
-        let now = self.clock.now();
-        let desk = self.desk();
-        let scene = SelectionContext {
-            now,
-            zone: &self.settings.vm.zone,
-            isolate_long_prompts: desk.demand.has_recent_long_prompts(now),
-            owned: |id: &Upstream| desk.owner.holder(id).is_some(),
-        };
-        selection::select_upstream(&desk.fleet, need, &scene)
-    }
-
     /// Counts a request for a model, and asks for another home where its demand wants one.
-    pub fn demand(self: &Arc<Self>, need: &Requirements<'_>, rank: u8) {
+    pub fn demand(self: &Arc<Self>, need: &Requirements<'_>) {
         let Some(target) = need.target else {
             return;
         };
@@ -340,23 +334,24 @@
         let mut guard = self.desk();
         let desk = &mut *guard;
         desk.demand.add(now, target);
-        if need.has_long_prompt() {
-            desk.demand.record_long_prompt(now);
+        let long = need.has_long_prompt();
+        desk.demand.record_prompt(now, need.prefill_time, long);
+        if long && desk.demand.long_prompt_engines(now) > 0.0 {
             return;
         }
         let home = selection::missing_replica(now, &desk.fleet, &desk.demand, need);
-        self.spread(guard, home, target, rank);
+        self.spread(guard, home, target);
     }
 
     /// Asks for a further home of a model that a request waits for at its present one.
-    pub fn crowded(self: &Arc<Self>, need: &Requirements<'_>, rank: u8, wait: Duration) {
+    pub fn crowded(self: &Arc<Self>, need: &Requirements<'_>, wait: Duration) {
         let Some(target) = need.target else {
             return;
         };
         let now = self.clock.now();
         let desk = self.desk();
         let home = selection::additional_replica(now, &desk.fleet, &desk.demand, need, wait);
-        self.spread(desk, home, target, rank);
+        self.spread(desk, home, target);
     }
 
     /// Asks for `target` at `home`, unless that was done a moment ago.
@@ -365,7 +360,6 @@
         mut desk: MutexGuard<'_, Desk>,
         home: Option<Upstream>,
         target: &Target,
-        rank: u8,
     ) {
         let Some(runner) = home else {
             return;
@@ -384,7 +378,7 @@
         self.drive(owner::Event::RequestLoad {
             engine: runner,
             target: target.clone(),
-            rank,
+            rank: owner::REPLICA_RANK,
         });
     }
 
