Return requests to an upstream within seconds of its pause

Cause: pause_is_kept, listed as known red, failed beside eight busy processes: three seconds after its pause an upstream still cost some milliseconds more than idle ones, and got nothing as long as these were not loaded. Change: a failure score under 0.02 counts as none, which a pause reaches after 1.7 s. Result: upstream_returns_after_its_pause fails without it.

--- a/crates/exchange/src/fleet/upstream.rs
+++ b/crates/exchange/src/fleet/upstream.rs
@@ -32,6 +32,10 @@
 /// the upstream first receives only requests for which the others are busy.
 const PAUSE_FAILURE_SCORE: f64 = 0.1;
 
+/// Failure score below which an upstream counts as sound. Without a limit, an upstream that gets no
+/// requests would cost more than idle ones for many half-lives.
+const FAILURE_SCORE_MIN: f64 = 0.02;
+
 /// Maximum number of times that [`FAILURE_HALF_LIFE`] doubles.
 const HALF_LIFE_DOUBLINGS_MAX: u32 = 4;
 
@@ -229,7 +233,12 @@
         let doublings = self.consecutive_failures.saturating_sub(1);
         let half_life = FAILURE_HALF_LIFE * (1 << doublings.min(HALF_LIFE_DOUBLINGS_MAX));
         let age = now.saturating_sub(self.score_at).as_secs_f64();
-        self.score * (-age / half_life.as_secs_f64()).exp2()
+        let score = self.score * (-age / half_life.as_secs_f64()).exp2();
+        if score < FAILURE_SCORE_MIN {
+            0.0
+        } else {
+            score
+        }
     }
 
     /// Returns how long it has sent nothing although an answer is awaited.
