--- a/crates/exchange/src/relay.rs
+++ b/crates/exchange/src/relay.rs
@@ -48,6 +48,12 @@
         self.events
     }
 
+    /// Returns a number that grows with each event: the id of the last one, or the number of events
+    /// if they have no ids. Comments between events do not change it.
+    pub fn progress(&self) -> u64 {
+        self.last.unwrap_or(self.events)
+    }
+
     /// Returns whether an incomplete event is buffered.
     pub fn has_partial(&self) -> bool {
         !self.partial.is_empty()
--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -409,11 +409,15 @@
         while first.is_empty() && !ended {
             match self.next(&mut body, &visit).await {
                 Next::Part(part) => {
-                    visit.hear();
+                    let before = cursor.progress();
                     if cursor.push(&part, &mut first).is_err() {
                         visit.end(AttemptResult::Failed);
                         return self.failed("sequence", Execution::Unknown);
                     }
+                    // Bytes that bring no event may come from an engine that has stalled.
+                    if cursor.progress() != before {
+                        visit.hear();
+                    }
                 }
                 Next::End if cursor.has_partial() => {
                     visit.break_off(self.print).await;
--- a/crates/gateway/src/front/stream.rs
+++ b/crates/gateway/src/front/stream.rs
@@ -115,9 +115,12 @@
             };
             match next {
                 Next::Part(part) => {
-                    open.visit.hear();
+                    let before = cursor.progress();
                     let mut whole = Vec::with_capacity(part.len());
                     let pushed = cursor.push(&part, &mut whole);
+                    if cursor.progress() != before {
+                        open.visit.hear();
+                    }
                     if !self.pass(cursor, whole.into(), sender).await {
                         return Run::Left;
                     }
