--- a/crates/gateway/src/hub/mod.rs
+++ b/crates/gateway/src/hub/mod.rs
@@ -1,9 +1,10 @@
 //! State that all tasks of a node share.
 //!
 //! - `grant` asks owners and carries out what they want done.
-//! - `load_wait` finds engines for requests, and cancels loads that nobody waits for any more.
+//! - `load_wait` cancels loads that no request waits for any more.
 //! - `poison` finds requests that crash upstreams.
 //! - `pulse` tells what was read of the platform, and takes over what others tell.
+//! - `search` finds engines for requests.
 //! - `quota` draws requests out of their tenants' quotas.
 //! - `word` heeds what upstreams say of themselves.
 
@@ -12,6 +13,7 @@
 mod poison;
 mod pulse;
 mod quota;
+mod search;
 mod word;
 
 use std::net::SocketAddr;
@@ -27,7 +29,7 @@
 use exchange::prefill_estimate::PrefillEstimator;
 use exchange::retry_budget::{self, RetryBudget};
 use exchange::route::Config;
-use exchange::search;
+use exchange::search::Waits;
 use exchange::selection::{self, Requirements};
 use exchange::{Fleet, Owner};
 use node::clock::{Clock, wall_micros};
@@ -110,7 +112,7 @@
     next_ticket: u64,
     spread: Vec<(Upstream, Target, Time)>,
     /// Requests of this node that wait for loads.
-    waits: search::Waits,
+    waits: Waits,
 }
 
 /// The state of one node.
@@ -190,7 +192,7 @@
             tickets: Vec::new(),
             next_ticket: 0,
             spread: Vec::new(),
-            waits: search::Waits::default(),
+            waits: Waits::default(),
         };
         Self {
             dialect,
