Keep urgent requests at the engine where their adapter runs

A node concentrates demand on fewer engines as time goes by, and nodes that started at different times do so at different times. A node whose home for an adapter had just changed made urgent requests wait for a load there, while less urgent ones of other nodes ran at the former home.

Seen as `replaced_fleet_loses_nothing` in a check: two urgent requests waited 626 and 739 ms for an adapter; a routine one of another node, asked for 593 ms later, waited 6 ms.

An urgent request now waits at the engine where its adapter started last at this node, within the time of a lease, as long as that engine is live and has room. Others follow the ranking and have the adapter loaded at its new home first.

--- a/crates/placement/src/holder/model.rs
+++ b/crates/placement/src/holder/model.rs
@@ -81,6 +81,8 @@
     pub pending: Vec<PendingLease>,
     /// Leases that are held, or that have ended while requests still run.
     pub leases: Vec<HeldLease>,
+    /// The upstream at which a request started last, and when.
+    pub last_home: Option<(Upstream, Time)>,
 }
 
 impl ModelState {
--- a/crates/placement/src/holder/place.rs
+++ b/crates/placement/src/holder/place.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use wire::{Model, Time, Upstream};
+use wire::{Model, Priority, Time, Upstream};
 
 use super::model::PendingLease;
 use super::{Context, Holder, MAX_TRIES, PoolPacking, RequestEntry, RequestState};
@@ -225,12 +225,39 @@
         {
             return run;
         }
+        let wait = self.resident_home(cx, entry).or(wait);
         match wait.or(fallback) {
             Some(candidate) if refused < MAX_TRIES => Placement::WaitForLease(candidate),
             _ => Placement::NoUpstream,
         }
     }
 
+    /// Returns the upstream at which the model of an urgent request has started last, if it is
+    /// likely to be resident there still.
+    ///
+    /// The nodes concentrate demand on fewer upstreams at different times. An urgent request that
+    /// followed at once would wait for a load while less urgent ones run at the former home.
+    fn resident_home(&self, cx: &Context<'_>, entry: &RequestEntry) -> Option<RankedUpstream> {
+        let request = &entry.request;
+        if request.priority != Priority::Urgent {
+            return None;
+        }
+        let (home, used_at) = self.models.get(&request.model)?.last_home.as_ref()?;
+        let upstream = cx.upstreams.live(home, &request.pool, &request.base)?;
+        let has_room = {
+            let target = &cx.upstreams.targets()[upstream];
+            target.estimated_load(cx.now, cx.nodes()) < target.facts.max_batch
+        };
+        if cx.now >= *used_at + cx.settings.lease || entry.tried.contains(home) || !has_room {
+            return None;
+        }
+        let rank = self.ranked.iter().position(|(_, index)| *index == upstream);
+        Some(RankedUpstream {
+            rank: rank.unwrap_or(self.ranked.len()),
+            upstream,
+        })
+    }
+
     fn run_under_lease(
         &mut self,
         cx: &mut Context<'_>,
@@ -266,6 +293,7 @@
         let held = &mut state.leases[lease];
         held.in_use += 1;
         held.served += 1;
+        state.last_home = Some((held.upstream.clone(), cx.now));
         entry.state = RequestState::Running {
             upstream: held.upstream.clone(),
             instance: held.instance.clone(),
--- a/crates/placement/src/upstreams.rs
+++ b/crates/placement/src/upstreams.rs
@@ -64,6 +64,12 @@
         u32::try_from(load).unwrap_or(u32::MAX).max(self.local_load)
     }
 
+    /// Returns whether it is live and of this pool and base model.
+    fn serves(&self, pool: &Pool, base: &Base) -> bool {
+        let facts = &self.facts;
+        facts.state == UpstreamState::Live && facts.pool == *pool && facts.base == *base
+    }
+
     /// Returns whether the prefix is cached there according to the cache events.
     pub fn has_cached_prefix(&self, prefix: u64) -> bool {
         self.prefixes.binary_search(&prefix).is_ok()
@@ -145,7 +151,7 @@
         let mut sum = PoolLoad::default();
         for target in &self.targets {
             let facts = &target.facts;
-            if facts.state == UpstreamState::Live && facts.pool == *pool && facts.base == *base {
+            if target.serves(pool, base) {
                 sum.sequences += target.estimated_load(now, nodes);
                 sum.busy_instances += target.busy_instances;
                 sum.slots = sum.slots.max(facts.slots);
@@ -172,6 +178,12 @@
             .ok()
     }
 
+    /// Returns the index into [`Self::targets`] of a live upstream of the pool and base model.
+    pub fn live(&self, id: &str, pool: &Pool, base: &Base) -> Option<usize> {
+        let index = self.index(id)?;
+        self.targets[index].serves(pool, base).then_some(index)
+    }
+
     /// Fills `order` with the `count` best live upstreams of the pool and base model for `model`,
     /// the best one first; a `count` of zero means all.
     ///
@@ -189,9 +201,8 @@
         order.clear();
         let key = model_key(model);
         for (index, target) in self.targets.iter().enumerate() {
-            let facts = &target.facts;
-            if facts.state == UpstreamState::Live && facts.pool == *pool && facts.base == *base {
-                let weight = rank::weight(key, &facts.id) >> 1;
+            if target.serves(pool, base) {
+                let weight = rank::weight(key, &target.facts.id) >> 1;
                 let first = u64::from(target.pool_rank < active) << 63;
                 order.push((first | weight, index));
             }
--- a/crates/placement/tests/support/mod.rs
+++ b/crates/placement/tests/support/mod.rs
@@ -21,18 +21,12 @@
 /// Returns the planner of `vm` in a region with engine `e`, whose weight store allows `rate` loads
 /// per second.
 pub fn planner(vm: &str, vms: &[&str], rate: f64) -> Planner {
-    let mut planner = Planner::new(Incarnation::new(vm, 1), Settings::default());
-    let engine = Upstream {
-        id: "e".into(),
-        pool: "p".into(),
-        base: "b".into(),
-        zone: "z".into(),
-        store: "s".into(),
-        slots: 2,
-        max_batch: 4,
-        fencing: Fencing::RefusesOld,
-        state: UpstreamState::Live,
-    };
+    planner_with(vm, vms, rate, Settings::default())
+}
+
+/// Returns the same planner with other settings.
+pub fn planner_with(vm: &str, vms: &[&str], rate: f64, settings: Settings) -> Planner {
+    let mut planner = Planner::new(Incarnation::new(vm, 1), settings);
     let store = Store {
         id: "s".into(),
         rate,
@@ -43,13 +37,28 @@
     for event in [
         Event::View(view(vms)),
         Event::Stores(vec![store]),
-        Event::Upstreams(vec![engine]),
+        Event::Upstreams(vec![engine("e")]),
     ] {
         planner.step(Duration::ZERO, event, &mut out);
     }
     planner
 }
 
+/// Returns a live engine.
+pub fn engine(id: &str) -> Upstream {
+    Upstream {
+        id: id.into(),
+        pool: "p".into(),
+        base: "b".into(),
+        zone: "z".into(),
+        store: "s".into(),
+        slots: 2,
+        max_batch: 4,
+        fencing: Fencing::RefusesOld,
+        state: UpstreamState::Live,
+    }
+}
+
 /// Returns a request for the adapter `m`.
 pub fn request(id: u64, priority: Priority) -> Event {
     Event::Request(Request {
