Bound the parts of a body that is read as a whole

A body without end in chunks of 64 bytes was read up to 8 MB, which is 131,072 parts. Each part costs about as much as one of a usual size, so that the refusal took more than half a second beside load. A part now counts as at least 512 bytes against the limit.

--- a/crates/upstream/src/link/body.rs
+++ b/crates/upstream/src/link/body.rs
@@ -14,6 +14,10 @@
 use super::{Link, Pool};
 use crate::error::{Error, Phase, Reach};
 
+/// Bytes that a part of a body counts as at least. Bounds the work for a body that comes in tiny
+/// parts, each of which costs about as much as one of this size.
+const PART_BYTES_MIN: usize = 512;
+
 /// Where a connection goes when its response is whole.
 #[derive(Debug)]
 pub(super) struct Home {
@@ -112,12 +116,15 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Large`] beyond the link's body limit, and what [`Body::next`] returns.
+    /// Returns [`Error::Large`] beyond the link's body limit, against which each part counts as at
+    /// least 512 bytes, and what [`Body::next`] returns.
     pub async fn collect(mut self) -> Result<Bytes, Error> {
         let limit = self.link.limits.body_bytes;
+        let mut counted = 0;
         let mut whole = BytesMut::new();
         while let Some(part) = self.next().await? {
-            if whole.len() + part.len() > limit {
+            counted += part.len().max(PART_BYTES_MIN);
+            if counted > limit {
                 return Err(Error::Large {
                     upstream: self.link.upstream.clone(),
                     limit,
--- a/crates/upstream/src/link/mod.rs
+++ b/crates/upstream/src/link/mod.rs
@@ -110,7 +110,7 @@
     pub keep: Duration,
     /// Bytes of a response head; at least 8,192.
     pub head_bytes: usize,
-    /// Bytes of a response body that is read as a whole.
+    /// Bytes of a response body that is read as a whole; tiny parts count for more than their size.
     pub body_bytes: usize,
 }
 
