Remove quadratic work from listings and claims

A profile of 300 nodes at their start showed, among the time of their main threads: the engine settings of all upstreams set anew for each upstream that appeared; a digest of each listing formatted for every update of a reader; each announced claim compared with all known ones, whoever holds them; a scan of all fencing tokens for each claim.

An upstream that appears is configured alone. Digests are kept with the listings. Claims of other holders are passed over, tokens are found by binary search, and engines that are claimed in one step are announced together.

`claims_are_announced_together` fails without the last of these (three announcements for three engines).

--- a/crates/exchange/src/fleet/mod.rs
+++ b/crates/exchange/src/fleet/mod.rs
@@ -32,6 +32,8 @@
     departed: Vec<(Upstream, Option<u64>)>,
     /// Newest announced versions, sorted by target.
     versions: Vec<(Target, Version)>,
+    /// Digest of `versions`.
+    versions_digest: u64,
 }
 
 /// The effect of a listing.
@@ -89,15 +91,21 @@
     /// Applies the engine settings of a new configuration.
     pub fn configure(&mut self, config: &Config) {
         for upstream in &mut self.upstreams {
-            let service = config.service(&upstream.listing.pool);
-            upstream.engine = service.and_then(|service| service.engine.clone());
+            upstream.configure(config);
+        }
+    }
+
+    /// Applies the engine settings of the configuration in force to the upstream `id`.
+    pub fn configure_upstream(&mut self, id: &str, config: &Config) {
+        if let Some(upstream) = self.upstream_mut(id) {
+            upstream.configure(config);
         }
     }
 
     /// Applies the holdings that an engine's owner has announced. Newer information is kept.
     pub fn apply_owner_holdings(&mut self, now: Time, id: &str, holdings: Vec<Holding>) {
         if let Some(upstream) = self.upstream_mut(id) {
-            upstream.listing.holdings = holdings;
+            upstream.relist(|listing| listing.holdings = holdings);
             upstream.merge_holdings(now, Source::Listing);
         }
     }
@@ -112,7 +120,7 @@
         coming: Vec<(Target, Option<Version>, Time)>,
     ) {
         if let Some(upstream) = self.upstream_mut(id) {
-            upstream.listing.holdings = holdings;
+            upstream.relist(|listing| listing.holdings = holdings);
             upstream.merge_holdings(now, Source::Report);
             for (target, version, at) in coming {
                 upstream.put(now, &target, Presence::Coming(at, version), false);
@@ -142,7 +150,7 @@
         }
         let began_leaving = listing.leaving && !upstream.is_leaving();
         upstream.shutting_down |= upstream.listing.leaving;
-        upstream.listing = listing;
+        upstream.relist(|known| *known = listing);
         upstream.merge_holdings(now, Source::Listing);
         if began_leaving {
             ListingChange::Leaving
@@ -161,8 +169,6 @@
             return self.apply_listing(now, summary);
         };
         let began_leaving = summary.leaving && !upstream.is_leaving();
-        upstream.listing.leaving |= summary.leaving;
-        upstream.listing.slots = summary.slots;
         for holding in &summary.holdings {
             let base = Target::base_only(&holding.base);
             upstream.merge_target(now, &base, None, Source::Listing);
@@ -172,7 +178,11 @@
             residency.listed && summary.holdings.iter().all(|holding| holding.base != *base)
         };
         upstream.residency.retain(|residency| !is_gone(residency));
-        upstream.listing.holdings = summary.holdings;
+        upstream.relist(|listing| {
+            listing.leaving |= summary.leaving;
+            listing.slots = summary.slots;
+            listing.holdings = summary.holdings;
+        });
         if began_leaving {
             ListingChange::Leaving
         } else {
@@ -183,17 +193,8 @@
     /// Returns a digest of the listed upstreams and announced versions. Nodes compare it to detect
     /// missed changes.
     pub fn digest(&self) -> u64 {
-        let upstreams = self
-            .upstreams
-            .iter()
-            .map(|upstream| upstream.listing.digest());
-        let versions = self
-            .versions
-            .iter()
-            .map(|(target, version)| rank::weight(*version, &target.to_string()));
-        upstreams
-            .chain(versions)
-            .fold(0, |digest, hash| digest ^ hash)
+        let upstreams = self.upstreams.iter().map(UpstreamState::digest);
+        upstreams.fold(self.versions_digest, |digest, hash| digest ^ hash)
     }
 
     /// Removes an upstream. Returns whether it was known.
@@ -314,20 +315,19 @@
 
     /// Records a version of an adapter. Returns whether it is newer than the known one.
     pub fn announce_version(&mut self, target: Target, version: Version) -> bool {
-        match self
+        let index = self
             .versions
-            .binary_search_by(|(known, _)| known.cmp(&target))
-        {
-            Ok(index) if self.versions[index].1 >= version => false,
+            .binary_search_by(|(known, _)| known.cmp(&target));
+        match index {
+            Ok(index) if self.versions[index].1 >= version => return false,
             Ok(index) => {
-                self.versions[index].1 = version;
-                true
-            }
-            Err(index) => {
-                self.versions.insert(index, (target, version));
-                true
+                let former = std::mem::replace(&mut self.versions[index].1, version);
+                self.versions_digest ^= version_digest(&target, former);
             }
+            Err(index) => self.versions.insert(index, (target.clone(), version)),
         }
+        self.versions_digest ^= version_digest(&target, version);
+        true
     }
 
     /// Returns the newest announced version of an adapter, if any.
@@ -354,3 +354,7 @@
         }
     }
 }
+
+fn version_digest(target: &Target, version: Version) -> u64 {
+    rank::weight(version, &target.to_string())
+}
--- a/crates/exchange/src/fleet/upstream.rs
+++ b/crates/exchange/src/fleet/upstream.rs
@@ -6,7 +6,7 @@
 
 use super::listing::{Holding, Listing, Load, Presence, Version};
 use crate::demand::Target;
-use crate::route::Engine;
+use crate::route::{Config, Engine};
 
 /// Time for which residency learnt from a newer source takes precedence over a listing. Listings
 /// are written about once a second and take a few tenths of a second to arrive.
@@ -75,6 +75,8 @@
 pub struct UpstreamState {
     /// Its listing.
     pub listing: Listing,
+    /// Digest of the listing.
+    digest: u64,
     /// Engine settings of its pool, if the configuration has any.
     pub engine: Option<Engine>,
     /// Number of requests that this node has in flight there.
@@ -112,6 +114,7 @@
 impl UpstreamState {
     pub(super) fn new(now: Time, listing: Listing) -> Self {
         let mut upstream = Self {
+            digest: listing.digest(),
             listing,
             engine: None,
             running: 0,
@@ -132,6 +135,23 @@
         upstream
     }
 
+    /// Changes the listing.
+    pub(super) fn relist(&mut self, change: impl FnOnce(&mut Listing)) {
+        change(&mut self.listing);
+        self.digest = self.listing.digest();
+    }
+
+    /// Returns the digest of the listing.
+    pub(super) const fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Applies the engine settings of its pool.
+    pub(super) fn configure(&mut self, config: &Config) {
+        let service = config.service(&self.listing.pool);
+        self.engine = service.and_then(|service| service.engine.clone());
+    }
+
     /// Returns whether `listing` describes the same process.
     pub(super) fn is_same_process(&self, listing: &Listing) -> bool {
         self.listing.born == listing.born
--- a/crates/exchange/src/owner/claim.rs
+++ b/crates/exchange/src/owner/claim.rs
@@ -64,6 +64,7 @@
         } else {
             ANNOUNCE_INTERVAL
         };
+        let mut claimed = false;
         for runner in fleet.upstreams() {
             let id = &runner.listing.id;
             let unclaimed =
@@ -79,8 +80,13 @@
             let since = self.unclaimed_since(now, id);
             if now >= self.takeover_allowed_at(id).max(since + wait) {
                 self.take_over(now, id.clone(), wall_seconds, out);
+                claimed = true;
             }
         }
+        if claimed {
+            self.broadcast_claims(out);
+            self.announced_at = now;
+        }
     }
 
     /// Returns whether this node knows the claims of all live nodes. It need not where engines
@@ -151,8 +157,6 @@
             .push(OwnedEngine::new(first_order, engine.clone(), fence));
         self.record_own_usage(now, &engine);
         self.claims_changed();
-        self.broadcast_claims(out);
-        self.announced_at = now;
     }
 
     /// Announces the claims at short intervals for a while.
@@ -334,8 +338,8 @@
             ..
         } = self.config;
         self.peer_claims.retain_mut(|claim| {
-            let announced = claims.iter().any(|(id, _)| *id == claim.engine);
-            if claim.holder == *holder && !announced && !claim.withdrawn {
+            let announced = || claims.iter().any(|(id, _)| *id == claim.engine);
+            if !claim.withdrawn && claim.holder == *holder && !announced() {
                 claim.withdrawn = true;
                 claim.orders_end = now + lease;
             }
@@ -396,15 +400,23 @@
     }
 
     fn highest_fence(&self, engine: &str) -> Option<Fence> {
-        let seen = self.highest_fences.iter().find(|(id, _)| **id == *engine);
-        seen.map(|(_, fence)| *fence)
+        let index = self.highest_fence_index(engine).ok()?;
+        Some(self.highest_fences[index].1)
+    }
+
+    fn highest_fence_index(&self, engine: &str) -> Result<usize, usize> {
+        self.highest_fences
+            .binary_search_by(|(id, _)| (**id).cmp(engine))
     }
 
     /// Raises the highest token seen for `engine` to at least `fence`.
     pub(super) fn observe_fence(&mut self, engine: &Upstream, fence: Fence) {
-        match self.highest_fences.iter_mut().find(|(id, _)| id == engine) {
-            Some((_, seen)) => *seen = (*seen).max(fence),
-            None => self.highest_fences.push((engine.clone(), fence)),
+        match self.highest_fence_index(engine) {
+            Ok(index) => {
+                let seen = &mut self.highest_fences[index].1;
+                *seen = fence.max(*seen);
+            }
+            Err(index) => self.highest_fences.insert(index, (engine.clone(), fence)),
         }
     }
 
--- a/crates/exchange/src/owner/mod.rs
+++ b/crates/exchange/src/owner/mod.rs
@@ -107,7 +107,7 @@
     no_orders_before: Time,
     // Claims of other nodes, sorted by engine.
     peer_claims: Vec<PeerClaim>,
-    // Highest fencing token seen for each engine.
+    // Highest fencing token seen for each engine, sorted by engine.
     highest_fences: Vec<(Upstream, Fence)>,
     // Unclaimed engines for which this node is first in line, and since when.
     unclaimed: Vec<(Upstream, Time)>,
--- a/crates/exchange/tests/claim_traffic.rs
+++ b/crates/exchange/tests/claim_traffic.rs
@@ -121,3 +121,30 @@
         .collect();
     assert_eq!(greeted, [&Vm::from("edge-100")]);
 }
+
+/// A node that takes several engines over at once announces them together.
+#[rstest]
+fn claims_are_announced_together() {
+    let engines = ["e1", "e2", "e3", "e4", "e5", "e6"].map(|id| engine(id, &[]));
+    let mut node = OwnerHarness::alone("edge-000", 1, engines);
+    node.step(Event::View {
+        live: names(2),
+        may_claim: true,
+    });
+    node.step(Event::Receive {
+        from: "edge-001".into(),
+        message: Message::Claims(Vec::new()),
+    });
+    let before = node.owner.owned().count();
+    let mut announced = 0;
+    while node.owner.owned().count() == before {
+        let sent = node.advance(ms(100));
+        announced = sent
+            .iter()
+            .filter(|action| matches!(action, Action::Send { message: Message::Claims(claims), .. } if !claims.is_empty()))
+            .count();
+    }
+    let claimed = node.owner.owned().count() - before;
+    assert!(claimed > 1, "{claimed} engines");
+    assert_eq!(announced, 1);
+}
--- a/crates/gateway/src/hub/pulse.rs
+++ b/crates/gateway/src/hub/pulse.rs
@@ -128,7 +128,7 @@
             let mut desk = self.desk();
             let change = take(&mut desk.fleet, now, listing);
             if let (fleet::ListingChange::Appeared, Some(config)) = (change, &*self.config.load()) {
-                desk.fleet.configure(config);
+                desk.fleet.configure_upstream(&id, config);
             }
             change
         };
--- a/crates/wire/src/rank.rs
+++ b/crates/wire/src/rank.rs
@@ -15,10 +15,11 @@
 
 /// Returns the candidate with the highest weight for `key`.
 pub fn first<T: AsRef<str>>(key: u64, candidates: impl IntoIterator<Item = T>) -> Option<T> {
-    candidates.into_iter().max_by(|a, b| {
-        let (a, b) = (a.as_ref(), b.as_ref());
-        weight(key, a).cmp(&weight(key, b)).then_with(|| a.cmp(b))
-    })
+    let weighted = candidates
+        .into_iter()
+        .map(|candidate| (weight(key, candidate.as_ref()), candidate));
+    let first = weighted.max_by(|(a, x), (b, y)| a.cmp(b).then_with(|| x.as_ref().cmp(y.as_ref())));
+    first.map(|(_, candidate)| candidate)
 }
 
 /// Returns the `count` candidates with the highest weights for `key`, best first.
