Let requests outlast a restart of all nodes

Engines that take any token were claimed at the end of a lease only, with another 1.2 s until the first order.

A request that waits for an owner now counts as queued, and the time of the load is part of what it expects. Where engines check tokens, a node looks for engines without an owner from its start on, and claims them as soon as it may. Elsewhere it claims while the lease runs; orders wait for the lease as before.

`awaited_owner_serves` and `all_nodes_restart`, a new pattern, fail without the change; `all_nodes_restart_unfenced` does not.

--- a/crates/exchange/src/owner/claim.rs
+++ b/crates/exchange/src/owner/claim.rs
@@ -52,7 +52,7 @@
         self.backoffs.retain(|(_, until)| now < *until);
         self.fence_refusals
             .retain(|(id, _)| fleet.upstream(id).is_some());
-        if !self.may_claim || !self.may_order(now) || !self.knows_all_claims() {
+        if !self.may_watch_claims(now) {
             self.unclaimed.clear();
             return;
         }
@@ -78,7 +78,7 @@
                 continue;
             }
             let since = self.unclaimed_since(now, id);
-            if now >= self.takeover_allowed_at(id).max(since + wait) {
+            if self.may_claim && now >= self.takeover_allowed_at(id).max(since + wait) {
                 self.take_over(now, id.clone(), wall_seconds, out);
                 claimed = true;
             }
@@ -89,15 +89,33 @@
         }
     }
 
-    /// Returns whether this node knows the claims of all live nodes. It need not where engines
-    /// would refuse its orders.
-    fn knows_all_claims(&self) -> bool {
+    /// Returns whether this node may look for engines without an owner.
+    ///
+    /// Where engines check tokens, it does so before it may claim, so that no time is lost after a
+    /// start. Elsewhere it has to know the claims of all live nodes.
+    fn may_watch_claims(&self, now: Time) -> bool {
+        if self.leaving || now < self.no_orders_before {
+            return false;
+        }
         let Config {
             me,
             engines_check_fences,
             ..
         } = &self.config;
-        *engines_check_fences || self.quorum.all_announced(me, &self.live)
+        *engines_check_fences
+            || self.may_claim && self.claims_ready(now) && self.quorum.all_announced(me, &self.live)
+    }
+
+    /// Returns whether this node's contact with the others allows claims. The first order to an
+    /// engine that does not check tokens follows a claim after [`CLAIM_ORDER_DELAY`], and no earlier
+    /// than the end of a lease from the contact on.
+    fn claims_ready(&self, now: Time) -> bool {
+        self.config.engines_check_fences || self.quorum.held_for(now, self.claim_contact_time())
+    }
+
+    /// Returns how long contact has to last before a claim.
+    pub(super) const fn claim_contact_time(&self) -> Duration {
+        self.config.lease.saturating_sub(CLAIM_ORDER_DELAY)
     }
 
     /// Returns the nodes that may claim engines.
@@ -251,7 +269,7 @@
 
     /// Returns the message that announces this node's claims.
     fn announcement(&self) -> Message {
-        let claims = self.may_claim && self.claims_secure(self.now);
+        let claims = self.may_claim && self.claims_ready(self.now);
         if self.owned_engines.is_empty() && !claims {
             Message::NotClaiming
         } else {
--- a/crates/exchange/src/owner/load_estimate.rs
+++ b/crates/exchange/src/owner/load_estimate.rs
@@ -55,15 +55,17 @@
         held_off.max(self.quorum.time_until_held(now, self.config.lease))
     }
 
-    /// Returns the time until an engine without an owner could be given orders by the node that
-    /// claims it, as far as this node can tell from its own contact with the others.
+    /// Returns the time until an engine without an owner could have loaded an adapter for the node
+    /// that claims it, as far as this node can tell from its own contact with the others.
     pub fn claim_delay(&self, now: Time) -> Duration {
-        let order = if self.config.engines_check_fences {
-            Duration::ZERO
-        } else {
-            CLAIM_ORDER_DELAY
-        };
-        self.orders_allowed_in(now) + CLAIM_DELAY + order + REPORT_DELAY
+        let load = REPORT_DELAY + self.load_slowdown.expect(self.config.load_time);
+        let held_off = self.no_orders_before.saturating_sub(now);
+        if self.config.engines_check_fences {
+            return held_off + CLAIM_DELAY + load;
+        }
+        let contact = self.quorum.time_until_held(now, self.claim_contact_time());
+        let claim = held_off.max(contact) + CLAIM_DELAY;
+        (claim + CLAIM_ORDER_DELAY).max(self.orders_allowed_in(now)) + load
     }
 }
 
--- a/crates/exchange/src/search.rs
+++ b/crates/exchange/src/search.rs
@@ -183,10 +183,11 @@
         Step::Wait(engine, renewal - now)
     }
 
-    /// Waits until an engine is claimed, if that is soon enough.
-    fn await_owner(&self, now: Time, view: &impl View) -> Step {
+    /// Waits until an engine is claimed, if that is soon enough. From then on the request is queued.
+    fn await_owner(&mut self, now: Time, view: &impl View) -> Step {
         let delay = view.claim_delay();
         if now + delay <= self.limits.useful {
+            self.expected.get_or_insert(delay);
             Step::Pause(UNOWNED_PAUSE)
         } else {
             Step::Refuse(delay)
--- a/crates/exchange/tests/load_patterns.rs
+++ b/crates/exchange/tests/load_patterns.rs
@@ -8,13 +8,16 @@
 
 use std::time::Duration;
 
-use patterns::{Change, Class, Outcome, Record, Report, Simulation, Site};
+use patterns::{Change, Class, Outcome, RESTART, Record, Report, Simulation, Site};
 use rstest::rstest;
 use support::ms;
 
 /// Time during which requests arrive.
 const SPAN: Duration = ms(30_000);
 
+/// Time after which no order of a former owner can arrive.
+const LEASE: Duration = ms(3_000);
+
 /// Share of requests that may be held and then not be served.
 const HELD_IN_VAIN_MAX: f64 = 0.02;
 
@@ -212,6 +215,36 @@
     assert!(report.held_in_vain() <= HELD_IN_VAIN_MAX);
 }
 
+/// All nodes end at once and are started anew, while the engines and their adapters stay. Until the
+/// engines have owners, nothing is loaded: requests for other adapters wait for that, and none of
+/// them is refused for having waited.
+#[rstest]
+fn all_nodes_restart(#[values(1, 2, 3)] seed: u64) {
+    let report = play(many_nodes(), seed, &[(ms(10_000), Change::NodesRestart)]);
+    let back = ms(10_000) + RESTART;
+    let first = |record: &Record| record.arrived >= back && record.arrived < back + ms(1_500);
+    assert!(report.held_in_vain_among(first) <= HELD_IN_VAIN_MAX);
+    let after = |record: &Record| record.arrived >= back + ms(3_000);
+    assert!(report.share(Outcome::InTime, after) >= 0.85);
+}
+
+/// The same where engines obey any token. Orders begin no earlier than a lease after the nodes are
+/// in contact, and with them service as before.
+#[rstest]
+fn all_nodes_restart_unfenced(#[values(1, 2, 3)] seed: u64) {
+    let site = Site {
+        fenced: false,
+        ..scarce_places()
+    };
+    let report = play(site, seed, &[(ms(10_000), Change::NodesRestart)]);
+    let back = ms(10_000) + RESTART + LEASE;
+    let after = |record: &Record| record.arrived >= back + ms(1_500);
+    assert!(report.share(Outcome::InTime, after) >= STATIC_CACHE_SHARE);
+    let soon =
+        |record: &Record| record.arrived >= back + ms(500) && record.arrived < back + ms(1_500);
+    assert!(report.served(soon) >= STATIC_CACHE_SHARE);
+}
+
 /// Refused callers return after the time that they were told. All traffic doubles for three
 /// seconds; what is refused comes back into a fleet that has recovered, so that few are refused
 /// twice.
--- a/crates/exchange/tests/patterns/load.rs
+++ b/crates/exchange/tests/patterns/load.rs
@@ -101,8 +101,12 @@
 
     /// Returns the share of requests that waited for nothing.
     pub fn held_in_vain(&self) -> f64 {
-        let all = |_: &Record| true;
-        self.share(Outcome::RefusedAfterWait, all) + self.share(Outcome::GivenUp, all)
+        self.held_in_vain_among(|_| true)
+    }
+
+    /// Returns that share among the requests that `filter` accepts.
+    pub fn held_in_vain_among(&self, filter: impl Fn(&Record) -> bool + Copy) -> f64 {
+        self.share(Outcome::RefusedAfterWait, filter) + self.share(Outcome::GivenUp, filter)
     }
 
     /// Returns the prefill time from which a request of `class` is among the largest tenth.
--- a/crates/exchange/tests/patterns/mod.rs
+++ b/crates/exchange/tests/patterns/mod.rs
@@ -43,6 +43,18 @@
 /// Delay until the other nodes notice that a node leaves or is back.
 const VIEW_DELAY: Duration = ms(300);
 
+/// Time from the end of all nodes until they are started anew.
+const DOWN: Duration = ms(1_400);
+
+/// Time from the start of a node until its peers have answered and it takes requests.
+const MEET: Duration = ms(450);
+
+/// Time from then until it may claim engines.
+const SETTLE: Duration = ms(500);
+
+/// Time from a restart of all nodes until they take requests.
+pub const RESTART: Duration = ms(1_850);
+
 /// Time from the choice of an engine to its first event, beside load and prefill.
 const START_MARGIN: Duration = ms(60);
 
@@ -77,6 +89,8 @@
     EnginesRestart(usize),
     /// A node leaves and is back as a new process after this time.
     NodeLeaves(usize, Duration),
+    /// All nodes end at once and are started anew, while the engines go on.
+    NodesRestart,
 }
 
 #[derive(Debug)]
@@ -95,6 +109,9 @@
     ListEngines,
     View,
     Rejoin(usize),
+    StartNodes,
+    NodesMeet,
+    NodesSettle,
     Change(Change),
     EndBurst(Option<&'static str>, f64),
     Sample,
@@ -248,6 +265,16 @@
             Scheduled::ListEngines => self.list_engines(),
             Scheduled::View => self.send_views(),
             Scheduled::Rejoin(node) => self.rejoin(node),
+            Scheduled::StartNodes => self.start_nodes(),
+            Scheduled::NodesMeet => {
+                self.nodes.iter_mut().for_each(|node| node.met = true);
+                self.schedule(SETTLE, Scheduled::NodesSettle);
+                self.send_views();
+            }
+            Scheduled::NodesSettle => {
+                self.nodes.iter_mut().for_each(|node| node.settled = true);
+                self.send_views();
+            }
             Scheduled::Change(change) => self.apply(change),
             Scheduled::EndBurst(class, factor) => self.scale(class, 1.0 / factor),
             Scheduled::Sample => {
@@ -377,7 +404,7 @@
             .collect();
         for index in 0..self.nodes.len() {
             let process = self.nodes[index].process;
-            let may_claim = self.nodes[index].takes_requests();
+            let may_claim = self.nodes[index].takes_requests() && self.nodes[index].settled;
             let view = Event::View {
                 live: live.clone(),
                 may_claim,
@@ -412,7 +439,22 @@
                 self.schedule(VIEW_DELAY, Scheduled::View);
                 self.schedule(time, Scheduled::Rejoin(index));
             }
+            Change::NodesRestart => {
+                self.nodes.iter_mut().for_each(|node| node.gone = true);
+                self.schedule(DOWN, Scheduled::StartNodes);
+            }
+        }
+    }
+
+    fn start_nodes(&mut self) {
+        for index in 0..self.nodes.len() {
+            let process = self.nodes[index].process + 1;
+            let mut node = self.new_node(index, process);
+            (node.met, node.settled) = (false, false);
+            self.nodes[index] = node;
+            self.schedule(ms(10 + index as u64), Scheduled::Tick(index, process));
         }
+        self.schedule(MEET, Scheduled::NodesMeet);
     }
 
     fn scale(&mut self, class: Option<&str>, factor: f64) {
--- a/crates/exchange/tests/patterns/node.rs
+++ b/crates/exchange/tests/patterns/node.rs
@@ -24,6 +24,10 @@
     pub process: u32,
     pub leaving: bool,
     pub gone: bool,
+    /// Whether its peers have answered.
+    pub met: bool,
+    /// Whether it has heard of the claims of others.
+    pub settled: bool,
     demand: Demand,
     service: Service,
     zone: Zone,
@@ -85,6 +89,8 @@
             process,
             leaving: false,
             gone: false,
+            met: true,
+            settled: true,
             demand: Demand::default(),
             service: service(site),
             zone: "zone-a".into(),
@@ -102,7 +108,7 @@
     }
 
     pub const fn takes_requests(&self) -> bool {
-        !self.leaving && !self.gone
+        self.met && !self.leaving && !self.gone
     }
 
     pub fn step(&mut self, now: Time, event: Event) -> Vec<Action> {
--- a/crates/exchange/tests/patterns/requests.rs
+++ b/crates/exchange/tests/patterns/requests.rs
@@ -72,6 +72,9 @@
         let open: Vec<usize> = (0..self.nodes.len())
             .filter(|index| self.nodes[*index].takes_requests())
             .collect();
+        if open.is_empty() {
+            return self.finish(request, Outcome::GivenUp);
+        }
         let node = open[self.random.random_range(0..open.len())];
         let now = self.now;
         let arriving = &mut self.requests[request];
--- a/crates/exchange/tests/search_steps.rs
+++ b/crates/exchange/tests/search_steps.rs
@@ -130,6 +130,29 @@
     assert_eq!(matches!(step, Step::Refuse(_)), refused, "{step:?}");
 }
 
+/// A request that has waited for an owner is queued: the wait for its load counts from its arrival,
+/// and must not end in a refusal for having been long.
+#[rstest]
+#[case::late(600, false)]
+#[case::useless(3_000, true)]
+fn awaited_owner_serves(#[case] wait: u64, #[case] refused: bool) {
+    let mut search = Search::new(LIMITS);
+    let unowned = Engines {
+        waits: vec![("e1", None)],
+        claim_delay: ms(900),
+    };
+    let step = search.next(NOW, load("e1"), &unowned);
+    assert!(matches!(step, Step::Pause(_)), "{step:?}");
+    let claimed = engines(&[("e1", wait)]);
+    let later = NOW + ms(700);
+    assert_eq!(
+        search.next(later, load("e1"), &claimed),
+        Step::Load("e1".into())
+    );
+    let step = search.next(later + ms(3), load("e1"), &claimed);
+    assert_eq!(matches!(step, Step::Refuse(_)), refused, "{step:?}");
+}
+
 /// The load of two requests is cancelled with the last of them.
 #[rstest]
 fn last_request_ends_the_wait() {
