Find adapters that other engines hold

Listings of what engines hold reach 195 nodes every 13 s.

An owner now tells the owner of an adapter's home, the first engine in its rendezvous order, where else the adapter is loaded and evicted.

Owners log each load with its rank and the nodes that wait for it.

--- a/crates/exchange/src/owner/event.rs
+++ b/crates/exchange/src/owner/event.rs
@@ -175,6 +175,8 @@
     Claimed(Upstream, Fence),
     /// This node has given the engine up, for this reason.
     Released(Upstream, &'static str),
+    /// A target is being loaded for requests of this rank, or as a replica, at so many nodes.
+    Loading(Upstream, Target, u8, usize),
     /// A target was evicted to make room for another; the number is its decayed use count.
     Evicted(Upstream, Target, f64),
     /// Whether this node is now in contact with a majority of nodes.
--- a/crates/exchange/src/owner/scheduling.rs
+++ b/crates/exchange/src/owner/scheduling.rs
@@ -181,6 +181,12 @@
         // Another version of a resident adapter needs a slot, too, until it has replaced the former.
         if owned.free_slots(now) > 0 {
             let version = fleet.newest_version(&request.target);
+            out.push(Action::Log(Decision::Loading(
+                owned.engine.clone(),
+                request.target.clone(),
+                request.rank,
+                request.waiters.len(),
+            )));
             return Some(Order::Load(request.target, version));
         }
         let (victim, value) = eviction_candidate(now, owned, runner)?;
@@ -292,7 +298,10 @@
                 self.handle_confirmation(now, engine, order.target(), answer, out);
             }
             Answer::Accepted | Answer::Done => {
-                self.apply_order(now, engine, order, answer, eta, out);
+                let changed = self.apply_order(now, engine, order, answer, eta, out);
+                if let Some((target, presence)) = changed {
+                    self.notify_home(now, fleet, engine, &target, presence, out);
+                }
             }
             Answer::Busy => {
                 owned.state = OrderState::Ready(now + BUSY_RETRY_DELAY);
@@ -321,7 +330,7 @@
         }
     }
 
-    /// Records the effect of an order that the engine carries out.
+    /// Records the effect of an order that the engine carries out. Returns what has changed.
     fn apply_order(
         &mut self,
         now: Time,
@@ -330,10 +339,8 @@
         answer: Answer,
         eta: Time,
         out: &mut Vec<Action>,
-    ) {
-        let Some(owned) = self.owned_engine_mut(engine) else {
-            return;
-        };
+    ) -> Option<(Target, Presence)> {
+        let owned = self.owned_engine_mut(engine)?;
         let (target, presence) = match (order, answer) {
             (Order::Load(target, version) | Order::Confirm(target, version), Answer::Done) => {
                 (target, Presence::Held(version))
@@ -363,6 +370,7 @@
             owned.note_cached(&target);
         }
         self.notify_waiters(now, engine, &target, presence, &waiters, out);
+        Some((target, presence))
     }
 
     /// Returns how long a load of `target` is expected to take.
--- a/crates/exchange/tests/patterns/engine.rs
+++ b/crates/exchange/tests/patterns/engine.rs
@@ -123,6 +123,11 @@
     }
 
     /// Returns the number of adapters in use.
+    /// Returns whether `target` is resident or being loaded.
+    pub fn holds(&self, target: &Target) -> bool {
+        self.resident.contains(target) || self.loading.iter().any(|(known, _)| known == target)
+    }
+
     pub fn in_use(&self) -> usize {
         let mut used = self.running.clone();
         used.sort_unstable();
--- a/crates/exchange/tests/patterns/load.rs
+++ b/crates/exchange/tests/patterns/load.rs
@@ -73,6 +73,9 @@
     pub records: Vec<Record>,
     /// Loads from the store per second.
     pub loads_per_second: f64,
+    /// Loads for requests, and those of them whose adapter another engine held or was loading.
+    pub requested_loads: usize,
+    pub duplicate_loads: usize,
     /// Loads that an engine had no slot for.
     pub overfills: usize,
     /// Mean number of adapters in use over all engines.
@@ -125,8 +128,8 @@
         classes.dedup();
         writeln!(
             f,
-            "{:.1} loads/s from the store, {:.1} adapters in use",
-            self.loads_per_second, self.places_in_use
+            "{:.1} loads/s from the store, {} for requests, {} of them duplicates, {:.1} adapters in use",
+            self.loads_per_second, self.requested_loads, self.duplicate_loads, self.places_in_use
         )?;
         for class in classes {
             let of = |record: &Record| record.class == class;
--- a/crates/exchange/tests/patterns/mod.rs
+++ b/crates/exchange/tests/patterns/mod.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use exchange::demand::Target;
-use exchange::owner::{Action, Answer, Event};
+use exchange::owner::{Action, Answer, Decision, Event, REPLICA_RANK};
 use exchange::search::{Limits, Search};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -132,6 +132,8 @@
     search: Search,
     limits: Limits,
     load_engine: Option<Upstream>,
+    /// Whether its target is being looked up.
+    looks_up: bool,
     /// Full engines that it left for others.
     full_moves: u32,
     /// The engine of whose target it awaits news.
@@ -321,6 +323,12 @@
                 self.schedule(delay, Scheduled::Step(node, process, event));
             }
             Action::Presence { engine, target, .. } => self.wake(node, &engine, &target),
+            Action::Log(Decision::Loading(engine, target, rank, _)) if rank != REPLICA_RANK => {
+                let elsewhere = |known: &&Engine| known.id != engine && known.holds(&target);
+                let others = self.engines.iter().filter(elsewhere).count();
+                self.report.requested_loads += 1;
+                self.report.duplicate_loads += usize::from(others > 0);
+            }
             Action::Granted { ticket, grant } => self.granted(ticket as usize, grant),
             _ => {}
         }
--- a/crates/gateway/src/hub/grant.rs
+++ b/crates/gateway/src/hub/grant.rs
@@ -201,6 +201,9 @@
         Decision::Released(upstream, reason) => {
             info!(target: DECISION, upstream:%, reason; "yield");
         }
+        Decision::Loading(upstream, model, rank, nodes) => {
+            info!(target: DECISION, upstream:%, model:%, rank, nodes; "load");
+        }
         Decision::Evicted(upstream, model, value) => {
             info!(target: DECISION, upstream:%, model:%, uses:% = value; "evict");
         }
