Leave a full home after a look-up

A request that found its adapter at the home went in there also where all request slots were taken. It considers other engines now.

--- a/crates/exchange/tests/patterns/load.rs
+++ b/crates/exchange/tests/patterns/load.rs
@@ -76,6 +76,8 @@
     /// Loads for requests, and those of them whose adapter another engine held or was loading.
     pub requested_loads: usize,
     pub duplicate_loads: usize,
+    /// Loads of replicas.
+    pub replica_loads: usize,
     /// Loads that an engine had no slot for.
     pub overfills: usize,
     /// Mean number of adapters in use over all engines.
@@ -128,8 +130,12 @@
         classes.dedup();
         writeln!(
             f,
-            "{:.1} loads/s from the store, {} for requests, {} of them duplicates, {:.1} adapters in use",
-            self.loads_per_second, self.requested_loads, self.duplicate_loads, self.places_in_use
+            "{:.1} loads/s from the store, {} for requests, {} of them duplicates, {} replicas, {:.1} adapters in use",
+            self.loads_per_second,
+            self.requested_loads,
+            self.duplicate_loads,
+            self.replica_loads,
+            self.places_in_use
         )?;
         for class in classes {
             let of = |record: &Record| record.class == class;
--- a/crates/exchange/tests/patterns/mod.rs
+++ b/crates/exchange/tests/patterns/mod.rs
@@ -323,7 +323,8 @@
                 self.schedule(delay, Scheduled::Step(node, process, event));
             }
             Action::Presence { engine, target, .. } => self.wake(node, &engine, &target),
-            Action::Log(Decision::Loading(engine, target, rank, _)) if rank != REPLICA_RANK => {
+            Action::Log(Decision::Loading(_, _, REPLICA_RANK, _)) => self.report.replica_loads += 1,
+            Action::Log(Decision::Loading(engine, target, ..)) => {
                 let elsewhere = |known: &&Engine| known.id != engine && known.holds(&target);
                 let others = self.engines.iter().filter(elsewhere).count();
                 self.report.requested_loads += 1;
--- a/crates/exchange/tests/patterns/requests.rs
+++ b/crates/exchange/tests/patterns/requests.rs
@@ -233,11 +233,11 @@
         let target = asking.target.clone();
         let held = self.nodes[node].heed(now, &engine, &target, &grant);
         let looked_up = std::mem::take(&mut self.requests[request].looks_up);
-        if held && looked_up && grant.wait > LOOKUP_WAIT_MAX {
+        let full = grant.running as usize > self.site.batch;
+        if held && looked_up && (full || grant.wait > LOOKUP_WAIT_MAX) {
             self.end_admission(node, &engine, &target);
             return self.schedule(Duration::ZERO, Scheduled::Look(request, step));
         }
-        let full = grant.running as usize > self.site.batch;
         if held && full && full_moves < FULL_MOVES_MAX {
             let other = self.nodes[node].select(now, &target, prefill, request as u64);
             if selected(&other).is_some_and(|other| *other != engine) {
--- a/crates/gateway/src/front/place.rs
+++ b/crates/gateway/src/front/place.rs
@@ -141,12 +141,17 @@
         waited: Duration,
     ) -> Option<Placed> {
         let entry = self.let_in(&home).await?;
-        match (entry, target) {
-            (Entry::Open(wait) | Entry::Full(wait), Some(target)) if wait > LOOKUP_WAIT_MAX => {
+        let considers_others = match entry {
+            Entry::Open(wait) => wait > LOOKUP_WAIT_MAX,
+            Entry::Full(_) => true,
+            Entry::Absent => false,
+        };
+        match target.filter(|_| considers_others) {
+            Some(target) => {
                 self.hub.over(&home, target);
                 None
             }
-            (entry, target) => self.go(home, entry, target, waited).await,
+            None => self.go(home, entry, target, waited).await,
         }
     }
 
