--- a/crates/exchange/src/owner/mod.rs
+++ b/crates/exchange/src/owner/mod.rs
@@ -386,8 +386,7 @@
                 };
                 if let Some(grant) = self.admit(now, fleet, &engine, &request) {
                     let slots = fleet.upstream(&engine).map(|known| known.listing.slots);
-                    let is_full = slots.is_some_and(|slots| grant.running > slots);
-                    if is_full || !matches!(grant.presence, Presence::Held(_)) {
+                    if slots.is_some_and(|slots| grant.running > slots) {
                         self.tell_replicas(now, fleet, from, &engine, &request.target, out);
                     }
                     self.spread(now, fleet, &engine, &request.target, out);
--- a/crates/exchange/src/owner/replicas.rs
+++ b/crates/exchange/src/owner/replicas.rs
@@ -1,9 +1,8 @@
-//! Where targets are resident, and replicas of targets whose engine is full.
+//! Replicas of targets whose engine is full.
 //!
 //! The owner of an engine sees the requests of all nodes there, while each node sees few of them in
-//! a large fleet. An owner therefore requests replicas of targets that fill its engine. It tells the
-//! owner of a target's home where the target is loaded, and tells requests that find the engine full
-//! or the target absent where else it is.
+//! a large fleet. An owner therefore requests replicas of targets that fill its engine, and tells
+//! requests that find it full where others are.
 
 use std::cmp::Reverse;
 use std::time::Duration;
@@ -69,33 +68,7 @@
         }
     }
 
-    /// Tells the owner of the home of `target` that it is loaded at `engine` or evicted there.
-    pub(super) fn notify_home(
-        &self,
-        now: Time,
-        fleet: &Fleet,
-        engine: &Upstream,
-        target: &Target,
-        presence: Presence,
-        out: &mut Vec<Action>,
-    ) {
-        let Some(known) = fleet.upstream(engine) else {
-            return;
-        };
-        let home = selection::home(fleet, &known.listing.pool, target);
-        let Some(home) = home.filter(|home| home.listing.id != *engine) else {
-            return;
-        };
-        if let Some(to) = self
-            .holder(&home.listing.id)
-            .filter(|to| **to != self.config.me)
-        {
-            self.send_residency(now, to, engine, target, presence, out);
-        }
-    }
-
-    /// Tells a node whose request found `engine` full, or its target absent there, which other
-    /// engines hold the target.
+    /// Tells a node whose request found `engine` full which other engines hold its target.
     pub(super) fn tell_replicas(
         &self,
         now: Time,
@@ -108,13 +81,8 @@
         let Some(known) = fleet.upstream(engine) else {
             return;
         };
-        // An engine that is loading it says so when it is asked.
-        let held = |upstream: &UpstreamState| match upstream.presence(target) {
-            Presence::Held(version) | Presence::Coming(_, version)
-                if fleet.is_newest(target, version) =>
-            {
-                Some(version)
-            }
+        let held = |upstream: &UpstreamState| match upstream.presence(target).as_of(now) {
+            Presence::Held(version) if fleet.is_newest(target, version) => Some(version),
             _ => None,
         };
         let mut others: Vec<(Reverse<u32>, Upstream, Option<Version>)> = fleet
--- a/crates/exchange/src/owner/scheduling.rs
+++ b/crates/exchange/src/owner/scheduling.rs
@@ -298,10 +298,7 @@
                 self.handle_confirmation(now, engine, order.target(), answer, out);
             }
             Answer::Accepted | Answer::Done => {
-                let changed = self.apply_order(now, engine, order, answer, eta, out);
-                if let Some((target, presence)) = changed {
-                    self.notify_home(now, fleet, engine, &target, presence, out);
-                }
+                self.apply_order(now, engine, order, answer, eta, out);
             }
             Answer::Busy => {
                 owned.state = OrderState::Ready(now + BUSY_RETRY_DELAY);
@@ -330,7 +327,7 @@
         }
     }
 
-    /// Records the effect of an order that the engine carries out. Returns what has changed.
+    /// Records the effect of an order that the engine carries out.
     fn apply_order(
         &mut self,
         now: Time,
@@ -339,8 +336,10 @@
         answer: Answer,
         eta: Time,
         out: &mut Vec<Action>,
-    ) -> Option<(Target, Presence)> {
-        let owned = self.owned_engine_mut(engine)?;
+    ) {
+        let Some(owned) = self.owned_engine_mut(engine) else {
+            return;
+        };
         let (target, presence) = match (order, answer) {
             (Order::Load(target, version) | Order::Confirm(target, version), Answer::Done) => {
                 (target, Presence::Held(version))
@@ -370,7 +369,6 @@
             owned.note_cached(&target);
         }
         self.notify_waiters(now, engine, &target, presence, &waiters, out);
-        Some((target, presence))
     }
 
     /// Returns how long a load of `target` is expected to take.
--- a/crates/exchange/src/search.rs
+++ b/crates/exchange/src/search.rs
@@ -1,8 +1,7 @@
 //! The search of one request for an engine that can serve it.
 //!
-//! A request that knows of no engine with its adapter looks it up at the owner of the adapter's home,
-//! which is told where the adapter is loaded. If it is resident nowhere, the request asks the owner
-//! of an engine for a load. The owner replies with the time that the load would take. A request that would start too late asks other engines;
+//! A request whose adapter is not resident asks the owner of an engine for a load. The owner replies
+//! with the time that the load would take. A request that would start too late asks other engines;
 //! if none is faster, it is refused at once. Queueing it would make every later request late as
 //! well, so the queue of an overloaded fleet stays as short as its latency targets.
 
@@ -26,9 +25,6 @@
 /// Time by which another engine has to be faster for a request to leave its place in a queue.
 const MOVE_GAIN: Duration = Duration::from_millis(150);
 
-/// Wait at its home from which a request that has looked its target up considers other engines.
-pub const LOOKUP_WAIT_MAX: Duration = MOVE_GAIN;
-
 /// Expected wait for a load at an engine whose owner does not reply.
 pub const SILENT_OWNER_WAIT: Duration = Duration::from_millis(1_500);
 
@@ -58,9 +54,6 @@
 
     /// Returns the time until engines without an owner could load something.
     fn claim_delay(&self) -> Duration;
-
-    /// Returns the engine whose owner knows where the target is resident, if it has an owner.
-    fn home(&self) -> Option<Upstream>;
 }
 
 /// What to do next.
@@ -68,9 +61,6 @@
 pub enum Step {
     /// Ask the owner of this engine to admit the request.
     Admit(Upstream),
-    /// Ask the owner of this engine where the target is resident, and to admit the request if that is
-    /// here.
-    LookUp(Upstream),
     /// Request a load at this engine and wait for a reply.
     Load(Upstream),
     /// Wait for news of the target at this engine, for so long at most.
@@ -85,8 +75,6 @@
 #[derive(Clone, Debug)]
 pub struct Search {
     limits: Limits,
-    /// Whether the target was looked up.
-    looked_up: bool,
     /// The engine at which a load was requested, and when it last was.
     requested: Option<(Upstream, Time)>,
     moves: u32,
@@ -99,7 +87,6 @@
     pub const fn new(limits: Limits) -> Self {
         Self {
             limits,
-            looked_up: false,
             requested: None,
             moves: 0,
             expected: None,
@@ -137,11 +124,6 @@
     }
 
     fn load(&mut self, now: Time, best: Upstream, view: &impl View) -> Step {
-        if !std::mem::replace(&mut self.looked_up, true)
-            && let Some(home) = view.home()
-        {
-            return Step::LookUp(home);
-        }
         let Some(best_wait) = view.load_wait(&best) else {
             return self.await_owner(now, view);
         };
--- a/crates/exchange/src/selection.rs
+++ b/crates/exchange/src/selection.rs
@@ -303,17 +303,6 @@
     missing.map(|upstream| upstream.listing.id.clone())
 }
 
-/// Returns the engine of `pool` that is the home of an adapter: the first one in its rendezvous
-/// order. Owners tell the home's owner where else the adapter is loaded.
-pub fn home<'a>(fleet: &'a Fleet, pool: &'a str, target: &Target) -> Option<&'a UpstreamState> {
-    target.adapter.as_ref()?;
-    let base = Target::base_only(&target.base);
-    let engines = fleet
-        .eligible(pool)
-        .filter(|upstream| fleet.serves(upstream, &base));
-    rank::first(rank::hash(target.to_string()), engines)
-}
-
 /// Returns the engines of `pool` that may hold `target`, in its rendezvous order. Those that have
 /// failed recently or serve only long prompts are left out.
 pub(crate) fn replica_order<'a>(
--- a/crates/gateway/src/front/place.rs
+++ b/crates/gateway/src/front/place.rs
@@ -6,7 +6,7 @@
 use exchange::fleet::Presence;
 use exchange::owner::{self, AdmissionRequest};
 use exchange::prefill_limit::STEP_TIME;
-use exchange::search::{LOOKUP_WAIT_MAX, Limits, REPLY_TIMEOUT, Search, Step};
+use exchange::search::{Limits, REPLY_TIMEOUT, Search, Step};
 use exchange::selection::{Selection, Unavailable};
 use node::journal::DECISION;
 use wire::Upstream;
@@ -87,12 +87,6 @@
                         return placed;
                     }
                 }
-                Ok(Step::LookUp(home)) => {
-                    let waited = self.hub.clock.now().saturating_sub(started);
-                    if let Some(placed) = self.look_up(home, target, waited).await {
-                        return placed;
-                    }
-                }
                 Ok(Step::Wait(runner, wait)) => {
                     self.news(&runner, target, wait.min(self.patience())).await;
                 }
@@ -126,45 +120,7 @@
         target: Option<&Target>,
         waited: Duration,
     ) -> Option<Placed> {
-        let entry = self.let_in(&runner).await;
-        // Without an answer the engine's own queue has to do.
-        let entry = entry.unwrap_or(Entry::Open(Duration::ZERO));
-        self.go(runner, entry, target, waited).await
-    }
-
-    /// Asks the owner of `home` to be admitted there, or where else the target is resident. Returns
-    /// `None` where another engine has to be found.
-    async fn look_up(
-        &mut self,
-        home: Upstream,
-        target: Option<&Target>,
-        waited: Duration,
-    ) -> Option<Placed> {
-        let entry = self.let_in(&home).await?;
-        let considers_others = match entry {
-            Entry::Open(wait) => wait > LOOKUP_WAIT_MAX,
-            Entry::Full(_) => true,
-            Entry::Absent => false,
-        };
-        match target.filter(|_| considers_others) {
-            Some(target) => {
-                self.hub.over(&home, target);
-                None
-            }
-            None => self.go(home, entry, target, waited).await,
-        }
-    }
-
-    /// Goes to `runner` once it is to be entered. Returns `None` where another engine has to be
-    /// found.
-    async fn go(
-        &mut self,
-        runner: Upstream,
-        entry: Entry,
-        target: Option<&Target>,
-        waited: Duration,
-    ) -> Option<Placed> {
-        let wait = match entry {
+        let wait = match self.let_in(&runner).await {
             Entry::Absent => return None,
             Entry::Full(_) if self.moves(&runner, target) => return None,
             Entry::Open(wait) | Entry::Full(wait) => wait,
@@ -199,11 +155,10 @@
         true
     }
 
-    /// Asks whoever orders at the engine when it may be given the prompt. Returns `None` without an
-    /// answer.
-    async fn let_in(&mut self, runner: &Upstream) -> Option<Entry> {
+    /// Asks whoever orders at the engine when it may be given the prompt.
+    async fn let_in(&mut self, runner: &Upstream) -> Entry {
         let Some(target) = self.target() else {
-            return Some(Entry::Open(Duration::ZERO));
+            return Entry::Open(Duration::ZERO);
         };
         let tokens = self.ask.answer.unwrap_or_default();
         let visit = AdmissionRequest {
@@ -213,10 +168,12 @@
             rank: self.terms.rank,
         };
         self.alone = false;
-        let grant = self.hub.grant(runner, visit).await?;
+        let Some(grant) = self.hub.grant(runner, visit).await else {
+            return Entry::Open(Duration::ZERO);
+        };
         self.alone = grant.wait.is_zero() && grant.prefill_backlog <= self.reading() + STEP_TIME;
         if !matches!(grant.presence, Presence::Held(_)) {
-            return Some(Entry::Absent);
+            return Entry::Absent;
         }
         self.hub
             .crowded(&self.need(self.target().as_ref()), grant.wait);
@@ -225,11 +182,11 @@
             let known = desk.fleet.upstream(runner);
             known.map_or(0, |known| known.listing.slots)
         };
-        Some(if grant.running > slots {
+        if grant.running > slots {
             Entry::Full(grant.wait)
         } else {
             Entry::Open(grant.wait)
-        })
+        }
     }
 
     /// Waits for news of the target, for no longer than `wait`.
--- a/crates/gateway/src/hub/search.rs
+++ b/crates/gateway/src/hub/search.rs
@@ -30,13 +30,6 @@
     fn claim_delay(&self) -> Duration {
         self.desk.owner.claim_delay(self.context.now)
     }
-
-    fn home(&self) -> Option<Upstream> {
-        let pool = &self.need.service.name;
-        let home = selection::home(&self.desk.fleet, pool, self.need.target?)?;
-        let id = &home.listing.id;
-        (self.context.owned)(id).then(|| id.clone())
-    }
 }
 
 impl<D: Dialect> Hub<D> {
