--- a/crates/exchange/src/owner/replicas.rs
+++ b/crates/exchange/src/owner/replicas.rs
@@ -62,7 +62,7 @@
         if target.adapter.is_none() || !is_full || !demanded {
             return;
         }
-        if !owned.overflows(now, target) {
+        if !owned.record_overflow(now, target) {
             return;
         }
         let pool = &known.listing.pool;
@@ -141,36 +141,38 @@
 impl OwnedEngine {
     /// Counts a request for `target` that found the engine full. Returns whether there were enough
     /// of them for a replica.
-    fn overflows(&mut self, now: Time, target: &Target) -> bool {
+    fn record_overflow(&mut self, now: Time, target: &Target) -> bool {
         self.overflows
             .retain(|overflow| now < overflow.last_arrival + ARRIVALS_TTL);
-        let index = match self
-            .overflows
-            .binary_search_by(|overflow| overflow.target.cmp(target))
-        {
-            Ok(index) => index,
-            Err(index) => {
-                let overflow = Overflow {
-                    target: target.clone(),
-                    arrivals: 0,
-                    last_arrival: now,
-                    requested_at: None,
-                };
-                self.overflows.insert(index, overflow);
-                index
-            }
-        };
-        let overflow = &mut self.overflows[index];
+        let overflow = self.overflow(now, target);
         overflow.arrivals += 1;
         overflow.last_arrival = now;
         let recent = overflow
             .requested_at
             .is_some_and(|at| now < at + SPREAD_INTERVAL);
-        if recent || overflow.arrivals < SPREAD_ARRIVALS {
-            return false;
+        let due = !recent && overflow.arrivals >= SPREAD_ARRIVALS;
+        if due {
+            overflow.arrivals = 0;
+            overflow.requested_at = Some(now);
         }
-        overflow.arrivals = 0;
-        overflow.requested_at = Some(now);
-        true
+        due
+    }
+
+    /// Returns the overflow of `target`, created if absent.
+    fn overflow(&mut self, now: Time, target: &Target) -> &mut Overflow {
+        let index = self
+            .overflows
+            .binary_search_by(|overflow| overflow.target.cmp(target));
+        let index = index.unwrap_or_else(|index| {
+            let overflow = Overflow {
+                target: target.clone(),
+                arrivals: 0,
+                last_arrival: now,
+                requested_at: None,
+            };
+            self.overflows.insert(index, overflow);
+            index
+        });
+        &mut self.overflows[index]
     }
 }
--- a/crates/upstream/src/error.rs
+++ b/crates/upstream/src/error.rs
@@ -130,8 +130,11 @@
         /// The attempt that the answer names.
         got: String,
     },
-    /// The answer exceeds a size limit.
-    #[error("{upstream}'s answer exceeds {limit} bytes; raise the upstream's body limit")]
+    /// The answer exceeds a size limit, or comes in too many small parts for it.
+    #[error(
+        "{upstream}'s answer exceeds {limit} bytes, or comes in too many small parts; raise the \
+         upstream's body limit"
+    )]
     Large {
         /// The upstream.
         upstream: Upstream,
