Follow the eras of a store that is restored from a copy

Callers of a route that was added after a restore were refused on all nodes, for as long as no call to the store failed, and an upstream that was added got nothing. A change that one node had read before the store lost it stayed at that node. A removed upstream that only the copy listed got requests, one that lives and was not in the copy was forgotten at once.

Cause: everything read from the store was ordered by its revision alone. A revision belongs to one history, and a restore begins another; the cursor of the watch was trusted beyond the life of what it pointed into. What one reader had read was told to the others as a number, and they went back to the store for it.

Change: era and revision are one position. An answer of a later era ends every cursor, a whole listing begins the new era, readers tell it, and what belongs to an ended or unknown era is dropped. A listing of a new era is old news where it contradicts what is known. Nodes give a configuration to each other.

Updates between nodes have a new number on the wire: nodes of two releases do not read each other's, and read the store themselves meanwhile.

--- a/crates/exchange/src/fleet/mod.rs
+++ b/crates/exchange/src/fleet/mod.rs
@@ -21,16 +21,25 @@
 pub use upstream::{AttemptResult, LISTING_LAG, UpstreamState};
 use upstream::{Residency, Source};
 
-/// Maximum number of leaving processes that are remembered after their removal.
+/// Maximum number of processes that are remembered after their removal.
 const DEPARTED_MAX: usize = 256;
 
+/// A process that is no longer listed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Departed {
+    id: Upstream,
+    born: Option<u64>,
+    /// Whether it was shutting down.
+    leaving: bool,
+}
+
 /// All known upstreams.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     /// Sorted by id.
     upstreams: Vec<UpstreamState>,
-    /// Leaving processes that are no longer listed, the most recent last.
-    departed: Vec<(Upstream, Option<u64>)>,
+    /// Processes that are no longer listed, the most recent last.
+    departed: Vec<Departed>,
     /// Newest announced versions, sorted by target.
     versions: Vec<(Target, Version)>,
     /// Digest of `versions`.
@@ -140,14 +149,19 @@
     }
 
     /// Applies a listing.
-    pub fn apply_listing(&mut self, now: Time, listing: Listing) -> ListingChange {
+    pub fn apply_listing(&mut self, now: Time, mut listing: Listing) -> ListingChange {
         let index = match self.position(&listing.id) {
             Ok(index) => index,
             Err(index) => {
-                let process = (listing.id.clone(), listing.born);
+                // An expired entry may reappear while its process is still shutting down. Without
+                // the start of the process, it may be another one.
+                let departed = self.departed_process(&listing);
+                let leaving =
+                    departed.is_some_and(|process| process.leaving && process.born.is_some());
+                self.departed
+                    .retain(|process| process.id != listing.id || process.born != listing.born);
                 let mut upstream = UpstreamState::new(now, listing);
-                // An expired entry may reappear while its process is still shutting down.
-                upstream.shutting_down = self.departed.contains(&process);
+                upstream.shutting_down = leaving;
                 self.upstreams.insert(index, upstream);
                 return ListingChange::Appeared;
             }
@@ -161,6 +175,7 @@
         }
         let began_leaving = listing.leaving && !upstream.is_leaving();
         upstream.shutting_down |= upstream.listing.leaving;
+        listing.leaving |= upstream.listing.leaving;
         upstream.relist(|known| *known = listing);
         upstream.merge_holdings(now, Source::Listing);
         if began_leaving {
@@ -213,18 +228,35 @@
         match self.position(id) {
             Ok(index) => {
                 let upstream = self.upstreams.remove(index);
-                if upstream.is_leaving() && upstream.listing.born.is_some() {
-                    self.departed
-                        .push((upstream.listing.id, upstream.listing.born));
-                    let surplus = self.departed.len().saturating_sub(DEPARTED_MAX);
-                    self.departed.drain(..surplus);
-                }
+                let leaving = upstream.is_leaving();
+                self.departed.push(Departed {
+                    id: upstream.listing.id,
+                    born: upstream.listing.born,
+                    leaving,
+                });
+                let surplus = self.departed.len().saturating_sub(DEPARTED_MAX);
+                self.departed.drain(..surplus);
                 true
             }
             Err(_) => false,
         }
     }
 
+    /// Returns whether `listing` describes a process that was removed, or that another one under its id
+    /// has replaced. A platform that was restored from a copy lists such processes again.
+    pub fn is_outdated(&self, listing: &Listing) -> bool {
+        match self.upstream(&listing.id) {
+            Some(known) => listing.born < known.listing.born,
+            None => self.departed_process(listing).is_some(),
+        }
+    }
+
+    fn departed_process(&self, listing: &Listing) -> Option<&Departed> {
+        let is_same =
+            |process: &&Departed| process.id == listing.id && process.born == listing.born;
+        self.departed.iter().rev().find(is_same)
+    }
+
     /// Records that the process of `id` has announced its shutdown. Returns whether that was new.
     pub fn mark_leaving(&mut self, id: &str) -> bool {
         match self.upstream_mut(id) {
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -21,13 +21,17 @@
 //! - [`owner`] claims engines, numbers orders, and decides on loads and evictions.
 //! - [`retry_budget`] limits retries to this node's share of the global budget.
 //! - [`platform_reader`] decides which nodes read the platform on behalf of all.
+//! - [`history`] tracks the eras of the platform.
+//! - [`config_transfer`] gives a configuration from node to node.
 //! - [`outcome`] decides whether a failed attempt is retried and what its caller is told.
 //! - [`proof`] holds the evidence that a request did not run.
 //! - [`relay`] tracks the events of a stream, so that another engine can resume it.
 
 pub mod announced_rate;
+pub mod config_transfer;
 pub mod demand;
 pub mod fleet;
+pub mod history;
 pub mod outcome;
 pub mod owner;
 pub mod platform_reader;
--- a/crates/exchange/src/platform_reader.rs
+++ b/crates/exchange/src/platform_reader.rs
@@ -12,6 +12,7 @@
 
 use crate::demand::Target;
 use crate::fleet::{Listing, Version};
+use crate::history::Era;
 
 /// Number of readers in normal operation; two of them may fail without a gap.
 const READER_COUNT: usize = 3;
@@ -60,6 +61,8 @@
 /// An update that a reader publishes.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReaderUpdate {
+    /// Era of the platform that the reader follows.
+    pub era: Era,
     /// Milliseconds since the platform last answered the reader.
     pub age: u32,
     /// Newest configuration revision that the reader knows.
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -168,7 +168,9 @@
                 from: sender,
                 message,
             }),
-            Message::Pulse(pulse) => self.hub.take_pulse(pulse),
+            Message::Update(update) => self.hub.take_update(&sender.vm, update),
+            Message::Config(message) => self.hub.take_transfer(&sender.vm, message),
+            Message::Retired => {}
             Message::Leaver(leaver) => self.hub.take_leaver(&leaver),
             Message::Quota(message) => self.hub.take_quota(&sender.vm, message),
             Message::Rate(message) => self.hub.take_rate(&sender.vm, message),
@@ -193,6 +195,7 @@
         let wall = self.hub.wall();
         self.hub.drive(owner::Event::Tick { wall_seconds: wall });
         self.hub.track(culprit::Event::Tick);
+        self.hub.tick_transfer();
         self.ticks += 1;
         if self.ticks.is_multiple_of(PULSE_TICKS) {
             self.hub.pulse(Vec::new());
@@ -208,7 +211,12 @@
             return;
         }
         let alone = self.hub.clock.now() >= self.started + ALONE;
-        if alone || (self.roster.fit() && self.view.live().count() > 1) {
+        let fit = self.roster.fit() && self.view.live().count() > 1;
+        // The platform may have lost a configuration that peers serve by.
+        if fit && !self.hub.has_newest_config() {
+            self.hub.query_config();
+        }
+        if alone || (fit && self.hub.has_newest_config()) {
             info!(target: DECISION, peers = self.seeds.known(), alone; "met");
             self.hub.set_met();
             self.met_at = Some(self.hub.clock.now());
--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -17,7 +17,8 @@
 /// Largest datagram in bytes: what UDP carries over IPv4.
 const BYTES_MAX: usize = 65_507;
 
-/// The machine that a message is for.
+/// The machine that a message is for. Variants are encoded by position: new ones must be added at the
+/// end.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Message {
     /// Membership.
@@ -26,8 +27,8 @@
     Seeds(roster::seeds::Message),
     /// Ownership of engines.
     Owner(exchange::owner::Message),
-    /// What a reader of the platform knows.
-    Pulse(exchange::platform_reader::ReaderUpdate),
+    /// Updates of earlier releases, which state no era, are not read.
+    Retired,
     /// What requests that crash upstreams have in common.
     Culprit(dispatch::culprit::Message),
     /// An upstream has said that it leaves.
@@ -36,6 +37,10 @@
     Quota(exchange::quota::Message),
     /// Rates that upstreams announce.
     Rate(exchange::announced_rate::Message),
+    /// What a reader of the platform knows.
+    Update(exchange::platform_reader::ReaderUpdate),
+    /// A configuration from node to node.
+    Config(exchange::config_transfer::Message),
 }
 
 /// Pause after an error of the socket: short beside the silence after which peers count as dead.
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -10,6 +10,7 @@
 use exchange::announced_rate::Rate;
 use exchange::demand::Target;
 use exchange::fleet::{Holding, Listing, Load, Version};
+use exchange::history::StatedEra;
 use exchange::owner::{Answer, Order};
 use exchange::prompt::PartId;
 use exchange::route::Config;
@@ -143,8 +144,8 @@
     Listed(Listing),
     /// An upstream is no longer listed, or its entry cannot be read.
     Delisted(Upstream),
-    /// A configuration is in force.
-    Config(Box<Config>),
+    /// A configuration is in force, with the document that describes it.
+    Config(Box<Config>, Bytes),
     /// A new version of an adapter serves from now on.
     Version(Target, Version),
     /// The entry is none of ours.
@@ -248,6 +249,16 @@
     /// Returns [`Malformed`] where it is not one.
     fn page(&self, body: &[u8]) -> Result<Page, Malformed>;
 
+    /// Reads the era that an answer of the platform states.
+    fn era(&self, headers: &HeaderMap) -> StatedEra;
+
+    /// Reads the document of a configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Malformed`] where it is none.
+    fn config(&self, document: &[u8]) -> Result<Config, Malformed>;
+
     /// Returns the call that waits for news after `revision`.
     fn watch(&self, revision: u64, wait: Duration) -> Call;
 
--- a/crates/gateway/src/hub/mod.rs
+++ b/crates/gateway/src/hub/mod.rs
@@ -1,5 +1,6 @@
 //! State that all tasks of a node share.
 //!
+//! - `config` holds the configuration in force and gives it to other nodes.
 //! - `culprit` finds what requests that crash upstreams have in common.
 //! - `grant` asks owners and carries out what they want done.
 //! - `load_wait` cancels loads that no request waits for any more.
@@ -10,6 +11,7 @@
 //! - `rate` keeps the rates that upstreams announce.
 //! - `word` heeds what upstreams say of themselves.
 
+mod config;
 mod culprit;
 mod grant;
 mod load_wait;
@@ -27,7 +29,9 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use dispatch::{CulpritDetector, culprit as detection};
+use exchange::config_transfer::Transfer;
 use exchange::demand::{Demand, Target};
+use exchange::history::History;
 use exchange::owner::{self, Grant};
 use exchange::platform_reader::ReaderRole;
 use exchange::prefill_estimate::PrefillEstimator;
@@ -109,6 +113,8 @@
     pub owner: Owner,
     /// Who reads the platform.
     pub mirror: ReaderRole,
+    /// Which era of the platform it has come to.
+    pub history: History,
     /// What requests that crash upstreams have in common.
     pub culprits: CulpritDetector,
     waiters: Vec<Waiter>,
@@ -141,7 +147,10 @@
     pub post: Arc<Post>,
     /// Wakes the reader of the platform where a pulse tells of something to read.
     pub news: Notify,
+    /// Newest revision of the configuration that a peer has told of.
     newest: AtomicU64,
+    /// Locked before the desk.
+    transfer: Mutex<Transfer>,
     next_request: AtomicU64,
     /// Changes with each verdict on a feature.
     verdicts: watch::Sender<()>,
@@ -195,6 +204,7 @@
             spend: RetryBudget::new(spend),
             owner: Owner::new(owner),
             mirror: ReaderRole::default(),
+            history: History::default(),
             culprits: CulpritDetector::new(detection::Config::default(), me.clone()),
             waiters: Vec::new(),
             tickets: Vec::new(),
@@ -214,6 +224,7 @@
             post,
             news: Notify::new(),
             newest: AtomicU64::new(0),
+            transfer: Mutex::default(),
             next_request: AtomicU64::new(0),
             verdicts: watch::Sender::new(()),
             examined: Mutex::default(),
--- a/crates/gateway/src/hub/pulse.rs
+++ b/crates/gateway/src/hub/pulse.rs
@@ -7,11 +7,12 @@
 use exchange::Fleet;
 use exchange::demand::Target;
 use exchange::fleet::{self, Listing, Version};
+use exchange::history::Era;
 use exchange::platform_reader::{self, ReaderUpdate};
 use log::info;
 use node::journal::DECISION;
 use wire::machine::millis;
-use wire::{Revision, Time, Upstream, Vm};
+use wire::{Time, Upstream, Vm};
 
 use super::Hub;
 use crate::datagram::Message;
@@ -37,16 +38,17 @@
     fn tell(&self, age: Duration, changes: Vec<platform_reader::PlatformChange>) {
         let now = self.clock.now();
         let config = self.revision();
-        let (tells, digest) = {
+        let (tells, era, digest) = {
             let desk = self.desk();
             let tells = desk.mirror.is_publisher() && desk.mirror.is_reader(now);
-            (tells, desk.fleet.digest())
+            (tells, desk.history.current(), desk.fleet.digest())
         };
-        if !tells || config == 0 {
+        let Some(era) = era.filter(|_| tells && config != 0) else {
             return;
-        }
+        };
         let message = |changes| {
-            Message::Pulse(ReaderUpdate {
+            Message::Update(ReaderUpdate {
+                era,
                 age: millis(age),
                 config,
                 digest,
@@ -70,20 +72,21 @@
         tokio::spawn(async move { post.send_paced(&recipients, &messages).await });
     }
 
-    /// Takes over what a reader tells.
-    pub fn take_pulse(&self, pulse: ReaderUpdate) {
+    /// Takes over what a reader tells. What it knows of an era that has ended is out of date.
+    pub fn take_update(&self, from: &Vm, update: ReaderUpdate) {
         let now = self.clock.now();
-        self.newest.fetch_max(pulse.config, Ordering::Relaxed);
-        if Duration::from_millis(pulse.age.into()) < platform_reader::FRESH_AGE_MAX {
+        self.take_revision(from, update.config);
+        if !self.follow_era(now, update.era) {
+            return;
+        }
+        let age = Duration::from_millis(update.age.into());
+        let fresh = age < platform_reader::FRESH_AGE_MAX;
+        if fresh {
             let now = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
             self.store_heard.fetch_max(now, Ordering::Relaxed);
         }
-        {
-            let mut desk = self.desk();
-            desk.mirror
-                .update_received(now, Duration::from_millis(pulse.age.into()));
-        }
-        for change in pulse.changes {
+        self.desk().mirror.update_received(now, age);
+        for change in update.changes {
             match change {
                 platform_reader::PlatformChange::Listed(listing) => {
                     self.take_listing(listing, Fleet::apply_summary);
@@ -95,8 +98,8 @@
             }
         }
         let mut desk = self.desk();
-        if Duration::from_millis(pulse.age.into()) < platform_reader::FRESH_AGE_MAX {
-            let same = desk.fleet.digest() == pulse.digest;
+        if fresh {
+            let same = desk.fleet.digest() == update.digest;
             desk.mirror.set_in_sync(now, same);
         }
         drop(desk);
@@ -105,15 +108,15 @@
         }
     }
 
-    /// Tells whether a reader knows a newer configuration.
-    pub fn lacks_config(&self) -> bool {
-        self.newest.load(Ordering::Relaxed) > self.revision()
-    }
-
-    /// Returns the revision of the configuration in force, or 0.
-    pub fn revision(&self) -> Revision {
-        let config = self.config.load();
-        config.as_ref().map_or(0, |config| config.revision)
+    /// Takes over the era that a reader follows. Returns whether it is the latest one.
+    fn follow_era(&self, now: Time, era: Era) -> bool {
+        let mut desk = self.desk();
+        if desk.history.begin(now, era) {
+            info!(target: DECISION, era, source = "peer"; "platform-era");
+            // This node's own cursor is of an era that has ended.
+            self.news.notify_one();
+        }
+        desk.history.current() == Some(era)
     }
 
     /// Takes a listing over by `take`.
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -2,24 +2,25 @@
 //!
 //! Each read counts for the platform, so news are asked for no more often than the settings say.
 
-mod absence;
+mod aftermath;
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use exchange::route::Config;
+use exchange::fleet::Listing;
+use exchange::history::{Era, Position};
 use exchange::{Fleet, platform_reader};
 use hyper::StatusCode;
 use log::info;
 use node::journal::DECISION;
 use tokio::time::Instant;
 use upstream::link::{Limits, Link};
-use wire::Upstream;
+use wire::{Time, Upstream};
 
 use crate::call::send;
 use crate::dialect::{Call, Change, Dialect, Malformed, Page};
 use crate::hub::Hub;
-use absence::Absence;
+use aftermath::Aftermath;
 
 /// Time that a read of news waits for some; short, so that a platform that fell silent shows.
 const WAIT: Duration = Duration::from_millis(400);
@@ -30,6 +31,12 @@
 /// Part of the listing that holds the configuration.
 const CONFIG_PART: usize = 0;
 
+/// Time in which peers give a newer configuration before the platform is asked for it.
+const PEERS_FIRST: Duration = Duration::from_millis(300);
+
+/// Time between two reads of a configuration that the platform may have lost.
+const CONFIG_PAUSE: Duration = Duration::from_millis(1_000);
+
 /// Time allowed beyond that for the answer.
 const ANSWER: Duration = Duration::from_millis(1_500);
 
@@ -61,6 +68,12 @@
     /// News since the revision are no longer kept.
     #[error("the platform has dropped its history; everything is listed again")]
     Forgotten,
+    /// The answer is from a later era than the cursor.
+    #[error("the platform was restored from a copy; everything is listed again")]
+    Restored,
+    /// The answer is from an era that has ended, or does not tell its era.
+    #[error("the platform's answer belongs to no era that can be followed; check its health")]
+    Undated,
 }
 
 impl Error {
@@ -70,18 +83,39 @@
             Self::Malformed(_) => "malformed",
             Self::Refused(_) => "refused",
             Self::Forgotten => "forgotten",
+            Self::Restored => "restored",
+            Self::Undated => "undated",
         }
     }
 }
 
+/// Where changes come from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Source {
+    /// A listing, which shows entries as a copy had them if the platform was restored from one.
+    Listing,
+    /// A watch: somebody has just written the entry.
+    News,
+}
+
+/// A listing in progress. Its parts have to be of one era.
+#[derive(Default)]
+struct Scan {
+    /// Where it began; news from there on are read again, which changes nothing.
+    began: Option<Position>,
+    changes: Vec<Change>,
+}
+
 struct Reader<D> {
     hub: Arc<Hub<D>>,
     link: Link,
-    absence: Absence,
+    aftermath: Aftermath,
     failures: u32,
     last: Instant,
-    /// Revision from which news follow, while this node reads.
-    revision: Option<u64>,
+    /// Position from which news follow, while this node reads.
+    position: Option<Position>,
+    /// When the platform is asked for a configuration that peers have.
+    next_config_read: Option<Time>,
     /// What was read and is not told yet.
     changes: Vec<platform_reader::PlatformChange>,
 }
@@ -96,10 +130,11 @@
     };
     let mut reader = Reader {
         link: Link::new("platform", address, limits),
-        absence: Absence::default(),
+        aftermath: Aftermath::default(),
         failures: 0,
         last: Instant::now(),
-        revision: None,
+        position: None,
+        next_config_read: None,
         changes: Vec::new(),
         hub,
     };
@@ -113,6 +148,7 @@
 impl<D: Dialect> Reader<D> {
     /// Does what is due: reads news, catches up, or waits for readers to tell.
     async fn turn(&mut self) -> Result<(), Error> {
+        self.follow_era();
         self.sweep();
         let now = self.hub.clock.now();
         let config = self.hub.revision();
@@ -120,30 +156,27 @@
             let mut desk = self.hub.desk();
             (desk.mirror.is_reader(now), desk.mirror.take_relist(now))
         };
-        match (reads, self.revision) {
-            (true, Some(revision)) => {
-                tokio::time::sleep_until(self.last + self.hub.exchange.pause).await;
-                match self.news(revision).await {
-                    Err(Error::Forgotten) => {
-                        info!(target: DECISION, revision; "platform-history-lost");
-                        self.revision = None;
-                    }
-                    news => self.revision = Some(news?),
-                }
+        let config_due = self.is_config_due(now);
+        match (reads, self.position) {
+            (true, Some(position)) => {
+                self.pause().await;
+                let news = self.news(position).await;
+                self.position = self.unless_ended(news)?;
             }
             (true, None) => {
-                let revision = self.list().await?;
-                self.revision = Some(revision);
-            }
-            (false, _) if gap => {
-                info!(target: DECISION, reason = "gap"; "platform-catch-up");
-                self.list().await?;
+                self.pause().await;
+                let listed = self.list().await;
+                self.position = self.unless_ended(listed)?;
             }
-            (false, _) if self.hub.lacks_config() => {
-                self.part(CONFIG_PART, &mut Vec::new()).await?;
+            (false, _) if gap || config_due => {
+                self.position = None;
+                let reason = if gap { "gap" } else { "config" };
+                info!(target: DECISION, reason; "platform-catch-up");
+                let listed = self.catch_up(gap).await;
+                self.unless_ended(listed)?;
             }
             (false, _) => {
-                self.revision = None;
+                self.position = None;
                 // Without news there is another look all the same.
                 let _ = tokio::time::timeout(IDLE, self.hub.news.notified()).await;
             }
@@ -155,50 +188,124 @@
         Ok(())
     }
 
-    /// Lists everything. Returns the revision from which news follow.
-    async fn list(&mut self) -> Result<u64, Error> {
-        let mut revision = None;
-        let mut listed: Vec<Upstream> = Vec::new();
+    /// Waits until the platform may be read again.
+    async fn pause(&self) {
+        tokio::time::sleep_until(self.last + self.hub.exchange.pause).await;
+    }
+
+    /// Gives the cursor up where what it points into has ended: everything is listed again then.
+    fn unless_ended<T>(&self, read: Result<T, Error>) -> Result<Option<T>, Error> {
+        match read {
+            Ok(read) => Ok(Some(read)),
+            Err(error @ (Error::Forgotten | Error::Restored)) => {
+                let era = self.position.map(|position| position.era);
+                let revision = self.position.map(|position| position.revision);
+                let (era, revision) = (era.unwrap_or_default(), revision.unwrap_or_default());
+                info!(target: DECISION, era, revision, reason = error.name(); "platform-history-lost");
+                Ok(None)
+            }
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Gives up a cursor of an era that has ended, also where peers have told so.
+    fn follow_era(&mut self) {
+        let history = self.hub.desk().history;
+        if let Some(at) = history.replaced_at() {
+            self.aftermath.returned(at);
+        }
+        self.position
+            .take_if(|position| Some(position.era) != history.current());
+    }
+
+    /// Tells whether the platform is to be asked for a configuration that peers have not given.
+    fn is_config_due(&mut self, now: Time) -> bool {
+        if !self.hub.lacks_config() {
+            self.next_config_read = None;
+            return false;
+        }
+        let due = *self.next_config_read.get_or_insert(now + PEERS_FIRST);
+        if now >= due {
+            self.next_config_read = Some(now + CONFIG_PAUSE);
+        }
+        now >= due
+    }
+
+    /// Lists everything, or the configuration alone.
+    async fn catch_up(&mut self, everything: bool) -> Result<(), Error> {
+        if everything {
+            return self.list().await.map(|_| ());
+        }
+        let mut scan = Scan::default();
+        self.part(CONFIG_PART, &mut scan).await?;
+        let current = self.hub.desk().history.current();
+        let era = scan.began.map(|position| position.era);
+        if current.is_some() && era != current {
+            // The other parts are of that era as well.
+            return self.list().await.map(|_| ());
+        }
+        self.apply_all(scan.changes, Source::Listing);
+        Ok(())
+    }
+
+    /// Lists everything. Returns the position from which news follow.
+    async fn list(&mut self) -> Result<Position, Error> {
+        let mut scan = Scan::default();
         for part in 0.. {
-            match self.part(part, &mut listed).await? {
-                // News from the first part on are read again, which changes nothing.
-                Some(first) => revision.get_or_insert(first),
-                None => break,
-            };
+            if !self.part(part, &mut scan).await? {
+                break;
+            }
         }
-        Ok(self.listed(revision.unwrap_or_default(), listed))
+        let began = scan.began.ok_or(Error::Undated)?;
+        self.begin_era(began);
+        self.listed(began, scan.changes);
+        Ok(began)
     }
 
-    /// Lists one kind of entry. Returns the platform's revision before that, or `None` where
-    /// there is no such kind.
-    async fn part(
-        &mut self,
-        part: usize,
-        listed: &mut Vec<Upstream>,
-    ) -> Result<Option<u64>, Error> {
-        let mut revision = None;
+    /// Lists one kind of entry. Returns `false` where there is no such kind.
+    async fn part(&mut self, part: usize, scan: &mut Scan) -> Result<bool, Error> {
         let mut after: Option<String> = None;
         while let Some(call) = self.hub.dialect.listing(part, after.as_deref()) {
-            let body = self.read(call, ANSWER).await?;
+            let (era, body) = self.read(call, ANSWER).await?;
             let page: Page = self.hub.dialect.page(&body)?;
-            revision.get_or_insert(page.revision);
-            for (_, change) in page.changes {
-                if let Change::Listed(listing) = &change {
-                    listed.push(listing.id.clone());
-                }
-                self.apply(change);
+            let revision = page.revision;
+            let began = *scan.began.get_or_insert(Position { era, revision });
+            if began.era != era {
+                return Err(Error::Restored);
             }
+            scan.changes
+                .extend(page.changes.into_iter().map(|(_, change)| change));
             match page.more {
                 Some(key) => after = Some(key),
-                None => break,
+                None => return Ok(true),
             }
         }
-        Ok(revision)
+        Ok(false)
     }
 
-    /// Takes what a whole listing does not name for gone.
-    fn listed(&mut self, revision: u64, mut listed: Vec<Upstream>) -> u64 {
+    /// Follows the era of a whole listing from now on.
+    fn begin_era(&mut self, began: Position) {
+        let now = self.hub.clock.now();
+        let Position { era, revision } = began;
+        let mut desk = self.hub.desk();
+        let ended = desk.history.current().unwrap_or_default();
+        if desk.history.begin(now, era) {
+            info!(target: DECISION, era, revision, ended, source = "platform"; "platform-era");
+        }
+        drop(desk);
+        self.follow_era();
+    }
+
+    /// Takes a whole listing over; what it does not name is gone.
+    fn listed(&mut self, began: Position, changes: Vec<Change>) {
+        let listed = changes.iter().filter_map(|change| match change {
+            Change::Listed(listing) => Some(listing.id.clone()),
+            _ => None,
+        });
+        let mut listed: Vec<Upstream> = listed.collect();
         listed.sort_unstable();
+        self.aftermath.relisted();
+        self.apply_all(changes, Source::Listing);
         let known: Vec<Upstream> = {
             let desk = self.hub.desk();
             let ids = desk.fleet.upstreams().iter();
@@ -206,42 +313,56 @@
         };
         for id in known {
             if listed.binary_search(&id).is_err() {
-                self.apply(Change::Delisted(id));
+                self.apply(Change::Delisted(id), Source::Listing);
             }
         }
-        info!(target: DECISION, revision, upstreams = listed.len(); "platform-listed");
-        revision
+        let Position { era, revision } = began;
+        info!(target: DECISION, era, revision, upstreams = listed.len(); "platform-listed");
     }
 
-    async fn news(&mut self, revision: u64) -> Result<u64, Error> {
-        // Absences that are held back end while nothing else happens.
-        let wait = if self.absence.is_empty() {
-            WAIT
-        } else {
-            self.hub.exchange.pause
-        };
-        let call = self.hub.dialect.watch(revision, wait);
-        let body = self.read(call, wait + ANSWER).await?;
+    async fn news(&mut self, position: Position) -> Result<Position, Error> {
+        let call = self.hub.dialect.watch(position.revision, self.wait());
+        let (era, body) = self.read(call, WAIT + ANSWER).await?;
+        if era != position.era {
+            return Err(Error::Restored);
+        }
         let news = self.hub.dialect.news(&body)?;
         let revision = news.revision;
-        for change in news.latest() {
-            self.apply(change);
-        }
-        Ok(revision)
+        self.apply_all(news.latest(), Source::News);
+        Ok(Position { era, revision })
+    }
+
+    /// Returns the time to wait for news; what is held back ends while nothing else happens.
+    fn wait(&self) -> Duration {
+        let now = self.hub.clock.now();
+        let held = self.aftermath.next();
+        let held = held.map_or(WAIT, |until| until.saturating_sub(now));
+        held.clamp(self.hub.exchange.pause.min(WAIT), WAIT)
     }
 
-    async fn read(&mut self, call: Call, limit: Duration) -> Result<bytes::Bytes, Error> {
+    /// Reads an answer, and the era that it belongs to. An answer of any status ends a cursor of an
+    /// earlier era.
+    async fn read(&mut self, call: Call, limit: Duration) -> Result<(Era, bytes::Bytes), Error> {
         self.last = Instant::now();
         let answer = send(&self.link, call, limit, || true).await?;
+        let stated = self.hub.dialect.era(answer.headers());
+        let Some(era) = self.hub.desk().history.era_of(stated) else {
+            let status = answer.status().as_u16();
+            log::warn!(target: DECISION, status, stated:?; "platform-undated");
+            return Err(Error::Undated);
+        };
+        let ended = |position: &Position| position.era != era;
+        let ended = self.position.as_ref().is_some_and(ended);
         match answer.status() {
             StatusCode::OK => {
                 self.answered();
-                Ok(answer.into_body())
+                Ok((era, answer.into_body()))
             }
-            StatusCode::GONE => {
+            StatusCode::GONE if !ended => {
                 self.answered();
                 Err(Error::Forgotten)
             }
+            _ if ended => Err(Error::Restored),
             status => Err(Error::Refused(status)),
         }
     }
@@ -256,7 +377,7 @@
         if self.failures > 0 {
             info!(target: DECISION, failures = self.failures; "platform-back");
             self.failures = 0;
-            self.absence.returned(self.hub.clock.now());
+            self.aftermath.returned(self.hub.clock.now());
         }
     }
 
@@ -271,43 +392,48 @@
             log::warn!(target: DECISION, reason = error.name(), cause:% = error; "platform-lost");
         }
         // What was missed is listed as it is now, not followed as it came about.
-        self.revision = None;
+        self.position = None;
         let pause = PAUSE_MIN * (1 << self.failures.min(4));
         self.failures += 1;
         tokio::time::sleep(pause.min(PAUSE_MAX)).await;
     }
 
-    /// Forgets the upstreams whose absence has lasted long enough.
+    /// Believes what has been held back for long enough.
     fn sweep(&mut self) {
-        for id in self.absence.due(self.hub.clock.now()) {
+        let now = self.hub.clock.now();
+        for id in self.aftermath.take_absent(now) {
             self.forget(&id);
         }
+        for listing in self.aftermath.take_outdated(now) {
+            self.list_upstream(listing);
+        }
+    }
+
+    fn apply_all(&mut self, changes: Vec<Change>, source: Source) {
+        for change in changes {
+            self.apply(change, source);
+        }
     }
 
-    fn apply(&mut self, change: Change) {
+    fn apply(&mut self, change: Change, source: Source) {
         let hub = &self.hub;
         let now = hub.clock.now();
         match change {
-            Change::Listed(listing) => {
-                self.absence.present(&listing.id);
-                let outline = listing.summary();
-                let known = {
-                    let desk = hub.desk();
-                    let known = desk.fleet.upstream(&listing.id);
-                    known.map(|known| known.listing.summary())
-                };
-                if known.as_ref() != Some(&outline) {
-                    self.changes
-                        .push(platform_reader::PlatformChange::Listed(outline));
+            Change::Listed(listing) => match self.outdated_until(now, &listing, source) {
+                Some(until) => {
+                    info!(target: DECISION, upstream:% = listing.id; "upstream-outdated");
+                    self.aftermath.hold(listing, until);
                 }
-                hub.take_listing(listing, Fleet::apply_listing);
-            }
+                None => self.list_upstream(listing),
+            },
             Change::Delisted(id) => {
-                if !self.absence.absent(now, &id) {
+                if !self.aftermath.absent(now, &id) {
                     self.forget(&id);
                 }
             }
-            Change::Config(config) => adopt(hub, *config),
+            Change::Config(config, document) => {
+                hub.adopt(*config, document, "platform");
+            }
             Change::Version(target, version) => {
                 if hub.desk().fleet.newest_version(&target) < Some(version) {
                     self.changes.push(platform_reader::PlatformChange::Version(
@@ -324,6 +450,29 @@
         }
     }
 
+    /// Returns until when an entry is held back, because it is a copy's of a process that is gone.
+    fn outdated_until(&self, now: Time, listing: &Listing, source: Source) -> Option<Time> {
+        let desk = self.hub.desk();
+        let is_copy = source == Source::Listing && desk.history.may_be_copy(now);
+        let is_outdated = is_copy && desk.fleet.is_outdated(listing);
+        desk.history.copy_until().filter(|_| is_outdated)
+    }
+
+    fn list_upstream(&mut self, listing: Listing) {
+        self.aftermath.present(&listing.id);
+        let outline = listing.summary();
+        let known = {
+            let desk = self.hub.desk();
+            let known = desk.fleet.upstream(&listing.id);
+            known.map(|known| known.listing.summary())
+        };
+        if known.as_ref() != Some(&outline) {
+            self.changes
+                .push(platform_reader::PlatformChange::Listed(outline));
+        }
+        self.hub.take_listing(listing, Fleet::apply_listing);
+    }
+
     fn forget(&mut self, id: &Upstream) {
         if self.hub.desk().fleet.upstream(id).is_some() {
             self.changes
@@ -332,16 +481,3 @@
         self.hub.forget(id);
     }
 }
-
-/// Puts a configuration in force, unless a newer one is.
-fn adopt<D: Dialect>(hub: &Arc<Hub<D>>, config: Config) {
-    let newest = hub.config.load().as_ref().map(|known| known.revision);
-    if newest.is_some_and(|newest| newest >= config.revision) {
-        return;
-    }
-    info!(target: DECISION, revision = config.revision, routes = config.routes().len(); "config");
-    let revision = i64::try_from(config.revision).unwrap_or(i64::MAX);
-    hub.metrics.revision.set(revision);
-    hub.desk().fleet.configure(&config);
-    hub.config.store(Some(Arc::new(config)));
-}
