Keep a stream at the release that began it

Callers got streams whose first part was written by one release of an upstream's software and the rest by another, with nothing to show it: when an upstream broke a stream off, when they took one up at any node, and after all nodes had been killed.

Cause: a stream's identity lacked the release. Upstreams of a pool counted as alike, the version in their entries was not read, and neither was the attempt that a caller names when it takes a stream up. A process that started again under its id counted as the same.

Change: a release is part of a listing, of a process's identity, of what a request needs of an upstream, and of a stream. Nodes tell three others at which release a stream begins, and ask for it when one is taken up elsewhere. What nobody knows is refused at once, as not run and without a time to come back.

--- a/crates/exchange/src/fleet/listing.rs
+++ b/crates/exchange/src/fleet/listing.rs
@@ -10,6 +10,15 @@
 /// Number of an adapter's version; a higher one is newer.
 pub type Version = u64;
 
+/// Identifies a release of the software of a pool's upstreams: a hash of the pool and the release's
+/// name. Streams of two releases do not fit together.
+pub type Release = u64;
+
+/// Returns the release of that name in a pool.
+pub fn release(pool: &str, name: &str) -> Release {
+    rank::weight(rank::hash(name), pool)
+}
+
 /// A base model that an engine holds, with its adapters.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Holding {
@@ -40,6 +49,8 @@
     pub engine: bool,
     /// The models that it holds; empty for plain services and empty engines.
     pub holdings: Vec<Holding>,
+    /// The release of its software.
+    pub release: Release,
 }
 
 impl Listing {
@@ -61,11 +72,12 @@
         let bases = self.holdings.iter().map(|holding| &*holding.base);
         let bases: Vec<&str> = bases.collect();
         let text = format!(
-            "{} {} {} {:?} {}",
+            "{} {} {} {:?} {} {}",
             self.pool,
             self.address,
             self.leaving,
             self.born,
+            self.release,
             bases.join(" ")
         );
         rank::weight(rank::hash(text), &self.id)
--- a/crates/exchange/src/fleet/mod.rs
+++ b/crates/exchange/src/fleet/mod.rs
@@ -17,7 +17,7 @@
 use crate::announced_rate::Rate;
 use crate::demand::Target;
 use crate::route::Config;
-pub use listing::{Holding, Listing, Load, Presence, Version};
+pub use listing::{Holding, Listing, Load, Presence, Release, Version, release};
 pub use upstream::{AttemptResult, LISTING_LAG, UpstreamState};
 use upstream::{Residency, Source};
 
--- a/crates/exchange/src/fleet/upstream.rs
+++ b/crates/exchange/src/fleet/upstream.rs
@@ -161,6 +161,7 @@
         self.listing.born == listing.born
             && self.listing.address == listing.address
             && self.listing.pool == listing.pool
+            && self.listing.release == listing.release
     }
 
     /// Returns whether requests may go to it, pauses aside.
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -25,6 +25,7 @@
 //! - [`config_transfer`] gives a configuration from node to node.
 //! - [`outcome`] decides whether a failed attempt is retried and what its caller is told.
 //! - [`proof`] holds the evidence that a request did not run.
+//! - [`stream_origin`] knows which release of the upstreams began a stream.
 //! - [`relay`] tracks the events of a stream, so that another engine can resume it.
 
 pub mod announced_rate;
@@ -45,6 +46,7 @@
 pub mod route;
 pub mod search;
 pub mod selection;
+pub mod stream_origin;
 pub mod tenant;
 
 pub use fleet::Fleet;
--- a/crates/exchange/src/selection.rs
+++ b/crates/exchange/src/selection.rs
@@ -10,7 +10,7 @@
 use wire::{Time, Upstream, Zone, rank};
 
 use crate::demand::{Demand, Target};
-use crate::fleet::{Fleet, Presence, UpstreamState};
+use crate::fleet::{Fleet, Presence, Release, UpstreamState};
 use crate::route::Service;
 
 /// Cost of each request that an engine already runs: its share of the steps and prefills ahead.
@@ -82,6 +82,8 @@
     pub urgent: bool,
     /// Expected prefill time of its prompt.
     pub prefill_time: Duration,
+    /// Release that its stream began at, which alone may continue it.
+    pub release: Option<Release>,
 }
 
 impl Requirements<'_> {
@@ -89,6 +91,14 @@
     pub fn has_long_prompt(&self) -> bool {
         self.prefill_time >= LONG_PROMPT
     }
+
+    /// Returns whether the request may go to `upstream`, if that accepts any.
+    fn fits(&self, upstream: &UpstreamState) -> bool {
+        let same = self
+            .release
+            .is_none_or(|release| release == upstream.listing.release);
+        same && !self.tried.contains(&upstream.listing.id)
+    }
 }
 
 /// The state of this node at the time of a selection.
@@ -123,6 +133,8 @@
 pub enum Unavailable {
     /// The pool has no eligible upstream.
     NoUpstream,
+    /// No eligible upstream is of the release that began the stream.
+    NoRelease,
     /// Every eligible upstream was tried.
     AllTried,
     /// Every untried upstream has asked for a pause, or announces a rate that is used up; the first one
@@ -137,6 +149,7 @@
     pub const fn name(self) -> &'static str {
         match self {
             Self::NoUpstream => "no-upstream",
+            Self::NoRelease => "no-release",
             Self::AllTried => "all-tried",
             Self::AllPaused(_) => "all-paused",
             Self::NoWeights => "no-weights",
@@ -154,8 +167,21 @@
     if eligible.peek().is_none() {
         return Selection::None(Unavailable::NoUpstream);
     }
+    let eligible: Vec<&UpstreamState> = eligible.collect();
+    let is_release = |release| {
+        eligible
+            .iter()
+            .any(|known| known.listing.release == release)
+    };
+    if requirements
+        .release
+        .is_some_and(|release| !is_release(release))
+    {
+        return Selection::None(Unavailable::NoRelease);
+    }
     let untried: Vec<&UpstreamState> = eligible
-        .filter(|upstream| !requirements.tried.contains(&upstream.listing.id))
+        .into_iter()
+        .filter(|upstream| requirements.fits(upstream))
         .collect();
     let pauses = untried
         .iter()
@@ -366,7 +392,7 @@
     let target = requirements.target?;
     let accepting = fleet
         .accepting(context.now, &requirements.service.name)
-        .filter(|upstream| !requirements.tried.contains(&upstream.listing.id))
+        .filter(|upstream| requirements.fits(upstream))
         .filter(|upstream| (context.owned)(&upstream.listing.id));
     let candidates = with_base_model(fleet, target, accepting);
     let ordered = rendezvous_order(target, &candidates).into_iter();
--- /dev/null
+++ b/crates/exchange/src/stream_origin.rs
@@ -0,0 +1,224 @@
+//! Releases that streams began at.
+//!
+//! What two releases of an upstream's software write does not fit together, so a stream may go on only
+//! at the release that began it. A caller may take its stream up at any node. When a stream begins,
+//! its node therefore tells a few others, the first ones in the rendezvous order of the stream, and a
+//! node that is asked for a stream that it does not know asks them. While a pool has had a single
+//! release for longer than any stream lasts, nobody needs to be told.
+//!
+//! A release that nobody knows is unknown. It cannot be concluded from the upstreams that serve now:
+//! those that began the stream may be gone.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use wire::{Time, rank};
+
+use crate::fleet::{Listing, Release};
+use crate::route::PoolName;
+
+/// Identifies a stream: a hash of the caller's attempt that brought its first event.
+pub type StreamId = u64;
+
+/// Number of nodes that are told of a stream. Three of them and the node that began it have to be lost
+/// for the release to be unknown.
+pub const RECORDERS: usize = 3;
+
+/// Number of nodes that are asked for a stream. Nodes that have started since may come before those
+/// that were told.
+pub const ASKED_NODES: usize = 6;
+
+/// Longest life of a stream, with all tries of its caller to take it up.
+pub const STREAM_AGE_MAX: Duration = Duration::from_secs(120);
+
+/// Maximum number of records; the oldest ones yield.
+const RECORDS_MAX: usize = 50_000;
+
+/// Maximum number of records in one message, which one datagram carries.
+pub const RECORDS_PER_MESSAGE: usize = 60;
+
+/// A message between two nodes. Variants are encoded by position: new ones must be added at the end.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// Releases that streams of the sender began at.
+    Began(Vec<(StreamId, Release)>),
+    /// Asks which release a stream began at.
+    Query {
+        /// Identifies the question in its answer.
+        ticket: u64,
+        /// The stream.
+        stream: StreamId,
+    },
+    /// The answer to [`Message::Query`].
+    Answer {
+        /// Identifies the question.
+        ticket: u64,
+        /// The release, if the sender knows it.
+        release: Option<Release>,
+    },
+}
+
+/// Returns the id of the stream whose first event the attempt brought.
+pub fn stream_id(attempt: &str) -> StreamId {
+    rank::hash(attempt)
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Record {
+    stream: StreamId,
+    release: Release,
+    until: Time,
+}
+
+/// A pool whose listed upstreams are all of one release.
+#[derive(Clone, Debug)]
+struct UniformPool {
+    pool: PoolName,
+    release: Release,
+    since: Time,
+}
+
+impl UniformPool {
+    /// Returns whether every stream that may still go on has begun at its release.
+    fn has_settled(&self, now: Time) -> bool {
+        now >= self.since + STREAM_AGE_MAX
+    }
+}
+
+/// The streams that this node knows of.
+#[derive(Clone, Debug, Default)]
+pub struct Origins {
+    /// Sorted by stream.
+    records: Vec<Record>,
+    /// Streams of this node that others have not been told of.
+    untold: Vec<(StreamId, Release)>,
+    pools: Vec<UniformPool>,
+}
+
+impl Origins {
+    /// Records the upstreams that are listed now.
+    pub fn observe<'a>(&mut self, now: Time, listings: impl IntoIterator<Item = &'a Listing>) {
+        let mut seen: Vec<(&PoolName, Option<Release>)> = Vec::new();
+        for listing in listings {
+            match seen.iter_mut().find(|(pool, _)| **pool == listing.pool) {
+                Some((_, release)) => {
+                    *release = release.filter(|release| *release == listing.release);
+                }
+                None => seen.push((&listing.pool, Some(listing.release))),
+            }
+        }
+        for (pool, release) in seen {
+            self.set_release(now, pool, release);
+        }
+    }
+
+    /// Sets the single release of a pool, `None` if it has several.
+    fn set_release(&mut self, now: Time, pool: &PoolName, release: Option<Release>) {
+        let index = self.pools.iter().position(|known| known.pool == *pool);
+        let Some(release) = release else {
+            index.map(|index| self.pools.swap_remove(index));
+            return;
+        };
+        let uniform = UniformPool {
+            pool: pool.clone(),
+            release,
+            since: now,
+        };
+        match index {
+            Some(index) if self.pools[index].release == release => {}
+            Some(index) => self.pools[index] = uniform,
+            None => self.pools.push(uniform),
+        }
+    }
+
+    /// Records that routes lead to other pools now, so that a stream may have begun at another one.
+    pub fn routes_changed(&mut self, now: Time) {
+        for pool in &mut self.pools {
+            pool.since = now;
+        }
+    }
+
+    /// Returns the release that every stream of the pool began at, if there has been no other one for
+    /// as long as a stream may last.
+    pub fn only_release(&self, now: Time, pool: &str) -> Option<Release> {
+        let known = self.pools.iter().find(|known| *known.pool == *pool)?;
+        known.has_settled(now).then_some(known.release)
+    }
+
+    /// Records that a stream of this node has begun, or goes on. Others are told by
+    /// [`Origins::take_untold`].
+    pub fn began(&mut self, now: Time, stream: StreamId, release: Release) {
+        self.insert(now, stream, release);
+        let release = self.release(stream).unwrap_or(release);
+        self.untold.push((stream, release));
+    }
+
+    /// Records what another node has told.
+    pub fn told(&mut self, now: Time, streams: &[(StreamId, Release)]) {
+        for (stream, release) in streams {
+            self.insert(now, *stream, *release);
+        }
+    }
+
+    /// Returns the release that a stream began at, if this node knows it.
+    pub fn release(&self, stream: StreamId) -> Option<Release> {
+        let found = self.position(stream).ok();
+        found.map(|index| self.records[index].release)
+    }
+
+    /// Takes out the streams of this node that others have to be told of. Those of the only release
+    /// of a pool are kept back until it has another one.
+    pub fn take_untold(&mut self, now: Time) -> Vec<(StreamId, Release)> {
+        let pools = &self.pools;
+        let is_only = |release: Release| {
+            let mut pools = pools.iter();
+            pools.any(|pool| pool.release == release && pool.has_settled(now))
+        };
+        let untold = self
+            .untold
+            .extract_if(.., |(_, release)| !is_only(*release));
+        untold.collect()
+    }
+
+    /// Forgets streams that have ended for certain.
+    pub fn expire(&mut self, now: Time) {
+        self.records.retain(|record| now < record.until);
+        let records = &self.records;
+        self.untold
+            .retain(|(stream, _)| position(records, *stream).is_ok());
+    }
+
+    fn insert(&mut self, now: Time, stream: StreamId, release: Release) {
+        let record = Record {
+            stream,
+            release,
+            until: now + STREAM_AGE_MAX,
+        };
+        match self.position(stream) {
+            // The first word counts: a stream has one beginning.
+            Ok(index) => self.records[index].until = record.until,
+            Err(index) => {
+                self.records.insert(index, record);
+                self.drop_surplus();
+            }
+        }
+    }
+
+    fn drop_surplus(&mut self) {
+        if self.records.len() <= RECORDS_MAX {
+            return;
+        }
+        let mut ends: Vec<Time> = self.records.iter().map(|record| record.until).collect();
+        let (_, median, _) = ends.select_nth_unstable(RECORDS_MAX / 2);
+        let median = *median;
+        self.records.retain(|record| record.until > median);
+    }
+
+    fn position(&self, stream: StreamId) -> Result<usize, usize> {
+        position(&self.records, stream)
+    }
+}
+
+fn position(records: &[Record], stream: StreamId) -> Result<usize, usize> {
+    records.binary_search_by_key(&stream, |record| record.stream)
+}
--- a/crates/exchange/tests/home_count.rs
+++ b/crates/exchange/tests/home_count.rs
@@ -68,6 +68,7 @@
         seed: 1,
         urgent: false,
         prefill_time: ms(20),
+        release: None,
     }
 }
 
--- a/crates/exchange/tests/patterns/node.rs
+++ b/crates/exchange/tests/patterns/node.rs
@@ -132,6 +132,7 @@
             seed,
             urgent: false,
             prefill_time: prefill,
+            release: None,
         }
     }
 
--- a/crates/exchange/tests/place_waits.rs
+++ b/crates/exchange/tests/place_waits.rs
@@ -89,6 +89,7 @@
             seed: 1,
             urgent: false,
             prefill_time: ms(1),
+            release: None,
         };
         let scene = SelectionContext {
             now: node.now,
--- a/crates/exchange/tests/support/mod.rs
+++ b/crates/exchange/tests/support/mod.rs
@@ -93,6 +93,7 @@
             base: "base".into(),
             adapters: adapters.iter().map(|name| ((*name).into(), None)).collect(),
         }],
+        release: 1,
     }
 }
 
--- a/crates/exchange/tests/upstream_choice.rs
+++ b/crates/exchange/tests/upstream_choice.rs
@@ -4,7 +4,7 @@
 
 use exchange::Selection;
 use exchange::demand::Target;
-use exchange::fleet::{AttemptResult, Load, Presence};
+use exchange::fleet::{AttemptResult, Listing, ListingChange, Load, Presence, Release};
 use exchange::route::Service;
 use exchange::selection::{
     LONG_PROMPT, Requirements, SelectionContext, Unavailable, select_upstream,
@@ -20,6 +20,7 @@
     target: Option<&'a Target>,
     tried: &'a [Upstream],
     long_prompt: bool,
+    release: Option<Release>,
 }
 
 fn select(fleet: &exchange::Fleet, request: &Request<'_>) -> Selection {
@@ -35,6 +36,7 @@
         } else {
             ms(20)
         },
+        release: request.release,
     };
     let context = SelectionContext {
         now: NOW,
@@ -53,6 +55,7 @@
             target: None,
             tried,
             long_prompt: false,
+            release: None,
         },
     )
 }
@@ -65,6 +68,7 @@
             target: Some(target),
             tried: &[],
             long_prompt,
+            release: None,
         },
     )
 }
@@ -295,3 +299,43 @@
         Selection::Send("e1".into())
     );
 }
+
+fn of_release(id: &str, release: Release) -> Listing {
+    Listing {
+        release,
+        ..plain_listing(id, "zone-a")
+    }
+}
+
+/// Guards against a stream that goes on at an upstream of another release than the one that began it.
+#[rstest]
+#[case::began_at_one(Some(1), Some("s1"))]
+#[case::began_at_the_other(Some(2), Some("s2"))]
+#[case::release_is_gone(Some(3), None)]
+fn stream_stays_at_its_release(#[case] release: Option<Release>, #[case] chosen: Option<&str>) {
+    let fleet = fleet(NOW, [of_release("s1", 1), of_release("s2", 2)]);
+    let request = Request {
+        service: &plain_service(),
+        target: None,
+        tried: &[],
+        long_prompt: false,
+        release,
+    };
+    let expected = chosen.map_or(Selection::None(Unavailable::NoRelease), |id| {
+        Selection::Send(id.into())
+    });
+    assert_eq!(select(&fleet, &request), expected);
+}
+
+/// Guards against an upstream that starts again under its id with another release, and keeps what was
+/// known of the former one.
+#[rstest]
+fn other_release_under_an_id_is_another_process() {
+    let mut fleet = fleet(NOW, [of_release("s1", 1)]);
+    assert_eq!(
+        fleet.apply_summary(NOW, of_release("s1", 1)),
+        ListingChange::Same
+    );
+    let change = fleet.apply_summary(NOW, of_release("s1", 2));
+    assert_eq!(change, ListingChange::Restarted);
+}
--- a/crates/exchange/tests/upstream_words.rs
+++ b/crates/exchange/tests/upstream_words.rs
@@ -23,6 +23,7 @@
         seed,
         urgent: false,
         prefill_time: ms(0),
+        release: None,
     };
     let context = SelectionContext {
         now,
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -170,6 +170,7 @@
             }),
             Message::Update(update) => self.hub.take_update(&sender.vm, update),
             Message::Config(message) => self.hub.take_transfer(&sender.vm, message),
+            Message::Origin(message) => self.hub.take_origin(&sender.vm, message),
             Message::Retired => {}
             Message::Leaver(leaver) => self.hub.take_leaver(&leaver),
             Message::Quota(message) => self.hub.take_quota(&sender.vm, message),
@@ -196,6 +197,7 @@
         self.hub.drive(owner::Event::Tick { wall_seconds: wall });
         self.hub.track(culprit::Event::Tick);
         self.hub.tick_transfer();
+        self.hub.tick_origins();
         self.ticks += 1;
         if self.ticks.is_multiple_of(PULSE_TICKS) {
             self.hub.pulse(Vec::new());
--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -41,6 +41,8 @@
     Update(exchange::platform_reader::ReaderUpdate),
     /// A configuration from node to node.
     Config(exchange::config_transfer::Message),
+    /// Releases that streams began at.
+    Origin(exchange::stream_origin::Message),
 }
 
 /// Pause after an error of the socket: short beside the silence after which peers count as dead.
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -28,6 +28,8 @@
     pub budget: Option<Duration>,
     /// Last event of a stream that the caller has.
     pub after: Option<u64>,
+    /// Attempt that brought the first event of a stream that the caller takes up.
+    pub resumes: Option<Box<str>>,
     /// Tokens of its prompt.
     pub prompt: Option<u32>,
     /// Parts of its prompt that other requests may share, sorted.
@@ -38,6 +40,23 @@
     pub key: Option<Box<str>>,
 }
 
+impl Ask {
+    /// Returns whether the caller has a part of a stream already and takes it up.
+    pub fn takes_up(&self) -> bool {
+        self.after.is_some_and(|last| last > 0)
+    }
+
+    /// Returns the attempt that brings, or has brought, the first event of its stream, if the caller
+    /// names it.
+    pub fn first_attempt(&self) -> Option<&str> {
+        if self.takes_up() {
+            self.resumes.as_deref()
+        } else {
+            Some(&self.attempt)
+        }
+    }
+}
+
 /// What one attempt at an upstream adds to a request.
 #[derive(Clone, Debug)]
 pub struct Hop<'a> {
--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -7,7 +7,7 @@
 use exchange::Selection;
 use exchange::announced_rate::RateDecision;
 use exchange::demand::Target;
-use exchange::fleet::{AttemptResult, Presence, Version};
+use exchange::fleet::{AttemptResult, Presence, Release, Version};
 use exchange::outcome::Execution;
 use exchange::proof::Proof;
 use exchange::relay::Cursor;
@@ -104,6 +104,16 @@
     pub(super) body: link::Body,
     /// The request's count at the upstream.
     pub(super) visit: Visit<D>,
+    /// The release that it runs at.
+    pub(super) release: Release,
+}
+
+/// The way to an upstream as it is listed now.
+struct Line {
+    link: Link,
+    /// Newest version of the adapter.
+    version: Option<Version>,
+    release: Release,
 }
 
 /// Why the head of an answer did not come.
@@ -121,8 +131,12 @@
     pub(super) async fn attempt(&mut self, runner: &Upstream, cursor: &mut Cursor) -> Tried<D> {
         let target = self.target();
         // It may have left, or want a pause, since it was chosen.
-        let (link, version) = match self.link(runner, target.as_ref()) {
-            Some(found) if self.hub.takes(runner) => found,
+        let Line {
+            link,
+            version,
+            release,
+        } = match self.line(runner, target.as_ref()) {
+            Some(found) if self.hub.takes(runner) && self.fits(found.release) => found,
             _ => {
                 self.prepay();
                 return Tried::failed(Execution::NotRun(Proof::unsent()));
@@ -183,7 +197,7 @@
         strip(&mut headers);
         if self.route.kind.streams() && parts.status == StatusCode::OK {
             let opened = tokio::select! {
-                opened = self.open(parts.status, headers, body, visit, cursor) => opened,
+                opened = self.open(parts.status, headers, body, (visit, release), cursor) => opened,
                 () = self.conviction() => self.failed("convicted", Execution::Unknown),
             };
             if let (Tried::Open(_), Some(tokens)) =
@@ -232,15 +246,24 @@
         patience.min(self.patience())
     }
 
-    fn link(&self, runner: &Upstream, target: Option<&Target>) -> Option<(Link, Option<Version>)> {
-        let (address, version) = {
+    fn line(&self, runner: &Upstream, target: Option<&Target>) -> Option<Line> {
+        let (address, version, release) = {
             let desk = self.hub.desk();
             let known = desk.fleet.upstream(runner)?;
             let version = target.and_then(|target| desk.fleet.newest_version(target));
-            (known.listing.address, version)
+            (known.listing.address, version, known.listing.release)
         };
         let connections = self.service.connections;
-        Some((self.hub.link(runner, address, connections), version))
+        Some(Line {
+            link: self.hub.link(runner, address, connections),
+            version,
+            release,
+        })
+    }
+
+    /// Returns whether the request's stream may be, or go on, at that release.
+    fn fits(&self, release: Release) -> bool {
+        self.release.is_none_or(|began| began == release)
     }
 
     fn request(&self, runner: &Upstream, version: Option<Version>) -> Option<Request<Full<Bytes>>> {
@@ -483,7 +506,7 @@
         status: StatusCode,
         headers: HeaderMap,
         mut body: link::Body,
-        mut visit: Visit<D>,
+        (mut visit, release): (Visit<D>, Release),
         cursor: &mut Cursor,
     ) -> Tried<D> {
         let mut first = Vec::new();
@@ -525,6 +548,7 @@
             faulty,
             body,
             visit,
+            release,
         }))
     }
 
--- a/crates/gateway/src/front/job.rs
+++ b/crates/gateway/src/front/job.rs
@@ -9,6 +9,7 @@
 use dispatch::poison::{self, Fingerprint};
 use exchange::Selection;
 use exchange::demand::Target;
+use exchange::fleet::Release;
 use exchange::outcome::{Execution, FailedAttempt, RetryDecision};
 use exchange::prompt::PartId;
 use exchange::proof::Proof;
@@ -146,6 +147,8 @@
     pub(super) gap: Duration,
     /// Last event of its stream that has reached the caller.
     pub(super) after: Option<u64>,
+    /// Release that its stream began at, once it has begun.
+    pub(super) release: Option<Release>,
     ended: bool,
 }
 
@@ -187,6 +190,7 @@
             first: Duration::ZERO,
             last_part: Time::ZERO,
             gap: Duration::ZERO,
+            release: None,
             ended: false,
         }
     }
@@ -205,6 +209,9 @@
             .desk()
             .spend
             .record_request(now, &self.service.name);
+        if self.ask.takes_up() && self.route.kind.streams() && !self.find_origin().await {
+            return Err(self.refuse_unknown_release());
+        }
         let target = self.target();
         let need = self.need(target.as_ref());
         self.hub.demand(&need);
@@ -220,7 +227,10 @@
                     self.end(response.status().as_u16(), "answered");
                     return Ok(response);
                 }
-                Tried::Open(open) => return Ok(self.relay(*open, cursor)),
+                Tried::Open(open) => {
+                    self.begin_stream(open.release);
+                    return Ok(self.relay(*open, cursor));
+                }
                 Tried::Convicted => return Err(self.refuse_convicted()),
                 Tried::Failed { reach, own } => {
                     cursor.restart();
@@ -233,6 +243,21 @@
         }
     }
 
+    /// Finds out which release began the stream that the caller takes up. Returns whether it is known.
+    async fn find_origin(&mut self) -> bool {
+        let first = self.ask.first_attempt();
+        self.release = self.hub.find_origin(first, &self.service.name).await;
+        self.release.is_some()
+    }
+
+    /// Notes that a stream begins at a release, or goes on there.
+    fn begin_stream(&mut self, release: Release) {
+        self.release = Some(release);
+        if let (true, Some(first)) = (self.route.kind.repeatable(), self.ask.first_attempt()) {
+            self.hub.record_origin(first, release);
+        }
+    }
+
     /// Returns the model that the request needs, where its pool has engines.
     pub(super) fn target(&self) -> Option<Target> {
         self.service.engine.as_ref()?;
@@ -255,6 +280,7 @@
             seed: self.terms.seed,
             urgent: self.terms.rank == 0,
             prefill_time: self.reading(),
+            release: self.release,
         }
     }
 
@@ -368,6 +394,15 @@
         Problem::busy(detail, CONVICTED_AGAIN)
     }
 
+    /// Returns the refusal of a stream that is taken up and must not go on, because it might be at
+    /// another release. No pause is told: only a new stream helps.
+    fn refuse_unknown_release(&mut self) -> Problem {
+        self.end(503, "release-unknown");
+        let detail = "the release of the software that began this stream is not known any more, and \
+                      another one may not continue it; nothing was run, begin a new stream";
+        Problem::new(StatusCode::SERVICE_UNAVAILABLE, Outcome::NotRun, detail)
+    }
+
     fn unknown(&mut self) -> Problem {
         let late = self.left() < LEAST;
         let status = if late {
@@ -408,6 +443,8 @@
             first_ms = self.first.as_millis() as u64,
             gap_ms = self.gap.as_millis() as u64,
             after = self.after.unwrap_or_default(),
+            resumes = self.ask.resumes.as_deref().unwrap_or_default(),
+            release = self.release.unwrap_or_default(),
             took_ms = now.saturating_sub(self.terms.arrived).as_millis() as u64;
             "request"
         );
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -118,7 +118,9 @@
         if let Some(tenant) = &tenant {
             tenant::draw(&self.0, tenant, ask).await?;
         }
-        let pool = route.pool(route::seed(&ask.attempt));
+        // A stream that is taken up belongs to the pool of its first attempt.
+        let first = ask.first_attempt().unwrap_or(&ask.attempt);
+        let pool = route.pool(route::seed(first));
         let Some(service) = pool.and_then(|pool| config.service(pool)) else {
             let detail = "the route names no pool of upstreams; mend the configuration";
             return Err(Problem::busy(detail, ELSEWHERE));
--- a/crates/gateway/src/hub/config.rs
+++ b/crates/gateway/src/hub/config.rs
@@ -41,7 +41,12 @@
         self.metrics
             .revision
             .set(i64::try_from(revision).unwrap_or(i64::MAX));
-        self.desk().fleet.configure(&config);
+        let now = self.clock.now();
+        {
+            let mut desk = self.desk();
+            desk.fleet.configure(&config);
+            desk.origins.routes_changed(now);
+        }
         self.config.store(Some(Arc::new(config)));
         transfer.adopted(revision, document);
         true
--- a/crates/gateway/src/hub/mod.rs
+++ b/crates/gateway/src/hub/mod.rs
@@ -4,6 +4,7 @@
 //! - `culprit` finds what requests that crash upstreams have in common.
 //! - `grant` asks owners and carries out what they want done.
 //! - `load_wait` cancels loads that no request waits for any more.
+//! - `origin` knows at which release of the upstreams streams began.
 //! - `pulse` tells what was read of the platform, and takes over what others tell.
 //! - `search` finds engines for requests.
 //! - `question` waits for answers of other nodes.
@@ -15,6 +16,7 @@
 mod culprit;
 mod grant;
 mod load_wait;
+mod origin;
 mod pulse;
 mod question;
 mod quota;
@@ -39,6 +41,7 @@
 use exchange::route::Config;
 use exchange::search::Waits;
 use exchange::selection::{self, Requirements};
+use exchange::stream_origin::Origins;
 use exchange::{Fleet, Owner};
 use node::clock::{Clock, wall_micros};
 use roster::seeds::Record;
@@ -117,6 +120,8 @@
     pub history: History,
     /// What requests that crash upstreams have in common.
     pub culprits: CulpritDetector,
+    /// Which release began a stream.
+    pub origins: Origins,
     waiters: Vec<Waiter>,
     tickets: Vec<(u64, oneshot::Sender<Grant>)>,
     next_ticket: u64,
@@ -157,6 +162,8 @@
     /// Upstreams of which it is being found out whether they have crashed.
     examined: Mutex<Vec<(Upstream, watch::Receiver<()>)>>,
     /// Never held together with the desk.
+    origin_queries: Mutex<origin::OpenQueries>,
+    /// Never held together with the desk.
     quotas: Mutex<quota::Quotas>,
     /// Never held together with the desk.
     rates: Mutex<rate::Rates>,
@@ -206,6 +213,7 @@
             mirror: ReaderRole::default(),
             history: History::default(),
             culprits: CulpritDetector::new(detection::Config::default(), me.clone()),
+            origins: Origins::default(),
             waiters: Vec::new(),
             tickets: Vec::new(),
             next_ticket: 0,
@@ -228,6 +236,7 @@
             next_request: AtomicU64::new(0),
             verdicts: watch::Sender::new(()),
             examined: Mutex::default(),
+            origin_queries: Mutex::default(),
             quotas: Mutex::default(),
             rates: Mutex::default(),
             desk: Mutex::new(desk),
--- a/crates/gateway/src/hub/pulse.rs
+++ b/crates/gateway/src/hub/pulse.rs
@@ -126,7 +126,7 @@
         take: impl FnOnce(&mut Fleet, Time, Listing) -> fleet::ListingChange,
     ) {
         let now = self.clock.now();
-        let id = listing.id.clone();
+        let (id, release) = (listing.id.clone(), listing.release);
         let change = {
             let mut desk = self.desk();
             let change = take(&mut desk.fleet, now, listing);
@@ -136,7 +136,7 @@
             change
         };
         if change != fleet::ListingChange::Same {
-            info!(target: DECISION, upstream:% = id, change:?; "upstream");
+            info!(target: DECISION, upstream:% = id, change:?, release; "upstream");
         }
         if change == fleet::ListingChange::Restarted {
             self.unlink(&id);
