Answer requests that a leaving node cannot finish in its grace time

A report of other operators: in a planned stop, requests that came late were passed on and cut at the end of the grace time with no answer, among them calls that may not be repeated. A node here takes no requests late: it listens for 1.4 times to live of its address, a third of the grace time at most. What it took by then and did not finish was cut without an answer, though: a call of 6 s beside a grace time of 4 s.

Cause: the process ended with the calls under way, and their connections with it. Change: when the grace time is nearly over, callers without an answer's head get 502 with the outcome unknown. Streams that have begun are broken off as before, so that they can be taken up.

--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -154,7 +154,12 @@
         let hub = &self.0;
         let flight = hub.enter();
         let ask = hub.dialect.ask(request.headers());
-        let mut response = match self.answer(request, &ask).await {
+        let answer = tokio::select! {
+            biased;
+            answer = self.answer(request, &ask) => answer,
+            () = hub.ending() => Err(ending()),
+        };
+        let mut response = match answer {
             Ok(response) => response,
             Err(problem) => refusal(hub, &ask, problem),
         };
@@ -173,6 +178,13 @@
     }
 }
 
+/// Returns the answer to a request that is under way when the process ends.
+fn ending() -> Problem {
+    let detail = "this node ends before the request is done, and an upstream may have run it; \
+                  send it to another node only if it may run twice";
+    Problem::new(StatusCode::BAD_GATEWAY, Outcome::Unknown, detail)
+}
+
 fn refusal<D: Dialect>(hub: &Hub<D>, ask: &Ask, problem: Problem) -> Response<Body> {
     let again = problem.retry_after;
     let mut response = problem.into_response();
--- a/crates/gateway/src/hub/mod.rs
+++ b/crates/gateway/src/hub/mod.rs
@@ -173,6 +173,8 @@
     links: Mutex<Vec<(Upstream, SocketAddr, Link)>>,
     met: AtomicBool,
     leaving: AtomicBool,
+    /// Whether the process is about to end, whatever is still under way.
+    ending: watch::Sender<bool>,
     flying: AtomicI64,
     store_answered: AtomicU64,
     store_heard: AtomicU64,
@@ -244,6 +246,7 @@
             links: Mutex::new(Vec::new()),
             met: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
+            ending: watch::Sender::new(false),
             flying: AtomicI64::new(0),
             store_answered: AtomicU64::new(0),
             store_heard: AtomicU64::new(0),
@@ -280,6 +283,20 @@
         self.leaving.store(true, Ordering::Relaxed);
     }
 
+    /// Ends what is still under way: its callers are answered as far as that is possible.
+    pub fn set_ending(&self) {
+        self.ending.send_replace(true);
+    }
+
+    /// Waits until the process is about to end.
+    pub async fn ending(&self) {
+        let mut ending = self.ending.subscribe();
+        if ending.wait_for(|ending| *ending).await.is_err() {
+            // Only the end of the process drops the sender.
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Counts a request in until the guard is dropped.
     pub fn enter(self: &Arc<Self>) -> Flight<D> {
         self.metrics
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -134,8 +134,9 @@
             tokio::time::sleep(DRAIN_STEP).await;
         }
         let cut = hub.flying();
+        hub.set_ending();
         for front in self.fronts {
-            // What is left are idle connections, or requests that are reported as cut.
+            // What is left are idle connections, or streams that are reported as cut.
             let _ = tokio::time::timeout(DRAIN_STEP, front).await;
         }
         info!(target: DECISION, cut; "stop");
