Read the manifest beside watches, on watchers too

On the product's own interface, operators of a region whose nodes all watch (one, or one in each availability zone) would not get a new revision in force for up to two minutes after the platform had been restored from a copy: a watch waits for a platform revision above the one known, and the restored platform gives lower ones out again. The same class as on the users' platform; larger regions were kept up by the reads of nodes that do not watch.

Change: watchers take part in the manifest reads, about one a second over a region as before, also while their watch waits.

--- a/crates/confsync/src/replicator/platform.rs
+++ b/crates/confsync/src/replicator/platform.rs
@@ -24,8 +24,9 @@
 /// revision may have been reset to a lower one.
 const WATCHES_PER_READ: u32 = 4;
 
-/// Interval between manifest reads by nodes that do not watch, over the whole region. Platform
-/// replicas may differ, and the watchers may be connected to stale ones.
+/// Interval between manifest reads over the whole region, beside the watches. Platform replicas may
+/// differ, and the watchers may be connected to stale ones. A platform that was restored from a copy
+/// gives revisions out again, and a watch from a higher one learns nothing until it has caught up.
 const PERIODIC_READ_INTERVAL: Duration = Duration::from_secs(1);
 
 /// State of the platform calls.
@@ -41,7 +42,7 @@
     failures: u32,
     empty_watches: u32,
     read_again: bool,
-    /// When this node next reads the manifest while it does not watch.
+    /// When this node next reads the manifest beside watches.
     next_periodic_read: Time,
     malformed: Option<Digest>,
 }
@@ -65,11 +66,10 @@
     }
 
     pub(super) fn wake(&self) -> Option<Time> {
-        let busy = self.watching || self.reading;
         let due = (self.watches || self.read_again).then_some(self.next);
-        let periodic_read = (!self.watches).then_some(self.next_periodic_read);
-        let due = due.into_iter().chain(periodic_read).min();
-        due.filter(|_| !busy)
+        let due = due.filter(|_| !self.watching);
+        let due = due.into_iter().chain([self.next_periodic_read]).min();
+        due.filter(|_| !self.reading)
     }
 }
 
@@ -80,7 +80,7 @@
         if !due {
             return;
         }
-        let periodic_read_due = !self.platform.watches && self.platform.next_periodic_read <= now;
+        let periodic_read_due = self.platform.next_periodic_read <= now;
         if periodic_read_due {
             self.platform.next_periodic_read = now + self.periodic_read_wait();
         }
--- a/crates/confsync/tests/site/mod.rs
+++ b/crates/confsync/tests/site/mod.rs
@@ -59,6 +59,17 @@
         self.values.insert(key.to_owned(), value);
     }
 
+    /// Returns a copy of the values, with the platform's revision.
+    pub fn copy(&self) -> (Revision, BTreeMap<String, Value>) {
+        (self.revision, self.values.clone())
+    }
+
+    /// Comes back from a copy; the revisions given out since are given out again.
+    pub fn restore(&mut self, (revision, values): (Revision, BTreeMap<String, Value>)) {
+        self.revision = revision;
+        self.values = values;
+    }
+
     /// Saves the copy that is served while `serves_stale` is set.
     pub fn snapshot_stale(&mut self) {
         self.stale = self.values.clone();
--- a/crates/confsync/tests/time_to_force.rs
+++ b/crates/confsync/tests/time_to_force.rs
@@ -130,3 +130,24 @@
     net.run_till(FORCE_FLEET, all_in_force(2))
         .expect("the node that reads it offers it to the others");
 }
+
+/// Guards against watches that wait for a revision which the platform, restored from an older copy, has
+/// not given out again: a new configuration is then at a revision below theirs.
+#[rstest]
+#[case::one(1)]
+#[case::only_watchers(3)]
+#[case::seven(7)]
+fn restored_platform(#[case] nodes: usize) {
+    let (mut net, service) = site::<Replicator>(7, nodes, 0);
+    let copy = service.borrow().copy();
+    for revision in 2..6 {
+        service.borrow_mut().publish(revision, &contents(revision, 8));
+        net.run_till(FORCE_FLEET, all_in_force(revision))
+            .expect("the revision is in force in time");
+    }
+    service.borrow_mut().restore(copy);
+    net.run(Duration::from_secs(3));
+    service.borrow_mut().publish(6, &contents(6, 8));
+    net.run_till(FORCE_P99, all_in_force(6))
+        .expect("the revision is in force in time");
+}
