Tell all nodes of a small fleet which release began a stream

Cause: three of six other nodes were told of a stream, so that the last one knew half of them; beside those that could not be served in time, under half of the share of new streams went on. The sites ask for any number of lost machines to be borne.

Change: the first other node in the order of a stream is told at once, five more in batches every 0.4 s within a budget of bytes.

--- a/crates/exchange/src/fleet/listing.rs
+++ b/crates/exchange/src/fleet/listing.rs
@@ -12,11 +12,12 @@
 
 /// Identifies a release of the software of a pool's upstreams: a hash of the pool and the release's
 /// name. Streams of two releases do not fit together.
-pub type Release = u64;
+pub type Release = u32;
 
 /// Returns the release of that name in a pool.
 pub fn release(pool: &str, name: &str) -> Release {
-    rank::weight(rank::hash(name), pool)
+    let hash = rank::weight(rank::hash(name), pool);
+    (hash >> 32) as Release
 }
 
 /// A base model that an engine holds, with its adapters.
--- a/crates/exchange/src/stream_origin.rs
+++ b/crates/exchange/src/stream_origin.rs
@@ -2,9 +2,10 @@
 //!
 //! What two releases of an upstream's software write does not fit together, so a stream may go on only
 //! at the release that began it. A caller may take its stream up at any node. When a stream begins,
-//! its node therefore tells a few others, the first ones in the rendezvous order of the stream, and a
-//! node that is asked for a stream that it does not know asks them. While a pool has had a single
-//! release for longer than any stream lasts, nobody needs to be told.
+//! its node therefore tells the first node in the rendezvous order of the stream at once and the next
+//! ones within a moment, in batches. A node that is asked for a stream that it does not know asks
+//! them. In a small fleet these are all nodes, so that the last one that is left knows each stream.
+//! While a pool has had a single release for longer than any stream lasts, nobody needs to be told.
 //!
 //! A release that nobody knows is unknown. It cannot be concluded from the upstreams that serve now:
 //! those that began the stream may be gone.
@@ -12,7 +13,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use wire::{Time, rank};
+use wire::{Time, Vm, rank};
 
 use crate::fleet::{Listing, Release};
 use crate::route::PoolName;
@@ -20,13 +21,21 @@
 /// Identifies a stream: a hash of the caller's attempt that brought its first event.
 pub type StreamId = u64;
 
-/// Number of nodes that are told of a stream. Three of them and the node that began it have to be lost
-/// for the release to be unknown.
-pub const RECORDERS: usize = 3;
+/// Number of nodes that are told of a stream, and asked for it.
+pub const RECORDERS: usize = 6;
 
-/// Number of nodes that are asked for a stream. Nodes that have started since may come before those
-/// that were told.
-pub const ASKED_NODES: usize = 6;
+/// Time in which streams are collected before further nodes are told.
+const BATCH_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Bytes per second for batches. In a large fleet each stream has other recorders, and batches save
+/// little: the last ones of the order are left out then.
+const BATCH_BYTES_PER_SECOND: f64 = 3_000.0;
+
+/// Bytes of a datagram beside its records.
+const DATAGRAM_BYTES: f64 = 64.0;
+
+/// Bytes of a record.
+const RECORD_BYTES: f64 = 15.0;
 
 /// Longest life of a stream, with all tries of its caller to take it up.
 pub const STREAM_AGE_MAX: Duration = Duration::from_secs(120);
@@ -90,8 +99,11 @@
 pub struct Origins {
     /// Sorted by stream.
     records: Vec<Record>,
-    /// Streams of this node that others have not been told of.
+    /// Streams of this node that nobody has been told of.
     untold: Vec<(StreamId, Release)>,
+    /// Streams of this node that the first of the others have been told of, and since when.
+    batch: Vec<(StreamId, Release)>,
+    batch_since: Time,
     pools: Vec<UniformPool>,
 }
 
@@ -166,8 +178,8 @@
         found.map(|index| self.records[index].release)
     }
 
-    /// Takes out the streams of this node that others have to be told of. Those of the only release
-    /// of a pool are kept back until it has another one.
+    /// Takes out the streams of this node that the first node of their order is to be told of. Those of
+    /// the only release of a pool are kept back until it has another one.
     pub fn take_untold(&mut self, now: Time) -> Vec<(StreamId, Release)> {
         let pools = &self.pools;
         let is_only = |release: Release| {
@@ -177,7 +189,46 @@
         let untold = self
             .untold
             .extract_if(.., |(_, release)| !is_only(*release));
-        untold.collect()
+        let untold: Vec<(StreamId, Release)> = untold.collect();
+        if self.batch.is_empty() {
+            self.batch_since = now;
+        }
+        self.batch.extend(&untold);
+        untold
+    }
+
+    /// Takes out what further nodes are to be told once a batch is due. `order` returns the other nodes
+    /// in the rendezvous order of a stream.
+    pub fn take_batch(
+        &mut self,
+        now: Time,
+        order: impl Fn(StreamId) -> Vec<Vm>,
+    ) -> Vec<(Vm, Vec<(StreamId, Release)>)> {
+        let waited = now.saturating_sub(self.batch_since);
+        if waited < BATCH_INTERVAL {
+            return Vec::new();
+        }
+        let streams = std::mem::take(&mut self.batch);
+        let orders: Vec<Vec<Vm>> = streams.iter().map(|(stream, _)| order(*stream)).collect();
+        let mut budget = BATCH_BYTES_PER_SECOND * BATCH_INTERVAL.as_secs_f64();
+        let mut lists: Vec<(Vm, Vec<(StreamId, Release)>)> = Vec::new();
+        for position in 1..RECORDERS {
+            for (record, order) in streams.iter().zip(&orders) {
+                let Some(vm) = order.get(position) else {
+                    continue;
+                };
+                let known = lists.iter().position(|(known, _)| known == vm);
+                budget -= RECORD_BYTES + known.map_or(DATAGRAM_BYTES, |_| 0.0);
+                if budget < 0.0 {
+                    return lists;
+                }
+                match known {
+                    Some(index) => lists[index].1.push(*record),
+                    None => lists.push((vm.clone(), vec![*record])),
+                }
+            }
+        }
+        lists
     }
 
     /// Forgets streams that have ended for certain.
--- a/crates/exchange/tests/stream_origins.rs
+++ b/crates/exchange/tests/stream_origins.rs
@@ -5,9 +5,7 @@
 use std::time::Duration;
 
 use exchange::fleet::{Listing, Release, release};
-use exchange::stream_origin::{
-    ASKED_NODES, Message, Origins, RECORDERS, STREAM_AGE_MAX, StreamId, stream_id,
-};
+use exchange::stream_origin::{Message, Origins, RECORDERS, STREAM_AGE_MAX, StreamId, stream_id};
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
@@ -135,6 +133,11 @@
     rng: StdRng,
 }
 
+fn number(vm: &Vm) -> usize {
+    let number = vm.trim_start_matches("vm-").parse();
+    number.expect("a node's name")
+}
+
 /// What became of take-ups.
 #[derive(Debug, Default)]
 struct Outcome {
@@ -172,12 +175,11 @@
             .collect()
     }
 
-    fn ranked(&self, stream: StreamId, count: usize, except: usize) -> Vec<usize> {
+    /// Returns the recorders of a stream beside a node.
+    fn order(&self, stream: StreamId, except: usize) -> Vec<Vm> {
         let others = self.alive().into_iter().filter(|index| *index != except);
-        let vms: Vec<Vm> = others.map(|index| self.nodes[index].0.clone()).collect();
-        let top = rank::top(stream, vms, count);
-        let number = |vm: &Vm| vm.trim_start_matches("vm-").parse().ok();
-        top.iter().filter_map(number).collect()
+        let vms = others.map(|index| self.nodes[index].0.clone());
+        rank::top(stream, vms, RECORDERS)
     }
 
     fn begin(&mut self, now: Time, node: usize, release: Release) {
@@ -196,24 +198,33 @@
         self.tell(now, node);
     }
 
+    /// Tells other nodes of what a node has begun.
     fn tell(&mut self, now: Time, node: usize) {
-        let untold = self.nodes[node]
-            .1
-            .as_mut()
-            .map(|origins| origins.take_untold(now));
-        for record in untold.unwrap_or_default() {
-            for to in self.ranked(record.0, RECORDERS, node) {
-                let message = Message::Began(vec![record]);
-                let bytes = wire::frame::encode(&message).expect("encodes").len();
-                self.bytes += bytes + DATAGRAM_OVERHEAD;
-                if self.rng.random_bool(LOSS) {
-                    continue;
-                }
-                if let (Some(origins), Message::Began(streams)) = (&mut self.nodes[to].1, message) {
-                    origins.told(now, &streams);
-                }
+        let Some(mut origins) = self.nodes[node].1.take() else {
+            return;
+        };
+        for record in origins.take_untold(now) {
+            if let Some(vm) = self.order(record.0, node).first() {
+                self.send(now, vm, vec![record]);
             }
         }
+        for (vm, streams) in origins.take_batch(now, |stream| self.order(stream, node)) {
+            self.send(now, &vm, streams);
+        }
+        self.nodes[node].1 = Some(origins);
+    }
+
+    fn send(&mut self, now: Time, to: &Vm, streams: Vec<(StreamId, Release)>) {
+        let message = Message::Began(streams);
+        let bytes = wire::frame::encode(&message).expect("encodes").len();
+        self.bytes += bytes + DATAGRAM_OVERHEAD;
+        if self.rng.random_bool(LOSS) {
+            return;
+        }
+        let origins = self.nodes[number(to)].1.as_mut();
+        if let (Some(origins), Message::Began(streams)) = (origins, message) {
+            origins.told(now, &streams);
+        }
     }
 
     /// Kills nodes and takes the streams up that went through them.
@@ -236,11 +247,9 @@
         let mut outcome = Outcome::default();
         for stream in broken {
             let at = alive[self.rng.random_range(0..alive.len())];
-            let mut asked = self.ranked(stream.id, ASKED_NODES, at);
-            asked.push(at);
-            let known = asked
-                .iter()
-                .find_map(|node| self.nodes[*node].1.as_ref()?.release(stream.id));
+            let order = self.order(stream.id, at);
+            let mut asked = order.iter().map(number).chain([at]);
+            let known = asked.find_map(|node| self.nodes[node].1.as_ref()?.release(stream.id));
             let concluded = self.nodes[at]
                 .1
                 .as_ref()
@@ -294,6 +303,9 @@
                 origins.get_or_insert_default();
             }
         }
+        for node in 0..nodes {
+            fleet.tell(now, node);
+        }
         now += STEP;
     }
     let bytes = fleet.bytes as f64 / nodes as f64 / span.as_secs_f64();
@@ -316,6 +328,15 @@
     let (one, bytes) = play(fleet, 0.0);
     assert!(one.joined == 0 && one.unknown * 100 <= one.known, "{one:?}");
     assert!(bytes <= CONTROL_BYTES, "{bytes}");
+    // The last node that is left knows what it was told.
+    if nodes <= RECORDERS + 1 {
+        let most = 1.0 - 1.0 / nodes as f64;
+        let (left, _) = play(fleet, most);
+        assert!(
+            left.joined == 0 && left.unknown * 5 <= left.known,
+            "{left:?}"
+        );
+    }
     let (half, _) = play(fleet, 0.5);
     assert!(half.joined == 0 && half.unknown <= half.known, "{half:?}");
     let (all, _) = play(fleet, 1.0);
--- a/crates/gateway/src/hub/origin.rs
+++ b/crates/gateway/src/hub/origin.rs
@@ -3,9 +3,7 @@
 use std::sync::PoisonError;
 
 use exchange::fleet::Release;
-use exchange::stream_origin::{
-    ASKED_NODES, Message, RECORDERS, RECORDS_PER_MESSAGE, StreamId, stream_id,
-};
+use exchange::stream_origin::{Message, RECORDERS, RECORDS_PER_MESSAGE, StreamId, stream_id};
 use tokio::sync::mpsc;
 use wire::{Vm, rank};
 
@@ -70,7 +68,7 @@
 
     async fn ask_origin(&self, stream: StreamId) -> Option<Release> {
         for _ in 0..ROUNDS {
-            let asked = self.others_by_rank(stream, ASKED_NODES);
+            let asked = self.others_by_rank(stream);
             let (ticket, answers) = self.origin_queries().open();
             for vm in &asked {
                 self.send_origin(vm, Message::Query { ticket, stream });
@@ -113,27 +111,27 @@
     fn tell_origins(&self) {
         let now = self.clock.now();
         let untold = self.desk().origins.take_untold(now);
-        let mut lists: Vec<(Vm, Vec<(StreamId, Release)>)> = Vec::new();
-        for (stream, release) in untold {
-            for vm in self.others_by_rank(stream, RECORDERS) {
-                match lists.iter_mut().find(|(known, _)| *known == vm) {
-                    Some((_, list)) => list.push((stream, release)),
-                    None => lists.push((vm, vec![(stream, release)])),
-                }
+        for record in untold {
+            if let Some(vm) = self.others_by_rank(record.0).first() {
+                self.send_origin(vm, Message::Began(vec![record]));
             }
         }
-        for (vm, list) in lists {
-            for part in list.chunks(RECORDS_PER_MESSAGE) {
+        let batch = {
+            let order = |stream| self.others_by_rank(stream);
+            self.desk().origins.take_batch(now, order)
+        };
+        for (vm, streams) in batch {
+            for part in streams.chunks(RECORDS_PER_MESSAGE) {
                 self.send_origin(&vm, Message::Began(part.to_vec()));
             }
         }
     }
 
     /// Returns the first live nodes beside this one in the rendezvous order of a stream.
-    fn others_by_rank(&self, stream: StreamId, count: usize) -> Vec<Vm> {
+    fn others_by_rank(&self, stream: StreamId) -> Vec<Vm> {
         let peers = self.peers.load();
         let others = peers.live.iter().filter(|vm| **vm != self.me.vm);
-        rank::top(stream, others.cloned(), count)
+        rank::top(stream, others.cloned(), RECORDERS)
     }
 
     fn send_origin(&self, vm: &Vm, message: Message) {
