Soak: stores that come back older, two releases, streams that are taken up

The store comes back from copies of 0.3 to 3 s, half of the times at once and without a call that fails, with everything written again at revisions that were there before; else away and written again after a while. Upstreams of two releases serve side by side, some start again under their id. Callers take broken streams up, also after kills of all nodes. The checks know ORDER over all tries of a caller, and LOST for take-ups in calm while two upstreams of their release serve.

Bounds are as before.

--- a/crates/confsync/tests/time_to_force.rs
+++ b/crates/confsync/tests/time_to_force.rs
@@ -141,7 +141,9 @@
     let (mut net, service) = site::<Replicator>(7, nodes, 0);
     let copy = service.borrow().copy();
     for revision in 2..6 {
-        service.borrow_mut().publish(revision, &contents(revision, 8));
+        service
+            .borrow_mut()
+            .publish(revision, &contents(revision, 8));
         net.run_till(FORCE_FLEET, all_in_force(revision))
             .expect("the revision is in force in time");
     }
--- a/crates/hyssopscale/tests/fault_soak.rs
+++ b/crates/hyssopscale/tests/fault_soak.rs
@@ -19,7 +19,8 @@
 /// Returns the plan of a seed. Every fourth one goes up to the limits; in every fifth one, a node's
 /// log is not read; in every seventh one, engines do not look at fencing numbers; in every third one,
 /// two callers send requests that crash what runs them. In three of five, three callers send requests
-/// of which one part of the prompt does. In every second one, upstreams announce rates.
+/// of which one part of the prompt does. In every second one, upstreams announce rates. In three of four,
+/// the store comes back from older copies and upstreams of two releases serve side by side.
 fn plan(seed: u64) -> Plan {
     let to_the_limits = seed.is_multiple_of(4);
     let has_bad_part = seed.is_multiple_of(5) || seed % 4 > 1;
@@ -34,6 +35,8 @@
         part_villains: if has_bad_part { 3 } else { 0 },
         shared_middles: seed % 8 > 3,
         rates: !seed.is_multiple_of(2),
+        restores: seed % 4 != 2,
+        releases: seed % 4 != 2,
     }
 }
 
--- a/crates/hyssopscale/tests/soak/caller.rs
+++ b/crates/hyssopscale/tests/soak/caller.rs
@@ -15,7 +15,7 @@
 use upstream::link::{self, Call, Class, Host, Limits, Link, Reuse};
 
 use super::config::HOST;
-use super::upstream::{BAD_PART, EVENTS, FIRST_PART, POISON, event};
+use super::upstream::{BAD_PART, EVENTS, FIRST_PART, POISON, read_events};
 
 /// Attempt that all probes share.
 pub const PROBE: &str = "probe";
@@ -108,6 +108,37 @@
     pub sent: Instant,
     pub done: Instant,
     pub outcome: Outcome,
+    /// The attempt that brought the first event of the stream that it takes up.
+    pub resumes: Option<String>,
+    /// Releases of the events that it brought.
+    pub releases: Vec<String>,
+}
+
+/// A stream as far as its caller has it.
+#[derive(Clone, Debug, Default)]
+struct Begun {
+    /// The attempt that brought its first event.
+    first: Option<String>,
+    /// Events so far.
+    events: u64,
+}
+
+/// An answer.
+struct Reply {
+    outcome: Outcome,
+    headers: HeaderMap,
+    /// Releases of the events that it brought.
+    releases: Vec<String>,
+}
+
+impl Reply {
+    fn of(outcome: Outcome) -> Self {
+        Self {
+            outcome,
+            headers: HeaderMap::new(),
+            releases: Vec::new(),
+        }
+    }
 }
 
 /// One caller.
@@ -188,15 +219,9 @@
             let attempt = format!("{}-{}", self.name, self.number);
             let path = format!("{}/{POISON}", kind.path());
             let sent = Instant::now();
-            let (outcome, _) = self.send(node, kind, &path, &attempt, 0).await;
-            self.asks.push(Ask {
-                attempt,
-                kind,
-                node,
-                sent,
-                done: Instant::now(),
-                outcome,
-            });
+            let begun = Begun::default();
+            let reply = self.send(node, kind, &path, &attempt, 0, &begun).await;
+            self.push(attempt, kind, node, sent, reply, None);
         }
         self.asks
     }
@@ -216,16 +241,18 @@
             let adapter = self.rng.random_range(0..ADAPTERS / 2);
             let prompt = format!("{FIRST_PART}:50,{BAD_PART}:30,{attempt}:20");
             let sent = Instant::now();
-            let sending = self.send_prompt(node, Kind::Stream, &path, &attempt, adapter, &prompt);
-            let (outcome, _) = sending.await;
-            self.asks.push(Ask {
-                attempt,
-                kind: Kind::Stream,
+            let begun = Begun::default();
+            let sending = self.send_prompt(
                 node,
-                sent,
-                done: Instant::now(),
-                outcome,
-            });
+                Kind::Stream,
+                &path,
+                &attempt,
+                adapter,
+                &prompt,
+                &begun,
+            );
+            let reply = sending.await;
+            self.push(attempt, Kind::Stream, node, sent, reply, None);
         }
         self.asks
     }
@@ -235,35 +262,34 @@
         // The smallest of two draws: some adapters are popular.
         let draws: [u32; 2] = [(); 2].map(|()| self.rng.random_range(0..ADAPTERS));
         let adapter = draws[0].min(draws[1]);
+        let mut begun = Begun::default();
         for number in 0..TRIES {
             let Some(node) = self.node().await else {
                 return sleep(Duration::from_millis(100)).await;
             };
             let attempt = format!("{}-{}-{number}", self.name, self.number);
             let sent = Instant::now();
-            let (outcome, headers) = match self.gives_up() {
+            let path = kind.path();
+            let reply = match self.gives_up() {
                 Some(after) => {
-                    let answer =
-                        timeout(after, self.send(node, kind, kind.path(), &attempt, adapter));
-                    answer.await.unwrap_or((Outcome::Left, HeaderMap::new()))
+                    let answer = self.send(node, kind, path, &attempt, adapter, &begun);
+                    let answer = timeout(after, answer).await;
+                    answer.unwrap_or_else(|_| Reply::of(Outcome::Left))
                 }
-                None => self.send(node, kind, kind.path(), &attempt, adapter).await,
+                None => self.send(node, kind, path, &attempt, adapter, &begun).await,
             };
-            let again = pause(kind, &outcome, &headers);
-            let closes = headers
-                .get(CONNECTION)
-                .is_some_and(|value| value == "close");
-            if closes || !matches!(outcome, Outcome::Answered { .. }) {
+            let again = pause(kind, &reply.outcome, &reply.headers);
+            let closes = reply.headers.get(CONNECTION);
+            let closes = closes.is_some_and(|value| value == "close");
+            if closes || !matches!(reply.outcome, Outcome::Answered { .. }) {
                 self.present = None;
             }
-            self.asks.push(Ask {
-                attempt,
-                kind,
-                node,
-                sent,
-                done: Instant::now(),
-                outcome,
-            });
+            let resumes = begun.first.clone();
+            if kind == Kind::Stream && !reply.releases.is_empty() {
+                begun.first.get_or_insert_with(|| attempt.clone());
+                begun.events += reply.releases.len() as u64;
+            }
+            self.push(attempt, kind, node, sent, reply, resumes);
             match again {
                 Some(again) => sleep(again).await,
                 None => return,
@@ -271,6 +297,27 @@
         }
     }
 
+    fn push(
+        &mut self,
+        attempt: String,
+        kind: Kind,
+        node: usize,
+        sent: Instant,
+        reply: Reply,
+        resumes: Option<String>,
+    ) {
+        self.asks.push(Ask {
+            attempt,
+            kind,
+            node,
+            sent,
+            done: Instant::now(),
+            outcome: reply.outcome,
+            resumes,
+            releases: reply.releases,
+        });
+    }
+
     /// Returns the time after which the caller leaves, where it does.
     fn gives_up(&mut self) -> Option<Duration> {
         let leaves = self.rng.random_ratio(1, GIVEN_UP);
@@ -284,17 +331,19 @@
         path: &str,
         attempt: &str,
         adapter: u32,
-    ) -> (Outcome, HeaderMap) {
+        begun: &Begun,
+    ) -> Reply {
         let middle = if self.shared_middles {
             attempt.len() as u32
         } else {
             path.len() as u32 * 5 + attempt.len() as u32 * 7 + adapter
         };
         let prompt = format!("{FIRST_PART}:50,m{}:30,{attempt}:20", middle % MIDDLES);
-        self.send_prompt(node, kind, path, attempt, adapter, &prompt)
+        self.send_prompt(node, kind, path, attempt, adapter, &prompt, begun)
             .await
     }
 
+    #[allow(clippy::too_many_arguments, reason = "the parts of a request")]
     async fn send_prompt(
         &self,
         node: usize,
@@ -303,8 +352,9 @@
         attempt: &str,
         adapter: u32,
         prompt: &str,
-    ) -> (Outcome, HeaderMap) {
-        let builder = Request::builder()
+        begun: &Begun,
+    ) -> Reply {
+        let mut builder = Request::builder()
             .method(Method::POST)
             .uri(path)
             .header("host", HOST)
@@ -313,6 +363,11 @@
             .header("x-model", format!("base/a{adapter}"))
             .header("x-prompt-prefix", prompt)
             .header("x-token-usage", "100,20");
+        if let Some(first) = &begun.first {
+            builder = builder
+                .header("last-event-id", begun.events.to_string())
+                .header("resumes", first);
+        }
         let call = Call {
             class: Class::Ordinary,
             reuse: Reuse::Kept,
@@ -322,28 +377,47 @@
         };
         let answer = timeout(PATIENCE, self.links[node].send(call));
         let response = match answer.await {
-            Err(_) => return (Outcome::Late, HeaderMap::new()),
+            Err(_) => return Reply::of(Outcome::Late),
             Ok(Err(error)) if error.reach() == Reach::NotSent => {
-                return (Outcome::Unsent, HeaderMap::new());
+                return Reply::of(Outcome::Unsent);
             }
-            Ok(Err(upstream::Error::Timeout { .. })) => return (Outcome::Late, HeaderMap::new()),
-            Ok(Err(error)) => return (Outcome::Closed(error.to_string()), HeaderMap::new()),
+            Ok(Err(upstream::Error::Timeout { .. })) => return Reply::of(Outcome::Late),
+            Ok(Err(error)) => return Reply::of(Outcome::Closed(error.to_string())),
             Ok(Ok(response)) => response,
         };
         let (head, body) = response.into_parts();
-        let Some(text) = read(body).await else {
-            return (Outcome::Cut, head.headers);
-        };
-        let whole = match kind {
-            Kind::Call | Kind::Lookup => attempt.to_owned(),
-            Kind::Stream | Kind::Story => (1..=EVENTS).map(|id| event(attempt, id)).collect(),
+        let (text, whole) = read(body).await;
+        let streams = matches!(kind, Kind::Stream | Kind::Story);
+        let events = (streams && head.status == StatusCode::OK).then(|| {
+            // A part of an event at the end of a broken stream does not count.
+            let end = text.rfind("\n\n").map_or(0, |end| end + 2);
+            read_events(&text[..end], attempt, begun.events)
+        });
+        let left = EVENTS - begun.events;
+        let complete = match &events {
+            Some(events) => events
+                .as_ref()
+                .is_some_and(|events| events.len() as u64 == left),
+            None => text == attempt,
         };
         let signed = head.headers.contains_key("x-response-signature");
-        let outcome = Outcome::Answered {
-            status: head.status.as_u16(),
-            sound: head.status != StatusCode::OK || (text == whole && signed),
+        let outcome = match &events {
+            // Foreign events are not excused by a break.
+            Some(None) => Outcome::Answered {
+                status: head.status.as_u16(),
+                sound: false,
+            },
+            _ if !whole => Outcome::Cut,
+            _ => Outcome::Answered {
+                status: head.status.as_u16(),
+                sound: head.status != StatusCode::OK || (complete && signed),
+            },
         };
-        (outcome, head.headers)
+        Reply {
+            outcome,
+            headers: head.headers,
+            releases: events.flatten().unwrap_or_default(),
+        }
     }
 
     /// Returns the node to use: the present one where the caller stays, or one that is known.
@@ -404,13 +478,14 @@
     (promise || !kind.once()).then(|| Duration::from_secs_f64(after).min(PATIENCE / 3))
 }
 
-async fn read(mut body: link::Body) -> Option<String> {
+/// Reads a body, and tells whether it is whole.
+async fn read(mut body: link::Body) -> (String, bool) {
     let mut text = String::new();
     loop {
         match timeout(PATIENCE, body.next()).await {
             Ok(Ok(Some(part))) => text.push_str(&String::from_utf8_lossy(&part)),
-            Ok(Ok(None)) => return Some(text),
-            _ => return None,
+            Ok(Ok(None)) => return (text, true),
+            _ => return (text, false),
         }
     }
 }
@@ -429,5 +504,6 @@
     };
     let response = timeout(limit, link(address).send(call)).await.ok()?.ok()?;
     let status = response.status().as_u16();
-    Some((status, read(response.into_body()).await?))
+    let (text, whole) = read(response.into_body()).await;
+    whole.then_some((status, text))
 }
--- a/crates/hyssopscale/tests/soak/check.rs
+++ b/crates/hyssopscale/tests/soak/check.rs
@@ -10,7 +10,7 @@
 use super::caller::{Ask, Kind, Outcome, PROBE, get};
 use super::fault::Event;
 use super::process::{Deed, SETTLING};
-use super::upstream::{Arrival, BAD_PART, POISON, Run, Said, Word};
+use super::upstream::{Arrival, BAD_PART, POISON, Run, Said, Service, Word};
 
 /// Statuses that promise that nothing ran.
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
@@ -45,6 +45,10 @@
 /// Sound requests from which their share is judged.
 const SOUND_MIN: usize = 20;
 
+/// Take-ups of streams from which their share is judged, and upstreams of a release that have to serve.
+const TAKE_UPS_MIN: usize = 12;
+const SERVING_MIN: usize = 2;
+
 /// Window of an announced rate, and the time after which a node that was told of it is bound.
 const RATE_WINDOW: Duration = Duration::from_secs(4);
 const TOLD: Duration = Duration::from_millis(500);
@@ -82,6 +86,8 @@
     pub words: Vec<Word>,
     /// Paths of requests that crashed an upstream, and when.
     pub crashes: Vec<(String, Instant)>,
+    /// Processes of upstreams.
+    pub services: Vec<Service>,
     pub probes: Vec<Probe>,
     pub events: Vec<Event>,
     /// When the time begins in which no fault begins.
@@ -94,9 +100,11 @@
         let served = self.asks.iter().filter(|ask| is_served(ask)).count();
         let (asks, runs, faults) = (self.asks.len(), self.runs.len(), self.events.len());
         let (words, crashes) = (self.words.len(), self.crashes.len());
+        let take_ups = self.asks.iter().filter(|ask| ask.resumes.is_some());
+        let take_ups = take_ups.count();
         format!(
             "{asks} attempts, {served} served, {runs} runs, {faults} faults, {words} words, \
-             {crashes} crashes under {} offences and {} by a part",
+             {crashes} crashes under {} offences and {} by a part, {take_ups} streams taken up",
             self.offences.len(),
             self.part_offences.len()
         )
@@ -171,9 +179,74 @@
     breaches.extend(check_words(evidence, site));
     breaches.extend(check_part(evidence, site));
     breaches.extend(check_rates(evidence, site));
+    breaches.extend(check_releases(evidence));
+    breaches.extend(check_take_ups(evidence, site));
     breaches
 }
 
+/// Checks that no stream holds events of two releases, over all tries of its caller.
+fn check_releases(evidence: &Evidence) -> Vec<String> {
+    let mut streams: BTreeMap<&str, Vec<&Ask>> = BTreeMap::new();
+    for ask in &evidence.asks {
+        let first = ask.resumes.as_deref().unwrap_or(&ask.attempt);
+        streams.entry(first).or_default().push(ask);
+    }
+    let joined = streams.into_iter().filter(|(_, asks)| {
+        let mut releases = asks.iter().flat_map(|ask| &ask.releases);
+        let first = releases.next();
+        releases.any(|release| Some(release) != first)
+    });
+    joined
+        .map(|(first, asks)| format!("ORDER: {first} has events of two releases: {asks:?}"))
+        .collect()
+}
+
+/// Checks that streams which are taken up in calm go on, while two upstreams of their release serve.
+fn check_take_ups(evidence: &Evidence, site: &Site) -> Vec<String> {
+    let calm = |ask: &&Ask| {
+        let node = &site.nodes[ask.node];
+        ask.outcome != Outcome::Left && node.troubles(ask.sent - SETTLING, ask.done).is_empty()
+    };
+    let goes_on = |asks: &[&Ask]| asks.iter().filter(|ask| !ask.releases.is_empty()).count();
+    let streams = evidence.asks.iter().filter(|ask| ask.kind == Kind::Stream);
+    let first: Vec<&Ask> = streams
+        .clone()
+        .filter(|ask| ask.resumes.is_none())
+        .filter(calm)
+        .collect();
+    let taken_up: Vec<&Ask> = streams
+        .filter(|ask| {
+            ask.resumes
+                .as_ref()
+                .is_some_and(|first| is_served_on(evidence, ask, first))
+        })
+        .filter(calm)
+        .collect();
+    let (begin, go_on) = (goes_on(&first), goes_on(&taken_up));
+    if taken_up.len() >= TAKE_UPS_MIN && go_on * 2 * first.len() < begin * taken_up.len() {
+        let (all, new) = (taken_up.len(), first.len());
+        return vec![format!(
+            "LOST: {go_on} of {all} streams go on that are taken up, {begin} of {new} begin"
+        )];
+    }
+    Vec::new()
+}
+
+/// Returns whether enough upstreams served all the while that were of the release of the stream that
+/// `ask` takes up.
+fn is_served_on(evidence: &Evidence, ask: &Ask, first: &str) -> bool {
+    let began = evidence.asks.iter().find(|known| known.attempt == first);
+    let Some(release) = began.and_then(|began| began.releases.first()) else {
+        return false;
+    };
+    let serving = evidence.services.iter().filter(|service| {
+        let until = service.until.unwrap_or(evidence.end);
+        let all_the_while = service.from + SETTLING <= ask.sent && ask.done <= until;
+        service.pool == ask.kind.pool() && service.release == *release && all_the_while
+    });
+    serving.count() >= SERVING_MIN
+}
+
 fn check_ask(ask: &Ask, ran: &[&Run], site: &Site) -> Option<&'static str> {
     if ask.kind.once() && ran.len() > 1 {
         return Some("TWICE");
--- a/crates/hyssopscale/tests/soak/fault.rs
+++ b/crates/hyssopscale/tests/soak/fault.rs
@@ -6,11 +6,13 @@
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use serde_json::Value;
 use standin::proxy::{self, Pass};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
 
 use super::process::Deed;
+use super::store::Copy;
 use super::upstream::Manner;
 use super::{NODES, Plan, Site, UPSTREAMS, versioned};
 
@@ -25,6 +27,14 @@
 const RATES_MAX: usize = 2;
 const RATES: u64 = 0x7261_7465;
 
+/// Restores of the store in a run at most, and what sets their draws apart.
+const RESTORES_MAX: usize = 2;
+const RESTORES: u64 = 0x6572_6173;
+
+/// Crashes, breaks and kills that make callers take streams up, and what sets their draws apart.
+const TAKE_UPS: usize = 4;
+const RELEASES: u64 = 0x7265_6c65;
+
 /// One fault.
 #[derive(Clone, Debug)]
 pub enum Fault {
@@ -55,6 +65,14 @@
     StoreAway {
         time: Duration,
     },
+    Restore {
+        /// Age of the copy.
+        age: Duration,
+        /// Time for which the store is away; none where no call fails.
+        away: Duration,
+        /// Time until what was lost is written again; none where nobody reads it before.
+        gap: Duration,
+    },
     Configs {
         count: u32,
         gap: Duration,
@@ -254,6 +272,48 @@
     }
 }
 
+/// Draws a restore of the store: half of them at once, with no call that fails.
+fn draw_restore(rng: &mut StdRng) -> Fault {
+    let age = millis(rng, 300, 3_000);
+    if rng.random() {
+        return Fault::Restore {
+            age,
+            away: Duration::ZERO,
+            gap: Duration::ZERO,
+        };
+    }
+    Fault::Restore {
+        age,
+        away: millis(rng, 0, 1_500),
+        gap: millis(rng, 0, 1_500),
+    }
+}
+
+/// Draws what breaks streams off while two releases serve.
+fn draw_break(rng: &mut StdRng) -> Fault {
+    match rng.random_range(0..4) {
+        0 => Fault::Crash {
+            upstream: rng.random_range(0..UPSTREAMS),
+            down: millis(rng, 200, 1_500),
+        },
+        1 => Fault::KillAll {
+            down: millis(rng, 100, 600),
+        },
+        2 => Fault::Kill {
+            node: rng.random_range(0..NODES),
+            down: millis(rng, 100, 1_000),
+        },
+        _ => Fault::Misbehave {
+            upstreams: 0..UPSTREAMS,
+            manner: Manner {
+                cut: rng.random_range(0.5..0.9),
+                ..Manner::default()
+            },
+            time: millis(rng, 2_000, 5_000),
+        },
+    }
+}
+
 /// Does what the seed of the plan draws, and returns it in order.
 pub async fn run(site: &Arc<Site>, plan: Plan) -> Vec<Event> {
     let Plan { seed, span, .. } = plan;
@@ -278,6 +338,20 @@
             draw_rate(&mut rng),
         ));
     }
+    let mut rng = StdRng::seed_from_u64(seed ^ RESTORES);
+    for _ in 0..if plan.restores {
+        rng.random_range(1..=RESTORES_MAX)
+    } else {
+        0
+    } {
+        let at = rng.random_range(Duration::ZERO..span);
+        drawn.push((at, draw_restore(&mut rng)));
+    }
+    let mut rng = StdRng::seed_from_u64(seed ^ RELEASES);
+    for _ in 0..if plan.releases { TAKE_UPS } else { 0 } {
+        let at = rng.random_range(Duration::ZERO..span);
+        drawn.push((at, draw_break(&mut rng)));
+    }
     let mut tasks = JoinSet::new();
     for (at, fault) in drawn {
         let site = site.clone();
@@ -316,6 +390,7 @@
                 let all: Vec<usize> = (0..NODES).collect();
                 self.cut_from_store(&all, time).await;
             }
+            Fault::Restore { age, away, gap } => self.restore(age, away, gap).await,
             Fault::Configs { count, gap } => {
                 for _ in 0..count {
                     self.configure();
@@ -396,6 +471,68 @@
         }
     }
 
+    /// Brings the store back from a copy of that age. What was written since is written again.
+    async fn restore(&self, age: Duration, away: Duration, gap: Duration) {
+        let copy = self.store.copy();
+        self.configure();
+        sleep(age).await;
+        if away.is_zero() && gap.is_zero() {
+            return self.restore_at_once(&copy);
+        }
+        let from = Instant::now();
+        self.store.set_away(true);
+        sleep(away).await;
+        self.store.restore(&copy, &[]);
+        self.store.set_away(false);
+        sleep(gap).await;
+        self.rewrite();
+        for node in &self.nodes {
+            node.note(Deed::Cut, from, Instant::now());
+        }
+    }
+
+    /// Brings the store back with everything written again and one more version of the configuration,
+    /// before anybody reads it.
+    fn restore_at_once(&self, copy: &Copy) {
+        let mut versions = self.versions.lock().unwrap();
+        let version = versions.last().map_or(1, |(version, _)| version + 1);
+        // The configuration comes first, at a revision that readers have seen before.
+        let mut writes = vec![("op/config".to_owned(), Some(versioned(version)))];
+        writes.extend(self.outdated_keys(copy));
+        for upstream in &self.upstreams {
+            if let (Some(key), Some(entry)) = (upstream.key(), upstream.entry()) {
+                writes.push((key, Some(entry)));
+            }
+        }
+        self.store.restore_with(copy, &writes);
+        versions.push((version, Instant::now()));
+    }
+
+    /// Writes again what a restore has lost.
+    fn rewrite(&self) {
+        for (key, _) in self.outdated_keys(&self.store.copy()) {
+            self.store.remove(&key);
+        }
+        self.upstreams.iter().for_each(|upstream| upstream.list());
+        let versions = self.versions.lock().unwrap();
+        if let Some((version, _)) = versions.last() {
+            self.store.put("op/config", &versioned(*version));
+        }
+    }
+
+    /// Returns the entries of processes that are gone.
+    fn outdated_keys(&self, copy: &Copy) -> Vec<(String, Option<Value>)> {
+        let known: Vec<String> = self
+            .upstreams
+            .iter()
+            .filter_map(|upstream| upstream.key())
+            .collect();
+        let keys = copy.keys("servers/").into_iter();
+        keys.filter(|key| !known.contains(key))
+            .map(|key| (key, None))
+            .collect()
+    }
+
     /// Publishes the next version of the configuration.
     fn configure(&self) {
         let mut versions = self.versions.lock().unwrap();
--- a/crates/hyssopscale/tests/soak/mod.rs
+++ b/crates/hyssopscale/tests/soak/mod.rs
@@ -78,6 +78,10 @@
     pub shared_middles: bool,
     /// Whether upstreams announce rates.
     pub rates: bool,
+    /// Whether the store comes back from older copies.
+    pub restores: bool,
+    /// Whether upstreams of two releases serve side by side.
+    pub releases: bool,
 }
 
 impl Plan {
@@ -136,6 +140,7 @@
                     log: log.clone(),
                     seed: plan.seed * 16 + host as u64,
                     fenced: plan.fenced,
+                    releases: plan.releases,
                 };
                 upstreams.push(Upstream::start(config).await);
             }
@@ -253,6 +258,7 @@
         arrivals: site.log.arrivals.lock().unwrap().clone(),
         words: site.log.words.lock().unwrap().clone(),
         crashes: site.log.crashes.lock().unwrap().clone(),
+        services: site.log.services.lock().unwrap().clone(),
         probes,
         events,
         faulty_until: began + plan.span,
--- a/crates/hyssopscale/tests/soak/upstream.rs
+++ b/crates/hyssopscale/tests/soak/upstream.rs
@@ -64,7 +64,7 @@
 #[derive(Clone, Debug)]
 pub struct Run {
     pub attempt: String,
-    pub upstream: String,
+    pub upstream: ProcessName,
     pub at: Instant,
 }
 
@@ -73,12 +73,30 @@
 
 pub type Runs = Arc<Mutex<Vec<Run>>>;
 
+/// Releases of the software of upstreams.
+pub const RELEASES: [&str; 2] = ["r1", "r2"];
+
+/// Names one process of an upstream; another one may have the same id.
+type ProcessName = String;
+
+/// One process of an upstream: which release it is of, and when it served.
+#[derive(Clone, Debug)]
+pub struct Service {
+    pub upstream: ProcessName,
+    pub pool: &'static str,
+    pub release: String,
+    pub from: Instant,
+    pub until: Option<Instant>,
+}
+
+pub type Services = Arc<Mutex<Vec<Service>>>;
+
 /// One arrival of a request, run or not.
 #[derive(Clone, Debug)]
 pub struct Arrival {
     pub attempt: String,
     pub pool: &'static str,
-    pub upstream: String,
+    pub upstream: ProcessName,
     pub at: Instant,
 }
 
@@ -99,7 +117,7 @@
 #[derive(Clone, Debug)]
 pub struct Word {
     pub attempt: String,
-    pub upstream: String,
+    pub upstream: ProcessName,
     pub at: Instant,
     pub said: Said,
 }
@@ -127,6 +145,7 @@
     pub misorders: Misorders,
     pub words: Words,
     pub crashes: Crashes,
+    pub services: Services,
 }
 
 /// Time that an upstream is down after a request has crashed it.
@@ -154,6 +173,7 @@
 /// What one incarnation knows.
 struct State {
     id: String,
+    release: String,
     born: u64,
     listed: bool,
     leaving: bool,
@@ -174,6 +194,12 @@
     rng: StdRng,
 }
 
+impl State {
+    fn process(&self) -> ProcessName {
+        format!("{}@{}", self.id, self.born)
+    }
+}
+
 pub struct Upstream {
     pub pool: &'static str,
     number: usize,
@@ -183,11 +209,21 @@
     store: Arc<Store>,
     log: Log,
     fenced: bool,
+    releases: bool,
     /// Raised at each end of an incarnation.
     generation: watch::Sender<u64>,
     state: Mutex<State>,
 }
 
+/// How an incarnation begins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Start {
+    First,
+    /// Under another id.
+    Anew,
+    UnderItsId,
+}
+
 /// What an upstream is started with.
 pub struct Config {
     pub pool: &'static str,
@@ -200,6 +236,8 @@
     pub seed: u64,
     /// Whether it refuses old fencing numbers.
     pub fenced: bool,
+    /// Whether upstreams of several releases serve side by side.
+    pub releases: bool,
 }
 
 fn unix_millis() -> u64 {
@@ -218,9 +256,11 @@
             store: config.store,
             log: config.log,
             fenced: config.fenced,
+            releases: config.releases,
             generation: watch::Sender::new(0),
             state: Mutex::new(State {
                 id: String::new(),
+                release: String::new(),
                 born: 0,
                 listed: false,
                 leaving: false,
@@ -237,7 +277,7 @@
                 rng: StdRng::seed_from_u64(config.seed),
             }),
         });
-        upstream.begin(true);
+        upstream.begin(Start::First);
         let given = upstream.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -264,29 +304,53 @@
     }
 
     /// Begins a new incarnation, which holds nothing unless it is the first.
-    fn begin(&self, first: bool) {
+    fn begin(&self, start: Start) {
         let mut state = self.lock();
         let generation = *self.generation.borrow();
-        state.id = format!("{}-{}-{generation}", self.pool, self.number);
+        if start != Start::UnderItsId {
+            state.id = format!("{}-{}-{generation}", self.pool, self.number);
+        }
+        let release = match start {
+            Start::First => self.number % RELEASES.len(),
+            Start::Anew | Start::UnderItsId => state.rng.random_range(0..RELEASES.len()),
+        };
+        let release = if self.releases { release } else { 0 };
+        state.release = RELEASES[release].to_owned();
         state.born = unix_millis();
         state.listed = true;
         (state.leaving, state.announced) = (false, false);
-        state.base = first.then(Instant::now);
+        state.base = (start == Start::First).then(Instant::now);
         state.adapters.clear();
         (state.fence, state.holder) = (0, String::new());
         state.orders.clear();
+        self.log.services.lock().unwrap().push(Service {
+            upstream: state.process(),
+            pool: self.pool,
+            release: state.release.clone(),
+            from: Instant::now(),
+            until: None,
+        });
         drop(state);
         self.list();
     }
 
     /// Ends the incarnation at once, with all its requests.
     fn end(&self) -> String {
-        let id = {
+        let (id, process) = {
             let mut state = self.lock();
             state.listed = false;
             state.running = 0;
-            state.id.clone()
+            (state.id.clone(), state.process())
         };
+        let mut services = self.log.services.lock().unwrap();
+        let present = services
+            .iter_mut()
+            .rev()
+            .find(|service| service.upstream == process);
+        if let Some(present) = present {
+            present.until = Some(Instant::now());
+        }
+        drop(services);
         self.generation.send_modify(|generation| *generation += 1);
         id
     }
@@ -308,17 +372,22 @@
     pub async fn crash(&self, time: Duration) {
         let id = self.end();
         sleep(time).await;
+        // Some start again under the id that they had.
+        let keeps_id = self.releases && self.lock().rng.random_ratio(1, 3);
+        if keeps_id {
+            return self.begin(Start::UnderItsId);
+        }
         self.store.remove(&format!("servers/{id}"));
-        self.begin(false);
+        self.begin(Start::Anew);
     }
 
     /// Says that it leaves, in its entry or in its answers alone, serves on for `time`, ends, and
-    /// starts again under another id. Returns its id and the time of its word.
-    pub async fn leave(&self, time: Duration, announced: bool) -> (String, Instant) {
-        let id = {
+    /// starts again under another id. Returns its name and the time of its word.
+    pub async fn leave(&self, time: Duration, announced: bool) -> (ProcessName, Instant) {
+        let process = {
             let mut state = self.lock();
             (state.leaving, state.announced) = (true, announced);
-            state.id.clone()
+            state.process()
         };
         self.list();
         let said = Instant::now();
@@ -326,24 +395,37 @@
         // It may have crashed meanwhile.
         let (present, listed) = {
             let state = self.lock();
-            (state.id.clone(), state.listed)
+            (state.process(), state.listed)
         };
-        if present == id && listed {
-            self.end();
+        if present == process && listed {
+            let id = self.end();
             self.store.remove(&format!("servers/{id}"));
-            self.begin(false);
+            self.begin(Start::Anew);
         }
-        (id, said)
+        (process, said)
+    }
+
+    /// Returns the key of its entry, where it has one.
+    pub fn key(&self) -> Option<String> {
+        let state = self.lock();
+        state.listed.then(|| format!("servers/{}", state.id))
     }
 
     /// Writes its entry.
-    fn list(&self) {
+    pub fn list(&self) {
+        if let (Some(key), Some(entry)) = (self.key(), self.entry()) {
+            self.store.put(&key, &entry);
+        }
+    }
+
+    /// Returns its entry, where it has one.
+    pub fn entry(&self) -> Option<Value> {
         let state = self.lock();
         if !state.listed {
-            return;
+            return None;
         }
         let mut entry = json!({
-            "service": self.pool, "address": self.address, "zone": "z", "version": "v1",
+            "service": self.pool, "address": self.address, "zone": "z", "version": state.release,
             "slots": self.slots, "seq": 1, "born": state.born,
             "state": if state.announced { "draining" } else { "ready" },
         });
@@ -351,9 +433,7 @@
             entry["stage"] = json!("colocated");
             entry["models"] = models(&state);
         }
-        let key = format!("servers/{}", state.id);
-        drop(state);
-        self.store.put(&key, &entry);
+        Some(entry)
     }
 
     async fn connection(self: Arc<Self>, mut stream: TcpStream) {
@@ -395,7 +475,7 @@
         self.log.arrivals.lock().unwrap().push(Arrival {
             attempt: attempt.clone(),
             pool: self.pool,
-            upstream: self.lock().id.clone(),
+            upstream: self.lock().process(),
             at: Instant::now(),
         });
         let (manner, copies) = {
@@ -411,7 +491,7 @@
         }
         let run = Run {
             attempt: attempt.clone(),
-            upstream: self.lock().id.clone(),
+            upstream: self.lock().process(),
             at: Instant::now(),
         };
         self.log.runs.lock().unwrap().push(run);
@@ -457,7 +537,8 @@
             return flood(stream, FLOODS[number]).await;
         }
         if streams {
-            return events(stream, &names, &attempt, after, cut).await;
+            let release = self.lock().release.clone();
+            return events(stream, &names, (&attempt, &release), after, cut).await;
         }
         let text = answer(200, &names, &attempt);
         if cut {
@@ -511,7 +592,7 @@
     fn say(&self, state: &State, attempt: &str, said: Said) {
         self.log.words.lock().unwrap().push(Word {
             attempt: attempt.to_owned(),
-            upstream: state.id.clone(),
+            upstream: state.process(),
             at: Instant::now(),
             said,
         });
@@ -675,14 +756,25 @@
 }
 
 /// Returns one event as an upstream sends it.
-pub fn event(attempt: &str, id: u64) -> String {
-    format!("id: {id}\ndata: {attempt} {id}\n\n")
+fn event(attempt: &str, id: u64, release: &str) -> String {
+    format!("id: {id}\ndata: {attempt} {id} {release}\n\n")
+}
+
+/// Reads the releases of the events that follow the one numbered `after` in an answer to an attempt;
+/// `None` where something else is among them.
+pub fn read_events(text: &str, attempt: &str, after: u64) -> Option<Vec<String>> {
+    let events = text.split_terminator("\n\n").zip(after + 1..);
+    let release = |(text, id): (&str, u64)| {
+        let release = text.rsplit(' ').next()?;
+        (format!("{text}\n\n") == event(attempt, id, release)).then(|| release.to_owned())
+    };
+    events.map(release).collect()
 }
 
 async fn events(
     stream: &mut TcpStream,
     names: &[String],
-    attempt: &str,
+    (attempt, release): (&str, &str),
     after: u64,
     cut: bool,
 ) -> bool {
@@ -692,7 +784,7 @@
         return false;
     }
     for id in after + 1..=EVENTS {
-        let text = event(attempt, id);
+        let text = event(attempt, id, release);
         if cut && id > after + EVENTS / 2 {
             let _ = write(stream, &format!("{:x}\r\n{}", text.len(), &text[..5])).await;
             return false;
