Keep a stream at its release on the product's own front

The list of VMs may tell the release of an upstream now; once a stream has events, engines of other releases are avoided like those that the request may have crashed. Without a release in the list all engines count as alike, as before.

Callers of this front do not take streams up.

--- a/crates/hyssopscale/tests/support/mod.rs
+++ b/crates/hyssopscale/tests/support/mod.rs
@@ -127,8 +127,21 @@
 
     /// Starts a cluster of nodes that are told something wrong.
     pub async fn start_planted(seed: u64, link_upstreams: bool, plant: Plant) -> Self {
+        Self::start_site(seed, link_upstreams, plant, site_config()).await
+    }
+
+    /// Starts a cluster before engines of several releases.
+    pub async fn start_released(seed: u64, releases: &[&str]) -> Self {
+        let site = site::Config {
+            releases: releases.iter().map(ToString::to_string).collect(),
+            ..site_config()
+        };
+        Self::start_site(seed, true, SOUND, site).await
+    }
+
+    async fn start_site(seed: u64, link_upstreams: bool, plant: Plant, site: site::Config) -> Self {
         let config = fleet::Config {
-            site: site_config(),
+            site,
             link_upstreams,
             seed,
             ..fleet::Config::default()
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -52,6 +52,8 @@
     pub zone: Zone,
     /// Where it listens.
     pub address: SocketAddr,
+    /// The release of its software, where the platform tells it.
+    pub release: Option<Arc<str>>,
     /// Whether it gets no new work.
     pub leaving: bool,
     /// Its driver.
@@ -107,10 +109,16 @@
                 Role::Entry { callers, peers } => {
                     directory.entries.push(entry(member, *callers, *peers));
                 }
-                Role::Runner { pool, address } => {
-                    directory
-                        .runners
-                        .extend(runner(member, pool, *address, settings, known));
+                Role::Runner {
+                    pool,
+                    address,
+                    release,
+                } => {
+                    let runner = runner(member, pool, *address, settings, known);
+                    directory.runners.extend(runner.map(|runner| Runner {
+                        release: release.as_deref().map(Into::into),
+                        ..runner
+                    }));
                 }
             }
         }
@@ -172,6 +180,15 @@
         of_pool.map(|runner| runner.id.clone()).collect()
     }
 
+    /// Returns the ids of the upstreams of `pool` that are of another release than `release`, sorted.
+    pub fn other_releases(&self, pool: &str, release: Option<&str>) -> Vec<Upstream> {
+        let of_pool = self.runners.iter().filter(|runner| *runner.pool == *pool);
+        of_pool
+            .filter(|runner| runner.release.as_deref() != release)
+            .map(|runner| runner.id.clone())
+            .collect()
+    }
+
     /// Returns placement's facts about the engines, of which `down` are out of reach.
     pub fn facts(&self, settings: &Settings, down: &[Upstream]) -> Vec<placement::event::Upstream> {
         let engines = self
@@ -215,6 +232,7 @@
         pool: pool.into(),
         zone: member.zone.clone(),
         address,
+        release: None,
         leaving: member.state == platform::State::Leaving,
         link,
         in_flight: same.map(|old| old.in_flight.clone()).unwrap_or_default(),
--- a/crates/node/src/front/model/job.rs
+++ b/crates/node/src/front/model/job.rs
@@ -66,6 +66,9 @@
     pub(super) ran: bool,
     /// Tokens that the caller already has.
     pub(super) offset: u64,
+    /// Release of the engine that brought its first event, once another one has to go on: what two
+    /// releases write does not fit together.
+    began_at: Option<Option<Arc<str>>>,
     pub(super) last_token: Option<Time>,
     /// Whether placement knows the present number.
     pub(super) placed: bool,
@@ -172,6 +175,7 @@
             placings: 0,
             ran: false,
             offset: 0,
+            began_at: None,
             last_token: None,
             placed: false,
             over: false,
@@ -217,6 +221,9 @@
         } = running;
         // The broken answer's connection is closed first, which cancels what is left of it.
         drop(answer);
+        if self.offset > 0 {
+            self.began_at.get_or_insert(runner.release.clone());
+        }
         self.after(&runner, trial, &error).await?;
         self.begin().await
     }
@@ -229,6 +236,7 @@
         self.count_placing()?;
         let mut place = self.place.clone();
         place.avoid.extend(self.confinement().await);
+        place.avoid.extend(self.other_releases());
         self.placed = true;
         let asked = self.front.shared.clock.now();
         let placed = self.front.core.place(place).await;
@@ -251,6 +259,15 @@
         Ok(())
     }
 
+    /// Returns the engines that must not go on with the stream, since another release began it.
+    fn other_releases(&self) -> Vec<wire::Upstream> {
+        let Some(began_at) = &self.began_at else {
+            return Vec::new();
+        };
+        let directory = self.front.shared.directory.load();
+        directory.other_releases(&self.place.pool, began_at.as_deref())
+    }
+
     /// Returns the engines that a request must not use since it is suspected of crashing them.
     async fn confinement(&self) -> Vec<wire::Upstream> {
         let pool = self.front.shared.directory.load().pool(&self.place.pool);
--- a/crates/platform/src/member.rs
+++ b/crates/platform/src/member.rs
@@ -22,6 +22,9 @@
         pool: String,
         /// Where the upstream listens.
         address: SocketAddr,
+        /// The release of its software, where the platform tells it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        release: Option<String>,
     },
 }
 
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -34,6 +34,8 @@
     pub service_delay: Duration,
     /// Time until a change of the VM list shows.
     pub members_lag: Duration,
+    /// Releases of the engines' software, in turn; empty where the VM list tells none.
+    pub releases: Vec<String>,
 }
 
 impl Default for Config {
@@ -50,6 +52,7 @@
             engine: engine::Config::new("engine"),
             service_delay: Duration::from_millis(5),
             members_lag: Duration::ZERO,
+            releases: Vec::new(),
         }
     }
 }
@@ -187,6 +190,12 @@
     (Ipv4Addr::LOCALHOST, port).into()
 }
 
+/// Returns the release of the engine with that number.
+fn release(config: &Config, number: usize) -> Option<String> {
+    let mut releases = config.releases.iter().cycle();
+    releases.nth(number).cloned()
+}
+
 fn runner(config: &Config, number: usize, name: String, pool: &str, address: SocketAddr) -> Member {
     let zone = &config.zones[(number - 1) % config.zones.len()];
     Member {
@@ -194,6 +203,9 @@
         role: Role::Runner {
             pool: pool.to_owned(),
             address,
+            release: (pool == config.engine_pool)
+                .then(|| release(config, number))
+                .flatten(),
         },
         region: config.region.as_str().into(),
         zone: zone.as_str().into(),
