--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -108,8 +108,8 @@
     pub(super) release: Release,
 }
 
-/// The way to an upstream as it is listed now.
-struct Line {
+/// An upstream as it is listed now.
+struct Endpoint {
     link: Link,
     /// Newest version of the adapter.
     version: Option<Version>,
@@ -131,11 +131,11 @@
     pub(super) async fn attempt(&mut self, runner: &Upstream, cursor: &mut Cursor) -> Tried<D> {
         let target = self.target();
         // It may have left, or want a pause, since it was chosen.
-        let Line {
+        let Endpoint {
             link,
             version,
             release,
-        } = match self.line(runner, target.as_ref()) {
+        } = match self.endpoint(runner, target.as_ref()) {
             Some(found) if self.hub.takes(runner) && self.fits(found.release) => found,
             _ => {
                 self.prepay();
@@ -246,7 +246,8 @@
         patience.min(self.patience())
     }
 
-    fn line(&self, runner: &Upstream, target: Option<&Target>) -> Option<Line> {
+    /// Returns the endpoint of `runner`, if it is listed.
+    fn endpoint(&self, runner: &Upstream, target: Option<&Target>) -> Option<Endpoint> {
         let (address, version, release) = {
             let desk = self.hub.desk();
             let known = desk.fleet.upstream(runner)?;
@@ -254,7 +255,7 @@
             (known.listing.address, version, known.listing.release)
         };
         let connections = self.service.connections;
-        Some(Line {
+        Some(Endpoint {
             link: self.hub.link(runner, address, connections),
             version,
             release,
