--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -62,7 +62,8 @@
         let world = Arc::new(World::new(record).ok()?);
         let folder = Folder::new().ok()?;
         let (store, address) = Store::start().ok()?;
-        let start = |index| Runner::start(&world, &store, "engines", ZONES[index % 3], true, 64).ok();
+        let start =
+            |index| Runner::start(&world, &store, "engines", ZONES[index % 3], true, 64).ok();
         let engines = (0..engines).map(start).collect::<Option<Vec<_>>>()?;
         for index in 0..desks {
             Runner::start(&world, &store, "desk", ZONES[index % 3], false, slots).ok()?;
@@ -78,7 +79,12 @@
         }
         let nodes = started?;
         world.note("all nodes are ready");
-        Some(Self { world, nodes, engines, _folder: folder })
+        Some(Self {
+            world,
+            nodes,
+            engines,
+            _folder: folder,
+        })
     }
 
     fn start_nodes(count: usize, folder: &Folder, store: SocketAddr) -> Option<Vec<Node>> {
@@ -101,7 +107,11 @@
 
 /// Returns the text of a request.
 fn text(method: &str, path: &str, attempt: &str, budget: u32, further: &str, body: &str) -> String {
-    let length = if method == "GET" { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
+    let length = if method == "GET" {
+        String::new()
+    } else {
+        format!("Content-Length: {}\r\n", body.len())
+    };
     format!(
         "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {attempt}\r\nX-Deadline-Ms: {budget}\r\n\
          {further}{length}\r\n{body}"
@@ -120,13 +130,32 @@
 }
 
 /// Sends one request and notes what came of it.
-fn send(world: &World, node: usize, to: SocketAddr, attempt: &str, text: &str, patience: Duration) -> Sent {
+fn send(
+    world: &World,
+    node: usize,
+    to: SocketAddr,
+    attempt: &str,
+    text: &str,
+    patience: Duration,
+) -> Sent {
     let at = world.now();
-    world.note(&format!("requester sends {attempt} to node {node}: {}", text.lines().next().unwrap_or_default()));
+    world.note(&format!(
+        "requester sends {attempt} to node {node}: {}",
+        text.lines().next().unwrap_or_default()
+    ));
     let seen = http::call(to, text, patience);
     let over = world.now();
-    world.note(&format!("requester has {} (whole: {}) for {attempt}", seen.status, seen.whole));
-    Sent { at, over, attempt: attempt.to_owned(), node, seen }
+    world.note(&format!(
+        "requester has {} (whole: {}) for {attempt}",
+        seen.status, seen.whole
+    ));
+    Sent {
+        at,
+        over,
+        attempt: attempt.to_owned(),
+        node,
+        seen,
+    }
 }
 
 /// Sends requests at a steady pace until `stop`, each from a thread of its own.
@@ -161,13 +190,19 @@
 /// The runner's machine goes dark, as `srv_crash` has it; with `CRASH=loud` its process ends and its
 /// channels are closed.
 pub fn crash_request(record: &str, trouble: bool) -> i32 {
-    let Some(site) = Site::start(record, 7, 0, 9, 6) else { return 2 };
+    let Some(site) = Site::start(record, 7, 0, 9, 6) else {
+        return 2;
+    };
     let world = site.world.clone();
     let fronts: Vec<SocketAddr> = site.nodes.iter().map(|node| node.front).collect();
     let stop = Arc::new(AtomicBool::new(false));
-    let sound = traffic(&world, &fronts, Duration::from_millis(60), &stop, |number, attempt| {
-        text("GET", &format!("/read/{number}"), attempt, 1_500, "", "")
-    });
+    let sound = traffic(
+        &world,
+        &fronts,
+        Duration::from_millis(60),
+        &stop,
+        |number, attempt| text("GET", &format!("/read/{number}"), attempt, 1_500, "", ""),
+    );
     world.sleep_until(world.now().as_secs_f64() + 3.0);
     let begun = world.now().as_secs_f64();
     let loud = std::env::var("CRASH").is_ok_and(|how| how == "loud");
@@ -177,9 +212,13 @@
         (true, true) => "/read/crashing",
     };
     assert!(!trouble || path.contains(runner::DARKENING) || path.contains(runner::CRASHING));
-    let again = traffic(&world, &fronts, Duration::from_millis(700), &stop, move |_, attempt| {
-        text("GET", path, attempt, 1_500, "", "")
-    });
+    let again = traffic(
+        &world,
+        &fronts,
+        Duration::from_millis(700),
+        &stop,
+        move |_, attempt| text("GET", path, attempt, 1_500, "", ""),
+    );
     world.sleep_until(begun + 30.0);
     stop.store(true, Ordering::SeqCst);
     std::thread::sleep(Duration::from_secs(6));
@@ -198,14 +237,20 @@
     let again = again.lock().expect("unpoisoned").clone();
     let arrivals = world.arrivals.lock().expect("unpoisoned").clone();
     let retries = |arrival: &&Arrival| again.iter().any(|sent| sent.attempt == arrival.attempt);
-    let late = arrivals.iter().filter(|arrival| arrival.at > third + STABLE_WINDOW);
+    let late = arrivals
+        .iter()
+        .filter(|arrival| arrival.at > third + STABLE_WINDOW);
     let late = late.filter(retries).count();
     let broken = late > 3;
     world.tell(&format!(
         "the third at {:.1} s; later than {STABLE_WINDOW:?} after that the request reached runners {late} times more",
         third.as_secs_f64()
     ));
-    world.tell(if broken { "BUDGET broken" } else { "BUDGET held" });
+    world.tell(if broken {
+        "BUDGET broken"
+    } else {
+        "BUDGET held"
+    });
     i32::from(broken)
 }
 
@@ -214,18 +259,37 @@
 pub fn crash_trials(record: &str, trouble: bool) -> i32 {
     const KILLS: [f64; 5] = [14.0, 27.5, 41.0, 54.5, 68.0];
     const NODE: usize = 2;
-    let Some(mut site) = Site::start(record, 7, 0, 9, 6) else { return 2 };
+    let Some(mut site) = Site::start(record, 7, 0, 9, 6) else {
+        return 2;
+    };
     let world = site.world.clone();
     let fronts: Vec<SocketAddr> = site.nodes.iter().map(|node| node.front).collect();
     let stop = Arc::new(AtomicBool::new(false));
-    let sound = traffic(&world, &fronts, Duration::from_millis(60), &stop, |number, attempt| {
-        text("GET", &format!("/read/{number}"), attempt, 1_500, "", "")
-    });
+    let sound = traffic(
+        &world,
+        &fronts,
+        Duration::from_millis(60),
+        &stop,
+        |number, attempt| text("GET", &format!("/read/{number}"), attempt, 1_500, "", ""),
+    );
     world.sleep_until(world.now().as_secs_f64() + 3.0);
     let begun = world.now().as_secs_f64();
-    let again = traffic(&world, &fronts, Duration::from_millis(250), &stop, |_, attempt| {
-        text("GET", &format!("/read/{}", runner::CRASHING), attempt, 1_500, "", "")
-    });
+    let again = traffic(
+        &world,
+        &fronts,
+        Duration::from_millis(250),
+        &stop,
+        |_, attempt| {
+            text(
+                "GET",
+                &format!("/read/{}", runner::CRASHING),
+                attempt,
+                1_500,
+                "",
+                "",
+            )
+        },
+    );
     // When the node was out of touch.
     let mut away = Vec::new();
     for at in KILLS {
@@ -251,13 +315,22 @@
     let again = again.lock().expect("unpoisoned").clone();
     let arrivals = world.arrivals.lock().expect("unpoisoned").clone();
     let mut late = 0;
-    for arrival in arrivals.iter().filter(|arrival| arrival.at > third + STABLE_WINDOW) {
+    for arrival in arrivals
+        .iter()
+        .filter(|arrival| arrival.at > third + STABLE_WINDOW)
+    {
         let sent = again.iter().find(|sent| sent.attempt == arrival.attempt);
         let Some(sent) = sent else { continue };
-        let out = away.iter().any(|(from, to)| arrival.at >= *from && arrival.at <= *to);
+        let out = away
+            .iter()
+            .any(|(from, to)| arrival.at >= *from && arrival.at <= *to);
         if sent.node != NODE || !out {
             late += 1;
-            world.tell(&format!("at {:.1} s {} sent it to a runner once more", arrival.at.as_secs_f64(), site.nodes[sent.node].name));
+            world.tell(&format!(
+                "at {:.1} s {} sent it to a runner once more",
+                arrival.at.as_secs_f64(),
+                site.nodes[sent.node].name
+            ));
         }
     }
     let sound = sound.lock().expect("unpoisoned").clone();
@@ -269,7 +342,10 @@
         sound.len()
     ));
     let broken = late > 3;
-    world.tell(&format!("{late} later retries; BUDGET {}", if broken { "broken" } else { "held" }));
+    world.tell(&format!(
+        "{late} later retries; BUDGET {}",
+        if broken { "broken" } else { "held" }
+    ));
     i32::from(broken)
 }
 
@@ -278,13 +354,22 @@
         "X-Model: m0/a{}\r\nX-Token-Usage: 826,300\r\nX-Prompt-Prefix: 5c1e07a2:198,{number:x}f:628\r\n",
         number % 6 + 1
     );
-    text("POST", &format!("/stream/{number}"), attempt, 12_000, &further, "a question")
+    text(
+        "POST",
+        &format!("/stream/{number}"),
+        attempt,
+        12_000,
+        &further,
+        "a question",
+    )
 }
 
 /// After the final fault, one request comes whose prompt is larger than a runner's memory.
 pub fn oversize(record: &str, trouble: bool) -> i32 {
     const RECOVERY: f64 = 12.0;
-    let Some(mut site) = Site::start(record, 7, 3, 0, 6) else { return 2 };
+    let Some(mut site) = Site::start(record, 7, 3, 0, 6) else {
+        return 2;
+    };
     let world = site.world.clone();
     let fronts: Vec<SocketAddr> = site.nodes.iter().map(|node| node.front).collect();
     let stop = Arc::new(AtomicBool::new(false));
@@ -306,9 +391,26 @@
         // The first try, and one more, as after any refusal.
         for node in [0, 1] {
             let attempt = world.id("");
-            let text = text("POST", "/stream/large", &attempt, 12_000, further, "a long question");
-            let sent = send(&world, node, fronts[node], &attempt, &text, Duration::from_millis(3_200));
-            world.tell(&format!("the large request got {} after {:?}", sent.seen.status, sent.seen.took));
+            let text = text(
+                "POST",
+                "/stream/large",
+                &attempt,
+                12_000,
+                further,
+                "a long question",
+            );
+            let sent = send(
+                &world,
+                node,
+                fronts[node],
+                &attempt,
+                &text,
+                Duration::from_millis(3_200),
+            );
+            world.tell(&format!(
+                "the large request got {} after {:?}",
+                sent.seen.status, sent.seen.took
+            ));
             if sent.seen.status != 503 {
                 break;
             }
@@ -319,22 +421,34 @@
     std::thread::sleep(Duration::from_secs(6));
     let sent = sent.lock().expect("unpoisoned").clone();
     let share = |from: Duration, to: Duration| {
-        let some: Vec<&Sent> = sent.iter().filter(|sent| sent.at >= from && sent.at < to).collect();
+        let some: Vec<&Sent> = sent
+            .iter()
+            .filter(|sent| sent.at >= from && sent.at < to)
+            .collect();
         let served = some.iter().filter(|sent| sent.seen.served()).count();
         (served, some.len())
     };
     let before = share(fault.saturating_sub(Duration::from_secs(10)), fault);
     let after = share(back + Duration::from_secs_f64(RECOVERY), Duration::MAX);
-    world.tell(&format!("served: {} of {} before the fault, {} of {} from {RECOVERY} s after it", before.0, before.1, after.0, after.1));
+    world.tell(&format!(
+        "served: {} of {} before the fault, {} of {} from {RECOVERY} s after it",
+        before.0, before.1, after.0, after.1
+    ));
     let broken = before.0 * 4 >= before.1 && after.0 * 4 < after.1;
-    world.tell(if broken { "RECOVER broken" } else { "RECOVER held" });
+    world.tell(if broken {
+        "RECOVER broken"
+    } else {
+        "RECOVER held"
+    });
     i32::from(broken)
 }
 
 /// Rare adapters are asked for at once, by calls that may run once, and a share of their requesters
 /// leaves before the calls have been sent to a runner.
 pub fn left_caller(record: &str, trouble: bool) -> i32 {
-    let Some(site) = Site::start(record, 7, 3, 0, 6) else { return 2 };
+    let Some(site) = Site::start(record, 7, 3, 0, 6) else {
+        return 2;
+    };
     let world = site.world.clone();
     world.sleep_until(world.now().as_secs_f64() + 4.0);
     let mut calls = Vec::new();
@@ -346,28 +460,50 @@
         let patience = Duration::from_millis(if leaves { 400 } else { 10_000 });
         calls.push(std::thread::spawn(move || {
             let attempt = world.id("");
-            let further = format!("X-Model: m0/a{}\r\nX-Token-Usage: 826,30\r\nX-Prompt-Prefix: {number:x}e:826\r\n", number + 100);
-            let text = text("POST", &format!("/act/{number}"), &attempt, 10_000, &further, "do it");
+            let further = format!(
+                "X-Model: m0/a{}\r\nX-Token-Usage: 826,30\r\nX-Prompt-Prefix: {number:x}e:826\r\n",
+                number + 100
+            );
+            let text = text(
+                "POST",
+                &format!("/act/{number}"),
+                &attempt,
+                10_000,
+                &further,
+                "do it",
+            );
             send(&world, node, to, &attempt, &text, patience)
         }));
     }
-    let sent: Vec<Sent> = calls.into_iter().filter_map(|call| call.join().ok()).collect();
+    let sent: Vec<Sent> = calls
+        .into_iter()
+        .filter_map(|call| call.join().ok())
+        .collect();
     std::thread::sleep(Duration::from_secs(4));
     let arrivals = world.arrivals.lock().expect("unpoisoned").clone();
     let mut late = 0;
     for call in sent.iter().filter(|call| !call.seen.whole) {
         let after = call.over + Duration::from_millis(500);
-        for arrival in arrivals.iter().filter(|arrival| arrival.attempt == call.attempt && arrival.at > after) {
+        for arrival in arrivals
+            .iter()
+            .filter(|arrival| arrival.attempt == call.attempt && arrival.at > after)
+        {
             late += 1;
             world.tell(&format!(
                 "{} ran at {}: {} ms after its requester had left node {}",
-                call.attempt, arrival.runner, (arrival.at - call.over).as_millis(), call.node
+                call.attempt,
+                arrival.runner,
+                (arrival.at - call.over).as_millis(),
+                call.node
             ));
         }
     }
     let left = sent.iter().filter(|call| !call.seen.whole).count();
     let served = sent.iter().filter(|call| call.seen.served()).count();
-    world.tell(&format!("{} calls: {served} served, {left} left; {late} reached a runner over 0.5 s after that", sent.len()));
+    world.tell(&format!(
+        "{} calls: {served} served, {left} left; {late} reached a runner over 0.5 s after that",
+        sent.len()
+    ));
     let broken = late > 3;
     world.tell(if broken { "GONE broken" } else { "GONE held" });
     i32::from(broken)
@@ -379,7 +515,9 @@
     const STREAMS: usize = 160;
     // Two seconds, four times the objective, or eight times the pause of the route.
     const GAP: Duration = Duration::from_millis(3_200);
-    let Some(site) = Site::start(record, 7, 4, 0, 6) else { return 2 };
+    let Some(site) = Site::start(record, 7, 4, 0, 6) else {
+        return 2;
+    };
     let world = site.world.clone();
     world.sleep_until(world.now().as_secs_f64() + 5.0);
     let mut calls = Vec::new();
@@ -388,8 +526,17 @@
         let to = site.nodes[node].front;
         calls.push(std::thread::spawn(move || {
             let attempt = world.id("");
-            let further = format!("X-Model: m0\r\nX-Token-Usage: 100,300\r\nX-Prompt-Prefix: {number:x}d:100\r\n");
-            let text = text("POST", &format!("/stream/long/{number}"), &attempt, 12_000, &further, "tell");
+            let further = format!(
+                "X-Model: m0\r\nX-Token-Usage: 100,300\r\nX-Prompt-Prefix: {number:x}d:100\r\n"
+            );
+            let text = text(
+                "POST",
+                &format!("/stream/long/{number}"),
+                &attempt,
+                12_000,
+                &further,
+                "tell",
+            );
             send(&world, node, to, &attempt, &text, GAP)
         }));
         std::thread::sleep(Duration::from_millis(10));
@@ -401,21 +548,35 @@
         std::thread::sleep(Duration::from_secs(4));
         world.hanging.store(0, Ordering::SeqCst);
     }
-    let sent: Vec<Sent> = calls.into_iter().filter_map(|call| call.join().ok()).collect();
+    let sent: Vec<Sent> = calls
+        .into_iter()
+        .filter_map(|call| call.join().ok())
+        .collect();
     std::thread::sleep(Duration::from_secs(13));
     let hung = world.hung.lock().expect("unpoisoned").clone();
     let left: Vec<&Sent> = sent.iter().filter(|call| !call.seen.whole).collect();
     let mut late = 0;
     for call in &left {
-        let closed = hung.iter().filter(|(attempt, _)| *attempt == call.attempt).map(|(_, at)| *at).max();
+        let closed = hung
+            .iter()
+            .filter(|(attempt, _)| *attempt == call.attempt)
+            .map(|(_, at)| *at)
+            .max();
         if let Some(at) = closed.filter(|at| *at > call.over + Duration::from_millis(500)) {
             late += 1;
             let after = (at - call.over).as_millis();
-            world.tell(&format!("a runner worked on {} for {after} ms after its requester had left node {}", call.attempt, call.node));
+            world.tell(&format!(
+                "a runner worked on {} for {after} ms after its requester had left node {}",
+                call.attempt, call.node
+            ));
         }
     }
     let whole = sent.len() - left.len();
-    world.tell(&format!("{} streams: {whole} whole, {} left; runners worked on {late} over 0.5 s after that", sent.len(), left.len()));
+    world.tell(&format!(
+        "{} streams: {whole} whole, {} left; runners worked on {late} over 0.5 s after that",
+        sent.len(),
+        left.len()
+    ));
     let broken = late * 4 > left.len();
     world.tell(if broken { "GONE broken" } else { "GONE held" });
     i32::from(broken)
@@ -429,7 +590,13 @@
 
 /// Sends uploads one after the other on one kept channel, until `stop`. Returns how many ended with
 /// a closed channel and no byte of an answer though a runner had begun to run them.
-fn upload(world: &World, node: usize, to: SocketAddr, stop: &AtomicBool, lost: &Mutex<Vec<(usize, String)>>) {
+fn upload(
+    world: &World,
+    node: usize,
+    to: SocketAddr,
+    stop: &AtomicBool,
+    lost: &Mutex<Vec<(usize, String)>>,
+) {
     use std::io::{BufReader, Read, Write};
     use std::net::TcpStream;
     let body = vec![b'x'; UPLOAD];
@@ -449,18 +616,27 @@
                 "POST /upload/{attempt} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {attempt}\r\n\
                  X-Deadline-Ms: 10000\r\nContent-Length: {UPLOAD}\r\n\r\n"
             );
-            world.note(&format!("requester sends upload {attempt} to node {node} (channel used before: {used})"));
-            let whole = stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(&body)).is_ok();
+            world.note(&format!(
+                "requester sends upload {attempt} to node {node} (channel used before: {used})"
+            ));
+            let whole = stream
+                .write_all(head.as_bytes())
+                .and_then(|()| stream.write_all(&body))
+                .is_ok();
             let mut first = [0; 1];
             if !whole || reader.read_exact(&mut first).is_err() {
-                world.note(&format!("requester has a closed channel and no answer for {attempt}"));
+                world.note(&format!(
+                    "requester has a closed channel and no answer for {attempt}"
+                ));
                 if whole && used {
                     lost.lock().expect("unpoisoned").push((node, attempt));
                 }
                 std::thread::sleep(Duration::from_millis(300));
                 break;
             }
-            let Some(status) = http::rest(&mut reader) else { break };
+            let Some(status) = http::rest(&mut reader) else {
+                break;
+            };
             world.note(&format!("requester has {status} for {attempt}"));
             used = true;
             if status != 200 {
@@ -474,10 +650,15 @@
 /// takes more memory than its machine has.
 pub fn memory(record: &str, trouble: bool) -> i32 {
     let number = |name: &str, default: usize| {
-        std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
+        std::env::var(name)
+            .ok()
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(default)
     };
     let (usual, burst) = (number("USUAL", 24), number("BURST", 38));
-    let Some(mut site) = Site::start(record, 3, 0, 3, 96) else { return 2 };
+    let Some(mut site) = Site::start(record, 3, 0, 3, 96) else {
+        return 2;
+    };
     let world = site.world.clone();
     let stop = Arc::new(AtomicBool::new(false));
     let lost = Arc::new(Mutex::new(Vec::new()));
@@ -498,7 +679,10 @@
     while started.elapsed() < Duration::from_secs(40) {
         if trouble && !come && started.elapsed() > Duration::from_secs(15) {
             come = true;
-            world.tell(&format!("{} requesters a node instead of {usual}", usual + burst));
+            world.tell(&format!(
+                "{} requesters a node instead of {usual}",
+                usual + burst
+            ));
             begin(burst);
         }
         for (index, node) in site.nodes.iter_mut().enumerate() {
@@ -521,7 +705,10 @@
     let ran = |attempt: &String| arrivals.iter().any(|a| a.ran && a.attempt == *attempt);
     let mut broken = false;
     for (node, name) in site.nodes.iter().enumerate() {
-        let count = lost.iter().filter(|(of, attempt)| *of == node && ran(attempt)).count();
+        let count = lost
+            .iter()
+            .filter(|(of, attempt)| *of == node && ran(attempt))
+            .count();
         world.tell(&format!(
             "{}: {} MB at most, ended {} times, {count} requests from kept channels that a runner ran and that got no answer",
             name.name, peak[node], kills[node]
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -26,7 +26,9 @@
     pub fn query(&self, name: &str) -> Option<String> {
         let (_, query) = self.path.split_once('?')?;
         let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-        pairs.find(|(known, _)| *known == name).map(|(_, value)| unescape(value))
+        pairs
+            .find(|(known, _)| *known == name)
+            .map(|(_, value)| unescape(value))
     }
 
     pub fn route(&self) -> &str {
@@ -39,14 +41,20 @@
     let mut out = Vec::new();
     let mut index = 0;
     while index < bytes.len() {
-        let hex = (bytes[index] == b'%').then(|| text.get(index + 1..index + 3)).flatten();
+        let hex = (bytes[index] == b'%')
+            .then(|| text.get(index + 1..index + 3))
+            .flatten();
         match hex.and_then(|hex| u8::from_str_radix(hex, 16).ok()) {
             Some(byte) => {
                 out.push(byte);
                 index += 3;
             }
             None => {
-                out.push(if bytes[index] == b'+' { b' ' } else { bytes[index] });
+                out.push(if bytes[index] == b'+' {
+                    b' '
+                } else {
+                    bytes[index]
+                });
                 index += 1;
             }
         }
@@ -103,7 +111,11 @@
         body = vec![0; length.parse().ok()?];
         reader.read_exact(&mut body).ok()?;
     }
-    Some(Request { path, headers, body })
+    Some(Request {
+        path,
+        headers,
+        body,
+    })
 }
 
 pub fn head(status: u16, headers: &[(&str, &str)]) -> String {
@@ -177,7 +189,9 @@
     stream.write_all(text.as_bytes()).ok()?;
     let left = patience.checked_sub(started.elapsed())?;
     // Holds for each read, so that a stream may last for longer than that.
-    stream.set_read_timeout(Some(left.max(Duration::from_millis(1)))).ok()?;
+    stream
+        .set_read_timeout(Some(left.max(Duration::from_millis(1))))
+        .ok()?;
     let mut reader = BufReader::new(stream);
     let (first, headers) = read_head(&mut reader)?;
     seen.status = first.split(' ').nth(1)?.parse().ok()?;
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -10,7 +10,9 @@
 
 fn main() {
     let case = std::env::args().nth(1).unwrap_or_default();
-    let record = std::env::args().nth(2).unwrap_or_else(|| "record.txt".into());
+    let record = std::env::args()
+        .nth(2)
+        .unwrap_or_else(|| "record.txt".into());
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let code = match case.as_str() {
         "crash-request" => cases::crash_request(&record, trouble),
--- a/review/standin/nodes.rs
+++ b/review/standin/nodes.rs
@@ -46,16 +46,27 @@
 /// Prepares `count` nodes in `folder`; none is started yet.
 pub fn prepare(count: usize, folder: &Path, store: SocketAddr) -> Option<Vec<Node>> {
     let template = fs::read_to_string("deploy/settings.toml").ok()?;
-    let ips: Vec<String> = (0..count).map(|index| format!("127.0.{}.{}", 10 + index % 3, 38 + index)).collect();
+    let ips: Vec<String> = (0..count)
+        .map(|index| format!("127.0.{}.{}", 10 + index % 3, 38 + index))
+        .collect();
     let ports = free_ports(&ips, 5)?;
-    let [front, ready, control, directory, inner] = ports[..] else { return None };
-    let seeds: Vec<String> = ips.iter().take(3).map(|ip| format!("\"{ip}:{control}\"")).collect();
+    let [front, ready, control, directory, inner] = ports[..] else {
+        return None;
+    };
+    let seeds: Vec<String> = ips
+        .iter()
+        .take(3)
+        .map(|ip| format!("\"{ip}:{control}\""))
+        .collect();
     let mut nodes = Vec::new();
     for (index, ip) in ips.iter().enumerate() {
         let zone = ZONES[index % 3];
         let name = format!("edge-{zone}-{}", index / 3 + 1);
         let fields = [
-            ("[{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}]", format!("[{}]", seeds.join(","))),
+            (
+                "[{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}]",
+                format!("[{}]", seeds.join(",")),
+            ),
             ("{{node}}", name.clone()),
             ("{{region}}", "qld-south".to_owned()),
             ("{{zone}}", zone.to_owned()),
@@ -74,8 +85,14 @@
             ("{{bounds.grace_s}}", "8".to_owned()),
             ("{{bounds.ceiling_window_s}}", "5".to_owned()),
         ];
-        let filled = fields.iter().fold(template.clone(), |text, (field, value)| text.replace(field, value));
-        let lines = filled.lines().filter(|line| !line.trim_start().starts_with('#'));
+        let filled = fields
+            .iter()
+            .fold(template.clone(), |text, (field, value)| {
+                text.replace(field, value)
+            });
+        let lines = filled
+            .lines()
+            .filter(|line| !line.trim_start().starts_with('#'));
         let settings = lines.collect::<Vec<_>>().join("\n");
         if settings.contains("{{") {
             eprintln!("the template has fields that this stand-in does not know");
@@ -103,7 +120,9 @@
         };
         // The words of `run` in the deploy file, with the path of this node's settings.
         let deploy = fs::read_to_string("deploy/system.toml").unwrap_or_default();
-        let run = deploy.lines().find_map(|line| line.strip_prefix("run = \""));
+        let run = deploy
+            .lines()
+            .find_map(|line| line.strip_prefix("run = \""));
         let run = run.unwrap_or_default().trim_end_matches('"');
         let path = self.settings.to_string_lossy().into_owned();
         let words = run.split_whitespace().map(|word| match word {
@@ -111,7 +130,9 @@
             other => other,
         });
         let words: Vec<&str> = words.collect();
-        let Some((program, arguments)) = words.split_first() else { return false };
+        let Some((program, arguments)) = words.split_first() else {
+            return false;
+        };
         let started = Command::new(program)
             .args(arguments)
             .env_clear()
@@ -135,7 +156,10 @@
     }
 
     pub fn is_ready(&self) -> bool {
-        let text = format!("GET /readyz HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n", self.ready);
+        let text = format!(
+            "GET /readyz HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n",
+            self.ready
+        );
         http::call(self.ready, &text, Duration::from_millis(500)).status == 200
     }
 
@@ -143,7 +167,9 @@
     pub fn resident_mb(&self) -> u64 {
         let Some(child) = &self.child else { return 0 };
         let status = fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
-        let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"));
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("RssAnon:"));
         let kilobytes = line.and_then(|line| line.trim().split(' ').next()?.parse::<u64>().ok());
         kilobytes.unwrap_or(0) * 1_024 / 1_000_000
     }
--- a/review/standin/runner.rs
+++ b/review/standin/runner.rs
@@ -103,7 +103,9 @@
     }
 
     fn begin(self: &Arc<Self>, listener: TcpListener) {
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let born = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
         let process = Arc::new(Process {
             id: self.world.id("i-"),
             born: born.as_millis(),
@@ -116,12 +118,15 @@
             seq: AtomicU32::new(0),
             fence: Mutex::new(0),
         });
-        self.world.note(&format!("runner {} of {} starts", process.id, self.service));
+        self.world
+            .note(&format!("runner {} of {} starts", process.id, self.service));
         *self.present.lock().expect("unpoisoned") = Some(process.clone());
         let (runner, beating) = (self.clone(), process.clone());
         std::thread::spawn(move || {
             while beating.up.load(Ordering::SeqCst) {
-                runner.store.put(&format!("servers/{}", beating.id), &runner.entry(&beating));
+                runner
+                    .store
+                    .put(&format!("servers/{}", beating.id), &runner.entry(&beating));
                 std::thread::sleep(BEAT);
             }
         });
@@ -193,11 +198,18 @@
         let now = Instant::now();
         let adapters = process.adapters.lock().expect("unpoisoned");
         let names = |held: bool, prefix: &str| {
-            let some = adapters.iter().filter(|(_, ready)| (**ready <= now) == held);
-            let names: Vec<String> = some.map(|(name, _)| format!("\"{prefix}{name}@1\"")).collect();
+            let some = adapters
+                .iter()
+                .filter(|(_, ready)| (**ready <= now) == held);
+            let names: Vec<String> = some
+                .map(|(name, _)| format!("\"{prefix}{name}@1\""))
+                .collect();
             names.join(",")
         };
-        let models = format!("[{{\"name\":\"m0\",\"version\":1,\"adapters\":[{}]}}]", names(true, ""));
+        let models = format!(
+            "[{{\"name\":\"m0\",\"version\":1,\"adapters\":[{}]}}]",
+            names(true, "")
+        );
         (models, format!("[{}]", names(false, "m0/")))
     }
 
@@ -221,7 +233,9 @@
     }
 
     fn serve(self: &Arc<Self>, stream: TcpStream, process: &Arc<Process>) {
-        let Ok(mut writer) = stream.try_clone() else { return };
+        let Ok(mut writer) = stream.try_clone() else {
+            return;
+        };
         let mut reader = BufReader::new(stream);
         while let Some(request) = read_request(&mut reader) {
             if !process.up.load(Ordering::SeqCst) {
@@ -239,10 +253,16 @@
         writer: &mut TcpStream,
         process: &Arc<Process>,
     ) -> std::io::Result<()> {
-        let attempt = request.header("x-attempt-id").unwrap_or_default().to_owned();
+        let attempt = request
+            .header("x-attempt-id")
+            .unwrap_or_default()
+            .to_owned();
         let expected = request.header("x-expect-instance");
         if expected.is_some_and(|id| id != process.id) {
-            let headers = [("X-Instance-Id", process.id.as_str()), ("X-Attempt-Id", &attempt)];
+            let headers = [
+                ("X-Instance-Id", process.id.as_str()),
+                ("X-Attempt-Id", &attempt),
+            ];
             return respond(writer, 421, &headers, b"");
         }
         match request.route() {
@@ -250,7 +270,11 @@
             "/order" => return self.order(request, writer, process),
             _ => {}
         }
-        let load = format!("{},0,{}", process.running.load(Ordering::SeqCst), self.slots);
+        let load = format!(
+            "{},0,{}",
+            process.running.load(Ordering::SeqCst),
+            self.slots
+        );
         let named = [("X-Attempt-Id", attempt.as_str()), ("X-Server-Load", &load)];
         let refuse = |writer: &mut TcpStream, status| {
             self.world.arrived(&attempt, &process.id, false);
@@ -269,7 +293,10 @@
                 return refuse(writer, 421);
             }
             let usage = request.header("x-token-usage").unwrap_or_default();
-            let tokens: u64 = usage.split(',').filter_map(|text| text.trim().parse::<u64>().ok()).sum();
+            let tokens: u64 = usage
+                .split(',')
+                .filter_map(|text| text.trim().parse::<u64>().ok())
+                .sum();
             if tokens > KV_CAPACITY {
                 return refuse(writer, 503);
             }
@@ -294,15 +321,28 @@
     }
 
     /// Works on a request without an end, until its channel is closed.
-    fn hang(&self, attempt: &str, channel: &mut TcpStream, process: &Process) -> std::io::Result<()> {
-        self.world.note(&format!("runner {} hangs {attempt}", process.id));
+    fn hang(
+        &self,
+        attempt: &str,
+        channel: &mut TcpStream,
+        process: &Process,
+    ) -> std::io::Result<()> {
+        self.world
+            .note(&format!("runner {} hangs {attempt}", process.id));
         process.running.fetch_add(1, Ordering::SeqCst);
         let mut byte = [0; 1];
         let _ = channel.read(&mut byte);
         process.running.fetch_sub(1, Ordering::SeqCst);
         let now = self.world.now();
-        self.world.note(&format!("runner {} sees the channel of {attempt} closed", process.id));
-        self.world.hung.lock().expect("unpoisoned").push((attempt.to_owned(), now));
+        self.world.note(&format!(
+            "runner {} sees the channel of {attempt} closed",
+            process.id
+        ));
+        self.world
+            .hung
+            .lock()
+            .expect("unpoisoned")
+            .push((attempt.to_owned(), now));
         Err(std::io::ErrorKind::ConnectionAborted.into())
     }
 
@@ -317,7 +357,11 @@
         let mut headers = named.to_vec();
         headers.push(("X-Response-Signature", &signature));
         if !request.path.contains("stream") {
-            let work = if request.path.contains("upload") { LONG_WORK } else { WORK };
+            let work = if request.path.contains("upload") {
+                LONG_WORK
+            } else {
+                WORK
+            };
             std::thread::sleep(work);
             if !process.up.load(Ordering::SeqCst) {
                 return Err(std::io::ErrorKind::ConnectionReset.into());
@@ -328,8 +372,15 @@
         headers.push(("Transfer-Encoding", "chunked"));
         let head = http::head(200, &headers);
         writer.write_all(format!("{head}\r\n").as_bytes())?;
-        let after = request.header("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
-        let events = if request.path.contains("long") { LONG_EVENTS } else { EVENTS };
+        let after = request
+            .header("last-event-id")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
+        let events = if request.path.contains("long") {
+            LONG_EVENTS
+        } else {
+            EVENTS
+        };
         for id in after + 1..=events {
             std::thread::sleep(PAUSE);
             let event = format!("id: {id}\ndata: piece {id}\n\n");
@@ -347,7 +398,12 @@
             process.running.load(Ordering::SeqCst),
             process.born
         );
-        respond(writer, 200, &[("Content-Type", "application/json")], body.as_bytes())
+        respond(
+            writer,
+            200,
+            &[("Content-Type", "application/json")],
+            body.as_bytes(),
+        )
     }
 
     fn order(
@@ -371,7 +427,10 @@
             }
         };
         let holder = field(&text, "holder").unwrap_or_default();
-        self.world.note(&format!("runner {} answers {status} to {holder}: {text}", process.id));
+        self.world.note(&format!(
+            "runner {} answers {status} to {holder}: {text}",
+            process.id
+        ));
         respond(writer, status, &[], b"")
     }
 
@@ -393,7 +452,8 @@
             Some(_) => 202,
             None => {
                 if adapters.len() >= PLACES {
-                    self.world.tell("LIMIT: a runner is ordered to load more than it holds");
+                    self.world
+                        .tell("LIMIT: a runner is ordered to load more than it holds");
                 }
                 adapters.insert(adapter, now + LOAD);
                 process.seq.fetch_add(1, Ordering::SeqCst);
@@ -409,6 +469,9 @@
     let rest = rest.trim_start();
     match rest.strip_prefix('"') {
         Some(rest) => rest.split('"').next().map(str::to_owned),
-        None => rest.split([',', '}']).next().map(|text| text.trim().to_owned()),
+        None => rest
+            .split([',', '}'])
+            .next()
+            .map(|text| text.trim().to_owned()),
     }
 }
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -27,8 +27,15 @@
 
 impl Store {
     pub fn start() -> std::io::Result<(Arc<Self>, SocketAddr)> {
-        let state = State { rev: 100, items: BTreeMap::new(), log: Vec::new() };
-        let store = Arc::new(Self { state: Mutex::new(state), news: Condvar::new() });
+        let state = State {
+            rev: 100,
+            items: BTreeMap::new(),
+            log: Vec::new(),
+        };
+        let store = Arc::new(Self {
+            state: Mutex::new(state),
+            news: Condvar::new(),
+        });
         let listener = TcpListener::bind("127.0.2.1:0")?;
         let address = listener.local_addr()?;
         let served = store.clone();
@@ -44,14 +51,24 @@
     pub fn put(&self, key: &str, value: &str) {
         let mut state = self.state.lock().expect("unpoisoned");
         let value = base64(value.as_bytes());
-        if state.items.get(key).is_some_and(|(known, _, _)| *known == value) {
+        if state
+            .items
+            .get(key)
+            .is_some_and(|(known, _, _)| *known == value)
+        {
             return;
         }
         state.rev += 1;
         let rev = state.rev;
         let created = state.items.get(key).map_or(rev, |(_, _, created)| *created);
-        state.items.insert(key.to_owned(), (value.clone(), rev, created));
-        state.log.push(Event { rev, key: key.to_owned(), value: Some(value) });
+        state
+            .items
+            .insert(key.to_owned(), (value.clone(), rev, created));
+        state.log.push(Event {
+            rev,
+            key: key.to_owned(),
+            value: Some(value),
+        });
         self.news.notify_all();
     }
 
@@ -60,14 +77,20 @@
         if state.items.remove(key).is_some() {
             state.rev += 1;
             let rev = state.rev;
-            state.log.push(Event { rev, key: key.to_owned(), value: None });
+            state.log.push(Event {
+                rev,
+                key: key.to_owned(),
+                value: None,
+            });
             self.news.notify_all();
         }
     }
 
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let Ok(mut writer) = stream.try_clone() else { return };
+        let Ok(mut writer) = stream.try_clone() else {
+            return;
+        };
         let mut reader = BufReader::new(stream);
         while let Some(request) = read_request(&mut reader) {
             let (status, body) = match request.route() {
@@ -134,7 +157,9 @@
     const SIGNS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for part in bytes.chunks(3) {
-        let word = part.iter().fold(0u32, |word, byte| word << 8 | u32::from(*byte));
+        let word = part
+            .iter()
+            .fold(0u32, |word, byte| word << 8 | u32::from(*byte));
         let word = word << (8 * (3 - part.len()));
         for index in 0..4 {
             if index <= part.len() {
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -93,8 +93,14 @@
 
 impl Folder {
     pub fn new() -> std::io::Result<Self> {
-        let name = format!("review-{}-{:?}", std::process::id(), std::time::SystemTime::now()
-            .duration_since(std::time::UNIX_EPOCH).unwrap_or_default().as_nanos());
+        let name = format!(
+            "review-{}-{:?}",
+            std::process::id(),
+            std::time::SystemTime::now()
+                .duration_since(std::time::UNIX_EPOCH)
+                .unwrap_or_default()
+                .as_nanos()
+        );
         let path = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&path)?;
         Ok(Self(path))
