Tell when requests are written, how late the event loop runs, and what nodes send each other

Change: the line request has written_ms and delay_ms; hyssopscale_loop_delay_seconds and hyssopscale_datagram_bytes, the latter by kind of message. No decision depends on them.

--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -21,10 +21,7 @@
 
 use crate::datagram::Message;
 use crate::dialect::Dialect;
-use crate::hub::{Hub, Peers};
-
-/// Time between two ticks.
-const TICK: Duration = Duration::from_millis(100);
+use crate::hub::{Hub, Peers, TURN};
 
 /// Ticks between two pulses of a reader.
 const PULSE_TICKS: u64 = 3;
@@ -90,8 +87,8 @@
 pub async fn start<D: Dialect>(hub: Arc<Hub<D>>) -> Result<Handle, ractor::SpawnErr> {
     let (actor, _) = Actor::spawn(None, Control(std::marker::PhantomData), hub.clone()).await?;
     let handle = Handle(actor);
-    tokio::spawn(receive(hub, handle.clone()));
-    tokio::spawn(tick(handle.clone()));
+    tokio::spawn(receive(hub.clone(), handle.clone()));
+    tokio::spawn(tick(hub, handle.clone()));
     Ok(handle)
 }
 
@@ -102,11 +99,12 @@
     }
 }
 
-async fn tick(handle: Handle) {
-    let mut ticks = tokio::time::interval(TICK);
+async fn tick<D: Dialect>(hub: Arc<Hub<D>>, handle: Handle) {
+    let mut ticks = tokio::time::interval(TURN);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
+        hub.record_turn();
         handle.send(Input::Tick);
     }
 }
--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -59,9 +59,39 @@
 /// Number of [`Message`] in frames; other machines of the product have lower ones.
 const CHANNEL: u8 = 16;
 
+impl Message {
+    /// Number of kinds.
+    pub const KINDS: usize = 11;
+
+    /// Names of the kinds, as used in metrics.
+    pub const KIND_NAMES: [&str; Self::KINDS] = [
+        "roster", "seeds", "owner", "retired", "culprit", "leaver", "quota", "rate", "update",
+        "config", "origin",
+    ];
+
+    /// Returns the index of its kind.
+    const fn kind(&self) -> usize {
+        match self {
+            Self::Roster(_) => 0,
+            Self::Seeds(_) => 1,
+            Self::Owner(_) => 2,
+            Self::Retired => 3,
+            Self::Culprit(_) => 4,
+            Self::Leaver(_) => 5,
+            Self::Quota(_) => 6,
+            Self::Rate(_) => 7,
+            Self::Update(_) => 8,
+            Self::Config(_) => 9,
+            Self::Origin(_) => 10,
+        }
+    }
+}
+
 /// Counts of the transport.
 #[derive(Debug, Default)]
 pub struct Counts {
+    /// Bytes sent, by kind of message.
+    pub bytes: [AtomicU64; Message::KINDS],
     /// Datagrams sent.
     pub sent: AtomicU64,
     /// Datagrams taken in.
@@ -125,14 +155,17 @@
         };
         let sent = encode(message)
             .and_then(|body| encode(&frame(body)))
-            .is_ok_and(|bytes| {
+            .ok()
+            .and_then(|bytes| {
                 let sealed = self.seal.close(bytes);
-                self.socket.try_send_to(&sealed, address).is_ok()
+                self.socket.try_send_to(&sealed, address).ok()
             });
-        let counter = if sent {
-            &self.counts.sent
-        } else {
-            &self.counts.dropped
+        let counter = match sent {
+            Some(bytes) => {
+                self.counts.bytes[message.kind()].fetch_add(bytes as u64, Ordering::Relaxed);
+                &self.counts.sent
+            }
+            None => &self.counts.dropped,
         };
         counter.fetch_add(1, Ordering::Relaxed);
     }
--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -314,7 +314,14 @@
             request,
         };
         let runner = &visit.runner;
-        let mut sending = pin!(link.send_if(call, || self.hub.takes(runner) && self.may_go()));
+        let wanted = || {
+            let wanted = self.hub.takes(runner) && self.may_go();
+            if wanted {
+                self.record_write();
+            }
+            wanted
+        };
+        let mut sending = pin!(link.send_if(call, wanted));
         let limit = self.silence_limit();
         let started = self.hub.clock.now();
         loop {
--- a/crates/gateway/src/front/job.rs
+++ b/crates/gateway/src/front/job.rs
@@ -1,7 +1,7 @@
 //! One request from its head to its final answer.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -139,6 +139,8 @@
     pub(super) stalled: Duration,
     /// Time that it waited to be let in.
     pub(super) queued: Duration,
+    /// Milliseconds from its arrival until it was written to an upstream last; 0 if it never was.
+    pub(super) written_ms: AtomicU64,
     /// Time from its arrival to the head of its answer.
     pub(super) first: Duration,
     /// When a part of its stream was passed on last.
@@ -187,6 +189,7 @@
             worst: Execution::NotRun(Proof::unsent()),
             stalled: Duration::ZERO,
             queued: Duration::ZERO,
+            written_ms: AtomicU64::new(0),
             first: Duration::ZERO,
             last_part: Time::ZERO,
             gap: Duration::ZERO,
@@ -292,6 +295,13 @@
         until.saturating_sub(self.hub.clock.now()).min(self.left())
     }
 
+    /// Records that the request is about to be written to an upstream.
+    pub(super) fn record_write(&self) {
+        let age = self.hub.clock.now().saturating_sub(self.terms.arrived);
+        let age = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+        self.written_ms.store(age.max(1), Ordering::Relaxed);
+    }
+
     /// Returns the time until the final answer.
     pub(super) fn left(&self) -> Duration {
         self.terms.deadline.saturating_sub(self.hub.clock.now())
@@ -440,6 +450,8 @@
             expected_ms = self.expected.unwrap_or_default().as_millis() as u64,
             prompt = self.ask.prompt.unwrap_or_default(),
             queue_ms = self.queued.as_millis() as u64,
+            written_ms = self.written_ms.load(Ordering::Relaxed),
+            delay_ms = self.hub.loop_delay().as_millis() as u64,
             first_ms = self.first.as_millis() as u64,
             gap_ms = self.gap.as_millis() as u64,
             after = self.after.unwrap_or_default(),
--- a/crates/gateway/src/hub/mod.rs
+++ b/crates/gateway/src/hub/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - `config` holds the configuration in force and gives it to other nodes.
 //! - `culprit` finds what requests that crash upstreams have in common.
+//! - `delay` measures how late the event loop runs.
 //! - `grant` asks owners and carries out what they want done.
 //! - `load_wait` cancels loads that no request waits for any more.
 //! - `origin` knows at which release of the upstreams streams began.
@@ -14,6 +15,7 @@
 
 mod config;
 mod culprit;
+mod delay;
 mod grant;
 mod load_wait;
 mod origin;
@@ -54,6 +56,7 @@
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
 
+pub use delay::TURN;
 pub use load_wait::LoadWait;
 pub use word::Leaver;
 
@@ -176,6 +179,7 @@
     /// Whether the process is about to end, whatever is still under way.
     ending: watch::Sender<bool>,
     flying: AtomicI64,
+    turns: delay::Turns,
     store_answered: AtomicU64,
     store_heard: AtomicU64,
 }
@@ -248,6 +252,7 @@
             leaving: AtomicBool::new(false),
             ending: watch::Sender::new(false),
             flying: AtomicI64::new(0),
+            turns: delay::Turns::default(),
             store_answered: AtomicU64::new(0),
             store_heard: AtomicU64::new(0),
         }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -5,10 +5,11 @@
 
 use node::metrics::register::{counter_vec, gauge_vec, histogram, registered, signed};
 use prometheus::{
-    Encoder, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Registry, TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec,
+    Registry, TextEncoder,
 };
 
-use crate::datagram::Counts;
+use crate::datagram::{Counts, Message};
 
 /// Upper bounds of the buckets for waits, in seconds.
 const WAIT_BUCKETS: [f64; 11] = [
@@ -32,7 +33,10 @@
     pub flying: IntGauge,
     /// Features for which requests are refused, since they crash upstreams.
     pub convictions: IntGauge,
+    /// Time by which the event loop ran late.
+    pub loop_delay: Histogram,
     datagrams: IntGaugeVec,
+    datagram_bytes: IntGaugeVec,
     log_dropped: IntGauge,
 }
 
@@ -102,6 +106,22 @@
                     "Features for which requests are refused, since they crash upstreams",
                 )?,
             )?,
+            loop_delay: registered(
+                all,
+                Histogram::with_opts(
+                    HistogramOpts::new(
+                        "hyssopscale_loop_delay_seconds",
+                        "Time by which the event loop ran late",
+                    )
+                    .buckets(WAIT_BUCKETS.to_vec()),
+                )?,
+            )?,
+            datagram_bytes: gauge_vec(
+                all,
+                "hyssopscale_datagram_bytes",
+                "Bytes sent between nodes since the start, by kind of message",
+                &["kind"],
+            )?,
             datagrams: gauge_vec(
                 all,
                 "hyssopscale_datagrams",
@@ -156,6 +176,10 @@
             let count = signed(count.load(Ordering::Relaxed));
             self.datagrams.with_label_values(&[result]).set(count);
         }
+        for (kind, count) in Message::KIND_NAMES.iter().zip(&counts.bytes) {
+            let count = signed(count.load(Ordering::Relaxed));
+            self.datagram_bytes.with_label_values(&[*kind]).set(count);
+        }
         self.log_dropped.set(signed(node::journal::dropped()));
         let mut text = Vec::new();
         if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
