Send nothing for callers that have left

What callers saw: calls that may run once were run a second and more after their callers had left, so that a caller who decided to do it again had it done twice; streams and reads were worked on for nobody.

Cause: whether somebody still waits had no home. Requests that may be broken off ended with the future of their handler, which needs the HTTP library to read the end of the connection; it does not while bytes of a next request lie in its buffer. Calls in a task of their own never asked: not while they waited for a load or a place, not after a refusal, and not where the process had stood still and read the request after its caller had left. A stream that was taken to another engine heard of its caller between attempts only.

It is asked before each placing and when the request is about to be written, together with all else that may have changed while the connection was opened: the listing, the release, the pause, the conviction, the caller's patience. The headers with the time that is left are set at that moment. What waits ends with the caller. A call that may have begun to run still goes on. The same on the product's own front: completions, calls without a key, and claimed calls, which are given up until they are sent. A process that was late counts requests as having arrived when it last was in time.

Why it works: the last look is in the same step as the write, with no wait between.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -40,6 +40,6 @@
         head: Some(limit),
         request,
     };
-    let (parts, body) = link.send_if(call, wanted).await?.into_parts();
+    let (parts, body) = link.send_if(call, |_| wanted()).await?.into_parts();
     Ok(Response::from_parts(parts, body.collect().await?))
 }
--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt at one upstream, and what its answer is worth.
 
 use std::pin::pin;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -131,20 +132,11 @@
     pub(super) async fn attempt(&mut self, runner: &Upstream, cursor: &mut Cursor) -> Tried<D> {
         let target = self.target();
         // It may have left, or want a pause, since it was chosen.
-        let Endpoint {
-            link,
-            version,
-            release,
-        } = match self.endpoint(runner, target.as_ref()) {
-            Some(found) if self.hub.takes(runner) && self.fits(found.release) => found,
-            _ => {
-                self.prepay();
-                return Tried::failed(Execution::NotRun(Proof::unsent()));
-            }
-        };
-        let Some(request) = self.request(runner, version) else {
+        let Some(Endpoint { link, release, .. }) = self.endpoint(runner, target.as_ref()) else {
+            self.prepay();
             return Tried::failed(Execution::NotRun(Proof::unsent()));
         };
+        let release = AtomicU32::new(release);
         if !self.await_token(runner).await {
             self.prepay();
             return Tried::failed(Execution::NotRun(Proof::unsent()));
@@ -162,7 +154,7 @@
         let mut visit = Visit::new(&self.hub, &link, permit.request, target.clone(), until);
         let sent = self.hub.clock.now();
         let response = tokio::select! {
-            response = self.head(&link, request, reuse, &visit) => response,
+            response = self.head(&link, reuse, &visit, &release) => response,
             () = self.conviction() => Err(Headless::Convicted),
         };
         let response = match response {
@@ -197,7 +189,7 @@
         strip(&mut headers);
         if self.route.kind.streams() && parts.status == StatusCode::OK {
             let opened = tokio::select! {
-                opened = self.open(parts.status, headers, body, (visit, release), cursor) => opened,
+                opened = self.open(parts.status, headers, body, (visit, release.load(Ordering::Relaxed)), cursor) => opened,
                 () = self.conviction() => self.failed("convicted", Execution::Unknown),
             };
             if let (Tried::Open(_), Some(tokens)) =
@@ -267,7 +259,8 @@
         self.release.is_none_or(|began| began == release)
     }
 
-    fn request(&self, runner: &Upstream, version: Option<Version>) -> Option<Request<Full<Bytes>>> {
+    /// Returns the request without the headers that [`Job::renew`] sets.
+    fn request(&self) -> Request<Full<Bytes>> {
         let path = self.head.uri.path_and_query().cloned();
         let path = path.unwrap_or_else(|| PathAndQuery::from_static("/"));
         let mut request = Request::new(Full::new(self.body.clone()));
@@ -277,6 +270,30 @@
         strip(&mut headers);
         headers.remove(CONTENT_LENGTH);
         headers.remove(EXPECT);
+        *request.headers_mut() = headers;
+        request
+    }
+
+    /// Brings a request up to date that is about to be written, and returns the release that it goes
+    /// to. Returns `None` where it must not be written: what was known when its connection was asked
+    /// for may not hold any more.
+    fn renew(&self, request: &mut Request<Full<Bytes>>, link: &Link) -> Option<Release> {
+        let (runner, target) = (link.upstream(), self.target());
+        let found = self.endpoint(runner, target.as_ref())?;
+        let stands = found.link.address() == link.address()
+            && self.hub.takes(runner)
+            && self.fits(found.release)
+            && self.may_go()
+            && self.is_awaited();
+        stands.then(|| {
+            self.forward(request.headers_mut(), runner, found.version);
+            self.record_write();
+            found.release
+        })
+    }
+
+    /// Sets the headers for an upstream, with the time that is left by now.
+    fn forward(&self, headers: &mut HeaderMap, runner: &Upstream, version: Option<Version>) {
         let now = self.hub.clock.now();
         let caller = self.terms.caller.saturating_sub(now);
         let hop = Hop {
@@ -288,18 +305,16 @@
             tenant: self.tenant.as_ref().map(|tenant| &*tenant.name),
             keyed: self.terms.keyed,
         };
-        self.hub.dialect.forward(&mut headers, &hop);
-        *request.headers_mut() = headers;
-        Some(request)
+        self.hub.dialect.forward(headers, &hop);
     }
 
     /// Sends the request and waits for the answer's head.
     async fn head(
         &self,
         link: &Link,
-        request: Request<Full<Bytes>>,
         reuse: Reuse,
         visit: &Visit<D>,
+        release: &AtomicU32,
     ) -> Result<Response<link::Body>, Headless> {
         let class = if self.terms.rank == 0 {
             Class::Urgent
@@ -311,15 +326,14 @@
             reuse,
             host: Host::Caller,
             head: Some(self.left()),
-            request,
+            request: self.request(),
         };
-        let runner = &visit.runner;
-        let wanted = || {
-            let wanted = self.hub.takes(runner) && self.may_go();
-            if wanted {
-                self.record_write();
-            }
-            wanted
+        let wanted = |request: &mut Request<Full<Bytes>>| {
+            let renewed = self.renew(request, link);
+            renewed.is_some_and(|renewed| {
+                release.store(renewed, Ordering::Relaxed);
+                true
+            })
         };
         let mut sending = pin!(link.send_if(call, wanted));
         let limit = self.silence_limit();
--- a/crates/gateway/src/front/job.rs
+++ b/crates/gateway/src/front/job.rs
@@ -21,7 +21,7 @@
 use hyper::http::request::Parts;
 use hyper::{Response, StatusCode};
 use log::info;
-use node::front::{Body, Outcome, Problem};
+use node::front::{Body, Caller, Outcome, Problem};
 use node::journal::DECISION;
 use wire::{Time, Upstream};
 
@@ -48,6 +48,9 @@
 /// at the upstreams changes that.
 const CONVICTED_AGAIN: Duration = Duration::from_secs(60);
 
+/// Outcome of a request whose caller has left.
+const CALLER_LEFT: &str = "caller-left";
+
 /// When a refused caller may come back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Return {
@@ -102,6 +105,8 @@
 /// One request.
 pub(super) struct Job<D: Dialect> {
     pub(super) hub: Arc<Hub<D>>,
+    /// Who waits for its answer.
+    caller: Caller,
     pub(super) ask: Ask,
     pub(super) route: Arc<Route>,
     pub(super) service: Arc<Service>,
@@ -157,11 +162,11 @@
 impl<D: Dialect> Job<D> {
     pub(super) fn new(
         hub: Arc<Hub<D>>,
+        caller: Caller,
         ask: Ask,
         way: Way,
         terms: Terms,
-        head: Parts,
-        body: Bytes,
+        (head, body): (Parts, Bytes),
     ) -> Self {
         let print = print_of(&head, &body);
         Self {
@@ -170,6 +175,7 @@
             print,
             trial: false,
             hub,
+            caller,
             ask,
             route: way.route,
             service: way.service,
@@ -220,10 +226,11 @@
         self.hub.demand(&need);
         let mut cursor = Cursor::new(self.ask.after);
         loop {
-            let runner = match self.place_unless_convicted().await {
-                Some(Placed::At(runner)) => runner,
-                Some(Placed::Refused(reason, back)) => return Err(self.refuse(reason, back)),
-                None => return Err(self.refuse_convicted()),
+            let runner = match self.await_place().await {
+                Placed::At(runner) => runner,
+                Placed::Refused(reason, back) => return Err(self.refuse(reason, back)),
+                Placed::Convicted => return Err(self.refuse_convicted()),
+                Placed::CallerLeft => return Err(self.abandon()),
             };
             match self.attempt(&runner, &mut cursor).await {
                 Tried::Whole(response) => {
@@ -324,16 +331,34 @@
         standing.decide(paid || self.pay()) == RetryDecision::Retry
     }
 
-    /// Waits for a place. Returns `None` once such requests are found to crash upstreams.
-    pub(super) async fn place_unless_convicted(&mut self) -> Option<Placed> {
+    /// Waits for a place, until such requests are found to crash upstreams or nobody waits for the
+    /// answer any more.
+    pub(super) async fn await_place(&mut self) -> Placed {
+        if self.caller.has_left() {
+            return Placed::CallerLeft;
+        }
         let (hub, features) = (self.hub.clone(), self.features.clone());
+        let caller = self.caller.clone();
         tokio::select! {
             biased;
-            _ = hub.conviction(&features) => None,
-            placed = self.place() => Some(placed),
+            () = caller.left() => Placed::CallerLeft,
+            _ = hub.conviction(&features) => Placed::Convicted,
+            placed = self.place() => placed,
         }
     }
 
+    /// Returns whether the caller is there and has time left, so that the request may be sent.
+    pub(super) fn is_awaited(&self) -> bool {
+        !self.patience().is_zero() && !self.caller.has_left()
+    }
+
+    /// Ends a request whose caller has left before it was sent. Nobody reads the problem.
+    fn abandon(&mut self) -> Problem {
+        self.end(0, CALLER_LEFT);
+        let detail = "the caller has left; nothing is sent for it any more";
+        Problem::new(StatusCode::BAD_GATEWAY, Outcome::Unknown, detail)
+    }
+
     /// Returns whether the request may crash another upstream if it is sent again.
     fn may_have_crashed(&self, reach: Execution) -> bool {
         match reach {
@@ -466,7 +491,7 @@
 impl<D: Dialect> Drop for Job<D> {
     fn drop(&mut self) {
         if !self.ended {
-            self.end(0, "caller-left");
+            self.end(0, CALLER_LEFT);
         }
     }
 }
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -26,7 +26,7 @@
 use hyper::{Request, Response, StatusCode};
 use node::front::handler::read_within;
 use node::front::listener::Handler;
-use node::front::{Body, Outcome, Problem};
+use node::front::{Body, Caller, Outcome, Problem};
 use wire::Time;
 
 use crate::dialect::{Ask, Dialect};
@@ -61,9 +61,10 @@
         &self,
         request: Request<Incoming>,
         ask: &Ask,
+        caller: Caller,
     ) -> Result<Response<Body>, Problem> {
         let hub = &self.0;
-        let arrived = hub.clock.now();
+        let arrived = hub.earliest_arrival();
         let Some(config) = hub.config.load_full() else {
             let detail = "this node knows no configuration yet; ask another";
             return Err(Problem::busy(detail, ELSEWHERE));
@@ -74,11 +75,11 @@
         let (head, body) = request.into_parts();
         let body = read_body(body, limit, terms.deadline.saturating_sub(arrived)).await?;
         let once = way.route.kind == RouteKind::Once;
-        let job = Job::new(hub.clone(), ask.clone(), way, terms, head, body);
+        let job = Job::new(hub.clone(), caller, ask.clone(), way, terms, (head, body));
         if !once {
             return job.run().await;
         }
-        // A call that may not be repeated is not broken off where its caller leaves.
+        // A call that may not be repeated is not broken off once it may have begun to run.
         let flight = hub.enter();
         let running = tokio::spawn(async move {
             let answer = job.run().await;
@@ -150,13 +151,13 @@
 }
 
 impl<D: Dialect> Handler for Front<D> {
-    async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn handle(&self, request: Request<Incoming>, caller: Caller) -> Response<Body> {
         let hub = &self.0;
         let flight = hub.enter();
         let ask = hub.dialect.ask(request.headers());
         let answer = tokio::select! {
             biased;
-            answer = self.answer(request, &ask) => answer,
+            answer = self.answer(request, &ask, caller) => answer,
             () = hub.ending() => Err(ending()),
         };
         let mut response = match answer {
--- a/crates/gateway/src/front/place.rs
+++ b/crates/gateway/src/front/place.rs
@@ -47,10 +47,16 @@
     At(Upstream),
     /// Nowhere, for this reason.
     Refused(&'static str, Return),
+    /// Nowhere, since such requests crash upstreams.
+    Convicted,
+    /// Nowhere, since its caller has left.
+    CallerLeft,
 }
 
 impl<D: Dialect> Job<D> {
     /// Waits until an upstream can serve the request, or refuses it once none can in time.
+    ///
+    /// See [`Job::await_place`], which also heeds convictions and the caller.
     pub(super) async fn place(&mut self) -> Placed {
         let target = self.target();
         let mut search = Search::new(self.limits());
--- a/crates/gateway/src/front/stream.rs
+++ b/crates/gateway/src/front/stream.rs
@@ -91,7 +91,12 @@
                     );
                     // The first run is stopped before another one begins.
                     drop(open);
-                    match self.resume(&mut cursor, sender).await {
+                    let next = tokio::select! {
+                        biased;
+                        () = sender.closed() => return,
+                        next = self.resume(&mut cursor) => next,
+                    };
+                    match next {
                         Some(next) => open = next,
                         None => {
                             self.end(200, reason);
@@ -158,8 +163,8 @@
         sender.send(Ok(events)).await.is_ok()
     }
 
-    /// Takes a broken stream to another engine.
-    async fn resume(&mut self, cursor: &mut Cursor, sender: &Sender) -> Option<Open<D>> {
+    /// Takes a broken stream to another engine. Dropped, it stops the run that it waits for.
+    async fn resume(&mut self, cursor: &mut Cursor) -> Option<Open<D>> {
         cursor.restart();
         // A stream without ids has no place to go on from.
         cursor.last()?;
@@ -169,11 +174,7 @@
             if !self.again(reach) {
                 return None;
             }
-            let placed = tokio::select! {
-                placed = self.place_unless_convicted() => placed,
-                () = sender.closed() => return None,
-            };
-            let Some(Placed::At(runner)) = placed else {
+            let Placed::At(runner) = self.await_place().await else {
                 return None;
             };
             match self.attempt(&runner, cursor).await {
--- a/crates/gateway/src/hub/delay.rs
+++ b/crates/gateway/src/hub/delay.rs
@@ -3,7 +3,7 @@
 //! Without the processor, with a long computation or after a freeze, a process reads what has arrived
 //! long after it came. A task that is due at fixed intervals shows by how much.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{MutexGuard, PoisonError};
 use std::time::Duration;
 
 use wire::Time;
@@ -14,45 +14,64 @@
 /// Interval between two turns.
 pub const TURN: Duration = Duration::from_millis(100);
 
-/// When the event loop had its last turn.
+/// Delay from which the process counts as behind.
+const BEHIND: Duration = Duration::from_millis(100);
+
+/// When the event loop had its last turns.
 #[derive(Debug, Default)]
 pub(super) struct Turns {
-    last_micros: AtomicU64,
+    last: Time,
+    /// Since when the process has been behind.
+    behind_since: Option<Time>,
 }
 
 impl Turns {
     /// Records a turn at `now`. Returns by how much it was late.
-    fn record(&self, now: Time) -> Duration {
-        let last = self.last_micros.swap(micros(now), Ordering::Relaxed);
-        late(now, last)
+    fn record(&mut self, now: Time) -> Duration {
+        let late = self.late(now);
+        self.behind_since = match self.behind_since {
+            _ if late < BEHIND => None,
+            Some(since) => Some(since),
+            None => Some(self.last),
+        };
+        self.last = now;
+        late
     }
 
     /// Returns by how much the next turn is late by now.
-    fn overdue(&self, now: Time) -> Duration {
-        late(now, self.last_micros.load(Ordering::Relaxed))
+    fn late(&self, now: Time) -> Duration {
+        if self.last.is_zero() {
+            return Duration::ZERO;
+        }
+        now.saturating_sub(self.last + TURN)
     }
-}
 
-fn late(now: Time, last_micros: u64) -> Duration {
-    if last_micros == 0 {
-        return Duration::ZERO;
+    /// Returns when what is read now may have arrived at the earliest: until a turn is in time, it may
+    /// have waited since the last one that was.
+    fn earliest_arrival(&self, now: Time) -> Time {
+        let behind = (self.late(now) >= BEHIND).then_some(self.last);
+        self.behind_since.or(behind).unwrap_or(now)
     }
-    now.saturating_sub(Duration::from_micros(last_micros) + TURN)
-}
-
-fn micros(time: Time) -> u64 {
-    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
 }
 
 impl<D: Dialect> Hub<D> {
     /// Records a turn of the event loop.
     pub fn record_turn(&self) {
-        let late = self.turns.record(self.clock.now());
+        let late = self.turns().record(self.clock.now());
         self.metrics.loop_delay.observe(late.as_secs_f64());
     }
 
     /// Returns by how much the event loop is late.
     pub fn loop_delay(&self) -> Duration {
-        self.turns.overdue(self.clock.now())
+        self.turns().late(self.clock.now())
+    }
+
+    /// Returns when a request that is read now may have arrived at the earliest.
+    pub fn earliest_arrival(&self) -> Time {
+        self.turns().earliest_arrival(self.clock.now())
+    }
+
+    fn turns(&self) -> MutexGuard<'_, Turns> {
+        self.turns.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/gateway/src/hub/mod.rs
+++ b/crates/gateway/src/hub/mod.rs
@@ -179,7 +179,7 @@
     /// Whether the process is about to end, whatever is still under way.
     ending: watch::Sender<bool>,
     flying: AtomicI64,
-    turns: delay::Turns,
+    turns: Mutex<delay::Turns>,
     store_answered: AtomicU64,
     store_heard: AtomicU64,
 }
@@ -252,7 +252,7 @@
             leaving: AtomicBool::new(false),
             ending: watch::Sender::new(false),
             flying: AtomicI64::new(0),
-            turns: delay::Turns::default(),
+            turns: Mutex::default(),
             store_answered: AtomicU64::new(0),
             store_heard: AtomicU64::new(0),
         }
--- a/crates/gateway/src/side.rs
+++ b/crates/gateway/src/side.rs
@@ -7,8 +7,8 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
-use node::front::Body;
 use node::front::listener::Handler;
+use node::front::{Body, Caller};
 
 use crate::dialect::Dialect;
 use crate::hub::Hub;
@@ -88,7 +88,7 @@
 }
 
 impl<D: Dialect> Handler for Side<D> {
-    async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn handle(&self, request: Request<Incoming>, _: Caller) -> Response<Body> {
         let path = request.uri().path();
         if self.hub.dialect.asks_ready(path) {
             return self.ready();
--- a/crates/node/src/front/handler.rs
+++ b/crates/node/src/front/handler.rs
@@ -10,7 +10,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 
 use super::listener::Handler;
-use super::{Body, Problem, address, model, service};
+use super::{Body, Caller, Problem, address, model, service};
 use crate::core::Handle;
 use crate::shared::{Rules, Shared};
 
@@ -27,7 +27,11 @@
         Self { shared, core }
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Result<Response<Body>, Problem> {
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+        caller: Caller,
+    ) -> Result<Response<Body>, Problem> {
         let path = request.uri().path();
         match (request.method(), path) {
             (&Method::GET, "/healthz") => return Ok(text("alive\n")),
@@ -39,8 +43,10 @@
         match (request.method(), path) {
             (&Method::GET, "/v1/addresses") => address::answer(self, &rules, request.headers()),
             (&Method::GET, "/v1/models") => model::list(self, &rules, request.headers()),
-            (&Method::POST, "/v1/completions") => model::complete(self, &rules, request).await,
-            _ => service::pass(self, &rules, request).await,
+            (&Method::POST, "/v1/completions") => {
+                model::complete(self, &rules, request, caller).await
+            }
+            _ => service::pass(self, &rules, request, caller).await,
         }
     }
 
@@ -83,9 +89,9 @@
 pub(super) const RETRY_ELSEWHERE: std::time::Duration = std::time::Duration::from_secs(1);
 
 impl Handler for Front {
-    async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn handle(&self, request: Request<Incoming>, caller: Caller) -> Response<Body> {
         let _flight = self.shared.enter();
-        match self.answer(request).await {
+        match self.answer(request, caller).await {
             Ok(response) => response,
             Err(problem) => {
                 self.shared.metrics.refused_with(&problem);
--- a/crates/node/src/front/listener.rs
+++ b/crates/node/src/front/listener.rs
@@ -18,6 +18,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::Body;
+use super::caller::{Caller, Connection, Stream};
 use super::tls::Tls;
 
 /// Smallest read buffer that the HTTP library accepts, in bytes.
@@ -46,8 +47,12 @@
 
 /// Answers requests; one clone serves each connection.
 pub trait Handler: Clone + Send + Sync + 'static {
-    /// Answers one request.
-    fn handle(&self, request: Request<Incoming>) -> impl Future<Output = Response<Body>> + Send;
+    /// Answers one request of `caller`. The future is dropped if the caller leaves.
+    fn handle(
+        &self,
+        request: Request<Incoming>,
+        caller: Caller,
+    ) -> impl Future<Output = Response<Body>> + Send;
 
     /// Returns a time for which a connection may stay idle before its next request's head, where
     /// that differs from the limit on the head.
@@ -121,40 +126,50 @@
     // Small token chunks must not wait for each other.
     let _ = stream.set_nodelay(true);
     tokio::spawn(async move {
-        match tls {
-            None => connection(stream, limit, handler, stop).await,
-            Some(tls) => secured(&tls, stream, limit, handler, stop).await,
+        let (connection, stream) = Connection::new(stream);
+        let serving = async {
+            match tls {
+                None => serve_connection(&connection, stream, limit, handler, stop).await,
+                Some(tls) => secured(&tls, &connection, stream, limit, handler, stop).await,
+            }
+        };
+        tokio::select! {
+            biased;
+            () = serving => {}
+            () = connection.ended() => {}
         }
-        drop(slot);
+        drop((connection, slot));
     });
 }
 
 /// Serves a connection after its TLS handshake, which has as long as a request's head.
 async fn secured<H: Handler>(
     tls: &Tls,
-    stream: TcpStream,
+    caller: &Connection,
+    stream: Stream,
     limit: Limit,
     handler: H,
     stop: watch::Receiver<bool>,
 ) {
     let shaking = tls.acceptor().accept(stream);
     match timeout(limit.header_time, shaking).await {
-        Ok(Ok(stream)) => connection(stream, limit, handler, stop).await,
+        Ok(Ok(stream)) => serve_connection(caller, stream, limit, handler, stop).await,
         Ok(Err(error)) => log::debug!("caller's TLS handshake failed: {error}"),
         Err(_) => log::debug!("caller's TLS handshake took too long"),
     }
 }
 
-async fn connection<H: Handler>(
+async fn serve_connection<H: Handler>(
+    caller: &Connection,
     stream: impl AsyncRead + AsyncWrite + Unpin,
     limit: Limit,
     handler: H,
     mut stop: watch::Receiver<bool>,
 ) {
     let header_time = handler.idle().unwrap_or(limit.header_time);
-    let service = service_fn(move |request| {
-        let handler = handler.clone();
-        async move { Ok::<_, Infallible>(handler.handle(request).await) }
+    let service = service_fn(|request| {
+        let (handler, caller) = (handler.clone(), caller.caller());
+        async move { Ok::<_, Infallible>(handler.handle(request, caller).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -7,6 +7,7 @@
 
 mod address;
 mod body;
+pub mod caller;
 mod gate;
 pub mod handler;
 pub mod identity;
@@ -19,6 +20,7 @@
 pub mod tls;
 
 pub use body::{Body, Cut, Sender};
+pub use caller::Caller;
 pub use handler::Front;
 pub use operators::Operators;
 pub use problem::{Outcome, Problem};
--- a/crates/node/src/front/model/job.rs
+++ b/crates/node/src/front/model/job.rs
@@ -24,7 +24,7 @@
 use crate::front::handler::{Front, RETRY_ELSEWHERE};
 use crate::front::identity::Identity;
 use crate::front::reply::Writer;
-use crate::front::{Outcome, Problem};
+use crate::front::{Caller, Outcome, Problem};
 use crate::journal::DECISION;
 use crate::shared::Rules;
 
@@ -43,6 +43,8 @@
 /// One request.
 pub(super) struct Job {
     pub(super) front: Front,
+    /// Who waits for its answer.
+    caller: Caller,
     /// Number of the present placing.
     pub(super) request: wire::Request,
     pub(super) name: String,
@@ -103,6 +105,7 @@
     pub(super) async fn admit(
         front: &Front,
         rules: &Rules,
+        caller: Caller,
         identity: Identity,
         ask: Ask,
         arrived: Time,
@@ -156,6 +159,7 @@
         };
         Ok(Self {
             front: front.clone(),
+            caller,
             request,
             writer: Writer::new(name.clone(), choice.model),
             print: print_of(choice.model, &ask.prompt),
@@ -187,6 +191,9 @@
     pub(super) async fn begin(&mut self) -> Result<Running, Problem> {
         let mut grant = self.place().await?;
         loop {
+            if self.caller.has_left() {
+                return Err(self.abandoned());
+            }
             match self.start(&grant).await {
                 Begun::Running(running) => return Ok(*running),
                 Begun::Missing => grant = self.place_again().await?,
@@ -343,7 +350,8 @@
         gate::note_boot(runner);
         self.count_attempt(now, runner);
         let flight = runner.enter();
-        match engine.complete(self.completion(grant)).await {
+        let wanted = || !self.caller.has_left() && shared.clock.now() < grant.until;
+        match engine.complete_if(self.completion(grant), wanted).await {
             Ok(answer) => Begun::Running(Box::new(Running {
                 answer,
                 runner: runner.clone(),
@@ -357,6 +365,13 @@
                     .ended(now, &runner.pool, &runner.id, AttemptResult::Neutral);
                 Begun::Missing
             }
+            // The grant has ended meanwhile, or the caller has left.
+            Err(Error::Withdrawn { .. }) => {
+                shared
+                    .trials
+                    .ended(now, &runner.pool, &runner.id, AttemptResult::Neutral);
+                Begun::Missing
+            }
             // This node's own limit says nothing of the engine and costs no retry.
             Err(Error::Full { .. }) => {
                 shared
@@ -443,6 +458,15 @@
         }
     }
 
+    /// Ends a request whose caller has left before it was sent. Nobody reads the problem.
+    fn abandoned(&mut self) -> Problem {
+        log::info!(target: DECISION, request = self.name.as_str(), reason = "caller-gone"; "cancel");
+        self.refusal(
+            "the caller has left; nothing is sent for it any more",
+            Duration::ZERO,
+        )
+    }
+
     fn failed(
         &mut self,
         outcome: Outcome,
@@ -507,6 +531,11 @@
             &runner.id,
             AttemptResult::Neutral,
         );
+        self.leave();
+    }
+
+    /// Ends a stream whose caller has left.
+    pub(super) fn leave(&mut self) {
         log::info!(target: DECISION, request = self.name.as_str(), reason = "caller-gone"; "cancel");
         self.end(Outcome::Failed);
     }
--- a/crates/node/src/front/model/mod.rs
+++ b/crates/node/src/front/model/mod.rs
@@ -14,7 +14,7 @@
 
 use super::handler::{Front, json, read_body};
 use super::identity::Identity;
-use super::{Body, Problem};
+use super::{Body, Caller, Problem};
 use crate::shared::Rules;
 use job::Job;
 
@@ -54,6 +54,7 @@
     front: &Front,
     rules: &Rules,
     request: Request<Incoming>,
+    caller: Caller,
 ) -> Result<Response<Body>, Problem> {
     let shared = &front.shared;
     let arrived = shared.clock.now();
@@ -65,7 +66,7 @@
         Problem::bad(StatusCode::BAD_REQUEST, detail)
     })?;
     let stream = ask.stream;
-    let job = Job::admit(front, rules, identity, ask, arrived).await?;
+    let job = Job::admit(front, rules, caller, identity, ask, arrived).await?;
     if stream {
         job.stream().await
     } else {
--- a/crates/node/src/front/model/relay.rs
+++ b/crates/node/src/front/model/relay.rs
@@ -76,9 +76,15 @@
                 }
                 Written::Broken(error) => {
                     let passed = self.pass(sender, chunk.freeze()).await;
-                    match self.resume(running, error).await {
-                        Ok(next) => running = next,
-                        Err(problem) => return cut(sender, &problem).await,
+                    let resumed = tokio::select! {
+                        biased;
+                        () = sender.closed() => None,
+                        resumed = self.resume(running, error) => Some(resumed),
+                    };
+                    match resumed {
+                        Some(Ok(next)) => running = next,
+                        Some(Err(problem)) => return cut(sender, &problem).await,
+                        None => return self.leave(),
                     }
                     passed
                 }
--- a/crates/node/src/front/operators.rs
+++ b/crates/node/src/front/operators.rs
@@ -11,7 +11,7 @@
 
 use super::handler::json;
 use super::listener::Handler;
-use super::{Body, Problem};
+use super::{Body, Caller, Problem};
 use crate::core::Handle;
 use crate::shared::Shared;
 
@@ -160,7 +160,7 @@
 }
 
 impl Handler for Operators {
-    async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn handle(&self, request: Request<Incoming>, _: Caller) -> Response<Body> {
         self.answer(&request)
             .await
             .unwrap_or_else(Problem::into_response)
--- a/crates/node/src/front/service/claim.rs
+++ b/crates/node/src/front/service/claim.rs
@@ -50,9 +50,20 @@
             deadline: self.identity.deadline,
         };
         let mut rulings = self.front.core.begin(event);
-        let mut executed = false;
+        let request = self.request;
+        let (mut executed, mut abandoned) = (false, false);
         loop {
-            match rulings.recv().await {
+            let ruling = tokio::select! {
+                biased;
+                () = self.caller.left(), if !executed && !abandoned => {
+                    // What was not sent is not needed any more.
+                    abandoned = true;
+                    self.tell(once::Event::Abandon { request });
+                    continue;
+                }
+                ruling = rulings.recv() => ruling,
+            };
+            match ruling {
                 Some(Ruling::Execute) => {
                     executed = true;
                     self.execute().await;
@@ -90,7 +101,7 @@
         loop {
             let record = match self.attempt(&mut retry, &mut avoid, Reuse::Fresh).await {
                 Sent::Answer(answer) => self.record(*answer).await,
-                Sent::None | Sent::Refused(_) => {
+                Sent::None | Sent::CallerLeft | Sent::Refused(_) => {
                     return self.tell(once::Event::Abandon { request });
                 }
                 Sent::Failed(_, error) if error.reach() == Reach::MaybeSent => {
--- a/crates/node/src/front/service/job.rs
+++ b/crates/node/src/front/service/job.rs
@@ -23,7 +23,7 @@
 use crate::front::gate::{self, Place, Trial};
 use crate::front::handler::{Front, RETRY_ELSEWHERE};
 use crate::front::identity::{Identity, text};
-use crate::front::{Body, Cut, Outcome, Problem, Sender};
+use crate::front::{Body, Caller, Cut, Outcome, Problem, Sender};
 use crate::journal::DECISION;
 
 /// Kind of request in metrics.
@@ -35,6 +35,8 @@
 /// A call on its way.
 pub(super) struct Job {
     pub(super) front: Front,
+    /// Who waits for its answer.
+    pub(super) caller: Caller,
     pub(super) request: wire::Request,
     pub(super) name: String,
     pub(super) service: Arc<str>,
@@ -54,6 +56,8 @@
     Answer(Box<Answer>),
     /// No upstream may be tried now.
     None,
+    /// It was not sent, since its caller has left.
+    CallerLeft,
     Refused(Problem),
     Failed(Runner, Error),
 }
@@ -78,7 +82,7 @@
         loop {
             match self.attempt(&mut retry, &mut avoid, Reuse::Kept).await {
                 Sent::Answer(answer) => return Ok(self.relay(*answer)),
-                Sent::None => return Err(self.none(ran)),
+                Sent::None | Sent::CallerLeft => return Err(self.none(ran)),
                 Sent::Refused(problem) => return Err(problem),
                 Sent::Failed(runner, error) => {
                     ran |= error.reach() == Reach::MaybeSent;
@@ -97,7 +101,7 @@
         loop {
             match self.attempt(&mut retry, &mut avoid, Reuse::Fresh).await {
                 Sent::Answer(answer) => return Ok(self.relay(*answer)),
-                Sent::None => return Err(self.none(false)),
+                Sent::None | Sent::CallerLeft => return Err(self.none(false)),
                 Sent::Refused(problem) => return Err(problem),
                 Sent::Failed(runner, error) => {
                     self.next(&mut retry, Kind::Once, &runner, &error, false)
@@ -124,6 +128,9 @@
         reuse: Reuse,
     ) -> Sent {
         loop {
+            if self.caller.has_left() {
+                return Sent::CallerLeft;
+            }
             let Some(runner) = self.choose(avoid).await else {
                 return Sent::None;
             };
@@ -252,7 +259,8 @@
             reuse,
         };
         let deadline = self.front.shared.clock.instant(self.identity.deadline);
-        let answered = tokio::time::timeout_at(deadline, service.call(call)).await;
+        let wanted = || !self.caller.has_left();
+        let answered = tokio::time::timeout_at(deadline, service.call_if(call, wanted)).await;
         let answered = answered.unwrap_or_else(|_| {
             Err(Error::Timeout {
                 upstream: runner.id.clone(),
--- a/crates/node/src/front/service/mod.rs
+++ b/crates/node/src/front/service/mod.rs
@@ -2,9 +2,9 @@
 //! at most once.
 //!
 //! An idempotent call is tried again elsewhere while it makes sense. A call that may not be
-//! repeated and carries an idempotency key runs under a claim; it goes on when its caller goes
-//! away, so that its outcome is recorded for the caller's retry. Without a key it is sent once,
-//! and never again after the first byte.
+//! repeated and carries an idempotency key runs under a claim; once it may have begun to run, it goes on
+//! when its caller goes away, so that its outcome is recorded for the caller's retry. Without a key it is
+//! sent once, and never again after the first byte. Nothing is sent for a caller that has left.
 //!
 //! - `job` tries a call at upstreams and passes its answer on.
 //! - `claim` runs a call under a claim and replays its first answer.
@@ -20,7 +20,7 @@
 use crate::front::gate;
 use crate::front::handler::{Front, read_body};
 use crate::front::identity::Identity;
-use crate::front::{Body, Problem};
+use crate::front::{Body, Caller, Problem};
 use crate::journal::DECISION;
 use crate::shared::Rules;
 use job::Job;
@@ -30,6 +30,7 @@
     front: &Front,
     rules: &Rules,
     request: Request<Incoming>,
+    caller: Caller,
 ) -> Result<Response<Body>, Problem> {
     let shared = &front.shared;
     let now = shared.clock.now();
@@ -61,6 +62,7 @@
         admitted: Some(admitted),
         request,
         front: front.clone(),
+        caller,
         service: route.service.clone(),
         pool: route.pool.clone(),
         repeat: route.retry_policy,
--- a/crates/node/tests/closing_listener.rs
+++ b/crates/node/tests/closing_listener.rs
@@ -5,8 +5,8 @@
 
 use hyper::body::Incoming;
 use hyper::{Request, Response};
-use node::front::Body;
 use node::front::listener::{Handler, Limit, serve};
+use node::front::{Body, Caller};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -24,7 +24,7 @@
 struct Fixed;
 
 impl Handler for Fixed {
-    async fn handle(&self, _: Request<Incoming>) -> Response<Body> {
+    async fn handle(&self, _: Request<Incoming>, _: Caller) -> Response<Body> {
         Response::new(Body::full("served"))
     }
 }
--- a/crates/node/tests/tls_reload.rs
+++ b/crates/node/tests/tls_reload.rs
@@ -7,9 +7,9 @@
 
 use hyper::body::Incoming;
 use hyper::{Request, Response};
-use node::front::Body;
 use node::front::listener::{Handler, Limit, serve};
 use node::front::tls::{Error, Tls, watch as watch_files};
+use node::front::{Body, Caller};
 use rstest::rstest;
 use tempfile::TempDir;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -27,7 +27,7 @@
 struct Hello;
 
 impl Handler for Hello {
-    async fn handle(&self, _: Request<Incoming>) -> Response<Body> {
+    async fn handle(&self, _: Request<Incoming>, _: Caller) -> Response<Body> {
         Response::new(Body::full("hello"))
     }
 }
--- a/crates/upstream/src/engine/http.rs
+++ b/crates/upstream/src/engine/http.rs
@@ -179,7 +179,11 @@
         Ok(models.data)
     }
 
-    async fn complete(&self, request: Completion) -> Result<Stream, Error> {
+    async fn complete_if(
+        &self,
+        request: Completion,
+        wanted: impl FnOnce() -> bool + Send,
+    ) -> Result<Stream, Error> {
         let mut body = request.parameters.clone();
         body.insert("model".into(), json!(request.instance));
         body.insert("prompt".into(), json!(request.prompt));
@@ -198,7 +202,7 @@
             head: None,
             request: self.build(builder, &Value::Object(body))?,
         };
-        let response = self.link.send(call).await?;
+        let response = self.link.send_if(call, |_| wanted()).await?;
         check_head(self.upstream(), &response, &request.attempt)?;
         if !response.status().is_success() {
             return Err(self.refusal(response, Some(&request.instance)).await);
--- a/crates/upstream/src/engine/mod.rs
+++ b/crates/upstream/src/engine/mod.rs
@@ -244,6 +244,19 @@
     fn complete(
         &self,
         request: Completion,
+    ) -> impl Future<Output = Result<Self::Answer, Error>> + Send {
+        self.complete_if(request, || true)
+    }
+
+    /// Sends a completion, if `wanted` still holds when it can be written.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Withdrawn`] where it no longer holds, and what [`Engine::complete`] returns.
+    fn complete_if(
+        &self,
+        request: Completion,
+        wanted: impl FnOnce() -> bool + Send,
     ) -> impl Future<Output = Result<Self::Answer, Error>> + Send;
 
     /// Cancels an attempt; one that the engine does not know is passed over.
--- a/crates/upstream/src/link/mod.rs
+++ b/crates/upstream/src/link/mod.rs
@@ -232,6 +232,11 @@
         Duration::from_millis(self.keep.load(Ordering::Relaxed))
     }
 
+    /// Returns the upstream's address.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Returns the limits that the link was made with.
     pub fn limits(&self) -> &Limits {
         &self.limits
@@ -243,11 +248,11 @@
     ///
     /// Returns an [`Error`] whose [`Error::reach`] tells whether a byte was written.
     pub async fn send(&self, call: Call) -> Result<Response<Body>, Error> {
-        self.send_if(call, || true).await
+        self.send_if(call, |_| true).await
     }
 
     /// Sends one request once, if `wanted` still holds when its connection is there: to open one may
-    /// take as long as [`Limits::connect`].
+    /// take as long as [`Limits::connect`]. `wanted` may bring the request's headers up to date.
     ///
     /// # Errors
     ///
@@ -255,13 +260,16 @@
     pub async fn send_if(
         &self,
         call: Call,
-        wanted: impl FnOnce() -> bool,
+        wanted: impl FnOnce(&mut Request<Full<Bytes>>) -> bool,
     ) -> Result<Response<Body>, Error> {
         let pool = self.pool(call.class);
         let permit = self.permit(pool)?;
-        let request = self.address_request(call.request, call.host)?;
+        let mut request = self.address_request(call.request, call.host)?;
         let mut conn = self.connection(pool, call.reuse).await?;
-        if !wanted() {
+        if !wanted(&mut request) {
+            if conn.used.is_some() {
+                pool.put_back(conn);
+            }
             return Err(Error::Withdrawn {
                 upstream: self.upstream.clone(),
             });
@@ -372,7 +380,9 @@
         sleep(CLOSE_SPREAD).await;
         for pool in [&self.ordinary, &self.urgent, &self.control] {
             if let Some(conn) = self.kept(pool, |_| true).await {
-                pool.put_back(conn);
+                if conn.used.is_some() {
+                    pool.put_back(conn);
+                }
                 return false;
             }
         }
--- a/crates/upstream/src/service/http.rs
+++ b/crates/upstream/src/service/http.rs
@@ -75,7 +75,11 @@
 impl Service for Http {
     type Body = link::Body;
 
-    async fn call(&self, call: Call) -> Result<Response<link::Body>, Error> {
+    async fn call_if(
+        &self,
+        call: Call,
+        wanted: impl FnOnce() -> bool + Send,
+    ) -> Result<Response<link::Body>, Error> {
         let sent = Sent {
             method: call.method.clone(),
             attempt: call.attempt.clone(),
@@ -87,7 +91,7 @@
             head: None,
             request: self.request(call)?,
         };
-        let mut response = self.link.send(call).await?;
+        let mut response = self.link.send_if(call, |_| wanted()).await?;
         self.check(&response, &sent)?;
         header::strip(response.headers_mut());
         response.headers_mut().remove(header::ATTEMPT);
--- a/crates/upstream/src/service/mod.rs
+++ b/crates/upstream/src/service/mod.rs
@@ -56,5 +56,18 @@
     /// # Errors
     ///
     /// Returns an [`Error`] whose reach tells whether the call may have run.
-    fn call(&self, call: Call) -> impl Future<Output = Result<Response<Self::Body>, Error>> + Send;
+    fn call(&self, call: Call) -> impl Future<Output = Result<Response<Self::Body>, Error>> + Send {
+        self.call_if(call, || true)
+    }
+
+    /// Sends a call, if `wanted` still holds when it can be written.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Withdrawn`] where it no longer holds, and what [`Service::call`] returns.
+    fn call_if(
+        &self,
+        call: Call,
+        wanted: impl FnOnce() -> bool + Send,
+    ) -> impl Future<Output = Result<Response<Self::Body>, Error>> + Send;
 }
--- a/crates/upstream/tests/abandoned_calls.rs
+++ b/crates/upstream/tests/abandoned_calls.rs
@@ -74,7 +74,7 @@
 async fn unwanted_call_is_not_written() {
     let (address, seen) = serve(vec![Act::Request, Act::Hold]).await;
     let link = Link::new("upstream-1", address, Limits::default());
-    let error = link.send_if(call(), || false).await.unwrap_err();
+    let error = link.send_if(call(), |_| false).await.unwrap_err();
     assert!(matches!(error, Error::Withdrawn { .. }), "{error}");
     assert_eq!(error.reach(), Reach::NotSent);
     tokio::time::sleep(Duration::from_millis(50)).await;
