Give configurations on within a share of the link

What callers saw: on nodes that read the platform, for up to ten seconds after a large configuration, requests were not answered, and reached their upstreams seconds after their callers had left; a call that may run once ran 6.7 s later.

Cause: a node that has a new configuration tells all others, and all of them ask it for its parts. It answered each request at once with 32 datagrams. What waited in its link was not there after 100 ms and was asked for again, five times. 60 peers times 38 KB times 5 are 11.5 MB; the record shows 11.2 MB within two seconds, on a link that carries 1.25 MB a second. Requests to upstreams, connections and cancellations waited behind them.

Change: parts are taken out one by one, as fast as half of the machine's link allows (exchange.link_mbps, from the platform's settings), once for each peer however often it asks, and for four peers at a time. Documents are packed by zlib (flate2). A node that has got one offers it to four others, which ask it if they wait in vain; a peer that gives nothing is left for another one. While parts arrive, the platform is not asked as well, for 0.9 s at most. Updates of readers go within the same share, in place of a fixed 20 Mbit/s. Nodes of earlier releases still get plain parts.

Why it works: what a node sends of its own accord no longer depends on how many ask or how often.

--- a/crates/exchange/src/config_transfer.rs
+++ b/crates/exchange/src/config_transfer.rs
@@ -4,13 +4,22 @@
 //! it, and have it also if the platform has lost it meanwhile: a confirmed configuration is then in
 //! force on all nodes or, if none has read it, on none.
 //!
-//! Messages are best effort. The receiving node asks for the parts that it lacks, and asks again if
-//! they do not arrive.
+//! Messages are best effort. The receiving node asks for the parts that it lacks, and asks again, and
+//! other nodes, if they do not arrive.
+//!
+//! Callers' requests go over the same link. A node therefore does not answer a request for parts at once
+//! but takes parts out one by one with [`Transfer::take_part`], as fast as its share of the link allows,
+//! and at most once for each peer. Documents are packed, and each node that has one gives it on.
 
+use std::io::{Read, Write};
 use std::time::Duration;
 
+use flate2::Compression;
+use flate2::read::ZlibDecoder;
+use flate2::write::ZlibEncoder;
+
 use serde::{Deserialize, Serialize};
-use wire::{Revision, Time, Vm};
+use wire::{Revision, Time, Vm, rank};
 
 /// Bytes of a document in one message.
 pub const PART_BYTES: usize = 1_200;
@@ -28,6 +37,24 @@
 /// peer begins another one.
 const REPEATS_MAX: u32 = 5;
 
+/// Time after which a request for parts is forgotten that was not repeated.
+const REQUEST_AGE_MAX: Duration = Duration::from_millis(150);
+
+/// Peers whose requests for parts a node keeps. Others ask elsewhere.
+const REQUESTS_MAX: usize = 4;
+
+/// Peers that a node remembers as sources of a document.
+const SOURCES_MAX: usize = 8;
+
+/// Number of requests without a part after which another source is asked in the middle of a document.
+const LOST_PARTS_MAX: u32 = 2;
+
+/// Time without a part after which a transfer does not count as under way.
+const ACTIVE: Duration = Duration::from_millis(150);
+
+/// Number of peers that are told of a document by a node that has just got it.
+const OFFERS: usize = 4;
+
 /// A message between two nodes. Variants are encoded by position: new ones must be added at the end.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
@@ -59,6 +86,42 @@
         /// The part.
         bytes: Vec<u8>,
     },
+    /// Asks for the parts of a packed document from an offset.
+    RequestPacked {
+        /// Its revision.
+        revision: Revision,
+        /// Number of packed bytes that the sender has.
+        offset: u32,
+    },
+    /// A part of a packed document.
+    PackedPart {
+        /// Its revision.
+        revision: Revision,
+        /// Size of the whole packed document in bytes.
+        size: u32,
+        /// Number of packed bytes before this part.
+        offset: u32,
+        /// The part.
+        bytes: Vec<u8>,
+    },
+}
+
+/// Form of a document on its way. Nodes of earlier releases ask for plain ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Form {
+    Plain,
+    Packed,
+}
+
+/// Parts that a peer has asked for and not been sent.
+#[derive(Clone, Debug)]
+struct Wanted {
+    peer: Vm,
+    form: Form,
+    offset: usize,
+    end: usize,
+    /// When the peer asked last.
+    asked_at: Time,
 }
 
 /// What to do after a message.
@@ -73,9 +136,13 @@
 /// A document that is being received.
 #[derive(Clone, Debug)]
 struct Receipt {
-    from: Vm,
+    /// Peers that have the document; the first one is asked.
+    sources: Vec<Vm>,
     revision: Revision,
+    /// Packed bytes.
     bytes: Vec<u8>,
+    /// Whether all parts have arrived.
+    whole: bool,
     /// When the last part arrived, or the last request was sent.
     active_at: Time,
     repeats: u32,
@@ -86,7 +153,11 @@
 pub struct Transfer {
     revision: Revision,
     document: Vec<u8>,
+    /// The document as it is sent; empty until somebody asks for it.
+    packed: Vec<u8>,
     receipt: Option<Receipt>,
+    /// Sorted by when they were asked for first.
+    wanted: Vec<Wanted>,
     answered: bool,
 }
 
@@ -95,7 +166,71 @@
     pub fn adopted(&mut self, revision: Revision, document: impl Into<Vec<u8>>) {
         self.revision = revision;
         self.document = document.into();
-        self.receipt.take_if(|receipt| receipt.revision <= revision);
+        self.wanted.clear();
+        let receipt = self.receipt.take_if(|receipt| receipt.revision <= revision);
+        self.packed = receipt
+            .filter(|receipt| receipt.revision == revision && receipt.whole)
+            .map_or_else(Vec::new, |receipt| receipt.bytes);
+    }
+
+    /// Returns whether parts of a document arrive.
+    pub fn is_active(&self, now: Time) -> bool {
+        let receipt = self.receipt.as_ref();
+        receipt.is_some_and(|receipt| !receipt.bytes.is_empty() && now < receipt.active_at + ACTIVE)
+    }
+
+    /// Returns the peers to tell of the document in force, which this node has just got.
+    pub fn offer_to(&self, me: &Vm, peers: impl Iterator<Item = Vm>) -> (Vec<Vm>, Message) {
+        let revision = self.revision;
+        let seed = rank::hash(format!("{me}/{revision}"));
+        (rank::top(seed, peers, OFFERS), Message::Offer { revision })
+    }
+
+    /// Returns whether a peer waits for parts.
+    pub const fn has_requests(&self) -> bool {
+        !self.wanted.is_empty()
+    }
+
+    /// Takes out the next part for a peer. Those that have most of the document go first, since they
+    /// give it on.
+    pub fn take_part(&mut self, now: Time) -> Option<(Vm, Message)> {
+        self.wanted
+            .retain(|wanted| now < wanted.asked_at + REQUEST_AGE_MAX);
+        let furthest = self.wanted.iter().map(|wanted| wanted.offset).max()?;
+        let index = self
+            .wanted
+            .iter()
+            .position(|wanted| wanted.offset == furthest)?;
+        let revision = self.revision;
+        let wanted = &mut self.wanted[index];
+        let document = match wanted.form {
+            Form::Plain => &self.document,
+            Form::Packed => &self.packed,
+        };
+        let (first, size) = (wanted.offset, length(document));
+        let last = (first + PART_BYTES).min(wanted.end).min(document.len());
+        let bytes = document.get(first..last).unwrap_or_default().to_vec();
+        let offset = u32::try_from(first).unwrap_or(u32::MAX);
+        let message = match wanted.form {
+            Form::Plain => Message::Part {
+                revision,
+                size,
+                offset,
+                bytes,
+            },
+            Form::Packed => Message::PackedPart {
+                revision,
+                size,
+                offset,
+                bytes,
+            },
+        };
+        wanted.offset = last.max(first);
+        let peer = wanted.peer.clone();
+        if wanted.offset >= wanted.end.min(document.len()) {
+            self.wanted.remove(index);
+        }
+        Some((peer, message))
     }
 
     /// Returns whether a peer has told its revision.
@@ -110,26 +245,45 @@
             let revision = self.revision;
             return Some(Message::Offer { revision });
         }
-        let is_pending = self
+        if revision == self.revision {
+            return None;
+        }
+        if let Some(receipt) = self
             .receipt
-            .as_ref()
-            .is_some_and(|receipt| receipt.revision >= revision);
-        if revision == self.revision || is_pending {
+            .as_mut()
+            .filter(|receipt| receipt.revision >= revision)
+        {
+            receipt.add_source(from, revision);
             return None;
         }
         self.receipt = Some(Receipt {
-            from: from.clone(),
+            sources: vec![from.clone()],
             revision,
             bytes: Vec::new(),
+            whole: false,
             active_at: now,
             repeats: 0,
         });
-        Some(Message::Request {
+        Some(Message::RequestPacked {
             revision,
             offset: 0,
         })
     }
 
+    /// Asks a peer that has just got the document, in place of one that has sent nothing yet: it has
+    /// fewer others to serve.
+    fn switch_to(&mut self, now: Time, from: &Vm, revision: Revision) -> Option<Message> {
+        let receipt = self.receipt.as_mut()?;
+        if receipt.revision != revision || !receipt.bytes.is_empty() {
+            return None;
+        }
+        receipt.sources.retain(|source| source != from);
+        receipt.sources.insert(0, from.clone());
+        receipt.sources.truncate(SOURCES_MAX);
+        receipt.active_at = now;
+        Some(receipt.request())
+    }
+
     /// Applies a message from `from`.
     pub fn receive(&mut self, now: Time, from: &Vm, message: Message) -> Step {
         match message {
@@ -143,18 +297,28 @@
             }
             Message::Offer { revision } => {
                 self.answered = true;
-                let request = (revision > self.revision)
-                    .then(|| self.announced(now, from, revision))
-                    .flatten();
+                let request = if revision > self.revision {
+                    let request = self.announced(now, from, revision);
+                    request.or_else(|| self.switch_to(now, from, revision))
+                } else {
+                    None
+                };
                 Step::Reply(request.into_iter().collect())
             }
-            Message::Request { revision, offset } => Step::Reply(self.parts(revision, offset)),
-            Message::Part {
+            Message::Request { revision, offset } => {
+                Step::Reply(self.parts_requested(now, from, Form::Plain, revision, offset))
+            }
+            Message::RequestPacked { revision, offset } => {
+                Step::Reply(self.parts_requested(now, from, Form::Packed, revision, offset))
+            }
+            Message::PackedPart {
                 revision,
                 size,
                 offset,
                 bytes,
             } => self.part_received(now, from, revision, (size, offset), &bytes),
+            // Nobody is asked for plain parts.
+            Message::Part { .. } => Step::Reply(Vec::new()),
         }
     }
 
@@ -170,25 +334,49 @@
         }
         receipt.repeats += 1;
         receipt.active_at = now;
-        Some((receipt.from.clone(), receipt.request()))
+        if receipt.bytes.is_empty() || receipt.repeats > LOST_PARTS_MAX {
+            receipt.next_source();
+        }
+        let source = receipt.sources.first()?.clone();
+        Some((source, receipt.request()))
     }
 
-    /// Returns the parts of the document in force from `offset`, or an offer if it is another one.
-    fn parts(&self, revision: Revision, offset: u32) -> Vec<Message> {
+    /// Records that a peer wants the parts of the document in force from `offset`. Returns an offer if it
+    /// is another one.
+    fn parts_requested(
+        &mut self,
+        now: Time,
+        peer: &Vm,
+        form: Form,
+        revision: Revision,
+        offset: u32,
+    ) -> Vec<Message> {
         if revision != self.revision {
             let revision = self.revision;
             return vec![Message::Offer { revision }];
         }
-        let first = (offset as usize).min(self.document.len());
-        let chunks = self.document[first..].chunks(PART_BYTES);
-        let parts = chunks.take(PARTS_PER_REQUEST).enumerate();
-        let part = |(index, bytes): (usize, &[u8])| Message::Part {
-            revision,
-            size: length(&self.document),
-            offset: u32::try_from(first + index * PART_BYTES).unwrap_or(u32::MAX),
-            bytes: bytes.to_vec(),
+        if form == Form::Packed && self.packed.is_empty() {
+            self.packed = pack(&self.document);
+        }
+        let offset = offset as usize;
+        let wanted = Wanted {
+            peer: peer.clone(),
+            form,
+            offset,
+            end: offset + PART_BYTES * PARTS_PER_REQUEST,
+            asked_at: now,
         };
-        parts.map(part).collect()
+        let room = self.wanted.len() < REQUESTS_MAX;
+        match self.wanted.iter_mut().find(|known| known.peer == *peer) {
+            // What is on its way already is not sent again.
+            Some(known) if known.form == form && (offset..known.end).contains(&known.offset) => {
+                known.asked_at = now;
+            }
+            Some(known) => *known = wanted,
+            None if room => self.wanted.push(wanted),
+            None => {}
+        }
+        Vec::new()
     }
 
     fn part_received(
@@ -201,8 +389,8 @@
     ) -> Step {
         let nothing = Step::Reply(Vec::new());
         let expected = |receipt: &&mut Receipt| {
-            let same = receipt.from == *from && receipt.revision == revision;
-            same && offset == length(&receipt.bytes) && !bytes.is_empty()
+            let same = receipt.sources.first() == Some(from) && receipt.revision == revision;
+            same && !receipt.whole && offset == length(&receipt.bytes) && !bytes.is_empty()
         };
         let Some(receipt) = self.receipt.as_mut().filter(expected) else {
             return nothing;
@@ -216,8 +404,16 @@
         receipt.repeats = 0;
         let received = length(&receipt.bytes);
         if received >= size {
-            let document = self.receipt.take().map(|receipt| receipt.bytes);
-            return document.map_or(nothing, Step::Adopt);
+            return match unpack(&receipt.bytes) {
+                Some(document) => {
+                    receipt.whole = true;
+                    Step::Adopt(document)
+                }
+                None => {
+                    self.receipt = None;
+                    nothing
+                }
+            };
         }
         let burst = (PART_BYTES * PARTS_PER_REQUEST) as u32;
         if received.is_multiple_of(burst) {
@@ -230,11 +426,47 @@
 impl Receipt {
     /// Returns the request for the parts that have not arrived.
     fn request(&self) -> Message {
-        Message::Request {
+        Message::RequestPacked {
             revision: self.revision,
             offset: length(&self.bytes),
         }
     }
+
+    /// Adds a peer that has `revision` at least.
+    fn add_source(&mut self, vm: &Vm, revision: Revision) {
+        let room = self.sources.len() < SOURCES_MAX;
+        if room && revision == self.revision && !self.sources.contains(vm) {
+            self.sources.push(vm.clone());
+        }
+    }
+
+    /// Begins anew at the next source, whose packed form may differ.
+    fn next_source(&mut self) {
+        if self.sources.len() > 1 {
+            self.sources.rotate_left(1);
+            self.bytes.clear();
+        }
+    }
+}
+
+/// Returns the packed form of a document.
+fn pack(document: &[u8]) -> Vec<u8> {
+    let mut packer = ZlibEncoder::new(Vec::new(), Compression::fast());
+    // A vector takes everything.
+    let _ = packer.write_all(document);
+    packer.finish().unwrap_or_default()
+}
+
+/// Returns the document of a packed form, unless it is none or larger than a document may be.
+fn unpack(packed: &[u8]) -> Option<Vec<u8>> {
+    let mut document = Vec::new();
+    let limit = DOCUMENT_BYTES_MAX as u64 + 1;
+    let read = ZlibDecoder::new(packed)
+        .take(limit)
+        .read_to_end(&mut document);
+    read.ok()
+        .filter(|length| *length <= DOCUMENT_BYTES_MAX)
+        .map(|_| document)
 }
 
 fn length(bytes: &[u8]) -> u32 {
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`route`] is the configuration in force, whatever platform or file it came from.
 //! - [`tenant`] identifies tenants by their API keys.
 //! - [`quota`] enforces tenants' quotas across all nodes.
+//! - [`bulk_pace`] leaves callers' requests room on a node's link.
 //! - [`announced_rate`] enforces the rates that upstreams announce across all nodes.
 //! - [`fleet`] is this node's view of the upstreams: listings, residency, load and failures.
 //! - [`selection`] selects the upstream for a request, or reports why none can serve it.
@@ -29,6 +30,7 @@
 //! - [`relay`] tracks the events of a stream, so that another engine can resume it.
 
 pub mod announced_rate;
+pub mod bulk_pace;
 pub mod config_transfer;
 pub mod demand;
 pub mod fleet;
--- a/crates/exchange/tests/config_links.rs
+++ b/crates/exchange/tests/config_links.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use exchange::bulk_pace::BulkPace;
 use exchange::config_transfer::{Message, Step, Transfer};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -74,6 +75,8 @@
     Receive(Vm, Message),
     /// A reader announces its revision.
     Announced(Vm, Revision),
+    /// Its share of the link allows more bulk data.
+    Pace,
 }
 
 struct Node {
@@ -83,6 +86,9 @@
     free_at: Time,
     ticks: u32,
     sent: usize,
+    pace: BulkPace,
+    /// Whether [`Event::Pace`] is due.
+    paced: bool,
     /// When it learnt of a revision that it lacks.
     lacks_since: Option<Time>,
 }
@@ -120,6 +126,8 @@
                 free_at: Time::ZERO,
                 ticks: 0,
                 sent: 0,
+                pace: BulkPace::new(LINK * 8.0),
+                paced: false,
                 lacks_since: None,
             });
             let phase = TICK * (number as u32) / (nodes as u32);
@@ -154,6 +162,10 @@
 
     fn step(&mut self, node: usize, event: Event) {
         match event {
+            Event::Pace => {
+                self.nodes[node].paced = false;
+                self.send_parts(node);
+            }
             Event::Read(revision) => self.adopt(node, revision),
             Event::Tick => self.tick(node),
             Event::Announced(from, revision) => {
@@ -179,6 +191,9 @@
                         self.adopt(node, found.expect("a published document") as Revision);
                     }
                 }
+                if !self.nodes[node].paced {
+                    self.send_parts(node);
+                }
             }
         }
     }
@@ -195,6 +210,33 @@
         if node < READERS {
             self.announce(node);
         }
+        let others = (0..self.nodes.len()).filter(|other| *other != node).map(vm);
+        let (peers, offer) = self.nodes[node].transfer.offer_to(&vm(node), others);
+        for peer in peers {
+            self.send(node, &peer, offer.clone());
+        }
+    }
+
+    /// Sends parts that peers wait for, as far as the node's share of its link allows.
+    fn send_parts(&mut self, node: usize) {
+        let now = self.now;
+        loop {
+            let wait = self.nodes[node].pace.wait(now);
+            if !self.nodes[node].transfer.has_requests() {
+                return;
+            }
+            if !wait.is_zero() {
+                self.nodes[node].paced = true;
+                return self.at(now + wait, node, Event::Pace);
+            }
+            let Some((to, part)) = self.nodes[node].transfer.take_part(now) else {
+                return;
+            };
+            let before = self.nodes[node].sent;
+            self.send(node, &to, part);
+            let bytes = self.nodes[node].sent - before;
+            self.nodes[node].pace.sent(now, bytes);
+        }
     }
 
     fn announce(&mut self, node: usize) {
@@ -230,7 +272,7 @@
 
     fn send(&mut self, node: usize, to: &Vm, message: Message) {
         let bytes = match &message {
-            Message::Part { bytes, .. } => bytes.len(),
+            Message::Part { bytes, .. } | Message::PackedPart { bytes, .. } => bytes.len(),
             _ => 0,
         };
         let at = self.transmit(node, bytes + OVERHEAD);
--- a/crates/exchange/tests/config_transfer.rs
+++ b/crates/exchange/tests/config_transfer.rs
@@ -14,7 +14,9 @@
 }
 
 fn document(bytes: usize) -> Vec<u8> {
-    (0..bytes).map(|index| (index % 251) as u8).collect()
+    // Drawn, so that its packed form is no smaller.
+    let mut rng = StdRng::seed_from_u64(bytes as u64);
+    (0..bytes).map(|_| rng.random()).collect()
 }
 
 fn holder(revision: u64, bytes: usize) -> Transfer {
@@ -53,6 +55,9 @@
                     pending.extend(messages.into_iter().map(|message| (!to_holder, message)));
                 }
             }
+            while let Some((_, part)) = from.take_part(now) {
+                pending.push((false, part));
+            }
         }
     }
     None
@@ -102,7 +107,7 @@
 fn foreign_parts_are_ignored(#[case] from: Vm, #[case] revision: u64, #[case] offset: u32) {
     let mut transfer = Transfer::default();
     transfer.announced(ms(1_000), &vm(0), 7);
-    let part = Message::Part {
+    let part = Message::PackedPart {
         revision,
         size: 4,
         offset,
@@ -116,7 +121,7 @@
 fn oversized_document_is_refused() {
     let mut transfer = Transfer::default();
     transfer.announced(ms(1_000), &vm(0), 7);
-    let part = Message::Part {
+    let part = Message::PackedPart {
         revision: 7,
         size: DOCUMENT_BYTES_MAX as u32 + 1,
         offset: 0,
@@ -149,10 +154,74 @@
     assert_eq!(replies, [Message::Offer { revision: 7 }]);
     assert!(!started.is_answered());
     let step = started.receive(ms(1_000), &vm(0), Message::Offer { revision: 7 });
-    let request = Message::Request {
+    let request = Message::RequestPacked {
         revision: 7,
         offset: 0,
     };
     assert_eq!(step, Step::Reply(vec![request]));
     assert!(started.is_answered());
 }
+
+/// A node of an earlier release gets the document as it is.
+#[rstest]
+fn plain_parts_are_sent_to_earlier_releases() {
+    let mut transfer = holder(7, 3_000);
+    let request = Message::Request {
+        revision: 7,
+        offset: 0,
+    };
+    assert_eq!(
+        transfer.receive(ms(1_000), &vm(1), request),
+        Step::Reply(Vec::new())
+    );
+    let mut received = Vec::new();
+    while let Some((to, part)) = transfer.take_part(ms(1_000)) {
+        let Message::Part { size, bytes, .. } = part else {
+            panic!("another form");
+        };
+        assert_eq!((to, size), (vm(1), 3_000));
+        received.extend(bytes);
+    }
+    assert_eq!(received, document(3_000));
+}
+
+/// Guards against parts that are sent again while they wait, as often as they are asked for.
+#[rstest]
+fn repeated_request_is_answered_once() {
+    let mut transfer = holder(7, 20_000);
+    let request = Message::RequestPacked {
+        revision: 7,
+        offset: 0,
+    };
+    for _ in 0..5 {
+        transfer.receive(ms(1_000), &vm(1), request.clone());
+    }
+    let mut parts = 0;
+    while transfer.take_part(ms(1_000)).is_some() {
+        parts += 1;
+    }
+    assert!(parts <= 20_000 / PART_BYTES + 2, "{parts} parts");
+}
+
+/// Guards against parts for a peer that has the document from elsewhere by now.
+#[rstest]
+fn old_request_is_forgotten() {
+    let mut transfer = holder(7, 20_000);
+    let request = Message::RequestPacked {
+        revision: 7,
+        offset: 0,
+    };
+    transfer.receive(ms(1_000), &vm(1), request);
+    assert!(transfer.take_part(ms(1_010)).is_some());
+    assert_eq!(transfer.take_part(ms(1_500)), None);
+}
+
+/// Guards against a transfer that hangs on a peer which gives nothing while others have the document.
+#[rstest]
+fn other_source_is_asked() {
+    let mut transfer = Transfer::default();
+    transfer.announced(ms(1_000), &vm(0), 7);
+    assert_eq!(transfer.announced(ms(1_010), &vm(1), 7), None);
+    let (to, _) = transfer.tick(ms(1_100)).expect("a repeat");
+    assert_eq!(to, vm(1));
+}
--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -8,8 +8,11 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use exchange::bulk_pace::BulkPace;
+use node::clock::Clock;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
+use tokio::sync::Mutex;
 use wire::frame::{decode, encode};
 use wire::seal::Seal;
 use wire::{Frame, Incarnation, Vm};
@@ -48,14 +51,6 @@
 /// Pause after an error of the socket: short beside the silence after which peers count as dead.
 const ERROR_PAUSE: Duration = Duration::from_millis(2);
 
-/// Number of datagrams that [`Post::send_paced`] sends at a time, and the pause after them. At most
-/// 1,500 bytes each, they fill a link of 20 Mbit/s and leave room for other messages in the
-/// socket's buffer.
-const PACED_DATAGRAMS: usize = 8;
-
-/// See [`PACED_DATAGRAMS`].
-const PACED_PAUSE: Duration = Duration::from_millis(5);
-
 /// Number of [`Message`] in frames; other machines of the product have lower ones.
 const CHANNEL: u8 = 16;
 
@@ -110,10 +105,13 @@
     socket: UdpSocket,
     seal: Seal,
     counts: Counts,
+    clock: Clock,
+    /// Held by the task that waits for its turn, so that bulk data go out in the order of the tasks.
+    pace: Mutex<BulkPace>,
 }
 
 impl Post {
-    /// Binds `address`.
+    /// Binds `address` on a machine whose link carries so many bits per second.
     ///
     /// # Errors
     ///
@@ -122,12 +120,16 @@
         address: SocketAddr,
         me: Incarnation,
         seal: Seal,
+        clock: Clock,
+        link_bits_per_second: f64,
     ) -> std::io::Result<Arc<Self>> {
         Ok(Arc::new(Self {
             me,
             socket: UdpSocket::bind(address).await?,
             seal,
             counts: Counts::default(),
+            clock,
+            pace: Mutex::new(BulkPace::new(link_bits_per_second)),
         }))
     }
 
@@ -145,8 +147,9 @@
         &self.counts
     }
 
-    /// Sends a message to `vm` at `address`; an empty name addresses whoever is there.
-    pub fn send(&self, vm: &Vm, address: SocketAddr, message: &Message) {
+    /// Sends a message to `vm` at `address`; an empty name addresses whoever is there. Returns the number
+    /// of bytes sent.
+    pub fn send(&self, vm: &Vm, address: SocketAddr, message: &Message) -> usize {
         let frame = |body| Frame {
             from: self.me.clone(),
             to: vm.clone(),
@@ -168,21 +171,18 @@
             None => &self.counts.dropped,
         };
         counter.fetch_add(1, Ordering::Relaxed);
+        sent.unwrap_or_default()
     }
 
-    /// Sends messages to many nodes no faster than a slow link carries them. All at once, they would
-    /// overflow the socket's buffer, and those beyond it would be lost.
-    pub async fn send_paced(&self, recipients: &[(Vm, SocketAddr)], messages: &[Message]) {
-        let mut sent = 0;
-        for message in messages {
-            for (vm, address) in recipients {
-                self.send(vm, *address, message);
-                sent += 1;
-                if sent % PACED_DATAGRAMS == 0 {
-                    tokio::time::sleep(PACED_PAUSE).await;
-                }
-            }
+    /// Sends a message that is one of many, once the share of the link for bulk data allows it.
+    pub async fn send_bulk(&self, vm: &Vm, address: SocketAddr, message: &Message) {
+        let mut pace = self.pace.lock().await;
+        let wait = pace.wait(self.clock.now());
+        if !wait.is_zero() {
+            tokio::time::sleep(wait).await;
         }
+        let bytes = self.send(vm, address, message);
+        pace.sent(self.clock.now(), bytes);
     }
 
     /// Waits for the next authentic message to this node.
--- a/crates/gateway/src/hub/config.rs
+++ b/crates/gateway/src/hub/config.rs
@@ -49,9 +49,22 @@
         }
         self.config.store(Some(Arc::new(config)));
         transfer.adopted(revision, document);
+        let peers = self.peers.load();
+        let others = peers.live.iter().filter(|vm| **vm != self.me.vm);
+        let (others, offer) = transfer.offer_to(&self.me.vm, others.cloned());
+        drop(transfer);
+        for vm in &others {
+            self.send_transfer(vm, offer.clone());
+        }
         true
     }
 
+    /// Tells whether a newer configuration arrives from a peer.
+    pub fn receives_config(&self) -> bool {
+        let now = self.clock.now();
+        self.transfer().is_active(now)
+    }
+
     /// Asks some peers for the revision of their configuration.
     pub fn query_config(&self) {
         let revision = self.revision();
@@ -83,7 +96,14 @@
             self.newest.fetch_max(*revision, Ordering::Relaxed);
         }
         let now = self.clock.now();
-        let step = self.transfer().receive(now, from, message);
+        let step = {
+            let mut transfer = self.transfer();
+            let step = transfer.receive(now, from, message);
+            if transfer.has_requests() {
+                self.parts_wanted.notify_one();
+            }
+            step
+        };
         match step {
             Step::Reply(messages) => {
                 for message in messages {
@@ -110,6 +130,11 @@
         }
     }
 
+    fn take_part(&self) -> Option<(Vm, Message)> {
+        let now = self.clock.now();
+        self.transfer().take_part(now)
+    }
+
     fn send_transfer(&self, vm: &Vm, message: Message) {
         if let Some(record) = self.peers.load().record(vm) {
             let message = datagram::Message::Config(message);
@@ -121,3 +146,17 @@
         self.transfer.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Sends parts of the configuration to the peers that ask for them, for as long as the process lives.
+pub async fn send_parts<D: Dialect>(hub: Arc<Hub<D>>) {
+    loop {
+        hub.parts_wanted.notified().await;
+        while let Some((vm, part)) = hub.take_part() {
+            let address = hub.peers.load().record(&vm).map(|record| record.peers);
+            if let Some(address) = address {
+                let message = datagram::Message::Config(part);
+                hub.post.send_bulk(&vm, address, &message).await;
+            }
+        }
+    }
+}
--- a/crates/gateway/src/hub/mod.rs
+++ b/crates/gateway/src/hub/mod.rs
@@ -56,6 +56,7 @@
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
 
+pub use config::send_parts;
 pub use delay::TURN;
 pub use load_wait::LoadWait;
 pub use word::Leaver;
@@ -159,6 +160,8 @@
     newest: AtomicU64,
     /// Locked before the desk.
     transfer: Mutex<Transfer>,
+    /// Wakes the task that sends parts of the configuration.
+    parts_wanted: Notify,
     next_request: AtomicU64,
     /// Changes with each verdict on a feature.
     verdicts: watch::Sender<()>,
@@ -239,6 +242,7 @@
             news: Notify::new(),
             newest: AtomicU64::new(0),
             transfer: Mutex::default(),
+            parts_wanted: Notify::new(),
             next_request: AtomicU64::new(0),
             verdicts: watch::Sender::new(()),
             examined: Mutex::default(),
--- a/crates/gateway/src/hub/pulse.rs
+++ b/crates/gateway/src/hub/pulse.rs
@@ -60,7 +60,9 @@
         let others = others.filter_map(|vm| peers.record(vm));
         if changes.is_empty() {
             let message = message(Vec::new());
-            others.for_each(|record| self.post.send(&record.vm, record.peers, &message));
+            others.for_each(|record| {
+                self.post.send(&record.vm, record.peers, &message);
+            });
             return;
         }
         let recipients: Vec<(Vm, SocketAddr)> = others
@@ -69,7 +71,13 @@
         let parts = changes.chunks(PULSE_CHANGES).map(<[_]>::to_vec);
         let messages: Vec<Message> = parts.map(message).collect();
         let post = self.post.clone();
-        tokio::spawn(async move { post.send_paced(&recipients, &messages).await });
+        tokio::spawn(async move {
+            for message in &messages {
+                for (vm, address) in &recipients {
+                    post.send_bulk(vm, *address, message).await;
+                }
+            }
+        });
     }
 
     /// Takes over what a reader tells. What it knows of an era that has ended is out of date.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -19,7 +19,7 @@
 use crate::datagram::Post;
 use crate::dialect::Dialect;
 use crate::front::Front;
-use crate::hub::Hub;
+use crate::hub::{self, Hub};
 use crate::metrics::Metrics;
 use crate::side::Side;
 use crate::store;
@@ -59,13 +59,15 @@
         let platform = start::platform(&settings)?.first().copied();
         let platform = platform.ok_or_else(|| Error::Platform(String::new()))?;
         let address = settings.listen.peers;
-        let bound = Post::bind(address, me.clone(), start::seal(&settings)?).await;
+        let link = settings.exchange.clone().unwrap_or_default().link_mbps * 1e6;
+        let bound = Post::bind(address, me.clone(), start::seal(&settings)?, clock, link).await;
         let post = bound.map_err(|cause| Error::Listen { address, cause })?;
         info!(target: DECISION, vm:% = me, zone:% = settings.vm.zone; "start");
         let hub = Hub::new(dialect, settings, me, clock, Metrics::new()?, post);
         let hub = Arc::new(hub);
         let control = control::start(hub.clone()).await?;
         tokio::spawn(store::run(hub.clone(), platform));
+        tokio::spawn(hub::send_parts(hub.clone()));
         let mut node = Self {
             hub,
             control,
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -34,6 +34,9 @@
 /// Time in which peers give a newer configuration before the platform is asked for it.
 const PEERS_FIRST: Duration = Duration::from_millis(300);
 
+/// Time in which they do, if parts of it arrive.
+const PEERS_LONGEST: Duration = Duration::from_millis(900);
+
 /// Time between two reads of a configuration that the platform may have lost.
 const CONFIG_PAUSE: Duration = Duration::from_millis(1_000);
 
@@ -116,6 +119,8 @@
     position: Option<Position>,
     /// When the platform is asked for a configuration that peers have.
     next_config_read: Option<Time>,
+    /// Since when peers have had a configuration that this node lacks.
+    config_lacked_since: Time,
     /// What was read and is not told yet.
     changes: Vec<platform_reader::PlatformChange>,
 }
@@ -135,6 +140,7 @@
         last: Instant::now(),
         position: None,
         next_config_read: None,
+        config_lacked_since: Time::ZERO,
         changes: Vec::new(),
         hub,
     };
@@ -224,7 +230,14 @@
             self.next_config_read = None;
             return false;
         }
-        let due = *self.next_config_read.get_or_insert(now + PEERS_FIRST);
+        let due = *self.next_config_read.get_or_insert_with(|| {
+            self.config_lacked_since = now;
+            now + PEERS_FIRST
+        });
+        let arrives = now < self.config_lacked_since + PEERS_LONGEST && self.hub.receives_config();
+        if now >= due && arrives {
+            return false;
+        }
         if now >= due {
             self.next_config_read = Some(now + CONFIG_PAUSE);
         }
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -141,6 +141,9 @@
         let sound = exchange.prefill.is_finite() && exchange.prefill > 0.0;
         let remedy = "give the tokens that an engine reads in a millisecond";
         self.ensure(sound, "exchange.prefill", exchange.prefill, remedy);
+        let sound = exchange.link_mbps.is_finite() && exchange.link_mbps > 0.0;
+        let remedy = "give the megabits a second that the VM's link carries";
+        self.ensure(sound, "exchange.link_mbps", exchange.link_mbps, remedy);
         for (name, value) in [
             ("parallel", exchange.parallel),
             ("threads", exchange.threads),
--- a/crates/settings/src/section.rs
+++ b/crates/settings/src/section.rs
@@ -409,6 +409,9 @@
     /// Least time between two reads of the platform.
     #[serde(with = "humantime_serde")]
     pub pause: Duration,
+    /// Megabits a second that the VM's link carries. Bulk data between nodes take half of it at most,
+    /// and leave the rest to callers.
+    pub link_mbps: f64,
     /// Threads that run the node; 1 spares the hand-over between threads on a part of a core.
     pub threads: usize,
 }
@@ -435,6 +438,7 @@
             patience: 3.6,
             step: Duration::from_millis(9),
             pause: Duration::from_millis(400),
+            link_mbps: 40.0,
             threads: 1,
         }
     }
