Take only an accepted order for the lock of the former owner

Cause: the first order of a claim raises the engine's fencing number, which locks the former owner out. Any answer but 412, 421 and silence counted as that, 409 included. An engine that answers 409 has another order under way and has not taken the number: the former owner went on loading, and the new one counted from a report that these loads outdated. At an engine without a base model the first order counted as the lock before it was answered.

Change: only 200 and 202 count. A refused first order is given again until then, and nothing else is ordered.

Why it works: an order that was accepted has been read with its number; every order of the former owner after it is refused, and the report that is asked for then shows every one before it.

--- a/crates/exchange/src/owner/scheduling.rs
+++ b/crates/exchange/src/owner/scheduling.rs
@@ -153,8 +153,6 @@
             .present_targets()
             .find(|(target, _)| target.adapter.is_none());
         let Some((base, present)) = base else {
-            // The first order to an empty engine loads its base model.
-            self.owned_engines[index].fence_seen = true;
             return self.next_base_load(now, fleet, index, runner);
         };
         if !self.owned_engines[index].fence_seen {
@@ -258,6 +256,9 @@
         out: &mut Vec<Action>,
     ) {
         let eta = now + self.expected_load_time(fleet, engine, order.target());
+        let known = fleet.upstream(engine);
+        let is_absent =
+            known.is_some_and(|known| known.presence(order.target()) == Presence::Absent);
         let lease = self.config.lease;
         let Some(owned) = self
             .owned_engine_mut(engine)
@@ -288,11 +289,19 @@
                     owned.note_unanswered_load(now, order.target(), now + lease);
                 }
             }
-            _ if !fence_seen => {
+            Answer::Accepted | Answer::Done if !fence_seen => {
                 // The first order of a claim has locked the former owner out. From then on a report
                 // that is as recent shows the effect of every earlier order.
                 owned.fence_seen = true;
                 owned.request_report(out);
+                if is_absent {
+                    self.apply_order(now, engine, order, answer, eta, out);
+                }
+            }
+            // The engine has refused the order before it took the token: the former owner's orders
+            // go on being accepted.
+            Answer::Busy | Answer::Unfit if !fence_seen => {
+                owned.state = OrderState::Ready(now + BUSY_RETRY_DELAY);
             }
             Answer::Accepted | Answer::Done | Answer::Unfit if order.is_confirm() => {
                 self.handle_confirmation(now, engine, order.target(), answer, out);
--- a/crates/exchange/tests/owner_orders.rs
+++ b/crates/exchange/tests/owner_orders.rs
@@ -73,6 +73,35 @@
     assert_eq!(orders(&opened), [&Order::Load(target("b"), None)]);
 }
 
+/// Guards against a claim that counts as the lock of the former owner although the engine has refused its
+/// first order: both owners load, and the engine gets more than it holds (LIMIT).
+#[rstest]
+#[case::other_order(Answer::Busy)]
+#[case::not_understood(Answer::Unfit)]
+fn refused_first_order_locks_nobody_out(
+    #[case] answer: Answer,
+    #[values(&["a"], &[])] adapters: &[&str],
+) {
+    let mut node = OwnerHarness::alone("vm-1", 1, [engine("e1", adapters)]);
+    let mut actions = node.advance(ms(1_000));
+    for _ in 0..4 {
+        assert_eq!(orders(&actions), [&Order::Load(bare(), None)]);
+        node.answer_orders(actions, |_| answer);
+        let report = node.step(Event::ReportFetched {
+            engine: "e1".into(),
+            succeeded: true,
+        });
+        assert_eq!(orders(&report), [] as [&Order; 0]);
+        let asked = node.step(request_load("b"));
+        assert_eq!(orders(&asked), [] as [&Order; 0], "the former owner orders");
+        actions = node.advance(ms(1_000));
+    }
+    let given = node.answer_orders(actions, |_| Answer::Done);
+    let given: Vec<&Order> = given.iter().map(|(_, _, order)| order).collect();
+    let loads = [Order::Load(bare(), None), Order::Load(target("b"), None)];
+    assert_eq!(given, [&loads[0], &loads[1]]);
+}
+
 #[rstest]
 fn engine_is_never_overfilled() {
     let adapters: Vec<String> = (0..ADAPTER_SLOTS)
