Conclude no release from listings that may be out of date

A node that nobody answered concluded from its own listings that the pool had had one release for as long as a stream may last. Its listings were as old as its last news, and silence counted as an answer.

Change: only time with current listings counts, beginning anew after two seconds without; and the conclusion needs the answers of all nodes that were asked. The tests that concluded after two looks 120 s apart now look all the time, which is what nodes do.

Evidence: stream_origins.rs::conclusion_needs_current_listings and time_out_of_touch_does_not_count failed before (release 1 in place of none); silent_nodes_leave_it_unknown is new, since answers and silence could not be told apart.

Why it works: another release that served while this node did not hear of it is either known to a node that answers, or the conclusion is not drawn.

--- a/crates/exchange/src/stream_origin.rs
+++ b/crates/exchange/src/stream_origin.rs
@@ -8,7 +8,9 @@
 //! While a pool has had a single release for longer than any stream lasts, nobody needs to be told.
 //!
 //! A release that nobody knows is unknown. It cannot be concluded from the upstreams that serve now:
-//! those that began the stream may be gone.
+//! those that began the stream may be gone. Where a pool has had one release for longer than any stream
+//! lasts, that is the one; but only the time counts in which this node knew the listings as they were,
+//! and only if all nodes that it asks answer. A node that was cut off or stood still has old listings.
 
 use std::time::Duration;
 
@@ -40,6 +42,10 @@
 /// Longest life of a stream, with all tries of its caller to take it up.
 pub const STREAM_AGE_MAX: Duration = Duration::from_secs(120);
 
+/// Time without current listings from which releases may have come and gone unseen: several times that in
+/// which a node that is in touch hears of them.
+const OBSERVATION_GAP_MAX: Duration = Duration::from_secs(2);
+
 /// Maximum number of records; the oldest ones yield.
 const RECORDS_MAX: usize = 50_000;
 
@@ -105,11 +111,66 @@
     batch: Vec<(StreamId, Release)>,
     batch_since: Time,
     pools: Vec<UniformPool>,
+    /// When the listings were known as they are last.
+    observed_at: Time,
+}
+
+/// Answers of the nodes that are asked for a stream.
+#[derive(Clone, Copy, Debug)]
+pub struct Inquiry {
+    unanswered: usize,
+    release: Option<Release>,
+}
+
+/// What an inquiry has found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Finding {
+    /// A node knows the release.
+    Known(Release),
+    /// All nodes have answered, and none knows it.
+    Unknown,
+    /// Some nodes have not answered.
+    Unanswered,
+}
+
+impl Inquiry {
+    /// Begins an inquiry at so many nodes.
+    pub const fn new(asked: usize) -> Self {
+        Self {
+            unanswered: asked,
+            release: None,
+        }
+    }
+
+    /// Records the answer of one node.
+    pub fn answer(&mut self, release: Option<Release>) {
+        self.unanswered = self.unanswered.saturating_sub(1);
+        self.release = self.release.or(release);
+    }
+
+    /// Returns whether further answers change nothing.
+    pub const fn is_over(&self) -> bool {
+        self.release.is_some() || self.unanswered == 0
+    }
+
+    /// Returns what was found so far.
+    pub const fn finding(&self) -> Finding {
+        match self.release {
+            Some(release) => Finding::Known(release),
+            None if self.unanswered == 0 => Finding::Unknown,
+            None => Finding::Unanswered,
+        }
+    }
 }
 
 impl Origins {
-    /// Records the upstreams that are listed now.
+    /// Records the upstreams that are listed now. To be called only while the listings are known to be
+    /// current.
     pub fn observe<'a>(&mut self, now: Time, listings: impl IntoIterator<Item = &'a Listing>) {
+        if !self.is_current(now) {
+            self.restart_conclusions(now);
+        }
+        self.observed_at = now;
         let mut seen: Vec<(&PoolName, Option<Release>)> = Vec::new();
         for listing in listings {
             match seen.iter_mut().find(|(pool, _)| **pool == listing.pool) {
@@ -145,16 +206,33 @@
 
     /// Records that routes lead to other pools now, so that a stream may have begun at another one.
     pub fn routes_changed(&mut self, now: Time) {
+        self.restart_conclusions(now);
+    }
+
+    fn restart_conclusions(&mut self, now: Time) {
         for pool in &mut self.pools {
             pool.since = now;
         }
     }
 
+    fn is_current(&self, now: Time) -> bool {
+        now <= self.observed_at + OBSERVATION_GAP_MAX
+    }
+
     /// Returns the release that every stream of the pool began at, if there has been no other one for
     /// as long as a stream may last.
     pub fn only_release(&self, now: Time, pool: &str) -> Option<Release> {
         let known = self.pools.iter().find(|known| *known.pool == *pool)?;
-        known.has_settled(now).then_some(known.release)
+        (self.is_current(now) && known.has_settled(now)).then_some(known.release)
+    }
+
+    /// Returns the release that a stream of the pool began at, after an inquiry at other nodes.
+    pub fn conclude(&self, now: Time, pool: &str, finding: Finding) -> Option<Release> {
+        match finding {
+            Finding::Known(release) => Some(release),
+            Finding::Unknown => self.only_release(now, pool),
+            Finding::Unanswered => None,
+        }
     }
 
     /// Records that a stream of this node has begun, or goes on. Others are told by
--- a/crates/exchange/tests/stream_origins.rs
+++ b/crates/exchange/tests/stream_origins.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use exchange::fleet::{Listing, Release, release};
-use exchange::stream_origin::{Message, Origins, RECORDERS, STREAM_AGE_MAX, StreamId, stream_id};
+use exchange::stream_origin::{
+    Inquiry, Message, Origins, RECORDERS, STREAM_AGE_MAX, StreamId, stream_id,
+};
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
@@ -60,10 +62,10 @@
 #[rstest]
 fn single_release_is_believed_after_the_longest_stream() {
     let mut origins = Origins::default();
-    let start = ms(1_000);
-    origins.observe(start, &[listing("e1", 1), listing("e2", 1)]);
-    assert_eq!(origins.only_release(start, "engines"), None);
-    let later = start + STREAM_AGE_MAX;
+    let listings = [listing("e1", 1), listing("e2", 1)];
+    observe_for(&mut origins, ms(100), ms(100), &listings);
+    assert_eq!(origins.only_release(ms(200), "engines"), None);
+    let later = observe_for(&mut origins, ms(200), STREAM_AGE_MAX, &listings);
     assert_eq!(origins.only_release(later, "engines"), Some(1));
     assert_eq!(origins.only_release(later, "services"), None);
 }
@@ -73,8 +75,8 @@
 #[case::replaced_release(&[listing("e2", 2)])]
 fn release_ends_the_conclusion(#[case] listings: &[Listing]) {
     let mut origins = Origins::default();
-    origins.observe(ms(0), &[listing("e1", 1), plain_listing("s1", "z")]);
-    let later = ms(10) + STREAM_AGE_MAX;
+    let both = [listing("e1", 1), plain_listing("s1", "z")];
+    let later = observe_for(&mut origins, ms(100), STREAM_AGE_MAX, &both);
     origins.observe(later, listings);
     origins.observe(later + ms(100), &[listing("e1", 1)]);
     assert_eq!(origins.only_release(later + ms(100), "engines"), None);
@@ -85,18 +87,83 @@
 #[rstest]
 fn moved_routes_end_the_conclusion() {
     let mut origins = Origins::default();
-    origins.observe(ms(0), &[listing("e1", 1)]);
-    let later = ms(10) + STREAM_AGE_MAX;
+    let later = observe_until_settled(&mut origins);
+    assert_eq!(origins.only_release(later, "engines"), Some(1));
     origins.routes_changed(later);
     assert_eq!(origins.only_release(later, "engines"), None);
 }
 
+/// Guards against a conclusion from listings that are as old as a node's last news: while it stood still
+/// or was cut off, streams may have begun at another release through other nodes (ORDER).
+#[rstest]
+fn conclusion_needs_current_listings() {
+    let mut origins = Origins::default();
+    let settled = observe_until_settled(&mut origins);
+    assert_eq!(origins.only_release(settled, "engines"), Some(1));
+    let later = settled + ms(3_000);
+    assert_eq!(origins.only_release(later, "engines"), None);
+}
+
+/// Guards against a conclusion right after such a time: the other release may be gone again, and its
+/// streams are still taken up.
+#[rstest]
+fn time_out_of_touch_does_not_count() {
+    let mut origins = Origins::default();
+    let settled = observe_until_settled(&mut origins);
+    let back = settled + ms(3_000);
+    origins.observe(back, &[listing("e1", 1)]);
+    assert_eq!(origins.only_release(back, "engines"), None);
+    let mut now = back;
+    while now < back + STREAM_AGE_MAX {
+        now += ms(100);
+        origins.observe(now, &[listing("e1", 1)]);
+    }
+    assert_eq!(origins.only_release(now, "engines"), Some(1));
+}
+
+/// Guards against the same at a node to which others do not answer: one of them may know the stream.
+#[rstest]
+#[case::all_answer(3, &[None, None, None], Some(1))]
+#[case::one_knows(3, &[None, Some(2)], Some(2))]
+#[case::one_is_silent(3, &[None, None], None)]
+#[case::cut_off(3, &[], None)]
+#[case::alone(0, &[], Some(1))]
+fn silent_nodes_leave_it_unknown(
+    #[case] asked: usize,
+    #[case] answers: &[Option<Release>],
+    #[case] concluded: Option<Release>,
+) {
+    let mut origins = Origins::default();
+    let now = observe_until_settled(&mut origins);
+    let mut inquiry = Inquiry::new(asked);
+    answers.iter().for_each(|answer| inquiry.answer(*answer));
+    assert_eq!(
+        origins.conclude(now, "engines", inquiry.finding()),
+        concluded
+    );
+}
+
+/// Observes one release for as long as a stream may last, and returns when that is over.
+fn observe_until_settled(origins: &mut Origins) -> Time {
+    observe_for(origins, ms(100), STREAM_AGE_MAX, &[listing("e1", 1)])
+}
+
+/// Observes listings for so long, and returns when that is over.
+fn observe_for(origins: &mut Origins, from: Time, time: Duration, listings: &[Listing]) -> Time {
+    let mut now = from;
+    origins.observe(now, listings);
+    while now < from + time {
+        now += ms(100);
+        origins.observe(now, listings);
+    }
+    now
+}
+
 /// Streams that began while there was one release are told once there is another one.
 #[rstest]
 fn streams_are_told_once_releases_differ() {
     let mut origins = Origins::default();
-    origins.observe(ms(0), &[listing("e1", 1)]);
-    let later = ms(10) + STREAM_AGE_MAX;
+    let later = observe_until_settled(&mut origins);
     origins.began(later, 7, 1);
     assert_eq!(origins.take_untold(later), []);
     origins.observe(later, &[listing("e1", 1), listing("e2", 2)]);
--- a/crates/gateway/src/hub/origin.rs
+++ b/crates/gateway/src/hub/origin.rs
@@ -1,9 +1,12 @@
 //! Which release a stream began at: told to a few nodes, and asked of them.
 
 use std::sync::PoisonError;
+use std::time::Duration;
 
 use exchange::fleet::Release;
-use exchange::stream_origin::{Message, RECORDERS, RECORDS_PER_MESSAGE, StreamId, stream_id};
+use exchange::stream_origin::{
+    Finding, Inquiry, Message, RECORDERS, RECORDS_PER_MESSAGE, StreamId, stream_id,
+};
 use tokio::sync::mpsc;
 use wire::{Vm, rank};
 
@@ -15,6 +18,10 @@
 /// Number of times that the nodes are asked for a stream: a datagram may be lost.
 const ROUNDS: usize = 2;
 
+/// Silence of the platform and of its readers up to which this node's listings count as current: several
+/// pulses of a reader.
+const LISTING_AGE_MAX: Duration = Duration::from_secs(1);
+
 /// Open questions, by ticket.
 #[derive(Debug, Default)]
 pub(super) struct OpenQueries {
@@ -52,33 +59,33 @@
     /// Returns the release that the stream began at whose first event `attempt` brought, if it can be
     /// found out.
     pub async fn find_origin(&self, attempt: Option<&str>, pool: &str) -> Option<Release> {
-        if let Some(stream) = attempt.map(stream_id) {
-            let known = self.desk().origins.release(stream);
-            if known.is_some() {
-                return known;
-            }
-            let told = self.ask_origin(stream).await;
-            if told.is_some() {
-                return told;
-            }
+        let Some(stream) = attempt.map(stream_id) else {
+            let now = self.clock.now();
+            return self.desk().origins.only_release(now, pool);
+        };
+        let known = self.desk().origins.release(stream);
+        if known.is_some() {
+            return known;
         }
+        let finding = self.ask_origin(stream).await;
         let now = self.clock.now();
-        self.desk().origins.only_release(now, pool)
+        self.desk().origins.conclude(now, pool, finding)
     }
 
-    async fn ask_origin(&self, stream: StreamId) -> Option<Release> {
+    async fn ask_origin(&self, stream: StreamId) -> Finding {
+        let mut finding = Finding::Unanswered;
         for _ in 0..ROUNDS {
             let asked = self.others_by_rank(stream);
             let (ticket, answers) = self.origin_queries().open();
             for vm in &asked {
                 self.send_origin(vm, Message::Query { ticket, stream });
             }
-            let first = first_release(answers, asked.len());
-            if let Ok(release) = tokio::time::timeout(ANSWER_TIMEOUT, first).await {
-                return release;
+            finding = inquire(answers, asked.len()).await;
+            if finding != Finding::Unanswered {
+                break;
             }
         }
-        None
+        finding
     }
 
     /// Takes in a message about streams.
@@ -97,12 +104,15 @@
     /// Records which releases are in service, and tells others of streams where there are several.
     pub fn tick_origins(&self) {
         let now = self.clock.now();
+        let is_current = self.store_silence() < LISTING_AGE_MAX;
         {
             let mut desk = self.desk();
             let desk = &mut *desk;
             let upstreams = desk.fleet.upstreams().iter();
             let listings = upstreams.map(|upstream| &upstream.listing);
-            desk.origins.observe(now, listings);
+            if is_current {
+                desk.origins.observe(now, listings);
+            }
             desk.origins.expire(now);
         }
         self.tell_origins();
@@ -147,15 +157,18 @@
     }
 }
 
-/// Waits for the first node that knows a release, or until all that were asked know none.
-async fn first_release(
-    mut answers: mpsc::UnboundedReceiver<Option<Release>>,
-    asked: usize,
-) -> Option<Release> {
-    for _ in 0..asked {
-        if let Some(release) = answers.recv().await? {
-            return Some(release);
+/// Waits until a node knows the release, all that were asked have answered, or they have had time to.
+async fn inquire(mut answers: mpsc::UnboundedReceiver<Option<Release>>, asked: usize) -> Finding {
+    let mut inquiry = Inquiry::new(asked);
+    let answering = async {
+        while !inquiry.is_over() {
+            let Some(release) = answers.recv().await else {
+                return;
+            };
+            inquiry.answer(release);
         }
-    }
-    None
+    };
+    // What has been answered by then counts.
+    let _ = tokio::time::timeout(ANSWER_TIMEOUT, answering).await;
+    inquiry.finding()
 }
