Bound the memory of all answers that are held together

The answer of a claimed call on the product's own front was not bounded at all, and each stream could hold 1 MB of an event without end.

Change: upstream::memory::Account counts the bytes of whole bodies until their last reader has dropped them; half of limits.memory_mb, which the platform's settings now pass on. Answers of one upstream take a quarter of that at most, so that a faulty one costs itself; an answer without room fails its attempt and may be repeated where its kind allows it. Events that are not whole count as well.

Why it works: room is asked for before bytes are kept, by capacity, not by length.

--- a/crates/exchange/src/relay.rs
+++ b/crates/exchange/src/relay.rs
@@ -59,6 +59,11 @@
         self.last.unwrap_or(self.events)
     }
 
+    /// Returns how many bytes of an incomplete event are buffered.
+    pub fn buffered(&self) -> usize {
+        self.partial.capacity()
+    }
+
     /// Returns whether an incomplete event is buffered.
     pub fn has_partial(&self) -> bool {
         !self.partial.is_empty()
--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -532,8 +532,13 @@
         cursor: &mut Cursor,
     ) -> Tried<D> {
         let mut first = Vec::new();
+        let mut hold = body.hold();
         let (mut ended, mut faulty) = (false, false);
         while first.is_empty() && !ended {
+            if hold.resize(cursor.buffered()).is_err() {
+                visit.end(AttemptResult::Failed);
+                return self.failed("no-memory", Execution::Unknown);
+            }
             match self.next(&mut body, &visit).await {
                 Next::Part(part) => {
                     let before = cursor.progress();
@@ -618,6 +623,10 @@
     ) -> Tried<D> {
         let bytes = match tokio::time::timeout(self.left(), body.collect()).await {
             Ok(Ok(bytes)) => bytes,
+            Ok(Err(upstream::Error::NoMemory { .. } | upstream::Error::Large { .. })) => {
+                visit.end(AttemptResult::Failed);
+                return self.failed("no-memory", Execution::Unknown);
+            }
             Ok(Err(_)) => {
                 visit.break_off(&self.features).await;
                 return self.failed("cut", Execution::Unknown);
--- a/crates/gateway/src/front/stream.rs
+++ b/crates/gateway/src/front/stream.rs
@@ -122,7 +122,11 @@
         if open.ended {
             return Run::Whole;
         }
+        let mut hold = open.body.hold();
         loop {
+            if hold.resize(cursor.buffered()).is_err() {
+                return Run::Broken("no-memory");
+            }
             let next = tokio::select! {
                 biased;
                 next = self.next(&mut open.body, &open.visit) => next,
--- a/crates/gateway/src/hub/mod.rs
+++ b/crates/gateway/src/hub/mod.rs
@@ -50,6 +50,7 @@
 use settings::Settings;
 use tokio::sync::{Notify, oneshot, watch};
 use upstream::link::{Limits, Link};
+use upstream::memory::Account;
 use wire::{Incarnation, Time, Upstream, Vm};
 
 use crate::datagram::Post;
@@ -152,6 +153,10 @@
     pub peers: ArcSwap<Peers>,
     /// The metrics.
     pub metrics: Metrics,
+    /// Memory for bodies that are held as a whole.
+    pub memory: Arc<Account>,
+    /// The part of it for callers' bodies.
+    pub uploads: Arc<Account>,
     /// The socket towards other nodes.
     pub post: Arc<Post>,
     /// Wakes the reader of the platform where a pulse tells of something to read.
@@ -229,7 +234,10 @@
             spread: Vec::new(),
             waits: Waits::default(),
         };
+        let memory = Account::new(settings.limits.held_bytes());
         Self {
+            uploads: memory.child(memory.limit() / 4 * 3),
+            memory,
             dialect,
             settings,
             exchange,
@@ -362,11 +370,13 @@
             connect: CONNECT,
             keep: KEEP,
             body_bytes: BODY_BYTES,
+            // A faulty upstream leaves room to the others.
+            held_bytes: self.memory.limit() / 4,
             // The front ends an answer that makes no progress.
             body: Duration::from_secs(60),
             ..Limits::default()
         };
-        let link = Link::new(id.clone(), address, limits);
+        let link = Link::new(id.clone(), address, limits).within(&self.memory);
         links.insert(index, (id.clone(), address, link.clone()));
         link
     }
--- a/crates/node/src/front/service/claim.rs
+++ b/crates/node/src/front/service/claim.rs
@@ -131,23 +131,19 @@
     async fn record(&self, answer: Answer) -> CallRecord {
         let Answer {
             head,
-            mut body,
+            body,
             runner,
             trial,
             since,
             flight,
         } = answer;
-        let mut bytes = Vec::new();
-        loop {
-            match body.next().await {
-                Ok(Some(chunk)) => bytes.extend_from_slice(&chunk),
-                Ok(None) => break,
-                Err(error) => {
-                    self.note_failure(&runner, trial, &error).await;
-                    return unknown_record(&error.to_string());
-                }
+        let bytes = match body.collect().await {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                self.note_failure(&runner, trial, &error).await;
+                return unknown_record(&error.to_string());
             }
-        }
+        };
         drop(flight);
         gate::answered(&self.front, &runner, trial, since);
         let failed = head.status.is_server_error();
@@ -159,7 +155,7 @@
             },
             status: head.status.as_u16(),
             content_type: media_of(&head.headers),
-            body: Some(bytes),
+            body: Some(bytes.into()),
         }
     }
 
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -12,6 +12,9 @@
 /// Levels of logs.
 const LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
 
+/// Least memory of a process, in megabytes: bodies of the largest size have to find room.
+const MEMORY_MB_MIN: usize = 32;
+
 /// Smallest body limit in bytes that leaves room for a prompt.
 const BODY_BYTES_MIN: usize = 1024;
 
@@ -180,6 +183,7 @@
             ("connections", limits.connections, 1),
             ("streams", limits.streams, 1),
             ("queue", limits.queue, 1),
+            ("memory_mb", limits.memory_mb, MEMORY_MB_MIN),
             ("frame_bytes", limits.frame_bytes, BODY_BYTES_MIN),
         ] {
             let remedy = format!("give at least {least}");
--- a/crates/settings/src/section.rs
+++ b/crates/settings/src/section.rs
@@ -116,6 +116,9 @@
     pub streams: usize,
     /// Requests that may wait for admission.
     pub queue: usize,
+    /// Megabytes that the process may use. Bodies of requests and answers that are held as a whole take
+    /// half of them at most.
+    pub memory_mb: usize,
     /// Bytes of a frame between nodes.
     pub frame_bytes: usize,
     /// Witnesses of calls that may not be repeated, the same on every VM of a region; a call runs
@@ -123,6 +126,13 @@
     pub witnesses: u8,
 }
 
+impl Limits {
+    /// Returns how many bytes of bodies may be held as a whole.
+    pub const fn held_bytes(&self) -> usize {
+        (self.memory_mb << 20) / 2
+    }
+}
+
 impl Default for Limits {
     fn default() -> Self {
         Self {
@@ -131,6 +141,7 @@
             connections: 4096,
             streams: 1024,
             queue: 2048,
+            memory_mb: 1024,
             frame_bytes: 1 << 20,
             witnesses: 7,
         }
--- a/crates/upstream/src/error.rs
+++ b/crates/upstream/src/error.rs
@@ -141,6 +141,14 @@
         /// The limit in bytes.
         limit: usize,
     },
+    /// The upstream's answers take all memory that they may.
+    #[error(
+        "answers of {upstream} take all memory that they may; check whether they end, or send fewer at once"
+    )]
+    NoMemory {
+        /// The upstream.
+        upstream: Upstream,
+    },
     /// The answer is not of the expected form.
     #[error("{upstream}'s answer is malformed ({cause}); check its address and release")]
     Malformed {
@@ -182,6 +190,7 @@
             | Self::Cut { .. }
             | Self::Crossed { .. }
             | Self::Large { .. }
+            | Self::NoMemory { .. }
             | Self::Malformed { .. } => Reach::MaybeSent,
         }
     }
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`engine`] and [`service`] are the narrow interfaces, each with an HTTP driver.
 //! - [`link`] opens, keeps and drives the connections to one upstream. It never retries, and it
 //!   knows for each request whether a byte of it was written.
+//! - [`memory`] bounds the bodies that are held as a whole.
 //! - [`sse`] parses event streams, and [`error`] tells how far a failed call got.
 //! - [`header`] names the headers that the drivers send and read.
 
@@ -12,6 +13,7 @@
 pub mod error;
 pub mod header;
 pub mod link;
+pub mod memory;
 pub mod service;
 pub mod sse;
 
--- a/crates/upstream/src/link/body.rs
+++ b/crates/upstream/src/link/body.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use hyper::body::{Body as _, Incoming};
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::{Instant, Sleep, sleep_until};
@@ -13,6 +13,7 @@
 use super::conn::Conn;
 use super::{Link, Pool};
 use crate::error::{Error, Phase, Reach};
+use crate::memory::{Buffer, Hold};
 
 /// Bytes that a part of a body counts as at least. Bounds the work for a body that comes in tiny
 /// parts, each of which costs about as much as one of this size.
@@ -117,11 +118,16 @@
     /// # Errors
     ///
     /// Returns [`Error::Large`] beyond the link's body limit, against which each part counts as at
-    /// least 512 bytes, and what [`Body::next`] returns.
+    /// least 512 bytes, [`Error::NoMemory`] where the link's bodies take all memory that they may, and
+    /// what [`Body::next`] returns.
     pub async fn collect(mut self) -> Result<Bytes, Error> {
         let limit = self.link.limits.body_bytes;
         let mut counted = 0;
-        let mut whole = BytesMut::new();
+        let mut whole = Buffer::new(&self.link.memory);
+        if let Some(length) = self.incoming.size_hint().exact() {
+            let length = usize::try_from(length).unwrap_or(usize::MAX);
+            whole.reserve(length.min(limit)).map_err(|_| self.full())?;
+        }
         while let Some(part) = self.next().await? {
             counted += part.len().max(PART_BYTES_MIN);
             if counted > limit {
@@ -130,7 +136,7 @@
                     limit,
                 });
             }
-            whole.extend_from_slice(&part);
+            whole.push(&part).map_err(|_| self.full())?;
         }
         Ok(whole.freeze())
     }
@@ -163,6 +169,18 @@
         }
     }
 
+    /// Returns a hold of no bytes on the memory for the link's bodies.
+    pub fn hold(&self) -> Hold {
+        self.link.memory.hold()
+    }
+
+    /// Returns the error of a link whose bodies take all memory that they may.
+    fn full(&self) -> Error {
+        Error::NoMemory {
+            upstream: self.link.upstream.clone(),
+        }
+    }
+
     fn give_back(&mut self) {
         if let Some((conn, home)) = self.open.take() {
             conn.finish();
--- a/crates/upstream/src/link/mod.rs
+++ b/crates/upstream/src/link/mod.rs
@@ -31,6 +31,7 @@
 use conn::Conn;
 
 use crate::error::{Error, Phase, Reach};
+use crate::memory::Account;
 
 /// Time within which the connections of a process that ends are closed, one after the other.
 const CLOSE_SPREAD: Duration = Duration::from_millis(10);
@@ -112,6 +113,8 @@
     pub head_bytes: usize,
     /// Bytes of a response body that is read as a whole; tiny parts count for more than their size.
     pub body_bytes: usize,
+    /// Bytes of all such bodies that are held at a time.
+    pub held_bytes: usize,
 }
 
 impl Default for Limits {
@@ -127,6 +130,7 @@
             keep: Duration::from_secs(20),
             head_bytes: 16 << 10,
             body_bytes: 8 << 20,
+            held_bytes: 32 << 20,
         }
     }
 }
@@ -198,6 +202,8 @@
     limits: Limits,
     /// Milliseconds for which an idle connection is kept.
     keep: Arc<AtomicU64>,
+    /// Bodies that are held as a whole.
+    memory: Arc<Account>,
     control: Arc<Pool>,
     urgent: Arc<Pool>,
     ordinary: Arc<Pool>,
@@ -211,12 +217,22 @@
             address,
             limits,
             keep: Arc::new(AtomicU64::new(millis(limits.keep))),
+            memory: Account::new(limits.held_bytes),
             control: Pool::new(limits.control),
             urgent: Pool::new(limits.urgent),
             ordinary: Pool::new(limits.ordinary),
         }
     }
 
+    /// Counts the bodies that are held as a whole in `memory` as well.
+    #[must_use]
+    pub fn within(self, memory: &Arc<Account>) -> Self {
+        Self {
+            memory: memory.child(self.limits.held_bytes),
+            ..self
+        }
+    }
+
     /// Returns the upstream's id.
     pub fn upstream(&self) -> &Upstream {
         &self.upstream
--- a/review/standin/nodes.rs
+++ b/review/standin/nodes.rs
@@ -84,6 +84,8 @@
             ("{{bounds.fence_checked}}", "true".to_owned()),
             ("{{bounds.grace_s}}", "8".to_owned()),
             ("{{bounds.ceiling_window_s}}", "5".to_owned()),
+            ("{{limits.memory_mb}}", "260".to_owned()),
+            ("{{limits.link_mbps}}", "1000".to_owned()),
         ];
         let filled = fields
             .iter()
