Refuse uploads that find no room before they are read

Cause: nothing bounded what a node held of callers' bodies: 4 MB for each of 1,500 connections.

Change: bodies above 16 KB need room in the account of bodies, three quarters of it at most: the whole length before the first byte is read where it is told, part by part otherwise. Without room the answer is 503, which is true, with a time to come back; the rest is read for two seconds and dropped, so that the caller sees the answer. Bodies are no longer copied once they are whole.

Why it works: the sum is bounded before anything is kept, and small requests need no room.

--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -27,6 +27,7 @@
 use node::front::handler::read_within;
 use node::front::listener::Handler;
 use node::front::{Body, Caller, Outcome, Problem};
+use upstream::memory::Account;
 use wire::Time;
 
 use crate::dialect::{Ask, Dialect};
@@ -73,7 +74,8 @@
         let terms = terms(&config, &way, ask, arrived);
         let limit = config.limits.body_bytes;
         let (head, body) = request.into_parts();
-        let body = read_body(body, limit, terms.deadline.saturating_sub(arrived)).await?;
+        let time = terms.deadline.saturating_sub(arrived);
+        let body = read_body(body, limit, time, &hub.uploads).await?;
         let once = way.route.kind == RouteKind::Once;
         let job = Job::new(hub.clone(), caller, ask.clone(), way, terms, (head, body));
         if !once {
@@ -203,9 +205,14 @@
     host.split_once(':').map_or(host, |(name, _)| name)
 }
 
-async fn read_body(body: Incoming, limit: usize, time: Duration) -> Result<Bytes, Problem> {
+async fn read_body(
+    body: Incoming,
+    limit: usize,
+    time: Duration,
+    memory: &Arc<Account>,
+) -> Result<Bytes, Problem> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
-    read_within(body, limit, time).await
+    read_within(body, limit, time, memory).await
 }
--- a/crates/node/src/front/handler.rs
+++ b/crates/node/src/front/handler.rs
@@ -4,11 +4,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use http_body_util::BodyExt;
+use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 
+use upstream::memory::{self, Account, Buffer};
+
 use super::listener::Handler;
 use super::{Body, Caller, Problem, address, model, service};
 use crate::core::Handle;
@@ -101,36 +103,103 @@
     }
 }
 
-/// Reads a request's body within the limits of size and time.
+/// Reads a request's body within the limits of size, time and memory.
 pub(super) async fn read_body(front: &Front, body: Incoming) -> Result<Bytes, Problem> {
     let settings = &front.shared.settings;
-    read_within(body, settings.limits.body_bytes, settings.time.body).await
+    let (limit, time) = (settings.limits.body_bytes, settings.time.body);
+    read_within(body, limit, time, &front.shared.memory).await
 }
 
-/// Reads a request's body of at most `limit` bytes, which has to come within `time`.
+/// Bodies up to this size need no room in the account of bodies: all connections together hold little of
+/// them, and uploads must not keep them out.
+const SMALL_BODY: usize = 16 << 10;
+
+/// Time for which the rest of a refused body is read, so that its caller reads the refusal.
+const DISCARD_TIME: Duration = Duration::from_secs(2);
+
+/// Pause before a caller should try a body again that there was no room for.
+const NO_ROOM_PAUSE: Duration = Duration::from_millis(500);
+
+/// Reads a request's body of at most `limit` bytes, which has to come within `time` and to find room in
+/// `memory`. What there is no room for is refused before it is read.
 ///
 /// # Errors
 ///
-/// Returns the refusal of a body that is too large, too slow or cut.
-pub async fn read_within(body: Incoming, limit: usize, time: Duration) -> Result<Bytes, Problem> {
-    let read = Limited::new(body, limit).collect();
-    let Ok(read) = tokio::time::timeout(time, read).await else {
+/// Returns the refusal of a body that is too large, too slow, cut, or without room.
+pub async fn read_within(
+    mut body: Incoming,
+    limit: usize,
+    time: Duration,
+    memory: &Arc<Account>,
+) -> Result<Bytes, Problem> {
+    let read = tokio::time::timeout(time, fill(&mut body, limit, memory));
+    let Ok(read) = read.await else {
         let detail = "the body took too long; send it faster";
         return Err(Problem::bad(StatusCode::REQUEST_TIMEOUT, detail));
     };
     match read {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => {
+        Ok(body) => Ok(body),
+        Err(Unread::Large) => {
             let detail = format!("the body exceeds {limit} bytes; send a shorter one");
             Err(Problem::bad(StatusCode::PAYLOAD_TOO_LARGE, detail))
         }
-        Err(error) => {
+        Err(Unread::Cut(error)) => {
             let detail = format!("the body was cut ({error}); send it whole");
             Err(Problem::bad(StatusCode::BAD_REQUEST, detail))
         }
+        Err(Unread::NoRoom(error)) => {
+            tokio::spawn(tokio::time::timeout(DISCARD_TIME, discard(body)));
+            Err(Problem::busy(error.to_string(), NO_ROOM_PAUSE))
+        }
     }
 }
 
+/// Why a body was not read to its end.
+enum Unread {
+    Large,
+    Cut(hyper::Error),
+    NoRoom(memory::Full),
+}
+
+async fn fill(body: &mut Incoming, limit: usize, memory: &Arc<Account>) -> Result<Bytes, Unread> {
+    let mut small = Vec::new();
+    let mut large = Buffer::new(memory);
+    if let Some(length) = body.size_hint().exact() {
+        let length = usize::try_from(length).unwrap_or(usize::MAX);
+        if length > limit {
+            return Err(Unread::Large);
+        }
+        if length > SMALL_BODY {
+            large.reserve(length).map_err(Unread::NoRoom)?;
+        }
+    }
+    while let Some(frame) = body.frame().await {
+        let Ok(part) = frame.map_err(Unread::Cut)?.into_data() else {
+            continue;
+        };
+        if small.len() + large.len() + part.len() > limit {
+            return Err(Unread::Large);
+        }
+        if large.is_empty() && small.len() + part.len() <= SMALL_BODY {
+            small.extend_from_slice(&part);
+            continue;
+        }
+        let before = std::mem::take(&mut small);
+        large.push(&before).map_err(Unread::NoRoom)?;
+        large.push(&part).map_err(Unread::NoRoom)?;
+    }
+    Ok(if large.is_empty() {
+        small.into()
+    } else {
+        large.freeze()
+    })
+}
+
+/// Reads a body to its end and keeps nothing of it.
+async fn discard(mut body: Incoming) {
+    while let Some(Ok(_)) = body.frame().await {}
+}
+
 fn text(text: &'static str) -> Response<Body> {
     Response::new(Body::full(text))
 }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -5,6 +5,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use settings::Settings;
+use upstream::memory::Account;
 use wire::{Incarnation, Request, Revision, View};
 
 use crate::clock::Clock;
@@ -31,6 +32,8 @@
     pub clock: Clock,
     /// The metrics.
     pub metrics: Metrics,
+    /// Memory for callers' bodies.
+    pub memory: Arc<Account>,
     /// The rules in force; none until the first revision is adopted.
     pub rules: ArcSwapOption<Rules>,
     /// The present view of the region.
@@ -52,6 +55,7 @@
     /// Makes the state of a process that has just started.
     pub fn new(settings: Settings, me: Incarnation, clock: Clock, metrics: Metrics) -> Self {
         Self {
+            memory: Account::new(settings.limits.held_bytes()),
             settings,
             me,
             clock,
