Soak: late refusals, bodies without end, nodes out of step

Change: upstreams that refuse only when impatient callers have left, with more callers that leave; an upstream that answers many requests with bodies without end, and processes held to the memory of a small machine; where releases serve side by side, a node that stands still while an upstream is replaced.

--- a/crates/hyssopscale/tests/soak/caller.rs
+++ b/crates/hyssopscale/tests/soak/caller.rs
@@ -30,7 +30,7 @@
 const ADAPTERS: u32 = 8;
 
 /// One in so many requests is given up by its caller.
-const GIVEN_UP: u32 = 16;
+const GIVEN_UP: u32 = 6;
 
 /// Longest time after which a caller gives up.
 const GIVES_UP: Duration = Duration::from_millis(400);
--- a/crates/hyssopscale/tests/soak/fault.rs
+++ b/crates/hyssopscale/tests/soak/fault.rs
@@ -35,6 +35,13 @@
 const TAKE_UPS: usize = 4;
 const RELEASES: u64 = 0x7265_6c65;
 
+/// Upstreams that refuse late and that answer without end, and what sets their draws apart.
+const LATE_REFUSALS: usize = 2;
+const LATENESS: u64 = 0x6c61_7465;
+
+/// Time from the stop of a node until an upstream is replaced by another release behind its back.
+const OUT_OF_STEP: Duration = Duration::from_millis(300);
+
 /// One fault.
 #[derive(Clone, Debug)]
 pub enum Fault {
@@ -314,6 +321,32 @@
     }
 }
 
+/// Draws an upstream that refuses requests only once impatient callers have left.
+fn draw_late_refusal(rng: &mut StdRng) -> Fault {
+    let upstream = rng.random_range(0..2 * UPSTREAMS);
+    Fault::Misbehave {
+        upstreams: upstream..upstream + 1,
+        manner: Manner {
+            late: rng.random_range(0.4..0.9),
+            ..Manner::default()
+        },
+        time: millis(rng, 2_500, 5_000),
+    }
+}
+
+/// Draws an upstream that answers many requests at a time without end.
+fn draw_flood(rng: &mut StdRng) -> Fault {
+    let upstream = rng.random_range(0..2 * UPSTREAMS);
+    Fault::Misbehave {
+        upstreams: upstream..upstream + 1,
+        manner: Manner {
+            flood: rng.random_range(0.4..0.9),
+            ..Manner::default()
+        },
+        time: millis(rng, 1_500, 3_000),
+    }
+}
+
 /// Does what the seed of the plan draws, and returns it in order.
 pub async fn run(site: &Arc<Site>, plan: Plan) -> Vec<Event> {
     let Plan { seed, span, .. } = plan;
@@ -352,6 +385,22 @@
         let at = rng.random_range(Duration::ZERO..span);
         drawn.push((at, draw_break(&mut rng)));
     }
+    let mut rng = StdRng::seed_from_u64(seed ^ LATENESS);
+    for _ in 0..LATE_REFUSALS {
+        let at = rng.random_range(Duration::ZERO..span);
+        drawn.push((at, draw_late_refusal(&mut rng)));
+    }
+    let at = rng.random_range(Duration::ZERO..span);
+    drawn.push((at, draw_flood(&mut rng)));
+    if plan.releases {
+        let at = rng.random_range(Duration::ZERO..span);
+        let node = rng.random_range(0..NODES);
+        let time = millis(&mut rng, 1_500, 3_000);
+        drawn.push((at, Fault::Stop { node, time }));
+        let upstream = rng.random_range(0..UPSTREAMS);
+        let down = millis(&mut rng, 200, 800);
+        drawn.push((at + OUT_OF_STEP, Fault::Crash { upstream, down }));
+    }
     let mut tasks = JoinSet::new();
     for (at, fault) in drawn {
         let site = site.clone();
--- a/crates/hyssopscale/tests/soak/process.rs
+++ b/crates/hyssopscale/tests/soak/process.rs
@@ -20,6 +20,9 @@
 /// Time in which a process that was started, let go on or killed is not held to any rule.
 pub const SETTLING: Duration = Duration::from_secs(3);
 
+/// Memory of a machine: a process that takes more is ended there.
+const MEMORY_MB: usize = 160;
+
 /// Pause between two looks at a process that ends.
 const STEP: Duration = Duration::from_millis(20);
 
@@ -106,6 +109,8 @@
             ("{{bounds.fence_checked}}", &site.fenced.to_string()),
             ("{{bounds.grace_s}}", &grace),
             ("{{bounds.ceiling_window_s}}", "5"),
+            ("{{limits.memory_mb}}", &MEMORY_MB.to_string()),
+            ("{{limits.link_mbps}}", "10"),
         ];
         let filled = values
             .iter()
@@ -198,7 +203,24 @@
         self.note(Deed::Kill, from, Instant::now());
     }
 
+    /// Notes it where the process has taken more memory than its machine has.
+    fn check_memory(&self) {
+        let mut state = self.lock();
+        let Some(id) = state.child.as_ref().map(Child::id) else {
+            return;
+        };
+        let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        let most = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let most = most.and_then(|text| text.trim().trim_end_matches(" kB").parse().ok());
+        let most_mb = most.map_or(0, |kilobytes: usize| kilobytes >> 10);
+        if most_mb > MEMORY_MB {
+            let end = format!("LOST: the process took {most_mb} MB of memory");
+            state.ends.push((Instant::now(), end));
+        }
+    }
+
     fn end(&self, signal: &str) {
+        self.check_memory();
         self.signal(signal);
         if let Some(mut child) = self.lock().child.take() {
             let _ = child.wait();
@@ -223,6 +245,7 @@
     pub async fn replace(&self, down: Duration) {
         let _busy = self.busy.lock().await;
         let from = Instant::now();
+        self.check_memory();
         self.signal("-TERM");
         while !self.has_ended() {
             if from.elapsed() > GRACE {
--- a/crates/hyssopscale/tests/soak/upstream.rs
+++ b/crates/hyssopscale/tests/soak/upstream.rs
@@ -58,6 +58,8 @@
     pub pause: f64,
     /// Answered with bytes without end.
     pub flood: f64,
+    /// Refused like that, but only after a while.
+    pub late: f64,
 }
 
 /// One run of a request.
@@ -154,6 +156,17 @@
 /// Seconds that an upstream wants nothing.
 const PAUSE_SECONDS: Range<f64> = 0.3..2.5;
 
+/// Milliseconds after which a late refusal comes: longer than callers stay that leave.
+const LATE_MS: Range<u64> = 1_000..1_500;
+
+/// One chunk of a body without end.
+const CHUNK: &str = concat!(
+    "40\r\n",
+    "0123456789abcdef0123456789abcdef",
+    "0123456789abcdef0123456789abcdef",
+    "\r\n"
+);
+
 /// Answers without end: how they begin, and what comes again and again.
 const FLOODS: [(&str, &str); 4] = [
     ("HTTP/1.1 103 X\r\n\r\n", "HTTP/1.1 103 X\r\n\r\n"),
@@ -489,13 +502,21 @@
             }
             return write(stream, &refusal).await;
         }
+        let _running = Running(self);
+        if let Some(after) = self.late_refusal(manner) {
+            sleep(after).await;
+            let names = [
+                format!("x-attempt-id: {attempt}"),
+                "x-not-executed: 1".to_owned(),
+            ];
+            return write(stream, &answer(503, &names, "")).await;
+        }
         let run = Run {
             attempt: attempt.clone(),
             upstream: self.lock().process(),
             at: Instant::now(),
         };
         self.log.runs.lock().unwrap().push(run);
-        let _running = Running(self);
         if head.path.contains(POISON) {
             tokio::spawn(self.clone().crash_under(head.path.clone()));
             return std::future::pending().await;
@@ -533,8 +554,13 @@
         }
         let cut = falls(manner.cut);
         if falls(manner.flood) {
-            let number = self.lock().rng.random_range(0..FLOODS.len());
-            return flood(stream, FLOODS[number]).await;
+            let number = self.lock().rng.random_range(0..=FLOODS.len());
+            let Some(flooded) = FLOODS.get(number) else {
+                let lines: String = names.iter().map(|line| format!("{line}\r\n")).collect();
+                let head = format!("HTTP/1.1 200 OK\r\n{lines}transfer-encoding: chunked\r\n\r\n");
+                return flood(stream, (&head, CHUNK)).await;
+            };
+            return flood(stream, *flooded).await;
         }
         if streams {
             let release = self.lock().release.clone();
@@ -551,6 +577,13 @@
         write(stream, &text).await
     }
 
+    /// Returns after which time a request is refused, where it is refused late.
+    fn late_refusal(&self, manner: Manner) -> Option<Duration> {
+        let mut state = self.lock();
+        let late = manner.late > 0.0 && state.rng.random_bool(manner.late);
+        late.then(|| Duration::from_millis(state.rng.random_range(LATE_MS)))
+    }
+
     fn report(&self) -> String {
         let state = self.lock();
         let now = Instant::now();
