--- a/crates/exchange/tests/config_links.rs
+++ b/crates/exchange/tests/config_links.rs
@@ -255,7 +255,7 @@
         }
         self.nodes[node].ticks += 1;
         if node < READERS
-            && self.nodes[node].ticks % PULSE_TICKS == 0
+            && self.nodes[node].ticks.is_multiple_of(PULSE_TICKS)
             && self.nodes[node].revision > 0
         {
             self.announce(node);
