Own front: the test of claimed calls uses keys of the present witnesses

Cause: a key without their prefix is answered unknown for some time after the start, so that the test failed at its own check that calls run. Change: the prefix of the addresses' answer. Result: passes; before, it failed on that check.

--- a/crates/hyssopscale/tests/left_callers.rs
+++ b/crates/hyssopscale/tests/left_callers.rs
@@ -4,7 +4,9 @@
 
 use std::time::Duration;
 
+use hyper::HeaderMap;
 use rstest::rstest;
+use standin::caller::Caller;
 use standin::schedule::Nodes;
 use support::Cluster;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -37,7 +39,9 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn claimed_call_needs_its_caller() {
     let mut cluster = Cluster::start(1).await;
-    let mut waiting = send(&cluster, "stays").await;
+    let caller = Caller::new("c1", HeaderMap::new(), Duration::from_secs(10));
+    let prefix = cluster.key_prefix(&caller).await;
+    let mut waiting = send(&cluster, &format!("{prefix}stays")).await;
     let mut head = [0; 12];
     let read = timeout(Duration::from_secs(10), waiting.read_exact(&mut head));
     read.await.expect("in time").expect("an answer");
@@ -49,7 +53,7 @@
     );
     cluster.processes.pause(0).await;
     for number in 0..CALLS {
-        drop(send(&cluster, &format!("left-{number}")).await);
+        drop(send(&cluster, &format!("{prefix}left-{number}")).await);
     }
     sleep(Duration::from_millis(300)).await;
     cluster.processes.resume(0).await;
--- a/crates/hyssopscale/tests/support/mod.rs
+++ b/crates/hyssopscale/tests/support/mod.rs
@@ -218,7 +218,7 @@
         tokio::spawn(drive(caller, generator, self.entries(), pace))
     }
 
-    async fn key_prefix(&self, caller: &Caller) -> String {
+    pub async fn key_prefix(&self, caller: &Caller) -> String {
         let text = get(caller, &self.entries()[0], "/v1/addresses")
             .await
             .unwrap();
