Front: what is sent stands in a module of its own

Change: request.rs has the request, its endpoint and its renewal; an upstream that takes nothing any more is left again before a connection is opened, as before.

--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -8,16 +8,14 @@
 use exchange::Selection;
 use exchange::announced_rate::RateDecision;
 use exchange::demand::Target;
-use exchange::fleet::{AttemptResult, Presence, Release, Version};
+use exchange::fleet::{AttemptResult, Presence, Release};
 use exchange::outcome::Execution;
 use exchange::proof::Proof;
 use exchange::relay::Cursor;
-use exchange::route::RouteKind;
 use exchange::selection::Requirements;
 use http_body_util::Full;
-use hyper::header::{CONTENT_LENGTH, EXPECT};
-use hyper::http::uri::PathAndQuery;
-use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
+use hyper::header::CONTENT_LENGTH;
+use hyper::{HeaderMap, Request, Response, StatusCode};
 use log::info;
 use node::front::Body;
 use node::journal::DECISION;
@@ -28,12 +26,9 @@
 
 use super::job::Job;
 use super::judge::{Worth, judge};
+use super::request::Endpoint;
 use super::visit::Visit;
-use crate::dialect::{Dialect, Echo, Hop, Mark};
-
-/// Idle time up to which a kept connection carries a call that may not be repeated: upstreams
-/// state their idle time-out in whole seconds, and few state less than some of them.
-const RECENT: Duration = Duration::from_millis(1_500);
+use crate::dialect::{Dialect, Echo, Mark};
 
 /// Time between two looks at whether an upstream has fallen silent.
 pub(super) const LOOK: Duration = Duration::from_millis(100);
@@ -109,14 +104,6 @@
     pub(super) release: Release,
 }
 
-/// An upstream as it is listed now.
-struct Endpoint {
-    link: Link,
-    /// Newest version of the adapter.
-    version: Option<Version>,
-    release: Release,
-}
-
 /// Why the head of an answer did not come.
 enum Headless {
     /// The call failed.
@@ -132,9 +119,12 @@
     pub(super) async fn attempt(&mut self, runner: &Upstream, cursor: &mut Cursor) -> Tried<D> {
         let target = self.target();
         // It may have left, or want a pause, since it was chosen.
-        let Some(Endpoint { link, release, .. }) = self.endpoint(runner, target.as_ref()) else {
-            self.prepay();
-            return Tried::failed(Execution::NotRun(Proof::unsent()));
+        let Endpoint { link, release, .. } = match self.endpoint(runner, target.as_ref()) {
+            Some(found) if self.hub.takes(runner) && self.fits(found.release) => found,
+            _ => {
+                self.prepay();
+                return Tried::failed(Execution::NotRun(Proof::unsent()));
+            }
         };
         let release = AtomicU32::new(release);
         if !self.await_token(runner).await {
@@ -238,76 +228,6 @@
         patience.min(self.patience())
     }
 
-    /// Returns the endpoint of `runner`, if it is listed.
-    fn endpoint(&self, runner: &Upstream, target: Option<&Target>) -> Option<Endpoint> {
-        let (address, version, release) = {
-            let desk = self.hub.desk();
-            let known = desk.fleet.upstream(runner)?;
-            let version = target.and_then(|target| desk.fleet.newest_version(target));
-            (known.listing.address, version, known.listing.release)
-        };
-        let connections = self.service.connections;
-        Some(Endpoint {
-            link: self.hub.link(runner, address, connections),
-            version,
-            release,
-        })
-    }
-
-    /// Returns whether the request's stream may be, or go on, at that release.
-    fn fits(&self, release: Release) -> bool {
-        self.release.is_none_or(|began| began == release)
-    }
-
-    /// Returns the request without the headers that [`Job::renew`] sets.
-    fn request(&self) -> Request<Full<Bytes>> {
-        let path = self.head.uri.path_and_query().cloned();
-        let path = path.unwrap_or_else(|| PathAndQuery::from_static("/"));
-        let mut request = Request::new(Full::new(self.body.clone()));
-        *request.method_mut() = self.head.method.clone();
-        *request.uri_mut() = Uri::from(path);
-        let mut headers = self.head.headers.clone();
-        strip(&mut headers);
-        headers.remove(CONTENT_LENGTH);
-        headers.remove(EXPECT);
-        *request.headers_mut() = headers;
-        request
-    }
-
-    /// Brings a request up to date that is about to be written, and returns the release that it goes
-    /// to. Returns `None` where it must not be written: what was known when its connection was asked
-    /// for may not hold any more.
-    fn renew(&self, request: &mut Request<Full<Bytes>>, link: &Link) -> Option<Release> {
-        let (runner, target) = (link.upstream(), self.target());
-        let found = self.endpoint(runner, target.as_ref())?;
-        let stands = found.link.address() == link.address()
-            && self.hub.takes(runner)
-            && self.fits(found.release)
-            && self.may_go()
-            && self.is_awaited();
-        stands.then(|| {
-            self.forward(request.headers_mut(), runner, found.version);
-            self.record_write();
-            found.release
-        })
-    }
-
-    /// Sets the headers for an upstream, with the time that is left by now.
-    fn forward(&self, headers: &mut HeaderMap, runner: &Upstream, version: Option<Version>) {
-        let now = self.hub.clock.now();
-        let caller = self.terms.caller.saturating_sub(now);
-        let hop = Hop {
-            runner,
-            left: Some(caller.min(self.left())),
-            rank: self.service.engine.as_ref().map(|_| self.terms.rank),
-            version,
-            after: self.after,
-            tenant: self.tenant.as_ref().map(|tenant| &*tenant.name),
-            keyed: self.terms.keyed,
-        };
-        self.hub.dialect.forward(headers, &hop);
-    }
-
     /// Sends the request and waits for the answer's head.
     async fn head(
         &self,
@@ -352,21 +272,6 @@
         }
     }
 
-    /// Returns which kept connections may carry the next try at `runner`: none that has carried an
-    /// earlier one, whose refusal may come again in place of this one's answer.
-    fn reuse(&self, runner: &Upstream) -> Reuse {
-        let within = match self.route.kind {
-            RouteKind::Idempotent | RouteKind::Stream { resumable: true } => Duration::MAX,
-            RouteKind::Once | RouteKind::Stream { resumable: false } => RECENT,
-        };
-        if self.sends.contains(runner) {
-            let since = self.hub.clock.instant(self.terms.arrived);
-            Reuse::Unused { within, since }
-        } else {
-            Reuse::Recent(within)
-        }
-    }
-
     /// Waits until such requests are found to crash upstreams. A trial goes on all the same.
     pub(super) async fn conviction(&self) {
         if self.trial {
@@ -375,12 +280,6 @@
         self.hub.conviction(&self.features).await;
     }
 
-    /// Returns whether the request may still be written: its features may have been convicted while
-    /// its connection was opened.
-    fn may_go(&self) -> bool {
-        self.trial || self.hub.convicted(&self.features).is_none()
-    }
-
     fn silence_limit(&self) -> Duration {
         if self.service.engine.is_some() {
             ENGINE_SILENCE
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -3,6 +3,7 @@
 //! - `job` takes one request from its head to its final answer.
 //! - `attempt` sends it to one upstream.
 //! - `judge` says what the head of an answer is worth.
+//! - `request` builds what is sent, and brings it up to date when it is written.
 //! - `stream` relays an event stream and takes it to another engine where one breaks off.
 //! - `place` waits until an upstream can serve it.
 //! - `tenant` says whose it is, and whether the tenant's quota carries it.
@@ -12,6 +13,7 @@
 mod job;
 mod judge;
 mod place;
+mod request;
 mod stream;
 mod tenant;
 mod visit;
