--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -77,7 +77,15 @@
         let limit = config.limits.body_bytes;
         let (head, body) = request.into_parts();
         let time = terms.deadline.saturating_sub(arrived);
-        let body = read_body(body, limit, time, &hub.uploads).await?;
+        let body = read_body(body, limit, time, &hub.uploads).await;
+        let body = body.inspect_err(|problem| {
+            let (status, held) = (problem.status.as_u16(), hub.uploads.held());
+            log::info!(
+                target: node::journal::DECISION,
+                request = &*ask.attempt, status, held;
+                "no-body"
+            );
+        })?;
         let once = way.route.kind == RouteKind::Once;
         let job = Job::new(hub.clone(), caller, ask.clone(), way, terms, (head, body));
         if !once {
--- a/crates/hyssopscale/tests/soak/fault.rs
+++ b/crates/hyssopscale/tests/soak/fault.rs
@@ -36,7 +36,7 @@
 const RELEASES: u64 = 0x7265_6c65;
 
 /// Upstreams that refuse late and that answer without end, and what sets their draws apart.
-const LATE_REFUSALS: usize = 2;
+const LATE_REFUSALS: usize = 4;
 const LATENESS: u64 = 0x6c61_7465;
 
 /// Time from the stop of a node until an upstream is replaced by another release behind its back.
@@ -321,9 +321,10 @@
     }
 }
 
-/// Draws an upstream that refuses requests only once impatient callers have left.
+/// Draws a service that refuses requests only once impatient callers have left. Calls that may run once
+/// go there.
 fn draw_late_refusal(rng: &mut StdRng) -> Fault {
-    let upstream = rng.random_range(0..2 * UPSTREAMS);
+    let upstream = rng.random_range(UPSTREAMS..2 * UPSTREAMS);
     Fault::Misbehave {
         upstreams: upstream..upstream + 1,
         manner: Manner {
--- a/crates/node/src/front/gate.rs
+++ b/crates/node/src/front/gate.rs
@@ -341,9 +341,10 @@
 /// Returns what a failed attempt says of its upstream's health.
 pub(super) fn verdict(error: &Error) -> AttemptResult {
     match error {
-        Error::Absent { .. } | Error::Leaving { .. } | Error::Invalid { .. } => {
-            AttemptResult::Neutral
-        }
+        Error::Absent { .. }
+        | Error::Leaving { .. }
+        | Error::Withdrawn { .. }
+        | Error::Invalid { .. } => AttemptResult::Neutral,
         Error::Full { .. } => AttemptResult::Overloaded,
         Error::Refused { status, .. } if *status < 500 => AttemptResult::Neutral,
         Error::Refused {
