Owners: tests that count every order that arrives at an engine

Two nodes acted as the owner of one engine by turns on real processes. The soak wrote an order down only once the engine had accepted it; the turns that users saw consist of refused orders as well, so it saw none. It now also counts each order as it arrives, and plays cuts of 0.4 to 8 s, two nodes without contact to each other, doubts of a live owner, late and lost announcements, and starts with partial views.

--- a/crates/exchange/tests/soak/engine.rs
+++ b/crates/exchange/tests/soak/engine.rs
@@ -30,6 +30,8 @@
     unloading: Option<Target>,
     /// Accepted orders: time, sender and fencing token.
     order_log: Vec<(Time, Vm, Fence)>,
+    /// Orders that arrived, refused ones included.
+    arrivals: Vec<(Time, Vm, Fence)>,
     /// When it accepted a lower token after a higher one.
     pub fence_regressions: Vec<Time>,
     /// Loads accepted without a free slot; they would have crashed a real engine.
@@ -52,6 +54,7 @@
             running: Vec::new(),
             unloading: None,
             order_log: Vec::new(),
+            arrivals: Vec::new(),
             fence_regressions: Vec::new(),
             overfills: 0,
             unloads: (0, 0),
@@ -119,6 +122,11 @@
         }
     }
 
+    /// Records that an order has arrived, whatever the answer to it will be.
+    pub fn record_arrival(&mut self, now: Time, from: &Vm, fence: Fence) {
+        self.arrivals.push((now, from.clone(), fence));
+    }
+
     pub fn order(&mut self, now: Time, from: &Vm, fence: Fence, order: &Order) -> Answer {
         self.complete_loads(now);
         if fence < self.fence {
@@ -190,20 +198,30 @@
 
     /// Returns when a node gave an order again after another node had, within the lease.
     pub fn alternations(&self) -> Vec<Time> {
-        let mut alternations = Vec::new();
-        for (index, (at, vm, _)) in self.order_log.iter().enumerate() {
-            let before = self.order_log[..index].iter().rev();
-            let recent = before.take_while(|(then, _, _)| *at < *then + LEASE);
-            let mut other_between = false;
-            for (_, sender, _) in recent {
-                if sender != vm {
-                    other_between = true;
-                } else if other_between {
-                    alternations.push(*at);
-                    break;
-                }
+        turns(&self.order_log)
+    }
+
+    /// Like [`Self::alternations`], for all orders that arrived, also those that were refused.
+    pub fn arrival_turns(&self) -> Vec<Time> {
+        turns(&self.arrivals)
+    }
+}
+
+/// Returns when a sender in `log` follows another one that has followed it, within the lease.
+fn turns(log: &[(Time, Vm, Fence)]) -> Vec<Time> {
+    let mut turns = Vec::new();
+    for (index, (at, vm, _)) in log.iter().enumerate() {
+        let before = log[..index].iter().rev();
+        let recent = before.take_while(|(then, _, _)| *at < *then + LEASE);
+        let mut other_between = false;
+        for (_, sender, _) in recent {
+            if sender != vm {
+                other_between = true;
+            } else if other_between {
+                turns.push(*at);
+                break;
             }
         }
-        alternations
     }
+    turns
 }
--- a/crates/exchange/tests/soak/mod.rs
+++ b/crates/exchange/tests/soak/mod.rs
@@ -1,5 +1,7 @@
 //! Simulation in virtual time of owners on several nodes and strict engines, with seeded faults.
 
+#![allow(dead_code, reason = "each test file uses its own part")]
+
 mod engine;
 
 use std::cmp::Reverse;
@@ -39,6 +41,12 @@
 /// Delay until a change of an engine shows in the listing that nodes read from the platform.
 const LISTING_DELAY: Duration = ms(600);
 
+/// Time after a pause of a node in which its orders are not judged.
+const THAW_SLACK: Duration = ms(300);
+
+/// Probability that a node doubts one that others doubt.
+const DOUBTERS: f64 = 0.6;
+
 /// A fault to inject.
 #[derive(Clone, Copy, Debug)]
 pub enum Fault {
@@ -56,6 +64,13 @@
     Clock(usize, i64),
     /// A node is cut off from the other nodes, but not from engines, and does not notice.
     Cut(usize, Duration),
+    /// Two nodes lose contact with each other, but not with the rest, and drop each other from
+    /// their views.
+    Unlink(usize, usize, Duration),
+    /// A live node is missing from the views of some others for this time.
+    Doubt(usize, Duration),
+    /// Messages take up to this much longer, and so overtake each other, for that time.
+    Delay(Duration, Duration),
 }
 
 struct Node {
@@ -69,6 +84,12 @@
     frozen_until: Time,
     /// Until when the node is cut off from the others.
     cut_until: Time,
+    /// Until when each other node is missing from this node's view, by index.
+    unseen_until: Vec<Time>,
+    /// Until when no message passes to and from each other node, by index.
+    unlinked_until: Vec<Time>,
+    /// From when on this node's orders count: some may be late after a pause or a cut.
+    orders_count_from: Time,
 }
 
 #[derive(Debug)]
@@ -86,6 +107,7 @@
     Join(usize, u32),
     Fault(Fault),
     EndLoss,
+    EndDelay,
     EndSlowLoads,
 }
 
@@ -98,6 +120,10 @@
     queue: BinaryHeap<Reverse<(Time, u64)>>,
     scheduled: Vec<Option<Scheduled>>,
     loss: f64,
+    /// Greatest extra delay of a message.
+    delay: Duration,
+    /// Whether nodes that see few others may claim, because the platform is reached.
+    informed: bool,
     /// Requests that found their adapter in time, and all requests.
     pub served: usize,
     pub requested: usize,
@@ -114,9 +140,31 @@
         Self::with_fencing(seed, false)
     }
 
+    /// Creates a simulation of `nodes` nodes that may claim as long as they reach the platform,
+    /// and that find each other at different times up to `discovery` after the start.
+    pub fn cold_start(seed: u64, nodes: usize, discovery: Duration) -> Self {
+        let mut simulation = Self::empty(seed, true);
+        simulation.informed = true;
+        simulation.add_nodes(nodes);
+        for index in 0..nodes {
+            for other in (0..nodes).filter(|other| *other != index) {
+                let found = discovery.mul_f64(simulation.random.random_range(0.0..1.0));
+                simulation.nodes[index].unseen_until[other] = simulation.now + found;
+                simulation.schedule(found + ms(1), Scheduled::Join(index, 0));
+            }
+        }
+        simulation
+    }
+
     fn with_fencing(seed: u64, fenced: bool) -> Self {
+        let mut simulation = Self::empty(seed, fenced);
+        simulation.add_nodes(NODES);
+        simulation
+    }
+
+    fn empty(seed: u64, fenced: bool) -> Self {
         let engines = (0..ENGINES).map(|index| Engine::new(&format!("e{index}"), fenced));
-        let mut simulation = Self {
+        Self {
             now: ms(1_000),
             random: StdRng::seed_from_u64(seed),
             nodes: Vec::new(),
@@ -124,17 +172,23 @@
             queue: BinaryHeap::new(),
             scheduled: Vec::new(),
             loss: 0.0,
+            delay: Duration::ZERO,
+            informed: false,
             served: 0,
             requested: 0,
-        };
-        for index in 0..NODES {
-            let node = simulation.new_node(index, 0);
-            simulation.nodes.push(node);
-            simulation.schedule(ms(10), Scheduled::Tick(index, 0));
-            simulation.schedule(ms(1_500), Scheduled::NewRequest(index));
         }
-        simulation.schedule(ms(300), Scheduled::View);
-        simulation
+    }
+
+    fn add_nodes(&mut self, count: usize) {
+        for index in 0..count {
+            let mut node = self.new_node(index, 0);
+            node.unseen_until = vec![Time::ZERO; count];
+            node.unlinked_until = vec![Time::ZERO; count];
+            self.nodes.push(node);
+            self.schedule(ms(10), Scheduled::Tick(index, 0));
+            self.schedule(ms(1_500), Scheduled::NewRequest(index));
+        }
+        self.schedule(ms(300), Scheduled::View);
     }
 
     fn new_node(&self, index: usize, process: u32) -> Node {
@@ -157,6 +211,9 @@
             alive: true,
             frozen_until: Time::ZERO,
             cut_until: Time::ZERO,
+            unseen_until: vec![Time::ZERO; self.nodes.len()],
+            unlinked_until: vec![Time::ZERO; self.nodes.len()],
+            orders_count_from: Time::ZERO,
         }
     }
 
@@ -238,6 +295,7 @@
             Scheduled::Join(node, process) => self.send_view(node, process),
             Scheduled::Fault(fault) => self.apply_fault(fault),
             Scheduled::EndLoss => self.loss = 0.0,
+            Scheduled::EndDelay => self.delay = Duration::ZERO,
             Scheduled::EndSlowLoads => self
                 .engines
                 .iter_mut()
@@ -264,9 +322,18 @@
             Action::Send { to, message } => {
                 let lost = self.random.random_bool(self.loss);
                 let recipient = self.nodes.iter().position(|known| known.vm == to);
-                let cut_off = |index: &usize| self.is_cut_off(*index) || self.is_cut_off(node);
+                let cut_off = |index: &usize| {
+                    self.is_cut_off(*index)
+                        || self.is_cut_off(node)
+                        || self.now < self.nodes[node].unlinked_until[*index]
+                };
                 if let Some(index) = recipient.filter(|index| !lost && !cut_off(index)) {
                     let from = self.nodes[node].vm.clone();
+                    let latency = if self.delay.is_zero() {
+                        latency
+                    } else {
+                        latency + self.delay.mul_f64(self.random.random_range(0.0..1.0))
+                    };
                     let event = Event::Receive { from, message };
                     let process = self.nodes[index].process;
                     self.schedule(latency, Scheduled::Step(index, process, event));
@@ -306,6 +373,7 @@
         order: Order,
     ) {
         let vm = self.nodes[node].vm.clone();
+        let counts = self.now >= self.nodes[node].orders_count_from;
         let lost = self.random.random_bool(self.loss);
         let answer_lost = self.random.random_bool(self.loss);
         let engine = self.engines.iter_mut().find(|known| known.id == *engine_id);
@@ -313,6 +381,9 @@
         let answer = if lost {
             Answer::Unreached
         } else {
+            if counts {
+                engine.record_arrival(self.now, &vm, fence);
+            }
             let answer = engine.order(self.now, &vm, fence, &order);
             if answer_lost { Answer::Unknown } else { answer }
         };
@@ -459,7 +530,7 @@
     }
 
     fn send_views(&mut self) {
-        let reachable: Vec<usize> = (0..NODES)
+        let reachable: Vec<usize> = (0..self.nodes.len())
             .filter(|index| !self.is_cut_off(*index))
             .collect();
         for index in reachable {
@@ -469,9 +540,12 @@
 
     /// Tells a node which nodes are live, as far as the others can reach them.
     fn send_view(&mut self, node: usize, process: u32) {
-        let seen = (0..NODES).filter(|index| self.nodes[*index].alive && !self.is_cut_off(*index));
+        let unseen = &self.nodes[node].unseen_until;
+        let seen = (0..self.nodes.len()).filter(|index| {
+            self.nodes[*index].alive && !self.is_cut_off(*index) && self.now >= unseen[*index]
+        });
         let live: Vec<Vm> = seen.map(|index| self.nodes[index].vm.clone()).collect();
-        let may_claim = live.len() * 2 > NODES;
+        let may_claim = self.informed || live.len() * 2 > self.nodes.len();
         self.schedule(
             ms(1),
             Scheduled::Step(node, process, Event::View { live, may_claim }),
@@ -498,6 +572,7 @@
             Fault::Freeze(index, time) => {
                 let process = self.nodes[index].process;
                 self.nodes[index].frozen_until = self.now + time;
+                self.nodes[index].orders_count_from = self.now + time + THAW_SLACK;
                 self.schedule(time, Scheduled::Step(index, process, Event::Paused));
             }
             Fault::Crash(index) => {
@@ -520,6 +595,27 @@
                 self.schedule(VIEW_DELAY, Scheduled::View);
                 self.schedule(time + JOIN_DELAY, Scheduled::View);
             }
+            Fault::Unlink(one, other, time) => {
+                for (node, peer) in [(one, other), (other, one)] {
+                    self.nodes[node].unlinked_until[peer] = self.now + time;
+                    self.nodes[node].unseen_until[peer] = self.now + time + JOIN_DELAY;
+                }
+                self.schedule(VIEW_DELAY, Scheduled::View);
+                self.schedule(time + JOIN_DELAY + ms(1), Scheduled::View);
+            }
+            Fault::Doubt(index, time) => {
+                for node in (0..self.nodes.len()).filter(|node| *node != index) {
+                    if self.random.random_bool(DOUBTERS) {
+                        self.nodes[node].unseen_until[index] = self.now + time;
+                    }
+                }
+                self.schedule(ms(1), Scheduled::View);
+                self.schedule(time + ms(1), Scheduled::View);
+            }
+            Fault::Delay(extra, time) => {
+                self.delay = extra;
+                self.schedule(time, Scheduled::EndDelay);
+            }
         }
     }
 
@@ -540,7 +636,7 @@
         for _ in 0..count {
             let at = span.mul_f64(self.random.random_range(0.0..1.0));
             let time = ms(self.random.random_range(300..4_000));
-            let node = self.random.random_range(0..NODES);
+            let node = self.random.random_range(0..self.nodes.len());
             let fault = match self.random.random_range(0..6) {
                 0 => Fault::Kill(node, time),
                 1 => Fault::Freeze(node, time),
