Connections to upstreams may come from an own address

A VM with several addresses, and tests with several nodes on one, need to say which one its connections to upstreams come from. `exchange.source` names it; without it the system chooses, as before.

--- a/crates/settings/src/section.rs
+++ b/crates/settings/src/section.rs
@@ -1,7 +1,7 @@
 //! The sections of a settings file. Every key has a default, or is checked for presence.
 
 use std::fmt;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -425,6 +425,8 @@
     pub link_mbps: f64,
     /// Threads that run the node; 1 spares the hand-over between threads on a part of a core.
     pub threads: usize,
+    /// Own address from which connections to upstreams are opened; absent for the system's choice.
+    pub source: Option<IpAddr>,
 }
 
 impl Default for Exchange {
@@ -451,6 +453,7 @@
             pause: Duration::from_millis(400),
             link_mbps: 40.0,
             threads: 1,
+            source: None,
         }
     }
 }
--- a/crates/upstream/src/link/mod.rs
+++ b/crates/upstream/src/link/mod.rs
@@ -11,8 +11,8 @@
 mod body;
 mod conn;
 
-use std::io::ErrorKind;
-use std::net::SocketAddr;
+use std::io::{self, ErrorKind};
+use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -22,7 +22,7 @@
 use hyper::header::HOST;
 use hyper::http::HeaderValue;
 use hyper::{Request, Response};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{Instant, sleep, timeout};
 use wire::{Priority, Upstream};
@@ -199,6 +199,8 @@
 pub struct Link {
     upstream: Upstream,
     address: SocketAddr,
+    /// Own address that connections come from; the system's choice if absent.
+    source: Option<IpAddr>,
     limits: Limits,
     /// Milliseconds for which an idle connection is kept.
     keep: Arc<AtomicU64>,
@@ -215,6 +217,7 @@
         Self {
             upstream: upstream.into(),
             address,
+            source: None,
             limits,
             keep: Arc::new(AtomicU64::new(millis(limits.keep))),
             memory: Account::new(limits.held_bytes),
@@ -233,6 +236,12 @@
         }
     }
 
+    /// Opens connections from the own address `source`, where one is given.
+    #[must_use]
+    pub fn from_source(self, source: Option<IpAddr>) -> Self {
+        Self { source, ..self }
+    }
+
     /// Returns the upstream's id.
     pub fn upstream(&self) -> &Upstream {
         &self.upstream
@@ -417,7 +426,7 @@
 
     async fn open(&self) -> Result<Conn, Error> {
         let limit = self.limits.connect;
-        let opened = timeout(limit, TcpStream::connect(self.address)).await;
+        let opened = timeout(limit, connect(self.source, self.address)).await;
         let refused = |cause| Error::Connect {
             upstream: self.upstream.clone(),
             cause,
@@ -433,10 +442,23 @@
         stream.set_nodelay(true).map_err(refused)?;
         Conn::open(stream, self.limits.head_bytes)
             .await
-            .map_err(|error| refused(std::io::Error::other(error)))
+            .map_err(|error| refused(io::Error::other(error)))
     }
 }
 
+/// Opens a connection to `address` from the own address `source`.
+async fn connect(source: Option<IpAddr>, address: SocketAddr) -> io::Result<TcpStream> {
+    let Some(source) = source else {
+        return TcpStream::connect(address).await;
+    };
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(address).await
+}
+
 fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
