Soak: judge ONE by the orders that arrive at engines

An order that an engine refused for an outdated fencing number was never logged, so turns of two holders could not be seen where engines check numbers. Engines now log every order that is meant for their process, with its status. Two holders of one number, and a holder that orders again within the lease after another one, are judged by these; turns for nodes in touch only, less orders that arrive within 300 ms after their link healed.

The upstream, the faults and the checks are split by job, and the number of nodes is part of the plan.

--- a/crates/hyssopscale/tests/fault_soak.rs
+++ b/crates/hyssopscale/tests/fault_soak.rs
@@ -13,6 +13,9 @@
 use rstest::rstest;
 use soak::{Plan, run};
 
+/// Nodes of a site.
+const NODES: usize = 4;
+
 /// Runs at a time by hand.
 const AT_ONCE: u64 = 4;
 
@@ -26,6 +29,7 @@
     let has_bad_part = seed.is_multiple_of(5) || seed % 4 > 1;
     Plan {
         seed,
+        nodes: NODES,
         span: Duration::from_secs(10),
         callers: if to_the_limits { 64 } else { 16 },
         think: Duration::from_millis(if to_the_limits { 1 } else { 80 }),
--- a/crates/hyssopscale/tests/soak/check.rs
+++ b/crates/hyssopscale/tests/soak/check/mod.rs
@@ -1,5 +1,7 @@
 //! The rules, checked by the logs of callers and upstreams.
 
+mod order;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,7 +11,7 @@
 use super::caller::{Ask, Kind, Outcome, PROBE, get};
 use super::fault::{Event, Fault};
 use super::process::{Deed, SETTLING};
-use super::upstream::{Arrival, BAD_PART, POISON, Run, Said, Service, Word};
+use super::upstream::{Arrival, BAD_PART, Order, POISON, Run, Said, Service, Word};
 use super::{Site, UPSTREAMS};
 
 /// Statuses that promise that nothing ran.
@@ -83,6 +85,7 @@
     pub part_offences: Vec<Ask>,
     pub runs: Vec<Run>,
     pub arrivals: Vec<Arrival>,
+    pub orders: Vec<Order>,
     pub words: Vec<Word>,
     /// Paths of requests that crashed an upstream, and when.
     pub crashes: Vec<(String, Instant)>,
@@ -90,6 +93,8 @@
     pub services: Vec<Service>,
     pub probes: Vec<Probe>,
     pub events: Vec<Event>,
+    /// When the nodes were first started.
+    pub started: Instant,
     /// When the time begins in which no fault begins.
     pub faulty_until: Instant,
     pub end: Instant,
@@ -182,6 +187,7 @@
     breaches.extend(check_rates(evidence, site));
     breaches.extend(check_releases(evidence));
     breaches.extend(check_take_ups(evidence, site));
+    breaches.extend(order::check(evidence, site));
     breaches
 }
 
--- /dev/null
+++ b/crates/hyssopscale/tests/soak/check/order.rs
@@ -0,0 +1,89 @@
+//! Orders to engines, as they arrive there: those that are refused count as well.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::super::Site;
+use super::super::fault::Fault;
+use super::super::process::SETTLING;
+use super::super::upstream::{LEASE, Order};
+use super::{Evidence, UPSTREAMS};
+
+/// Time after the end of a silence or cut of the link in which held orders may arrive.
+const HEAL_SLACK: Duration = Duration::from_millis(300);
+
+/// Returns what orders have broken.
+pub fn check(evidence: &Evidence, site: &Site) -> Vec<String> {
+    let mut engines: BTreeMap<&str, Vec<&Order>> = BTreeMap::new();
+    for order in &evidence.orders {
+        engines.entry(&order.upstream).or_default().push(order);
+    }
+    let mut breaches = Vec::new();
+    for (engine, mut orders) in engines {
+        orders.sort_by_key(|order| order.at);
+        breaches.extend(check_fences(engine, &orders));
+        orders.retain(|order| is_in_touch(order, evidence, site) && !was_held(order, evidence));
+        breaches.extend(check_turns(engine, &orders));
+    }
+    breaches
+}
+
+/// Checks that no two holders use one fencing number.
+fn check_fences(engine: &str, orders: &[&Order]) -> Vec<String> {
+    let mut holders: BTreeMap<u64, &str> = BTreeMap::new();
+    let shared = orders.iter().filter(|order| {
+        let first = holders.entry(order.fence).or_insert(&order.holder);
+        *first != order.holder
+    });
+    let shared = shared.map(|order| format!("ONE: {engine} has two holders of {}", order.fence));
+    shared.collect()
+}
+
+/// Checks that no holder orders again within the lease of its own order once another has ordered.
+fn check_turns(engine: &str, orders: &[&Order]) -> Option<String> {
+    let takes_turns = |index: &usize| {
+        let last = orders[*index];
+        let lately = orders[..*index].iter();
+        let lately = lately.filter(|order| last.at <= order.at + LEASE);
+        let mut after_own = lately.skip_while(|order| order.holder != last.holder);
+        after_own.any(|order| order.holder != last.holder)
+    };
+    let turns: Vec<usize> = (0..orders.len()).filter(takes_turns).collect();
+    let first = *turns.first()?;
+    let began = orders[first].at - LEASE;
+    let around = orders[..=first].iter().filter(|order| order.at >= began);
+    let around = around.map(|order| {
+        let (at, holder, fence) = (order.at - began, &order.holder, order.fence);
+        format!("{} ms {holder} {fence} {}", at.as_millis(), order.status)
+    });
+    let around: Vec<String> = around.collect();
+    let count = turns.len();
+    Some(format!(
+        "ONE: {count} orders in turn within the lease at {engine}, the first: {around:?}"
+    ))
+}
+
+fn is_in_touch(order: &Order, evidence: &Evidence, site: &Site) -> bool {
+    let name = |number: usize| format!("vm-{number}");
+    let sender = site.nodes.iter();
+    let mut sender = sender.filter(|node| name(node.number) == order.holder);
+    let calm = sender
+        .next()
+        .is_some_and(|node| node.troubles(order.at, order.at).is_empty());
+    calm && order.at > evidence.started + SETTLING
+}
+
+/// Tells whether the link to the engine has just healed.
+fn was_held(order: &Order, evidence: &Evidence) -> bool {
+    evidence.events.iter().any(|event| {
+        let (Fault::Silence { upstream, time } | Fault::Delay { upstream, time }) = event.fault
+        else {
+            return false;
+        };
+        let healed = event.at + time;
+        let engine = format!("engines-{}-", upstream % UPSTREAMS);
+        upstream < UPSTREAMS
+            && order.upstream.starts_with(&engine)
+            && (healed..healed + HEAL_SLACK).contains(&order.at)
+    })
+}
--- a/crates/hyssopscale/tests/soak/mod.rs
+++ b/crates/hyssopscale/tests/soak/mod.rs
@@ -39,12 +39,13 @@
 const ENGINE_SLOTS: u32 = 8;
 const DESK_SLOTS: u32 = 6;
 
-/// Nodes of a site.
-const NODES: usize = 4;
-
 /// Upstreams of each pool.
 const UPSTREAMS: usize = 3;
 
+/// Last parts of the addresses of upstreams, from this on, and of the store.
+const FIRST_UPSTREAM_HOST: usize = 100;
+const STORE_HOST: usize = 250;
+
 /// Time for the nodes to serve.
 const START_LIMIT: Duration = Duration::from_secs(30);
 
@@ -56,10 +57,20 @@
 /// recognized one after the other.
 const RECOGNITION: Duration = Duration::from_secs(12);
 
+/// Returns the last part of a node's address, beside those of upstreams and the store.
+fn node_host(number: usize) -> usize {
+    if number < FIRST_UPSTREAM_HOST - 1 {
+        number + 1
+    } else {
+        number + 1 + 2 * UPSTREAMS
+    }
+}
+
 /// A run to make.
 #[derive(Clone, Copy, Debug)]
 pub struct Plan {
     pub seed: u64,
+    pub nodes: usize,
     /// Time in which faults begin.
     pub span: Duration,
     pub callers: usize,
@@ -107,6 +118,8 @@
     /// Links from each node to the store.
     pub store_links: Vec<Proxy>,
     log: Log,
+    /// When the nodes were first started.
+    started: Instant,
     _store_server: Server,
     logs: Mutex<TempDir>,
 }
@@ -120,13 +133,17 @@
             format!("{net}.{host}:{port}").parse().unwrap()
         };
         let store = Arc::new(Store::default());
-        let served = Server::start(address(250, 9000), store.clone(), Connections::default());
+        let served = Server::start(
+            address(STORE_HOST, 9000),
+            store.clone(),
+            Connections::default(),
+        );
         let store_server = served.await.unwrap();
         let log = Log::default();
         let (mut upstreams, mut links) = (Vec::new(), Vec::new());
         for (pool, slots) in [("engines", ENGINE_SLOTS), ("desk", DESK_SLOTS)] {
             for number in 0..UPSTREAMS {
-                let host = 100 + upstreams.len();
+                let host = FIRST_UPSTREAM_HOST + upstreams.len();
                 let (listen, linked) = (address(host, 9000), address(host, 9001));
                 let link = Proxy::start(linked, listen, Fault::default(), plan.seed).await;
                 links.push(link.unwrap());
@@ -149,13 +166,19 @@
         let logs = TempDir::new().unwrap();
         let seeds: Vec<String> = (1..=3).map(|host| format!("{net}.{host}")).collect();
         let (mut nodes, mut store_links) = (Vec::new(), Vec::new());
-        for number in 0..NODES {
-            let host = number + 1;
+        for number in 0..plan.nodes {
+            let host = node_host(number);
             let linked = address(host, 9001);
-            let link = Proxy::start(linked, address(250, 9000), Fault::default(), plan.seed).await;
+            let link = Proxy::start(
+                linked,
+                address(STORE_HOST, 9000),
+                Fault::default(),
+                plan.seed,
+            )
+            .await;
             store_links.push(link.unwrap());
             let ip = format!("{net}.{host}");
-            let unread = plan.unread_log && number == NODES - 1;
+            let unread = plan.unread_log && number == plan.nodes - 1;
             let settings = Settings {
                 store: linked,
                 fenced: plan.fenced,
@@ -164,7 +187,9 @@
             nodes.push(node);
         }
         nodes.iter().for_each(Process::start);
+        let started = Instant::now();
         Self {
+            started,
             nodes,
             versions: Mutex::new(vec![(1, Instant::now())]),
             store,
@@ -256,11 +281,13 @@
         part_offences,
         runs: site.log.runs.lock().unwrap().clone(),
         arrivals: site.log.arrivals.lock().unwrap().clone(),
+        orders: site.log.orders.lock().unwrap().clone(),
         words: site.log.words.lock().unwrap().clone(),
         crashes: site.log.crashes.lock().unwrap().clone(),
         services: site.log.services.lock().unwrap().clone(),
         probes,
         events,
+        started: site.started,
         faulty_until: began + plan.span,
         end,
     };
--- a/crates/hyssopscale/tests/soak/upstream.rs
+++ b/crates/hyssopscale/tests/soak/upstream/mod.rs
@@ -1,4 +1,12 @@
 //! Upstreams on the platform that misbehave as its pages allow, and what they ran.
+//!
+//! - `engine` carries out orders.
+//! - `body` writes whole and broken answers.
+//! - `log` is what a run leaves.
+
+mod body;
+mod engine;
+mod log;
 
 use std::net::SocketAddr;
 use std::ops::Range;
@@ -15,25 +23,16 @@
 
 use super::raw::{Head, answer};
 use super::store::Store;
+use body::{CHUNK, FLOODS, events, flood, write};
+use engine::{Adapter, models};
 
-/// Events of a whole stream.
-pub const EVENTS: u64 = 8;
+pub use body::{EVENTS, read_events};
+pub use engine::LEASE;
+pub use log::{Arrival, Log, Order, ProcessName, Run, Said, Service, Word};
 
 /// Adapters that an engine has places for.
 pub const PLACES: usize = 4;
 
-/// Time between two events of a stream.
-const EVENT_PAUSE: Duration = Duration::from_millis(25);
-
-/// Time of a load of the base model.
-const BASE_LOAD: Duration = Duration::from_millis(400);
-
-/// Milliseconds that a load of an adapter takes: longer than nodes expect while many are under way.
-const ADAPTER_LOAD_MS: Range<u64> = 100..700;
-
-/// Times that an adapter loads faster where the engine held it before.
-const RELOAD_FACTOR: u64 = 10;
-
 /// Time for which a silent upstream keeps a request.
 const SILENCE: Duration = Duration::from_secs(5);
 
@@ -62,70 +61,9 @@
     pub late: f64,
 }
 
-/// One run of a request.
-#[derive(Clone, Debug)]
-pub struct Run {
-    pub attempt: String,
-    pub upstream: ProcessName,
-    pub at: Instant,
-}
-
-/// Rules that orders to engines have broken.
-pub type Misorders = Arc<Mutex<Vec<String>>>;
-
-pub type Runs = Arc<Mutex<Vec<Run>>>;
-
 /// Releases of the software of upstreams.
 pub const RELEASES: [&str; 2] = ["r1", "r2"];
 
-/// Names one process of an upstream; another one may have the same id.
-type ProcessName = String;
-
-/// One process of an upstream: which release it is of, and when it served.
-#[derive(Clone, Debug)]
-pub struct Service {
-    pub upstream: ProcessName,
-    pub pool: &'static str,
-    pub release: String,
-    pub from: Instant,
-    pub until: Option<Instant>,
-}
-
-pub type Services = Arc<Mutex<Vec<Service>>>;
-
-/// One arrival of a request, run or not.
-#[derive(Clone, Debug)]
-pub struct Arrival {
-    pub attempt: String,
-    pub pool: &'static str,
-    pub upstream: ProcessName,
-    pub at: Instant,
-}
-
-pub type Arrivals = Arc<Mutex<Vec<Arrival>>>;
-
-/// What an upstream has said of itself with the answer to an attempt.
-#[derive(Clone, Debug)]
-pub enum Said {
-    /// That it leaves.
-    Leaves,
-    /// That it wants nothing for that time.
-    Pause(Duration),
-    /// That it takes so many requests a second from all nodes.
-    Rate(f64),
-}
-
-/// One word of an upstream.
-#[derive(Clone, Debug)]
-pub struct Word {
-    pub attempt: String,
-    pub upstream: ProcessName,
-    pub at: Instant,
-    pub said: Said,
-}
-
-pub type Words = Arc<Mutex<Vec<Word>>>;
-
 /// First part of all prompts, and the part whose requests crash what runs them.
 pub const FIRST_PART: &str = "f1";
 pub const BAD_PART: &str = "bad0";
@@ -136,20 +74,6 @@
 /// Part of a path whose requests crash what runs them.
 pub const POISON: &str = "poison";
 
-/// Paths of requests that crashed an upstream, and when.
-pub type Crashes = Arc<Mutex<Vec<(String, Instant)>>>;
-
-/// What upstreams tell of a run.
-#[derive(Clone, Default)]
-pub struct Log {
-    pub runs: Runs,
-    pub arrivals: Arrivals,
-    pub misorders: Misorders,
-    pub words: Words,
-    pub crashes: Crashes,
-    pub services: Services,
-}
-
 /// Time that an upstream is down after a request has crashed it.
 const CRASH_DOWN: Duration = Duration::from_millis(1_200);
 
@@ -159,30 +83,6 @@
 /// Milliseconds after which a late refusal comes: longer than callers stay that leave.
 const LATE_MS: Range<u64> = 1_000..1_500;
 
-/// One chunk of a body without end.
-const CHUNK: &str = concat!(
-    "40\r\n",
-    "0123456789abcdef0123456789abcdef",
-    "0123456789abcdef0123456789abcdef",
-    "\r\n"
-);
-
-/// Answers without end: how they begin, and what comes again and again.
-const FLOODS: [(&str, &str); 4] = [
-    ("HTTP/1.1 103 X\r\n\r\n", "HTTP/1.1 103 X\r\n\r\n"),
-    ("HTTP/1.1 200 OK\r\n", "x-field: a\r\n"),
-    ("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "0"),
-    ("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n", "x"),
-];
-
-struct Adapter {
-    name: String,
-    ready: Instant,
-}
-
-/// Time within which two nodes must not order in turn.
-const LEASE: Duration = Duration::from_secs(3);
-
 /// What one incarnation knows.
 struct State {
     id: String,
@@ -584,17 +484,6 @@
         late.then(|| Duration::from_millis(state.rng.random_range(LATE_MS)))
     }
 
-    fn report(&self) -> String {
-        let state = self.lock();
-        let now = Instant::now();
-        let coming = state.adapters.iter().filter(|adapter| adapter.ready > now);
-        let coming: Vec<String> = coming.map(|a| format!("base/{}@1", a.name)).collect();
-        let body = json!({
-            "models": models(&state), "coming": coming, "running": state.running, "waiting": 0
-        });
-        answer(200, &[], &body.to_string())
-    }
-
     fn names(&self, attempt: &str) -> Vec<String> {
         let state = self.lock();
         let mut names = vec![
@@ -670,94 +559,6 @@
         state.running += 1;
         None
     }
-
-    fn order(&self, head: &Head) -> String {
-        let order: Value = serde_json::from_slice(&head.body).unwrap_or_default();
-        let text = |name: &str| order[name].as_str().unwrap_or_default().to_owned();
-        let (fence, holder) = (order["fence"].as_u64().unwrap_or(0), text("holder"));
-        let mut state = self.lock();
-        if head.header("x-expect-instance") != state.id {
-            return answer(421, &[], "");
-        }
-        if fence < state.fence && self.fenced {
-            return answer(412, &[], "");
-        }
-        if !self.fenced {
-            self.judge(&mut state, fence, &holder);
-        }
-        if fence == state.fence && holder != state.holder {
-            let both = format!("{} and {holder} with {fence}", state.holder);
-            self.log
-                .misorders
-                .lock()
-                .unwrap()
-                .push(format!("ONE: {both}"));
-        }
-        (state.fence, state.holder) = (state.fence.max(fence), holder);
-        let status = self.carry_out(&mut state, &text("operation"), &text("adapter"));
-        drop(state);
-        self.list();
-        answer(status, &[], "")
-    }
-
-    /// Notes orders that an engine which takes any number must not be given.
-    fn judge(&self, state: &mut State, fence: u64, holder: &str) {
-        let now = Instant::now();
-        state.orders.retain(|(at, _)| now < *at + LEASE);
-        let before = state.orders.iter().position(|(_, who)| who == holder);
-        let others = before.map_or(&[][..], |index| &state.orders[index..]);
-        let mut misorders = self.log.misorders.lock().unwrap();
-        if others.iter().any(|(_, who)| who != holder) {
-            misorders.push(format!("ONE: {holder} ordered in turn with another"));
-        }
-        if fence < state.fence {
-            let (old, last) = (state.fence, &state.holder);
-            misorders.push(format!("ONE: {fence} of {holder} after {old} of {last}"));
-        }
-        state.orders.push((now, holder.to_owned()));
-    }
-
-    fn carry_out(&self, state: &mut State, operation: &str, adapter: &str) -> u16 {
-        let now = Instant::now();
-        let held = state.adapters.iter().position(|held| held.name == adapter);
-        match (operation, adapter, held) {
-            ("load", "", _) if state.base.is_some() => 200,
-            ("load", "", _) => {
-                state.base = Some(now + BASE_LOAD);
-                202
-            }
-            ("load", _, _) if state.base.is_none() => 400,
-            ("load", _, Some(index)) if state.adapters[index].ready <= now => 200,
-            ("load", _, Some(_)) => 202,
-            ("load", name, None) => {
-                if state.adapters.len() >= PLACES {
-                    let line = format!("LIMIT: {} at {}", name, state.id);
-                    self.log.misorders.lock().unwrap().push(line);
-                }
-                let mut time = state.rng.random_range(ADAPTER_LOAD_MS);
-                if state.known.iter().any(|known| known == name) {
-                    time /= RELOAD_FACTOR;
-                } else {
-                    state.known.push(name.to_owned());
-                }
-                state.adapters.push(Adapter {
-                    name: name.to_owned(),
-                    ready: now + Duration::from_millis(time),
-                });
-                202
-            }
-            (_, "", _) => {
-                state.base = None;
-                state.adapters.clear();
-                200
-            }
-            (_, _, Some(index)) => {
-                state.adapters.remove(index);
-                200
-            }
-            (_, _, None) => 200,
-        }
-    }
 }
 
 /// A request that takes a slot until it is dropped.
@@ -777,68 +578,3 @@
     names.next_back();
     names.any(|name| name == BAD_PART)
 }
-
-fn models(state: &State) -> Value {
-    let now = Instant::now();
-    if state.base.is_none_or(|ready| ready > now) {
-        return json!([]);
-    }
-    let ready = state.adapters.iter().filter(|adapter| adapter.ready <= now);
-    let names: Vec<String> = ready.map(|adapter| format!("{}@1", adapter.name)).collect();
-    json!([{"name": "base", "version": 1, "adapters": names}])
-}
-
-/// Returns one event as an upstream sends it.
-fn event(attempt: &str, id: u64, release: &str) -> String {
-    format!("id: {id}\ndata: {attempt} {id} {release}\n\n")
-}
-
-/// Reads the releases of the events that follow the one numbered `after` in an answer to an attempt;
-/// `None` where something else is among them.
-pub fn read_events(text: &str, attempt: &str, after: u64) -> Option<Vec<String>> {
-    let events = text.split_terminator("\n\n").zip(after + 1..);
-    let release = |(text, id): (&str, u64)| {
-        let release = text.rsplit(' ').next()?;
-        (format!("{text}\n\n") == event(attempt, id, release)).then(|| release.to_owned())
-    };
-    events.map(release).collect()
-}
-
-async fn events(
-    stream: &mut TcpStream,
-    names: &[String],
-    (attempt, release): (&str, &str),
-    after: u64,
-    cut: bool,
-) -> bool {
-    let lines: String = names.iter().map(|line| format!("{line}\r\n")).collect();
-    let head = format!("HTTP/1.1 200 OK\r\n{lines}transfer-encoding: chunked\r\n\r\n");
-    if !write(stream, &head).await {
-        return false;
-    }
-    for id in after + 1..=EVENTS {
-        let text = event(attempt, id, release);
-        if cut && id > after + EVENTS / 2 {
-            let _ = write(stream, &format!("{:x}\r\n{}", text.len(), &text[..5])).await;
-            return false;
-        }
-        sleep(EVENT_PAUSE).await;
-        if !write(stream, &format!("{:x}\r\n{text}\r\n", text.len())).await {
-            return false;
-        }
-    }
-    write(stream, "0\r\n\r\n").await
-}
-
-/// Writes without end, until the other side closes.
-async fn flood(stream: &mut TcpStream, (first, part): (&str, &str)) -> bool {
-    let part = part.repeat(64);
-    if write(stream, first).await {
-        while write(stream, &part).await {}
-    }
-    false
-}
-
-async fn write(stream: &mut TcpStream, text: &str) -> bool {
-    stream.write_all(text.as_bytes()).await.is_ok()
-}
