Setting exchange.source: the local address of connections to upstreams

Connections left by the address that the system chose, so that a firewall, or a test on the loopback interface, could not tell the VMs of one host apart. Without the setting nothing changes.

--- a/crates/gateway/src/hub/mod.rs
+++ b/crates/gateway/src/hub/mod.rs
@@ -376,7 +376,9 @@
             body: Duration::from_secs(60),
             ..Limits::default()
         };
-        let link = Link::new(id.clone(), address, limits).within(&self.memory);
+        let link = Link::new(id.clone(), address, limits)
+            .within(&self.memory)
+            .bound_to(self.exchange.source);
         links.insert(index, (id.clone(), address, link.clone()));
         link
     }
--- a/crates/settings/src/section.rs
+++ b/crates/settings/src/section.rs
@@ -1,7 +1,7 @@
 //! The sections of a settings file. Every key has a default, or is checked for presence.
 
 use std::fmt;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -380,6 +380,8 @@
     pub ready: SocketAddr,
     /// Address that tells callers which nodes to use.
     pub directory: SocketAddr,
+    /// Local address of connections to upstreams; the system chooses one by default.
+    pub source: Option<IpAddr>,
     /// Addresses for peers of a few nodes, which may be stale.
     pub seeds: Vec<SocketAddr>,
     /// Repeats that one request earns, over all nodes together.
@@ -433,6 +435,7 @@
         Self {
             ready: any(8083),
             directory: any(8084),
+            source: None,
             seeds: Vec::new(),
             retry_ratio: 0.2,
             retry_extra: 50.0,
--- a/crates/upstream/src/link/mod.rs
+++ b/crates/upstream/src/link/mod.rs
@@ -12,7 +12,7 @@
 mod conn;
 
 use std::io::ErrorKind;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -22,7 +22,7 @@
 use hyper::header::HOST;
 use hyper::http::HeaderValue;
 use hyper::{Request, Response};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{Instant, sleep, timeout};
 use wire::{Priority, Upstream};
@@ -199,6 +199,8 @@
 pub struct Link {
     upstream: Upstream,
     address: SocketAddr,
+    /// Local address of connections; the system chooses one by default.
+    source: Option<IpAddr>,
     limits: Limits,
     /// Milliseconds for which an idle connection is kept.
     keep: Arc<AtomicU64>,
@@ -215,6 +217,7 @@
         Self {
             upstream: upstream.into(),
             address,
+            source: None,
             limits,
             keep: Arc::new(AtomicU64::new(millis(limits.keep))),
             memory: Account::new(limits.held_bytes),
@@ -233,6 +236,12 @@
         }
     }
 
+    /// Opens connections from the local address `source`, where there is one.
+    #[must_use]
+    pub fn bound_to(self, source: Option<IpAddr>) -> Self {
+        Self { source, ..self }
+    }
+
     /// Returns the upstream's id.
     pub fn upstream(&self) -> &Upstream {
         &self.upstream
@@ -415,9 +424,21 @@
         }
     }
 
+    async fn connect(&self) -> std::io::Result<TcpStream> {
+        let Some(source) = self.source else {
+            return TcpStream::connect(self.address).await;
+        };
+        let socket = match source {
+            IpAddr::V4(_) => TcpSocket::new_v4()?,
+            IpAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.bind((source, 0).into())?;
+        socket.connect(self.address).await
+    }
+
     async fn open(&self) -> Result<Conn, Error> {
         let limit = self.limits.connect;
-        let opened = timeout(limit, TcpStream::connect(self.address)).await;
+        let opened = timeout(limit, self.connect()).await;
         let refused = |cause| Error::Connect {
             upstream: self.upstream.clone(),
             cause,
