Setting exchange.advertise: the address by which peers reach a node

Nodes told each other the address that they bind, so that none could stand behind a translation of addresses, and no test could cut real processes off from each other. Without the setting nothing changes.

--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -124,7 +124,7 @@
         let me = Record {
             vm: hub.me.vm.clone(),
             zone: settings.vm.zone.clone(),
-            peers: settings.listen.peers,
+            peers: hub.exchange.advertise.unwrap_or(settings.listen.peers),
             callers: settings.listen.callers,
         };
         Ok(State {
--- a/crates/settings/src/section.rs
+++ b/crates/settings/src/section.rs
@@ -382,6 +382,8 @@
     pub directory: SocketAddr,
     /// Local address of connections to upstreams; the system chooses one by default.
     pub source: Option<IpAddr>,
+    /// Address by which peers reach the node, where it is not `listen.peers`.
+    pub advertise: Option<SocketAddr>,
     /// Addresses for peers of a few nodes, which may be stale.
     pub seeds: Vec<SocketAddr>,
     /// Repeats that one request earns, over all nodes together.
@@ -436,6 +438,7 @@
             ready: any(8083),
             directory: any(8084),
             source: None,
+            advertise: None,
             seeds: Vec::new(),
             retry_ratio: 0.2,
             retry_extra: 50.0,
