Soak: cut nodes off from upstreams, and from each other

A relay before each upstream tells nodes apart by exchange.source, and drops their packets by filters of its sockets: connections hang, are reset, lose the answers alone, or live on while new ones are refused, for 4 to 10 s, from all upstreams or some, at one node up to all. Datagrams between nodes go through a relay at the addresses of exchange.advertise, which cuts nodes off from all others while the store and upstreams reach them.

ONE is judged by the orders that arrive.

--- a/crates/hyssopscale/tests/fault_soak.rs
+++ b/crates/hyssopscale/tests/fault_soak.rs
@@ -5,17 +5,33 @@
 //! ```text
 //! HYSSOPSCALE_SOAK=100..150 cargo test -p hyssopscale --test fault_soak -- --ignored --nocapture
 //! ```
+//!
+//! `HYSSOPSCALE_SOAK_WITH=cuts,peer-cuts` adds cuts of nodes from upstreams, and from each other;
+//! `in-touch` has no faults of their processes and the store.
+//! `HYSSOPSCALE_SOAK_NODES=100` has more nodes, with a caller each at least.
 
 mod soak;
 
 use std::time::Duration;
 
 use rstest::rstest;
-use soak::{Plan, run};
+use soak::{Extra, Plan, run};
 
 /// Nodes of a site.
 const NODES: usize = 4;
 
+/// Nodes in touch that are cut off from upstreams, and from each other.
+const CUTS: Extra = Extra {
+    cuts: true,
+    in_touch: true,
+    peer_cuts: false,
+};
+const PEER_CUTS: Extra = Extra {
+    cuts: false,
+    in_touch: true,
+    peer_cuts: true,
+};
+
 /// Runs at a time by hand.
 const AT_ONCE: u64 = 4;
 
@@ -41,6 +57,7 @@
         rates: !seed.is_multiple_of(2),
         restores: seed % 4 != 2,
         releases: seed % 4 != 2,
+        extra: Extra::default(),
     }
 }
 
@@ -55,6 +72,37 @@
     assert!(breaches.is_empty(), "seed {seed}: {breaches:#?}");
 }
 
+#[rstest]
+#[case::from_upstreams(5000, CUTS)]
+#[case::from_peers(5001, PEER_CUTS)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn cut_nodes_break_no_rule(#[case] seed: u64, #[case] extra: Extra) {
+    let breaches = run(Plan {
+        extra,
+        ..plan(seed)
+    })
+    .await;
+    assert!(breaches.is_empty(), "seed {seed}: {breaches:#?}");
+}
+
+/// Returns the plan of a seed that is run by hand.
+fn chosen_plan(seed: u64) -> Plan {
+    let with = std::env::var("HYSSOPSCALE_SOAK_WITH").unwrap_or_default();
+    let has = |name: &str| with.split(',').any(|part| part == name);
+    let nodes = std::env::var("HYSSOPSCALE_SOAK_NODES").map_or(NODES, |text| text.parse().unwrap());
+    let plan = plan(seed);
+    Plan {
+        nodes,
+        callers: plan.callers.max(nodes),
+        extra: Extra {
+            cuts: has("cuts"),
+            peer_cuts: has("peer-cuts"),
+            in_touch: has("in-touch"),
+        },
+        ..plan
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 #[ignore = "run by hand, with the seeds in HYSSOPSCALE_SOAK"]
 async fn chosen_seeds_break_no_rule() {
@@ -66,7 +114,8 @@
     let mut broken = Vec::new();
     for first in (from..to).step_by(AT_ONCE as usize) {
         let seeds = first..to.min(first + AT_ONCE);
-        let runs = seeds.map(|seed| tokio::spawn(async move { (seed, run(plan(seed)).await) }));
+        let runs =
+            seeds.map(|seed| tokio::spawn(async move { (seed, run(chosen_plan(seed)).await) }));
         for run in runs.collect::<Vec<_>>() {
             let (seed, breaches) = run.await.unwrap();
             if !breaches.is_empty() {
--- a/crates/hyssopscale/tests/soak/check/mod.rs
+++ b/crates/hyssopscale/tests/soak/check/mod.rs
@@ -1,6 +1,7 @@
 //! The rules, checked by the logs of callers and upstreams.
 
 mod order;
+pub mod path;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -9,7 +10,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::caller::{Ask, Kind, Outcome, PROBE, get};
-use super::fault::{Event, Fault};
+use super::fault::Event;
 use super::process::{Deed, SETTLING};
 use super::upstream::{Arrival, BAD_PART, Order, POISON, Run, Said, Service, Word};
 use super::{Site, UPSTREAMS};
@@ -115,9 +116,10 @@
         )
     }
 
-    pub fn story(&self, began: Instant) -> Vec<String> {
+    /// Returns what was done. Times count from the start of the nodes.
+    pub fn story(&self) -> Vec<String> {
         let lines = self.events.iter().map(|event| {
-            let at = event.at.saturating_duration_since(began).as_millis();
+            let at = event.at.saturating_duration_since(self.started).as_millis();
             format!("{at} ms {:?}", event.fault)
         });
         lines.collect()
@@ -154,6 +156,12 @@
     probes
 }
 
+/// Returns how the ids of an upstream begin.
+fn id_prefix(upstream: usize) -> String {
+    let pool = ["engines", "desk"][upstream / UPSTREAMS];
+    format!("{pool}-{}-", upstream % UPSTREAMS)
+}
+
 fn is_served(ask: &Ask) -> bool {
     let sound = Outcome::Answered {
         status: 200,
@@ -188,6 +196,7 @@
     breaches.extend(check_releases(evidence));
     breaches.extend(check_take_ups(evidence, site));
     breaches.extend(order::check(evidence, site));
+    breaches.extend(path::check(evidence, site));
     breaches
 }
 
@@ -283,17 +292,16 @@
     }
 }
 
-/// Tells whether the link to the upstream was silent or slow between a request and its run: what was written
+/// Tells whether the link to the upstream was silent, slow or cut between a request and its run: what was written
 /// to it before the caller left arrives when it goes on.
 fn was_held_up(ask: &Ask, run: &Run, evidence: &Evidence) -> bool {
     evidence.events.iter().any(|event| {
-        let (Fault::Silence { upstream, time } | Fault::Delay { upstream, time }) = event.fault
-        else {
+        let Some((upstreams, time)) = event.fault.disturbed(ask.node) else {
             return false;
         };
-        let pool = ["engines", "desk"][upstream / UPSTREAMS];
-        let name = format!("{pool}-{}-", upstream % UPSTREAMS);
-        run.upstream.starts_with(&name) && event.at < run.at && ask.sent < event.at + time
+        let mut names = upstreams.map(id_prefix);
+        let fits = names.any(|name| run.upstream.starts_with(&name));
+        fits && event.at < run.at && ask.sent < event.at + time
     })
 }
 
--- a/crates/hyssopscale/tests/soak/check/order.rs
+++ b/crates/hyssopscale/tests/soak/check/order.rs
@@ -4,10 +4,9 @@
 use std::time::Duration;
 
 use super::super::Site;
-use super::super::fault::Fault;
 use super::super::process::SETTLING;
 use super::super::upstream::{LEASE, Order};
-use super::{Evidence, UPSTREAMS};
+use super::{Evidence, id_prefix};
 
 /// Time after the end of a silence or cut of the link in which held orders may arrive.
 const HEAL_SLACK: Duration = Duration::from_millis(300);
@@ -73,17 +72,20 @@
     calm && order.at > evidence.started + SETTLING
 }
 
-/// Tells whether the link to the engine has just healed.
+/// Tells whether the sender's link to the engine, or its links to other nodes, have just healed.
 fn was_held(order: &Order, evidence: &Evidence) -> bool {
     evidence.events.iter().any(|event| {
-        let (Fault::Silence { upstream, time } | Fault::Delay { upstream, time }) = event.fault
-        else {
+        let node = order.holder.trim_start_matches("vm-").parse();
+        let Ok(node) = node else {
             return false;
         };
-        let healed = event.at + time;
-        let engine = format!("engines-{}-", upstream % UPSTREAMS);
-        upstream < UPSTREAMS
-            && order.upstream.starts_with(&engine)
-            && (healed..healed + HEAL_SLACK).contains(&order.at)
+        let healed = match event.fault.disturbed(node) {
+            Some((mut upstreams, time)) => {
+                let fits = |id: usize| order.upstream.starts_with(&id_prefix(id));
+                upstreams.any(fits).then_some(event.at + time)
+            }
+            None => event.fault.apart(node).map(|time| event.at + time),
+        };
+        healed.is_some_and(|healed| (healed..healed + HEAL_SLACK).contains(&order.at))
     })
 }
--- a/crates/hyssopscale/tests/soak/fault/deed.rs
+++ b/crates/hyssopscale/tests/soak/fault/deed.rs
@@ -1,5 +1,6 @@
 //! Does what was drawn.
 
+use std::ops::Range;
 use std::time::Duration;
 
 use serde_json::Value;
@@ -7,6 +8,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::super::process::Deed;
+use super::super::relay::Cut;
 use super::super::store::Copy;
 use super::super::upstream::Manner;
 use super::super::{Site, versioned};
@@ -80,6 +82,21 @@
                 };
                 self.disturb(upstream, fault, time).await;
             }
+            Fault::CutFromUpstreams {
+                ref nodes,
+                ref upstreams,
+                cut,
+                time,
+            } => {
+                self.cut_from_upstreams(nodes, upstreams.clone(), Some(cut));
+                sleep(time).await;
+                self.cut_from_upstreams(nodes, upstreams.clone(), None);
+            }
+            Fault::CutFromPeers { ref nodes, time } => {
+                self.cut_from_peers(nodes, true);
+                sleep(time).await;
+                self.cut_from_peers(nodes, false);
+            }
             Fault::Delay { upstream, time } => {
                 let fault = proxy::Fault {
                     latency_us: 20_000,
@@ -98,6 +115,21 @@
         self.links[upstream].control().set(proxy::Fault::default());
     }
 
+    fn cut_from_upstreams(&self, nodes: &[usize], upstreams: Range<usize>, cut: Option<Cut>) {
+        for relay in &self.relays[upstreams] {
+            for node in nodes {
+                relay.set(self.nodes[*node].addresses.front.ip(), cut);
+            }
+        }
+    }
+
+    fn cut_from_peers(&self, nodes: &[usize], is_apart: bool) {
+        let post = self.post.as_ref().expect("a relay between nodes");
+        nodes
+            .iter()
+            .for_each(|node| post.set_apart(*node, is_apart));
+    }
+
     async fn cut_from_store(&self, nodes: &[usize], time: Duration) {
         let silent = proxy::Fault {
             pass: Pass::Neither,
--- a/crates/hyssopscale/tests/soak/fault/draw.rs
+++ b/crates/hyssopscale/tests/soak/fault/draw.rs
@@ -4,8 +4,10 @@
 
 use rand::RngExt;
 use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
 
 use super::super::UPSTREAMS;
+use super::super::relay::Cut;
 use super::super::upstream::Manner;
 use super::Fault;
 
@@ -230,3 +232,51 @@
         time: millis(rng, 1_500, 3_000),
     }
 }
+
+/// Draws nodes: one, some, all but one, or all.
+fn draw_nodes(rng: &mut StdRng, nodes: usize) -> Vec<usize> {
+    let count = match rng.random_range(0..8) {
+        0 => nodes,
+        1 | 2 => nodes - 1,
+        3 => 1,
+        _ => rng.random_range(1..=nodes / 2),
+    };
+    let mut all: Vec<usize> = (0..nodes).collect();
+    all.shuffle(rng);
+    all.truncate(count);
+    all.sort_unstable();
+    all
+}
+
+/// Draws nodes that are cut off from upstreams: most from all of them.
+pub(super) fn draw_cut(rng: &mut StdRng, nodes: usize) -> Fault {
+    let nodes = draw_nodes(rng, nodes);
+    let upstreams = match rng.random_range(0..5) {
+        0 => 0..UPSTREAMS,
+        1 => {
+            let upstream = rng.random_range(0..2 * UPSTREAMS);
+            upstream..upstream + 1
+        }
+        _ => 0..2 * UPSTREAMS,
+    };
+    let cut = match rng.random_range(0..5) {
+        0 => Cut::Reset,
+        1 => Cut::RefuseNew,
+        2 => Cut::AnswersLost,
+        _ => Cut::Hang,
+    };
+    Fault::CutFromUpstreams {
+        nodes,
+        upstreams,
+        cut,
+        time: millis(rng, 4_000, 10_000),
+    }
+}
+
+/// Draws nodes that reach the store and upstreams but no other node.
+pub(super) fn draw_peer_cut(rng: &mut StdRng, nodes: usize) -> Fault {
+    Fault::CutFromPeers {
+        nodes: draw_nodes(rng, nodes),
+        time: millis(rng, 400, 8_000),
+    }
+}
--- a/crates/hyssopscale/tests/soak/fault/mod.rs
+++ b/crates/hyssopscale/tests/soak/fault/mod.rs
@@ -15,9 +15,13 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
 
+use super::relay::Cut;
 use super::upstream::Manner;
 use super::{Plan, Site, UPSTREAMS};
-use draw::{draw, draw_break, draw_flood, draw_late_refusal, draw_rate, draw_restore, draw_word};
+use draw::{
+    draw, draw_break, draw_cut, draw_flood, draw_late_refusal, draw_peer_cut, draw_rate,
+    draw_restore, draw_word,
+};
 
 /// Faults of a run at least, and at most.
 const COUNT: (usize, usize) = (6, 16);
@@ -42,6 +46,12 @@
 const LATE_REFUSALS: usize = 4;
 const LATENESS: u64 = 0x6c61_7465;
 
+/// Cuts of nodes in a run at most, and what sets their draws apart.
+const CUTS_MAX: usize = 2;
+const CUTS: u64 = 0x6375_7473;
+const PEER_CUTS_MAX: usize = 3;
+const PEER_CUTS: u64 = 0x7065_6572;
+
 /// Time from the stop of a node until an upstream is replaced by another release behind its back.
 const OUT_OF_STEP: Duration = Duration::from_millis(300);
 
@@ -118,6 +128,57 @@
         upstream: usize,
         time: Duration,
     },
+    CutFromUpstreams {
+        nodes: Vec<usize>,
+        upstreams: Range<usize>,
+        cut: Cut,
+        time: Duration,
+    },
+    CutFromPeers {
+        nodes: Vec<usize>,
+        time: Duration,
+    },
+}
+
+impl Fault {
+    /// Tells whether it ends or stops nodes, or cuts them off from the store.
+    fn troubles_nodes(&self) -> bool {
+        matches!(
+            self,
+            Self::Kill { .. }
+                | Self::KillAll { .. }
+                | Self::Stop { .. }
+                | Self::Replace { .. }
+                | Self::ReplaceAll { .. }
+                | Self::CutFromStore { .. }
+                | Self::StoreAway { .. }
+                | Self::Restore { .. }
+        )
+    }
+
+    /// Returns the upstreams whose links from `node` it holds or cuts, and for how long.
+    pub fn disturbed(&self, node: usize) -> Option<(Range<usize>, Duration)> {
+        match self {
+            Self::Silence { upstream, time } | Self::Delay { upstream, time } => {
+                Some((*upstream..*upstream + 1, *time))
+            }
+            Self::CutFromUpstreams {
+                nodes,
+                upstreams,
+                time,
+                ..
+            } if nodes.contains(&node) => Some((upstreams.clone(), *time)),
+            _ => None,
+        }
+    }
+
+    /// Returns for how long `node` reaches no other, or one that it reached.
+    pub fn apart(&self, node: usize) -> Option<Duration> {
+        match self {
+            Self::CutFromPeers { nodes, time } if nodes.contains(&node) => Some(*time),
+            _ => None,
+        }
+    }
 }
 
 /// What was done, and when.
@@ -186,6 +247,27 @@
         let down = draw::millis(&mut rng, 200, 800);
         drawn.push((at + OUT_OF_STEP, Fault::Crash { upstream, down }));
     }
+    if plan.extra.in_touch {
+        drawn.retain(|(_, fault)| !fault.troubles_nodes());
+    }
+    let mut rng = StdRng::seed_from_u64(seed ^ CUTS);
+    for _ in 0..if plan.extra.cuts {
+        rng.random_range(1..=CUTS_MAX)
+    } else {
+        0
+    } {
+        let at = rng.random_range(Duration::ZERO..span / 2);
+        drawn.push((at, draw_cut(&mut rng, plan.nodes)));
+    }
+    let mut rng = StdRng::seed_from_u64(seed ^ PEER_CUTS);
+    for _ in 0..if plan.extra.peer_cuts {
+        rng.random_range(1..=PEER_CUTS_MAX)
+    } else {
+        0
+    } {
+        let at = rng.random_range(Duration::ZERO..span);
+        drawn.push((at, draw_peer_cut(&mut rng, plan.nodes)));
+    }
     let mut tasks = JoinSet::new();
     for (at, fault) in drawn {
         let site = site.clone();
--- a/crates/hyssopscale/tests/soak/mod.rs
+++ b/crates/hyssopscale/tests/soak/mod.rs
@@ -4,6 +4,7 @@
 //! - `process` runs the nodes and sends them signals.
 //! - `upstream` is what runs the requests, and its log.
 //! - `caller` asks, on connections that it keeps.
+//! - `relay` cuts nodes off from upstreams, and `post` from each other.
 //! - `fault` draws what happens from a seed and does it.
 //! - `check` compares the logs of callers and upstreams.
 
@@ -12,9 +13,11 @@
 #[path = "../../../../platform/tests/support/config.rs"]
 mod config;
 mod fault;
+mod post;
 mod process;
 #[path = "../../../../platform/tests/support/raw.rs"]
 mod raw;
+mod relay;
 #[path = "../../../../platform/tests/support/store.rs"]
 mod store;
 mod upstream;
@@ -31,7 +34,9 @@
 
 use caller::{Caller, Kind, get};
 use check::Evidence;
+use post::Post;
 use process::{Process, Settings};
+use relay::Relay;
 use store::Store;
 use upstream::{Config, Log, PLACES, Upstream};
 
@@ -93,6 +98,18 @@
     pub restores: bool,
     /// Whether upstreams of two releases serve side by side.
     pub releases: bool,
+    pub extra: Extra,
+}
+
+/// Faults that are drawn beside the others.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Extra {
+    /// Whether nodes are cut off from upstreams.
+    pub cuts: bool,
+    /// Whether nodes stay in touch: their processes and the store have no faults.
+    pub in_touch: bool,
+    /// Whether nodes are cut off from each other.
+    pub peer_cuts: bool,
 }
 
 impl Plan {
@@ -115,6 +132,10 @@
     pub upstreams: Vec<Arc<Upstream>>,
     /// Links to the upstreams.
     pub links: Vec<Proxy>,
+    /// Relays before these links, where nodes are cut off from upstreams.
+    pub relays: Vec<Arc<Relay>>,
+    /// The relay between nodes, where they are cut off from each other.
+    pub post: Option<Arc<Post>>,
     /// Links from each node to the store.
     pub store_links: Vec<Proxy>,
     log: Log,
@@ -140,19 +161,24 @@
         );
         let store_server = served.await.unwrap();
         let log = Log::default();
-        let (mut upstreams, mut links) = (Vec::new(), Vec::new());
+        let (mut upstreams, mut links, mut relays) = (Vec::new(), Vec::new(), Vec::new());
         for (pool, slots) in [("engines", ENGINE_SLOTS), ("desk", DESK_SLOTS)] {
             for number in 0..UPSTREAMS {
                 let host = FIRST_UPSTREAM_HOST + upstreams.len();
                 let (listen, linked) = (address(host, 9000), address(host, 9001));
                 let link = Proxy::start(linked, listen, Fault::default(), plan.seed).await;
                 links.push(link.unwrap());
+                let mut reached = linked;
+                if plan.extra.cuts {
+                    reached = address(host, 9002);
+                    relays.push(Relay::start(reached, linked).await);
+                }
                 let config = Config {
                     pool,
                     number,
                     slots,
                     listen,
-                    address: linked,
+                    address: reached,
                     store: store.clone(),
                     log: log.clone(),
                     seed: plan.seed * 16 + host as u64,
@@ -164,7 +190,22 @@
         }
         store.put("op/config", &versioned(1));
         let logs = TempDir::new().unwrap();
-        let seeds: Vec<String> = (1..=3).map(|host| format!("{net}.{host}")).collect();
+        let bound = |number: usize| address(node_host(number), 8144);
+        let told = |number: usize| {
+            address(
+                node_host(number),
+                if plan.extra.peer_cuts { 8145 } else { 8144 },
+            )
+        };
+        let seeds: Vec<String> = (0..3).map(|number| told(number).to_string()).collect();
+        let stations: Vec<_> = (0..plan.nodes)
+            .map(|node| (bound(node), told(node)))
+            .collect();
+        let post = if plan.extra.peer_cuts {
+            Some(Post::start(&stations).await)
+        } else {
+            None
+        };
         let (mut nodes, mut store_links) = (Vec::new(), Vec::new());
         for number in 0..plan.nodes {
             let host = node_host(number);
@@ -182,6 +223,8 @@
             let settings = Settings {
                 store: linked,
                 fenced: plan.fenced,
+                own_source: plan.extra.cuts,
+                advertise: plan.extra.peer_cuts.then(|| told(number)),
             };
             let node = Process::new(number, &ip, &seeds, settings, logs.path(), unread);
             nodes.push(node);
@@ -195,6 +238,8 @@
             store,
             upstreams,
             links,
+            relays,
+            post,
             store_links,
             log,
             _store_server: store_server,
@@ -293,9 +338,12 @@
     };
     breaches.extend(check::check(&evidence, &site));
     println!("seed {}: {}", plan.seed, evidence.summary());
+    for line in check::path::summary(&evidence, &site) {
+        println!("seed {}: {line}", plan.seed);
+    }
     if !breaches.is_empty() {
         println!("logs of the nodes: {}", site.keep_logs());
-        println!("events: {:#?}", evidence.story(began));
+        println!("events: {:#?}", evidence.story());
     }
     breaches
 }
--- a/crates/hyssopscale/tests/soak/process.rs
+++ b/crates/hyssopscale/tests/soak/process.rs
@@ -60,6 +60,10 @@
     pub store: SocketAddr,
     /// Whether engines refuse old fencing numbers.
     pub fenced: bool,
+    /// Whether connections to upstreams leave by its own address.
+    pub own_source: bool,
+    /// Address by which other nodes reach it, where it is not the one that it binds.
+    pub advertise: Option<SocketAddr>,
 }
 
 /// One node.
@@ -85,10 +89,7 @@
         folder: &Path,
         unread: bool,
     ) -> Self {
-        let quoted: Vec<String> = seeds
-            .iter()
-            .map(|seed| format!("\"{seed}:8144\""))
-            .collect();
+        let quoted: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
         let seeds = quoted.join(", ");
         let grace = GRACE.as_secs().to_string();
         let values = [
@@ -117,6 +118,14 @@
             .fold(TEMPLATE.to_owned(), |text, (name, value)| {
                 text.replace(name, value)
             });
+        let mut own = "[exchange]\n".to_owned();
+        if site.own_source {
+            own += &format!("source = \"{ip}\"\n");
+        }
+        if let Some(advertise) = site.advertise {
+            own += &format!("advertise = \"{advertise}\"\n");
+        }
+        let filled = filled.replace("[exchange]\n", &own);
         let settings = folder.join(format!("vm-{number}.toml"));
         fs::write(&settings, filled).unwrap();
         Self {
