--- a/crates/hyssopscale/tests/soak/mod.rs
+++ b/crates/hyssopscale/tests/soak/mod.rs
@@ -4,6 +4,7 @@
 //! - `process` runs the nodes and sends them signals.
 //! - `upstream` is what runs the requests, and its log.
 //! - `caller` asks, on connections that it keeps.
+//! - `relay` cuts nodes off from upstreams, and `post` from each other.
 //! - `fault` draws what happens from a seed and does it.
 //! - `check` compares the logs of callers and upstreams.
 
@@ -12,9 +13,11 @@
 #[path = "../../../../platform/tests/support/config.rs"]
 mod config;
 mod fault;
+mod post;
 mod process;
 #[path = "../../../../platform/tests/support/raw.rs"]
 mod raw;
+mod relay;
 #[path = "../../../../platform/tests/support/store.rs"]
 mod store;
 mod upstream;
@@ -31,7 +34,9 @@
 
 use caller::{Caller, Kind, get};
 use check::Evidence;
+use post::Post;
 use process::{Process, Settings};
+use relay::Relay;
 use store::Store;
 use upstream::{Config, Log, PLACES, Upstream};
 
@@ -39,12 +44,13 @@
 const ENGINE_SLOTS: u32 = 8;
 const DESK_SLOTS: u32 = 6;
 
-/// Nodes of a site.
-const NODES: usize = 4;
-
 /// Upstreams of each pool.
 const UPSTREAMS: usize = 3;
 
+/// Last parts of the addresses of upstreams, from this on, and of the store.
+const FIRST_UPSTREAM_HOST: usize = 100;
+const STORE_HOST: usize = 250;
+
 /// Time for the nodes to serve.
 const START_LIMIT: Duration = Duration::from_secs(30);
 
@@ -56,10 +62,20 @@
 /// recognized one after the other.
 const RECOGNITION: Duration = Duration::from_secs(12);
 
+/// Returns the last part of a node's address, beside those of upstreams and the store.
+fn node_host(number: usize) -> usize {
+    if number < FIRST_UPSTREAM_HOST - 1 {
+        number + 1
+    } else {
+        number + 1 + 2 * UPSTREAMS
+    }
+}
+
 /// A run to make.
 #[derive(Clone, Copy, Debug)]
 pub struct Plan {
     pub seed: u64,
+    pub nodes: usize,
     /// Time in which faults begin.
     pub span: Duration,
     pub callers: usize,
@@ -82,6 +98,18 @@
     pub restores: bool,
     /// Whether upstreams of two releases serve side by side.
     pub releases: bool,
+    pub extra: Extra,
+}
+
+/// Faults that are drawn beside the others.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Extra {
+    /// Whether nodes are cut off from upstreams.
+    pub cuts: bool,
+    /// Whether nodes stay in touch: their processes and the store have no faults.
+    pub in_touch: bool,
+    /// Whether nodes are cut off from each other.
+    pub peer_cuts: bool,
 }
 
 impl Plan {
@@ -104,9 +132,15 @@
     pub upstreams: Vec<Arc<Upstream>>,
     /// Links to the upstreams.
     pub links: Vec<Proxy>,
+    /// Relays before these links, where nodes are cut off from upstreams.
+    pub relays: Vec<Arc<Relay>>,
+    /// The relay between nodes, where they are cut off from each other.
+    pub post: Option<Arc<Post>>,
     /// Links from each node to the store.
     pub store_links: Vec<Proxy>,
     log: Log,
+    /// When the nodes were first started.
+    started: Instant,
     _store_server: Server,
     logs: Mutex<TempDir>,
 }
@@ -120,22 +154,31 @@
             format!("{net}.{host}:{port}").parse().unwrap()
         };
         let store = Arc::new(Store::default());
-        let served = Server::start(address(250, 9000), store.clone(), Connections::default());
+        let served = Server::start(
+            address(STORE_HOST, 9000),
+            store.clone(),
+            Connections::default(),
+        );
         let store_server = served.await.unwrap();
         let log = Log::default();
-        let (mut upstreams, mut links) = (Vec::new(), Vec::new());
+        let (mut upstreams, mut links, mut relays) = (Vec::new(), Vec::new(), Vec::new());
         for (pool, slots) in [("engines", ENGINE_SLOTS), ("desk", DESK_SLOTS)] {
             for number in 0..UPSTREAMS {
-                let host = 100 + upstreams.len();
+                let host = FIRST_UPSTREAM_HOST + upstreams.len();
                 let (listen, linked) = (address(host, 9000), address(host, 9001));
                 let link = Proxy::start(linked, listen, Fault::default(), plan.seed).await;
                 links.push(link.unwrap());
+                let mut reached = linked;
+                if plan.extra.cuts {
+                    reached = address(host, 9002);
+                    relays.push(Relay::start(reached, linked).await);
+                }
                 let config = Config {
                     pool,
                     number,
                     slots,
                     listen,
-                    address: linked,
+                    address: reached,
                     store: store.clone(),
                     log: log.clone(),
                     seed: plan.seed * 16 + host as u64,
@@ -147,29 +190,56 @@
         }
         store.put("op/config", &versioned(1));
         let logs = TempDir::new().unwrap();
-        let seeds: Vec<String> = (1..=3).map(|host| format!("{net}.{host}")).collect();
+        let bound = |number: usize| address(node_host(number), 8144);
+        let told = |number: usize| {
+            address(
+                node_host(number),
+                if plan.extra.peer_cuts { 8145 } else { 8144 },
+            )
+        };
+        let seeds: Vec<String> = (0..3).map(|number| told(number).to_string()).collect();
+        let stations: Vec<_> = (0..plan.nodes)
+            .map(|node| (bound(node), told(node)))
+            .collect();
+        let post = if plan.extra.peer_cuts {
+            Some(Post::start(&stations).await)
+        } else {
+            None
+        };
         let (mut nodes, mut store_links) = (Vec::new(), Vec::new());
-        for number in 0..NODES {
-            let host = number + 1;
+        for number in 0..plan.nodes {
+            let host = node_host(number);
             let linked = address(host, 9001);
-            let link = Proxy::start(linked, address(250, 9000), Fault::default(), plan.seed).await;
+            let link = Proxy::start(
+                linked,
+                address(STORE_HOST, 9000),
+                Fault::default(),
+                plan.seed,
+            )
+            .await;
             store_links.push(link.unwrap());
             let ip = format!("{net}.{host}");
-            let unread = plan.unread_log && number == NODES - 1;
+            let unread = plan.unread_log && number == plan.nodes - 1;
             let settings = Settings {
                 store: linked,
                 fenced: plan.fenced,
+                own_source: plan.extra.cuts,
+                advertise: plan.extra.peer_cuts.then(|| told(number)),
             };
             let node = Process::new(number, &ip, &seeds, settings, logs.path(), unread);
             nodes.push(node);
         }
         nodes.iter().for_each(Process::start);
+        let started = Instant::now();
         Self {
+            started,
             nodes,
             versions: Mutex::new(vec![(1, Instant::now())]),
             store,
             upstreams,
             links,
+            relays,
+            post,
             store_links,
             log,
             _store_server: store_server,
@@ -256,19 +326,24 @@
         part_offences,
         runs: site.log.runs.lock().unwrap().clone(),
         arrivals: site.log.arrivals.lock().unwrap().clone(),
+        orders: site.log.orders.lock().unwrap().clone(),
         words: site.log.words.lock().unwrap().clone(),
         crashes: site.log.crashes.lock().unwrap().clone(),
         services: site.log.services.lock().unwrap().clone(),
         probes,
         events,
+        started: site.started,
         faulty_until: began + plan.span,
         end,
     };
     breaches.extend(check::check(&evidence, &site));
     println!("seed {}: {}", plan.seed, evidence.summary());
+    for line in check::path::summary(&evidence, &site) {
+        println!("seed {}: {line}", plan.seed);
+    }
     if !breaches.is_empty() {
         println!("logs of the nodes: {}", site.keep_logs());
-        println!("events: {:#?}", evidence.story(began));
+        println!("events: {:#?}", evidence.story());
     }
     breaches
 }
--- a/crates/settings/src/section.rs
+++ b/crates/settings/src/section.rs
@@ -380,6 +380,10 @@
     pub ready: SocketAddr,
     /// Address that tells callers which nodes to use.
     pub directory: SocketAddr,
+    /// Local address of connections to upstreams; the system chooses one by default.
+    pub source: Option<IpAddr>,
+    /// Address by which peers reach the node, where it is not `listen.peers`.
+    pub advertise: Option<SocketAddr>,
     /// Addresses for peers of a few nodes, which may be stale.
     pub seeds: Vec<SocketAddr>,
     /// Repeats that one request earns, over all nodes together.
@@ -425,8 +429,6 @@
     pub link_mbps: f64,
     /// Threads that run the node; 1 spares the hand-over between threads on a part of a core.
     pub threads: usize,
-    /// Own address from which connections to upstreams are opened; absent for the system's choice.
-    pub source: Option<IpAddr>,
 }
 
 impl Default for Exchange {
@@ -435,6 +437,8 @@
         Self {
             ready: any(8083),
             directory: any(8084),
+            source: None,
+            advertise: None,
             seeds: Vec::new(),
             retry_ratio: 0.2,
             retry_extra: 50.0,
@@ -453,7 +457,6 @@
             pause: Duration::from_millis(400),
             link_mbps: 40.0,
             threads: 1,
-            source: None,
         }
     }
 }
