--- a/crates/exchange/src/owner/claim.rs
+++ b/crates/exchange/src/owner/claim.rs
@@ -12,7 +12,7 @@
 
 /// Number of nodes up to which all claims are announced once in each [`ANNOUNCE_INTERVAL`]. Larger
 /// fleets announce unchanged claims less often, since each announcement goes to every node.
-const ANNOUNCE_NODES_MAX: usize = 32;
+const ANNOUNCE_NODES_MAX: usize = 20;
 
 /// Number of announcements after a change that are made without that delay, in case some are lost.
 pub(super) const PROMPT_ANNOUNCEMENTS: u32 = 3;
@@ -39,6 +39,27 @@
 /// Number of refusals after which the raise stops growing: 30 s times 2^16 is three weeks.
 const FENCE_JUMPS_MAX: u32 = 4;
 
+/// An engine without an owner for which this node is first in line.
+#[derive(Clone, Debug)]
+pub(super) struct Unclaimed {
+    engine: Upstream,
+    /// Digest of its witnesses.
+    electors: u64,
+    since: Time,
+    /// When its witnesses have been the same for long enough, after a change.
+    settled_at: Time,
+}
+
+/// Fencing tokens of this node that an engine has refused.
+#[derive(Clone, Debug)]
+pub(super) struct FenceRefusal {
+    engine: Upstream,
+    /// Number of refusals after the first.
+    repeats: u32,
+    /// What the next token has to exceed. Nobody has used it, so it is not told to others.
+    floor: Fence,
+}
+
 impl Owner {
     /// Claims the unowned engines for which this node is first in line.
     pub(super) fn claim_unclaimed(
@@ -48,13 +69,43 @@
         wall_seconds: u64,
         out: &mut Vec<Action>,
     ) {
-        self.release_gone(fleet, out);
+        self.release_gone(now, fleet, out);
         self.backoffs.retain(|(_, until)| now < *until);
         self.fence_refusals
-            .retain(|(id, _)| fleet.upstream(id).is_some());
+            .retain(|refusal| fleet.upstream(&refusal.engine).is_some());
+        let wanted = self.wanted(now, fleet);
+        self.maintain_leases(now, &wanted, out);
+        self.candidacies = wanted;
+        self.wall_seconds = wall_seconds;
+        self.claim_leased(now, out);
+    }
+
+    /// Claims the engines whose leases a majority of their witnesses has granted.
+    pub(super) fn claim_leased(&mut self, now: Time, out: &mut Vec<Action>) {
+        if self.leaving || !self.may_claim || now < self.no_orders_before {
+            return;
+        }
+        let mut candidacies = std::mem::take(&mut self.candidacies);
+        candidacies.retain(|engine| self.holder(engine).is_none());
+        let (elected, pending) = candidacies
+            .into_iter()
+            .partition::<Vec<_>, _>(|engine| self.leases.holds(now, engine));
+        self.candidacies = pending;
+        if elected.is_empty() {
+            return;
+        }
+        for engine in elected {
+            self.take_over(now, engine, out);
+        }
+        self.broadcast_claims(out);
+        self.announced_at = now;
+    }
+
+    /// Returns the unowned engines that this node is to claim, sorted.
+    fn wanted(&mut self, now: Time, fleet: &Fleet) -> Vec<Upstream> {
         if !self.may_watch_claims(now) {
             self.unclaimed.clear();
-            return;
+            return Vec::new();
         }
         let claimers = self.claimers();
         // While no more than half of the nodes may claim, others are about to; without a longer
@@ -64,29 +115,34 @@
         } else {
             ANNOUNCE_INTERVAL
         };
-        let mut claimed = false;
+        let mut wanted = Vec::new();
         for runner in fleet.upstreams() {
             let id = &runner.listing.id;
-            let unclaimed =
-                runner.listing.engine && runner.is_eligible() && self.holder(id).is_none();
-            let first = || rank::first(rank::hash(id.as_bytes()), &claimers);
+            let unclaimed = runner.listing.engine && runner.is_eligible() && !self.is_claimed(id);
+            let first = || {
+                let claimers = claimers.iter().filter(|vm| self.accepts(now, vm, id));
+                rank::first(rank::hash(id.as_bytes()), claimers)
+            };
             if !unclaimed || first() != Some(&self.config.me) {
-                self.unclaimed.retain(|(unclaimed, _)| unclaimed != id);
+                self.unclaimed.retain(|unclaimed| unclaimed.engine != *id);
                 continue;
             }
-            if self.backoffs.iter().any(|(backed_off, _)| backed_off == id) {
+            let backed_off = self.backoffs.iter().any(|(backed_off, _)| backed_off == id);
+            // A witness has named a holder that announces nothing.
+            if backed_off || self.holder(id).is_some() {
                 continue;
             }
-            let since = self.unclaimed_since(now, id);
-            if self.may_claim && now >= self.takeover_allowed_at(id).max(since + wait) {
-                self.take_over(now, id.clone(), wall_seconds, out);
-                claimed = true;
+            let allowed_at = self.takeover_allowed_at(id);
+            let unclaimed = self.note_unclaimed(now, id);
+            let due = allowed_at
+                .max(unclaimed.since + wait)
+                .max(unclaimed.settled_at);
+            if self.may_claim && now >= due {
+                wanted.push(id.clone());
             }
         }
-        if claimed {
-            self.broadcast_claims(out);
-            self.announced_at = now;
-        }
+        wanted.sort_unstable();
+        wanted
     }
 
     /// Returns whether this node may look for engines without an owner.
@@ -145,22 +201,37 @@
         }
     }
 
-    fn unclaimed_since(&mut self, now: Time, id: &Upstream) -> Time {
-        match self.unclaimed.iter().find(|(unclaimed, _)| unclaimed == id) {
-            Some((_, since)) => *since,
-            None => {
-                self.unclaimed.push((id.clone(), now));
-                now
-            }
+    /// Records that an engine has no owner.
+    fn note_unclaimed(&mut self, now: Time, id: &Upstream) -> &Unclaimed {
+        let electors = self.electors(id);
+        let found = self.unclaimed.iter().position(|known| known.engine == *id);
+        let index = found.unwrap_or_else(|| {
+            self.unclaimed.push(Unclaimed {
+                engine: id.clone(),
+                electors,
+                since: now,
+                settled_at: now,
+            });
+            self.unclaimed.len() - 1
+        });
+        let unclaimed = &mut self.unclaimed[index];
+        if unclaimed.electors != electors {
+            // This node is learning of the others, and others may know more of them.
+            unclaimed.electors = electors;
+            unclaimed.settled_at = now + ANNOUNCE_INTERVAL;
         }
+        unclaimed
     }
 
-    fn take_over(&mut self, now: Time, engine: Upstream, wall_seconds: u64, out: &mut Vec<Action>) {
-        let seen = self.highest_fence(&engine).unwrap_or_default() >> VM_BITS;
-        let second = wall_seconds.saturating_sub(EPOCH).max(seen) + 1;
+    fn take_over(&mut self, now: Time, engine: Upstream, out: &mut Vec<Action>) {
+        let refusal = self.fence_refusals.iter().find(|r| r.engine == engine);
+        let refused = refusal.map_or(0, |refusal| refusal.floor);
+        let seen = self.highest_fence(&engine).unwrap_or_default().max(refused) >> VM_BITS;
+        let second = self.wall_seconds.saturating_sub(EPOCH).max(seen) + 1;
         let fence = second << VM_BITS | self.config.vm_bits;
         self.observe_fence(&engine, fence);
-        self.unclaimed.retain(|(unclaimed, _)| *unclaimed != engine);
+        self.unclaimed
+            .retain(|unclaimed| unclaimed.engine != engine);
         self.peer_claims.retain(|claim| claim.engine != engine);
         out.push(Action::Log(Decision::Claimed(engine.clone(), fence)));
         // Another node may claim the engine at the same moment. If the engine does not check
@@ -183,26 +254,25 @@
     }
 
     /// Releases engines that have left the listing or are leaving.
-    fn release_gone(&mut self, fleet: &Fleet, out: &mut Vec<Action>) {
-        let owned_before = self.owned_engines.len();
+    fn release_gone(&mut self, now: Time, fleet: &Fleet, out: &mut Vec<Action>) {
+        let mut gone = Vec::new();
         self.owned_engines.retain(|owned| {
             let kept = fleet
                 .upstream(&owned.engine)
                 .is_some_and(UpstreamState::is_eligible);
             if !kept {
-                out.push(Action::Log(Decision::Released(
-                    owned.engine.clone(),
-                    "gone",
-                )));
+                gone.push(owned.engine.clone());
             }
             kept
         });
-        if self.owned_engines.len() != owned_before {
+        for engine in gone {
             self.claims_changed();
+            self.drop_lease(now, &engine, true, out);
+            out.push(Action::Log(Decision::Released(engine, "gone")));
         }
         let known = |id: &Upstream| fleet.upstream(id).is_some();
         self.peer_claims.retain(|claim| known(&claim.engine));
-        self.unclaimed.retain(|(id, _)| known(id));
+        self.unclaimed.retain(|unclaimed| known(&unclaimed.engine));
     }
 
     /// Announces all claims if the interval has passed.
@@ -211,6 +281,7 @@
             self.announced_at = now;
             self.prompt_announcements = self.prompt_announcements.saturating_sub(1);
             self.broadcast_claims(out);
+            self.announce_declines(out);
         }
         // A large fleet announces holdings less often, which bounds what each node has to receive.
         let period = self.live.len().div_ceil(HOLDINGS_PEERS_MAX).max(1);
@@ -306,7 +377,6 @@
                     continue;
                 }
                 self.release_engine(&engine, "superseded", out);
-                self.back_off(now, &engine);
             } else if fence < seen {
                 higher.push((engine.clone(), seen));
             }
@@ -330,7 +400,8 @@
     }
 
     /// Releases engines claimed with a token lower than one already used by an owner that this node
-    /// has never heard of. They are claimed again with a higher token.
+    /// has never heard of. They are claimed again with a higher token once no order of that owner
+    /// can be recent.
     pub(super) fn handle_higher_fences(
         &mut self,
         numbers: Vec<(Upstream, Fence)>,
@@ -374,6 +445,7 @@
             last_announced: Some(now),
             orders_end: now + self.config.lease,
             withdrawn: false,
+            lease_until: Time::ZERO,
         };
         let index = match self.peer_claim_index(&claim.engine) {
             Ok(index) => index,
@@ -391,6 +463,41 @@
         wins && new
     }
 
+    /// Records a holder named by a witness, whose lease ends at `until`.
+    pub(super) fn record_lease(
+        &mut self,
+        now: Time,
+        engine: Upstream,
+        holder: &Vm,
+        fence: Fence,
+        until: Time,
+    ) {
+        match self.peer_claim_index(&engine) {
+            Ok(index) => {
+                let known = &mut self.peer_claims[index];
+                if known.fence <= fence {
+                    known.holder = holder.clone();
+                    known.fence = fence;
+                    known.withdrawn = false;
+                    known.lease_until = until;
+                    known.orders_end = now + self.config.lease;
+                }
+            }
+            Err(index) => self.peer_claims.insert(
+                index,
+                PeerClaim {
+                    engine,
+                    holder: holder.clone(),
+                    fence,
+                    last_announced: None,
+                    orders_end: now + self.config.lease,
+                    withdrawn: false,
+                    lease_until: until,
+                },
+            ),
+        }
+    }
+
     pub(super) fn handle_release(&mut self, from: &Vm, claims: Vec<(Upstream, Fence)>) {
         for (engine, fence) in claims {
             self.observe_fence(&engine, fence);
@@ -399,7 +506,8 @@
         }
     }
 
-    /// Gives up ownership of `engine`.
+    /// Gives up ownership of `engine`. It is not claimed again before a lease has passed, so that
+    /// this node and the next owner do not alternate.
     pub(super) fn release_engine(
         &mut self,
         engine: &str,
@@ -411,8 +519,11 @@
             .iter()
             .position(|owned| *owned.engine == *engine)
         {
+            let settled = self.is_settled(engine);
+            self.drop_lease(self.now, engine, settled, out);
             let owned = self.owned_engines.remove(index);
             self.claims_changed();
+            self.back_off(self.now, &owned.engine);
             out.push(Action::Log(Decision::Released(owned.engine, reason)));
         }
     }
@@ -441,20 +552,20 @@
     /// Records that `engine` refused `fence` because it has seen a higher token. How much higher is
     /// unknown: this VM's clock may be far behind, so each further refusal raises the next token by
     /// more.
-    pub(super) fn handle_fence_refusal(&mut self, now: Time, engine: &Upstream, fence: Fence) {
-        let times = match self.fence_refusals.iter_mut().find(|(id, _)| id == engine) {
-            Some((_, times)) => {
-                *times += 1;
-                *times
-            }
-            None => {
-                self.fence_refusals.push((engine.clone(), 0));
-                0
-            }
-        };
-        let jump = FENCE_JUMP_SECONDS << (FENCE_JUMP_SHIFT * times.min(FENCE_JUMPS_MAX));
-        self.observe_fence(engine, fence + (jump << VM_BITS));
-        self.back_off(now, engine);
+    pub(super) fn handle_fence_refusal(&mut self, engine: &Upstream, fence: Fence) {
+        let known = self.fence_refusals.iter().position(|r| r.engine == *engine);
+        let index = known.unwrap_or_else(|| {
+            self.fence_refusals.push(FenceRefusal {
+                engine: engine.clone(),
+                repeats: 0,
+                floor: 0,
+            });
+            self.fence_refusals.len() - 1
+        });
+        let refusal = &mut self.fence_refusals[index];
+        let jump = FENCE_JUMP_SECONDS << (FENCE_JUMP_SHIFT * refusal.repeats.min(FENCE_JUMPS_MAX));
+        refusal.floor = refusal.floor.max(fence + (jump << VM_BITS));
+        refusal.repeats += 1;
     }
 
     /// Keeps this node from claiming `engine` again before a lease has passed, so that it and the
--- a/crates/exchange/src/owner/event.rs
+++ b/crates/exchange/src/owner/event.rs
@@ -21,6 +21,9 @@
         /// Whether this node is in contact with enough others to claim engines.
         may_claim: bool,
     },
+    /// The nodes known to discovery, live or not, this one included and leaving ones excluded.
+    /// Witnesses are chosen among them; before the first such event, among the live nodes.
+    KnownNodes(Vec<Vm>),
     /// Nodes that are shutting down and finish their running requests.
     LeavingNodes(Vec<Vm>),
     /// A message arrived from a peer.
@@ -65,6 +68,13 @@
         /// Whether the engine returned a valid report.
         succeeded: bool,
     },
+    /// Whether this node connects to an engine directly. It gives up the engines that it does not.
+    Reach {
+        /// The engine.
+        engine: Upstream,
+        /// Whether connections reach it without another node.
+        direct: bool,
+    },
     /// This process was paused.
     Paused,
     /// This process is shutting down.
--- /dev/null
+++ b/crates/exchange/src/owner/lease.rs
@@ -0,0 +1,645 @@
+//! Leases that this node holds, and how it acquires, renews and gives them back.
+//!
+//! Each engine has a few witnesses among the nodes known to discovery, live or not. A node claims
+//! an engine and gives orders there only while it holds the leases of a majority of them (Gray and
+//! Cheriton, 1989). Two majorities share a witness, so a node that takes an engine over begins only
+//! after the former owner has stopped, whatever the two know of each other.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use wire::machine::millis;
+use wire::{Fence, Time, Upstream, Vm, rank};
+
+use super::owned_engine::OrderState;
+use super::{Action, Message, Owner};
+
+/// Time for which a witness grants a lease. It is shorter than the time within which orders of two
+/// nodes must not take turns.
+pub const TERM: Duration = Duration::from_millis(1_800);
+
+/// Time by which a holder ends a lease early, for orders in flight and clocks that drift.
+const MARGIN: Duration = Duration::from_millis(200);
+
+/// Age at which a lease is renewed.
+const RENEWAL: Duration = Duration::from_millis(600);
+
+/// Time after which a request without an answer is repeated.
+const RETRY: Duration = Duration::from_millis(300);
+
+/// Requests due within this time are sent with the earlier ones of the same witness.
+const BATCH: Duration = Duration::from_millis(200);
+
+/// Number of witnesses of an engine.
+const WITNESSES: usize = 5;
+
+/// Time within which a candidate gets a majority, or gives back what it got.
+const ATTEMPT: Duration = Duration::from_millis(600);
+
+/// Shortest delay between two attempts of a candidate, and greatest addition to it that differs
+/// between nodes, so that two candidates do not go on splitting the witnesses.
+const ATTEMPT_DELAY: Duration = Duration::from_millis(300);
+const ATTEMPT_SPREAD_MS: u64 = 500;
+
+/// Delay of the next request to a witness that knows of other witnesses.
+const DISAGREEMENT_DELAY: Duration = Duration::from_millis(300);
+
+/// Number of requests to one witness whose answers are awaited.
+const ROUNDS_MAX: usize = 3;
+
+/// A lease that a node asks for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseClaim {
+    /// The engine.
+    pub engine: Upstream,
+    /// Fencing token of the sender's claim, 0 if it has not claimed the engine yet.
+    pub fence: Fence,
+    /// Digest of the engine's witnesses as the sender knows them, `None` if it holds the leases of a
+    /// majority at the moment.
+    pub electors: Option<u64>,
+}
+
+impl LeaseClaim {
+    /// Returns whether the sender holds the leases of a majority.
+    pub(super) const fn is_renewal(&self) -> bool {
+        self.electors.is_none()
+    }
+}
+
+/// A lease that a witness does not grant.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refusal {
+    /// The engine.
+    pub engine: Upstream,
+    /// The node that holds the lease, if that is the reason.
+    pub holder: Option<Vm>,
+    /// Fencing token of the holder, 0 if it has not claimed the engine yet.
+    pub fence: Fence,
+    /// Milliseconds until the lease may be granted.
+    pub wait: u32,
+}
+
+impl Refusal {
+    /// Returns a refusal for another reason than a holder.
+    pub(super) fn unnamed(engine: &Upstream, wait: Duration) -> Self {
+        Self {
+            engine: engine.clone(),
+            holder: None,
+            fence: 0,
+            wait: millis(wait),
+        }
+    }
+}
+
+/// What one witness has granted.
+#[derive(Clone, Debug)]
+struct Vote {
+    witness: Vm,
+    until: Time,
+    ask_at: Time,
+}
+
+/// The leases of one engine that this node owns or is about to claim.
+#[derive(Clone, Debug)]
+struct Lease {
+    engine: Upstream,
+    /// One vote for each witness, in rendezvous order.
+    votes: Vec<Vote>,
+    /// When the current attempt of a candidate began.
+    attempt_began: Time,
+    attempts: u32,
+    /// Digest of the witnesses.
+    electors: u64,
+    /// Whether this node is the only witness, so that nobody else can get the lease.
+    sole: bool,
+    /// Until when this node holds a majority.
+    until: Time,
+    /// Since when an owner holds no majority.
+    lost_since: Option<Time>,
+}
+
+/// A request to a witness that has not been answered.
+#[derive(Clone, Debug)]
+struct Round {
+    witness: Vm,
+    number: u64,
+    sent: Time,
+    engines: Vec<Upstream>,
+}
+
+/// Leases that this node holds or asks for.
+#[derive(Clone, Debug, Default)]
+pub(super) struct LeaseTable {
+    /// Sorted by engine.
+    leases: Vec<Lease>,
+    rounds: Vec<Round>,
+    last_round: u64,
+}
+
+/// Returns the witnesses of `engine` among `known`, in rendezvous order.
+fn witnesses(engine: &str, known: &[Vm]) -> Vec<Vm> {
+    let key = rank::hash(engine.as_bytes());
+    let top = rank::top(key, known, WITNESSES);
+    top.into_iter().cloned().collect()
+}
+
+/// Returns a digest of `witnesses`.
+fn digest(witnesses: &[Vm]) -> u64 {
+    let hashes = witnesses.iter().map(|vm| rank::hash(vm.as_bytes()));
+    hashes.fold(0, |digest, hash| digest ^ hash)
+}
+
+impl Lease {
+    fn new(now: Time, engine: Upstream, me: &Vm, known: &[Vm]) -> Self {
+        let mut lease = Self {
+            votes: Vec::new(),
+            attempt_began: now,
+            attempts: 0,
+            electors: 0,
+            sole: false,
+            until: Time::ZERO,
+            lost_since: None,
+            engine,
+        };
+        lease.assign(me, known);
+        lease
+    }
+
+    /// Replaces the witnesses, keeping what the remaining ones have granted.
+    fn assign(&mut self, me: &Vm, known: &[Vm]) {
+        let mut before = std::mem::take(&mut self.votes);
+        let assigned = witnesses(&self.engine, known);
+        self.electors = digest(&assigned);
+        for witness in assigned {
+            let kept = before.iter().position(|vote| vote.witness == witness);
+            self.votes.push(match kept {
+                Some(index) => before.swap_remove(index),
+                None => Vote {
+                    witness,
+                    until: Time::ZERO,
+                    ask_at: Time::ZERO,
+                },
+            });
+        }
+        self.sole = self.votes.iter().all(|vote| vote.witness == *me);
+        self.update();
+    }
+
+    /// Recomputes until when a majority is held. Of an even number of witnesses, half is enough if
+    /// the first one is among them.
+    fn update(&mut self) {
+        let mut ends: Vec<Time> = self.votes.iter().map(|vote| vote.until).collect();
+        ends.sort_unstable_by(|a, b| b.cmp(a));
+        let majority = ends.get(ends.len() / 2).copied().unwrap_or_default();
+        let half = match (self.votes.first(), ends.len()) {
+            (Some(first), count) if count.is_multiple_of(2) => first.until.min(ends[count / 2 - 1]),
+            _ => Time::ZERO,
+        };
+        self.until = majority.max(half);
+        if self.sole && !self.until.is_zero() {
+            self.until = Time::MAX;
+        }
+    }
+
+    fn grant(&mut self, witness: &Vm, until: Time, renew_at: Time) {
+        if let Some(vote) = self.votes.iter_mut().find(|vote| vote.witness == *witness) {
+            vote.until = vote.until.max(until);
+            vote.ask_at = renew_at;
+        }
+        self.update();
+    }
+
+    /// Forgets all votes. Returns the witnesses that may count them still.
+    fn forfeit(&mut self, now: Time, next: Time) -> Vec<Vm> {
+        let mut granted = Vec::new();
+        for vote in &mut self.votes {
+            if now < vote.until + MARGIN {
+                granted.push(vote.witness.clone());
+            }
+            vote.until = Time::ZERO;
+            vote.ask_at = next;
+        }
+        self.until = Time::ZERO;
+        granted
+    }
+}
+
+impl LeaseTable {
+    fn find(&self, engine: &str) -> Result<usize, usize> {
+        self.leases
+            .binary_search_by(|lease| (*lease.engine).cmp(engine))
+    }
+
+    /// Returns whether a majority is held for `engine`.
+    pub(super) fn holds(&self, now: Time, engine: &str) -> bool {
+        let found = self.find(engine).ok();
+        found.is_some_and(|index| now < self.leases[index].until)
+    }
+
+    fn next_round(&mut self, now: Time, witness: &Vm, engines: Vec<Upstream>) -> u64 {
+        self.last_round += 1;
+        let others = self.rounds.iter().filter(|r| r.witness == *witness).count();
+        if others >= ROUNDS_MAX
+            && let Some(oldest) = self.rounds.iter().position(|r| r.witness == *witness)
+        {
+            self.rounds.remove(oldest);
+        }
+        self.rounds.push(Round {
+            witness: witness.clone(),
+            number: self.last_round,
+            sent: now,
+            engines,
+        });
+        self.last_round
+    }
+
+    fn take_round(&mut self, witness: &Vm, number: u64) -> Option<Round> {
+        let index = self
+            .rounds
+            .iter()
+            .position(|round| round.number == number && round.witness == *witness)?;
+        Some(self.rounds.remove(index))
+    }
+}
+
+impl Owner {
+    /// Returns the nodes among which witnesses are chosen.
+    fn known(&self) -> &[Vm] {
+        self.known.as_ref().unwrap_or(&self.live)
+    }
+
+    /// Returns the time until a majority of the witnesses may grant leases, if they started when
+    /// this node did.
+    pub(super) fn witnesses_ready_in(&self, now: Time) -> Duration {
+        let alone = self.known().iter().all(|vm| *vm == self.config.me);
+        if alone {
+            Duration::ZERO
+        } else {
+            self.witness.unready_for(now)
+        }
+    }
+
+    /// Returns a digest of the witnesses of `engine`.
+    pub(super) fn electors(&self, engine: &str) -> u64 {
+        digest(&witnesses(engine, self.known()))
+    }
+
+    /// Replaces the nodes among which witnesses are chosen.
+    pub(super) fn update_known(&mut self, mut known: Vec<Vm>) {
+        known.sort_unstable();
+        known.dedup();
+        if self.known.as_ref() != Some(&known) {
+            self.known = Some(known);
+            self.reassign_witnesses();
+        }
+    }
+
+    /// Recomputes the witnesses of all engines of this node.
+    pub(super) fn reassign_witnesses(&mut self) {
+        let known = self.known.as_ref().unwrap_or(&self.live);
+        for lease in &mut self.leases.leases {
+            lease.assign(&self.config.me, known);
+        }
+    }
+
+    /// Asks for the leases of owned engines and of the `wanted` ones, which are sorted. Gives up
+    /// engines whose leases were lost.
+    pub(super) fn maintain_leases(
+        &mut self,
+        now: Time,
+        wanted: &[Upstream],
+        out: &mut Vec<Action>,
+    ) {
+        self.witness.prune(now);
+        self.withdraw_candidacies(now, wanted, out);
+        let owned: Vec<Upstream> = self.owned().map(|(engine, _)| engine.clone()).collect();
+        for engine in owned.iter().chain(wanted) {
+            if let Err(index) = self.leases.find(engine) {
+                let lease = Lease::new(now, engine.clone(), &self.config.me, self.known());
+                self.leases.leases.insert(index, lease);
+            }
+        }
+        self.request_leases(now, out);
+        self.limit_attempts(now, wanted, out);
+        self.release_lost(now, &owned, out);
+    }
+
+    fn release_lost(&mut self, now: Time, owned: &[Upstream], out: &mut Vec<Action>) {
+        for engine in owned {
+            let Ok(index) = self.leases.find(engine) else {
+                continue;
+            };
+            let lease = &mut self.leases.leases[index];
+            if now < lease.until {
+                lease.lost_since = None;
+            } else if now >= *lease.lost_since.get_or_insert(now) + self.config.lease {
+                self.release_engine(engine, "lease lost", out);
+            }
+        }
+    }
+
+    /// Gives back the leases of candidates that have not got a majority in time.
+    fn limit_attempts(&mut self, now: Time, wanted: &[Upstream], out: &mut Vec<Action>) {
+        for engine in wanted {
+            let Ok(index) = self.leases.find(engine) else {
+                continue;
+            };
+            let lease = &mut self.leases.leases[index];
+            if lease.votes.iter().all(|vote| vote.until.is_zero()) {
+                lease.attempt_began = now;
+            } else if now >= lease.until && now >= lease.attempt_began + ATTEMPT {
+                self.retry_later(now, index, out);
+            }
+        }
+    }
+
+    /// Gives back what a candidate has got, and lets it try again later.
+    fn retry_later(&mut self, now: Time, index: usize, out: &mut Vec<Action>) {
+        let lease = &mut self.leases.leases[index];
+        lease.attempts += 1;
+        let spread = format!("{} {} {}", self.config.me, lease.engine, lease.attempts);
+        let spread = rank::hash(spread) % ATTEMPT_SPREAD_MS;
+        let next = now + ATTEMPT_DELAY + Duration::from_millis(spread);
+        let granted = lease.forfeit(now, next);
+        let engine = lease.engine.clone();
+        self.give_back(now, &engine, granted, out);
+    }
+
+    /// Ends the candidacy for engines that are not in `wanted`, which is sorted.
+    fn withdraw_candidacies(&mut self, now: Time, wanted: &[Upstream], out: &mut Vec<Action>) {
+        let is_unwanted = |lease: &&Lease| {
+            wanted.binary_search(&lease.engine).is_err()
+                && self.owned_engine(&lease.engine).is_none()
+        };
+        let unwanted = self.leases.leases.iter().filter(is_unwanted);
+        let unwanted: Vec<Upstream> = unwanted.map(|lease| lease.engine.clone()).collect();
+        for engine in unwanted {
+            self.drop_lease(now, &engine, true, out);
+        }
+    }
+
+    /// Drops the lease of `engine`; `settled` is whether no order is in flight, so that the
+    /// witnesses may grant it to others at once.
+    pub(super) fn drop_lease(
+        &mut self,
+        now: Time,
+        engine: &str,
+        settled: bool,
+        out: &mut Vec<Action>,
+    ) {
+        let Ok(index) = self.leases.find(engine) else {
+            return;
+        };
+        let mut lease = self.leases.leases.remove(index);
+        let granted = lease.forfeit(now, now);
+        if settled {
+            self.give_back(now, &lease.engine, granted, out);
+        }
+    }
+
+    fn give_back(
+        &mut self,
+        now: Time,
+        engine: &Upstream,
+        witnesses: Vec<Vm>,
+        out: &mut Vec<Action>,
+    ) {
+        let round = self.leases.last_round;
+        let me = self.config.me.clone();
+        for witness in witnesses {
+            // An answer that is still to come would count a lease that has been given back.
+            for open in &mut self.leases.rounds {
+                if open.witness == witness {
+                    open.engines.retain(|asked| asked != engine);
+                }
+            }
+            if witness == me {
+                self.witness.give_back(now, &me, round, engine);
+                continue;
+            }
+            out.push(Action::Send {
+                to: witness,
+                message: Message::ReturnLeases {
+                    round,
+                    engines: vec![engine.clone()],
+                },
+            });
+        }
+    }
+
+    /// Returns whether no order of this node to `engine` can arrive after one of the next owner.
+    pub(super) fn is_settled(&self, engine: &str) -> bool {
+        let owned = self.owned_engine(engine);
+        let in_flight = owned.is_some_and(|owned| owned.state == OrderState::InFlight);
+        self.config.engines_check_fences || !in_flight
+    }
+
+    /// Gives all leases back, except those of engines with an order in flight.
+    pub(super) fn return_leases(&mut self, now: Time, out: &mut Vec<Action>) {
+        let engines = self.leases.leases.iter().map(|lease| lease.engine.clone());
+        for engine in engines.collect::<Vec<_>>() {
+            let settled = self.is_settled(&engine);
+            self.drop_lease(now, &engine, settled, out);
+        }
+    }
+
+    /// Drops all votes after a pause of this process. Its claims stand if the witnesses renew them.
+    pub(super) fn void_leases(&mut self) {
+        for lease in &mut self.leases.leases {
+            lease.forfeit(Time::ZERO, Time::ZERO);
+        }
+        self.leases.rounds.clear();
+    }
+
+    /// Sends the requests that are due, one message to each witness.
+    fn request_leases(&mut self, now: Time, out: &mut Vec<Action>) {
+        let mut due: Vec<Vm> = Vec::new();
+        let votes = self.leases.leases.iter().flat_map(|lease| &lease.votes);
+        for vote in votes.filter(|vote| vote.ask_at <= now) {
+            if let Err(index) = due.binary_search(&vote.witness) {
+                due.insert(index, vote.witness.clone());
+            }
+        }
+        for witness in due {
+            let claims = self.due_claims(now, &witness);
+            let engines = claims.iter().map(|claim| claim.engine.clone()).collect();
+            let round = self.leases.next_round(now, &witness, engines);
+            if witness == self.config.me {
+                let (higher, refused) = self.witness_claims(now, &witness, round, &claims);
+                self.handle_lease_reply(now, &witness, round, higher, refused, out);
+            } else {
+                out.push(Action::Send {
+                    to: witness,
+                    message: Message::RequestLeases { round, claims },
+                });
+            }
+        }
+    }
+
+    fn due_claims(&mut self, now: Time, witness: &Vm) -> Vec<LeaseClaim> {
+        let mut claims = Vec::new();
+        let owned_engines = &self.owned_engines;
+        for lease in &mut self.leases.leases {
+            let vote = lease
+                .votes
+                .iter_mut()
+                .find(|vote| vote.witness == *witness && vote.ask_at <= now + BATCH);
+            let Some(vote) = vote else { continue };
+            vote.ask_at = now + RETRY;
+            let owned = owned_engines
+                .iter()
+                .find(|owned| owned.engine == lease.engine);
+            claims.push(LeaseClaim {
+                engine: lease.engine.clone(),
+                fence: owned.map_or(0, |owned| owned.fence),
+                electors: (now >= lease.until).then_some(lease.electors),
+            });
+        }
+        claims
+    }
+
+    /// Answers a peer that asks for leases.
+    pub(super) fn handle_lease_request(
+        &mut self,
+        now: Time,
+        from: &Vm,
+        round: u64,
+        claims: &[LeaseClaim],
+        out: &mut Vec<Action>,
+    ) {
+        let (higher, refused) = self.witness_claims(now, from, round, claims);
+        out.push(Action::Send {
+            to: from.clone(),
+            message: Message::Leases {
+                round,
+                higher,
+                refused,
+            },
+        });
+    }
+
+    /// Decides as a witness. Returns the fencing tokens above those of the claims, and the refusals.
+    fn witness_claims(
+        &mut self,
+        now: Time,
+        asker: &Vm,
+        round: u64,
+        claims: &[LeaseClaim],
+    ) -> (Vec<(Upstream, Fence)>, Vec<Refusal>) {
+        let (mut higher, mut refused) = (Vec::new(), Vec::new());
+        let me = &self.config.me;
+        let known = self.known.as_ref().unwrap_or(&self.live);
+        let alone = *asker == *me && known.iter().all(|vm| vm == me);
+        let unready = self.witness.unready_for(now);
+        for claim in claims {
+            let engine = &claim.engine;
+            // An earlier process on this VM may have granted the lease to another node, unless the
+            // asker holds a majority.
+            let wait_needed = !claim.is_renewal() && !alone && !unready.is_zero();
+            let assigned = witnesses(engine, known);
+            // Majorities of different sets may have no witness in common.
+            let agreed = claim
+                .electors
+                .is_none_or(|electors| electors == digest(&assigned));
+            let answer = if wait_needed {
+                Err(Refusal::unnamed(engine, unready))
+            } else if self.leaving || !agreed || !assigned.contains(me) {
+                Err(Refusal::unnamed(engine, DISAGREEMENT_DELAY))
+            } else {
+                let turn = self.config.lease;
+                self.witness.request(now, asker, round, claim, turn)
+            };
+            match answer {
+                Ok(()) => {
+                    let index = self
+                        .highest_fences
+                        .binary_search_by(|(id, _)| id.cmp(engine));
+                    let seen = index.map_or(0, |index| self.highest_fences[index].1);
+                    if claim.fence < seen {
+                        higher.push((engine.clone(), seen));
+                    }
+                }
+                Err(refusal) => refused.push(refusal),
+            }
+        }
+        (higher, refused)
+    }
+
+    /// Counts what a witness has granted and takes in who holds what it has not.
+    pub(super) fn handle_lease_reply(
+        &mut self,
+        now: Time,
+        witness: &Vm,
+        round: u64,
+        higher: Vec<(Upstream, Fence)>,
+        refused: Vec<Refusal>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(round) = self.leases.take_round(witness, round) else {
+            return;
+        };
+        let mut unwanted = Vec::new();
+        for engine in &round.engines {
+            if refused.iter().any(|refusal| refusal.engine == *engine) {
+                continue;
+            }
+            match self.leases.find(engine) {
+                Ok(index) => {
+                    let until = round.sent + TERM - MARGIN;
+                    self.leases.leases[index].grant(witness, until, round.sent + RENEWAL);
+                }
+                Err(_) => unwanted.push(engine.clone()),
+            }
+        }
+        for engine in unwanted {
+            self.give_back(now, &engine, vec![witness.clone()], out);
+        }
+        for (engine, fence) in &higher {
+            self.observe_fence(engine, *fence);
+        }
+        self.handle_higher_fences(higher, out);
+        for refusal in refused {
+            self.handle_refusal(now, witness, refusal, out);
+        }
+    }
+
+    fn handle_refusal(&mut self, now: Time, witness: &Vm, refusal: Refusal, out: &mut Vec<Action>) {
+        let Ok(index) = self.leases.find(&refusal.engine) else {
+            return;
+        };
+        let wait = Duration::from_millis(refusal.wait.into());
+        let owned = self.owned_engine(&refusal.engine).is_some();
+        let lease = &mut self.leases.leases[index];
+        if let Some(vote) = lease.votes.iter_mut().find(|vote| vote.witness == *witness) {
+            vote.until = Time::ZERO;
+            // An owner goes on asking: the lease may be given back any time.
+            vote.ask_at = if owned {
+                now + wait.min(RETRY)
+            } else {
+                now + wait.min(TERM)
+            };
+        }
+        lease.update();
+        let held = now < lease.until;
+        let Some(holder) = refusal.holder.filter(|holder| *holder != self.config.me) else {
+            return;
+        };
+        if held {
+            return;
+        }
+        if refusal.fence == 0 {
+            // Another candidate has asked first.
+            if !owned {
+                self.retry_later(now, index, out);
+            }
+            return;
+        }
+        if owned {
+            self.release_engine(&refusal.engine, "superseded", out);
+        } else {
+            self.drop_lease(now, &refusal.engine, true, out);
+        }
+        self.observe_fence(&refusal.engine, refusal.fence);
+        self.record_lease(now, refusal.engine, &holder, refusal.fence, now + wait);
+    }
+}
--- a/crates/exchange/src/owner/message.rs
+++ b/crates/exchange/src/owner/message.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use wire::{Fence, Time, Upstream};
 
+use super::lease::{LeaseClaim, Refusal};
 use crate::demand::Target;
 use crate::fleet::{Holding, Presence, Version};
 
@@ -144,4 +145,29 @@
         /// The engines, with the version that each holds.
         engines: Vec<(Upstream, Option<Version>)>,
     },
+    /// Asks a witness for the leases of engines.
+    RequestLeases {
+        /// Identifies the question in its answer; later ones have higher numbers.
+        round: u64,
+        /// The leases.
+        claims: Vec<LeaseClaim>,
+    },
+    /// The answer to [`Message::RequestLeases`]. Leases that it does not refuse are granted.
+    Leases {
+        /// Identifies the question in its answer.
+        round: u64,
+        /// Fencing tokens used before that are higher than those of the sender's claims.
+        higher: Vec<(Upstream, Fence)>,
+        /// Leases that are not granted.
+        refused: Vec<Refusal>,
+    },
+    /// The sender gives leases back that were granted in this round or before.
+    ReturnLeases {
+        /// The latest round.
+        round: u64,
+        /// The engines.
+        engines: Vec<Upstream>,
+    },
+    /// All engines that the sender cannot reach, and so does not claim.
+    Declines(Vec<Upstream>),
 }
--- a/crates/exchange/src/owner/mod.rs
+++ b/crates/exchange/src/owner/mod.rs
@@ -2,16 +2,19 @@
 //!
 //! One node at a time owns an engine and is the only one that orders loads and unloads there.
 //! Ownership lasts as long as the owner lives. An engine without an owner is claimed by the first
-//! live node of its rendezvous order. There is no consensus: if two nodes claim the same engine,
-//! the higher fencing token wins, and an engine that checks tokens refuses the lower one. For
-//! engines that do not check tokens, the `quorum` module stops an owner from giving orders once
-//! other nodes may have taken the engine over.
+//! live node of its rendezvous order that gets the engine's lease from a majority of its witnesses
+//! (module `lease`), and is given orders only while the lease lasts. There is no consensus: if two
+//! nodes claim the same engine nevertheless, the higher fencing token wins, and an engine that
+//! checks tokens refuses the lower one. For engines that do not check tokens, the `quorum` module
+//! also stops an owner from giving orders once other nodes may have taken the engine over.
 //!
 //! Fencing tokens need no storage. A token is the wall clock in seconds, raised above every token
 //! seen for that engine, followed by bits that are unique to the VM.
 
 mod claim;
+mod decline;
 mod event;
+mod lease;
 mod load_estimate;
 mod local_requests;
 mod message;
@@ -22,13 +25,18 @@
 mod replicas;
 mod scheduling;
 mod usage;
+mod witness;
 
 use std::time::Duration;
 
 use wire::machine::millis;
 use wire::{Fence, Time, Upstream, Vm};
 
+use claim::{FenceRefusal, Unclaimed};
+use decline::Declines;
 pub use event::{Action, AdmissionRequest, Decision, Event, Grant};
+use lease::LeaseTable;
+pub use lease::{LeaseClaim, Refusal};
 use local_requests::LocalRequest;
 pub use message::{Message, RelativePresence};
 pub use notify::apply_to_fleet;
@@ -38,6 +46,7 @@
 use pending_load::LoadSlowdown;
 use quorum::QuorumTracker;
 use usage::{ExpectedRun, RunSlowdown};
+use witness::Witness;
 
 use crate::demand::Target;
 use crate::fleet::{Fleet, Presence};
@@ -92,6 +101,8 @@
     orders_end: Time,
     /// Whether the holder has stopped announcing the claim.
     withdrawn: bool,
+    /// End of the holder's lease that a witness has stated.
+    lease_until: Time,
 }
 
 /// The ownership state machine of one node. It does no I/O and reads no clock.
@@ -99,6 +110,8 @@
 pub struct Owner {
     config: Config,
     live: Vec<Vm>,
+    // Nodes known to discovery, live or not, this one included, sorted; the live ones if `None`.
+    known: Option<Vec<Vm>>,
     // Nodes that are shutting down. They still have requests running, so they need to know the new
     // owners of their engines.
     leaving_peers: Vec<Vm>,
@@ -109,14 +122,17 @@
     peer_claims: Vec<PeerClaim>,
     // Highest fencing token seen for each engine, sorted by engine.
     highest_fences: Vec<(Upstream, Fence)>,
-    // Unclaimed engines for which this node is first in line, and since when.
-    unclaimed: Vec<(Upstream, Time)>,
-    // How many of this node's fencing tokens each engine has refused.
-    fence_refusals: Vec<(Upstream, u32)>,
-    // Engines that another node took over from this one, and until when this node must not claim
+    unclaimed: Vec<Unclaimed>,
+    fence_refusals: Vec<FenceRefusal>,
+    // Unclaimed engines whose leases this node asks for, sorted.
+    candidacies: Vec<Upstream>,
+    // Engines that this node has given up, and until when this node must not claim
     // them.
     backoffs: Vec<(Upstream, Time)>,
     quorum: QuorumTracker,
+    leases: LeaseTable,
+    witness: Witness,
+    declines: Declines,
     owned_engines: Vec<OwnedEngine>,
     local_requests: Vec<LocalRequest>,
     base_loads: Vec<Time>,
@@ -128,6 +144,8 @@
     prompt_announcements: u32,
     /// Latest time passed to [`Owner::step`].
     now: Time,
+    /// Wall clock in seconds at the last tick.
+    wall_seconds: u64,
 }
 
 impl Owner {
@@ -136,6 +154,7 @@
         Self {
             config,
             live: Vec::new(),
+            known: None,
             leaving_peers: Vec::new(),
             may_claim: false,
             leaving: false,
@@ -144,8 +163,12 @@
             highest_fences: Vec::new(),
             unclaimed: Vec::new(),
             fence_refusals: Vec::new(),
+            candidacies: Vec::new(),
             backoffs: Vec::new(),
             quorum: QuorumTracker::default(),
+            leases: LeaseTable::default(),
+            witness: Witness::default(),
+            declines: Declines::default(),
             owned_engines: Vec::new(),
             local_requests: Vec::new(),
             base_loads: Vec::new(),
@@ -155,6 +178,7 @@
             holdings_announced_at: Time::ZERO,
             prompt_announcements: claim::PROMPT_ANNOUNCEMENTS,
             now: Time::ZERO,
+            wall_seconds: 0,
         }
     }
 
@@ -187,7 +211,7 @@
         let claimed = self
             .owned_engine(engine)
             .is_some_and(|owned| owned.fence == fence);
-        claimed && self.may_order(now)
+        claimed && self.may_order(now) && self.leases.holds(now, engine)
     }
 
     fn may_order(&self, now: Time) -> bool {
@@ -253,9 +277,12 @@
     /// been applied to the fleet.
     pub fn step(&mut self, now: Time, fleet: &Fleet, event: Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
+        self.witness.start(now);
         match event {
             Event::View { live, may_claim } => self.update_view(live, may_claim, out),
+            Event::KnownNodes(nodes) => self.update_known(nodes),
             Event::LeavingNodes(nodes) => self.leaving_peers = nodes,
+            Event::Reach { engine, direct } => self.record_reach(now, engine, direct),
             Event::Receive { from, message } => self.receive(now, fleet, &from, message, out),
             Event::RequestLoad {
                 engine,
@@ -276,7 +303,7 @@
                 self.handle_report(now, fleet, &engine, succeeded, out);
             }
             Event::Paused => self.handle_pause(now, out),
-            Event::Leave => self.leave(out),
+            Event::Leave => self.leave(now, out),
             // Only wakes the caller: `issue_orders` then gives the orders that are due.
             Event::TimerExpired => {}
             Event::Tick { wall_seconds } => {
@@ -284,6 +311,7 @@
                 let changed = self.quorum.update(now, me, &self.live, self.may_claim);
                 let reported = changed.filter(|_| !self.config.engines_check_fences);
                 out.extend(reported.map(|reached| Action::Log(Decision::QuorumChanged(reached))));
+                self.decline_unreached(now, out);
                 self.claim_unclaimed(now, fleet, wall_seconds, out);
                 self.announce(now, fleet, out);
             }
@@ -311,8 +339,20 @@
             .binary_search_by(|claim| (*claim.engine).cmp(engine))
     }
 
-    /// Returns whether the claim has not been withdrawn and its holder is alive.
+    /// Returns whether the claim has not been withdrawn, and its holder is alive or has a lease.
     fn is_valid(&self, claim: &PeerClaim) -> bool {
+        self.is_upheld(claim) || !claim.withdrawn && self.now < claim.lease_until
+    }
+
+    /// Returns whether a node is known that owns `engine`, its lease aside.
+    fn is_claimed(&self, engine: &str) -> bool {
+        let claim = self.peer_claim_index(engine).ok();
+        self.owned_engine(engine).is_some()
+            || claim.is_some_and(|index| self.is_upheld(&self.peer_claims[index]))
+    }
+
+    /// Returns whether the claim has not been withdrawn and its holder is alive.
+    fn is_upheld(&self, claim: &PeerClaim) -> bool {
         let announced = claim
             .last_announced
             .is_some_and(|at| self.now < at + self.announcement_lifetime());
@@ -332,6 +372,9 @@
         let is_new = |vm: &&Vm| **vm != self.config.me && self.live.binary_search(vm).is_err();
         let joined: Vec<Vm> = live.iter().filter(is_new).cloned().collect();
         self.live = live;
+        if self.known.is_none() {
+            self.reassign_witnesses();
+        }
         self.may_claim = may_claim;
         self.greet(&joined, out);
     }
@@ -406,6 +449,23 @@
             Message::Replicas { target, engines } => {
                 Self::hear_of_replicas(fleet, &target, engines, out);
             }
+            Message::RequestLeases { round, claims } => {
+                self.handle_lease_request(now, from, round, &claims, out);
+            }
+            Message::Leases {
+                round,
+                higher,
+                refused,
+            } => {
+                self.handle_lease_reply(now, from, round, higher, refused, out);
+                self.claim_leased(now, out);
+            }
+            Message::ReturnLeases { round, engines } => {
+                for engine in engines {
+                    self.witness.give_back(now, from, round, &engine);
+                }
+            }
+            Message::Declines(engines) => self.handle_declines(now, from, engines),
             Message::HigherFences(numbers) => self.handle_higher_fences(numbers, out),
             Message::InUse { engine, targets } => self.record_usage(now, &engine, &targets),
             Message::RequestEnded { engine, target } => self.end_request(now, &engine, &target),
@@ -432,14 +492,16 @@
     fn handle_pause(&mut self, now: Time, out: &mut Vec<Action>) {
         self.no_orders_before = now + ORDER_HOLDOFF;
         self.quorum.reset();
+        self.void_leases();
         self.unclaimed.clear();
         // Peers reply with the claims that they made in the meantime.
         self.announced_at = now;
         self.broadcast_claims(out);
     }
 
-    fn leave(&mut self, out: &mut Vec<Action>) {
+    fn leave(&mut self, now: Time, out: &mut Vec<Action>) {
         self.leaving = true;
+        self.return_leases(now, out);
         // An order in flight may still reach the engine after those of the next owner, so an engine
         // that does not check tokens is released only if it has none.
         let fenced = self.config.engines_check_fences;
--- a/crates/exchange/src/owner/scheduling.rs
+++ b/crates/exchange/src/owner/scheduling.rs
@@ -104,9 +104,11 @@
             return;
         }
         for index in 0..self.owned_engines.len() {
-            let Some(runner) = fleet.upstream(&self.owned_engines[index].engine) else {
+            let engine = &self.owned_engines[index].engine;
+            let Some(runner) = fleet.upstream(engine) else {
                 continue;
             };
+            let leased = self.leases.holds(now, engine);
             let owned = &mut self.owned_engines[index];
             if owned.born != runner.listing.born {
                 owned.reset_after_restart(now, runner.listing.born);
@@ -121,7 +123,7 @@
             owned
                 .load_requests
                 .retain(|request| now < request.last_requested + LOAD_REQUEST_TTL);
-            if !matches!(owned.state, OrderState::Ready(at) if at <= now) {
+            if !leased || !matches!(owned.state, OrderState::Ready(at) if at <= now) {
                 continue;
             }
             if owned.fence_seen && owned.recheck_at.is_some_and(|at| at <= now) {
@@ -278,7 +280,7 @@
         match answer {
             Answer::Fenced => {
                 self.release_engine(engine, "fenced", out);
-                self.handle_fence_refusal(now, engine, fence);
+                self.handle_fence_refusal(engine, fence);
             }
             Answer::Misdirected => self.release_engine(engine, "another process", out),
             Answer::Unreached => owned.state = OrderState::Ready(now + UNKNOWN_RETRY_DELAY),
--- a/crates/exchange/tests/message_numbers.rs
+++ b/crates/exchange/tests/message_numbers.rs
@@ -24,6 +24,10 @@
 #[case::not_claiming(Message::NotClaiming, 10)]
 #[case::cancel_load_request(Message::CancelLoadRequest { engine: "e1".into(), target: target("a") }, 11)]
 #[case::replicas(Message::Replicas { target: target("a"), engines: Vec::new() }, 12)]
+#[case::request_leases(Message::RequestLeases { round: 0, claims: Vec::new() }, 13)]
+#[case::leases(Message::Leases { round: 0, higher: Vec::new(), refused: Vec::new() }, 14)]
+#[case::return_leases(Message::ReturnLeases { round: 0, engines: Vec::new() }, 15)]
+#[case::declines(Message::Declines(Vec::new()), 16)]
 fn variant_numbers_are_stable(#[case] message: Message, #[case] number: u8) {
     let bytes = encode(&message).expect("message encodes");
     assert_eq!(bytes.first(), Some(&number));
--- /dev/null
+++ b/crates/exchange/tests/owner_leases.rs
@@ -0,0 +1,227 @@
+//! Leases that witnesses grant to owners of engines.
+
+mod support;
+
+use exchange::owner::{Action, Event, LeaseClaim, Message, Refusal};
+use rstest::rstest;
+use support::{OwnerHarness, engine, ms, target};
+use wire::{Fence, Upstream, Vm};
+
+const OWNER: &str = "vm-1";
+const WITNESS: &str = "vm-2";
+
+fn nodes() -> Vec<Vm> {
+    vec![OWNER.into(), WITNESS.into(), "vm-3".into()]
+}
+
+/// A node that sees no other live one, so that it is the one to claim the engine.
+fn node(vm: &str, bits: u64) -> OwnerHarness {
+    let mut node = OwnerHarness::alone(vm, bits, [engine("e1", &["a"])]);
+    node.step(Event::KnownNodes(nodes()));
+    node
+}
+
+/// A witness that has run for long enough to grant leases.
+fn witness() -> OwnerHarness {
+    let mut witness = node(WITNESS, 2);
+    witness.peers_grant = false;
+    witness.step(Event::View {
+        live: nodes(),
+        may_claim: false,
+    });
+    witness.advance(ms(3_000));
+    witness
+}
+
+fn ask(witness: &mut OwnerHarness, from: &str, round: u64, fence: Fence) -> Option<Refusal> {
+    let electors = electors();
+    let claims = vec![LeaseClaim {
+        engine: "e1".into(),
+        fence,
+        electors: Some(electors),
+    }];
+    send(witness, from, Message::RequestLeases { round, claims })
+}
+
+fn send(witness: &mut OwnerHarness, from: &str, message: Message) -> Option<Refusal> {
+    let from: Vm = from.into();
+    let sent = witness.step(Event::Receive {
+        from: from.clone(),
+        message,
+    });
+    sent.into_iter().find_map(|action| match action {
+        Action::Send {
+            to,
+            message: Message::Leases { refused, .. },
+        } if to == from => refused.into_iter().next(),
+        _ => None,
+    })
+}
+
+/// The digest that a node sends which knows the same nodes.
+fn electors() -> u64 {
+    let mut candidate = node(OWNER, 1);
+    candidate.peers_grant = false;
+    let sent = candidate.advance(ms(4_000));
+    let asked = sent.iter().find_map(|action| match action {
+        Action::Send {
+            message: Message::RequestLeases { claims, .. },
+            ..
+        } => claims.iter().find_map(|claim| claim.electors),
+        _ => None,
+    });
+    asked.expect("the node asks for leases")
+}
+
+fn give_back(witness: &mut OwnerHarness, from: &str, round: u64) {
+    let engines: Vec<Upstream> = vec!["e1".into()];
+    send(witness, from, Message::ReturnLeases { round, engines });
+}
+
+#[rstest]
+fn lease_is_granted_to_one_node_at_a_time() {
+    let mut witness = witness();
+    assert_eq!(ask(&mut witness, OWNER, 1, 77), None);
+    let refusal = ask(&mut witness, "vm-3", 1, 0).expect("the lease is held");
+    assert_eq!(refusal.holder.as_deref(), Some(OWNER));
+    assert_eq!(refusal.fence, 77);
+    assert!(refusal.wait > 0);
+    witness.advance(ms(2_000));
+    assert_eq!(ask(&mut witness, "vm-3", 2, 0), None);
+}
+
+#[rstest]
+fn returned_lease_is_granted_at_once() {
+    let mut witness = witness();
+    assert_eq!(ask(&mut witness, OWNER, 1, 77), None);
+    give_back(&mut witness, OWNER, 1);
+    assert_eq!(ask(&mut witness, "vm-3", 1, 0), None);
+}
+
+/// Guards against a lease that two nodes count as theirs: the message that gives an earlier lease
+/// back arrives after the next request of the same node.
+#[rstest]
+fn late_return_does_not_end_a_later_lease() {
+    let mut witness = witness();
+    assert_eq!(ask(&mut witness, OWNER, 1, 77), None);
+    assert_eq!(ask(&mut witness, OWNER, 2, 77), None);
+    give_back(&mut witness, OWNER, 1);
+    assert!(ask(&mut witness, "vm-3", 1, 0).is_some());
+}
+
+/// Guards against two owners by turns (ONE): a former holder follows the node that followed it.
+#[rstest]
+fn former_holder_does_not_follow_its_successor() {
+    let mut witness = witness();
+    assert_eq!(ask(&mut witness, OWNER, 1, 77), None);
+    give_back(&mut witness, OWNER, 1);
+    assert_eq!(ask(&mut witness, "vm-3", 1, 0), None);
+    give_back(&mut witness, "vm-3", 1);
+    witness.advance(ms(2_500));
+    assert!(ask(&mut witness, OWNER, 2, 0).is_some());
+    witness.advance(ms(600));
+    assert_eq!(ask(&mut witness, OWNER, 3, 0), None);
+}
+
+/// Guards against a lease granted twice: a process that has just started does not know what the one
+/// before it on the same VM has granted.
+#[rstest]
+fn new_witness_grants_nothing_but_renewals() {
+    let mut witness = node(WITNESS, 2);
+    witness.peers_grant = false;
+    witness.advance(ms(1_000));
+    assert!(ask(&mut witness, OWNER, 1, 77).is_some());
+    let renewal = vec![LeaseClaim {
+        engine: "e1".into(),
+        fence: 77,
+        electors: None,
+    }];
+    let message = Message::RequestLeases {
+        round: 2,
+        claims: renewal,
+    };
+    assert_eq!(send(&mut witness, OWNER, message), None);
+}
+
+/// Guards against two owners: nodes that know of different witnesses get different majorities.
+#[rstest]
+fn witness_that_knows_of_others_grants_nothing() {
+    let mut witness = witness();
+    witness.step(Event::KnownNodes(nodes()[..2].to_vec()));
+    assert!(ask(&mut witness, OWNER, 1, 0).is_some());
+}
+
+/// Guards against orders after a pause, when the leases may have passed to another node.
+#[rstest]
+fn owner_orders_only_with_leases() {
+    let mut owner = node(OWNER, 1);
+    let actions = owner.advance(ms(4_000));
+    owner.answer_orders(actions, |_| exchange::owner::Answer::Done);
+    let (_, fence) = owner.owner.owned().next().expect("node owns the engine");
+    assert!(owner.owner.permits(owner.now, "e1", fence));
+    owner.peers_grant = false;
+    owner.advance(ms(1_900));
+    assert!(!owner.owner.permits(owner.now, "e1", fence));
+    let asked = owner.step(Event::RequestLoad {
+        engine: "e1".into(),
+        target: target("b"),
+        rank: 1,
+    });
+    let is_order = |action: &Action| matches!(action, Action::Order { .. });
+    assert!(!asked.iter().any(is_order));
+    owner.peers_grant = true;
+    let later = owner.advance(ms(500));
+    assert!(later.iter().any(is_order), "renewed leases allow orders");
+}
+
+/// A node without a direct path to an engine gives it up and says so, and another one claims it.
+#[rstest]
+fn unreached_engine_passes_to_another_node() {
+    let mut owner = OwnerHarness::alone(OWNER, 1, [engine("e1", &["a"])]);
+    owner.claim_all();
+    let live: Vec<Vm> = vec![OWNER.into(), WITNESS.into()];
+    owner.step(Event::KnownNodes(live.clone()));
+    owner.step(Event::View {
+        live: live.clone(),
+        may_claim: true,
+    });
+    owner.advance(ms(500));
+    let reach = |direct| Event::Reach {
+        engine: "e1".into(),
+        direct,
+    };
+    owner.step(reach(false));
+    let sent = owner.advance(ms(700));
+    assert_eq!(owner.owner.owned().count(), 0);
+    let to_other = |action: Action| match action {
+        Action::Send { to, message } if &*to == WITNESS => Some(message),
+        _ => None,
+    };
+    let told: Vec<Message> = sent.into_iter().filter_map(to_other).collect();
+    let declines = Message::Declines(vec!["e1".into()]);
+    assert!(told.contains(&declines), "{told:?}");
+
+    let mut other = node(WITNESS, 2);
+    other.step(Event::KnownNodes(live.clone()));
+    other.step(Event::View {
+        live,
+        may_claim: true,
+    });
+    for message in told {
+        let from = OWNER.into();
+        other.step(Event::Receive { from, message });
+    }
+    other.advance(ms(4_000));
+    assert_eq!(other.owner.owned().count(), 1);
+
+    owner.advance(ms(6_000));
+    assert_eq!(
+        owner.owner.owned().count(),
+        0,
+        "declined engines are not claimed"
+    );
+    owner.step(reach(true));
+    let sent = owner.advance(ms(100));
+    let told: Vec<Message> = sent.into_iter().filter_map(to_other).collect();
+    assert!(told.contains(&Message::Declines(Vec::new())), "{told:?}");
+}
--- a/crates/exchange/tests/support/mod.rs
+++ b/crates/exchange/tests/support/mod.rs
@@ -7,7 +7,7 @@
 use exchange::Fleet;
 use exchange::demand::Target;
 use exchange::fleet::{Holding, Listing};
-use exchange::owner::{self, Action, Event, Order, Owner};
+use exchange::owner::{self, Action, Event, Message, Order, Owner};
 use exchange::route::{Config, Engine, Limits, Route, RouteKind, Service, Weights};
 use wire::{Time, Upstream, Vm};
 
@@ -136,6 +136,8 @@
     pub wall: u64,
     pub fleet: Fleet,
     pub owner: Owner,
+    /// Whether the other nodes grant every lease that this one asks for.
+    pub peers_grant: bool,
 }
 
 impl OwnerHarness {
@@ -147,6 +149,7 @@
             wall: 1_800_000_000,
             fleet: fleet(now, listings),
             owner: Owner::new(owner_config(vm, vm_bits)),
+            peers_grant: true,
         };
         let live: Vec<Vm> = vec![vm.into()];
         harness.step(Event::View {
@@ -162,9 +165,30 @@
         self.owner.step(self.now, &self.fleet, event, &mut actions);
         owner::apply_to_fleet(self.now, &mut self.fleet, &actions);
         self.owner.issue_orders(self.now, &self.fleet, &mut actions);
+        if self.peers_grant {
+            self.grant_leases(&mut actions);
+        }
         actions
     }
 
+    fn grant_leases(&mut self, actions: &mut Vec<Action>) {
+        let asked = actions.iter().filter_map(|action| match action {
+            Action::Send {
+                to,
+                message: Message::RequestLeases { round, .. },
+            } => Some((to.clone(), *round)),
+            _ => None,
+        });
+        for (from, round) in asked.collect::<Vec<_>>() {
+            let message = Message::Leases {
+                round,
+                higher: Vec::new(),
+                refused: Vec::new(),
+            };
+            actions.extend(self.step(Event::Receive { from, message }));
+        }
+    }
+
     /// Advances time in ticks of 100 ms.
     pub fn advance(&mut self, time: Duration) -> Vec<Action> {
         let mut actions = Vec::new();
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -52,12 +52,22 @@
 
 struct Control<D>(std::marker::PhantomData<D>);
 
+/// What was published last.
+#[derive(PartialEq, Eq)]
+struct Shown {
+    live: Vec<Vm>,
+    leaving: Vec<Vm>,
+    /// Records of all known nodes, sorted by VM.
+    known: Vec<Record>,
+    fit: bool,
+}
+
 struct State<D> {
     hub: Arc<Hub<D>>,
     roster: Roster,
     seeds: Seeds,
     view: View,
-    shown: Option<(Vec<Vm>, Vec<Vm>, bool)>,
+    shown: Option<Shown>,
     started: Time,
     met_at: Option<Time>,
     ticks: u64,
@@ -292,12 +302,25 @@
         // Both parts of a split fleet may hear of the platform.
         let fenced = self.hub.exchange.fenced;
         let informed = fenced && self.hub.store_silence() < STORE_SILENCE;
-        let fit = settled && self.roster.fit() && (enough || informed);
-        let shown = Some((live.clone(), leaving.clone(), fit));
-        if self.shown == shown {
+        let fit = settled && self.found_others(now) && self.roster.fit() && (enough || informed);
+        let mut known: Vec<Record> = self.seeds.records().cloned().collect();
+        known.sort_unstable_by(|a, b| a.vm.cmp(&b.vm));
+        let shown = Shown {
+            live: live.clone(),
+            leaving: leaving.clone(),
+            known: known.clone(),
+            fit,
+        };
+        if self.shown.as_ref() == Some(&shown) {
             return;
         }
-        self.shown = shown;
+        self.shown = Some(shown);
+        let staying = known.iter().map(|record| &record.vm);
+        let staying = staying.filter(|vm| {
+            let own = **vm == self.hub.me.vm;
+            !(leaving.contains(vm) || own && self.hub.leaving())
+        });
+        let staying: Vec<Vm> = staying.cloned().collect();
         let mut records: Vec<Record> = self
             .view
             .peers()
@@ -309,9 +332,11 @@
         info!(target: DECISION, live = live.len(), known = records.len(), fit; "view");
         self.hub.peers.store(Arc::new(Peers {
             records,
+            known,
             live: live.clone(),
         }));
         self.hub.desk().mirror.set_members(&self.hub.me.vm, &live);
+        self.hub.drive(owner::Event::KnownNodes(staying));
         self.hub.drive(owner::Event::View {
             live,
             may_claim: fit,
@@ -319,6 +344,14 @@
         self.hub.drive(owner::Event::LeavingNodes(leaving));
     }
 
+    /// Tells whether this node knows who else claims engines: it has found others, has no seeds to
+    /// find them by, or has asked its seeds in vain for as long as records of others are kept.
+    fn found_others(&self, now: Time) -> bool {
+        self.seeds.known() > 0
+            || !self.seeds.has_seeds()
+            || now >= self.started + seeds::RECORD_LIFETIME
+    }
+
     /// Tells whether `peer` is this node, which counts as live until it leaves.
     fn own(&self, peer: &wire::view::Peer) -> bool {
         peer.incarnation == self.hub.me && !self.hub.leaving()
--- a/crates/gateway/src/hub/mod.rs
+++ b/crates/gateway/src/hub/mod.rs
@@ -83,8 +83,10 @@
 /// The nodes that take traffic.
 #[derive(Clone, Debug, Default)]
 pub struct Peers {
-    /// Records of all known nodes, sorted by VM.
+    /// Records of the nodes in the membership view, sorted by VM.
     pub records: Vec<Record>,
+    /// Records of all nodes known to discovery, sorted by VM.
+    pub known: Vec<Record>,
     /// The live ones that take part, this node included, sorted.
     pub live: Vec<Vm>,
 }
@@ -92,8 +94,8 @@
 impl Peers {
     /// Returns the record of `vm`.
     pub fn record(&self, vm: &str) -> Option<&Record> {
-        let found = self.records.binary_search_by(|record| (*record.vm).cmp(vm));
-        found.ok().map(|index| &self.records[index])
+        let found = self.known.binary_search_by(|record| (*record.vm).cmp(vm));
+        found.ok().map(|index| &self.known[index])
     }
 
     /// Returns the callers' addresses of the live nodes.
--- a/crates/roster/src/seeds.rs
+++ b/crates/roster/src/seeds.rs
@@ -163,6 +163,17 @@
         self.entries.len()
     }
 
+    /// Returns the records of all known VMs, this node's first.
+    pub fn records(&self) -> impl Iterator<Item = &Record> {
+        let others = self.entries.iter().map(|entry| &entry.record);
+        std::iter::once(&self.me).chain(others)
+    }
+
+    /// Returns whether there are seeds beside this node.
+    pub fn has_seeds(&self) -> bool {
+        !self.seeds.is_empty()
+    }
+
     fn find(&self, vm: &str) -> Result<usize, usize> {
         self.entries
             .binary_search_by(|entry| (*entry.record.vm).cmp(vm))
