--- a/crates/gateway/src/control/engines.rs
+++ b/crates/gateway/src/control/engines.rs
@@ -48,6 +48,8 @@
     let Some(link) = control_link(hub, runner) else {
         return Answer::Misdirected;
     };
+    // An order that goes through a peer would come from another node than its fencing number says.
+    let link = link.direct();
     let call = hub.dialect.order(runner, &hub.me.vm, fence, order);
     // To open a connection takes time, in which the claim may have ended.
     let permitted = || {
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -196,6 +196,7 @@
         self.hub.track(culprit::Event::Tick);
         self.hub.tick_transfer();
         self.hub.tick_origins();
+        self.hub.tick_paths();
         self.ticks += 1;
         if self.ticks.is_multiple_of(PULSE_TICKS) {
             self.hub.pulse(Vec::new());
@@ -307,10 +308,12 @@
             .collect();
         records.sort_unstable_by(|a, b| a.vm.cmp(&b.vm));
         info!(target: DECISION, live = live.len(), known = records.len(), fit; "view");
-        self.hub.peers.store(Arc::new(Peers {
+        let peers = Peers {
             records,
             live: live.clone(),
-        }));
+        };
+        self.hub.set_relays(&peers);
+        self.hub.peers.store(Arc::new(peers));
         self.hub.desk().mirror.set_members(&self.hub.me.vm, &live);
         self.hub.drive(owner::Event::View {
             live,
--- a/crates/gateway/src/hub/mod.rs
+++ b/crates/gateway/src/hub/mod.rs
@@ -5,6 +5,7 @@
 //! - `delay` measures how late the event loop runs.
 //! - `grant` asks owners and carries out what they want done.
 //! - `load_wait` cancels loads that no request waits for any more.
+//! - `path` follows over which way upstreams are reached.
 //! - `origin` knows at which release of the upstreams streams began.
 //! - `pulse` tells what was read of the platform, and takes over what others tell.
 //! - `search` finds engines for requests.
@@ -19,6 +20,7 @@
 mod grant;
 mod load_wait;
 mod origin;
+mod path;
 mod pulse;
 mod question;
 mod quota;
@@ -51,6 +53,7 @@
 use tokio::sync::{Notify, oneshot, watch};
 use upstream::link::{Limits, Link};
 use upstream::memory::Account;
+use upstream::relay::{Router, server};
 use wire::{Incarnation, Time, Upstream, Vm};
 
 use crate::datagram::Post;
@@ -60,6 +63,7 @@
 pub use config::send_parts;
 pub use delay::TURN;
 pub use load_wait::LoadWait;
+pub use path::Admission;
 pub use word::Leaver;
 
 /// Limit for a connection to an upstream; several crossings of a region and a handshake.
@@ -159,6 +163,10 @@
     pub uploads: Arc<Account>,
     /// The socket towards other nodes.
     pub post: Arc<Post>,
+    /// Opens connections to upstreams.
+    pub router: Arc<Router>,
+    /// What this node relays for others.
+    pub relayed: Arc<server::Counts>,
     /// Wakes the reader of the platform where a pulse tells of something to read.
     pub news: Notify,
     /// Newest revision of the configuration that a peer has told of.
@@ -201,6 +209,7 @@
         clock: Clock,
         metrics: Metrics,
         post: Arc<Post>,
+        router: Arc<Router>,
     ) -> Self {
         let exchange = settings.exchange.clone().unwrap_or_default();
         let owner = owner::Config {
@@ -247,6 +256,8 @@
             peers: ArcSwap::default(),
             metrics,
             post,
+            router,
+            relayed: Arc::default(),
             news: Notify::new(),
             newest: AtomicU64::new(0),
             transfer: Mutex::default(),
@@ -378,7 +389,7 @@
         };
         let link = Link::new(id.clone(), address, limits)
             .within(&self.memory)
-            .from_source(self.exchange.source);
+            .routed(&self.router);
         links.insert(index, (id.clone(), address, link.clone()));
         link
     }
@@ -393,6 +404,8 @@
     pub fn unlink(&self, id: &str) {
         let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
         links.retain(|(known, _, _)| **known != *id);
+        drop(links);
+        self.router.forget(id);
     }
 
     /// Counts a request for a model, and asks for another home where its demand wants one.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -9,6 +9,8 @@
     Registry, TextEncoder,
 };
 
+use upstream::relay::{self, server};
+
 use crate::datagram::{Counts, Message};
 
 /// Upper bounds of the buckets for waits, in seconds.
@@ -35,6 +37,8 @@
     pub convictions: IntGauge,
     /// Time by which the event loop ran late.
     pub loop_delay: Histogram,
+    connections: IntGaugeVec,
+    relayed: IntGaugeVec,
     datagrams: IntGaugeVec,
     datagram_bytes: IntGaugeVec,
     log_dropped: IntGauge,
@@ -116,6 +120,18 @@
                     .buckets(WAIT_BUCKETS.to_vec()),
                 )?,
             )?,
+            connections: gauge_vec(
+                all,
+                "hyssopscale_upstream_connections",
+                "Connections to upstreams since the start, by the way they were opened",
+                &["way"],
+            )?,
+            relayed: gauge_vec(
+                all,
+                "hyssopscale_relayed",
+                "Connections opened for other nodes since the start, those open now, and their bytes",
+                &["what"],
+            )?,
             datagram_bytes: gauge_vec(
                 all,
                 "hyssopscale_datagram_bytes",
@@ -163,6 +179,32 @@
             .observe(time.as_secs_f64());
     }
 
+    /// Takes over how connections to upstreams were opened, and what was relayed for other nodes.
+    pub fn record_paths(&self, opened: &relay::Counts, relayed: &server::Counts) {
+        let ways = [
+            ("direct", &opened.direct),
+            ("peer", &opened.relayed),
+            ("failed", &opened.failed),
+            ("peer-refused", &opened.refused),
+            ("check", &opened.checks),
+        ];
+        for (way, count) in ways {
+            let count = signed(count.load(Ordering::Relaxed));
+            self.connections.with_label_values(&[way]).set(count);
+        }
+        let totals = [
+            ("opened", &relayed.opened),
+            ("refused", &relayed.refused),
+            ("bytes", &relayed.bytes),
+        ];
+        for (what, count) in totals {
+            let count = signed(count.load(Ordering::Relaxed));
+            self.relayed.with_label_values(&[what]).set(count);
+        }
+        let open = relayed.open.load(Ordering::Relaxed);
+        self.relayed.with_label_values(&["open"]).set(open);
+    }
+
     /// Writes all metrics as text.
     pub fn render(&self, counts: &Counts) -> Vec<u8> {
         let results = [
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -13,13 +13,15 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
+use upstream::relay::Router;
+use upstream::relay::server::Server;
 use wire::Incarnation;
 
 use crate::control::{self, Handle};
 use crate::datagram::Post;
 use crate::dialect::Dialect;
 use crate::front::Front;
-use crate::hub::{self, Hub};
+use crate::hub::{self, Admission, Hub};
 use crate::metrics::Metrics;
 use crate::side::Side;
 use crate::store;
@@ -63,7 +65,16 @@
         let bound = Post::bind(address, me.clone(), start::seal(&settings)?, clock, link).await;
         let post = bound.map_err(|cause| Error::Listen { address, cause })?;
         info!(target: DECISION, vm:% = me, zone:% = settings.vm.zone; "start");
-        let hub = Hub::new(dialect, settings, me, clock, Metrics::new()?, post);
+        let router = Router::new(
+            me.clone(),
+            settings.vm.zone.clone(),
+            start::seal(&settings)?,
+            settings
+                .exchange
+                .as_ref()
+                .and_then(|exchange| exchange.source),
+        );
+        let hub = Hub::new(dialect, settings, me, clock, Metrics::new()?, post, router);
         let hub = Arc::new(hub);
         let control = control::start(hub.clone()).await?;
         tokio::spawn(store::run(hub.clone(), platform));
@@ -98,7 +109,24 @@
                 .await?;
         }
         self.serve(listen.operators, side, Side::new(hub.clone(), true))
-            .await
+            .await?;
+        self.relay().await
+    }
+
+    /// Opens connections to upstreams for other nodes, where there is an address for that.
+    async fn relay(&mut self) -> Result<(), Error> {
+        let Some(address) = self.hub.exchange.relay else {
+            return Ok(());
+        };
+        let socket = start::bind(address).await?;
+        let server = Server::new(
+            self.hub.router.clone(),
+            Admission(self.hub.clone()),
+            self.hub.relayed.clone(),
+            self.stop.subscribe(),
+        );
+        tokio::spawn(server.serve(socket));
+        Ok(())
     }
 
     async fn serve(
@@ -132,7 +160,9 @@
         self.stop.send_replace(true);
         let linger = Instant::now() + listener::LINGER;
         let last = started + grace - grace / LAST_PART;
-        while (hub.flying() > 0 || Instant::now() < linger) && Instant::now() < last {
+        while (hub.flying() > 0 || hub.relaying() > 0 || Instant::now() < linger)
+            && Instant::now() < last
+        {
             tokio::time::sleep(DRAIN_STEP).await;
         }
         let cut = hub.flying();
@@ -141,7 +171,7 @@
             // What is left are idle connections, or streams that are reported as cut.
             let _ = tokio::time::timeout(DRAIN_STEP, front).await;
         }
-        info!(target: DECISION, cut; "stop");
+        info!(target: DECISION, cut, relayed = hub.relaying(); "stop");
         cut
     }
 }
--- a/crates/gateway/src/side.rs
+++ b/crates/gateway/src/side.rs
@@ -94,7 +94,9 @@
             return self.ready();
         }
         if path == METRICS {
-            return Response::new(Body::full(self.hub.metrics.render(self.hub.post.counts())));
+            let hub = &self.hub;
+            hub.metrics.record_paths(hub.router.counts(), &hub.relayed);
+            return Response::new(Body::full(hub.metrics.render(hub.post.counts())));
         }
         if self.operators && path.starts_with(CONVICTIONS) {
             return match *request.method() {
--- a/crates/settings/src/section.rs
+++ b/crates/settings/src/section.rs
@@ -427,6 +427,9 @@
     pub threads: usize,
     /// Own address from which connections to upstreams are opened; absent for the system's choice.
     pub source: Option<IpAddr>,
+    /// Address at which the node opens connections to upstreams for nodes that are partitioned from them;
+    /// absent for none. All nodes use the same port.
+    pub relay: Option<SocketAddr>,
 }
 
 impl Default for Exchange {
@@ -454,6 +457,7 @@
             link_mbps: 40.0,
             threads: 1,
             source: None,
+            relay: None,
         }
     }
 }
--- a/crates/upstream/src/link/conn.rs
+++ b/crates/upstream/src/link/conn.rs
@@ -19,6 +19,9 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use crate::path::Way;
+use crate::relay::Opened;
+
 /// A connection that knows how many bytes were written to it.
 pub(super) struct Conn {
     sender: SendRequest<Full<Bytes>>,
@@ -29,11 +32,14 @@
     traffic: Arc<Traffic>,
     /// When its last exchange ended; `None` before the first one.
     pub(super) used: Option<Instant>,
+    /// Over which way it goes.
+    pub(super) way: Way,
 }
 
 impl Conn {
     /// Prepares HTTP on an open stream; nothing is written.
-    pub(super) async fn open(stream: TcpStream, head_bytes: usize) -> hyper::Result<Self> {
+    pub(super) async fn open(opened: Opened, head_bytes: usize) -> hyper::Result<Self> {
+        let Opened { stream, way } = opened;
         let traffic = Arc::new(Traffic::default());
         let counter = Counter {
             stream,
@@ -50,6 +56,7 @@
             head_bytes: head_bytes * HEADS,
             traffic,
             used: None,
+            way,
         })
     }
 
--- a/crates/upstream/src/link/mod.rs
+++ b/crates/upstream/src/link/mod.rs
@@ -11,8 +11,10 @@
 mod body;
 mod conn;
 
+use std::future::Future;
 use std::io::{self, ErrorKind};
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -22,7 +24,7 @@
 use hyper::header::HOST;
 use hyper::http::HeaderValue;
 use hyper::{Request, Response};
-use tokio::net::{TcpSocket, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{Instant, sleep, timeout};
 use wire::{Priority, Upstream};
@@ -32,6 +34,8 @@
 
 use crate::error::{Error, Phase, Reach};
 use crate::memory::Account;
+use crate::path::Way;
+use crate::relay::{Opened, Router, Target, Verdict};
 
 /// Time within which the connections of a process that ends are closed, one after the other.
 const CLOSE_SPREAD: Duration = Duration::from_millis(10);
@@ -40,6 +44,9 @@
 /// trips.
 const CLOSE_DELAY: Duration = Duration::from_millis(50);
 
+/// Time without a byte of an answer after which its connection's way is checked.
+const SILENCE: Duration = Duration::from_millis(500);
+
 /// Connections that a class may open; no class waits for another's.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Class {
@@ -175,9 +182,9 @@
         Some(idle.remove(index))
     }
 
-    fn sweep(&self, keep: Duration) {
+    fn sweep(&self, keep: Duration, fits: impl Fn(&Conn) -> bool) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.retain_mut(|conn| conn.idle() < keep && conn.keeps());
+        idle.retain_mut(|conn| conn.idle() < keep && fits(conn) && conn.keeps());
     }
 
     fn give(&self, mut conn: Conn) {
@@ -199,8 +206,10 @@
 pub struct Link {
     upstream: Upstream,
     address: SocketAddr,
-    /// Own address that connections come from; the system's choice if absent.
-    source: Option<IpAddr>,
+    /// Opens its connections, if some may go through peers.
+    router: Option<Arc<Router>>,
+    /// Whether none may.
+    direct: bool,
     limits: Limits,
     /// Milliseconds for which an idle connection is kept.
     keep: Arc<AtomicU64>,
@@ -217,7 +226,8 @@
         Self {
             upstream: upstream.into(),
             address,
-            source: None,
+            router: None,
+            direct: false,
             limits,
             keep: Arc::new(AtomicU64::new(millis(limits.keep))),
             memory: Account::new(limits.held_bytes),
@@ -236,10 +246,22 @@
         }
     }
 
-    /// Opens connections from the own address `source`, where one is given.
+    /// Opens connections by `router`, directly or through peers.
     #[must_use]
-    pub fn from_source(self, source: Option<IpAddr>) -> Self {
-        Self { source, ..self }
+    pub fn routed(self, router: &Arc<Router>) -> Self {
+        Self {
+            router: Some(router.clone()),
+            ..self
+        }
+    }
+
+    /// Returns the link whose connections go through no peer; it shares those that are kept.
+    #[must_use]
+    pub fn direct(&self) -> Self {
+        Self {
+            direct: true,
+            ..self.clone()
+        }
     }
 
     /// Returns the upstream's id.
@@ -302,13 +324,19 @@
         let limit = call.head.unwrap_or(self.limits.head);
         let used = conn.used;
         let before = conn.written();
-        let answer = timeout(limit, conn.send(request)).await;
+        let way = conn.way.clone();
+        let answer = timeout(limit, self.watched(conn.send(request))).await;
         let reach = if conn.written() == before {
             Reach::NotSent
         } else {
             Reach::MaybeSent
         };
         let upstream = self.upstream.clone();
+        match &answer {
+            Ok(Ok(_)) => self.heard(&way),
+            Ok(Err(_)) => self.suspect(Instant::now()),
+            Err(_) => {}
+        }
         match answer {
             Ok(Ok(response)) => Ok(response.map(|incoming| {
                 Body::new(
@@ -333,6 +361,47 @@
         }
     }
 
+    /// Awaits an answer, and checks the way while none comes.
+    async fn watched<T>(&self, answer: impl Future<Output = T>) -> T {
+        let mut answer = pin!(answer);
+        loop {
+            let began = Instant::now();
+            tokio::select! {
+                biased;
+                answer = &mut answer => return answer,
+                () = sleep(SILENCE), if self.router.is_some() => self.suspect(began),
+            }
+        }
+    }
+
+    fn heard(&self, way: &Way) {
+        if let Some(router) = &self.router {
+            router.heard(&self.upstream, way);
+        }
+    }
+
+    fn suspect(&self, since: Instant) {
+        if let Some(router) = &self.router {
+            router.suspect(&self.target(), since);
+        }
+    }
+
+    fn target(&self) -> Target {
+        Target {
+            upstream: self.upstream.clone(),
+            address: self.address,
+        }
+    }
+
+    /// Tells whether the way of a kept connection may still be used.
+    fn fits(&self, conn: &Conn) -> bool {
+        let Some(router) = &self.router else {
+            return true;
+        };
+        let allowed = !self.direct || conn.way == Way::Direct;
+        allowed && router.keeps(&self.upstream, &conn.way, conn.used)
+    }
+
     fn pool(&self, class: Class) -> &Arc<Pool> {
         match class {
             Class::Control => &self.control,
@@ -383,7 +452,8 @@
     }
 
     async fn kept(&self, pool: &Pool, fits: impl Fn(&Conn) -> bool) -> Option<Conn> {
-        while let Some(mut conn) = pool.take(self.keep(), &fits) {
+        let fits = |conn: &Conn| fits(conn) && self.fits(conn);
+        while let Some(mut conn) = pool.take(self.keep(), fits) {
             if conn.verify().await {
                 return Some(conn);
             }
@@ -391,11 +461,11 @@
         None
     }
 
-    /// Closes the idle connections that were kept for long enough, or on which bytes came that belong
-    /// to no response.
+    /// Closes the idle connections that were kept for long enough, whose way is not used any more, or on
+    /// which bytes came that belong to no response.
     pub fn sweep(&self) {
         for pool in [&self.ordinary, &self.urgent, &self.control] {
-            pool.sweep(self.keep());
+            pool.sweep(self.keep(), |conn| self.fits(conn));
         }
     }
 
@@ -411,6 +481,9 @@
                 return false;
             }
         }
+        if let Some(router) = &self.router {
+            return router.check(&self.upstream, self.address).await == Verdict::Refused;
+        }
         match self.open().await {
             Ok(mut conn) => {
                 sleep(CLOSE_DELAY).await;
@@ -426,37 +499,40 @@
 
     async fn open(&self) -> Result<Conn, Error> {
         let limit = self.limits.connect;
-        let opened = timeout(limit, connect(self.source, self.address)).await;
         let refused = |cause| Error::Connect {
             upstream: self.upstream.clone(),
             cause,
         };
-        let stream = opened
-            .map_err(|_| Error::Timeout {
+        let opened = match &self.router {
+            Some(router) if !self.direct => router.open(&self.target(), limit).await,
+            _ => self.open_directly(limit).await,
+        };
+        let opened = opened.map_err(|cause| match cause.kind() {
+            ErrorKind::TimedOut => Error::Timeout {
                 upstream: self.upstream.clone(),
                 phase: Phase::Connect,
                 limit,
                 reach: Reach::NotSent,
-            })?
-            .map_err(refused)?;
-        stream.set_nodelay(true).map_err(refused)?;
-        Conn::open(stream, self.limits.head_bytes)
+            },
+            _ => refused(cause),
+        })?;
+        Conn::open(opened, self.limits.head_bytes)
             .await
             .map_err(|error| refused(io::Error::other(error)))
     }
-}
 
-/// Opens a connection to `address` from the own address `source`.
-async fn connect(source: Option<IpAddr>, address: SocketAddr) -> io::Result<TcpStream> {
-    let Some(source) = source else {
-        return TcpStream::connect(address).await;
-    };
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
-    socket.bind(SocketAddr::new(source, 0))?;
-    socket.connect(address).await
+    async fn open_directly(&self, limit: Duration) -> io::Result<Opened> {
+        if let Some(router) = &self.router {
+            return router.open_directly(&self.target(), limit).await;
+        }
+        let opened = timeout(limit, TcpStream::connect(self.address)).await;
+        let stream = opened.map_err(|_| ErrorKind::TimedOut)??;
+        stream.set_nodelay(true)?;
+        Ok(Opened {
+            stream,
+            way: Way::Direct,
+        })
+    }
 }
 
 fn millis(time: Duration) -> u64 {
--- /dev/null
+++ b/crates/upstream/src/relay/router.rs
@@ -0,0 +1,427 @@
+//! Opens connections over the way that works.
+
+use std::io::{self, ErrorKind};
+use std::net::{IpAddr, SocketAddr};
+use std::pin::pin;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep, timeout};
+use wire::seal::Seal;
+use wire::{Incarnation, Time, Upstream, Vm, Zone};
+
+use super::client::{self, Failure};
+use super::{connect, token};
+use crate::path::{Change, Paths, Peer, Step, Way};
+
+/// Limit for one peer to open a connection: several round trips to it and from there to the upstream.
+const RELAY_LIMIT: Duration = Duration::from_millis(180);
+
+/// Limit for a direct connection whose way is checked.
+const CHECK_LIMIT: Duration = Duration::from_millis(300);
+
+/// Time for which a connection has to stay open before the way counts as sound: a proxy before a process
+/// that has ended, or before a network that is partitioned, takes it and closes it.
+const HOLD: Duration = Duration::from_millis(50);
+
+/// Connections by way.
+#[derive(Debug, Default)]
+pub struct Counts {
+    /// Opened directly.
+    pub direct: AtomicU64,
+    /// Opened through peers.
+    pub relayed: AtomicU64,
+    /// Neither.
+    pub failed: AtomicU64,
+    /// Peers that were asked and opened none.
+    pub refused: AtomicU64,
+    /// Direct ones opened to check the way.
+    pub checks: AtomicU64,
+}
+
+/// Where a connection goes.
+#[derive(Clone, Debug)]
+pub(crate) struct Target {
+    pub(crate) upstream: Upstream,
+    pub(crate) address: SocketAddr,
+}
+
+/// A new connection.
+#[derive(Debug)]
+pub(crate) struct Opened {
+    pub(crate) stream: TcpStream,
+    pub(crate) way: Way,
+}
+
+/// What a check of the way to an upstream has shown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It takes connections, directly or through a peer.
+    Reached,
+    /// It refuses connections, this node's and a peer's.
+    Refused,
+    /// Nothing is known of it.
+    Unknown,
+}
+
+/// Opens the connections of one node.
+pub struct Router {
+    me: Incarnation,
+    seal: Seal,
+    source: Option<IpAddr>,
+    started: Instant,
+    paths: Mutex<Paths>,
+    counts: Counts,
+}
+
+impl std::fmt::Debug for Router {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Router")
+            .field("me", &self.me)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Router {
+    /// Makes the router of a node in an availability zone, whose connections come from its own address
+    /// `source` where one is given. It knows no peer.
+    pub fn new(
+        me: Incarnation,
+        zone: impl Into<Zone>,
+        seal: Seal,
+        source: Option<IpAddr>,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            paths: Mutex::new(Paths::new(me.vm.clone(), zone)),
+            me,
+            seal,
+            source,
+            started: Instant::now(),
+            counts: Counts::default(),
+        })
+    }
+
+    /// Replaces the live peers that open connections for others.
+    pub fn set_peers(&self, peers: impl IntoIterator<Item = Peer>) {
+        self.paths().set_peers(peers);
+    }
+
+    /// Forgets an upstream that is gone, or whose address has changed.
+    pub fn forget(&self, upstream: &str) {
+        self.paths().forget(upstream);
+    }
+
+    /// Returns the ways that have changed since the last call.
+    pub fn take_changes(&self) -> Vec<Change> {
+        self.paths().take_changes()
+    }
+
+    /// Returns how many connections were opened.
+    pub fn counts(&self) -> &Counts {
+        &self.counts
+    }
+
+    /// Returns the upstream to which [`Router::probe`] is to be called now, if any is due.
+    pub fn due(&self) -> Option<Upstream> {
+        let now = self.now();
+        self.paths().probe(now)
+    }
+
+    /// Tries a direct connection to an upstream that is reached through a peer.
+    pub async fn probe(&self, upstream: &Upstream, address: SocketAddr) {
+        self.counts.checks.fetch_add(1, Ordering::Relaxed);
+        let opened = timeout(CHECK_LIMIT, self.direct(address)).await;
+        let open = match opened {
+            Ok(Ok(stream)) => stays_open(&stream).await,
+            _ => false,
+        };
+        let now = self.now();
+        if open {
+            self.paths().reached(now, upstream);
+        } else {
+            self.paths().probe_failed();
+        }
+    }
+
+    /// Finds out whether `upstream` takes connections.
+    pub async fn check(&self, upstream: &Upstream, address: SocketAddr) -> Verdict {
+        self.counts.checks.fetch_add(1, Ordering::Relaxed);
+        let refused = match timeout(CHECK_LIMIT, self.direct(address)).await {
+            Ok(Ok(stream)) if stays_open(&stream).await => {
+                let now = self.now();
+                self.paths().reached(now, upstream);
+                return Verdict::Reached;
+            }
+            Ok(Ok(_)) => true,
+            Ok(Err(error)) => is_refusal(&error),
+            Err(_) => false,
+        };
+        let target = Target {
+            upstream: upstream.clone(),
+            address,
+        };
+        if self.paths().is_alone() {
+            return if refused {
+                Verdict::Refused
+            } else {
+                Verdict::Unknown
+            };
+        }
+        let relayed = match self.through_peer(&target).await {
+            Ok((stream, peer)) if stays_open(&stream).await => Ok(peer),
+            Ok(_) => Err(Failure::Refused),
+            Err(failure) => Err(failure),
+        };
+        let now = self.now();
+        let mut paths = self.paths();
+        paths.check_failed(now, upstream);
+        match relayed {
+            Ok(peer) => {
+                paths.relayed(now, upstream, &peer);
+                Verdict::Reached
+            }
+            Err(failure) => {
+                paths.unreached(now, upstream);
+                if refused && failure == Failure::Refused {
+                    Verdict::Refused
+                } else {
+                    Verdict::Unknown
+                }
+            }
+        }
+    }
+
+    /// Checks the way in the background, unless that was done a moment ago or bytes have come since.
+    pub(crate) fn suspect(self: &Arc<Self>, target: &Target, since: Instant) {
+        let (now, since) = (self.now(), self.time(since));
+        if self.paths().may_check(now, &target.upstream, since) {
+            let (router, target) = (self.clone(), target.clone());
+            tokio::spawn(async move { router.check(&target.upstream, target.address).await });
+        }
+    }
+
+    /// Takes in that bytes came over `way`.
+    pub(crate) fn heard(&self, upstream: &Upstream, way: &Way) {
+        let now = self.now();
+        self.paths().heard(now, upstream, way);
+    }
+
+    /// Tells whether a kept connection may carry another request.
+    pub(crate) fn keeps(&self, upstream: &str, way: &Way, used: Option<Instant>) -> bool {
+        let used = used.map(|used| self.time(used));
+        self.paths().keeps(upstream, way, used)
+    }
+
+    /// Opens a connection within `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error on the direct attempt, [`ErrorKind::TimedOut`] where it was not
+    /// answered, or is refused though the upstream may take those of others.
+    pub(crate) async fn open(&self, target: &Target, limit: Duration) -> io::Result<Opened> {
+        let now = self.now();
+        let step = self.paths().step(now, &target.upstream);
+        let opened = timeout(limit, self.open_by(step, target)).await;
+        let opened = opened.unwrap_or_else(|_| {
+            let now = self.now();
+            if step != Step::Direct {
+                self.paths().timed_out(now, &target.upstream);
+            }
+            Err(ErrorKind::TimedOut.into())
+        });
+        let count = match &opened {
+            Ok(opened) if opened.way == Way::Direct => &self.counts.direct,
+            Ok(_) => &self.counts.relayed,
+            Err(_) => &self.counts.failed,
+        };
+        count.fetch_add(1, Ordering::Relaxed);
+        opened
+    }
+
+    /// Opens a connection through no peer, within `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error, [`ErrorKind::TimedOut`] where the attempt was not answered.
+    pub(crate) async fn open_directly(
+        &self,
+        target: &Target,
+        limit: Duration,
+    ) -> io::Result<Opened> {
+        let opened = timeout(limit, self.direct(target.address)).await;
+        let stream = opened.map_err(|_| ErrorKind::TimedOut)??;
+        Ok(self.opened_directly(target, stream))
+    }
+
+    async fn open_by(&self, step: Step, target: &Target) -> io::Result<Opened> {
+        match step {
+            Step::Direct => {
+                let stream = self.direct(target.address).await?;
+                Ok(self.opened_directly(target, stream))
+            }
+            Step::Race { head_start } => self.race(target, head_start).await,
+            Step::Relay => match self.through_peer(target).await {
+                Ok((stream, peer)) => Ok(self.opened_by(target, stream, peer)),
+                Err(_) => {
+                    let stream = self.direct(target.address).await;
+                    let stream = stream.inspect_err(|_| self.unreached(target))?;
+                    Ok(self.opened_directly(target, stream))
+                }
+            },
+        }
+    }
+
+    /// Opens a connection directly and, after the head start, through a peer as well.
+    async fn race(&self, target: &Target, head_start: Duration) -> io::Result<Opened> {
+        let mut direct = pin!(self.direct(target.address));
+        let early = tokio::select! {
+            biased;
+            opened = &mut direct => Some(opened),
+            () = sleep(head_start) => None,
+        };
+        let refusal = match early {
+            Some(Ok(stream)) => return Ok(self.opened_directly(target, stream)),
+            Some(Err(error)) => Some(error),
+            None => None,
+        };
+        let relayed = {
+            let mut relayed = pin!(self.through_peer(target));
+            match refusal {
+                Some(error) => relayed.await.map_err(|failure| (failure, Some(error))),
+                None => tokio::select! {
+                    biased;
+                    opened = &mut direct => match opened {
+                        Ok(stream) => return Ok(self.opened_directly(target, stream)),
+                        Err(error) => relayed.await.map_err(|failure| (failure, Some(error))),
+                    },
+                    relayed = &mut relayed => relayed.map_err(|failure| (failure, None)),
+                },
+            }
+        };
+        let (failure, refusal) = match relayed {
+            Ok((stream, peer)) => return Ok(self.opened_by(target, stream, peer)),
+            Err(failed) => failed,
+        };
+        let error = match refusal {
+            Some(error) => error,
+            None => match direct.await {
+                Ok(stream) => return Ok(self.opened_directly(target, stream)),
+                Err(error) => error,
+            },
+        };
+        self.unreached(target);
+        // A refusal counts only where a peer has met one as well.
+        if is_refusal(&error) && failure == Failure::Unreached {
+            return Err(io::Error::new(ErrorKind::TimedOut, error));
+        }
+        Err(error)
+    }
+
+    async fn direct(&self, address: SocketAddr) -> io::Result<TcpStream> {
+        let stream = connect(self.source, address).await?;
+        stream.set_nodelay(true)?;
+        Ok(stream)
+    }
+
+    /// Asks one peer after the other for a connection.
+    async fn through_peer(&self, target: &Target) -> Result<(TcpStream, Vm), Failure> {
+        let mut worst = Failure::Unreached;
+        for peer in self.candidates(&target.upstream) {
+            let (upstream, address) = (&target.upstream, target.address);
+            let text = token::make(&self.seal, &self.me, &peer.vm, upstream, address);
+            let text = text.ok_or(Failure::Unreached)?;
+            let asked = client::open(self.source, peer.address, address, text);
+            match timeout(RELAY_LIMIT, asked).await {
+                Ok(Ok(stream)) => return Ok((stream, peer.vm)),
+                Ok(Err(Failure::Refused)) => {
+                    // Other peers would be refused as well.
+                    worst = Failure::Refused;
+                    break;
+                }
+                Ok(Err(Failure::Unreached)) | Err(_) => {
+                    self.counts.refused.fetch_add(1, Ordering::Relaxed);
+                    let now = self.now();
+                    self.paths().relay_failed(now, upstream, &peer.vm);
+                }
+            }
+        }
+        Err(worst)
+    }
+
+    fn opened_directly(&self, target: &Target, stream: TcpStream) -> Opened {
+        let now = self.now();
+        self.paths().reached(now, &target.upstream);
+        Opened {
+            stream,
+            way: Way::Direct,
+        }
+    }
+
+    fn opened_by(&self, target: &Target, stream: TcpStream, peer: Vm) -> Opened {
+        let now = self.now();
+        self.paths().relayed(now, &target.upstream, &peer);
+        Opened {
+            stream,
+            way: Way::Peer(peer),
+        }
+    }
+
+    fn unreached(&self, target: &Target) {
+        let now = self.now();
+        self.paths().unreached(now, &target.upstream);
+    }
+
+    fn candidates(&self, upstream: &Upstream) -> Vec<Peer> {
+        let now = self.now();
+        self.paths().candidates(now, upstream)
+    }
+
+    pub(super) fn me(&self) -> &Vm {
+        &self.me.vm
+    }
+
+    pub(super) fn seal(&self) -> &Seal {
+        &self.seal
+    }
+
+    /// Tells whether this node knows that it is partitioned from the upstream.
+    pub(super) fn is_lost(&self, upstream: &str) -> bool {
+        self.paths().is_lost(upstream)
+    }
+
+    /// Opens a direct connection for a peer.
+    pub(super) async fn open_for_peer(&self, target: &Target) -> io::Result<TcpStream> {
+        let stream = self.direct(target.address).await?;
+        let now = self.now();
+        self.paths().reached(now, &target.upstream);
+        Ok(stream)
+    }
+
+    fn now(&self) -> Time {
+        self.started.elapsed()
+    }
+
+    fn time(&self, at: Instant) -> Time {
+        at.saturating_duration_since(self.started)
+    }
+
+    fn paths(&self) -> MutexGuard<'_, Paths> {
+        self.paths.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Tells whether the other side has actively refused a connection.
+pub(super) fn is_refusal(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset
+    )
+}
+
+/// Tells whether a connection on which nothing was sent is still open after a while.
+async fn stays_open(stream: &TcpStream) -> bool {
+    // Nothing comes before a request: what can be read is the end.
+    timeout(HOLD, stream.readable()).await.is_err()
+}
--- /dev/null
+++ b/crates/upstream/src/relay/server/tunnel.rs
@@ -0,0 +1,141 @@
+//! Copies the bytes of one connection.
+
+use std::io::{self, ErrorKind};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::net::tcp::{ReadHalf, WriteHalf};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep};
+
+use super::super::reset;
+use super::Counts;
+
+/// Bytes under way in each direction beside the system's own buffers.
+const BUFFER_BYTES: usize = 8 << 10;
+
+/// Time without a byte after which a connection is closed: above the longest silence within an answer
+/// and the longest time that an idle one is kept.
+const IDLE_MAX: Duration = Duration::from_secs(75);
+
+/// The same once one side has ended its direction.
+const HALF_OPEN_MAX: Duration = Duration::from_secs(20);
+
+/// Time after the last byte of an upstream from which its answer counts as whole.
+const ANSWER_GAP: Duration = Duration::from_millis(1_500);
+
+/// Time between two looks at a connection that is silent.
+const LOOK: Duration = Duration::from_millis(250);
+
+/// What has passed.
+struct Activity {
+    started: Instant,
+    /// Milliseconds from the start to the last byte.
+    last: AtomicU64,
+    /// Whether the last bytes were the peer's, so that an answer is due.
+    awaited: AtomicBool,
+    /// Whether one side has ended its direction.
+    half_open: AtomicBool,
+}
+
+impl Activity {
+    fn new() -> Self {
+        Self {
+            started: Instant::now(),
+            last: AtomicU64::new(0),
+            awaited: AtomicBool::new(false),
+            half_open: AtomicBool::new(false),
+        }
+    }
+
+    fn passed(&self, awaited: bool) {
+        let now = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX);
+        self.last.store(now, Ordering::Relaxed);
+        self.awaited.store(awaited, Ordering::Relaxed);
+    }
+
+    fn silence(&self) -> Duration {
+        let last = Duration::from_millis(self.last.load(Ordering::Relaxed));
+        self.started.elapsed().saturating_sub(last)
+    }
+
+    /// Tells whether the connection is to be closed. `leaving` tells whether the node leaves.
+    fn is_over(&self, leaving: bool) -> bool {
+        let limit = if self.half_open.load(Ordering::Relaxed) {
+            HALF_OPEN_MAX
+        } else {
+            IDLE_MAX
+        };
+        let idle = !self.awaited.load(Ordering::Relaxed) && self.silence() >= ANSWER_GAP;
+        self.silence() >= limit || (leaving && idle)
+    }
+}
+
+/// Copies both ways until both sides have ended; where one is reset, so is the other.
+pub(super) async fn copy(
+    mut near: TcpStream,
+    mut far: TcpStream,
+    early: &[u8],
+    counts: &Counts,
+    stop: watch::Receiver<bool>,
+) {
+    let activity = Activity::new();
+    let copied = async {
+        far.write_all(early).await?;
+        let (near_read, near_write) = near.split();
+        let (far_read, far_write) = far.split();
+        let there = direction(near_read, far_write, true, &activity, counts);
+        let back = direction(far_read, near_write, false, &activity, counts);
+        tokio::select! {
+            copied = async { tokio::try_join!(there, back) } => copied.map(|_| ()),
+            end = watch(&activity, &stop) => end,
+        }
+    };
+    if copied.await.is_err() {
+        reset(&near);
+        reset(&far);
+    }
+}
+
+/// Waits until the connection is to be closed.
+async fn watch(activity: &Activity, stop: &watch::Receiver<bool>) -> io::Result<()> {
+    loop {
+        sleep(LOOK).await;
+        let leaving = *stop.borrow();
+        if activity.is_over(leaving) {
+            return if leaving {
+                Ok(())
+            } else {
+                Err(ErrorKind::TimedOut.into())
+            };
+        }
+    }
+}
+
+async fn direction(
+    from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
+    requests: bool,
+    activity: &Activity,
+    counts: &Counts,
+) -> io::Result<()> {
+    let mut buffer = vec![0; BUFFER_BYTES];
+    loop {
+        from.readable().await?;
+        match from.try_read(&mut buffer) {
+            Ok(0) => {
+                activity.half_open.store(true, Ordering::Relaxed);
+                return to.shutdown().await;
+            }
+            Ok(bytes) => {
+                activity.passed(requests);
+                counts.bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+                to.write_all(&buffer[..bytes]).await?;
+            }
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+            Err(error) => return Err(error),
+        }
+    }
+}
--- /dev/null
+++ b/crates/upstream/tests/paths.rs
@@ -0,0 +1,227 @@
+//! The choice between direct connections and those through peers.
+
+use std::time::Duration;
+
+use rstest::rstest;
+use upstream::path::{Paths, Peer, Step, Way};
+use wire::{Time, Upstream, Vm};
+
+fn ms(millis: u64) -> Time {
+    Duration::from_millis(millis)
+}
+
+fn id(name: &str) -> Upstream {
+    name.into()
+}
+
+fn peer(vm: &str, zone: &str) -> Peer {
+    Peer {
+        vm: vm.into(),
+        zone: zone.into(),
+        address: ([10, 0, 0, 1], 1).into(),
+    }
+}
+
+/// Returns the paths of `me` in `z1`, which has two peers there and two in `z2`.
+fn paths() -> Paths {
+    let mut paths = Paths::new("me", "z1");
+    let peers = [
+        ("me", "z1"),
+        ("b", "z1"),
+        ("c", "z1"),
+        ("d", "z2"),
+        ("e", "z2"),
+    ];
+    paths.set_peers(peers.map(|(vm, zone)| peer(vm, zone)));
+    paths
+}
+
+fn names(paths: &Paths, now: Time, upstream: &str) -> Vec<Vm> {
+    let candidates = paths.candidates(now, &id(upstream)).into_iter();
+    candidates.map(|peer| peer.vm).collect()
+}
+
+fn direct() -> Way {
+    Way::Direct
+}
+
+#[test]
+fn sound_paths_are_direct_first() {
+    let mut paths = paths();
+    let Step::Race { head_start } = paths.step(ms(0), &id("u")) else {
+        panic!("no race");
+    };
+    assert!(head_start >= ms(50), "{head_start:?}");
+    assert!(paths.keeps("u", &direct(), None));
+    assert!(!paths.is_lost("u"));
+}
+
+#[test]
+fn node_without_peers_connects_directly() {
+    let mut paths = Paths::new("me", "z1");
+    paths.set_peers([peer("me", "z1")]);
+    assert_eq!(paths.step(ms(0), &id("u")), Step::Direct);
+    assert!(!paths.may_check(ms(0), &id("u"), ms(0)));
+}
+
+#[test]
+fn lost_path_goes_through_the_peer_until_it_is_back() {
+    let mut paths = paths();
+    let peer: Vm = "d".into();
+    paths.relayed(ms(100), &id("u"), &peer);
+    assert_eq!(paths.step(ms(110), &id("u")), Step::Relay);
+    assert_eq!(names(&paths, ms(110), "u")[0], peer);
+    assert!(!paths.keeps("u", &direct(), Some(ms(90))));
+    assert!(paths.keeps("u", &Way::Peer(peer.clone()), Some(ms(105))));
+    paths.reached(ms(2_000), &id("u"));
+    assert!(matches!(paths.step(ms(2_010), &id("u")), Step::Race { .. }));
+    assert!(paths.keeps("u", &direct(), None));
+    assert!(!paths.keeps("u", &Way::Peer(peer.clone()), Some(ms(1_990))));
+    let ways: Vec<Way> = paths
+        .take_changes()
+        .into_iter()
+        .map(|change| change.way)
+        .collect();
+    assert_eq!(ways, [Way::Peer(peer), Way::Direct]);
+    assert!(paths.take_changes().is_empty());
+}
+
+/// Guards against connections that are kept through a peer that leaves or has died.
+#[test]
+fn connections_through_a_peer_that_is_gone_are_dropped() {
+    let mut paths = paths();
+    paths.relayed(ms(100), &id("u"), &"d".into());
+    paths.set_peers([peer("me", "z1"), peer("b", "z1")]);
+    assert!(!paths.keeps("u", &Way::Peer("d".into()), Some(ms(100))));
+    assert_eq!(names(&paths, ms(110), "u"), [Vm::from("b")]);
+}
+
+#[test]
+fn zones_are_asked_in_turn() {
+    let paths = paths();
+    let zones: Vec<String> = paths
+        .candidates(ms(0), &id("u"))
+        .into_iter()
+        .map(|peer| peer.zone.to_string())
+        .collect();
+    assert_eq!(zones, ["z1", "z2", "z1", "z2"]);
+}
+
+#[test]
+fn upstreams_are_spread_over_peers() {
+    let paths = paths();
+    let first = |number: usize| names(&paths, ms(0), &format!("u{number}"))[0].clone();
+    let mut chosen: Vec<Vm> = (0..20).map(first).collect();
+    chosen.sort_unstable();
+    chosen.dedup();
+    assert_eq!(chosen, [Vm::from("b"), Vm::from("c")]);
+}
+
+#[test]
+fn failed_peers_are_left_out_for_a_while() {
+    let mut paths = paths();
+    let first = names(&paths, ms(0), "u")[0].clone();
+    paths.relay_failed(ms(0), &id("u"), &first);
+    assert!(!names(&paths, ms(10), "u").contains(&first));
+    assert!(names(&paths, ms(10), "other").contains(&first));
+    assert!(names(&paths, ms(3_000), "u").contains(&first));
+}
+
+/// Guards against an upstream that is gone and is taken for one that this node is partitioned from, or
+/// that makes every request ask all peers.
+#[test]
+fn upstream_that_nobody_reaches_is_gone() {
+    let mut paths = paths();
+    paths.unreached(ms(0), &id("u"));
+    assert!(!paths.is_lost("u"));
+    assert_eq!(paths.step(ms(10), &id("u")), Step::Direct);
+    assert!(matches!(paths.step(ms(1_000), &id("u")), Step::Race { .. }));
+    assert!(paths.take_changes().is_empty());
+}
+
+#[rstest]
+#[case::few_asked(2, false)]
+#[case::enough_asked(3, true)]
+fn time_out_counts_once_enough_peers_failed(#[case] failed: usize, #[case] gone: bool) {
+    let mut paths = paths();
+    for vm in names(&paths, ms(0), "u").into_iter().take(failed) {
+        paths.relay_failed(ms(0), &id("u"), &vm);
+    }
+    paths.timed_out(ms(1), &id("u"));
+    assert_eq!(paths.step(ms(2), &id("u")) == Step::Direct, gone);
+}
+
+/// Guards against each upstream being found out anew by a node that is partitioned from all of them.
+#[test]
+fn several_lost_paths_put_all_under_suspicion() {
+    let mut paths = paths();
+    paths.reached(ms(0), &id("w"));
+    paths.relayed(ms(100), &id("u"), &"b".into());
+    assert!(paths.keeps("w", &direct(), Some(ms(50))));
+    paths.relayed(ms(110), &id("v"), &"b".into());
+    let Step::Race { head_start } = paths.step(ms(120), &id("w")) else {
+        panic!("no race");
+    };
+    assert!(head_start <= ms(20), "{head_start:?}");
+    assert!(!paths.keeps("w", &direct(), Some(ms(50))));
+    // One that answers since is no longer suspected.
+    paths.reached(ms(130), &id("w"));
+    assert!(paths.keeps("w", &direct(), Some(ms(50))));
+    let Step::Race { head_start } = paths.step(ms(140), &id("w")) else {
+        panic!("no race");
+    };
+    assert!(head_start >= ms(50), "{head_start:?}");
+}
+
+#[test]
+fn direct_way_is_tried_now_and_then() {
+    let mut paths = paths();
+    for name in ["u", "v", "w"] {
+        paths.relayed(ms(0), &id(name), &"b".into());
+    }
+    assert_eq!(paths.probe(ms(50)), None);
+    let mut tried = 0;
+    for step in 0..50 {
+        tried += usize::from(paths.probe(ms(300 + step * 100)).is_some());
+    }
+    // Three upstreams, once a second each, for five seconds.
+    assert!((10..=17).contains(&tried), "{tried}");
+}
+
+#[test]
+fn path_that_is_back_has_the_others_tried() {
+    let mut paths = paths();
+    for name in ["u", "v", "w"] {
+        paths.relayed(ms(0), &id(name), &"b".into());
+    }
+    let first = paths.probe(ms(300)).expect("one is due");
+    paths.reached(ms(305), &first);
+    let mut others = [paths.probe(ms(451)), paths.probe(ms(451))];
+    others.sort_unstable();
+    assert_eq!(others.len(), 2);
+    assert!(
+        others
+            .iter()
+            .all(|other| other.is_some() && *other != Some(first.clone()))
+    );
+    assert_ne!(others[0], others[1]);
+}
+
+#[test]
+fn silence_is_checked_rarely() {
+    let mut paths = paths();
+    let mut checks = 0;
+    for step in 0..100 {
+        let now = ms(10_000 + step * 100);
+        checks += usize::from(paths.may_check(now, &id("u"), now));
+    }
+    assert!((4..=8).contains(&checks), "{checks} in 10 s");
+}
+
+#[test]
+fn bytes_that_came_since_spare_a_check() {
+    let mut paths = paths();
+    paths.heard(ms(1_000), &id("u"), &direct());
+    assert!(!paths.may_check(ms(1_500), &id("u"), ms(900)));
+    assert!(paths.may_check(ms(1_500), &id("u"), ms(1_001)));
+}
--- /dev/null
+++ b/crates/upstream/tests/relayed_connections.rs
@@ -0,0 +1,324 @@
+//! Connections through a peer, to upstreams that this node is partitioned from.
+
+mod support;
+
+use std::io::ErrorKind;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use rstest::rstest;
+use support::{Act, count, serve_hidden, write};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, timeout};
+use upstream::link::{Call, Class, Host, Link, Reuse};
+use upstream::path::Peer;
+use upstream::relay::Router;
+use upstream::relay::server::{Counts, Gate, Server};
+use upstream::{Error, Limits, Reach};
+use wire::seal::Seal;
+use wire::{Incarnation, Upstream};
+
+const KEY: &str = "sixteen bytes at least";
+
+const ANSWER: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Returns an address of the loopback interface that no other test of this process uses.
+fn own_ip() -> Ipv4Addr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(
+        127,
+        128 + high % 64,
+        low,
+        NEXT.fetch_add(1, Ordering::Relaxed),
+    )
+}
+
+/// Admits one upstream at one address.
+#[derive(Clone)]
+struct Listed(Upstream, SocketAddr);
+
+impl Gate for Listed {
+    fn admits(&self, upstream: &Upstream, address: SocketAddr) -> bool {
+        (upstream, address) == (&self.0, self.1)
+    }
+}
+
+/// A node that is partitioned from the upstream or relays to it.
+struct Member {
+    router: Arc<Router>,
+    relayed: Arc<Counts>,
+    stop: watch::Sender<bool>,
+    peer: Peer,
+}
+
+impl Member {
+    async fn start(vm: &str, ip: Ipv4Addr, key: &str, listed: Listed) -> Self {
+        let listener = TcpListener::bind((ip, 0)).await.unwrap();
+        let peer = Peer {
+            vm: vm.into(),
+            zone: "z".into(),
+            address: listener.local_addr().unwrap(),
+        };
+        let seal = Seal::new(key, None).unwrap();
+        let router = Router::new(Incarnation::new(vm, 1), "z", seal, Some(ip.into()));
+        let relayed = Arc::new(Counts::default());
+        let stop = watch::Sender::new(false);
+        let server = Server::new(router.clone(), listed, relayed.clone(), stop.subscribe());
+        tokio::spawn(server.serve(listener));
+        Self {
+            router,
+            relayed,
+            stop,
+            peer,
+        }
+    }
+}
+
+/// Returns a link to an upstream that only the peer reaches, and the peer.
+async fn pair(address: SocketAddr, near: Ipv4Addr, key: &str, listed: &str) -> (Link, Member) {
+    let listed = Listed(listed.into(), address);
+    let relay = Member::start("relay", own_ip(), key, listed).await;
+    let seal = Seal::new(KEY, None).unwrap();
+    let router = Router::new(Incarnation::new("near", 1), "z", seal, Some(near.into()));
+    router.set_peers([relay.peer.clone()]);
+    let limits = Limits {
+        connect: ms(400),
+        ..Limits::default()
+    };
+    (Link::new("u", address, limits).routed(&router), relay)
+}
+
+fn call() -> Call {
+    Call {
+        class: Class::Ordinary,
+        reuse: Reuse::Kept,
+        host: Host::Upstream,
+        head: Some(ms(2_000)),
+        request: Request::new(Full::new(Bytes::new())),
+    }
+}
+
+async fn answer(link: &Link) -> Result<Bytes, Error> {
+    link.send(call()).await?.into_body().collect().await
+}
+
+fn once() -> Vec<Act> {
+    vec![Act::Request, write(ANSWER)]
+}
+
+#[tokio::test]
+async fn partitioned_upstream_answers_through_the_peer() {
+    let near = own_ip();
+    let acts = [once(), once(), vec![Act::Hold]].concat();
+    let (address, seen) = serve_hidden(acts, Some(near)).await;
+    let (link, relay) = pair(address, near, KEY, "u").await;
+    assert_eq!(answer(&link).await.unwrap(), "ok");
+    assert_eq!(answer(&link).await.unwrap(), "ok");
+    assert_eq!(count(&seen.connections), 1, "no connection was kept");
+    assert!(
+        seen.head
+            .lock()
+            .unwrap()
+            .contains(&format!("host: {address}"))
+    );
+    assert_eq!(relay.relayed.opened.load(Ordering::Relaxed), 1);
+}
+
+#[tokio::test]
+async fn reached_upstream_needs_no_peer() {
+    let near = own_ip();
+    let (address, _) = serve_hidden(once(), None).await;
+    let (link, relay) = pair(address, near, KEY, "u").await;
+    assert_eq!(answer(&link).await.unwrap(), "ok");
+    assert_eq!(relay.relayed.opened.load(Ordering::Relaxed), 0);
+}
+
+/// Guards against orders that reach an engine from another node than the one that gave them.
+#[tokio::test]
+async fn direct_link_uses_no_peer() {
+    let near = own_ip();
+    let acts = [once(), once()].concat();
+    let (address, seen) = serve_hidden(acts, Some(near)).await;
+    let (link, relay) = pair(address, near, KEY, "u").await;
+    assert_eq!(answer(&link).await.unwrap(), "ok");
+    let error = answer(&link.direct()).await.unwrap_err();
+    assert_eq!(error.reach(), Reach::NotSent, "{error}");
+    assert_eq!(count(&seen.requests), 1);
+    assert_eq!(relay.relayed.opened.load(Ordering::Relaxed), 1);
+}
+
+/// Guards against strangers, and against nodes that reach what the peer does not list.
+#[rstest]
+#[case::wrong_key("another key of enough bytes", "u")]
+#[case::not_listed(KEY, "another")]
+#[tokio::test]
+async fn refused_peer_leaves_the_call_unsent(#[case] key: &str, #[case] listed: &str) {
+    let near = own_ip();
+    let (address, seen) = serve_hidden(once(), Some(near)).await;
+    let (link, relay) = pair(address, near, key, listed).await;
+    let error = answer(&link).await.unwrap_err();
+    assert_eq!(error.reach(), Reach::NotSent, "{error}");
+    assert_eq!(count(&seen.connections), 0);
+    assert!(relay.relayed.refused.load(Ordering::Relaxed) > 0);
+}
+
+#[tokio::test]
+async fn plain_request_opens_nothing() {
+    let near = own_ip();
+    let (address, seen) = serve_hidden(once(), None).await;
+    let (_, relay) = pair(address, near, KEY, "u").await;
+    let mut stream = TcpStream::connect(relay.peer.address).await.unwrap();
+    let text = format!("CONNECT {address} HTTP/1.1\r\nhost: {address}\r\n\r\n");
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let mut answer = Vec::new();
+    timeout(ms(1_000), stream.read_to_end(&mut answer))
+        .await
+        .unwrap()
+        .unwrap();
+    let answer = String::from_utf8(answer).unwrap();
+    assert!(answer.starts_with("HTTP/1.1 407 "), "{answer}");
+    assert_eq!(count(&seen.connections), 0);
+}
+
+/// Guards against a request that goes on behind a peer although its caller has left.
+#[tokio::test]
+async fn given_up_call_is_reset_at_the_upstream() {
+    let near = own_ip();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    support::hide(&listener, near);
+    let (link, _relay) = pair(listener.local_addr().unwrap(), near, KEY, "u").await;
+    let client = async {
+        let _ = timeout(ms(300), answer(&link)).await;
+    };
+    let server = async {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut part = [0; 1024];
+        assert!(stream.read(&mut part).await.unwrap() > 0);
+        stream.read(&mut part).await.map_err(|error| error.kind())
+    };
+    let ((), ended) = tokio::join!(client, timeout(ms(1_000), server));
+    assert_eq!(ended.unwrap(), Err(ErrorKind::ConnectionReset));
+}
+
+/// Guards against an answer that breaks off and is taken for a whole one, since its end says its length.
+#[rstest]
+#[case::reset(true)]
+#[case::closed(false)]
+#[tokio::test]
+async fn broken_answer_is_not_whole(#[case] reset: bool) {
+    let near = own_ip();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    support::hide(&listener, near);
+    let (link, _relay) = pair(listener.local_addr().unwrap(), near, KEY, "u").await;
+    let client = async { answer(&link).await };
+    let server = async {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut part = [0; 1024];
+        assert!(stream.read(&mut part).await.unwrap() > 0);
+        let begun = b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nbegun";
+        stream.write_all(begun).await.unwrap();
+        sleep(ms(50)).await;
+        if reset {
+            stream.set_zero_linger().unwrap();
+        }
+    };
+    let (answer, ()) = tokio::join!(client, server);
+    match answer {
+        Err(Error::Cut { .. }) if reset => {}
+        Ok(body) if !reset => assert_eq!(body, "begun"),
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Guards against an upstream that is gone and is taken for one that this node is partitioned from, and
+/// the other way round.
+#[tokio::test]
+async fn refusal_counts_where_the_peer_meets_it_too() {
+    let near = own_ip();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let dead = listener.local_addr().unwrap();
+    drop(listener);
+    let (link, _relay) = pair(dead, near, KEY, "u").await;
+    assert!(link.has_ended().await, "both are refused");
+    let (link, _relay) = pair(dead, near, KEY, "another").await;
+    let error = answer(&link).await.unwrap_err();
+    assert!(matches!(error, Error::Timeout { .. }), "{error}");
+    assert!(!link.has_ended().await, "the peer says nothing of it");
+}
+
+/// Guards against a partitioned node that reports an upstream as crashed which others reach.
+#[tokio::test]
+async fn partitioned_upstream_has_not_ended() {
+    let near = own_ip();
+    let (address, _) = serve_hidden([Act::Hold], Some(near)).await;
+    let (link, relay) = pair(address, near, KEY, "u").await;
+    assert!(!link.has_ended().await);
+    assert_eq!(relay.relayed.opened.load(Ordering::Relaxed), 1);
+}
+
+/// Guards against chains: a peer that is partitioned as well asks nobody else, and says so at once.
+#[tokio::test]
+async fn partitioned_peer_passes_nothing_on() {
+    let ip = own_ip();
+    let acts = [once(), once()].concat();
+    let (address, _) = serve_hidden(acts, Some(ip)).await;
+    let listed = Listed("u".into(), address);
+    let reaches = Member::start("a", own_ip(), KEY, listed.clone()).await;
+    let partitioned = Member::start("b", ip, KEY, listed).await;
+    partitioned.router.set_peers([reaches.peer.clone()]);
+    let theirs = Link::new("u", address, Limits::default()).routed(&partitioned.router);
+    assert_eq!(answer(&theirs).await.unwrap(), "ok");
+
+    let seal = Seal::new(KEY, None).unwrap();
+    let router = Router::new(Incarnation::new("c", 1), "z", seal, Some(ip.into()));
+    router.set_peers([partitioned.peer.clone()]);
+    let link = Link::new("u", address, Limits::default()).routed(&router);
+    let error = answer(&link).await.unwrap_err();
+    assert_eq!(error.reach(), Reach::NotSent, "{error}");
+    assert_eq!(partitioned.relayed.refused.load(Ordering::Relaxed), 1);
+    assert_eq!(reaches.relayed.opened.load(Ordering::Relaxed), 1);
+}
+
+/// Guards against a leaving peer that cuts what it relays, or takes more.
+#[tokio::test]
+async fn leaving_peer_ends_what_it_has() {
+    let near = own_ip();
+    let half = ANSWER.len() - 1;
+    let slow = vec![
+        Act::Request,
+        write(&ANSWER[..half]),
+        Act::Wait(ms(1_000)),
+        write(&ANSWER[half..]),
+        Act::Hold,
+    ];
+    let (address, seen) = serve_hidden(slow, Some(near)).await;
+    let (link, relay) = pair(address, near, KEY, "u").await;
+    let (running, ()) = tokio::join!(answer(&link), async {
+        sleep(ms(500)).await;
+        relay.stop.send_replace(true);
+    });
+    assert_eq!(running.unwrap(), "ok");
+    let mut fresh = call();
+    fresh.reuse = Reuse::Fresh;
+    let error = link.send(fresh).await.unwrap_err();
+    assert_eq!(error.reach(), Reach::NotSent, "{error}");
+    // The kept connection is closed once nothing is under way on it.
+    let limit = Instant::now() + ms(5_000);
+    while relay.relayed.open.load(Ordering::Relaxed) > 0 {
+        assert!(Instant::now() < limit, "it is still open");
+        sleep(ms(50)).await;
+    }
+    assert_eq!(count(&seen.closed), 1);
+}
--- a/crates/upstream/tests/support/mod.rs
+++ b/crates/upstream/tests/support/mod.rs
@@ -2,11 +2,12 @@
 
 #![allow(dead_code)]
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use socket2::{SockFilter, SockRef};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -17,6 +18,7 @@
     /// Reads some bytes.
     Some,
     Write(String),
+    Wait(Duration),
     /// Stays silent until the peer closes.
     Hold,
 }
@@ -38,7 +40,15 @@
 }
 
 pub async fn serve(acts: impl Into<Vec<Act>>) -> (SocketAddr, Seen) {
+    serve_hidden(acts, None).await
+}
+
+/// Serves so that attempts to connect from one address stay unanswered.
+pub async fn serve_hidden(acts: impl Into<Vec<Act>>, from: Option<Ipv4Addr>) -> (SocketAddr, Seen) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    if let Some(from) = from {
+        hide(&listener, from);
+    }
     let address = listener.local_addr().unwrap();
     let (acts, seen) = (acts.into(), Seen::default());
     let given = seen.clone();
@@ -55,6 +65,18 @@
     (address, given)
 }
 
+/// Drops packets from an address by a classic packet filter (`linux/filter.h`).
+pub fn hide(listener: &TcpListener, from: Ipv4Addr) {
+    // Loads the source address, and drops the packet where that is the one.
+    let program = [
+        SockFilter::new(0x20, 0, 0, 0xfff0_0000 + 12),
+        SockFilter::new(0x15, 1, 0, u32::from(from)),
+        SockFilter::new(0x06, 0, 0, u32::MAX),
+        SockFilter::new(0x06, 0, 0, 0),
+    ];
+    SockRef::from(listener).attach_filter(&program).unwrap();
+}
+
 async fn play(mut stream: TcpStream, acts: Vec<Act>, seen: &Seen) {
     for act in acts {
         let mut part = [0; 1024];
@@ -70,6 +92,10 @@
                 tokio::time::sleep(Duration::from_millis(5)).await;
                 0
             }
+            Act::Wait(time) => {
+                tokio::time::sleep(time).await;
+                0
+            }
             Act::Hold => {
                 while stream.read(&mut part).await.is_ok_and(|bytes| bytes > 0) {}
                 seen.closed.fetch_add(1, Ordering::SeqCst)
