Peers that are partitioned alike are told from an upstream that is gone

A peer that opened a connection was believed, and one whose connection was refused ended the search: the check asked the remembered peer, found its connection closed, and held the upstream for gone. Where new connections are refused outright, two partitioned nodes would have confirmed a crash of a sound upstream to each other.

A peer whose connection closes in a check, or breaks a request off, is now left for another one, and an upstream counts as refusing connections where three peers are refused, or all there are.

--- a/crates/upstream/src/link/mod.rs
+++ b/crates/upstream/src/link/mod.rs
@@ -334,7 +334,7 @@
         let upstream = self.upstream.clone();
         match &answer {
             Ok(Ok(_)) => self.heard(&way),
-            Ok(Err(_)) => self.suspect(Instant::now()),
+            Ok(Err(_)) => self.broke(&way),
             Err(_) => {}
         }
         match answer {
@@ -380,6 +380,12 @@
         }
     }
 
+    fn broke(&self, way: &Way) {
+        if let Some(router) = &self.router {
+            router.broke(&self.target(), way);
+        }
+    }
+
     fn suspect(&self, since: Instant) {
         if let Some(router) = &self.router {
             router.suspect(&self.target(), since);
--- a/crates/upstream/src/path/candidates.rs
+++ b/crates/upstream/src/path/candidates.rs
@@ -57,6 +57,6 @@
 impl State {
     fn avoids(&self, now: Time, vm: &str) -> bool {
         let mut avoided = self.avoided.iter();
-        avoided.any(|(known, until)| **known == *vm && now < *until)
+        avoided.any(|known| *known.vm == *vm && now < known.until)
     }
 }
--- a/crates/upstream/src/path/mod.rs
+++ b/crates/upstream/src/path/mod.rs
@@ -39,7 +39,8 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 const CHECK_INTERVAL_MAX: Duration = Duration::from_secs(2);
 
-/// Peers that have to fail to reach an upstream before it counts as gone, where not all were asked.
+/// Peers that have to fail to reach an upstream before it counts as gone, where not all were asked, and
+/// that it has to refuse before it counts as refusing all.
 const FAILURES_MIN: usize = 3;
 
 /// Time for which a peer is not asked again for an upstream that it did not reach.
@@ -90,6 +91,15 @@
     Gone { until: Time },
 }
 
+/// A peer that is not asked for a while.
+#[derive(Debug)]
+struct Avoided {
+    vm: Vm,
+    until: Time,
+    /// Whether the upstream refused its connection.
+    refused: bool,
+}
+
 /// What is known of one upstream.
 #[derive(Debug)]
 struct State {
@@ -103,8 +113,8 @@
     used_at: Time,
     /// The peer that reached it last.
     relay: Option<Vm>,
-    /// Peers that did not reach it, until when they are not asked again.
-    avoided: Vec<(Vm, Time)>,
+    /// Peers that did not reach it.
+    avoided: Vec<Avoided>,
     next_check: Time,
     check_interval: Duration,
 }
@@ -124,6 +134,13 @@
         }
     }
 
+    /// Takes in that a connection has opened, whatever was refused before.
+    fn trust_no_refusal(&mut self) {
+        self.avoided
+            .iter_mut()
+            .for_each(|known| known.refused = false);
+    }
+
     const fn is_lost(&self) -> bool {
         matches!(self.standing, Standing::Lost { .. })
     }
@@ -201,6 +218,7 @@
         state.standing = Standing::Reached;
         state.reached_at = Some(now);
         state.heard_at = now;
+        state.trust_no_refusal();
         if lost {
             state.relay = None;
             self.healed = true;
@@ -218,24 +236,37 @@
             state.standing = Standing::Lost { probe_at };
         }
         state.relay = Some(peer.clone());
+        state.trust_no_refusal();
         if !known {
             self.healed = false;
             self.change(now, upstream, Way::Peer(peer.clone()));
         }
     }
 
-    /// Takes in that a peer did not open a connection.
-    pub fn relay_failed(&mut self, now: Time, upstream: &Upstream, peer: &Vm) {
+    /// Takes in that a peer did not open a connection. `refused` tells whether the upstream refused it.
+    pub fn relay_failed(&mut self, now: Time, upstream: &Upstream, peer: &Vm, refused: bool) {
         let state = self.state(now, upstream);
-        state
-            .avoided
-            .retain(|(vm, until)| vm != peer && now < *until);
-        state.avoided.push((peer.clone(), now + AVOID_TIME));
+        let avoided = &mut state.avoided;
+        avoided.retain(|known| known.vm != *peer && now < known.until);
+        avoided.push(Avoided {
+            vm: peer.clone(),
+            until: now + AVOID_TIME,
+            refused,
+        });
         if state.relay.as_ref() == Some(peer) {
             state.relay = None;
         }
     }
 
+    /// Tells whether the upstream refuses the connections of so many peers that it refuses all: some may
+    /// be partitioned from it like this node.
+    pub fn is_refused(&self, now: Time, upstream: &str) -> bool {
+        let avoided = self.find(upstream).map(|state| &state.avoided[..]);
+        let avoided = avoided.unwrap_or_default().iter();
+        let refused = avoided.filter(|known| known.refused && now < known.until);
+        refused.count() >= self.peers.len().min(FAILURES_MIN)
+    }
+
     /// Takes in that neither this node nor a peer has reached the upstream.
     pub fn unreached(&mut self, now: Time, upstream: &Upstream) {
         let state = self.state(now, upstream);
@@ -249,7 +280,7 @@
     pub fn timed_out(&mut self, now: Time, upstream: &Upstream) {
         let enough = self.peers.len().min(FAILURES_MIN);
         let state = self.state(now, upstream);
-        let failed = state.avoided.iter().filter(|(_, until)| now < *until);
+        let failed = state.avoided.iter().filter(|known| now < known.until);
         if failed.count() >= enough {
             self.unreached(now, upstream);
         }
--- a/crates/upstream/src/relay/router.rs
+++ b/crates/upstream/src/relay/router.rs
@@ -169,16 +169,12 @@
                 Verdict::Unknown
             };
         }
-        let relayed = match self.through_peer(&target).await {
-            Ok((stream, peer)) if stays_open(&stream).await => Ok(peer),
-            Ok(_) => Err(Failure::Refused),
-            Err(failure) => Err(failure),
-        };
+        let relayed = self.through_peer(&target, true).await;
         let now = self.now();
         let mut paths = self.paths();
         paths.check_failed(now, upstream);
         match relayed {
-            Ok(peer) => {
+            Ok((_, peer)) => {
                 paths.relayed(now, upstream, &peer);
                 Verdict::Reached
             }
@@ -193,6 +189,14 @@
         }
     }
 
+    /// Takes in that a connection over `way` broke a request off.
+    pub(crate) fn broke(self: &Arc<Self>, target: &Target, way: &Way) {
+        if let Way::Peer(peer) = way {
+            self.relay_failed(&target.upstream, peer, Failure::Unreached);
+        }
+        self.suspect(target, Instant::now());
+    }
+
     /// Checks the way in the background, unless that was done a moment ago or bytes have come since.
     pub(crate) fn suspect(self: &Arc<Self>, target: &Target, since: Instant) {
         let (now, since) = (self.now(), self.time(since));
@@ -262,7 +266,7 @@
                 Ok(self.opened_directly(target, stream))
             }
             Step::Race { head_start } => self.race(target, head_start).await,
-            Step::Relay => match self.through_peer(target).await {
+            Step::Relay => match self.through_peer(target, false).await {
                 Ok((stream, peer)) => Ok(self.opened_by(target, stream, peer)),
                 Err(_) => {
                     let stream = self.direct(target.address).await;
@@ -287,7 +291,7 @@
             None => None,
         };
         let relayed = {
-            let mut relayed = pin!(self.through_peer(target));
+            let mut relayed = pin!(self.through_peer(target, false));
             match refusal {
                 Some(error) => relayed.await.map_err(|failure| (failure, Some(error))),
                 None => tokio::select! {
@@ -325,29 +329,51 @@
         Ok(stream)
     }
 
-    /// Asks one peer after the other for a connection.
-    async fn through_peer(&self, target: &Target) -> Result<(TcpStream, Vm), Failure> {
-        let mut worst = Failure::Unreached;
-        for peer in self.candidates(&target.upstream) {
-            let (upstream, address) = (&target.upstream, target.address);
-            let text = token::make(&self.seal, &self.me, &peer.vm, upstream, address);
-            let text = text.ok_or(Failure::Unreached)?;
-            let asked = client::open(self.source, peer.address, address, text);
-            match timeout(RELAY_LIMIT, asked).await {
-                Ok(Ok(stream)) => return Ok((stream, peer.vm)),
-                Ok(Err(Failure::Refused)) => {
-                    // Other peers would be refused as well.
-                    worst = Failure::Refused;
-                    break;
-                }
-                Ok(Err(Failure::Unreached)) | Err(_) => {
-                    self.counts.refused.fetch_add(1, Ordering::Relaxed);
-                    let now = self.now();
-                    self.paths().relay_failed(now, upstream, &peer.vm);
-                }
+    /// Asks one peer after the other for a connection, which has to stay open for a while where `hold` is
+    /// set.
+    async fn through_peer(&self, target: &Target, hold: bool) -> Result<(TcpStream, Vm), Failure> {
+        let upstream = &target.upstream;
+        for peer in self.candidates(upstream) {
+            let failure = match self.ask(target, &peer, hold).await {
+                Ok(stream) => return Ok((stream, peer.vm)),
+                Err(failure) => failure,
+            };
+            self.counts.refused.fetch_add(1, Ordering::Relaxed);
+            self.relay_failed(upstream, &peer.vm, failure);
+            if self.is_refused(upstream) {
+                break;
             }
         }
-        Err(worst)
+        if self.is_refused(upstream) {
+            Err(Failure::Refused)
+        } else {
+            Err(Failure::Unreached)
+        }
+    }
+
+    /// Asks a peer for a connection.
+    async fn ask(&self, target: &Target, peer: &Peer, hold: bool) -> Result<TcpStream, Failure> {
+        let (upstream, address) = (&target.upstream, target.address);
+        let text = token::make(&self.seal, &self.me, &peer.vm, upstream, address);
+        let text = text.ok_or(Failure::Unreached)?;
+        let asked = client::open(self.source, peer.address, address, text);
+        let opened = timeout(RELAY_LIMIT, asked).await;
+        let stream = opened.map_err(|_| Failure::Unreached)??;
+        if hold && !stays_open(&stream).await {
+            return Err(Failure::Refused);
+        }
+        Ok(stream)
+    }
+
+    /// Takes in that a peer opened no connection, or one that broke a request off.
+    fn relay_failed(&self, upstream: &Upstream, peer: &Vm, failure: Failure) {
+        let (now, refused) = (self.now(), failure == Failure::Refused);
+        self.paths().relay_failed(now, upstream, peer, refused);
+    }
+
+    fn is_refused(&self, upstream: &Upstream) -> bool {
+        let now = self.now();
+        self.paths().is_refused(now, upstream)
     }
 
     fn opened_directly(&self, target: &Target, stream: TcpStream) -> Opened {
--- a/crates/upstream/tests/paths.rs
+++ b/crates/upstream/tests/paths.rs
@@ -121,7 +121,7 @@
 fn failed_peers_are_left_out_for_a_while() {
     let mut paths = paths();
     let first = names(&paths, ms(0), "u")[0].clone();
-    paths.relay_failed(ms(0), &id("u"), &first);
+    paths.relay_failed(ms(0), &id("u"), &first, false);
     assert!(!names(&paths, ms(10), "u").contains(&first));
     assert!(names(&paths, ms(10), "other").contains(&first));
     assert!(names(&paths, ms(3_000), "u").contains(&first));
@@ -145,12 +145,38 @@
 fn time_out_counts_once_enough_peers_failed(#[case] failed: usize, #[case] gone: bool) {
     let mut paths = paths();
     for vm in names(&paths, ms(0), "u").into_iter().take(failed) {
-        paths.relay_failed(ms(0), &id("u"), &vm);
+        paths.relay_failed(ms(0), &id("u"), &vm, false);
     }
     paths.timed_out(ms(1), &id("u"));
     assert_eq!(paths.step(ms(2), &id("u")) == Step::Direct, gone);
 }
 
+/// Guards against an upstream that counts as crashed since it refuses this node and others that are
+/// partitioned from it alike.
+#[test]
+fn refusal_of_few_peers_is_none_of_all() {
+    let mut paths = paths();
+    let all = names(&paths, ms(0), "u");
+    for vm in &all[..2] {
+        paths.relay_failed(ms(0), &id("u"), vm, true);
+    }
+    assert!(!paths.is_refused(ms(1), "u"));
+    paths.relay_failed(ms(0), &id("u"), &all[2], true);
+    assert!(paths.is_refused(ms(1), "u"));
+    assert!(!paths.is_refused(ms(3_000), "u"));
+    paths.relayed(ms(2), &id("u"), &all[3]);
+    assert!(!paths.is_refused(ms(3), "u"));
+}
+
+#[test]
+fn refusal_of_the_only_peer_is_one_of_all() {
+    let mut paths = Paths::new("me", "z1");
+    paths.set_peers([peer("me", "z1"), peer("b", "z1")]);
+    assert!(!paths.is_refused(ms(0), "u"));
+    paths.relay_failed(ms(0), &id("u"), &"b".into(), true);
+    assert!(paths.is_refused(ms(1), "u"));
+}
+
 /// Guards against each upstream being found out anew by a node that is partitioned from all of them.
 #[test]
 fn several_lost_paths_put_all_under_suspicion() {
--- a/crates/upstream/tests/relayed_connections.rs
+++ b/crates/upstream/tests/relayed_connections.rs
@@ -291,6 +291,47 @@
     assert_eq!(reaches.relayed.opened.load(Ordering::Relaxed), 1);
 }
 
+/// Serves calls, and resets the connections from one address as soon as they are taken.
+async fn serve_unless(listener: TcpListener, refused: Ipv4Addr) {
+    while let Ok((mut stream, from)) = listener.accept().await {
+        if from.ip() == refused {
+            let _ = stream.set_zero_linger();
+            continue;
+        }
+        tokio::spawn(async move {
+            let mut part = [0; 1024];
+            while stream.read(&mut part).await.is_ok_and(|bytes| bytes > 0) {
+                stream.write_all(ANSWER.as_bytes()).await.unwrap();
+            }
+        });
+    }
+}
+
+/// Guards against a peer that is partitioned itself, but whose connections are taken and then reset, and
+/// that is asked again and again.
+#[tokio::test]
+async fn peer_whose_connections_break_is_left() {
+    let (near, far) = (own_ip(), own_ip());
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    support::hide(&listener, near);
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(serve_unless(listener, far));
+    let names = wire::rank::top(wire::rank::hash("near u"), ["a", "b"], 2);
+    let listed = Listed("u".into(), address);
+    let first = Member::start(names[0], far, KEY, listed.clone()).await;
+    let second = Member::start(names[1], own_ip(), KEY, listed).await;
+    let seal = Seal::new(KEY, None).unwrap();
+    let router = Router::new(Incarnation::new("near", 1), "z", seal, Some(near.into()));
+    router.set_peers([first.peer.clone(), second.peer.clone()]);
+    let link = Link::new("u", address, Limits::default()).routed(&router);
+    let mut failed = 0;
+    for _ in 0..40 {
+        failed += usize::from(answer(&link).await.is_err());
+        sleep(ms(25)).await;
+    }
+    assert!(failed <= 1, "{failed} of 40 calls failed");
+}
+
 /// Guards against a leaving peer that cuts what it relays, or takes more.
 #[tokio::test]
 async fn leaving_peer_ends_what_it_has() {
