--- a/crates/settings/src/section.rs
+++ b/crates/settings/src/section.rs
@@ -429,6 +429,9 @@
     pub link_mbps: f64,
     /// Threads that run the node; 1 spares the hand-over between threads on a part of a core.
     pub threads: usize,
+    /// Address at which the node opens connections to upstreams for nodes that are partitioned from them;
+    /// absent for none. All nodes use the same port.
+    pub relay: Option<SocketAddr>,
 }
 
 impl Default for Exchange {
@@ -457,6 +460,7 @@
             pause: Duration::from_millis(400),
             link_mbps: 40.0,
             threads: 1,
+            relay: None,
         }
     }
 }
--- a/crates/upstream/tests/local_address.rs
+++ b/crates/upstream/tests/local_address.rs
@@ -8,6 +8,12 @@
 use rstest::rstest;
 use tokio::net::TcpListener;
 use upstream::link::{Call, Class, Host, Limits, Link, Reuse};
+use upstream::relay::Router;
+use wire::Incarnation;
+use wire::seal::Seal;
+
+/// Key of the nodes.
+const KEY: &str = "sixteen bytes at least";
 
 /// Guards against connections that leave by another address than the one that is set, by which a firewall
 /// tells VMs apart.
@@ -18,7 +24,9 @@
 async fn connection_leaves_by_its_source(#[case] source: Option<Ipv4Addr>, #[case] seen: Ipv4Addr) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    let link = Link::new("u", address, Limits::default()).from_source(source.map(IpAddr::V4));
+    let seal = Seal::new(KEY, None).unwrap();
+    let router = Router::new(Incarnation::new("vm", 1), "z", seal, source.map(IpAddr::V4));
+    let link = Link::new("u", address, Limits::default()).routed(&router);
     let call = Call {
         class: Class::Ordinary,
         reuse: Reuse::Fresh,
