Owners give up the engines that they do not reach directly

Orders go through no peer, since an order that comes from another node counts as that node's.

A path of which nothing is known any more counts as direct again, so that no engine is declined for good.

The test of the second: no change was told for an upstream that was forgotten while it was reached through a peer.

--- a/crates/gateway/src/hub/path.rs
+++ b/crates/gateway/src/hub/path.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
+use exchange::owner;
 use log::info;
 use node::journal::DECISION;
 use upstream::path::{Change, Peer, Way};
@@ -56,8 +57,11 @@
     }
 
     /// Tells who orders at an engine whether orders reach it: they go through no peer.
-    fn tell_owner(&self, _change: &Change) {
-        // TODO(owner::Event::Reach): drive the event once the owner has it.
+    fn tell_owner(self: &Arc<Self>, change: &Change) {
+        self.drive(owner::Event::Reach {
+            engine: change.upstream.clone(),
+            direct: change.way == Way::Direct,
+        });
     }
 
     /// Returns how many connections of other nodes are open.
--- a/crates/upstream/src/path/mod.rs
+++ b/crates/upstream/src/path/mod.rs
@@ -340,8 +340,7 @@
 
     /// Returns the upstream to which a direct connection is to be tried now, if any is due.
     pub fn probe(&mut self, now: Time) -> Option<Upstream> {
-        self.states
-            .retain(|state| now < state.used_at.max(state.heard_at) + UNUSED_TIME);
+        self.drop_states(|state| now >= state.used_at.max(state.heard_at) + UNUSED_TIME);
         self.suspect(now);
         if now < self.next_probe {
             return None;
@@ -375,7 +374,18 @@
 
     /// Forgets an upstream that is gone, or whose address has changed.
     pub fn forget(&mut self, upstream: &str) {
-        self.states.retain(|state| *state.upstream != *upstream);
+        self.drop_states(|state| *state.upstream == *upstream);
+    }
+
+    /// Drops states. Without one, an upstream counts as reached directly.
+    fn drop_states(&mut self, is_dropped: impl Fn(&State) -> bool) {
+        let lost = self.states.iter().filter(|state| state.is_lost());
+        let dropped = lost.filter(|state| is_dropped(state));
+        self.changes.extend(dropped.map(|state| Change {
+            upstream: state.upstream.clone(),
+            way: Way::Direct,
+        }));
+        self.states.retain(|state| !is_dropped(state));
     }
 
     /// Returns the changes since the last call.
--- a/crates/upstream/tests/paths.rs
+++ b/crates/upstream/tests/paths.rs
@@ -251,3 +251,20 @@
     assert!(!paths.may_check(ms(1_500), &id("u"), ms(900)));
     assert!(paths.may_check(ms(1_500), &id("u"), ms(1_001)));
 }
+
+/// Guards against an upstream that counts as unreached for good once nothing is known of it any more: its
+/// owner would never order there again.
+#[rstest]
+#[case::gone(|paths: &mut Paths| paths.forget("u"))]
+#[case::unused(|paths: &mut Paths| assert_eq!(paths.probe(ms(60_000)), None))]
+fn forgotten_path_counts_as_direct(#[case] forget: fn(&mut Paths)) {
+    let mut paths = paths();
+    paths.relayed(ms(0), &id("u"), &"d".into());
+    let ways = |paths: &mut Paths| {
+        let changes = paths.take_changes().into_iter();
+        changes.map(|change| change.way).collect::<Vec<_>>()
+    };
+    assert_eq!(ways(&mut paths), [Way::Peer("d".into())]);
+    forget(&mut paths);
+    assert_eq!(ways(&mut paths), [Way::Direct]);
+}
