Soak: brittle upstreams, before a crowd of callers

Upstreams of the new plays have room for requests that wait, and tell their load. While a pool is brittle, all of its answers say so; from 3 s later fewer may wait, and one that turns more away in a second for want of room than it said falls over, and is back empty after 2 to 3 s.

--- a/crates/hyssopscale/tests/soak/fault/deed.rs
+++ b/crates/hyssopscale/tests/soak/fault/deed.rs
@@ -11,7 +11,7 @@
 use super::super::relay::Cut;
 use super::super::store::Copy;
 use super::super::upstream::Manner;
-use super::super::{Site, versioned};
+use super::super::{Site, UPSTREAMS, versioned};
 use super::Fault;
 
 impl Site {
@@ -97,6 +97,18 @@
                 sleep(time).await;
                 self.cut_from_peers(nodes, false);
             }
+            Fault::Brittle {
+                pool,
+                brittle,
+                time,
+            } => {
+                let those = &upstreams[pool * UPSTREAMS..(pool + 1) * UPSTREAMS];
+                those
+                    .iter()
+                    .for_each(|upstream| upstream.set_brittle(Some(brittle)));
+                sleep(time).await;
+                those.iter().for_each(|upstream| upstream.set_brittle(None));
+            }
             Fault::Delay { upstream, time } => {
                 let fault = proxy::Fault {
                     latency_us: 20_000,
--- a/crates/hyssopscale/tests/soak/fault/draw.rs
+++ b/crates/hyssopscale/tests/soak/fault/draw.rs
@@ -8,7 +8,7 @@
 
 use super::super::UPSTREAMS;
 use super::super::relay::Cut;
-use super::super::upstream::Manner;
+use super::super::upstream::{Brittle, Manner};
 use super::Fault;
 
 pub(super) fn millis(rng: &mut StdRng, from: u64, to: u64) -> Duration {
@@ -280,3 +280,16 @@
         time: millis(rng, 400, 8_000),
     }
 }
+
+/// Draws a time in which a pool is brittle.
+pub(super) fn draw_brittle(rng: &mut StdRng, pool: usize) -> Fault {
+    let brittle = Brittle {
+        refusals: [2, 5, 20][rng.random_range(0..3)],
+        room: rng.random_range(0..=3),
+    };
+    Fault::Brittle {
+        pool,
+        brittle,
+        time: millis(rng, 6_000, 10_000),
+    }
+}
--- a/crates/hyssopscale/tests/soak/upstream/log.rs
+++ b/crates/hyssopscale/tests/soak/upstream/log.rs
@@ -82,6 +82,16 @@
 
 pub type Orders = Arc<Mutex<Vec<Order>>>;
 
+/// One fall of a brittle upstream, and the attempts that it had turned away.
+#[derive(Clone, Debug)]
+pub struct Fall {
+    pub pool: &'static str,
+    pub attempts: Vec<String>,
+    pub at: Instant,
+}
+
+pub type Falls = Arc<Mutex<Vec<Fall>>>;
+
 /// What upstreams tell of a run.
 #[derive(Clone, Default)]
 pub struct Log {
@@ -89,6 +99,7 @@
     pub arrivals: Arrivals,
     pub misorders: Misorders,
     pub orders: Orders,
+    pub falls: Falls,
     pub words: Words,
     pub crashes: Crashes,
     pub services: Services,
