--- a/crates/hyssopscale/tests/fault_soak.rs
+++ b/crates/hyssopscale/tests/fault_soak.rs
@@ -7,7 +7,7 @@
 //! ```
 //!
 //! `HYSSOPSCALE_SOAK_WITH=cuts,peer-cuts` adds cuts of nodes from upstreams, and from each other;
-//! `brittle` has brittle upstreams; `in-touch` has no faults of their processes and the store.
+//! `brittle` has brittle upstreams, and `silences` sound ones that are silent for a second; `in-touch` has no faults of their processes and the store.
 //! `HYSSOPSCALE_SOAK_NODES=100` has more nodes, with a caller each at least.
 
 mod soak;
@@ -29,6 +29,7 @@
     cuts: false,
     peer_cuts: false,
     brittle: false,
+    silences: false,
 };
 const CUTS: Extra = Extra {
     cuts: true,
@@ -42,6 +43,10 @@
     brittle: true,
     ..IN_TOUCH
 };
+const SILENCES: Extra = Extra {
+    silences: true,
+    ..IN_TOUCH
+};
 
 /// Runs at a time by hand.
 const AT_ONCE: u64 = 4;
@@ -95,7 +100,7 @@
 
 /// Returns a plan with further faults. Weak upstreams are asked for more than they can take.
 fn extended(plan: Plan, extra: Extra) -> Plan {
-    if !extra.brittle {
+    if !extra.brittle && !extra.silences {
         return Plan { extra, ..plan };
     }
     Plan {
@@ -115,6 +120,7 @@
         peer_cuts: has("peer-cuts"),
         in_touch: has("in-touch"),
         brittle: has("brittle"),
+        silences: has("silences"),
     };
     let plan = extended(plan(seed), extra);
     Plan {
@@ -126,6 +132,7 @@
 
 #[rstest]
 #[case::brittle(5003, BRITTLE)]
+#[case::silent(5000, SILENCES)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn weak_upstreams_break_no_rule(#[case] seed: u64, #[case] extra: Extra) {
     let breaches = run(extended(plan(seed), extra)).await;
--- a/crates/hyssopscale/tests/soak/check/mod.rs
+++ b/crates/hyssopscale/tests/soak/check/mod.rs
@@ -3,6 +3,7 @@
 pub mod brittle;
 mod order;
 pub mod path;
+pub mod silence;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
--- a/crates/hyssopscale/tests/soak/fault/deed.rs
+++ b/crates/hyssopscale/tests/soak/fault/deed.rs
@@ -109,6 +109,19 @@
                 sleep(time).await;
                 those.iter().for_each(|upstream| upstream.set_brittle(None));
             }
+            Fault::Pause {
+                ref upstreams,
+                time,
+            } => {
+                let fault = proxy::Fault {
+                    pass: Pass::Neither,
+                    ..proxy::Fault::default()
+                };
+                let silent = upstreams
+                    .clone()
+                    .map(|upstream| self.disturb(upstream, fault, time));
+                futures_util::future::join_all(silent).await;
+            }
             Fault::Delay { upstream, time } => {
                 let fault = proxy::Fault {
                     latency_us: 20_000,
--- a/crates/hyssopscale/tests/soak/fault/draw.rs
+++ b/crates/hyssopscale/tests/soak/fault/draw.rs
@@ -293,3 +293,18 @@
         time: millis(rng, 6_000, 10_000),
     }
 }
+
+/// Draws a silence of a sound upstream, or of all of its pool.
+pub(super) fn draw_pause(rng: &mut StdRng) -> Fault {
+    let upstream = rng.random_range(0..2 * UPSTREAMS);
+    let first = upstream / UPSTREAMS * UPSTREAMS;
+    let upstreams = if rng.random() {
+        first..first + UPSTREAMS
+    } else {
+        upstream..upstream + 1
+    };
+    Fault::Pause {
+        upstreams,
+        time: millis(rng, 700, 1_400),
+    }
+}
--- a/crates/hyssopscale/tests/soak/fault/mod.rs
+++ b/crates/hyssopscale/tests/soak/fault/mod.rs
@@ -19,8 +19,8 @@
 use super::upstream::{Brittle, Manner};
 use super::{Plan, Site, UPSTREAMS};
 use draw::{
-    draw, draw_break, draw_brittle, draw_cut, draw_flood, draw_late_refusal, draw_peer_cut,
-    draw_rate, draw_restore, draw_word,
+    draw, draw_break, draw_brittle, draw_cut, draw_flood, draw_late_refusal, draw_pause,
+    draw_peer_cut, draw_rate, draw_restore, draw_word,
 };
 
 /// Faults of a run at least, and at most.
@@ -52,9 +52,11 @@
 const PEER_CUTS_MAX: usize = 3;
 const PEER_CUTS: u64 = 0x7065_6572;
 
-/// Times in which a pool is brittle in a run, and what sets their draws apart.
+/// Times in which a pool is brittle, silences of sound upstreams in a run, and what sets their draws apart.
 const BRITTLE_COUNT: usize = 2;
 const BRITTLE: u64 = 0x6272_6974;
+const PAUSES: usize = 4;
+const PAUSE: u64 = 0x7061_7573;
 
 /// Time from the stop of a node until an upstream is replaced by another release behind its back.
 const OUT_OF_STEP: Duration = Duration::from_millis(300);
@@ -147,6 +149,11 @@
         brittle: Brittle,
         time: Duration,
     },
+    /// Sound upstreams fall silent and go on.
+    Pause {
+        upstreams: Range<usize>,
+        time: Duration,
+    },
 }
 
 impl Fault {
@@ -171,6 +178,7 @@
             Self::Silence { upstream, time } | Self::Delay { upstream, time } => {
                 Some((*upstream..*upstream + 1, *time))
             }
+            Self::Pause { upstreams, time } => Some((upstreams.clone(), *time)),
             Self::CutFromUpstreams {
                 nodes,
                 upstreams,
@@ -282,6 +290,11 @@
         let at = rng.random_range(Duration::ZERO..span / 2);
         drawn.push((at, draw_brittle(&mut rng, pool)));
     }
+    let mut rng = StdRng::seed_from_u64(seed ^ PAUSE);
+    for _ in 0..if plan.extra.silences { PAUSES } else { 0 } {
+        let at = rng.random_range(Duration::ZERO..span);
+        drawn.push((at, draw_pause(&mut rng)));
+    }
     let mut tasks = JoinSet::new();
     for (at, fault) in drawn {
         let site = site.clone();
--- a/crates/hyssopscale/tests/soak/mod.rs
+++ b/crates/hyssopscale/tests/soak/mod.rs
@@ -114,6 +114,8 @@
     pub peer_cuts: bool,
     /// Whether requests wait at upstreams, which are brittle for some time.
     pub brittle: bool,
+    /// Whether sound upstreams are silent for about a second.
+    pub silences: bool,
 }
 
 impl Plan {
@@ -353,6 +355,7 @@
     let notes = [
         check::path::summary(&evidence, &site),
         check::brittle::summary(&evidence, &site),
+        check::silence::summary(&evidence),
     ];
     for line in notes.concat() {
         println!("seed {}: {line}", plan.seed);
