--- a/crates/hyssopscale/tests/fault_soak.rs
+++ b/crates/hyssopscale/tests/fault_soak.rs
@@ -15,7 +15,8 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use soak::{Extra, Plan, run};
+use soak::{Extra, Plan};
+use tokio::sync::Semaphore;
 
 /// Nodes of a site.
 const NODES: usize = 4;
@@ -48,8 +49,9 @@
     ..IN_TOUCH
 };
 
-/// Runs at a time by hand.
-const AT_ONCE: u64 = 4;
+/// Runs at a time.
+const AT_ONCE: usize = 4;
+static TURNS: Semaphore = Semaphore::const_new(AT_ONCE);
 
 /// Returns the plan of a seed. Every fourth one goes up to the limits; in every fifth one, a node's
 /// log is not read; in every seventh one, engines do not look at fencing numbers; in every third one,
@@ -78,6 +80,12 @@
     }
 }
 
+/// Makes a run once it is its turn, and returns the rules that it broke.
+async fn run(plan: Plan) -> Vec<String> {
+    let _turn = TURNS.acquire().await;
+    soak::run(plan).await
+}
+
 #[rstest]
 #[case::ordinary(1)]
 #[case::to_the_limits(4)]
@@ -131,7 +139,7 @@
 }
 
 #[rstest]
-#[case::brittle(5003, BRITTLE)]
+#[case::brittle(5004, BRITTLE)]
 #[case::silent(5000, SILENCES)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn weak_upstreams_break_no_rule(#[case] seed: u64, #[case] extra: Extra) {
@@ -148,8 +156,8 @@
         .expect("HYSSOPSCALE_SOAK has the form FROM..TO");
     let (from, to): (u64, u64) = (from.parse().unwrap(), to.parse().unwrap());
     let mut broken = Vec::new();
-    for first in (from..to).step_by(AT_ONCE as usize) {
-        let seeds = first..to.min(first + AT_ONCE);
+    for first in (from..to).step_by(AT_ONCE) {
+        let seeds = first..to.min(first + AT_ONCE as u64);
         let runs =
             seeds.map(|seed| tokio::spawn(async move { (seed, run(chosen_plan(seed)).await) }));
         for run in runs.collect::<Vec<_>>() {
--- a/crates/hyssopscale/tests/soak/mod.rs
+++ b/crates/hyssopscale/tests/soak/mod.rs
@@ -23,6 +23,7 @@
 mod upstream;
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -51,6 +52,10 @@
 const FIRST_UPSTREAM_HOST: usize = 100;
 const STORE_HOST: usize = 250;
 
+/// Sites that this process has started, and how many have addresses of their own at a time.
+static SITES: AtomicU64 = AtomicU64::new(0);
+const SITES_MAX: u64 = 200;
+
 /// Time for the nodes to serve.
 const START_LIMIT: Duration = Duration::from_secs(30);
 
@@ -152,10 +157,11 @@
 }
 
 impl Site {
-    /// Starts the upstreams, and nodes at addresses that belong to the process and the seed.
+    /// Starts the upstreams, and nodes at addresses that belong to the process and the site.
     async fn start(plan: Plan) -> Self {
         let process = std::process::id() % 250;
-        let net = format!("127.{}.{process}", 16 + plan.seed % 200);
+        let site = SITES.fetch_add(1, Ordering::Relaxed) % SITES_MAX;
+        let net = format!("127.{}.{process}", 16 + site);
         let address = |host: usize, port: u16| -> SocketAddr {
             format!("{net}.{host}:{port}").parse().unwrap()
         };
