--- a/crates/hyssopscale/tests/fault_soak.rs
+++ b/crates/hyssopscale/tests/fault_soak.rs
@@ -7,7 +7,7 @@
 //! ```
 //!
 //! `HYSSOPSCALE_SOAK_WITH=cuts,peer-cuts` adds cuts of nodes from upstreams, and from each other;
-//! `in-touch` has no faults of their processes and the store.
+//! `brittle` has brittle upstreams, and `silences` sound ones that are silent for a second; `in-touch` has no faults of their processes and the store.
 //! `HYSSOPSCALE_SOAK_NODES=100` has more nodes, with a caller each at least.
 
 mod soak;
@@ -15,25 +15,43 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use soak::{Extra, Plan, run};
+use soak::{Extra, Plan};
+use tokio::sync::Semaphore;
 
 /// Nodes of a site.
 const NODES: usize = 4;
 
+/// Further callers before weak upstreams, while there are faults.
+const CROWD: usize = 112;
+
 /// Nodes in touch that are cut off from upstreams, and from each other.
-const CUTS: Extra = Extra {
-    cuts: true,
+const IN_TOUCH: Extra = Extra {
     in_touch: true,
+    cuts: false,
     peer_cuts: false,
+    brittle: false,
+    silences: false,
+};
+const CUTS: Extra = Extra {
+    cuts: true,
+    ..IN_TOUCH
 };
 const PEER_CUTS: Extra = Extra {
-    cuts: false,
-    in_touch: true,
     peer_cuts: true,
+    ..IN_TOUCH
+};
+const BRITTLE: Extra = Extra {
+    brittle: true,
+    ..IN_TOUCH
+};
+const SILENCES: Extra = Extra {
+    silences: true,
+    ..IN_TOUCH
 };
 
-/// Runs at a time by hand.
-const AT_ONCE: u64 = 4;
+/// Runs at a time.
+const AT_ONCE: usize = 4;
+static TURNS: Semaphore = Semaphore::const_new(AT_ONCE);
 
 /// Returns the plan of a seed. Every fourth one goes up to the limits; in every fifth one, a node's
 /// log is not read; in every seventh one, engines do not look at fencing numbers; in every third one,
@@ -57,10 +75,17 @@
         rates: !seed.is_multiple_of(2),
         restores: seed % 4 != 2,
         releases: seed % 4 != 2,
+        crowd: 0,
         extra: Extra::default(),
     }
 }
 
+/// Makes a run once it is its turn, and returns the rules that it broke.
+async fn run(plan: Plan) -> Vec<String> {
+    let _turn = TURNS.acquire().await;
+    soak::run(plan).await
+}
+
 #[rstest]
 #[case::ordinary(1)]
 #[case::to_the_limits(4)]
@@ -77,32 +102,51 @@
 #[case::from_peers(5001, PEER_CUTS)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn cut_nodes_break_no_rule(#[case] seed: u64, #[case] extra: Extra) {
-    let breaches = run(Plan {
-        extra,
-        ..plan(seed)
-    })
-    .await;
+    let breaches = run(extended(plan(seed), extra)).await;
     assert!(breaches.is_empty(), "seed {seed}: {breaches:#?}");
 }
 
+/// Returns a plan with further faults. Weak upstreams are asked for more than they can take.
+fn extended(plan: Plan, extra: Extra) -> Plan {
+    if !extra.brittle && !extra.silences {
+        return Plan { extra, ..plan };
+    }
+    Plan {
+        extra,
+        crowd: CROWD,
+        ..plan
+    }
+}
+
 /// Returns the plan of a seed that is run by hand.
 fn chosen_plan(seed: u64) -> Plan {
     let with = std::env::var("HYSSOPSCALE_SOAK_WITH").unwrap_or_default();
     let has = |name: &str| with.split(',').any(|part| part == name);
     let nodes = std::env::var("HYSSOPSCALE_SOAK_NODES").map_or(NODES, |text| text.parse().unwrap());
-    let plan = plan(seed);
+    let extra = Extra {
+        cuts: has("cuts"),
+        peer_cuts: has("peer-cuts"),
+        in_touch: has("in-touch"),
+        brittle: has("brittle"),
+        silences: has("silences"),
+    };
+    let plan = extended(plan(seed), extra);
     Plan {
         nodes,
         callers: plan.callers.max(nodes),
-        extra: Extra {
-            cuts: has("cuts"),
-            peer_cuts: has("peer-cuts"),
-            in_touch: has("in-touch"),
-        },
         ..plan
     }
 }
 
+#[rstest]
+#[case::brittle(5004, BRITTLE)]
+#[case::silent(5000, SILENCES)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn weak_upstreams_break_no_rule(#[case] seed: u64, #[case] extra: Extra) {
+    let breaches = run(extended(plan(seed), extra)).await;
+    assert!(breaches.is_empty(), "seed {seed}: {breaches:#?}");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 #[ignore = "run by hand, with the seeds in HYSSOPSCALE_SOAK"]
 async fn chosen_seeds_break_no_rule() {
@@ -112,8 +156,8 @@
         .expect("HYSSOPSCALE_SOAK has the form FROM..TO");
     let (from, to): (u64, u64) = (from.parse().unwrap(), to.parse().unwrap());
     let mut broken = Vec::new();
-    for first in (from..to).step_by(AT_ONCE as usize) {
-        let seeds = first..to.min(first + AT_ONCE);
+    for first in (from..to).step_by(AT_ONCE) {
+        let seeds = first..to.min(first + AT_ONCE as u64);
         let runs =
             seeds.map(|seed| tokio::spawn(async move { (seed, run(chosen_plan(seed)).await) }));
         for run in runs.collect::<Vec<_>>() {
--- a/crates/hyssopscale/tests/soak/fault/deed.rs
+++ b/crates/hyssopscale/tests/soak/fault/deed.rs
@@ -11,9 +11,12 @@
 use super::super::relay::Cut;
 use super::super::store::Copy;
 use super::super::upstream::Manner;
-use super::super::{Site, versioned};
+use super::super::{Site, UPSTREAMS, versioned};
 use super::Fault;
 
+/// Groups in which the nodes of a site are replaced one after the other.
+const GROUPS: usize = 4;
+
 impl Site {
     pub(super) async fn carry_out(&self, fault: &Fault) -> Option<(String, Instant)> {
         let upstreams = &self.upstreams;
@@ -26,8 +29,10 @@
             Fault::Stop { node, time } => self.nodes[node].stop(time).await,
             Fault::Replace { node } => self.nodes[node].replace(Duration::ZERO).await,
             Fault::ReplaceAll { gap } => {
-                for node in self.nodes.iter() {
-                    node.replace(gap / 2).await;
+                // Larger sites are replaced group by group.
+                for group in self.nodes.chunks(self.nodes.len().div_ceil(GROUPS)) {
+                    let replacing = group.iter().map(|node| node.replace(gap / 2));
+                    futures_util::future::join_all(replacing).await;
                     sleep(gap).await;
                 }
             }
@@ -97,6 +102,31 @@
                 sleep(time).await;
                 self.cut_from_peers(nodes, false);
             }
+            Fault::Brittle {
+                pool,
+                brittle,
+                time,
+            } => {
+                let those = &upstreams[pool * UPSTREAMS..(pool + 1) * UPSTREAMS];
+                those
+                    .iter()
+                    .for_each(|upstream| upstream.set_brittle(Some(brittle)));
+                sleep(time).await;
+                those.iter().for_each(|upstream| upstream.set_brittle(None));
+            }
+            Fault::Pause {
+                ref upstreams,
+                time,
+            } => {
+                let fault = proxy::Fault {
+                    pass: Pass::Neither,
+                    ..proxy::Fault::default()
+                };
+                let silent = upstreams
+                    .clone()
+                    .map(|upstream| self.disturb(upstream, fault, time));
+                futures_util::future::join_all(silent).await;
+            }
             Fault::Delay { upstream, time } => {
                 let fault = proxy::Fault {
                     latency_us: 20_000,
--- a/crates/hyssopscale/tests/soak/fault/draw.rs
+++ b/crates/hyssopscale/tests/soak/fault/draw.rs
@@ -8,7 +8,7 @@
 
 use super::super::UPSTREAMS;
 use super::super::relay::Cut;
-use super::super::upstream::Manner;
+use super::super::upstream::{Brittle, Manner};
 use super::Fault;
 
 pub(super) fn millis(rng: &mut StdRng, from: u64, to: u64) -> Duration {
@@ -280,3 +280,31 @@
         time: millis(rng, 400, 8_000),
     }
 }
+
+/// Draws a time in which a pool is brittle.
+pub(super) fn draw_brittle(rng: &mut StdRng, pool: usize) -> Fault {
+    let brittle = Brittle {
+        refusals: [2, 5, 20][rng.random_range(0..3)],
+        room: rng.random_range(0..=3),
+    };
+    Fault::Brittle {
+        pool,
+        brittle,
+        time: millis(rng, 6_000, 10_000),
+    }
+}
+
+/// Draws a silence of a sound upstream, or of all of its pool.
+pub(super) fn draw_pause(rng: &mut StdRng) -> Fault {
+    let upstream = rng.random_range(0..2 * UPSTREAMS);
+    let first = upstream / UPSTREAMS * UPSTREAMS;
+    let upstreams = if rng.random() {
+        first..first + UPSTREAMS
+    } else {
+        upstream..upstream + 1
+    };
+    Fault::Pause {
+        upstreams,
+        time: millis(rng, 700, 1_400),
+    }
+}
