Front: a silent upstream is left by the times of its route and its pool

What callers saw: where the upstreams of a pool were all silent for a second and went on, requests that may be repeated were sent again to upstreams that were silent as well. Their first runs, which went on, were thrown away, the retry budget was spent, and the upstreams counted as failed.

Cause: a request left an upstream after 400 ms without an answer (a service), 600 ms without a first event (an engine) or 1,200 ms between two events, whatever the route's times, the service's usual time and the other upstreams. That the upstream was sound was not noticed: each request left counted as a failure until successes outweighed it.

Change: exchange::silence. A request waits for as long as another upstream is likely to be on time by the latency target, for halfway to the end of its caller's patience where none can be, and for no less than the pool usually takes, which is learnt as round trips are in RFC 6298. It leaves for an upstream that was heard from since the other fell silent; where none was, one request of the node finds out. Attempts given up for silence are counted apart and undone by the upstream's next byte.

Why it works: a repeat helps only if the other upstream answers, which its bytes show, and only if there is time left for it. In a silence of the whole pool no upstream is heard from, so that nothing beyond the one request leaves until the first one goes on.

--- a/crates/exchange/src/fleet/mod.rs
+++ b/crates/exchange/src/fleet/mod.rs
@@ -6,8 +6,11 @@
 //!
 //! - [`listing`] defines the platform's listing of one upstream.
 //! - [`upstream`] holds the state of one upstream.
+//! - `score` counts failures, and `pools` what is known of the silence of each pool.
 
 pub mod listing;
+mod pools;
+mod score;
 pub mod upstream;
 
 use std::time::Duration;
@@ -18,6 +21,7 @@
 use crate::demand::Target;
 use crate::route::Config;
 pub use listing::{Holding, Listing, Load, Presence, Release, Version, release};
+use pools::Pools;
 pub use upstream::{AttemptResult, LISTING_LAG, UpstreamState};
 use upstream::{Residency, Source};
 
@@ -44,6 +48,7 @@
     versions: Vec<(Target, Version)>,
     /// Digest of `versions`.
     versions_digest: u64,
+    pools: Pools,
 }
 
 /// The effect of a listing.
@@ -330,13 +335,6 @@
         }
     }
 
-    /// Records that a byte was received from `id`.
-    pub fn byte_received(&mut self, now: Time, id: &str) {
-        if let Some(upstream) = self.upstream_mut(id) {
-            upstream.last_byte_at = now;
-        }
-    }
-
     /// Records the end of a request at `id`.
     pub fn request_ended(&mut self, now: Time, id: &str, result: AttemptResult) {
         let Some(upstream) = self.upstream_mut(id) else {
--- a/crates/exchange/src/fleet/upstream.rs
+++ b/crates/exchange/src/fleet/upstream.rs
@@ -5,6 +5,7 @@
 use wire::Time;
 
 use super::listing::{Holding, Listing, Load, Presence, Version};
+use super::score::Score;
 use crate::announced_rate::{AnnouncedRate, Rate};
 use crate::demand::Target;
 use crate::route::{Config, Engine};
@@ -19,27 +20,10 @@
 /// Age from which a reported load is ignored.
 const LOAD_AGE_MAX: Duration = Duration::from_secs(3);
 
-/// Weight of one failure in the failure score.
-const FAILURE_WEIGHT: f64 = 0.4;
-
-/// Weight of one success in the failure score.
-const SUCCESS_WEIGHT: f64 = 0.15;
-
-/// Half-life of the failure score after a single failure. It doubles with each consecutive failure,
-/// so that a dead upstream is tried less and less often.
-const FAILURE_HALF_LIFE: Duration = Duration::from_millis(700);
-
 /// Failure score at the end of a pause. It costs about as much as a few waiting requests, so that
 /// the upstream first receives only requests for which the others are busy.
 const PAUSE_FAILURE_SCORE: f64 = 0.1;
 
-/// Failure score below which an upstream counts as sound. Without a limit, an upstream that gets no
-/// requests would cost more than idle ones for many half-lives.
-const FAILURE_SCORE_MIN: f64 = 0.02;
-
-/// Maximum number of times that [`FAILURE_HALF_LIFE`] doubles.
-const HALF_LIFE_DOUBLINGS_MAX: u32 = 4;
-
 /// The residency of one target.
 #[derive(Clone, Debug)]
 pub(super) struct Residency {
@@ -65,8 +49,11 @@
 pub enum AttemptResult {
     /// The upstream answered.
     Success,
-    /// The attempt failed, was cut off, or got no answer.
+    /// The attempt failed or was cut off.
     Failed,
+    /// The upstream was silent towards all requests until the attempt was given up. This is undone
+    /// by its next byte.
+    Silent,
     /// The result says nothing about the upstream.
     Ignored,
 }
@@ -84,10 +71,10 @@
     pub running: u32,
     /// The last reported load, when it came, and `running` at that time.
     pub(super) reported: Option<(Time, Load, u32)>,
-    /// Failure score as of `score_at`.
-    score: f64,
-    score_at: Time,
-    consecutive_failures: u32,
+    /// Failures, apart from silence.
+    failures: Score,
+    /// Attempts that were given up since the last byte because it was silent.
+    silences: Score,
     /// Sorted by target.
     pub(super) residency: Vec<Residency>,
     /// Whether another process answers at its address.
@@ -103,7 +90,7 @@
     /// When another adapter could be loaded.
     pub(super) loads_done_at: Time,
     /// When the last byte was received.
-    pub(super) last_byte_at: Time,
+    pub(super) last_byte_at: Option<Time>,
     /// Since when an answer is awaited.
     pub(super) awaiting_since: Option<Time>,
 }
@@ -122,9 +109,8 @@
             engine: None,
             running: 0,
             reported: None,
-            score: 0.0,
-            score_at: now,
-            consecutive_failures: 0,
+            failures: Score::default(),
+            silences: Score::default(),
             residency: Vec::new(),
             excluded: false,
             shutting_down: false,
@@ -132,7 +118,7 @@
             rate: AnnouncedRate::default(),
             prefilled_at: now,
             loads_done_at: now,
-            last_byte_at: now,
+            last_byte_at: None,
             awaiting_since: None,
         };
         upstream.merge_holdings(now, Source::Listing);
@@ -201,8 +187,7 @@
         let limited = self.rate.rate().is_some();
         let news = self.rate.record(now, sent, rate);
         if limited && self.rate.rate().is_none() {
-            self.score = self.failure_score(now).max(PAUSE_FAILURE_SCORE);
-            self.score_at = now;
+            self.failures.raise(now, PAUSE_FAILURE_SCORE, now);
         }
         news
     }
@@ -210,8 +195,8 @@
     /// Starts or extends a pause. Requests return gradually after it, as after failures.
     pub(super) fn set_pause(&mut self, now: Time, time: Duration) {
         self.paused_until = self.paused_until.max(now + time);
-        self.score = self.failure_score(now).max(PAUSE_FAILURE_SCORE);
-        self.score_at = self.paused_until;
+        let until = self.paused_until;
+        self.failures.raise(now, PAUSE_FAILURE_SCORE, until);
     }
 
     /// Returns the residency of `target`.
@@ -278,25 +263,34 @@
 
     /// Returns its failure score, from 0 to 1.
     pub fn failure_score(&self, now: Time) -> f64 {
-        let doublings = self.consecutive_failures.saturating_sub(1);
-        let half_life = FAILURE_HALF_LIFE * (1 << doublings.min(HALF_LIFE_DOUBLINGS_MAX));
-        let age = now.saturating_sub(self.score_at).as_secs_f64();
-        let score = self.score * (-age / half_life.as_secs_f64()).exp2();
-        if score < FAILURE_SCORE_MIN {
-            0.0
-        } else {
-            score
-        }
+        self.failures.value(now).max(self.silences.value(now))
     }
 
     /// Returns how long it has sent nothing although an answer is awaited.
     pub fn silence(&self, now: Time) -> Duration {
         match self.awaiting_since {
-            Some(since) => now.saturating_sub(since.max(self.last_byte_at)),
+            Some(since) => now.saturating_sub(since.max(self.last_byte_at.unwrap_or_default())),
             None => Duration::ZERO,
         }
     }
 
+    /// Returns whether it has been silent for longer than `usual`, or attempts were given up since it
+    /// was heard from because it was silent.
+    pub fn is_silent(&self, now: Time, usual: Duration) -> bool {
+        self.silence(now) > usual || self.silences.value(now) > 0.0
+    }
+
+    /// Returns when the last byte was received from it, if any was.
+    pub const fn heard_at(&self) -> Option<Time> {
+        self.last_byte_at
+    }
+
+    /// Records that a byte was received.
+    pub(super) fn byte_received(&mut self, now: Time) {
+        self.last_byte_at = Some(now);
+        self.silences = Score::default();
+    }
+
     pub(super) fn position(&self, target: &Target) -> Result<usize, usize> {
         self.residency
             .binary_search_by(|residency| residency.target.cmp(target))
@@ -362,19 +356,12 @@
 
     /// Updates the failure score with the result of an attempt.
     pub(super) fn record_result(&mut self, now: Time, result: AttemptResult) {
-        let score = self.failure_score(now);
-        self.score = match result {
-            AttemptResult::Success => {
-                self.consecutive_failures = 0;
-                score * (1.0 - SUCCESS_WEIGHT)
-            }
-            AttemptResult::Failed => {
-                self.consecutive_failures += 1;
-                score + (1.0 - score) * FAILURE_WEIGHT
-            }
-            AttemptResult::Ignored => return,
-        };
-        self.score_at = now;
+        match result {
+            AttemptResult::Success => self.failures.succeed(now),
+            AttemptResult::Failed => self.failures.fail(now),
+            AttemptResult::Silent => self.silences.fail(now),
+            AttemptResult::Ignored => {}
+        }
     }
 
     /// Expects an overdue load at `at`, or gives it up after [`LOAD_TIMEOUT`].
--- a/crates/exchange/src/selection.rs
+++ b/crates/exchange/src/selection.rs
@@ -29,10 +29,6 @@
 /// Cost of another availability zone: two crossings, and the bytes transferred between zones.
 const CROSS_ZONE_COST_MS: f64 = 3.0;
 
-/// Silence after which an upstream that owes an answer counts as failing: several times the pause
-/// between two events of a stream, and less than the pause that makes a stream late.
-pub const SILENCE_MAX: Duration = Duration::from_millis(450);
-
 /// Cost of a load that has to wait for its turn.
 const QUEUED_LOAD_COST_MS: f64 = 280.0;
 
@@ -199,11 +195,12 @@
         Some(target) if requirements.service.engine.is_some() => {
             select_engine(fleet, requirements, context, target, &accepting)
         }
-        _ => select_plain(requirements, context, &accepting),
+        _ => select_plain(fleet, requirements, context, &accepting),
     }
 }
 
 fn select_plain<F>(
+    fleet: &Fleet,
     requirements: &Requirements<'_>,
     context: &SelectionContext<'_, F>,
     upstreams: &[&UpstreamState],
@@ -211,7 +208,7 @@
     let cost = |upstream: &UpstreamState| {
         let slots = f64::from(upstream.listing.slots.max(1));
         let load = f64::from(upstream.request_count(context.now)) / slots;
-        load * FULL_LOAD_COST_MS + common_cost(requirements, context, upstream)
+        load * FULL_LOAD_COST_MS + common_cost(fleet, requirements, context, upstream)
     };
     let best = cheapest(upstreams.iter().map(|upstream| (cost(upstream), *upstream)));
     best.map_or(Selection::None(Unavailable::NoUpstream), |upstream| {
@@ -247,7 +244,7 @@
             + queue_cost(now, upstream)
             + isolation_cost;
         (
-            cost + common_cost(requirements, context, upstream),
+            cost + common_cost(fleet, requirements, context, upstream),
             upstream,
         )
     });
@@ -454,12 +451,13 @@
 
 /// Returns the cost of failures, silence and distance, plus a tie breaker.
 fn common_cost<F>(
+    fleet: &Fleet,
     requirements: &Requirements<'_>,
     context: &SelectionContext<'_, F>,
     upstream: &UpstreamState,
 ) -> f64 {
-    let silence = upstream.silence(context.now);
-    let silence_cost = if silence > SILENCE_MAX {
+    let usual = fleet.silence_of(&requirements.service.name).avoid_after();
+    let silence_cost = if upstream.silence(context.now) > usual {
         FAILURE_COST_MS
     } else {
         0.0
--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -13,6 +13,7 @@
 use exchange::proof::Proof;
 use exchange::relay::Cursor;
 use exchange::selection::Requirements;
+use exchange::silence::{CHECK_INTERVAL, Wait};
 use http_body_util::Full;
 use hyper::header::CONTENT_LENGTH;
 use hyper::{HeaderMap, Request, Response, StatusCode};
@@ -30,20 +31,11 @@
 use super::visit::Visit;
 use crate::dialect::{Dialect, Echo, Mark};
 
-/// Time between two looks at whether an upstream has fallen silent.
-pub(super) const LOOK: Duration = Duration::from_millis(100);
+/// Longest time for which the body of a refusal is read.
+const REFUSAL_TIME: Duration = Duration::from_millis(100);
 
-/// Silence of a plain service that owes answers from which a request goes elsewhere: above its
-/// longest usual work.
-const SERVICE_SILENCE: Duration = Duration::from_millis(400);
-
-/// Silence of an engine from which a request without a first event goes elsewhere: longer than it
-/// reads the longest prompts, and short enough to be on time elsewhere.
-const ENGINE_SILENCE: Duration = Duration::from_millis(600);
-
-/// Silence of an engine from which a stream goes elsewhere: the stream is late already, and its
-/// caller waits for longer than this.
-const STREAM_SILENCE: Duration = Duration::from_millis(1_200);
+/// Reason of an attempt that ends because its upstream is silent.
+pub(super) const SILENT: &str = "silent";
 
 /// Pause after which an engine that refused for a load under way is tried again.
 const NOT_YET: Duration = Duration::from_millis(50);
@@ -141,7 +133,15 @@
         self.sends.push(runner.clone());
         self.attempts += 1;
         let until = self.terms.deadline;
-        let mut visit = Visit::new(&self.hub, &link, permit.request, target.clone(), until);
+        let pool = &self.service.name;
+        let mut visit = Visit::new(
+            &self.hub,
+            &link,
+            pool,
+            permit.request,
+            target.clone(),
+            until,
+        );
         let sent = self.hub.clock.now();
         let response = tokio::select! {
             response = self.head(&link, reuse, &visit, &release) => response,
@@ -167,7 +167,7 @@
                 visit.end(AttemptResult::Ignored);
                 let reason = self.refused(runner, target.as_ref(), parts.status, &mark);
                 // Read to its end, so that the connection is kept.
-                let _ = tokio::time::timeout(LOOK, body.collect()).await;
+                let _ = tokio::time::timeout(REFUSAL_TIME, body.collect()).await;
                 return self.failed(reason, Execution::NotRun(proof));
             }
             Worth::Void(reason) => {
@@ -182,6 +182,9 @@
                 opened = self.open(parts.status, headers, body, (visit, release.load(Ordering::Relaxed)), cursor) => opened,
                 () = self.conviction() => self.failed("convicted", Execution::Unknown),
             };
+            if let Tried::Open(open) = &opened {
+                open.visit.record_first_byte(self.reading());
+            }
             if let (Tried::Open(_), Some(tokens)) =
                 (&opened, self.ask.prompt.filter(|_| self.alone))
             {
@@ -190,6 +193,7 @@
             }
             return opened;
         }
+        visit.record_first_byte(self.reading());
         self.whole(parts.status, headers, mark, body, visit, sent)
             .await
     }
@@ -256,22 +260,47 @@
             })
         };
         let mut sending = pin!(link.send_if(call, wanted));
-        let limit = self.silence_limit();
-        let started = self.hub.clock.now();
+        let wait = self.wait(visit);
         loop {
-            let sleep = tokio::time::sleep(LOOK);
+            let sleep = tokio::time::sleep(CHECK_INTERVAL);
             tokio::select! {
                 response = &mut sending => return response.map_err(Headless::Failed),
-                () = sleep => {
-                    let waited = self.hub.clock.now().saturating_sub(started);
-                    if waited >= limit && visit.silence() >= limit && self.may_move() {
-                        return Err(Headless::Silent);
-                    }
-                }
+                () = sleep => if self.leaves(&wait, visit) {
+                    return Err(Headless::Silent);
+                },
             }
         }
     }
 
+    /// Returns the wait for the next byte that begins now.
+    fn wait(&self, visit: &Visit<D>) -> Wait {
+        let now = self.hub.clock.now();
+        let usual = self.hub.desk().fleet.silence_of(&self.service.name);
+        let (usual, reading) = if visit.has_begun() {
+            (usual.next, Duration::ZERO)
+        } else {
+            (usual.first, self.reading())
+        };
+        Wait {
+            since: visit.waiting_since(),
+            // A stream that pauses in the middle is late already.
+            on_time: if self.last_part.is_zero() {
+                self.terms.arrived + self.route.latency_target
+            } else {
+                Time::ZERO
+            },
+            useful: now + self.patience(),
+            mean: usual.mean() + reading,
+            usual: usual.bound() + reading,
+        }
+    }
+
+    /// Tells whether the request leaves its upstream, which is paid for here.
+    fn leaves(&self, wait: &Wait, visit: &Visit<D>) -> bool {
+        let silence = visit.silence();
+        wait.is_over(self.hub.clock.now(), silence) && self.may_move(silence)
+    }
+
     /// Waits until such requests are found to crash upstreams. A trial goes on all the same.
     pub(super) async fn conviction(&self) {
         if self.trial {
@@ -280,14 +309,6 @@
         self.hub.conviction(&self.features).await;
     }
 
-    fn silence_limit(&self) -> Duration {
-        if self.service.engine.is_some() {
-            ENGINE_SILENCE
-        } else {
-            SERVICE_SILENCE
-        }
-    }
-
     /// Takes a try back that has reached no upstream, or that one refused. A request stops knocking
     /// after some of these.
     fn take_back(&mut self) {
@@ -301,8 +322,8 @@
     async fn headless(&mut self, headless: &Headless, visit: &mut Visit<D>) -> Tried<D> {
         let error = match headless {
             Headless::Silent => {
-                visit.end(AttemptResult::Failed);
-                return self.failed("silent", Execution::Unknown);
+                visit.give_up();
+                return self.failed(SILENT, Execution::Unknown);
             }
             Headless::Convicted => {
                 visit.end(AttemptResult::Ignored);
@@ -317,6 +338,7 @@
             upstream::Error::Broken { .. } if error.reach() == Sent::MaybeSent => {
                 visit.break_off(&self.features).await;
             }
+            upstream::Error::Timeout { .. } if error.reach() == Sent::MaybeSent => visit.give_up(),
             _ => visit.end(AttemptResult::Failed),
         }
         let reach = match error.reach() {
@@ -461,7 +483,7 @@
                     return self.failed("cut", Execution::Unknown);
                 }
                 Next::Broken(reason) => {
-                    visit.end(AttemptResult::Failed);
+                    visit.give_up();
                     return self.failed(reason, Execution::Unknown);
                 }
             }
@@ -481,11 +503,7 @@
     /// Waits for the next part of a stream, until it ends, breaks or has to be given up.
     pub(super) async fn next(&self, body: &mut link::Body, visit: &Visit<D>) -> Next {
         let movable = self.route.kind.repeatable() && self.attempts < self.route.attempts;
-        let limit = if self.last_part.is_zero() {
-            ENGINE_SILENCE
-        } else {
-            STREAM_SILENCE
-        };
+        let wait = self.wait(visit);
         // Where bytes come without end, there is always a next part.
         if self.left().is_zero() {
             return Next::Broken("late");
@@ -501,9 +519,9 @@
                     Err(_) => Next::Cut,
                 },
                 () = tokio::time::sleep_until(deadline) => return Next::Broken("late"),
-                () = tokio::time::sleep(LOOK), if movable => {
-                    if visit.silence() >= limit && self.may_move() {
-                        return Next::Broken("silent");
+                () = tokio::time::sleep(CHECK_INTERVAL), if movable => {
+                    if self.leaves(&wait, visit) {
+                        return Next::Broken(SILENT);
                     }
                 }
             }
@@ -531,7 +549,7 @@
                 return self.failed("cut", Execution::Unknown);
             }
             Err(_) => {
-                visit.end(AttemptResult::Failed);
+                visit.give_up();
                 return self.failed("late", Execution::Unknown);
             }
         };
--- a/crates/gateway/src/front/job.rs
+++ b/crates/gateway/src/front/job.rs
@@ -380,16 +380,24 @@
         desk.spend.try_spend(now, &self.service.name, nodes)
     }
 
-    /// Tells whether the request may leave an upstream that still works on it: only where another
-    /// one can take it at once, which is paid for here.
-    pub(super) fn may_move(&self) -> bool {
+    /// Tells whether the request may leave an upstream that has been silent for `silence`: only where
+    /// another one can take it at once, which is paid for here.
+    pub(super) fn may_move(&self, silence: Duration) -> bool {
         let movable = self.route.kind.repeatable() && self.attempts < self.route.attempts;
         if !movable || self.left() < LEAST {
             return false;
         }
         let target = self.target();
-        let elsewhere = self.hub.pick(&self.need(target.as_ref()));
-        let paid = matches!(elsewhere, Selection::Send(_)) && self.pay();
+        let Selection::Send(other) = self.hub.pick(&self.need(target.as_ref())) else {
+            return false;
+        };
+        let (now, pool) = (self.hub.clock.now(), &self.service.name);
+        let sound = self.hub.desk().fleet.may_leave(now, pool, silence, &other);
+        let paid = sound && self.pay();
+        if paid {
+            let mut desk = self.hub.desk();
+            desk.fleet.record_leave(now, pool, silence, &other);
+        }
         self.prepaid.store(paid, Ordering::Relaxed);
         paid
     }
--- a/crates/gateway/src/front/stream.rs
+++ b/crates/gateway/src/front/stream.rs
@@ -12,7 +12,7 @@
 use node::front::{Body, Cut, Sender};
 use node::journal::DECISION;
 
-use super::attempt::{Next, Open, Tried};
+use super::attempt::{Next, Open, SILENT, Tried};
 use super::job::Job;
 use super::place::Placed;
 use crate::dialect::Dialect;
@@ -81,6 +81,7 @@
                     let reason = run.reason();
                     match run {
                         Run::Cut => open.visit.break_off(&self.features).await,
+                        Run::Broken(SILENT) => open.visit.give_up(),
                         _ => open.visit.end(AttemptResult::Failed),
                     }
                     info!(
--- a/crates/gateway/src/front/visit.rs
+++ b/crates/gateway/src/front/visit.rs
@@ -6,6 +6,7 @@
 use dispatch::culprit::{Event, Feature};
 use exchange::demand::Target;
 use exchange::fleet::AttemptResult;
+use exchange::route::PoolName;
 use upstream::link::Link;
 use wire::{Request, Time, Upstream};
 
@@ -20,6 +21,8 @@
 pub(super) struct Visit<D: Dialect> {
     hub: Arc<Hub<D>>,
     pub(super) runner: Upstream,
+    pool: PoolName,
+    sent: Time,
     heard: Time,
     /// When the first event of its stream came.
     began: Option<Time>,
@@ -49,6 +52,7 @@
     pub(super) fn new(
         hub: &Arc<Hub<D>>,
         link: &Link,
+        pool: &PoolName,
         request: Request,
         target: Option<Target>,
         until: Time,
@@ -64,6 +68,8 @@
         Self {
             hub: hub.clone(),
             runner: runner.clone(),
+            pool: pool.clone(),
+            sent: now,
             heard: now,
             began: None,
             survived: false,
@@ -99,10 +105,23 @@
         self.hub.desk().fleet.byte_received(now, &self.runner);
     }
 
+    /// Records the first byte of an answer whose prompt takes `reading` to read.
+    pub(super) fn record_first_byte(&self, reading: Duration) {
+        let took = self.heard.saturating_sub(self.sent);
+        let mut desk = self.hub.desk();
+        desk.fleet
+            .record_first_byte(&self.pool, took.saturating_sub(reading));
+    }
+
     /// Records an event of the stream.
     pub(super) fn hear_event(&mut self) {
+        let before = self.heard;
         self.hear();
         let (now, request) = (self.heard, self.request);
+        if self.began.is_some() {
+            let gap = now.saturating_sub(before);
+            self.hub.desk().fleet.record_event(&self.pool, gap);
+        }
         let began = *self.began.get_or_insert(now);
         if !self.survived && now >= began + SURVIVAL {
             self.survived = true;
@@ -120,6 +139,31 @@
         known.map_or(own, |runner| runner.silence(now).min(own))
     }
 
+    /// Returns whether an event of its stream has come.
+    pub(super) const fn has_begun(&self) -> bool {
+        self.began.is_some()
+    }
+
+    /// Returns when the wait for the next byte began: when the request was sent, or its last event came.
+    pub(super) const fn waiting_since(&self) -> Time {
+        if self.has_begun() {
+            self.heard
+        } else {
+            self.sent
+        }
+    }
+
+    /// Ends the count of a request that was given up while it waited: an upstream that is silent
+    /// towards all requests may be sound.
+    pub(super) fn give_up(&mut self) {
+        let usual = self.hub.desk().fleet.silence_of(&self.pool).first.bound();
+        self.end(if self.silence() > usual {
+            AttemptResult::Silent
+        } else {
+            AttemptResult::Failed
+        });
+    }
+
     /// Ends the count.
     pub(super) fn end(&mut self, verdict: AttemptResult) {
         if !self.over {
