Front: a call that may run once needs a new connection to a silent upstream

What callers saw: while an upstream answered none of the other requests, a call that may not be repeated was written to a connection to it that had been kept open. Where that connection led nowhere, the call ended without an answer, and nobody knew whether it had run.

Cause: a kept connection was judged by its own idle time alone, up to 1.5 s, and not by what the upstream's other connections showed meanwhile.

Change: where an upstream has been silent towards other requests for longer than its pool usually takes, or attempts were given up for its silence since its last byte, such a call is sent on a new connection.

Why it works: a new connection is answered by the upstream's machine before anything is written to it; one that cannot be opened leaves the call unsent, and it goes elsewhere.

--- a/crates/gateway/src/front/request.rs
+++ b/crates/gateway/src/front/request.rs
@@ -101,10 +101,14 @@
     }
 
     /// Returns which kept connections may carry the next try at `runner`: none that has carried an
-    /// earlier one, whose refusal may come again in place of this one's answer.
+    /// earlier one, whose refusal may come again in place of this one's answer. A call that may not be
+    /// repeated needs a new one where the upstream is silent, since a kept one may lead nowhere.
     pub(super) fn reuse(&self, runner: &Upstream) -> Reuse {
         let within = match self.route.kind {
             RouteKind::Idempotent | RouteKind::Stream { resumable: true } => Duration::MAX,
+            RouteKind::Once | RouteKind::Stream { resumable: false } if self.is_silent(runner) => {
+                return Reuse::Fresh;
+            }
             RouteKind::Once | RouteKind::Stream { resumable: false } => RECENT,
         };
         if self.sends.contains(runner) {
@@ -115,6 +119,15 @@
         }
     }
 
+    /// Returns whether `runner` has been silent towards other requests for longer than usual.
+    fn is_silent(&self, runner: &Upstream) -> bool {
+        let now = self.hub.clock.now();
+        let desk = self.hub.desk();
+        let usual = desk.fleet.silence_of(&self.service.name).first.bound();
+        let known = desk.fleet.upstream(runner);
+        known.is_some_and(|known| known.is_silent(now, usual))
+    }
+
     /// Returns whether the request may still be written: its features may have been convicted while
     /// its connection was opened.
     fn may_go(&self) -> bool {
