Sockets: peers whose machine has gone are noticed in seconds

What callers and operators could see: a caller's machine that vanished kept its request, its engine and its place until the work was done, and where its answer filled the buffers, for the quarter of an hour that the system sends segments again. Links to upstreams, to the platform and between nodes that led nowhere were kept as long.

Cause: no connection had keep-alive or TCP_USER_TIMEOUT. None of the libraries in use sets them: hyper, tokio, jsonrpsee's server and its WebSocket transport; the pooled client of hyper-util would, and is not used.

Change: the crate `socket` names the options of each kind of connection and sets them. On Linux TCP_USER_TIMEOUT also decides when keep-alive gives up, whatever its count, so that both agree. It counts the time for which a slow reader accepts no bytes as well: callers have none while they wait for an answer, so that the count holds (5 s), and 30 s from the first byte of the answer on. Nodes listen for peers on a socket of their own, from which the accepted connections inherit the options.

Not shown by a run: a machine that really vanishes; packets cannot be dropped here without rights.

--- a/crates/node/src/front/caller.rs
+++ b/crates/node/src/front/caller.rs
@@ -59,6 +59,7 @@
             stream,
             ahead: BytesMut::new(),
             ended: false,
+            writing: false,
             reader: None,
         }));
         let connection = Self {
@@ -94,6 +95,8 @@
     ahead: BytesMut,
     /// Whether nothing more can be read.
     ended: bool,
+    /// Whether an answer is being written.
+    writing: bool,
     /// The task that waits for bytes.
     reader: Option<Waker>,
 }
@@ -115,6 +118,9 @@
                 Err(_) => self.ended = true,
             }
         }
+        if self.ahead.len() > before {
+            self.set_writing(false);
+        }
         if self.ended || self.ahead.len() > before {
             // The runtime does not tell of what is read here.
             self.reader.take().into_iter().for_each(Waker::wake);
@@ -154,9 +160,28 @@
             return Poll::Pending;
         };
         self.ended |= read.is_err() || buffer.filled().len() == before;
+        if !self.ended {
+            self.set_writing(false);
+        }
         Poll::Ready(read)
     }
 
+    /// Notes that bytes of the caller have come, or that an answer is written. While one is, the time
+    /// for which a slow caller may accept no bytes holds, instead of keep-alive.
+    fn set_writing(&mut self, writing: bool) {
+        if self.writing == writing {
+            return;
+        }
+        self.writing = writing;
+        let timeout = if writing {
+            Some(socket::CALLER_WRITE_TIMEOUT)
+        } else {
+            socket::CALLER.user_timeout
+        };
+        // A socket that takes no options is closed already.
+        let _ = socket::set_user_timeout(&self.stream, timeout);
+    }
+
     fn wait(&mut self, cx: &Context<'_>) {
         let waker = cx.waker();
         if !self
@@ -181,7 +206,9 @@
 
 impl AsyncWrite for Stream {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<Result<usize>> {
-        Pin::new(&mut lock(&self.0).stream).poll_write(cx, bytes)
+        let mut socket = lock(&self.0);
+        socket.set_writing(true);
+        Pin::new(&mut socket.stream).poll_write(cx, bytes)
     }
 
     fn poll_write_vectored(
@@ -189,7 +216,9 @@
         cx: &mut Context<'_>,
         slices: &[std::io::IoSlice<'_>],
     ) -> Poll<Result<usize>> {
-        Pin::new(&mut lock(&self.0).stream).poll_write_vectored(cx, slices)
+        let mut socket = lock(&self.0);
+        socket.set_writing(true);
+        Pin::new(&mut socket.stream).poll_write_vectored(cx, slices)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/node/src/front/listener.rs
+++ b/crates/node/src/front/listener.rs
@@ -125,6 +125,7 @@
     };
     // Small token chunks must not wait for each other.
     let _ = stream.set_nodelay(true);
+    let _ = socket::apply(&stream, &socket::CALLER);
     tokio::spawn(async move {
         let (connection, stream) = Connection::new(stream);
         let serving = async {
--- a/crates/node/src/peer/inbox.rs
+++ b/crates/node/src/peer/inbox.rs
@@ -8,6 +8,7 @@
 use jsonrpsee::core::middleware::{Batch, Notification, RpcServiceBuilder, RpcServiceT};
 use jsonrpsee::server::{RpcModule, Server, ServerConfig, ServerHandle};
 use jsonrpsee::types::Request;
+use tokio::net::TcpListener;
 use wire::Frame;
 use wire::seal::Seal;
 
@@ -45,11 +46,13 @@
             .max_connections(CONNECTIONS_MAX)
             .ws_only()
             .build();
+        let listener = TcpListener::bind(address).await?;
+        // The connections that it accepts inherit them.
+        socket::apply(&listener, &socket::PEER)?;
         let server = Server::builder()
             .set_config(config)
             .set_rpc_middleware(middleware)
-            .build(address)
-            .await?;
+            .build_from_tcp(listener.into_std()?)?;
         let address = server.local_addr()?;
         let handle = server.start(RpcModule::new(()));
         Ok(Self { address, handle })
--- a/crates/node/src/peer/outbox.rs
+++ b/crates/node/src/peer/outbox.rs
@@ -9,6 +9,7 @@
 use jsonrpsee::core::client::ClientT;
 use jsonrpsee::rpc_params;
 use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
+use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use wire::seal::Seal;
 use wire::{Frame, Vm};
@@ -125,8 +126,12 @@
 
 async fn connect(address: SocketAddr) -> Option<WsClient> {
     let url = format!("ws://{address}");
-    let build = WsClientBuilder::default()
-        .connection_timeout(STEP_TIMEOUT)
-        .build(&url);
-    tokio::time::timeout(STEP_TIMEOUT, build).await.ok()?.ok()
+    let connecting = async {
+        let stream = TcpStream::connect(address).await.ok()?;
+        stream.set_nodelay(true).ok()?;
+        socket::apply(&stream, &socket::PEER).ok()?;
+        let builder = WsClientBuilder::default().connection_timeout(STEP_TIMEOUT);
+        builder.build_with_stream(&url, stream).await.ok()
+    };
+    tokio::time::timeout(STEP_TIMEOUT, connecting).await.ok()?
 }
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -110,6 +110,8 @@
             .await
             .map_err(|_| Error::Timeout(self.limits.connect))?
             .map_err(|error| self.unreachable(error))?;
+        // A socket that takes no options is closed already.
+        let _ = socket::apply(&stream, &socket::UPSTREAM);
         timeout(query.answer, self.exchange(address, stream, query))
             .await
             .map_err(|_| Error::Timeout(query.answer))?
--- a/crates/upstream/src/link/conn.rs
+++ b/crates/upstream/src/link/conn.rs
@@ -34,6 +34,8 @@
 impl Conn {
     /// Prepares HTTP on an open stream; nothing is written.
     pub(super) async fn open(stream: TcpStream, head_bytes: usize) -> hyper::Result<Self> {
+        // A socket that takes no options is closed already.
+        let _ = socket::apply(&stream, &socket::UPSTREAM);
         let traffic = Arc::new(Traffic::default());
         let counter = Counter {
             stream,
