Settings: the default of limits.memory_mb follows from the machine

What operators could see: a node on a machine with less than a gigabyte held bodies until the system ended it, although limits.memory_mb was meant to bound them.

Cause: the default was 1,024 MB whatever the machine had. A bound above the memory is none.

Change: unless it is set, it is half of what /proc/meminfo and the control group's memory.max tell, 1,024 MB at most as before and 32 MB at least.

--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -2,11 +2,13 @@
 //!
 //! [`Settings::parse`] reads each key on its own, so that one report names every unknown key and
 //! every value of the wrong type, then checks the values against each other. The sections are
-//! in [`section`], their checks in the same order in `check`; a [`Fault`] is one finding. A short
+//! in [`section`], their checks in the same order in `check`; a [`Fault`] is one finding. [`machine`]
+//! tells of the memory from which a default follows. A short
 //! file works: only the VM's place, the platform's addresses and the peers' key have no default.
 
 mod check;
 mod load;
+pub mod machine;
 pub mod section;
 
 use std::collections::BTreeMap;
--- a/crates/settings/src/section.rs
+++ b/crates/settings/src/section.rs
@@ -7,6 +7,8 @@
 
 use serde::Deserialize;
 
+use crate::machine;
+
 /// `[vm]`: which VM this is and where it stands. All three keys are required.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -116,8 +118,8 @@
     pub streams: usize,
     /// Requests that may wait for admission.
     pub queue: usize,
-    /// Megabytes that the process may use. Bodies of requests and answers that are held as a whole take
-    /// half of them at most.
+    /// Megabytes that the process may use; half of the machine's memory by default, 1,024 at most. Bodies
+    /// of requests and answers that are held as a whole take half of them at most.
     pub memory_mb: usize,
     /// Bytes of a frame between nodes.
     pub frame_bytes: usize,
@@ -141,7 +143,7 @@
             connections: 4096,
             streams: 1024,
             queue: 2048,
-            memory_mb: 1024,
+            memory_mb: machine::default_memory_mb(),
             frame_bytes: 1 << 20,
             witnesses: 7,
         }
