Services: a call leaves a service that never answers, by the product's own front

What callers saw: a call that may be repeated and was sent to a service that hangs without a reset was left there until its own deadline, and lost, while the other services of the pool answered.

Cause: the front left an upstream only when its connection broke or time.first_byte was over, a minute.

Change: the decisions of the platform's path, which move to dispatch::silence, hold for plain services here too. These routes have no latency target, so that a call leaves halfway to its deadline, and no sooner than the pool usually takes, if the service has been silent towards all calls of the node and another one has answered meanwhile. It is paid for from both retry budgets before it leaves; where they are empty it waits on. Calls that may run once never leave.

Why it works: half of its time is enough for a call whose pool usually takes less than that; a pool that is silent as a whole is not left, since none of it was heard from.

Engines by this front are left by time.first_byte and time.idle alone, as before.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`retry`] decides what a request does after a failed attempt, within its budgets.
 //! - [`health`] decides which upstreams may be tried, and how many requests each may have.
 //! - [`poison`] refuses a request before it crashes a third upstream.
+//! - [`silence`] decides when a request leaves an upstream that is silent.
 //!
 //! The table of failure points and outcomes is in `docs/outcomes.md`.
 
@@ -15,6 +16,7 @@
 pub mod outcome;
 pub mod poison;
 pub mod retry;
+pub mod silence;
 
 pub use attempt::Attempt;
 pub use culprit::CulpritDetector;
--- a/crates/dispatch/src/retry.rs
+++ b/crates/dispatch/src/retry.rs
@@ -172,6 +172,8 @@
     attempts_started: u32,
     seed: u64,
     hedged: bool,
+    /// Whether the next attempt is paid for already.
+    prepaid: bool,
 }
 
 impl Retry {
@@ -186,6 +188,7 @@
             attempts_started: 0,
             seed,
             hedged: false,
+            prepaid: false,
         }
     }
 
@@ -243,8 +246,10 @@
         if let Some(reason) = self.stop_reason(at, failure, progress, caller, upstream) {
             return self.stop(failure, reason, pause);
         }
-        caller.withdraw();
-        upstream.withdraw();
+        if !std::mem::take(&mut self.prepaid) {
+            caller.withdraw();
+            upstream.withdraw();
+        }
         match &progress.model {
             Some(model) if progress.tokens > 0 => Next::Resume {
                 at,
@@ -255,6 +260,18 @@
         }
     }
 
+    /// Returns whether the request may leave an upstream that still works on it, and pays for the next
+    /// attempt. Only requests that may be repeated leave.
+    pub fn leave(&mut self, now: Time, caller: &mut Budget, upstream: &mut Budget) -> bool {
+        let allowed = self.kind == Kind::Idempotent && self.attempts_left > 0;
+        let affordable = caller.has_token() && upstream.has_token();
+        if !allowed || !affordable || now >= self.deadline {
+            return false;
+        }
+        self.prepaid = true;
+        caller.withdraw() && upstream.withdraw()
+    }
+
     /// Returns whether a second attempt may run in parallel with a slow first one, and pays for it.
     /// Only idempotent requests are hedged, and only once.
     pub fn hedge(&mut self, now: Time, caller: &mut Budget, upstream: &mut Budget) -> bool {
@@ -286,7 +303,7 @@
             Some(StopReason::Deadline)
         } else if self.attempts_left == 0 {
             Some(StopReason::Attempts)
-        } else if !caller.has_token() || !upstream.has_token() {
+        } else if !self.prepaid && (!caller.has_token() || !upstream.has_token()) {
             Some(StopReason::Budget)
         } else {
             None
--- a/crates/exchange/src/silence.rs
+++ b/crates/dispatch/src/silence/mod.rs
@@ -7,10 +7,14 @@
 //!
 //! Usual times are a smoothed mean with its mean deviation, as those of round trips in RFC 6298.
 
+mod tracker;
+
 use std::time::Duration;
 
 use wire::Time;
 
+pub use tracker::Tracker;
+
 /// Interval at which the silence of an upstream is looked at.
 pub const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
--- a/crates/exchange/src/fleet/pools.rs
+++ b/crates/exchange/src/fleet/pools.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
+use dispatch::silence::PoolSilence;
 use wire::Time;
 
 use super::Fleet;
 use crate::route::PoolName;
-use crate::silence::PoolSilence;
 
 /// The pools, sorted by name.
 #[derive(Clone, Debug, Default)]
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -15,7 +15,6 @@
 //! - [`fleet`] is this node's view of the upstreams: listings, residency, load and failures.
 //! - [`selection`] selects the upstream for a request, or reports why none can serve it.
 //! - [`search`] finds an engine for one request, or refuses it if none can serve it in time.
-//! - [`silence`] decides when a request leaves an upstream that is silent.
 //! - [`demand`] tracks the request rate of each adapter.
 //! - [`prompt`] names the parts of prompts that requests share.
 //! - [`prefill_limit`] limits prefills on an engine so that its streams do not pause.
@@ -49,7 +48,6 @@
 pub mod route;
 pub mod search;
 pub mod selection;
-pub mod silence;
 pub mod stream_origin;
 pub mod tenant;
 
--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use dispatch::silence::{CHECK_INTERVAL, Wait};
 use exchange::Selection;
 use exchange::announced_rate::RateDecision;
 use exchange::demand::Target;
@@ -13,7 +14,6 @@
 use exchange::proof::Proof;
 use exchange::relay::Cursor;
 use exchange::selection::Requirements;
-use exchange::silence::{CHECK_INTERVAL, Wait};
 use http_body_util::Full;
 use hyper::header::CONTENT_LENGTH;
 use hyper::{HeaderMap, Request, Response, StatusCode};
--- a/crates/node/src/front/service/job.rs
+++ b/crates/node/src/front/service/job.rs
@@ -7,6 +7,7 @@
 use dispatch::outcome::Kind;
 use dispatch::poison::Fingerprint;
 use dispatch::retry::{self, Next, Progress, Retry};
+use dispatch::silence::CHECK_INTERVAL;
 use hyper::header::{HOST, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Response, StatusCode};
@@ -19,7 +20,7 @@
 use wire::{Priority, Time};
 
 use crate::core::sign_leaving;
-use crate::directory::{Flight, Link, Runner};
+use crate::directory::{Directory, Flight, Link, Runner};
 use crate::front::gate::{self, Place, Trial};
 use crate::front::handler::{Front, RETRY_ELSEWHERE};
 use crate::front::identity::{Identity, text};
@@ -148,10 +149,8 @@
             }
             retry.start_attempt(now);
             shared.trials.started(now, &runner.pool, &runner.id);
-            return match self
-                .send(&runner, retry.attempts_started(), reuse, trial)
-                .await
-            {
+            let tried = (&mut *retry, &**avoid);
+            return match self.send(&runner, tried, reuse, trial).await {
                 Ok(answer) => Sent::Answer(Box::new(answer)),
                 Err((trial, error)) => {
                     self.note_failure(&runner, trial, &error).await;
@@ -212,20 +211,8 @@
     pub(super) async fn choose(&self, avoid: &[wire::Upstream]) -> Option<Runner> {
         let shared = &self.front.shared;
         let directory = shared.directory.load_full();
-        let ward = self
-            .front
-            .core
-            .confine(self.print, directory.pool(&self.pool))
-            .await;
-        let now = shared.clock.now();
-        let usable = directory.runners().iter().filter(|runner| {
-            let fits = runner.pool == self.pool && !runner.leaving && !avoid.contains(&runner.id);
-            let allowed = ward.as_ref().is_none_or(|ward| *ward == runner.id);
-            fits && allowed && healthy(shared.trials.admit(now, &runner.pool, &runner.id))
-        });
-        let zone = &shared.settings.vm.zone;
-        let best = usable.min_by_key(|runner| (runner.load(), runner.zone != *zone));
-        let best = best.cloned()?;
+        let ward = self.ward(&directory).await;
+        let best = self.best(&directory, ward.as_ref(), avoid).cloned()?;
         log::info!(
             target: DECISION,
             request = self.name.as_str(), upstream:% = best.id, in_flight = best.load(),
@@ -235,13 +222,68 @@
         Some(best)
     }
 
+    /// Returns the only upstream that a call may go to which is suspected of crashing upstreams.
+    async fn ward(&self, directory: &Directory) -> Option<wire::Upstream> {
+        let pool = directory.pool(&self.pool);
+        self.front.core.confine(self.print, pool).await
+    }
+
+    fn best<'a>(
+        &self,
+        directory: &'a Directory,
+        ward: Option<&wire::Upstream>,
+        avoid: &[wire::Upstream],
+    ) -> Option<&'a Runner> {
+        let shared = &self.front.shared;
+        let now = shared.clock.now();
+        let usable = directory.runners().iter().filter(|runner| {
+            let fits = runner.pool == self.pool && !runner.leaving && !avoid.contains(&runner.id);
+            let allowed = ward.is_none_or(|ward| *ward == runner.id);
+            fits && allowed && healthy(shared.trials.admit(now, &runner.pool, &runner.id))
+        });
+        let zone = &shared.settings.vm.zone;
+        usable.min_by_key(|runner| (runner.load(), runner.zone != *zone))
+    }
+
+    /// Waits until the call should leave a silent upstream for another one, which is paid for then.
+    async fn silence(
+        &self,
+        runner: &Runner,
+        since: Time,
+        (retry, avoid): (&mut Retry, &[wire::Upstream]),
+    ) {
+        let shared = &self.front.shared;
+        let until = self.identity.deadline;
+        let wait = shared.trials.wait(since, &runner.pool, until);
+        let (RetryPolicy::Idempotent, Some(wait)) = (self.repeat, wait) else {
+            return std::future::pending().await;
+        };
+        loop {
+            tokio::time::sleep(CHECK_INTERVAL).await;
+            if shared.clock.now() < since + wait.limit() {
+                continue;
+            }
+            let directory = shared.directory.load_full();
+            let ward = self.ward(&directory).await;
+            let Some(other) = self.best(&directory, ward.as_ref(), avoid) else {
+                continue;
+            };
+            let (now, caller) = (shared.clock.now(), &self.identity.caller);
+            let way = (&*runner.pool, &runner.id, &other.id);
+            if shared.trials.leaves(now, retry, &wait, caller, way) {
+                return;
+            }
+        }
+    }
+
     pub(super) async fn send(
         &self,
         runner: &Runner,
-        attempt: u32,
+        (retry, avoid): (&mut Retry, &[wire::Upstream]),
         reuse: Reuse,
         trial: Trial,
     ) -> Result<Answer, (Trial, Error)> {
+        let attempt = retry.attempts_started();
         let Link::Service(service) = &runner.link else {
             let upstream = runner.id.clone();
             let cause = "the pool holds engines".to_owned();
@@ -260,21 +302,28 @@
         };
         let deadline = self.front.shared.clock.instant(self.identity.deadline);
         let wanted = || !self.caller.has_left();
-        let answered = tokio::time::timeout_at(deadline, service.call_if(call, wanted)).await;
-        let answered = answered.unwrap_or_else(|_| {
+        let silent = || {
             Err(Error::Timeout {
                 upstream: runner.id.clone(),
                 phase: Phase::Head,
-                limit: self.identity.deadline.saturating_sub(since),
+                limit: self.front.shared.clock.now().saturating_sub(since),
                 reach: Reach::MaybeSent,
             })
-        });
+        };
+        let answered = tokio::select! {
+            biased;
+            answered = service.call_if(call, wanted) => answered,
+            () = tokio::time::sleep_until(deadline) => silent(),
+            () = self.silence(runner, since, (retry, avoid)) => silent(),
+        };
         match answered {
             Ok(response) => {
+                let shared = &self.front.shared;
+                let now = shared.clock.now();
+                let took = now.saturating_sub(since);
+                shared.trials.heard(now, &runner.pool, &runner.id, took);
                 let (head, body) = response.into_parts();
                 if let Some(pause) = upstream::header::pause(head.status, &head.headers) {
-                    let shared = &self.front.shared;
-                    let now = shared.clock.now();
                     shared.trials.paused(now, &runner.pool, &runner.id, pause);
                 }
                 Ok(Answer {
--- a/crates/node/src/trials.rs
+++ b/crates/node/src/trials.rs
@@ -9,6 +9,7 @@
 
 use dispatch::health::{self, Admission, AttemptResult, Health};
 use dispatch::retry::{self, Budget, Failure, Next, Progress, Retry};
+use dispatch::silence::{Tracker, Wait};
 use wire::{Caller, Machine, Time, Upstream};
 
 use crate::journal::DECISION;
@@ -29,6 +30,7 @@
 struct Pool {
     members: Vec<Upstream>,
     health: Health,
+    silence: Tracker,
 }
 
 impl Trials {
@@ -81,6 +83,7 @@
                     Pool {
                         members: Vec::new(),
                         health,
+                        silence: Tracker::default(),
                     },
                 ));
                 let last = pools.last_mut().expect("a pool was pushed");
@@ -88,6 +91,7 @@
             }
         };
         known.members.clone_from(&members);
+        known.silence.retain(&members);
         step(known, now, health::Event::Pool(members));
     }
 
@@ -103,11 +107,48 @@
     /// Counts an attempt that starts.
     pub fn started(&self, now: Time, pool: &str, upstream: &Upstream) {
         self.step(now, pool, health::Event::Started(upstream.clone()));
+        self.track(pool, |silence| silence.started(now, upstream));
+    }
+
+    /// Records that the answer to a request has begun `took` after it was sent.
+    pub fn heard(&self, now: Time, pool: &str, upstream: &Upstream, took: Duration) {
+        self.track(pool, |silence| silence.heard(now, upstream, took));
+    }
+
+    /// Returns the wait for the answer to a request that is sent now and useful until `until`.
+    pub fn wait(&self, now: Time, pool: &str, until: Time) -> Option<Wait> {
+        self.track(pool, |silence| silence.wait(now, until))
+    }
+
+    /// Returns whether a request of `caller` leaves the silent upstream `from` for `to`, and pays for that.
+    pub fn leaves(
+        &self,
+        now: Time,
+        retry: &mut Retry,
+        wait: &Wait,
+        caller: &Caller,
+        (pool, from, to): (&str, &Upstream, &Upstream),
+    ) -> bool {
+        let leaves = self.track(pool, |silence| silence.leaves(now, wait, from, to));
+        if leaves != Some(true) {
+            return false;
+        }
+        let mut callers = lock(&self.callers);
+        let mut upstreams = lock(&self.upstreams);
+        let caller = budget(&mut callers, caller, &self.config);
+        let upstream = budget(&mut upstreams, from, &self.config);
+        let paid = retry.leave(now, caller, upstream);
+        drop((callers, upstreams));
+        if paid {
+            self.track(pool, |silence| silence.left(now, from, to));
+        }
+        paid
     }
 
     /// Counts how an attempt ended.
     pub fn ended(&self, now: Time, pool: &str, upstream: &Upstream, verdict: AttemptResult) {
         self.step(now, pool, health::Event::Ended(upstream.clone(), verdict));
+        self.track(pool, |silence| silence.ended(upstream));
     }
 
     /// Counts that an upstream's process started anew.
@@ -121,6 +162,12 @@
         self.step(now, pool, health::Event::Paused(upstream.clone(), time));
     }
 
+    fn track<T>(&self, pool: &str, step: impl FnOnce(&mut Tracker) -> T) -> Option<T> {
+        let mut pools = lock(&self.pools);
+        let known = pools.iter_mut().find(|(name, _)| name == pool);
+        known.map(|(_, known)| step(&mut known.silence))
+    }
+
     fn step(&self, now: Time, pool: &str, event: health::Event) {
         let mut pools = lock(&self.pools);
         if let Some((_, known)) = pools.iter_mut().find(|(name, _)| name == pool) {
