--- a/crates/upstream/src/link/conn.rs
+++ b/crates/upstream/src/link/conn.rs
@@ -40,6 +40,8 @@
     /// Prepares HTTP on an open stream; nothing is written.
     pub(super) async fn open(opened: Opened, head_bytes: usize) -> hyper::Result<Self> {
         let Opened { stream, way } = opened;
+        // A socket that takes no options is closed already.
+        let _ = socket::apply(&stream, &socket::UPSTREAM);
         let traffic = Arc::new(Traffic::default());
         let counter = Counter {
             stream,
