Crashed upstreams are found out whatever peers say

Whether an upstream that broke a request off has ended was asked of peers one after the other, and nothing was concluded unless they were refused too. Peers that are killed, slow, or were asked a moment ago say nothing, so that crashes were not reported and the requests behind them not convicted.

Three peers are now asked at a time. One that reaches the upstream says that it lives; where none does and this node's connection was refused, it has ended, as before there were peers. Only a node that has lost several upstreams needs the refusals of peers as well.

--- a/crates/hyssopscale/tests/soak/process.rs
+++ b/crates/hyssopscale/tests/soak/process.rs
@@ -101,6 +101,7 @@
             ("{{listen.ready}}", &format!("{ip}:8141")),
             ("{{listen.directory}}", &format!("{ip}:8143")),
             ("{{ip}}:{{internal_ports.0}}", &format!("{ip}:7380")),
+            ("{{ip}}:{{internal_ports.1}}", &format!("{ip}:7395")),
             ("{{platform.address}}", &site.store.to_string()),
             ("{{bounds.retry_budget_ratio}}", "0.2"),
             ("{{bounds.retry_budget_extra}}", "54"),
--- a/crates/upstream/src/path/mod.rs
+++ b/crates/upstream/src/path/mod.rs
@@ -186,15 +186,15 @@
         self.peers.sort_unstable_by(|a, b| a.vm.cmp(&b.vm));
     }
 
-    /// Tells whether no peer is live that could open connections.
-    pub fn is_alone(&self) -> bool {
-        self.peers.is_empty()
+    /// Tells whether this node seems to be partitioned from several upstreams.
+    pub const fn is_suspected(&self) -> bool {
+        self.suspected_since.is_some()
     }
 
     /// Says how to open a connection to `upstream`.
     pub fn step(&mut self, now: Time, upstream: &Upstream) -> Step {
         let suspected = self.suspected_since;
-        let alone = self.is_alone();
+        let alone = self.peers.is_empty();
         let state = self.state(now, upstream);
         state.used_at = now;
         match state.standing {
@@ -320,7 +320,7 @@
     /// Tells whether to check the path to an upstream that has been silent since `since`, or that broke
     /// a request off then.
     pub fn may_check(&mut self, now: Time, upstream: &Upstream, since: Time) -> bool {
-        let alone = self.is_alone();
+        let alone = self.peers.is_empty();
         let state = self.state(now, upstream);
         let due = !alone && now >= state.next_check && state.heard_at <= since;
         if due {
--- a/crates/upstream/src/relay/router.rs
+++ b/crates/upstream/src/relay/router.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use tokio::net::TcpStream;
+use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, timeout};
 use wire::seal::Seal;
 use wire::{Incarnation, Time, Upstream, Vm, Zone};
@@ -26,6 +27,9 @@
 /// that has ended, or before a network that is partitioned, takes it and closes it.
 const HOLD: Duration = Duration::from_millis(50);
 
+/// Peers that are asked at a time in a check.
+const ASKED_TOGETHER: usize = 3;
+
 /// Connections by way.
 #[derive(Debug, Default)]
 pub struct Counts {
@@ -145,8 +149,9 @@
         }
     }
 
-    /// Finds out whether `upstream` takes connections.
-    pub async fn check(&self, upstream: &Upstream, address: SocketAddr) -> Verdict {
+    /// Finds out whether `upstream` takes connections. Where this node's are refused and no peer reaches it,
+    /// it counts as refusing all, unless this node seems to be partitioned from several upstreams.
+    pub async fn check(self: &Arc<Self>, upstream: &Upstream, address: SocketAddr) -> Verdict {
         self.counts.checks.fetch_add(1, Ordering::Relaxed);
         let refused = match timeout(CHECK_LIMIT, self.direct(address)).await {
             Ok(Ok(stream)) if stays_open(&stream).await => {
@@ -162,31 +167,48 @@
             upstream: upstream.clone(),
             address,
         };
-        if self.paths().is_alone() {
-            return if refused {
-                Verdict::Refused
-            } else {
-                Verdict::Unknown
-            };
-        }
-        let relayed = self.through_peer(&target, true).await;
+        let relay = self.ask_together(&target).await;
         let now = self.now();
         let mut paths = self.paths();
         paths.check_failed(now, upstream);
-        match relayed {
-            Ok((_, peer)) => {
-                paths.relayed(now, upstream, &peer);
-                Verdict::Reached
-            }
-            Err(failure) => {
-                paths.unreached(now, upstream);
-                if refused && failure == Failure::Refused {
-                    Verdict::Refused
-                } else {
-                    Verdict::Unknown
+        if let Some(peer) = relay {
+            paths.relayed(now, upstream, &peer);
+            return Verdict::Reached;
+        }
+        paths.unreached(now, upstream);
+        if refused && (!paths.is_suspected() || paths.is_refused(now, upstream)) {
+            Verdict::Refused
+        } else {
+            Verdict::Unknown
+        }
+    }
+
+    /// Asks several peers at a time for a connection that stays open. Returns the first that opens one.
+    async fn ask_together(self: &Arc<Self>, target: &Target) -> Option<Vm> {
+        let mut asked = JoinSet::new();
+        for peer in self
+            .candidates(&target.upstream)
+            .into_iter()
+            .take(ASKED_TOGETHER)
+        {
+            let (router, target) = (self.clone(), target.clone());
+            asked.spawn(async move {
+                let stream = router.ask(&target, &peer, true).await;
+                (peer.vm, stream.map(drop))
+            });
+        }
+        while let Some(answer) = asked.join_next().await {
+            match answer {
+                Ok((peer, Ok(()))) => return Some(peer),
+                Ok((peer, Err(failure))) => {
+                    self.counts.refused.fetch_add(1, Ordering::Relaxed);
+                    self.relay_failed(&target.upstream, &peer, failure);
                 }
+                // A task that was aborted has asked nobody.
+                Err(_) => {}
             }
         }
+        None
     }
 
     /// Takes in that a connection over `way` broke a request off.
@@ -266,7 +288,7 @@
                 Ok(self.opened_directly(target, stream))
             }
             Step::Race { head_start } => self.race(target, head_start).await,
-            Step::Relay => match self.through_peer(target, false).await {
+            Step::Relay => match self.through_peer(target).await {
                 Ok((stream, peer)) => Ok(self.opened_by(target, stream, peer)),
                 Err(_) => {
                     let stream = self.direct(target.address).await;
@@ -291,7 +313,7 @@
             None => None,
         };
         let relayed = {
-            let mut relayed = pin!(self.through_peer(target, false));
+            let mut relayed = pin!(self.through_peer(target));
             match refusal {
                 Some(error) => relayed.await.map_err(|failure| (failure, Some(error))),
                 None => tokio::select! {
@@ -329,12 +351,11 @@
         Ok(stream)
     }
 
-    /// Asks one peer after the other for a connection, which has to stay open for a while where `hold` is
-    /// set.
-    async fn through_peer(&self, target: &Target, hold: bool) -> Result<(TcpStream, Vm), Failure> {
+    /// Asks one peer after the other for a connection.
+    async fn through_peer(&self, target: &Target) -> Result<(TcpStream, Vm), Failure> {
         let upstream = &target.upstream;
         for peer in self.candidates(upstream) {
-            let failure = match self.ask(target, &peer, hold).await {
+            let failure = match self.ask(target, &peer, false).await {
                 Ok(stream) => return Ok((stream, peer.vm)),
                 Err(failure) => failure,
             };
@@ -351,7 +372,7 @@
         }
     }
 
-    /// Asks a peer for a connection.
+    /// Asks a peer for a connection, which has to stay open for a while where `hold` is set.
     async fn ask(&self, target: &Target, peer: &Peer, hold: bool) -> Result<TcpStream, Failure> {
         let (upstream, address) = (&target.upstream, target.address);
         let text = token::make(&self.seal, &self.me, &peer.vm, upstream, address);
--- a/crates/upstream/tests/relayed_connections.rs
+++ b/crates/upstream/tests/relayed_connections.rs
@@ -242,20 +242,23 @@
     }
 }
 
-/// Guards against an upstream that is gone and is taken for one that this node is partitioned from, and
-/// the other way round.
+/// Guards against an upstream that has crashed and counts as unknown, since peers are slow, gone, or do
+/// not list it: requests that crash upstreams would go on to crash others.
+#[rstest]
+#[case::refused_too("u")]
+#[case::not_listed("another")]
 #[tokio::test]
-async fn refusal_counts_where_the_peer_meets_it_too() {
+async fn refusal_that_no_peer_denies_is_an_end(#[case] listed: &str) {
     let near = own_ip();
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let dead = listener.local_addr().unwrap();
     drop(listener);
-    let (link, _relay) = pair(dead, near, KEY, "u").await;
-    assert!(link.has_ended().await, "both are refused");
-    let (link, _relay) = pair(dead, near, KEY, "another").await;
+    let (link, _relay) = pair(dead, near, KEY, listed).await;
     let error = answer(&link).await.unwrap_err();
-    assert!(matches!(error, Error::Timeout { .. }), "{error}");
-    assert!(!link.has_ended().await, "the peer says nothing of it");
+    assert_eq!(error.reach(), Reach::NotSent, "{error}");
+    let began = Instant::now();
+    assert!(link.has_ended().await);
+    assert!(began.elapsed() < ms(400), "{:?}", began.elapsed());
 }
 
 /// Guards against a partitioned node that reports an upstream as crashed which others reach.
--- a/review/standin/nodes.rs
+++ b/review/standin/nodes.rs
@@ -49,8 +49,8 @@
     let ips: Vec<String> = (0..count)
         .map(|index| format!("127.0.{}.{}", 10 + index % 3, 38 + index))
         .collect();
-    let ports = free_ports(&ips, 5)?;
-    let [front, ready, control, directory, inner] = ports[..] else {
+    let ports = free_ports(&ips, 6)?;
+    let [front, ready, control, directory, inner, relay] = ports[..] else {
         return None;
     };
     let seeds: Vec<String> = ips
@@ -72,6 +72,7 @@
             ("{{zone}}", zone.to_owned()),
             ("{{ip}}", ip.clone()),
             ("{{internal_ports.0}}", inner.to_string()),
+            ("{{internal_ports.1}}", relay.to_string()),
             ("{{listen.front}}", format!("{ip}:{front}")),
             ("{{listen.ready}}", format!("{ip}:{ready}")),
             ("{{listen.control}}", format!("{ip}:{control}")),
