--- a/crates/exchange/src/owner/claim.rs
+++ b/crates/exchange/src/owner/claim.rs
@@ -12,7 +12,11 @@
 
 /// Number of nodes up to which all claims are announced once in each [`ANNOUNCE_INTERVAL`]. Larger
 /// fleets announce unchanged claims less often, since each announcement goes to every node.
-const ANNOUNCE_NODES_MAX: usize = 20;
+const ANNOUNCE_NODES_MAX: usize = 12;
+
+/// Longest time for which an announcement shows that its sender is alive. Witnesses name a holder
+/// that lives on.
+const UNLISTED_LIFETIME_MAX: Duration = Duration::from_secs(14);
 
 /// Number of announcements after a change that are made without that delay, in case some are lost.
 pub(super) const PROMPT_ANNOUNCEMENTS: u32 = 3;
@@ -298,21 +302,29 @@
         if self.prompt_announcements > 0 || !self.config.engines_check_fences {
             return ANNOUNCE_INTERVAL;
         }
+        ANNOUNCE_INTERVAL * self.steady_announcement_factor()
+    }
+
+    /// Returns how many times longer a large fleet waits between announcements of unchanged claims.
+    fn steady_announcement_factor(&self) -> u32 {
         let factor = self.live.len().div_ceil(ANNOUNCE_NODES_MAX).max(1);
-        ANNOUNCE_INTERVAL * u32::try_from(factor).unwrap_or(u32::MAX)
+        u32::try_from(factor).unwrap_or(u32::MAX)
     }
 
     /// Returns how long an announcement shows that its sender is alive.
     pub(super) fn announcement_lifetime(&self) -> Duration {
-        let steady = self.live.len().div_ceil(ANNOUNCE_NODES_MAX).max(1);
-        let steady = u32::try_from(steady).unwrap_or(u32::MAX);
         if self.config.engines_check_fences {
-            ANNOUNCE_TTL * steady
+            self.repetition_lifetime().min(UNLISTED_LIFETIME_MAX)
         } else {
             ANNOUNCE_TTL
         }
     }
 
+    /// Returns how long something that is repeated with each announcement counts.
+    pub(super) fn repetition_lifetime(&self) -> Duration {
+        ANNOUNCE_TTL * self.steady_announcement_factor()
+    }
+
     /// Sends the claims to nodes that the membership view did not list before.
     pub(super) fn greet(&self, joined: &[Vm], out: &mut Vec<Action>) {
         let message = self.announcement();
--- a/crates/exchange/src/owner/decline.rs
+++ b/crates/exchange/src/owner/decline.rs
@@ -61,7 +61,7 @@
 
     /// Gives up the engines that this node does not reach, and announces which those are.
     pub(super) fn decline_unreached(&mut self, now: Time, out: &mut Vec<Action>) {
-        let lifetime = self.announcement_lifetime();
+        let lifetime = self.repetition_lifetime();
         self.declines
             .peers
             .retain(|peer| now < peer.heard + lifetime);
--- a/crates/exchange/tests/claim_traffic.rs
+++ b/crates/exchange/tests/claim_traffic.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use exchange::owner::{Action, Event, Message};
+use exchange::owner::{Action, Event, LeaseClaim, Message};
 use rstest::rstest;
 use support::{OwnerHarness, engine, ms};
 use wire::frame::encode;
@@ -57,6 +57,71 @@
     assert!(rate < CONTROL_BYTES_MAX, "{rate} B/s");
 }
 
+/// Number of witnesses of an engine.
+const WITNESSES: usize = 5;
+
+/// Time after which a holder renews its leases.
+const RENEWAL: Duration = ms(600);
+
+/// Announcements, leases of a node's engine, and answers as the witness of as many engines as there
+/// are nodes in line for one: all that a node sends about ownership while nothing changes.
+#[rstest]
+#[case::seven(7)]
+#[case::largest_site(195)]
+#[case::beyond_the_target(350)]
+fn leases_and_announcements_stay_within_the_budget(#[case] nodes: usize) {
+    let mut node = OwnerHarness::alone("edge-000", 1, [engine("e1", &[])]);
+    node.claim_all();
+    node.step(Event::KnownNodes(names(nodes)));
+    node.step(Event::View {
+        live: names(nodes),
+        may_claim: true,
+    });
+    node.advance(ms(10_000));
+    let mut sent = 0;
+    let mut leases = 0;
+    let mut round = 0;
+    let started = node.now;
+    let mut asked_at = node.now;
+    while node.now < started + SPAN {
+        if node.now >= asked_at + RENEWAL {
+            asked_at = node.now;
+            round += 1;
+            for peer in names(nodes).iter().skip(1).take(WITNESSES) {
+                let claims = vec![LeaseClaim {
+                    engine: format!("engine-of-{peer}").into(),
+                    fence: 1 << 50,
+                    electors: None,
+                }];
+                let message = Message::RequestLeases { round, claims };
+                let from = peer.clone();
+                sent += bytes(&node.step(Event::Receive { from, message }));
+            }
+        }
+        let actions = node.advance(ms(100));
+        let is_lease = |action: &&Action| {
+            matches!(
+                action,
+                Action::Send {
+                    message: Message::RequestLeases { .. },
+                    ..
+                }
+            )
+        };
+        let asked: Vec<Action> = actions.iter().filter(is_lease).cloned().collect();
+        leases += bytes(&asked);
+        sent += bytes(&actions);
+    }
+    let rate = |bytes: usize| bytes as f64 / SPAN.as_secs_f64();
+    println!(
+        "{nodes} nodes: {:.0} B/s, requests {:.0}",
+        rate(sent),
+        rate(leases)
+    );
+    assert!(leases > 0);
+    assert!(rate(sent) < CONTROL_BYTES_MAX, "{} B/s", rate(sent));
+}
+
 /// A process that has just started knows no claims, and takes no engine over before it does: it
 /// asks all nodes, whose next regular announcement may be seconds away.
 #[rstest]
--- a/crates/exchange/tests/soak/engine.rs
+++ b/crates/exchange/tests/soak/engine.rs
@@ -201,6 +201,12 @@
         turns(&self.order_log)
     }
 
+    /// Returns when the first order arrived from `after` on.
+    pub fn first_arrival(&self, after: Time) -> Option<Time> {
+        let arrived = self.arrivals.iter().find(|(at, ..)| *at >= after);
+        arrived.map(|(at, ..)| *at)
+    }
+
     /// Like [`Self::alternations`], for all orders that arrived, also those that were refused.
     pub fn arrival_turns(&self) -> Vec<Time> {
         turns(&self.arrivals)
--- a/crates/exchange/tests/soak/mod.rs
+++ b/crates/exchange/tests/soak/mod.rs
@@ -635,6 +635,21 @@
         }
     }
 
+    /// Returns when the first order arrived at each engine from `after` on.
+    pub fn first_orders(&self, after: Time) -> Vec<Option<Time>> {
+        let first = |engine: &Engine| engine.first_arrival(after);
+        self.engines.iter().map(first).collect()
+    }
+
+    /// Returns the engines that `node` owns, by index.
+    pub fn owned_by(&self, node: usize) -> Vec<usize> {
+        let owns = |index: &usize| {
+            let id = &self.engines[*index].id;
+            self.nodes[node].owner.owned().any(|(owned, _)| owned == id)
+        };
+        (0..self.engines.len()).filter(owns).collect()
+    }
+
     /// Returns the number of owners of each engine.
     pub fn owner_counts(&self) -> Vec<usize> {
         let holds = |node: &Node, id: &Upstream| {
