Brittle upstreams: permits of one node bound what all have under way

Callers saw the upstreams of a service crash one after the other during a burst, and again as soon as they were back.

Cause: the announcement of a brittle upstream was not read, and each node learnt that one is full by a refusal of its own. The refusals of an upstream come from all nodes together, and nothing bounded them.

The first live node in the rendezvous order of a brittle upstream's id now issues permits for requests there, no more than it has slots, in the order of rank (`exchange::permit`). What would be late is refused at once. A refusal stops or slows all nodes; after a crash, for a new process and at a new issuer the number of permits grows in steps. A new issuer asks all nodes what they have under way before it issues any; nodes without an issuer send half of what the upstream survives, all together. Nothing changes for upstreams that are not brittle.

--- a/crates/exchange/src/fleet/mod.rs
+++ b/crates/exchange/src/fleet/mod.rs
@@ -16,6 +16,7 @@
 
 use crate::announced_rate::Rate;
 use crate::demand::Target;
+use crate::permit::{Brittleness, Tolerance};
 use crate::route::Config;
 pub use listing::{Holding, Listing, Load, Presence, Release, Version, release};
 pub use upstream::{AttemptResult, LISTING_LAG, UpstreamState};
@@ -162,6 +163,7 @@
                     .retain(|process| process.id != listing.id || process.born != listing.born);
                 let mut upstream = UpstreamState::new(now, listing);
                 upstream.shutting_down = leaving;
+                upstream.brittleness = self.pool_brittleness(now, &upstream.listing.pool);
                 self.upstreams.insert(index, upstream);
                 return ListingChange::Appeared;
             }
@@ -169,8 +171,10 @@
         let upstream = &mut self.upstreams[index];
         if !upstream.is_same_process(&listing) {
             let (running, engine) = (upstream.running, upstream.engine.take());
+            let brittleness = upstream.brittleness.inherit(now);
             *upstream = UpstreamState::new(now, listing);
             (upstream.running, upstream.engine) = (running, engine);
+            upstream.brittleness = brittleness;
             return ListingChange::Restarted;
         }
         let began_leaving = listing.leaving && !upstream.is_leaving();
@@ -185,6 +189,16 @@
         }
     }
 
+    /// Returns what is assumed of a new process until it has answered: the others of its pool run the
+    /// same software under the same load.
+    fn pool_brittleness(&self, now: Time, pool: &str) -> Brittleness {
+        let others = self.upstreams.iter();
+        let others = others.filter(|known| *known.listing.pool == *pool);
+        let brittle = others.filter(|known| known.brittleness.tolerance().is_some());
+        let most = brittle.min_by_key(|known| known.brittleness.tolerance());
+        most.map_or_else(Brittleness::default, |known| known.brittleness.inherit(now))
+    }
+
     /// Applies a listing without adapters; known adapters are kept. A process that is shutting
     /// down stays so, even if a delayed summary says otherwise.
     pub fn apply_summary(&mut self, now: Time, summary: Listing) -> ListingChange {
@@ -290,6 +304,42 @@
         }
     }
 
+    /// Records what `id` says of its brittleness in the answer to a request that was sent at `sent`.
+    /// Returns whether other nodes should be told.
+    pub fn record_brittleness(
+        &mut self,
+        now: Time,
+        id: &str,
+        sent: Time,
+        tolerance: Option<Tolerance>,
+    ) -> bool {
+        let upstream = self.upstream_mut(id);
+        upstream.is_some_and(|upstream| upstream.brittleness.record(now, sent, tolerance))
+    }
+
+    /// Records what another node was told of the brittleness of `id`, which has given it that notice.
+    /// Returns whether it was new.
+    pub fn record_brittleness_news(
+        &mut self,
+        now: Time,
+        id: &str,
+        sent: Time,
+        (tolerance, notice): (Option<Tolerance>, Duration),
+    ) -> bool {
+        let upstream = self.upstream_mut(id);
+        upstream.is_some_and(|upstream| {
+            let brittleness = &mut upstream.brittleness;
+            brittleness.record_news(now, sent, tolerance, notice)
+        })
+    }
+
+    /// Records that no request gets a permit for `id` for `wait`.
+    pub fn permits_exhausted(&mut self, now: Time, id: &str, urgent: bool, wait: Duration) {
+        if let Some(upstream) = self.upstream_mut(id) {
+            upstream.brittleness.exhausted(now, urgent, wait);
+        }
+    }
+
     /// Excludes an upstream from requests because another process answers at its address. This ends
     /// when it is listed as a new process, or removed and listed again.
     pub fn exclude(&mut self, id: &str) {
--- a/crates/exchange/src/fleet/upstream.rs
+++ b/crates/exchange/src/fleet/upstream.rs
@@ -7,6 +7,7 @@
 use super::listing::{Holding, Listing, Load, Presence, Version};
 use crate::announced_rate::{AnnouncedRate, Rate};
 use crate::demand::Target;
+use crate::permit::Brittleness;
 use crate::route::{Config, Engine};
 
 /// Time for which residency learnt from a newer source takes precedence over a listing. Listings
@@ -98,6 +99,8 @@
     pub(super) paused_until: Time,
     /// The rate that it announces.
     pub rate: AnnouncedRate,
+    /// Whether it crashes once it has to turn too many requests away.
+    pub brittleness: Brittleness,
     /// When the prefills of all admitted prompts will be done, as far as known.
     pub(super) prefilled_at: Time,
     /// When another adapter could be loaded.
@@ -130,6 +133,7 @@
             shutting_down: false,
             paused_until: Time::ZERO,
             rate: AnnouncedRate::default(),
+            brittleness: Brittleness::default(),
             prefilled_at: now,
             loads_done_at: now,
             last_byte_at: now,
@@ -190,9 +194,11 @@
     }
 
     /// Returns the time until a request may be sent to it: the rest of its pause, or the time until
-    /// its announced rate admits another one.
+    /// its announced rate or its brittleness admits another one.
     pub fn wait(&self, now: Time, urgent: bool) -> Duration {
-        self.pause_left(now).max(self.rate.wait(now, urgent))
+        let rate = self.rate.wait(now, urgent);
+        let permit = self.brittleness.wait(now, urgent);
+        self.pause_left(now).max(rate).max(permit)
     }
 
     /// Records what it announces, see [`AnnouncedRate::record`]. Requests return gradually after the
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -173,6 +173,7 @@
             Message::Leaver(leaver) => self.hub.take_leaver(&leaver),
             Message::Quota(message) => self.hub.take_quota(&sender.vm, message),
             Message::Rate(message) => self.hub.take_rate(&sender.vm, message),
+            Message::Permit(message) => self.hub.take_permit(&sender.vm, message),
             Message::Owner(message) => self.hub.drive(owner::Event::Receive {
                 from: sender.vm,
                 message,
@@ -196,6 +197,7 @@
         self.hub.track(culprit::Event::Tick);
         self.hub.tick_transfer();
         self.hub.tick_origins();
+        self.hub.advance_permits();
         self.ticks += 1;
         if self.ticks.is_multiple_of(PULSE_TICKS) {
             self.hub.pulse(Vec::new());
--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -46,6 +46,8 @@
     Config(exchange::config_transfer::Message),
     /// Releases that streams began at.
     Origin(exchange::stream_origin::Message),
+    /// Permits for requests at brittle upstreams.
+    Permit(exchange::permit::Message),
 }
 
 /// Pause after an error of the socket: short beside the silence after which peers count as dead.
@@ -56,12 +58,12 @@
 
 impl Message {
     /// Number of kinds.
-    pub const KINDS: usize = 11;
+    pub const KINDS: usize = 12;
 
     /// Names of the kinds, as used in metrics.
     pub const KIND_NAMES: [&str; Self::KINDS] = [
         "roster", "seeds", "owner", "retired", "culprit", "leaver", "quota", "rate", "update",
-        "config", "origin",
+        "config", "origin", "permit",
     ];
 
     /// Returns the index of its kind.
@@ -78,6 +80,7 @@
             Self::Update(_) => 8,
             Self::Config(_) => 9,
             Self::Origin(_) => 10,
+            Self::Permit(_) => 11,
         }
     }
 }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -12,6 +12,7 @@
 use exchange::fleet::{Holding, Listing, Load, Version};
 use exchange::history::StatedEra;
 use exchange::owner::{Answer, Order};
+use exchange::permit::Tolerance;
 use exchange::prompt::PartId;
 use exchange::route::Config;
 use hyper::{HeaderMap, Method, StatusCode};
@@ -130,6 +131,8 @@
     pub pause: Option<Duration>,
     /// Requests a second that it takes from all nodes together.
     pub rate: Option<Rate>,
+    /// Refusals a second that it survives, if it crashes by more.
+    pub tolerance: Option<Tolerance>,
 }
 
 /// A request without a body that the system itself makes.
--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -5,14 +5,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use exchange::Selection;
-use exchange::announced_rate::RateDecision;
 use exchange::demand::Target;
 use exchange::fleet::{AttemptResult, Presence, Release};
 use exchange::outcome::Execution;
 use exchange::proof::Proof;
 use exchange::relay::Cursor;
-use exchange::selection::Requirements;
 use http_body_util::Full;
 use hyper::header::CONTENT_LENGTH;
 use hyper::{HeaderMap, Request, Response, StatusCode};
@@ -29,6 +26,7 @@
 use super::request::Endpoint;
 use super::visit::Visit;
 use crate::dialect::{Dialect, Echo, Mark};
+use crate::hub::PermitDecision;
 
 /// Time between two looks at whether an upstream has fallen silent.
 pub(super) const LOOK: Duration = Duration::from_millis(100);
@@ -54,13 +52,6 @@
 /// Part of an upstream's stated idle time for which a connection is kept.
 const KEEP_PART: f64 = 0.7;
 
-/// Longest time for which a request waits for a token of an announced rate, and for which an urgent
-/// one does.
-const TOKEN_WAIT: Duration = Duration::from_millis(200);
-
-/// See [`TOKEN_WAIT`].
-const URGENT_TOKEN_WAIT: Duration = Duration::from_millis(600);
-
 /// What became of an attempt.
 pub(super) enum Tried<D: Dialect> {
     /// The caller gets this.
@@ -131,6 +122,16 @@
             self.prepay();
             return Tried::failed(Execution::NotRun(Proof::unsent()));
         }
+        let admission = match self.await_permit(runner).await {
+            Some(PermitDecision::Granted(admission)) => admission,
+            Some(PermitDecision::Over(_)) | None => {
+                if let Some(target) = &target {
+                    self.hub.over(runner, target);
+                }
+                self.prepay();
+                return Tried::failed(Execution::NotRun(Proof::unsent()));
+            }
+        };
         let Some(permit) = self.hub.begin(&self.features, runner) else {
             return Tried::Convicted;
         };
@@ -142,6 +143,7 @@
         self.attempts += 1;
         let until = self.terms.deadline;
         let mut visit = Visit::new(&self.hub, &link, permit.request, target.clone(), until);
+        visit.admit(admission);
         let sent = self.hub.clock.now();
         let response = tokio::select! {
             response = self.head(&link, reuse, &visit, &release) => response,
@@ -164,6 +166,7 @@
         match judge(parts.status, &mark, repeated) {
             Worth::Own => {}
             Worth::Refused(proof) => {
+                visit.refuse(parts.status == StatusCode::SERVICE_UNAVAILABLE);
                 visit.end(AttemptResult::Ignored);
                 let reason = self.refused(runner, target.as_ref(), parts.status, &mark);
                 // Read to its end, so that the connection is kept.
@@ -194,40 +197,6 @@
             .await
     }
 
-    /// Waits for a token of the rate that `runner` announces. Returns whether there is one in time.
-    async fn await_token(&self, runner: &Upstream) -> bool {
-        let Some(rate) = self.hub.announced_rate(runner) else {
-            return true;
-        };
-        let urgent = self.terms.rank == 0;
-        let patience = self.token_patience(runner);
-        match self.hub.acquire_token(runner, rate, urgent, patience).await {
-            RateDecision::Granted(wait) => {
-                tokio::time::sleep(wait).await;
-                true
-            }
-            RateDecision::Over(_) => false,
-        }
-    }
-
-    /// Returns how long the request waits for a token: not at all where another upstream takes it at
-    /// once, and longer if it is urgent, so that others leave the tokens to it.
-    fn token_patience(&self, runner: &Upstream) -> Duration {
-        let target = self.target();
-        let mut tried = self.tried.clone();
-        tried.push(runner.clone());
-        let need = Requirements {
-            tried: &tried,
-            ..self.need(target.as_ref())
-        };
-        let patience = match self.hub.pick(&need) {
-            Selection::Send(_) => Duration::ZERO,
-            _ if self.terms.rank == 0 => URGENT_TOKEN_WAIT,
-            _ => TOKEN_WAIT,
-        };
-        patience.min(self.patience())
-    }
-
     /// Sends the request and waits for the answer's head.
     async fn head(
         &self,
@@ -310,6 +279,9 @@
             }
             Headless::Failed(error) => error,
         };
+        if error.reach() == Sent::NotSent {
+            visit.refuse(false);
+        }
         match error {
             upstream::Error::Full { .. } | upstream::Error::Withdrawn { .. } => {
                 visit.end(AttemptResult::Ignored);
@@ -340,8 +312,13 @@
     fn note(&self, runner: &Upstream, link: &Link, mark: &Mark, sent: Time) {
         self.hub.take_word(runner, mark.word);
         // An answer to another attempt may be older than the announcement.
-        if mark.word.rate.is_none() && mark.echo == Echo::This && !mark.stranger {
-            self.hub.record_rate(runner, sent, None);
+        if mark.echo == Echo::This && !mark.stranger {
+            if mark.word.rate.is_none() {
+                self.hub.record_rate(runner, sent, None);
+            }
+            if mark.word.tolerance.is_none() {
+                self.hub.record_brittleness(runner, sent, None);
+            }
         }
         if let Some(kept) = mark.kept {
             link.keep_for(kept.mul_f64(KEEP_PART));
--- a/crates/gateway/src/front/job.rs
+++ b/crates/gateway/src/front/job.rs
@@ -347,6 +347,11 @@
         }
     }
 
+    /// Waits until nobody waits for the answer any more.
+    pub(super) async fn caller_left(&self) {
+        self.caller.left().await;
+    }
+
     /// Returns whether the caller is there and has time left, so that the request may be sent.
     pub(super) fn is_awaited(&self) -> bool {
         !self.patience().is_zero() && !self.caller.has_left()
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - `job` takes one request from its head to its final answer.
 //! - `attempt` sends it to one upstream.
+//! - `admission` waits until an upstream that limits its requests admits one more.
 //! - `judge` says what the head of an answer is worth.
 //! - `request` builds what is sent, and brings it up to date when it is written.
 //! - `stream` relays an event stream and takes it to another engine where one breaks off.
@@ -9,6 +10,7 @@
 //! - `tenant` says whose it is, and whether the tenant's quota carries it.
 //! - `visit` counts it at its upstream.
 
+mod admission;
 mod attempt;
 mod job;
 mod judge;
--- a/crates/gateway/src/front/visit.rs
+++ b/crates/gateway/src/front/visit.rs
@@ -6,11 +6,12 @@
 use dispatch::culprit::{Event, Feature};
 use exchange::demand::Target;
 use exchange::fleet::AttemptResult;
+use exchange::permit::End;
 use upstream::link::Link;
 use wire::{Request, Time, Upstream};
 
 use crate::dialect::Dialect;
-use crate::hub::Hub;
+use crate::hub::{Hub, Permit};
 
 /// Time for which an answer has to go on before its request counts as one that the upstream has
 /// survived: several events, and more than a process takes to go down.
@@ -29,6 +30,8 @@
     /// Its number among the requests that may crash upstreams.
     request: Request,
     link: Link,
+    /// Its permit, if the upstream is brittle.
+    permit: Option<Permit<D>>,
     fate: Fate,
     over: bool,
 }
@@ -70,11 +73,27 @@
             target,
             request,
             link: link.clone(),
+            permit: None,
             fate: Fate::Dropped,
             over: false,
         }
     }
 
+    /// Takes over the permit of the request, which is returned with its end.
+    pub(super) fn admit(&mut self, permit: Option<Permit<D>>) {
+        self.permit = permit;
+        if let Some(permit) = &mut self.permit {
+            permit.set_sent();
+        }
+    }
+
+    /// Notes that the upstream has not run the request, and whether it was full.
+    pub(super) fn refuse(&mut self, full: bool) {
+        if let Some(mut permit) = self.permit.take() {
+            permit.set_end(if full { End::Refused } else { End::Unsent });
+        }
+    }
+
     /// Notes that its answer is whole.
     pub(super) fn set_whole(&mut self) {
         self.fate = Fate::Whole;
@@ -134,6 +153,13 @@
             if let Some(target) = &self.target {
                 self.hub.over(&self.runner, target);
             }
+            if let Some(mut permit) = self.permit.take() {
+                permit.set_end(match self.fate {
+                    Fate::Dropped => End::Dropped,
+                    Fate::Whole => End::Whole,
+                    Fate::Broken => End::Broken,
+                });
+            }
             let request = self.request;
             self.hub.track(match self.fate {
                 Fate::Dropped => Event::Dropped { request },
--- a/crates/gateway/src/hub/mod.rs
+++ b/crates/gateway/src/hub/mod.rs
@@ -5,6 +5,7 @@
 //! - `delay` measures how late the event loop runs.
 //! - `grant` asks owners and carries out what they want done.
 //! - `load_wait` cancels loads that no request waits for any more.
+//! - `permit` asks for permits at brittle upstreams, and issues them.
 //! - `origin` knows at which release of the upstreams streams began.
 //! - `pulse` tells what was read of the platform, and takes over what others tell.
 //! - `search` finds engines for requests.
@@ -19,6 +20,7 @@
 mod grant;
 mod load_wait;
 mod origin;
+mod permit;
 mod pulse;
 mod question;
 mod quota;
@@ -60,6 +62,7 @@
 pub use config::send_parts;
 pub use delay::TURN;
 pub use load_wait::LoadWait;
+pub use permit::{Permit, PermitDecision, Wish};
 pub use word::Leaver;
 
 /// Limit for a connection to an upstream; several crossings of a region and a handshake.
@@ -178,6 +181,8 @@
     quotas: Mutex<quota::Quotas>,
     /// Never held together with the desk.
     rates: Mutex<rate::Rates>,
+    /// Never held together with the desk.
+    permits: Mutex<permit::Permits>,
     desk: Mutex<Desk>,
     /// How fast engines read prompts; never held together with the desk.
     pace: Mutex<PrefillEstimator>,
@@ -257,6 +262,7 @@
             origin_queries: Mutex::default(),
             quotas: Mutex::default(),
             rates: Mutex::default(),
+            permits: Mutex::new(permit::Permits::starting_at(wall_micros())),
             desk: Mutex::new(desk),
             pace: Mutex::default(),
             links: Mutex::new(Vec::new()),
--- a/crates/gateway/src/hub/word.rs
+++ b/crates/gateway/src/hub/word.rs
@@ -35,6 +35,9 @@
         if word.rate.is_some() {
             self.record_rate(upstream, self.clock.now(), word.rate);
         }
+        if word.tolerance.is_some() {
+            self.record_brittleness(upstream, self.clock.now(), word.tolerance);
+        }
         if let Some(pause) = word.pause {
             let now = self.clock.now();
             self.desk().fleet.set_pause(now, upstream, pause);
@@ -58,7 +61,7 @@
         known.is_some_and(|runner| runner.accepts_requests(now))
     }
 
-    fn listed<T>(&self, upstream: &str, read: impl FnOnce(&Listing) -> T) -> Option<T> {
+    pub(super) fn listed<T>(&self, upstream: &str, read: impl FnOnce(&Listing) -> T) -> Option<T> {
         let desk = self.desk();
         let known = desk.fleet.upstream(upstream);
         known.map(|runner| read(&runner.listing))
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -25,6 +25,8 @@
     first: HistogramVec,
     /// Orders to engines, by answer.
     pub orders: IntCounterVec,
+    /// Questions for permits at brittle upstreams, by result.
+    pub permits: IntCounterVec,
     /// Calls to the platform, by result.
     pub reads: IntCounterVec,
     /// Revision of the configuration in force.
@@ -82,6 +84,12 @@
                 "Orders to engines by answer",
                 &["answer"],
             )?,
+            permits: counter_vec(
+                all,
+                "hyssopscale_exchange_permits_total",
+                "Questions for permits at brittle upstreams by result",
+                &["result"],
+            )?,
             reads: counter_vec(
                 all,
                 "hyssopscale_platform_reads_total",
