Permits: nodes that are gone hold none, and nodes that come are told

With a node that stood still, was cut off from the others or was killed, callers of all nodes were refused for seconds more than the loss of one node explains, and a node that had just started sent to brittle upstreams before it knew that they are.

Cause: requests of a silent node kept their turn in the queues, so that the permits of all upstreams went to a node that did not use them, until the longest time of a request was over. A node learnt what is brittle by an answer, or when an issuer saw it. When two nodes took themselves for the issuer, each took permits whose ends went to the other one for free room.

Waiting requests of a node that is silent for half a second get no permit, a permit that is not confirmed ends after some usual times of a request, a node asks the others as soon as it sees them, a permit that comes after its request's time is returned, and where ends went elsewhere the number of permits grows in steps again.

--- a/crates/exchange/src/permit/issuer.rs
+++ b/crates/exchange/src/permit/issuer.rs
@@ -40,9 +40,16 @@
 
 /// Age of a permit from which on its node is asked to confirm it, in multiples of the mean time of a
 /// request, and at least.
-const CONFIRM_FACTOR: u32 = 4;
+const CONFIRM_FACTOR: u32 = 2;
 const CONFIRM_MIN: Duration = Duration::from_millis(250);
 
+/// Part of that age after which a permit is over whose node does not answer: the node may be gone, and
+/// its request has most likely ended.
+const UNCONFIRMED_FACTOR: u32 = 3;
+
+/// Silence of a node from which its waiting requests get no permits: it may be gone.
+const SILENCE_MAX: Duration = Duration::from_millis(500);
+
 /// Time after which a request without a permit is over, where its node says nothing of it any more.
 const OTHERS_TIME: Duration = Duration::from_secs(12);
 
@@ -83,6 +90,8 @@
 #[derive(Clone, Debug)]
 struct Member {
     vm: Vm,
+    /// When the last message came.
+    heard: Time,
     queried: Option<Time>,
     reported: bool,
     /// Requests without a permit.
@@ -175,10 +184,30 @@
         self.permits.len() as u32 + others.sum::<u32>()
     }
 
+    /// Asks a node again what it has under way, which tells it that the upstream is brittle.
+    pub fn greet(&mut self, now: Time, vm: &Vm, out: &mut Vec<Action>) {
+        let member = self.member(vm);
+        member.reported = false;
+        member.queried = Some(now);
+        out.push(self.question(vm));
+    }
+
+    fn question(&self, vm: &Vm) -> Action {
+        Action {
+            to: vm.clone(),
+            message: Message::Query {
+                upstream: self.upstream.clone(),
+                born: self.born,
+                tolerance: self.tolerance,
+            },
+        }
+    }
+
     /// Handles a question.
     pub fn ask(&mut self, now: Time, view: View<'_>, from: &Vm, ask: &Ask, out: &mut Vec<Action>) {
         self.used_at = now;
         (self.slots, self.tolerance) = (ask.slots.max(1), ask.tolerance);
+        self.member(from).heard = now;
         if self.find(from, ask.ticket).is_ok() {
             return reply(from, ask.ticket, Reply::Granted, out);
         }
@@ -195,7 +224,8 @@
             until: now + patience,
             time: Duration::from_millis(ask.time.into()),
         };
-        if ahead == 0 && self.may_issue(now, view) {
+        let first = self.next_waiter(now).is_none_or(|next| next >= ahead);
+        if first && self.may_issue(now, view) {
             return self.issue(now, waiter, out);
         }
         let wait = self.expected_wait(now, view, ahead);
@@ -217,6 +247,7 @@
         (ticket, end): (Ticket, End),
         out: &mut Vec<Action>,
     ) {
+        self.member(from).heard = now;
         self.queue
             .retain(|waiter| waiter.vm != *from || waiter.ticket != ticket);
         if let Ok(index) = self.find(from, ticket) {
@@ -270,9 +301,11 @@
             let open = held.is_ok() || report.asked.binary_search(&ticket).is_ok();
             permit.vm == *from && ticket <= report.last && !open
         };
+        let before = self.permits.len();
         let lingers = |permit: &Permit| permit.until <= now + LINGER;
         self.permits
             .retain(|permit| !is_over(permit) || (lingers(permit) && now < permit.until));
+        let lost_ends = self.permits.len() < before;
         for (ticket, left) in &report.held {
             match self.find(from, *ticket) {
                 Ok(index) => self.permits[index].confirmed = now,
@@ -290,10 +323,17 @@
             }
         }
         let member = self.member(from);
+        member.heard = now;
         member.reported = true;
         member.others = report.others;
         member.others_until = now + OTHERS_TIME;
-        self.accepted = self.accepted.max(self.under_way().min(self.limit));
+        let under_way = self.under_way().min(self.limit);
+        self.accepted = if lost_ends {
+            // Its ends went elsewhere, and another issuer may have used their room.
+            self.accepted.min(under_way)
+        } else {
+            self.accepted.max(under_way)
+        };
         self.advance(now, view, out);
     }
 
@@ -311,7 +351,13 @@
 
     /// Lets time pass: permits end, queries go out, and waiting requests get permits.
     pub fn advance(&mut self, now: Time, view: View<'_>, out: &mut Vec<Action>) {
-        self.permits.retain(|permit| now < permit.until);
+        let unconfirmed = self.confirm_age() * UNCONFIRMED_FACTOR;
+        let before = self.permits.len();
+        self.permits
+            .retain(|permit| now < permit.until && now < permit.confirmed + unconfirmed);
+        if self.permits.len() < before {
+            self.accepted = self.accepted.min(self.under_way());
+        }
         self.refusals.retain(|at| now < *at + REFUSAL_WINDOW);
         self.queue.retain(|waiter| now < waiter.until);
         if self.limit >= self.slots {
@@ -323,12 +369,27 @@
         self.limit = self.limit.min(self.slots);
         self.update_members(now, view);
         self.query(now, view, out);
-        while !self.queue.is_empty() && self.may_issue(now, view) {
-            let waiter = self.queue.remove(0);
+        while let Some(next) = self.next_waiter(now).filter(|_| self.may_issue(now, view)) {
+            let waiter = self.queue.remove(next);
             self.issue(now, waiter, out);
         }
     }
 
+    /// Returns the position of the first waiting request whose node is there.
+    fn next_waiter(&self, now: Time) -> Option<usize> {
+        let is_there = |waiter: &Waiter| {
+            let found = self
+                .members
+                .binary_search_by(|member| member.vm.cmp(&waiter.vm));
+            found.is_ok_and(|index| now < self.members[index].heard + SILENCE_MAX)
+        };
+        self.queue.iter().position(is_there)
+    }
+
+    fn confirm_age(&self) -> Duration {
+        (self.time * CONFIRM_FACTOR).max(CONFIRM_MIN)
+    }
+
     fn update_members(&mut self, now: Time, view: View<'_>) {
         for member in &mut self.members {
             if now >= member.others_until {
@@ -346,7 +407,7 @@
 
     fn query(&mut self, now: Time, view: View<'_>, out: &mut Vec<Action>) {
         let settling = !self.is_settled(now);
-        let confirm = (self.time * CONFIRM_FACTOR).max(CONFIRM_MIN);
+        let confirm = self.confirm_age();
         let pause = self.time.clamp(QUERY_PAUSE, QUERY_PAUSE_LATE);
         let old: Vec<Vm> = self
             .permits
@@ -354,10 +415,15 @@
             .filter(|permit| now >= permit.confirmed + confirm)
             .map(|permit| permit.vm.clone())
             .collect();
+        let mut asked = Vec::new();
+        let queue = &self.queue;
         for member in &mut self.members {
+            let quiet = now >= member.heard + SILENCE_MAX / 2
+                && queue.iter().any(|waiter| waiter.vm == member.vm);
             let doubtful = member.others > 0 || old.contains(&member.vm);
-            let wanted = !member.reported || doubtful;
+            let wanted = !member.reported || doubtful || quiet;
             let pause = match member.reported {
+                _ if quiet => QUERY_PAUSE,
                 true => pause,
                 false if settling => QUERY_PAUSE,
                 false => QUERY_PAUSE_LATE,
@@ -365,16 +431,10 @@
             let due = member.queried.is_none_or(|at| now >= at + pause);
             if wanted && due && view.live.binary_search(&member.vm).is_ok() {
                 member.queried = Some(now);
-                out.push(Action {
-                    to: member.vm.clone(),
-                    message: Message::Query {
-                        upstream: self.upstream.clone(),
-                        born: self.born,
-                        tolerance: self.tolerance,
-                    },
-                });
+                asked.push(member.vm.clone());
             }
         }
+        out.extend(asked.iter().map(|vm| self.question(vm)));
     }
 
     fn is_settled(&self, now: Time) -> bool {
@@ -483,6 +543,7 @@
         let index = found.unwrap_or_else(|index| {
             let member = Member {
                 vm: vm.clone(),
+                heard: Time::ZERO,
                 queried: None,
                 reported: false,
                 others: 0,
--- a/crates/exchange/src/permit/issuers.rs
+++ b/crates/exchange/src/permit/issuers.rs
@@ -117,6 +117,14 @@
         }
     }
 
+    /// Tells a node that sees this one from now on which upstreams are brittle.
+    pub fn greet(&mut self, now: Time, vm: &Vm, out: &mut Vec<Action>) {
+        self.step(now);
+        for issuer in &mut self.issuers {
+            issuer.greet(now, vm, out);
+        }
+    }
+
     /// Lets time pass. `issues` tells whether this node still issues the permits of an upstream.
     pub fn advance(
         &mut self,
--- a/crates/exchange/src/permit/mod.rs
+++ b/crates/exchange/src/permit/mod.rs
@@ -142,6 +142,8 @@
         /// Milliseconds until it may turn more requests away than before.
         notice: u32,
     },
+    /// Asks a node that the sender sees from now on which upstreams are brittle whose permits it issues.
+    Hello,
 }
 
 /// A message for a node, which may be the one that issues.
--- a/crates/exchange/tests/brittle/faults.rs
+++ b/crates/exchange/tests/brittle/faults.rs
@@ -74,6 +74,10 @@
         state.issuers = Issuers::default();
         state.unissued = RateBuckets::default();
         state.alive = true;
+        let (others, me) = (state.live.clone(), state.vm.clone());
+        for vm in others.iter().filter(|vm| **vm != me) {
+            self.post(node, vm, Message::Hello);
+        }
     }
 
     /// Lets nodes see that another one is gone or back.
--- a/crates/exchange/tests/brittle/messages.rs
+++ b/crates/exchange/tests/brittle/messages.rs
@@ -69,6 +69,7 @@
                     .issuers
                     .report(now, view, from, process, &report, &mut out);
             }
+            Message::Hello => state.issuers.greet(now, from, &mut out),
             Message::News {
                 upstream,
                 born,
@@ -154,6 +155,9 @@
             return;
         };
         match reply {
+            Reply::Granted if self.now > self.requests[&id].latest => {
+                self.over(id, ticket, OVER_MIN);
+            }
             Reply::Granted => self.send(id),
             Reply::Queued => {
                 let request = self.requests.get_mut(&id).expect("it is there");
--- a/crates/exchange/tests/brittle/mod.rs
+++ b/crates/exchange/tests/brittle/mod.rs
@@ -122,6 +122,7 @@
     /// Bytes a second on permits: the most of one node, and the mean.
     pub most_bytes: f64,
     pub mean_bytes: f64,
+    /// Questions for permits.
     pub permits: usize,
 }
 
@@ -165,6 +166,8 @@
     /// Where it is or asks, and its ticket there.
     upstream: Option<Upstream>,
     ticket: Option<u64>,
+    /// Until when a permit is of use.
+    latest: Time,
     sent: Option<Time>,
 }
 
--- a/crates/exchange/tests/brittle/requests.rs
+++ b/crates/exchange/tests/brittle/requests.rs
@@ -31,6 +31,7 @@
             attempts: 0,
             upstream: None,
             ticket: None,
+            latest: ms(0),
             sent: None,
         };
         self.outcome.requests += 1;
@@ -113,6 +114,7 @@
         );
         let queued = self.now + patience + ANSWER_TIMEOUT * 3;
         self.schedule(queued, Event::QueueTimeout(id, ticket));
+        self.requests.get_mut(&id).expect("it is there").latest = queued;
         self.post(request.node, &issuer, Message::Ask(ask));
     }
 
--- a/crates/exchange/tests/brittle_upstreams.rs
+++ b/crates/exchange/tests/brittle_upstreams.rs
@@ -124,6 +124,45 @@
     assert!(outcome.urgent >= outcome.routine, "{outcome:?}");
 }
 
+/// The same with other draws.
+#[rstest]
+fn other_seeds_break_no_bound(
+    #[values(2, 3, 4)] seed: u64,
+    #[values(Fault::Start, Fault::Pause, Fault::Isolated, Fault::Release)] fault: Fault,
+) {
+    let plan = Plan {
+        tolerance: Some(2),
+        fault,
+        seed,
+        ..PLAIN
+    };
+    let outcome = play(plan);
+    assert!(outcome.crashes <= crashes_max(&plan), "{outcome:?}");
+    assert!(outcome.urgent >= outcome.routine, "{outcome:?}");
+}
+
+/// Guards against an issuer that all nodes ask for each of their requests: questions follow the permits
+/// that there are, of which each invites two more, and four a second beside these. A node may ask once
+/// for each upstream before it is told when to ask.
+#[rstest]
+#[case::large(195, 3.0)]
+#[case::target(350, 10.0)]
+fn questions_do_not_follow_demand(#[case] nodes: usize, #[case] burst: f64) {
+    let plan = Plan {
+        nodes,
+        burst,
+        ..LARGE
+    };
+    let outcome = play(plan);
+    let seconds = brittle::BURST.1.as_secs_f64();
+    let invited = outcome.tries as f64 * 3.0 + plan.upstreams as f64 * 4.0 * seconds;
+    let first = plan.upstreams * plan.nodes;
+    assert!(
+        outcome.permits as f64 <= invited + first as f64,
+        "{outcome:?}"
+    );
+}
+
 /// Guards against a simulation in which nothing can crash.
 #[rstest]
 #[case::plain(PLAIN)]
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -299,7 +299,8 @@
         if self.shown == shown {
             return;
         }
-        self.shown = shown;
+        let former = std::mem::replace(&mut self.shown, shown);
+        let former = former.map(|(live, _, _)| live).unwrap_or_default();
         let mut records: Vec<Record> = self
             .view
             .peers()
@@ -309,10 +310,13 @@
             .collect();
         records.sort_unstable_by(|a, b| a.vm.cmp(&b.vm));
         info!(target: DECISION, live = live.len(), known = records.len(), fit; "view");
-        self.hub.peers.store(Arc::new(Peers {
+        let peers = Arc::new(Peers {
             records,
             live: live.clone(),
-        }));
+        });
+        self.hub.peers.store(peers.clone());
+        let appeared = live.iter().filter(|vm| former.binary_search(vm).is_err());
+        self.hub.greet_issuers(&peers, appeared);
         self.hub.desk().mirror.set_members(&self.hub.me.vm, &live);
         self.hub.drive(owner::Event::View {
             live,
--- a/crates/gateway/src/hub/permit.rs
+++ b/crates/gateway/src/hub/permit.rs
@@ -186,6 +186,7 @@
             patience: millis(wish.patience),
             time: millis(wish.time),
         };
+        let latest = self.clock.now() + wish.patience + ANSWER_TIMEOUT * 3;
         self.send_permit(issuer, Message::Ask(ask.clone()));
         let mut reply = timeout(ANSWER_TIMEOUT, replies.recv()).await;
         if reply.is_err() {
@@ -200,6 +201,8 @@
             }
         }
         match reply {
+            // After a standstill of this process, the issuer may have given it to another one.
+            Ok(Some(Reply::Granted)) if self.clock.now() > latest => PermitDecision::Over(OVER_MIN),
             Ok(Some(Reply::Granted)) => PermitDecision::Granted(Some(permit)),
             Ok(Some(Reply::Over(wait))) => PermitDecision::Over(Duration::from_millis(wait.into())),
             Ok(Some(Reply::Queued)) => PermitDecision::Over(OVER_MIN),
@@ -325,6 +328,7 @@
                 let issuers = &mut permits.issuers;
                 issuers.report(now, view, from, (&upstream, born), &report, &mut out);
             }
+            Message::Hello => self.permits().issuers.greet(now, from, &mut out),
             Message::News {
                 upstream,
                 born,
@@ -341,6 +345,12 @@
         self.poll_permits();
     }
 
+    /// Asks nodes that are seen from now on which upstreams are brittle.
+    pub fn greet_issuers<'a>(&self, peers: &Peers, nodes: impl IntoIterator<Item = &'a Vm>) {
+        let others = nodes.into_iter().filter(|vm| **vm != self.me.vm);
+        others.for_each(|vm| self.send_permit_to(peers, vm, Message::Hello));
+    }
+
     /// Lets time pass for the permits that this node issues.
     pub fn advance_permits(self: &Arc<Self>) {
         let (now, peers) = (self.clock.now(), self.peers.load_full());
