--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -183,6 +183,7 @@
             Message::Leaver(leaver) => self.hub.take_leaver(&leaver),
             Message::Quota(message) => self.hub.take_quota(&sender.vm, message),
             Message::Rate(message) => self.hub.take_rate(&sender.vm, message),
+            Message::Permit(message) => self.hub.take_permit(&sender.vm, message),
             Message::Owner(message) => self.hub.drive(owner::Event::Receive {
                 from: sender.vm,
                 message,
@@ -207,6 +208,7 @@
         self.hub.tick_transfer();
         self.hub.tick_origins();
         self.hub.tick_paths();
+        self.hub.advance_permits();
         self.ticks += 1;
         if self.ticks.is_multiple_of(PULSE_TICKS) {
             self.hub.pulse(Vec::new());
@@ -315,7 +317,8 @@
         if self.shown.as_ref() == Some(&shown) {
             return;
         }
-        self.shown = Some(shown);
+        let former = self.shown.replace(shown);
+        let former = former.map(|shown| shown.live).unwrap_or_default();
         let staying = known.iter().map(|record| &record.vm);
         let staying = staying.filter(|vm| {
             let own = **vm == self.hub.me.vm;
@@ -331,13 +334,15 @@
             .collect();
         records.sort_unstable_by(|a, b| a.vm.cmp(&b.vm));
         info!(target: DECISION, live = live.len(), known = records.len(), fit; "view");
-        let peers = Peers {
+        let peers = Arc::new(Peers {
             records,
             known,
             live: live.clone(),
-        };
+        });
         self.hub.set_relays(&peers);
-        self.hub.peers.store(Arc::new(peers));
+        self.hub.peers.store(peers.clone());
+        let appeared = live.iter().filter(|vm| former.binary_search(vm).is_err());
+        self.hub.greet_issuers(&peers, appeared);
         self.hub.desk().mirror.set_members(&self.hub.me.vm, &live);
         self.hub.drive(owner::Event::KnownNodes(staying));
         self.hub.drive(owner::Event::View {
