Placement: a node that learns of another one's claim waits before the next

Two nodes that do not list each other, and that a third one lists, claimed an engine in turn: each was told of the other's number 0.5 s before it claimed again above it, and ordered meanwhile. A node that learns of a higher claim now orders nothing until it claims again, 3 s later; what it knows of its instances stays.

view_owner_learns_of_a_higher_claim_given_up expects the new claim after that delay, and none before.

--- a/crates/placement/src/planner/mod.rs
+++ b/crates/placement/src/planner/mod.rs
@@ -88,7 +88,7 @@
     /// [`crate::event::Failure::NotSent`].
     pub fn permit(&self, now: Time, upstream: &str, fence: Fence) -> bool {
         let owner = self.owners.iter().find(|o| *o.upstream().id == *upstream);
-        owner.is_some_and(|owner| owner.permit(now, fence))
+        owner.is_some_and(|owner| owner.permit(now, fence)) && !self.awaits_reclaim(upstream)
     }
 
     /// Returns the live upstreams that a request for `model` would try, best first, and the number
--- a/crates/placement/src/planner/ownership.rs
+++ b/crates/placement/src/planner/ownership.rs
@@ -1,5 +1,7 @@
 //! Acquiring and giving up upstreams.
 
+use std::time::Duration;
+
 use wire::{Fence, Time, Upstream, View, Vm};
 
 use super::{ClaimOutcome, Planner};
@@ -7,6 +9,10 @@
 use crate::message::Message;
 use crate::owner::Owner;
 
+/// Time that passes between news of another node's claim and the next claim of this node, so that
+/// orders of the two do not alternate.
+const RECLAIM_DELAY: Duration = Duration::from_secs(3);
+
 /// A claim that has to be made again, because a peer has accepted a higher one.
 #[derive(Clone, Debug)]
 pub(super) struct Reclaim {
@@ -154,8 +160,8 @@
         }
     }
 
-    /// Handles the news that a peer has accepted the higher claim `claim`. This node claims the
-    /// upstream again, unless by then the view names another owner.
+    /// Handles the news that a peer has accepted the higher claim `claim`. This node orders nothing
+    /// until it claims the upstream again, unless by then the view names another owner.
     pub(super) fn handle_superseded(&mut self, now: Time, upstream: &Upstream, claim: Fence) {
         let owner = self.owners.iter().find(|o| o.upstream().id == *upstream);
         if owner.is_some_and(|owner| owner.claim() <= claim) {
@@ -163,6 +169,12 @@
         }
     }
 
+    /// Returns whether this node waits before it claims an upstream again. Its own instances stay
+    /// known, but it orders nothing.
+    pub(super) fn awaits_reclaim(&self, upstream: &str) -> bool {
+        self.reclaims.iter().any(|r| *r.upstream == *upstream)
+    }
+
     /// Records the highest fencing number that an engine has seen. The next order gets a higher
     /// one.
     pub(super) fn observe_fence(&mut self, upstream: &Upstream, fence: Fence) {
@@ -175,9 +187,9 @@
         }
     }
 
-    /// Schedules a new claim above `above`, after a delay in which the nodes' views can converge.
+    /// Schedules a new claim above `above`, once orders of the other node are not recent any more.
     pub(super) fn schedule_reclaim(&mut self, now: Time, upstream: &Upstream, above: Fence) {
-        let at = now + self.settings.resend;
+        let at = now + RECLAIM_DELAY;
         if let Some(reclaim) = self.reclaims.iter_mut().find(|r| r.upstream == *upstream) {
             reclaim.above = reclaim.above.max(above);
             return;
--- a/crates/placement/tests/stale_promise.rs
+++ b/crates/placement/tests/stale_promise.rs
@@ -76,8 +76,13 @@
 
     let mut owner = planner(&owner, &VMS, RATE);
     receive(&mut owner, holder, superseded);
+    // Orders of the node that held the higher claim may be recent.
     let mut out = Vec::new();
-    owner.step(Duration::from_secs(3), Event::Tick, &mut out);
+    owner.step(Duration::from_millis(3_900), Event::Tick, &mut out);
+    let is_new = |message: &Message| matches!(message, Message::Claim { claims } if claims.contains(&("e".into(), 6)));
+    assert!(!sent(&out, holder).iter().any(is_new));
+    out.clear();
+    owner.step(Duration::from_secs(4), Event::Tick, &mut out);
     let claims = sent(&out, holder)
         .into_iter()
         .find_map(|message| match message {
