--- a/crates/exchange/src/owner/lease.rs
+++ b/crates/exchange/src/owner/lease.rs
@@ -42,7 +42,7 @@
 const ATTEMPT_SPREAD_MS: u64 = 500;
 
 /// Delay of the next request to a witness that knows of other witnesses.
-const DISAGREEMENT_DELAY: Duration = Duration::from_millis(300);
+pub(super) const DISAGREEMENT_DELAY: Duration = Duration::from_millis(300);
 
 /// Number of requests to one witness whose answers are awaited.
 const ROUNDS_MAX: usize = 3;
@@ -137,14 +137,14 @@
 }
 
 /// Returns the witnesses of `engine` among `known`, in rendezvous order.
-fn witnesses(engine: &str, known: &[Vm]) -> Vec<Vm> {
+pub(super) fn witnesses(engine: &str, known: &[Vm]) -> Vec<Vm> {
     let key = rank::hash(engine.as_bytes());
     let top = rank::top(key, known, WITNESSES);
     top.into_iter().cloned().collect()
 }
 
 /// Returns a digest of `witnesses`.
-fn digest(witnesses: &[Vm]) -> u64 {
+pub(super) fn digest(witnesses: &[Vm]) -> u64 {
     let hashes = witnesses.iter().map(|vm| rank::hash(vm.as_bytes()));
     hashes.fold(0, |digest, hash| digest ^ hash)
 }
@@ -498,73 +498,6 @@
         claims
     }
 
-    /// Answers a peer that asks for leases.
-    pub(super) fn handle_lease_request(
-        &mut self,
-        now: Time,
-        from: &Vm,
-        round: u64,
-        claims: &[LeaseClaim],
-        out: &mut Vec<Action>,
-    ) {
-        let (higher, refused) = self.witness_claims(now, from, round, claims);
-        out.push(Action::Send {
-            to: from.clone(),
-            message: Message::Leases {
-                round,
-                higher,
-                refused,
-            },
-        });
-    }
-
-    /// Decides as a witness. Returns the fencing tokens above those of the claims, and the refusals.
-    fn witness_claims(
-        &mut self,
-        now: Time,
-        asker: &Vm,
-        round: u64,
-        claims: &[LeaseClaim],
-    ) -> (Vec<(Upstream, Fence)>, Vec<Refusal>) {
-        let (mut higher, mut refused) = (Vec::new(), Vec::new());
-        let me = &self.config.me;
-        let known = self.known.as_ref().unwrap_or(&self.live);
-        let alone = *asker == *me && known.iter().all(|vm| vm == me);
-        let unready = self.witness.unready_for(now);
-        for claim in claims {
-            let engine = &claim.engine;
-            // An earlier process on this VM may have granted the lease to another node, unless the
-            // asker holds a majority.
-            let wait_needed = !claim.is_renewal() && !alone && !unready.is_zero();
-            let assigned = witnesses(engine, known);
-            // Majorities of different sets may have no witness in common.
-            let agreed = claim
-                .electors
-                .is_none_or(|electors| electors == digest(&assigned));
-            let answer = if wait_needed {
-                Err(Refusal::unnamed(engine, unready))
-            } else if self.leaving || !agreed || !assigned.contains(me) {
-                Err(Refusal::unnamed(engine, DISAGREEMENT_DELAY))
-            } else {
-                let turn = self.config.lease;
-                self.witness.request(now, asker, round, claim, turn)
-            };
-            match answer {
-                Ok(()) => {
-                    let index = self
-                        .highest_fences
-                        .binary_search_by(|(id, _)| id.cmp(engine));
-                    let seen = index.map_or(0, |index| self.highest_fences[index].1);
-                    if claim.fence < seen {
-                        higher.push((engine.clone(), seen));
-                    }
-                }
-                Err(refusal) => refused.push(refusal),
-            }
-        }
-        (higher, refused)
-    }
-
     /// Counts what a witness has granted and takes in who holds what it has not.
     pub(super) fn handle_lease_reply(
         &mut self,
--- a/crates/exchange/src/owner/witness.rs
+++ b/crates/exchange/src/owner/witness.rs
@@ -5,7 +5,8 @@
 use wire::machine::millis;
 use wire::{Fence, Time, Upstream, Vm};
 
-use super::lease::{LeaseClaim, Refusal, TERM};
+use super::lease::{DISAGREEMENT_DELAY, LeaseClaim, Refusal, TERM, digest, witnesses};
+use super::{Action, Message, Owner};
 
 /// Time after which a lease that is not renewed is forgotten.
 const RETENTION: Duration = Duration::from_secs(10);
@@ -134,3 +135,72 @@
         }
     }
 }
+
+impl Owner {
+    /// Answers a peer that asks for leases.
+    pub(super) fn handle_lease_request(
+        &mut self,
+        now: Time,
+        from: &Vm,
+        round: u64,
+        claims: &[LeaseClaim],
+        out: &mut Vec<Action>,
+    ) {
+        let (higher, refused) = self.witness_claims(now, from, round, claims);
+        out.push(Action::Send {
+            to: from.clone(),
+            message: Message::Leases {
+                round,
+                higher,
+                refused,
+            },
+        });
+    }
+
+    /// Decides as a witness. Returns the fencing tokens above those of the claims, and the refusals.
+    pub(super) fn witness_claims(
+        &mut self,
+        now: Time,
+        asker: &Vm,
+        round: u64,
+        claims: &[LeaseClaim],
+    ) -> (Vec<(Upstream, Fence)>, Vec<Refusal>) {
+        let (mut higher, mut refused) = (Vec::new(), Vec::new());
+        let me = &self.config.me;
+        let known = self.known.as_ref().unwrap_or(&self.live);
+        let alone = *asker == *me && known.iter().all(|vm| vm == me);
+        let unready = self.witness.unready_for(now);
+        for claim in claims {
+            let engine = &claim.engine;
+            // An earlier process on this VM may have granted the lease to another node, unless the
+            // asker holds a majority.
+            let wait_needed = !claim.is_renewal() && !alone && !unready.is_zero();
+            let assigned = witnesses(engine, known);
+            // Majorities of different sets may have no witness in common.
+            let agreed = claim
+                .electors
+                .is_none_or(|electors| electors == digest(&assigned));
+            let answer = if wait_needed {
+                Err(Refusal::unnamed(engine, unready))
+            } else if self.leaving || !agreed || !assigned.contains(me) {
+                Err(Refusal::unnamed(engine, DISAGREEMENT_DELAY))
+            } else {
+                let turn = self.config.lease;
+                self.witness.request(now, asker, round, claim, turn)
+            };
+            match answer {
+                Ok(()) => {
+                    let index = self
+                        .highest_fences
+                        .binary_search_by(|(id, _)| id.cmp(engine));
+                    let seen = index.map_or(0, |index| self.highest_fences[index].1);
+                    if claim.fence < seen {
+                        higher.push((engine.clone(), seen));
+                    }
+                }
+                Err(refusal) => refused.push(refusal),
+            }
+        }
+        (higher, refused)
+    }
+}
