Check the way to an engine that orders do not reach

Callers got 503 for streams at every node for seconds while some nodes were partitioned from the engines: a node that had claimed an engine and sent nothing else there did not notice that its orders found no connection. It kept the engine and its leases, so that nobody loaded there, and requests that were sent to the owner for a load were refused (`no-place`) while the other engine had more work than it could take.

Only calls of requests had their way checked. Orders go through no peer and open their connections apart, so a failed one told the paths nothing. It now has the way checked like an answer that breaks off: where a peer reaches the engine, the owner learns that it does not, and gives the engine up after 0.5 s as before. An engine that no peer reaches keeps its owner.

--- a/crates/upstream/src/relay/router.rs
+++ b/crates/upstream/src/relay/router.rs
@@ -221,7 +221,10 @@
 
     /// Checks the way in the background, unless that was done a moment ago or bytes have come since.
     pub(crate) fn suspect(self: &Arc<Self>, target: &Target, since: Instant) {
-        let (now, since) = (self.now(), self.time(since));
+        self.check_since(target, self.now(), self.time(since));
+    }
+
+    fn check_since(self: &Arc<Self>, target: &Target, now: Time, since: Time) {
         if self.paths().may_check(now, &target.upstream, since) {
             let (router, target) = (self.clone(), target.clone());
             tokio::spawn(async move { router.check(&target.upstream, target.address).await });
@@ -266,18 +269,23 @@
         opened
     }
 
-    /// Opens a connection through no peer, within `limit`.
+    /// Opens a connection through no peer, within `limit`. Where that fails, it finds out in the
+    /// background whether peers reach the upstream: there may be no other calls that would show it.
     ///
     /// # Errors
     ///
     /// Returns the system's error, [`ErrorKind::TimedOut`] where the attempt was not answered.
     pub(crate) async fn open_directly(
-        &self,
+        self: &Arc<Self>,
         target: &Target,
         limit: Duration,
     ) -> io::Result<Opened> {
         let opened = timeout(limit, self.direct(target.address)).await;
-        let stream = opened.map_err(|_| ErrorKind::TimedOut)??;
+        let opened = opened.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()));
+        let stream = opened.inspect_err(|_| {
+            let now = self.now();
+            self.check_since(target, now, now);
+        })?;
         Ok(self.opened_directly(target, stream))
     }
 
--- a/crates/upstream/tests/relayed_connections.rs
+++ b/crates/upstream/tests/relayed_connections.rs
@@ -18,7 +18,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
 use upstream::link::{Call, Class, Host, Link, Reuse};
-use upstream::path::Peer;
+use upstream::path::{Peer, Way};
 use upstream::relay::Router;
 use upstream::relay::server::{Counts, Gate, Server};
 use upstream::{Error, Limits, Reach};
@@ -88,6 +88,17 @@
 
 /// Returns a link to an upstream that only the peer reaches, and the peer.
 async fn pair(address: SocketAddr, near: Ipv4Addr, key: &str, listed: &str) -> (Link, Member) {
+    let (link, _, relay) = routed_pair(address, near, key, listed).await;
+    (link, relay)
+}
+
+/// Returns the same with the router of the link.
+async fn routed_pair(
+    address: SocketAddr,
+    near: Ipv4Addr,
+    key: &str,
+    listed: &str,
+) -> (Link, Arc<Router>, Member) {
     let listed = Listed(listed.into(), address);
     let relay = Member::start("relay", own_ip(), key, listed).await;
     let seal = Seal::new(KEY, None).unwrap();
@@ -97,7 +108,8 @@
         connect: ms(400),
         ..Limits::default()
     };
-    (Link::new("u", address, limits).routed(&router), relay)
+    let link = Link::new("u", address, limits).routed(&router);
+    (link, router, relay)
 }
 
 fn call() -> Call {
@@ -159,6 +171,26 @@
     assert_eq!(relay.relayed.opened.load(Ordering::Relaxed), 1);
 }
 
+/// Guards against an owner that keeps an engine although its orders cannot reach it.
+#[tokio::test]
+async fn unreached_direct_link_shows_the_way_of_others() {
+    let near = own_ip();
+    let (address, seen) = serve_hidden(vec![Act::Hold], Some(near)).await;
+    let (link, router, relay) = routed_pair(address, near, KEY, "u").await;
+    let error = answer(&link.direct()).await.unwrap_err();
+    assert_eq!(error.reach(), Reach::NotSent, "{error}");
+    let limit = Instant::now() + ms(3_000);
+    let way = loop {
+        if let Some(change) = router.take_changes().pop() {
+            break change.way;
+        }
+        assert!(Instant::now() < limit, "the way was not checked");
+        sleep(ms(10)).await;
+    };
+    assert_eq!(way, Way::Peer(relay.peer.vm.clone()));
+    assert_eq!(count(&seen.requests), 0);
+}
+
 /// Guards against strangers, and against nodes that reach what the peer does not list.
 #[rstest]
 #[case::wrong_key("another key of enough bytes", "u")]
