Own front: nodes partitioned from upstreams reach them through a peer

Callers of a node that was partitioned from all engines and services got no answer from the product's own front, while the other nodes served all: the node opened connections to upstreams directly and in no other way.

The drivers of engines and services now open connections by the node's `Router`. Peers are the live nodes of the view, at the port of the new setting `listen.relay`, which is off by default; a node that leaves opens none and waits for the exchanges that it relays. Orders to engines and the reports that they rest on go through no peer. `listen.source` sets the local address of connections to upstreams, as `exchange.source` does.

--- a/crates/hyssopscale/tests/support/mod.rs
+++ b/crates/hyssopscale/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 use std::fs::File;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -45,6 +46,9 @@
 /// Time from the end of the faults to the end of the workload.
 const AFTERMATH: Duration = Duration::from_secs(3);
 
+/// Port of nodes with addresses of their own, at which they relay.
+const RELAY_PORT: u16 = 9_085;
+
 pub const CALLERS: usize = 6;
 pub const ADAPTERS: usize = 24;
 
@@ -146,7 +150,11 @@
             seed,
             ..fleet::Config::default()
         };
-        let fleet = Fleet::start(config).await.unwrap();
+        Self::start_over(Fleet::start(config).await.unwrap(), plant).await
+    }
+
+    /// Starts the nodes of a fleet.
+    pub async fn start_over(fleet: Fleet, plant: Plant) -> Self {
         let mut cluster = Self {
             processes: Processes::new(&fleet, plant.settings),
             fleet,
@@ -245,6 +253,9 @@
         for (key, value) in overrides(place) {
             command.arg("--set").arg(format!("{key}={value}"));
         }
+        for (key, value) in paths(place) {
+            command.arg("--set").arg(format!("{key}={value}"));
+        }
         for (key, value) in settings {
             command.arg("--set").arg(format!("{key}={value}"));
         }
@@ -405,6 +416,18 @@
     ]
 }
 
+/// Settings of nodes with addresses of their own, which open connections to upstreams for each other.
+fn paths(place: &Place) -> Vec<(&'static str, String)> {
+    let own = place.peers.ip();
+    if own == Ipv4Addr::LOCALHOST {
+        return Vec::new();
+    }
+    vec![
+        ("listen.source", own.to_string()),
+        ("listen.relay", SocketAddr::new(own, RELAY_PORT).to_string()),
+    ]
+}
+
 fn entry(place: &Place) -> Entry {
     Entry {
         node: place.vm.clone(),
--- a/crates/node/src/core/perform.rs
+++ b/crates/node/src/core/perform.rs
@@ -10,6 +10,7 @@
 use super::{Admitted, Grant, Input, Placed, Ruling, State, Vetted, orders, source};
 use crate::decision;
 use crate::journal::DECISION;
+use crate::paths;
 use crate::shared::Rules;
 
 /// Times its even part of a pool's capacity that one node may use.
@@ -49,6 +50,7 @@
                 .set(count as i64);
         }
         self.shared.view.store(Arc::new(view));
+        paths::show_peers(&self.shared);
         self.show_capacity();
     }
 
@@ -65,6 +67,7 @@
         let directory = self.listed.with_leaving(|id| self.leaving.contains(id));
         let facts = directory.facts(&self.shared.settings, &self.down);
         self.shared.directory.store(Arc::new(directory));
+        paths::show_peers(&self.shared);
         self.step(Event::Placement(placement::Event::Upstreams(facts)));
         self.show_capacity();
     }
@@ -364,7 +367,12 @@
     pub(super) fn take_list(&mut self, list: &platform::List) {
         self.listed_at = Some(self.shared.clock.now());
         let known = self.shared.directory.load();
-        let next = crate::directory::Directory::from_list(list, &self.shared.settings, &known);
+        let next = crate::directory::Directory::from_list(
+            list,
+            &self.shared.settings,
+            &self.shared.router,
+            &known,
+        );
         let entries = next
             .entries()
             .iter()
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -7,6 +7,7 @@
 
 use platform::{List, Member, Role};
 use settings::{Driver, Settings};
+use upstream::relay::Router;
 use upstream::{Limits, engine, service};
 use wire::{Upstream, Vm, Zone};
 
@@ -97,8 +98,8 @@
 impl Directory {
     /// Makes the directory that `list` tells; upstreams that were known already keep their drivers.
     ///
-    /// Members of other regions, and of pools that the settings do not name, are left out.
-    pub fn from_list(list: &List, settings: &Settings, known: &Self) -> Self {
+    /// Connections to them are opened by `router`. Members of other regions, and of pools that the settings do not name, are left out.
+    pub fn from_list(list: &List, settings: &Settings, router: &Arc<Router>, known: &Self) -> Self {
         let mut directory = Self::default();
         let here = list
             .members
@@ -114,7 +115,7 @@
                     address,
                     release,
                 } => {
-                    let runner = runner(member, pool, *address, settings, known);
+                    let runner = runner(member, pool, *address, settings, known, router);
                     directory.runners.extend(runner.map(|runner| Runner {
                         release: release.as_deref().map(Into::into),
                         ..runner
@@ -217,6 +218,7 @@
     address: SocketAddr,
     settings: &Settings,
     known: &Directory,
+    router: &Arc<Router>,
 ) -> Option<Runner> {
     let facts = settings.pools.get(pool)?;
     let id: Upstream = member.vm.clone();
@@ -225,7 +227,10 @@
         .filter(|old| old.address == address && *old.pool == *pool);
     let link = match same {
         Some(old) => old.link.clone(),
-        None => open(&id, address, facts, settings),
+        None => {
+            router.forget(&id);
+            open(&id, address, facts, settings, router)
+        }
     };
     Some(Runner {
         id,
@@ -240,7 +245,13 @@
     })
 }
 
-fn open(id: &Upstream, address: SocketAddr, pool: &settings::Pool, settings: &Settings) -> Link {
+fn open(
+    id: &Upstream,
+    address: SocketAddr,
+    pool: &settings::Pool,
+    settings: &Settings,
+    router: &Arc<Router>,
+) -> Link {
     let batch = pool.max_batch as usize;
     let defaults = Limits::default();
     let limits = Limits {
@@ -255,9 +266,12 @@
     match pool.driver {
         Driver::Engine => {
             let engine = engine::Http::new(id.clone(), address, limits, settings.time.load);
-            Link::Engine(Arc::new(engine))
+            Link::Engine(Arc::new(engine.routed(router)))
+        }
+        Driver::Service => {
+            let service = service::Http::new(id.clone(), address, limits);
+            Link::Service(Arc::new(service.routed(router)))
         }
-        Driver::Service => Link::Service(Arc::new(service::Http::new(id.clone(), address, limits))),
     }
 }
 
--- a/crates/node/src/front/operators.rs
+++ b/crates/node/src/front/operators.rs
@@ -66,7 +66,10 @@
         if let Some(status) = self.core.status().await {
             self.shared.metrics.show(&status);
         }
-        let text = self.shared.metrics.render().map_err(internal)?;
+        let opened = self.shared.router.counts();
+        let metrics = &self.shared.metrics;
+        metrics.show_paths(opened, &self.shared.relayed);
+        let text = metrics.render().map_err(internal)?;
         let mut response = Response::new(Body::full(text));
         let media = HeaderValue::from_static("text/plain; version=0.0.4");
         response.headers_mut().insert(CONTENT_TYPE, media);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`front`] answers callers and operators.
 //! - [`directory`] knows where nodes and upstreams are.
 //! - [`run`] starts and stops all of it; [`start`] is what other kinds of nodes do likewise; [`tune`] derives the machines' settings.
+//! - `paths` follows over which way upstreams are reached, and says what peers may have opened.
 //! - [`trials`] keeps what attempts taught: retry budgets and the health of upstreams.
 //! - [`decision`] writes a log line for each decision; [`journal`], [`metrics`] and [`usage`] tell operators what happens.
 
@@ -15,6 +16,7 @@
 pub mod front;
 pub mod journal;
 pub mod metrics;
+mod paths;
 pub mod peer;
 pub mod run;
 pub mod shared;
--- a/crates/node/src/metrics/mod.rs
+++ b/crates/node/src/metrics/mod.rs
@@ -11,6 +11,7 @@
 use prometheus::{
     Encoder, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry, TextEncoder,
 };
+use upstream::relay::{self, server};
 use wire::Priority;
 
 use crate::core::Status;
@@ -198,6 +199,11 @@
         self.state.show(status);
     }
 
+    /// Shows how connections to upstreams were opened, and what was relayed for other nodes.
+    pub(crate) fn show_paths(&self, opened: &relay::Counts, relayed: &server::Counts) {
+        self.state.show_paths(opened, relayed);
+    }
+
     /// Returns the text exposition of all metrics.
     ///
     /// # Errors
--- a/crates/node/src/metrics/state.rs
+++ b/crates/node/src/metrics/state.rs
@@ -1,7 +1,11 @@
 //! Gauges of a node's state, set when the metrics are read.
 
+use std::sync::atomic::Ordering::Relaxed;
+
 use prometheus::{IntGauge, IntGaugeVec, Registry};
 
+use upstream::relay::{self, server};
+
 use super::register::{gauge_vec, registered, signed};
 use crate::core::{Status, UpstreamStatus};
 
@@ -20,6 +24,8 @@
     leases: IntGaugeVec,
     queue: IntGaugeVec,
     loads: IntGaugeVec,
+    connections: IntGaugeVec,
+    relayed: IntGaugeVec,
 }
 
 impl State {
@@ -60,6 +66,18 @@
                 "Loads that wait here, or were allowed here and may be in flight.",
                 &["store", "state"],
             )?,
+            connections: gauge_vec(
+                r,
+                "upstream_connections",
+                "Connections to upstreams since the start, by the way they were opened.",
+                &["way"],
+            )?,
+            relayed: gauge_vec(
+                r,
+                "relayed",
+                "Connections opened for other nodes since the start, those open now, and their bytes.",
+                &["what"],
+            )?,
         })
     }
 
@@ -83,6 +101,29 @@
         }
     }
 
+    pub(super) fn show_paths(&self, opened: &relay::Counts, relayed: &server::Counts) {
+        for (way, count) in [
+            ("direct", &opened.direct),
+            ("peer", &opened.relayed),
+            ("failed", &opened.failed),
+            ("peer-refused", &opened.refused),
+            ("check", &opened.checks),
+        ] {
+            let connections = self.connections.with_label_values(&[way]);
+            connections.set(signed(count.load(Relaxed)));
+        }
+        for (what, count) in [
+            ("opened", &relayed.opened),
+            ("refused", &relayed.refused),
+            ("bytes", &relayed.bytes),
+        ] {
+            let total = self.relayed.with_label_values(&[what]);
+            total.set(signed(count.load(Relaxed)));
+        }
+        let open = self.relayed.with_label_values(&["open"]);
+        open.set(relayed.open.load(Relaxed));
+    }
+
     fn show_upstreams(&self, status: &Status) {
         // What is gone must not stay in the exposition.
         self.upstreams.reset();
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -10,6 +10,8 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use upstream::relay::Router;
+use upstream::relay::server::Server;
 use wire::seal::Seal;
 use wire::{Incarnation, Machine, rank};
 
@@ -19,6 +21,7 @@
 use crate::front::tls::{self, Tls};
 use crate::front::{Front, Operators};
 use crate::metrics::Metrics;
+use crate::paths::{self, Admission};
 use crate::peer::{Inbox, Outbox, SharedCounts};
 use crate::shared::Shared;
 use crate::start::{self, Error, bind, seal};
@@ -42,6 +45,8 @@
     inbox: Inbox,
     addresses: Addresses,
     stop: watch::Sender<bool>,
+    /// Ends what is relayed for other nodes, each connection once it is idle.
+    stop_relay: watch::Sender<bool>,
     fronts: Vec<JoinHandle<()>>,
 }
 
@@ -78,7 +83,14 @@
         let metrics = Metrics::new(counts.clone())?;
         let seal = seal(&settings)?;
         let source = Arc::new(platform_source(&settings)?);
-        let shared = Arc::new(Shared::new(settings, me.clone(), clock, metrics));
+        let router = Router::new(
+            me.clone(),
+            settings.vm.zone.clone(),
+            seal.clone(),
+            settings.listen.source,
+        );
+        let shared = Shared::new(settings, me.clone(), clock, metrics, router);
+        let shared = Arc::new(shared);
         let core = core::start(core::Arguments {
             shared: shared.clone(),
             logic: logic::Node::new(crate::tune::config(&shared.settings, me)),
@@ -97,6 +109,7 @@
             core,
             inbox,
             stop: watch::channel(false).0,
+            stop_relay: watch::channel(false).0,
             fronts: Vec::new(),
         };
         node.open().await?;
@@ -136,6 +149,23 @@
             self.stop.subscribe(),
         )));
         tokio::spawn(core::poll_engines(self.shared.clone(), self.core.clone()));
+        tokio::spawn(paths::run(self.shared.clone()));
+        self.relay().await
+    }
+
+    /// Opens connections to upstreams for other nodes, where there is an address for that.
+    async fn relay(&self) -> Result<(), Error> {
+        let Some(address) = self.shared.settings.listen.relay else {
+            return Ok(());
+        };
+        let socket = bind(address).await?;
+        let server = Server::new(
+            self.shared.router.clone(),
+            Admission(self.shared.clone()),
+            self.shared.relayed.clone(),
+            self.stop_relay.subscribe(),
+        );
+        tokio::spawn(server.serve(socket));
         Ok(())
     }
 
@@ -173,6 +203,7 @@
             hand_over: HAND_OVER,
         });
         let mut ending = Ending::Whole;
+        let began = self.shared.clock.now();
         let mut event = drain::Event::Start;
         let mut asked = false;
         let mut handed = false;
@@ -195,7 +226,12 @@
                 handed = true;
                 drain::Event::HandedOver
             } else {
-                drain::Event::InFlight(usize::try_from(self.shared.flying()).unwrap_or(usize::MAX))
+                if self.shared.clock.now() >= began + times.address_ttl {
+                    // By then peers know that this node leaves, and begin nothing through it.
+                    self.stop_relay.send_replace(true);
+                }
+                let flying = self.shared.flying() + self.shared.relaying();
+                drain::Event::InFlight(usize::try_from(flying).unwrap_or(usize::MAX))
             };
         }
         self.close().await;
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -6,6 +6,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use settings::Settings;
 use upstream::memory::Account;
+use upstream::relay::{Router, server};
 use wire::{Incarnation, Request, Revision, View};
 
 use crate::clock::Clock;
@@ -42,6 +43,10 @@
     pub directory: ArcSwap<Directory>,
     /// Prefix for the keys of calls that may not be repeated, while witnesses are known.
     pub ticket: ArcSwapOption<String>,
+    /// Opens connections to upstreams.
+    pub router: Arc<Router>,
+    /// What this node relayed for others.
+    pub relayed: Arc<server::Counts>,
     /// Retry budgets and health of upstreams.
     pub trials: Trials,
     configured: AtomicBool,
@@ -53,7 +58,13 @@
 
 impl Shared {
     /// Makes the state of a process that has just started.
-    pub fn new(settings: Settings, me: Incarnation, clock: Clock, metrics: Metrics) -> Self {
+    pub fn new(
+        settings: Settings,
+        me: Incarnation,
+        clock: Clock,
+        metrics: Metrics,
+        router: Arc<Router>,
+    ) -> Self {
         Self {
             memory: Account::new(settings.limits.held_bytes()),
             settings,
@@ -64,6 +75,8 @@
             view: ArcSwap::default(),
             directory: ArcSwap::default(),
             ticket: ArcSwapOption::empty(),
+            router,
+            relayed: Arc::default(),
             trials: Trials::default(),
             configured: AtomicBool::new(false),
             met: AtomicBool::new(false),
--- a/crates/settings/src/section.rs
+++ b/crates/settings/src/section.rs
@@ -41,6 +41,11 @@
     pub peers: SocketAddr,
     /// Address for operators, health and metrics; `127.0.0.1:8082` by default.
     pub operators: SocketAddr,
+    /// Address at which the node opens connections to upstreams for nodes that are partitioned from them;
+    /// absent for none. All nodes use the same port.
+    pub relay: Option<SocketAddr>,
+    /// Local address of connections to upstreams; the system chooses one by default.
+    pub source: Option<IpAddr>,
 }
 
 impl Default for Listen {
@@ -49,6 +54,8 @@
             callers: (Ipv4Addr::UNSPECIFIED, 8080).into(),
             peers: (Ipv4Addr::UNSPECIFIED, 8081).into(),
             operators: (Ipv4Addr::LOCALHOST, 8082).into(),
+            relay: None,
+            source: None,
         }
     }
 }
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -136,6 +136,13 @@
         }
     }
 
+    /// Lists VMs, in place of those of the same id, on every node's list.
+    pub fn list(&self, members: &[Member]) {
+        for platform in &self.platforms {
+            platform.state().merge_members(members.iter().cloned());
+        }
+    }
+
     /// Returns the calls counted by one node's platform.
     ///
     /// # Panics
--- a/crates/upstream/src/engine/http.rs
+++ b/crates/upstream/src/engine/http.rs
@@ -7,6 +7,7 @@
 //! attempt stands in a header.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -24,6 +25,7 @@
 use crate::error::Error;
 use crate::header;
 use crate::link::{Body, Call, Class, Host, Limits, Link, Reuse};
+use crate::relay::Router;
 use crate::sse::Parser;
 
 /// Bytes of an error answer that are quoted.
@@ -56,6 +58,15 @@
         }
     }
 
+    /// Opens connections by `router`. Those of orders go through no peer.
+    #[must_use]
+    pub fn routed(self, router: &Arc<Router>) -> Self {
+        Self {
+            link: self.link.routed(router),
+            ..self
+        }
+    }
+
     /// Returns the engine's id.
     pub fn upstream(&self) -> &Upstream {
         self.link.upstream()
@@ -71,7 +82,7 @@
             head: Some(self.load),
             request: self.build(request, body)?,
         };
-        let response = self.link.send(call).await?;
+        let response = self.link.direct().send(call).await?;
         match response.status() {
             status if status.is_success() => response.into_body().collect().await.map(drop),
             StatusCode::CONFLICT => Err(Error::Fenced {
@@ -85,10 +96,17 @@
     async fn ask(&self, path: &str) -> Result<Bytes, Error> {
         let request = Request::get(path).body(Full::default());
         let request = request.map_err(|error| self.invalid(error))?;
-        self.control(request, Reuse::Kept).await
+        // What orders rest on goes the way of orders.
+        self.control(&self.link.direct(), request, Reuse::Kept)
+            .await
     }
 
-    async fn control(&self, request: Request<Full<Bytes>>, reuse: Reuse) -> Result<Bytes, Error> {
+    async fn control(
+        &self,
+        link: &Link,
+        request: Request<Full<Bytes>>,
+        reuse: Reuse,
+    ) -> Result<Bytes, Error> {
         let path = request.uri().path().to_owned();
         // An import sends a body that takes its time.
         let report = request.method() != Method::PUT;
@@ -99,7 +117,7 @@
             head: report.then_some(self.link.limits().report),
             request,
         };
-        let response = self.link.send(call).await?;
+        let response = link.send(call).await?;
         if response.status().is_success() {
             return response.into_body().collect().await;
         }
@@ -218,7 +236,9 @@
 
     async fn cancel(&self, attempt: &str) -> Result<(), Error> {
         let request = self.build(Request::post("/v1/cancel"), &json!({ "attempt": attempt }))?;
-        self.control(request, Reuse::Kept).await.map(drop)
+        self.control(&self.link, request, Reuse::Kept)
+            .await
+            .map(drop)
     }
 
     async fn report(&self) -> Result<Report, Error> {
@@ -234,7 +254,7 @@
             .header(header::ATTEMPT, attempt)
             .body(Full::default())
             .map_err(|error| self.invalid(error))?;
-        self.control(request, Reuse::Kept).await
+        self.control(&self.link, request, Reuse::Kept).await
     }
 
     async fn import(&self, attempt: &str, cache: Bytes) -> Result<(), Error> {
@@ -244,7 +264,9 @@
             .header(header::ATTEMPT, attempt)
             .body(Full::new(cache))
             .map_err(|error| self.invalid(error))?;
-        self.control(request, Reuse::Fresh).await.map(drop)
+        self.control(&self.link, request, Reuse::Fresh)
+            .await
+            .map(drop)
     }
 }
 
--- a/crates/upstream/src/service/http.rs
+++ b/crates/upstream/src/service/http.rs
@@ -1,6 +1,7 @@
 //! The service over HTTP/1.1.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -14,6 +15,7 @@
 use crate::error::Error;
 use crate::header;
 use crate::link::{self, Limits, Link};
+use crate::relay::Router;
 
 /// A plain service reached over HTTP.
 #[derive(Clone, Debug)]
@@ -29,6 +31,14 @@
         }
     }
 
+    /// Opens connections by `router`, directly or through peers.
+    #[must_use]
+    pub fn routed(self, router: &Arc<Router>) -> Self {
+        Self {
+            link: self.link.routed(router),
+        }
+    }
+
     /// Returns the service's id.
     pub fn upstream(&self) -> &Upstream {
         self.link.upstream()
