--- a/crates/exchange/src/permit/mod.rs
+++ b/crates/exchange/src/permit/mod.rs
@@ -6,7 +6,7 @@
 //! and return it afterwards. A node that gets no answer sends so little that it may all be turned away.
 //!
 //! - [`brittleness`] is what a node knows of one upstream.
-//! - [`issuer`] issues the permits of one upstream.
+//! - [`mod@issuer`] issues the permits of one upstream.
 //! - [`issuers`] holds the issuers of a node.
 
 pub mod brittleness;
