Paths: a direct connection that only opens does not end a lost way

Callers of a node that is cut off by resets got no completions on the product's own front, and on both fronts requests to an engine at which their node orders went out directly again after each order.

Cause: an order goes directly, and a connection that opens counted as the way being back, whatever became of it. A network or a proxy that takes connections and resets them made the way change twice a second (node log of cut_node: way=peer, way=direct, 30 times in 8 s), and a request that met "direct" was reset. While the way is lost only a probe or a check, which see that a connection stays open, bring it back now.

--- a/crates/upstream/src/path/mod.rs
+++ b/crates/upstream/src/path/mod.rs
@@ -211,7 +211,15 @@
         }
     }
 
-    /// Takes in that a direct connection has opened, or an answer came on one.
+    /// Takes in that a direct connection has opened. To an upstream that is partitioned from this node it
+    /// may be reset at once, and [`Paths::probe`] has to show that it is not.
+    pub fn opened(&mut self, now: Time, upstream: &Upstream) {
+        if !self.is_lost(upstream) {
+            self.reached(now, upstream);
+        }
+    }
+
+    /// Takes in that a direct connection has opened, and stayed open where the way was lost.
     pub fn reached(&mut self, now: Time, upstream: &Upstream) {
         let state = self.state(now, upstream);
         let lost = state.is_lost();
--- a/crates/upstream/src/relay/router.rs
+++ b/crates/upstream/src/relay/router.rs
@@ -407,7 +407,7 @@
 
     fn opened_directly(&self, target: &Target, stream: TcpStream) -> Opened {
         let now = self.now();
-        self.paths().reached(now, &target.upstream);
+        self.paths().opened(now, &target.upstream);
         Opened {
             stream,
             way: Way::Direct,
@@ -450,7 +450,7 @@
     pub(super) async fn open_for_peer(&self, target: &Target) -> io::Result<TcpStream> {
         let stream = self.direct(target.address).await?;
         let now = self.now();
-        self.paths().reached(now, &target.upstream);
+        self.paths().opened(now, &target.upstream);
         Ok(stream)
     }
 
--- a/crates/upstream/tests/relayed_connections.rs
+++ b/crates/upstream/tests/relayed_connections.rs
@@ -367,6 +367,23 @@
     assert!(failed <= 1, "{failed} of 40 calls failed");
 }
 
+/// Guards against orders whose connections are taken and then reset, and that send requests the same way.
+#[tokio::test]
+async fn order_that_breaks_leaves_requests_their_way() {
+    let near = own_ip();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(serve_unless(listener, near));
+    let (link, _relay) = pair(address, near, KEY, "u").await;
+    let mut failed = 0;
+    for _ in 0..20 {
+        answer(&link.direct()).await.unwrap_err();
+        failed += usize::from(answer(&link).await.is_err());
+        sleep(ms(50)).await;
+    }
+    assert!(failed <= 2, "{failed} of 20 calls failed");
+}
+
 /// Guards against a leaving peer that cuts what it relays, or takes more.
 #[tokio::test]
 async fn leaving_peer_ends_what_it_has() {
