Placement: an engine that is given up is claimed again without a wait

The new process of a node always learns of the one that stood in for it, and that one has given the engine up (node logs: own fence=1 at 08.603, own fence=10 at 11.621). A node that held the higher claim itself, and orders nothing under it any more, says so now, with the time since; the wait is what is left of the three seconds since orders may have been given, and none if there were none. It does not take that claim up again.

--- a/crates/placement/src/message.rs
+++ b/crates/placement/src/message.rs
@@ -223,4 +223,13 @@
         /// Number of loads in flight that the share permits.
         permits: u32,
     },
+    /// Former owner to a new one: it held the higher claim itself, and orders nothing under it any more.
+    ClaimGivenUp {
+        /// The upstream.
+        upstream: Upstream,
+        /// Number of the higher claim.
+        claim: Fence,
+        /// Time since it gave the upstream up; `None` if it has ordered nothing under this claim.
+        quiet: Option<Duration>,
+    },
 }
--- a/crates/placement/src/owner/load.rs
+++ b/crates/placement/src/owner/load.rs
@@ -167,6 +167,7 @@
                 alternatives: others.saturating_sub(1),
             });
         }
+        self.has_ordered = true;
         fx.push(Action::Unload {
             upstream: self.upstream.id.clone(),
             instance: slot.instance.clone(),
@@ -224,6 +225,7 @@
             age: now.saturating_sub(since),
             alternatives: self.queue.entries().len().saturating_sub(1),
         });
+        self.has_ordered = true;
         fx.push(Action::Load {
             upstream: self.upstream.id.clone(),
             instance: name.to_instance(),
--- a/crates/placement/src/owner/mod.rs
+++ b/crates/placement/src/owner/mod.rs
@@ -97,6 +97,11 @@
     /// Moving average of the time between loads while several models are queued.
     load_interval: Duration,
     last_load: Option<Time>,
+    has_ordered: bool,
+    /// When the ownership ended.
+    retired_at: Option<Time>,
+    /// Whether another node was told that the claim is given up.
+    given_up: bool,
 }
 
 impl Owner {
@@ -131,6 +136,9 @@
             last_lease: 0,
             load_interval: Duration::ZERO,
             last_load: None,
+            has_ordered: false,
+            retired_at: None,
+            given_up: false,
         }
     }
 
@@ -426,7 +434,7 @@
 
     /// Ends the ownership and denies all waiters. The slots are kept for the acknowledgement of the
     /// next owner's claim.
-    pub fn retire(&mut self, fx: &mut Effects) {
+    pub fn retire(&mut self, now: Time, fx: &mut Effects) {
         let models: Vec<Model> = self
             .queue
             .entries()
@@ -437,6 +445,20 @@
             self.deny_waiters(&model, Denial::Moved, Duration::ZERO, fx);
         }
         self.has_ticket = false;
+        self.retired_at = Some(now);
+    }
+
+    /// Gives the claim up for good. Returns the time since the ownership ended, or `None` if nothing
+    /// was ordered.
+    pub fn give_up(&mut self, now: Time) -> Option<Duration> {
+        self.given_up = true;
+        let retired_at = self.retired_at.unwrap_or(now);
+        self.has_ordered.then(|| now.saturating_sub(retired_at))
+    }
+
+    /// Returns whether another node was told that the claim is given up.
+    pub const fn is_given_up(&self) -> bool {
+        self.given_up
     }
 
     /// Raises a model's popularity to a predicted or handed-over rate, if that exceeds the
--- a/crates/placement/src/planner/ownership.rs
+++ b/crates/placement/src/planner/ownership.rs
@@ -52,7 +52,7 @@
         for upstream in owned {
             let mine = self.view.owner(&upstream) == Some(&self.me.vm);
             if !known(&upstream) || !mine {
-                self.resign(&upstream, 0);
+                self.resign(now, &upstream, 0);
             }
         }
         self.former_owners
@@ -88,7 +88,8 @@
         {
             let mut owner = self.former_owners.swap_remove(index);
             // No other node has claimed the upstream since, so the known state is still valid.
-            if above == 0 && self.promises.holds(&id, owner.claim(), &self.me) {
+            let holds = self.promises.holds(&id, owner.claim(), &self.me);
+            if above == 0 && holds && !owner.is_given_up() {
                 owner.update_upstream(facts);
                 self.insert_owner(owner);
                 return true;
@@ -114,7 +115,7 @@
     }
 
     /// Ends the ownership of an upstream. Its state is kept for the next owner's claim.
-    pub(super) fn resign(&mut self, upstream: &Upstream, fence: Fence) {
+    pub(super) fn resign(&mut self, now: Time, upstream: &Upstream, fence: Fence) {
         let Some(index) = self
             .owners
             .iter()
@@ -123,7 +124,7 @@
             return;
         };
         let mut owner = self.owners.remove(index);
-        owner.retire(&mut self.fx);
+        owner.retire(now, &mut self.fx);
         for budget in &mut self.budgets {
             budget.abandon(upstream, &mut self.fx);
         }
@@ -169,6 +170,39 @@
         }
     }
 
+    /// Handles the news that a peer gave the higher claim `claim` up `quiet` ago, or has ordered nothing
+    /// under it. This node claims the upstream again as soon as that peer's orders are not recent.
+    pub(super) fn handle_given_up(
+        &mut self,
+        now: Time,
+        upstream: &Upstream,
+        claim: Fence,
+        quiet: Option<Duration>,
+    ) {
+        self.handle_superseded(now, upstream, claim);
+        let at = now + quiet.map_or(Duration::ZERO, |quiet| RECLAIM_DELAY.saturating_sub(quiet));
+        let reclaim = self.reclaims.iter_mut().find(|r| r.upstream == *upstream);
+        if let Some(reclaim) = reclaim.filter(|reclaim| reclaim.above <= claim) {
+            reclaim.at = reclaim.at.min(at);
+        }
+    }
+
+    /// Returns the answer to a claim below `claim`.
+    fn superseded(&mut self, now: Time, upstream: &Upstream, claim: Fence) -> Message {
+        let mine = self.promises.holds(upstream, claim, &self.me);
+        let former = self.former_owners.iter_mut();
+        let given_up = { former }.find(|o| o.upstream().id == *upstream && o.claim() == claim);
+        let upstream = upstream.clone();
+        match given_up {
+            Some(owner) if mine => Message::ClaimGivenUp {
+                upstream,
+                claim,
+                quiet: owner.give_up(now),
+            },
+            _ => Message::ClaimSuperseded { upstream, claim },
+        }
+    }
+
     /// Returns whether this node waits before it claims an upstream again. Its own instances stay
     /// known, but it orders nothing.
     pub(super) fn awaits_reclaim(&self, upstream: &str) -> bool {
@@ -244,14 +278,12 @@
     ) {
         match self.promises.accept(upstream, claim, from) {
             ClaimOutcome::Superseded(claim) => {
-                let upstream = upstream.clone();
-                return self
-                    .fx
-                    .send(&from.vm, Message::ClaimSuperseded { upstream, claim });
+                let message = self.superseded(now, upstream, claim);
+                return self.fx.send(&from.vm, message);
             }
             ClaimOutcome::Accepted => {
                 let was_owner = self.owners.iter().any(|o| o.upstream().id == *upstream);
-                self.resign(upstream, claim);
+                self.resign(now, upstream, claim);
                 if was_owner && self.view.owner(upstream) == Some(&self.me.vm) {
                     self.schedule_reclaim(now, upstream, claim);
                 }
--- a/crates/placement/src/planner/receive.rs
+++ b/crates/placement/src/planner/receive.rs
@@ -93,6 +93,11 @@
             Message::ClaimSuperseded { upstream, claim } => {
                 self.handle_superseded(now, &upstream, claim);
             }
+            Message::ClaimGivenUp {
+                upstream,
+                claim,
+                quiet,
+            } => self.handle_given_up(now, &upstream, claim, quiet),
             other => self.receive_budget_message(now, from, other),
         }
     }
--- a/crates/placement/tests/fleet/mod.rs
+++ b/crates/placement/tests/fleet/mod.rs
@@ -765,9 +765,10 @@
         Message::Queued { .. } => "queued",
         Message::Deny { .. } => "deny",
         Message::Release { .. } => "release",
-        Message::Claim { .. } | Message::ClaimAck(_) | Message::ClaimSuperseded { .. } => {
-            "takeover"
-        }
+        Message::Claim { .. }
+        | Message::ClaimAck(_)
+        | Message::ClaimSuperseded { .. }
+        | Message::ClaimGivenUp { .. } => "takeover",
         Message::TicketRequest { .. } => "ticket-ask",
         Message::Ticket(_) | Message::TicketReturn { .. } => "ticket",
         Message::ShareRequest { .. } | Message::Share { .. } => "share",
--- a/crates/placement/tests/owner_turns.rs
+++ b/crates/placement/tests/owner_turns.rs
@@ -143,3 +143,76 @@
     assert!(!orders.is_empty());
     assert_eq!(turns, 0, "of {} orders", orders.len());
 }
+
+/// Returns how long a node that starts anew waits until it claims its engine above the number of the one
+/// that owned it meanwhile, and that has given an order just now or none.
+fn wait_for_reclaim(ordered: bool) -> Duration {
+    let both = view(&["a", "b"]);
+    let owner = both.owner("e").expect("the view is not empty").clone();
+    let other = if *owner == *"a" { "b" } else { "a" };
+    let mut between = planner(other, &[other], RATE);
+    let mut out = Vec::new();
+    // The former process of the owner had claimed the engine.
+    let claims = vec![("e".into(), 5)];
+    let event = Event::Receive {
+        from: Incarnation::new(owner.clone(), 0),
+        message: Message::Claim { claims },
+    };
+    between.step(TICK, event, &mut out);
+    let mut now = TICK + LEASE;
+    between.step(now, Event::Tick, &mut out);
+    if ordered {
+        between.step(now, request(1, Priority::Normal), &mut out);
+    }
+    let order = |action: &Action| matches!(action, Action::Load { .. });
+    while out.iter().any(order) != ordered {
+        now += TICK;
+        between.step(now, Event::Tick, &mut out);
+        assert!(now < LEASE * 3, "nothing was ordered");
+    }
+    let begin = now;
+    now += TICK;
+    between.step(now, Event::View(both), &mut out);
+    let mut anew = planner(&owner, &["a", "b"], RATE);
+    let mut told: Vec<Message> = Vec::new();
+    loop {
+        let mut out = Vec::new();
+        for message in told.drain(..) {
+            let from = Incarnation::new(other, 1);
+            anew.step(now, Event::Receive { from, message }, &mut out);
+        }
+        anew.step(now, Event::Tick, &mut out);
+        let mut answers = Vec::new();
+        for action in out {
+            let Action::Send { message, .. } = action else {
+                continue;
+            };
+            if matches!(&message, Message::Claim { claims } if claims[0].1 > 6) {
+                return now - begin;
+            }
+            let from = Incarnation::new(owner.clone(), 1);
+            between.step(now, Event::Receive { from, message }, &mut answers);
+        }
+        told.extend(answers.into_iter().filter_map(|action| match action {
+            Action::Send { message, .. } => Some(message),
+            _ => None,
+        }));
+        now += TICK;
+        assert!(now < begin + LEASE * 3, "it was not claimed again");
+    }
+}
+
+/// Guards against an engine that nobody may order at for seconds after a planned restart of its owner,
+/// although who owned it meanwhile has given it up.
+#[test]
+fn engine_given_up_is_claimed_at_once() {
+    let wait = wait_for_reclaim(false);
+    assert!(wait < Duration::from_secs(1), "{wait:?}");
+}
+
+/// Guards against orders of two nodes by turns (ONE) where the one between has given the engine up.
+#[test]
+fn engine_given_up_is_not_ordered_at_by_turns() {
+    let wait = wait_for_reclaim(true);
+    assert!((LEASE..LEASE + LEASE / 2).contains(&wait), "{wait:?}");
+}
