--- a/crates/exchange/src/owner/lease.rs
+++ b/crates/exchange/src/owner/lease/mod.rs
@@ -5,6 +5,8 @@
 //! Cheriton, 1989). Two majorities share a witness, so a node that takes an engine over begins only
 //! after the former owner has stopped, whatever the two know of each other.
 
+mod table;
+
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -13,6 +15,8 @@
 
 use super::owned_engine::OrderState;
 use super::{Action, Message, Owner};
+use table::Lease;
+pub(super) use table::LeaseTable;
 
 /// Time for which a witness grants a lease. It is shorter than the time within which orders of two
 /// nodes must not take turns.
@@ -47,9 +51,6 @@
 /// Delay of the next request to a witness that knows of other witnesses.
 pub(super) const DISAGREEMENT_DELAY: Duration = Duration::from_millis(300);
 
-/// Number of requests to one witness whose answers are awaited.
-const ROUNDS_MAX: usize = 3;
-
 /// A lease that a node asks for.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseClaim {
@@ -94,51 +95,6 @@
     }
 }
 
-/// What one witness has granted.
-#[derive(Clone, Debug)]
-struct Vote {
-    witness: Vm,
-    until: Time,
-    ask_at: Time,
-}
-
-/// The leases of one engine that this node owns or is about to claim.
-#[derive(Clone, Debug)]
-struct Lease {
-    engine: Upstream,
-    /// One vote for each witness, in rendezvous order.
-    votes: Vec<Vote>,
-    /// When the current attempt of a candidate began.
-    attempt_began: Time,
-    attempts: u32,
-    /// Digest of the witnesses.
-    electors: u64,
-    /// Whether this node is the only witness, so that nobody else can get the lease.
-    sole: bool,
-    /// Until when this node holds a majority.
-    until: Time,
-    /// Since when an owner holds no majority.
-    lost_since: Option<Time>,
-}
-
-/// A request to a witness that has not been answered.
-#[derive(Clone, Debug)]
-struct Round {
-    witness: Vm,
-    number: u64,
-    sent: Time,
-    engines: Vec<Upstream>,
-}
-
-/// Leases that this node holds or asks for.
-#[derive(Clone, Debug, Default)]
-pub(super) struct LeaseTable {
-    /// Sorted by engine.
-    leases: Vec<Lease>,
-    rounds: Vec<Round>,
-    last_round: u64,
-}
-
 /// Returns the witnesses of `engine` among `known`, in rendezvous order.
 pub(super) fn witnesses(engine: &str, known: &[Vm]) -> Vec<Vm> {
     let key = rank::hash(engine.as_bytes());
@@ -152,119 +108,6 @@
     hashes.fold(0, |digest, hash| digest ^ hash)
 }
 
-impl Lease {
-    fn new(now: Time, engine: Upstream, me: &Vm, known: &[Vm]) -> Self {
-        let mut lease = Self {
-            votes: Vec::new(),
-            attempt_began: now,
-            attempts: 0,
-            electors: 0,
-            sole: false,
-            until: Time::ZERO,
-            lost_since: None,
-            engine,
-        };
-        lease.assign(me, known);
-        lease
-    }
-
-    /// Replaces the witnesses, keeping what the remaining ones have granted.
-    fn assign(&mut self, me: &Vm, known: &[Vm]) {
-        let mut before = std::mem::take(&mut self.votes);
-        let assigned = witnesses(&self.engine, known);
-        self.electors = digest(&assigned);
-        for witness in assigned {
-            let kept = before.iter().position(|vote| vote.witness == witness);
-            self.votes.push(match kept {
-                Some(index) => before.swap_remove(index),
-                None => Vote {
-                    witness,
-                    until: Time::ZERO,
-                    ask_at: Time::ZERO,
-                },
-            });
-        }
-        self.sole = self.votes.iter().all(|vote| vote.witness == *me);
-        self.update();
-    }
-
-    /// Recomputes until when a majority is held. Of an even number of witnesses, half is enough if
-    /// the first one is among them.
-    fn update(&mut self) {
-        let mut ends: Vec<Time> = self.votes.iter().map(|vote| vote.until).collect();
-        ends.sort_unstable_by(|a, b| b.cmp(a));
-        let majority = ends.get(ends.len() / 2).copied().unwrap_or_default();
-        let half = match (self.votes.first(), ends.len()) {
-            (Some(first), count) if count.is_multiple_of(2) => first.until.min(ends[count / 2 - 1]),
-            _ => Time::ZERO,
-        };
-        self.until = majority.max(half);
-        if self.sole && !self.until.is_zero() {
-            self.until = Time::MAX;
-        }
-    }
-
-    fn grant(&mut self, witness: &Vm, until: Time, renew_at: Time) {
-        if let Some(vote) = self.votes.iter_mut().find(|vote| vote.witness == *witness) {
-            vote.until = vote.until.max(until);
-            vote.ask_at = renew_at;
-        }
-        self.update();
-    }
-
-    /// Forgets all votes. Returns the witnesses that may count them still.
-    fn forfeit(&mut self, now: Time, next: Time) -> Vec<Vm> {
-        let mut granted = Vec::new();
-        for vote in &mut self.votes {
-            if now < vote.until + MARGIN {
-                granted.push(vote.witness.clone());
-            }
-            vote.until = Time::ZERO;
-            vote.ask_at = next;
-        }
-        self.until = Time::ZERO;
-        granted
-    }
-}
-
-impl LeaseTable {
-    fn find(&self, engine: &str) -> Result<usize, usize> {
-        self.leases
-            .binary_search_by(|lease| (*lease.engine).cmp(engine))
-    }
-
-    /// Returns whether a majority is held for `engine`.
-    pub(super) fn holds(&self, now: Time, engine: &str) -> bool {
-        let found = self.find(engine).ok();
-        found.is_some_and(|index| now < self.leases[index].until)
-    }
-
-    fn next_round(&mut self, now: Time, witness: &Vm, engines: Vec<Upstream>) -> u64 {
-        self.last_round += 1;
-        let others = self.rounds.iter().filter(|r| r.witness == *witness).count();
-        if others >= ROUNDS_MAX
-            && let Some(oldest) = self.rounds.iter().position(|r| r.witness == *witness)
-        {
-            self.rounds.remove(oldest);
-        }
-        self.rounds.push(Round {
-            witness: witness.clone(),
-            number: self.last_round,
-            sent: now,
-            engines,
-        });
-        self.last_round
-    }
-
-    fn take_round(&mut self, witness: &Vm, number: u64) -> Option<Round> {
-        let index = self
-            .rounds
-            .iter()
-            .position(|round| round.number == number && round.witness == *witness)?;
-        Some(self.rounds.remove(index))
-    }
-}
-
 impl Owner {
     /// Returns the nodes among which witnesses are chosen.
     fn known(&self) -> &[Vm] {
