Owner leases: a candidate that never claimed is not barred as a former holder

Callers of an engine without an owner waited up to a lease (3 s) longer for loads when two nodes asked for the leases at the same time: each got some, gave them back, and the next holder's witness took it for a former owner that must not follow its successor.

--- a/crates/exchange/src/owner/witness.rs
+++ b/crates/exchange/src/owner/witness.rs
@@ -20,6 +20,8 @@
     /// Number of the request that was granted last.
     round: u64,
     until: Time,
+    /// Whether the holder has given the lease back before it claimed the engine.
+    unused: bool,
     /// The holder before, and until when it must not hold the lease again.
     former: Option<(Vm, Time)>,
 }
@@ -75,6 +77,7 @@
                     fence: claim.fence,
                     round,
                     until: now + TERM,
+                    unused: false,
                     former: None,
                 };
                 self.grants.insert(index, grant);
@@ -100,12 +103,15 @@
             }
             let ended = grant.until.min(now);
             let holder = std::mem::replace(&mut grant.holder, asker.clone());
-            grant.former = Some((holder, ended + turn));
+            if !grant.unused {
+                grant.former = Some((holder, ended + turn));
+            }
             grant.fence = 0;
         }
         grant.fence = grant.fence.max(claim.fence);
         grant.round = round;
         grant.until = now + TERM;
+        grant.unused = false;
         Ok(())
     }
 
@@ -115,6 +121,7 @@
             let grant = &mut self.grants[index];
             if grant.holder == *holder && grant.round <= round {
                 grant.until = grant.until.min(now);
+                grant.unused = grant.fence == 0;
             }
         }
     }
--- a/crates/exchange/tests/owner_leases.rs
+++ b/crates/exchange/tests/owner_leases.rs
@@ -153,6 +153,18 @@
     assert!(ask(&mut witness, OWNER, 1, 0).is_some());
 }
 
+/// Guards against an engine without an owner for a lease after a start: a candidate that did not get all
+/// the leases that it needed may not ask again.
+#[rstest]
+fn unused_lease_may_be_asked_for_again() {
+    let mut witness = witness();
+    assert_eq!(ask(&mut witness, OWNER, 1, 0), None);
+    give_back(&mut witness, OWNER, 1);
+    assert_eq!(ask(&mut witness, "vm-3", 1, 0), None);
+    give_back(&mut witness, "vm-3", 1);
+    assert_eq!(ask(&mut witness, OWNER, 2, 0), None);
+}
+
 /// Guards against orders after a pause, when the leases may have passed to another node.
 #[rstest]
 fn owner_orders_only_with_leases() {
