Owner leases: nodes that still find each other agree on the witnesses first

ONE: at a cold start two nodes ordered at one engine by turns. Each had the leases of a majority of the engine's five witnesses, but of the witnesses that it knew: sets that differ have majorities without a common member, and a witness agreed at once with whoever knew the same few nodes.

A witness and a candidate that know different witnesses now tell each other which; a witness grants a new lease only if it has known the set for 2 s; and for 5 s after a member has joined, a set grants by all witnesses but one (all, of fewer than five), which meet each majority of the set before, so that a node that has not heard of the member cannot own beside one that has. A member that leaves or dies grants nothing and makes no set new, so takeovers are as fast as before.

Changed test: unreached_engine_passes_to_another_node let a node claim within 4 s of its own start, by a decline that counts for 2 s and is not repeated there. A witness that has just heard of the others grants nothing for as long, so the node runs for 3 s first, must own nothing then, and must claim within 1.5 s.

--- a/crates/exchange/src/owner/claim.rs
+++ b/crates/exchange/src/owner/claim.rs
@@ -4,6 +4,7 @@
 
 use wire::{Fence, Time, Upstream, Vm, rank};
 
+use super::lease::digest;
 use super::{
     ANNOUNCE_INTERVAL, ANNOUNCE_TTL, Action, CLAIM_DELAY, Config, Decision, Message, ORDER_HOLDOFF,
     OwnedEngine, Owner, PeerClaim,
@@ -207,7 +208,7 @@
 
     /// Records that an engine has no owner.
     fn note_unclaimed(&mut self, now: Time, id: &Upstream) -> &Unclaimed {
-        let electors = self.electors(id);
+        let electors = digest(&self.witnesses(id).0);
         let found = self.unclaimed.iter().position(|known| known.engine == *id);
         let index = found.unwrap_or_else(|| {
             self.unclaimed.push(Unclaimed {
--- a/crates/exchange/src/owner/lease/mod.rs
+++ b/crates/exchange/src/owner/lease/mod.rs
@@ -4,6 +4,10 @@
 //! an engine and gives orders there only while it holds the leases of a majority of them (Gray and
 //! Cheriton, 1989). Two majorities share a witness, so a node that takes an engine over begins only
 //! after the former owner has stopped, whatever the two know of each other.
+//!
+//! Majorities of sets that differ need not share one. While a set is new, the leases of all of its
+//! witnesses but one are required, which share one with every majority of a set that differs by one
+//! member; and a witness grants a new lease only if it has known the candidate's set for a while.
 
 mod table;
 
@@ -34,8 +38,13 @@
 /// Requests due within this time are sent with the earlier ones of the same witness.
 const BATCH: Duration = Duration::from_millis(200);
 
-/// Time for which a node that discovery has forgotten still counts among the witnesses.
-const ABSENCE_TIME: Duration = Duration::from_secs(15);
+/// Time within which news of a node reaches the nodes that do not know it yet. Until then a majority
+/// of a set of witnesses that includes the node is not enough.
+const SETTLING: Duration = Duration::from_secs(5);
+
+/// Time for which a witness has to know the same witnesses before it grants the lease to a candidate:
+/// nodes that start find each other in steps of a second.
+pub(super) const QUIET: Duration = Duration::from_secs(2);
 
 /// Number of witnesses of an engine.
 const WITNESSES: usize = 5;
@@ -58,13 +67,13 @@
     pub engine: Upstream,
     /// Fencing token of the sender's claim, 0 if it has not claimed the engine yet.
     pub fence: Fence,
-    /// Digest of the engine's witnesses as the sender knows them, `None` if it holds the leases of a
-    /// majority at the moment.
+    /// Digest of the engine's witnesses as the sender knows them, `None` if it may order by its leases
+    /// at the moment, or owns the engine and holds those of a majority.
     pub electors: Option<u64>,
 }
 
 impl LeaseClaim {
-    /// Returns whether the sender holds the leases of a majority.
+    /// Returns whether the sender holds the lease already.
     pub(super) const fn is_renewal(&self) -> bool {
         self.electors.is_none()
     }
@@ -96,7 +105,7 @@
 }
 
 /// Returns the witnesses of `engine` among `known`, in rendezvous order.
-pub(super) fn witnesses(engine: &str, known: &[Vm]) -> Vec<Vm> {
+pub(super) fn witnesses<'a>(engine: &str, known: impl IntoIterator<Item = &'a Vm>) -> Vec<Vm> {
     let key = rank::hash(engine.as_bytes());
     let top = rank::top(key, known, WITNESSES);
     top.into_iter().cloned().collect()
@@ -109,63 +118,21 @@
 }
 
 impl Owner {
-    /// Returns the nodes among which witnesses are chosen.
-    fn known(&self) -> &[Vm] {
-        self.known.as_ref().unwrap_or(&self.live)
-    }
-
     /// Returns the time until a majority of the witnesses may grant leases, if they started when
     /// this node did.
     pub(super) fn witnesses_ready_in(&self, now: Time) -> Duration {
-        let alone = self.known().iter().all(|vm| *vm == self.config.me);
-        if alone {
+        if self.knows_nobody() {
             Duration::ZERO
         } else {
             self.witness.unready_for(now)
         }
     }
 
-    /// Returns a digest of the witnesses of `engine`.
-    pub(super) fn electors(&self, engine: &str) -> u64 {
-        digest(&witnesses(engine, self.known()))
-    }
-
-    /// Takes in which nodes discovery knows. One that it has forgotten counts for [`ABSENCE_TIME`]
-    /// more, unless it has left: it may live behind a partition, together with others.
-    pub(super) fn update_known(&mut self, now: Time, known: Vec<Vm>) {
-        for vm in std::mem::replace(&mut self.discovered, known) {
-            let counted = self.absent.iter().any(|(absent, _)| *absent == vm);
-            if vm != self.config.me && !counted {
-                self.absent.push((vm, now + ABSENCE_TIME));
-            }
-        }
-        self.update_electorate(now);
-    }
-
-    /// Recomputes the nodes among which witnesses are chosen.
-    pub(super) fn update_electorate(&mut self, now: Time) {
-        if self.discovered.is_empty() {
-            return;
-        }
-        let (discovered, leaving) = (&self.discovered, &self.leaving_peers);
-        self.absent.retain(|(vm, until)| {
-            now < *until && !discovered.contains(vm) && !leaving.contains(vm)
-        });
-        let absent = self.absent.iter().map(|(vm, _)| vm);
-        let mut known: Vec<Vm> = discovered.iter().chain(absent).cloned().collect();
-        known.sort_unstable();
-        known.dedup();
-        if self.known.as_ref() != Some(&known) {
-            self.known = Some(known);
-            self.reassign_witnesses();
-        }
-    }
-
     /// Recomputes the witnesses of all engines of this node.
     pub(super) fn reassign_witnesses(&mut self) {
-        let known = self.known.as_ref().unwrap_or(&self.live);
-        for lease in &mut self.leases.leases {
-            lease.assign(&self.config.me, known);
+        for index in 0..self.leases.leases.len() {
+            let (assigned, since) = self.witnesses(&self.leases.leases[index].engine);
+            self.leases.leases[index].assign(&self.config.me, assigned, since);
         }
     }
 
@@ -182,7 +149,8 @@
         let owned: Vec<Upstream> = self.owned().map(|(engine, _)| engine.clone()).collect();
         for engine in owned.iter().chain(wanted) {
             if let Err(index) = self.leases.find(engine) {
-                let lease = Lease::new(now, engine.clone(), &self.config.me, self.known());
+                let (assigned, since) = self.witnesses(engine);
+                let lease = Lease::new(now, engine.clone(), &self.config.me, assigned, since);
                 self.leases.leases.insert(index, lease);
             }
         }
@@ -197,7 +165,7 @@
                 continue;
             };
             let lease = &mut self.leases.leases[index];
-            if now < lease.until {
+            if lease.holds(now) {
                 lease.lost_since = None;
             } else if now >= *lease.lost_since.get_or_insert(now) + self.config.lease {
                 self.release_engine(engine, "lease lost", out);
@@ -214,7 +182,7 @@
             let lease = &mut self.leases.leases[index];
             if lease.votes.iter().all(|vote| vote.until.is_zero()) {
                 lease.attempt_began = now;
-            } else if now >= lease.until && now >= lease.attempt_began + ATTEMPT {
+            } else if !lease.holds(now) && now >= lease.attempt_began + ATTEMPT {
                 self.retry_later(now, index, out);
             }
         }
@@ -332,7 +300,7 @@
             let engines = claims.iter().map(|claim| claim.engine.clone()).collect();
             let round = self.leases.next_round(now, &witness, engines);
             if witness == self.config.me {
-                let (higher, refused) = self.witness_claims(now, &witness, round, &claims);
+                let (higher, refused) = self.witness_claims(now, &witness, round, &claims, out);
                 self.handle_lease_reply(now, &witness, round, higher, refused, out);
             } else {
                 out.push(Action::Send {
@@ -356,10 +324,11 @@
             let owned = owned_engines
                 .iter()
                 .find(|owned| owned.engine == lease.engine);
+            let renewed = lease.holds(now) || owned.is_some() && now < lease.until;
             claims.push(LeaseClaim {
                 engine: lease.engine.clone(),
                 fence: owned.map_or(0, |owned| owned.fence),
-                electors: (now >= lease.until).then_some(lease.electors),
+                electors: (!renewed).then_some(lease.electors),
             });
         }
         claims
@@ -420,7 +389,7 @@
             };
         }
         lease.update();
-        let held = now < lease.until;
+        let held = lease.holds(now);
         let Some(holder) = refusal.holder.filter(|holder| *holder != self.config.me) else {
             return;
         };
--- a/crates/exchange/src/owner/lease/table.rs
+++ b/crates/exchange/src/owner/lease/table.rs
@@ -2,11 +2,14 @@
 
 use wire::{Time, Upstream, Vm};
 
-use super::{MARGIN, digest, witnesses};
+use super::{MARGIN, SETTLING, digest};
 
 /// Number of requests to one witness whose answers are awaited.
 const ROUNDS_MAX: usize = 3;
 
+/// Number of witnesses from which on one may be missing while their set is new.
+const SPARING_MIN: usize = 5;
+
 /// What one witness has granted.
 #[derive(Clone, Debug)]
 pub(super) struct Vote {
@@ -28,9 +31,13 @@
     pub(super) electors: u64,
     /// Whether this node is the only witness, so that nobody else can get the lease.
     pub(super) sole: bool,
+    /// When the witnesses will have been the same for [`SETTLING`].
+    pub(super) settled_at: Time,
     /// Until when this node holds a majority.
     pub(super) until: Time,
-    /// Since when an owner holds no majority.
+    /// Until when this node holds the leases of all witnesses, but for one of [`SPARING_MIN`] or more.
+    pub(super) most_until: Time,
+    /// Since when an owner may not order by its leases.
     pub(super) lost_since: Option<Time>,
 }
 
@@ -53,26 +60,35 @@
 }
 
 impl Lease {
-    pub(super) fn new(now: Time, engine: Upstream, me: &Vm, known: &[Vm]) -> Self {
+    pub(super) fn new(
+        now: Time,
+        engine: Upstream,
+        me: &Vm,
+        assigned: Vec<Vm>,
+        since: Option<Time>,
+    ) -> Self {
         let mut lease = Self {
             votes: Vec::new(),
             attempt_began: now,
             attempts: 0,
             electors: 0,
             sole: false,
+            settled_at: Time::ZERO,
             until: Time::ZERO,
+            most_until: Time::ZERO,
             lost_since: None,
             engine,
         };
-        lease.assign(me, known);
+        lease.assign(me, assigned, since);
         lease
     }
 
-    /// Replaces the witnesses, keeping what the remaining ones have granted.
-    pub(super) fn assign(&mut self, me: &Vm, known: &[Vm]) {
+    /// Replaces the witnesses, the last one of which was first heard of at `since`, keeping what the
+    /// remaining ones have granted.
+    pub(super) fn assign(&mut self, me: &Vm, assigned: Vec<Vm>, since: Option<Time>) {
         let mut before = std::mem::take(&mut self.votes);
-        let assigned = witnesses(&self.engine, known);
         self.electors = digest(&assigned);
+        self.settled_at = since.map_or(Time::ZERO, |since| since + SETTLING);
         for witness in assigned {
             let kept = before.iter().position(|vote| vote.witness == witness);
             self.votes.push(match kept {
@@ -99,11 +115,20 @@
             _ => Time::ZERO,
         };
         self.until = majority.max(half);
+        let spared = usize::from(ends.len() >= SPARING_MIN);
+        let most = ends.iter().rev().nth(spared);
+        self.most_until = most.copied().unwrap_or_default();
         if self.sole && !self.until.is_zero() {
             self.until = Time::MAX;
         }
     }
 
+    /// Returns whether enough leases are held for orders: those of a majority, or of all witnesses but
+    /// one while their set is new and other nodes may know an older one.
+    pub(super) fn holds(&self, now: Time) -> bool {
+        now < self.most_until || now < self.until && now >= self.settled_at
+    }
+
     pub(super) fn grant(&mut self, witness: &Vm, until: Time, renew_at: Time) {
         if let Some(vote) = self.votes.iter_mut().find(|vote| vote.witness == *witness) {
             vote.until = vote.until.max(until);
@@ -123,6 +148,7 @@
             vote.ask_at = next;
         }
         self.until = Time::ZERO;
+        self.most_until = Time::ZERO;
         granted
     }
 }
@@ -133,10 +159,10 @@
             .binary_search_by(|lease| (*lease.engine).cmp(engine))
     }
 
-    /// Returns whether a majority is held for `engine`.
+    /// Returns whether orders to `engine` are allowed.
     pub(in super::super) fn holds(&self, now: Time, engine: &str) -> bool {
         let found = self.find(engine).ok();
-        found.is_some_and(|index| now < self.leases[index].until)
+        found.is_some_and(|index| self.leases[index].holds(now))
     }
 
     pub(super) fn next_round(&mut self, now: Time, witness: &Vm, engines: Vec<Upstream>) -> u64 {
--- a/crates/exchange/src/owner/message.rs
+++ b/crates/exchange/src/owner/message.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use wire::{Fence, Time, Upstream};
+use wire::{Fence, Time, Upstream, Vm};
 
 use super::lease::{LeaseClaim, Refusal};
 use crate::demand::Target;
@@ -170,4 +170,12 @@
     },
     /// All engines that the sender cannot reach, and so does not claim.
     Declines(Vec<Upstream>),
+    /// The witnesses of an engine that the sender knows, best first, with the milliseconds for which
+    /// each counts if nobody hears of it any more.
+    Witnesses {
+        /// The engine.
+        engine: Upstream,
+        /// The witnesses.
+        nodes: Vec<(Vm, u32)>,
+    },
 }
--- a/crates/exchange/src/owner/mod.rs
+++ b/crates/exchange/src/owner/mod.rs
@@ -13,6 +13,7 @@
 
 mod claim;
 mod decline;
+mod electorate;
 mod event;
 mod lease;
 mod load_estimate;
@@ -34,6 +35,7 @@
 
 use claim::{FenceRefusal, Unclaimed};
 use decline::Declines;
+use electorate::Electorate;
 pub use event::{Action, AdmissionRequest, Decision, Event, Grant};
 use lease::LeaseTable;
 pub use lease::{LeaseClaim, Refusal};
@@ -110,12 +112,7 @@
 pub struct Owner {
     config: Config,
     live: Vec<Vm>,
-    // Nodes known to discovery, live or not, this one included; none before it has told any.
-    discovered: Vec<Vm>,
-    // Nodes that discovery has forgotten, and until when they still count among the witnesses.
-    absent: Vec<(Vm, Time)>,
-    // Nodes among which witnesses are chosen, sorted; the live ones if `None`.
-    known: Option<Vec<Vm>>,
+    electorate: Electorate,
     // Nodes that are shutting down. They still have requests running, so they need to know the new
     // owners of their engines.
     leaving_peers: Vec<Vm>,
@@ -158,9 +155,7 @@
         Self {
             config,
             live: Vec::new(),
-            discovered: Vec::new(),
-            absent: Vec::new(),
-            known: None,
+            electorate: Electorate::default(),
             leaving_peers: Vec::new(),
             may_claim: false,
             leaving: false,
@@ -379,9 +374,7 @@
         let is_new = |vm: &&Vm| **vm != self.config.me && self.live.binary_search(vm).is_err();
         let joined: Vec<Vm> = live.iter().filter(is_new).cloned().collect();
         self.live = live;
-        if self.known.is_none() {
-            self.reassign_witnesses();
-        }
+        self.reassign_witnesses();
         self.may_claim = may_claim;
         self.greet(&joined, out);
     }
@@ -472,6 +465,9 @@
                     self.witness.give_back(now, from, round, &engine);
                 }
             }
+            Message::Witnesses { engine, nodes } => {
+                self.handle_witnesses(now, from, &engine, nodes, out);
+            }
             Message::Declines(engines) => self.handle_declines(now, from, engines),
             Message::HigherFences(numbers) => self.handle_higher_fences(numbers, out),
             Message::InUse { engine, targets } => self.record_usage(now, &engine, &targets),
--- a/crates/exchange/src/owner/witness.rs
+++ b/crates/exchange/src/owner/witness.rs
@@ -5,12 +5,21 @@
 use wire::machine::millis;
 use wire::{Fence, Time, Upstream, Vm};
 
-use super::lease::{DISAGREEMENT_DELAY, LeaseClaim, Refusal, TERM, digest, witnesses};
+use super::lease::{DISAGREEMENT_DELAY, LeaseClaim, QUIET, Refusal, TERM, digest};
 use super::{Action, Message, Owner};
 
 /// Time after which a lease that is not renewed is forgotten.
 const RETENTION: Duration = Duration::from_secs(10);
 
+/// Whether a node acts as a witness.
+enum Admission {
+    Granted,
+    /// Not before this time has passed.
+    Postponed(Duration),
+    /// The candidate knows other witnesses.
+    Differs,
+}
+
 /// The last lease granted for one engine.
 #[derive(Clone, Debug)]
 struct Grant {
@@ -153,7 +162,7 @@
         claims: &[LeaseClaim],
         out: &mut Vec<Action>,
     ) {
-        let (higher, refused) = self.witness_claims(now, from, round, claims);
+        let (higher, refused) = self.witness_claims(now, from, round, claims, out);
         out.push(Action::Send {
             to: from.clone(),
             message: Message::Leases {
@@ -171,29 +180,24 @@
         asker: &Vm,
         round: u64,
         claims: &[LeaseClaim],
+        out: &mut Vec<Action>,
     ) -> (Vec<(Upstream, Fence)>, Vec<Refusal>) {
         let (mut higher, mut refused) = (Vec::new(), Vec::new());
-        let me = &self.config.me;
-        let known = self.known.as_ref().unwrap_or(&self.live);
-        let alone = *asker == *me && known.iter().all(|vm| vm == me);
-        let unready = self.witness.unready_for(now);
         for claim in claims {
             let engine = &claim.engine;
-            // An earlier process on this VM may have granted the lease to another node, unless the
-            // asker holds a majority.
-            let wait_needed = !claim.is_renewal() && !alone && !unready.is_zero();
-            let assigned = witnesses(engine, known);
-            // Majorities of different sets may have no witness in common.
-            let agreed = claim
-                .electors
-                .is_none_or(|electors| electors == digest(&assigned));
-            let answer = if wait_needed {
-                Err(Refusal::unnamed(engine, unready))
-            } else if self.leaving || !agreed || !assigned.contains(me) {
-                Err(Refusal::unnamed(engine, DISAGREEMENT_DELAY))
-            } else {
-                let turn = self.config.lease;
-                self.witness.request(now, asker, round, claim, turn)
+            let answer = match self.admission(now, asker, claim) {
+                Admission::Granted => {
+                    let turn = self.config.lease;
+                    self.witness.request(now, asker, round, claim, turn)
+                }
+                Admission::Postponed(wait) => Err(Refusal::unnamed(engine, wait)),
+                Admission::Differs => {
+                    out.push(Action::Send {
+                        to: asker.clone(),
+                        message: self.witnesses_message(now, engine),
+                    });
+                    Err(Refusal::unnamed(engine, DISAGREEMENT_DELAY))
+                }
             };
             match answer {
                 Ok(()) => {
@@ -210,4 +214,35 @@
         }
         (higher, refused)
     }
+
+    /// Returns whether this node acts as a witness for `claim`, whoever holds the lease.
+    fn admission(&self, now: Time, asker: &Vm, claim: &LeaseClaim) -> Admission {
+        let me = &self.config.me;
+        let (assigned, since) = self.witnesses(&claim.engine);
+        if self.leaving {
+            return Admission::Postponed(DISAGREEMENT_DELAY);
+        }
+        let known = digest(&assigned);
+        if claim.electors.is_some_and(|electors| electors != known) {
+            return Admission::Differs;
+        }
+        if !assigned.contains(me) {
+            return Admission::Postponed(DISAGREEMENT_DELAY);
+        }
+        if claim.is_renewal() {
+            return Admission::Granted;
+        }
+        if *asker == *me && self.knows_nobody() {
+            return Admission::Granted;
+        }
+        // An earlier process on this VM may have granted the lease to another node.
+        let unready = self.witness.unready_for(now);
+        let quiet_at = since.map_or(Time::ZERO, |since| since + QUIET);
+        let wait = unready.max(quiet_at.saturating_sub(now));
+        if wait.is_zero() {
+            Admission::Granted
+        } else {
+            Admission::Postponed(wait)
+        }
+    }
 }
--- a/crates/exchange/tests/message_numbers.rs
+++ b/crates/exchange/tests/message_numbers.rs
@@ -28,6 +28,7 @@
 #[case::leases(Message::Leases { round: 0, higher: Vec::new(), refused: Vec::new() }, 14)]
 #[case::return_leases(Message::ReturnLeases { round: 0, engines: Vec::new() }, 15)]
 #[case::declines(Message::Declines(Vec::new()), 16)]
+#[case::witnesses(Message::Witnesses { engine: "e1".into(), nodes: Vec::new() }, 17)]
 fn variant_numbers_are_stable(#[case] message: Message, #[case] number: u8) {
     let bytes = encode(&message).expect("message encodes");
     assert_eq!(bytes.first(), Some(&number));
--- a/crates/exchange/tests/order_turns.rs
+++ b/crates/exchange/tests/order_turns.rs
@@ -129,6 +129,15 @@
     });
 }
 
+/// Guards against two owners by turns (ONE): a fleet that starts with two of three seeds down and loses
+/// one message of twenty finds itself by the real discovery.
+#[rstest]
+fn start_with_few_seeds_causes_no_turns(#[values(7, 15, 25)] nodes: usize) {
+    expect_no_turns(START_SPAN, |seed| {
+        Simulation::seeded_start(seed, nodes, 0.05)
+    });
+}
+
 /// Guards against two owners by turns (ONE): a node is cut off from the others for longer than they keep
 /// records of each other, takes itself for the only one, and goes on reaching engines and platform.
 #[rstest]
--- a/crates/exchange/tests/owner_leases.rs
+++ b/crates/exchange/tests/owner_leases.rs
@@ -34,7 +34,20 @@
 }
 
 fn ask(witness: &mut OwnerHarness, from: &str, round: u64, fence: Fence) -> Option<Refusal> {
-    let electors = electors();
+    request(witness, from, round, fence, electors())
+}
+
+fn ask_of(witness: &mut OwnerHarness, from: &str, round: u64, electors: u64) -> Option<Refusal> {
+    request(witness, from, round, 0, electors)
+}
+
+fn request(
+    witness: &mut OwnerHarness,
+    from: &str,
+    round: u64,
+    fence: Fence,
+    electors: u64,
+) -> Option<Refusal> {
     let claims = vec![LeaseClaim {
         engine: "e1".into(),
         fence,
@@ -60,17 +73,27 @@
 
 /// The digest that a node sends which knows the same nodes.
 fn electors() -> u64 {
-    let mut candidate = node(OWNER, 1);
+    electors_of(&[OWNER, WITNESS, "vm-3"])
+}
+
+/// The digest that a node sends which knows `vms`.
+fn electors_of(vms: &[&str]) -> u64 {
+    let mut candidate = OwnerHarness::alone(OWNER, 1, [engine("e1", &["a"])]);
     candidate.peers_grant = false;
-    let sent = candidate.advance(ms(4_000));
-    let asked = sent.iter().find_map(|action| match action {
+    let known = vms.iter().map(|vm| Vm::from(*vm)).collect();
+    candidate.step(Event::KnownNodes(known));
+    let asked = asked_electors(&candidate.advance(ms(4_000)));
+    asked.expect("the node asks for leases")
+}
+
+fn asked_electors(sent: &[Action]) -> Option<u64> {
+    sent.iter().find_map(|action| match action {
         Action::Send {
             message: Message::RequestLeases { claims, .. },
             ..
         } => claims.iter().find_map(|claim| claim.electors),
         _ => None,
-    });
-    asked.expect("the node asks for leases")
+    })
 }
 
 fn give_back(witness: &mut OwnerHarness, from: &str, round: u64) {
@@ -153,6 +176,93 @@
     assert!(ask(&mut witness, OWNER, 1, 0).is_some());
 }
 
+/// Guards against two owners by turns (ONE): a witness that is still finding the others agrees with two
+/// candidates one after the other.
+#[rstest]
+fn witness_that_finds_others_grants_nothing() {
+    let mut witness = witness();
+    let more = nodes().into_iter().chain(["vm-4".into()]).collect();
+    witness.step(Event::KnownNodes(more));
+    let electors = electors_of(&["vm-1", "vm-2", "vm-3", "vm-4"]);
+    witness.advance(ms(1_900));
+    assert!(ask_of(&mut witness, OWNER, 1, electors).is_some());
+    witness.advance(ms(200));
+    assert_eq!(ask_of(&mut witness, OWNER, 2, electors), None);
+}
+
+/// Guards against two owners by turns (ONE): nodes that have not found each other go on with sets of
+/// witnesses that differ.
+#[rstest]
+fn witness_tells_candidates_whom_it_knows() {
+    let mut witness = witness();
+    let electors = electors_of(&["vm-1", "vm-2"]);
+    let claims = vec![LeaseClaim {
+        engine: "e1".into(),
+        fence: 0,
+        electors: Some(electors),
+    }];
+    let sent = witness.step(Event::Receive {
+        from: OWNER.into(),
+        message: Message::RequestLeases { round: 1, claims },
+    });
+    let mut candidate = node(OWNER, 1);
+    candidate.peers_grant = false;
+    candidate.step(Event::KnownNodes(vec![OWNER.into(), WITNESS.into()]));
+    candidate.advance(ms(16_000));
+    for action in sent {
+        if let Action::Send { message, .. } = action {
+            let from = WITNESS.into();
+            candidate.step(Event::Receive { from, message });
+        }
+    }
+    let asked = asked_electors(&candidate.advance(ms(1_000)));
+    assert_eq!(asked, Some(electors_of(&["vm-1", "vm-2", "vm-3"])));
+}
+
+/// Guards against two owners by turns (ONE): nodes that do not know yet of a node that has joined have a
+/// majority of the witnesses before it.
+#[rstest]
+#[case::majority(3, 0)]
+#[case::all_but_one(4, 1)]
+fn new_witnesses_need_all_but_one(#[case] grants: usize, #[case] owned: usize) {
+    let names = ["vm-1", "vm-2", "vm-3", "vm-4", "vm-5"];
+    let mut candidate = node(OWNER, 1);
+    candidate.peers_grant = false;
+    candidate.step(Event::KnownNodes(names.map(Vm::from).to_vec()));
+    // The candidate is a witness itself.
+    let granting = &names[1..grants];
+    let started = candidate.now;
+    while candidate.now < started + ms(4_500) {
+        let sent = candidate.advance(ms(100));
+        grant_from(&mut candidate, granting, sent);
+    }
+    assert_eq!(candidate.owner.owned().count(), owned);
+    while candidate.now < started + ms(7_000) {
+        let sent = candidate.advance(ms(100));
+        grant_from(&mut candidate, granting, sent);
+    }
+    assert_eq!(candidate.owner.owned().count(), 1, "a majority in the end");
+}
+
+/// Answers the requests for leases to `granting` nodes.
+fn grant_from(candidate: &mut OwnerHarness, granting: &[&str], sent: Vec<Action>) {
+    for action in sent {
+        if let Action::Send {
+            to,
+            message: Message::RequestLeases { round, .. },
+        } = action
+            && granting.contains(&&*to)
+        {
+            let message = Message::Leases {
+                round,
+                higher: Vec::new(),
+                refused: Vec::new(),
+            };
+            candidate.step(Event::Receive { from: to, message });
+        }
+    }
+}
+
 /// Guards against an engine without an owner for a lease after a start: a candidate that did not get all
 /// the leases that it needed may not ask again.
 #[rstest]
@@ -221,11 +331,14 @@
         live,
         may_claim: true,
     });
+    // A witness that has just heard of the others grants nothing yet.
+    other.advance(ms(3_000));
+    assert_eq!(other.owner.owned().count(), 0);
     for message in told {
         let from = OWNER.into();
         other.step(Event::Receive { from, message });
     }
-    other.advance(ms(4_000));
+    other.advance(ms(1_500));
     assert_eq!(other.owner.owned().count(), 1);
 
     owner.advance(ms(6_000));
--- a/crates/exchange/tests/soak/mod.rs
+++ b/crates/exchange/tests/soak/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses its own part")]
 
+mod discovery;
 mod engine;
 
 use std::cmp::Reverse;
@@ -15,6 +16,8 @@
 use rand::{RngExt, SeedableRng};
 use wire::{Fence, Time, Upstream, Vm};
 
+use discovery::{Discovery, Envelope};
+
 use super::support::{config, engine as listing, ms, owner_config, target};
 pub use engine::Engine;
 
@@ -47,6 +50,11 @@
 /// Probability that a node doubts one that others doubt.
 const DOUBTERS: f64 = 0.6;
 
+/// Longest time between the starts of two nodes of a fleet, and until a node lists one as live that
+/// discovery has told of.
+const START_SPREAD: Duration = ms(300);
+const LISTED_DELAY: Duration = ms(1_000);
+
 /// Time after which the record of a node that was not heard of is dropped.
 const RECORD_LIFETIME: Duration = ms(15_000);
 
@@ -109,6 +117,8 @@
     EndRequest(usize, u32, Upstream, AdmissionRequest),
     ListEngine(usize),
     View,
+    Discover(usize),
+    DiscoveryMessage(Envelope),
     /// Tells a node that has just started which nodes are live.
     Join(usize, u32),
     Fault(Fault),
@@ -130,6 +140,8 @@
     delay: Duration,
     /// Whether nodes that see few others may claim, because the platform is reached.
     pub informed: bool,
+    /// Discovery by seeds; without it nodes are told of each other.
+    discovery: Option<Discovery>,
     /// Whether a node that is cut off notices that, and records of nodes that were not heard of are
     /// dropped.
     pub records_expire: bool,
@@ -171,6 +183,24 @@
         simulation
     }
 
+    /// Creates a simulation of `nodes` nodes that start, of whom one is a seed and two seeds are down,
+    /// with this probability that a message is lost.
+    pub fn seeded_start(seed: u64, nodes: usize, loss: f64) -> Self {
+        let mut simulation = Self::empty(seed, true);
+        simulation.informed = true;
+        simulation.loss = loss;
+        simulation.discovery = Some(Discovery::new(seed, nodes));
+        simulation.add_nodes(nodes);
+        for index in 0..nodes {
+            let started = START_SPREAD.mul_f64(simulation.random.random_range(0.0..1.0));
+            simulation.schedule(started, Scheduled::Discover(index));
+            for other in (0..nodes).filter(|other| *other != index) {
+                simulation.nodes[index].unseen_until[other] = Time::MAX;
+            }
+        }
+        simulation
+    }
+
     fn with_fencing(seed: u64, fenced: bool) -> Self {
         let mut simulation = Self::empty(seed, fenced);
         simulation.add_nodes(NODES);
@@ -189,6 +219,7 @@
             loss: 0.0,
             delay: Duration::ZERO,
             informed: false,
+            discovery: None,
             records_expire: false,
             served: 0,
             requested: 0,
@@ -311,6 +342,13 @@
             }
             Scheduled::ListEngine(index) => self.list_engine(index),
             Scheduled::View => self.send_views(),
+            Scheduled::Discover(node) => self.discover(node),
+            Scheduled::DiscoveryMessage(envelope) => {
+                let (now, node) = (self.now, envelope.to);
+                let discovery = self.discovery.as_mut().expect("nodes discover each other");
+                let (sent, changed) = discovery.receive(now, envelope);
+                self.apply_discovery(node, sent, changed);
+            }
             Scheduled::Join(node, process) => self.send_view(node, process),
             Scheduled::Fault(fault) => self.apply_fault(fault),
             Scheduled::EndLoss => self.loss = 0.0,
@@ -322,7 +360,39 @@
         }
     }
 
+    fn discover(&mut self, node: usize) {
+        self.schedule(TICK, Scheduled::Discover(node));
+        let now = self.now;
+        let discovery = self.discovery.as_mut().expect("nodes discover each other");
+        let (sent, changed) = discovery.tick(now, node);
+        self.apply_discovery(node, sent, changed);
+    }
+
+    /// Sends the messages of a node's discovery, and lists the nodes that it has found.
+    fn apply_discovery(&mut self, node: usize, sent: Vec<Envelope>, changed: bool) {
+        for envelope in sent {
+            if !self.random.random_bool(self.loss) {
+                let latency = ms(self.random.random_range(1..4));
+                self.schedule(latency, Scheduled::DiscoveryMessage(envelope));
+            }
+        }
+        if !changed {
+            return;
+        }
+        for other in 0..self.nodes.len() {
+            if self.nodes[node].unseen_until[other] == Time::MAX && self.is_known(node, other) {
+                let listed = LISTED_DELAY.mul_f64(self.random.random_range(0.0..1.0));
+                self.nodes[node].unseen_until[other] = self.now + listed;
+                self.schedule(listed + ms(1), Scheduled::Join(node, 0));
+            }
+        }
+        self.send_view(node, 0);
+    }
+
     fn step(&mut self, node: usize, event: Event) {
+        if let (Some(discovery), Event::Receive { from, .. }) = (&mut self.discovery, &event) {
+            discovery.heard(self.now, node, from);
+        }
         let mut actions = Vec::new();
         let now = self.now;
         let Node { owner, fleet, .. } = &mut self.nodes[node];
@@ -341,6 +411,9 @@
             Action::Send { to, message } => {
                 let lost = self.random.random_bool(self.loss);
                 let recipient = self.nodes.iter().position(|known| known.vm == to);
+                // Only discovery tells addresses.
+                let found = |index: &usize| self.discovery.is_none() || self.is_known(node, *index);
+                let recipient = recipient.filter(found);
                 let cut_off = |index: &usize| {
                     self.is_cut_off(*index)
                         || self.is_cut_off(node)
@@ -566,6 +639,9 @@
         if node != other && (is_dropped(node) || is_dropped(other)) {
             return false;
         }
+        if let Some(discovery) = &self.discovery {
+            return discovery.knows(node, &self.nodes[other].vm);
+        }
         self.now >= self.nodes[node].unknown_until[other]
     }
 
