--- a/crates/exchange/src/owner/lease.rs
+++ b/crates/exchange/src/owner/lease/mod.rs
@@ -4,6 +4,12 @@
 //! an engine and gives orders there only while it holds the leases of a majority of them (Gray and
 //! Cheriton, 1989). Two majorities share a witness, so a node that takes an engine over begins only
 //! after the former owner has stopped, whatever the two know of each other.
+//!
+//! Majorities of sets that differ need not share one. While a set is new, the leases of all of its
+//! witnesses but one are required, which share one with every majority of a set that differs by one
+//! member; and a witness grants a new lease only if it has known the candidate's set for a while.
+
+mod table;
 
 use std::time::Duration;
 
@@ -13,6 +19,8 @@
 
 use super::owned_engine::OrderState;
 use super::{Action, Message, Owner};
+use table::Lease;
+pub(super) use table::LeaseTable;
 
 /// Time for which a witness grants a lease. It is shorter than the time within which orders of two
 /// nodes must not take turns.
@@ -30,8 +38,13 @@
 /// Requests due within this time are sent with the earlier ones of the same witness.
 const BATCH: Duration = Duration::from_millis(200);
 
-/// Time for which a node that discovery has forgotten still counts among the witnesses.
-const ABSENCE_TIME: Duration = Duration::from_secs(15);
+/// Time within which news of a node reaches the nodes that do not know it yet. Until then a majority
+/// of a set of witnesses that includes the node is not enough.
+const SETTLING: Duration = Duration::from_secs(5);
+
+/// Time for which a witness has to know the same witnesses before it grants the lease to a candidate:
+/// nodes that start find each other in steps of a second.
+pub(super) const QUIET: Duration = Duration::from_secs(2);
 
 /// Number of witnesses of an engine.
 const WITNESSES: usize = 5;
@@ -47,9 +60,6 @@
 /// Delay of the next request to a witness that knows of other witnesses.
 pub(super) const DISAGREEMENT_DELAY: Duration = Duration::from_millis(300);
 
-/// Number of requests to one witness whose answers are awaited.
-const ROUNDS_MAX: usize = 3;
-
 /// A lease that a node asks for.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseClaim {
@@ -57,13 +67,13 @@
     pub engine: Upstream,
     /// Fencing token of the sender's claim, 0 if it has not claimed the engine yet.
     pub fence: Fence,
-    /// Digest of the engine's witnesses as the sender knows them, `None` if it holds the leases of a
-    /// majority at the moment.
+    /// Digest of the engine's witnesses as the sender knows them, `None` if it may order by its leases
+    /// at the moment, or owns the engine and holds those of a majority.
     pub electors: Option<u64>,
 }
 
 impl LeaseClaim {
-    /// Returns whether the sender holds the leases of a majority.
+    /// Returns whether the sender holds the lease already.
     pub(super) const fn is_renewal(&self) -> bool {
         self.electors.is_none()
     }
@@ -94,53 +104,8 @@
     }
 }
 
-/// What one witness has granted.
-#[derive(Clone, Debug)]
-struct Vote {
-    witness: Vm,
-    until: Time,
-    ask_at: Time,
-}
-
-/// The leases of one engine that this node owns or is about to claim.
-#[derive(Clone, Debug)]
-struct Lease {
-    engine: Upstream,
-    /// One vote for each witness, in rendezvous order.
-    votes: Vec<Vote>,
-    /// When the current attempt of a candidate began.
-    attempt_began: Time,
-    attempts: u32,
-    /// Digest of the witnesses.
-    electors: u64,
-    /// Whether this node is the only witness, so that nobody else can get the lease.
-    sole: bool,
-    /// Until when this node holds a majority.
-    until: Time,
-    /// Since when an owner holds no majority.
-    lost_since: Option<Time>,
-}
-
-/// A request to a witness that has not been answered.
-#[derive(Clone, Debug)]
-struct Round {
-    witness: Vm,
-    number: u64,
-    sent: Time,
-    engines: Vec<Upstream>,
-}
-
-/// Leases that this node holds or asks for.
-#[derive(Clone, Debug, Default)]
-pub(super) struct LeaseTable {
-    /// Sorted by engine.
-    leases: Vec<Lease>,
-    rounds: Vec<Round>,
-    last_round: u64,
-}
-
 /// Returns the witnesses of `engine` among `known`, in rendezvous order.
-pub(super) fn witnesses(engine: &str, known: &[Vm]) -> Vec<Vm> {
+pub(super) fn witnesses<'a>(engine: &str, known: impl IntoIterator<Item = &'a Vm>) -> Vec<Vm> {
     let key = rank::hash(engine.as_bytes());
     let top = rank::top(key, known, WITNESSES);
     top.into_iter().cloned().collect()
@@ -152,177 +117,22 @@
     hashes.fold(0, |digest, hash| digest ^ hash)
 }
 
-impl Lease {
-    fn new(now: Time, engine: Upstream, me: &Vm, known: &[Vm]) -> Self {
-        let mut lease = Self {
-            votes: Vec::new(),
-            attempt_began: now,
-            attempts: 0,
-            electors: 0,
-            sole: false,
-            until: Time::ZERO,
-            lost_since: None,
-            engine,
-        };
-        lease.assign(me, known);
-        lease
-    }
-
-    /// Replaces the witnesses, keeping what the remaining ones have granted.
-    fn assign(&mut self, me: &Vm, known: &[Vm]) {
-        let mut before = std::mem::take(&mut self.votes);
-        let assigned = witnesses(&self.engine, known);
-        self.electors = digest(&assigned);
-        for witness in assigned {
-            let kept = before.iter().position(|vote| vote.witness == witness);
-            self.votes.push(match kept {
-                Some(index) => before.swap_remove(index),
-                None => Vote {
-                    witness,
-                    until: Time::ZERO,
-                    ask_at: Time::ZERO,
-                },
-            });
-        }
-        self.sole = self.votes.iter().all(|vote| vote.witness == *me);
-        self.update();
-    }
-
-    /// Recomputes until when a majority is held. Of an even number of witnesses, half is enough if
-    /// the first one is among them.
-    fn update(&mut self) {
-        let mut ends: Vec<Time> = self.votes.iter().map(|vote| vote.until).collect();
-        ends.sort_unstable_by(|a, b| b.cmp(a));
-        let majority = ends.get(ends.len() / 2).copied().unwrap_or_default();
-        let half = match (self.votes.first(), ends.len()) {
-            (Some(first), count) if count.is_multiple_of(2) => first.until.min(ends[count / 2 - 1]),
-            _ => Time::ZERO,
-        };
-        self.until = majority.max(half);
-        if self.sole && !self.until.is_zero() {
-            self.until = Time::MAX;
-        }
-    }
-
-    fn grant(&mut self, witness: &Vm, until: Time, renew_at: Time) {
-        if let Some(vote) = self.votes.iter_mut().find(|vote| vote.witness == *witness) {
-            vote.until = vote.until.max(until);
-            vote.ask_at = renew_at;
-        }
-        self.update();
-    }
-
-    /// Forgets all votes. Returns the witnesses that may count them still.
-    fn forfeit(&mut self, now: Time, next: Time) -> Vec<Vm> {
-        let mut granted = Vec::new();
-        for vote in &mut self.votes {
-            if now < vote.until + MARGIN {
-                granted.push(vote.witness.clone());
-            }
-            vote.until = Time::ZERO;
-            vote.ask_at = next;
-        }
-        self.until = Time::ZERO;
-        granted
-    }
-}
-
-impl LeaseTable {
-    fn find(&self, engine: &str) -> Result<usize, usize> {
-        self.leases
-            .binary_search_by(|lease| (*lease.engine).cmp(engine))
-    }
-
-    /// Returns whether a majority is held for `engine`.
-    pub(super) fn holds(&self, now: Time, engine: &str) -> bool {
-        let found = self.find(engine).ok();
-        found.is_some_and(|index| now < self.leases[index].until)
-    }
-
-    fn next_round(&mut self, now: Time, witness: &Vm, engines: Vec<Upstream>) -> u64 {
-        self.last_round += 1;
-        let others = self.rounds.iter().filter(|r| r.witness == *witness).count();
-        if others >= ROUNDS_MAX
-            && let Some(oldest) = self.rounds.iter().position(|r| r.witness == *witness)
-        {
-            self.rounds.remove(oldest);
-        }
-        self.rounds.push(Round {
-            witness: witness.clone(),
-            number: self.last_round,
-            sent: now,
-            engines,
-        });
-        self.last_round
-    }
-
-    fn take_round(&mut self, witness: &Vm, number: u64) -> Option<Round> {
-        let index = self
-            .rounds
-            .iter()
-            .position(|round| round.number == number && round.witness == *witness)?;
-        Some(self.rounds.remove(index))
-    }
-}
-
 impl Owner {
-    /// Returns the nodes among which witnesses are chosen.
-    fn known(&self) -> &[Vm] {
-        self.known.as_ref().unwrap_or(&self.live)
-    }
-
     /// Returns the time until a majority of the witnesses may grant leases, if they started when
     /// this node did.
     pub(super) fn witnesses_ready_in(&self, now: Time) -> Duration {
-        let alone = self.known().iter().all(|vm| *vm == self.config.me);
-        if alone {
+        if self.knows_nobody() {
             Duration::ZERO
         } else {
             self.witness.unready_for(now)
         }
     }
 
-    /// Returns a digest of the witnesses of `engine`.
-    pub(super) fn electors(&self, engine: &str) -> u64 {
-        digest(&witnesses(engine, self.known()))
-    }
-
-    /// Takes in which nodes discovery knows. One that it has forgotten counts for [`ABSENCE_TIME`]
-    /// more, unless it has left: it may live behind a partition, together with others.
-    pub(super) fn update_known(&mut self, now: Time, known: Vec<Vm>) {
-        for vm in std::mem::replace(&mut self.discovered, known) {
-            let counted = self.absent.iter().any(|(absent, _)| *absent == vm);
-            if vm != self.config.me && !counted {
-                self.absent.push((vm, now + ABSENCE_TIME));
-            }
-        }
-        self.update_electorate(now);
-    }
-
-    /// Recomputes the nodes among which witnesses are chosen.
-    pub(super) fn update_electorate(&mut self, now: Time) {
-        if self.discovered.is_empty() {
-            return;
-        }
-        let (discovered, leaving) = (&self.discovered, &self.leaving_peers);
-        self.absent.retain(|(vm, until)| {
-            now < *until && !discovered.contains(vm) && !leaving.contains(vm)
-        });
-        let absent = self.absent.iter().map(|(vm, _)| vm);
-        let mut known: Vec<Vm> = discovered.iter().chain(absent).cloned().collect();
-        known.sort_unstable();
-        known.dedup();
-        if self.known.as_ref() != Some(&known) {
-            self.known = Some(known);
-            self.reassign_witnesses();
-        }
-    }
-
     /// Recomputes the witnesses of all engines of this node.
     pub(super) fn reassign_witnesses(&mut self) {
-        let known = self.known.as_ref().unwrap_or(&self.live);
-        for lease in &mut self.leases.leases {
-            lease.assign(&self.config.me, known);
+        for index in 0..self.leases.leases.len() {
+            let (assigned, since) = self.witnesses(&self.leases.leases[index].engine);
+            self.leases.leases[index].assign(&self.config.me, assigned, since);
         }
     }
 
@@ -339,7 +149,8 @@
         let owned: Vec<Upstream> = self.owned().map(|(engine, _)| engine.clone()).collect();
         for engine in owned.iter().chain(wanted) {
             if let Err(index) = self.leases.find(engine) {
-                let lease = Lease::new(now, engine.clone(), &self.config.me, self.known());
+                let (assigned, since) = self.witnesses(engine);
+                let lease = Lease::new(now, engine.clone(), &self.config.me, assigned, since);
                 self.leases.leases.insert(index, lease);
             }
         }
@@ -354,7 +165,7 @@
                 continue;
             };
             let lease = &mut self.leases.leases[index];
-            if now < lease.until {
+            if lease.holds(now) {
                 lease.lost_since = None;
             } else if now >= *lease.lost_since.get_or_insert(now) + self.config.lease {
                 self.release_engine(engine, "lease lost", out);
@@ -371,7 +182,7 @@
             let lease = &mut self.leases.leases[index];
             if lease.votes.iter().all(|vote| vote.until.is_zero()) {
                 lease.attempt_began = now;
-            } else if now >= lease.until && now >= lease.attempt_began + ATTEMPT {
+            } else if !lease.holds(now) && now >= lease.attempt_began + ATTEMPT {
                 self.retry_later(now, index, out);
             }
         }
@@ -489,7 +300,7 @@
             let engines = claims.iter().map(|claim| claim.engine.clone()).collect();
             let round = self.leases.next_round(now, &witness, engines);
             if witness == self.config.me {
-                let (higher, refused) = self.witness_claims(now, &witness, round, &claims);
+                let (higher, refused) = self.witness_claims(now, &witness, round, &claims, out);
                 self.handle_lease_reply(now, &witness, round, higher, refused, out);
             } else {
                 out.push(Action::Send {
@@ -513,10 +324,11 @@
             let owned = owned_engines
                 .iter()
                 .find(|owned| owned.engine == lease.engine);
+            let renewed = lease.holds(now) || owned.is_some() && now < lease.until;
             claims.push(LeaseClaim {
                 engine: lease.engine.clone(),
                 fence: owned.map_or(0, |owned| owned.fence),
-                electors: (now >= lease.until).then_some(lease.electors),
+                electors: (!renewed).then_some(lease.electors),
             });
         }
         claims
@@ -577,7 +389,7 @@
             };
         }
         lease.update();
-        let held = now < lease.until;
+        let held = lease.holds(now);
         let Some(holder) = refusal.holder.filter(|holder| *holder != self.config.me) else {
             return;
         };
