Crashes: requests that met a former process hide no new crash

Cause: when an upstream is found dead, a node reports the requests that it had sent there before the first connection was lost. What is sent while the upstream is down is lost as well and was kept until the next time. Once the upstream had started again under its id and crashed again, the first loss was one of those, so that the report named them and not the requests in flight.

Why this works: requests that were lost until an upstream was found dead last, or before it was sent one that it has answered, belong to a former process, and are forgotten with it.

--- a/crates/dispatch/src/culprit/mod.rs
+++ b/crates/dispatch/src/culprit/mod.rs
@@ -409,7 +409,7 @@
     ) {
         let run = self.runs.end(request).filter(|_| finished);
         if let Some(run) = &run {
-            self.runs.answered(&run.upstream);
+            self.runs.answered(run);
         }
         if let Some(run) = run.filter(|run| !run.survived) {
             self.survived(now, &run.features, now, out);
--- a/crates/dispatch/src/culprit/runs.rs
+++ b/crates/dispatch/src/culprit/runs.rs
@@ -84,7 +84,10 @@
     /// those that were sent before its crash. A crash is over once `window` has passed without its
     /// upstream being found dead.
     pub fn take_crashed(&mut self, now: Time, upstream: &Upstream, window: Duration) -> Vec<Run> {
-        self.dead.retain(|dead| now <= dead.found_at + window);
+        let over = |dead: &mut Dead| now > dead.found_at + window;
+        for dead in self.dead.extract_if(.., over).collect::<Vec<_>>() {
+            self.forget_lost(&dead.upstream, dead.found_at);
+        }
         let mut ended = self.take_lost(upstream);
         match self.dead.iter_mut().find(|dead| dead.upstream == *upstream) {
             Some(dead) => {
@@ -101,9 +104,17 @@
         ended
     }
 
-    /// Records that `upstream` has answered a request, so that it is running.
-    pub fn answered(&mut self, upstream: &Upstream) {
-        self.dead.retain(|dead| dead.upstream != *upstream);
+    /// Records that an upstream has answered `run`, so that it is running.
+    pub fn answered(&mut self, run: &Run) {
+        self.dead.retain(|dead| dead.upstream != run.upstream);
+        self.forget_lost(&run.upstream, run.started_at);
+    }
+
+    /// Forgets the requests that `upstream` broke off until `until`: they met a former process.
+    fn forget_lost(&mut self, upstream: &Upstream, until: Time) {
+        let lost = |run: &Run| run.connection_lost_at.is_some_and(|at| at <= until);
+        self.runs
+            .retain(|run| run.upstream != *upstream || !lost(run));
     }
 
     /// Removes the requests that were in flight at `upstream` when the first connection was lost.
--- a/crates/dispatch/tests/crash_counting.rs
+++ b/crates/dispatch/tests/crash_counting.rs
@@ -520,6 +520,46 @@
     assert_eq!(reports, 1);
 }
 
+/// Guards against a crash that is not reported, since requests that met the former process of the upstream
+/// while it was down are taken for those in flight: what crashes upstreams would go on to crash others.
+#[rstest]
+#[case::answered(true)]
+#[case::unanswered(false)]
+fn former_crash_hides_no_new_one(#[case] answered: bool) {
+    let mut detector = detector();
+    let upstream = || "engine-0".into();
+    let lost = |request| Event::ConnectionLost { request };
+    let crashed = || Event::Crashed {
+        upstream: upstream(),
+    };
+    let mut events = vec![
+        (0, dispatch(1, &[1])),
+        (10, lost(1)),
+        (12, dispatch(2, &[2])),
+        (15, lost(2)),
+        (20, crashed()),
+    ];
+    if answered {
+        events.push((900, dispatch(3, &[3])));
+        events.push((910, Event::Finished { request: 3 }));
+    }
+    events.extend([
+        (1_300, dispatch(4, &[4])),
+        (1_310, lost(4)),
+        (1_320, crashed()),
+    ]);
+    let actions = events
+        .into_iter()
+        .flat_map(|(at, event)| step(&mut detector, ms(at), event));
+    let reported: Vec<_> = actions
+        .filter_map(|action| match action {
+            Action::Reported(report) => Some(report.charges),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(reported, [vec![(1, 1)], vec![(4, 1)]]);
+}
+
 /// Guards against a decision without end: a conviction that is lifted at the time of a new decision on
 /// the same feature stays lifted until the next one.
 #[test]
