Crashes: an upstream that starts again under its id may crash anew

Cause: a node that has found an upstream dead reports it again only once it has been found dead by nobody's request for 1 s, or has answered one. Upstreams may be back under the same id sooner, and what crashes them may be the first request that they get: that crash was reported by nobody. The analysts likewise took reports for those of the crash before until none had come for 1 s. Nodes knew better, since the listing names the new process, and did not tell the detector.

Why this works: a listing of another process under the id ends the former crash at the node and in the analysts' ledger.

An old listing that comes late counts as a restart as well; the fleet takes it for one too.

--- a/crates/dispatch/src/culprit/ledger.rs
+++ b/crates/dispatch/src/culprit/ledger.rs
@@ -14,6 +14,8 @@
     at: Time,
     /// When it was reported last: requests may still be sent to an upstream that is down.
     reported_at: Time,
+    /// When the upstream started again under the same id.
+    restarted_at: Option<Time>,
     reports: Vec<ReportId>,
     /// Features that may explain the crash, sorted, with the number of requests that have each.
     charges: Vec<(Feature, u32)>,
@@ -73,7 +75,8 @@
         let window = self.config.crash_window;
         let same = |crash: &&mut Crash| {
             let span = crash.at.saturating_sub(window)..=crash.reported_at + window;
-            crash.upstream == report.upstream && span.contains(&at)
+            let former = crash.restarted_at.is_none_or(|restarted| at < restarted);
+            crash.upstream == report.upstream && former && span.contains(&at)
         };
         let survivals = &self.survivals;
         let open = |feature: Feature| survivals.last(feature).is_none_or(|began| began <= at);
@@ -98,6 +101,7 @@
                 upstream: report.upstream,
                 at,
                 reported_at: at,
+                restarted_at: None,
                 reports: vec![report.id],
                 charges,
             };
@@ -107,6 +111,14 @@
         true
     }
 
+    /// Records that `upstream` has started again: what is reported from now on is of another crash.
+    pub fn restarted(&mut self, now: Time, upstream: &Upstream) {
+        let of = |crash: &&mut Crash| crash.upstream == *upstream;
+        for crash in self.crashes.iter_mut().filter(of) {
+            crash.restarted_at.get_or_insert(now);
+        }
+    }
+
     /// Drops charges once there are too many: first those of features with a single crash, so that
     /// many requests with one crash each do not displace what crashes several upstreams.
     fn shrink(&mut self) {
--- a/crates/dispatch/src/culprit/mod.rs
+++ b/crates/dispatch/src/culprit/mod.rs
@@ -183,6 +183,11 @@
         /// The upstream.
         upstream: Upstream,
     },
+    /// An upstream has started again under the id that it had.
+    Restarted {
+        /// The upstream.
+        upstream: Upstream,
+    },
     /// An operator lifts a conviction.
     Lift {
         /// The feature.
@@ -626,6 +631,10 @@
             Event::ConnectionLost { request } => self.runs.connection_lost(now, request),
             Event::StillRunning { upstream } => self.runs.still_running(&upstream),
             Event::Crashed { upstream } => self.upstream_crashed(now, &upstream, out_actions),
+            Event::Restarted { upstream } => {
+                self.runs.restarted(&upstream);
+                self.ledger.restarted(now, &upstream);
+            }
             Event::Lift { feature } => self.lift(now, feature, out_actions),
             Event::Receive { from, message } => self.receive(now, &from, message, out_actions),
             Event::Tick => self.tick(now, out_actions),
--- a/crates/dispatch/src/culprit/runs.rs
+++ b/crates/dispatch/src/culprit/runs.rs
@@ -84,10 +84,7 @@
     /// those that were sent before its crash. A crash is over once `window` has passed without its
     /// upstream being found dead.
     pub fn take_crashed(&mut self, now: Time, upstream: &Upstream, window: Duration) -> Vec<Run> {
-        let over = |dead: &mut Dead| now > dead.found_at + window;
-        for dead in self.dead.extract_if(.., over).collect::<Vec<_>>() {
-            self.forget_lost(&dead.upstream, dead.found_at);
-        }
+        self.forget_dead(|dead| now > dead.found_at + window);
         let mut ended = self.take_lost(upstream);
         match self.dead.iter_mut().find(|dead| dead.upstream == *upstream) {
             Some(dead) => {
@@ -110,6 +107,20 @@
         self.forget_lost(&run.upstream, run.started_at);
     }
 
+    /// Records that `upstream` has started again.
+    pub fn restarted(&mut self, upstream: &Upstream) {
+        self.forget_dead(|dead| dead.upstream == *upstream);
+    }
+
+    /// Forgets the crashes that are `over`, and the requests that were broken off until their upstreams
+    /// were found dead last.
+    fn forget_dead(&mut self, over: impl Fn(&Dead) -> bool) {
+        let over: Vec<Dead> = self.dead.extract_if(.., |dead| over(dead)).collect();
+        for dead in over {
+            self.forget_lost(&dead.upstream, dead.found_at);
+        }
+    }
+
     /// Forgets the requests that `upstream` broke off until `until`: they met a former process.
     fn forget_lost(&mut self, upstream: &Upstream, until: Time) {
         let lost = |run: &Run| run.connection_lost_at.is_some_and(|at| at <= until);
--- a/crates/dispatch/tests/crash_counting.rs
+++ b/crates/dispatch/tests/crash_counting.rs
@@ -560,6 +560,56 @@
     assert_eq!(reported, [vec![(1, 1)], vec![(4, 1)]]);
 }
 
+/// Guards against a crash that is not reported, since the upstream had started again a moment before under
+/// the id that it had, and still counted as dead.
+#[test]
+fn restarted_upstream_crashes_anew() {
+    let mut detector = detector();
+    let upstream = || "engine-0".into();
+    let mut reported = Vec::new();
+    for (request, at) in [(1, 0), (2, 900), (3, 1_100)] {
+        if request == 3 {
+            let restarted = Event::Restarted {
+                upstream: upstream(),
+            };
+            step(&mut detector, ms(1_000), restarted);
+        }
+        step(&mut detector, ms(at), dispatch(request, &[request]));
+        let lost = Event::ConnectionLost { request };
+        step(&mut detector, ms(at + 10), lost);
+        let crashed = Event::Crashed {
+            upstream: upstream(),
+        };
+        let actions = step(&mut detector, ms(at + 20), crashed);
+        reported.extend(actions.into_iter().filter_map(|action| match action {
+            Action::Reported(report) => Some(report.charges),
+            _ => None,
+        }));
+    }
+    assert_eq!(reported, [vec![(1, 1)], vec![(3, 1)]]);
+}
+
+/// Guards against several crashes of one upstream that count as one, since it starts again under its id
+/// while requests to its former process are still reported.
+#[test]
+fn crashes_under_one_id_count_each() {
+    let mut detector = detector();
+    for number in 0..9 {
+        let at = number * 400;
+        if number > 0 && number % 3 == 0 {
+            let upstream = "engine-0".into();
+            step(&mut detector, ms(at - 100), Event::Restarted { upstream });
+        }
+        let crash = CrashReport {
+            upstream: "engine-0".into(),
+            ..report("vm-1", number, &[7])
+        };
+        receive(&mut detector, ms(at), crash);
+    }
+    step(&mut detector, ms(4_000), Event::Tick);
+    assert_eq!(detector.status(ms(4_000), &[7]), Status::Convicted(7));
+}
+
 /// Guards against a decision without end: a conviction that is lifted at the time of a new decision on
 /// the same feature stays lifted until the next one.
 #[test]
--- a/crates/gateway/src/hub/pulse.rs
+++ b/crates/gateway/src/hub/pulse.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use dispatch::culprit;
 use exchange::Fleet;
 use exchange::demand::Target;
 use exchange::fleet::{self, Listing, Version};
@@ -148,6 +149,7 @@
         }
         if change == fleet::ListingChange::Restarted {
             self.unlink(&id);
+            self.track(culprit::Event::Restarted { upstream: id });
         }
     }
 
