Paths: a peer's connection denies a crash only if it stays open

Cause: whether an upstream that broke requests off has crashed is found out by a new connection, and where this node's is refused or closed, by those of three peers. A proxy before a dead process takes them and closes them, and their end has to come through the proxy, the peer and this node: one of three that was still open after 50 ms counted as a way to the upstream, so that the crash was reported by nobody there, and the node took itself for partitioned.

Why this works: where this node's own connection was refused, a peer's has to stay open for 200 ms. Requests go through peers as before, since those do not wait for the check.

--- a/crates/upstream/src/relay/router.rs
+++ b/crates/upstream/src/relay/router.rs
@@ -27,6 +27,10 @@
 /// that has ended, or before a network that is partitioned, takes it and closes it.
 const HOLD: Duration = Duration::from_millis(50);
 
+/// The same for a connection through a peer where this node's own was refused: its end comes later, and one
+/// of several peers that are late would do to deny a crash.
+const REFUSED_HOLD: Duration = Duration::from_millis(200);
+
 /// Peers that are asked at a time in a check.
 const ASKED_TOGETHER: usize = 3;
 
@@ -138,7 +142,7 @@
         self.counts.checks.fetch_add(1, Ordering::Relaxed);
         let opened = timeout(CHECK_LIMIT, self.direct(address)).await;
         let open = match opened {
-            Ok(Ok(stream)) => stays_open(&stream).await,
+            Ok(Ok(stream)) => stays_open(&stream, HOLD).await,
             _ => false,
         };
         let now = self.now();
@@ -154,7 +158,7 @@
     pub async fn check(self: &Arc<Self>, upstream: &Upstream, address: SocketAddr) -> Verdict {
         self.counts.checks.fetch_add(1, Ordering::Relaxed);
         let refused = match timeout(CHECK_LIMIT, self.direct(address)).await {
-            Ok(Ok(stream)) if stays_open(&stream).await => {
+            Ok(Ok(stream)) if stays_open(&stream, HOLD).await => {
                 let now = self.now();
                 self.paths().reached(now, upstream);
                 return Verdict::Reached;
@@ -167,7 +171,8 @@
             upstream: upstream.clone(),
             address,
         };
-        let relay = self.ask_together(&target).await;
+        let hold = if refused { REFUSED_HOLD } else { HOLD };
+        let relay = self.ask_together(&target, hold).await;
         let now = self.now();
         let mut paths = self.paths();
         paths.check_failed(now, upstream);
@@ -183,8 +188,9 @@
         }
     }
 
-    /// Asks several peers at a time for a connection that stays open. Returns the first that opens one.
-    async fn ask_together(self: &Arc<Self>, target: &Target) -> Option<Vm> {
+    /// Asks several peers at a time for a connection that stays open for `hold`. Returns the first that opens
+    /// one.
+    async fn ask_together(self: &Arc<Self>, target: &Target, hold: Duration) -> Option<Vm> {
         let mut asked = JoinSet::new();
         for peer in self
             .candidates(&target.upstream)
@@ -193,7 +199,7 @@
         {
             let (router, target) = (self.clone(), target.clone());
             asked.spawn(async move {
-                let stream = router.ask(&target, &peer, true).await;
+                let stream = router.ask(&target, &peer, hold).await;
                 (peer.vm, stream.map(drop))
             });
         }
@@ -363,7 +369,7 @@
     async fn through_peer(&self, target: &Target) -> Result<(TcpStream, Vm), Failure> {
         let upstream = &target.upstream;
         for peer in self.candidates(upstream) {
-            let failure = match self.ask(target, &peer, false).await {
+            let failure = match self.ask(target, &peer, Duration::ZERO).await {
                 Ok(stream) => return Ok((stream, peer.vm)),
                 Err(failure) => failure,
             };
@@ -380,15 +386,20 @@
         }
     }
 
-    /// Asks a peer for a connection, which has to stay open for a while where `hold` is set.
-    async fn ask(&self, target: &Target, peer: &Peer, hold: bool) -> Result<TcpStream, Failure> {
+    /// Asks a peer for a connection, which has to stay open for `hold`.
+    async fn ask(
+        &self,
+        target: &Target,
+        peer: &Peer,
+        hold: Duration,
+    ) -> Result<TcpStream, Failure> {
         let (upstream, address) = (&target.upstream, target.address);
         let text = token::make(&self.seal, &self.me, &peer.vm, upstream, address);
         let text = text.ok_or(Failure::Unreached)?;
         let asked = client::open(self.source, peer.address, address, text);
         let opened = timeout(RELAY_LIMIT, asked).await;
         let stream = opened.map_err(|_| Failure::Unreached)??;
-        if hold && !stays_open(&stream).await {
+        if !hold.is_zero() && !stays_open(&stream, hold).await {
             return Err(Failure::Refused);
         }
         Ok(stream)
@@ -475,8 +486,8 @@
     )
 }
 
-/// Tells whether a connection on which nothing was sent is still open after a while.
-async fn stays_open(stream: &TcpStream) -> bool {
+/// Tells whether a connection on which nothing was sent is still open after `hold`.
+async fn stays_open(stream: &TcpStream, hold: Duration) -> bool {
     // Nothing comes before a request: what can be read is the end.
-    timeout(HOLD, stream.readable()).await.is_err()
+    timeout(hold, stream.readable()).await.is_err()
 }
--- a/crates/upstream/tests/relayed_connections.rs
+++ b/crates/upstream/tests/relayed_connections.rs
@@ -293,6 +293,27 @@
     assert!(began.elapsed() < ms(400), "{:?}", began.elapsed());
 }
 
+/// Guards against an upstream that has crashed and counts as reached by a peer, whose connection is taken by
+/// a proxy and ends a moment later there: requests that crash upstreams would go on to crash others.
+#[tokio::test]
+async fn connection_that_ends_later_at_the_peer_reaches_nothing() {
+    let near = own_ip();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((stream, from)) = listener.accept().await {
+            let open = if from.ip() == near { 0 } else { 120 };
+            tokio::spawn(async move {
+                sleep(ms(open)).await;
+                drop(stream);
+            });
+        }
+    });
+    let (link, router, _relay) = routed_pair(address, near, KEY, "u").await;
+    assert!(link.has_ended().await);
+    assert_eq!(router.take_changes(), []);
+}
+
 /// Guards against a partitioned node that reports an upstream as crashed which others reach.
 #[tokio::test]
 async fn partitioned_upstream_has_not_ended() {
