Retry budget: count the nodes that may be running

A node shared the constant part of the retry budget with the nodes that it saw live. One that is cut off from its peers, or has just started, sees itself alone and took the part of the whole fleet, so that upstreams got more repeats than the budget of all nodes allows (BUDGET). The limit on connections to an upstream was split the same way.

`exchange::population` counts the nodes that may be running: those that discovery knows, those that it has forgotten, unless they left or a majority is in touch and has not heard of them for 15 s, and the seeds of a node that has met nobody. Of the parts of a partitioned fleet, at most one has a majority, so that all together take less than one and a half times the constant, of which nodes use three fifths. A node without seeds is alone.

--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -21,6 +21,7 @@
 //! - [`prefill_estimate`] estimates prefill times from completed requests.
 //! - [`owner`] claims engines, numbers orders, and decides on loads and evictions.
 //! - [`retry_budget`] limits retries to this node's share of the global budget.
+//! - [`population`] counts the nodes that share what all nodes together may do.
 //! - [`permit`] bounds the requests of all nodes at brittle upstreams.
 //! - [`platform_reader`] decides which nodes read the platform on behalf of all.
 //! - [`history`] tracks the eras of the platform.
@@ -40,6 +41,7 @@
 pub mod owner;
 pub mod permit;
 pub mod platform_reader;
+pub mod population;
 pub mod prefill_estimate;
 pub mod prefill_limit;
 pub mod prompt;
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -8,6 +8,7 @@
 
 use dispatch::culprit;
 use exchange::owner;
+use exchange::population::Population;
 use log::info;
 use node::decision;
 use node::journal::DECISION;
@@ -59,6 +60,7 @@
     leaving: Vec<Vm>,
     /// Records of all known nodes, sorted by VM.
     known: Vec<Record>,
+    running: usize,
     fit: bool,
 }
 
@@ -66,6 +68,7 @@
     hub: Arc<Hub<D>>,
     roster: Roster,
     seeds: Seeds,
+    population: Population,
     view: View,
     shown: Option<Shown>,
     started: Time,
@@ -137,9 +140,11 @@
             peers: hub.exchange.advertise.unwrap_or(settings.listen.peers),
             callers: settings.listen.callers,
         };
+        let seeds = Seeds::new(me, hub.exchange.seeds.clone(), seed);
         Ok(State {
             roster: Roster::new(hub.me.clone(), settings.vm.zone.clone(), seed),
-            seeds: Seeds::new(me, hub.exchange.seeds.clone(), seed),
+            population: Population::new(seeds.seeds()),
+            seeds,
             view: View::default(),
             shown: None,
             started: hub.clock.now(),
@@ -308,10 +313,14 @@
         let fit = settled && self.found_others(now) && self.roster.fit() && (enough || informed);
         let mut known: Vec<Record> = self.seeds.records().cloned().collect();
         known.sort_unstable_by(|a, b| a.vm.cmp(&b.vm));
+        let discovered: Vec<Vm> = known.iter().map(|record| record.vm.clone()).collect();
+        self.population.update(now, &discovered, &leaving);
+        let running = self.population.count();
         let shown = Shown {
             live: live.clone(),
             leaving: leaving.clone(),
             known: known.clone(),
+            running,
             fit,
         };
         if self.shown.as_ref() == Some(&shown) {
@@ -319,12 +328,11 @@
         }
         let former = self.shown.replace(shown);
         let former = former.map(|shown| shown.live).unwrap_or_default();
-        let staying = known.iter().map(|record| &record.vm);
-        let staying = staying.filter(|vm| {
-            let own = **vm == self.hub.me.vm;
+        let staying = discovered.into_iter().filter(|vm| {
+            let own = *vm == self.hub.me.vm;
             !(leaving.contains(vm) || own && self.hub.leaving())
         });
-        let staying: Vec<Vm> = staying.cloned().collect();
+        let staying: Vec<Vm> = staying.collect();
         let mut records: Vec<Record> = self
             .view
             .peers()
@@ -333,11 +341,12 @@
             .cloned()
             .collect();
         records.sort_unstable_by(|a, b| a.vm.cmp(&b.vm));
-        info!(target: DECISION, live = live.len(), known = records.len(), fit; "view");
+        info!(target: DECISION, live = live.len(), known = records.len(), running, fit; "view");
         let peers = Arc::new(Peers {
             records,
             known,
             live: live.clone(),
+            running,
         });
         self.hub.set_relays(&peers);
         self.hub.peers.store(peers.clone());
@@ -357,7 +366,7 @@
     /// find them by, or has asked its seeds in vain for as long as records of others are kept.
     fn found_others(&self, now: Time) -> bool {
         self.seeds.known() > 0
-            || !self.seeds.has_seeds()
+            || self.seeds.seeds() == 0
             || now >= self.started + seeds::RECORD_LIFETIME
     }
 
--- a/crates/gateway/src/hub/mod.rs
+++ b/crates/gateway/src/hub/mod.rs
@@ -96,6 +96,8 @@
     pub known: Vec<Record>,
     /// The live ones that take part, this node included, sorted.
     pub live: Vec<Vm>,
+    /// How many nodes may be running, whether they answer this one or not.
+    pub running: usize,
 }
 
 impl Peers {
@@ -367,7 +369,8 @@
 
     /// Returns how many nodes share what all nodes together may do.
     pub fn nodes(&self) -> usize {
-        self.peers.load().live.len().max(1)
+        let peers = self.peers.load();
+        peers.running.max(peers.live.len()).max(1)
     }
 
     /// Returns the link to an upstream.
--- a/crates/gateway/src/hub/quota.rs
+++ b/crates/gateway/src/hub/quota.rs
@@ -129,11 +129,13 @@
 
     /// Returns the part of the known nodes that live, as far as this one sees.
     pub(super) fn seen_part(&self) -> f64 {
-        (self.nodes() as f64 / self.known_nodes()).min(1.0)
+        let live = self.peers.load().live.len().max(1);
+        (live as f64 / self.known_nodes()).min(1.0)
     }
 
     pub(super) fn known_nodes(&self) -> f64 {
-        self.peers.load().records.len().max(self.nodes()) as f64
+        let peers = self.peers.load();
+        peers.records.len().max(peers.live.len()).max(1) as f64
     }
 
     fn quotas(&self) -> MutexGuard<'_, Quotas> {
--- a/crates/roster/src/seeds.rs
+++ b/crates/roster/src/seeds.rs
@@ -169,9 +169,9 @@
         std::iter::once(&self.me).chain(others)
     }
 
-    /// Returns whether there are seeds beside this node.
-    pub fn has_seeds(&self) -> bool {
-        !self.seeds.is_empty()
+    /// Returns the number of seeds beside this node.
+    pub fn seeds(&self) -> usize {
+        self.seeds.len()
     }
 
     fn find(&self, vm: &str) -> Result<usize, usize> {
