Quotas, rates, permits: go by the nodes that may be running

A coordinator that sees only some nodes hands out their part of a quota, of an announced rate or of the places at a brittle upstream. The whole was what discovery knew: a node that has just started and hears nobody knows only itself, and so does one that has been cut off for longer than discovery keeps records, 15 s. Each then granted the whole (quotas; LIMIT).

Both now divide by `exchange::population`, as the retry budget does.

More than half of the nodes that end at once without a word and are not replaced keep their part from the others; a cut node cannot tell the two apart, and giving more than a limit breaks it.

--- a/crates/exchange/src/population.rs
+++ b/crates/exchange/src/population.rs
@@ -26,7 +26,7 @@
 }
 
 /// The nodes that may be running, as one of them knows.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Population {
     /// Other nodes that the settings name.
     seeds: usize,
@@ -80,4 +80,9 @@
         let unmet = if self.met { 0 } else { self.seeds };
         self.members.len().max(1) + unmet
     }
+
+    /// Returns the fraction of the population that `live` nodes are; this one always lives.
+    pub fn part(&self, live: usize) -> f64 {
+        (live.max(1) as f64 / self.count() as f64).min(1.0)
+    }
 }
--- a/crates/exchange/tests/population.rs
+++ b/crates/exchange/tests/population.rs
@@ -4,8 +4,10 @@
 use std::time::Duration;
 
 use exchange::population::Population;
+use exchange::quota::{QuotaDecision, TokenBuckets};
 use exchange::retry_budget::{Config, RetryBudget};
 use exchange::route::PoolName;
+use exchange::tenant::{Quota, TenantName, Unit};
 use rstest::rstest;
 use wire::{Time, Vm};
 
@@ -83,6 +85,48 @@
     }
 }
 
+/// Nodes that are cut off from each other keep to the quota that they share, whoever coordinates it in
+/// each part, however long the cut lasts.
+#[rstest]
+#[case::one(&[1, 6])]
+#[case::minority(&[3, 4])]
+#[case::thirds(&[2, 2, 3])]
+#[case::each(&[1; NODES])]
+fn cut_nodes_share_a_quota(#[case] parts: &[usize]) {
+    let quota = Quota {
+        rate: 100.0,
+        burst: 100.0,
+        unit: Unit::Requests,
+    };
+    let tenant: TenantName = "mayor".into();
+    let mut population = vec![Population::new(3); NODES];
+    let mut coordinators = vec![TokenBuckets::shared(); NODES];
+    let (mut now, mut granted) = (Time::ZERO, Vec::new());
+    while now < seconds(120) {
+        for (me, population) in population.iter_mut().enumerate() {
+            let known = discovered(now, parts, me);
+            population.update(now, &known, &[]);
+            let live = if now < CUT_AT {
+                0..NODES
+            } else {
+                part(parts, me)
+            };
+            if me == live.start {
+                let decide = |_: &u32| {
+                    let part = population.part(live.len());
+                    let bucket = &mut coordinators[me];
+                    bucket.try_acquire(now, &tenant, &quota, part, 1) == QuotaDecision::Granted
+                };
+                granted.extend((0..20).filter(decide).map(|_| now));
+            }
+        }
+        now += STEP;
+    }
+    // One and a half times the rate, over some seconds in which the burst does not count.
+    let steady = granted.iter().filter(|at| **at >= seconds(60)).count();
+    assert!(steady <= 9_000, "{steady} granted in 60 s");
+}
+
 /// A node that has started and not met the others takes no whole share of its own.
 #[rstest]
 fn starting_node_counts_its_seeds() {
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -60,7 +60,7 @@
     leaving: Vec<Vm>,
     /// Records of all known nodes, sorted by VM.
     known: Vec<Record>,
-    running: usize,
+    population: Population,
     fit: bool,
 }
 
@@ -320,7 +320,7 @@
             live: live.clone(),
             leaving: leaving.clone(),
             known: known.clone(),
-            running,
+            population: self.population.clone(),
             fit,
         };
         if self.shown.as_ref() == Some(&shown) {
@@ -333,20 +333,11 @@
             !(leaving.contains(vm) || own && self.hub.leaving())
         });
         let staying: Vec<Vm> = staying.collect();
-        let mut records: Vec<Record> = self
-            .view
-            .peers()
-            .iter()
-            .filter_map(|peer| self.seeds.record(&peer.incarnation.vm))
-            .cloned()
-            .collect();
-        records.sort_unstable_by(|a, b| a.vm.cmp(&b.vm));
-        info!(target: DECISION, live = live.len(), known = records.len(), running, fit; "view");
+        info!(target: DECISION, live = live.len(), known = known.len(), running, fit; "view");
         let peers = Arc::new(Peers {
-            records,
             known,
             live: live.clone(),
-            running,
+            population: self.population.clone(),
         });
         self.hub.set_relays(&peers);
         self.hub.peers.store(peers.clone());
--- a/crates/gateway/src/hub/mod.rs
+++ b/crates/gateway/src/hub/mod.rs
@@ -42,6 +42,7 @@
 use exchange::history::History;
 use exchange::owner::{self, Grant};
 use exchange::platform_reader::ReaderRole;
+use exchange::population::Population;
 use exchange::prefill_estimate::PrefillEstimator;
 use exchange::retry_budget::{self, RetryBudget};
 use exchange::route::Config;
@@ -90,14 +91,12 @@
 /// The nodes that take traffic.
 #[derive(Clone, Debug, Default)]
 pub struct Peers {
-    /// Records of the nodes in the membership view, sorted by VM.
-    pub records: Vec<Record>,
     /// Records of all nodes known to discovery, sorted by VM.
     pub known: Vec<Record>,
     /// The live ones that take part, this node included, sorted.
     pub live: Vec<Vm>,
-    /// How many nodes may be running, whether they answer this one or not.
-    pub running: usize,
+    /// Those that may be running, whether they answer this one or not.
+    pub population: Population,
 }
 
 impl Peers {
@@ -369,8 +368,13 @@
 
     /// Returns how many nodes share what all nodes together may do.
     pub fn nodes(&self) -> usize {
+        self.peers.load().population.count()
+    }
+
+    /// Returns the fraction of these nodes that live, as far as this one sees.
+    pub fn seen_part(&self) -> f64 {
         let peers = self.peers.load();
-        peers.running.max(peers.live.len()).max(1)
+        peers.population.part(peers.live.len())
     }
 
     /// Returns the link to an upstream.
--- a/crates/gateway/src/hub/permit.rs
+++ b/crates/gateway/src/hub/permit.rs
@@ -213,7 +213,7 @@
     /// Decides about a request for which no issuer answers. All nodes together send so little of this
     /// kind that the upstream survives if it turns all of it away.
     fn send_unissued(&self, upstream: &Upstream, tolerance: Tolerance) -> PermitDecision<D> {
-        let rate = permit::unissued_rate(tolerance, self.known_nodes());
+        let rate = permit::unissued_rate(tolerance, self.nodes() as f64);
         let now = self.clock.now();
         let mut permits = self.permits();
         let own = &mut permits.unissued;
--- a/crates/gateway/src/hub/quota.rs
+++ b/crates/gateway/src/hub/quota.rs
@@ -101,7 +101,7 @@
     }
 
     fn draw_own(&self, tenant: &Tenant, quota: &Quota, units: u32) -> QuotaDecision {
-        let (now, part) = (self.clock.now(), 1.0 / self.known_nodes());
+        let (now, part) = (self.clock.now(), 1.0 / self.nodes() as f64);
         let mut quotas = self.quotas();
         quotas
             .own
@@ -127,17 +127,6 @@
         }
     }
 
-    /// Returns the part of the known nodes that live, as far as this one sees.
-    pub(super) fn seen_part(&self) -> f64 {
-        let live = self.peers.load().live.len().max(1);
-        (live as f64 / self.known_nodes()).min(1.0)
-    }
-
-    pub(super) fn known_nodes(&self) -> f64 {
-        let peers = self.peers.load();
-        peers.records.len().max(peers.live.len()).max(1) as f64
-    }
-
     fn quotas(&self) -> MutexGuard<'_, Quotas> {
         self.quotas.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/gateway/src/hub/rate.rs
+++ b/crates/gateway/src/hub/rate.rs
@@ -152,7 +152,7 @@
     }
 
     fn acquire_own(&self, upstream: &Upstream, rate: Rate) -> RateDecision {
-        let (now, part) = (self.clock.now(), 1.0 / self.known_nodes());
+        let (now, part) = (self.clock.now(), 1.0 / self.nodes() as f64);
         let mut rates = self.rates();
         rates
             .own
