Search: use a resident adapter before a request is refused

A stream was refused with `no-place` for about a second while an engine changed its owner, although its adapter was resident at another one. The choice goes by cost: a recent failure, at a cut for instance, makes a load at another engine cheaper than the engine that holds the adapter. Once that load turned out to come too late, since nobody owned the engine or its queue was long, the request was refused and the resident adapter not looked at again.

Before it refuses, the search now takes the engine that holds the newest version and could begin first, if that is within the time that the request may wait. Overload is refused as before, since the queue there counts. Engines that are unusually silent are left out, and long prompts keep to the engines that are dedicated to them.

Not played with real nodes.

--- a/crates/exchange/src/search.rs
+++ b/crates/exchange/src/search.rs
@@ -52,6 +52,10 @@
     /// Returns the engine with the shortest wait for a load, and that wait.
     fn shortest_wait(&self) -> Option<(Upstream, Duration)>;
 
+    /// Returns the engine that holds the target and could begin with the request first, and the time
+    /// until then.
+    fn soonest_resident(&self) -> Option<(Upstream, Duration)>;
+
     /// Returns the time until engines without an owner could load something.
     fn claim_delay(&self) -> Duration;
 }
@@ -149,11 +153,20 @@
             }
             shortest => {
                 let wait = shortest.map_or(wait, |(_, shortest)| shortest.min(wait));
-                Step::Refuse(self.return_after(now, wait))
+                self.admit_or_refuse(now, self.return_after(now, wait), view)
             }
         }
     }
 
+    /// Refuses a request for which no load is complete in time, unless an engine holds its target and
+    /// can begin in time. Such an engine may have been left aside for a recent failure.
+    fn admit_or_refuse(&self, now: Time, return_after: Duration, view: &impl View) -> Step {
+        match view.soonest_resident() {
+            Some((engine, wait)) if now + wait <= self.deadline() => Step::Admit(engine),
+            _ => Step::Refuse(return_after),
+        }
+    }
+
     /// Returns until when a load may complete: a request that has been queued stays for as long as
     /// its answer is of use.
     fn deadline(&self) -> Time {
@@ -190,7 +203,7 @@
             self.expected.get_or_insert(delay);
             Step::Pause(UNOWNED_PAUSE)
         } else {
-            Step::Refuse(delay)
+            self.admit_or_refuse(now, delay, view)
         }
     }
 
--- a/crates/exchange/src/selection.rs
+++ b/crates/exchange/src/selection.rs
@@ -399,6 +399,36 @@
     Some((shortest.listing.id.clone(), wait))
 }
 
+/// Returns the engine that holds the newest version of the target and could begin with the request
+/// first, with the time until then. Engines that are unusually silent are left out, and so are those
+/// whose streams a long prompt would delay.
+pub fn soonest_resident(
+    fleet: &Fleet,
+    requirements: &Requirements<'_>,
+    context: &SelectionContext<'_, impl Fn(&Upstream) -> bool>,
+) -> Option<(Upstream, Duration)> {
+    let (now, target) = (context.now, requirements.target?);
+    let usual = fleet.silence_of(&requirements.service.name).avoid_after();
+    let accepting = fleet
+        .accepting(now, &requirements.service.name)
+        .filter(|upstream| requirements.fits(upstream));
+    let mut candidates = with_base_model(fleet, target, accepting);
+    let dedicated = long_prompt_engines(&candidates, context.long_prompt_engines);
+    if requirements.has_long_prompt() && !dedicated.is_empty() {
+        candidates = dedicated;
+    }
+    candidates.retain(|upstream| {
+        let held = matches!(upstream.presence(target), Presence::Held(version) if fleet.is_newest(target, version));
+        held && upstream.silence(now) <= usual
+    });
+    let waits = candidates.into_iter().map(|upstream| {
+        let wait = Duration::from_secs_f64(queue_cost(now, upstream) / 1_000.0);
+        (wait, upstream)
+    });
+    let (wait, soonest) = waits.min_by_key(|(wait, _)| *wait)?;
+    Some((soonest.listing.id.clone(), wait))
+}
+
 fn is_present(upstream: &UpstreamState, target: &Target) -> bool {
     upstream.presence(target) != Presence::Absent
 }
--- a/crates/exchange/tests/patterns/node.rs
+++ b/crates/exchange/tests/patterns/node.rs
@@ -9,6 +9,7 @@
 use exchange::search::{SILENT_OWNER_WAIT, Search, Step, View, Waits};
 use exchange::selection::{
     Requirements, SelectionContext, missing_replica, select_upstream, shortest_load_wait,
+    soonest_resident,
 };
 use exchange::{Fleet, Selection};
 use wire::{Time, Upstream, Vm, Zone};
@@ -52,6 +53,10 @@
         shortest_load_wait(&self.node.fleet, self.requirements, self.context)
     }
 
+    fn soonest_resident(&self) -> Option<(Upstream, Duration)> {
+        soonest_resident(&self.node.fleet, self.requirements, self.context)
+    }
+
     fn claim_delay(&self) -> Duration {
         self.node.owner.claim_delay(self.context.now)
     }
--- a/crates/exchange/tests/search_steps.rs
+++ b/crates/exchange/tests/search_steps.rs
@@ -20,6 +20,8 @@
 /// Engines with the wait for a load at each; `None` where nobody orders loads.
 struct Engines {
     waits: Vec<(&'static str, Option<Duration>)>,
+    /// The engine that holds the adapter, and the wait there.
+    resident: Option<(&'static str, Duration)>,
     claim_delay: Duration,
 }
 
@@ -35,6 +37,11 @@
         owned.min_by_key(|(_, wait)| *wait)
     }
 
+    fn soonest_resident(&self) -> Option<(Upstream, Duration)> {
+        let (engine, wait) = self.resident?;
+        Some((engine.into(), wait))
+    }
+
     fn claim_delay(&self) -> Duration {
         self.claim_delay
     }
@@ -44,6 +51,7 @@
     let waits = waits.iter().map(|(id, wait)| (*id, Some(ms(*wait))));
     Engines {
         waits: waits.collect(),
+        resident: None,
         claim_delay: ms(1_000),
     }
 }
@@ -124,12 +132,41 @@
 fn unowned_engines_are_awaited_or_not(#[case] claim_delay: u64, #[case] refused: bool) {
     let view = Engines {
         waits: vec![("e1", None)],
+        resident: None,
         claim_delay: ms(claim_delay),
     };
     let step = Search::new(LIMITS).next(NOW, load("e1"), &view);
     assert_eq!(matches!(step, Step::Refuse(_)), refused, "{step:?}");
 }
 
+/// Guards against the refusal of a request whose adapter is resident at an engine that costs more than a
+/// load elsewhere, where that load comes too late.
+#[rstest]
+#[case::no_owner(None, 500, true)]
+#[case::busy_owner(Some(ms(2_000)), 500, true)]
+#[case::no_owner_and_long_queue(None, 3_700, false)]
+#[case::busy_owner_and_long_queue(Some(ms(2_000)), 900, false)]
+fn resident_adapter_is_used_before_a_refusal(
+    #[case] load_wait: Option<Duration>,
+    #[case] resident_wait: u64,
+    #[case] served: bool,
+) {
+    let view = Engines {
+        waits: vec![("e1", load_wait)],
+        resident: Some(("e2", ms(resident_wait))),
+        claim_delay: ms(5_500),
+    };
+    let mut search = Search::new(LIMITS);
+    let mut step = search.next(NOW, load("e1"), &view);
+    if load_wait.is_some() {
+        assert_eq!(step, Step::Load("e1".into()));
+        step = search.next(NOW + ms(3), load("e1"), &view);
+    }
+    let expected = Step::Admit("e2".into());
+    assert_eq!(step == expected, served, "{step:?}");
+    assert_eq!(matches!(step, Step::Refuse(_)), !served, "{step:?}");
+}
+
 /// A request that has waited for an owner is queued: the wait for its load counts from its arrival,
 /// and must not end in a refusal for having been long.
 #[rstest]
@@ -139,6 +176,7 @@
     let mut search = Search::new(LIMITS);
     let unowned = Engines {
         waits: vec![("e1", None)],
+        resident: None,
         claim_delay: ms(900),
     };
     let step = search.next(NOW, load("e1"), &unowned);
--- a/crates/exchange/tests/upstream_choice.rs
+++ b/crates/exchange/tests/upstream_choice.rs
@@ -2,18 +2,20 @@
 
 mod support;
 
+use std::time::Duration;
+
 use exchange::Selection;
 use exchange::demand::Target;
 use exchange::fleet::{AttemptResult, Listing, ListingChange, Load, Presence, Release};
 use exchange::route::Service;
 use exchange::selection::{
-    LONG_PROMPT, Requirements, SelectionContext, Unavailable, select_upstream,
+    LONG_PROMPT, Requirements, SelectionContext, Unavailable, select_upstream, soonest_resident,
 };
 use rstest::rstest;
 use support::{engine, engine_service, fleet, ms, plain_listing, plain_service, target};
 use wire::{Upstream, Zone};
 
-const NOW: std::time::Duration = ms(10_000);
+const NOW: Duration = ms(10_000);
 
 struct Request<'a> {
     service: &'a Service,
@@ -24,6 +26,14 @@
 }
 
 fn select(fleet: &exchange::Fleet, request: &Request<'_>) -> Selection {
+    select_with(fleet, request).0
+}
+
+/// Returns the selection, and the engine that holds the adapter and could begin first.
+fn select_with(
+    fleet: &exchange::Fleet,
+    request: &Request<'_>,
+) -> (Selection, Option<(Upstream, Duration)>) {
     let zone: Zone = "zone-a".into();
     let requirements = Requirements {
         service: request.service,
@@ -44,7 +54,10 @@
         long_prompt_engines: 0.12,
         owned: |_: &Upstream| true,
     };
-    select_upstream(fleet, &requirements, &context)
+    (
+        select_upstream(fleet, &requirements, &context),
+        soonest_resident(fleet, &requirements, &context),
+    )
 }
 
 fn select_plain(fleet: &exchange::Fleet, tried: &[Upstream]) -> Selection {
@@ -151,6 +164,35 @@
     );
 }
 
+/// An engine that holds the adapter is found although a recent failure makes a load elsewhere cheaper.
+#[rstest]
+#[case::short(false, Some("e2"))]
+#[case::long_on_shared(true, None)]
+fn resident_adapter_is_found_after_a_failure(
+    #[case] long_prompt: bool,
+    #[case] found: Option<&'static str>,
+) {
+    let ids: Vec<String> = (0..9).map(|index| format!("e{index}")).collect();
+    let listings = ids.iter().map(|id| {
+        let held: &[&str] = if id == "e2" { &["a"] } else { &[] };
+        engine(id, held)
+    });
+    let mut fleet = fleet(NOW - ms(50), listings);
+    fleet.request_started(NOW - ms(20), "e2");
+    fleet.request_ended(NOW - ms(10), "e2", AttemptResult::Failed);
+    let request = Request {
+        service: &engine_service(),
+        target: Some(&target("a")),
+        tried: &[],
+        long_prompt,
+        release: None,
+    };
+    let (selection, resident) = select_with(&fleet, &request);
+    assert!(matches!(selection, Selection::Load(_)), "{selection:?}");
+    let resident = resident.map(|(engine, _)| engine);
+    assert_eq!(resident.as_deref(), found);
+}
+
 #[rstest]
 fn request_waits_for_a_loading_adapter() {
     let mut fleet = fleet(NOW, [engine("e1", &[]), engine("e2", &[])]);
--- a/crates/gateway/src/hub/search.rs
+++ b/crates/gateway/src/hub/search.rs
@@ -27,6 +27,10 @@
         selection::shortest_load_wait(&self.desk.fleet, self.need, self.context)
     }
 
+    fn soonest_resident(&self) -> Option<(Upstream, Duration)> {
+        selection::soonest_resident(&self.desk.fleet, self.need, self.context)
+    }
+
     fn claim_delay(&self) -> Duration {
         self.desk.owner.claim_delay(self.context.now)
     }
