Retry budget: grow the share of the constant over the first window

Nodes that start together find each other over some seconds. Until then each counts only those that it has found, and took a correspondingly large share of the constant part of the budget. A process that starts again also does not know what its predecessor spent within the window.

A node that shares the constant with others now gets its share gradually over the first window after its start. A single failure is still retried at once, and what requests earn is not affected; a node without others has the whole constant from the start.

`RetryBudget::new` takes the time of the start; the existing tests start at zero and check what they did.

--- a/crates/exchange/src/retry_budget.rs
+++ b/crates/exchange/src/retry_budget.rs
@@ -4,6 +4,9 @@
 //! does not know what the others spend, so it spends no more than what its own requests earn plus
 //! its share of the constant. Only requests of the current window count, which underestimates what
 //! was earned.
+//!
+//! A node that has just started may not have found all others yet, and a former process on its VM may
+//! have spent the share, so it gets its share of the constant gradually over the first window.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -48,15 +51,17 @@
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     config: Config,
+    started: Time,
     /// Sorted by pool.
     accounts: Vec<Account>,
 }
 
 impl RetryBudget {
-    /// Creates a budget from which nothing was spent.
-    pub fn new(config: Config) -> Self {
+    /// Creates the budget of a node that started at `started`, from which nothing was spent.
+    pub fn new(config: Config, started: Time) -> Self {
         Self {
             config,
+            started,
             accounts: Vec::new(),
         }
     }
@@ -77,10 +82,16 @@
             window,
             share,
         } = self.config;
+        let uptime = now.saturating_sub(self.started).as_secs_f64();
+        let ramp = if nodes > 1 {
+            (uptime / window.as_secs_f64()).min(1.0)
+        } else {
+            1.0
+        };
         let account = self.account(now, pool);
         remove_expired(&mut account.requests, now, window);
         let earned = ratio * account.requests.len() as f64;
-        let allowed = share * (earned + extra / nodes.max(1) as f64);
+        let allowed = share * (earned + ramp * extra / nodes.max(1) as f64);
         let permitted = (account.retries.len() as f64) < allowed.max(1.0);
         if permitted {
             account.retries.push_back(now);
--- a/crates/exchange/tests/population.rs
+++ b/crates/exchange/tests/population.rs
@@ -16,6 +16,13 @@
 /// Time after which discovery forgets a node that nobody has heard.
 const RECORD_LIFETIME: Duration = Duration::from_secs(15);
 
+const CONFIG: Config = Config {
+    ratio: 0.2,
+    extra: 54.0,
+    window: Duration::from_secs(10),
+    share: 0.6,
+};
+
 /// Interval between two steps.
 const STEP: Duration = Duration::from_millis(100);
 
@@ -61,14 +68,9 @@
 #[case::thirds(&[2, 2, 3])]
 #[case::each(&[1; NODES])]
 fn cut_nodes_share_the_retry_budget(#[case] parts: &[usize]) {
-    let config = Config {
-        ratio: 0.2,
-        extra: 54.0,
-        window: Duration::from_secs(10),
-        share: 0.6,
-    };
+    let config = CONFIG;
     let pool: PoolName = "pool".into();
-    let mut nodes = vec![(Population::new(3), RetryBudget::new(config)); NODES];
+    let mut nodes = vec![(Population::new(3), RetryBudget::new(config, Time::ZERO)); NODES];
     let mut retries: Vec<Time> = Vec::new();
     let mut now = Time::ZERO;
     while now < seconds(120) {
@@ -85,6 +87,35 @@
     }
 }
 
+/// Nodes that start together and learn of each other over some seconds keep to the retry budget.
+#[rstest]
+#[case::seven(7, 54.0)]
+#[case::thirty(30, 200.0)]
+#[case::large(195, 430.0)]
+fn starting_nodes_share_the_retry_budget(#[case] nodes: usize, #[case] extra: f64) {
+    const DISCOVERY: Duration = Duration::from_secs(7);
+    let config = Config { extra, ..CONFIG };
+    let pool: PoolName = "pool".into();
+    let mut budgets = vec![(Population::new(3), RetryBudget::new(config, Time::ZERO)); nodes];
+    let mut retries: Vec<Time> = Vec::new();
+    let mut now = STEP;
+    while now < seconds(30) {
+        let found = nodes as f64 * now.as_secs_f64() / DISCOVERY.as_secs_f64();
+        let found = (found.ceil() as usize).clamp(1, nodes);
+        for (me, (population, budget)) in budgets.iter_mut().enumerate() {
+            let known = vms((0..found).map(|step| (me + step) % nodes));
+            population.update(now, &known, &[]);
+            while budget.try_spend(now, &pool, population.count()) {
+                retries.push(now);
+            }
+        }
+        let recent = retries.iter().filter(|at| now < **at + config.window);
+        let spent = recent.count();
+        assert!(spent as f64 <= extra, "{spent} retries at {now:?}");
+        now += STEP;
+    }
+}
+
 /// Nodes that are cut off from each other keep to the quota that they share, whoever coordinates it in
 /// each part, however long the cut lasts.
 #[rstest]
--- a/crates/exchange/tests/repeat_budget.rs
+++ b/crates/exchange/tests/repeat_budget.rs
@@ -21,7 +21,9 @@
 #[rstest]
 fn all_nodes_stay_within_the_budget() {
     let pool: PoolName = "pool".into();
-    let mut nodes: Vec<RetryBudget> = (0..NODES).map(|_| RetryBudget::new(config())).collect();
+    let mut nodes: Vec<RetryBudget> = (0..NODES)
+        .map(|_| RetryBudget::new(config(), Duration::ZERO))
+        .collect();
     let mut retries: Vec<u64> = Vec::new();
     let mut requests: Vec<u64> = Vec::new();
     for tick in 0..4_000_u64 {
@@ -46,11 +48,14 @@
 
 #[rstest]
 fn single_failure_is_always_retried() {
-    let mut budget = RetryBudget::new(Config {
-        ratio: 0.0,
-        extra: 1.0,
-        ..config()
-    });
+    let mut budget = RetryBudget::new(
+        Config {
+            ratio: 0.0,
+            extra: 1.0,
+            ..config()
+        },
+        Duration::ZERO,
+    );
     let pool: PoolName = "pool".into();
     assert!(budget.try_spend(Duration::from_secs(1), &pool, NODES));
     assert!(!budget.try_spend(Duration::from_secs(2), &pool, NODES));
@@ -59,11 +64,14 @@
 
 #[rstest]
 fn pools_have_separate_budgets() {
-    let mut budget = RetryBudget::new(Config {
-        ratio: 0.0,
-        extra: 1.0,
-        ..config()
-    });
+    let mut budget = RetryBudget::new(
+        Config {
+            ratio: 0.0,
+            extra: 1.0,
+            ..config()
+        },
+        Duration::ZERO,
+    );
     let now = Duration::from_secs(1);
     assert!(budget.try_spend(now, &"one".into(), NODES));
     assert!(budget.try_spend(now, &"other".into(), NODES));
--- a/crates/gateway/src/hub/mod.rs
+++ b/crates/gateway/src/hub/mod.rs
@@ -239,7 +239,7 @@
         let desk = Desk {
             fleet: Fleet::default(),
             demand: Demand::default(),
-            spend: RetryBudget::new(spend),
+            spend: RetryBudget::new(spend, clock.now()),
             owner: Owner::new(owner),
             mirror: ReaderRole::default(),
             history: History::default(),
