--- a/crates/exchange/src/population.rs
+++ b/crates/exchange/src/population.rs
@@ -25,6 +25,13 @@
     Absent(Time),
 }
 
+impl Presence {
+    /// Returns whether a majority may take the member for gone.
+    fn has_ended(self, now: Time) -> bool {
+        matches!(self, Self::Absent(since) if now >= since + ABSENCE_TIME)
+    }
+}
+
 /// The nodes that may be running, as one of them knows.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Population {
@@ -47,20 +54,20 @@
         }
     }
 
-    /// Takes in which nodes discovery knows, this one included, and which of them shut down.
+    /// Takes in which nodes discovery knows, this one included, and which of them shut down, both sorted.
     pub fn update(&mut self, now: Time, discovered: &[Vm], leaving: &[Vm]) {
+        let absent = |vm: &Vm| discovered.binary_search(vm).is_err();
         self.members
-            .retain(|(vm, presence)| *presence != Presence::Leaving || discovered.contains(vm));
+            .retain(|(vm, presence)| *presence != Presence::Leaving || !absent(vm));
         for (vm, presence) in &mut self.members {
-            if *presence == Presence::Known && !discovered.contains(vm) {
+            if *presence == Presence::Known && absent(vm) {
                 *presence = Presence::Absent(now);
             }
         }
         for vm in discovered {
-            let presence = if leaving.contains(vm) {
-                Presence::Leaving
-            } else {
-                Presence::Known
+            let presence = match leaving.binary_search(vm) {
+                Ok(_) => Presence::Leaving,
+                Err(_) => Presence::Known,
             };
             match self.members.binary_search_by(|(known, _)| known.cmp(vm)) {
                 Ok(index) => self.members[index].1 = presence,
@@ -69,8 +76,8 @@
         }
         self.met |= discovered.len() > 1;
         if discovered.len() * 2 > self.members.len() {
-            let ended = |presence: &Presence| matches!(presence, Presence::Absent(since) if now >= *since + ABSENCE_TIME);
-            self.members.retain(|(_, presence)| !ended(presence));
+            self.members
+                .retain(|(_, presence)| !presence.has_ended(now));
         }
     }
 
--- a/crates/exchange/tests/population.rs
+++ b/crates/exchange/tests/population.rs
@@ -33,7 +33,9 @@
 }
 
 fn vms(indexes: impl IntoIterator<Item = usize>) -> Vec<Vm> {
-    indexes.into_iter().map(vm).collect()
+    let mut vms: Vec<Vm> = indexes.into_iter().map(vm).collect();
+    vms.sort_unstable();
+    vms
 }
 
 fn seconds(seconds: u64) -> Time {
