Reset connections are no sign that a lost way is back

Callers got 503 for streams for seconds, at partitioned nodes and at others, where new connections of the partitioned nodes were refused by something that takes them first: the system completes the handshake, and the reset comes a moment later.

A direct connection counted as a direct way as soon as it was open. Probes and checks wait 50 ms for its end; orders, attempts after a peer had failed, and connections for peers did not. An owner whose way to an engine was lost therefore reset the time after which it gives the engine up (0.5 s) with each order, about every 0.3 s; each of these orders was lost, and as nobody loaded there, streams were refused (`no-place`). An attempt after a failed peer went out on a connection that was about to be reset, and counted as sent.

Where the direct way was lost, a direct connection now has to stay open for 50 ms before it counts or carries anything. One that does not is a connection that was not opened: an order is known not to have arrived, and an attempt is free to go elsewhere. Ways that were never lost wait for nothing.

A way that was lost, and that no peer reached either afterwards, was not reported as direct when it was: the owner would have declined the engine from then on. What is reported is kept apart from what is known now.

--- a/crates/upstream/src/path/mod.rs
+++ b/crates/upstream/src/path/mod.rs
@@ -105,6 +105,8 @@
 struct State {
     upstream: Upstream,
     standing: Standing,
+    /// Whether the last reported way is the direct one.
+    direct: bool,
     /// When a direct connection opened last, or an answer came on one.
     reached_at: Option<Time>,
     /// When bytes came last, over any way.
@@ -124,6 +126,7 @@
         Self {
             upstream: upstream.clone(),
             standing: Standing::Reached,
+            direct: true,
             reached_at: None,
             heard_at: now,
             used_at: now,
@@ -214,12 +217,13 @@
     /// Takes in that a direct connection has opened, or an answer came on one.
     pub fn reached(&mut self, now: Time, upstream: &Upstream) {
         let state = self.state(now, upstream);
-        let lost = state.is_lost();
+        let back = !state.direct;
         state.standing = Standing::Reached;
+        state.direct = true;
         state.reached_at = Some(now);
         state.heard_at = now;
         state.trust_no_refusal();
-        if lost {
+        if back {
             state.relay = None;
             self.healed = true;
             self.change(now, upstream, Way::Direct);
@@ -235,6 +239,7 @@
             let probe_at = now + FIRST_PROBE;
             state.standing = Standing::Lost { probe_at };
         }
+        state.direct = false;
         state.relay = Some(peer.clone());
         state.trust_no_refusal();
         if !known {
@@ -317,6 +322,12 @@
         self.find(upstream).is_some_and(State::is_lost)
     }
 
+    /// Tells whether a direct connection has to stay open for a while before it counts as one: the direct
+    /// way was lost, and what resets connections may take them first.
+    pub fn is_doubted(&self, upstream: &str) -> bool {
+        self.find(upstream).is_some_and(|state| !state.direct)
+    }
+
     /// Tells whether to check the path to an upstream that has been silent since `since`, or that broke
     /// a request off then.
     pub fn may_check(&mut self, now: Time, upstream: &Upstream, since: Time) -> bool {
@@ -379,8 +390,8 @@
 
     /// Drops states. Without one, an upstream counts as reached directly.
     fn drop_states(&mut self, is_dropped: impl Fn(&State) -> bool) {
-        let lost = self.states.iter().filter(|state| state.is_lost());
-        let dropped = lost.filter(|state| is_dropped(state));
+        let doubted = self.states.iter().filter(|state| !state.direct);
+        let dropped = doubted.filter(|state| is_dropped(state));
         self.changes.extend(dropped.map(|state| Change {
             upstream: state.upstream.clone(),
             way: Way::Direct,
--- a/crates/upstream/src/relay/router.rs
+++ b/crates/upstream/src/relay/router.rs
@@ -280,28 +280,25 @@
         target: &Target,
         limit: Duration,
     ) -> io::Result<Opened> {
-        let opened = timeout(limit, self.direct(target.address)).await;
+        let opened = timeout(limit, self.connect(target)).await;
         let opened = opened.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()));
         let stream = opened.inspect_err(|_| {
             let now = self.now();
             self.check_since(target, now, now);
         })?;
-        Ok(self.opened_directly(target, stream))
+        Ok(opened_directly(stream))
     }
 
     async fn open_by(&self, step: Step, target: &Target) -> io::Result<Opened> {
         match step {
-            Step::Direct => {
-                let stream = self.direct(target.address).await?;
-                Ok(self.opened_directly(target, stream))
-            }
+            Step::Direct => self.connect(target).await.map(opened_directly),
             Step::Race { head_start } => self.race(target, head_start).await,
             Step::Relay => match self.through_peer(target).await {
                 Ok((stream, peer)) => Ok(self.opened_by(target, stream, peer)),
                 Err(_) => {
-                    let stream = self.direct(target.address).await;
+                    let stream = self.connect(target).await;
                     let stream = stream.inspect_err(|_| self.unreached(target))?;
-                    Ok(self.opened_directly(target, stream))
+                    Ok(opened_directly(stream))
                 }
             },
         }
@@ -309,14 +306,14 @@
 
     /// Opens a connection directly and, after the head start, through a peer as well.
     async fn race(&self, target: &Target, head_start: Duration) -> io::Result<Opened> {
-        let mut direct = pin!(self.direct(target.address));
+        let mut direct = pin!(self.connect(target));
         let early = tokio::select! {
             biased;
             opened = &mut direct => Some(opened),
             () = sleep(head_start) => None,
         };
         let refusal = match early {
-            Some(Ok(stream)) => return Ok(self.opened_directly(target, stream)),
+            Some(Ok(stream)) => return Ok(opened_directly(stream)),
             Some(Err(error)) => Some(error),
             None => None,
         };
@@ -327,7 +324,7 @@
                 None => tokio::select! {
                     biased;
                     opened = &mut direct => match opened {
-                        Ok(stream) => return Ok(self.opened_directly(target, stream)),
+                        Ok(stream) => return Ok(opened_directly(stream)),
                         Err(error) => relayed.await.map_err(|failure| (failure, Some(error))),
                     },
                     relayed = &mut relayed => relayed.map_err(|failure| (failure, None)),
@@ -341,7 +338,7 @@
         let error = match refusal {
             Some(error) => error,
             None => match direct.await {
-                Ok(stream) => return Ok(self.opened_directly(target, stream)),
+                Ok(stream) => return Ok(opened_directly(stream)),
                 Err(error) => error,
             },
         };
@@ -353,6 +350,18 @@
         Err(error)
     }
 
+    /// Opens a direct connection. Where the direct way was lost, it has to stay open for a while.
+    async fn connect(&self, target: &Target) -> io::Result<TcpStream> {
+        let stream = self.direct(target.address).await?;
+        let doubted = self.paths().is_doubted(&target.upstream);
+        if doubted && !stays_open(&stream).await {
+            return Err(ErrorKind::ConnectionReset.into());
+        }
+        let now = self.now();
+        self.paths().reached(now, &target.upstream);
+        Ok(stream)
+    }
+
     async fn direct(&self, address: SocketAddr) -> io::Result<TcpStream> {
         let stream = connect(self.source, address).await?;
         stream.set_nodelay(true)?;
@@ -405,15 +414,6 @@
         self.paths().is_refused(now, upstream)
     }
 
-    fn opened_directly(&self, target: &Target, stream: TcpStream) -> Opened {
-        let now = self.now();
-        self.paths().reached(now, &target.upstream);
-        Opened {
-            stream,
-            way: Way::Direct,
-        }
-    }
-
     fn opened_by(&self, target: &Target, stream: TcpStream, peer: Vm) -> Opened {
         let now = self.now();
         self.paths().relayed(now, &target.upstream, &peer);
@@ -448,10 +448,7 @@
 
     /// Opens a direct connection for a peer.
     pub(super) async fn open_for_peer(&self, target: &Target) -> io::Result<TcpStream> {
-        let stream = self.direct(target.address).await?;
-        let now = self.now();
-        self.paths().reached(now, &target.upstream);
-        Ok(stream)
+        self.connect(target).await
     }
 
     fn now(&self) -> Time {
@@ -467,6 +464,13 @@
     }
 }
 
+const fn opened_directly(stream: TcpStream) -> Opened {
+    Opened {
+        stream,
+        way: Way::Direct,
+    }
+}
+
 /// Tells whether the other side has actively refused a connection.
 pub(super) fn is_refusal(error: &io::Error) -> bool {
     matches!(
--- a/crates/upstream/tests/paths.rs
+++ b/crates/upstream/tests/paths.rs
@@ -268,3 +268,16 @@
     forget(&mut paths);
     assert_eq!(ways(&mut paths), [Way::Direct]);
 }
+
+/// Guards against an upstream that counts as unreached for good, since no peer reached it either before it
+/// was reached directly again.
+#[test]
+fn way_that_nobody_had_counts_as_direct_once_it_is_back() {
+    let mut paths = paths();
+    paths.relayed(ms(0), &id("u"), &"d".into());
+    paths.unreached(ms(100), &id("u"));
+    paths.take_changes();
+    paths.reached(ms(2_000), &id("u"));
+    let ways = paths.take_changes().into_iter().map(|change| change.way);
+    assert_eq!(ways.collect::<Vec<_>>(), [Way::Direct]);
+}
--- a/crates/upstream/tests/relayed_connections.rs
+++ b/crates/upstream/tests/relayed_connections.rs
@@ -367,6 +367,52 @@
     assert!(failed <= 1, "{failed} of 40 calls failed");
 }
 
+/// Guards against an owner that keeps an engine although each of its orders is reset, since the connections
+/// are taken at first.
+#[tokio::test]
+async fn reset_orders_leave_the_way_lost() {
+    let near = own_ip();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(serve_unless(listener, near));
+    let (link, router, _relay) = routed_pair(address, near, KEY, "u").await;
+    let limit = Instant::now() + ms(3_000);
+    while router.take_changes().is_empty() {
+        assert!(Instant::now() < limit, "the way was not checked");
+        let _ = answer(&link).await;
+        sleep(ms(10)).await;
+    }
+    for _ in 0..20 {
+        let error = answer(&link.direct()).await.unwrap_err();
+        assert_eq!(error.reach(), Reach::NotSent, "{error}");
+        sleep(ms(20)).await;
+    }
+    assert_eq!(router.take_changes(), []);
+    assert_eq!(answer(&link).await.unwrap(), "ok");
+}
+
+/// Guards against an attempt that is lost on a connection that is taken and reset, after its peer has failed.
+#[tokio::test]
+async fn failed_peer_leaves_no_reset_connection() {
+    let near = own_ip();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(serve_unless(listener, near));
+    let (link, router, relay) = routed_pair(address, near, KEY, "u").await;
+    let limit = Instant::now() + ms(3_000);
+    while answer(&link).await.is_err() {
+        assert!(Instant::now() < limit, "the way was not checked");
+        sleep(ms(10)).await;
+    }
+    router.take_changes();
+    relay.stop.send_replace(true);
+    let mut fresh = call();
+    fresh.reuse = Reuse::Fresh;
+    let error = link.send(fresh).await.unwrap_err();
+    assert_eq!(error.reach(), Reach::NotSent, "{error}");
+    assert_eq!(router.take_changes(), []);
+}
+
 /// Guards against a leaving peer that cuts what it relays, or takes more.
 #[tokio::test]
 async fn leaving_peer_ends_what_it_has() {
