No link left is no sign that an upstream has crashed

Callers got 503 for sound requests after all links of several nodes had been reset at one moment: what the requests had in common was convicted of crashes, and refused until its trial 10 s later.

A refusal counted as the end of an upstream where no peer reached it either. Whether this node reached anything at all was not asked: the rule against partitions looked at upstreams that peers reach, and where peers are partitioned as well there are none. Each running request was reported as running at a crash, by each node, for each upstream: six crashes at once.

A node now tries other upstreams before it takes refusals for an end, up to six of all that are listed, those first that it reached last and those last that were found gone. If none of two or more takes a connection and keeps it open for 250 ms, nothing is known, and no crash is reported. An upstream that has ended beside one that lives is told as before, and so is one at a site with fewer than three. The price: a crash is told 0.25 s later, and where everything that is listed is down at once, the last of these crashes are not reported, so that what caused them is convicted by later ones.

--- a/crates/gateway/src/hub/culprit.rs
+++ b/crates/gateway/src/hub/culprit.rs
@@ -117,6 +117,7 @@
         let (sender, known) = watch::channel(());
         examined.push((upstream.clone(), known.clone()));
         let (hub, upstream, link) = (self.clone(), upstream.clone(), link.clone());
+        self.set_controls();
         tokio::spawn(async move {
             let ended = link.has_ended().await;
             hub.examined().retain(|(known, _)| *known != upstream);
--- a/crates/gateway/src/hub/path.rs
+++ b/crates/gateway/src/hub/path.rs
@@ -7,7 +7,7 @@
 use exchange::owner;
 use log::info;
 use node::journal::DECISION;
-use upstream::path::{Change, Peer, Way};
+use upstream::path::{Change, Control, Peer, Way};
 use upstream::relay::server::Gate;
 use wire::Upstream;
 
@@ -32,6 +32,20 @@
         }));
     }
 
+    /// Takes over which upstreams ought to take connections.
+    pub fn set_controls(&self) {
+        let desk = self.desk();
+        let eligible = desk
+            .fleet
+            .upstreams()
+            .iter()
+            .filter(|known| known.is_eligible());
+        self.router.set_controls(eligible.map(|known| Control {
+            upstream: known.listing.id.clone(),
+            address: known.listing.address,
+        }));
+    }
+
     /// Logs changes of ways, and tries a direct one where that is due.
     pub fn tick_paths(self: &Arc<Self>) {
         for change in self.router.take_changes() {
--- a/crates/upstream/src/path/mod.rs
+++ b/crates/upstream/src/path/mod.rs
@@ -7,12 +7,14 @@
 //! [`Paths`] does no I/O: `relay` opens the connections and passes on what came of them.
 
 mod candidates;
+mod controls;
 
 use std::time::Duration;
 
 use wire::{Time, Upstream, Vm, Zone};
 
 pub use candidates::Peer;
+pub use controls::Control;
 
 /// Time for which a direct connection has to open before a peer is asked as well: a few round trips.
 const HEAD_START: Duration = Duration::from_millis(100);
@@ -158,6 +160,8 @@
     states: Vec<State>,
     /// Live peers, sorted by VM.
     peers: Vec<Peer>,
+    /// All upstreams that ought to take connections.
+    controls: Vec<Control>,
     /// Since when several upstreams are partitioned from this node.
     suspected_since: Option<Time>,
     next_probe: Time,
@@ -173,6 +177,7 @@
             zone: zone.into(),
             states: Vec::new(),
             peers: Vec::new(),
+            controls: Vec::new(),
             suspected_since: None,
             next_probe: Time::ZERO,
             healed: false,
--- a/crates/upstream/src/relay/router.rs
+++ b/crates/upstream/src/relay/router.rs
@@ -15,7 +15,7 @@
 
 use super::client::{self, Failure};
 use super::{connect, token};
-use crate::path::{Change, Paths, Peer, Step, Way};
+use crate::path::{Change, Control, Paths, Peer, Step, Way};
 
 /// Limit for one peer to open a connection: several round trips to it and from there to the upstream.
 const RELAY_LIMIT: Duration = Duration::from_millis(180);
@@ -27,6 +27,13 @@
 /// that has ended, or before a network that is partitioned, takes it and closes it.
 const HOLD: Duration = Duration::from_millis(50);
 
+/// Other upstreams that have to be tried, and all of them to fail, before this node counts as partitioned from all.
+const CONTROLS_MIN: usize = 2;
+
+/// Time for which their connections have to stay open: longer, since the machine that resets all may be
+/// late with some.
+const CONTROL_HOLD: Duration = Duration::from_millis(250);
+
 /// Peers that are asked at a time in a check.
 const ASKED_TOGETHER: usize = 3;
 
@@ -112,6 +119,12 @@
         self.paths().set_peers(peers);
     }
 
+    /// Replaces the upstreams that ought to take connections, by which [`Router::check`] tells whether this
+    /// node reaches any.
+    pub fn set_controls(&self, controls: impl IntoIterator<Item = Control>) {
+        self.paths().set_controls(controls);
+    }
+
     /// Forgets an upstream that is gone, or whose address has changed.
     pub fn forget(&self, upstream: &str) {
         self.paths().forget(upstream);
@@ -135,28 +148,52 @@
 
     /// Tries a direct connection to an upstream that is reached through a peer.
     pub async fn probe(&self, upstream: &Upstream, address: SocketAddr) {
+        if !self.reaches(upstream, address, HOLD).await {
+            self.paths().probe_failed();
+        }
+    }
+
+    /// Tells whether a direct connection opens and stays open for so long.
+    async fn reaches(&self, upstream: &Upstream, address: SocketAddr, hold: Duration) -> bool {
         self.counts.checks.fetch_add(1, Ordering::Relaxed);
-        let opened = timeout(CHECK_LIMIT, self.direct(address)).await;
-        let open = match opened {
-            Ok(Ok(stream)) => stays_open(&stream).await,
+        let open = match timeout(CHECK_LIMIT, self.direct(address)).await {
+            Ok(Ok(stream)) => stays_open_for(&stream, hold).await,
             _ => false,
         };
-        let now = self.now();
         if open {
-            self.paths().reached(now, upstream);
-        } else {
-            self.paths().probe_failed();
+            self.reached(upstream);
         }
+        open
+    }
+
+    /// Tells whether this node seems to reach no upstream but perhaps this one: what becomes of its
+    /// connections says nothing about upstreams then.
+    pub async fn is_apart(self: &Arc<Self>, upstream: &str) -> bool {
+        let controls = self.paths().controls(upstream);
+        if controls.len() < CONTROLS_MIN {
+            return false;
+        }
+        let mut tried = JoinSet::new();
+        for Control { upstream, address } in controls {
+            let router = self.clone();
+            tried.spawn(async move { router.reaches(&upstream, address, CONTROL_HOLD).await });
+        }
+        while let Some(reached) = tried.join_next().await {
+            if matches!(reached, Ok(true)) {
+                return false;
+            }
+        }
+        true
     }
 
     /// Finds out whether `upstream` takes connections. Where this node's are refused and no peer reaches it,
-    /// it counts as refusing all, unless this node seems to be partitioned from several upstreams.
+    /// it counts as refusing all, unless this node reaches no other upstream either, or seems to be
+    /// partitioned from several.
     pub async fn check(self: &Arc<Self>, upstream: &Upstream, address: SocketAddr) -> Verdict {
         self.counts.checks.fetch_add(1, Ordering::Relaxed);
         let refused = match timeout(CHECK_LIMIT, self.direct(address)).await {
             Ok(Ok(stream)) if stays_open(&stream).await => {
-                let now = self.now();
-                self.paths().reached(now, upstream);
+                self.reached(upstream);
                 return Verdict::Reached;
             }
             Ok(Ok(_)) => true,
@@ -168,6 +205,7 @@
             address,
         };
         let relay = self.ask_together(&target).await;
+        let apart = refused && relay.is_none() && self.is_apart(upstream).await;
         let now = self.now();
         let mut paths = self.paths();
         paths.check_failed(now, upstream);
@@ -176,7 +214,7 @@
             return Verdict::Reached;
         }
         paths.unreached(now, upstream);
-        if refused && (!paths.is_suspected() || paths.is_refused(now, upstream)) {
+        if refused && !apart && (!paths.is_suspected() || paths.is_refused(now, upstream)) {
             Verdict::Refused
         } else {
             Verdict::Unknown
@@ -357,11 +395,16 @@
         if doubted && !stays_open(&stream).await {
             return Err(ErrorKind::ConnectionReset.into());
         }
-        let now = self.now();
-        self.paths().reached(now, &target.upstream);
+        self.reached(&target.upstream);
         Ok(stream)
     }
 
+    /// Takes in that a direct connection has opened.
+    fn reached(&self, upstream: &Upstream) {
+        let now = self.now();
+        self.paths().reached(now, upstream);
+    }
+
     async fn direct(&self, address: SocketAddr) -> io::Result<TcpStream> {
         let stream = connect(self.source, address).await?;
         stream.set_nodelay(true)?;
@@ -481,6 +524,10 @@
 
 /// Tells whether a connection on which nothing was sent is still open after a while.
 async fn stays_open(stream: &TcpStream) -> bool {
+    stays_open_for(stream, HOLD).await
+}
+
+async fn stays_open_for(stream: &TcpStream, hold: Duration) -> bool {
     // Nothing comes before a request: what can be read is the end.
-    timeout(HOLD, stream.readable()).await.is_err()
+    timeout(hold, stream.readable()).await.is_err()
 }
--- a/crates/upstream/tests/paths.rs
+++ b/crates/upstream/tests/paths.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use upstream::path::{Paths, Peer, Step, Way};
+use upstream::path::{Control, Paths, Peer, Step, Way};
 use wire::{Time, Upstream, Vm};
 
 fn ms(millis: u64) -> Time {
@@ -281,3 +281,28 @@
     let ways = paths.take_changes().into_iter().map(|change| change.way);
     assert_eq!(ways.collect::<Vec<_>>(), [Way::Direct]);
 }
+
+/// Guards against an upstream that has ended and counts as unreached, since only others that have ended
+/// before are tried beside it.
+#[test]
+fn upstreams_that_may_be_reached_are_tried_first() {
+    let mut paths = paths();
+    let names: Vec<String> = (0..20).map(|number| format!("u{number:02}")).collect();
+    paths.set_controls(names.iter().map(|name| Control {
+        upstream: id(name),
+        address: ([10, 0, 0, 2], 1).into(),
+    }));
+    for name in &names[..12] {
+        paths.unreached(ms(0), &id(name));
+    }
+    paths.reached(ms(1), &id("u12"));
+    paths.reached(ms(2), &id("u13"));
+    let tried = paths.controls("u19");
+    let tried: Vec<&str> = tried.iter().map(|control| &*control.upstream).collect();
+    assert_eq!(tried[..2], ["u13", "u12"]);
+    assert!(tried.len() >= 4, "{tried:?}");
+    assert!(
+        tried.iter().all(|name| *name > "u11" && *name < "u19"),
+        "{tried:?}"
+    );
+}
--- a/crates/upstream/tests/relayed_connections.rs
+++ b/crates/upstream/tests/relayed_connections.rs
@@ -18,7 +18,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
 use upstream::link::{Call, Class, Host, Link, Reuse};
-use upstream::path::{Peer, Way};
+use upstream::path::{Control, Peer, Way};
 use upstream::relay::Router;
 use upstream::relay::server::{Counts, Gate, Server};
 use upstream::{Error, Limits, Reach};
@@ -413,6 +413,77 @@
     assert_eq!(router.take_changes(), []);
 }
 
+/// Serves calls until it is cut off: then it resets what is open and what comes.
+async fn serve_until_cut(listener: TcpListener, cut: watch::Receiver<bool>) {
+    while let Ok((mut stream, _)) = listener.accept().await {
+        let mut cut = cut.clone();
+        tokio::spawn(async move {
+            let mut part = [0; 1024];
+            loop {
+                let read = tokio::select! {
+                    biased;
+                    _ = cut.wait_for(|cut| *cut) => break,
+                    read = stream.read(&mut part) => read,
+                };
+                if !read.is_ok_and(|bytes| bytes > 0) {
+                    return;
+                }
+                stream.write_all(ANSWER.as_bytes()).await.unwrap();
+            }
+            let _ = stream.set_zero_linger();
+        });
+    }
+}
+
+/// Guards against sound requests that are convicted of crashes which were none: all links of this node and
+/// of those that it asks are reset at one moment.
+#[rstest]
+#[case::all_links(3, false)]
+#[case::one_process(1, true)]
+#[case::two_processes(2, true)]
+#[tokio::test]
+async fn upstream_has_ended_where_others_take_connections(
+    #[case] lost: usize,
+    #[case] ended: bool,
+) {
+    let mut upstreams = Vec::new();
+    for name in ["u", "v", "w"] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let cut = watch::Sender::new(false);
+        tokio::spawn(serve_until_cut(listener, cut.subscribe()));
+        upstreams.push((name, address, cut));
+    }
+    let listed = Listed("u".into(), upstreams[0].1);
+    let relay = Member::start("relay", own_ip(), KEY, listed).await;
+    let seal = Seal::new(KEY, None).unwrap();
+    let router = Router::new(
+        Incarnation::new("near", 1),
+        "z",
+        seal,
+        Some(own_ip().into()),
+    );
+    router.set_peers([relay.peer.clone()]);
+    let links: Vec<Link> = upstreams
+        .iter()
+        .map(|(name, address, _)| Link::new(*name, *address, Limits::default()).routed(&router))
+        .collect();
+    let controls = upstreams.iter().map(|(name, address, _)| Control {
+        upstream: (*name).into(),
+        address: *address,
+    });
+    router.set_controls(controls);
+    for link in &links {
+        assert_eq!(answer(link).await.unwrap(), "ok");
+    }
+    for (_, _, cut) in &upstreams[..lost] {
+        cut.send_replace(true);
+    }
+    sleep(ms(20)).await;
+    let (first, second) = tokio::join!(links[0].has_ended(), links[lost - 1].has_ended());
+    assert_eq!((first, second), (ended, ended));
+}
+
 /// Guards against a leaving peer that cuts what it relays, or takes more.
 #[tokio::test]
 async fn leaving_peer_ends_what_it_has() {
