Ask a peer that has failed again where no other is left

Callers at partitioned nodes got 503 (`all-tried`) for up to 2 s after the only peer that reaches the upstreams had been late, or had itself been partitioned: a peer that opened no connection within 180 ms was not asked again for 2 s, whether or not there was another one.

Once all other peers have failed, the two that failed first are asked now, in the time that the connection has. An upstream that nobody reaches is still left alone for 0.3 s after each such attempt, and a third refusal still ends it.

Whether an upstream has ended is found out without them.

Evidence: only_peer_is_asked_again failed in 1 of 1 runs before and passes in all runs since; failed_peers_are_left_out_for_a_while is as it was.

--- a/crates/upstream/src/path/candidates.rs
+++ b/crates/upstream/src/path/candidates.rs
@@ -9,6 +9,9 @@
 /// Peers that are asked for one connection at most.
 const CANDIDATES_MAX: usize = 8;
 
+/// Peers that have failed and are asked again, where no other one is left, at most.
+const RESORTS_MAX: usize = 2;
+
 /// A live peer that opens connections for others.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Peer {
@@ -52,6 +55,17 @@
         let all = remembered.into_iter().chain(others);
         all.take(CANDIDATES_MAX).cloned().collect()
     }
+
+    /// Returns the peers to ask once all of [`Paths::candidates`] have failed, the one that failed first
+    /// of all first: a peer that was late once may be the only one that reaches the upstream.
+    pub fn last_resorts(&self, now: Time, upstream: &Upstream) -> Vec<Peer> {
+        let avoided = self.find(upstream).map(|state| &state.avoided[..]);
+        let avoided = avoided.unwrap_or_default().iter();
+        let mut avoided: Vec<_> = avoided.filter(|known| now < known.until).collect();
+        avoided.sort_by_key(|known| known.until);
+        let live = avoided.into_iter().filter_map(|known| self.peer(&known.vm));
+        live.take(RESORTS_MAX).cloned().collect()
+    }
 }
 
 impl State {
--- a/crates/upstream/src/relay/router.rs
+++ b/crates/upstream/src/relay/router.rs
@@ -414,7 +414,8 @@
     /// Asks one peer after the other for a connection.
     async fn through_peer(&self, target: &Target) -> Result<(TcpStream, Vm), Failure> {
         let upstream = &target.upstream;
-        for peer in self.candidates(upstream) {
+        let resorts = self.last_resorts(upstream);
+        for peer in self.candidates(upstream).into_iter().chain(resorts) {
             let failure = match self.ask(target, &peer, false).await {
                 Ok(stream) => return Ok((stream, peer.vm)),
                 Err(failure) => failure,
@@ -476,6 +477,11 @@
         self.paths().candidates(now, upstream)
     }
 
+    fn last_resorts(&self, upstream: &Upstream) -> Vec<Peer> {
+        let now = self.now();
+        self.paths().last_resorts(now, upstream)
+    }
+
     pub(super) fn me(&self) -> &Vm {
         &self.me.vm
     }
--- a/crates/upstream/tests/paths.rs
+++ b/crates/upstream/tests/paths.rs
@@ -127,6 +127,26 @@
     assert!(names(&paths, ms(3_000), "u").contains(&first));
 }
 
+/// Guards against an upstream that is not reached for seconds, since the only peer that reaches it was late
+/// once.
+#[test]
+fn failed_peers_are_the_last_resort() {
+    let mut paths = paths();
+    assert!(paths.last_resorts(ms(0), &id("u")).is_empty());
+    for (at, vm) in ["d", "b", "e", "c"].into_iter().enumerate() {
+        paths.relay_failed(ms(at as u64), &id("u"), &vm.into(), false);
+    }
+    assert!(names(&paths, ms(10), "u").is_empty());
+    let resorts = |paths: &Paths, now| -> Vec<String> {
+        let resorts = paths.last_resorts(now, &id("u")).into_iter();
+        resorts.map(|peer| peer.vm.to_string()).collect()
+    };
+    assert_eq!(resorts(&paths, ms(10)), ["d", "b"]);
+    paths.relay_failed(ms(20), &id("u"), &"d".into(), false);
+    assert_eq!(resorts(&paths, ms(30)), ["b", "e"]);
+    assert!(resorts(&paths, ms(3_000)).is_empty());
+}
+
 /// Guards against an upstream that is gone and is taken for one that this node is partitioned from, or
 /// that makes every request ask all peers.
 #[test]
--- a/crates/upstream/tests/relayed_connections.rs
+++ b/crates/upstream/tests/relayed_connections.rs
@@ -484,6 +484,26 @@
     assert_eq!((first, second), (ended, ended));
 }
 
+/// Guards against an upstream that is not reached for seconds after the only peer that reaches it has failed
+/// once.
+#[tokio::test]
+async fn only_peer_is_asked_again() {
+    let near = own_ip();
+    let acts = [once(), vec![Act::Hold]].concat();
+    let (address, _) = serve_hidden(acts, Some(near)).await;
+    let (link, router, relay) = routed_pair(address, near, KEY, "u").await;
+    let mut away = relay.peer.clone();
+    let free = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    away.address = free.local_addr().unwrap();
+    drop(free);
+    router.set_peers([away]);
+    let error = answer(&link).await.unwrap_err();
+    assert_eq!(error.reach(), Reach::NotSent, "{error}");
+    router.set_peers([relay.peer.clone()]);
+    sleep(ms(400)).await;
+    assert_eq!(answer(&link).await.unwrap(), "ok");
+}
+
 /// Guards against a leaving peer that cuts what it relays, or takes more.
 #[tokio::test]
 async fn leaving_peer_ends_what_it_has() {
