Own front: no link left is no sign that an engine has crashed

Callers of the product's own front were refused a sound prompt for good after all links to the engines had been reset a few times while it ran: each cut counted as a crash of the engine.

An engine that broke an attempt off and did not report its start for 2 s counted as crashed, and any upstream whose connection was refused did so at once, without asking peers. The front now asks the router, as the platform's gateway does: a refusal counts where no peer reaches the upstream and this node reaches another one, and so does silence. A crash that an engine itself tells, by a new start number, counts as before.

--- a/crates/hyssopscale/tests/cut_node.rs
+++ b/crates/hyssopscale/tests/cut_node.rs
@@ -17,6 +17,7 @@
 use support::{Cluster, SOUND, site_config};
 use tokio::sync::watch;
 use tokio::time::sleep;
+use wire::Priority;
 
 const NODES: usize = 7;
 
@@ -28,6 +29,10 @@
 const FAILURES_MIN: usize = 10;
 const FAILURES_PART: usize = 50;
 
+/// Cuts of all nodes, and how long each lasts.
+const CUTS: usize = 3;
+const CUT: Duration = Duration::from_secs(3);
+
 /// Pause between the calls of one caller.
 const PACE: Duration = Duration::from_millis(50);
 
@@ -38,9 +43,13 @@
 }
 
 /// Gives each node an address of its own, and puts a path before each upstream.
-async fn rearrange(fleet: &mut Fleet, fault: Fault, faults: &watch::Receiver<Faults>) -> Vec<Path> {
+async fn rearrange(
+    fleet: &mut Fleet,
+    address: impl Fn(usize) -> IpAddr,
+    faults: &watch::Receiver<Faults>,
+) -> Vec<Path> {
     for (number, place) in fleet.places.iter_mut().enumerate() {
-        let own = own_address(fault, number);
+        let own = address(number);
         place.callers.set_ip(own);
         place.peers.set_ip(own);
         place.operators.set_ip(own);
@@ -138,7 +147,7 @@
         ..fleet::Config::default()
     };
     let mut fleet = Fleet::start(config).await.expect("a fleet");
-    let _paths = rearrange(&mut fleet, fault, &seen).await;
+    let _paths = rearrange(&mut fleet, |node| own_address(fault, node), &seen).await;
     let cluster = Cluster::start_over(fleet, SOUND).await;
     let caller = Caller::new("c1", HeaderMap::new(), Duration::from_secs(10));
     let prefix = cluster.key_prefix(&caller).await;
@@ -169,3 +178,49 @@
         "{lost:?}, others {served} of {asked}"
     );
 }
+
+/// Guards against a sound prompt that is refused for good, since all links to all engines were reset while
+/// it ran there.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn reset_links_convict_no_prompt() {
+    let address = |node| own_address(Fault::Reset, NODES + node);
+    let (faults, seen) = watch::channel(Faults::new());
+    let config = fleet::Config {
+        nodes: NODES,
+        site: site_config(),
+        link_upstreams: false,
+        ..fleet::Config::default()
+    };
+    let mut fleet = Fleet::start(config).await.expect("a fleet");
+    let _paths = rearrange(&mut fleet, address, &seen).await;
+    let cluster = Cluster::start_over(fleet, SOUND).await;
+    let prompt = |prompt: &str| What::Completion {
+        model: "fit-1@v1".into(),
+        prompt: prompt.into(),
+        tokens: 200,
+        priority: Priority::Normal,
+    };
+    let caller = || Caller::new("c1", HeaderMap::new(), Duration::from_secs(10));
+    let entries = cluster.entries();
+    for (number, entry) in entries.iter().enumerate().take(CUTS) {
+        // The first ones may have to wait for their model.
+        let other = prompt(&format!("other {number}"));
+        caller().ask(entry, other).await;
+    }
+    let all = (0..NODES).map(|node| (address(node), Fault::Reset));
+    for entry in entries.iter().take(CUTS) {
+        let (entry, same) = (entry.clone(), prompt("the same"));
+        let asking = tokio::spawn(async move { caller().ask(&entry, same).await });
+        sleep(Duration::from_millis(300)).await;
+        faults.send_replace(all.clone().collect());
+        sleep(CUT).await;
+        faults.send_replace(Faults::new());
+        asking.await.expect("no panic");
+        sleep(STABLE).await;
+    }
+    for entry in &entries {
+        let outcome = caller().ask(entry, prompt("the same")).await.outcome;
+        assert!(matches!(outcome, Outcome::Answered(_)), "{outcome:?}");
+    }
+}
--- a/crates/node/src/front/gate.rs
+++ b/crates/node/src/front/gate.rs
@@ -10,6 +10,7 @@
 use dispatch::retry::Failure;
 use hyper::StatusCode;
 use upstream::engine::{Engine, Report};
+use upstream::relay::Verdict;
 use upstream::{Error, Phase, Reach};
 use wire::{Priority, Request, Time, Upstream};
 
@@ -18,6 +19,8 @@
 use crate::core::{Admitted, Handle, Input, Vetted};
 use crate::directory::{Link, Runner};
 use crate::front::Front;
+use crate::paths::show_upstreams;
+use crate::shared::Shared;
 
 /// Limit for one look at an upstream that may have crashed.
 const CRASH_CHECK: Duration = Duration::from_millis(500);
@@ -214,12 +217,15 @@
 
 /// Tells whether an upstream has crashed that broke an attempt off.
 ///
-/// A refused connection is a crash. Otherwise an engine has to say so: the same start number is
-/// none, another one is a crash, and so is silence up to [`CRASH_DECISION`]. A proxy or a VM that
-/// hangs hides a refused connection, and a restart takes its time.
-async fn fate(runner: &Runner) -> Fate {
+/// A refused connection is a crash, unless a peer reaches the upstream or this node reaches none.
+/// Otherwise an engine has to say so: the same start number is none, another one is a crash, and so is
+/// silence up to [`CRASH_DECISION`]. A proxy or a VM that hangs hides a refused connection, and a
+/// restart takes its time.
+async fn fate(shared: &Shared, runner: &Runner) -> Fate {
     let known = runner.boot.load(Ordering::Relaxed);
-    if refuses(runner).await {
+    show_upstreams(shared);
+    let router = &shared.router;
+    if router.check(&runner.id, runner.address).await == Verdict::Refused {
         return Fate::Crashed(None);
     }
     let Link::Engine(_) = &runner.link else {
@@ -244,6 +250,7 @@
             runner.boot.store(start, Ordering::Relaxed);
             Fate::Alive
         }
+        Err(_) if router.is_apart(&runner.id).await => Fate::Alive,
         Err(_) => Fate::Crashed(None),
     }
 }
@@ -258,14 +265,6 @@
     lost && error.reach() == Reach::MaybeSent
 }
 
-async fn refuses(runner: &Runner) -> bool {
-    let connect = tokio::net::TcpStream::connect(runner.address);
-    match tokio::time::timeout(CRASH_CHECK, connect).await {
-        Ok(Err(error)) => error.kind() == std::io::ErrorKind::ConnectionRefused,
-        Ok(Ok(_)) | Err(_) => false,
-    }
-}
-
 /// Counts a whole answer.
 pub(super) fn answered(front: &Front, runner: &Runner, trial: Trial, since: Time) {
     trial.finish();
@@ -297,7 +296,7 @@
     }
     let (front, runner) = (front.clone(), runner.clone());
     let deciding = tokio::spawn(async move {
-        let Fate::Crashed(start) = fate(&runner).await else {
+        let Fate::Crashed(start) = fate(&front.shared, &runner).await else {
             return;
         };
         let now = front.shared.clock.now();
--- a/crates/node/src/paths.rs
+++ b/crates/node/src/paths.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use log::info;
-use upstream::path::{Peer, Way};
+use upstream::path::{Control, Peer, Way};
 use upstream::relay::server::Gate;
 use wire::Upstream;
 
@@ -37,6 +37,16 @@
     shared.router.set_peers(live);
 }
 
+/// Takes over which upstreams ought to take connections.
+pub(crate) fn show_upstreams(shared: &Shared) {
+    let directory = shared.directory.load();
+    let staying = directory.runners().iter().filter(|runner| !runner.leaving);
+    shared.router.set_controls(staying.map(|runner| Control {
+        upstream: runner.id.clone(),
+        address: runner.address,
+    }));
+}
+
 /// Logs changes of ways, and tries direct ones where that is due.
 pub(crate) async fn run(shared: Arc<Shared>) {
     loop {
