Soak: nodes that are cut off are judged while another one is not

The check of RECOVER counted first tries at nodes that are cut off from all upstreams for their whole cut, and those at other nodes only while these were not cut off themselves.

Both shares are now taken from the times in which some node outside the cut is not cut off. A cut beside which the others are never cut is judged as before, by the same bounds.

The eight cases of fault_soak pass, one run.

--- a/crates/hyssopscale/tests/soak/check/path.rs
+++ b/crates/hyssopscale/tests/soak/check/path.rs
@@ -98,7 +98,8 @@
     spans.collect()
 }
 
-/// Returns what the nodes that are cut off served, and those that are not.
+/// Returns what the nodes that are cut off served, and those that are not, of what was asked while at least
+/// one of these was there: nobody serves while all are cut off.
 fn shares(span: &Span, evidence: &Evidence, site: &Site) -> (Share, Share) {
     let within = |ask: &&Ask| {
         let first = ask.attempt.ends_with("-0") && ask.outcome != Outcome::Left;
@@ -109,18 +110,28 @@
     let asks: Vec<&Ask> = evidence.asks.iter().filter(within).collect();
     let cut_at = |ask: &&Ask| span.nodes.contains(&ask.node);
     let (cut, others): (Vec<&Ask>, Vec<&Ask>) = asks.into_iter().partition(cut_at);
-    let other_cut = |ask: &&Ask| !is_cut(evidence, ask);
-    let others: Vec<&Ask> = others.into_iter().filter(other_cut).collect();
+    let is_free = |node: usize, ask: &Ask| !is_cut_off(evidence, node, ask.sent, ask.done);
+    let others: Vec<&Ask> = others
+        .into_iter()
+        .filter(|ask| is_free(ask.node, ask))
+        .collect();
+    let outside: Vec<usize> = (0..site.nodes.len())
+        .filter(|node| !span.nodes.contains(node))
+        .collect();
+    let cut: Vec<&Ask> = cut
+        .into_iter()
+        .filter(|ask| outside.iter().any(|node| is_free(*node, ask)))
+        .collect();
     (Share::count(&cut), Share::count(&others))
 }
 
-/// Tells whether the node that was asked was cut off from some upstreams meanwhile.
-pub fn is_cut(evidence: &Evidence, ask: &Ask) -> bool {
+/// Tells whether a node was cut off from some upstreams at some time from `from` to `to`.
+fn is_cut_off(evidence: &Evidence, node: usize, from: Instant, to: Instant) -> bool {
     evidence.events.iter().any(|event| {
         let Fault::CutFromUpstreams { nodes, time, .. } = &event.fault else {
             return false;
         };
         let until = event.at + *time + Duration::from_millis(500);
-        nodes.contains(&ask.node) && event.at <= ask.done && ask.sent < until
+        nodes.contains(&node) && event.at <= to && from < until
     })
 }
