--- a/crates/node/src/front/gate.rs
+++ b/crates/node/src/front/gate.rs
@@ -11,7 +11,7 @@
 use dispatch::retry::Failure;
 use hyper::StatusCode;
 use upstream::engine::Engine;
-use upstream::relay::{Router, Verdict};
+use upstream::relay::Verdict;
 use upstream::{Error, Phase, Reach};
 use wire::{Priority, Request, Time, Upstream};
 
@@ -20,6 +20,8 @@
 use crate::core::{Admitted, Handle, Input, Vetted};
 use crate::directory::{Link, Runner};
 use crate::front::Front;
+use crate::paths::show_upstreams;
+use crate::shared::Shared;
 
 /// Limit for one look at an upstream that may have crashed.
 const CRASH_CHECK: Duration = Duration::from_millis(500);
@@ -214,11 +216,14 @@
 
 /// Tells whether an upstream has crashed that broke an attempt off.
 ///
-/// Refused connections are a crash, unless a peer's are taken. Otherwise an engine has to say so: the
-/// same start number is none, another one is a crash, and so is silence up to [`CRASH_DECISION`]. A proxy
-/// or a VM that hangs hides a refused connection, and a restart takes its time.
-async fn fate(router: &Arc<Router>, runner: &Runner) -> Fate {
+/// A refused connection is a crash, unless a peer reaches the upstream or this node reaches none.
+/// Otherwise an engine has to say so: the same start number is none, another one is a crash, and so is
+/// silence up to [`CRASH_DECISION`]. A proxy or a VM that hangs hides a refused connection, and a
+/// restart takes its time.
+async fn fate(shared: &Shared, runner: &Runner) -> Fate {
     let known = runner.boot.load(Ordering::Relaxed);
+    show_upstreams(shared);
+    let router = &shared.router;
     if router.check(&runner.id, runner.address).await == Verdict::Refused {
         return Fate::Crashed(None);
     }
@@ -244,6 +249,7 @@
             runner.boot.store(start, Ordering::Relaxed);
             Fate::Alive
         }
+        Err(_) if router.is_apart(&runner.id).await => Fate::Alive,
         Err(_) => Fate::Crashed(None),
     }
 }
@@ -289,7 +295,7 @@
     }
     let (front, runner) = (front.clone(), runner.clone());
     let deciding = tokio::spawn(async move {
-        let Fate::Crashed(start) = fate(&front.shared.router, &runner).await else {
+        let Fate::Crashed(start) = fate(&front.shared, &runner).await else {
             return;
         };
         let now = front.shared.clock.now();
--- a/crates/upstream/src/path/mod.rs
+++ b/crates/upstream/src/path/mod.rs
@@ -7,12 +7,14 @@
 //! [`Paths`] does no I/O: `relay` opens the connections and passes on what came of them.
 
 mod candidates;
+mod controls;
 
 use std::time::Duration;
 
 use wire::{Time, Upstream, Vm, Zone};
 
 pub use candidates::Peer;
+pub use controls::Control;
 
 /// Time for which a direct connection has to open before a peer is asked as well: a few round trips.
 const HEAD_START: Duration = Duration::from_millis(100);
@@ -105,6 +107,8 @@
 struct State {
     upstream: Upstream,
     standing: Standing,
+    /// Whether the last reported way is the direct one.
+    direct: bool,
     /// When a direct connection opened last, or an answer came on one.
     reached_at: Option<Time>,
     /// When bytes came last, over any way.
@@ -124,6 +128,7 @@
         Self {
             upstream: upstream.clone(),
             standing: Standing::Reached,
+            direct: true,
             reached_at: None,
             heard_at: now,
             used_at: now,
@@ -155,6 +160,8 @@
     states: Vec<State>,
     /// Live peers, sorted by VM.
     peers: Vec<Peer>,
+    /// All upstreams that ought to take connections.
+    controls: Vec<Control>,
     /// Since when several upstreams are partitioned from this node.
     suspected_since: Option<Time>,
     next_probe: Time,
@@ -170,6 +177,7 @@
             zone: zone.into(),
             states: Vec::new(),
             peers: Vec::new(),
+            controls: Vec::new(),
             suspected_since: None,
             next_probe: Time::ZERO,
             healed: false,
@@ -211,23 +219,16 @@
         }
     }
 
-    /// Takes in that a direct connection has opened. To an upstream that is partitioned from this node it
-    /// may be reset at once, and [`Paths::probe`] has to show that it is not.
-    pub fn opened(&mut self, now: Time, upstream: &Upstream) {
-        if !self.is_lost(upstream) {
-            self.reached(now, upstream);
-        }
-    }
-
     /// Takes in that a direct connection has opened, and stayed open where the way was lost.
     pub fn reached(&mut self, now: Time, upstream: &Upstream) {
         let state = self.state(now, upstream);
-        let lost = state.is_lost();
+        let back = !state.direct;
         state.standing = Standing::Reached;
+        state.direct = true;
         state.reached_at = Some(now);
         state.heard_at = now;
         state.trust_no_refusal();
-        if lost {
+        if back {
             state.relay = None;
             self.healed = true;
             self.change(now, upstream, Way::Direct);
@@ -243,6 +244,7 @@
             let probe_at = now + FIRST_PROBE;
             state.standing = Standing::Lost { probe_at };
         }
+        state.direct = false;
         state.relay = Some(peer.clone());
         state.trust_no_refusal();
         if !known {
@@ -325,6 +327,12 @@
         self.find(upstream).is_some_and(State::is_lost)
     }
 
+    /// Tells whether a direct connection has to stay open for a while before it counts as one: the direct
+    /// way was lost, and what resets connections may take them first.
+    pub fn is_doubted(&self, upstream: &str) -> bool {
+        self.find(upstream).is_some_and(|state| !state.direct)
+    }
+
     /// Tells whether to check the path to an upstream that has been silent since `since`, or that broke
     /// a request off then.
     pub fn may_check(&mut self, now: Time, upstream: &Upstream, since: Time) -> bool {
@@ -387,8 +395,8 @@
 
     /// Drops states. Without one, an upstream counts as reached directly.
     fn drop_states(&mut self, is_dropped: impl Fn(&State) -> bool) {
-        let lost = self.states.iter().filter(|state| state.is_lost());
-        let dropped = lost.filter(|state| is_dropped(state));
+        let doubted = self.states.iter().filter(|state| !state.direct);
+        let dropped = doubted.filter(|state| is_dropped(state));
         self.changes.extend(dropped.map(|state| Change {
             upstream: state.upstream.clone(),
             way: Way::Direct,
--- a/crates/upstream/src/relay/router.rs
+++ b/crates/upstream/src/relay/router.rs
@@ -15,7 +15,7 @@
 
 use super::client::{self, Failure};
 use super::{connect, token};
-use crate::path::{Change, Paths, Peer, Step, Way};
+use crate::path::{Change, Control, Paths, Peer, Step, Way};
 
 /// Limit for one peer to open a connection: several round trips to it and from there to the upstream.
 const RELAY_LIMIT: Duration = Duration::from_millis(180);
@@ -31,6 +31,13 @@
 /// of several peers that are late would do to deny a crash.
 const REFUSED_HOLD: Duration = Duration::from_millis(200);
 
+/// Other upstreams that have to be tried, and all of them to fail, before this node counts as partitioned from all.
+const CONTROLS_MIN: usize = 2;
+
+/// Time for which their connections have to stay open: longer, since the machine that resets all may be
+/// late with some.
+const CONTROL_HOLD: Duration = Duration::from_millis(250);
+
 /// Peers that are asked at a time in a check.
 const ASKED_TOGETHER: usize = 3;
 
@@ -116,6 +123,12 @@
         self.paths().set_peers(peers);
     }
 
+    /// Replaces the upstreams that ought to take connections, by which [`Router::check`] tells whether this
+    /// node reaches any.
+    pub fn set_controls(&self, controls: impl IntoIterator<Item = Control>) {
+        self.paths().set_controls(controls);
+    }
+
     /// Forgets an upstream that is gone, or whose address has changed.
     pub fn forget(&self, upstream: &str) {
         self.paths().forget(upstream);
@@ -139,28 +152,52 @@
 
     /// Tries a direct connection to an upstream that is reached through a peer.
     pub async fn probe(&self, upstream: &Upstream, address: SocketAddr) {
+        if !self.reaches(upstream, address, HOLD).await {
+            self.paths().probe_failed();
+        }
+    }
+
+    /// Tells whether a direct connection opens and stays open for so long.
+    async fn reaches(&self, upstream: &Upstream, address: SocketAddr, hold: Duration) -> bool {
         self.counts.checks.fetch_add(1, Ordering::Relaxed);
-        let opened = timeout(CHECK_LIMIT, self.direct(address)).await;
-        let open = match opened {
-            Ok(Ok(stream)) => stays_open(&stream, HOLD).await,
+        let open = match timeout(CHECK_LIMIT, self.direct(address)).await {
+            Ok(Ok(stream)) => stays_open(&stream, hold).await,
             _ => false,
         };
-        let now = self.now();
         if open {
-            self.paths().reached(now, upstream);
-        } else {
-            self.paths().probe_failed();
+            self.reached(upstream);
         }
+        open
+    }
+
+    /// Tells whether this node seems to reach no upstream but perhaps this one: what becomes of its
+    /// connections says nothing about upstreams then.
+    pub async fn is_apart(self: &Arc<Self>, upstream: &str) -> bool {
+        let controls = self.paths().controls(upstream);
+        if controls.len() < CONTROLS_MIN {
+            return false;
+        }
+        let mut tried = JoinSet::new();
+        for Control { upstream, address } in controls {
+            let router = self.clone();
+            tried.spawn(async move { router.reaches(&upstream, address, CONTROL_HOLD).await });
+        }
+        while let Some(reached) = tried.join_next().await {
+            if matches!(reached, Ok(true)) {
+                return false;
+            }
+        }
+        true
     }
 
     /// Finds out whether `upstream` takes connections. Where this node's are refused and no peer reaches it,
-    /// it counts as refusing all, unless this node seems to be partitioned from several upstreams.
+    /// it counts as refusing all, unless this node reaches no other upstream either, or seems to be
+    /// partitioned from several.
     pub async fn check(self: &Arc<Self>, upstream: &Upstream, address: SocketAddr) -> Verdict {
         self.counts.checks.fetch_add(1, Ordering::Relaxed);
         let refused = match timeout(CHECK_LIMIT, self.direct(address)).await {
             Ok(Ok(stream)) if stays_open(&stream, HOLD).await => {
-                let now = self.now();
-                self.paths().reached(now, upstream);
+                self.reached(upstream);
                 return Verdict::Reached;
             }
             Ok(Ok(_)) => true,
@@ -173,6 +210,7 @@
         };
         let hold = if refused { REFUSED_HOLD } else { HOLD };
         let relay = self.ask_together(&target, hold).await;
+        let apart = refused && relay.is_none() && self.is_apart(upstream).await;
         let now = self.now();
         let mut paths = self.paths();
         paths.check_failed(now, upstream);
@@ -181,7 +219,7 @@
             return Verdict::Reached;
         }
         paths.unreached(now, upstream);
-        if refused && (!paths.is_suspected() || paths.is_refused(now, upstream)) {
+        if refused && !apart && (!paths.is_suspected() || paths.is_refused(now, upstream)) {
             Verdict::Refused
         } else {
             Verdict::Unknown
@@ -286,28 +324,25 @@
         target: &Target,
         limit: Duration,
     ) -> io::Result<Opened> {
-        let opened = timeout(limit, self.direct(target.address)).await;
+        let opened = timeout(limit, self.connect(target)).await;
         let opened = opened.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()));
         let stream = opened.inspect_err(|_| {
             let now = self.now();
             self.check_since(target, now, now);
         })?;
-        Ok(self.opened_directly(target, stream))
+        Ok(opened_directly(stream))
     }
 
     async fn open_by(&self, step: Step, target: &Target) -> io::Result<Opened> {
         match step {
-            Step::Direct => {
-                let stream = self.direct(target.address).await?;
-                Ok(self.opened_directly(target, stream))
-            }
+            Step::Direct => self.connect(target).await.map(opened_directly),
             Step::Race { head_start } => self.race(target, head_start).await,
             Step::Relay => match self.through_peer(target).await {
                 Ok((stream, peer)) => Ok(self.opened_by(target, stream, peer)),
                 Err(_) => {
-                    let stream = self.direct(target.address).await;
+                    let stream = self.connect(target).await;
                     let stream = stream.inspect_err(|_| self.unreached(target))?;
-                    Ok(self.opened_directly(target, stream))
+                    Ok(opened_directly(stream))
                 }
             },
         }
@@ -315,14 +350,14 @@
 
     /// Opens a connection directly and, after the head start, through a peer as well.
     async fn race(&self, target: &Target, head_start: Duration) -> io::Result<Opened> {
-        let mut direct = pin!(self.direct(target.address));
+        let mut direct = pin!(self.connect(target));
         let early = tokio::select! {
             biased;
             opened = &mut direct => Some(opened),
             () = sleep(head_start) => None,
         };
         let refusal = match early {
-            Some(Ok(stream)) => return Ok(self.opened_directly(target, stream)),
+            Some(Ok(stream)) => return Ok(opened_directly(stream)),
             Some(Err(error)) => Some(error),
             None => None,
         };
@@ -333,7 +368,7 @@
                 None => tokio::select! {
                     biased;
                     opened = &mut direct => match opened {
-                        Ok(stream) => return Ok(self.opened_directly(target, stream)),
+                        Ok(stream) => return Ok(opened_directly(stream)),
                         Err(error) => relayed.await.map_err(|failure| (failure, Some(error))),
                     },
                     relayed = &mut relayed => relayed.map_err(|failure| (failure, None)),
@@ -347,7 +382,7 @@
         let error = match refusal {
             Some(error) => error,
             None => match direct.await {
-                Ok(stream) => return Ok(self.opened_directly(target, stream)),
+                Ok(stream) => return Ok(opened_directly(stream)),
                 Err(error) => error,
             },
         };
@@ -359,6 +394,23 @@
         Err(error)
     }
 
+    /// Opens a direct connection. Where the direct way was lost, it has to stay open for a while.
+    async fn connect(&self, target: &Target) -> io::Result<TcpStream> {
+        let stream = self.direct(target.address).await?;
+        let doubted = self.paths().is_doubted(&target.upstream);
+        if doubted && !stays_open(&stream, HOLD).await {
+            return Err(ErrorKind::ConnectionReset.into());
+        }
+        self.reached(&target.upstream);
+        Ok(stream)
+    }
+
+    /// Takes in that a direct connection has opened.
+    fn reached(&self, upstream: &Upstream) {
+        let now = self.now();
+        self.paths().reached(now, upstream);
+    }
+
     async fn direct(&self, address: SocketAddr) -> io::Result<TcpStream> {
         let stream = connect(self.source, address).await?;
         stream.set_nodelay(true)?;
@@ -368,7 +420,8 @@
     /// Asks one peer after the other for a connection.
     async fn through_peer(&self, target: &Target) -> Result<(TcpStream, Vm), Failure> {
         let upstream = &target.upstream;
-        for peer in self.candidates(upstream) {
+        let resorts = self.last_resorts(upstream);
+        for peer in self.candidates(upstream).into_iter().chain(resorts) {
             let failure = match self.ask(target, &peer, Duration::ZERO).await {
                 Ok(stream) => return Ok((stream, peer.vm)),
                 Err(failure) => failure,
@@ -416,15 +469,6 @@
         self.paths().is_refused(now, upstream)
     }
 
-    fn opened_directly(&self, target: &Target, stream: TcpStream) -> Opened {
-        let now = self.now();
-        self.paths().opened(now, &target.upstream);
-        Opened {
-            stream,
-            way: Way::Direct,
-        }
-    }
-
     fn opened_by(&self, target: &Target, stream: TcpStream, peer: Vm) -> Opened {
         let now = self.now();
         self.paths().relayed(now, &target.upstream, &peer);
@@ -444,6 +488,11 @@
         self.paths().candidates(now, upstream)
     }
 
+    fn last_resorts(&self, upstream: &Upstream) -> Vec<Peer> {
+        let now = self.now();
+        self.paths().last_resorts(now, upstream)
+    }
+
     pub(super) fn me(&self) -> &Vm {
         &self.me.vm
     }
@@ -459,10 +508,7 @@
 
     /// Opens a direct connection for a peer.
     pub(super) async fn open_for_peer(&self, target: &Target) -> io::Result<TcpStream> {
-        let stream = self.direct(target.address).await?;
-        let now = self.now();
-        self.paths().opened(now, &target.upstream);
-        Ok(stream)
+        self.connect(target).await
     }
 
     fn now(&self) -> Time {
@@ -478,6 +524,13 @@
     }
 }
 
+const fn opened_directly(stream: TcpStream) -> Opened {
+    Opened {
+        stream,
+        way: Way::Direct,
+    }
+}
+
 /// Tells whether the other side has actively refused a connection.
 pub(super) fn is_refusal(error: &io::Error) -> bool {
     matches!(
--- a/crates/upstream/tests/paths.rs
+++ b/crates/upstream/tests/paths.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use upstream::path::{Paths, Peer, Step, Way};
+use upstream::path::{Control, Paths, Peer, Step, Way};
 use wire::{Time, Upstream, Vm};
 
 fn ms(millis: u64) -> Time {
@@ -127,6 +127,26 @@
     assert!(names(&paths, ms(3_000), "u").contains(&first));
 }
 
+/// Guards against an upstream that is not reached for seconds, since the only peer that reaches it was late
+/// once.
+#[test]
+fn failed_peers_are_the_last_resort() {
+    let mut paths = paths();
+    assert!(paths.last_resorts(ms(0), &id("u")).is_empty());
+    for (at, vm) in ["d", "b", "e", "c"].into_iter().enumerate() {
+        paths.relay_failed(ms(at as u64), &id("u"), &vm.into(), false);
+    }
+    assert!(names(&paths, ms(10), "u").is_empty());
+    let resorts = |paths: &Paths, now| -> Vec<String> {
+        let resorts = paths.last_resorts(now, &id("u")).into_iter();
+        resorts.map(|peer| peer.vm.to_string()).collect()
+    };
+    assert_eq!(resorts(&paths, ms(10)), ["d", "b"]);
+    paths.relay_failed(ms(20), &id("u"), &"d".into(), false);
+    assert_eq!(resorts(&paths, ms(30)), ["b", "e"]);
+    assert!(resorts(&paths, ms(3_000)).is_empty());
+}
+
 /// Guards against an upstream that is gone and is taken for one that this node is partitioned from, or
 /// that makes every request ask all peers.
 #[test]
@@ -268,3 +288,41 @@
     forget(&mut paths);
     assert_eq!(ways(&mut paths), [Way::Direct]);
 }
+
+/// Guards against an upstream that counts as unreached for good, since no peer reached it either before it
+/// was reached directly again.
+#[test]
+fn way_that_nobody_had_counts_as_direct_once_it_is_back() {
+    let mut paths = paths();
+    paths.relayed(ms(0), &id("u"), &"d".into());
+    paths.unreached(ms(100), &id("u"));
+    paths.take_changes();
+    paths.reached(ms(2_000), &id("u"));
+    let ways = paths.take_changes().into_iter().map(|change| change.way);
+    assert_eq!(ways.collect::<Vec<_>>(), [Way::Direct]);
+}
+
+/// Guards against an upstream that has ended and counts as unreached, since only others that have ended
+/// before are tried beside it.
+#[test]
+fn upstreams_that_may_be_reached_are_tried_first() {
+    let mut paths = paths();
+    let names: Vec<String> = (0..20).map(|number| format!("u{number:02}")).collect();
+    paths.set_controls(names.iter().map(|name| Control {
+        upstream: id(name),
+        address: ([10, 0, 0, 2], 1).into(),
+    }));
+    for name in &names[..12] {
+        paths.unreached(ms(0), &id(name));
+    }
+    paths.reached(ms(1), &id("u12"));
+    paths.reached(ms(2), &id("u13"));
+    let tried = paths.controls("u19");
+    let tried: Vec<&str> = tried.iter().map(|control| &*control.upstream).collect();
+    assert_eq!(tried[..2], ["u13", "u12"]);
+    assert!(tried.len() >= 4, "{tried:?}");
+    assert!(
+        tried.iter().all(|name| *name > "u11" && *name < "u19"),
+        "{tried:?}"
+    );
+}
