--- a/crates/exchange/tests/soak/mod.rs
+++ b/crates/exchange/tests/soak/mod.rs
@@ -4,37 +4,31 @@
 
 mod discovery;
 mod engine;
+mod requests;
+mod start;
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
 use exchange::Fleet;
-use exchange::fleet::Presence;
 use exchange::owner::{self, Action, AdmissionRequest, Answer, Event, Order, Owner};
+use rand::RngExt;
 use rand::rngs::StdRng;
-use rand::{RngExt, SeedableRng};
 use wire::{Fence, Time, Upstream, Vm};
 
 use discovery::{Discovery, Envelope};
 
-use super::support::{config, engine as listing, ms, owner_config, target};
+use super::support::{config, engine as listing, ms};
 pub use engine::Engine;
 
 /// Number of nodes and engines.
 const NODES: usize = 5;
 const ENGINES: usize = 6;
 
-/// Number of adapters that requests use; a few of them get most requests.
-const ADAPTERS: f64 = 60.0;
-
 /// Time between two ticks of a node.
 const TICK: Duration = ms(100);
 
-/// Time for which a request waits for its adapter, and delay between two tries.
-const REQUEST_TIMEOUT: Duration = ms(3_000);
-const RETRY_DELAY: Duration = ms(100);
-
 /// Delay until the other nodes notice that a node is gone or back.
 const VIEW_DELAY: Duration = ms(1_200);
 
@@ -50,9 +44,7 @@
 /// Probability that a node doubts one that others doubt.
 const DOUBTERS: f64 = 0.6;
 
-/// Longest time between the starts of two nodes of a fleet, and until a node lists one as live that
-/// discovery has told of.
-const START_SPREAD: Duration = ms(300);
+/// Longest time until a node lists one as live that discovery has told of.
 const LISTED_DELAY: Duration = ms(1_000);
 
 /// Time after which the record of a node that was not heard of is dropped.
@@ -151,122 +143,6 @@
 }
 
 impl Simulation {
-    /// Creates a simulation whose engines refuse outdated fencing tokens.
-    pub fn new(seed: u64) -> Self {
-        Self::with_fencing(seed, true)
-    }
-
-    /// Creates a simulation whose engines do not check fencing tokens.
-    pub fn unfenced(seed: u64) -> Self {
-        Self::with_fencing(seed, false)
-    }
-
-    /// Creates a simulation of `nodes` nodes that may claim as long as they reach the platform,
-    /// each of which is told of the others within `discovery` after the start, and lists them as
-    /// live within `listing`.
-    pub fn cold_start(seed: u64, nodes: usize, discovery: Duration, listing: Duration) -> Self {
-        let mut simulation = Self::empty(seed, true);
-        simulation.informed = true;
-        simulation.add_nodes(nodes);
-        for index in 0..nodes {
-            for other in (0..nodes).filter(|other| *other != index) {
-                let found = discovery.mul_f64(simulation.random.random_range(0.0..1.0));
-                let listed = listing.mul_f64(simulation.random.random_range(0.0..1.0));
-                let listed = listed.max(found);
-                simulation.nodes[index].unknown_until[other] = simulation.now + found;
-                simulation.nodes[index].unseen_until[other] = simulation.now + listed;
-                for after in [found, listed] {
-                    simulation.schedule(after + ms(1), Scheduled::Join(index, 0));
-                }
-            }
-        }
-        simulation
-    }
-
-    /// Creates a simulation of `nodes` nodes that start, of whom one is a seed and two seeds are down,
-    /// with this probability that a message is lost.
-    pub fn seeded_start(seed: u64, nodes: usize, loss: f64) -> Self {
-        let mut simulation = Self::empty(seed, true);
-        simulation.informed = true;
-        simulation.loss = loss;
-        simulation.discovery = Some(Discovery::new(seed, nodes));
-        simulation.add_nodes(nodes);
-        for index in 0..nodes {
-            let started = START_SPREAD.mul_f64(simulation.random.random_range(0.0..1.0));
-            simulation.schedule(started, Scheduled::Discover(index));
-            for other in (0..nodes).filter(|other| *other != index) {
-                simulation.nodes[index].unseen_until[other] = Time::MAX;
-            }
-        }
-        simulation
-    }
-
-    fn with_fencing(seed: u64, fenced: bool) -> Self {
-        let mut simulation = Self::empty(seed, fenced);
-        simulation.add_nodes(NODES);
-        simulation
-    }
-
-    fn empty(seed: u64, fenced: bool) -> Self {
-        let engines = (0..ENGINES).map(|index| Engine::new(&format!("e{index}"), fenced));
-        Self {
-            now: ms(1_000),
-            random: StdRng::seed_from_u64(seed),
-            nodes: Vec::new(),
-            engines: engines.collect(),
-            queue: BinaryHeap::new(),
-            scheduled: Vec::new(),
-            loss: 0.0,
-            delay: Duration::ZERO,
-            informed: false,
-            discovery: None,
-            records_expire: false,
-            served: 0,
-            requested: 0,
-        }
-    }
-
-    fn add_nodes(&mut self, count: usize) {
-        for index in 0..count {
-            let mut node = self.new_node(index, 0);
-            node.unseen_until = vec![Time::ZERO; count];
-            node.unknown_until = vec![Time::ZERO; count];
-            node.unlinked_until = vec![Time::ZERO; count];
-            self.nodes.push(node);
-            self.schedule(ms(10), Scheduled::Tick(index, 0));
-            self.schedule(ms(1_500), Scheduled::NewRequest(index));
-        }
-        self.schedule(ms(300), Scheduled::View);
-    }
-
-    fn new_node(&self, index: usize, process: u32) -> Node {
-        let vm = format!("vm-{index}");
-        let mut fleet = Fleet::default();
-        for engine in &self.engines {
-            fleet.apply_listing(self.now, engine.listing());
-        }
-        fleet.configure(&config(Vec::new()));
-        let settings = owner::Config {
-            engines_check_fences: self.engines.iter().all(|engine| engine.fenced),
-            ..owner_config(&vm, index as u64 + 1)
-        };
-        Node {
-            owner: Owner::new(settings),
-            vm: vm.into(),
-            fleet,
-            wall: 1_800_000_000,
-            process,
-            alive: true,
-            frozen_until: Time::ZERO,
-            cut_since: Time::ZERO,
-            cut_until: Time::ZERO,
-            unseen_until: vec![Time::ZERO; self.nodes.len()],
-            unknown_until: vec![Time::ZERO; self.nodes.len()],
-            unlinked_until: vec![Time::ZERO; self.nodes.len()],
-            orders_count_from: Time::ZERO,
-        }
-    }
-
     fn schedule(&mut self, after: Duration, item: Scheduled) {
         let number = self.scheduled.len() as u64;
         self.scheduled.push(Some(item));
@@ -505,114 +381,6 @@
         );
     }
 
-    /// Starts a request of a caller at a node. It asks the owner of an engine until its adapter is
-    /// resident.
-    fn new_request(&mut self, node: usize) {
-        let pause = ms(self.random.random_range(20..120));
-        self.schedule(pause, Scheduled::NewRequest(node));
-        let known = &self.nodes[node];
-        if !known.alive || self.now < known.frozen_until {
-            return;
-        }
-        let draw: f64 = self.random.random_range(0.0..1.0);
-        let adapter = format!("a{}", (ADAPTERS * draw * draw * draw) as usize);
-        let index = adapter.bytes().map(usize::from).sum::<usize>() % ENGINES;
-        let engine_id = self.engines[index].id.clone();
-        let request = AdmissionRequest {
-            target: target(&adapter),
-            prefill: ms(20),
-            decode: ms(self.random.random_range(100..2_000)),
-            rank: 1,
-        };
-        self.requested += 1;
-        let (process, until) = (known.process, self.now + REQUEST_TIMEOUT);
-        self.try_request(node, process, engine_id, request, until);
-    }
-
-    /// Sends a request to the engine if its adapter is resident there; otherwise requests a load
-    /// and tries again later.
-    fn try_request(
-        &mut self,
-        node: usize,
-        process: u32,
-        engine_id: Upstream,
-        request: AdmissionRequest,
-        until: Time,
-    ) {
-        let now = self.now;
-        let holder = self.nodes[node].owner.holder(&engine_id).cloned();
-        let holder = holder.and_then(|vm| self.find(&vm));
-        // The owner admits the request. Without a reachable owner it is sent unasked.
-        let held = holder.is_none_or(|holder| {
-            let Node { owner, fleet, .. } = &mut self.nodes[holder];
-            let grant = owner.admit(now, fleet, &engine_id, &request);
-            grant.is_none_or(|grant| matches!(grant.presence, Presence::Held(_)))
-        });
-        let engine = self.engines.iter_mut().find(|known| known.id == engine_id);
-        let started =
-            held && engine.is_some_and(|engine| engine.start_request(now, &request.target));
-        if let Some(holder) = holder.filter(|_| held && !started) {
-            self.nodes[holder]
-                .owner
-                .release_admission(now, &engine_id, &request.target);
-        }
-        if started {
-            self.served += 1;
-            let until = now + request.decode;
-            self.nodes[node]
-                .owner
-                .request_started(&engine_id, &request.target, until);
-            self.schedule(
-                request.decode,
-                Scheduled::EndRequest(node, process, engine_id, request),
-            );
-        } else if self.now < until {
-            let event = Event::RequestLoad {
-                engine: engine_id.clone(),
-                target: request.target.clone(),
-                rank: 1,
-            };
-            self.step(node, event);
-            self.schedule(
-                RETRY_DELAY,
-                Scheduled::RetryRequest(node, process, engine_id, request, until),
-            );
-        }
-    }
-
-    fn find(&self, vm: &Vm) -> Option<usize> {
-        let found = self.nodes.iter().position(|node| node.vm == *vm);
-        found
-            .filter(|index| self.nodes[*index].alive && self.nodes[*index].frozen_until <= self.now)
-    }
-
-    fn end_request(
-        &mut self,
-        node: usize,
-        process: u32,
-        engine_id: &Upstream,
-        request: &AdmissionRequest,
-    ) {
-        let engine = self.engines.iter_mut().find(|known| known.id == *engine_id);
-        engine.expect("known engine").end_request(&request.target);
-        let now = self.now;
-        let known = &mut self.nodes[node];
-        if !known.alive || known.process != process {
-            return;
-        }
-        known.owner.request_ended(engine_id, &request.target);
-        if !known
-            .owner
-            .release_admission(now, engine_id, &request.target)
-            && let Some(holder) = known.owner.holder(engine_id).cloned()
-            && let Some(index) = self.find(&holder)
-        {
-            self.nodes[index]
-                .owner
-                .release_admission(now, engine_id, &request.target);
-        }
-    }
-
     fn list_engine(&mut self, index: usize) {
         let listing = self.engines[index].listing();
         for node in &mut self.nodes {
