Placement: no load before the engine taken over has reported

An urgent request waited 1.9 s while a routine one that came a second later ran at once (UrgentFirst, replaced_fleet_loses_nothing, 1 of 3 runs beside other tests). Its node asked the engine whose owner had just started again; the owner knew of no instance there, ordered a load, and was refused by the engine, which held the adapter. The request then went elsewhere and waited there, and the next one found the adapter.

Cause: slots of an engine that has not reported yet were taken for empty.

--- a/crates/placement/src/owner/load.rs
+++ b/crates/placement/src/owner/load.rs
@@ -67,9 +67,11 @@
 
     /// Returns what to load next, or `None` if no load may start now.
     pub fn next_load(&self, now: Time, settings: &Settings) -> Option<LoadDemand> {
+        // Slots that look empty may hold instances until the engine has reported.
+        let unread = self.last_report.is_none() && now < self.owned_since + settings.report_lag;
         let blocked =
             self.upstream.state != UpstreamState::Live || self.has_ticket || self.order_in_flight();
-        if blocked || !self.slot_available(now, settings) {
+        if unread || blocked || !self.slot_available(now, settings) {
             return None;
         }
         if let Some(entry) = self.queue.next(now, settings) {
