Claim an engine at once when its way is back

Cause: a node that gave an engine up for want of a way kept from claiming it for a lease, and was first in line again once the way was back; the others left it to that node. Change: `Owner::give_up` without back-off for this reason.

--- a/crates/exchange/src/owner/claim.rs
+++ b/crates/exchange/src/owner/claim.rs
@@ -527,20 +527,32 @@
         reason: &'static str,
         out: &mut Vec<Action>,
     ) {
-        if let Some(index) = self
-            .owned_engines
-            .iter()
-            .position(|owned| *owned.engine == *engine)
-        {
-            let settled = self.is_settled(engine);
-            self.drop_lease(self.now, engine, settled, out);
-            let owned = self.owned_engines.remove(index);
-            self.claims_changed();
-            self.back_off(self.now, &owned.engine);
-            out.push(Action::Log(Decision::Released(owned.engine, reason)));
+        if let Some(engine) = self.give_up(engine, reason, out) {
+            self.back_off(self.now, &engine);
         }
     }
 
+    /// Gives up ownership of `engine`, which this node may claim again as soon as it is first in line. Returns its
+    /// ID, or `None` if this node did not own it.
+    pub(super) fn give_up(
+        &mut self,
+        engine: &str,
+        reason: &'static str,
+        out: &mut Vec<Action>,
+    ) -> Option<Upstream> {
+        let owned = &self.owned_engines;
+        let index = owned.iter().position(|owned| *owned.engine == *engine)?;
+        let settled = self.is_settled(engine);
+        self.drop_lease(self.now, engine, settled, out);
+        let owned = self.owned_engines.remove(index);
+        self.claims_changed();
+        out.push(Action::Log(Decision::Released(
+            owned.engine.clone(),
+            reason,
+        )));
+        Some(owned.engine)
+    }
+
     fn highest_fence(&self, engine: &str) -> Option<Fence> {
         let index = self.highest_fence_index(engine).ok()?;
         Some(self.highest_fences[index].1)
--- a/crates/exchange/src/owner/decline.rs
+++ b/crates/exchange/src/owner/decline.rs
@@ -71,7 +71,8 @@
             let owned = self.owned_engine(engine);
             if let Some(owned) = owned {
                 released.push((engine.clone(), owned.fence));
-                self.release_engine(engine, "unreached", out);
+                // While it is declined others are in line before this node. Once its way is back nobody else is.
+                self.give_up(engine, "unreached", out);
             }
         }
         if declined != self.declines.announced {
--- a/crates/exchange/src/owner/electorate.rs
+++ b/crates/exchange/src/owner/electorate.rs
@@ -1,4 +1,4 @@
-//! The nodes among which the witnesses of engines are chosen.
+//! The nodes from which the witnesses of engines are taken.
 //!
 //! Nodes find each other one by one, so at a start their views differ, and sets of witnesses that
 //! differ may have majorities without a common member. Nodes therefore tell each other of the
@@ -23,7 +23,7 @@
     since: Time,
 }
 
-/// The nodes among which witnesses are chosen.
+/// The nodes that may be witnesses.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Electorate {
     /// Nodes known to discovery, live or not, this one included; none before it has told any.
@@ -130,7 +130,7 @@
         self.update_electorate(now);
     }
 
-    /// Recomputes the nodes among which witnesses are chosen.
+    /// Recomputes the nodes that may be witnesses, and the witnesses of this node's engines if these change.
     pub(super) fn update_electorate(&mut self, now: Time) {
         if self.electorate.update(now, &self.leaving_peers) {
             self.reassign_witnesses();
--- a/crates/exchange/src/owner/event.rs
+++ b/crates/exchange/src/owner/event.rs
@@ -22,7 +22,7 @@
         may_claim: bool,
     },
     /// The nodes known to discovery, live or not, this one included and leaving ones excluded.
-    /// Witnesses are chosen among them; before the first such event, among the live nodes.
+    /// Witnesses are taken from them; before the first such event, from the live nodes.
     KnownNodes(Vec<Vm>),
     /// Nodes that are shutting down and finish their running requests.
     LeavingNodes(Vec<Vm>),
--- a/crates/exchange/tests/owner_leases.rs
+++ b/crates/exchange/tests/owner_leases.rs
@@ -352,3 +352,21 @@
     let told: Vec<Message> = sent.into_iter().filter_map(to_other).collect();
     assert!(told.contains(&Message::Declines(Vec::new())), "{told:?}");
 }
+
+/// Guards against an engine that nobody owns for a lease although its way is back: the node that gave it up is first
+/// in line again, so that the others wait for it (RECOVER after a cut).
+#[rstest]
+fn engine_is_claimed_once_its_way_is_back() {
+    let mut owner = OwnerHarness::alone(OWNER, 1, [engine("e1", &["a"])]);
+    owner.claim_all();
+    let reach = |direct| Event::Reach {
+        engine: "e1".into(),
+        direct,
+    };
+    owner.step(reach(false));
+    owner.advance(ms(700));
+    assert_eq!(owner.owner.owned().count(), 0);
+    owner.step(reach(true));
+    owner.advance(ms(800));
+    assert_eq!(owner.owner.owned().count(), 1);
+}
