Lift false convictions, whoever is left to lift them

Causes: (1) a broken connection counted as a crash though the process lived on; (2) verdicts named no grounds, so only the nodes that reached them could take them back; (3) the trial of a part that many requests share could be the request of another convicted feature, which crashed the upstream and kept the part convicted. Changes: a node that is told of a crash asks which process runs (`inquiry`), and the same start refutes it; verdicts carry the crashes they rest on (`culprit::grounds`, bounded); trials leave out requests with a second conviction (`culprit::trials`).

--- a/crates/dispatch/src/culprit/analyst.rs
+++ b/crates/dispatch/src/culprit/analyst.rs
@@ -2,11 +2,13 @@
 
 use std::time::Duration;
 
-use wire::{Incarnation, Time, Vm};
+use wire::{Incarnation, Time, Upstream};
 
+use super::grounds::{Ground, Grounds};
 use super::ledger::Standing;
-use super::message::{CrashReport, Message, Verdict};
-use super::{Action, Config, CulpritDetector, Feature, TRIAL_TIME};
+use super::message::{CrashReport, Message, ReportId, Verdict};
+use super::trials::Schedule;
+use super::{Action, Config, CulpritDetector, Feature, Start};
 
 /// Crashes from which a feature is announced as suspected.
 const ANNOUNCED_CRASHES: usize = 2;
@@ -35,25 +37,25 @@
 /// How often an analyst sends a verdict. The time between two sends doubles each time.
 const VERDICT_SENDS: u32 = 8;
 
+/// Processes that are told with a conviction.
+const GROUNDS_MAX: usize = 64;
+
 /// A verdict as an analyst follows it up.
 #[derive(Clone, Debug)]
 pub(super) struct Case {
-    feature: Feature,
+    pub(super) feature: Feature,
     /// How often this analyst has sent the verdict; all times if it comes from another one.
     sends: u32,
     next_send: Time,
-    /// Number of trials that were started.
-    trials: usize,
-    /// When the next trial is allowed, at the node of this number.
-    next_trial: Option<Time>,
-    trial_node: usize,
+    pub(super) schedule: Schedule,
+    grounds: Grounds,
 }
 
 impl Case {
     /// Returns when the verdict is sent or tried next.
     pub(super) fn wake(&self) -> Option<Time> {
         let send = (self.sends < VERDICT_SENDS).then_some(self.next_send);
-        send.into_iter().chain(self.next_trial).min()
+        send.into_iter().chain(self.schedule.next()).min()
     }
 }
 
@@ -80,12 +82,13 @@
                 .convictions(now)
                 .find(|known| known.feature == *feature);
             if let Some(verdict) = known.filter(|_| from.vm != self.me.vm) {
-                out.push(Action::Send {
+                out.extend(self.verdict_messages(&verdict).map(|message| Action::Send {
                     to: from.vm.clone(),
-                    message: Message::Verdict(verdict),
-                });
+                    message,
+                }));
             }
         }
+        self.end_trials(now, &report);
         if now >= self.learns_until {
             self.undecided |= self.ledger.insert(now, report);
         }
@@ -107,6 +110,115 @@
         }
     }
 
+    /// Records which process was reported as crashed, and has it asked whether it still runs.
+    pub(super) fn take_process(&mut self, now: Time, report: &ReportId, process: Start) {
+        if let Some(upstream) = self.ledger.identify(report, process) {
+            self.inquiries.open(now, upstream);
+        }
+    }
+
+    /// Takes in that `process` of an upstream answered what was asked at `asked`. Crashes of it that
+    /// were reported before are none, and convictions that rest on them are lifted.
+    pub(super) fn inspected(
+        &mut self,
+        now: Time,
+        upstream: &Upstream,
+        (process, asked): (Start, Time),
+        out: &mut Vec<Action>,
+    ) {
+        self.inquiries.answered(upstream, asked);
+        self.collect_grounds();
+        let crashes = self.ledger.refute(upstream, process, asked);
+        let mut refuted = crashes.len() as u32;
+        for case in &mut self.cases {
+            let Some(entry) = self.verdicts.conviction(case.feature) else {
+                continue;
+            };
+            let counted = |(at, features): &(Time, Vec<Feature>)| {
+                *at <= entry.at && features.contains(&case.feature)
+            };
+            if asked >= entry.at || crashes.iter().any(counted) {
+                refuted = refuted.max(case.grounds.refute(upstream, process));
+            }
+        }
+        if refuted == 0 {
+            return;
+        }
+        out.push(Action::Refuted {
+            upstream: upstream.clone(),
+            crashes: refuted as usize,
+        });
+        self.lift_baseless(now, out);
+        self.undecided = true;
+    }
+
+    /// Lifts the convictions that too few crashes are left for.
+    fn lift_baseless(&mut self, now: Time, out: &mut Vec<Action>) {
+        let baseless: Vec<Feature> = self
+            .cases
+            .iter()
+            .filter_map(|case| {
+                let verdict = self.verdicts.conviction(case.feature)?.verdict;
+                let refuted = case.grounds.refuted();
+                let stands = refuted == 0 || self.config.stands_without(&verdict, refuted);
+                (!stands).then_some(case.feature)
+            })
+            .collect();
+        for feature in baseless {
+            self.lift(now, feature, out);
+        }
+    }
+
+    /// Notes which of the crashes in the ledger the convictions rest on. Processes are reported after their
+    /// crashes, possibly after the decision.
+    fn collect_grounds(&mut self) {
+        for case in &mut self.cases {
+            if let Some(entry) = self.verdicts.conviction(case.feature) {
+                let grounds = self.ledger.grounds(case.feature, entry.at);
+                case.grounds.merge(grounds);
+            }
+        }
+    }
+
+    /// Takes in what a conviction rests on, and has it asked about.
+    pub(super) fn take_grounds(&mut self, now: Time, feature: Feature, grounds: Vec<Ground>) {
+        let is_analyst = self.is_analyst();
+        if self.verdicts.conviction(feature).is_none() {
+            return;
+        }
+        let Some(case) = self.cases.iter_mut().find(|case| case.feature == feature) else {
+            return;
+        };
+        let new = case.grounds.merge(grounds);
+        if is_analyst {
+            let new = new.iter();
+            new.for_each(|upstream| self.inquiries.open(now, upstream));
+        }
+    }
+
+    /// Asks about everything that the convictions rest on, since this node has become an analyst.
+    pub(super) fn reopen_inquiries(&mut self, now: Time) {
+        for case in &self.cases {
+            if self.verdicts.conviction(case.feature).is_some() {
+                let open = case.grounds.open();
+                open.for_each(|upstream| self.inquiries.open(now, upstream));
+            }
+        }
+    }
+
+    /// Returns the messages that tell of a verdict.
+    pub(super) fn verdict_messages(
+        &self,
+        verdict: &Verdict,
+    ) -> impl Iterator<Item = Message> + use<> {
+        let mut cases = self.cases.iter();
+        let case = cases.find(|case| case.feature == verdict.feature && verdict.convicted);
+        let grounds = case.into_iter().flat_map(|case| case.grounds.all());
+        let told: Vec<Ground> = grounds.take(GROUNDS_MAX).cloned().collect();
+        let grounds = (!told.is_empty()).then_some(Message::Grounds(verdict.feature, told));
+        [Message::Verdict(*verdict)].into_iter().chain(grounds)
+    }
+
     /// Lifts a conviction everywhere.
     pub(super) fn lift(&mut self, now: Time, feature: Feature, out: &mut Vec<Action>) {
         self.ledger.clear(feature);
@@ -134,16 +246,17 @@
             self.ledger.clear(verdict.feature);
         }
         self.cases.retain(|case| case.feature != verdict.feature);
-        let first_pause = self.config.trial_pauses.first();
+        let schedule = if verdict.convicted {
+            Schedule::new(now, verdict.feature, &self.config)
+        } else {
+            Schedule::never(verdict.feature)
+        };
         self.cases.push(Case {
             feature: verdict.feature,
             sends: VERDICT_SENDS,
             next_send: now,
-            trials: 0,
-            next_trial: first_pause
-                .filter(|_| verdict.convicted)
-                .map(|pause| now + *pause),
-            trial_node: verdict.feature as usize,
+            schedule,
+            grounds: Grounds::default(),
         });
     }
 
@@ -157,6 +270,8 @@
         let Some(rank) = self.rank() else {
             return;
         };
+        let asked = self.inquiries.take_due(now).into_iter();
+        out.extend(asked.map(|upstream| Action::Inspect { upstream }));
         if rank < ANNOUNCERS && now >= self.announced_at + ANNOUNCEMENT_INTERVAL {
             self.announced_at = now;
             self.announce_suspects(now, out);
@@ -169,7 +284,7 @@
         }
     }
 
-    fn convicted_features(&self) -> Vec<Feature> {
+    pub(super) fn convicted_features(&self) -> Vec<Feature> {
         let convictions = self.verdicts.convictions();
         convictions.map(|entry| entry.verdict.feature).collect()
     }
@@ -248,9 +363,13 @@
                 due.push(case.feature);
             }
         }
+        if !due.is_empty() {
+            self.collect_grounds();
+        }
         for feature in due {
             if let Some(verdict) = self.verdicts.get(now, feature) {
-                self.broadcast(&Message::Verdict(verdict), out);
+                self.verdict_messages(&verdict)
+                    .for_each(|message| self.broadcast(&message, out));
             }
         }
     }
@@ -270,42 +389,6 @@
         self.broadcast(&message, out);
         self.take_suspects(now, suspects, out);
     }
-
-    /// Lets one node at a time start a trial of each conviction that is due for one.
-    fn allow_trials(&mut self, now: Time, out: &mut Vec<Action>) {
-        let live: Vec<Vm> = self
-            .view
-            .live()
-            .map(|peer| peer.incarnation.vm.clone())
-            .collect();
-        let mut allowed = Vec::new();
-        for case in &mut self.cases {
-            if case.next_trial.is_some_and(|at| now >= at) {
-                // A node that gets no such request within the time passes the trial on.
-                case.next_trial = Some(now + TRIAL_TIME);
-                case.trial_node = case.trial_node.wrapping_add(1);
-                let node = live.get(case.trial_node % live.len().max(1));
-                allowed.push((node.unwrap_or(&self.me.vm).clone(), case.feature));
-            }
-        }
-        for (to, feature) in allowed {
-            let message = Message::AllowTrial(feature);
-            if to == self.me.vm {
-                let from = self.me.clone();
-                self.receive(now, &from, message, out);
-            } else {
-                out.push(Action::Send { to, message });
-            }
-        }
-    }
-
-    pub(super) fn trial_started(&mut self, now: Time, feature: Feature) {
-        let pauses = &self.config.trial_pauses;
-        if let Some(case) = self.cases.iter_mut().find(|case| case.feature == feature) {
-            case.trials += 1;
-            case.next_trial = pauses.get(case.trials).map(|pause| now + *pause);
-        }
-    }
 }
 
 impl Standing {
@@ -331,6 +414,17 @@
         standing.is_rare() || standing.crashes as usize >= self.popular_threshold
     }
 
+    /// Returns whether a conviction stands if so many of its crashes were none.
+    fn stands_without(&self, verdict: &Verdict, refuted: u32) -> bool {
+        let is_rare = verdict.requests <= verdict.crashes * RARE_REQUESTS;
+        let needed = if is_rare {
+            self.conviction_threshold
+        } else {
+            self.popular_threshold
+        };
+        verdict.crashes.saturating_sub(refuted) as usize >= needed
+    }
+
     /// Returns whether a feature that upstreams survived before its crashes must have become a culprit
     /// since. A failure that takes all upstreams down at once leaves nothing that could survive, so
     /// crashes at one moment prove nothing.
--- a/crates/dispatch/src/culprit/ledger.rs
+++ b/crates/dispatch/src/culprit/ledger.rs
@@ -3,9 +3,10 @@
 use wire::Time;
 use wire::Upstream;
 
+use super::grounds::Ground;
 use super::message::{CrashReport, ReportId};
 use super::survivals::Survivals;
-use super::{Config, Feature};
+use super::{Config, Feature, Start};
 
 /// A crash and what was in flight.
 #[derive(Clone, Debug)]
@@ -16,7 +17,11 @@
     reported_at: Time,
     /// When the upstream started again under the same id.
     restarted_at: Option<Time>,
+    /// When its process, which has not crashed after all, was asked.
+    refuted_at: Option<Time>,
     reports: Vec<ReportId>,
+    /// The process that its requests were sent to, as far as the reports tell.
+    process: Option<Start>,
     /// Features that may explain the crash, sorted, with the number of requests that have each.
     charges: Vec<(Feature, u32)>,
 }
@@ -71,22 +76,27 @@
 
     /// Adds a report. Returns whether it was new.
     pub fn insert(&mut self, now: Time, report: CrashReport) -> bool {
+        let is_known = |crash: &Crash| crash.reports.contains(&report.id);
+        if self.crashes.iter().any(is_known) {
+            return false;
+        }
         let at = now.saturating_sub(report.age);
         let window = self.config.crash_window;
         let same = |crash: &&mut Crash| {
             let span = crash.at.saturating_sub(window)..=crash.reported_at + window;
-            let former = crash.restarted_at.is_none_or(|restarted| at < restarted);
+            let ended = crash.restarted_at.into_iter().chain(crash.refuted_at).min();
+            let former = ended.is_none_or(|ended| at < ended);
             crash.upstream == report.upstream && former && span.contains(&at)
         };
         let survivals = &self.survivals;
         let open = |feature: Feature| survivals.last(feature).is_none_or(|began| began <= at);
         let charges = report.charges.into_iter().filter(|(of, _)| open(*of));
         if let Some(crash) = self.crashes.iter_mut().find(same) {
-            if crash.reports.contains(&report.id) {
-                return false;
-            }
             crash.reports.push(report.id);
             crash.reported_at = crash.reported_at.max(at);
+            if crash.refuted_at.is_some() {
+                return false;
+            }
             if at > crash.at + self.config.report_spread {
                 // These requests reached no running process.
                 return true;
@@ -102,7 +112,9 @@
                 at,
                 reported_at: at,
                 restarted_at: None,
+                refuted_at: None,
                 reports: vec![report.id],
+                process: None,
                 charges,
             };
             self.crashes.insert(index, crash);
@@ -119,6 +131,82 @@
         }
     }
 
+    /// Records which process the requests of a report were sent to. Returns its upstream unless the
+    /// crash is refuted.
+    pub fn identify(&mut self, report: &ReportId, process: Start) -> Option<&Upstream> {
+        let of = |crash: &&mut Crash| crash.reports.contains(report);
+        let crash = self.crashes.iter_mut().find(of)?;
+        // An older process cannot answer once another one has taken its place, so that a crash of
+        // which reports disagree is never refuted.
+        let oldest = crash.process.map_or(process, |known| known.min(process));
+        crash.process = Some(oldest);
+        crash.refuted_at.is_none().then_some(&crash.upstream)
+    }
+
+    /// Refutes the crashes of a process that has answered what was asked after their last report.
+    /// Returns their times and features, which no longer count.
+    pub fn refute(
+        &mut self,
+        upstream: &Upstream,
+        process: Start,
+        asked: Time,
+    ) -> Vec<(Time, Vec<Feature>)> {
+        let of = |crash: &&mut Crash| {
+            crash.upstream == *upstream
+                && crash.process == Some(process)
+                && crash.refuted_at.is_none()
+                && crash.reported_at < asked
+        };
+        let mut refuted = Vec::new();
+        for crash in self.crashes.iter_mut().filter(of) {
+            crash.refuted_at = Some(asked);
+            let charges = std::mem::take(&mut crash.charges).into_iter();
+            refuted.push((crash.at, charges.map(|(feature, _)| feature).collect()));
+        }
+        refuted
+    }
+
+    /// Returns the known processes whose crashes until `until` a feature may explain.
+    pub fn grounds(&self, feature: Feature, until: Time) -> Vec<Ground> {
+        let crashes = self.crashes.iter().filter(|crash| crash.at <= until);
+        let charged = crashes.filter(|crash| crash.requests(feature).is_some());
+        let mut grounds: Vec<Ground> = Vec::new();
+        for crash in charged {
+            let Some(process) = crash.process else {
+                continue;
+            };
+            let of =
+                |known: &&mut Ground| known.process == process && known.upstream == crash.upstream;
+            match grounds.iter_mut().find(of) {
+                Some(known) => known.crashes += 1,
+                None => grounds.push(Ground {
+                    upstream: crash.upstream.clone(),
+                    process,
+                    crashes: 1,
+                }),
+            }
+        }
+        grounds
+    }
+
+    /// Returns the other features that may explain the crashes of a feature, and that fewer of the requests in them
+    /// had, so that not all requests with the feature have them.
+    pub fn companions(&self, feature: Feature) -> Vec<Feature> {
+        let crashes = self.crashes.iter();
+        let crashes = crashes.filter(|crash| crash.requests(feature).is_some());
+        let mut charges: Vec<(Feature, u32)> = crashes
+            .flat_map(|crash| crash.charges.iter().copied())
+            .collect();
+        charges.sort_unstable();
+        let runs = charges.chunk_by(|(a, _), (b, _)| a == b);
+        let totals = runs.map(|run| (run[0].0, run.iter().map(|(_, requests)| requests).sum()));
+        let totals: Vec<(Feature, u32)> = totals.collect();
+        let all = totals.iter().find(|(of, _)| *of == feature);
+        let all = all.map_or(0, |(_, requests)| *requests);
+        let rarer = totals.into_iter().filter(|(_, requests)| *requests < all);
+        rarer.map(|(of, _)| of).collect()
+    }
+
     /// Drops charges once there are too many: first those of features with a single crash, so that
     /// many requests with one crash each do not displace what crashes several upstreams.
     fn shrink(&mut self) {
--- a/crates/dispatch/src/culprit/message.rs
+++ b/crates/dispatch/src/culprit/message.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 use wire::{Incarnation, Upstream};
 
-use super::Feature;
+use super::grounds::Ground;
+use super::{Feature, Start};
 
 /// ID of a crash report.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -61,4 +62,11 @@
     AllowTrial(Feature),
     /// Tells an analyst that such a request is about to be sent.
     TrialStarted(Feature),
+    /// Tells an analyst which process the requests of a report were sent to.
+    CrashedProcess(ReportId, Start),
+    /// Tells which processes' crashes a conviction rests on, so that it can be lifted without the analysts that
+    /// decided it.
+    Grounds(Feature, Vec<Ground>),
+    /// Allows a node to send one request with a convicted feature that has none of the others.
+    AllowTrialWithout(Feature, Vec<Feature>),
 }
--- a/crates/dispatch/src/culprit/mod.rs
+++ b/crates/dispatch/src/culprit/mod.rs
@@ -12,26 +12,36 @@
 //! with a culprit often share another part with sound ones. A crash that a convicted feature
 //! explains is attributed to no other.
 //!
+//! Partitions that reset connections look like crashes. Analysts therefore ask the upstreams that were
+//! reported: a process that answers has not crashed, and no longer counts against any feature. The processes
+//! that a conviction rests on are told with it, so that any node that becomes an analyst can go on asking.
+//!
 //! Requests with a convicted feature are refused. Now and then one is let through as a **trial**; if
 //! its upstream survives, the conviction is lifted.
 
 mod analyst;
+mod grounds;
 mod ledger;
 mod message;
 mod runs;
 mod survivals;
+mod trials;
 mod verdicts;
 
 use std::time::Duration;
 
 use wire::{Incarnation, Machine, Request, Time, Upstream, View, Vm, rank};
 
+use crate::inquiry::Inquiries;
+pub use crate::inquiry::Start;
 use crate::poison::Fingerprint;
 use analyst::Case;
+pub use grounds::Ground;
 use ledger::Ledger;
 pub use message::{CrashReport, Message, ReportId, Verdict};
 use runs::{Run, Runs};
 use survivals::Survivals;
+use trials::Permits;
 use verdicts::Verdicts;
 
 /// Hash of something that requests have in common.
@@ -64,9 +74,6 @@
 /// Time for which a new analyst takes no reports: it may have missed the first ones of a crash.
 const LEARNING_TIME: Duration = Duration::from_millis(1_500);
 
-/// Time for which a node may send one request with a convicted feature.
-const TRIAL_TIME: Duration = Duration::from_secs(2);
-
 /// Settings of a [`CulpritDetector`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Config {
@@ -150,6 +157,8 @@
         features: Vec<Feature>,
         /// The upstream.
         upstream: Upstream,
+        /// Its process, as far as known.
+        process: Option<Start>,
     },
     /// The upstream of a running request has survived the beginning of its answer.
     Survived {
@@ -188,6 +197,15 @@
         /// The upstream.
         upstream: Upstream,
     },
+    /// An upstream has answered [`Action::Inspect`].
+    Inspected {
+        /// The upstream.
+        upstream: Upstream,
+        /// The process that answered.
+        process: Start,
+        /// When it was asked, on a new connection.
+        asked: Time,
+    },
     /// An operator lifts a conviction.
     Lift {
         /// The feature.
@@ -228,8 +246,20 @@
         /// The message.
         message: Message,
     },
+    /// Asks an upstream which process it is, on a new connection, over any way.
+    Inspect {
+        /// The upstream.
+        upstream: Upstream,
+    },
     /// This node reports a crash, to be logged.
     Reported(CrashReport),
+    /// An upstream that was reported as crashed has not crashed, to be logged.
+    Refuted {
+        /// The upstream.
+        upstream: Upstream,
+        /// Number of crashes that are no longer counted.
+        crashes: usize,
+    },
     /// A feature was convicted, or its conviction lifted. Requests with a convicted feature that wait,
     /// or whose answers have not begun, must be ended.
     Decided(Verdict),
@@ -245,6 +275,16 @@
     told_at: Option<Time>,
 }
 
+/// A report of this node that is still sent again.
+#[derive(Clone, Debug)]
+struct OwnReport {
+    report: CrashReport,
+    /// The process that its requests were sent to, if they agree.
+    process: Option<Start>,
+    sends: u8,
+    sent_at: Time,
+}
+
 /// Detects culprits at one node. See the [module documentation](self).
 #[derive(Clone, Debug)]
 pub struct CulpritDetector {
@@ -257,13 +297,11 @@
     /// Sorted by feature.
     suspects: Vec<Suspect>,
     verdicts: Verdicts,
-    /// This node's reports that are still sent again, with the number of sends and the time of the
-    /// last one.
-    own_reports: Vec<(CrashReport, u8, Time)>,
+    own_reports: Vec<OwnReport>,
     last_report_number: u64,
-    /// Trials that this node may start, and until when.
-    trials: Vec<(Feature, Time)>,
+    permits: Permits,
     ledger: Ledger,
+    inquiries: Inquiries,
     cases: Vec<Case>,
     /// Whether the ledger has changed since the last decision.
     undecided: bool,
@@ -284,8 +322,9 @@
             verdicts: Verdicts::new(config.conviction_retention, config.max_verdicts),
             own_reports: Vec::new(),
             last_report_number: 0,
-            trials: Vec::new(),
+            permits: Permits::default(),
             ledger: Ledger::new(config.clone()),
+            inquiries: Inquiries::default(),
             cases: Vec::new(),
             undecided: false,
             announced_at: Time::ZERO,
@@ -298,7 +337,7 @@
     /// start a trial does not count.
     pub fn status(&self, now: Time, features: &[Feature]) -> Status {
         let convicted = |of: &&Feature| self.verdicts.conviction(**of).is_some();
-        let refused = |of: &&Feature| convicted(of) && !self.may_try(now, **of);
+        let refused = |of: &&Feature| convicted(of) && !self.permits.allow(now, **of, features);
         if let Some(feature) = features.iter().find(refused) {
             return Status::Convicted(*feature);
         }
@@ -317,11 +356,6 @@
         })
     }
 
-    fn may_try(&self, now: Time, feature: Feature) -> bool {
-        let mut trials = self.trials.iter();
-        trials.any(|(of, until)| *of == feature && now < *until)
-    }
-
     /// Returns whether a feature may have crashed several upstreams, and this node has not lately seen
     /// any survive it.
     fn is_suspect(&self, now: Time, feature: Feature) -> bool {
@@ -363,7 +397,7 @@
         now: Time,
         request: Request,
         features: &[Feature],
-        upstream: Upstream,
+        (upstream, process): (Upstream, Option<Start>),
         out: &mut Vec<Action>,
     ) {
         if let Status::Convicted(feature) = self.status(now, features) {
@@ -373,10 +407,10 @@
         let mut tried = features.iter().copied();
         let trial = tried.find(|of| self.verdicts.conviction(*of).is_some());
         if let Some(feature) = trial {
-            self.trials.retain(|(of, _)| *of != feature);
+            self.permits.withdraw(feature);
             self.tell_analysts(now, &Message::TrialStarted(feature), out);
         }
-        self.runs.start(now, request, upstream, features);
+        self.runs.start(now, request, (upstream, process), features);
         out.push(Action::Run { request, trial });
     }
 
@@ -457,26 +491,39 @@
             self.suspect_until(*feature, 1, now + OWN_SUSPICION_TIME);
         }
         out.push(Action::Reported(report.clone()));
-        self.tell_analysts(now, &Message::Crash(report.clone()), out);
-        self.own_reports.push((report, 1, now));
+        let own = OwnReport {
+            report,
+            process: common_process(&charged),
+            sends: 1,
+            sent_at: now,
+        };
+        self.send_report(now, &own, out);
+        self.own_reports.push(own);
+    }
+
+    fn send_report(&mut self, now: Time, own: &OwnReport, out: &mut Vec<Action>) {
+        self.tell_analysts(now, &Message::Crash(own.report.clone()), out);
+        if let Some(process) = own.process {
+            let message = Message::CrashedProcess(own.report.id.clone(), process);
+            self.tell_analysts(now, &message, out);
+        }
     }
 
     /// Sends this node's own reports again, since messages may be lost.
     fn resend_reports(&mut self, now: Time, out: &mut Vec<Action>) {
         let interval = self.config.resend_interval;
         let mut due = Vec::new();
-        for (report, sends, at) in &mut self.own_reports {
-            if now >= *at + interval {
-                *sends += 1;
-                report.age += now - *at;
-                *at = now;
-                due.push(report.clone());
+        for own in &mut self.own_reports {
+            if now >= own.sent_at + interval {
+                own.sends += 1;
+                own.report.age += now - own.sent_at;
+                own.sent_at = now;
+                due.push(own.clone());
             }
         }
-        self.own_reports
-            .retain(|(_, sends, _)| *sends < REPORT_SENDS);
-        for report in due {
-            self.tell_analysts(now, &Message::Crash(report), out);
+        self.own_reports.retain(|own| own.sends < REPORT_SENDS);
+        for own in &due {
+            self.send_report(now, own, out);
         }
     }
 
@@ -523,11 +570,13 @@
             Message::Survived(features) => self.take_survivals(now, features, out),
             Message::Suspects(suspects) => self.take_suspects(now, suspects, out),
             Message::Verdict(verdict) => self.take_verdict(now, verdict, out),
-            Message::AllowTrial(feature) => {
-                self.trials.retain(|(of, _)| *of != feature);
-                self.trials.push((feature, now + TRIAL_TIME));
-            }
+            Message::AllowTrial(feature) => self.permits.grant(now, feature, Vec::new()),
             Message::TrialStarted(feature) => self.trial_started(now, feature),
+            Message::CrashedProcess(report, process) => self.take_process(now, &report, process),
+            Message::Grounds(feature, grounds) => self.take_grounds(now, feature, grounds),
+            Message::AllowTrialWithout(feature, without) => {
+                self.permits.grant(now, feature, without);
+            }
         }
     }
 
@@ -570,12 +619,17 @@
         }
         if !was_analyst {
             self.learns_until = now + LEARNING_TIME;
+            self.reopen_inquiries(now);
         }
         let convictions: Vec<Verdict> = self.convictions(now).collect();
+        let messages: Vec<Message> = convictions
+            .iter()
+            .flat_map(|verdict| self.verdict_messages(verdict))
+            .collect();
         for to in new {
-            out.extend(convictions.iter().map(|verdict| Action::Send {
+            out.extend(messages.iter().map(|message| Action::Send {
                 to: to.clone(),
-                message: Message::Verdict(*verdict),
+                message: message.clone(),
             }));
         }
     }
@@ -586,12 +640,18 @@
         self.verdicts.expire(now);
         self.ledger.expire(now);
         self.suspects.retain(|suspect| now < suspect.until);
-        self.trials.retain(|(_, until)| now < *until);
+        self.permits.expire(now);
         self.resend_reports(now, out);
         self.analyze(now, out);
     }
 }
 
+/// Returns the process that all `runs` were sent to, if it is known and the same.
+fn common_process(runs: &[Run]) -> Option<Start> {
+    let first = runs.first()?.process;
+    first.filter(|_| runs.iter().all(|run| run.process == first))
+}
+
 /// Returns the features of `runs`, sorted, with the number of runs that have each.
 fn charges(runs: &[Run]) -> Vec<(Feature, u16)> {
     let features = runs.iter().flat_map(|run| run.features.iter().copied());
@@ -622,7 +682,11 @@
                 request,
                 features,
                 upstream,
-            } => self.dispatch(now, request, &features, upstream, out_actions),
+                process,
+            } => {
+                let upstream = (upstream, process);
+                self.dispatch(now, request, &features, upstream, out_actions);
+            }
             Event::Survived { request, began } => {
                 self.request_survived(now, request, began, out_actions);
             }
@@ -634,7 +698,13 @@
             Event::Restarted { upstream } => {
                 self.runs.restarted(&upstream);
                 self.ledger.restarted(now, &upstream);
+                self.inquiries.close(&upstream);
             }
+            Event::Inspected {
+                upstream,
+                process,
+                asked,
+            } => self.inspected(now, &upstream, (process, asked), out_actions),
             Event::Lift { feature } => self.lift(now, feature, out_actions),
             Event::Receive { from, message } => self.receive(now, &from, message, out_actions),
             Event::Tick => self.tick(now, out_actions),
@@ -644,9 +714,10 @@
 
     fn wake(&self) -> Option<Time> {
         let interval = self.config.resend_interval;
-        let reports = self.own_reports.iter().map(|(_, _, at)| *at + interval);
+        let reports = self.own_reports.iter().map(|own| own.sent_at + interval);
         let cases = self.cases.iter().filter_map(Case::wake);
         let decision = self.undecided.then_some(Time::ZERO);
-        reports.chain(cases).chain(decision).min()
+        let inquiries = self.inquiries.wake();
+        reports.chain(cases).chain(decision).chain(inquiries).min()
     }
 }
--- a/crates/dispatch/src/culprit/runs.rs
+++ b/crates/dispatch/src/culprit/runs.rs
@@ -4,7 +4,7 @@
 
 use wire::{Request, Time, Upstream};
 
-use super::Feature;
+use super::{Feature, Start};
 
 /// Time within which it must be known whether an upstream that broke a request off has crashed.
 const CRASH_CHECK_TIMEOUT: Duration = Duration::from_secs(2);
@@ -16,6 +16,8 @@
     /// Sorted.
     pub features: Vec<Feature>,
     pub upstream: Upstream,
+    /// The process that was listed when it was sent.
+    pub process: Option<Start>,
     started_at: Time,
     /// Whether the upstream has outlived the beginning of the answer.
     pub survived: bool,
@@ -50,12 +52,19 @@
         self.runs.get_mut(index)
     }
 
-    pub fn start(&mut self, now: Time, request: Request, upstream: Upstream, features: &[Feature]) {
+    pub fn start(
+        &mut self,
+        now: Time,
+        request: Request,
+        (upstream, process): (Upstream, Option<Start>),
+        features: &[Feature],
+    ) {
         let index = self.runs.partition_point(|run| run.request < request);
         let run = Run {
             request,
             features: features.to_vec(),
             upstream,
+            process,
             started_at: now,
             survived: false,
             connection_lost_at: None,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod attempt;
 pub mod culprit;
 pub mod health;
+mod inquiry;
 pub mod outcome;
 pub mod poison;
 pub mod retry;
--- a/crates/dispatch/tests/crash_counting.rs
+++ b/crates/dispatch/tests/crash_counting.rs
@@ -178,6 +178,7 @@
         request,
         features: features.to_vec(),
         upstream: "engine-0".into(),
+        process: None,
     }
 }
 
--- a/crates/dispatch/tests/outage/mod.rs
+++ b/crates/dispatch/tests/outage/mod.rs
@@ -343,6 +343,7 @@
                 request,
                 features,
                 upstream,
+                process: None,
             },
         );
     }
@@ -480,7 +481,7 @@
                     self.cancel(node, verdict.feature);
                 }
             }
-            Action::Reported(_) => {}
+            Action::Reported(_) | Action::Inspect { .. } | Action::Refuted { .. } => {}
         }
     }
 }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -21,6 +21,30 @@
     call: dialect::Call,
     limit: Duration,
     wanted: impl FnOnce() -> bool,
+) -> Result<Response<Bytes>, Error> {
+    // Reads may be repeated, and so may orders, since they name the state that they ask for.
+    send_by(link, call, Reuse::Kept, limit, wanted).await
+}
+
+/// Sends one call on a new connection and reads the whole answer, as [`send`] does.
+///
+/// # Errors
+///
+/// Returns the link's error.
+pub(crate) async fn send_anew(
+    link: &Link,
+    call: dialect::Call,
+    limit: Duration,
+) -> Result<Response<Bytes>, Error> {
+    send_by(link, call, Reuse::Fresh, limit, || true).await
+}
+
+async fn send_by(
+    link: &Link,
+    call: dialect::Call,
+    reuse: Reuse,
+    limit: Duration,
+    wanted: impl FnOnce() -> bool,
 ) -> Result<Response<Bytes>, Error> {
     let mut request = Request::builder().method(call.method).uri(call.path);
     for (name, value) in call.headers {
@@ -34,8 +58,7 @@
         })?;
     let call = Call {
         class: Class::Control,
-        // Reads may be repeated, and so may orders, since they name the state that they ask for.
-        reuse: Reuse::Kept,
+        reuse,
         host: Host::Upstream,
         head: Some(limit),
         request,
--- a/crates/gateway/src/control/engines.rs
+++ b/crates/gateway/src/control/engines.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dispatch::culprit;
 use exchange::owner::{self, Answer, Order};
 use log::info;
 use node::journal::DECISION;
@@ -10,7 +11,7 @@
 use upstream::link::Link;
 use wire::{Fence, Upstream};
 
-use crate::call::send;
+use crate::call::{send, send_anew};
 use crate::dialect::Dialect;
 use crate::hub::Hub;
 
@@ -108,6 +109,28 @@
     }
 }
 
+/// Asks an upstream that was reported as crashed which process it is. A new connection brings no late
+/// answer to an earlier question.
+pub async fn identify<D: Dialect>(hub: Arc<Hub<D>>, runner: Upstream) {
+    let Some(link) = control_link(&hub, &runner) else {
+        return;
+    };
+    let asked = hub.clock.now();
+    let call = hub.dialect.inspection(&runner);
+    let Ok(answer) = send_anew(&link, call, ANSWER).await else {
+        return;
+    };
+    hub.take_word(&runner, hub.dialect.word(answer.status(), answer.headers()));
+    let process = hub.dialect.born(answer.body());
+    if let Some(process) = process.filter(|_| answer.status().is_success()) {
+        hub.track(culprit::Event::Inspected {
+            upstream: runner,
+            process,
+            asked,
+        });
+    }
+}
+
 fn control_link<D: Dialect>(hub: &Arc<Hub<D>>, runner: &Upstream) -> Option<Link> {
     let (address, pool) = {
         let desk = hub.desk();
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -209,7 +209,11 @@
         self.show();
         let wall = self.hub.wall();
         self.hub.drive(owner::Event::Tick { wall_seconds: wall });
-        self.hub.track(culprit::Event::Tick);
+        for action in self.hub.track(culprit::Event::Tick) {
+            if let culprit::Action::Inspect { upstream } = action {
+                tokio::spawn(engines::identify(self.hub.clone(), upstream));
+            }
+        }
         self.hub.tick_transfer();
         self.hub.tick_origins();
         self.hub.tick_paths();
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -260,6 +260,10 @@
     /// Returns [`Malformed`] where it is not one.
     fn report(&self, body: &[u8]) -> Result<Report, Malformed>;
 
+    /// Returns the start of the process that wrote a report, in milliseconds since the Unix epoch, if
+    /// stated. Plain services may answer [`Dialect::inspection`] as well.
+    fn born(&self, report: &[u8]) -> Option<u64>;
+
     /// Returns the calls that list every kind of entry, each going on after the key where one is
     /// given.
     fn listing(&self, part: usize, after: Option<&str>) -> Option<Call>;
--- a/crates/gateway/src/hub/culprit.rs
+++ b/crates/gateway/src/hub/culprit.rs
@@ -66,10 +66,12 @@
     /// Records that a request is about to be sent to an upstream, unless it is refused.
     pub fn begin(&self, features: &[Feature], upstream: &Upstream) -> Option<Permit> {
         let request = self.next_request.fetch_add(1, Ordering::Relaxed);
+        let process = self.listed(upstream, |listing| listing.born).flatten();
         let actions = self.track(Event::Dispatch {
             request,
             features: features.to_vec(),
             upstream: upstream.clone(),
+            process,
         });
         actions.into_iter().find_map(|action| match action {
             Action::Run { request, trial } => Some(Permit {
@@ -101,7 +103,10 @@
                         .set(self.convictions().len() as i64);
                     self.verdicts.send_replace(());
                 }
-                Action::Run { .. } | Action::Refuse { .. } => {}
+                Action::Refuted { upstream, crashes } => {
+                    info!(target: DECISION, upstream:%, crashes; "crash-refuted");
+                }
+                Action::Run { .. } | Action::Refuse { .. } | Action::Inspect { .. } => {}
             }
         }
         actions
