Refute crashes that were none on the product's own front

Callers saw: a prompt stayed suspected, and after two reports refused, for an hour, since links to engines were reset while it ran and the node that had reported the crash was killed before it learned better. Cause: only the reporter could take a report back, and it did so only by a request of its own. The start is asked for before the first request.

--- a/crates/dispatch/src/poison/mod.rs
+++ b/crates/dispatch/src/poison/mod.rs
@@ -11,6 +11,10 @@
 //! beside it. The node that owns the upstream grants one permit at a time. A suspect that crashes
 //! its isolation upstream is convicted, and the crash is not attributed to the requests beside it.
 //!
+//! Partitions that reset connections look like crashes. Where nobody has told of a crash, the upstream is asked which
+//! process it is, by the node that reported it and by others once that one is gone; if it is the one that was
+//! reported, the reports are cleared.
+//!
 //! Crash reports are sent to all nodes. A few nodes, chosen by rendezvous hashing, keep those of each
 //! fingerprint for nodes that start later.
 //!
@@ -19,6 +23,7 @@
 
 mod fingerprint;
 mod permit;
+mod refutation;
 mod replication;
 mod report;
 
@@ -27,8 +32,10 @@
 use serde::{Deserialize, Serialize};
 use wire::{Incarnation, Machine, Request, Time, Upstream, View, Vm, rank};
 
+use crate::inquiry::{Inquiries, Start};
 pub use fingerprint::{Fingerprint, fingerprint};
 use permit::Permit;
+use refutation::Doubt;
 use report::ReportStore;
 pub use report::{CrashReport, ReportId};
 
@@ -121,6 +128,25 @@
         /// The upstream.
         upstream: Upstream,
     },
+    /// Nobody has told of the crash of an upstream that this node reports from `since` on: the process that it
+    /// knew may still run.
+    Doubted {
+        /// The upstream.
+        upstream: Upstream,
+        /// The process.
+        process: Start,
+        /// When it was thought to have crashed.
+        since: Time,
+    },
+    /// An upstream has answered [`Action::Inspect`].
+    Inspected {
+        /// The upstream.
+        upstream: Upstream,
+        /// The process that answered.
+        process: Start,
+        /// When it was asked.
+        asked: Time,
+    },
     /// A message from another node.
     Receive {
         /// Its sender.
@@ -169,6 +195,18 @@
         /// The message.
         message: Message,
     },
+    /// Asks an upstream which process it is, over any way.
+    Inspect {
+        /// The upstream.
+        upstream: Upstream,
+    },
+    /// An upstream that was reported as crashed has not crashed, to be logged.
+    Refuted {
+        /// The upstream.
+        upstream: Upstream,
+        /// Number of reports that no longer count.
+        reports: usize,
+    },
     /// A new crash report was recorded, to be logged.
     CrashReported {
         /// The report.
@@ -190,7 +228,7 @@
 pub enum Message {
     /// A crash report, possibly sent before.
     CrashReport(CrashReport),
-    /// Clears reports, since a request with their fingerprint finished.
+    /// Clears reports, since a request with their fingerprint finished, or their crash was none.
     Clear {
         /// The reports.
         reports: Vec<ReportId>,
@@ -223,6 +261,8 @@
         /// Remaining time; zero if the upstream is free again.
         left: Duration,
     },
+    /// Tells which process was reported as crashed.
+    CrashedProcess(ReportId, Start),
 }
 
 /// A request that was sent to an upstream.
@@ -264,6 +304,9 @@
     /// the last one.
     own_reports: Vec<(CrashReport, u8, Time)>,
     last_report_number: u64,
+    /// Crashes that this node reports and nobody has told of.
+    doubts: Vec<Doubt>,
+    inquiries: Inquiries,
     /// When the permits of isolated local requests are renewed next.
     next_renewal: Time,
 }
@@ -282,6 +325,8 @@
             reservations: Vec::new(),
             own_reports: Vec::new(),
             last_report_number: 0,
+            doubts: Vec::new(),
+            inquiries: Inquiries::default(),
             next_renewal: Time::ZERO,
         }
     }
@@ -374,7 +419,7 @@
             Message::CrashReport(report) => {
                 self.record_report(now, report, out);
             }
-            Message::Clear { reports } => self.reports.clear(now, &reports),
+            Message::Clear { reports } => self.clear_here(now, &reports, out),
             Message::RequestPermit { upstream, request } => {
                 self.permit_requested(now, from, upstream, request, out);
             }
@@ -385,6 +430,7 @@
                 self.permit_released(now, from, &upstream, request, out);
             }
             Message::Reserve { upstream, left } => self.set_reservation(now, upstream, left),
+            Message::CrashedProcess(report, process) => self.take_process(now, &report, process),
         }
     }
 
@@ -409,27 +455,41 @@
         }
     }
 
-    /// Clears a fingerprint's reports on every node that has them because a request with it
-    /// finished.
+    /// Clears a fingerprint's reports because a request with it finished.
     fn clear_finished(&mut self, now: Time, fingerprint: Fingerprint, out: &mut Vec<Action>) {
         let reports = self.reports.open_ids(fingerprint);
-        if reports.is_empty() {
-            return;
+        if !reports.is_empty() {
+            self.clear(now, reports, out);
         }
-        let recipients = self.recipients();
-        self.reports.clear(now, &reports);
+    }
+
+    /// Clears reports on every node that has them.
+    fn clear(&mut self, now: Time, reports: Vec<ReportId>, out: &mut Vec<Action>) {
+        self.clear_here(now, &reports, out);
         self.own_reports
-            .retain(|(report, _, _)| report.fingerprint != fingerprint);
+            .retain(|(report, _, _)| !reports.contains(&report.id));
+        let recipients = self.recipients();
         let message = Message::Clear { reports };
         out.extend(recipients.into_iter().map(|to| Action::Send {
             to,
             message: message.clone(),
         }));
-        let status = FingerprintStatus::Clear;
-        out.push(Action::StatusChanged {
-            fingerprint,
-            status,
-        });
+    }
+
+    /// Clears reports on this node.
+    fn clear_here(&mut self, now: Time, reports: &[ReportId], out: &mut Vec<Action>) {
+        let fingerprints = self.reports.fingerprints(reports);
+        let former: Vec<_> = fingerprints.iter().map(|of| self.status(*of)).collect();
+        self.reports.clear(now, reports);
+        for (fingerprint, former) in fingerprints.into_iter().zip(former) {
+            let status = self.status(fingerprint);
+            if status != former {
+                out.push(Action::StatusChanged {
+                    fingerprint,
+                    status,
+                });
+            }
+        }
     }
 
     fn connection_lost(&mut self, now: Time, request: Request) {
@@ -475,6 +535,7 @@
             self.record_report(now, report, out);
             self.send_reports(now, run.fingerprint, out);
         }
+        self.tell_processes(now, upstream, out);
         for run in affected.into_iter().filter(|run| run.isolated) {
             self.release_permit(now, run.upstream, run.request, out);
         }
@@ -541,6 +602,7 @@
         self.reservations.retain(|(_, until)| now < *until);
         self.review_waiters(now, out);
         self.resend_own_reports(now, out);
+        self.inquire(now, out);
         self.request_permits(now, out);
         for index in 0..self.permits.len() {
             self.tick_permit(now, index, out);
@@ -579,6 +641,16 @@
                 self.upstream_still_running(now, &upstream, &mut actions);
             }
             Event::Crashed { upstream } => self.upstream_crashed(now, &upstream, &mut actions),
+            Event::Doubted {
+                upstream,
+                process,
+                since,
+            } => self.doubt(now, Doubt::new(upstream, process, since), &mut actions),
+            Event::Inspected {
+                upstream,
+                process,
+                asked,
+            } => self.inspected(now, &upstream, (process, asked), &mut actions),
             Event::Receive { from, message } => self.receive(now, &from, message, &mut actions),
             Event::Tick => self.tick(now, &mut actions),
         }
@@ -601,6 +673,7 @@
             resend.map(|at| at + interval),
             permits,
             self.reports.next_expiry(),
+            self.inquiries.wake(),
         ];
         timers.into_iter().flatten().min()
     }
--- a/crates/dispatch/src/poison/replication.rs
+++ b/crates/dispatch/src/poison/replication.rs
@@ -9,7 +9,7 @@
 
 impl PoisonDetector {
     /// Returns the nodes that keep the reports of a fingerprint.
-    fn replicas(view: &View, fingerprint: Fingerprint) -> Vec<&Vm> {
+    pub(super) fn replicas(view: &View, fingerprint: Fingerprint) -> Vec<&Vm> {
         let live = view.live().map(|peer| &peer.incarnation.vm);
         rank::top(rank::hash(fingerprint.to_le_bytes()), live, REPORT_REPLICAS)
     }
@@ -48,8 +48,7 @@
             .retain(|(_, sends, _)| *sends < OWN_REPORT_SENDS);
         for report in due {
             for to in self.recipients() {
-                let message = Message::CrashReport(report.clone());
-                out.push(Action::Send { to, message });
+                self.send_report(to, report.clone(), out);
             }
         }
     }
@@ -60,17 +59,26 @@
         let peers = view.peers().iter().map(|p| &p.incarnation);
         let new = peers.filter(|i| **i != self.me && !self.view.knows(i));
         let new: Vec<Incarnation> = new.cloned().collect();
-        self.view = view;
+        let former = std::mem::replace(&mut self.view, view);
+        self.take_over_inquiries(now, &former);
         for incarnation in new {
             let reports = self.reports.open_reports(now);
             let due = reports.filter(|report| self.is_responsible(report));
-            out.extend(due.map(|report| Action::Send {
-                to: incarnation.vm.clone(),
-                message: Message::CrashReport(report),
-            }));
+            due.for_each(|report| self.send_report(incarnation.vm.clone(), report, out));
         }
     }
 
+    /// Sends a report, and the process that was reported where it is known.
+    fn send_report(&self, to: Vm, report: CrashReport, out: &mut Vec<Action>) {
+        let process = self.reports.process(&report.id);
+        let process = process.map(|process| Message::CrashedProcess(report.id.clone(), process));
+        let messages = [Message::CrashReport(report)].into_iter().chain(process);
+        out.extend(messages.map(|message| Action::Send {
+            to: to.clone(),
+            message,
+        }));
+    }
+
     /// Returns whether this node sends a report to new nodes.
     fn is_responsible(&self, report: &CrashReport) -> bool {
         let replicas = Self::replicas(&self.view, report.fingerprint);
--- a/crates/dispatch/src/poison/report.rs
+++ b/crates/dispatch/src/poison/report.rs
@@ -6,6 +6,7 @@
 use wire::{Incarnation, Time, Upstream};
 
 use super::{Config, Fingerprint};
+use crate::inquiry::Start;
 
 /// ID of a crash report.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -36,7 +37,9 @@
     report: CrashReport,
     crashed_at: Time,
     kept_until: Time,
-    /// Whether a request with the fingerprint finished after the crash.
+    /// The process that was reported, as far as told.
+    process: Option<Start>,
+    /// Whether a request with the fingerprint finished after the crash, or it was none.
     cleared: bool,
 }
 
@@ -79,6 +82,7 @@
             crashed_at: now.saturating_sub(report.age),
             kept_until: now + self.config.report_retention,
             report,
+            process: None,
             cleared: false,
         };
         let fingerprint = entry.report.fingerprint;
@@ -147,6 +151,65 @@
         open.map(|entry| entry.report.id.clone()).collect()
     }
 
+    /// Returns the IDs of the reports by `reporter` of crashes of `upstream` since `since` that have not been
+    /// cleared.
+    pub fn open_since(
+        &self,
+        reporter: &Incarnation,
+        upstream: &Upstream,
+        since: Time,
+    ) -> Vec<ReportId> {
+        let found = self.entries.iter().filter(|entry| {
+            !entry.cleared
+                && entry.report.id.reporter == *reporter
+                && entry.report.upstream == *upstream
+                && entry.crashed_at >= since
+        });
+        found.map(|entry| entry.report.id.clone()).collect()
+    }
+
+    /// Records which process was reported. Returns the report if it is known and has not been cleared.
+    pub fn identify(&mut self, id: &ReportId, process: Start) -> Option<&CrashReport> {
+        let of = |entry: &&mut Entry| entry.report.id == *id && !entry.cleared;
+        let entry = self.entries.iter_mut().find(of)?;
+        entry.process = Some(process);
+        Some(&entry.report)
+    }
+
+    /// Returns the process of a report, if it is known.
+    pub fn process(&self, id: &ReportId) -> Option<Start> {
+        let entry = self.entries.iter().find(|entry| entry.report.id == *id)?;
+        entry.process
+    }
+
+    /// Returns the reports of known processes that have not been cleared.
+    pub fn identified(&self) -> impl Iterator<Item = &CrashReport> {
+        let open = self.entries.iter();
+        let open = open.filter(|entry| !entry.cleared && entry.process.is_some());
+        open.map(|entry| &entry.report)
+    }
+
+    /// Returns the IDs of the reports of crashes of a process before `asked` that have not been cleared.
+    pub fn open_of(&self, upstream: &Upstream, process: Start, asked: Time) -> Vec<ReportId> {
+        let found = self.entries.iter().filter(|entry| {
+            !entry.cleared
+                && entry.process == Some(process)
+                && entry.report.upstream == *upstream
+                && entry.crashed_at < asked
+        });
+        found.map(|entry| entry.report.id.clone()).collect()
+    }
+
+    /// Returns the fingerprints of reports, sorted, each once.
+    pub fn fingerprints(&self, ids: &[ReportId]) -> Vec<Fingerprint> {
+        let known = self.entries.iter();
+        let known = known.filter(|entry| ids.contains(&entry.report.id));
+        let mut fingerprints: Vec<Fingerprint> =
+            known.map(|entry| entry.report.fingerprint).collect();
+        fingerprints.dedup();
+        fingerprints
+    }
+
     /// Clears reports. They are kept, so that they stay cleared if they are received again.
     pub fn clear(&mut self, now: Time, ids: &[ReportId]) {
         for entry in &mut self.entries {
--- a/crates/dispatch/tests/region/mod.rs
+++ b/crates/dispatch/tests/region/mod.rs
@@ -347,7 +347,10 @@
                     self.push(delay, Step::Deliver(target, from, message));
                 }
             }
-            Action::CrashReported { .. } | Action::StatusChanged { .. } => {}
+            Action::CrashReported { .. }
+            | Action::StatusChanged { .. }
+            | Action::Inspect { .. }
+            | Action::Refuted { .. } => {}
         }
     }
 }
--- a/crates/hyssopscale/tests/cut_node.rs
+++ b/crates/hyssopscale/tests/cut_node.rs
@@ -14,6 +14,7 @@
 use standin::caller::{Caller, Entry};
 use standin::checker::{Outcome, What};
 use standin::fleet::{self, Fleet, Place};
+use standin::schedule::Nodes;
 use support::{Cluster, SOUND, site_config};
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -33,6 +34,9 @@
 const CUTS: usize = 3;
 const CUT: Duration = Duration::from_secs(3);
 
+/// Time from the death of a node in which the others do what it did.
+const HANDOVER: Duration = Duration::from_secs(8);
+
 /// Pause between the calls of one caller.
 const PACE: Duration = Duration::from_millis(50);
 
@@ -42,11 +46,18 @@
 /// Returns an address for a node; cases that run at the same time get others.
 fn own_address(case: u8, node: usize) -> IpAddr {
     let [.., high, low] = std::process::id().to_be_bytes();
-    Ipv4Addr::new(127, low | 1, high << 3 | case, node as u8 + 1).into()
+    Ipv4Addr::new(127, low | 1, high << 4 | case, node as u8 + 1).into()
 }
 
-/// Gives each node an address of its own, and puts a path before each upstream.
-async fn rearrange(fleet: &mut Fleet, case: u8, faults: &watch::Receiver<Faults>) -> Vec<Path> {
+/// Gives each node an address of its own, and puts a path before each upstream. Those before plain services
+/// fail as `services` says, those before engines as `engines` says.
+async fn rearrange(
+    fleet: &mut Fleet,
+    case: u8,
+    engines: &watch::Receiver<Faults>,
+    services: &watch::Receiver<Faults>,
+) -> Vec<Path> {
+    let engine_pool = site_config().engine_pool;
     for (number, place) in fleet.places.iter_mut().enumerate() {
         let own = own_address(case, number);
         place.callers.set_ip(own);
@@ -56,7 +67,12 @@
     let mut members: Vec<Member> = fleet.places.iter().map(listed).collect();
     let mut paths = Vec::new();
     for mut member in fleet.site.platform.state().members().members {
-        if let Role::Runner { address, .. } = &mut member.role {
+        if let Role::Runner { address, pool, .. } = &mut member.role {
+            let faults = if *pool == engine_pool {
+                engines
+            } else {
+                services
+            };
             let path = Path::start(*address, faults.clone()).await;
             *address = path.address();
             paths.push(path);
@@ -158,7 +174,7 @@
         ..fleet::Config::default()
     };
     let mut fleet = Fleet::start(config).await.expect("a fleet");
-    let _paths = rearrange(&mut fleet, case, &seen).await;
+    let _paths = rearrange(&mut fleet, case, &seen, &seen).await;
     let cluster = Cluster::start_over(fleet, SOUND).await;
     let caller = Caller::new("c1", HeaderMap::new(), Duration::from_secs(10));
     let prefix = cluster.key_prefix(&caller).await;
@@ -235,11 +251,95 @@
 }
 
 /// Guards against a sound prompt that is refused for good, since all links to all engines were reset while
-/// it ran there.
+/// it ran there; those to plain services were reset as well, or not.
 #[rstest]
+#[case::all(6, true)]
+#[case::engines(7, false)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn reset_links_convict_no_prompt(#[case] case: u8, #[case] services: bool) {
+    let (faults, seen) = watch::channel(Faults::new());
+    let sound = watch::Sender::new(Faults::new());
+    let seen_by_services = if services {
+        seen.clone()
+    } else {
+        sound.subscribe()
+    };
+    let (cluster, _paths) = warm_cluster(case, &seen, &seen_by_services).await;
+    let entries = cluster.entries();
+    let all = (0..NODES).map(|node| (own_address(case, node), Fault::Reset));
+    for _ in 0..CUTS {
+        let asking = entries.iter().cloned().map(|entry| {
+            tokio::spawn(async move { patient().ask(&entry, prompt("the same")).await })
+        });
+        let asking: Vec<_> = asking.collect();
+        sleep(Duration::from_millis(300)).await;
+        faults.send_replace(all.clone().collect());
+        sleep(CUT).await;
+        faults.send_replace(Faults::new());
+        for task in asking {
+            task.await.expect("no panic");
+        }
+        sleep(STABLE).await;
+    }
+    assert_answered(&entries).await;
+}
+
+/// Guards against a sound prompt that stays suspected, since the node that reported a crash which was none was
+/// killed before it learned better.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn reset_links_convict_no_prompt() {
+async fn lost_reporter_leaves_no_suspicion() {
+    let case = 8;
     let (faults, seen) = watch::channel(Faults::new());
+    let sound = watch::Sender::new(Faults::new());
+    let (mut cluster, _paths) = warm_cluster(case, &seen, &sound.subscribe()).await;
+    let all = (0..NODES).map(|node| (own_address(case, node), Fault::Reset));
+    let entry = cluster.entries().swap_remove(0);
+    let asking = tokio::spawn(async move { patient().ask(&entry, prompt("the same")).await });
+    sleep(Duration::from_millis(300)).await;
+    faults.send_replace(all.collect());
+    sleep(CUT).await;
+    assert_eq!(standings(&cluster), ["Suspect"; NODES - 1]);
+    cluster.processes.kill(0).await;
+    faults.send_replace(Faults::new());
+    asking.await.expect("no panic");
+    sleep(HANDOVER).await;
+    assert_eq!(standings(&cluster), ["Clear"; NODES - 1]);
+}
+
+/// Returns what each node but the first last logged of the prompt.
+fn standings(cluster: &Cluster) -> Vec<String> {
+    let logs = cluster.processes.logs();
+    let standing = |node: usize| {
+        let log = std::fs::read_to_string(logs.join(format!("vm-{node}-1.log"))).expect("a log");
+        let mut lines = log.lines().filter(|line| line.contains(" suspicion "));
+        let last = lines
+            .next_back()
+            .and_then(|line| line.split("standing=").nth(1));
+        last.unwrap_or_default().to_owned()
+    };
+    (2..=NODES).map(standing).collect()
+}
+
+fn prompt(prompt: &str) -> What {
+    What::Completion {
+        model: "fit-1@v1".into(),
+        prompt: prompt.into(),
+        tokens: 200,
+        priority: Priority::Normal,
+    }
+}
+
+fn patient() -> Caller {
+    Caller::new("c1", HeaderMap::new(), Duration::from_secs(10))
+}
+
+/// Starts nodes before upstreams that fail as these say, and asks each node for a completion: the first ones may
+/// have to wait for their model.
+async fn warm_cluster(
+    case: u8,
+    engines: &watch::Receiver<Faults>,
+    services: &watch::Receiver<Faults>,
+) -> (Cluster, Vec<Path>) {
     let config = fleet::Config {
         nodes: NODES,
         site: site_config(),
@@ -247,34 +347,19 @@
         ..fleet::Config::default()
     };
     let mut fleet = Fleet::start(config).await.expect("a fleet");
-    let _paths = rearrange(&mut fleet, 6, &seen).await;
+    let paths = rearrange(&mut fleet, case, engines, services).await;
     let cluster = Cluster::start_over(fleet, SOUND).await;
-    let prompt = |prompt: &str| What::Completion {
-        model: "fit-1@v1".into(),
-        prompt: prompt.into(),
-        tokens: 200,
-        priority: Priority::Normal,
-    };
-    let caller = || Caller::new("c1", HeaderMap::new(), Duration::from_secs(10));
-    let entries = cluster.entries();
-    for (number, entry) in entries.iter().enumerate().take(CUTS) {
-        // The first ones may have to wait for their model.
+    for (number, entry) in cluster.entries().iter().enumerate() {
         let other = prompt(&format!("other {number}"));
-        caller().ask(entry, other).await;
+        patient().ask(entry, other).await;
     }
-    let all = (0..NODES).map(|node| (own_address(6, node), Fault::Reset));
-    for entry in entries.iter().take(CUTS) {
-        let (entry, same) = (entry.clone(), prompt("the same"));
-        let asking = tokio::spawn(async move { caller().ask(&entry, same).await });
-        sleep(Duration::from_millis(300)).await;
-        faults.send_replace(all.clone().collect());
-        sleep(CUT).await;
-        faults.send_replace(Faults::new());
-        asking.await.expect("no panic");
-        sleep(STABLE).await;
-    }
-    for entry in &entries {
-        let outcome = caller().ask(entry, prompt("the same")).await.outcome;
+    (cluster, paths)
+}
+
+/// Fails where a prompt that links were reset under is not answered.
+async fn assert_answered(entries: &[Entry]) {
+    for entry in entries {
+        let outcome = patient().ask(entry, prompt("the same")).await.outcome;
         assert!(matches!(outcome, Outcome::Answered(_)), "{outcome:?}");
     }
 }
--- a/crates/node/src/core/orders.rs
+++ b/crates/node/src/core/orders.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dispatch::poison;
 use logic::Event;
 use placement::event::{Failure, Instance, WeightsPath};
 use tokio::sync::oneshot;
@@ -20,6 +21,9 @@
 /// Polls in a row that fail before an engine counts as out of reach.
 const POLL_FAILURES: u32 = 3;
 
+/// Limit for the answer which process an engine is; several round trips.
+const IDENTIFY_LIMIT: Duration = Duration::from_millis(500);
+
 /// A load to be ordered.
 pub(super) struct Load {
     pub upstream: Upstream,
@@ -78,6 +82,26 @@
     });
 }
 
+/// Asks an engine that was reported as crashed which process it is, in a task of its own.
+pub(super) fn identify(shared: &Arc<Shared>, handle: &Handle, upstream: Upstream) {
+    let directory = shared.directory.load();
+    let Some(runner) = directory.runner(&upstream).cloned() else {
+        return;
+    };
+    let (clock, handle) = (shared.clock, handle.clone());
+    tokio::spawn(async move {
+        let asked = clock.now();
+        if let Ok(Ok(process)) = tokio::time::timeout(IDENTIFY_LIMIT, runner.start()).await {
+            let inspected = poison::Event::Inspected {
+                upstream,
+                process,
+                asked,
+            };
+            handle.send(Input::Logic(Event::Poison(inspected)));
+        }
+    });
+}
+
 /// Orders an unload in a task of its own.
 pub(super) fn unload(shared: &Arc<Shared>, handle: &Handle, order: Unload) {
     let (shared, handle) = (shared.clone(), handle.clone());
--- a/crates/node/src/core/perform.rs
+++ b/crates/node/src/core/perform.rs
@@ -299,7 +299,9 @@
     }
 
     fn perform_poison(&mut self, action: poison::Action) {
-        use poison::Action::{Busy, CrashReported, Refuse, Reroute, Run, Send, StatusChanged};
+        use poison::Action::{
+            Busy, CrashReported, Inspect, Refuse, Refuted, Reroute, Run, Send, StatusChanged,
+        };
         let (request, vetted) = match action {
             Run { request, .. } => (request, Vetted::Run),
             Reroute { request } => (request, Vetted::Elsewhere),
@@ -308,6 +310,14 @@
                 request,
                 retry_after,
             } => (request, Vetted::Busy { retry_after }),
+            Inspect { upstream } => {
+                orders::identify(&self.shared, &self.handle, upstream);
+                return;
+            }
+            Refuted { upstream, reports } => {
+                decision::refuted(&upstream, reports);
+                return;
+            }
             CrashReported { report, crashes } => {
                 decision::charge(&report, crashes);
                 return;
--- a/crates/node/src/decision.rs
+++ b/crates/node/src/decision.rs
@@ -209,6 +209,11 @@
     );
 }
 
+/// Logs that the process of an upstream runs on that was reported as crashed.
+pub fn refuted(upstream: &wire::Upstream, reports: usize) {
+    info!(target: DECISION, upstream:%, reports; "crash-refuted");
+}
+
 /// Logs what is believed of a request's fingerprint now.
 pub fn poison(print: dispatch::poison::Fingerprint, standing: dispatch::poison::FingerprintStatus) {
     info!(target: DECISION, print, standing:?; "suspicion");
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -7,6 +7,7 @@
 
 use platform::{List, Member, Role};
 use settings::{Driver, Settings};
+use upstream::engine::Engine;
 use upstream::relay::Router;
 use upstream::{Limits, engine, service};
 use wire::{Upstream, Vm, Zone};
@@ -72,6 +73,21 @@
         Flight(self.in_flight.clone())
     }
 
+    /// Asks it for the number of its process's start.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it gives no such answer. A plain service tells no number.
+    pub async fn start(&self) -> Result<u64, upstream::Error> {
+        match &self.link {
+            Link::Engine(engine) => engine.start().await,
+            Link::Service(_) => Err(upstream::Error::Invalid {
+                upstream: self.id.clone(),
+                cause: "a plain service tells no start number".to_owned(),
+            }),
+        }
+    }
+
     /// Returns the number of this node's calls in progress on it.
     pub fn load(&self) -> usize {
         self.in_flight.load(Ordering::Relaxed)
@@ -98,7 +114,8 @@
 impl Directory {
     /// Makes the directory that `list` tells; upstreams that were known already keep their drivers.
     ///
-    /// Connections to them are opened by `router`. Members of other regions, and of pools that the settings do not name, are left out.
+    /// Connections to them are opened by `router`. Members of other regions, and of pools that the settings do not
+    /// name, are left out.
     pub fn from_list(list: &List, settings: &Settings, router: &Arc<Router>, known: &Self) -> Self {
         let mut directory = Self::default();
         let here = list
--- a/crates/node/src/front/gate.rs
+++ b/crates/node/src/front/gate.rs
@@ -10,7 +10,6 @@
 use dispatch::poison::{self, Fingerprint};
 use dispatch::retry::Failure;
 use hyper::StatusCode;
-use upstream::engine::Engine;
 use upstream::relay::Verdict;
 use upstream::{Error, Phase, Reach};
 use wire::{Priority, Request, Time, Upstream};
@@ -23,6 +22,9 @@
 use crate::paths::show_upstreams;
 use crate::shared::Shared;
 
+/// Limit for the question which process runs, before the first request to it; several round trips.
+const BOOT_LIMIT: Duration = Duration::from_millis(200);
+
 /// Limit for one look at an upstream that may have crashed.
 const CRASH_CHECK: Duration = Duration::from_millis(500);
 
@@ -182,27 +184,14 @@
     }
 }
 
-/// Notes the engine's start number, where it is not known yet, to recognize a crash by.
-pub(super) fn note_boot(runner: &Runner) {
+/// Asks the engine for its start number, where it is not known yet, to recognize a crash by.
+pub(super) async fn know_boot(runner: &Runner) {
     if runner.boot.load(Ordering::Relaxed) != 0 {
         return;
     }
-    let runner = runner.clone();
-    tokio::spawn(async move {
-        if let Ok(start) = start(&runner).await {
-            let boot = &runner.boot;
-            let _ = boot.compare_exchange(0, start, Ordering::Relaxed, Ordering::Relaxed);
-        }
-    });
-}
-
-async fn start(runner: &Runner) -> Result<u64, Error> {
-    match &runner.link {
-        Link::Engine(engine) => engine.start().await,
-        Link::Service(_) => Err(Error::Invalid {
-            upstream: runner.id.clone(),
-            cause: "a plain service tells no start number".to_owned(),
-        }),
+    if let Ok(Ok(start)) = tokio::time::timeout(BOOT_LIMIT, runner.start()).await {
+        let boot = &runner.boot;
+        let _ = boot.compare_exchange(0, start, Ordering::Relaxed, Ordering::Relaxed);
     }
 }
 
@@ -217,38 +206,36 @@
 /// Tells whether an upstream has crashed that broke an attempt off.
 ///
 /// A refused connection is a crash, unless a peer reaches the upstream or this node reaches none.
-/// Otherwise an engine has to say so: the same start number is none, another one is a crash, and so is
-/// silence up to [`CRASH_DECISION`]. A proxy or a VM that hangs hides a refused connection, and a
+/// An engine of which no process was known did not answer before the request either: it is this node that
+/// did not reach it. Otherwise an engine has to say so: the same start number is none, another one is a crash,
+/// and so is silence up to [`CRASH_DECISION`]. A proxy or a VM that hangs hides a refused connection, and a
 /// restart takes its time.
 async fn fate(shared: &Shared, runner: &Runner) -> Fate {
     let known = runner.boot.load(Ordering::Relaxed);
+    let tells_start = matches!(runner.link, Link::Engine(_));
+    if tells_start && known == 0 {
+        return Fate::Alive;
+    }
     show_upstreams(shared);
     let router = &shared.router;
     if router.check(&runner.id, runner.address).await == Verdict::Refused {
         return Fate::Crashed(None);
     }
-    let Link::Engine(_) = &runner.link else {
+    if !tells_start {
         return Fate::Alive;
-    };
-    let mut silent = false;
+    }
     let reported = async {
         loop {
-            if let Ok(Ok(start)) = tokio::time::timeout(CRASH_CHECK, start(runner)).await {
+            if let Ok(Ok(start)) = tokio::time::timeout(CRASH_CHECK, runner.start()).await {
                 return start;
             }
-            silent = true;
             tokio::time::sleep(CRASH_PAUSE).await;
         }
     };
     let reported = tokio::time::timeout(CRASH_DECISION, reported).await;
     match reported {
         Ok(start) if start == known => Fate::Alive,
-        // Where no number was known, an engine that was silent meanwhile has started anew.
-        Ok(start) if known != 0 || silent => Fate::Crashed(Some(start)),
-        Ok(start) => {
-            runner.boot.store(start, Ordering::Relaxed);
-            Fate::Alive
-        }
+        Ok(start) => Fate::Crashed(Some(start)),
         Err(_) if router.is_apart(&runner.id).await => Fate::Alive,
         Err(_) => Fate::Crashed(None),
     }
@@ -304,7 +291,17 @@
         trial.crash(&runner.id);
         // Known last: until here, others that failed there recognize the crash as well. A number
         // that was not told is read anew, or the next broken connection would count as a crash.
-        runner.boot.store(start.unwrap_or(0), Ordering::Relaxed);
+        let known = runner.boot.swap(start.unwrap_or(0), Ordering::Relaxed);
+        // Only the first of them finds the number.
+        if start.is_none() && known != 0 {
+            let doubted = poison::Event::Doubted {
+                upstream: runner.id.clone(),
+                process: known,
+                since: now,
+            };
+            let doubted = logic::Event::Poison(doubted);
+            front.core.send(Input::Logic(doubted));
+        }
     });
     let _ = deciding.await;
 }
--- a/crates/node/src/front/model/job.rs
+++ b/crates/node/src/front/model/job.rs
@@ -336,6 +336,7 @@
         if let Admission::Ejected(_) = shared.trials.admit(now, &runner.pool, &runner.id) {
             return Begun::Elsewhere;
         }
+        gate::know_boot(runner).await;
         let core = &self.front.core;
         let trial = match gate::vet(core, self.request, self.print, &grant.upstream).await {
             gate::Next::Run(trial) => trial,
@@ -347,7 +348,6 @@
         if now >= grant.until {
             return Begun::Missing;
         }
-        gate::note_boot(runner);
         self.count_attempt(now, runner);
         let flight = runner.enter();
         let wanted = || !self.caller.has_left() && shared.clock.now() < grant.until;
