Pass on only what upstreams ended themselves

Callers saw: answers and streams that look complete and are not (MIXED, ORDER), where a node that relayed a connection ended, or the answer had no length and its connection was closed. Cause: the end of a connection counted as the end of an answer, on the relayed way as on the direct one, and towards callers of HTTP/1.0. Change: a relay tells a whole end from a broken one; bodies that are not whole reset their caller's connection (`Sender::finish`); a log that nobody reads no longer uses up the grace time.

--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -155,6 +155,7 @@
         };
         visit.hear();
         let (parts, body) = response.into_parts();
+        self.answer = Some((body.way().clone(), body.framing()));
         let mark = self
             .hub
             .dialect
--- a/crates/gateway/src/front/job.rs
+++ b/crates/gateway/src/front/job.rs
@@ -23,6 +23,8 @@
 use log::info;
 use node::front::{Body, Caller, Outcome, Problem};
 use node::journal::DECISION;
+use upstream::link::Framing;
+use upstream::path;
 use wire::{Time, Upstream};
 
 use super::attempt::Tried;
@@ -156,6 +158,8 @@
     pub(super) after: Option<u64>,
     /// Release that its stream began at, once it has begun.
     pub(super) release: Option<Release>,
+    /// Over which way the last answer came, and how its end is told.
+    pub(super) answer: Option<(path::Way, Framing)>,
     ended: bool,
 }
 
@@ -200,6 +204,7 @@
             last_part: Time::ZERO,
             gap: Duration::ZERO,
             release: None,
+            answer: None,
             ended: false,
         }
     }
@@ -495,6 +500,8 @@
             after = self.after.unwrap_or_default(),
             resumes = self.ask.resumes.as_deref().unwrap_or_default(),
             release = self.release.unwrap_or_default(),
+            way = self.answer.as_ref().map_or("", |(way, _)| way.name()),
+            framing = self.answer.as_ref().map_or("", |(_, framing)| framing.name()),
             took_ms = now.saturating_sub(self.terms.arrived).as_millis() as u64;
             "request"
         );
--- a/crates/gateway/src/front/stream.rs
+++ b/crates/gateway/src/front/stream.rs
@@ -9,7 +9,7 @@
 use hyper::Response;
 use hyper::header::CONTENT_LENGTH;
 use log::info;
-use node::front::{Body, Cut, Sender};
+use node::front::{Body, Sender};
 use node::journal::DECISION;
 
 use super::attempt::{Next, Open, SILENT, Tried};
@@ -74,7 +74,8 @@
                 Run::Whole => {
                     open.visit.set_whole();
                     open.visit.end(AttemptResult::Success);
-                    return self.end(200, "answered");
+                    self.end(200, "answered");
+                    return sender.finish().await;
                 }
                 Run::Left => return,
                 Run::Cut | Run::Broken(_) => {
@@ -101,9 +102,7 @@
                         Some(next) => open = next,
                         None => {
                             self.end(200, reason);
-                            tokio::time::sleep(FLUSH_TIME).await;
-                            let _ = sender.send(Err(Cut)).await;
-                            return;
+                            return tokio::time::sleep(FLUSH_TIME).await;
                         }
                     }
                 }
@@ -165,7 +164,7 @@
         self.gap = self.gap.max(now.saturating_sub(self.last_part));
         self.last_part = now;
         self.after = cursor.last();
-        sender.send(Ok(events)).await.is_ok()
+        sender.send(events).await.is_ok()
     }
 
     /// Takes a broken stream to another engine. Dropped, it stops the run that it waits for.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -167,9 +167,10 @@
         }
         let cut = hub.flying();
         hub.set_ending();
+        let closed = Instant::now() + DRAIN_STEP;
         for front in self.fronts {
             // What is left are idle connections, or streams that are reported as cut.
-            let _ = tokio::time::timeout(DRAIN_STEP, front).await;
+            let _ = tokio::time::timeout_at(closed, front).await;
         }
         info!(target: DECISION, cut, relayed = hub.relaying(); "stop");
         cut
--- a/crates/hyssopscale/src/ops/serve.rs
+++ b/crates/hyssopscale/src/ops/serve.rs
@@ -1,6 +1,7 @@
 //! `hyssopd`: runs a node until it is told to stop.
 
 use std::path::Path;
+use std::time::{Duration, Instant};
 
 use log::LevelFilter;
 use node::{Ending, Node};
@@ -28,12 +29,11 @@
 ///
 /// Returns an [`Error`] where the node does not start, or where the shutdown cut requests.
 pub async fn run(settings: Settings) -> Result<(), Error> {
-    let ending = if settings.exchange.is_some() {
-        run_gateway(settings).await
-    } else {
-        run_node(settings).await
-    };
-    node::journal::drain();
+    if settings.exchange.is_some() {
+        return run_gateway(settings).await;
+    }
+    let ending = run_node(settings).await;
+    node::journal::drain(Duration::MAX);
     ending
 }
 
@@ -77,9 +77,16 @@
             log::info!(target: node::journal::DECISION, applied = false; "reload");
         }
     });
-    let node = gateway::Node::start(settings, dialect::Platform).await?;
+    let grace = settings.exchange.as_ref().map(|exchange| exchange.grace);
+    let node = gateway::Node::start(settings, dialect::Platform).await;
+    let node = node.inspect_err(|_| node::journal::drain(Duration::MAX))?;
     either(&mut terminate, &mut interrupt).await;
-    match node.shut_down().await {
+    let killed = grace.map(|grace| Instant::now() + grace);
+    let cut = node.shut_down().await;
+    // A log that nobody reads must not use up what is left of the grace time.
+    let left = killed.map(|killed| killed.saturating_duration_since(Instant::now()));
+    node::journal::drain(left.unwrap_or(Duration::MAX) / 2);
+    match cut {
         0 => Ok(()),
         cut => Err(Error::Found(format!("the shutdown cut {cut} request(s)"))),
     }
--- a/crates/hyssopscale/tests/fault_soak.rs
+++ b/crates/hyssopscale/tests/fault_soak.rs
@@ -7,7 +7,8 @@
 //! ```
 //!
 //! `HYSSOPSCALE_SOAK_WITH=cuts,peer-cuts` adds cuts of nodes from upstreams, and from each other;
-//! `brittle` has brittle upstreams, and `silences` sound ones that are silent for a second; `in-touch` has no faults of their processes and the store.
+//! `brittle` has brittle upstreams, and `silences` sound ones that are silent for a second; `open-ended` has answers without a
+//! length, which end with their connections; `in-touch` has no faults of their processes and the store.
 //! `HYSSOPSCALE_SOAK_NODES=100` has more nodes, with a caller each at least.
 
 mod soak;
@@ -31,6 +32,7 @@
     peer_cuts: false,
     brittle: false,
     silences: false,
+    open_ended: false,
 };
 const CUTS: Extra = Extra {
     cuts: true,
@@ -106,6 +108,28 @@
     assert!(breaches.is_empty(), "seed {seed}: {breaches:#?}");
 }
 
+/// Guards against answers without a length that count as whole once a node that relays their connections ends
+/// (incident of MIXED and ORDER).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn ended_relays_break_no_rule() {
+    let extra = Extra {
+        cuts: true,
+        open_ended: true,
+        ..Extra::default()
+    };
+    let breaches = run(extended(plan(8132), extra)).await;
+    assert!(breaches.is_empty(), "seed 8132: {breaches:#?}");
+}
+
+/// Guards against a process that is not done within the grace time since it waits for the reader of its log after
+/// the last requests (SHUTDOWN).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn unread_log_delays_no_shutdown() {
+    let _turn = TURNS.acquire().await;
+    let breaches = soak::stop_unread(plan(5)).await;
+    assert!(breaches.is_empty(), "{breaches:#?}");
+}
+
 /// Returns a plan with further faults. Weak upstreams are asked for more than they can take.
 fn extended(plan: Plan, extra: Extra) -> Plan {
     if !extra.brittle && !extra.silences {
@@ -129,6 +153,7 @@
         in_touch: has("in-touch"),
         brittle: has("brittle"),
         silences: has("silences"),
+        open_ended: has("open-ended"),
     };
     let plan = extended(plan(seed), extra);
     Plan {
--- a/crates/hyssopscale/tests/soak/fault/mod.rs
+++ b/crates/hyssopscale/tests/soak/fault/mod.rs
@@ -58,6 +58,10 @@
 const PAUSES: usize = 4;
 const PAUSE: u64 = 0x7061_7573;
 
+/// Kills of nodes beside answers that end with their connections, and what sets their draws apart.
+const KILLS: usize = 6;
+const KILL: u64 = 0x6b69_6c6c;
+
 /// Time from the stop of a node until an upstream is replaced by another release behind its back.
 const OUT_OF_STEP: Duration = Duration::from_millis(300);
 
@@ -264,6 +268,12 @@
         let down = draw::millis(&mut rng, 200, 800);
         drawn.push((at + OUT_OF_STEP, Fault::Crash { upstream, down }));
     }
+    let mut rng = StdRng::seed_from_u64(seed ^ KILL);
+    for _ in 0..if plan.extra.open_ended { KILLS } else { 0 } {
+        let node = rng.random_range(0..plan.nodes);
+        let down = draw::millis(&mut rng, 100, 600);
+        drawn.push((rng.random_range(span / 4..span), Fault::Kill { node, down }));
+    }
     if plan.extra.in_touch {
         drawn.retain(|(_, fault)| !fault.troubles_nodes());
     }
--- a/crates/hyssopscale/tests/soak/mod.rs
+++ b/crates/hyssopscale/tests/soak/mod.rs
@@ -36,10 +36,10 @@
 use caller::{Caller, Kind, get};
 use check::Evidence;
 use post::Post;
-use process::{Process, SETTLING, Settings};
+use process::{GRACE, Process, SETTLING, Settings};
 use relay::Relay;
 use store::Store;
-use upstream::{Config, Log, PLACES, POOLS, Upstream};
+use upstream::{Config, Log, Manner, PLACES, POOLS, Upstream};
 
 /// Requests that an engine runs at a time, and a service.
 const ENGINE_SLOTS: u32 = 8;
@@ -67,6 +67,12 @@
 /// recognized one after the other.
 const RECOGNITION: Duration = Duration::from_secs(12);
 
+/// Path of requests that may run once, and that upstreams may leave without an answer.
+const UNANSWERED: &str = "/once/x";
+
+/// Time in which the requests of callers fill the pipe of a log that nobody reads.
+const LOG_FILLS: Duration = Duration::from_secs(4);
+
 /// Returns the last part of a node's address, beside those of upstreams and the store.
 fn node_host(number: usize) -> usize {
     if number < FIRST_UPSTREAM_HOST - 1 {
@@ -121,6 +127,8 @@
     pub brittle: bool,
     /// Whether sound upstreams are silent for about a second.
     pub silences: bool,
+    /// Whether some answers have no length and end with their connections.
+    pub open_ended: bool,
 }
 
 impl Plan {
@@ -197,6 +205,7 @@
                     seed: plan.seed * 16 + host as u64,
                     fenced: plan.fenced,
                     releases: plan.releases,
+                    open_ended: plan.extra.open_ended,
                 };
                 upstreams.push(Upstream::start(config).await);
             }
@@ -373,6 +382,45 @@
     breaches
 }
 
+/// Shuts a node down whose log nobody reads, while it has requests that upstreams never answer. Returns the
+/// rules that it broke.
+pub async fn stop_unread(plan: Plan) -> Vec<String> {
+    let site = Site::start(plan).await;
+    site.wait_ready().await;
+    let node = &site.nodes[plan.nodes - 1];
+    let asks = |path: &'static str, until: Instant| {
+        let front = node.addresses.front;
+        tokio::spawn(async move {
+            while Instant::now() < until {
+                let asked = get(front, path, GRACE);
+                if path == UNANSWERED {
+                    // It goes on beside the next one.
+                    tokio::spawn(asked);
+                    sleep(Duration::from_millis(50)).await;
+                } else {
+                    asked.await;
+                }
+            }
+        })
+    };
+    let full = Instant::now() + LOG_FILLS;
+    let filling: Vec<_> = (0..plan.callers).map(|_| asks("/read/x", full)).collect();
+    for task in filling {
+        task.await.unwrap();
+    }
+    let mute = Manner {
+        mute: 1.0,
+        ..Manner::default()
+    };
+    site.upstreams
+        .iter()
+        .for_each(|upstream| upstream.set(mute));
+    let asking = asks(UNANSWERED, Instant::now() + GRACE);
+    node.replace(Duration::ZERO).await;
+    asking.abort();
+    node.finish()
+}
+
 /// Returns a configuration with a route of its own for each version.
 pub fn versioned(version: u64) -> Value {
     let mut routes = config::routes();
--- a/crates/hyssopscale/tests/soak/relay.rs
+++ b/crates/hyssopscale/tests/soak/relay.rs
@@ -12,7 +12,7 @@
 use bytes::{Buf, BytesMut};
 use socket2::{SockFilter, SockRef};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
@@ -80,7 +80,9 @@
         }
     }
 
-    async fn serve(self: Arc<Self>, near: TcpStream, from: IpAddr) -> io::Result<()> {
+    /// Passes a connection on. Each side ends in good order only where the other one has; in all other cases
+    /// both are reset.
+    async fn serve(self: Arc<Self>, mut near: TcpStream, from: IpAddr) -> io::Result<()> {
         near.set_nodelay(true)?;
         let mut cuts = self.cuts.subscribe();
         let present =
@@ -88,10 +90,12 @@
         if let Some(Cut::Reset | Cut::RefuseNew) = present(&mut cuts) {
             return reset(&near);
         }
-        let far = TcpStream::connect(self.target).await?;
+        let mut far = TcpStream::connect(self.target).await?;
         far.set_nodelay(true)?;
-        let (near_read, near_write) = near.into_split();
-        let (far_read, far_write) = far.into_split();
+        reset(&near)?;
+        reset(&far)?;
+        let (near_read, near_write) = near.split();
+        let (far_read, far_write) = far.split();
         let mut there = Flow::new(near_read, far_write);
         let mut back = Flow::new(far_read, near_write);
         while !(there.done && back.done) {
@@ -106,7 +110,8 @@
                 run = pass(&mut there, &mut back, cut) => run?,
             }
             if present(&mut cuts) == Some(Cut::Reset) {
-                return reset(there.from.as_ref());
+                reset(there.from.as_ref())?;
+                return reset(there.to.as_ref());
             }
         }
         Ok(())
@@ -114,7 +119,7 @@
 }
 
 /// Copies what the cut lets pass.
-async fn pass(there: &mut Flow, back: &mut Flow, cut: Option<Cut>) -> io::Result<()> {
+async fn pass(there: &mut Flow<'_>, back: &mut Flow<'_>, cut: Option<Cut>) -> io::Result<()> {
     match cut {
         Some(Cut::Hang) => std::future::pending().await,
         Some(Cut::AnswersLost) => {
@@ -126,16 +131,16 @@
 }
 
 /// One direction of a connection.
-struct Flow {
-    from: OwnedReadHalf,
-    to: OwnedWriteHalf,
+struct Flow<'a> {
+    from: ReadHalf<'a>,
+    to: WriteHalf<'a>,
     /// Bytes that are read and not yet written.
     held: BytesMut,
     done: bool,
 }
 
-impl Flow {
-    fn new(from: OwnedReadHalf, to: OwnedWriteHalf) -> Self {
+impl<'a> Flow<'a> {
+    fn new(from: ReadHalf<'a>, to: WriteHalf<'a>) -> Self {
         Self {
             from,
             to,
@@ -151,6 +156,7 @@
                 let written = self.to.write(&self.held).await?;
                 self.held.advance(written);
             } else if self.from.read_buf(&mut self.held).await? == 0 {
+                SockRef::from(self.to.as_ref()).set_linger(None)?;
                 self.to.shutdown().await?;
                 self.done = true;
             }
--- a/crates/hyssopscale/tests/soak/upstream/body.rs
+++ b/crates/hyssopscale/tests/soak/upstream/body.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
@@ -44,6 +45,68 @@
     events.map(release).collect()
 }
 
+/// Returns the head of a whole answer with further lines.
+pub(super) fn head(names: &[String], lines: &str) -> String {
+    let names: String = names.iter().map(|line| format!("{line}\r\n")).collect();
+    format!("HTTP/1.1 200 OK\r\n{names}{lines}\r\n")
+}
+
+/// Writes the parts of an answer that ends with its connection. Where they are not `whole`, or the upstream
+/// ends meanwhile, the connection is reset.
+pub(super) async fn open_ended(
+    stream: &mut TcpStream,
+    names: &[String],
+    parts: impl IntoIterator<Item = String>,
+    whole: bool,
+) -> bool {
+    let unset = stream.set_zero_linger().is_err();
+    if unset || !write(stream, &head(names, "")).await {
+        return false;
+    }
+    for part in parts {
+        sleep(EVENT_PAUSE).await;
+        if !write(stream, &part).await {
+            return false;
+        }
+    }
+    sleep(EVENT_PAUSE).await;
+    if whole {
+        // A socket that takes no options is closed already.
+        let _ = SockRef::from(&*stream).set_linger(None);
+    }
+    false
+}
+
+/// Writes events as [`open_ended`]; those that are `cut` end after a whole event.
+pub(super) async fn open_ended_events(
+    stream: &mut TcpStream,
+    names: &[String],
+    (attempt, release): (&str, &str),
+    after: u64,
+    cut: bool,
+) -> bool {
+    let last = if cut {
+        after + (EVENTS - after) / 2
+    } else {
+        EVENTS
+    };
+    let parts = (after + 1..=last).map(|id| event(attempt, id, release));
+    open_ended(stream, names, parts, !cut).await
+}
+
+/// Returns a whole answer of events in chunks, as a second copy of it comes.
+pub(super) fn copy_of_events(
+    names: &[String],
+    (attempt, release): (&str, &str),
+    after: u64,
+) -> String {
+    let events = (after + 1..=EVENTS).map(|id| event(attempt, id, release));
+    let chunks: String = events
+        .map(|text| format!("{:x}\r\n{text}\r\n", text.len()))
+        .collect();
+    head(names, "transfer-encoding: chunked\r\n") + &chunks + "0\r\n\r\n"
+}
+
 pub(super) async fn events(
     stream: &mut TcpStream,
     names: &[String],
@@ -51,8 +114,7 @@
     after: u64,
     cut: bool,
 ) -> bool {
-    let lines: String = names.iter().map(|line| format!("{line}\r\n")).collect();
-    let head = format!("HTTP/1.1 200 OK\r\n{lines}transfer-encoding: chunked\r\n\r\n");
+    let head = head(names, "transfer-encoding: chunked\r\n");
     if !write(stream, &head).await {
         return false;
     }
--- a/crates/hyssopscale/tests/soak/upstream/engine.rs
+++ b/crates/hyssopscale/tests/soak/upstream/engine.rs
@@ -36,7 +36,8 @@
         let coming: Vec<String> = coming.map(|a| format!("base/{}@1", a.name)).collect();
         let (running, waiting) = self.running(&state);
         let body = json!({
-            "models": models(&state), "coming": coming, "running": running, "waiting": waiting
+            "models": models(&state), "coming": coming, "running": running, "waiting": waiting,
+            "born": state.born
         });
         answer(200, &self.load(&state), &body.to_string())
     }
--- a/crates/hyssopscale/tests/soak/upstream/mod.rs
+++ b/crates/hyssopscale/tests/soak/upstream/mod.rs
@@ -26,7 +26,7 @@
 
 use super::raw::{Head, answer};
 use super::store::Store;
-use body::{CHUNK, FLOODS, events, flood, write};
+use body::{CHUNK, FLOODS, events, flood, head as head_of, open_ended_events, write};
 use engine::{Adapter, models};
 
 pub use body::{EVENTS, read_events};
@@ -68,6 +68,9 @@
     pub late: f64,
 }
 
+/// One in so many answers ends with its connection, where some do.
+const OPEN_ENDED: u32 = 2;
+
 /// Releases of the software of upstreams.
 pub const RELEASES: [&str; 2] = ["r1", "r2"];
 
@@ -131,6 +134,7 @@
     log: Log,
     fenced: bool,
     releases: bool,
+    open_ended: bool,
     /// Raised at each end of an incarnation.
     generation: watch::Sender<u64>,
     state: Mutex<State>,
@@ -161,6 +165,8 @@
     pub fenced: bool,
     /// Whether upstreams of several releases serve side by side.
     pub releases: bool,
+    /// Whether some answers have no length and end with their connections.
+    pub open_ended: bool,
 }
 
 fn unix_millis() -> u64 {
@@ -182,6 +188,7 @@
             log: config.log,
             fenced: config.fenced,
             releases: config.releases,
+            open_ended: config.open_ended,
             generation: watch::Sender::new(0),
             state: Mutex::new(State {
                 id: String::new(),
@@ -472,18 +479,32 @@
             return write(stream, &answer(500, &names, "failed")).await;
         }
         let cut = falls(manner.cut);
+        let open_ended = self.open_ended && self.lock().rng.random_ratio(1, OPEN_ENDED);
         if falls(manner.flood) {
             let number = self.lock().rng.random_range(0..=FLOODS.len());
             let Some(flooded) = FLOODS.get(number) else {
-                let lines: String = names.iter().map(|line| format!("{line}\r\n")).collect();
-                let head = format!("HTTP/1.1 200 OK\r\n{lines}transfer-encoding: chunked\r\n\r\n");
+                let head = head_of(&names, "transfer-encoding: chunked\r\n");
                 return flood(stream, (&head, CHUNK)).await;
             };
             return flood(stream, *flooded).await;
         }
         if streams {
             let release = self.lock().release.clone();
-            return events(stream, &names, (&attempt, &release), after, cut).await;
+            let of = (&*attempt, &*release);
+            if copies && self.open_ended && !cut {
+                *ahead = body::copy_of_events(&names, of, after);
+            }
+            return if open_ended {
+                open_ended_events(stream, &names, of, after, cut).await
+            } else {
+                events(stream, &names, of, after, cut).await
+            };
+        }
+        if open_ended {
+            let (first, second) = attempt.split_at(attempt.len() / 2);
+            let parts = [first, second].map(str::to_owned);
+            let parts = parts.into_iter().take(if cut { 1 } else { 2 });
+            return body::open_ended(stream, &names, parts, !cut).await;
         }
         let text = answer(200, &names, &attempt);
         if cut {
--- a/crates/hyssopscale/tests/support/mod.rs
+++ b/crates/hyssopscale/tests/support/mod.rs
@@ -341,6 +341,11 @@
         }
     }
 
+    /// Returns where the logs are.
+    pub fn logs(&self) -> &Path {
+        self.logs.path()
+    }
+
     /// Lets the logs stay after the run and returns where they are.
     pub fn keep_logs(&mut self) -> String {
         self.logs.disable_cleanup(true);
--- a/crates/node/src/front/caller.rs
+++ b/crates/node/src/front/caller.rs
@@ -77,6 +77,12 @@
         }
     }
 
+    /// Makes sure that closing the connection resets it.
+    pub(super) fn reset(&self) {
+        // A socket that takes no options is closed already.
+        let _ = lock(&self.socket).stream.set_zero_linger();
+    }
+
     /// Waits until the caller has ended the connection. To be polled by the task that reads the
     /// connection, after it has read what it wants.
     pub(super) async fn ended(&self) {
--- a/crates/node/src/front/listener.rs
+++ b/crates/node/src/front/listener.rs
@@ -5,12 +5,13 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Request, Response, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
@@ -168,7 +169,9 @@
     mut stop: watch::Receiver<bool>,
 ) {
     let header_time = handler.idle().unwrap_or(limit.header_time);
-    let service = service_fn(|request| {
+    let is_old = AtomicBool::new(false);
+    let service = service_fn(|request: Request<Incoming>| {
+        is_old.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
         let (handler, caller) = (handler.clone(), caller.caller());
         async move { Ok::<_, Infallible>(handler.handle(request, caller).await) }
     });
@@ -178,19 +181,22 @@
         .max_buf_size(limit.header_bytes.max(HEADER_BYTES_MIN))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    tokio::select! {
-        result = connection.as_mut() => return log_end(result),
-        _ = stop.wait_for(|stop| *stop) => {}
-    }
-    tokio::select! {
-        result = connection.as_mut() => return log_end(result),
-        () = sleep(LINGER) => connection.as_mut().graceful_shutdown(),
-    }
-    log_end(connection.await);
-}
-
-fn log_end(result: hyper::Result<()>) {
+    let stopping = async {
+        let _ = stop.wait_for(|stop| *stop).await;
+        sleep(LINGER).await;
+    };
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        () = stopping => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
     if let Err(error) = result {
         log::debug!("caller's connection ended: {error}");
+        // Answers of HTTP/1.0 have no end of their own.
+        if error.is_user() && is_old.load(Ordering::Relaxed) {
+            caller.reset();
+        }
     }
 }
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -19,7 +19,7 @@
 mod service;
 pub mod tls;
 
-pub use body::{Body, Cut, Sender};
+pub use body::{Body, Cut, Sender, Unsent};
 pub use caller::Caller;
 pub use handler::Front;
 pub use operators::Operators;
--- a/crates/node/src/front/model/relay.rs
+++ b/crates/node/src/front/model/relay.rs
@@ -3,13 +3,12 @@
 use bytes::{Bytes, BytesMut};
 use hyper::Response;
 use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
-use tokio::sync::mpsc::error::TrySendError;
 use upstream::Error;
 use upstream::engine::{Answer, Event};
 
 use crate::front::handler::json;
 use crate::front::reply::{Writer, broken};
-use crate::front::{Body, Cut, Problem, Sender};
+use crate::front::{Body, Problem, Sender, Unsent};
 
 use super::job::{Job, Running};
 
@@ -71,8 +70,8 @@
                 Written::Whole => {
                     self.finish(running);
                     // A caller that went away at the very end has had its whole answer made.
-                    let _ = sender.send(Ok(chunk.freeze())).await;
-                    return;
+                    let _ = sender.send(chunk.freeze()).await;
+                    return sender.finish().await;
                 }
                 Written::Broken(error) => {
                     let passed = self.pass(sender, chunk.freeze()).await;
@@ -83,7 +82,10 @@
                     };
                     match resumed {
                         Some(Ok(next)) => running = next,
-                        Some(Err(problem)) => return cut(sender, &problem).await,
+                        Some(Err(problem)) => {
+                            let _ = sender.send(broken(&problem)).await;
+                            return;
+                        }
                         None => return self.leave(),
                     }
                     passed
@@ -126,16 +128,16 @@
         if chunk.is_empty() {
             return true;
         }
-        match sender.try_send(Ok(chunk)) {
+        match sender.try_send(chunk) {
             Ok(()) => true,
-            Err(TrySendError::Full(chunk)) => {
+            Err(Unsent::Full(chunk)) => {
                 let limit = self.front.shared.settings.time.idle;
                 matches!(
                     tokio::time::timeout(limit, sender.send(chunk)).await,
                     Ok(Ok(()))
                 )
             }
-            Err(TrySendError::Closed(_)) => false,
+            Err(Unsent::Closed) => false,
         }
     }
 
@@ -155,8 +157,3 @@
         }
     }
 }
-
-async fn cut(sender: &Sender, problem: &Problem) {
-    let _ = sender.send(Ok(broken(problem))).await;
-    let _ = sender.send(Err(Cut)).await;
-}
--- a/crates/node/src/front/service/job.rs
+++ b/crates/node/src/front/service/job.rs
@@ -24,7 +24,7 @@
 use crate::front::gate::{self, Place, Trial};
 use crate::front::handler::{Front, RETRY_ELSEWHERE};
 use crate::front::identity::{Identity, text};
-use crate::front::{Body, Caller, Cut, Outcome, Problem, Sender};
+use crate::front::{Body, Caller, Outcome, Problem, Sender};
 use crate::journal::DECISION;
 
 /// Kind of request in metrics.
@@ -383,14 +383,17 @@
         let held = (self.front.shared.enter(), self.admitted.take(), flight);
         tokio::spawn(async move {
             match pump(rest, &sender).await {
-                Ok(()) => gate::answered(&front, &runner, trial, since),
+                Ok(()) => {
+                    gate::answered(&front, &runner, trial, since);
+                    sender.finish().await;
+                }
                 Err(error) => {
                     log::info!(
                         target: DECISION,
                         request = name.as_str(), upstream:% = runner.id, reason:% = error;
                         "answer-cut"
                     );
-                    let _ = sender.send(Err(Cut)).await;
+                    drop(sender);
                     gate::failed(&front, &runner, trial, &error).await;
                 }
             }
@@ -470,7 +473,7 @@
 
 async fn pump(mut body: upstream::link::Body, sender: &Sender) -> Result<(), Error> {
     while let Some(chunk) = body.next().await? {
-        if sender.send(Ok(chunk)).await.is_err() {
+        if sender.send(chunk).await.is_err() {
             break;
         }
     }
--- a/crates/node/src/journal/mod.rs
+++ b/crates/node/src/journal/mod.rs
@@ -46,10 +46,10 @@
     DROPPED.load(Ordering::Relaxed) + SINK.get().map_or(0, sink::Handle::dropped)
 }
 
-/// Waits until the lines logged so far are written, for a moment at most.
-pub fn drain() {
+/// Waits until the lines logged so far are written, for `limit` at most and in any case only for a moment.
+pub fn drain(limit: Duration) {
     if let Some(sink) = SINK.get() {
-        sink.drain(DRAIN);
+        sink.drain(limit.min(DRAIN));
     }
 }
 
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -255,9 +255,10 @@
 
     async fn close(self) {
         self.stop.send_replace(true);
+        let closed = tokio::time::Instant::now() + Duration::from_secs(1);
         for front in self.fronts {
             // What is left are idle connections, or requests that were reported as cut.
-            let _ = tokio::time::timeout(Duration::from_secs(1), front).await;
+            let _ = tokio::time::timeout_at(closed, front).await;
         }
         self.inbox.stop();
     }
--- a/crates/standin/src/proxy/copy.rs
+++ b/crates/standin/src/proxy/copy.rs
@@ -7,8 +7,10 @@
 use bytes::Bytes;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use socket2::SockRef;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until};
 
@@ -33,20 +35,23 @@
     bytes: Bytes,
 }
 
-/// Connects to `target` and copies both ways until either side ends.
+/// Connects to `target` and copies both ways until either side ends. Each side ends in good order only where
+/// the other one has; where this is dropped, or fails, both are reset.
 pub(super) async fn connection(
-    stream: TcpStream,
+    mut stream: TcpStream,
     target: SocketAddr,
     control: &Control,
     seed: u64,
 ) -> io::Result<()> {
     // A half-open link takes the connection although the target hears nothing of it.
     open(control, Direction::ToTarget).await;
-    let target = TcpStream::connect(target).await?;
+    let mut target = TcpStream::connect(target).await?;
     stream.set_nodelay(true)?;
     target.set_nodelay(true)?;
-    let (near_read, near_write) = stream.into_split();
-    let (far_read, far_write) = target.into_split();
+    stream.set_zero_linger()?;
+    target.set_zero_linger()?;
+    let (near_read, near_write) = stream.split();
+    let (far_read, far_write) = target.split();
     let there = direction(near_read, far_write, control, Direction::ToTarget, seed);
     let back = direction(far_read, near_write, control, Direction::FromTarget, !seed);
     tokio::try_join!(there, back)?;
@@ -54,8 +59,8 @@
 }
 
 async fn direction(
-    from: impl AsyncRead + Unpin,
-    to: impl AsyncWrite + Unpin,
+    from: ReadHalf<'_>,
+    to: WriteHalf<'_>,
     control: &Control,
     direction: Direction,
     seed: u64,
@@ -68,7 +73,7 @@
 }
 
 async fn read(
-    mut from: impl AsyncRead + Unpin,
+    mut from: ReadHalf<'_>,
     parts: mpsc::Sender<Part>,
     control: &Control,
     seed: u64,
@@ -91,7 +96,7 @@
 }
 
 async fn write(
-    mut to: impl AsyncWrite + Unpin,
+    mut to: WriteHalf<'_>,
     mut parts: mpsc::Receiver<Part>,
     control: &Control,
     direction: Direction,
@@ -109,6 +114,7 @@
         }
     }
     open(control, direction).await;
+    SockRef::from(to.as_ref()).set_linger(None)?;
     to.shutdown().await
 }
 
--- a/crates/upstream/src/link/body.rs
+++ b/crates/upstream/src/link/body.rs
@@ -7,6 +7,8 @@
 
 use bytes::Bytes;
 use hyper::body::{Body as _, Incoming};
+use hyper::header::TRANSFER_ENCODING;
+use hyper::{HeaderMap, Response};
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::{Instant, Sleep, sleep_until};
 
@@ -14,6 +16,7 @@
 use super::{Link, Pool};
 use crate::error::{Error, Phase, Reach};
 use crate::memory::{Buffer, Hold};
+use crate::path::Way;
 
 /// Bytes that a part of a body counts as at least. Bounds the work for a body that comes in tiny
 /// parts, each of which costs about as much as one of this size.
@@ -35,10 +38,51 @@
     }
 }
 
+/// How the end of a response body is told (RFC 9112, section 6.3).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// By its length.
+    Length,
+    /// By a last chunk.
+    Chunks,
+    /// By the end of the connection.
+    Connection,
+}
+
+impl Framing {
+    fn of(response: &Response<Incoming>) -> Self {
+        if response.body().size_hint().exact().is_some() {
+            Self::Length
+        } else if is_chunked(response.headers()) {
+            Self::Chunks
+        } else {
+            Self::Connection
+        }
+    }
+
+    /// Returns the name used in logs.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Chunks => "chunks",
+            Self::Connection => "connection",
+        }
+    }
+}
+
+/// Returns whether the last transfer encoding is that by chunks; no other one has an end of its own.
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let last = headers.get_all(TRANSFER_ENCODING).into_iter().next_back();
+    let last = last.and_then(|value| value.to_str().ok()?.rsplit(',').next());
+    last.is_some_and(|name| name.trim().eq_ignore_ascii_case("chunked"))
+}
+
 /// A response body. Dropping it before its end closes the connection, which cancels the work.
 #[derive(Debug)]
 pub struct Body {
     link: Link,
+    way: Way,
+    framing: Framing,
     incoming: Incoming,
     offset: u64,
     open: Option<(Conn, Home)>,
@@ -51,23 +95,37 @@
 }
 
 impl Body {
-    pub(super) fn new(
+    /// Replaces the body of a response that has come on `conn`.
+    pub(super) fn of(
+        response: Response<Incoming>,
         link: Link,
         conn: Conn,
-        incoming: Incoming,
         home: Home,
         used: Option<Instant>,
-    ) -> Self {
+    ) -> Response<Self> {
+        let framing = Framing::of(&response);
         let last = Instant::now();
-        Self {
+        response.map(|incoming| Self {
             used,
             idle: Box::pin(sleep_until(last + link.limits.body)),
             last,
             link,
+            way: conn.way.clone(),
+            framing,
             incoming,
             offset: 0,
             open: Some((conn, home)),
-        }
+        })
+    }
+
+    /// Returns over which way it comes.
+    pub fn way(&self) -> &Way {
+        &self.way
+    }
+
+    /// Returns how its end is told.
+    pub fn framing(&self) -> Framing {
+        self.framing
     }
 
     /// Returns the bytes received so far.
@@ -158,7 +216,11 @@
                 }
                 Some(Err(error)) => {
                     self.open = None;
-                    return Poll::Ready(Err(self.cut(&error)));
+                    return Poll::Ready(Err(self.cut(error)));
+                }
+                None if self.framing == Framing::Connection && !conn.exact_end => {
+                    self.open = None;
+                    return Poll::Ready(Err(self.cut("the peer that relays it may have ended")));
                 }
                 None => {
                     conn.drive(cx);
@@ -188,7 +250,7 @@
         }
     }
 
-    fn cut(&self, cause: &hyper::Error) -> Error {
+    fn cut(&self, cause: impl ToString) -> Error {
         Error::Cut {
             upstream: self.link.upstream.clone(),
             offset: self.offset,
--- a/crates/upstream/src/link/conn.rs
+++ b/crates/upstream/src/link/conn.rs
@@ -34,12 +34,18 @@
     pub(super) used: Option<Instant>,
     /// Over which way it goes.
     pub(super) way: Way,
+    /// See [`Opened::exact_end`].
+    pub(super) exact_end: bool,
 }
 
 impl Conn {
     /// Prepares HTTP on an open stream; nothing is written.
     pub(super) async fn open(opened: Opened, head_bytes: usize) -> hyper::Result<Self> {
-        let Opened { stream, way } = opened;
+        let Opened {
+            stream,
+            way,
+            exact_end,
+        } = opened;
         // A socket that takes no options is closed already.
         let _ = socket::apply(&stream, &socket::UPSTREAM);
         let traffic = Arc::new(Traffic::default());
@@ -59,6 +65,7 @@
             traffic,
             used: None,
             way,
+            exact_end,
         })
     }
 
--- a/crates/upstream/src/link/mod.rs
+++ b/crates/upstream/src/link/mod.rs
@@ -29,7 +29,7 @@
 use tokio::time::{Instant, sleep, timeout};
 use wire::{Priority, Upstream};
 
-pub use body::Body;
+pub use body::{Body, Framing};
 use conn::Conn;
 
 use crate::error::{Error, Phase, Reach};
@@ -338,15 +338,10 @@
             Err(_) => {}
         }
         match answer {
-            Ok(Ok(response)) => Ok(response.map(|incoming| {
-                Body::new(
-                    self.clone(),
-                    conn,
-                    incoming,
-                    body::Home::new(pool.clone(), permit),
-                    used,
-                )
-            })),
+            Ok(Ok(response)) => {
+                let home = body::Home::new(pool.clone(), permit);
+                Ok(Body::of(response, self.clone(), conn, home, used))
+            }
             Ok(Err(error)) => Err(Error::Broken {
                 upstream,
                 cause: error.to_string(),
@@ -537,6 +532,7 @@
         Ok(Opened {
             stream,
             way: Way::Direct,
+            exact_end: true,
         })
     }
 }
--- a/crates/upstream/src/path/mod.rs
+++ b/crates/upstream/src/path/mod.rs
@@ -60,6 +60,16 @@
     Peer(Vm),
 }
 
+impl Way {
+    /// Returns the name used in logs: the peer's, where there is one.
+    pub fn name(&self) -> &str {
+        match self {
+            Self::Direct => "direct",
+            Self::Peer(vm) => vm,
+        }
+    }
+}
+
 /// How to open the next connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Step {
--- a/crates/upstream/src/relay/client.rs
+++ b/crates/upstream/src/relay/client.rs
@@ -11,7 +11,14 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
-use super::connect;
+use super::{EXACT_END, connect};
+
+/// A connection that a peer has opened.
+pub(super) struct Tunnel {
+    pub(super) stream: TcpStream,
+    /// Whether it ends in good order only where the upstream has ended it.
+    pub(super) exact_end: bool,
+}
 
 /// Why a peer opened no connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,7 +47,7 @@
     peer: SocketAddr,
     address: SocketAddr,
     token: String,
-) -> Result<TcpStream, Failure> {
+) -> Result<Tunnel, Failure> {
     let stream = connect(source, peer).await?;
     stream.set_nodelay(true)?;
     let (mut sender, driver) = Builder::new().handshake(TokioIo::new(stream)).await?;
@@ -58,6 +65,7 @@
         StatusCode::BAD_GATEWAY => return Err(Failure::Refused),
         _ => return Err(Failure::Unreached),
     }
+    let exact_end = response.headers().contains_key(EXACT_END);
     let upgraded = upgrade::on(response).await?;
     let parts = upgraded.downcast::<TokioIo<TcpStream>>();
     let parts = parts.map_err(|_| Failure::Unreached)?;
@@ -65,5 +73,6 @@
     if !parts.read_buf.is_empty() {
         return Err(Failure::Refused);
     }
-    Ok(parts.io.into_inner())
+    let stream = parts.io.into_inner();
+    Ok(Tunnel { stream, exact_end })
 }
--- a/crates/upstream/src/relay/mod.rs
+++ b/crates/upstream/src/relay/mod.rs
@@ -20,8 +20,14 @@
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 
+use hyper::header::HeaderName;
+use socket2::SockRef;
 use tokio::net::{TcpSocket, TcpStream};
 
+/// Header of the answer that opens a connection: the peer ends it in good order only where the upstream has.
+/// Peers of earlier releases lack it.
+const EXACT_END: HeaderName = HeaderName::from_static("exact-end");
+
 /// Opens a connection to `address` from the own address `source`, or from one that the system chooses.
 pub(crate) async fn connect(source: Option<IpAddr>, address: SocketAddr) -> io::Result<TcpStream> {
     let Some(source) = source else {
@@ -35,8 +41,13 @@
     socket.connect(address).await
 }
 
-/// Makes sure that closing the connection resets it.
+/// Makes sure that closing the connection resets it, also if the process ends.
 fn reset(stream: &TcpStream) {
     // A socket that takes no options is closed already.
     let _ = stream.set_zero_linger();
 }
+
+/// Takes [`reset`] back: what was written is delivered, and the end after it.
+fn close_in_order(stream: &TcpStream) -> io::Result<()> {
+    SockRef::from(stream).set_linger(None)
+}
--- a/crates/upstream/src/relay/router.rs
+++ b/crates/upstream/src/relay/router.rs
@@ -13,7 +13,7 @@
 use wire::seal::Seal;
 use wire::{Incarnation, Time, Upstream, Vm, Zone};
 
-use super::client::{self, Failure};
+use super::client::{self, Failure, Tunnel};
 use super::{connect, token};
 use crate::path::{Change, Control, Paths, Peer, Step, Way};
 
@@ -68,6 +68,8 @@
 pub(crate) struct Opened {
     pub(crate) stream: TcpStream,
     pub(crate) way: Way,
+    /// Whether it ends in good order only where the upstream has ended it.
+    pub(crate) exact_end: bool,
 }
 
 /// What a check of the way to an upstream has shown.
@@ -237,8 +239,8 @@
         {
             let (router, target) = (self.clone(), target.clone());
             asked.spawn(async move {
-                let stream = router.ask(&target, &peer, hold).await;
-                (peer.vm, stream.map(drop))
+                let tunnel = router.ask(&target, &peer, hold).await;
+                (peer.vm, tunnel.map(drop))
             });
         }
         while let Some(answer) = asked.join_next().await {
@@ -338,7 +340,7 @@
             Step::Direct => self.connect(target).await.map(opened_directly),
             Step::Race { head_start } => self.race(target, head_start).await,
             Step::Relay => match self.through_peer(target).await {
-                Ok((stream, peer)) => Ok(self.opened_by(target, stream, peer)),
+                Ok((tunnel, peer)) => Ok(self.opened_by(target, tunnel, peer)),
                 Err(_) => {
                     let stream = self.connect(target).await;
                     let stream = stream.inspect_err(|_| self.unreached(target))?;
@@ -376,7 +378,7 @@
             }
         };
         let (failure, refusal) = match relayed {
-            Ok((stream, peer)) => return Ok(self.opened_by(target, stream, peer)),
+            Ok((tunnel, peer)) => return Ok(self.opened_by(target, tunnel, peer)),
             Err(failed) => failed,
         };
         let error = match refusal {
@@ -418,12 +420,12 @@
     }
 
     /// Asks one peer after the other for a connection.
-    async fn through_peer(&self, target: &Target) -> Result<(TcpStream, Vm), Failure> {
+    async fn through_peer(&self, target: &Target) -> Result<(Tunnel, Vm), Failure> {
         let upstream = &target.upstream;
         let resorts = self.last_resorts(upstream);
         for peer in self.candidates(upstream).into_iter().chain(resorts) {
             let failure = match self.ask(target, &peer, Duration::ZERO).await {
-                Ok(stream) => return Ok((stream, peer.vm)),
+                Ok(tunnel) => return Ok((tunnel, peer.vm)),
                 Err(failure) => failure,
             };
             self.counts.refused.fetch_add(1, Ordering::Relaxed);
@@ -440,22 +442,17 @@
     }
 
     /// Asks a peer for a connection, which has to stay open for `hold`.
-    async fn ask(
-        &self,
-        target: &Target,
-        peer: &Peer,
-        hold: Duration,
-    ) -> Result<TcpStream, Failure> {
+    async fn ask(&self, target: &Target, peer: &Peer, hold: Duration) -> Result<Tunnel, Failure> {
         let (upstream, address) = (&target.upstream, target.address);
         let text = token::make(&self.seal, &self.me, &peer.vm, upstream, address);
         let text = text.ok_or(Failure::Unreached)?;
         let asked = client::open(self.source, peer.address, address, text);
         let opened = timeout(RELAY_LIMIT, asked).await;
-        let stream = opened.map_err(|_| Failure::Unreached)??;
-        if !hold.is_zero() && !stays_open(&stream, hold).await {
+        let tunnel = opened.map_err(|_| Failure::Unreached)??;
+        if !hold.is_zero() && !stays_open(&tunnel.stream, hold).await {
             return Err(Failure::Refused);
         }
-        Ok(stream)
+        Ok(tunnel)
     }
 
     /// Takes in that a peer opened no connection, or one that broke a request off.
@@ -469,12 +466,13 @@
         self.paths().is_refused(now, upstream)
     }
 
-    fn opened_by(&self, target: &Target, stream: TcpStream, peer: Vm) -> Opened {
+    fn opened_by(&self, target: &Target, tunnel: Tunnel, peer: Vm) -> Opened {
         let now = self.now();
         self.paths().relayed(now, &target.upstream, &peer);
         Opened {
-            stream,
+            stream: tunnel.stream,
             way: Way::Peer(peer),
+            exact_end: tunnel.exact_end,
         }
     }
 
@@ -528,6 +526,7 @@
     Opened {
         stream,
         way: Way::Direct,
+        exact_end: true,
     }
 }
 
--- a/crates/upstream/src/relay/server/mod.rs
+++ b/crates/upstream/src/relay/server/mod.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use http_body_util::Empty;
 use hyper::body::Incoming;
-use hyper::header::PROXY_AUTHORIZATION;
+use hyper::header::{HeaderValue, PROXY_AUTHORIZATION};
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, upgrade};
@@ -22,7 +22,7 @@
 use wire::{Upstream, Vm};
 
 use super::router::{Router, Target, is_refusal};
-use super::{reset, token};
+use super::{EXACT_END, reset, token};
 
 /// Connections of peers at a time, and those of one peer.
 const CONNECTIONS_MAX: usize = 384;
@@ -144,6 +144,8 @@
                 };
                 let mut response = Response::new(Empty::<Bytes>::new());
                 *response.status_mut() = status;
+                let headers = response.headers_mut();
+                headers.insert(EXACT_END, HeaderValue::from_static("1"));
                 Ok::<_, Infallible>(response)
             }
         });
--- a/crates/upstream/src/relay/server/tunnel.rs
+++ b/crates/upstream/src/relay/server/tunnel.rs
@@ -10,7 +10,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 
-use super::super::reset;
+use super::super::{close_in_order, reset};
 use super::Counts;
 
 /// Bytes under way in each direction beside the system's own buffers.
@@ -74,6 +74,9 @@
 }
 
 /// Copies both ways until both sides have ended; where one is reset, so is the other.
+///
+/// An answer may end with its connection, so that each side ends in good order only where the other one
+/// has. In all other cases both are reset, which the system does as well if this process ends.
 pub(super) async fn copy(
     mut near: TcpStream,
     mut far: TcpStream,
@@ -81,8 +84,10 @@
     counts: &Counts,
     stop: watch::Receiver<bool>,
 ) {
+    reset(&near);
+    reset(&far);
     let activity = Activity::new();
-    let copied = async {
+    let _ = async {
         far.write_all(early).await?;
         let (near_read, near_write) = near.split();
         let (far_read, far_write) = far.split();
@@ -90,26 +95,18 @@
         let back = direction(far_read, near_write, false, &activity, counts);
         tokio::select! {
             copied = async { tokio::try_join!(there, back) } => copied.map(|_| ()),
-            end = watch(&activity, &stop) => end,
+            () = watch(&activity, &stop) => Err(ErrorKind::TimedOut.into()),
         }
-    };
-    if copied.await.is_err() {
-        reset(&near);
-        reset(&far);
     }
+    .await;
 }
 
 /// Waits until the connection is to be closed.
-async fn watch(activity: &Activity, stop: &watch::Receiver<bool>) -> io::Result<()> {
+async fn watch(activity: &Activity, stop: &watch::Receiver<bool>) {
     loop {
         sleep(LOOK).await;
-        let leaving = *stop.borrow();
-        if activity.is_over(leaving) {
-            return if leaving {
-                Ok(())
-            } else {
-                Err(ErrorKind::TimedOut.into())
-            };
+        if activity.is_over(*stop.borrow()) {
+            return;
         }
     }
 }
@@ -127,6 +124,7 @@
         match from.try_read(&mut buffer) {
             Ok(0) => {
                 activity.half_open.store(true, Ordering::Relaxed);
+                close_in_order(to.as_ref())?;
                 return to.shutdown().await;
             }
             Ok(bytes) => {
--- a/crates/upstream/src/service/http.rs
+++ b/crates/upstream/src/service/http.rs
@@ -5,16 +5,16 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::header::CONTENT_LENGTH;
 use hyper::http::HeaderValue;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Request, Response};
 use wire::Upstream;
 
 use super::{Body, Call, Service};
 use crate::engine::check_head;
 use crate::error::Error;
 use crate::header;
-use crate::link::{self, Limits, Link};
+use crate::link::{self, Framing, Limits, Link};
 use crate::relay::Router;
 
 /// A plain service reached over HTTP.
@@ -64,9 +64,10 @@
         Ok(request)
     }
 
-    fn check(&self, response: &Response<link::Body>, sent: &Sent) -> Result<(), Error> {
-        check_head(self.upstream(), response, &sent.attempt)?;
-        if !is_framed(response, &sent.method) {
+    fn check(&self, response: &Response<link::Body>, attempt: &str) -> Result<(), Error> {
+        check_head(self.upstream(), response, attempt)?;
+        // A cut could not be told from the end.
+        if response.body().framing() == Framing::Connection {
             return Err(Error::Malformed {
                 upstream: self.upstream().clone(),
                 cause: "the body's length is not told".to_owned(),
@@ -76,12 +77,6 @@
     }
 }
 
-/// What the answer is checked against.
-struct Sent {
-    method: Method,
-    attempt: crate::engine::Attempt,
-}
-
 impl Service for Http {
     type Body = link::Body;
 
@@ -90,10 +85,7 @@
         call: Call,
         wanted: impl FnOnce() -> bool + Send,
     ) -> Result<Response<link::Body>, Error> {
-        let sent = Sent {
-            method: call.method.clone(),
-            attempt: call.attempt.clone(),
-        };
+        let attempt = call.attempt.clone();
         let call = link::Call {
             class: call.priority.into(),
             reuse: call.reuse,
@@ -102,7 +94,7 @@
             request: self.request(call)?,
         };
         let mut response = self.link.send_if(call, |_| wanted()).await?;
-        self.check(&response, &sent)?;
+        self.check(&response, &attempt)?;
         header::strip(response.headers_mut());
         response.headers_mut().remove(header::ATTEMPT);
         Ok(response)
@@ -114,13 +106,3 @@
         link::Body::next(self).await
     }
 }
-
-/// Tells whether the end of the body can be told from a cut.
-fn is_framed(response: &Response<link::Body>, method: &Method) -> bool {
-    let headers = response.headers();
-    let status = response.status();
-    let bodiless = method == Method::HEAD
-        || status == StatusCode::NO_CONTENT
-        || status == StatusCode::NOT_MODIFIED;
-    bodiless || headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
-}
--- a/crates/upstream/tests/support/mod.rs
+++ b/crates/upstream/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod relay;
+
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
