Check the silence of a stalled engine however often bytes come

Callers saw: a stream whose engine sends no event but a byte or a comment every few milliseconds stayed there until the route's time limit; at 100 ms between bytes it was left at times, but later than its caller waits. Cause: the pause until the next check of silence began anew with each part of a body, so that a part that came before its end put the check off. At 100 ms, the interval of the checks, it was a race. Change: the time of the next check belongs to the visit and outlives a part. A check that is long due is put off once, so that a node that stood still reads first what has come. The head of an answer is waited for in one go, and was not affected.

--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -438,7 +438,7 @@
                 visit.end(AttemptResult::Failed);
                 return self.failed("no-memory", Execution::Unknown);
             }
-            match self.next(&mut body, &visit).await {
+            match self.next(&mut body, &mut visit).await {
                 Next::Part(part) => {
                     let before = cursor.progress();
                     faulty = cursor.push(&part, &mut first).is_err();
@@ -479,13 +479,16 @@
     }
 
     /// Waits for the next part of a stream, until it ends, breaks or has to be given up.
-    pub(super) async fn next(&self, body: &mut link::Body, visit: &Visit<D>) -> Next {
+    pub(super) async fn next(&self, body: &mut link::Body, visit: &mut Visit<D>) -> Next {
         let movable = self.route.kind.repeatable() && self.attempts < self.route.attempts;
         let wait = self.wait(visit);
         // Where bytes come without end, there is always a next part.
         if self.left().is_zero() {
             return Next::Broken("late");
         }
+        if movable && visit.is_check_due() && self.leaves(&wait, visit) {
+            return Next::Broken(SILENT);
+        }
         let deadline = self.hub.clock.instant(self.terms.deadline);
         let mut next = pin!(body.next());
         loop {
@@ -497,7 +500,7 @@
                     Err(_) => Next::Cut,
                 },
                 () = tokio::time::sleep_until(deadline) => return Next::Broken("late"),
-                () = tokio::time::sleep(CHECK_INTERVAL), if movable => {
+                () = visit.check(), if movable => {
                     if self.leaves(&wait, visit) {
                         return Next::Broken(SILENT);
                     }
--- a/crates/gateway/src/front/stream.rs
+++ b/crates/gateway/src/front/stream.rs
@@ -129,7 +129,7 @@
             }
             let next = tokio::select! {
                 biased;
-                next = self.next(&mut open.body, &open.visit) => next,
+                next = self.next(&mut open.body, &mut open.visit) => next,
                 () = sender.closed() => return Run::Left,
             };
             match next {
--- a/crates/gateway/src/front/visit.rs
+++ b/crates/gateway/src/front/visit.rs
@@ -4,10 +4,12 @@
 use std::time::Duration;
 
 use dispatch::culprit::{Event, Feature};
+use dispatch::silence::CHECK_INTERVAL;
 use exchange::demand::Target;
 use exchange::fleet::AttemptResult;
 use exchange::permit::End;
 use exchange::route::PoolName;
+use tokio::time::{Instant, sleep_until};
 use upstream::link::Link;
 use wire::{Request, Time, Upstream};
 
@@ -35,6 +37,8 @@
     link: Link,
     /// Its permit, if the upstream is brittle.
     permit: Option<Permit<D>>,
+    /// When its silence is checked next.
+    check: Instant,
     fate: Fate,
     over: bool,
 }
@@ -80,6 +84,7 @@
             request,
             link: link.clone(),
             permit: None,
+            check: Instant::now() + CHECK_INTERVAL,
             fate: Fate::Dropped,
             over: false,
         }
@@ -158,6 +163,24 @@
         known.map_or(own, |runner| runner.silence(now).min(own))
     }
 
+    /// Waits until the upstream's silence is to be checked. Dropped, it does not put the check off.
+    pub(super) async fn check(&mut self) {
+        sleep_until(self.check).await;
+        self.check = Instant::now() + CHECK_INTERVAL;
+    }
+
+    /// Returns whether the upstream's silence is to be checked now. A check that is long due is put off,
+    /// so that what has come while this node read nothing is read first.
+    pub(super) fn is_check_due(&mut self) -> bool {
+        let now = Instant::now();
+        let due = self.check;
+        if now < due {
+            return false;
+        }
+        self.check = now + CHECK_INTERVAL;
+        now < due + CHECK_INTERVAL
+    }
+
     /// Returns whether an event of its stream has come.
     pub(super) const fn has_begun(&self) -> bool {
         self.began.is_some()
