Count no comments as events of a stream

Callers saw: a stream of which only comments came before its first event was not moved to another engine, and broke off at the route's time limit without an event. Comments after an event put the move off: 2.03 s where a route's limit is long, 2 s are allowed. Cause: the cursor counted comments as events until one had an id, so the engine seemed to go on; and a comment that was passed on moved the time from which the caller's patience counts. A stream that had passed on nothing but comments was taken for one without ids, which has no place to go on from. Change: only events count. What has passed on comments alone begins anew elsewhere.

--- a/crates/exchange/src/relay.rs
+++ b/crates/exchange/src/relay.rs
@@ -48,13 +48,13 @@
         self.last
     }
 
-    /// Returns the number of complete events that were passed on.
+    /// Returns the number of complete events that were passed on. Comments are none.
     pub fn events(&self) -> u64 {
         self.events
     }
 
     /// Returns a number that grows with each event: the id of the last one, or the number of events
-    /// if they have no ids. Comments between events do not change it.
+    /// if they have no ids. Comments do not change it.
     pub fn progress(&self) -> u64 {
         self.last.unwrap_or(self.events)
     }
@@ -117,7 +117,7 @@
             let (event, tail) = rest.split_at(end);
             self.check(event)?;
             out.extend_from_slice(event);
-            self.events += 1;
+            self.events += u64::from(!is_comment(event));
             rest = tail;
         }
         Ok(rest)
--- a/crates/exchange/tests/stream_cursor.rs
+++ b/crates/exchange/tests/stream_cursor.rs
@@ -64,6 +64,20 @@
     assert_eq!(cursor.push(event(8).as_bytes(), &mut out), Ok(()));
 }
 
+/// Guards against an engine that only sends comments and counts as one whose stream goes on.
+#[rstest]
+fn comments_are_no_progress() {
+    let mut cursor = Cursor::default();
+    let mut out = Vec::new();
+    let pushed = cursor.push(b": still here\n\n\n: still here\n\n", &mut out);
+    assert_eq!(pushed, Ok(()));
+    assert_eq!((cursor.events(), cursor.progress()), (0, 0));
+    assert_eq!(out, b": still here\n\n\n: still here\n\n");
+    let pushed = cursor.push(event(1).as_bytes(), &mut out);
+    assert_eq!(pushed, Ok(()));
+    assert_eq!((cursor.events(), cursor.progress()), (1, 1));
+}
+
 #[rstest]
 fn carriage_returns_end_lines() {
     let mut cursor = Cursor::default();
--- a/crates/gateway/src/front/job.rs
+++ b/crates/gateway/src/front/job.rs
@@ -148,12 +148,14 @@
     pub(super) queued: Duration,
     /// Milliseconds from its arrival until it was written to an upstream last; 0 if it never was.
     pub(super) written_ms: AtomicU64,
-    /// Time from its arrival to the head of its answer.
+    /// Time from its arrival to the first event of its stream.
     pub(super) first: Duration,
-    /// When a part of its stream was passed on last.
+    /// When events of its stream were passed on last.
     pub(super) last_part: Time,
-    /// Longest pause between two parts of its stream.
+    /// Longest pause between two such times.
     pub(super) gap: Duration,
+    /// Events of its stream that were passed on.
+    pub(super) events: u64,
     /// Last event of its stream that has reached the caller.
     pub(super) after: Option<u64>,
     /// Release that its stream began at, once it has begun.
@@ -203,6 +205,7 @@
             first: Duration::ZERO,
             last_part: Time::ZERO,
             gap: Duration::ZERO,
+            events: 0,
             release: None,
             answer: None,
             ended: false,
--- a/crates/gateway/src/front/stream.rs
+++ b/crates/gateway/src/front/stream.rs
@@ -54,11 +54,6 @@
         let mut headers = std::mem::take(&mut open.headers);
         headers.remove(CONTENT_LENGTH);
         *response.headers_mut() = headers;
-        let now = self.hub.clock.now();
-        let waited = now.saturating_sub(self.terms.arrived);
-        self.hub.metrics.first("stream", waited);
-        self.first = waited;
-        self.last_part = now;
         let flight = self.hub.enter();
         tokio::spawn(async move {
             self.pump(open, cursor, &sender).await;
@@ -155,23 +150,38 @@
         }
     }
 
-    /// Passes whole events on. Returns `false` where the caller has left.
+    /// Passes whole events and comments on. Returns `false` where the caller has left.
     async fn pass(&mut self, cursor: &Cursor, events: Bytes, sender: &Sender) -> bool {
         if events.is_empty() {
             return !sender.is_closed();
         }
-        let now = self.hub.clock.now();
-        self.gap = self.gap.max(now.saturating_sub(self.last_part));
-        self.last_part = now;
+        if cursor.events() != self.events {
+            self.events = cursor.events();
+            self.record_event();
+        }
         self.after = cursor.last();
         sender.send(events).await.is_ok()
     }
 
+    /// Records that events were passed on.
+    fn record_event(&mut self) {
+        let now = self.hub.clock.now();
+        if self.last_part.is_zero() {
+            self.first = now.saturating_sub(self.terms.arrived);
+            self.hub.metrics.first("stream", self.first);
+        } else {
+            self.gap = self.gap.max(now.saturating_sub(self.last_part));
+        }
+        self.last_part = now;
+    }
+
     /// Takes a broken stream to another engine. Dropped, it stops the run that it waits for.
     async fn resume(&mut self, cursor: &mut Cursor) -> Option<Open<D>> {
         cursor.restart();
-        // A stream without ids has no place to go on from.
-        cursor.last()?;
+        // A stream without ids has no place to go on from, unless it begins anew.
+        if cursor.events() > 0 {
+            cursor.last()?;
+        }
         let mut reach = Execution::Unknown;
         loop {
             self.worst = self.worst.max(reach);
