Give up an engine's answer whose events stop while bytes go on

Callers saw: on the product's own front a completion whose engine stalled stayed there until its deadline, as long as a byte, a comment or a part of another answer came within the idle limit. After the last event, such bytes kept the connection of an answer that is read to the end. Cause: as on the gateway's front, bytes counted as signs that the answer goes on; the idle limit is for bytes. Change: the wait for an event, and for the end after the last one, has that limit as well. The time in which a slow caller is written to does not count.

--- a/crates/settings/src/section.rs
+++ b/crates/settings/src/section.rs
@@ -173,7 +173,7 @@
     /// Limit for an upstream's first byte of an answer.
     #[serde(with = "humantime_serde")]
     pub first_byte: Duration,
-    /// Limit between two bytes of an answer.
+    /// Limit between two bytes of an answer, and between two events of an engine.
     #[serde(with = "humantime_serde")]
     pub idle: Duration,
     /// Time limit of a request that names none.
--- a/crates/upstream/src/engine/answer.rs
+++ b/crates/upstream/src/engine/answer.rs
@@ -87,6 +87,11 @@
         }
     }
 
+    /// Returns the engine that answers.
+    pub fn upstream(&self) -> &Upstream {
+        &self.upstream
+    }
+
     /// Returns the number of tokens received, those before the resumed offset included.
     pub fn offset(&self) -> u64 {
         self.offset
--- a/crates/upstream/src/engine/http.rs
+++ b/crates/upstream/src/engine/http.rs
@@ -18,11 +18,12 @@
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
+use tokio::time::{Instant, timeout};
 use wire::{Fence, Upstream};
 
 use super::answer::{Check, Next};
 use super::{Completion, Engine, Event, Events, Load, Report, Resident, Role, Unload};
-use crate::error::Error;
+use crate::error::{Error, Phase, Reach};
 use crate::header;
 use crate::link::{Body, Call, Class, Host, Limits, Link, Reuse};
 use crate::relay::Router;
@@ -237,7 +238,8 @@
             request.instance,
             request.offset,
         );
-        Ok(Stream::new(check, response.into_body()))
+        let limit = self.link.limits().body;
+        Ok(Stream::new(check, response.into_body(), limit))
     }
 
     async fn cancel(&self, attempt: &str) -> Result<(), Error> {
@@ -319,15 +321,18 @@
     check: Check,
     parser: Parser,
     body: Option<Body>,
+    /// Limit of the wait for an event, and for the end of the body after the last one.
+    limit: Duration,
     ended: bool,
 }
 
 impl Stream {
-    fn new(check: Check, body: Body) -> Self {
+    fn new(check: Check, body: Body, limit: Duration) -> Self {
         Self {
             check,
             parser: Parser::default(),
             body: Some(body),
+            limit,
             ended: false,
         }
     }
@@ -374,18 +379,34 @@
     /// Reads on to the end of the body, so that the connection can be kept.
     async fn release(&mut self) {
         if let Some(mut body) = self.body.take() {
-            while let Ok(Some(_)) = body.next().await {}
+            let rest = async { while let Ok(Some(_)) = body.next().await {} };
+            let _ = timeout(self.limit, rest).await;
         }
     }
 
     async fn step(&mut self) -> Result<Event, Error> {
+        let mut since = None;
         loop {
             if let Some(event) = self.parsed() {
                 return event;
             }
+            // The body's own limit is for bytes, which need not bring an event.
+            let since: Instant = *since.get_or_insert_with(Instant::now);
+            if since.elapsed() >= self.limit {
+                return Err(self.stalled());
+            }
             self.read().await?;
         }
     }
+
+    fn stalled(&self) -> Error {
+        Error::Timeout {
+            upstream: self.check.upstream().clone(),
+            phase: Phase::Body,
+            limit: self.limit,
+            reach: Reach::MaybeSent,
+        }
+    }
 }
 
 impl super::Answer for Stream {
--- a/crates/upstream/src/link/mod.rs
+++ b/crates/upstream/src/link/mod.rs
@@ -112,7 +112,7 @@
     /// Time until the response head of a report or list; short, since a silent upstream would
     /// otherwise use up the control connections that its next order needs.
     pub report: Duration,
-    /// Time between two parts of the response body.
+    /// Time between two parts of the response body, and between two events of an engine.
     pub body: Duration,
     /// Time that an idle connection is kept.
     pub keep: Duration,
