Notice machines that vanish at both ends of a relayed connection

Callers would see: after a node that was relayed for has gone with its machine, its work at upstreams goes on, and its places at the relay are taken, for up to 75 s; the same for an upstream that vanishes, where the request itself has its own limit. Cause: the sockets of the relay had neither keep-alive nor `TCP_USER_TIMEOUT`, which no library sets. Found by reading. Change: the far end has the options of any connection to an upstream. The near end has those of a caller, with the longer time while an answer is written: the other node reads as slowly as its own caller. Measured: ends_of_a_relay_that_vanish_are_noticed found no options before; they are read from the sockets. A machine that really vanishes was not played.

--- a/crates/node/tests/socket_options.rs
+++ b/crates/node/tests/socket_options.rs
@@ -2,6 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::os::fd::{BorrowedFd, RawFd};
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -15,14 +16,17 @@
 use platform::source::Source;
 use rstest::rstest;
 use socket::{CALLER, CALLER_WRITE_TIMEOUT, Options, PEER, UPSTREAM};
-use socket2::SockRef;
+use socket2::{SockFilter, SockRef};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 use upstream::link::{Call, Class, Host, Limits, Link, Reuse};
+use upstream::path::Peer;
+use upstream::relay::Router;
+use upstream::relay::server::{Gate, Server};
 use wire::seal::Seal;
-use wire::{Frame, Incarnation};
+use wire::{Frame, Incarnation, Upstream};
 
 /// Time for a connection to be there.
 const PATIENCE: Duration = Duration::from_secs(10);
@@ -36,6 +40,8 @@
 /// Time for which a slow caller reads nothing.
 const SLOW_READER: Duration = Duration::from_secs(7);
 
+const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
 const REQUEST: &[u8] = b"GET /x HTTP/1.1\r\nhost: a\r\n\r\n";
 
 /// Which end of a connection is looked for.
@@ -212,6 +218,103 @@
     calling.abort();
 }
 
+/// Lets all connections through.
+#[derive(Clone)]
+struct Open;
+
+impl Gate for Open {
+    fn admits(&self, _: &Upstream, _: SocketAddr) -> bool {
+        true
+    }
+}
+
+/// Accepts connections from all addresses but `hidden`, reads a request and answers after its work.
+async fn hidden_server(hidden: Ipv4Addr) -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
+        .await
+        .expect("a port");
+    // Loads the source address (`linux/filter.h`), and drops the packet where that is the one.
+    let program = [
+        SockFilter::new(0x20, 0, 0, 0xfff0_0000 + 12),
+        SockFilter::new(0x15, 1, 0, u32::from(hidden)),
+        SockFilter::new(0x06, 0, 0, u32::MAX),
+        SockFilter::new(0x06, 0, 0, 0),
+    ];
+    let socket = SockRef::from(&listener);
+    socket.attach_filter(&program).expect("a listener");
+    let address = listener.local_addr().expect("bound");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut request = [0; 1024];
+                while stream.read(&mut request).await.is_ok_and(|bytes| bytes > 0) {
+                    sleep(WORK).await;
+                    let _ = stream.write_all(ANSWER).await;
+                }
+            });
+        }
+    });
+    address
+}
+
+fn router(vm: &str, ip: Ipv4Addr) -> Arc<Router> {
+    let seal = Seal::new(b"sixteen bytes at least", None).expect("a key");
+    Router::new(Incarnation::new(vm, 1), "z", seal, Some(ip.into()))
+}
+
+/// Guards against a peer's machine that has gone while an upstream works for it through this node, and an
+/// upstream's that has gone: the relay held both connections until its own limit, 75 s.
+#[rstest]
+#[tokio::test]
+async fn ends_of_a_relay_that_vanish_are_noticed() {
+    let [near, relay] = [1, 2].map(|last| Ipv4Addr::new(127, 94, 7, last));
+    let upstream = hidden_server(near).await;
+    let listener = TcpListener::bind((relay, 0)).await.expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let stop = watch::Sender::new(false);
+    let server = Server::new(
+        router("relay", relay),
+        Open,
+        Arc::default(),
+        stop.subscribe(),
+    );
+    tokio::spawn(server.serve(listener));
+    let partitioned = router("near", near);
+    partitioned.set_peers([Peer {
+        vm: "relay".into(),
+        zone: "z".into(),
+        address,
+    }]);
+    let limits = Limits {
+        connect: Duration::from_millis(400),
+        ..Limits::default()
+    };
+    let link = Link::new("s1", upstream, limits).routed(&partitioned);
+    for _ in 0..2 {
+        let link = link.clone();
+        let call = Call {
+            class: Class::Ordinary,
+            reuse: Reuse::Kept,
+            host: Host::Upstream,
+            head: Some(PATIENCE),
+            request: Request::new(Full::new(Bytes::new())),
+        };
+        let calling =
+            tokio::spawn(async move { link.send(call).await?.into_body().collect().await });
+        await_options(End::To(upstream)).await;
+        sleep(WORK / 3).await;
+        assert_eq!(await_options(End::To(upstream)).await, Some(UPSTREAM));
+        assert_eq!(await_options(End::At(address)).await, Some(CALLER));
+        let answer = calling.await.expect("no panic").expect("an answer");
+        assert_eq!(answer, "ok");
+        let writing = Options {
+            user_timeout: Some(CALLER_WRITE_TIMEOUT),
+            ..CALLER
+        };
+        assert_eq!(await_options(End::At(address)).await, Some(writing));
+    }
+}
+
 /// Guards against a read of the platform on a connection that leads nowhere.
 #[rstest]
 #[tokio::test]
--- a/crates/upstream/src/relay/server/mod.rs
+++ b/crates/upstream/src/relay/server/mod.rs
@@ -122,6 +122,7 @@
     async fn connection(self, stream: TcpStream) {
         // Small token chunks must not wait for each other.
         let _ = stream.set_nodelay(true);
+        let _ = socket::apply(&stream, &socket::CALLER);
         let (sender, mut opened) = tokio::sync::oneshot::channel();
         let sender = Arc::new(Mutex::new(Some(sender)));
         let service = service_fn(|mut request: Request<Incoming>| {
--- a/crates/upstream/src/relay/server/tunnel.rs
+++ b/crates/upstream/src/relay/server/tunnel.rs
@@ -50,10 +50,11 @@
         }
     }
 
-    fn passed(&self, awaited: bool) {
+    /// Notes bytes, and whether an answer is awaited after them. Returns whether one was before.
+    fn passed(&self, awaited: bool) -> bool {
         let now = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX);
         self.last.store(now, Ordering::Relaxed);
-        self.awaited.store(awaited, Ordering::Relaxed);
+        self.awaited.swap(awaited, Ordering::Relaxed)
     }
 
     fn silence(&self) -> Duration {
@@ -86,6 +87,8 @@
 ) {
     reset(&near);
     reset(&far);
+    // A socket that takes no options is closed already.
+    let _ = socket::apply(&far, &socket::UPSTREAM);
     let activity = Activity::new();
     let _ = async {
         far.write_all(early).await?;
@@ -111,6 +114,16 @@
     }
 }
 
+/// Gives the peer's end the times of a caller: the peer reads as slowly as its own caller does.
+fn set_awaiting(near: &TcpStream, awaited: bool) {
+    let timeout = if awaited {
+        socket::CALLER.user_timeout
+    } else {
+        Some(socket::CALLER_WRITE_TIMEOUT)
+    };
+    let _ = socket::set_user_timeout(near, timeout);
+}
+
 async fn direction(
     from: ReadHalf<'_>,
     mut to: WriteHalf<'_>,
@@ -128,7 +141,10 @@
                 return to.shutdown().await;
             }
             Ok(bytes) => {
-                activity.passed(requests);
+                if activity.passed(requests) != requests {
+                    let near = if requests { from.as_ref() } else { to.as_ref() };
+                    set_awaiting(near, requests);
+                }
                 counts.bytes.fetch_add(bytes as u64, Ordering::Relaxed);
                 to.write_all(&buffer[..bytes]).await?;
             }
