Bound the bodies of answers to orders and of reports

Callers saw: with the answers of some orders begun and not ended, all engines were refused further orders, and requests for an adapter that was held nowhere got 503 for up to a minute. Cause: only the head of such an answer had a limit. The body had the link's, 60 s from byte to byte, since the front ends the answers of requests itself; two such answers take all connections for orders of an engine. Change: the body has a limit of its own, from its head on and however often bytes come: that of the head for engines, 5 s for a page of the store.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -5,13 +5,22 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, Response};
-use upstream::Error;
+use tokio::time::timeout;
 use upstream::link::{Call, Class, Host, Link, Reuse};
+use upstream::{Error, Phase, Reach};
 
 use crate::dialect;
 
-/// Sends one call, if `wanted` still holds when it can be written, and reads the whole answer, whose
-/// head has to come within `limit`.
+/// Limits of the wait for an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Limit {
+    /// Until its head has come.
+    pub head: Duration,
+    /// From there until it is whole, however often bytes come.
+    pub body: Duration,
+}
+
+/// Sends one call, if `wanted` still holds when it can be written, and reads the whole answer.
 ///
 /// # Errors
 ///
@@ -19,7 +28,7 @@
 pub(crate) async fn send(
     link: &Link,
     call: dialect::Call,
-    limit: Duration,
+    limit: Limit,
     wanted: impl FnOnce() -> bool,
 ) -> Result<Response<Bytes>, Error> {
     // Reads may be repeated, and so may orders, since they name the state that they ask for.
@@ -34,7 +43,7 @@
 pub(crate) async fn send_anew(
     link: &Link,
     call: dialect::Call,
-    limit: Duration,
+    limit: Limit,
 ) -> Result<Response<Bytes>, Error> {
     send_by(link, call, Reuse::Fresh, limit, || true).await
 }
@@ -43,7 +52,7 @@
     link: &Link,
     call: dialect::Call,
     reuse: Reuse,
-    limit: Duration,
+    limit: Limit,
     wanted: impl FnOnce() -> bool,
 ) -> Result<Response<Bytes>, Error> {
     let mut request = Request::builder().method(call.method).uri(call.path);
@@ -60,9 +69,18 @@
         class: Class::Control,
         reuse,
         host: Host::Upstream,
-        head: Some(limit),
+        head: Some(limit.head),
         request,
     };
     let (parts, body) = link.send_if(call, |_| wanted()).await?.into_parts();
-    Ok(Response::from_parts(parts, body.collect().await?))
+    let body = timeout(limit.body, body.collect()).await;
+    let body = body.unwrap_or_else(|_| {
+        Err(Error::Timeout {
+            upstream: link.upstream().clone(),
+            phase: Phase::Body,
+            limit: limit.body,
+            reach: Reach::MaybeSent,
+        })
+    })?;
+    Ok(Response::from_parts(parts, body))
 }
--- a/crates/gateway/src/control/engines.rs
+++ b/crates/gateway/src/control/engines.rs
@@ -11,12 +11,15 @@
 use upstream::link::Link;
 use wire::{Fence, Upstream};
 
-use crate::call::{send, send_anew};
+use crate::call::{Limit, send, send_anew};
 use crate::dialect::Dialect;
 use crate::hub::Hub;
 
 /// Limit for the answer to an order or a question; several round trips.
-const ANSWER: Duration = Duration::from_millis(700);
+const ANSWER: Limit = Limit {
+    head: Duration::from_millis(700),
+    body: Duration::from_millis(700),
+};
 
 /// Gives an order and tells the owner how it was answered.
 pub async fn order<D: Dialect>(hub: Arc<Hub<D>>, runner: Upstream, fence: Fence, order: Order) {
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -17,7 +17,7 @@
 use upstream::link::{Limits, Link};
 use wire::{Time, Upstream};
 
-use crate::call::send;
+use crate::call::{Limit, send};
 use crate::dialect::{Call, Change, Dialect, Malformed, Page};
 use crate::hub::Hub;
 use aftermath::Aftermath;
@@ -43,6 +43,9 @@
 /// Time allowed beyond that for the answer.
 const ANSWER: Duration = Duration::from_millis(1_500);
 
+/// Limit for the body of an answer; the largest page takes a part of a second.
+const BODY: Duration = Duration::from_secs(5);
+
 /// Limit for a connection to the platform.
 const CONNECT: Duration = Duration::from_millis(500);
 
@@ -357,6 +360,10 @@
     /// earlier era.
     async fn read(&mut self, call: Call, limit: Duration) -> Result<(Era, bytes::Bytes), Error> {
         self.last = Instant::now();
+        let limit = Limit {
+            head: limit,
+            body: BODY,
+        };
         let answer = send(&self.link, call, limit, || true).await?;
         let stated = self.hub.dialect.era(answer.headers());
         let Some(era) = self.hub.desk().history.era_of(stated) else {
