Leave an upstream whose answer stalls in its body

Callers saw: a call that may be repeated got 504 at its route's time limit where an upstream had begun an answer with a length and went silent; other upstreams were sound. Cause: silence was checked while the head is awaited, and between the events of a stream, but not in an answer that is read whole. Change: one wait for a part of an answer, whatever it is, with the same checks; each part counts as a sign of the upstream. `link::Collector` reads a body part by part under the same limits.

--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt at one upstream, and what its answer is worth.
 
+use std::future::Future;
 use std::pin::pin;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
@@ -35,6 +36,9 @@
 /// Reason of an attempt that ends because its upstream is silent.
 pub(super) const SILENT: &str = "silent";
 
+/// Reason of an attempt that ends with the request's time.
+const LATE: &str = "late";
+
 /// Pause after which an engine that refused for a load under way is tried again.
 const NOT_YET: Duration = Duration::from_millis(50);
 
@@ -480,35 +484,67 @@
 
     /// Waits for the next part of a stream, until it ends, breaks or has to be given up.
     pub(super) async fn next(&self, body: &mut link::Body, visit: &mut Visit<D>) -> Next {
-        let movable = self.route.kind.repeatable() && self.attempts < self.route.attempts;
-        let wait = self.wait(visit);
         // Where bytes come without end, there is always a next part.
         if self.left().is_zero() {
-            return Next::Broken("late");
+            return Next::Broken(LATE);
         }
+        match self.part(body.next(), visit).await {
+            Ok(Ok(Some(part))) => Next::Part(part),
+            Ok(Ok(None)) => Next::End,
+            Ok(Err(_)) => Next::Cut,
+            Err(reason) => Next::Broken(reason),
+        }
+    }
+
+    /// Waits for `part` of an answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the answer has to be given up.
+    async fn part<T>(
+        &self,
+        part: impl Future<Output = T>,
+        visit: &mut Visit<D>,
+    ) -> Result<T, &'static str> {
+        let movable = self.route.kind.repeatable() && self.attempts < self.route.attempts;
+        let wait = self.wait(visit);
         if movable && visit.is_check_due() && self.leaves(&wait, visit) {
-            return Next::Broken(SILENT);
+            return Err(SILENT);
         }
         let deadline = self.hub.clock.instant(self.terms.deadline);
-        let mut next = pin!(body.next());
+        let mut part = pin!(part);
         loop {
             tokio::select! {
                 biased;
-                part = &mut next => return match part {
-                    Ok(Some(part)) => Next::Part(part),
-                    Ok(None) => Next::End,
-                    Err(_) => Next::Cut,
-                },
-                () = tokio::time::sleep_until(deadline) => return Next::Broken("late"),
+                part = &mut part => return Ok(part),
+                () = tokio::time::sleep_until(deadline) => return Err(LATE),
                 () = visit.check(), if movable => {
                     if self.leaves(&wait, visit) {
-                        return Next::Broken(SILENT);
+                        return Err(SILENT);
                     }
                 }
             }
         }
     }
 
+    /// Reads an answer whole, unless it breaks or has to be given up.
+    async fn collect(&self, body: link::Body, visit: &mut Visit<D>) -> Collected {
+        let Ok(mut collector) = body.collector() else {
+            return Collected::NoMemory;
+        };
+        loop {
+            match self.part(collector.read(), visit).await {
+                Ok(Ok(Some(bytes))) => return Collected::Whole(bytes),
+                Ok(Ok(None)) => visit.hear(),
+                Ok(Err(upstream::Error::NoMemory { .. } | upstream::Error::Large { .. })) => {
+                    return Collected::NoMemory;
+                }
+                Ok(Err(_)) => return Collected::Cut,
+                Err(reason) => return Collected::Broken(reason),
+            }
+        }
+    }
+
     /// Reads an answer that is passed on as a whole.
     async fn whole(
         &self,
@@ -519,19 +555,19 @@
         mut visit: Visit<D>,
         sent: Time,
     ) -> Tried<D> {
-        let bytes = match tokio::time::timeout(self.left(), body.collect()).await {
-            Ok(Ok(bytes)) => bytes,
-            Ok(Err(upstream::Error::NoMemory { .. } | upstream::Error::Large { .. })) => {
+        let bytes = match self.collect(body, &mut visit).await {
+            Collected::Whole(bytes) => bytes,
+            Collected::NoMemory => {
                 visit.end(AttemptResult::Failed);
                 return self.failed("no-memory", Execution::Unknown);
             }
-            Ok(Err(_)) => {
+            Collected::Cut => {
                 visit.break_off(&self.features).await;
                 return self.failed("cut", Execution::Unknown);
             }
-            Err(_) => {
+            Collected::Broken(reason) => {
                 visit.give_up();
-                return self.failed("late", Execution::Unknown);
+                return self.failed(reason, Execution::Unknown);
             }
         };
         let failure = status.is_server_error();
@@ -562,6 +598,18 @@
     }
 }
 
+/// What became of an answer that is read whole.
+enum Collected {
+    /// All of it.
+    Whole(Bytes),
+    /// There is no room for it.
+    NoMemory,
+    /// The upstream broke it off.
+    Cut,
+    /// It is given up, for this reason.
+    Broken(&'static str),
+}
+
 /// What came next in a stream.
 pub(super) enum Next {
     /// Bytes.
--- a/crates/upstream/src/link/body.rs
+++ b/crates/upstream/src/link/body.rs
@@ -1,6 +1,7 @@
 //! A response body that is read from its connection part by part.
 
 use std::future::{Future, poll_fn};
+use std::mem;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
@@ -178,25 +179,32 @@
     /// Returns [`Error::Large`] beyond the link's body limit, against which each part counts as at
     /// least 512 bytes, [`Error::NoMemory`] where the link's bodies take all memory that they may, and
     /// what [`Body::next`] returns.
-    pub async fn collect(mut self) -> Result<Bytes, Error> {
+    pub async fn collect(self) -> Result<Bytes, Error> {
+        let mut collector = self.collector()?;
+        loop {
+            if let Some(whole) = collector.read().await? {
+                return Ok(whole);
+            }
+        }
+    }
+
+    /// Reads the rest of the body part by part, as [`Body::collect`] does.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::NoMemory`] where there is no room for the length that the body states.
+    pub fn collector(self) -> Result<Collector, Error> {
         let limit = self.link.limits.body_bytes;
-        let mut counted = 0;
         let mut whole = Buffer::new(&self.link.memory);
         if let Some(length) = self.incoming.size_hint().exact() {
             let length = usize::try_from(length).unwrap_or(usize::MAX);
             whole.reserve(length.min(limit)).map_err(|_| self.full())?;
         }
-        while let Some(part) = self.next().await? {
-            counted += part.len().max(PART_BYTES_MIN);
-            if counted > limit {
-                return Err(Error::Large {
-                    upstream: self.link.upstream.clone(),
-                    limit,
-                });
-            }
-            whole.push(&part).map_err(|_| self.full())?;
-        }
-        Ok(whole.freeze())
+        Ok(Collector {
+            body: self,
+            whole,
+            counted: 0,
+        })
     }
 
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Result<Option<Bytes>, Error>> {
@@ -258,3 +266,36 @@
         }
     }
 }
+
+/// A response body of which the parts are kept until it is whole.
+#[derive(Debug)]
+pub struct Collector {
+    body: Body,
+    whole: Buffer,
+    /// Bytes so far, each part as [`PART_BYTES_MIN`] at least.
+    counted: usize,
+}
+
+impl Collector {
+    /// Reads the next part. Returns the whole body after the last one.
+    ///
+    /// # Errors
+    ///
+    /// Returns what [`Body::collect`] returns.
+    pub async fn read(&mut self) -> Result<Option<Bytes>, Error> {
+        let Some(part) = self.body.next().await? else {
+            let next = Buffer::new(&self.body.link.memory);
+            return Ok(Some(mem::replace(&mut self.whole, next).freeze()));
+        };
+        let limit = self.body.link.limits.body_bytes;
+        self.counted += part.len().max(PART_BYTES_MIN);
+        if self.counted > limit {
+            return Err(Error::Large {
+                upstream: self.body.link.upstream.clone(),
+                limit,
+            });
+        }
+        self.whole.push(&part).map_err(|_| self.body.full())?;
+        Ok(None)
+    }
+}
--- a/crates/upstream/src/link/mod.rs
+++ b/crates/upstream/src/link/mod.rs
@@ -29,7 +29,7 @@
 use tokio::time::{Instant, sleep, timeout};
 use wire::{Priority, Upstream};
 
-pub use body::{Body, Framing};
+pub use body::{Body, Collector, Framing};
 use conn::Conn;
 
 use crate::error::{Error, Phase, Reach};
