Bound the bodies of reports and of refusals on the product's own front

Callers saw: an engine whose report was begun and not ended counted as reached, and took its connections for orders, for as long as a byte came within the idle limit of 30 s. A completion that an engine refused waited for the text of the refusal. Cause: as on the gateway's front, only the head of such an answer had its own limit. Change: reports, lists, cancels and the texts of refusals have the limit of a report from their head on. Exports of caches keep that of bodies.

--- a/crates/upstream/src/engine/http.rs
+++ b/crates/upstream/src/engine/http.rs
@@ -100,7 +100,15 @@
     async fn ask(&self, link: &Link, path: &str) -> Result<Bytes, Error> {
         let request = Request::get(path).body(Full::default());
         let request = request.map_err(|error| self.invalid(error))?;
-        self.control(link, request, Reuse::Kept).await
+        let body = self.control(link, request, Reuse::Kept).await?;
+        self.short(body).await
+    }
+
+    /// Reads a body that has to be whole soon, however often bytes come.
+    async fn short(&self, body: Body) -> Result<Bytes, Error> {
+        let limit = self.link.limits().report;
+        let body = timeout(limit, body.collect()).await;
+        body.unwrap_or_else(|_| Err(timed_out(self.upstream(), limit)))
     }
 
     async fn control(
@@ -108,7 +116,7 @@
         link: &Link,
         request: Request<Full<Bytes>>,
         reuse: Reuse,
-    ) -> Result<Bytes, Error> {
+    ) -> Result<Body, Error> {
         let path = request.uri().path().to_owned();
         // An import sends a body that takes its time.
         let report = request.method() != Method::PUT;
@@ -121,7 +129,7 @@
         };
         let response = link.send(call).await?;
         if response.status().is_success() {
-            return response.into_body().collect().await;
+            return Ok(response.into_body());
         }
         Err(self.refusal(response, Some(&path)).await)
     }
@@ -164,7 +172,7 @@
             return Error::Absent { upstream, instance };
         }
         let pause = header::pause(status, response.headers());
-        let body = response.into_body().collect().await.unwrap_or_default();
+        let body = self.short(response.into_body()).await.unwrap_or_default();
         let quoted = &body[..body.len().min(QUOTE_BYTES_MAX)];
         Error::Refused {
             upstream,
@@ -244,9 +252,8 @@
 
     async fn cancel(&self, attempt: &str) -> Result<(), Error> {
         let request = self.build(Request::post("/v1/cancel"), &json!({ "attempt": attempt }))?;
-        self.control(&self.link, request, Reuse::Kept)
-            .await
-            .map(drop)
+        let body = self.control(&self.link, request, Reuse::Kept).await?;
+        self.short(body).await.map(drop)
     }
 
     async fn report(&self) -> Result<Report, Error> {
@@ -267,7 +274,8 @@
             .header(header::ATTEMPT, attempt)
             .body(Full::default())
             .map_err(|error| self.invalid(error))?;
-        self.control(&self.link, request, Reuse::Kept).await
+        let body = self.control(&self.link, request, Reuse::Kept).await?;
+        body.collect().await
     }
 
     async fn import(&self, attempt: &str, cache: Bytes) -> Result<(), Error> {
@@ -277,9 +285,18 @@
             .header(header::ATTEMPT, attempt)
             .body(Full::new(cache))
             .map_err(|error| self.invalid(error))?;
-        self.control(&self.link, request, Reuse::Fresh)
-            .await
-            .map(drop)
+        let body = self.control(&self.link, request, Reuse::Fresh).await?;
+        self.short(body).await.map(drop)
+    }
+}
+
+/// Returns the error of a body that does not come within `limit`.
+fn timed_out(upstream: &Upstream, limit: Duration) -> Error {
+    Error::Timeout {
+        upstream: upstream.clone(),
+        phase: Phase::Body,
+        limit,
+        reach: Reach::MaybeSent,
     }
 }
 
@@ -393,20 +410,11 @@
             // The body's own limit is for bytes, which need not bring an event.
             let since: Instant = *since.get_or_insert_with(Instant::now);
             if since.elapsed() >= self.limit {
-                return Err(self.stalled());
+                return Err(timed_out(self.check.upstream(), self.limit));
             }
             self.read().await?;
         }
     }
-
-    fn stalled(&self) -> Error {
-        Error::Timeout {
-            upstream: self.check.upstream().clone(),
-            phase: Phase::Body,
-            limit: self.limit,
-            reach: Reach::MaybeSent,
-        }
-    }
 }
 
 impl super::Answer for Stream {
--- a/crates/upstream/src/link/mod.rs
+++ b/crates/upstream/src/link/mod.rs
@@ -109,8 +109,8 @@
     pub connect: Duration,
     /// Time from there until the response head has come.
     pub head: Duration,
-    /// Time until the response head of a report or list; short, since a silent upstream would
-    /// otherwise use up the control connections that its next order needs.
+    /// Time until the response head of a report or list, and from there until it is whole; short, since
+    /// a silent upstream would otherwise use up the control connections that its next order needs.
     pub report: Duration,
     /// Time between two parts of the response body, and between two events of an engine.
     pub body: Duration,
--- a/crates/upstream/tests/stalled_answers.rs
+++ b/crates/upstream/tests/stalled_answers.rs
@@ -27,14 +27,18 @@
     )
 }
 
-async fn answer(acts: Vec<Act>) -> impl Answer {
+async fn engine(acts: Vec<Act>) -> Http {
     let (address, _) = serve(acts).await;
     let limits = Limits {
         body: PAUSE_MAX,
+        report: PAUSE_MAX,
         ..Limits::default()
     };
-    let engine = Http::new("engine-1", address, limits, PAUSE_MAX);
-    let completion = Completion {
+    Http::new("engine-1", address, limits, PAUSE_MAX)
+}
+
+fn completion() -> Completion {
+    Completion {
         instance: "m".into(),
         prompt: "p".into(),
         max_tokens: 4,
@@ -43,8 +47,11 @@
         caller: "c1".into(),
         offset: 0,
         parameters: serde_json::Map::new(),
-    };
-    engine.complete(completion).await.unwrap()
+    }
+}
+
+async fn answer(acts: Vec<Act>) -> impl Answer {
+    engine(acts).await.complete(completion()).await.unwrap()
 }
 
 /// Guards against an engine that stalls and keeps its request until the deadline, since it goes on to
@@ -88,6 +95,37 @@
     timeout(SOON, whole).await.expect("a release");
 }
 
+/// Begins an answer of this status, which then goes on byte by byte.
+fn dripping(status: &str) -> Vec<Act> {
+    let head = format!("HTTP/1.1 {status}\r\ncontent-length: 100000\r\n\r\n");
+    let mut acts = vec![Act::Request, write(head)];
+    acts.extend((0..1_000).map(|_| write(" ")));
+    acts.push(Act::Hold);
+    acts
+}
+
+/// Guards against an engine whose report does not come to its end, and which counts as reached meanwhile.
+#[rstest]
+#[tokio::test]
+async fn stalled_report_times_out() {
+    let engine = engine(dripping("200 OK")).await;
+    let report = timeout(SOON, engine.report()).await.expect("a time-out");
+    assert!(matches!(report, Err(Error::Timeout { .. })), "{report:?}");
+}
+
+/// Guards against a refused request that waits for the text of its refusal.
+#[rstest]
+#[tokio::test]
+async fn refusal_needs_no_text() {
+    let engine = engine(dripping("503 Busy")).await;
+    let asked = timeout(SOON, engine.complete(completion())).await;
+    let refused = matches!(
+        asked.expect("a refusal"),
+        Err(Error::Refused { status: 503, .. })
+    );
+    assert!(refused);
+}
+
 /// A slow answer is sound, however long it takes as a whole.
 #[rstest]
 #[tokio::test]
