Keep to the request's time in bodies that come without a pause

Found at the read-through: the wait for a part looks at the part first, so that a body whose next part is always there was read up to its byte limit, whatever the time. Streams had the check already. endless_answers and stalled_answers pass before and after.

--- a/crates/gateway/src/front/attempt.rs
+++ b/crates/gateway/src/front/attempt.rs
@@ -535,6 +535,8 @@
         loop {
             match self.part(collector.read(), visit).await {
                 Ok(Ok(Some(bytes))) => return Collected::Whole(bytes),
+                // Where bytes come without end, there is always a next part.
+                Ok(Ok(None)) if self.left().is_zero() => return Collected::Broken(LATE),
                 Ok(Ok(None)) => visit.hear(),
                 Ok(Err(upstream::Error::NoMemory { .. } | upstream::Error::Large { .. })) => {
                     return Collected::NoMemory;
