--- a/crates/hyssopscale/tests/fault_soak.rs
+++ b/crates/hyssopscale/tests/fault_soak.rs
@@ -10,6 +10,8 @@
 //! `brittle` has brittle upstreams, and `silences` sound ones that are silent for a second; `open-ended` has answers without a
 //! length, which end with their connections; `in-touch` has no faults of their processes and the store.
 //! `HYSSOPSCALE_SOAK_NODES=100` has more nodes, with a caller each at least.
+//! `HYSSOPSCALE_SOAK_BEFORE=PATH` begins with the `hyssopd` of an earlier build; nodes that are started again run
+//! this one.
 
 mod soak;
 
--- a/crates/hyssopscale/tests/soak/process.rs
+++ b/crates/hyssopscale/tests/soak/process.rs
@@ -1,5 +1,6 @@
 //! Real `hyssopd` processes, and what was done to them.
 
+use std::ffi::OsString;
 use std::fs::{self, File};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -79,6 +80,13 @@
     state: Mutex<State>,
 }
 
+/// Returns the program of a node's start with that number: the first one may be of an earlier build, so that an
+/// upgrade is played.
+fn program(starts: u32) -> OsString {
+    let before = std::env::var_os("HYSSOPSCALE_SOAK_BEFORE").filter(|_| starts == 1);
+    before.unwrap_or_else(|| env!("CARGO_BIN_EXE_hyssopd").into())
+}
+
 impl Process {
     /// Writes the settings of a node at `ip`.
     pub fn new(
@@ -157,7 +165,7 @@
         state.starts += 1;
         let log = format!("vm-{}-{}.log", self.number, state.starts);
         let log = File::create(self.folder.join(log)).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_hyssopd"))
+        let child = Command::new(program(state.starts))
             .arg("--settings")
             .arg(&self.settings)
             .stdin(Stdio::null())
