--- a/crates/dispatch/src/culprit/mod.rs
+++ b/crates/dispatch/src/culprit/mod.rs
@@ -23,6 +23,7 @@
 mod grounds;
 mod ledger;
 mod message;
+mod outbox;
 mod runs;
 mod survivals;
 mod trials;
@@ -30,7 +31,7 @@
 
 use std::time::Duration;
 
-use wire::{Incarnation, Machine, Request, Time, Upstream, View, Vm, rank};
+use wire::{Incarnation, Machine, Request, Time, Upstream, View, Vm};
 
 use crate::inquiry::Inquiries;
 pub use crate::inquiry::Start;
@@ -39,6 +40,7 @@
 pub use grounds::Ground;
 use ledger::Ledger;
 pub use message::{CrashReport, Message, ReportId, Verdict};
+use outbox::OwnReport;
 use runs::{Run, Runs};
 use survivals::Survivals;
 use trials::Permits;
@@ -47,15 +49,6 @@
 /// Hash of something that requests have in common.
 pub type Feature = Fingerprint;
 
-/// Number of analysts. One is left if two are lost at once.
-const ANALYSTS: usize = 3;
-
-/// Name whose rendezvous order selects the analysts.
-const ANALYST_KEY: &str = "crash-analysts";
-
-/// How often a node sends each of its own reports.
-const REPORT_SENDS: u8 = 3;
-
 /// Features in a report at most; one datagram carries it.
 const CHARGES_MAX: usize = 2_048;
 
@@ -275,16 +268,6 @@
     told_at: Option<Time>,
 }
 
-/// A report of this node that is still sent again.
-#[derive(Clone, Debug)]
-struct OwnReport {
-    report: CrashReport,
-    /// The process that its requests were sent to, if they agree.
-    process: Option<Start>,
-    sends: u8,
-    sent_at: Time,
-}
-
 /// Detects culprits at one node. See the [module documentation](self).
 #[derive(Clone, Debug)]
 pub struct CulpritDetector {
@@ -501,69 +484,6 @@
         self.own_reports.push(own);
     }
 
-    fn send_report(&mut self, now: Time, own: &OwnReport, out: &mut Vec<Action>) {
-        self.tell_analysts(now, &Message::Crash(own.report.clone()), out);
-        if let Some(process) = own.process {
-            let message = Message::CrashedProcess(own.report.id.clone(), process);
-            self.tell_analysts(now, &message, out);
-        }
-    }
-
-    /// Sends this node's own reports again, since messages may be lost.
-    fn resend_reports(&mut self, now: Time, out: &mut Vec<Action>) {
-        let interval = self.config.resend_interval;
-        let mut due = Vec::new();
-        for own in &mut self.own_reports {
-            if now >= own.sent_at + interval {
-                own.sends += 1;
-                own.report.age += now - own.sent_at;
-                own.sent_at = now;
-                due.push(own.clone());
-            }
-        }
-        self.own_reports.retain(|own| own.sends < REPORT_SENDS);
-        for own in &due {
-            self.send_report(now, own, out);
-        }
-    }
-
-    /// Returns the analysts, in the order in which they take the lead.
-    fn analysts(&self) -> Vec<&Vm> {
-        let live = self.view.live().map(|peer| &peer.incarnation.vm);
-        let analysts = rank::top(rank::hash(ANALYST_KEY), live, ANALYSTS);
-        if analysts.is_empty() {
-            vec![&self.me.vm]
-        } else {
-            analysts
-        }
-    }
-
-    /// Sends a message to all analysts. This node's own part is handled immediately.
-    fn tell_analysts(&mut self, now: Time, message: &Message, out: &mut Vec<Action>) {
-        let analysts: Vec<Vm> = self.analysts().into_iter().cloned().collect();
-        for to in analysts {
-            if to == self.me.vm {
-                let from = self.me.clone();
-                self.receive(now, &from, message.clone(), out);
-            } else {
-                let message = message.clone();
-                out.push(Action::Send { to, message });
-            }
-        }
-    }
-
-    fn broadcast(&self, message: &Message, out: &mut Vec<Action>) {
-        let peers = self.view.peers().iter().map(|p| &p.incarnation.vm);
-        out.extend(
-            peers
-                .filter(|vm| **vm != self.me.vm)
-                .map(|to| Action::Send {
-                    to: to.clone(),
-                    message: message.clone(),
-                }),
-        );
-    }
-
     fn receive(&mut self, now: Time, from: &Incarnation, message: Message, out: &mut Vec<Action>) {
         match message {
             Message::Crash(report) => self.take_report(now, from, report, out),
--- /dev/null
+++ b/crates/dispatch/src/culprit/outbox.rs
@@ -0,0 +1,89 @@
+//! What a node tells others: its own reports of crashes to the analysts, and decisions to all.
+
+use wire::{Time, Vm, rank};
+
+use super::{Action, CrashReport, CulpritDetector, Message, Start};
+
+/// Number of analysts. One is left if two are lost at once.
+const ANALYSTS: usize = 3;
+
+/// Name whose rendezvous order selects the analysts.
+const ANALYST_KEY: &str = "crash-analysts";
+
+/// How often a node sends each of its own reports.
+const REPORT_SENDS: u8 = 3;
+
+/// A report of this node that is still sent again.
+#[derive(Clone, Debug)]
+pub(super) struct OwnReport {
+    pub(super) report: CrashReport,
+    /// The process that its requests were sent to, if they agree.
+    pub(super) process: Option<Start>,
+    pub(super) sends: u8,
+    pub(super) sent_at: Time,
+}
+
+impl CulpritDetector {
+    pub(super) fn send_report(&mut self, now: Time, own: &OwnReport, out: &mut Vec<Action>) {
+        self.tell_analysts(now, &Message::Crash(own.report.clone()), out);
+        if let Some(process) = own.process {
+            let message = Message::CrashedProcess(own.report.id.clone(), process);
+            self.tell_analysts(now, &message, out);
+        }
+    }
+
+    /// Sends this node's own reports again, since messages may be lost.
+    pub(super) fn resend_reports(&mut self, now: Time, out: &mut Vec<Action>) {
+        let interval = self.config.resend_interval;
+        let mut due = Vec::new();
+        for own in &mut self.own_reports {
+            if now >= own.sent_at + interval {
+                own.sends += 1;
+                own.report.age += now - own.sent_at;
+                own.sent_at = now;
+                due.push(own.clone());
+            }
+        }
+        self.own_reports.retain(|own| own.sends < REPORT_SENDS);
+        for own in &due {
+            self.send_report(now, own, out);
+        }
+    }
+
+    /// Returns the analysts, in the order in which they take the lead.
+    pub(super) fn analysts(&self) -> Vec<&Vm> {
+        let live = self.view.live().map(|peer| &peer.incarnation.vm);
+        let analysts = rank::top(rank::hash(ANALYST_KEY), live, ANALYSTS);
+        if analysts.is_empty() {
+            vec![&self.me.vm]
+        } else {
+            analysts
+        }
+    }
+
+    /// Sends a message to all analysts. This node's own part is handled immediately.
+    pub(super) fn tell_analysts(&mut self, now: Time, message: &Message, out: &mut Vec<Action>) {
+        let analysts: Vec<Vm> = self.analysts().into_iter().cloned().collect();
+        for to in analysts {
+            if to == self.me.vm {
+                let from = self.me.clone();
+                self.receive(now, &from, message.clone(), out);
+            } else {
+                let message = message.clone();
+                out.push(Action::Send { to, message });
+            }
+        }
+    }
+
+    pub(super) fn broadcast(&self, message: &Message, out: &mut Vec<Action>) {
+        let peers = self.view.peers().iter().map(|p| &p.incarnation.vm);
+        out.extend(
+            peers
+                .filter(|vm| **vm != self.me.vm)
+                .map(|to| Action::Send {
+                    to: to.clone(),
+                    message: message.clone(),
+                }),
+        );
+    }
+}
