--- a/crates/gateway/src/hub/culprit.rs
+++ b/crates/gateway/src/hub/culprit.rs
@@ -105,6 +105,7 @@
                 }
                 Action::Refuted { upstream, crashes } => {
                     info!(target: DECISION, upstream:%, crashes; "crash-refuted");
+                    self.metrics.refuted_crashes.inc_by(*crashes as u64);
                 }
                 Action::Run { .. } | Action::Refuse { .. } | Action::Inspect { .. } => {}
             }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -5,8 +5,8 @@
 
 use node::metrics::register::{counter_vec, gauge_vec, histogram, registered, signed};
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec,
-    Registry, TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Registry, TextEncoder,
 };
 
 use upstream::relay::{self, server};
@@ -37,6 +37,8 @@
     pub flying: IntGauge,
     /// Features for which requests are refused, since they crash upstreams.
     pub convictions: IntGauge,
+    /// Reported crashes that were none.
+    pub refuted_crashes: IntCounter,
     /// Time by which the event loop ran late.
     pub loop_delay: Histogram,
     connections: IntGaugeVec,
@@ -118,6 +120,13 @@
                     "Features for which requests are refused, since they crash upstreams",
                 )?,
             )?,
+            refuted_crashes: registered(
+                all,
+                IntCounter::new(
+                    "hyssopscale_exchange_refuted_crashes_total",
+                    "Reported crashes of upstreams that answered as the process that they were",
+                )?,
+            )?,
             loop_delay: registered(
                 all,
                 Histogram::with_opts(
--- a/crates/node/src/core/perform.rs
+++ b/crates/node/src/core/perform.rs
@@ -316,6 +316,8 @@
             }
             Refuted { upstream, reports } => {
                 decision::refuted(&upstream, reports);
+                let refuted = &self.shared.metrics.refuted_crashes;
+                refuted.inc_by(reports as u64);
                 return;
             }
             CrashReported { report, crashes } => {
--- a/crates/node/src/metrics/mod.rs
+++ b/crates/node/src/metrics/mod.rs
@@ -62,6 +62,8 @@
     pub(crate) revisions_refused: IntCounter,
     /// Nodes of the region by state, as this node believes.
     pub(crate) members: IntGaugeVec,
+    /// Reports of crashes that were none.
+    pub(crate) refuted_crashes: IntCounter,
     /// Calls to the platform by kind and result.
     pub(crate) platform_calls: IntCounterVec,
     state: State,
@@ -139,6 +141,13 @@
                 IntCounter::new("configuration_refused_total", "Revisions refused.")?,
             )?,
             members: gauge_vec(r, "members", "Nodes of the region by state.", &["state"])?,
+            refuted_crashes: registered(
+                r,
+                IntCounter::new(
+                    "refuted_crashes_total",
+                    "Reports of crashes of engines that answered as the process that they were.",
+                )?,
+            )?,
             platform_calls: counter_vec(
                 r,
                 "platform_calls_total",
