--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -43,7 +43,7 @@
 /// Time allowed beyond that for the answer.
 const ANSWER: Duration = Duration::from_millis(1_500);
 
-/// Limit for the body of an answer; the largest page takes a part of a second.
+/// Limit for the body of an answer, from its head to its end.
 const BODY: Duration = Duration::from_secs(5);
 
 /// Limit for a connection to the platform.
