Placement: the news that a claim is given up goes to the next owner at once

Callers saw: an urgent completion waited 1.8 s and began after a routine one for the same model that came half a second later at another node (UrgentFirst).

Cause: a node was cut from the others for 4.5 s. Another one claimed its engine shortly before the end of the cut, ordered nothing, and gave the engine up once it saw the cut node again. It said so only in answer to a claim; the cut node had heard of the higher claim and waited 3 s, so that orders do not alternate, before it made one. All requests for the engine waited for 1.5 s, went to other engines for a load, or found it claimed again, whichever came first.

The logs show the engine given up at 43.075 s and claimed at 46.032 s.

Change: a node that has given up the highest claim it knows of tells the owner that its view names, also if that changes, and again each second for 3 s in case that the message is lost. The receiver claims above it at once if nothing was ordered, and otherwise as late as before. It does not if it knows of an equal claim of yet another node: that node may have ordered.

Tried first: telling only the owner named in the moment of giving up.

Measured: seven new cases in owner_turns; those of a cut waited 3 s before. Other tests of the crate pass.

--- a/crates/placement/src/owner/mod.rs
+++ b/crates/placement/src/owner/mod.rs
@@ -19,7 +19,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use wire::{Fence, Incarnation, Lease, Model, Time};
+use wire::{Fence, Incarnation, Lease, Model, Time, Vm};
 
 use crate::action::Note;
 use crate::demand::DecayingRate;
@@ -100,8 +100,8 @@
     has_ordered: bool,
     /// When the ownership ended.
     retired_at: Option<Time>,
-    /// Whether another node was told that the claim is given up.
-    given_up: bool,
+    /// The node that was last told that the claim is given up, and when.
+    given_up: Option<(Vm, Time)>,
 }
 
 impl Owner {
@@ -138,7 +138,7 @@
             last_load: None,
             has_ordered: false,
             retired_at: None,
-            given_up: false,
+            given_up: None,
         }
     }
 
@@ -448,17 +448,28 @@
         self.retired_at = Some(now);
     }
 
-    /// Gives the claim up for good. Returns the time since the ownership ended, or `None` if nothing
-    /// was ordered.
-    pub fn give_up(&mut self, now: Time) -> Option<Duration> {
-        self.given_up = true;
+    /// Gives the claim up for good, as `peer` is told. Returns the time since the ownership ended, or
+    /// `None` if nothing was ordered.
+    pub fn give_up(&mut self, now: Time, peer: &Vm) -> Option<Duration> {
+        self.given_up = Some((peer.clone(), now));
         let retired_at = self.retired_at.unwrap_or(now);
         self.has_ordered.then(|| now.saturating_sub(retired_at))
     }
 
     /// Returns whether another node was told that the claim is given up.
     pub const fn is_given_up(&self) -> bool {
-        self.given_up
+        self.given_up.is_some()
+    }
+
+    /// Returns whether `peer` is to be told that the claim is given up: at first, and every `interval`
+    /// in case that messages are lost, until the ownership ended `limit` ago.
+    pub fn must_announce(&self, now: Time, peer: &Vm, interval: Duration, limit: Duration) -> bool {
+        match &self.given_up {
+            Some((told, at)) if told == peer => {
+                now >= *at + interval && now < self.retired_at.unwrap_or(now) + limit
+            }
+            _ => true,
+        }
     }
 
     /// Raises a model's popularity to a predicted or handed-over rate, if that exceeds the
--- a/crates/placement/src/planner/mod.rs
+++ b/crates/placement/src/planner/mod.rs
@@ -286,6 +286,7 @@
         self.last_tick = now;
         self.reclaim_due(now);
         self.send_claims(now);
+        self.announce_given_up(now);
         self.apply_expected_demand(now);
         self.with_holder(now, |holder, cx| holder.tick(cx));
         let mut finished = Vec::new();
--- a/crates/placement/src/planner/ownership.rs
+++ b/crates/placement/src/planner/ownership.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use wire::{Fence, Time, Upstream, View, Vm};
+use wire::{Fence, Incarnation, Time, Upstream, View, Vm};
 
 use super::{ClaimOutcome, Planner};
 use crate::action::Note;
@@ -76,6 +76,7 @@
             self.last_claims_sent = None;
             self.send_claims(now);
         }
+        self.announce_given_up(now);
     }
 
     /// Takes over an upstream. Returns whether a claim has to be sent.
@@ -170,16 +171,21 @@
         }
     }
 
-    /// Handles the news that a peer gave the higher claim `claim` up `quiet` ago, or has ordered nothing
-    /// under it. This node claims the upstream again as soon as that peer's orders are not recent.
+    /// Handles the news that the peer `from` gave the higher claim `claim` up `quiet` ago, or has ordered
+    /// nothing under it. This node claims the upstream again as soon as that peer's orders are not
+    /// recent, unless yet another one has made a higher claim.
     pub(super) fn handle_given_up(
         &mut self,
         now: Time,
+        from: &Incarnation,
         upstream: &Upstream,
         claim: Fence,
         quiet: Option<Duration>,
     ) {
         self.handle_superseded(now, upstream, claim);
+        if self.promises.exceed(upstream, claim, from) {
+            return;
+        }
         let at = now + quiet.map_or(Duration::ZERO, |quiet| RECLAIM_DELAY.saturating_sub(quiet));
         let reclaim = self.reclaims.iter_mut().find(|r| r.upstream == *upstream);
         if let Some(reclaim) = reclaim.filter(|reclaim| reclaim.above <= claim) {
@@ -187,20 +193,55 @@
         }
     }
 
-    /// Returns the answer to a claim below `claim`.
-    fn superseded(&mut self, now: Time, upstream: &Upstream, claim: Fence) -> Message {
-        let mine = self.promises.holds(upstream, claim, &self.me);
-        let former = self.former_owners.iter_mut();
-        let given_up = { former }.find(|o| o.upstream().id == *upstream && o.claim() == claim);
-        let upstream = upstream.clone();
-        match given_up {
-            Some(owner) if mine => Message::ClaimGivenUp {
-                upstream,
-                claim,
-                quiet: owner.give_up(now),
-            },
-            _ => Message::ClaimSuperseded { upstream, claim },
+    /// Tells the owners that the view names of the claims that this node has given up. They may wait
+    /// until orders of this node are not recent any more.
+    pub(super) fn announce_given_up(&mut self, now: Time) {
+        let interval = self.settings.resend * 2;
+        let mut due: Vec<(Vm, Upstream, Fence)> = Vec::new();
+        for former in &self.former_owners {
+            let (upstream, claim) = (&former.upstream().id, former.claim());
+            let owner = self.view.owner(upstream).filter(|vm| **vm != self.me.vm);
+            let Some(owner) = owner else { continue };
+            let holds = self.promises.holds(upstream, claim, &self.me);
+            if holds && former.must_announce(now, owner, interval, RECLAIM_DELAY) {
+                due.push((owner.clone(), upstream.clone(), claim));
+            }
         }
+        for (owner, upstream, claim) in due {
+            if let Some(message) = self.given_up(now, &owner, &upstream, claim) {
+                self.fx.send(&owner, message);
+            }
+        }
+    }
+
+    /// Gives the claim up for good, if it is the promised one and was this node's. Returns the message
+    /// that tells `peer` so.
+    fn given_up(
+        &mut self,
+        now: Time,
+        peer: &Vm,
+        upstream: &Upstream,
+        claim: Fence,
+    ) -> Option<Message> {
+        if !self.promises.holds(upstream, claim, &self.me) {
+            return None;
+        }
+        let former = self.former_owners.iter_mut();
+        let owner = { former }.find(|o| o.upstream().id == *upstream && o.claim() == claim)?;
+        Some(Message::ClaimGivenUp {
+            upstream: upstream.clone(),
+            claim,
+            quiet: owner.give_up(now, peer),
+        })
+    }
+
+    /// Returns the answer to a claim of `peer` below `claim`.
+    fn superseded(&mut self, now: Time, peer: &Vm, upstream: &Upstream, claim: Fence) -> Message {
+        let given_up = self.given_up(now, peer, upstream, claim);
+        given_up.unwrap_or_else(|| Message::ClaimSuperseded {
+            upstream: upstream.clone(),
+            claim,
+        })
     }
 
     /// Returns whether this node waits before it claims an upstream again. Its own instances stay
@@ -272,13 +313,13 @@
     pub(super) fn handle_claim(
         &mut self,
         now: Time,
-        from: &wire::Incarnation,
+        from: &Incarnation,
         upstream: &Upstream,
         claim: Fence,
     ) {
         match self.promises.accept(upstream, claim, from) {
             ClaimOutcome::Superseded(claim) => {
-                let message = self.superseded(now, upstream, claim);
+                let message = self.superseded(now, &from.vm, upstream, claim);
                 return self.fx.send(&from.vm, message);
             }
             ClaimOutcome::Accepted => {
@@ -297,7 +338,7 @@
     fn acknowledge_claim(
         &mut self,
         now: Time,
-        from: &wire::Incarnation,
+        from: &Incarnation,
         upstream: &Upstream,
         claim: Fence,
     ) {
--- a/crates/placement/src/planner/promise.rs
+++ b/crates/placement/src/planner/promise.rs
@@ -79,6 +79,14 @@
         })
     }
 
+    /// Returns whether a claim above this one of `owner` was accepted.
+    pub fn exceed(&self, upstream: &str, claim: Fence, owner: &Incarnation) -> bool {
+        self.index(upstream).is_ok_and(|index| {
+            let promise = &self.promises[index];
+            (promise.claim, &promise.owner) > (claim, owner)
+        })
+    }
+
     /// Returns the VM from which to request leases on `upstream`: that of the promised owner while
     /// it is live, otherwise the one that the view names.
     pub fn owner<'a>(&'a self, view: &'a View, upstream: &str) -> Option<&'a Vm> {
--- a/crates/placement/src/planner/receive.rs
+++ b/crates/placement/src/planner/receive.rs
@@ -97,7 +97,7 @@
                 upstream,
                 claim,
                 quiet,
-            } => self.handle_given_up(now, &upstream, claim, quiet),
+            } => self.handle_given_up(now, from, &upstream, claim, quiet),
             other => self.receive_budget_message(now, from, other),
         }
     }
--- a/crates/placement/tests/owner_turns.rs
+++ b/crates/placement/tests/owner_turns.rs
@@ -4,9 +4,11 @@
 
 use std::time::Duration;
 
+use placement::action::Note;
 use placement::event::{Failure, Request};
 use placement::message::Message;
 use placement::{Action, Event, Planner};
+use rstest::rstest;
 use support::{planner, request, view};
 use wire::{Incarnation, Machine, Model, Priority, Time};
 
@@ -216,3 +218,185 @@
     let wait = wait_for_reclaim(true);
     assert!((LEASE..LEASE + LEASE / 2).contains(&wait), "{wait:?}");
 }
+
+/// What the owner of an engine hears of the claim that another node made during a cut.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Heard {
+    Claim,
+    Nothing,
+}
+
+/// Returns the messages among `out`.
+fn messages(out: Vec<Action>) -> impl Iterator<Item = Message> {
+    out.into_iter().filter_map(|action| match action {
+        Action::Send { message, .. } => Some(message),
+        _ => None,
+    })
+}
+
+/// Returns how long the owner of an engine waits until it claims it again after a cut, in which the
+/// other node has claimed it and has given an order just before the end or none.
+fn wait_after_cut(heard: Heard, ordered: bool) -> Duration {
+    let both = view(&["a", "b"]);
+    let owner = both.owner("e").expect("the view is not empty").clone();
+    let other = if *owner == *"a" { "b" } else { "a" };
+    let from_owner = Incarnation::new(owner.clone(), 1);
+    let from_other = Incarnation::new(other, 1);
+    let mut former = planner(&owner, &["a", "b"], RATE);
+    let mut between = planner(other, &["a", "b"], RATE);
+    let claims = vec![("e".into(), 1)];
+    let event = Event::Receive {
+        from: from_owner.clone(),
+        message: Message::Claim { claims },
+    };
+    between.step(TICK, event, &mut Vec::new());
+    let mut now = TICK * 2;
+    let mut out = Vec::new();
+    between.step(now, Event::View(view(&[other])), &mut out);
+    let own = |action: &Action| matches!(action, Action::Note(Note::Claimed { fence: 2, .. }));
+    assert!(out.iter().any(own), "the engine was not claimed: {out:?}");
+    if ordered {
+        between.step(now, request(1, Priority::Normal), &mut out);
+    }
+    while out.iter().any(|a| matches!(a, Action::Load { .. })) != ordered {
+        now += TICK;
+        between.step(now, Event::Tick, &mut out);
+        assert!(now < LEASE * 3, "nothing was ordered");
+    }
+    let mut to_owner = Vec::new();
+    if heard == Heard::Claim {
+        let claims = vec![("e".into(), 2)];
+        to_owner.push(Message::Claim { claims });
+    }
+    let begin = now;
+    let mut out = Vec::new();
+    between.step(now, Event::View(both), &mut out);
+    to_owner.extend(messages(out));
+    loop {
+        let mut out = Vec::new();
+        for message in to_owner.drain(..) {
+            let from = from_other.clone();
+            former.step(now, Event::Receive { from, message }, &mut out);
+        }
+        former.step(now, Event::Tick, &mut out);
+        let claims = |action: &Action| matches!(action, Action::Note(Note::Claimed { fence, .. }) if *fence > 2);
+        if out.iter().any(claims) {
+            return now - begin;
+        }
+        let mut answers = Vec::new();
+        for message in messages(out) {
+            let from = from_owner.clone();
+            between.step(now, Event::Receive { from, message }, &mut answers);
+        }
+        to_owner.extend(messages(answers));
+        now += TICK;
+        assert!(now < begin + LEASE * 3, "it was not claimed again");
+    }
+}
+
+/// Guards against an engine that nobody may order at for seconds after a cut between nodes, although who
+/// owned it meanwhile has given it up. Urgent requests went elsewhere and began after routine ones.
+#[rstest]
+fn engine_of_a_cut_is_claimed_at_once(#[values(Heard::Claim, Heard::Nothing)] heard: Heard) {
+    let wait = wait_after_cut(heard, false);
+    assert!(wait < Duration::from_millis(500), "{wait:?}");
+}
+
+/// Guards against orders of two nodes by turns (ONE) where the one between has given the engine up.
+#[rstest]
+fn engine_of_a_cut_is_not_ordered_at_by_turns(
+    #[values(Heard::Claim, Heard::Nothing)] heard: Heard,
+) {
+    let wait = wait_after_cut(heard, true);
+    assert!((LEASE..LEASE + LEASE / 2).contains(&wait), "{wait:?}");
+}
+
+/// Guards against orders of two nodes by turns (ONE) where a third one has given up an equal claim.
+#[test]
+fn claim_of_another_node_is_not_given_up() {
+    let all = ["a", "b", "c"];
+    let owner = view(&all)
+        .owner("e")
+        .expect("the view is not empty")
+        .clone();
+    let others: Vec<&str> = all.into_iter().filter(|vm| **vm != *owner).collect();
+    let mut former = planner(&owner, &all, RATE);
+    let upstream: wire::Upstream = "e".into();
+    let claims = vec![(upstream.clone(), 2)];
+    let given_up = Message::ClaimGivenUp {
+        upstream,
+        claim: 2,
+        quiet: None,
+    };
+    // Of equal claims that of the last node is the higher one.
+    for (from, message) in [
+        (others[1], Message::Claim { claims }),
+        (others[0], given_up),
+    ] {
+        let from = Incarnation::new(from, 1);
+        former.step(TICK, Event::Receive { from, message }, &mut Vec::new());
+    }
+    let mut now = TICK;
+    let mut out = Vec::new();
+    while !out
+        .iter()
+        .any(|action| matches!(action, Action::Note(Note::Claimed { .. })))
+    {
+        now += TICK;
+        former.step(now, Event::Tick, &mut out);
+        assert!(now < LEASE * 3, "it was not claimed again");
+    }
+    assert!(now >= TICK + LEASE, "{now:?}");
+}
+
+/// Returns to whom the claim `claim` is told as given up.
+fn told(out: &[Action], claim: u64) -> Vec<&str> {
+    let told = out.iter().filter_map(|action| match action {
+        Action::Send {
+            to,
+            message: Message::ClaimGivenUp { claim: own, .. },
+        } if *own == claim => Some(&**to),
+        _ => None,
+    });
+    told.collect()
+}
+
+/// Guards against an engine that stays without an owner for seconds, because the news that its claim is
+/// given up went to another node: after a cut nodes find each other one by one, and messages are lost.
+#[test]
+fn claim_given_up_is_told_to_each_owner() {
+    let vms = vms();
+    let mut between = planner(vms[2], &[vms[2]], RATE);
+    let (mut now, mut out) = (TICK, Vec::new());
+    between.step(now, Event::View(view(&vms[1..])), &mut out);
+    assert_eq!(told(&out, 1), [vms[1]]);
+    now += TICK;
+    out.clear();
+    between.step(now, Event::View(view(&vms)), &mut out);
+    assert_eq!(told(&out, 1), [vms[0]]);
+    let end = now + LEASE * 2;
+    out.clear();
+    while now < end {
+        now += TICK;
+        between.step(now, Event::Tick, &mut out);
+    }
+    assert_eq!(told(&out, 1), [vms[0]; 2]);
+}
+
+/// Guards against a claim that is told as given up for ever, or after the upstream has another owner.
+#[test]
+fn superseded_claim_is_not_told() {
+    let vms = vms();
+    let mut between = planner(vms[2], &[vms[2]], RATE);
+    let mut out = Vec::new();
+    between.step(TICK, Event::View(view(&vms[1..])), &mut out);
+    let message = Message::Claim {
+        claims: vec![("e".into(), 2)],
+    };
+    let from = Incarnation::new(vms[1], 1);
+    between.step(TICK, Event::Receive { from, message }, &mut out);
+    out.clear();
+    between.step(TICK * 2, Event::View(view(&vms)), &mut out);
+    between.step(TICK * 20, Event::Tick, &mut out);
+    assert_eq!(told(&out, 1), [""; 0]);
+}
