--- a/crates/hyssopscale/tests/fault_schedules.rs
+++ b/crates/hyssopscale/tests/fault_schedules.rs
@@ -53,6 +53,7 @@
             breaches: String::new(),
         };
     }
+    cluster.processes.keep_evidence(&evidence);
     let logs = cluster.processes.keep_logs();
     let schedule = run.schedule;
     let breaches = format!("seed {seed}, logs in {logs}: {schedule:?}\n{breaches:#?}\n");
--- a/crates/hyssopscale/tests/support/mod.rs
+++ b/crates/hyssopscale/tests/support/mod.rs
@@ -31,6 +31,9 @@
 /// Name of the settings file among the logs.
 const SETTINGS_FILE: &str = "settings.toml";
 
+/// Name of the file among the logs that holds the evidence of a run.
+const EVIDENCE_FILE: &str = "evidence.log";
+
 /// Time for a process to serve, and for one that shuts down to end.
 const PROCESS_LIMIT: Duration = Duration::from_secs(60);
 
@@ -346,6 +349,15 @@
         self.logs.path()
     }
 
+    /// Writes what is known of a run to a file among the logs: an entry, a request or a node a line.
+    pub fn keep_evidence(&self, evidence: &Evidence) {
+        let entries = evidence.entries.iter().map(|entry| format!("{entry:?}\n"));
+        let asks = evidence.asks.iter().map(|ask| format!("{ask:?}\n"));
+        let nodes = evidence.nodes.iter().map(|node| format!("{node:?}\n"));
+        let lines: String = entries.chain(asks).chain(nodes).collect();
+        std::fs::write(self.logs.path().join(EVIDENCE_FILE), lines).unwrap();
+    }
+
     /// Lets the logs stay after the run and returns where they are.
     pub fn keep_logs(&mut self) -> String {
         self.logs.disable_cleanup(true);
