Placement: a claim waits for the last order, not for the end of the former ownership

Callers saw: after each planned restart and each cut, completions for adapters that were not resident waited for up to 3 s at engines whose owner had changed, or moved elsewhere after 1.5 s.

Cause: the time in which a former owner has ordered nothing was counted from the end of its ownership, though its last order may be much older; it was 0 for every owner that had ever ordered.

Change: it is counted from the time by which the last order had to be written, and from the end of the ownership at the latest. An order that is still under way is refused when it is written, as before.

--- a/crates/placement/src/message.rs
+++ b/crates/placement/src/message.rs
@@ -229,7 +229,7 @@
         upstream: Upstream,
         /// Number of the higher claim.
         claim: Fence,
-        /// Time since it gave the upstream up; `None` if it has ordered nothing under this claim.
+        /// Time in which it has ordered nothing; `None` if it has ordered nothing under this claim.
         quiet: Option<Duration>,
     },
 }
--- a/crates/placement/src/owner/load.rs
+++ b/crates/placement/src/owner/load.rs
@@ -169,7 +169,7 @@
                 alternatives: others.saturating_sub(1),
             });
         }
-        self.has_ordered = true;
+        self.last_write_by = Some(now + settings.order);
         fx.push(Action::Unload {
             upstream: self.upstream.id.clone(),
             instance: slot.instance.clone(),
@@ -227,7 +227,7 @@
             age: now.saturating_sub(since),
             alternatives: self.queue.entries().len().saturating_sub(1),
         });
-        self.has_ordered = true;
+        self.last_write_by = Some(now + settings.order);
         fx.push(Action::Load {
             upstream: self.upstream.id.clone(),
             instance: name.to_instance(),
--- a/crates/placement/src/owner/mod.rs
+++ b/crates/placement/src/owner/mod.rs
@@ -97,7 +97,8 @@
     /// Moving average of the time between loads while several models are queued.
     load_interval: Duration,
     last_load: Option<Time>,
-    has_ordered: bool,
+    /// Time by which the last order had to be written.
+    last_write_by: Option<Time>,
     /// When the ownership ended.
     retired_at: Option<Time>,
     /// The node that was last told that the claim is given up, and when.
@@ -136,7 +137,7 @@
             last_lease: 0,
             load_interval: Duration::ZERO,
             last_load: None,
-            has_ordered: false,
+            last_write_by: None,
             retired_at: None,
             given_up: None,
         }
@@ -448,12 +449,18 @@
         self.retired_at = Some(now);
     }
 
-    /// Gives the claim up for good, as `peer` is told. Returns the time since the ownership ended, or
-    /// `None` if nothing was ordered.
+    /// Gives the claim up for good, as `peer` is told. Returns the time in which nothing was ordered, or
+    /// `None` if nothing was ordered at all.
     pub fn give_up(&mut self, now: Time, peer: &Vm) -> Option<Duration> {
         self.given_up = Some((peer.clone(), now));
+        self.quiet(now)
+    }
+
+    /// Returns the time since an order may have been written, or `None` if nothing was ordered.
+    pub fn quiet(&self, now: Time) -> Option<Duration> {
         let retired_at = self.retired_at.unwrap_or(now);
-        self.has_ordered.then(|| now.saturating_sub(retired_at))
+        let last = self.last_write_by?.min(retired_at);
+        Some(now.saturating_sub(last))
     }
 
     /// Returns whether another node was told that the claim is given up.
--- a/crates/placement/src/planner/ownership.rs
+++ b/crates/placement/src/planner/ownership.rs
@@ -171,8 +171,8 @@
         }
     }
 
-    /// Handles the news that the peer `from` gave the higher claim `claim` up `quiet` ago, or has ordered
-    /// nothing under it. This node claims the upstream again as soon as that peer's orders are not
+    /// Handles the news that the peer `from` has given the higher claim `claim` up and has ordered nothing
+    /// for `quiet`, or at all. This node claims the upstream again as soon as that peer's orders are not
     /// recent, unless yet another one has made a higher claim.
     pub(super) fn handle_given_up(
         &mut self,
