Placement: requests leave an engine at which nobody may order for a while

Callers saw: completions waited 1.5 s at an engine whose former owner's orders were recent, before they went to another one; urgent ones then began after routine ones that came later and found the engine owned again. With no other engine they were refused after these 1.5 s, though it is owned again in 3 s.

Cause: whoever is asked for a lease and does not own the engine said only that the owner has changed, and requests stay for the new one. Who waits for its turn to claim answered that the load is queued, or ordered it and was refused at the write.

Change: the denial names the time for which nobody orders there, as the former and the next owner know it. Requests that would leave before that time is over leave at once, if there is another engine to try; otherwise they stay as long as the time is named again. Leases on what is loaded are granted as before.

--- a/crates/placement/src/holder/mod.rs
+++ b/crates/placement/src/holder/mod.rs
@@ -502,6 +502,13 @@
         });
     }
 
+    /// Returns the pending lease request at `upstream`.
+    fn pending_mut(&mut self, model: &Model, upstream: &str) -> Option<&mut PendingLease> {
+        let state = self.models.get_mut(model)?;
+        let index = state.pending_on(upstream)?;
+        Some(&mut state.pending[index])
+    }
+
     /// Returns the state of `model`, created if absent.
     fn model_state(&mut self, model: &Model) -> &mut ModelState {
         if !self.models.contains_key(model) {
--- a/crates/placement/src/holder/place.rs
+++ b/crates/placement/src/holder/place.rs
@@ -181,6 +181,24 @@
         }
     }
 
+    /// Returns whether a request that waits at `upstream` could try another one.
+    pub(super) fn has_alternative(
+        &self,
+        cx: &Context<'_>,
+        id: wire::Request,
+        upstream: &Upstream,
+    ) -> bool {
+        let Some(RequestEntry { request, tried, .. }) = self.requests.get(&id) else {
+            return false;
+        };
+        let refused = tried.len().saturating_sub(request.avoid.len());
+        let is_other = |target: &Target| {
+            let id = &target.facts.id;
+            target.serves(&request.pool, &request.base) && id != upstream && !tried.contains(id)
+        };
+        refused + 1 < MAX_TRIES && cx.upstreams.targets().iter().any(is_other)
+    }
+
     /// Chooses the cheapest leased upstream, or one at which to request a lease.
     fn choose_upstream(&self, cx: &Context<'_>, entry: &RequestEntry, homes: usize) -> Placement {
         let request = &entry.request;
--- a/crates/placement/src/holder/reply.rs
+++ b/crates/placement/src/holder/reply.rs
@@ -5,7 +5,7 @@
 use wire::{Incarnation, Model, Upstream};
 
 use super::model::HeldLease;
-use super::{Context, Holder};
+use super::{Context, DEFAULT_RETRY_AFTER, Holder};
 use crate::action::Note;
 use crate::message::{Denial, Grant, RequestNumber};
 
@@ -126,7 +126,8 @@
 
     /// Handles a denial: the requests move to other upstreams.
     ///
-    /// If the sender no longer owns the upstream, waiting requests stay for the new owner.
+    /// If the sender no longer owns the upstream, waiting requests stay for the new owner, unless it
+    /// would not load anything before they move away from an owner that does not answer.
     pub fn receive_denial(
         &mut self,
         cx: &mut Context<'_>,
@@ -141,7 +142,8 @@
         let Some(pending) = pending.filter(|pending| pending.sent_at(number).is_some()) else {
             return;
         };
-        if denial == Denial::Moved && !pending.waiting.is_empty() {
+        let moves = denial == Denial::Moved && !pending.waiting.is_empty();
+        if moves && cx.now + retry_after < pending.last_heard + cx.settings.silence {
             return;
         }
         cx.fx.note(Note::Denied {
@@ -149,6 +151,36 @@
             model: model.clone(),
             denial,
         });
+        if moves {
+            return self.leave_unowned(cx, model, upstream, retry_after);
+        }
         self.try_other_upstreams(cx, model, upstream, Some(retry_after));
     }
+
+    /// Places the requests that wait for a lease on other upstreams, since nobody can load their model
+    /// here for `wait`. Those that have no other one go on waiting.
+    fn leave_unowned(
+        &mut self,
+        cx: &mut Context<'_>,
+        model: &Model,
+        upstream: &Upstream,
+        wait: Duration,
+    ) {
+        let Some(pending) = self.pending_mut(model, upstream) else {
+            return;
+        };
+        pending.last_heard = cx.now;
+        let waiting = pending.waiting.clone();
+        for id in waiting {
+            if !self.has_alternative(cx, id, upstream) {
+                continue;
+            }
+            self.leave_pending(cx, model, upstream, id);
+            if let Some(entry) = self.requests.get_mut(&id) {
+                entry.tried.push(upstream.clone());
+                entry.retry_after = wait.max(DEFAULT_RETRY_AFTER);
+            }
+            self.place(cx, id);
+        }
+    }
 }
--- a/crates/placement/src/message.rs
+++ b/crates/placement/src/message.rs
@@ -13,7 +13,7 @@
 /// Why an owner denies a lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Denial {
-    /// The sender does not own the upstream.
+    /// The sender does not own the upstream. Nobody orders there before the time to retry after.
     Moved,
     /// The adapter could not be loaded in time.
     Busy,
--- a/crates/placement/src/owner/mod.rs
+++ b/crates/placement/src/owner/mod.rs
@@ -280,6 +280,11 @@
         }
     }
 
+    /// Returns whether leases on the model can be granted without a load.
+    pub fn is_ready(&self, model: &Model) -> bool {
+        self.ready_slot(model).is_some()
+    }
+
     fn ready_slot(&self, model: &Model) -> Option<usize> {
         let usable = |slot: &Slot| {
             let named = slot.model.as_ref() == Some(model);
@@ -433,9 +438,9 @@
         self.deny_waiters(model, Denial::Failed, delay, fx);
     }
 
-    /// Ends the ownership and denies all waiters. The slots are kept for the acknowledgement of the
-    /// next owner's claim.
-    pub fn retire(&mut self, now: Time, fx: &mut Effects) {
+    /// Ends the ownership and denies all waiters, who are told that the next owner orders nothing for
+    /// `wait`. The slots are kept for the acknowledgement of the next owner's claim.
+    pub fn retire(&mut self, now: Time, wait: Duration, fx: &mut Effects) {
         let models: Vec<Model> = self
             .queue
             .entries()
@@ -443,7 +448,7 @@
             .map(|e| e.model.clone())
             .collect();
         for model in models {
-            self.deny_waiters(&model, Denial::Moved, Duration::ZERO, fx);
+            self.deny_waiters(&model, Denial::Moved, wait, fx);
         }
         self.has_ticket = false;
         self.retired_at = Some(now);
--- a/crates/placement/src/planner/ownership.rs
+++ b/crates/placement/src/planner/ownership.rs
@@ -115,7 +115,8 @@
         self.owners.insert(index, owner);
     }
 
-    /// Ends the ownership of an upstream. Its state is kept for the next owner's claim.
+    /// Ends the ownership of an upstream, by the claim `fence` of another node or, if it is zero, since
+    /// the view names another owner. Its state is kept for the next owner's claim.
     pub(super) fn resign(&mut self, now: Time, upstream: &Upstream, fence: Fence) {
         let Some(index) = self
             .owners
@@ -125,7 +126,11 @@
             return;
         };
         let mut owner = self.owners.remove(index);
-        owner.retire(now, &mut self.fx);
+        let wait = match fence {
+            0 => time_until_claim(owner.quiet(now)),
+            _ => Duration::ZERO,
+        };
+        owner.retire(now, wait, &mut self.fx);
         for budget in &mut self.budgets {
             budget.abandon(upstream, &mut self.fx);
         }
@@ -186,7 +191,7 @@
         if self.promises.exceed(upstream, claim, from) {
             return;
         }
-        let at = now + quiet.map_or(Duration::ZERO, |quiet| RECLAIM_DELAY.saturating_sub(quiet));
+        let at = now + time_until_claim(quiet);
         let reclaim = self.reclaims.iter_mut().find(|r| r.upstream == *upstream);
         if let Some(reclaim) = reclaim.filter(|reclaim| reclaim.above <= claim) {
             reclaim.at = reclaim.at.min(at);
@@ -250,6 +255,19 @@
         self.reclaims.iter().any(|r| *r.upstream == *upstream)
     }
 
+    /// Returns the time for which, as far as this node knows, nobody orders at an upstream, because a
+    /// claim on it is given up and orders under that claim are recent.
+    pub(super) fn time_until_claim(&self, now: Time, upstream: &Upstream) -> Duration {
+        if let Some(reclaim) = self.reclaims.iter().find(|r| r.upstream == *upstream) {
+            return reclaim.at.saturating_sub(now);
+        }
+        let former = self.former_owners.iter();
+        let former = { former }.find(|o| o.upstream().id == *upstream);
+        let given_up = |o: &&Owner| self.promises.holds(upstream, o.claim(), &self.me);
+        let quiet = former.filter(given_up).and_then(|owner| owner.quiet(now));
+        time_until_claim(quiet)
+    }
+
     /// Records the highest fencing number that an engine has seen. The next order gets a higher
     /// one.
     pub(super) fn observe_fence(&mut self, upstream: &Upstream, fence: Fence) {
@@ -357,3 +375,9 @@
         self.fx.send(&from.vm, Message::ClaimAck(ack));
     }
 }
+
+/// Returns the time until an upstream may be claimed again, at which a former owner has ordered nothing
+/// for `quiet`, or at all.
+fn time_until_claim(quiet: Option<Duration>) -> Duration {
+    quiet.map_or(Duration::ZERO, |quiet| RECLAIM_DELAY.saturating_sub(quiet))
+}
--- a/crates/placement/src/planner/receive.rs
+++ b/crates/placement/src/planner/receive.rs
@@ -4,7 +4,7 @@
 
 use super::{ClaimOutcome, Planner};
 use crate::budget::{Budget, LoadDemand};
-use crate::message::{Denial, Message};
+use crate::message::{Denial, LeaseRequest, Message};
 
 impl Planner {
     /// Handles a message. It is dropped if the view lists another incarnation on the sender's VM.
@@ -14,30 +14,7 @@
             return;
         }
         match message {
-            Message::LeaseRequest(request) => {
-                let owner = self.owners.iter_mut();
-                match { owner }.find(|o| o.upstream().id == request.upstream) {
-                    Some(owner) => {
-                        owner.handle_lease_request(
-                            now,
-                            from,
-                            request,
-                            &self.settings,
-                            &mut self.fx,
-                        );
-                    }
-                    None => self.fx.send(
-                        &from.vm,
-                        Message::Deny {
-                            upstream: request.upstream,
-                            model: request.model,
-                            number: request.number,
-                            denial: Denial::Moved,
-                            retry_after: std::time::Duration::ZERO,
-                        },
-                    ),
-                }
-            }
+            Message::LeaseRequest(request) => self.handle_lease_request(now, from, request),
             Message::Grant(grant) => {
                 if let ClaimOutcome::Superseded(claim) =
                     self.promises.accept(&grant.upstream, grant.claim, from)
@@ -102,6 +79,28 @@
         }
     }
 
+    fn handle_lease_request(&mut self, now: Time, from: &Incarnation, request: LeaseRequest) {
+        let wait = self.time_until_claim(now, &request.upstream);
+        let owner = self.owners.iter_mut();
+        let owner = { owner }.find(|o| o.upstream().id == request.upstream);
+        // A load has to wait until this node may order again; what is loaded can be used.
+        match owner.filter(|owner| wait.is_zero() || owner.is_ready(&request.model)) {
+            Some(owner) => {
+                owner.handle_lease_request(now, from, request, &self.settings, &mut self.fx);
+            }
+            None => self.fx.send(
+                &from.vm,
+                Message::Deny {
+                    upstream: request.upstream,
+                    model: request.model,
+                    number: request.number,
+                    denial: Denial::Moved,
+                    retry_after: wait,
+                },
+            ),
+        }
+    }
+
     /// Handles the news that the promised owner has given the upstream up.
     ///
     /// The owner that the view names may hold a lower claim without knowing that it is superseded.
--- a/crates/placement/src/upstreams.rs
+++ b/crates/placement/src/upstreams.rs
@@ -65,7 +65,7 @@
     }
 
     /// Returns whether it is live and of this pool and base model.
-    fn serves(&self, pool: &Pool, base: &Base) -> bool {
+    pub fn serves(&self, pool: &Pool, base: &Base) -> bool {
         let facts = &self.facts;
         facts.state == UpstreamState::Live && facts.pool == *pool && facts.base == *base
     }
