--- a/crates/hyssopscale/tests/soak/check/mod.rs
+++ b/crates/hyssopscale/tests/soak/check/mod.rs
@@ -353,11 +353,15 @@
             node.troubles(ask.sent - SETTLING, ask.done).is_empty()
         });
         let arrived = |ask: &&Ask| evidence.arrivals.iter().any(|a| a.attempt == ask.attempt);
-        let late = late.filter(arrived).count();
-        if late > LATE_MAX {
-            let all = crashes.count();
+        let late: Vec<&Ask> = late.filter(arrived).collect();
+        if late.len() > LATE_MAX {
+            let ms = |at: Instant| (at - evidence.started).as_millis();
+            let sent: Vec<u128> = late.iter().map(|ask| ms(ask.sent)).collect();
+            let crashed: Vec<u128> = crashes.map(|(_, at)| ms(*at)).collect();
             breaches.push(format!(
-                "BUDGET: {late} late arrivals of {path}, {all} crashes"
+                "BUDGET: {} late arrivals of {path}, {} crashes; sent at {sent:?} ms, crashed at {crashed:?} ms",
+                sent.len(),
+                crashed.len(),
             ));
         }
     }
