Culprits: crashes are noticed while all nodes are cut off from the upstreams

Cause: while all nodes are cut off, new connections are refused and those that exist go on. A refused connection proves no crash then, and an upstream that could not be reached was taken for one that runs on: the requests that it had broken off were forgotten.

Change: an upstream that may run or not is a third outcome. What it broke off is kept for 3 s and reported if it is delisted without having said that it leaves, or is listed as another process: that the process has ended is certain then. Reports of processes that answer are taken back, as before. Requests in flight are not charged by a delisting, and what a cut broke off hides no later crash.

Tests of has_ended ask for the outcome itself now, which tells the unreached from the running.

Not looked into: the product's own front.

--- a/crates/dispatch/src/culprit/mod.rs
+++ b/crates/dispatch/src/culprit/mod.rs
@@ -180,6 +180,11 @@
         /// The upstream.
         upstream: Upstream,
     },
+    /// Whether an upstream that broke requests off has crashed cannot be found out.
+    Unconfirmed {
+        /// The upstream.
+        upstream: Upstream,
+    },
     /// An upstream crashed. The requests that this node had sent to it have ended.
     Crashed {
         /// The upstream.
@@ -190,6 +195,11 @@
         /// The upstream.
         upstream: Upstream,
     },
+    /// An upstream is gone that had not said that it leaves.
+    Gone {
+        /// The upstream.
+        upstream: Upstream,
+    },
     /// An upstream has answered [`Action::Inspect`].
     Inspected {
         /// The upstream.
@@ -456,6 +466,26 @@
     fn upstream_crashed(&mut self, now: Time, upstream: &Upstream, out: &mut Vec<Action>) {
         let window = self.config.crash_window;
         let crashed = self.runs.take_crashed(now, upstream, window);
+        self.report(now, Duration::ZERO, upstream, crashed, out);
+    }
+
+    /// Reports that the process of an upstream has ended whose crash could not be found out.
+    fn process_ended(&mut self, now: Time, upstream: &Upstream, out: &mut Vec<Action>) {
+        let broken_off = self.runs.take_broken_off(upstream);
+        let first = broken_off.iter().filter_map(|run| run.connection_lost_at);
+        let age = first.min().map_or(Duration::ZERO, |at| now - at);
+        self.report(now, age, upstream, broken_off, out);
+    }
+
+    /// Reports a crash that was `age` ago.
+    fn report(
+        &mut self,
+        now: Time,
+        age: Duration,
+        upstream: &Upstream,
+        crashed: Vec<Run>,
+        out: &mut Vec<Action>,
+    ) {
         let charged: Vec<Run> = crashed.into_iter().filter(|run| !run.survived).collect();
         if charged.is_empty() {
             return;
@@ -467,7 +497,7 @@
                 number: self.last_report_number,
             },
             upstream: upstream.clone(),
-            age: Duration::ZERO,
+            age,
             charges: charges(&charged),
         };
         for (feature, _) in &report.charges {
@@ -618,8 +648,11 @@
             Event::Dropped { request } => self.request_ended(now, request, false, out_actions),
             Event::ConnectionLost { request } => self.runs.connection_lost(now, request),
             Event::StillRunning { upstream } => self.runs.still_running(&upstream),
+            Event::Unconfirmed { upstream } => self.runs.unconfirmed(&upstream),
             Event::Crashed { upstream } => self.upstream_crashed(now, &upstream, out_actions),
+            Event::Gone { upstream } => self.process_ended(now, &upstream, out_actions),
             Event::Restarted { upstream } => {
+                self.process_ended(now, &upstream, out_actions);
                 self.runs.restarted(&upstream);
                 self.ledger.restarted(now, &upstream);
                 self.inquiries.close(&upstream);
--- a/crates/dispatch/src/culprit/runs.rs
+++ b/crates/dispatch/src/culprit/runs.rs
@@ -9,6 +9,9 @@
 /// Time within which it must be known whether an upstream that broke a request off has crashed.
 const CRASH_CHECK_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time within which the end of a process shows that requests which were broken off met a crash.
+const CONFIRMATION_TIME: Duration = Duration::from_secs(3);
+
 /// A request that was sent to an upstream.
 #[derive(Clone, Debug)]
 pub(super) struct Run {
@@ -21,7 +24,7 @@
     started_at: Time,
     /// Whether the upstream has outlived the beginning of the answer.
     pub survived: bool,
-    connection_lost_at: Option<Time>,
+    pub connection_lost_at: Option<Time>,
 }
 
 /// An upstream that has crashed and may still be down.
@@ -39,6 +42,8 @@
     /// Sorted by number.
     runs: Vec<Run>,
     dead: Vec<Dead>,
+    /// Requests that were broken off by upstreams which may run or not.
+    unconfirmed: Vec<Run>,
 }
 
 impl Runs {
@@ -89,6 +94,26 @@
             .retain(|run| run.upstream != *upstream || run.connection_lost_at.is_none());
     }
 
+    /// Sets the requests aside that `upstream` broke off, which may run or not.
+    pub fn unconfirmed(&mut self, upstream: &Upstream) {
+        let lost = self.take_lost_at(upstream);
+        self.unconfirmed.extend(lost);
+    }
+
+    /// Removes the requests that `upstream` broke off lately, whose process has ended.
+    pub fn take_broken_off(&mut self, upstream: &Upstream) -> Vec<Run> {
+        let mut broken_off = self.take_lost_at(upstream);
+        let of = |run: &mut Run| run.upstream == *upstream;
+        broken_off.extend(self.unconfirmed.extract_if(.., of));
+        broken_off
+    }
+
+    /// Removes the requests that `upstream` broke off and that nothing was found out about.
+    fn take_lost_at(&mut self, upstream: &Upstream) -> Vec<Run> {
+        let lost = |run: &mut Run| run.upstream == *upstream && run.connection_lost_at.is_some();
+        self.runs.extract_if(.., lost).collect()
+    }
+
     /// Removes the requests that were in flight at `upstream` when it was found dead, and returns
     /// those that were sent before its crash. A crash is over once `window` has passed without its
     /// upstream being found dead.
@@ -158,5 +183,8 @@
                 .is_none_or(|at| now < at + CRASH_CHECK_TIMEOUT)
         };
         self.runs.retain(undecided);
+        let recent =
+            |run: &Run| { run.connection_lost_at }.is_some_and(|at| now < at + CONFIRMATION_TIME);
+        self.unconfirmed.retain(recent);
     }
 }
--- /dev/null
+++ b/crates/dispatch/tests/unconfirmed_crashes.rs
@@ -0,0 +1,137 @@
+//! Crashes of upstreams that cannot be reached: the end of their processes shows in the listing.
+
+use std::time::Duration;
+
+use dispatch::CulpritDetector;
+use dispatch::culprit::{Action, Config, CrashReport, Event, Feature};
+use rstest::rstest;
+use wire::{Incarnation, Machine};
+
+const CULPRIT: Feature = 7;
+const SOUND: Feature = 8;
+
+const fn ms(value: u64) -> Duration {
+    Duration::from_millis(value)
+}
+
+fn upstream() -> wire::Upstream {
+    "u".into()
+}
+
+struct Node(CulpritDetector);
+
+impl Node {
+    fn new() -> Self {
+        let me = Incarnation::new("vm-0", 1);
+        Self(CulpritDetector::new(Config::default(), me))
+    }
+
+    /// Takes an event in and returns the report that it leads to.
+    fn step(&mut self, now: u64, event: Event) -> Option<CrashReport> {
+        let mut out = Vec::new();
+        self.0.step(ms(now), event, &mut out);
+        out.into_iter().find_map(|action| match action {
+            Action::Reported(report) => Some(report),
+            _ => None,
+        })
+    }
+
+    fn dispatch(&mut self, now: u64, request: u64, feature: Feature) {
+        let event = Event::Dispatch {
+            request,
+            features: vec![feature],
+            upstream: upstream(),
+            process: None,
+        };
+        self.step(now, event);
+    }
+
+    /// A request of the culprit is broken off, 100 ms after it was sent.
+    fn broken_off() -> Self {
+        let mut node = Self::new();
+        node.dispatch(0, 1, CULPRIT);
+        node.step(100, Event::ConnectionLost { request: 1 });
+        node
+    }
+}
+
+fn unconfirmed() -> Event {
+    Event::Unconfirmed {
+        upstream: upstream(),
+    }
+}
+
+fn gone() -> Event {
+    Event::Gone {
+        upstream: upstream(),
+    }
+}
+
+fn restarted() -> Event {
+    Event::Restarted {
+        upstream: upstream(),
+    }
+}
+
+fn crashed() -> Event {
+    Event::Crashed {
+        upstream: upstream(),
+    }
+}
+
+fn still_running() -> Event {
+    Event::StillRunning {
+        upstream: upstream(),
+    }
+}
+
+/// Guards against requests that crash upstreams unnoticed (BUDGET) while all nodes are cut off from them: a
+/// refused connection proves nothing then.
+#[rstest]
+#[case::gone(gone())]
+#[case::restarted(restarted())]
+fn end_of_process_confirms_crash(#[case] event: Event, #[values(false, true)] examined: bool) {
+    let mut node = Node::broken_off();
+    if examined {
+        assert_eq!(node.step(300, unconfirmed()), None);
+    }
+    let report = node.step(900, event).expect("a report");
+    assert_eq!(report.charges, [(CULPRIT, 1)]);
+    assert_eq!(report.age, ms(800));
+    assert_eq!(node.step(950, crashed()), None, "it is reported twice");
+}
+
+/// Guards against sound requests that are charged with an end which has nothing to do with them: of another
+/// process, long after, or of an upstream that was found running.
+#[rstest]
+#[case::late(unconfirmed(), 3_200)]
+#[case::running(still_running(), 900)]
+fn other_end_charges_nothing(#[case] found: Event, #[case] at: u64) {
+    let mut node = Node::broken_off();
+    node.step(300, found);
+    node.step(at, Event::Tick);
+    assert_eq!(node.step(at, gone()), None);
+}
+
+/// Requests that are still under way when an upstream is delisted may be answered.
+#[test]
+fn running_request_is_not_charged() {
+    let mut node = Node::broken_off();
+    node.dispatch(200, 2, SOUND);
+    node.step(300, unconfirmed());
+    let report = node.step(900, gone()).expect("a report");
+    assert_eq!(report.charges, [(CULPRIT, 1)]);
+}
+
+/// Guards against a culprit that is not charged since a cut has broken another request off before.
+#[test]
+fn later_crash_is_charged() {
+    let mut node = Node::new();
+    node.dispatch(0, 1, SOUND);
+    node.step(100, Event::ConnectionLost { request: 1 });
+    node.step(300, unconfirmed());
+    node.dispatch(500, 2, CULPRIT);
+    node.step(600, Event::ConnectionLost { request: 2 });
+    let report = node.step(900, crashed()).expect("a report");
+    assert_eq!(report.charges, [(CULPRIT, 1)]);
+}
--- a/crates/gateway/src/hub/culprit.rs
+++ b/crates/gateway/src/hub/culprit.rs
@@ -8,7 +8,7 @@
 use node::decision;
 use node::journal::DECISION;
 use tokio::sync::watch;
-use upstream::link::Link;
+use upstream::link::{Life, Link};
 use wire::{Machine, Request, Upstream};
 
 use super::Hub;
@@ -125,26 +125,27 @@
         let (hub, upstream, link) = (self.clone(), upstream.clone(), link.clone());
         self.set_controls();
         tokio::spawn(async move {
-            let ended = link.has_ended().await;
+            let life = link.life().await;
             hub.examined().retain(|(known, _)| *known != upstream);
-            hub.conclude(upstream, ended);
+            hub.conclude(upstream, life);
             drop(sender);
         });
         known
     }
 
-    fn conclude(&self, upstream: Upstream, ended: bool) {
+    fn conclude(&self, upstream: Upstream, life: Life) {
         let leaves = {
             let desk = self.desk();
             let known = desk.fleet.upstream(&upstream);
             known.is_none_or(|runner| !runner.is_eligible())
         };
-        info!(target: DECISION, upstream:%, ended, leaves; "broken-off");
+        let ended = life == Life::Ended;
+        info!(target: DECISION, upstream:%, ended, unknown = life == Life::Unknown, leaves; "broken-off");
         // The end of an upstream that was about to leave is attributed to no request.
-        self.track(if ended && !leaves {
-            Event::Crashed { upstream }
-        } else {
-            Event::StillRunning { upstream }
+        self.track(match life {
+            Life::Ended if !leaves => Event::Crashed { upstream },
+            Life::Unknown if !leaves => Event::Unconfirmed { upstream },
+            _ => Event::StillRunning { upstream },
         });
     }
 
--- a/crates/gateway/src/hub/pulse.rs
+++ b/crates/gateway/src/hub/pulse.rs
@@ -155,9 +155,21 @@
 
     /// Forgets an upstream that is gone.
     pub fn forget(&self, id: &Upstream) {
-        if self.desk().fleet.remove(id) {
-            self.unlink(id);
-            info!(target: DECISION, upstream:% = id; "upstream-gone");
+        let (known, leaves) = {
+            let mut desk = self.desk();
+            let upstream = desk.fleet.upstream(id);
+            let leaves = upstream.is_some_and(|upstream| !upstream.is_eligible());
+            (desk.fleet.remove(id), leaves)
+        };
+        if !known {
+            return;
+        }
+        self.unlink(id);
+        info!(target: DECISION, upstream:% = id; "upstream-gone");
+        if !leaves {
+            self.track(culprit::Event::Gone {
+                upstream: id.clone(),
+            });
         }
     }
 
--- a/crates/upstream/src/link/mod.rs
+++ b/crates/upstream/src/link/mod.rs
@@ -47,6 +47,17 @@
 /// Time without a byte of an answer after which its connection's way is checked.
 const SILENCE: Duration = Duration::from_millis(500);
 
+/// What is known of an upstream's process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Life {
+    /// It takes connections.
+    Running,
+    /// It has ended.
+    Ended,
+    /// It cannot be reached, and may run or not.
+    Unknown,
+}
+
 /// Connections that a class may open; no class waits for another's.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Class {
@@ -470,31 +481,39 @@
         }
     }
 
-    /// Tells whether the upstream's process has ended: every kept connection is closed, and a new one
-    /// is refused, or closed before anything was sent. One that cannot be reached may live.
-    pub async fn has_ended(&self) -> bool {
+    /// Finds out whether the upstream's process has ended: every kept connection is closed, and a new one
+    /// is refused, or closed before anything was sent.
+    pub async fn life(&self) -> Life {
         sleep(CLOSE_SPREAD).await;
         for pool in [&self.ordinary, &self.urgent, &self.control] {
             if let Some(conn) = self.kept(pool, |_| true).await {
                 if conn.used.is_some() {
                     pool.put_back(conn);
                 }
-                return false;
+                return Life::Running;
             }
         }
         if let Some(router) = &self.router {
-            return router.check(&self.upstream, self.address).await == Verdict::Refused;
+            return match router.check(&self.upstream, self.address).await {
+                Verdict::Reached => Life::Running,
+                Verdict::Refused => Life::Ended,
+                Verdict::Unknown => Life::Unknown,
+            };
         }
         match self.open().await {
             Ok(mut conn) => {
                 sleep(CLOSE_DELAY).await;
-                !conn.verify().await
+                if conn.verify().await {
+                    Life::Running
+                } else {
+                    Life::Ended
+                }
             }
-            Err(Error::Connect { cause, .. }) => matches!(
-                cause.kind(),
-                ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset
-            ),
-            Err(_) => false,
+            Err(Error::Connect { cause, .. }) => match cause.kind() {
+                ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => Life::Ended,
+                _ => Life::Unknown,
+            },
+            Err(_) => Life::Unknown,
         }
     }
 
--- a/crates/upstream/tests/ended_process.rs
+++ b/crates/upstream/tests/ended_process.rs
@@ -9,7 +9,7 @@
 use hyper::Request;
 use support::{Act, serve};
 use tokio::net::TcpListener;
-use upstream::link::{Call, Class, Host, Limits, Link, Reuse};
+use upstream::link::{Call, Class, Host, Life, Limits, Link, Reuse};
 
 fn link(address: std::net::SocketAddr) -> Link {
     let limits = Limits {
@@ -40,7 +40,7 @@
     let (address, seen) = serve([Act::Request, whole(), Act::Hold]).await;
     let link = link(address);
     send(&link).await;
-    assert!(!link.has_ended().await);
+    assert_eq!(link.life().await, Life::Running);
     assert_eq!(
         support::count(&seen.connections),
         1,
@@ -51,7 +51,7 @@
 #[tokio::test]
 async fn new_connection_shows_life() {
     let (address, _) = serve([Act::Hold]).await;
-    assert!(!link(address).has_ended().await);
+    assert_eq!(link(address).life().await, Life::Running);
 }
 
 #[tokio::test]
@@ -60,8 +60,8 @@
     let link = link(address);
     send(&link).await;
     let (none, _) = serve([]).await;
-    assert!(self::link(none).has_ended().await);
-    assert!(!link.has_ended().await, "it takes connections");
+    assert_eq!(self::link(none).life().await, Life::Ended);
+    assert_eq!(link.life().await, Life::Running);
 }
 
 #[tokio::test]
@@ -69,5 +69,5 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     drop(listener);
-    assert!(link(address).has_ended().await);
+    assert_eq!(link(address).life().await, Life::Ended);
 }
--- a/crates/upstream/tests/relayed_connections.rs
+++ b/crates/upstream/tests/relayed_connections.rs
@@ -13,7 +13,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
-use upstream::link::{Link, Reuse};
+use upstream::link::{Life, Link, Reuse};
 use upstream::path::{Control, Way};
 use upstream::relay::Router;
 use upstream::{Error, Limits, Reach};
@@ -185,7 +185,7 @@
     let error = answer(&link).await.unwrap_err();
     assert_eq!(error.reach(), Reach::NotSent, "{error}");
     let began = Instant::now();
-    assert!(link.has_ended().await);
+    assert_eq!(link.life().await, Life::Ended);
     assert!(began.elapsed() < ms(400), "{:?}", began.elapsed());
 }
 
@@ -206,7 +206,7 @@
         }
     });
     let (link, router, _relay) = routed_pair(address, near, KEY, "u").await;
-    assert!(link.has_ended().await);
+    assert_eq!(link.life().await, Life::Ended);
     assert_eq!(router.take_changes(), []);
 }
 
@@ -216,7 +216,7 @@
     let near = own_ip();
     let (address, _) = serve_hidden([Act::Hold], Some(near)).await;
     let (link, relay) = pair(address, near, KEY, "u").await;
-    assert!(!link.has_ended().await);
+    assert_eq!(link.life().await, Life::Running);
     assert_eq!(relay.relayed.opened.load(Ordering::Relaxed), 1);
 }
 
@@ -377,14 +377,11 @@
 /// Guards against sound requests that are convicted of crashes which were none: all links of this node and
 /// of those that it asks are reset at one moment.
 #[rstest]
-#[case::all_links(3, false)]
-#[case::one_process(1, true)]
-#[case::two_processes(2, true)]
+#[case::all_links(3, Life::Unknown)]
+#[case::one_process(1, Life::Ended)]
+#[case::two_processes(2, Life::Ended)]
 #[tokio::test]
-async fn upstream_has_ended_where_others_take_connections(
-    #[case] lost: usize,
-    #[case] ended: bool,
-) {
+async fn upstream_has_ended_where_others_take_connections(#[case] lost: usize, #[case] life: Life) {
     let mut upstreams = Vec::new();
     for name in ["u", "v", "w"] {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -419,8 +416,8 @@
         cut.send_replace(true);
     }
     sleep(ms(20)).await;
-    let (first, second) = tokio::join!(links[0].has_ended(), links[lost - 1].has_ended());
-    assert_eq!((first, second), (ended, ended));
+    let (first, second) = tokio::join!(links[0].life(), links[lost - 1].life());
+    assert_eq!((first, second), (life, life));
 }
 
 /// Guards against an upstream that is not reached for seconds after the only peer that reaches it has failed
