Culprits: a part that culprits have in common does not hide the second one

Cause: two culprits had a part in common. One was convicted; the part then had five crashes, those of both, and was convicted before the other one had three that the first conviction did not explain. From then on the part explained its crashes, and it went on with another part until it had five.

Change: before a feature is convicted of crashes that other convictions explain in part, a rarer one that no upstream survived either and that explains all of what is left is convicted. The common one follows, as before.

Other tests of the crate pass, but for the known red one.

--- a/crates/dispatch/src/culprit/analyst.rs
+++ b/crates/dispatch/src/culprit/analyst.rs
@@ -319,13 +319,40 @@
     /// explain these: two culprits may be in flight in the same crashes.
     fn persistent_culprit(&mut self, now: Time) -> Option<Standing> {
         let standings = self.ledger.standings(self.config.popular_threshold, &[]);
-        let culprit = standings.into_iter().find(|standing| {
-            let convicted = self.verdicts.conviction(standing.feature).is_some();
-            !convicted && !standing.survived_before && standing.is_rare()
-        })?;
+        let culprit =
+            { standings.into_iter() }.find(|standing| self.may_be_persistent(standing))?;
         let deliberated = now >= culprit.reached_at + self.config.deliberation;
         self.undecided |= !deliberated;
-        deliberated.then_some(culprit)
+        if !deliberated {
+            return None;
+        }
+        Some(self.culprit_within(&culprit).unwrap_or(culprit))
+    }
+
+    fn may_be_persistent(&self, standing: &Standing) -> bool {
+        let convicted = self.verdicts.conviction(standing.feature).is_some();
+        !convicted && !standing.survived_before && standing.is_rare()
+    }
+
+    /// Returns a rarer feature that explains what convicted ones leave of the crashes of `common`, which
+    /// several culprits may have in common. If `common` was convicted alone, it would explain their
+    /// crashes, and they go on with other parts.
+    fn culprit_within(&self, common: &Standing) -> Option<Standing> {
+        let mut excused = self.convicted_features();
+        if self.ledger.standing(common.feature, &excused).crashes == 0 {
+            return None;
+        }
+        let standings = self.ledger.standings(self.config.conviction_threshold, &[]);
+        let rarer = standings.into_iter().filter(|standing| {
+            standing.requests < common.requests && self.may_be_persistent(standing)
+        });
+        let within = rarer.filter(|standing| {
+            excused.push(standing.feature);
+            let left = self.ledger.standing(common.feature, &excused).crashes;
+            excused.pop();
+            left == 0
+        });
+        best(&within.collect::<Vec<_>>())
     }
 
     fn convict_culprits(&mut self, now: Time, out: &mut Vec<Action>) {
