Culprits: what an upstream broke off before it answered again is not charged with its end

Change: an answer, or that it is found running, clears what was broken off before.

Also: names, one comment.

--- a/crates/dispatch/src/culprit/analyst.rs
+++ b/crates/dispatch/src/culprit/analyst.rs
@@ -323,12 +323,10 @@
             { standings.into_iter() }.find(|standing| self.may_be_persistent(standing))?;
         let deliberated = now >= culprit.reached_at + self.config.deliberation;
         self.undecided |= !deliberated;
-        if !deliberated {
-            return None;
-        }
-        Some(self.culprit_within(&culprit).unwrap_or(culprit))
+        deliberated.then(|| self.culprit_within(&culprit).unwrap_or(culprit))
     }
 
+    /// Returns whether a feature is rare, and neither convicted nor survived by an upstream lately.
     fn may_be_persistent(&self, standing: &Standing) -> bool {
         let convicted = self.verdicts.conviction(standing.feature).is_some();
         !convicted && !standing.survived_before && standing.is_rare()
--- a/crates/dispatch/src/culprit/mod.rs
+++ b/crates/dispatch/src/culprit/mod.rs
@@ -648,7 +648,7 @@
             Event::Dropped { request } => self.request_ended(now, request, false, out_actions),
             Event::ConnectionLost { request } => self.runs.connection_lost(now, request),
             Event::StillRunning { upstream } => self.runs.still_running(&upstream),
-            Event::Unconfirmed { upstream } => self.runs.unconfirmed(&upstream),
+            Event::Unconfirmed { upstream } => self.runs.set_aside(&upstream),
             Event::Crashed { upstream } => self.upstream_crashed(now, &upstream, out_actions),
             Event::Gone { upstream } => self.process_ended(now, &upstream, out_actions),
             Event::Restarted { upstream } => {
--- a/crates/dispatch/src/culprit/runs.rs
+++ b/crates/dispatch/src/culprit/runs.rs
@@ -90,12 +90,11 @@
 
     /// Forgets the requests that `upstream`, which is still running, broke off.
     pub fn still_running(&mut self, upstream: &Upstream) {
-        self.runs
-            .retain(|run| run.upstream != *upstream || run.connection_lost_at.is_none());
+        self.take_broken_off(upstream);
     }
 
     /// Sets the requests aside that `upstream` broke off, which may run or not.
-    pub fn unconfirmed(&mut self, upstream: &Upstream) {
+    pub fn set_aside(&mut self, upstream: &Upstream) {
         let lost = self.take_lost_at(upstream);
         self.unconfirmed.extend(lost);
     }
@@ -158,8 +157,9 @@
     /// Forgets the requests that `upstream` broke off until `until`: they met a former process.
     fn forget_lost(&mut self, upstream: &Upstream, until: Time) {
         let lost = |run: &Run| run.connection_lost_at.is_some_and(|at| at <= until);
-        self.runs
-            .retain(|run| run.upstream != *upstream || !lost(run));
+        for runs in [&mut self.runs, &mut self.unconfirmed] {
+            runs.retain(|run| run.upstream != *upstream || !lost(run));
+        }
     }
 
     /// Removes the requests that were in flight at `upstream` when the first connection was lost.
@@ -178,13 +178,12 @@
     }
 
     pub fn expire(&mut self, now: Time) {
-        let undecided = |run: &Run| {
-            run.connection_lost_at
-                .is_none_or(|at| now < at + CRASH_CHECK_TIMEOUT)
+        let is_recent = |run: &Run, time: Duration| {
+            let lost_at = run.connection_lost_at;
+            lost_at.is_none_or(|at| now < at + time)
         };
-        self.runs.retain(undecided);
-        let recent =
-            |run: &Run| { run.connection_lost_at }.is_some_and(|at| now < at + CONFIRMATION_TIME);
-        self.unconfirmed.retain(recent);
+        self.runs.retain(|run| is_recent(run, CRASH_CHECK_TIMEOUT));
+        self.unconfirmed
+            .retain(|run| is_recent(run, CONFIRMATION_TIME));
     }
 }
--- a/crates/dispatch/tests/unconfirmed_crashes.rs
+++ b/crates/dispatch/tests/unconfirmed_crashes.rs
@@ -113,6 +113,19 @@
     assert_eq!(node.step(at, gone()), None);
 }
 
+/// Guards against sound requests that are charged with a later crash: the upstream has answered since, or was
+/// found running.
+#[rstest]
+#[case::answered(Event::Finished { request: 2 })]
+#[case::running(still_running())]
+fn upstream_that_ran_on_charges_nothing(#[case] event: Event) {
+    let mut node = Node::broken_off();
+    node.step(300, unconfirmed());
+    node.dispatch(400, 2, SOUND);
+    node.step(500, event);
+    assert_eq!(node.step(900, gone()), None);
+}
+
 /// Requests that are still under way when an upstream is delisted may be answered.
 #[test]
 fn running_request_is_not_charged() {
