--- a/crates/placement/src/holder/reply.rs
+++ b/crates/placement/src/holder/reply.rs
@@ -142,8 +142,8 @@
         let Some(pending) = pending.filter(|pending| pending.sent_at(number).is_some()) else {
             return;
         };
-        let moves = denial == Denial::Moved && !pending.waiting.is_empty();
-        if moves && cx.now + retry_after < pending.last_heard + cx.settings.silence {
+        let moved = denial == Denial::Moved && !pending.waiting.is_empty();
+        if moved && cx.now + retry_after < pending.last_heard + cx.settings.silence {
             return;
         }
         cx.fx.note(Note::Denied {
@@ -151,7 +151,7 @@
             model: model.clone(),
             denial,
         });
-        if moves {
+        if moved {
             return self.leave_unowned(cx, model, upstream, retry_after);
         }
         self.try_other_upstreams(cx, model, upstream, Some(retry_after));
--- a/crates/placement/src/planner/mod.rs
+++ b/crates/placement/src/planner/mod.rs
@@ -413,6 +413,7 @@
 
     fn wake(&self) -> Option<Time> {
         let busy = self.holder.has_pending_work()
+            || !self.reclaims.is_empty()
             || self.owners.iter().any(Owner::busy)
             || self.budgets.iter().any(Budget::has_pending_work);
         let interval = if busy {
--- a/crates/placement/src/planner/ownership.rs
+++ b/crates/placement/src/planner/ownership.rs
@@ -127,7 +127,7 @@
         };
         let mut owner = self.owners.remove(index);
         let wait = match fence {
-            0 => time_until_claim(owner.quiet(now)),
+            0 => remaining_delay(owner.quiet(now)),
             _ => Duration::ZERO,
         };
         owner.retire(now, wait, &mut self.fx);
@@ -191,7 +191,7 @@
         if self.promises.exceed(upstream, claim, from) {
             return;
         }
-        let at = now + time_until_claim(quiet);
+        let at = now + remaining_delay(quiet);
         let reclaim = self.reclaims.iter_mut().find(|r| r.upstream == *upstream);
         if let Some(reclaim) = reclaim.filter(|reclaim| reclaim.above <= claim) {
             reclaim.at = reclaim.at.min(at);
@@ -213,7 +213,7 @@
             }
         }
         for (owner, upstream, claim) in due {
-            if let Some(message) = self.given_up(now, &owner, &upstream, claim) {
+            if let Some(message) = self.give_up(now, &owner, &upstream, claim) {
                 self.fx.send(&owner, message);
             }
         }
@@ -221,7 +221,7 @@
 
     /// Gives the claim up for good, if it is the promised one and was this node's. Returns the message
     /// that tells `peer` so.
-    fn given_up(
+    fn give_up(
         &mut self,
         now: Time,
         peer: &Vm,
@@ -242,7 +242,7 @@
 
     /// Returns the answer to a claim of `peer` below `claim`.
     fn superseded(&mut self, now: Time, peer: &Vm, upstream: &Upstream, claim: Fence) -> Message {
-        let given_up = self.given_up(now, peer, upstream, claim);
+        let given_up = self.give_up(now, peer, upstream, claim);
         given_up.unwrap_or_else(|| Message::ClaimSuperseded {
             upstream: upstream.clone(),
             claim,
@@ -265,7 +265,7 @@
         let former = { former }.find(|o| o.upstream().id == *upstream);
         let given_up = |o: &&Owner| self.promises.holds(upstream, o.claim(), &self.me);
         let quiet = former.filter(given_up).and_then(|owner| owner.quiet(now));
-        time_until_claim(quiet)
+        remaining_delay(quiet)
     }
 
     /// Records the highest fencing number that an engine has seen. The next order gets a higher
@@ -376,8 +376,8 @@
     }
 }
 
-/// Returns the time until an upstream may be claimed again, at which a former owner has ordered nothing
-/// for `quiet`, or at all.
-fn time_until_claim(quiet: Option<Duration>) -> Duration {
+/// Returns what is left of [`RECLAIM_DELAY`] where a former owner has ordered nothing for `quiet`, or at
+/// all.
+fn remaining_delay(quiet: Option<Duration>) -> Duration {
     quiet.map_or(Duration::ZERO, |quiet| RECLAIM_DELAY.saturating_sub(quiet))
 }
