--- a/crates/placement/tests/owner_turns.rs
+++ b/crates/placement/tests/owner_turns.rs
@@ -414,3 +414,22 @@
     between.step(TICK * 20, Event::Tick, &mut out);
     assert_eq!(told(&out, 1), [""; 0]);
 }
+
+/// Guards against an engine that stays without an owner for half a second more, since a node without
+/// other work seldom looks at what is due.
+#[test]
+fn due_claim_is_looked_at_soon() {
+    let both = view(&["a", "b"]);
+    let owner = both.owner("e").expect("the view is not empty").clone();
+    let other = if *owner == *"a" { "b" } else { "a" };
+    let mut former = planner(&owner, &["a", "b"], RATE);
+    former.step(TICK, Event::Tick, &mut Vec::new());
+    let message = Message::ClaimSuperseded {
+        upstream: "e".into(),
+        claim: 5,
+    };
+    let from = Incarnation::new(other, 1);
+    former.step(TICK, Event::Receive { from, message }, &mut Vec::new());
+    let wake = former.wake().expect("a time to wake at");
+    assert!(wake <= TICK + Duration::from_millis(50), "{wake:?}");
+}
