Culprits: late reports of crashes are deliberated as others are

Cause: a feature is convicted 400 ms after its third crash, so that nodes which have seen upstreams survive it can say so. They are asked once an analyst has heard of two crashes. The time was counted from the crashes. Reports that come later than that, as those of crashes which the listing confirms after up to 3 s, convicted at once, and nobody had been asked.

Evidence: confirmed_crashes_are_deliberated fails without the change.

Change: the time counts from when the analyst has heard of the third crash.

--- a/crates/dispatch/src/culprit/ledger.rs
+++ b/crates/dispatch/src/culprit/ledger.rs
@@ -13,6 +13,8 @@
 struct Crash {
     upstream: Upstream,
     at: Time,
+    /// When the first report of it came.
+    heard_at: Time,
     /// When it was reported last: requests may still be sent to an upstream that is down.
     reported_at: Time,
     /// When the upstream started again under the same id.
@@ -47,7 +49,7 @@
     pub crashes: u32,
     /// Requests with the feature that were in flight in those crashes.
     pub requests: u32,
-    /// When the number of crashes reached the threshold.
+    /// When the number of crashes that were heard of reached the threshold.
     pub reached_at: Time,
     /// The first of the crashes.
     pub first_at: Time,
@@ -110,6 +112,7 @@
             let crash = Crash {
                 upstream: report.upstream,
                 at,
+                heard_at: now,
                 reported_at: at,
                 restarted_at: None,
                 refuted_at: None,
@@ -267,6 +270,7 @@
             last_at: Time::ZERO,
             survived_before: self.survivals.last(feature).is_some(),
         };
+        let mut heard_at = Vec::new();
         for crash in &self.crashes {
             let Some(requests) = crash.requests(feature) else {
                 continue;
@@ -279,10 +283,11 @@
             standing.requests += requests;
             standing.first_at = standing.first_at.min(crash.at);
             standing.last_at = crash.at;
-            if standing.crashes as usize == self.config.conviction_threshold {
-                standing.reached_at = crash.at;
-            }
+            heard_at.push(crash.heard_at);
         }
+        heard_at.sort_unstable();
+        let reached = self.config.conviction_threshold.saturating_sub(1);
+        standing.reached_at = heard_at.get(reached).copied().unwrap_or(Time::MAX);
         standing
     }
 
--- a/crates/dispatch/tests/unconfirmed_crashes.rs
+++ b/crates/dispatch/tests/unconfirmed_crashes.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use dispatch::CulpritDetector;
-use dispatch::culprit::{Action, Config, CrashReport, Event, Feature};
+use dispatch::culprit::{Action, Config, CrashReport, Event, Feature, Message, ReportId, Status};
 use rstest::rstest;
 use wire::{Incarnation, Machine};
 
@@ -148,3 +148,36 @@
     let report = node.step(900, crashed()).expect("a report");
     assert_eq!(report.charges, [(CULPRIT, 1)]);
 }
+
+/// Guards against a sound feature that is convicted as soon as its crashes are confirmed, which takes seconds: nodes
+/// that have seen upstreams survive it since have not been asked.
+#[test]
+fn confirmed_crashes_are_deliberated() {
+    let mut node = Node::new();
+    let from = Incarnation::new("vm-1", 1);
+    for number in 0..3 {
+        let message = Message::Crash(CrashReport {
+            id: ReportId {
+                reporter: from.clone(),
+                number,
+            },
+            upstream: format!("u{number}").as_str().into(),
+            age: ms(2_000),
+            charges: vec![(SOUND, 1)],
+        });
+        let from = from.clone();
+        node.step(5_000, Event::Receive { from, message });
+    }
+    node.step(5_100, Event::Tick);
+    assert!(!matches!(
+        node.0.status(ms(5_100), &[SOUND]),
+        Status::Convicted(_)
+    ));
+    let message = Message::Survived(vec![(SOUND, ms(1_000))]);
+    node.step(5_300, Event::Receive { from, message });
+    node.step(5_500, Event::Tick);
+    assert!(!matches!(
+        node.0.status(ms(5_500), &[SOUND]),
+        Status::Convicted(_)
+    ));
+}
