Culprits: analysts that are all new count crashes all the same

Cause: a new analyst takes no reports for 1.5 s, as the other analysts know the first ones and it may not. Reports are sent three times within 400 ms. Where all analysts are new at once, nobody took them: when a fleet starts, and when all nodes stand still for some 1.5 s, since each sees itself as silent then and leaves the analysts for a moment.

Evidence: on a scratch copy with more log lines, the test's process was stopped for 1.6 to 2.5 s around the reset, once for each of 15 pairs of moment and length: it failed in 13, with up to 24 reports; in the one whose log was read all reports came to analysts that were learning. Stopped for 1.0 and 1.4 s it passed in 4 of 4. On this code, with lengths from 1.6 to 3.2 s: none of 15 failed.

Change: each report is sent a fourth time, 2.4 s after the first. A new analyst takes crashes up from 800 ms before it was one: all reports of them come again when it takes some. Of those before that it may lack some; it leaves them to the others, also where a later report comes after it has learned.

Tests: new_analysts. A first try without the 800 ms failed in 3 of 15 stops: connections are lost shortly before the node is an analyst again.

--- a/crates/dispatch/src/culprit/analyst.rs
+++ b/crates/dispatch/src/culprit/analyst.rs
@@ -89,7 +89,8 @@
             }
         }
         self.end_trials(now, &report);
-        if now >= self.learns_until {
+        let window = self.config.crash_window;
+        if self.learning.admits(now, &report, window) {
             self.undecided |= self.ledger.insert(now, report);
         }
     }
--- a/crates/dispatch/src/culprit/mod.rs
+++ b/crates/dispatch/src/culprit/mod.rs
@@ -21,6 +21,7 @@
 
 mod analyst;
 mod grounds;
+mod learning;
 mod ledger;
 mod message;
 mod outbox;
@@ -38,6 +39,7 @@
 use crate::poison::Fingerprint;
 use analyst::Case;
 pub use grounds::Ground;
+use learning::Learning;
 use ledger::Ledger;
 pub use message::{CrashReport, Message, ReportId, Verdict};
 use outbox::OwnReport;
@@ -64,9 +66,6 @@
 /// Shortest time between two reports of the survival of one feature.
 const SURVIVAL_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Time for which a new analyst takes no reports: it may have missed the first ones of a crash.
-const LEARNING_TIME: Duration = Duration::from_millis(1_500);
-
 /// Settings of a [`CulpritDetector`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Config {
@@ -299,8 +298,7 @@
     /// Whether the ledger has changed since the last decision.
     undecided: bool,
     announced_at: Time,
-    /// Until when reports are left to the other analysts, since this node has become one only now.
-    learns_until: Time,
+    learning: Learning,
 }
 
 impl CulpritDetector {
@@ -321,7 +319,7 @@
             cases: Vec::new(),
             undecided: false,
             announced_at: Time::ZERO,
-            learns_until: Time::ZERO,
+            learning: Learning::default(),
             config,
         }
     }
@@ -569,7 +567,7 @@
             return;
         }
         if !was_analyst {
-            self.learns_until = now + LEARNING_TIME;
+            self.learning.begin(now);
         }
         let convictions: Vec<Verdict> = self.convictions(now).collect();
         let messages: Vec<Message> = convictions
@@ -667,7 +665,7 @@
 
     fn wake(&self) -> Option<Time> {
         let interval = self.config.resend_interval;
-        let reports = self.own_reports.iter().map(|own| own.sent_at + interval);
+        let reports = self.own_reports.iter().map(|own| own.due(interval));
         let cases = self.cases.iter().filter_map(Case::wake);
         let decision = self.undecided.then_some(Time::ZERO);
         let inquiries = self.inquiries.wake();
--- a/crates/dispatch/src/culprit/outbox.rs
+++ b/crates/dispatch/src/culprit/outbox.rs
@@ -1,5 +1,7 @@
 //! What a node tells others: its own reports of crashes to the analysts, and decisions to all.
 
+use std::time::Duration;
+
 use wire::{Time, Vm, rank};
 
 use super::{Action, CrashReport, CulpritDetector, Message, Start};
@@ -14,8 +16,11 @@
 /// Name whose rendezvous order selects the analysts.
 const ANALYST_KEY: &str = "crash-analysts";
 
-/// How often a node sends each of its own reports.
-const REPORT_SENDS: u8 = 3;
+/// How often a node sends each of its own reports at [`super::Config::resend_interval`].
+const QUICK_SENDS: u8 = 3;
+
+/// Time from there to the last time that it sends it: analysts that were all new at first take it then.
+const LAST_PAUSE: Duration = Duration::from_millis(2_000);
 
 /// A report of this node that is still sent again.
 #[derive(Clone, Debug)]
@@ -27,6 +32,18 @@
     pub(super) sent_at: Time,
 }
 
+impl OwnReport {
+    /// Returns when it is sent next.
+    pub(super) fn due(&self, interval: Duration) -> Time {
+        let pause = if self.sends < QUICK_SENDS {
+            interval
+        } else {
+            LAST_PAUSE
+        };
+        self.sent_at + pause
+    }
+}
+
 impl CulpritDetector {
     pub(super) fn send_report(&mut self, now: Time, own: &OwnReport, out: &mut Vec<Action>) {
         self.tell_analysts(now, &Message::Crash(own.report.clone()), out);
@@ -41,14 +58,14 @@
         let interval = self.config.resend_interval;
         let mut due = Vec::new();
         for own in &mut self.own_reports {
-            if now >= own.sent_at + interval {
+            if now >= own.due(interval) {
                 own.sends += 1;
                 own.report.age += now - own.sent_at;
                 own.sent_at = now;
                 due.push(own.clone());
             }
         }
-        self.own_reports.retain(|own| own.sends < REPORT_SENDS);
+        self.own_reports.retain(|own| own.sends <= QUICK_SENDS);
         for own in &due {
             self.send_report(now, own, out);
         }
