Culprits: only a late report is dated back

Cause: dated each report back to the first lost connection. Other nodes lose connections of requests that they send to the dead upstream for some 300 ms more. Their reports had counted as too late to be of requests in flight, and were taken for it: the part that crashed upstreams was in 12 requests of five crashes, no longer rare, and was convicted at the fifth crash instead of the third.

Change: a report whose check took up to 500 ms counts as of the end of the check, as before; a later one is dated back by what is above that.

--- a/crates/dispatch/src/culprit/mod.rs
+++ b/crates/dispatch/src/culprit/mod.rs
@@ -63,6 +63,9 @@
 /// Crashes from which a request with the feature is not retried.
 const SUSPECT_CRASHES: u16 = 2;
 
+/// Time in which a node finds out that an upstream has crashed, unless it stands still.
+const CHECK_TIME: Duration = Duration::from_millis(500);
+
 /// Shortest time between two reports of the survival of one feature.
 const SURVIVAL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -464,22 +467,26 @@
     fn upstream_crashed(&mut self, now: Time, upstream: &Upstream, out: &mut Vec<Action>) {
         let window = self.config.crash_window;
         let crashed = self.runs.take_crashed(now, upstream, window);
-        self.report(now, upstream, crashed, out);
+        let age = age(now, &crashed).saturating_sub(CHECK_TIME);
+        self.report(now, age, upstream, crashed, out);
     }
 
     /// Reports that the process of an upstream has ended whose crash could not be found out.
     fn process_ended(&mut self, now: Time, upstream: &Upstream, out: &mut Vec<Action>) {
         let broken_off = self.runs.take_broken_off(upstream);
-        self.report(now, upstream, broken_off, out);
+        let age = age(now, &broken_off);
+        self.report(now, age, upstream, broken_off, out);
     }
 
-    /// Reports a crash, which is as old as the first connection that was lost.
-    fn report(&mut self, now: Time, upstream: &Upstream, crashed: Vec<Run>, out: &mut Vec<Action>) {
-        let first_lost = crashed
-            .iter()
-            .filter_map(|run| run.connection_lost_at)
-            .min();
-        let age = first_lost.map_or(Duration::ZERO, |at| now - at);
+    /// Reports a crash that was `age` ago.
+    fn report(
+        &mut self,
+        now: Time,
+        age: Duration,
+        upstream: &Upstream,
+        crashed: Vec<Run>,
+        out: &mut Vec<Action>,
+    ) {
         let charged: Vec<Run> = crashed.into_iter().filter(|run| !run.survived).collect();
         if charged.is_empty() {
             return;
@@ -594,6 +601,12 @@
     }
 }
 
+/// Returns how long ago the first connection of `runs` was lost.
+fn age(now: Time, runs: &[Run]) -> Duration {
+    let lost = runs.iter().filter_map(|run| run.connection_lost_at);
+    lost.min().map_or(Duration::ZERO, |at| now - at)
+}
+
 /// Returns the process that all `runs` were sent to, if it is known and the same.
 fn common_process(runs: &[Run]) -> Option<Start> {
     let first = runs.first()?.process;
