--- a/crates/dispatch/src/culprit/mod.rs
+++ b/crates/dispatch/src/culprit/mod.rs
@@ -467,14 +467,14 @@
     fn upstream_crashed(&mut self, now: Time, upstream: &Upstream, out: &mut Vec<Action>) {
         let window = self.config.crash_window;
         let crashed = self.runs.take_crashed(now, upstream, window);
-        let age = age(now, &crashed).saturating_sub(CHECK_TIME);
+        let age = time_since_loss(now, &crashed).saturating_sub(CHECK_TIME);
         self.report(now, age, upstream, crashed, out);
     }
 
     /// Reports that the process of an upstream has ended whose crash could not be found out.
     fn process_ended(&mut self, now: Time, upstream: &Upstream, out: &mut Vec<Action>) {
-        let broken_off = self.runs.take_broken_off(upstream);
-        let age = age(now, &broken_off);
+        let broken_off = self.runs.take_broken_off(now, upstream);
+        let age = time_since_loss(now, &broken_off);
         self.report(now, age, upstream, broken_off, out);
     }
 
@@ -602,7 +602,7 @@
 }
 
 /// Returns how long ago the first connection of `runs` was lost.
-fn age(now: Time, runs: &[Run]) -> Duration {
+fn time_since_loss(now: Time, runs: &[Run]) -> Duration {
     let lost = runs.iter().filter_map(|run| run.connection_lost_at);
     lost.min().map_or(Duration::ZERO, |at| now - at)
 }
--- a/crates/dispatch/src/culprit/runs.rs
+++ b/crates/dispatch/src/culprit/runs.rs
@@ -28,6 +28,13 @@
     pub connection_lost_at: Option<Time>,
 }
 
+impl Run {
+    /// Returns whether it still runs, or was broken off less than `time` ago.
+    fn is_recent(&self, now: Time, time: Duration) -> bool {
+        self.connection_lost_at.is_none_or(|at| now < at + time)
+    }
+}
+
 /// An upstream that has crashed and may still be down.
 #[derive(Clone, Debug)]
 struct Dead {
@@ -91,7 +98,7 @@
 
     /// Forgets the requests that `upstream`, which is still running, broke off.
     pub fn still_running(&mut self, upstream: &Upstream) {
-        self.take_broken_off(upstream);
+        self.take_undecided(upstream);
     }
 
     /// Sets the requests aside that `upstream` broke off, which may run or not.
@@ -100,8 +107,16 @@
         self.unconfirmed.extend(lost);
     }
 
-    /// Removes the requests that `upstream` broke off lately, whose process has ended.
-    pub fn take_broken_off(&mut self, upstream: &Upstream) -> Vec<Run> {
+    /// Removes the requests that `upstream`, whose process has ended, broke off, and returns those that it
+    /// broke off lately.
+    pub fn take_broken_off(&mut self, now: Time, upstream: &Upstream) -> Vec<Run> {
+        let mut broken_off = self.take_undecided(upstream);
+        broken_off.retain(|run| run.is_recent(now, CONFIRMATION_TIME));
+        broken_off
+    }
+
+    /// Removes the requests that `upstream` broke off and that were not charged.
+    fn take_undecided(&mut self, upstream: &Upstream) -> Vec<Run> {
         let mut broken_off = self.take_lost_at(upstream);
         let of = |run: &mut Run| run.upstream == *upstream;
         broken_off.extend(self.unconfirmed.extract_if(.., of));
@@ -179,12 +194,9 @@
     }
 
     pub fn expire(&mut self, now: Time) {
-        let is_recent = |run: &Run, time: Duration| {
-            let lost_at = run.connection_lost_at;
-            lost_at.is_none_or(|at| now < at + time)
-        };
-        self.runs.retain(|run| is_recent(run, CRASH_CHECK_TIMEOUT));
-        self.unconfirmed
-            .retain(|run| is_recent(run, CONFIRMATION_TIME));
+        let runs = &mut self.runs;
+        runs.retain(|run| run.is_recent(now, CRASH_CHECK_TIMEOUT));
+        let unconfirmed = &mut self.unconfirmed;
+        unconfirmed.retain(|run| run.is_recent(now, CONFIRMATION_TIME));
     }
 }
--- a/crates/dispatch/tests/unconfirmed_crashes.rs
+++ b/crates/dispatch/tests/unconfirmed_crashes.rs
@@ -118,6 +118,7 @@
 /// process, long after, or of an upstream that was found running.
 #[rstest]
 #[case::late(unconfirmed(), 3_200)]
+#[case::late_unexamined(Event::Tick, 3_200)]
 #[case::running(still_running(), 900)]
 fn other_end_charges_nothing(#[case] found: Event, #[case] at: u64) {
     let mut node = Node::broken_off();
