--- a/review/standin-2/clients.rs
+++ b/review/standin-2/clients.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use crate::http;
-use crate::world::{attempt, now};
+use crate::world::{attempt, now, number};
 
 /// An attempt and how it ended; status 0 stands for a channel that ended without a whole answer.
 #[derive(Clone, Debug)]
@@ -19,12 +19,28 @@
     pub status: u16,
 }
 
+impl Ended {
+    /// Returns what is written down of it.
+    pub fn line(&self) -> String {
+        let Self {
+            node,
+            attempt,
+            sent,
+            over,
+            status,
+        } = self;
+        format!("sent {attempt} to {node} at {sent}, answered {status} at {over}")
+    }
+}
+
 /// What requesters send.
 pub struct Kind {
     pub host: &'static str,
     pub path: &'static str,
     pub deadline_ms: u64,
     pub pause: Duration,
+    /// Headers by the number of the attempt, beside those of every request.
+    pub further: fn(u64) -> Vec<(&'static str, String)>,
 }
 
 pub struct Clients {
@@ -67,11 +83,13 @@
     while !stop.load(Ordering::Relaxed) {
         let id = attempt();
         let deadline = kind.deadline_ms.to_string();
-        let headers = [
+        let further = (kind.further)(number());
+        let mut headers = vec![
             ("Host", kind.host),
             ("X-Attempt-Id", &*id),
             ("X-Deadline-Ms", &*deadline),
         ];
+        headers.extend(further.iter().map(|(name, value)| (*name, value.as_str())));
         let sent = now();
         let limit = Duration::from_millis(kind.deadline_ms);
         let answer = http::ask(node, "POST", kind.path, &headers, b"loan", limit);
--- a/review/standin-2/drain.rs
+++ b/review/standin-2/drain.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::Verdict;
+use crate::advice::ZONES;
 use crate::clients::{Clients, Ended, Kind};
 use crate::nodes::{Node, await_ready};
 use crate::runner::{Arrival, Runner};
@@ -16,8 +17,6 @@
 /// How much longer than that a runner goes on serving.
 const LITTLE_LONGER_MS: u64 = 300;
 
-const ZONES: [&str; 3] = ["stanthorpe", "warwick", "toowoomba"];
-
 /// When the entries are removed, after the nodes are ready.
 const REMOVALS: [u64; 3] = [6_000, 14_000, 22_000];
 
@@ -29,17 +28,8 @@
 
 /// Writes down what was sent, answered and run; times are milliseconds since the start.
 fn record(ended: &[Ended], runners: &[Arc<Runner>]) {
-    for Ended {
-        node,
-        attempt,
-        sent,
-        over,
-        status,
-    } in ended
-    {
-        note(&format!(
-            "sent {attempt} to {node} at {sent}, answered {status} at {over}"
-        ));
+    for ended in ended {
+        note(&ended.line());
     }
     for runner in runners {
         let done = runner.done.lock().expect("unpoisoned").clone();
@@ -67,18 +57,7 @@
         store.put(&runner.key(), &runner.entry());
     }
     store.put("op/config", CONFIG);
-    let mut nodes: Vec<Node> = (0..7)
-        .map(|index| {
-            Node::new(
-                1 + index,
-                ZONES[usize::from(index) % 3],
-                &[1, 2, 3],
-                address,
-                folder,
-            )
-        })
-        .collect();
-    nodes.iter_mut().for_each(Node::start);
+    let mut nodes = Node::site(7, address, folder);
     if !await_ready(&nodes, 20_000) {
         note("the nodes are not ready in time");
         return Verdict::NotRun;
@@ -89,6 +68,7 @@
         path: "/loan/commit",
         deadline_ms: 3_000,
         pause: Duration::from_millis(40),
+        further: |_| Vec::new(),
     };
     let clients = Clients::start(&fronts, 2, kind);
     let began = now();
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -3,12 +3,16 @@
 //! Usage: `case NAME FOLDER RECORD`, from the root of the repository. Exits with 1 if the rule was broken, 0 if it
 //! held, and 2 if the case could not run. `TROUBLE=0` leaves the disruption out.
 
+mod advice;
 mod clients;
 mod drain;
+mod engine;
 mod http;
 mod nodes;
 mod runner;
+mod sizes;
 mod store;
+mod versions;
 mod world;
 
 use std::process::ExitCode;
@@ -30,6 +34,8 @@
     world::begin(record);
     let verdict = match name.as_str() {
         "drain" => drain::play(folder, !trouble),
+        "sizes" => sizes::play(folder, !trouble),
+        "versions" => versions::play(folder, !trouble),
         _ => Verdict::NotRun,
     };
     let (text, code) = match verdict {
--- a/review/standin-2/nodes.rs
+++ b/review/standin-2/nodes.rs
@@ -8,6 +8,7 @@
 use std::thread;
 use std::time::Duration;
 
+use crate::advice::ZONES;
 use crate::http;
 use crate::world::{at, machine, note, now};
 
@@ -49,6 +50,15 @@
         }
     }
 
+    /// Starts so many nodes, each in the next zone, of which the first three are the seeds.
+    pub fn site(count: u8, store: SocketAddr, folder: &str) -> Vec<Self> {
+        let zone = |index: u8| ZONES[usize::from(index - 1) % ZONES.len()];
+        let node = |index| Self::new(index, zone(index), &[1, 2, 3], store, folder);
+        let mut nodes: Vec<Self> = (1..=count).map(node).collect();
+        nodes.iter_mut().for_each(Self::start);
+        nodes
+    }
+
     pub fn front(&self) -> SocketAddr {
         at(self.index, FRONT)
     }
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -67,6 +67,17 @@
     SocketAddr::from((machine(index), port))
 }
 
+/// Returns the text of a field of a flat JSON document.
+pub fn field(document: &str, name: &str) -> Option<String> {
+    let from = document.find(&format!("\"{name}\":"))? + name.len() + 3;
+    let rest = document[from..].trim_start();
+    if let Some(text) = rest.strip_prefix('"') {
+        return text.split('"').next().map(str::to_owned);
+    }
+    let end = rest.find([',', '}', ']']).unwrap_or(rest.len());
+    Some(rest[..end].trim().to_owned())
+}
+
 /// Standard base64 with padding.
 pub fn base64(bytes: &[u8]) -> String {
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
