--- a/review/standin-2/clients.rs
+++ b/review/standin-2/clients.rs
@@ -81,27 +81,32 @@
 
 fn requester(node: SocketAddr, kind: &Kind, stop: &AtomicBool, ended: &Mutex<Vec<Ended>>) {
     while !stop.load(Ordering::Relaxed) {
-        let id = attempt();
-        let deadline = kind.deadline_ms.to_string();
-        let further = (kind.further)(number());
-        let mut headers = vec![
-            ("Host", kind.host),
-            ("X-Attempt-Id", &*id),
-            ("X-Deadline-Ms", &*deadline),
-        ];
-        headers.extend(further.iter().map(|(name, value)| (*name, value.as_str())));
-        let sent = now();
-        let limit = Duration::from_millis(kind.deadline_ms);
-        let answer = http::ask(node, "POST", kind.path, &headers, b"loan", limit);
-        let status = answer.map_or(0, |answer| answer.status());
-        let over = now();
-        ended.lock().expect("unpoisoned").push(Ended {
-            node,
-            attempt: id,
-            sent,
-            over,
-            status,
-        });
+        let attempt = send(node, kind);
+        ended.lock().expect("unpoisoned").push(attempt);
         thread::sleep(kind.pause);
     }
 }
+
+/// Sends one request, and waits for its end.
+pub fn send(node: SocketAddr, kind: &Kind) -> Ended {
+    let id = attempt();
+    let deadline = kind.deadline_ms.to_string();
+    let further = (kind.further)(number());
+    let mut headers = vec![
+        ("Host", kind.host),
+        ("X-Attempt-Id", &*id),
+        ("X-Deadline-Ms", &*deadline),
+    ];
+    headers.extend(further.iter().map(|(name, value)| (*name, value.as_str())));
+    let sent = now();
+    let limit = Duration::from_millis(kind.deadline_ms);
+    let answer = http::ask(node, "POST", kind.path, &headers, b"loan", limit);
+    let status = answer.map_or(0, |answer| answer.status());
+    Ended {
+        node,
+        attempt: id,
+        sent,
+        over: now(),
+        status,
+    }
+}
--- a/review/standin-2/engine.rs
+++ b/review/standin-2/engine.rs
@@ -3,13 +3,14 @@
 use std::collections::BTreeMap;
 use std::io::{self, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::ops::RangeInclusive;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
 use std::time::Duration;
 
 use crate::advice;
 use crate::clients::Ended;
-use crate::http::{self, After, Message};
+use crate::http::{self, After, Listener, Message};
 use crate::store::Store;
 use crate::world::{at, field, note, now, wall};
 
@@ -23,6 +24,12 @@
 const EVENT: Duration = Duration::from_millis(20);
 const EVENTS: u64 = 30;
 
+/// Events of a request for [`CRASHING`]: more than any run of it makes before it crashes the runner.
+const CRASHING_EVENTS: u64 = 90;
+
+/// The path of a request that crashes each runner that begins to run it.
+pub const CRASHING: &str = "/advice/crashing";
+
 /// An adapter at a runner.
 #[derive(Clone, Debug, Default)]
 struct Adapter {
@@ -42,7 +49,10 @@
     fence: u64,
     seq: u64,
     streams: Vec<(SocketAddr, TcpStream)>,
+    listener: Option<Listener>,
     ended: bool,
+    /// When a request crashed it.
+    crashed_at: Option<u64>,
 }
 
 impl State {
@@ -114,6 +124,8 @@
     room: usize,
     /// Newest version of each adapter in the store of weights.
     newest: Arc<Mutex<BTreeMap<String, u64>>>,
+    /// Events that it makes of a request for [`CRASHING`] before it crashes; `None` where it does not crash.
+    fatal: Option<u64>,
     state: Mutex<State>,
     pub runs: Mutex<Vec<Run>>,
     /// What it was ordered beyond its places: when, and what there was.
@@ -127,6 +139,7 @@
         zone: &'static str,
         (places, room): (usize, usize),
         newest: &Arc<Mutex<BTreeMap<String, u64>>>,
+        fatal: Option<u64>,
     ) -> Arc<Self> {
         let engine = Arc::new(Self {
             id: id.to_owned(),
@@ -136,17 +149,44 @@
             places,
             room,
             newest: newest.clone(),
+            fatal,
             state: Mutex::default(),
             runs: Mutex::default(),
             overfull: Mutex::default(),
         });
         let served = engine.clone();
-        http::serve(engine.address, move |request, stream| {
+        let listener = http::serve(engine.address, move |request, stream| {
             served.handle(request, stream)
         });
+        engine.state().listener = Some(listener);
         engine
     }
 
+    /// Tells whether its process has crashed.
+    pub fn has_crashed(&self) -> bool {
+        self.state.lock().expect("unpoisoned").ended
+    }
+
+    /// Returns when a request crashed it.
+    pub fn crashed_at(&self) -> Option<u64> {
+        self.state.lock().expect("unpoisoned").crashed_at
+    }
+
+    /// Ends its process: its channels are closed, and new ones are refused.
+    fn crash(&self) {
+        let (streams, listener) = {
+            let mut state = self.state.lock().expect("unpoisoned");
+            state.ended = true;
+            (std::mem::take(&mut state.streams), state.listener.take())
+        };
+        if let Some(listener) = listener {
+            listener.close();
+        }
+        streams
+            .iter()
+            .for_each(|(_, stream)| drop(stream.shutdown(Shutdown::Both)));
+    }
+
     /// Tells whether it was ordered to load more than it holds.
     pub fn is_overfull(&self) -> bool {
         !self.overfull.lock().expect("unpoisoned").is_empty()
@@ -274,7 +314,16 @@
             Err(status) => return self.refuse(stream, status, request),
         };
         let at = now();
-        let sent = self.events(stream, &attempt, version);
+        let last = request
+            .header("last-event-id")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
+        let (events, fatal) = if request.path() == CRASHING {
+            (CRASHING_EVENTS, self.fatal)
+        } else {
+            (EVENTS, None)
+        };
+        let sent = self.events(stream, &attempt, version, (last + 1..=events, fatal));
         if let Some(adapter) = self
             .state
             .lock()
@@ -296,15 +345,29 @@
         sent.map(|()| After::Keep)
     }
 
-    fn events(&self, stream: &mut TcpStream, attempt: &str, version: u64) -> io::Result<()> {
+    /// Sends these events, and crashes after `fatal` of them.
+    fn events(
+        &self,
+        stream: &mut TcpStream,
+        attempt: &str,
+        version: u64,
+        (events, fatal): (RangeInclusive<u64>, Option<u64>),
+    ) -> io::Result<()> {
         write!(
             stream,
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\
              X-Attempt-Id: {attempt}\r\nX-Response-Signature: 3e1b.07.5a2.600.0.c9f2a4d1\r\n\
              X-Weight-Versions: {version}\r\n\r\n"
         )?;
-        for id in 1..=EVENTS {
+        let first = *events.start();
+        for id in events {
             thread::sleep(EVENT);
+            if fatal.is_some_and(|fatal| id - first >= fatal) {
+                note(&format!("{}: request {attempt} crashes it", self.id));
+                self.state.lock().expect("unpoisoned").crashed_at = Some(now());
+                self.crash();
+                return Err(io::ErrorKind::ConnectionAborted.into());
+            }
             let event = format!("id: {id}\ndata: {} {id}\n\n", self.id);
             stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
         }
@@ -376,12 +439,8 @@
             .iter()
             .map(|(name, adapter)| format!("{name} {adapter:?}"))
             .collect();
-        state.ended = true;
-        let streams = std::mem::take(&mut state.streams);
         drop(state);
-        streams
-            .iter()
-            .for_each(|(_, stream)| drop(stream.shutdown(Shutdown::Both)));
+        self.crash();
         let line = format!(
             "{}: ordered to load {name}{shown} as number {after}, with {} places and room for {}",
             self.id, self.places, self.room
@@ -436,7 +495,8 @@
     let engines: Vec<_> = (0..3u8)
         .map(|index| {
             let (id, zone) = (format!("i-{index}"), advice::ZONES[usize::from(index)]);
-            Engine::start(&id, 100 + index, zone, (advice::PLACES, room), newest)
+            let places = (advice::PLACES, room);
+            Engine::start(&id, 100 + index, zone, places, newest, None)
         })
         .collect();
     for engine in &engines {
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -3,6 +3,7 @@
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::Duration;
 
@@ -151,16 +152,39 @@
     stream.write_all(&bytes)
 }
 
-/// Serves connections until the process ends.
-pub fn serve<F>(address: SocketAddr, handler: F) -> SocketAddr
+/// A listening socket.
+#[derive(Clone)]
+pub struct Listener {
+    pub address: SocketAddr,
+    closed: Arc<AtomicBool>,
+}
+
+impl Listener {
+    /// Has new connections refused.
+    pub fn close(&self) {
+        self.closed.store(true, Ordering::SeqCst);
+        // Wakes the thread that accepts connections.
+        let _ = TcpStream::connect_timeout(&self.address, Duration::from_secs(1));
+    }
+}
+
+/// Serves connections until the socket is closed.
+pub fn serve<F>(address: SocketAddr, handler: F) -> Listener
 where
     F: Fn(&Message, &mut TcpStream) -> io::Result<After> + Send + Sync + 'static,
 {
     let listener = TcpListener::bind(address).expect("a free address");
-    let bound = listener.local_addr().expect("it is bound");
+    let bound = Listener {
+        address: listener.local_addr().expect("it is bound"),
+        closed: Arc::default(),
+    };
+    let closed = bound.closed.clone();
     let handler = Arc::new(handler);
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
+            if closed.load(Ordering::SeqCst) {
+                return;
+            }
             let handler = handler.clone();
             thread::spawn(move || connection(stream, &*handler));
         }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -5,6 +5,7 @@
 
 mod advice;
 mod clients;
+mod crashes;
 mod drain;
 mod engine;
 mod http;
@@ -33,6 +34,7 @@
     let trouble = std::env::var("TROUBLE").is_ok_and(|text| text == "0");
     world::begin(record);
     let verdict = match name.as_str() {
+        "crashes" => crashes::play(folder, !trouble),
         "drain" => drain::play(folder, !trouble),
         "sizes" => sizes::play(folder, !trouble),
         "versions" => versions::play(folder, !trouble),
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -61,7 +61,7 @@
                 None => Err(io::ErrorKind::ConnectionAborted.into()),
             }
         });
-        (store, bound)
+        (store, bound.address)
     }
 
     /// Writes an item. What is returned is the confirmation.
