Store: the log tells how the absence of an upstream was learnt, and for how long it is held back

Change: `upstream-absent` with the source and the time for which it is held, `source` in `upstream-gone`, and `absence_ms` in `platform-back`.

--- a/crates/gateway/src/hub/pulse.rs
+++ b/crates/gateway/src/hub/pulse.rs
@@ -100,7 +100,7 @@
                 platform_reader::PlatformChange::Listed(listing) => {
                     self.take_listing(listing, Fleet::apply_summary);
                 }
-                platform_reader::PlatformChange::Delisted(id) => self.forget(&id),
+                platform_reader::PlatformChange::Delisted(id) => self.forget(&id, "peer"),
                 platform_reader::PlatformChange::Version(target, version) => {
                     self.announce(target, version);
                 }
@@ -153,8 +153,8 @@
         }
     }
 
-    /// Forgets an upstream that is gone.
-    pub fn forget(&self, id: &Upstream) {
+    /// Forgets an upstream that is gone, as `source` tells.
+    pub fn forget(&self, id: &Upstream, source: &'static str) {
         let (known, leaves) = {
             let mut desk = self.desk();
             let upstream = desk.fleet.upstream(id);
@@ -165,7 +165,7 @@
             return;
         }
         self.unlink(id);
-        info!(target: DECISION, upstream:% = id; "upstream-gone");
+        info!(target: DECISION, upstream:% = id, source; "upstream-gone");
         if !leaves {
             self.track(culprit::Event::Gone {
                 upstream: id.clone(),
--- a/crates/gateway/src/store/aftermath.rs
+++ b/crates/gateway/src/store/aftermath.rs
@@ -13,6 +13,17 @@
 /// Time after the platform's return in which entries come back.
 const RETURN: Duration = Duration::from_millis(2_200);
 
+/// What an entry that is gone means.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Absence {
+    /// The upstream is gone.
+    Believed,
+    /// It counts as present until then.
+    Held(Time),
+    /// That is known, and held back already.
+    Known,
+}
+
 /// What is held back.
 #[derive(Debug, Default)]
 pub(super) struct Aftermath {
@@ -35,20 +46,21 @@
             .min()
     }
 
-    /// Notes that an entry is gone. Returns whether the absence is held back.
-    pub(super) fn absent(&mut self, now: Time, id: &Upstream) -> bool {
+    /// Notes that an entry is gone. Returns whether that is believed.
+    pub(super) fn absent(&mut self, now: Time, id: &Upstream) -> Absence {
         self.outdated.retain(|(listing, _)| listing.id != *id);
         let Some(until) = self
             .returned
             .map(|at| at + RETURN)
             .filter(|until| now < *until)
         else {
-            return false;
+            return Absence::Believed;
         };
-        if self.absent.iter().all(|(known, _)| known != id) {
-            self.absent.push((id.clone(), until));
+        if self.absent.iter().any(|(known, _)| known == id) {
+            return Absence::Known;
         }
-        true
+        self.absent.push((id.clone(), until));
+        Absence::Held(until)
     }
 
     /// Notes that an entry is there.
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -20,7 +20,7 @@
 use crate::call::{Limit, send};
 use crate::dialect::{Call, Change, Dialect, Malformed, Page};
 use crate::hub::Hub;
-use aftermath::Aftermath;
+use aftermath::{Absence, Aftermath};
 
 /// Time that a read of news waits for some; short, so that a platform that fell silent shows.
 const WAIT: Duration = Duration::from_millis(400);
@@ -104,6 +104,15 @@
     News,
 }
 
+impl Source {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Listing => "listing",
+            Self::News => "news",
+        }
+    }
+}
+
 /// A listing in progress. Its parts have to be of one era.
 #[derive(Default)]
 struct Scan {
@@ -388,6 +397,7 @@
     }
 
     fn answered(&mut self) {
+        let absence = self.hub.store_silence();
         self.hub.heard_store();
         self.hub
             .metrics
@@ -395,7 +405,8 @@
             .with_label_values(&["answered"])
             .inc();
         if self.failures > 0 {
-            info!(target: DECISION, failures = self.failures; "platform-back");
+            let absence_ms = absence.as_millis() as u64;
+            info!(target: DECISION, failures = self.failures, absence_ms; "platform-back");
             self.failures = 0;
             self.aftermath.returned(self.hub.clock.now());
         }
@@ -422,7 +433,7 @@
     fn sweep(&mut self) {
         let now = self.hub.clock.now();
         for id in self.aftermath.take_absent(now) {
-            self.forget(&id);
+            self.forget(&id, "held");
         }
         for listing in self.aftermath.take_outdated(now) {
             self.list_upstream(listing);
@@ -446,11 +457,18 @@
                 }
                 None => self.list_upstream(listing),
             },
-            Change::Delisted(id) => {
-                if !self.aftermath.absent(now, &id) {
-                    self.forget(&id);
+            Change::Delisted(id) => match self.aftermath.absent(now, &id) {
+                Absence::Believed => self.forget(&id, source.name()),
+                Absence::Held(until) => {
+                    let held_ms = until.saturating_sub(now).as_millis() as u64;
+                    info!(
+                        target: DECISION,
+                        upstream:% = id, source = source.name(), held_ms;
+                        "upstream-absent"
+                    );
                 }
-            }
+                Absence::Known => {}
+            },
             Change::Config(config, document) => {
                 hub.adopt(*config, document, "platform");
             }
@@ -493,11 +511,11 @@
         self.hub.take_listing(listing, Fleet::apply_listing);
     }
 
-    fn forget(&mut self, id: &Upstream) {
+    fn forget(&mut self, id: &Upstream, source: &'static str) {
         if self.hub.desk().fleet.upstream(id).is_some() {
             self.changes
                 .push(platform_reader::PlatformChange::Delisted(id.clone()));
         }
-        self.hub.forget(id);
+        self.hub.forget(id, source);
     }
 }
