Store: a failed call is no absence in which entries lapse

What callers saw: after a watch of the store was cut, all nodes went on sending calls to an upstream whose entry had been removed, for 2.2 to 2.3 s where 2 s are allowed. Cause: any answer after any failed read counted as the store's return from an absence, and each removal was held back for 2.2 s, since entries lapse while the store is away. Change: an absence is the time for which neither this node nor a reader that told of it had an answer, without the time in which the process stood still; entries are held back after one of `exchange.lapse` (2 s, shorter than what makes an entry lapse) or more. It counts for what is read and for what is told. After one connection that failed the store is asked again at once, from the same position; a silent connection is given up after 1 s in place of 1.9 s; what is no longer held back is told at once; a listing that failed at a node that is told is repeated. Why it works: the store answers others, or the same node on a new connection, within some hundred milliseconds of a cut, and no entry can lapse in that time. After a true absence nothing changes: entries are held back for as long as before. A first try asked each reader alone: the first one that was back told the others, which then forgot what had lapsed (trial; lapsed_entry_is_waited_for failed). So what is held back moved to the shared state.

--- a/crates/gateway/src/store/aftermath.rs
+++ b/crates/gateway/src/hub/aftermath.rs
@@ -15,7 +15,7 @@
 
 /// What an entry that is gone means.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Absence {
+pub enum Absence {
     /// The upstream is gone.
     Believed,
     /// It counts as present until then.
@@ -26,7 +26,7 @@
 
 /// What is held back.
 #[derive(Debug, Default)]
-pub(super) struct Aftermath {
+pub struct Aftermath {
     returned: Option<Time>,
     absent: Vec<(Upstream, Time)>,
     outdated: Vec<(Listing, Time)>,
@@ -34,12 +34,12 @@
 
 impl Aftermath {
     /// Notes that the platform answers again, or was restored.
-    pub(super) fn returned(&mut self, at: Time) {
+    pub fn returned(&mut self, at: Time) {
         self.returned = self.returned.max(Some(at));
     }
 
     /// Returns when something is believed next.
-    pub(super) fn next(&self) -> Option<Time> {
+    pub fn next(&self) -> Option<Time> {
         let absent = self.absent.iter().map(|(_, until)| *until);
         absent
             .chain(self.outdated.iter().map(|(_, until)| *until))
@@ -47,7 +47,7 @@
     }
 
     /// Notes that an entry is gone. Returns whether that is believed.
-    pub(super) fn absent(&mut self, now: Time, id: &Upstream) -> Absence {
+    pub fn absent(&mut self, now: Time, id: &Upstream) -> Absence {
         self.outdated.retain(|(listing, _)| listing.id != *id);
         let Some(until) = self
             .returned
@@ -64,30 +64,30 @@
     }
 
     /// Notes that an entry is there.
-    pub(super) fn present(&mut self, id: &Upstream) {
+    pub fn present(&mut self, id: &Upstream) {
         self.absent.retain(|(known, _)| known != id);
         self.outdated.retain(|(listing, _)| listing.id != *id);
     }
 
     /// Holds back the entry of a process that was gone before.
-    pub(super) fn hold(&mut self, listing: Listing, until: Time) {
+    pub fn hold(&mut self, listing: Listing, until: Time) {
         self.present(&listing.id);
         self.outdated.push((listing, until));
     }
 
     /// Drops the entries that are held back, since all are about to be listed anew.
-    pub(super) fn relisted(&mut self) {
+    pub fn relisted(&mut self) {
         self.outdated.clear();
     }
 
     /// Takes out the upstreams whose absence is believed now.
-    pub(super) fn take_absent(&mut self, now: Time) -> Vec<Upstream> {
+    pub fn take_absent(&mut self, now: Time) -> Vec<Upstream> {
         let due = self.absent.extract_if(.., |(_, until)| *until <= now);
         due.map(|(id, _)| id).collect()
     }
 
     /// Takes out the entries that are believed now.
-    pub(super) fn take_outdated(&mut self, now: Time) -> Vec<Listing> {
+    pub fn take_outdated(&mut self, now: Time) -> Vec<Listing> {
         let due = self.outdated.extract_if(.., |(_, until)| *until <= now);
         due.map(|(listing, _)| listing).collect()
     }
--- a/crates/gateway/src/hub/delay.rs
+++ b/crates/gateway/src/hub/delay.rs
@@ -17,12 +17,17 @@
 /// Delay from which the process counts as behind.
 const BEHIND: Duration = Duration::from_millis(100);
 
+/// Delay from which the process counts as having stood still.
+const STANDSTILL: Duration = Duration::from_millis(500);
+
 /// When the event loop had its last turns.
 #[derive(Debug, Default)]
 pub(super) struct Turns {
     last: Time,
     /// Since when the process has been behind.
     behind_since: Option<Time>,
+    /// Time in which the process has stood still so far.
+    stood: Duration,
 }
 
 impl Turns {
@@ -34,6 +39,7 @@
             Some(since) => Some(since),
             None => Some(self.last),
         };
+        self.stood += standstill(late);
         self.last = now;
         late
     }
@@ -46,6 +52,11 @@
         now.saturating_sub(self.last + TURN)
     }
 
+    /// Returns `now` without the time in which the process stood still.
+    fn running(&self, now: Time) -> Time {
+        now.saturating_sub(self.stood + standstill(self.late(now)))
+    }
+
     /// Returns when what is read now may have arrived at the earliest: until a turn is in time, it may
     /// have waited since the last one that was.
     fn earliest_arrival(&self, now: Time) -> Time {
@@ -54,6 +65,15 @@
     }
 }
 
+/// Returns the part of a delay in which the process stood still.
+fn standstill(late: Duration) -> Duration {
+    if late < STANDSTILL {
+        Duration::ZERO
+    } else {
+        late
+    }
+}
+
 impl<D: Dialect> Hub<D> {
     /// Records a turn of the event loop.
     pub fn record_turn(&self) {
@@ -71,6 +91,11 @@
         self.turns().earliest_arrival(self.clock.now())
     }
 
+    /// Returns the time on the clock that does not count the time in which the process stands still.
+    pub(super) fn running_time(&self) -> Time {
+        self.turns().running(self.clock.now())
+    }
+
     fn turns(&self) -> MutexGuard<'_, Turns> {
         self.turns.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/gateway/src/hub/mod.rs
+++ b/crates/gateway/src/hub/mod.rs
@@ -1,6 +1,8 @@
 //! State that all tasks of a node share.
 //!
+//! - `aftermath` holds back what is not believed yet after an absence of the platform.
 //! - `config` holds the configuration in force and gives it to other nodes.
+//! - `contact` knows when the platform was last heard of.
 //! - `culprit` finds what requests that crash upstreams have in common.
 //! - `delay` measures how late the event loop runs.
 //! - `grant` asks owners and carries out what they want done.
@@ -15,7 +17,9 @@
 //! - `rate` keeps the rates that upstreams announce.
 //! - `word` heeds what upstreams say of themselves.
 
+mod aftermath;
 mod config;
+mod contact;
 mod culprit;
 mod delay;
 mod grant;
@@ -59,6 +63,8 @@
 use upstream::relay::{Router, server};
 use wire::{Incarnation, Time, Upstream, Vm};
 
+use aftermath::Aftermath;
+
 use crate::datagram::Post;
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
@@ -133,6 +139,8 @@
     pub mirror: ReaderRole,
     /// Which era of the platform it has come to.
     pub history: History,
+    /// What is not believed yet after an absence of the platform.
+    pub aftermath: Aftermath,
     /// What requests that crash upstreams have in common.
     pub culprits: CulpritDetector,
     /// Which release began a stream.
@@ -204,8 +212,7 @@
     ending: watch::Sender<bool>,
     flying: AtomicI64,
     turns: Mutex<delay::Turns>,
-    store_answered: AtomicU64,
-    store_heard: AtomicU64,
+    contact: Mutex<contact::Contact>,
 }
 
 impl<D: Dialect> Hub<D> {
@@ -243,6 +250,7 @@
             owner: Owner::new(owner),
             mirror: ReaderRole::default(),
             history: History::default(),
+            aftermath: Aftermath::default(),
             culprits: CulpritDetector::new(detection::Config::default(), me.clone()),
             origins: Origins::default(),
             waiters: Vec::new(),
@@ -285,8 +293,7 @@
             ending: watch::Sender::new(false),
             flying: AtomicI64::new(0),
             turns: Mutex::default(),
-            store_answered: AtomicU64::new(0),
-            store_heard: AtomicU64::new(0),
+            contact: Mutex::default(),
         }
     }
 
@@ -347,25 +354,6 @@
         self.flying.load(Ordering::Relaxed)
     }
 
-    /// Notes that the platform has answered this node.
-    pub fn heard_store(&self) {
-        let now = u64::try_from(self.clock.now().as_millis()).unwrap_or(u64::MAX);
-        self.store_answered.store(now, Ordering::Relaxed);
-        self.store_heard.store(now, Ordering::Relaxed);
-    }
-
-    /// Returns the time since the platform answered this node last.
-    pub fn store_age(&self) -> Duration {
-        let answered = Duration::from_millis(self.store_answered.load(Ordering::Relaxed));
-        self.clock.now().saturating_sub(answered)
-    }
-
-    /// Returns the time since the platform answered this node or a reader that told of it.
-    pub fn store_silence(&self) -> Duration {
-        let heard = Duration::from_millis(self.store_heard.load(Ordering::Relaxed));
-        self.clock.now().saturating_sub(heard)
-    }
-
     /// Returns how many nodes share what all nodes together may do.
     pub fn nodes(&self) -> usize {
         self.peers.load().population.count()
--- a/crates/gateway/src/hub/pulse.rs
+++ b/crates/gateway/src/hub/pulse.rs
@@ -1,7 +1,6 @@
 //! What readers of the platform tell, and what follows from it.
 
 use std::net::SocketAddr;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use dispatch::culprit;
@@ -16,6 +15,7 @@
 use wire::{Time, Upstream, Vm};
 
 use super::Hub;
+use super::aftermath::Absence;
 use crate::datagram::Message;
 use crate::dialect::Dialect;
 
@@ -91,8 +91,7 @@
         let age = Duration::from_millis(update.age.into());
         let fresh = age < platform_reader::FRESH_AGE_MAX;
         if fresh {
-            let now = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
-            self.store_heard.fetch_max(now, Ordering::Relaxed);
+            self.hear_store(age, "peer");
         }
         self.desk().mirror.update_received(now, age);
         for change in update.changes {
@@ -100,7 +99,9 @@
                 platform_reader::PlatformChange::Listed(listing) => {
                     self.take_listing(listing, Fleet::apply_summary);
                 }
-                platform_reader::PlatformChange::Delisted(id) => self.forget(&id, "peer"),
+                platform_reader::PlatformChange::Delisted(id) => {
+                    self.delist(&id, "peer");
+                }
                 platform_reader::PlatformChange::Version(target, version) => {
                     self.announce(target, version);
                 }
@@ -138,6 +139,7 @@
         let (id, release) = (listing.id.clone(), listing.release);
         let change = {
             let mut desk = self.desk();
+            desk.aftermath.present(&id);
             let change = take(&mut desk.fleet, now, listing);
             if let (fleet::ListingChange::Appeared, Some(config)) = (change, &*self.config.load()) {
                 desk.fleet.configure_upstream(&id, config);
@@ -153,8 +155,32 @@
         }
     }
 
-    /// Forgets an upstream that is gone, as `source` tells.
-    pub fn forget(&self, id: &Upstream, source: &'static str) {
+    /// Takes over that an upstream has no entry any more, as `source` tells. Returns whether it was known
+    /// and is forgotten now.
+    pub fn delist(&self, id: &Upstream, source: &'static str) -> bool {
+        let now = self.clock.now();
+        let absence = self.desk().aftermath.absent(now, id);
+        match absence {
+            Absence::Believed => return self.forget(id, source),
+            Absence::Held(until) => {
+                let held_ms = until.saturating_sub(now).as_millis() as u64;
+                info!(target: DECISION, upstream:% = id, source, held_ms; "upstream-absent");
+            }
+            Absence::Known => {}
+        }
+        false
+    }
+
+    /// Forgets the upstreams whose absence was held back for long enough. Returns those that were known.
+    pub fn forget_absent(&self) -> Vec<Upstream> {
+        let now = self.clock.now();
+        let mut due = self.desk().aftermath.take_absent(now);
+        due.retain(|id| self.forget(id, "held"));
+        due
+    }
+
+    /// Forgets an upstream that is gone, as `source` tells. Returns whether it was known.
+    fn forget(&self, id: &Upstream, source: &'static str) -> bool {
         let (known, leaves) = {
             let mut desk = self.desk();
             let upstream = desk.fleet.upstream(id);
@@ -162,7 +188,7 @@
             (desk.fleet.remove(id), leaves)
         };
         if !known {
-            return;
+            return false;
         }
         self.unlink(id);
         info!(target: DECISION, upstream:% = id, source; "upstream-gone");
@@ -171,6 +197,7 @@
                 upstream: id.clone(),
             });
         }
+        true
     }
 
     /// Takes over that an adapter has a new version.
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -2,8 +2,6 @@
 //!
 //! Each read counts for the platform, so news are asked for no more often than the settings say.
 
-mod aftermath;
-
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,10 +15,9 @@
 use upstream::link::{Limits, Link};
 use wire::{Time, Upstream};
 
-use crate::call::{Limit, send};
+use crate::call::{Limit, send, send_anew};
 use crate::dialect::{Call, Change, Dialect, Malformed, Page};
 use crate::hub::Hub;
-use aftermath::{Absence, Aftermath};
 
 /// Time that a read of news waits for some; short, so that a platform that fell silent shows.
 const WAIT: Duration = Duration::from_millis(400);
@@ -43,6 +40,10 @@
 /// Time allowed beyond that for the answer.
 const ANSWER: Duration = Duration::from_millis(1_500);
 
+/// The same for news while the platform answers promptly. A connection that fell silent is given up
+/// after that.
+const PROMPT_ANSWER: Duration = Duration::from_millis(600);
+
 /// Limit for the body of an answer, from its head to its end.
 const BODY: Duration = Duration::from_secs(5);
 
@@ -124,11 +125,16 @@
 struct Reader<D> {
     hub: Arc<Hub<D>>,
     link: Link,
-    aftermath: Aftermath,
     failures: u32,
+    /// Whether the other nodes were told that this one has lost the platform.
+    lost: bool,
+    /// Time allowed beyond the wait for an answer to a read of news.
+    answer_limit: Duration,
     last: Instant,
     /// Position from which news follow, while this node reads.
     position: Option<Position>,
+    /// Whether changes were missed, so that everything is to be listed.
+    relist: bool,
     /// When the platform is asked for a configuration that peers have.
     next_config_read: Option<Time>,
     /// Since when peers have had a configuration that this node lacks.
@@ -147,15 +153,18 @@
     };
     let mut reader = Reader {
         link: Link::new("platform", address, limits),
-        aftermath: Aftermath::default(),
         failures: 0,
+        lost: false,
+        answer_limit: PROMPT_ANSWER,
         last: Instant::now(),
         position: None,
+        relist: false,
         next_config_read: None,
         config_lacked_since: Time::ZERO,
         changes: Vec::new(),
         hub,
     };
+    reader.hub.begin_reading();
     loop {
         if let Err(error) = reader.turn().await {
             reader.failed(&error).await;
@@ -168,11 +177,13 @@
     async fn turn(&mut self) -> Result<(), Error> {
         self.follow_era();
         self.sweep();
+        self.tell();
         let now = self.hub.clock.now();
         let config = self.hub.revision();
-        let (reads, gap) = {
+        let reads = {
             let mut desk = self.hub.desk();
-            (desk.mirror.is_reader(now), desk.mirror.take_relist(now))
+            self.relist |= desk.mirror.take_relist(now);
+            desk.mirror.is_reader(now)
         };
         let config_due = self.is_config_due(now);
         match (reads, self.position) {
@@ -186,11 +197,12 @@
                 let listed = self.list().await;
                 self.position = self.unless_ended(listed)?;
             }
-            (false, _) if gap || config_due => {
+            (false, _) if self.relist || config_due => {
+                self.pause().await;
                 self.position = None;
-                let reason = if gap { "gap" } else { "config" };
+                let reason = if self.relist { "gap" } else { "config" };
                 info!(target: DECISION, reason; "platform-catch-up");
-                let listed = self.catch_up(gap).await;
+                let listed = self.catch_up(self.relist).await;
                 self.unless_ended(listed)?;
             }
             (false, _) => {
@@ -199,16 +211,31 @@
                 let _ = tokio::time::timeout(IDLE, self.hub.news.notified()).await;
             }
         }
-        let changes = std::mem::take(&mut self.changes);
-        if !changes.is_empty() || self.hub.revision() != config {
-            self.hub.pulse(changes);
+        if self.hub.revision() != config {
+            self.hub.pulse(std::mem::take(&mut self.changes));
         }
+        self.tell();
         Ok(())
     }
 
+    /// Tells the other nodes what was found, if there is something to tell.
+    fn tell(&mut self) {
+        if !self.changes.is_empty() {
+            self.hub.pulse(std::mem::take(&mut self.changes));
+        }
+    }
+
+    /// Returns whether the next read finds out whether the platform is there, after one connection to it
+    /// has failed.
+    fn checks(&self) -> bool {
+        self.failures > 0 && !self.lost
+    }
+
     /// Waits until the platform may be read again.
     async fn pause(&self) {
-        tokio::time::sleep_until(self.last + self.hub.exchange.pause).await;
+        if !self.checks() {
+            tokio::time::sleep_until(self.last + self.hub.exchange.pause).await;
+        }
     }
 
     /// Gives the cursor up where what it points into has ended: everything is listed again then.
@@ -228,10 +255,13 @@
 
     /// Gives up a cursor of an era that has ended, also where peers have told so.
     fn follow_era(&mut self) {
-        let history = self.hub.desk().history;
-        if let Some(at) = history.replaced_at() {
-            self.aftermath.returned(at);
-        }
+        let history = {
+            let mut desk = self.hub.desk();
+            if let Some(at) = desk.history.replaced_at() {
+                desk.aftermath.returned(at);
+            }
+            desk.history
+        };
         self.position
             .take_if(|position| Some(position.era) != history.current());
     }
@@ -284,6 +314,7 @@
         let began = scan.began.ok_or(Error::Undated)?;
         self.begin_era(began);
         self.listed(began, scan.changes);
+        self.relist = false;
         Ok(began)
     }
 
@@ -329,7 +360,7 @@
         });
         let mut listed: Vec<Upstream> = listed.collect();
         listed.sort_unstable();
-        self.aftermath.relisted();
+        self.hub.desk().aftermath.relisted();
         self.apply_all(changes, Source::Listing);
         let known: Vec<Upstream> = {
             let desk = self.hub.desk();
@@ -346,8 +377,16 @@
     }
 
     async fn news(&mut self, position: Position) -> Result<Position, Error> {
-        let call = self.hub.dialect.watch(position.revision, self.wait());
-        let (era, body) = self.read(call, WAIT + ANSWER).await?;
+        let (wait, limit) = if self.checks() {
+            (Duration::ZERO, ANSWER)
+        } else {
+            (self.wait(), WAIT + self.answer_limit)
+        };
+        let call = self.hub.dialect.watch(position.revision, wait);
+        let (era, body) = self.read(call, limit).await?;
+        if self.last.elapsed() < WAIT + PROMPT_ANSWER {
+            self.answer_limit = PROMPT_ANSWER;
+        }
         if era != position.era {
             return Err(Error::Restored);
         }
@@ -360,7 +399,7 @@
     /// Returns the time to wait for news; what is held back ends while nothing else happens.
     fn wait(&self) -> Duration {
         let now = self.hub.clock.now();
-        let held = self.aftermath.next();
+        let held = self.hub.desk().aftermath.next();
         let held = held.map_or(WAIT, |until| until.saturating_sub(now));
         held.clamp(self.hub.exchange.pause.min(WAIT), WAIT)
     }
@@ -373,7 +412,12 @@
             head: limit,
             body: BODY,
         };
-        let answer = send(&self.link, call, limit, || true).await?;
+        // A connection that was kept may have failed in the same way.
+        let answer = if self.checks() {
+            send_anew(&self.link, call, limit).await?
+        } else {
+            send(&self.link, call, limit, || true).await?
+        };
         let stated = self.hub.dialect.era(answer.headers());
         let Some(era) = self.hub.desk().history.era_of(stated) else {
             let status = answer.status().as_u16();
@@ -397,7 +441,6 @@
     }
 
     fn answered(&mut self) {
-        let absence = self.hub.store_silence();
         self.hub.heard_store();
         self.hub
             .metrics
@@ -405,11 +448,10 @@
             .with_label_values(&["answered"])
             .inc();
         if self.failures > 0 {
-            let absence_ms = absence.as_millis() as u64;
-            info!(target: DECISION, failures = self.failures, absence_ms; "platform-back");
-            self.failures = 0;
-            self.aftermath.returned(self.hub.clock.now());
+            info!(target: DECISION, failures = self.failures; "platform-back");
         }
+        self.failures = 0;
+        self.lost = false;
     }
 
     async fn failed(&mut self, error: &Error) {
@@ -418,24 +460,34 @@
             .reads
             .with_label_values(&[error.name()])
             .inc();
-        if self.failures == 0 {
+        let first = self.failures == 0;
+        self.failures += 1;
+        if first && matches!(error, Error::Link(_)) {
+            info!(target: DECISION, cause:% = error; "platform-cut");
+            // The platform may only be slow.
+            self.answer_limit = ANSWER;
+            return;
+        }
+        if !self.lost {
+            self.lost = true;
             self.hub.pulse_lost();
             log::warn!(target: DECISION, reason = error.name(), cause:% = error; "platform-lost");
         }
         // What was missed is listed as it is now, not followed as it came about.
         self.position = None;
-        let pause = PAUSE_MIN * (1 << self.failures.min(4));
-        self.failures += 1;
+        let pause = PAUSE_MIN * (1 << (self.failures - 1).min(4));
         tokio::time::sleep(pause.min(PAUSE_MAX)).await;
     }
 
     /// Believes what has been held back for long enough.
     fn sweep(&mut self) {
         let now = self.hub.clock.now();
-        for id in self.aftermath.take_absent(now) {
-            self.forget(&id, "held");
-        }
-        for listing in self.aftermath.take_outdated(now) {
+        let forgotten = self.hub.forget_absent();
+        let forgotten = forgotten.into_iter();
+        self.changes
+            .extend(forgotten.map(platform_reader::PlatformChange::Delisted));
+        let confirmed = self.hub.desk().aftermath.take_outdated(now);
+        for listing in confirmed {
             self.list_upstream(listing);
         }
     }
@@ -453,22 +505,16 @@
             Change::Listed(listing) => match self.outdated_until(now, &listing, source) {
                 Some(until) => {
                     info!(target: DECISION, upstream:% = listing.id; "upstream-outdated");
-                    self.aftermath.hold(listing, until);
+                    hub.desk().aftermath.hold(listing, until);
                 }
                 None => self.list_upstream(listing),
             },
-            Change::Delisted(id) => match self.aftermath.absent(now, &id) {
-                Absence::Believed => self.forget(&id, source.name()),
-                Absence::Held(until) => {
-                    let held_ms = until.saturating_sub(now).as_millis() as u64;
-                    info!(
-                        target: DECISION,
-                        upstream:% = id, source = source.name(), held_ms;
-                        "upstream-absent"
-                    );
+            Change::Delisted(id) => {
+                if hub.delist(&id, source.name()) {
+                    self.changes
+                        .push(platform_reader::PlatformChange::Delisted(id));
                 }
-                Absence::Known => {}
-            },
+            }
             Change::Config(config, document) => {
                 hub.adopt(*config, document, "platform");
             }
@@ -497,7 +543,6 @@
     }
 
     fn list_upstream(&mut self, listing: Listing) {
-        self.aftermath.present(&listing.id);
         let outline = listing.summary();
         let known = {
             let desk = self.hub.desk();
@@ -510,12 +555,4 @@
         }
         self.hub.take_listing(listing, Fleet::apply_listing);
     }
-
-    fn forget(&mut self, id: &Upstream, source: &'static str) {
-        if self.hub.desk().fleet.upstream(id).is_some() {
-            self.changes
-                .push(platform_reader::PlatformChange::Delisted(id.clone()));
-        }
-        self.hub.forget(id, source);
-    }
 }
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -123,6 +123,7 @@
             ("reload", exchange.reload),
             ("step", exchange.step),
             ("pause", exchange.pause),
+            ("lapse", exchange.lapse),
         ] {
             self.duration(format!("exchange.{name}"), value);
         }
--- a/crates/settings/src/section.rs
+++ b/crates/settings/src/section.rs
@@ -433,6 +433,10 @@
     /// Least time between two reads of the platform.
     #[serde(with = "humantime_serde")]
     pub pause: Duration,
+    /// Shortest absence of the platform in which the entries of upstreams lapse. An upstream that has no
+    /// entry any more after such an absence counts as present until it has had time to write it again.
+    #[serde(with = "humantime_serde")]
+    pub lapse: Duration,
     /// Megabits a second that the VM's link carries. Bulk data between nodes take half of it at most,
     /// and leave the rest to callers.
     pub link_mbps: f64,
@@ -467,6 +471,7 @@
             patience: 3.6,
             step: Duration::from_millis(9),
             pause: Duration::from_millis(400),
+            lapse: Duration::from_millis(2_000),
             link_mbps: 40.0,
             threads: 1,
             relay: None,
