Store: nodes that wait for a lapsed entry are told that it is back

Cause: a reader told of an entry only if it differed from what it knew. One whose absence was held back differs in nothing when it is back. A node that had read the store when it came back, and left the reading to others then, held the absence as well and believed it after 2.2 s, until the digests of the readers made it list everything. Change: a reader tells of an entry whose absence it held back. Evidence: a trial with log lines on the change before: vm-0 and vm-4 of five nodes log `upstream-gone source=held` 2.2 s after the return, 0.7 s after the entry was there, and `platform-catch-up reason=gap` 1.5 s later.

--- a/crates/gateway/src/hub/aftermath.rs
+++ b/crates/gateway/src/hub/aftermath.rs
@@ -63,10 +63,11 @@
         Absence::Held(until)
     }
 
-    /// Notes that an entry is there.
-    pub fn present(&mut self, id: &Upstream) {
-        self.absent.retain(|(known, _)| known != id);
+    /// Notes that an entry is there. Returns whether its absence was held back.
+    pub fn present(&mut self, id: &Upstream) -> bool {
         self.outdated.retain(|(listing, _)| listing.id != *id);
+        let held = self.absent.iter().position(|(known, _)| known == id);
+        held.map(|index| self.absent.remove(index)).is_some()
     }
 
     /// Holds back the entry of a process that was gone before.
--- a/crates/gateway/src/hub/pulse.rs
+++ b/crates/gateway/src/hub/pulse.rs
@@ -129,22 +129,22 @@
         desk.history.current() == Some(era)
     }
 
-    /// Takes a listing over by `take`.
+    /// Takes a listing over by `take`. Returns whether the upstream's absence was held back.
     pub fn take_listing(
         &self,
         listing: Listing,
         take: impl FnOnce(&mut Fleet, Time, Listing) -> fleet::ListingChange,
-    ) {
+    ) -> bool {
         let now = self.clock.now();
         let (id, release) = (listing.id.clone(), listing.release);
-        let change = {
+        let (change, was_absent) = {
             let mut desk = self.desk();
-            desk.aftermath.present(&id);
+            let was_absent = desk.aftermath.present(&id);
             let change = take(&mut desk.fleet, now, listing);
             if let (fleet::ListingChange::Appeared, Some(config)) = (change, &*self.config.load()) {
                 desk.fleet.configure_upstream(&id, config);
             }
-            change
+            (change, was_absent)
         };
         if change != fleet::ListingChange::Same {
             info!(target: DECISION, upstream:% = id, change:?, release; "upstream");
@@ -153,6 +153,7 @@
             self.unlink(&id);
             self.track(culprit::Event::Restarted { upstream: id });
         }
+        was_absent
     }
 
     /// Takes over that an upstream has no entry any more, as `source` tells. Returns whether it was known
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -549,10 +549,11 @@
             let known = desk.fleet.upstream(&listing.id);
             known.map(|known| known.listing.summary())
         };
-        if known.as_ref() != Some(&outline) {
+        let was_absent = self.hub.take_listing(listing, Fleet::apply_listing);
+        // The others may wait for the entry as well.
+        if was_absent || known.as_ref() != Some(&outline) {
             self.changes
                 .push(platform_reader::PlatformChange::Listed(outline));
         }
-        self.hub.take_listing(listing, Fleet::apply_listing);
     }
 }
