Node: a failed read of the list of VMs is repeated soon

What callers saw: on the product's own front, an upstream that was removed from the list goes on getting work for up to two intervals (4 s by default) where one read of the list fails. Change: 100 ms after the first failure, doubled with each in a row, up to the interval.

--- a/crates/node/src/core/source.rs
+++ b/crates/node/src/core/source.rs
@@ -15,16 +15,33 @@
 /// more rarely at each node, so that the platform's calls do not grow with the fleet.
 const LIST_READERS: u32 = 7;
 
+/// Pause after a read of the VM list that failed, doubled with each in a row.
+const LIST_RETRY: Duration = Duration::from_millis(100);
+
+/// Failures in a row after which the pause no longer grows.
+const LIST_RETRY_DOUBLINGS: u32 = 8;
+
 /// Reads the VM list again and again.
 pub(super) async fn poll_members(shared: Arc<Shared>, handle: Handle, source: Arc<Http>) {
+    let mut failures = 0;
     loop {
         let result = source.members().await;
         count(&shared, "members", result.is_ok());
-        match result {
-            Ok(list) => handle.send(Input::List(list)),
-            Err(error) => log::warn!("reading the list of VMs: {error}"),
-        }
-        tokio::time::sleep(list_interval(&shared)).await;
+        let interval = list_interval(&shared);
+        let pause = match result {
+            Ok(list) => {
+                handle.send(Input::List(list));
+                failures = 0;
+                interval
+            }
+            Err(error) => {
+                log::warn!("reading the list of VMs: {error}");
+                let retry = LIST_RETRY * (1 << failures);
+                failures = (failures + 1).min(LIST_RETRY_DOUBLINGS);
+                retry.min(interval)
+            }
+        };
+        tokio::time::sleep(pause).await;
     }
 }
 
