--- a/crates/gateway/src/front/job.rs
+++ b/crates/gateway/src/front/job.rs
@@ -472,6 +472,13 @@
         Problem::new(status, Outcome::Unknown, detail)
     }
 
+    /// Returns the milliseconds from its arrival until its caller was seen to have left; 0 if it was not.
+    fn left_ms(&self) -> u64 {
+        let arrived = self.hub.clock.instant(self.terms.arrived);
+        let left = self.caller.left_at();
+        left.map_or(0, |left| (left - arrived).as_millis().max(1) as u64)
+    }
+
     /// Logs and counts the end of the request.
     pub(super) fn end(&mut self, status: u16, outcome: &'static str) {
         self.ended = true;
@@ -497,6 +504,7 @@
             prompt = self.ask.prompt.unwrap_or_default(),
             queue_ms = self.queued.as_millis() as u64,
             written_ms = self.written_ms.load(Ordering::Relaxed),
+            left_ms = self.left_ms(),
             delay_ms = self.hub.loop_delay().as_millis() as u64,
             first_ms = self.first.as_millis() as u64,
             gap_ms = self.gap.as_millis() as u64,
--- a/crates/node/src/front/caller.rs
+++ b/crates/node/src/front/caller.rs
@@ -7,7 +7,7 @@
 
 use std::io::{ErrorKind, Read, Result};
 use std::pin::Pin;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, Weak};
 use std::task::{Context, Poll, Waker, ready};
 
 use bytes::{Buf, BytesMut};
@@ -15,6 +15,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 /// Maximum number of bytes that are read before the HTTP library asks for them.
 const READ_AHEAD_MAX: usize = 16 << 10;
@@ -27,6 +28,7 @@
 pub struct Caller {
     socket: Weak<Mutex<Socket>>,
     open: watch::Receiver<()>,
+    ended_at: Arc<OnceLock<Instant>>,
 }
 
 impl Caller {
@@ -37,6 +39,11 @@
             .is_none_or(|socket| lock(&socket).read_ahead())
     }
 
+    /// Returns when the end of the connection was noticed, if it was.
+    pub fn left_at(&self) -> Option<Instant> {
+        self.ended_at.get().copied()
+    }
+
     /// Waits until the connection has ended.
     pub async fn left(&self) {
         let mut open = self.open.clone();
@@ -50,21 +57,25 @@
 pub(super) struct Connection {
     socket: Arc<Mutex<Socket>>,
     open: watch::Sender<()>,
+    ended_at: Arc<OnceLock<Instant>>,
 }
 
 impl Connection {
     /// Watches a connection. Returns what it is read and written by as well.
     pub(super) fn new(stream: TcpStream) -> (Self, Stream) {
+        let ended_at = Arc::new(OnceLock::new());
         let socket = Arc::new(Mutex::new(Socket {
             stream,
             ahead: BytesMut::new(),
             ended: false,
+            ended_at: ended_at.clone(),
             writing: false,
             reader: None,
         }));
         let connection = Self {
             socket: socket.clone(),
             open: watch::Sender::new(()),
+            ended_at,
         };
         (connection, Stream(socket))
     }
@@ -74,6 +85,7 @@
         Caller {
             socket: Arc::downgrade(&self.socket),
             open: self.open.subscribe(),
+            ended_at: self.ended_at.clone(),
         }
     }
 
@@ -101,6 +113,8 @@
     ahead: BytesMut,
     /// Whether nothing more can be read.
     ended: bool,
+    /// When that was noticed.
+    ended_at: Arc<OnceLock<Instant>>,
     /// Whether an answer is being written.
     writing: bool,
     /// The task that waits for bytes.
@@ -117,11 +131,11 @@
         while !self.ended && self.ahead.len() < READ_AHEAD_MAX {
             let socket = SockRef::from(&self.stream);
             match (&*socket).read(&mut chunk) {
-                Ok(0) => self.ended = true,
+                Ok(0) => self.end(),
                 Ok(read) => self.ahead.extend_from_slice(&chunk[..read]),
                 Err(error) if error.kind() == ErrorKind::WouldBlock => break,
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(_) => self.ended = true,
+                Err(_) => self.end(),
             }
         }
         if self.ahead.len() > before {
@@ -134,6 +148,11 @@
         self.ended
     }
 
+    fn end(&mut self) {
+        self.ended = true;
+        self.ended_at.get_or_init(Instant::now);
+    }
+
     fn poll_ended(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         let mut chunk = [0; CHUNK];
         while !self.ended {
@@ -165,8 +184,9 @@
             self.wait(cx);
             return Poll::Pending;
         };
-        self.ended |= read.is_err() || buffer.filled().len() == before;
-        if !self.ended {
+        if read.is_err() || buffer.filled().len() == before {
+            self.end();
+        } else {
             self.set_writing(false);
         }
         Poll::Ready(read)
--- a/crates/node/tests/left_callers.rs
+++ b/crates/node/tests/left_callers.rs
@@ -115,9 +115,11 @@
     sleep(SOON).await;
     let caller = watcher.callers.lock().expect("unpoisoned")[0].clone();
     assert!(!caller.has_left(), "it is there");
+    assert!(caller.left_at().is_none());
     drop(stream);
     timeout(SOON, caller.left()).await.expect("it has left");
     assert!(caller.has_left());
+    assert!(caller.left_at().is_some());
     assert_eq!(*watcher.dropped.lock().expect("unpoisoned"), 1);
 }
 
