Soak: entries of upstreams that serve on are removed, also right after watches of the store are cut

Change: `removals` draws three removals a run, half of them up to 0.5 s after the watches are cut, some after the history is dropped. A request that arrives there later than `drain_ms` breaks DRAIN, without slack; the upstream's queue does not count.

--- a/crates/hyssopscale/tests/fault_soak.rs
+++ b/crates/hyssopscale/tests/fault_soak.rs
@@ -8,7 +8,8 @@
 //!
 //! `HYSSOPSCALE_SOAK_WITH=cuts,peer-cuts` adds cuts of nodes from upstreams, and from each other;
 //! `brittle` has brittle upstreams, and `silences` sound ones that are silent for a second; `open-ended` has answers without a
-//! length, which end with their connections; `in-touch` has no faults of their processes and the store.
+//! length, which end with their connections; `removals` removes entries of upstreams that serve on, also right after watches of the
+//! store are cut; `in-touch` has no faults of their processes and the store.
 //! `HYSSOPSCALE_SOAK_NODES=100` has more nodes, with a caller each at least.
 //! `HYSSOPSCALE_SOAK_BEFORE=PATH` begins with the `hyssopd` of an earlier build; nodes that are started again run
 //! this one.
@@ -35,6 +36,7 @@
     brittle: false,
     silences: false,
     open_ended: false,
+    removals: false,
 };
 const CUTS: Extra = Extra {
     cuts: true,
@@ -52,6 +54,10 @@
     silences: true,
     ..IN_TOUCH
 };
+const REMOVALS: Extra = Extra {
+    removals: true,
+    ..IN_TOUCH
+};
 
 /// Runs at a time.
 const AT_ONCE: usize = 4;
@@ -110,6 +116,13 @@
     assert!(breaches.is_empty(), "seed {seed}: {breaches:#?}");
 }
 
+/// Guards against requests to an upstream whose entry was removed while a watch was cut (DRAIN).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn removed_entries_break_no_rule() {
+    let breaches = run(extended(plan(9003), REMOVALS)).await;
+    assert!(breaches.is_empty(), "seed 9003: {breaches:#?}");
+}
+
 /// Guards against answers without a length that count as whole once a node that relays their connections ends
 /// (incident of MIXED and ORDER).
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -156,6 +169,7 @@
         brittle: has("brittle"),
         silences: has("silences"),
         open_ended: has("open-ended"),
+        removals: has("removals"),
     };
     let plan = extended(plan(seed), extra);
     Plan {
--- a/crates/hyssopscale/tests/soak/check/mod.rs
+++ b/crates/hyssopscale/tests/soak/check/mod.rs
@@ -12,7 +12,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::caller::{Ask, Kind, Outcome, PROBE, get};
-use super::fault::Event;
+use super::fault::{Event, Fault};
 use super::process::{Deed, SETTLING};
 use super::upstream::{Arrival, BAD_PART, Fall, Order, POISON, POOLS, Run, Said, Service, Word};
 use super::{Site, UPSTREAMS};
@@ -322,21 +322,31 @@
     })
 }
 
-/// Checks that an upstream that leaves gets no new work.
+/// Checks that an upstream that leaves, or whose entry was removed, gets no new work.
 fn check_leaving(ask: &Ask, ran: &[&Run], evidence: &Evidence, site: &Site) -> Option<String> {
-    let left = evidence
-        .events
-        .iter()
-        .filter_map(|event| event.left.as_ref());
-    let mut left = left.filter(|(id, said)| {
-        let limit = *said + EFFECT + SLACK;
-        ran.iter().any(|run| run.upstream == *id && run.at > limit)
+    let mut left = evidence.events.iter().filter_map(|event| {
+        let (id, said) = event.left.as_ref()?;
+        let is_late = match event.fault {
+            Fault::Withdraw { .. } => arrives_after(ask, id, *said + DRAIN, evidence),
+            _ => {
+                let limit = *said + EFFECT + SLACK;
+                ran.iter().any(|run| run.upstream == *id && run.at > limit)
+            }
+        };
+        is_late.then_some((id, said))
     });
     let (id, said) = left.next()?;
     let told = site.nodes[ask.node].troubles(*said, ask.done).is_empty();
     told.then(|| format!("DRAIN: {ask:?} at {id}"))
 }
 
+/// Returns whether a request arrives at an upstream after `limit`.
+fn arrives_after(ask: &Ask, upstream: &str, limit: Instant, evidence: &Evidence) -> bool {
+    evidence.arrivals.iter().any(|arrival| {
+        arrival.attempt == ask.attempt && arrival.upstream == upstream && arrival.at > limit
+    })
+}
+
 /// Checks that requests which crash what runs them are recognized by all nodes.
 fn check_offences(evidence: &Evidence, site: &Site) -> Vec<String> {
     let mut breaches = Vec::new();
--- a/crates/hyssopscale/tests/soak/fault/deed.rs
+++ b/crates/hyssopscale/tests/soak/fault/deed.rs
@@ -12,7 +12,7 @@
 use super::super::store::Copy;
 use super::super::upstream::Manner;
 use super::super::{Site, UPSTREAMS, versioned};
-use super::Fault;
+use super::{Fault, Gap};
 
 /// Groups in which the nodes of a site are replaced one after the other.
 const GROUPS: usize = 4;
@@ -58,6 +58,17 @@
                 let (id, said) = upstreams[upstream].leave(time, announced).await;
                 return announced.then_some((id, said));
             }
+            Fault::Withdraw {
+                upstream,
+                time,
+                gap,
+            } => {
+                if let Some((gap, before)) = gap {
+                    self.open_gap(gap);
+                    sleep(before).await;
+                }
+                return upstreams[upstream].withdraw(time).await;
+            }
             Fault::Misbehave {
                 ref upstreams,
                 manner,
@@ -139,6 +150,13 @@
         None
     }
 
+    fn open_gap(&self, gap: Gap) {
+        match gap {
+            Gap::Cut => self.store.cut_watches(),
+            Gap::Forgotten => self.store.forget_history(),
+        }
+    }
+
     async fn disturb(&self, upstream: usize, fault: proxy::Fault, time: Duration) {
         self.links[upstream].control().set(fault);
         sleep(time).await;
--- a/crates/hyssopscale/tests/soak/fault/draw.rs
+++ b/crates/hyssopscale/tests/soak/fault/draw.rs
@@ -9,7 +9,7 @@
 use super::super::UPSTREAMS;
 use super::super::relay::Cut;
 use super::super::upstream::{Brittle, Manner};
-use super::Fault;
+use super::{Fault, Gap};
 
 pub(super) fn millis(rng: &mut StdRng, from: u64, to: u64) -> Duration {
     Duration::from_millis(rng.random_range(from..to))
@@ -112,6 +112,20 @@
     }
 }
 
+/// Draws the removal of an entry.
+pub(super) fn draw_removal(rng: &mut StdRng) -> Fault {
+    let gap = match rng.random_range(0..4) {
+        0 => None,
+        1 => Some(Gap::Forgotten),
+        _ => Some(Gap::Cut),
+    };
+    Fault::Withdraw {
+        upstream: rng.random_range(0..2 * UPSTREAMS),
+        time: millis(rng, 3_500, 5_000),
+        gap: gap.map(|gap| (gap, millis(rng, 0, 500))),
+    }
+}
+
 /// Draws what upstreams say in their answers, or do not end.
 pub(super) fn draw_word(rng: &mut StdRng) -> Fault {
     let upstream = rng.random_range(0..2 * UPSTREAMS);
--- a/crates/hyssopscale/tests/soak/fault/mod.rs
+++ b/crates/hyssopscale/tests/soak/fault/mod.rs
@@ -20,7 +20,7 @@
 use super::{Plan, Site, UPSTREAMS};
 use draw::{
     draw, draw_break, draw_brittle, draw_cut, draw_flood, draw_late_refusal, draw_pause,
-    draw_peer_cut, draw_rate, draw_restore, draw_word,
+    draw_peer_cut, draw_rate, draw_removal, draw_restore, draw_word,
 };
 
 /// Faults of a run at least, and at most.
@@ -62,9 +62,22 @@
 const KILLS: usize = 6;
 const KILL: u64 = 0x6b69_6c6c;
 
+/// Removals of entries in a run, and what sets their draws apart.
+const REMOVALS: usize = 3;
+const REMOVAL: u64 = 0x7265_6d6f;
+
 /// Time from the stop of a node until an upstream is replaced by another release behind its back.
 const OUT_OF_STEP: Duration = Duration::from_millis(300);
 
+/// What a store in order does to the watches that wait.
+#[derive(Clone, Copy, Debug)]
+pub enum Gap {
+    /// It cuts them.
+    Cut,
+    /// It drops the history that they follow.
+    Forgotten,
+}
+
 /// One fault.
 #[derive(Clone, Debug)]
 pub enum Fault {
@@ -117,6 +130,13 @@
         /// Whether its entry says so, or its answers alone.
         announced: bool,
     },
+    /// The entry of an upstream is removed, which serves on.
+    Withdraw {
+        upstream: usize,
+        time: Duration,
+        /// What happens to the watches that wait, and how long before.
+        gap: Option<(Gap, Duration)>,
+    },
     Misbehave {
         upstreams: Range<usize>,
         manner: Manner,
@@ -305,6 +325,11 @@
         let at = rng.random_range(Duration::ZERO..span);
         drawn.push((at, draw_pause(&mut rng)));
     }
+    let mut rng = StdRng::seed_from_u64(seed ^ REMOVAL);
+    for _ in 0..if plan.extra.removals { REMOVALS } else { 0 } {
+        let at = rng.random_range(Duration::ZERO..span);
+        drawn.push((at, draw_removal(&mut rng)));
+    }
     let mut tasks = JoinSet::new();
     for (at, fault) in drawn {
         let site = site.clone();
--- a/crates/hyssopscale/tests/soak/mod.rs
+++ b/crates/hyssopscale/tests/soak/mod.rs
@@ -129,6 +129,8 @@
     pub silences: bool,
     /// Whether some answers have no length and end with their connections.
     pub open_ended: bool,
+    /// Whether entries of upstreams that serve on are removed, also behind a gap of the store's watches.
+    pub removals: bool,
 }
 
 impl Plan {
--- a/crates/hyssopscale/tests/soak/upstream/mod.rs
+++ b/crates/hyssopscale/tests/soak/upstream/mod.rs
@@ -93,6 +93,8 @@
     release: String,
     born: u64,
     listed: bool,
+    /// Whether its entry is removed although it serves.
+    withdrawn: bool,
     leaving: bool,
     /// Whether its entry says that it leaves.
     announced: bool,
@@ -195,6 +197,7 @@
                 release: String::new(),
                 born: 0,
                 listed: false,
+                withdrawn: false,
                 leaving: false,
                 announced: false,
                 running: 0,
@@ -251,7 +254,7 @@
         let release = if self.releases { release } else { 0 };
         state.release = RELEASES[release].to_owned();
         state.born = unix_millis();
-        state.listed = true;
+        (state.listed, state.withdrawn) = (true, false);
         (state.leaving, state.announced) = (false, false);
         state.base = (start == Start::First).then(Instant::now);
         state.adapters.clear();
@@ -340,10 +343,36 @@
         (process, said)
     }
 
+    /// Has its entry removed without a word, serves on for `time`, ends, and starts again under another
+    /// id. Returns its name and the time of the removal, unless it is down or leaves already.
+    pub async fn withdraw(&self, time: Duration) -> Option<(ProcessName, Instant)> {
+        let (process, key) = {
+            let mut state = self.lock();
+            if !state.listed || state.withdrawn || state.leaving {
+                return None;
+            }
+            state.withdrawn = true;
+            (state.process(), format!("servers/{}", state.id))
+        };
+        self.store.remove(&key);
+        let said = Instant::now();
+        sleep(time).await;
+        let serves = {
+            let state = self.lock();
+            state.listed && state.process() == process
+        };
+        if serves {
+            self.end();
+            self.begin(Start::Anew);
+        }
+        Some((process, said))
+    }
+
     /// Returns the key of its entry, where it has one.
     pub fn key(&self) -> Option<String> {
         let state = self.lock();
-        state.listed.then(|| format!("servers/{}", state.id))
+        let has_entry = state.listed && !state.withdrawn;
+        has_entry.then(|| format!("servers/{}", state.id))
     }
 
     /// Writes its entry.
