--- a/crates/gateway/src/hub/contact.rs
+++ b/crates/gateway/src/hub/contact.rs
@@ -23,7 +23,7 @@
 
 impl Contact {
     /// Records an answer that is `age` old.
-    fn hear(&mut self, now: Time, running: Time, age: Duration) {
+    fn record(&mut self, now: Time, running: Time, age: Duration) {
         self.heard = self.heard.max(now.saturating_sub(age));
         self.heard_running = self.heard_running.max(running.saturating_sub(age));
     }
@@ -33,21 +33,21 @@
     /// Notes that the platform is read from now on: silence before that is none of the platform's.
     pub fn begin_reading(&self) {
         let (now, running) = (self.clock.now(), self.running_time());
-        self.contact().hear(now, running, Duration::ZERO);
+        self.contact().record(now, running, Duration::ZERO);
     }
 
     /// Notes that the platform has answered this node.
     pub fn heard_store(&self) {
         self.contact().answered = self.clock.now();
-        self.hear_store(Duration::ZERO, "platform");
+        self.record_store_answer(Duration::ZERO, "platform");
     }
 
     /// Notes that the platform answered this node or a reader `age` ago. Entries may have lapsed if it was
     /// away before.
-    pub(super) fn hear_store(&self, age: Duration, source: &'static str) {
+    pub(super) fn record_store_answer(&self, age: Duration, source: &'static str) {
         let absence = self.store_absence().saturating_sub(age);
         let (now, running) = (self.clock.now(), self.running_time());
-        self.contact().hear(now, running, age);
+        self.contact().record(now, running, age);
         if absence >= self.exchange.lapse {
             let absence_ms = absence.as_millis() as u64;
             info!(target: DECISION, absence_ms, source; "platform-absence");
--- a/crates/gateway/src/hub/pulse.rs
+++ b/crates/gateway/src/hub/pulse.rs
@@ -91,7 +91,7 @@
         let age = Duration::from_millis(update.age.into());
         let fresh = age < platform_reader::FRESH_AGE_MAX;
         if fresh {
-            self.hear_store(age, "peer");
+            self.record_store_answer(age, "peer");
         }
         self.desk().mirror.update_received(now, age);
         for change in update.changes {
