Settings: take over seeds that change while a node runs

From 15 s after their start each one owns every engine; loads are evicted by one another, and where entries of engines lapse and come back two holders order in turn (ONE).

Cause: settings were read at the start alone. SIGHUP was logged and ignored, `seeds::Event::Seeds` was never sent. Change: the file is read again at SIGHUP and once a second, since it may change without a signal. New seeds are asked at once, also by nodes that know others. Other settings wait for the next start; the line `reload` says so.

This does not help nodes whose settings stay stale. `groups_meet_by_replaced_seeds` is a guard; it was not run on the former code.

--- a/crates/exchange/src/population.rs
+++ b/crates/exchange/src/population.rs
@@ -54,6 +54,11 @@
         }
     }
 
+    /// Replaces the number of other nodes that the settings name.
+    pub const fn set_seeds(&mut self, seeds: usize) {
+        self.seeds = seeds;
+    }
+
     /// Takes in which nodes discovery knows, this one included, and which of them shut down, both sorted.
     pub fn update(&mut self, now: Time, discovered: &[Vm], leaving: &[Vm]) {
         let absent = |vm: &Vm| discovered.binary_search(vm).is_err();
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -45,6 +45,8 @@
 pub enum Input {
     /// A message came from another node.
     Receive(SocketAddr, Incarnation, Message),
+    /// The settings name other seeds than before.
+    Seeds(Vec<SocketAddr>),
     /// Time passed.
     Tick,
     /// The process leaves.
@@ -72,6 +74,10 @@
     view: View,
     shown: Option<Shown>,
     started: Time,
+    /// Whether the settings have ever named another node.
+    had_seeds: bool,
+    /// Since when the present seeds are asked.
+    asked_since: Time,
     met_at: Option<Time>,
     ticks: u64,
 }
@@ -81,6 +87,11 @@
 pub struct Handle(ActorRef<Input>);
 
 impl Handle {
+    /// Replaces the seeds.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        self.send(Input::Seeds(seeds));
+    }
+
     /// Begins to leave: peers drop this node from their answers at once.
     pub fn leave(&self) {
         self.send(Input::Leave);
@@ -144,10 +155,12 @@
         Ok(State {
             roster: Roster::new(hub.me.clone(), settings.vm.zone.clone(), seed),
             population: Population::new(seeds.seeds()),
+            had_seeds: seeds.seeds() > 0,
             seeds,
             view: View::default(),
             shown: None,
             started: hub.clock.now(),
+            asked_since: hub.clock.now(),
             met_at: None,
             ticks: 0,
             hub,
@@ -162,6 +175,7 @@
     ) -> Result<(), ActorProcessingErr> {
         match input {
             Input::Receive(from, sender, message) => state.receive(from, sender, message),
+            Input::Seeds(seeds) => state.replace_seeds(seeds),
             Input::Tick => state.tick(),
             Input::Leave => {
                 state.step_roster(roster::Event::Leave);
@@ -227,6 +241,13 @@
         }
     }
 
+    fn replace_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.step_seeds(seeds::Event::Seeds(seeds));
+        self.population.set_seeds(self.seeds.seeds());
+        self.had_seeds |= self.seeds.seeds() > 0;
+        self.asked_since = self.hub.clock.now();
+    }
+
     /// Takes traffic once peers have answered, or nobody has for a while.
     fn meet(&mut self) {
         if self.hub.met() {
@@ -357,12 +378,12 @@
         });
     }
 
-    /// Tells whether this node knows who else claims engines: it has found others, has no seeds to
+    /// Tells whether this node knows who else claims engines: it has found others, never had seeds to
     /// find them by, or has asked its seeds in vain for as long as records of others are kept.
     fn found_others(&self, now: Time) -> bool {
         self.seeds.known() > 0
-            || self.seeds.seeds() == 0
-            || now >= self.started + seeds::RECORD_LIFETIME
+            || !self.had_seeds
+            || now >= self.asked_since + seeds::RECORD_LIFETIME
     }
 
     /// Tells whether `peer` is this node, which counts as live until it leaves.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -142,6 +142,11 @@
         Ok(())
     }
 
+    /// Returns what tells the node of other seeds.
+    pub fn control(&self) -> Handle {
+        self.control.clone()
+    }
+
     /// Shuts down: tells peers and the platform at once, serves on until callers have forgotten
     /// the address and every request is done, or the grace time is nearly over. Returns how many
     /// requests were cut.
--- a/crates/hyssopscale/src/cli.rs
+++ b/crates/hyssopscale/src/cli.rs
@@ -11,6 +11,7 @@
 use jiff::Timestamp;
 use wire::Priority;
 
+use crate::ops::reload::Source;
 use crate::ops::{self, Error, Output};
 
 /// Meaning of the exit codes, as the help shows it.
@@ -83,13 +84,14 @@
         .into_iter()
         .flatten()
         .cloned();
-    let settings = ops::serve::load(path, overrides)?;
+    let source = Source::open(path.clone(), overrides.collect())?;
+    let settings = source.settings();
     if matches.get_flag("check-settings") {
         println!("settings of {} are sound", settings.vm.id);
         return Ok(());
     }
     let threads = settings.exchange.as_ref().map(|exchange| exchange.threads);
-    block_on_threads(threads, ops::serve::run(settings))
+    block_on_threads(threads, ops::serve::run(source))
 }
 
 fn block_on(work: impl Future<Output = Result<(), Error>>) -> Result<(), Error> {
--- a/crates/hyssopscale/src/ops/mod.rs
+++ b/crates/hyssopscale/src/ops/mod.rs
@@ -8,6 +8,7 @@
 pub mod load;
 pub mod nodes;
 pub mod pack;
+pub mod reload;
 pub mod requests;
 pub mod serve;
 pub mod status;
--- a/crates/hyssopscale/src/ops/serve.rs
+++ b/crates/hyssopscale/src/ops/serve.rs
@@ -1,6 +1,5 @@
 //! `hyssopd`: runs a node until it is told to stop.
 
-use std::path::Path;
 use std::time::{Duration, Instant};
 
 use log::LevelFilter;
@@ -9,28 +8,18 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 
-use super::{Error, read};
-
-/// Reads and checks a settings file with overrides.
-///
-/// # Errors
-///
-/// Returns every fault found, or why the file cannot be read.
-pub fn load(
-    path: &Path,
-    overrides: impl IntoIterator<Item = (String, String)>,
-) -> Result<Settings, Error> {
-    Ok(Settings::parse_with(&read(path)?, overrides)?)
-}
+use super::Error;
+use super::reload::{self, Source};
 
 /// Runs a node until SIGTERM or SIGINT, then shuts it down gracefully; a second signal ends that.
 ///
 /// # Errors
 ///
 /// Returns an [`Error`] where the node does not start, or where the shutdown cut requests.
-pub async fn run(settings: Settings) -> Result<(), Error> {
+pub async fn run(source: Source) -> Result<(), Error> {
+    let settings = source.settings().clone();
     if settings.exchange.is_some() {
-        return run_gateway(settings).await;
+        return run_gateway(settings, source).await;
     }
     let ending = run_node(settings).await;
     node::journal::drain(Duration::MAX);
@@ -64,22 +53,18 @@
 }
 
 /// Runs a node on a platform that is met by an adapter. Its log goes to standard output.
-async fn run_gateway(settings: Settings) -> Result<(), Error> {
+async fn run_gateway(settings: Settings, source: Source) -> Result<(), Error> {
     let level = settings.log.level.parse().unwrap_or(LevelFilter::Info);
     let (form, lines) = (settings.log.format, settings.log.lines_per_second);
     node::journal::install_to(node::journal::Stream::Output, form, level, lines)?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    // The settings are read anew at the next start; the signal alone must not end the process.
-    let mut hangup = signal(SignalKind::hangup())?;
-    tokio::spawn(async move {
-        while hangup.recv().await.is_some() {
-            log::info!(target: node::journal::DECISION, applied = false; "reload");
-        }
-    });
+    // Before the node starts, since the signal would end the process.
+    let hangup = signal(SignalKind::hangup())?;
     let grace = settings.exchange.as_ref().map(|exchange| exchange.grace);
     let node = gateway::Node::start(settings, dialect::Platform).await;
     let node = node.inspect_err(|_| node::journal::drain(Duration::MAX))?;
+    tokio::spawn(reload::watch(source, hangup, node.control()));
     either(&mut terminate, &mut interrupt).await;
     let killed = grace.map(|grace| Instant::now() + grace);
     let cut = node.shut_down().await;
--- a/crates/hyssopscale/tests/fault_soak.rs
+++ b/crates/hyssopscale/tests/fault_soak.rs
@@ -19,7 +19,7 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use soak::{Extra, Plan};
+use soak::{Extra, Notice, Plan};
 use tokio::sync::Semaphore;
 
 /// Nodes of a site.
@@ -37,6 +37,7 @@
     silences: false,
     open_ended: false,
     removals: false,
+    lost_seeds: false,
 };
 const CUTS: Extra = Extra {
     cuts: true,
@@ -145,6 +146,22 @@
     assert!(breaches.is_empty(), "{breaches:#?}");
 }
 
+/// Guards against nodes that never find each other although their settings name new seeds, and then each own every
+/// engine (ONE).
+#[rstest]
+#[case::told(Notice::Signal)]
+#[case::untold(Notice::Nothing)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn changed_seeds_are_asked(#[case] notice: Notice) {
+    let _turn = TURNS.acquire().await;
+    let extra = Extra {
+        lost_seeds: true,
+        ..IN_TOUCH
+    };
+    let told = soak::name_seeds(extended(plan(1), extra), notice).await;
+    assert_eq!(told, [NODES; NODES]);
+}
+
 /// Returns a plan with further faults. Weak upstreams are asked for more than they can take.
 fn extended(plan: Plan, extra: Extra) -> Plan {
     if !extra.brittle && !extra.silences {
@@ -170,6 +187,7 @@
         silences: has("silences"),
         open_ended: has("open-ended"),
         removals: has("removals"),
+        lost_seeds: has("lost-seeds"),
     };
     let plan = extended(plan(seed), extra);
     Plan {
--- a/crates/hyssopscale/tests/soak/mod.rs
+++ b/crates/hyssopscale/tests/soak/mod.rs
@@ -52,10 +52,16 @@
 const FIRST_UPSTREAM_HOST: usize = 100;
 const STORE_HOST: usize = 250;
 
+/// Last parts of the addresses of machines that are gone.
+const LOST_SEED_HOSTS: [usize; 3] = [240, 241, 242];
+
 /// Sites that this process has started, and how many have addresses of their own at a time.
 static SITES: AtomicU64 = AtomicU64::new(0);
 const SITES_MAX: u64 = 200;
 
+/// Time in which nodes whose settings name them to each other find each other.
+const DISCOVERY_LIMIT: Duration = Duration::from_secs(4);
+
 /// Time for the nodes to serve.
 const START_LIMIT: Duration = Duration::from_secs(30);
 
@@ -131,6 +137,8 @@
     pub open_ended: bool,
     /// Whether entries of upstreams that serve on are removed, also behind a gap of the store's watches.
     pub removals: bool,
+    /// Whether the seeds that nodes start under are all gone.
+    pub lost_seeds: bool,
 }
 
 impl Plan {
@@ -221,7 +229,12 @@
                 if plan.extra.peer_cuts { 8145 } else { 8144 },
             )
         };
-        let seeds: Vec<String> = (0..3).map(|number| told(number).to_string()).collect();
+        let seeds = if plan.extra.lost_seeds {
+            LOST_SEED_HOSTS.map(|host| address(host, 8144))
+        } else {
+            [0, 1, 2].map(told)
+        };
+        let seeds = seeds.map(|seed| seed.to_string());
         let stations: Vec<_> = (0..plan.nodes)
             .map(|node| (bound(node), told(node)))
             .collect();
@@ -423,6 +436,40 @@
     node.finish()
 }
 
+/// How nodes are told that their settings have changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Notice {
+    Signal,
+    /// The file changes, and nothing else.
+    Nothing,
+}
+
+/// Starts nodes under seeds that are all gone, and names them to each other in their settings. Returns how many nodes
+/// each one tells callers of after [`DISCOVERY_LIMIT`].
+pub async fn name_seeds(plan: Plan, notice: Notice) -> Vec<usize> {
+    let site = Site::start(plan).await;
+    site.wait_ready().await;
+    let seeds = site.nodes.iter().take(3);
+    let seeds: Vec<String> = seeds
+        .map(|node| SocketAddr::new(node.addresses.front.ip(), 8144).to_string())
+        .collect();
+    for node in &site.nodes {
+        node.write_seeds(&seeds);
+        if notice == Notice::Signal {
+            node.hang_up();
+        }
+    }
+    sleep(DISCOVERY_LIMIT).await;
+    let mut told = Vec::new();
+    for node in &site.nodes {
+        let asked = get(node.addresses.directory, "/resolve?zone=z", GRACE).await;
+        let text = asked.map(|(_, text)| text).unwrap_or_default();
+        let answer: Value = serde_json::from_str(&text).unwrap_or_default();
+        told.push(answer["addresses"].as_array().map_or(0, Vec::len));
+    }
+    told
+}
+
 /// Returns a configuration with a route of its own for each version.
 pub fn versioned(version: u64) -> Value {
     let mut routes = config::routes();
--- a/crates/hyssopscale/tests/soak/process.rs
+++ b/crates/hyssopscale/tests/soak/process.rs
@@ -15,6 +15,9 @@
 /// The settings that the platform fills in.
 const TEMPLATE: &str = include_str!("../../../../deploy/settings.toml");
 
+/// What the platform fills in for the seeds.
+const SEEDS: &str = "{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}";
+
 /// Time from SIGTERM to SIGKILL.
 pub const GRACE: Duration = Duration::from_secs(4);
 
@@ -73,6 +76,8 @@
     pub addresses: Addresses,
     folder: PathBuf,
     settings: PathBuf,
+    /// Its settings but for the seeds.
+    filled: String,
     /// Whether nobody reads its log.
     unread: bool,
     /// Held while the process is ended and started.
@@ -97,11 +102,8 @@
         folder: &Path,
         unread: bool,
     ) -> Self {
-        let quoted: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
-        let seeds = quoted.join(", ");
         let grace = GRACE.as_secs().to_string();
-        let values = [
-            ("{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}", seeds.as_str()),
+        let values: [(&str, &str); 19] = [
             ("{{node}}", &format!("vm-{number}")),
             ("{{region}}", "r"),
             ("{{zone}}", "z"),
@@ -135,16 +137,15 @@
             own += &format!("advertise = \"{advertise}\"\n");
         }
         let filled = filled.replace("[exchange]\n", &own);
-        let settings = folder.join(format!("vm-{number}.toml"));
-        fs::write(&settings, filled).unwrap();
-        Self {
+        let node = Self {
             number,
             addresses: Addresses {
                 front: format!("{ip}:8149").parse().unwrap(),
                 directory: format!("{ip}:8143").parse().unwrap(),
             },
             folder: folder.to_owned(),
-            settings,
+            settings: folder.join(format!("vm-{number}.toml")),
+            filled,
             unread,
             busy: tokio::sync::Mutex::new(()),
             state: Mutex::new(State {
@@ -153,7 +154,18 @@
                 troubles: Vec::new(),
                 ends: Vec::new(),
             }),
-        }
+        };
+        node.write_seeds(seeds);
+        node
+    }
+
+    /// Replaces the settings by ones with these seeds, without telling the process.
+    pub fn write_seeds(&self, seeds: &[String]) {
+        let quoted: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+        let filled = self.filled.replace(SEEDS, &quoted.join(", "));
+        let written = self.settings.with_extension("new");
+        fs::write(&written, filled).unwrap();
+        fs::rename(&written, &self.settings).unwrap();
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
--- a/crates/roster/src/seeds.rs
+++ b/crates/roster/src/seeds.rs
@@ -86,7 +86,7 @@
     },
     /// A message arrived from the VM itself.
     Alive(Vm),
-    /// Replaces the seeds.
+    /// Replaces the seeds. New ones are asked at once: they may belong to nodes that no known one has met.
     Seeds(Vec<SocketAddr>),
     /// Time passed.
     Tick,
@@ -184,6 +184,14 @@
         self.seeds = others.collect();
     }
 
+    fn replace_seeds(&mut self, now: Time, seeds: Vec<SocketAddr>, out: &mut Vec<Action>) {
+        let former = std::mem::take(&mut self.seeds);
+        self.set_seeds(seeds);
+        for to in self.seeds.iter().filter(|seed| !former.contains(seed)) {
+            self.ask(now, *to, out);
+        }
+    }
+
     fn receive(&mut self, now: Time, from: SocketAddr, message: Message, out: &mut Vec<Action>) {
         let (records, answer) = match message {
             Message::Ask(records) => (records, true),
@@ -381,7 +389,7 @@
         match event {
             Event::Receive { from, message } => self.receive(now, from, message, &mut actions),
             Event::Alive(vm) => self.alive(now, &vm),
-            Event::Seeds(seeds) => self.set_seeds(seeds),
+            Event::Seeds(seeds) => self.replace_seeds(now, seeds, &mut actions),
             Event::Tick => self.tick(now, &mut actions),
         }
         out.extend(actions);
--- a/crates/roster/tests/seed_membership.rs
+++ b/crates/roster/tests/seed_membership.rs
@@ -150,6 +150,27 @@
     assert!(network.all_know(6), "{:?}", network.members);
 }
 
+/// Guards against two groups of nodes that never hear of each other although their settings come to name other seeds
+/// (ONE): the seeds that they started under are gone.
+#[rstest]
+fn groups_meet_by_replaced_seeds() {
+    let mut network = Network::new(6, &[0, 1, 2]);
+    network.cut = (0..3).flat_map(|a| (3..6).map(move |b| (a, b))).collect();
+    network.down = vec![6, 7];
+    for index in 3..6 {
+        network.start(index, &[3, 6]);
+    }
+    network.pass(RECORD_LIFETIME);
+    assert!(network.all_know(3), "{:?}", network.members);
+    network.cut.clear();
+    let seeds = vec![address(7), address(1), address(4)];
+    for index in 0..6 {
+        network.step(index, Event::Seeds(seeds.clone()));
+    }
+    network.pass(Duration::from_secs(2));
+    assert!(network.all_know(6), "{:?}", network.members);
+}
+
 #[rstest]
 fn stale_record_is_not_news() {
     let mut network = Network::new(2, &[0]);
