Owner: keep an engine whose entry lapses for a lease

What callers saw: each lapse of an engine's entry ended its ownership, and its return began a new claim with an order that locks the former owner out, a report and a wait for both.

Cause: `release_gone` took an entry that is missing for an engine that has ended, and was the only way to give an engine up that is not followed by the wait of a lease. Change: the claim and its lease stand for a lease after the entry went, without orders. Then the engine is released; whoever claims it from then on follows no order of the last 3 s. Claims of peers stand as well. Once the entry is back, a report comes before the next order. A report of an engine without an entry no longer empties the list of what occupies it.

Evidence: `owner_outlasts_a_lapse` failed before. `lapsed_entries_cause_no_turns` passed before as well: among nodes that know each other the witnesses' leases exclude turns.

--- a/crates/exchange/src/owner/claim.rs
+++ b/crates/exchange/src/owner/claim.rs
@@ -258,13 +258,16 @@
         self.prompt_announcements = PROMPT_ANNOUNCEMENTS;
     }
 
-    /// Releases engines that have left the listing or are leaving.
+    /// Releases engines that are leaving, and those without an entry for a lease. Entries lapse and come back while their
+    /// engines go on; whoever claims an engine after a lease follows no recent order.
     fn release_gone(&mut self, now: Time, fleet: &Fleet, out: &mut Vec<Action>) {
+        let lease = self.config.lease;
         let mut gone = Vec::new();
-        self.owned_engines.retain(|owned| {
-            let kept = fleet
-                .upstream(&owned.engine)
-                .is_some_and(UpstreamState::is_eligible);
+        self.owned_engines.retain_mut(|owned| {
+            let listed = fleet.upstream(&owned.engine);
+            let missing_since = owned.note_listed(now, listed.is_some());
+            let kept = listed.is_none_or(UpstreamState::is_eligible)
+                && missing_since.is_none_or(|since| now < since + lease);
             if !kept {
                 gone.push(owned.engine.clone());
             }
@@ -276,7 +279,9 @@
             out.push(Action::Log(Decision::Released(engine, "gone")));
         }
         let known = |id: &Upstream| fleet.upstream(id).is_some();
-        self.peer_claims.retain(|claim| known(&claim.engine));
+        let mut claims = std::mem::take(&mut self.peer_claims);
+        claims.retain(|claim| known(&claim.engine) || self.is_upheld(claim));
+        self.peer_claims = claims;
         self.unclaimed.retain(|unclaimed| known(&unclaimed.engine));
     }
 
--- a/crates/exchange/src/owner/owned_engine.rs
+++ b/crates/exchange/src/owner/owned_engine.rs
@@ -136,6 +136,8 @@
     pub(super) overflows: Vec<Overflow>,
     cached: Vec<Target>,
     pub(super) born: Option<u64>,
+    /// Since when the engine has no entry.
+    pub(super) missing_since: Option<Time>,
     /// Prefill work given to the engine.
     pub(super) meter: PrefillLimiter,
 }
@@ -157,6 +159,7 @@
             overflows: Vec::new(),
             cached: Vec::new(),
             born: None,
+            missing_since: None,
             meter: PrefillLimiter::default(),
         }
     }
@@ -267,6 +270,19 @@
         }
     }
 
+    /// Records whether the engine has an entry. Returns since when it had none until now.
+    pub(super) fn note_listed(&mut self, now: Time, is_listed: bool) -> Option<Time> {
+        if !is_listed {
+            return Some(*self.missing_since.get_or_insert(now));
+        }
+        let missing_since = self.missing_since.take();
+        if missing_since.is_some() {
+            // The entry tells less than was known before it lapsed.
+            self.recheck_at = Some(now);
+        }
+        missing_since
+    }
+
     /// Discards what a restarted engine process has lost. Its report will show what it holds.
     pub(super) fn reset_after_restart(&mut self, now: Time, born: Option<u64>) {
         self.born = born;
--- a/crates/exchange/src/owner/scheduling.rs
+++ b/crates/exchange/src/owner/scheduling.rs
@@ -419,7 +419,8 @@
         if owned.state != OrderState::AwaitingReport {
             return;
         }
-        if succeeded {
+        // Nothing is known of what an engine without an entry holds.
+        if succeeded && fleet.upstream(engine).is_some() {
             owned.state = OrderState::Ready(now);
             owned.recheck_at = None;
             let held = fleet
--- a/crates/exchange/tests/soak/mod.rs
+++ b/crates/exchange/tests/soak/mod.rs
@@ -38,6 +38,9 @@
 /// Delay until a change of an engine shows in the listing that nodes read from the platform.
 const LISTING_DELAY: Duration = ms(600);
 
+/// Longest time until a node has read a change of an entry.
+const READING_DELAY: Duration = ms(400);
+
 /// Time after a pause of a node in which its orders are not judged.
 const THAW_SLACK: Duration = ms(300);
 
@@ -74,6 +77,8 @@
     Doubt(usize, Duration),
     /// Messages take up to this much longer, and so overtake each other, for that time.
     Delay(Duration, Duration),
+    /// The entry of an engine lapses and is back after this time, while the engine goes on.
+    Lapse(usize, Duration),
 }
 
 struct Node {
@@ -108,6 +113,9 @@
     RetryRequest(usize, u32, Upstream, AdmissionRequest, Time),
     EndRequest(usize, u32, Upstream, AdmissionRequest),
     ListEngine(usize),
+    /// A node reads that an engine has no entry any more, or has it again.
+    Unlist(usize, usize),
+    Relist(usize, usize),
     View,
     Discover(usize),
     DiscoveryMessage(Envelope),
@@ -217,6 +225,16 @@
                 self.end_request(node, process, &engine_id, &request);
             }
             Scheduled::ListEngine(index) => self.list_engine(index),
+            Scheduled::Unlist(node, engine) => {
+                let id = &self.engines[engine].id;
+                self.nodes[node].fleet.remove(id);
+            }
+            Scheduled::Relist(node, engine) => {
+                let listing = self.engines[engine].listing();
+                let fleet = &mut self.nodes[node].fleet;
+                fleet.apply_listing(self.now, listing);
+                fleet.configure(&config(Vec::new()));
+            }
             Scheduled::View => self.send_views(),
             Scheduled::Discover(node) => self.discover(node),
             Scheduled::DiscoveryMessage(envelope) => {
@@ -495,6 +513,14 @@
                 self.schedule(ms(1), Scheduled::View);
                 self.schedule(time + ms(1), Scheduled::View);
             }
+            Fault::Lapse(engine, time) => {
+                for node in 0..self.nodes.len() {
+                    let mut late = || READING_DELAY.mul_f64(self.random.random_range(0.0..1.0));
+                    let (gone, back) = (late(), time + late());
+                    self.schedule(gone, Scheduled::Unlist(node, engine));
+                    self.schedule(back.max(gone), Scheduled::Relist(node, engine));
+                }
+            }
             Fault::Delay(extra, time) => {
                 self.delay = extra;
                 self.schedule(time, Scheduled::EndDelay);
