Owner: leave engines to unknown owners that order there

What callers saw: where nodes cannot find each other (review/9, with settings that name none of them), each owns every engine 15 s after its start. They refuse each other by ever higher numbers, take each engine over once a lease has passed and evict what the others load; where entries of engines lapse, orders are accepted by turns (ONE). Engines that take any number accept all of them.

Cause: the absence of news of other nodes was taken for their absence. The only news there is went unused: an engine that refuses a number tells that somebody else orders there, and was claimed again after the lease with a higher one; the count of orders that engines report was not read. Change: an engine at which unknown nodes may order is claimed only after its count has stood still for a lease, and orders there state the count that they follow (`owner::contention`, `owner::order_count`, docs/design/platform.md). That applies to nodes that have found none of their seeds, to engines that have refused a number, and for 60 s after nodes were forgotten that have not left. `own` says what a claim rests on.

--- a/crates/exchange/src/owner/claim.rs
+++ b/crates/exchange/src/owner/claim.rs
@@ -6,8 +6,8 @@
 
 use super::lease::digest;
 use super::{
-    ANNOUNCE_INTERVAL, ANNOUNCE_TTL, Action, CLAIM_DELAY, Config, Decision, Message, ORDER_HOLDOFF,
-    OwnedEngine, Owner, PeerClaim,
+    ANNOUNCE_INTERVAL, ANNOUNCE_TTL, Action, CLAIM_DELAY, Config, Decision, Grounds, Message,
+    ORDER_HOLDOFF, OwnedEngine, Owner, PeerClaim,
 };
 use crate::fleet::{Fleet, UpstreamState};
 
@@ -76,9 +76,10 @@
     ) {
         self.release_gone(now, fleet, out);
         self.backoffs.retain(|(_, until)| now < *until);
+        self.prune_contention(now, fleet);
         self.fence_refusals
             .retain(|refusal| fleet.upstream(&refusal.engine).is_some());
-        let wanted = self.wanted(now, fleet);
+        let wanted = self.wanted(now, fleet, out);
         self.maintain_leases(now, &wanted, out);
         self.candidacies = wanted;
         self.wall_seconds = wall_seconds;
@@ -107,7 +108,7 @@
     }
 
     /// Returns the unowned engines that this node is to claim, sorted.
-    fn wanted(&mut self, now: Time, fleet: &Fleet) -> Vec<Upstream> {
+    fn wanted(&mut self, now: Time, fleet: &Fleet, out: &mut Vec<Action>) -> Vec<Upstream> {
         if !self.may_watch_claims(now) {
             self.unclaimed.clear();
             return Vec::new();
@@ -135,6 +136,7 @@
             let backed_off = self.backoffs.iter().any(|(backed_off, _)| backed_off == id);
             // A witness has named a holder that announces nothing.
             if backed_off || self.holder(id).is_some() {
+                self.is_quiet(now, id, false, out);
                 continue;
             }
             let allowed_at = self.takeover_allowed_at(id);
@@ -142,7 +144,8 @@
             let due = allowed_at
                 .max(unclaimed.since + wait)
                 .max(unclaimed.settled_at);
-            if self.may_claim && now >= due {
+            let due = self.may_claim && now >= due;
+            if self.is_quiet(now, id, due, out) && due {
                 wanted.push(id.clone());
             }
         }
@@ -238,7 +241,14 @@
         self.unclaimed
             .retain(|unclaimed| unclaimed.engine != engine);
         self.peer_claims.retain(|claim| claim.engine != engine);
-        out.push(Action::Log(Decision::Claimed(engine.clone(), fence)));
+        let (granted, witnesses) = self.leases.granted(now, &engine);
+        let grounds = Grounds {
+            witnesses,
+            granted,
+            contended: self.is_contended(now, &engine),
+        };
+        let claimed = Decision::Claimed(engine.clone(), fence, grounds);
+        out.push(Action::Log(claimed));
         // Another node may claim the engine at the same moment. If the engine does not check
         // tokens, the first order waits until both nodes have heard of each other, because the
         // engine would obey both.
@@ -247,8 +257,12 @@
         } else {
             now + CLAIM_ORDER_DELAY
         };
-        self.owned_engines
-            .push(OwnedEngine::new(first_order, engine.clone(), fence));
+        let orders = self.end_watch(&engine);
+        let mut owned = OwnedEngine::new(first_order, engine.clone(), fence);
+        if grounds.contended {
+            owned.follow_count(now, orders, out);
+        }
+        self.owned_engines.push(owned);
         self.record_own_usage(now, &engine);
         self.claims_changed();
     }
@@ -398,6 +412,7 @@
             } else if fence < seen {
                 higher.push((engine.clone(), seen));
             }
+            self.forget_unknown_owner(&engine);
             let new = self.record_claim(now, engine.clone(), from, fence);
             if new {
                 self.send_local_usage(now, &engine, out);
@@ -582,7 +597,12 @@
     /// Records that `engine` refused `fence` because it has seen a higher token. How much higher is
     /// unknown: this VM's clock may be far behind, so each further refusal raises the next token by
     /// more.
-    pub(super) fn handle_fence_refusal(&mut self, engine: &Upstream, fence: Fence) {
+    pub(super) fn handle_fence_refusal(&mut self, now: Time, engine: &Upstream, fence: Fence) {
+        let holder = self.peer_claim_index(engine).ok();
+        let is_known = holder.is_some_and(|index| self.peer_claims[index].fence > fence);
+        if !is_known {
+            self.note_unknown_owner(now, engine);
+        }
         let known = self.fence_refusals.iter().position(|r| r.engine == *engine);
         let index = known.unwrap_or_else(|| {
             self.fence_refusals.push(FenceRefusal {
--- a/crates/exchange/src/owner/electorate.rs
+++ b/crates/exchange/src/owner/electorate.rs
@@ -67,6 +67,13 @@
         absent.map_or(ABSENCE_TIME, |(_, until)| until.saturating_sub(now))
     }
 
+    /// Returns whether a node is about to be forgotten that has not said that it leaves.
+    fn forgets(&self, now: Time, leaving: &[Vm]) -> bool {
+        let gone = self.absent.iter().filter(|(_, until)| *until <= now);
+        let mut gone = gone.map(|(vm, _)| vm);
+        gone.any(|vm| !self.discovered.contains(vm) && !leaving.contains(vm))
+    }
+
     /// Recomputes the members. Returns whether they changed.
     fn update(&mut self, now: Time, leaving: &[Vm]) -> bool {
         if self.discovered.is_empty() {
@@ -132,6 +139,9 @@
 
     /// Recomputes the nodes that may be witnesses, and the witnesses of this node's engines if these change.
     pub(super) fn update_electorate(&mut self, now: Time) {
+        if self.electorate.forgets(now, &self.leaving_peers) {
+            self.note_forgotten(now);
+        }
         if self.electorate.update(now, &self.leaving_peers) {
             self.reassign_witnesses();
         }
--- a/crates/exchange/src/owner/event.rs
+++ b/crates/exchange/src/owner/event.rs
@@ -26,6 +26,9 @@
     KnownNodes(Vec<Vm>),
     /// Nodes that are shutting down and finish their running requests.
     LeavingNodes(Vec<Vm>),
+    /// Whether this node has found none of the nodes that its settings name, so that nodes that it does not
+    /// know may give orders.
+    Isolated(bool),
     /// A message arrived from a peer.
     Receive {
         /// The peer.
@@ -67,6 +70,8 @@
         engine: Upstream,
         /// Whether the engine returned a valid report.
         succeeded: bool,
+        /// Number of orders that the engine has accepted since its start, if it states that.
+        orders: Option<u64>,
     },
     /// Whether this node connects to an engine directly. It gives up the engines that it does not.
     Reach {
@@ -113,6 +118,8 @@
         fence: Fence,
         /// The order.
         order: Order,
+        /// Number of orders that the engine has to have accepted before, if it matters.
+        expected: Option<u64>,
     },
     /// Send [`Event::TimerExpired`] after this time.
     SetTimer(Duration),
@@ -178,11 +185,22 @@
     pub running: u32,
 }
 
+/// What a claim rests on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Grounds {
+    /// Witnesses of the engine.
+    pub witnesses: usize,
+    /// Those of them that have granted the lease, as far as this node has counted.
+    pub granted: usize,
+    /// Whether nodes that this one does not know may give orders there.
+    pub contended: bool,
+}
+
 /// A decision that is logged.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Decision {
-    /// This node has claimed the engine with this fencing token.
-    Claimed(Upstream, Fence),
+    /// This node has claimed the engine with this fencing token, by these grounds.
+    Claimed(Upstream, Fence, Grounds),
     /// This node has given the engine up, for this reason.
     Released(Upstream, &'static str),
     /// A target is being loaded for requests of this rank, or as a replica, at so many nodes.
--- a/crates/exchange/src/owner/lease/table.rs
+++ b/crates/exchange/src/owner/lease/table.rs
@@ -165,6 +165,16 @@
         found.is_some_and(|index| self.leases[index].holds(now))
     }
 
+    /// Returns how many witnesses have granted the lease of `engine`, and how many there are.
+    pub(in super::super) fn granted(&self, now: Time, engine: &str) -> (usize, usize) {
+        let Ok(index) = self.find(engine) else {
+            return (0, 0);
+        };
+        let votes = &self.leases[index].votes;
+        let granted = votes.iter().filter(|vote| now < vote.until).count();
+        (granted, votes.len())
+    }
+
     pub(super) fn next_round(&mut self, now: Time, witness: &Vm, engines: Vec<Upstream>) -> u64 {
         self.last_round += 1;
         let others = self.rounds.iter().filter(|r| r.witness == *witness).count();
--- a/crates/exchange/src/owner/load_estimate.rs
+++ b/crates/exchange/src/owner/load_estimate.rs
@@ -61,10 +61,12 @@
         let load = REPORT_DELAY + self.load_slowdown.expect(self.config.load_time);
         let held_off = self.no_orders_before.saturating_sub(now);
         if self.config.engines_check_fences {
-            return held_off.max(self.witnesses_ready_in(now)) + CLAIM_DELAY + load;
+            let granted = held_off.max(self.witnesses_ready_in(now)) + CLAIM_DELAY;
+            return granted.max(self.watch_time(now)) + load;
         }
         let contact = self.quorum.time_until_held(now, self.claim_contact_time());
         let claim = held_off.max(contact) + CLAIM_DELAY;
+        let claim = claim.max(self.watch_time(now));
         (claim + CLAIM_ORDER_DELAY).max(self.orders_allowed_in(now)) + load
     }
 }
--- a/crates/exchange/src/owner/mod.rs
+++ b/crates/exchange/src/owner/mod.rs
@@ -12,6 +12,7 @@
 //! seen for that engine, followed by bits that are unique to the VM.
 
 mod claim;
+mod contention;
 mod decline;
 mod electorate;
 mod event;
@@ -20,6 +21,7 @@
 mod local_requests;
 mod message;
 mod notify;
+mod order_count;
 mod owned_engine;
 mod pending_load;
 mod quorum;
@@ -34,9 +36,10 @@
 use wire::{Fence, Time, Upstream, Vm};
 
 use claim::{FenceRefusal, Unclaimed};
+use contention::Contention;
 use decline::Declines;
 use electorate::Electorate;
-pub use event::{Action, AdmissionRequest, Decision, Event, Grant};
+pub use event::{Action, AdmissionRequest, Decision, Event, Grant, Grounds};
 use lease::LeaseTable;
 pub use lease::{LeaseClaim, Refusal};
 use local_requests::LocalRequest;
@@ -130,6 +133,7 @@
     // Engines that this node has given up, and until when this node must not claim
     // them.
     backoffs: Vec<(Upstream, Time)>,
+    contention: Contention,
     quorum: QuorumTracker,
     leases: LeaseTable,
     witness: Witness,
@@ -166,6 +170,7 @@
             fence_refusals: Vec::new(),
             candidacies: Vec::new(),
             backoffs: Vec::new(),
+            contention: Contention::default(),
             quorum: QuorumTracker::default(),
             leases: LeaseTable::default(),
             witness: Witness::default(),
@@ -283,6 +288,7 @@
             Event::View { live, may_claim } => self.update_view(live, may_claim, out),
             Event::KnownNodes(nodes) => self.update_known(now, nodes),
             Event::LeavingNodes(nodes) => self.leaving_peers = nodes,
+            Event::Isolated(isolated) => self.set_isolated(isolated),
             Event::Reach { engine, direct } => self.record_reach(now, engine, direct),
             Event::Receive { from, message } => self.receive(now, fleet, &from, message, out),
             Event::RequestLoad {
@@ -300,8 +306,15 @@
                 order,
                 answer,
             } => self.handle_answer(now, fleet, &engine, fence, order, answer, out),
-            Event::ReportFetched { engine, succeeded } => {
-                self.handle_report(now, fleet, &engine, succeeded, out);
+            Event::ReportFetched {
+                engine,
+                succeeded,
+                orders,
+            } => {
+                if succeeded {
+                    self.record_order_count(now, &engine, orders);
+                }
+                self.handle_report(now, fleet, &engine, succeeded, orders, out);
             }
             Event::Paused => self.handle_pause(now, out),
             Event::Leave => self.leave(now, out),
--- a/crates/exchange/src/owner/owned_engine.rs
+++ b/crates/exchange/src/owner/owned_engine.rs
@@ -4,6 +4,7 @@
 
 use wire::{Fence, Time, Upstream, Vm};
 
+use super::order_count::OrderCount;
 use super::pending_load::PendingLoad;
 use super::replicas::Overflow;
 use super::usage::UsageTable;
@@ -136,6 +137,10 @@
     pub(super) overflows: Vec<Overflow>,
     cached: Vec<Target>,
     pub(super) born: Option<u64>,
+    /// Whether it was claimed although an unknown node may give it orders.
+    pub(super) is_guarded: bool,
+    /// Its count of accepted orders, as far as this node's orders and its reports tell.
+    pub(super) count: Option<OrderCount>,
     /// Since when the engine has no entry.
     pub(super) missing_since: Option<Time>,
     /// Prefill work given to the engine.
@@ -159,6 +164,8 @@
             overflows: Vec::new(),
             cached: Vec::new(),
             born: None,
+            is_guarded: false,
+            count: None,
             missing_since: None,
             meter: PrefillLimiter::default(),
         }
@@ -285,6 +292,9 @@
 
     /// Discards what a restarted engine process has lost. Its report will show what it holds.
     pub(super) fn reset_after_restart(&mut self, now: Time, born: Option<u64>) {
+        if self.born.is_some() {
+            self.count = None;
+        }
         self.born = born;
         self.cached.clear();
         self.pending_loads.clear();
--- a/crates/exchange/src/owner/scheduling.rs
+++ b/crates/exchange/src/owner/scheduling.rs
@@ -4,6 +4,7 @@
 
 use wire::{Fence, Time, Upstream, Vm};
 
+use super::order_count::Precondition;
 use super::owned_engine::{LoadRequest, OrderState, OwnedEngine};
 use super::{Action, Answer, Decision, Message, Order, Owner};
 use crate::demand::Target;
@@ -98,6 +99,12 @@
         }
     }
 
+    /// Returns whether orders to an owned engine have to follow its count, since an unknown node may give others.
+    fn is_guarded(&self, now: Time, index: usize) -> bool {
+        let owned = &self.owned_engines[index];
+        owned.is_guarded && self.is_contended(now, &owned.engine)
+    }
+
     /// Appends the orders that are due to `out`.
     pub fn issue_orders(&mut self, now: Time, fleet: &Fleet, out: &mut Vec<Action>) {
         if !self.may_order(now) {
@@ -130,13 +137,25 @@
                 owned.request_report(out);
                 continue;
             }
+            let guarded = self.is_guarded(now, index);
+            let owned = &mut self.owned_engines[index];
+            match owned.precondition(now) {
+                Precondition::Report if guarded && owned.has_work(runner) => {
+                    owned.request_report_after(Duration::ZERO, out);
+                    continue;
+                }
+                Precondition::Report | Precondition::Wait if guarded => continue,
+                _ => {}
+            }
             if let Some(order) = self.next_order(now, fleet, index, runner, out) {
                 let owned = &mut self.owned_engines[index];
                 owned.state = OrderState::InFlight;
+                let expected = owned.expected_count().filter(|_| guarded);
                 out.push(Action::Order {
                     engine: owned.engine.clone(),
                     fence: owned.fence,
                     order,
+                    expected,
                 });
             }
         }
@@ -262,6 +281,7 @@
         let is_absent =
             known.is_some_and(|known| known.presence(order.target()) == Presence::Absent);
         let lease = self.config.lease;
+        let contended = self.is_contended(now, engine);
         let Some(owned) = self
             .owned_engine_mut(engine)
             .filter(|owned| owned.fence == fence)
@@ -269,6 +289,7 @@
             return;
         };
         owned.state = OrderState::Ready(now);
+        owned.record_answer(now, &order, answer);
         let fence_seen = owned.fence_seen;
         if fence_seen && !matches!(answer, Answer::Accepted | Answer::Done) {
             out.push(Action::Log(Decision::OrderFailed(
@@ -280,7 +301,7 @@
         match answer {
             Answer::Fenced => {
                 self.release_engine(engine, "fenced", out);
-                self.handle_fence_refusal(engine, fence);
+                self.handle_fence_refusal(now, engine, fence);
             }
             Answer::Misdirected => self.release_engine(engine, "another process", out),
             Answer::Unreached => owned.state = OrderState::Ready(now + UNKNOWN_RETRY_DELAY),
@@ -311,6 +332,10 @@
             Answer::Accepted | Answer::Done => {
                 self.apply_order(now, engine, order, answer, eta, out);
             }
+            // Another node may have given an order, or the engine is busy with one of this node.
+            Answer::Busy if contended && owned.is_guarded && owned.count.is_some() => {
+                owned.request_report(out);
+            }
             Answer::Busy => {
                 owned.state = OrderState::Ready(now + BUSY_RETRY_DELAY);
                 if order.target().adapter.is_none() {
@@ -411,8 +436,10 @@
         fleet: &Fleet,
         engine: &Upstream,
         succeeded: bool,
+        orders: Option<u64>,
         out: &mut Vec<Action>,
     ) {
+        let contended = self.is_contended(now, engine);
         let Some(owned) = self.owned_engine_mut(engine) else {
             return;
         };
@@ -421,6 +448,12 @@
         }
         // Nothing is known of what an engine without an entry holds.
         if succeeded && fleet.upstream(engine).is_some() {
+            if contended && owned.is_guarded && owned.is_overtaken(orders) {
+                self.release_engine(engine, "orders of an unknown node", out);
+                self.note_unknown_owner(now, engine);
+                return;
+            }
+            owned.record_report(now, orders);
             owned.state = OrderState::Ready(now);
             owned.recheck_at = None;
             let held = fleet
@@ -449,12 +482,25 @@
             .retain(|request| request.target != *target);
     }
 
+    /// Returns whether an order may be due at `runner`, which is this engine.
+    fn has_work(&self, runner: &UpstreamState) -> bool {
+        let holds_base = runner
+            .present_targets()
+            .any(|(target, _)| target.adapter.is_none());
+        !self.load_requests.is_empty() || !self.pending_loads.is_empty() || !holds_base
+    }
+
     /// Requests the engine's report, late enough for it to cover the last order.
     fn request_report(&mut self, out: &mut Vec<Action>) {
+        self.request_report_after(REPORT_DELAY, out);
+    }
+
+    /// Requests the engine's report after `delay`.
+    pub(super) fn request_report_after(&mut self, delay: Duration, out: &mut Vec<Action>) {
         self.state = OrderState::AwaitingReport;
         out.push(Action::FetchReport {
             engine: self.engine.clone(),
-            delay: REPORT_DELAY,
+            delay,
         });
     }
 }
--- a/crates/exchange/tests/load_pace.rs
+++ b/crates/exchange/tests/load_pace.rs
@@ -61,6 +61,7 @@
                         engine,
                         fence,
                         order,
+                        ..
                     } => {
                         self.orders.push((self.node.now, order.clone()));
                         let answer = self.answer(&order);
--- a/crates/exchange/tests/owner_takeover.rs
+++ b/crates/exchange/tests/owner_takeover.rs
@@ -69,6 +69,7 @@
                     engine,
                     fence,
                     order,
+                    ..
                 } => {
                     self.orders.push((now, node));
                     let event = Event::Answered {
@@ -83,6 +84,7 @@
                     let event = Event::ReportFetched {
                         engine,
                         succeeded: true,
+                        orders: None,
                     };
                     self.under_way.push((now + delay, node, event));
                 }
--- a/crates/exchange/tests/patterns/mod.rs
+++ b/crates/exchange/tests/patterns/mod.rs
@@ -358,6 +358,7 @@
             engine,
             fence,
             order,
+            ..
         } = action
         else {
             return;
@@ -405,6 +406,7 @@
         let event = Event::ReportFetched {
             engine: id,
             succeeded: true,
+            orders: None,
         };
         self.step(node, event);
     }
--- a/crates/exchange/tests/soak/start.rs
+++ b/crates/exchange/tests/soak/start.rs
@@ -67,6 +67,22 @@
         simulation
     }
 
+    /// Creates a simulation of `nodes` nodes that start under seeds which are gone, and so never hear of each other.
+    pub fn apart(seed: u64, nodes: usize, fenced: bool) -> Self {
+        let mut simulation = Self::empty(seed, fenced);
+        simulation.apart = true;
+        for index in 0..nodes {
+            let wait = START_SPREAD.mul_f64(simulation.random.random_range(0.0..1.0));
+            simulation.now += wait;
+            simulation.add_node(index, nodes);
+        }
+        simulation.schedule(ms(300), Scheduled::View);
+        for index in 0..nodes {
+            simulation.schedule_isolation(index, 0);
+        }
+        simulation
+    }
+
     fn with_fencing(seed: u64, fenced: bool) -> Self {
         let mut simulation = Self::empty(seed, fenced);
         simulation.add_nodes(NODES);
@@ -87,6 +103,7 @@
             informed: false,
             discovery: None,
             records_expire: false,
+            apart: false,
             served: 0,
             requested: 0,
         }
@@ -94,17 +111,21 @@
 
     pub(super) fn add_nodes(&mut self, count: usize) {
         for index in 0..count {
-            let mut node = self.new_node(index, 0);
-            node.unseen_until = vec![Time::ZERO; count];
-            node.unknown_until = vec![Time::ZERO; count];
-            node.unlinked_until = vec![Time::ZERO; count];
-            self.nodes.push(node);
-            self.schedule(ms(10), Scheduled::Tick(index, 0));
-            self.schedule(ms(1_500), Scheduled::NewRequest(index));
+            self.add_node(index, count);
         }
         self.schedule(ms(300), Scheduled::View);
     }
 
+    fn add_node(&mut self, index: usize, count: usize) {
+        let mut node = self.new_node(index, 0);
+        node.unseen_until = vec![Time::ZERO; count];
+        node.unknown_until = vec![Time::ZERO; count];
+        node.unlinked_until = vec![Time::ZERO; count];
+        self.nodes.push(node);
+        self.schedule(ms(10), Scheduled::Tick(index, 0));
+        self.schedule(ms(1_500), Scheduled::NewRequest(index));
+    }
+
     pub(super) fn new_node(&self, index: usize, process: u32) -> Node {
         let vm = format!("vm-{index}");
         let mut fleet = Fleet::default();
@@ -121,6 +142,7 @@
             vm: vm.into(),
             fleet,
             wall: 1_800_000_000,
+            started: self.now,
             process,
             alive: true,
             frozen_until: Time::ZERO,
--- a/crates/exchange/tests/support/mod.rs
+++ b/crates/exchange/tests/support/mod.rs
@@ -200,6 +200,32 @@
         actions
     }
 
+    /// Advances time, while each report that is requested arrives at once and states what `orders` returns for that
+    /// time.
+    pub fn advance_reporting(
+        &mut self,
+        time: Duration,
+        orders: impl Fn(Time) -> Option<u64>,
+    ) -> Vec<Action> {
+        let end = self.now + time;
+        let mut actions = Vec::new();
+        while self.now < end {
+            let mut pending = self.advance(ms(100));
+            while let Some(action) = pending.pop() {
+                if let Action::FetchReport { engine, .. } = &action {
+                    let orders = orders(self.now);
+                    pending.extend(self.step(Event::ReportFetched {
+                        engine: engine.clone(),
+                        succeeded: true,
+                        orders,
+                    }));
+                }
+                actions.push(action);
+            }
+        }
+        actions
+    }
+
     /// Answers every order in `actions` and those that follow, and returns the orders.
     pub fn answer_orders(
         &mut self,
@@ -216,6 +242,7 @@
                         engine,
                         fence,
                         order,
+                        ..
                     } => {
                         given.push((engine.clone(), fence, order.clone()));
                         let answer = answer(&order);
@@ -230,6 +257,7 @@
                         following.extend(self.step(Event::ReportFetched {
                             engine,
                             succeeded: true,
+                            orders: None,
                         }));
                     }
                     _ => {}
--- a/crates/gateway/src/control/engines.rs
+++ b/crates/gateway/src/control/engines.rs
@@ -22,13 +22,19 @@
 };
 
 /// Gives an order and tells the owner how it was answered.
-pub async fn order<D: Dialect>(hub: Arc<Hub<D>>, runner: Upstream, fence: Fence, order: Order) {
+pub async fn order<D: Dialect>(
+    hub: Arc<Hub<D>>,
+    runner: Upstream,
+    fence: Fence,
+    order: Order,
+    expected: Option<u64>,
+) {
     let started = hub.clock.now();
-    let answer = give(&hub, &runner, fence, &order).await;
+    let answer = give(&hub, &runner, fence, &order, expected).await;
     let millis = (hub.clock.now() - started).as_millis() as u64;
     info!(
         target: DECISION,
-        upstream:% = runner, order:% = order, fence, answer:?, took_ms = millis;
+        upstream:% = runner, order:% = order, fence, expected:?, answer:?, took_ms = millis;
         "order"
     );
     hub.metrics
@@ -48,13 +54,16 @@
     runner: &Upstream,
     fence: Fence,
     order: &Order,
+    expected: Option<u64>,
 ) -> Answer {
     let Some(link) = control_link(hub, runner) else {
         return Answer::Misdirected;
     };
     // An order that goes through a peer would come from another node than its fencing number says.
     let link = link.direct();
-    let call = hub.dialect.order(runner, &hub.me.vm, fence, order);
+    let call = hub
+        .dialect
+        .order(runner, &hub.me.vm, fence, order, expected);
     // To open a connection takes time, in which the claim may have ended.
     let permitted = || {
         let now = hub.clock.now();
@@ -73,25 +82,25 @@
 /// Asks an engine for its report after a pause, takes it over and tells the owner.
 pub async fn inspect<D: Dialect>(hub: Arc<Hub<D>>, runner: Upstream, after: Duration) {
     tokio::time::sleep(after).await;
-    let sound = read_report(&hub, &runner).await;
-    info!(target: DECISION, upstream:% = runner, sound; "inspect");
+    let report = read_report(&hub, &runner).await;
+    let sound = report.is_some();
+    let orders = report.flatten();
+    info!(target: DECISION, upstream:% = runner, sound, orders:?; "inspect");
     hub.drive(owner::Event::ReportFetched {
         engine: runner,
         succeeded: sound,
+        orders,
     });
 }
 
-async fn read_report<D: Dialect>(hub: &Arc<Hub<D>>, runner: &Upstream) -> bool {
-    let Some(link) = control_link(hub, runner) else {
-        return false;
-    };
+/// Takes an engine's report over. Returns its count of orders, and `None` without a report.
+async fn read_report<D: Dialect>(hub: &Arc<Hub<D>>, runner: &Upstream) -> Option<Option<u64>> {
+    let link = control_link(hub, runner)?;
     let call = hub.dialect.inspection(runner);
-    let Ok(answer) = send(&link, call, ANSWER, || true).await else {
-        return false;
-    };
+    let answer = send(&link, call, ANSWER, || true).await.ok()?;
     hub.take_word(runner, hub.dialect.word(answer.status(), answer.headers()));
     if !answer.status().is_success() {
-        return false;
+        return None;
     }
     match hub.dialect.report(answer.body()) {
         Ok(report) => {
@@ -103,11 +112,11 @@
             desk.fleet
                 .apply_report(now, runner, report.holdings, coming.collect());
             desk.fleet.record_load(now, runner, report.load);
-            true
+            Some(report.orders)
         }
         Err(error) => {
             log::warn!("{runner}: {error}");
-            false
+            None
         }
     }
 }
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -37,6 +37,10 @@
 /// Time after the first answer of a peer in which a node learns of the others and their claims.
 const SETTLE: Duration = Duration::from_millis(500);
 
+/// Time without a known peer after which a node that has seeds counts as isolated; nodes that start find each
+/// other sooner.
+const ISOLATION: Duration = Duration::from_secs(3);
+
 /// Silence of the platform up to which a node that sees few peers may claim engines.
 const STORE_SILENCE: Duration = Duration::from_secs(2);
 
@@ -78,6 +82,9 @@
     had_seeds: bool,
     /// Since when the present seeds are asked.
     asked_since: Time,
+    /// Since when no other node is known, though the settings name some.
+    alone_since: Option<Time>,
+    isolated: bool,
     met_at: Option<Time>,
     ticks: u64,
 }
@@ -161,6 +168,8 @@
             shown: None,
             started: hub.clock.now(),
             asked_since: hub.clock.now(),
+            alone_since: None,
+            isolated: false,
             met_at: None,
             ticks: 0,
             hub,
@@ -220,6 +229,7 @@
         self.step_seeds(seeds::Event::Tick);
         self.step_roster(roster::Event::Tick);
         self.meet();
+        self.note_isolation();
         self.show();
         let wall = self.hub.wall();
         self.hub.drive(owner::Event::Tick { wall_seconds: wall });
@@ -314,6 +324,19 @@
         }
     }
 
+    /// Tells the owner whether nodes that this one does not know may claim engines.
+    fn note_isolation(&mut self) {
+        let now = self.hub.clock.now();
+        let alone = self.had_seeds && self.seeds.known() == 0;
+        self.alone_since = alone.then(|| self.alone_since.unwrap_or(now));
+        let isolated = self.alone_since.is_some_and(|at| now >= at + ISOLATION);
+        if isolated == std::mem::replace(&mut self.isolated, isolated) {
+            return;
+        }
+        info!(target: DECISION, isolated, seeds = self.seeds.seeds(); "isolation");
+        self.hub.drive(owner::Event::Isolated(isolated));
+    }
+
     /// Publishes who lives, for answers to callers and for ownership.
     fn show(&mut self) {
         let mut live: Vec<Vm> = self
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -157,6 +157,8 @@
     pub coming: Vec<(Target, Option<Version>)>,
     /// Its load.
     pub load: Load,
+    /// Number of orders that it has accepted since its start, if stated.
+    pub orders: Option<u64>,
 }
 
 /// A change at the platform.
@@ -244,8 +246,15 @@
     /// Marks a refusal of the system as one: sets the attempt and the time to come back.
     fn refuse(&self, headers: &mut HeaderMap, ask: &Ask, again: Option<Duration>);
 
-    /// Returns the call that gives an order.
-    fn order(&self, runner: &Upstream, holder: &str, fence: Fence, order: &Order) -> Call;
+    /// Returns the call that gives an order, to be refused unless the engine has accepted `expected` others before.
+    fn order(
+        &self,
+        runner: &Upstream,
+        holder: &str,
+        fence: Fence,
+        order: &Order,
+        expected: Option<u64>,
+    ) -> Call;
 
     /// Reads the answer to an order.
     fn ordered(&self, status: StatusCode) -> Answer;
--- a/crates/gateway/src/hub/grant.rs
+++ b/crates/gateway/src/hub/grant.rs
@@ -157,8 +157,10 @@
                 engine,
                 fence,
                 order,
+                expected,
             } => {
-                tokio::spawn(crate::control::order(self.clone(), engine, fence, order));
+                let order = crate::control::order(self.clone(), engine, fence, order, expected);
+                tokio::spawn(order);
             }
             Action::Presence {
                 engine,
@@ -197,7 +199,12 @@
 
 fn log_decision(decision: &Decision) {
     match decision {
-        Decision::Claimed(upstream, fence) => info!(target: DECISION, upstream:%, fence; "own"),
+        Decision::Claimed(upstream, fence, grounds) => info!(
+            target: DECISION,
+            upstream:%, fence, granted = grounds.granted, witnesses = grounds.witnesses,
+            contended = grounds.contended;
+            "own"
+        ),
         Decision::Released(upstream, reason) => {
             info!(target: DECISION, upstream:%, reason; "yield");
         }
