Soak: nodes under seeds that are gone, beside entries that lapse

Extra fault `lost-seeds`: nodes are started under seeds at which nobody listens, and are judged from 24 s after they serve, when each has claimed what it can, beside 24 lapses of engines' entries in 20 s, crashes, resets and delays. The stand-ins of engines count orders and check the count that an order expects. Judged are orders that are taken, as before; whoever is refused must stay away for a lease, and one order in ten may be refused at an engine, since nodes that do not know each other can begin at the same moment.

--- a/crates/hyssopscale/tests/fault_soak.rs
+++ b/crates/hyssopscale/tests/fault_soak.rs
@@ -9,7 +9,7 @@
 //! `HYSSOPSCALE_SOAK_WITH=cuts,peer-cuts` adds cuts of nodes from upstreams, and from each other;
 //! `brittle` has brittle upstreams, and `silences` sound ones that are silent for a second; `open-ended` has answers without a
 //! length, which end with their connections; `removals` removes entries of upstreams that serve on, also right after watches of the
-//! store are cut; `in-touch` has no faults of their processes and the store.
+//! store are cut; `lost-seeds` starts nodes under seeds that are all gone, beside entries that lapse and come back; `in-touch` has no faults of their processes and the store.
 //! `HYSSOPSCALE_SOAK_NODES=100` has more nodes, with a caller each at least.
 //! `HYSSOPSCALE_SOAK_BEFORE=PATH` begins with the `hyssopd` of an earlier build; nodes that are started again run
 //! this one.
@@ -60,6 +60,14 @@
     ..IN_TOUCH
 };
 
+const LOST_SEEDS: Extra = Extra {
+    lost_seeds: true,
+    ..IN_TOUCH
+};
+
+/// Time in which faults begin among nodes that do not know each other.
+const LOST_SEEDS_SPAN: Duration = Duration::from_secs(20);
+
 /// Runs at a time.
 const AT_ONCE: usize = 4;
 static TURNS: Semaphore = Semaphore::const_new(AT_ONCE);
@@ -154,16 +162,36 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn changed_seeds_are_asked(#[case] notice: Notice) {
     let _turn = TURNS.acquire().await;
-    let extra = Extra {
-        lost_seeds: true,
-        ..IN_TOUCH
-    };
-    let told = soak::name_seeds(extended(plan(1), extra), notice).await;
+    let told = soak::name_seeds(extended(plan(1), LOST_SEEDS), notice).await;
     assert_eq!(told, [NODES; NODES]);
 }
 
-/// Returns a plan with further faults. Weak upstreams are asked for more than they can take.
+/// Guards against several owners of each engine (ONE, review/9): nodes that find none of their seeds, beside entries that
+/// lapse and come back.
+#[rstest]
+#[case::fenced(9_101)]
+#[case::unfenced(9_107)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn nodes_apart_break_no_rule(#[case] seed: u64) {
+    let breaches = run(extended(plan(seed), LOST_SEEDS)).await;
+    assert!(breaches.is_empty(), "seed {seed}: {breaches:#?}");
+}
+
+/// Returns a plan with further faults. Weak upstreams are asked for more than they can take; nodes that do not know
+/// each other share no counts and limits.
 fn extended(plan: Plan, extra: Extra) -> Plan {
+    if extra.lost_seeds {
+        return Plan {
+            extra,
+            span: LOST_SEEDS_SPAN,
+            villains: 0,
+            part_villains: 0,
+            rates: false,
+            restores: false,
+            releases: false,
+            ..plan
+        };
+    }
     if !extra.brittle && !extra.silences {
         return Plan { extra, ..plan };
     }
--- a/crates/hyssopscale/tests/soak/check/order.rs
+++ b/crates/hyssopscale/tests/soak/check/order.rs
@@ -8,6 +8,9 @@
 use super::super::upstream::{LEASE, Order};
 use super::{Evidence, id_prefix};
 
+/// One in so many orders may be refused since another holder has ordered, where holders do not know each other.
+const REFUSALS: usize = 10;
+
 /// Time after the end of a silence or cut of the link in which held orders may arrive.
 const HEAL_SLACK: Duration = Duration::from_millis(300);
 
@@ -18,10 +21,16 @@
         engines.entry(&order.upstream).or_default().push(order);
     }
     let mut breaches = Vec::new();
+    // Nodes that do not know each other can begin to order at the same moment. Then all but one are refused.
+    let knows_nobody = site.knows_nobody;
     for (engine, mut orders) in engines {
         orders.sort_by_key(|order| order.at);
         breaches.extend(check_fences(engine, &orders));
         orders.retain(|order| is_in_touch(order, evidence, site) && !was_held(order, evidence));
+        if knows_nobody {
+            breaches.extend(check_refusals(engine, &orders));
+            orders.retain(|order| order.status < 300);
+        }
         breaches.extend(check_turns(engine, &orders));
     }
     breaches
@@ -38,6 +47,34 @@
     shared.collect()
 }
 
+/// Checks that a holder that was refused, since another one has ordered, stays away for a lease, and that this is rare.
+fn check_refusals(engine: &str, orders: &[&Order]) -> Vec<String> {
+    let mut breaches = Vec::new();
+    let mut refusals = 0;
+    for (index, refused) in orders.iter().enumerate() {
+        if !matches!(refused.status, 409 | 412) {
+            continue;
+        }
+        refusals += 1;
+        let mut later = orders[index + 1..].iter();
+        let back = later.find(|order| order.holder == refused.holder);
+        if let Some(back) = back.filter(|back| back.at < refused.at + LEASE) {
+            let after = (back.at - refused.at).as_millis();
+            let holder = &refused.holder;
+            breaches.push(format!(
+                "ONE: {holder} is back at {engine} {after} ms after a refusal"
+            ));
+        }
+    }
+    if refusals * REFUSALS > orders.len() {
+        let all = orders.len();
+        breaches.push(format!(
+            "ONE: {refusals} of {all} orders refused at {engine}"
+        ));
+    }
+    breaches
+}
+
 /// Checks that no holder orders again within the lease of its own order once another has ordered.
 fn check_turns(engine: &str, orders: &[&Order]) -> Option<String> {
     let takes_turns = |index: &usize| {
--- a/crates/hyssopscale/tests/soak/fault/deed.rs
+++ b/crates/hyssopscale/tests/soak/fault/deed.rs
@@ -69,6 +69,7 @@
                 }
                 return upstreams[upstream].withdraw(time).await;
             }
+            Fault::Lapse { upstream, time } => upstreams[upstream].lapse(time).await,
             Fault::Misbehave {
                 ref upstreams,
                 manner,
--- a/crates/hyssopscale/tests/soak/fault/draw.rs
+++ b/crates/hyssopscale/tests/soak/fault/draw.rs
@@ -126,6 +126,14 @@
     }
 }
 
+/// Draws the lapse of an engine's entry.
+pub(super) fn draw_lapse(rng: &mut StdRng) -> Fault {
+    Fault::Lapse {
+        upstream: rng.random_range(0..UPSTREAMS),
+        time: millis(rng, 100, 2_500),
+    }
+}
+
 /// Draws what upstreams say in their answers, or do not end.
 pub(super) fn draw_word(rng: &mut StdRng) -> Fault {
     let upstream = rng.random_range(0..2 * UPSTREAMS);
--- a/crates/hyssopscale/tests/soak/fault/mod.rs
+++ b/crates/hyssopscale/tests/soak/fault/mod.rs
@@ -19,8 +19,8 @@
 use super::upstream::{Brittle, Manner};
 use super::{Plan, Site, UPSTREAMS};
 use draw::{
-    draw, draw_break, draw_brittle, draw_cut, draw_flood, draw_late_refusal, draw_pause,
-    draw_peer_cut, draw_rate, draw_removal, draw_restore, draw_word,
+    draw, draw_break, draw_brittle, draw_cut, draw_flood, draw_lapse, draw_late_refusal,
+    draw_pause, draw_peer_cut, draw_rate, draw_removal, draw_restore, draw_word,
 };
 
 /// Faults of a run at least, and at most.
@@ -66,6 +66,10 @@
 const REMOVALS: usize = 3;
 const REMOVAL: u64 = 0x7265_6d6f;
 
+/// Lapses of entries in a run, and what sets their draws apart.
+const LAPSES: usize = 24;
+const LAPSE: u64 = 0x6c61_7073;
+
 /// Time from the stop of a node until an upstream is replaced by another release behind its back.
 const OUT_OF_STEP: Duration = Duration::from_millis(300);
 
@@ -137,6 +141,11 @@
         /// What happens to the watches that wait, and how long before.
         gap: Option<(Gap, Duration)>,
     },
+    /// The entry of an upstream lapses, which serves on, and comes back.
+    Lapse {
+        upstream: usize,
+        time: Duration,
+    },
     Misbehave {
         upstreams: Range<usize>,
         manner: Manner,
@@ -213,6 +222,14 @@
         }
     }
 
+    /// Returns whether nodes bear it that do not know each other.
+    fn needs_no_contact(&self) -> bool {
+        matches!(
+            self,
+            Self::Crash { .. } | Self::Reset { .. } | Self::Delay { .. } | Self::HangUp { .. }
+        )
+    }
+
     /// Returns for how long `node` reaches no other, or one that it reached.
     pub fn apart(&self, node: usize) -> Option<Duration> {
         match self {
@@ -330,6 +347,15 @@
         let at = rng.random_range(Duration::ZERO..span);
         drawn.push((at, draw_removal(&mut rng)));
     }
+    if plan.extra.lost_seeds {
+        // Nodes that do not know each other cannot tell each other what upstreams say.
+        drawn.retain(|(_, fault)| fault.needs_no_contact());
+        let mut rng = StdRng::seed_from_u64(seed ^ LAPSE);
+        for _ in 0..LAPSES {
+            let at = rng.random_range(Duration::ZERO..span);
+            drawn.push((at, draw_lapse(&mut rng)));
+        }
+    }
     let mut tasks = JoinSet::new();
     for (at, fault) in drawn {
         let site = site.clone();
--- a/crates/hyssopscale/tests/soak/mod.rs
+++ b/crates/hyssopscale/tests/soak/mod.rs
@@ -59,6 +59,9 @@
 static SITES: AtomicU64 = AtomicU64::new(0);
 const SITES_MAX: u64 = 200;
 
+/// Time in which nodes that find no other one claim engines.
+const LONE_CLAIMS: Duration = Duration::from_secs(24);
+
 /// Time in which nodes whose settings name them to each other find each other.
 const DISCOVERY_LIMIT: Duration = Duration::from_secs(4);
 
@@ -167,6 +170,8 @@
     pub post: Option<Arc<Post>>,
     /// Links from each node to the store.
     pub store_links: Vec<Proxy>,
+    /// Whether the nodes never hear of each other.
+    pub knows_nobody: bool,
     log: Log,
     /// When the nodes were first started.
     started: Instant,
@@ -269,6 +274,7 @@
         nodes.iter().for_each(Process::start);
         let started = Instant::now();
         Self {
+            knows_nobody: plan.extra.lost_seeds,
             started,
             nodes,
             versions: Mutex::new(vec![(1, Instant::now())]),
@@ -310,6 +316,9 @@
 pub async fn run(plan: Plan) -> Vec<String> {
     let site = Arc::new(Site::start(plan).await);
     site.wait_ready().await;
+    if plan.extra.lost_seeds {
+        sleep(LONE_CLAIMS).await;
+    }
     let began = Instant::now();
     let end = began + plan.span + plan.aftermath();
     let addresses: Vec<_> = site.nodes.iter().map(|node| node.addresses).collect();
--- a/crates/hyssopscale/tests/soak/upstream/engine.rs
+++ b/crates/hyssopscale/tests/soak/upstream/engine.rs
@@ -37,7 +37,7 @@
         let (running, waiting) = self.running(&state);
         let body = json!({
             "models": models(&state), "coming": coming, "running": running, "waiting": waiting,
-            "born": state.born
+            "born": state.born, "seq": state.seq
         });
         answer(200, &self.load(&state), &body.to_string())
     }
@@ -62,6 +62,12 @@
             self.log.orders.lock().unwrap().push(log);
             return answer(412, &self.load(&state), "");
         }
+        let expected = order["expected"].as_u64();
+        if expected.is_some_and(|expected| expected != state.seq) {
+            log.status = 409;
+            self.log.orders.lock().unwrap().push(log);
+            return answer(409, &self.load(&state), "");
+        }
         if !self.fenced {
             self.judge(&mut state, fence, &holder);
         }
@@ -107,6 +113,7 @@
             ("load", "", _) if state.base.is_some() => 200,
             ("load", "", _) => {
                 state.base = Some(now + BASE_LOAD);
+                state.seq += 1;
                 202
             }
             ("load", _, _) if state.base.is_none() => 400,
@@ -123,6 +130,7 @@
                 } else {
                     state.known.push(name.to_owned());
                 }
+                state.seq += 1;
                 state.adapters.push(Adapter {
                     name: name.to_owned(),
                     ready: now + Duration::from_millis(time),
@@ -132,10 +140,12 @@
             (_, "", _) => {
                 state.base = None;
                 state.adapters.clear();
+                state.seq += 1;
                 200
             }
             (_, _, Some(index)) => {
                 state.adapters.remove(index);
+                state.seq += 1;
                 200
             }
             (_, _, None) => 200,
--- a/crates/hyssopscale/tests/soak/upstream/mod.rs
+++ b/crates/hyssopscale/tests/soak/upstream/mod.rs
@@ -103,6 +103,8 @@
     adapters: Vec<Adapter>,
     /// Adapters that it has held, also in earlier incarnations.
     known: Vec<String>,
+    /// Number of orders that it has carried out.
+    seq: u64,
     fence: u64,
     holder: String,
     /// Who ordered lately, and when.
@@ -204,6 +206,7 @@
                 base: None,
                 adapters: Vec::new(),
                 known: Vec::new(),
+                seq: 0,
                 fence: 0,
                 holder: String::new(),
                 orders: Vec::new(),
@@ -258,7 +261,7 @@
         (state.leaving, state.announced) = (false, false);
         state.base = (start == Start::First).then(Instant::now);
         state.adapters.clear();
-        (state.fence, state.holder) = (0, String::new());
+        (state.seq, state.fence, state.holder) = (0, 0, String::new());
         state.orders.clear();
         state.turned_away.clear();
         self.log.services.lock().unwrap().push(Service {
@@ -368,6 +371,31 @@
         Some((process, said))
     }
 
+    /// Has no entry for `time`, and serves on.
+    pub async fn lapse(&self, time: Duration) {
+        let (process, key) = {
+            let mut state = self.lock();
+            if !state.listed || state.withdrawn {
+                return;
+            }
+            state.withdrawn = true;
+            (state.process(), format!("servers/{}", state.id))
+        };
+        self.store.remove(&key);
+        sleep(time).await;
+        let is_back = {
+            let mut state = self.lock();
+            let serves = state.listed && state.process() == process;
+            if serves {
+                state.withdrawn = false;
+            }
+            serves
+        };
+        if is_back {
+            self.list();
+        }
+    }
+
     /// Returns the key of its entry, where it has one.
     pub fn key(&self) -> Option<String> {
         let state = self.lock();
