Owner: lock engines that state no count of orders as before

Found on reading the change through: a contended engine that states no count was given a load as its first order, without the one that only raises the token, though it cannot refuse orders by their count. It is claimed as before now, once it could be watched for a lease (`engine_without_a_count_is_locked_first`). What a watch has seen has names, and `is_quiet` is split. The tests of owners pass.

--- a/crates/exchange/src/owner/claim.rs
+++ b/crates/exchange/src/owner/claim.rs
@@ -259,7 +259,7 @@
         };
         let orders = self.end_watch(&engine);
         let mut owned = OwnedEngine::new(first_order, engine.clone(), fence);
-        if grounds.contended {
+        if let Some(orders) = orders.filter(|_| grounds.contended) {
             owned.follow_count(now, orders, out);
         }
         self.owned_engines.push(owned);
--- a/crates/exchange/src/owner/contention.rs
+++ b/crates/exchange/src/owner/contention.rs
@@ -32,12 +32,32 @@
 struct Watch {
     engine: Upstream,
     asked_at: Time,
-    /// The engine's count of orders, if it states any, with the first and the last report of it.
-    seen: Option<(Option<u64>, Time, Time)>,
-    /// Since when nothing but the engine's unknown owners may keep this node from claiming it.
+    seen: Option<Seen>,
+    /// Since when a claim is due but for orders of unknown nodes.
     due_since: Option<Time>,
 }
 
+/// What an engine reports of its orders.
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    /// Its count of accepted orders, if it states any.
+    orders: Option<u64>,
+    /// When this count was first reported, and when it last was.
+    first: Time,
+    last: Time,
+}
+
+impl Watch {
+    /// Returns when the engine may be claimed at the earliest.
+    fn claim_time(&mut self, now: Time, due: bool, spread: Duration) -> Time {
+        if !due {
+            self.due_since = None;
+            return Time::MAX;
+        }
+        *self.due_since.get_or_insert(now) + spread
+    }
+}
+
 /// What this node knows of owners that it does not know.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Contention {
@@ -113,8 +133,8 @@
         watches.retain(|watch| fleet.upstream(&watch.engine).is_some());
     }
 
-    /// Returns whether nobody else can have given a recent order to `engine`, which this node is to claim, or will be
-    /// unless it is `due`. Requests the engine's report where that is not known.
+    /// Returns whether no unknown node can have given a recent order to `engine`, so that this node may claim it once
+    /// that is `due` for all other reasons. Requests the report of a contended engine.
     pub(super) fn is_quiet(
         &mut self,
         now: Time,
@@ -126,20 +146,11 @@
             return true;
         }
         let spread = rank::hash(format!("{} {engine}", self.config.me)) % SPREAD_MS;
-        let quiet = self.config.lease + REPORT_DELAY;
-        let requested = out
-            .iter()
-            .filter(|action| matches!(action, Action::FetchReport { .. }));
-        let may_ask = requested.count() < REPORTS_PER_STEP;
+        let quiet_time = self.config.lease + REPORT_DELAY;
+        let is_report = |action: &&Action| matches!(action, Action::FetchReport { .. });
+        let may_ask = out.iter().filter(is_report).count() < REPORTS_PER_STEP;
         let watch = self.contention.watch(engine);
-        if !due {
-            watch.due_since = None;
-        }
-        let claim_at = due.then(|| {
-            let due_since = *watch.due_since.get_or_insert(now);
-            due_since + Duration::from_millis(spread)
-        });
-        let claim_at = claim_at.unwrap_or(Time::MAX);
+        let claim_at = watch.claim_time(now, due, Duration::from_millis(spread));
         // The last report before a claim comes when it is due.
         let is_last = now >= claim_at && watch.asked_at < claim_at;
         if is_last || may_ask && now >= watch.asked_at + WATCH_INTERVAL {
@@ -149,27 +160,24 @@
                 delay: Duration::ZERO,
             });
         }
-        watch
-            .seen
-            .is_some_and(|(_, first, last)| last >= claim_at.max(first + quiet))
+        let seen = watch.seen;
+        seen.is_some_and(|seen| seen.last >= claim_at.max(seen.first + quiet_time))
     }
 
     /// Takes in the count of orders that an engine has reported.
     pub(super) fn record_order_count(&mut self, now: Time, engine: &Upstream, orders: Option<u64>) {
-        let Some(watch) = self
-            .contention
-            .watches
-            .iter_mut()
-            .find(|watch| watch.engine == *engine)
-        else {
+        let watches = &mut self.contention.watches;
+        let Some(watch) = watches.iter_mut().find(|watch| watch.engine == *engine) else {
             return;
         };
-        let former = watch.seen;
-        watch.seen = match former {
-            Some((count, first, _)) if count == orders => Some((count, first, now)),
-            _ => Some((orders, now, now)),
-        };
-        if former.is_some_and(|(count, ..)| count != orders) {
+        let former = watch.seen.filter(|seen| seen.orders == orders);
+        let has_moved = watch.seen.is_some() && former.is_none();
+        watch.seen = Some(Seen {
+            orders,
+            first: former.map_or(now, |seen| seen.first),
+            last: now,
+        });
+        if has_moved {
             self.note_unknown_owner(now, engine);
         }
     }
@@ -178,7 +186,7 @@
     pub(super) fn end_watch(&mut self, engine: &str) -> Option<u64> {
         let watches = &mut self.contention.watches;
         let index = watches.iter().position(|w| *w.engine == *engine)?;
-        watches.swap_remove(index).seen?.0
+        watches.swap_remove(index).seen?.orders
     }
 
     /// Returns the time for which an engine without a known owner is watched before it is claimed.
--- a/crates/exchange/src/owner/order_count.rs
+++ b/crates/exchange/src/owner/order_count.rs
@@ -69,12 +69,12 @@
 }
 
 impl OwnedEngine {
-    /// Has the engine's report read before the first order of a claim, which follows `orders` others. That order has
-    /// the effect of one that only raises the token: the engine takes it only if nobody has ordered since.
-    pub(super) fn follow_count(&mut self, now: Time, orders: Option<u64>, out: &mut Vec<Action>) {
+    /// Has orders follow `orders` others, and the engine's report come before the first one. It need not be one that
+    /// only raises the token: the engine takes it only if nobody has ordered since.
+    pub(super) fn follow_count(&mut self, now: Time, orders: u64, out: &mut Vec<Action>) {
         self.fence_seen = true;
         self.is_guarded = true;
-        self.count = orders.map(|orders| OrderCount::new(now, orders));
+        self.count = Some(OrderCount::new(now, orders));
         self.request_report_after(Duration::ZERO, out);
     }
 
--- a/crates/exchange/tests/unknown_owners.rs
+++ b/crates/exchange/tests/unknown_owners.rs
@@ -8,7 +8,7 @@
 use exchange::owner::{Action, Answer, Decision, Event, Message, Order};
 use rstest::rstest;
 use soak::{Fault, Simulation};
-use support::{OwnerHarness, engine, ms, target};
+use support::{OwnerHarness, bare, engine, ms, target};
 use wire::{Time, Vm};
 
 const ENGINES: usize = 6;
@@ -102,6 +102,14 @@
     assert_eq!(node.owner.owned().count(), 1);
 }
 
+/// An engine that states no count cannot refuse orders by it, so that the first one raises the token alone.
+#[rstest]
+fn engine_without_a_count_is_locked_first() {
+    let mut node = isolated();
+    let sent = node.advance_reporting(ms(7_000), |_| None);
+    assert_eq!(orders(&sent), [(&Order::Load(bare(), None), None)]);
+}
+
 /// Guards against several owners of each engine (ONE): a node that had found nobody claimed engines that others
 /// ordered at.
 #[rstest]
