Owner: stagger the first orders of nodes that do not know each other

What callers saw: nothing but a load that is refused once. All four nodes had claimed it 9 s before, without requests; then callers came to all of them at once, and the four first orders arrived within 1 ms, of which the engine took one. Cause: a claim that nothing has been ordered under moves no count, so that several nodes hold an idle engine, and the report before the first order comes too early to show the others'. Change: that report comes up to 0.4 s later, by node and engine. The nodes that it overtakes give the engine up without an order. Evidence: `owners_without_requests_begin_one_by_one` fails without the delay. With it the tests of owners pass. In the whole fleet nothing changes: only contended engines wait.

--- a/crates/exchange/src/owner/contention.rs
+++ b/crates/exchange/src/owner/contention.rs
@@ -18,6 +18,10 @@
 /// claim at the same moment, and each gets some of the engines.
 const SPREAD_MS: u64 = 3_000;
 
+/// Longest additional wait of the first order after a while. Nodes whose callers come back at the same moment would order
+/// within one round trip otherwise.
+const FIRST_ORDER_SPREAD_MS: u64 = 400;
+
 /// Interval between two reports of an engine that this node waits for.
 const WATCH_INTERVAL: Duration = Duration::from_millis(1_000);
 
@@ -49,12 +53,12 @@
 
 impl Watch {
     /// Returns when the engine may be claimed at the earliest.
-    fn claim_time(&mut self, now: Time, due: bool, spread: Duration) -> Time {
+    fn claim_time(&mut self, now: Time, due: bool, wait: Duration) -> Time {
         if !due {
             self.due_since = None;
             return Time::MAX;
         }
-        *self.due_since.get_or_insert(now) + spread
+        *self.due_since.get_or_insert(now) + wait
     }
 }
 
@@ -145,12 +149,12 @@
         if !self.is_contended(now, engine) {
             return true;
         }
-        let spread = rank::hash(format!("{} {engine}", self.config.me)) % SPREAD_MS;
+        let wait = self.stagger(engine, SPREAD_MS);
         let quiet_time = self.config.lease + REPORT_DELAY;
         let is_report = |action: &&Action| matches!(action, Action::FetchReport { .. });
         let may_ask = out.iter().filter(is_report).count() < REPORTS_PER_STEP;
         let watch = self.contention.watch(engine);
-        let claim_at = watch.claim_time(now, due, Duration::from_millis(spread));
+        let claim_at = watch.claim_time(now, due, wait);
         // The last report before a claim comes when it is due.
         let is_last = now >= claim_at && watch.asked_at < claim_at;
         if is_last || may_ask && now >= watch.asked_at + WATCH_INTERVAL {
@@ -164,6 +168,17 @@
         seen.is_some_and(|seen| seen.last >= claim_at.max(seen.first + quiet_time))
     }
 
+    /// Returns a time below `max_ms` that differs between nodes and engines.
+    fn stagger(&self, engine: &str, max_ms: u64) -> Duration {
+        let hash = rank::hash(format!("{} {engine}", self.config.me));
+        Duration::from_millis(hash % max_ms)
+    }
+
+    /// Returns the delay of the report that comes before the first order to `engine` after a while.
+    pub(super) fn first_order_delay(&self, engine: &str) -> Duration {
+        self.stagger(engine, FIRST_ORDER_SPREAD_MS)
+    }
+
     /// Takes in the count of orders that an engine has reported.
     pub(super) fn record_order_count(&mut self, now: Time, engine: &Upstream, orders: Option<u64>) {
         let watches = &mut self.contention.watches;
--- a/crates/exchange/src/owner/scheduling.rs
+++ b/crates/exchange/src/owner/scheduling.rs
@@ -105,6 +105,28 @@
         owned.is_guarded && self.is_contended(now, &owned.engine)
     }
 
+    /// Returns whether the count of an owned engine is known well enough for the next order. If not, requests the report.
+    fn may_follow_count(
+        &mut self,
+        now: Time,
+        index: usize,
+        runner: &UpstreamState,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        let delay = self.first_order_delay(&runner.listing.id);
+        let owned = &mut self.owned_engines[index];
+        match owned.precondition(now) {
+            Precondition::None => true,
+            Precondition::Wait => false,
+            Precondition::Report => {
+                if owned.has_work(runner) {
+                    owned.request_report_after(delay, out);
+                }
+                false
+            }
+        }
+    }
+
     /// Appends the orders that are due to `out`.
     pub fn issue_orders(&mut self, now: Time, fleet: &Fleet, out: &mut Vec<Action>) {
         if !self.may_order(now) {
@@ -138,14 +160,8 @@
                 continue;
             }
             let guarded = self.is_guarded(now, index);
-            let owned = &mut self.owned_engines[index];
-            match owned.precondition(now) {
-                Precondition::Report if guarded && owned.has_work(runner) => {
-                    owned.request_report_after(Duration::ZERO, out);
-                    continue;
-                }
-                Precondition::Report | Precondition::Wait if guarded => continue,
-                _ => {}
+            if guarded && !self.may_follow_count(now, index, runner, out) {
+                continue;
             }
             if let Some(order) = self.next_order(now, fleet, index, runner, out) {
                 let owned = &mut self.owned_engines[index];
--- a/crates/exchange/tests/unknown_owners.rs
+++ b/crates/exchange/tests/unknown_owners.rs
@@ -286,3 +286,27 @@
         assert_eq!(turns, 0, "seed {seed}");
     }
 }
+
+/// Guards against orders by turns (ONE): callers come back to all nodes at the same moment, after a time without any in
+/// which each node has claimed every engine.
+#[rstest]
+fn owners_without_requests_begin_one_by_one() {
+    let delays: Vec<Duration> = (1..=4)
+        .map(|number| {
+            let vm = format!("vm-{number}");
+            let mut node = OwnerHarness::alone(&vm, number, [engine("e1", &["a"])]);
+            node.step(Event::Isolated(true));
+            node.advance_reporting(ms(9_000), |_| Some(0));
+            let sent = node.step(request("b"));
+            let delay = sent.iter().find_map(|action| match action {
+                Action::FetchReport { delay, .. } => Some(*delay),
+                _ => None,
+            });
+            delay.expect("a report before the first order")
+        })
+        .collect();
+    let mut sorted = delays.clone();
+    sorted.sort_unstable();
+    let is_apart = |pair: &[Duration]| pair[1] - pair[0] > ms(5);
+    assert!(sorted.windows(2).all(is_apart), "{delays:?}");
+}
