--- a/crates/placement/src/owner/mod.rs
+++ b/crates/placement/src/owner/mod.rs
@@ -72,7 +72,7 @@
     claim: Fence,
     fences: FenceCounter,
     /// Highest fencing number that the engine has reported.
-    engine_fence: Option<Fence>,
+    engine_fence: Fence,
     owned_since: Time,
     boot: Option<u64>,
     /// Time at which the engine made its last instance report.
@@ -117,7 +117,7 @@
             upstream,
             claim,
             fences,
-            engine_fence: None,
+            engine_fence: 0,
             owned_since: now,
             boot: None,
             last_report: None,
@@ -158,16 +158,10 @@
         self.fences.last()
     }
 
-    /// Returns whether an engine that has seen `fence` was given an order by another node since it last
-    /// disclosed a number.
-    pub const fn is_overtaken(&self, fence: Fence) -> bool {
-        self.engine_fence.is_some() && fence > self.fences.last()
-    }
-
     /// Records a fencing number that the engine has seen, so that the next order exceeds it.
     pub fn observe_fence(&mut self, fence: Fence) {
         self.fences.observe(fence);
-        self.engine_fence = self.engine_fence.max(Some(fence));
+        self.engine_fence = self.engine_fence.max(fence);
     }
 
     /// Makes a claim above `fence`, which every peer has to acknowledge again.
--- a/crates/placement/src/planner/mod.rs
+++ b/crates/placement/src/planner/mod.rs
@@ -140,7 +140,7 @@
                 });
             }
             Event::Receive { from, message } => self.receive(now, &from, message),
-            Event::FenceObserved { upstream, fence } => self.observe_fence(now, &upstream, fence),
+            Event::FenceObserved { upstream, fence } => self.observe_fence(&upstream, fence),
             Event::InstanceReport(report) => self.handle_instance_report(now, &report),
             Event::Report {
                 upstream,
--- a/crates/placement/src/planner/ownership.rs
+++ b/crates/placement/src/planner/ownership.rs
@@ -269,21 +269,14 @@
     }
 
     /// Records the highest fencing number that an engine has seen. The next order gets a higher
-    /// one. If the number has risen without an order of this node, another one gives orders there, whether the view lists
-    /// it or not: this node orders nothing until that has been silent for a while.
-    pub(super) fn observe_fence(&mut self, now: Time, upstream: &Upstream, fence: Fence) {
+    /// one.
+    pub(super) fn observe_fence(&mut self, upstream: &Upstream, fence: Fence) {
         let owner = self
             .owners
             .iter_mut()
             .find(|o| o.upstream().id == *upstream);
-        let Some(owner) = owner else {
-            return;
-        };
-        let overtaken = owner.is_overtaken(fence);
-        owner.observe_fence(fence);
-        if overtaken {
-            self.reclaims.retain(|r| r.upstream != *upstream);
-            self.schedule_reclaim(now, upstream, fence);
+        if let Some(owner) = owner {
+            owner.observe_fence(fence);
         }
     }
 
