Placement: stay away again from an engine that another node orders at

Two nodes that do not list each other own the same engine, each orders above the other's number as soon as the engine discloses it, and they evict what the other loads.

Beside it, waiters are denied when that happens, no load is asked for while nothing may be ordered, and the decision log names it (`overtaken`).

--- a/crates/node/src/decision.rs
+++ b/crates/node/src/decision.rs
@@ -3,7 +3,7 @@
 //! The front writes its own lines (`route`, `grant`, `choose`, `attempt-failed`, `end`); this
 //! module turns the machines' notes into lines. `docs/operators/logs.md` lists them all.
 
-use log::info;
+use log::{info, warn};
 
 use crate::journal::DECISION;
 
@@ -79,6 +79,9 @@
         Note::Yielded { upstream, fence } => {
             info!(target: DECISION, upstream:%, fence; "yield");
         }
+        Note::Overtaken { upstream, fence } => {
+            warn!(target: DECISION, upstream:%, fence; "overtaken");
+        }
         Note::Restarted {
             upstream,
             instances,
--- a/crates/placement/src/action.rs
+++ b/crates/placement/src/action.rs
@@ -130,6 +130,13 @@
         /// Number of the claim that supersedes this node's; 0 if ownership ended without one.
         fence: Fence,
     },
+    /// Another node has given orders at an engine that this node owns.
+    Overtaken {
+        /// The upstream.
+        upstream: wire::Upstream,
+        /// Highest fencing number that the engine has seen.
+        fence: Fence,
+    },
     /// An engine restarted and lost every instance that was loaded before.
     Restarted {
         /// The upstream.
--- a/crates/placement/src/owner/mod.rs
+++ b/crates/placement/src/owner/mod.rs
@@ -72,7 +72,7 @@
     claim: Fence,
     fences: FenceCounter,
     /// Highest fencing number that the engine has reported.
-    engine_fence: Fence,
+    engine_fence: Option<Fence>,
     owned_since: Time,
     boot: Option<u64>,
     /// Time at which the engine made its last instance report.
@@ -117,7 +117,7 @@
             upstream,
             claim,
             fences,
-            engine_fence: 0,
+            engine_fence: None,
             owned_since: now,
             boot: None,
             last_report: None,
@@ -158,10 +158,16 @@
         self.fences.last()
     }
 
+    /// Returns whether an engine that has seen `fence` was given an order by another node since it last
+    /// disclosed a number.
+    pub const fn is_overtaken(&self, fence: Fence) -> bool {
+        self.engine_fence.is_some() && fence > self.fences.last()
+    }
+
     /// Records a fencing number that the engine has seen, so that the next order exceeds it.
     pub fn observe_fence(&mut self, fence: Fence) {
         self.fences.observe(fence);
-        self.engine_fence = self.engine_fence.max(fence);
+        self.engine_fence = self.engine_fence.max(Some(fence));
     }
 
     /// Makes a claim above `fence`, which every peer has to acknowledge again.
@@ -438,9 +444,8 @@
         self.deny_waiters(model, Denial::Failed, delay, fx);
     }
 
-    /// Ends the ownership and denies all waiters, who are told that the next owner orders nothing for
-    /// `wait`. The slots are kept for the acknowledgement of the next owner's claim.
-    pub fn retire(&mut self, now: Time, wait: Duration, fx: &mut Effects) {
+    /// Denies all waiters, who are told that nothing is ordered for `wait`.
+    pub fn deny_all(&mut self, wait: Duration, fx: &mut Effects) {
         let models: Vec<Model> = self
             .queue
             .entries()
@@ -450,6 +455,12 @@
         for model in models {
             self.deny_waiters(&model, Denial::Moved, wait, fx);
         }
+    }
+
+    /// Ends the ownership and denies all waiters, who are told that the next owner orders nothing for
+    /// `wait`. The slots are kept for the acknowledgement of the next owner's claim.
+    pub fn retire(&mut self, now: Time, wait: Duration, fx: &mut Effects) {
+        self.deny_all(wait, fx);
         self.has_ticket = false;
         self.retired_at = Some(now);
     }
--- a/crates/placement/src/owner/outcome.rs
+++ b/crates/placement/src/owner/outcome.rs
@@ -20,7 +20,8 @@
     /// Returns the failure to act on. If the engine has seen a higher fencing number than the
     /// order's, it rejected the order only because of the number, which counts as not sent.
     pub(super) fn effective_failure(&self, fence: Fence, failure: Failure) -> Failure {
-        let fenced_off = fence < self.engine_fence && failure == Failure::Rejected;
+        let seen = self.engine_fence.unwrap_or_default();
+        let fenced_off = fence < seen && failure == Failure::Rejected;
         if fenced_off {
             Failure::NotSent
         } else {
--- a/crates/placement/src/planner/mod.rs
+++ b/crates/placement/src/planner/mod.rs
@@ -140,7 +140,7 @@
                 });
             }
             Event::Receive { from, message } => self.receive(now, &from, message),
-            Event::FenceObserved { upstream, fence } => self.observe_fence(&upstream, fence),
+            Event::FenceObserved { upstream, fence } => self.observe_fence(now, &upstream, fence),
             Event::InstanceReport(report) => self.handle_instance_report(now, &report),
             Event::Report {
                 upstream,
@@ -353,8 +353,10 @@
             for budget in &mut self.budgets {
                 for owner in &self.owners {
                     if owner.upstream().store == budget.store().id {
-                        let want = owner.next_load(now, &self.settings);
-                        budget.set_demand(&owner.upstream().id, want, &mut self.fx);
+                        let id = &owner.upstream().id;
+                        let waits = self.reclaims.iter().any(|r| r.is_for(id));
+                        let want = owner.next_load(now, &self.settings).filter(|_| !waits);
+                        budget.set_demand(id, want, &mut self.fx);
                     }
                 }
                 budget.poll(
--- a/crates/placement/src/planner/ownership.rs
+++ b/crates/placement/src/planner/ownership.rs
@@ -22,6 +22,13 @@
     above: Fence,
 }
 
+impl Reclaim {
+    /// Returns whether this is the claim on `upstream`.
+    pub(super) fn is_for(&self, upstream: &str) -> bool {
+        *self.upstream == *upstream
+    }
+}
+
 impl Planner {
     /// Replaces the view and updates ownership and budgets accordingly.
     pub(super) fn update_view(&mut self, now: Time, view: View) {
@@ -252,7 +259,7 @@
     /// Returns whether this node waits before it claims an upstream again. Its own instances stay
     /// known, but it orders nothing.
     pub(super) fn awaits_reclaim(&self, upstream: &str) -> bool {
-        self.reclaims.iter().any(|r| *r.upstream == *upstream)
+        self.reclaims.iter().any(|r| r.is_for(upstream))
     }
 
     /// Returns the time for which, as far as this node knows, nobody orders at an upstream, because a
@@ -268,16 +275,31 @@
         remaining_delay(quiet)
     }
 
-    /// Records the highest fencing number that an engine has seen. The next order gets a higher
-    /// one.
-    pub(super) fn observe_fence(&mut self, upstream: &Upstream, fence: Fence) {
+    /// Records the highest fencing number that an engine has seen. The next order gets a higher one.
+    ///
+    /// If the number has risen without an order of this node, another node orders there, whether the view lists it or
+    /// not. This node then orders nothing until the number has stood still for [`RECLAIM_DELAY`].
+    pub(super) fn observe_fence(&mut self, now: Time, upstream: &Upstream, fence: Fence) {
         let owner = self
             .owners
             .iter_mut()
             .find(|o| o.upstream().id == *upstream);
-        if let Some(owner) = owner {
-            owner.observe_fence(fence);
+        let Some(owner) = owner else {
+            return;
+        };
+        let overtaken = owner.is_overtaken(fence);
+        owner.observe_fence(fence);
+        if !overtaken {
+            return;
+        }
+        owner.deny_all(RECLAIM_DELAY, &mut self.fx);
+        let waiting = self.reclaims.len();
+        self.reclaims.retain(|reclaim| !reclaim.is_for(upstream));
+        if self.reclaims.len() == waiting {
+            let upstream = upstream.clone();
+            self.fx.note(Note::Overtaken { upstream, fence });
         }
+        self.schedule_reclaim(now, upstream, fence);
     }
 
     /// Schedules a new claim above `above`, once orders of the other node are not recent any more.
