Placement: steps of order numbers differ between processes

Nodes that start at the same moment and do not list each other both claim an engine by number 1 and order by 2, 3 and so on. Engines accept an equal number, so each node's number is never above the other's, and all order by turns.

Cause: the number of the next order was the highest known one plus one, on every node. Change: the numbers of a process's orders rise by a step that a hash of its VM and start gives (1 to 65,536). The numbers part with the first orders; the node whose number is lower sees that it was overtaken, and stays away. Claims are counted by one as before. The step of two processes may be the same, one time in 65,536.

Engines that disclose no number are not covered.

--- a/crates/placement/src/fence.rs
+++ b/crates/placement/src/fence.rs
@@ -5,18 +5,40 @@
 //! that loaded it. A late order of a previous owner therefore names an instance that no new request
 //! uses, and a stale name can never refer to another model.
 
-use wire::{Fence, Incarnation, Model};
+use wire::{Fence, Incarnation, Model, rank};
 
 use crate::event::Instance;
 
+/// Largest step between the numbers of a process's orders.
+const MAX_STEP: u64 = 1 << 16;
+
 /// Generator of increasing fencing numbers.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+///
+/// The numbers of orders rise by a step that differs between processes: engines accept an equal number, and
+/// two nodes that do not know each other would issue the same ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FenceCounter {
     last: Fence,
+    step: u64,
 }
 
 impl FenceCounter {
-    /// Returns a number above all that were generated or observed before.
+    /// Creates the generator of a process.
+    pub fn new(process: &Incarnation) -> Self {
+        let name = format!("{}@{:x}", process.vm, process.start);
+        Self {
+            last: 0,
+            step: 1 + rank::hash(name) % MAX_STEP,
+        }
+    }
+
+    /// Returns the number of the next order.
+    pub fn advance_order(&mut self) -> Fence {
+        self.last = self.last.saturating_add(self.step);
+        self.last
+    }
+
+    /// Returns the number of the next claim, which is above all that were generated or observed before.
     pub fn advance(&mut self) -> Fence {
         self.last = self.last.saturating_add(1);
         self.last
--- a/crates/placement/src/owner/load.rs
+++ b/crates/placement/src/owner/load.rs
@@ -151,7 +151,7 @@
         settings: &Settings,
         fx: &mut Effects,
     ) {
-        let fence = self.fences.advance();
+        let fence = self.fences.advance_order();
         let deadline = now + settings.order * 2;
         let others = self.slots.iter().filter(|s| s.evictable(settings)).count();
         let slot = &mut self.slots[index];
@@ -192,7 +192,7 @@
             self.has_ticket = false;
             return TicketStatus::Finished;
         };
-        let fence = self.fences.advance();
+        let fence = self.fences.advance_order();
         let name = InstanceName {
             model: model.clone(),
             loader: self.me.clone(),
--- a/crates/placement/src/owner/mod.rs
+++ b/crates/placement/src/owner/mod.rs
@@ -109,7 +109,7 @@
     /// Creates the owner of an upstream whose slots are unknown. Its claim and orders get numbers
     /// above `highest_fence`, the highest number known to be in use.
     pub fn new(now: Time, me: Incarnation, upstream: Upstream, highest_fence: Fence) -> Self {
-        let mut fences = FenceCounter::default();
+        let mut fences = FenceCounter::new(&me);
         fences.observe(highest_fence);
         let claim = fences.advance();
         Self {
--- a/crates/placement/tests/unknown_owners.rs
+++ b/crates/placement/tests/unknown_owners.rs
@@ -174,6 +174,26 @@
     assert_eq!(site.turns(), 0, "of {} orders", site.orders.len());
 }
 
+/// Guards against such nodes that start at the same moment: their numbers stayed equal, so that neither found the
+/// other's above its own. All but one are refused, or followed, by one order each.
+#[rstest]
+#[case(&["a", "b"])]
+#[case(&["b", "a"])]
+#[case(&["vm-1", "vm-2"])]
+#[case(&["vm-1", "vm-2", "vm-3"])]
+#[case(&["vm-3", "vm-2", "vm-1"])]
+fn owners_that_start_together_take_no_turns(#[case] names: &[&str]) {
+    let mut site = Site::new(names);
+    let all: Vec<usize> = (0..names.len()).collect();
+    site.run(300, &all);
+    let taken = site.orders.iter().filter(|(.., taken)| *taken).count();
+    let refused = site.orders.len() - taken;
+    assert!(taken > 20, "{taken} orders taken");
+    assert!(refused < names.len(), "{refused} orders refused");
+    site.orders.retain(|(.., taken)| *taken);
+    assert_eq!(site.turns(), 0, "of {} orders", site.orders.len());
+}
+
 #[rstest]
 fn owner_that_has_gone_silent_is_followed() {
     let mut site = Site::new(&["a", "b"]);
